--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# Every target sets itself up: a virtual environment with pinned dependencies.
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test lint bench schemas clean
+
+$(STAMP): pyproject.toml requirements.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements.txt
+	$(BIN)/pip install --quiet --no-deps --editable .
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/yarrowwall demo
+
+test: $(STAMP)
+	$(BIN)/python -m features.run
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check yarrowwall features
+	$(BIN)/ruff check yarrowwall features
+	$(BIN)/mypy yarrowwall/core yarrowwall/messages
+
+bench: $(STAMP)
+	$(BIN)/yarrowwall bench
+
+schemas: $(STAMP)
+	$(BIN)/python -m yarrowwall.messages.generate
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,31 @@
+"""Behave hooks: the scenarios of a feature tagged ``shared_system`` share one running system."""
+
+from behave.model import Feature, Scenario
+from behave.runner import Context
+
+from features.support.processes import System
+
+
+def before_feature(context: Context, feature: Feature) -> None:
+    """Start the processes that the feature's scenarios share."""
+    context.shared_system = System() if "shared_system" in feature.tags else None
+    context.system = context.shared_system
+
+
+def after_feature(context: Context, feature: Feature) -> None:
+    """End the shared processes."""
+    if context.shared_system is not None:
+        context.shared_system.stop()
+
+
+def before_scenario(context: Context, scenario: Scenario) -> None:
+    """Start the processes of a scenario tagged ``own_system``."""
+    context.own_system = System() if "own_system" in scenario.effective_tags else None
+    if context.own_system is not None:
+        context.system = context.own_system
+
+
+def after_scenario(context: Context, scenario: Scenario) -> None:
+    """End the processes of the scenario."""
+    if context.own_system is not None:
+        context.own_system.stop()
--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the step modules."""
--- /dev/null
+++ b/features/support/processes.py
@@ -0,0 +1,198 @@
+"""Starts nodes and stand-ins as processes of their own, on loopback."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import urllib3
+
+ZONES = ("zone-a", "zone-b", "zone-c")
+MODEL = "assistant"
+PATIENCE_SECONDS = 60.0
+
+
+def wait_until(condition: Callable[[], bool], what: str) -> None:
+    """Wait for a condition; the bound only ends a hung test."""
+    deadline = time.monotonic() + PATIENCE_SECONDS
+    while not condition():
+        assert time.monotonic() < deadline, f"gave up waiting: {what}"
+        time.sleep(0.02)
+
+
+def free_addresses(count: int) -> list[str]:
+    """Return loopback addresses that nobody listens on."""
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    addresses = [f"127.0.0.1:{server.getsockname()[1]}" for server in sockets]
+    for server in sockets:
+        server.close()
+    return addresses
+
+
+class System:
+    """Platform, engines, record servers, tool and nodes, each a process."""
+
+    def __init__(self, engine_speed: float = 4.0, nodes: int = 3, engines: int = 3) -> None:
+        self._folder = tempfile.TemporaryDirectory()
+        self.folder = Path(self._folder.name)
+        self.processes: dict[str, subprocess.Popen] = {}
+        self.pool = urllib3.PoolManager(retries=False, timeout=PATIENCE_SECONDS)
+        self.engine_addresses = [
+            self._start_standin(f"engine-{number}", "engine", "--speed", str(engine_speed))
+            for number in range(engines)
+        ]
+        self.record_addresses = [
+            self._start_standin(f"records-{number}", "records") for number in range(2)
+        ]
+        self.tool_address = self._start_standin("tool", "tool")
+        self.platform_address = self._start_platform()
+        self._write_settings(nodes)
+        for number in range(nodes):
+            self.start_node(number)
+        wait_until(lambda: all(self.is_ready(n) for n in range(nodes)), "nodes ready")
+
+    def _start(self, name: str, *arguments: str) -> subprocess.Popen:
+        log = (self.folder / f"{name}.log").open("ab")
+        process = subprocess.Popen(
+            [sys.executable, "-m", "yarrowwall", *arguments],
+            stdout=subprocess.PIPE,
+            stderr=log,
+            cwd=Path(__file__).parent.parent.parent,
+        )
+        self.processes[name] = process
+        return process
+
+    def _start_standin(self, name: str, *arguments: str) -> str:
+        process = self._start(
+            name, "standin", arguments[0], "--listen", "127.0.0.1:0", *arguments[1:]
+        )
+        line = process.stdout.readline().decode()
+        assert line.startswith("listening on "), f"{name} did not start: {line!r}"
+        return line.split()[-1]
+
+    def _start_platform(self) -> str:
+        machines = [
+            self._machine(f"engine-{number}", "engine", number, address)
+            for number, address in enumerate(self.engine_addresses)
+        ]
+        machines += [
+            self._machine(f"records-{number}", "records", number, address)
+            for number, address in enumerate(self.record_addresses)
+        ]
+        objects = self.folder / "objects.json"
+        objects.write_text(json.dumps({"machines": {"machines": machines}}))
+        return self._start_standin("platform", "platform", "--objects", str(objects))
+
+    @staticmethod
+    def _machine(machine_id: str, kind: str, number: int, address: str) -> dict:
+        zone = ZONES[number % len(ZONES)]
+        return {"machine_id": machine_id, "kind": kind, "zone": zone, "address": address}
+
+    def _write_settings(self, nodes: int) -> None:
+        addresses = free_addresses(2 * nodes)
+        self.peer_addresses, self.http_addresses = addresses[:nodes], addresses[nodes:]
+        lines = []
+        for number in range(nodes):
+            zone = ZONES[number % len(ZONES)]
+            lines.append("[[peers]]")
+            lines.append(f'node_id = "node-{number}"\nzone = "{zone}"')
+            lines.append(f'address = "{self.peer_addresses[number]}"')
+            lines.append("[[replicas]]")
+            lines.append(f'replica_id = "replica-{number}"\nnode_id = "node-{number}"')
+            lines.append(f'zone = "{zone}"')
+        for number in range(nodes):
+            head = [
+                f'node_id = "node-{number}"',
+                f'zone = "{ZONES[number % len(ZONES)]}"',
+                f'peer_address = "{self.peer_addresses[number]}"',
+                f'http_address = "{self.http_addresses[number]}"',
+                f'platform_address = "{self.platform_address}"',
+                f'data_folder = "{self.folder / f"data-{number}"}"',
+            ]
+            self.settings_path(number).write_text("\n".join(head + lines) + "\n")
+            folder = self.folder / f"data-{number}"
+            folder.mkdir()
+            (folder / "replica-id").write_text(f"replica-{number}\n")
+
+    def settings_path(self, number: int) -> Path:
+        """Return the settings file of a node."""
+        return self.folder / f"node-{number}.toml"
+
+    def start_node(self, number: int) -> None:
+        """Start a node's process."""
+        self._start(f"node-{number}", "node", "--settings", str(self.settings_path(number)))
+
+    def signal_node(self, number: int, which: signal.Signals) -> subprocess.Popen:
+        """Send a signal to a node's process."""
+        process = self.processes[f"node-{number}"]
+        os.kill(process.pid, which)
+        return process
+
+    def url(self, number: int) -> str:
+        """Return a node's base URL."""
+        return f"http://{self.http_addresses[number]}"
+
+    def is_ready(self, number: int) -> bool:
+        """Return whether a node serves and has heard from every engine."""
+        try:
+            status = self.pool.request("GET", self.url(number) + "/v1/operator/status").json()
+            health = self.pool.request("GET", self.url(number) + "/healthz")
+        except (urllib3.exceptions.HTTPError, OSError):
+            return False
+        engines = status["engines"]
+        return health.status == 200 and bool(engines) and all(e["models"] for e in engines)
+
+    def request(
+        self, node: int, method: str, path: str, body: object = None, **headers: str
+    ) -> urllib3.BaseHTTPResponse:
+        """Send a request to a node; header names get the prefix ``Yarrowwall-``."""
+        named = {f"Yarrowwall-{name.capitalize()}": value for name, value in headers.items()}
+        return self.pool.request(method, self.url(node) + path, json=body, headers=named)
+
+    def open_program(self, node: int, **body: object) -> str:
+        """Open a program; return its id."""
+        body = {"tenant": "alloy", "desk": "sourcing", **body}
+        response = self.request(node, "POST", "/v1/programs", body)
+        assert response.status == 201, response.data
+        return response.json()["id"]
+
+    def call(
+        self, node: int, program: str, number: int, text: str, max_tokens: int = 16, **headers: str
+    ) -> urllib3.BaseHTTPResponse:
+        """Run a call of a program."""
+        body = {
+            "model": MODEL,
+            "messages": [{"role": "user", "content": text}],
+            "max_tokens": max_tokens,
+        }
+        return self.request(
+            node, "POST", "/v1/chat/completions", body, program=program, call=str(number), **headers
+        )
+
+    def engine_state(self) -> list[dict]:
+        """Return what every engine ran and holds."""
+        return [
+            self.pool.request("GET", f"http://{address}/state").json()
+            for address in self.engine_addresses
+        ]
+
+    def starts(self, program: str) -> list[str]:
+        """Return every attempt of a program that an engine started."""
+        found = [start for state in self.engine_state() for start in state["starts"]]
+        return sorted(start for start in found if start.startswith(program + "/"))
+
+    def stop(self) -> None:
+        """End every process this system started."""
+        for process in self.processes.values():
+            process.kill()
+        for process in self.processes.values():
+            process.wait()
+            if process.stdout is not None:
+                process.stdout.close()
+        self._folder.cleanup()
--- /dev/null
+++ b/yarrowwall/__init__.py
@@ -0,0 +1,1 @@
+"""Yarrowwall: a scheduler for agent programs."""
--- /dev/null
+++ b/yarrowwall/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, one module a command group."""
--- /dev/null
+++ b/yarrowwall/cli/main.py
@@ -0,0 +1,21 @@
+"""The ``yarrowwall`` command."""
+
+# The runtime patches the standard library for eventlet; nothing may be imported before it.
+import yarrowwall.runtime  # noqa: F401  isort: skip
+
+import click
+
+from yarrowwall.cli.demo import demo
+from yarrowwall.cli.node import check_settings, journal_init, node
+from yarrowwall.cli.operator import intent, plan, status
+from yarrowwall.cli.standin import standin
+
+
+@click.group()
+@click.version_option(package_name="yarrowwall")
+def main() -> None:
+    """Scheduler for agent programs."""
+
+
+for command in (node, check_settings, journal_init, standin, demo, intent, plan, status):
+    main.add_command(command)
--- /dev/null
+++ b/yarrowwall/cli/node.py
@@ -0,0 +1,61 @@
+"""Commands that run and prepare a node."""
+
+import sys
+from pathlib import Path
+
+import click
+
+from yarrowwall import logs
+from yarrowwall.exceptions import SettingsError, YarrowwallError
+from yarrowwall.settings import NodeFileSettings, load_settings
+
+EXIT_BAD_SETTINGS = 2
+_PATH = click.Path(dir_okay=False, path_type=Path)
+
+
+def _load_or_exit(path: Path) -> NodeFileSettings:
+    """Return the settings of a file; print its faults and exit if it has any."""
+    try:
+        return load_settings(path)
+    except SettingsError as error:
+        for fault in error.faults:
+            click.echo(fault, err=True)
+        sys.exit(EXIT_BAD_SETTINGS)
+
+
+@click.command()
+@click.option("--settings", "path", type=_PATH, required=True, help="TOML settings file.")
+def node(path: Path) -> None:
+    """Run a node until SIGTERM; it then finishes what runs and exits."""
+    settings = _load_or_exit(path)
+    logs.set_up(settings.node_id, settings.zone, settings.log_level)
+    from yarrowwall.runtime.service import run_node
+
+    try:
+        sys.exit(run_node(settings))
+    except (YarrowwallError, OSError) as error:
+        raise click.ClickException(str(error)) from error
+
+
+@click.command("check-settings")
+@click.argument("path", type=_PATH)
+def check_settings(path: Path) -> None:
+    """Check a settings file; one line a fault, exit code 2 if there is one."""
+    _load_or_exit(path)
+    click.echo(f"{path}: ok")
+
+
+@click.command("journal-init")
+@click.option("--folder", type=click.Path(path_type=Path), required=True, help="Data folder.")
+@click.option("--replica-id", required=True, help="Id that the shard map names.")
+def journal_init(folder: Path, replica_id: str) -> None:
+    """Give a fresh data folder its replica id, once, before the first start."""
+    from yarrowwall.storage import identity
+
+    try:
+        found = identity.initialise(folder, replica_id)
+    except YarrowwallError as error:
+        raise click.ClickException(str(error)) from error
+    if found != replica_id:
+        raise click.ClickException(f"the folder already has the replica id {found}")
+    click.echo(f"{folder}: {replica_id}")
--- /dev/null
+++ b/yarrowwall/cli/operator.py
@@ -0,0 +1,138 @@
+"""Commands for operators, against any node."""
+
+import json
+import tomllib
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import click
+import urllib3
+from urllib3.exceptions import HTTPError
+
+EXIT_REFUSED = 1
+_TIMEOUT_SECONDS = 30.0
+
+
+def _common_options(command: Callable) -> Callable:
+    """Add the options that every operator command has."""
+    command = click.option("--node", required=True, help="Any node, http://IP:PORT.")(command)
+    output = click.option("--output", type=click.Choice(["table", "json"]), default="table")
+    return output(command)
+
+
+def _request(node: str, method: str, path: str, body: dict | None = None) -> dict:
+    """Return the JSON answer of a node; exits with its error otherwise."""
+    pool = urllib3.PoolManager(retries=False, timeout=_TIMEOUT_SECONDS)
+    try:
+        response = pool.request(method, node.rstrip("/") + path, json=body)
+        document = response.json()
+    except (HTTPError, ValueError) as error:
+        raise click.ClickException(f"no answer from {node}: {error}") from error
+    if "error" in document:
+        changed = document["error"].get("changed", [])
+        lines = [f"{document['error']['type']}: {document['error']['message']}", *changed]
+        raise click.ClickException("\n  ".join(lines))
+    return document
+
+
+def _load_intents(path: Path) -> dict:
+    try:
+        return tomllib.loads(path.read_text())
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        raise click.ClickException(f"{path}: {error}") from error
+
+
+def _print_table(rows: list[tuple[str, Any]]) -> None:
+    width = max(len(name) for name, _ in rows)
+    for name, value in rows:
+        click.echo(f"{name:<{width}}  {value}")
+
+
+def _print_plan(document: dict, output: str) -> None:
+    if output == "json":
+        click.echo(json.dumps(document, indent=2))
+        return
+    plan_document = document["plan"]
+    rows = [
+        ("plan", plan_document["plan_id"]),
+        ("status", plan_document["status"]),
+        ("computed on", f"configuration {plan_document['base_version']}"),
+    ]
+    rows += [("effect", line) for line in plan_document["effects"]]
+    if document["message"]:
+        rows.append(("result", document["message"]))
+    _print_table(rows)
+
+
+@click.group()
+def intent() -> None:
+    """Declare what should hold."""
+
+
+@intent.command("apply")
+@click.argument("path", type=click.Path(dir_okay=False, path_type=Path))
+@_common_options
+def intent_apply(path: Path, node: str, output: str) -> None:
+    """Compute a plan for the intents in a TOML file; nothing changes yet."""
+    _print_plan(_request(node, "POST", "/v1/operator/intents", _load_intents(path)), output)
+
+
+@click.group()
+def plan() -> None:
+    """Look at plans and decide on them."""
+
+
+@plan.command("show")
+@click.argument("plan_id")
+@_common_options
+def plan_show(plan_id: str, node: str, output: str) -> None:
+    """Show a plan."""
+    _print_plan(_request(node, "GET", f"/v1/operator/plans/{plan_id}"), output)
+
+
+@plan.command("confirm")
+@click.argument("plan_id")
+@_common_options
+def plan_confirm(plan_id: str, node: str, output: str) -> None:
+    """Bring a plan into force; refused if the configuration has changed since."""
+    _print_plan(_request(node, "POST", f"/v1/operator/plans/{plan_id}/confirm"), output)
+
+
+@plan.command("reject")
+@click.argument("plan_id")
+@_common_options
+def plan_reject(plan_id: str, node: str, output: str) -> None:
+    """Drop a plan."""
+    _print_plan(_request(node, "POST", f"/v1/operator/plans/{plan_id}/reject"), output)
+
+
+@plan.command("amend")
+@click.argument("plan_id")
+@click.argument("path", type=click.Path(dir_okay=False, path_type=Path))
+@_common_options
+def plan_amend(plan_id: str, path: Path, node: str, output: str) -> None:
+    """Drop a plan and compute another from the intents in a TOML file."""
+    body = _load_intents(path)
+    _print_plan(_request(node, "POST", f"/v1/operator/plans/{plan_id}/amend", body), output)
+
+
+@click.command()
+@_common_options
+def status(node: str, output: str) -> None:
+    """Show what a node knows: members, engines, configuration in force."""
+    document = _request(node, "GET", "/v1/operator/status")
+    if output == "json":
+        click.echo(json.dumps(document, indent=2))
+        return
+    rows: list[tuple[str, Any]] = [
+        ("node", f"{document['node']} in {document['zone']}"),
+        ("configuration", document["configuration_version"]),
+        ("loaded programs", document["loaded_programs"]),
+    ]
+    for member in document["members"]:
+        rows.append(("member", f"{member['node']} {member['zone']} {member['status']}"))
+    for item in document["engines"]:
+        models = ",".join(item["models"])
+        rows.append(("engine", f"{item['engine']} {item['zone']} {item['occupancy']} {models}"))
+    _print_table(rows)
--- /dev/null
+++ b/yarrowwall/core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' intents, plans, and the documents that every node has in force."""
--- /dev/null
+++ b/yarrowwall/core/configuration/documents.py
@@ -0,0 +1,157 @@
+"""Spreading documents: secured on a majority of replicas, then in force, then gossiped.
+
+A document read from the platform is first stored on a majority of the journal
+replicas, and only then in force on any node. So a node that starts while the
+platform is down, and takes the highest version of a majority of replicas,
+never has an older document than some node had in force before.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from yarrowwall.core.configuration.models import SPREAD_DOCUMENTS
+from yarrowwall.core.effects import SendToPeer
+from yarrowwall.core.journal.proposer import ReplicaGroups
+from yarrowwall.core.outbox import Outbox
+from yarrowwall.messages.peers import (
+    Document,
+    DocumentPull,
+    DocumentPush,
+    DocumentStored,
+    DocumentVersion,
+    FetchDocuments,
+    FetchedDocuments,
+    StoreDocument,
+)
+
+
+@dataclass
+class _Securing:
+    document: Document
+    stored_on: set[str] = field(default_factory=set)
+
+
+class DocumentTable:
+    """Documents in force on this node, and those being secured.
+
+    :param groups: returns the replicas of the shard map in force.
+    :param on_change: called with each document that comes into force.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        outbox: Outbox,
+        groups: Callable[[], ReplicaGroups],
+        on_change: Callable[[Document], None],
+    ) -> None:
+        self._node_id = node_id
+        self._outbox = outbox
+        self._groups = groups
+        self._on_change = on_change
+        self._in_force: dict[str, Document] = {}
+        self._securing: dict[str, _Securing] = {}
+        self._fetched_from: set[str] = set()
+        self._fetched: dict[str, Document] = {}
+        self.is_ready = False
+
+    def in_force(self, name: str) -> Document | None:
+        """Return a document in force."""
+        return self._in_force.get(name)
+
+    def version(self, name: str) -> int:
+        """Return the version in force; 0 without one."""
+        document = self._in_force.get(name)
+        return document.version if document else 0
+
+    def versions(self) -> list[DocumentVersion]:
+        """Return the digest that gossip carries."""
+        return [DocumentVersion(name, doc.version) for name, doc in sorted(self._in_force.items())]
+
+    def apply(self, document: Document) -> None:
+        """Bring a secured document into force unless one as new is."""
+        if document.version <= self.version(document.name):
+            return
+        self._in_force[document.name] = document
+        securing = self._securing.get(document.name)
+        if securing is not None and securing.document.version <= document.version:
+            del self._securing[document.name]
+        self._on_change(document)
+
+    # Start
+
+    def fetch(self) -> None:
+        """Ask the replicas for what they stored; sent again until a majority answered."""
+        for replica in self._groups().replicas():
+            if replica.replica_id not in self._fetched_from:
+                self._outbox.emit(SendToPeer(replica.node_id, FetchDocuments(self._node_id)))
+
+    def handle_fetched(self, answer: FetchedDocuments) -> None:
+        """Take a replica's documents; with a majority the node is ready."""
+        if self.is_ready:
+            return
+        self._fetched_from.add(answer.replica_id)
+        for document in answer.documents:
+            known = self._fetched.get(document.name)
+            if known is None or known.version < document.version:
+                self._fetched[document.name] = document
+        if self._groups().is_quorum(self._fetched_from):
+            self.is_ready = True
+            for document in self._fetched.values():
+                # One replica may hold a version that no majority does yet.
+                self.secure(document)
+
+    # Securing
+
+    def secure(self, document: Document) -> None:
+        """Store a document on a majority of replicas, then bring it into force."""
+        if document.name not in SPREAD_DOCUMENTS or document.version <= self.version(document.name):
+            return
+        securing = self._securing.get(document.name)
+        if securing is not None and securing.document.version >= document.version:
+            return
+        self._securing[document.name] = _Securing(document)
+        self._send_store(document, set())
+
+    def _send_store(self, document: Document, skip: set[str]) -> None:
+        for replica in self._groups().replicas():
+            if replica.replica_id not in skip:
+                self._outbox.emit(SendToPeer(replica.node_id, StoreDocument(document)))
+
+    def handle_stored(self, answer: DocumentStored) -> None:
+        """Count a replica; with a majority the document is in force."""
+        securing = self._securing.get(answer.name)
+        if securing is None or answer.version < securing.document.version:
+            return
+        securing.stored_on.add(answer.replica_id)
+        if self._groups().is_quorum(securing.stored_on):
+            self.apply(securing.document)
+
+    def retry(self) -> None:
+        """Send again what has not been answered."""
+        if not self.is_ready:
+            self.fetch()
+        for securing in self._securing.values():
+            self._send_store(securing.document, securing.stored_on)
+
+    def has_unfinished(self) -> bool:
+        """Return whether :meth:`retry` has something to do."""
+        return not self.is_ready or bool(self._securing)
+
+    # Gossip
+
+    def handle_digest(self, sender: str, versions: list[DocumentVersion]) -> None:
+        """Push what the sender lacks; pull what this node lacks."""
+        theirs = {entry.name: entry.version for entry in versions}
+        for name, document in self._in_force.items():
+            if theirs.get(name, 0) < document.version:
+                self._outbox.emit(SendToPeer(sender, DocumentPush(document)))
+        for name, version in theirs.items():
+            if version > self.version(name):
+                self._outbox.emit(SendToPeer(sender, DocumentPull(self._node_id, name)))
+
+    def handle_pull(self, requester: str, name: str) -> None:
+        """Send a document that was asked for."""
+        document = self._in_force.get(name)
+        if document is not None:
+            self._outbox.emit(SendToPeer(requester, DocumentPush(document)))
--- /dev/null
+++ b/yarrowwall/core/configuration/operator.py
@@ -0,0 +1,283 @@
+"""Operators' commands: plans are proposed, confirmed, amended or rejected."""
+
+import json
+from collections.abc import Callable
+
+from yarrowwall.core.configuration.commands import (
+    AmendPlan,
+    ApplyIntents,
+    ConfirmPlan,
+    OperatorCommand,
+    OperatorOutcome,
+    OperatorReply,
+    RejectPlan,
+    ShowPlan,
+)
+from yarrowwall.core.configuration.documents import DocumentTable
+from yarrowwall.core.configuration.models import (
+    CONFIGURATION,
+    PLAN_PREFIX,
+    Configuration,
+    Intents,
+    Plan,
+)
+from yarrowwall.core.configuration.plans import (
+    confirmed_configuration,
+    describe_change,
+    make_plan,
+    remember,
+)
+from yarrowwall.core.configuration.transactions import (
+    TransactionOutcome,
+    TransactionResult,
+    TransactionTable,
+)
+from yarrowwall.core.effects import ReplyToOperator
+from yarrowwall.core.exceptions import ConfigurationError, StalePlanError
+from yarrowwall.core.outbox import Outbox
+from yarrowwall.messages.peers import Document
+
+_NOT_RUN = "the platform does not answer; nothing was changed"
+_UNKNOWN = "the platform did not answer after a write was sent; ask for the plan again"
+
+
+class UnknownPlanError(ConfigurationError):
+    """There is no plan of the id."""
+
+
+def includes_operation(body: bytes, operation_id: str) -> bool:
+    """Return whether an object's body remembers an operation."""
+    return operation_id in json.loads(body).get("operations", [])
+
+
+def parse_configuration(document: Document | None) -> Configuration:
+    """Return the configuration of a document; the empty one without it."""
+    if document is None:
+        return Configuration()
+    return Configuration.model_validate_json(document.body)
+
+
+class OperatorDesk:
+    """Carries out operators' commands against the platform."""
+
+    def __init__(
+        self, transactions: TransactionTable, documents: DocumentTable, outbox: Outbox
+    ) -> None:
+        self._transactions = transactions
+        self._documents = documents
+        self._outbox = outbox
+        self._awaiting_force: dict[str, tuple[int, OperatorReply]] = {}
+
+    def handle(self, now: float, request_id: str, command: OperatorCommand) -> None:
+        """Start a command; the reply follows as an effect."""
+        match command:
+            case ApplyIntents(plan_id, intents):
+                self._propose(now, request_id, plan_id, intents)
+            case ShowPlan(plan_id):
+                self._show(now, request_id, plan_id)
+            case ConfirmPlan(plan_id):
+                self._confirm(now, request_id, plan_id)
+            case AmendPlan(plan_id, new_plan_id, intents):
+                self._amend(now, request_id, plan_id, new_plan_id, intents)
+            case RejectPlan(plan_id):
+                self._reject(now, request_id, plan_id)
+
+    def _reply(self, request_id: str, reply: OperatorReply) -> None:
+        self._outbox.emit(ReplyToOperator(request_id, reply))
+
+    def _reply_failure(self, request_id: str, result: TransactionResult) -> None:
+        error = result.error
+        if result.outcome is TransactionOutcome.NOT_RUN:
+            reply = OperatorReply(OperatorOutcome.NOT_RUN, _NOT_RUN)
+        elif result.outcome is TransactionOutcome.UNKNOWN:
+            reply = OperatorReply(OperatorOutcome.OUTCOME_UNKNOWN, _UNKNOWN)
+        elif isinstance(error, StalePlanError):
+            reply = OperatorReply(OperatorOutcome.STALE_PLAN, str(error), changed=error.changed)
+        elif isinstance(error, UnknownPlanError):
+            reply = OperatorReply(OperatorOutcome.UNKNOWN_PLAN, str(error))
+        else:
+            reply = OperatorReply(OperatorOutcome.INVALID, str(error))
+        self._reply(request_id, reply)
+
+    # Proposing
+
+    def _propose(self, now: float, request_id: str, plan_id: str, intents: Intents) -> None:
+        document = self._documents.in_force(CONFIGURATION)
+        version = self._documents.version(CONFIGURATION)
+        plan = make_plan(plan_id, version, parse_configuration(document), intents)
+        plan = plan.model_copy(update={"operations": [request_id]})
+
+        def create(existing: Document | None) -> bytes:
+            if existing is not None:
+                raise ConfigurationError(f"plan {plan_id} exists")
+            return plan.model_dump_json().encode()
+
+        def finish(result: TransactionResult) -> None:
+            if result.outcome is TransactionOutcome.DONE:
+                self._reply(request_id, OperatorReply(OperatorOutcome.DONE, plan=plan))
+            else:
+                self._reply_failure(request_id, result)
+
+        self._run(now, request_id, PLAN_PREFIX + plan_id, create, finish)
+
+    def _run(
+        self,
+        now: float,
+        operation_id: str,
+        name: str,
+        change: Callable[[Document | None], bytes | None],
+        finish: Callable[[TransactionResult], None],
+    ) -> None:
+        self._transactions.begin(
+            now,
+            operation_id,
+            name,
+            change,
+            lambda body: includes_operation(body, operation_id),
+            finish,
+        )
+
+    def _show(self, now: float, request_id: str, plan_id: str) -> None:
+        def leave(document: Document | None) -> None:
+            _plan_of(document, plan_id)
+
+        def finish(result: TransactionResult) -> None:
+            if result.outcome is TransactionOutcome.DONE:
+                plan = _plan_of(result.document, plan_id)
+                self._reply(request_id, OperatorReply(OperatorOutcome.DONE, plan=plan))
+            else:
+                self._reply_failure(request_id, result)
+
+        self._run(now, request_id, PLAN_PREFIX + plan_id, leave, finish)
+
+    # Confirming
+
+    def _confirm(self, now: float, request_id: str, plan_id: str) -> None:
+        """Mark the plan confirmed, then swap the configuration it was computed on."""
+
+        def mark(document: Document | None) -> bytes | None:
+            plan = _plan_of(document, plan_id)
+            if plan.status == "rejected":
+                raise ConfigurationError(f"plan {plan_id} was rejected")
+            if plan.status == "confirmed":
+                return None
+            return _with_status(plan, "confirmed", request_id)
+
+        def finish(result: TransactionResult) -> None:
+            if result.outcome is TransactionOutcome.DONE:
+                plan = _plan_of(result.document, plan_id)
+                self._swap_configuration(now, request_id, plan)
+            else:
+                self._reply_failure(request_id, result)
+
+        self._run(now, f"mark/{request_id}", PLAN_PREFIX + plan_id, mark, finish)
+
+    def _swap_configuration(self, now: float, request_id: str, plan: Plan) -> None:
+        # Fixed by the plan: two operators who confirm it apply it once.
+        operation_id = f"confirm/{plan.plan_id}"
+
+        def swap(document: Document | None) -> bytes:
+            current = parse_configuration(document)
+            check_not_stale(document, plan)
+            return confirmed_configuration(current, plan, operation_id).model_dump_json().encode()
+
+        def finish(result: TransactionResult) -> None:
+            if result.outcome is TransactionOutcome.DONE and result.document is not None:
+                self._accept(request_id, plan, result.document)
+            else:
+                self._reply_failure(request_id, result)
+
+        self._transactions.begin(
+            now,
+            f"swap/{request_id}",
+            CONFIGURATION,
+            swap,
+            lambda body: includes_operation(body, operation_id),
+            finish,
+        )
+
+    def _accept(self, request_id: str, plan: Plan, document: Document) -> None:
+        """Tell the operator once a majority of replicas stored the configuration."""
+        message = f"configuration {document.version} is accepted"
+        reply = OperatorReply(OperatorOutcome.DONE, message, plan, document.version)
+        self._awaiting_force[request_id] = (document.version, reply)
+        self._documents.secure(document)
+        self.handle_in_force()
+
+    def handle_in_force(self) -> None:
+        """Reply to confirmations whose configuration has come into force here."""
+        version = self._documents.version(CONFIGURATION)
+        for request_id, (wanted, reply) in list(self._awaiting_force.items()):
+            if version >= wanted:
+                del self._awaiting_force[request_id]
+                self._reply(request_id, reply)
+
+    # Amending and rejecting
+
+    def _amend(
+        self, now: float, request_id: str, plan_id: str, new_plan_id: str, intents: Intents
+    ) -> None:
+        def finish(result: TransactionResult) -> None:
+            if result.outcome is TransactionOutcome.DONE:
+                self._propose(now, request_id, new_plan_id, intents)
+            else:
+                self._reply_failure(request_id, result)
+
+        self._drop(now, f"amend/{request_id}", plan_id, finish)
+
+    def _reject(self, now: float, request_id: str, plan_id: str) -> None:
+        def finish(result: TransactionResult) -> None:
+            if result.outcome is TransactionOutcome.DONE:
+                plan = _plan_of(result.document, plan_id)
+                self._reply(request_id, OperatorReply(OperatorOutcome.DONE, plan=plan))
+            else:
+                self._reply_failure(request_id, result)
+
+        self._drop(now, f"reject/{request_id}", plan_id, finish)
+
+    def _drop(
+        self,
+        now: float,
+        operation_id: str,
+        plan_id: str,
+        finish: Callable[[TransactionResult], None],
+    ) -> None:
+        def mark(document: Document | None) -> bytes | None:
+            plan = _plan_of(document, plan_id)
+            if plan.status == "confirmed":
+                raise ConfigurationError(f"plan {plan_id} was confirmed")
+            return (
+                None if plan.status == "rejected" else _with_status(plan, "rejected", operation_id)
+            )
+
+        self._run(now, operation_id, PLAN_PREFIX + plan_id, mark, finish)
+
+
+def _plan_of(document: Document | None, plan_id: str) -> Plan:
+    """Return the plan of a document.
+
+    :raises UnknownPlanError: if there is none.
+    """
+    if document is None:
+        raise UnknownPlanError(f"no plan {plan_id}")
+    return Plan.model_validate_json(document.body)
+
+
+def _with_status(plan: Plan, status: str, operation_id: str) -> bytes:
+    """Return the body of a plan with another status."""
+    operations = remember(plan.operations, operation_id)
+    changed = plan.model_copy(update={"status": status, "operations": operations})
+    return changed.model_dump_json().encode()
+
+
+def check_not_stale(document: Document | None, plan: Plan) -> None:
+    """Refuse a plan computed on another version than the platform's.
+
+    :raises StalePlanError: if the version moved on.
+    """
+    version = document.version if document else 0
+    if version == plan.base_version:
+        return
+    changed = describe_change(plan.base, parse_configuration(document).intents)
+    message = f"the plan was computed on configuration {plan.base_version}, now it is {version}"
+    raise StalePlanError(message, changed)
--- /dev/null
+++ b/yarrowwall/core/configuration/plans.py
@@ -0,0 +1,72 @@
+"""Computing plans: what a set of intents would change."""
+
+from typing import TypeVar
+
+from yarrowwall.core.configuration.models import (
+    REMEMBERED_OPERATIONS,
+    BudgetIntent,
+    Configuration,
+    Intents,
+    LookupIntent,
+    Plan,
+    ServingIntent,
+)
+
+_Item = TypeVar("_Item", ServingIntent, BudgetIntent, LookupIntent)
+
+
+def merge_intents(current: Intents, changes: Intents) -> Intents:
+    """Return the intents after a change."""
+    return Intents(
+        serving=_merge(current.serving, changes.serving, "desk"),
+        budgets=_merge(current.budgets, changes.budgets, "desk"),
+        lookups=_merge(current.lookups, changes.lookups, "kind"),
+    )
+
+
+def _merge(current: list[_Item], changes: list[_Item], key: str) -> list[_Item]:
+    """Put changed items in by their key; the result is sorted by key."""
+    merged = {getattr(item, key): item for item in current}
+    merged.update({getattr(item, key): item for item in changes})
+    return [merged[name] for name in sorted(merged)]
+
+
+def describe_change(before: Intents, after: Intents) -> list[str]:
+    """Return one line for each intent that differs."""
+    lines = []
+    for section in ("serving", "budgets", "lookups"):
+        old = {_key(item): item for item in getattr(before, section)}
+        for item in getattr(after, section):
+            if old.get(_key(item)) != item:
+                verb = "change" if _key(item) in old else "add"
+                lines.append(f"{verb} {section} {_key(item)}: {item.model_dump_json()}")
+    return lines
+
+
+def _key(item: ServingIntent | BudgetIntent | LookupIntent) -> str:
+    return item.kind if isinstance(item, LookupIntent) else item.desk
+
+
+def make_plan(plan_id: str, base_version: int, current: Configuration, changes: Intents) -> Plan:
+    """Return the plan of a change on the configuration in force."""
+    after = merge_intents(current.intents, changes)
+    return Plan(
+        plan_id=plan_id,
+        base_version=base_version,
+        base=current.intents,
+        intents=changes,
+        effects=describe_change(current.intents, after),
+    )
+
+
+def remember(operations: list[str], operation_id: str) -> list[str]:
+    """Return the remembered operation ids with one more."""
+    return [*operations, operation_id][-REMEMBERED_OPERATIONS:]
+
+
+def confirmed_configuration(current: Configuration, plan: Plan, operation_id: str) -> Configuration:
+    """Return the configuration after a plan."""
+    return Configuration(
+        intents=merge_intents(current.intents, plan.intents),
+        operations=remember(current.operations, operation_id),
+    )
--- /dev/null
+++ b/yarrowwall/core/gateway.py
@@ -0,0 +1,167 @@
+"""The gateway: finds the owner of a caller's program and brings its reply back.
+
+A request is forwarded again after a silence, to whoever is the owner by then.
+That is safe: a call is named by its number, and an owner answers a number it
+knows from the log.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from yarrowwall.core.effects import ReplyToCaller, SendToPeer, StreamRoute
+from yarrowwall.core.limits import Limits
+from yarrowwall.core.membership.table import MemberTable
+from yarrowwall.core.outbox import Outbox
+from yarrowwall.messages.codec import decode, encode
+from yarrowwall.messages.peers import ForwardReply, ForwardRequest
+from yarrowwall.messages.requests import (
+    ErrorReply,
+    ErrorType,
+    Reply,
+    Request,
+)
+
+#: A request that was forwarded this often is taken on by the node it reached:
+#: the views differ, and the higher ballot decides.
+MOST_HOPS = 2
+#: Seconds after which a caller may try another time when no owner can be found.
+RETRY_AFTER = 2.0
+
+
+@dataclass
+class _OpenRequest:
+    request: Request
+    deadline: float
+    asker: str | None
+    was_forwarded: bool = False
+
+
+class Gateway:
+    """Requests that entered the system at this node.
+
+    :param run_here: hands a request to this node's owner of the program.
+    :param answer_owner: hands the reply to a request that an owner of this
+        node asked to the program that asked.
+    """
+
+    def __init__(
+        self,
+        members: MemberTable,
+        limits: Limits,
+        outbox: Outbox,
+        set_timer: Callable[[str, float], None],
+        run_here: Callable[[float, StreamRoute, Request], None],
+        answer_owner: Callable[[float, str, Request, Reply], None],
+    ) -> None:
+        self._members = members
+        self._limits = limits
+        self._outbox = outbox
+        self._set_timer = set_timer
+        self._run_here = run_here
+        self._answer_owner = answer_owner
+        self._open: dict[str, _OpenRequest] = {}
+        self._asked = 0
+
+    def open_count(self) -> int:
+        """Return how many callers wait for a reply."""
+        return sum(entry.asker is None for entry in self._open.values())
+
+    def accept(self, now: float, request_id: str, request: Request) -> None:
+        """Take a caller's request."""
+        deadline = now + self._limits.request_deadline
+        self._open[request_id] = _OpenRequest(request, deadline, None)
+        self._send(now, request_id)
+
+    def ask(self, now: float, asker: str, request: Request) -> None:
+        """Send a request on behalf of a program that this node owns."""
+        self._asked += 1
+        request_id = f"ask/{self._outbox.node_id}/{self._members.own.incarnation}/{self._asked}"
+        deadline = now + self._limits.request_deadline
+        self._open[request_id] = _OpenRequest(request, deadline, asker)
+        self._send(now, request_id)
+
+    def refuse(self, request_id: str, request: Request, message: str) -> None:
+        """Refuse a request that was not handed to anybody."""
+        self._open[request_id] = _OpenRequest(request, 0.0, None)
+        self._emit_reply(request_id, ErrorReply(ErrorType.NOT_RUN, message, RETRY_AFTER))
+
+    def _emit_reply(self, request_id: str, reply: Reply) -> None:
+        """Emit a reply; :meth:`settle` decides whether somebody still waits for it."""
+        self._outbox.emit(ReplyToCaller(request_id, reply))
+
+    def _send(self, now: float, request_id: str) -> None:
+        entry = self._open[request_id]
+        owner = self._members.owner_of(entry.request.program_id, now)
+        self._set_timer(request_id, now + self._limits.forward_retry)
+        if owner is None:
+            self._give_up_unless_forwarded(request_id)
+            return
+        entry.was_forwarded = True
+        route = StreamRoute(self._outbox.node_id, request_id)
+        self._deliver(now, owner, route, 0, entry.request)
+
+    def _deliver(
+        self, now: float, owner: str, route: StreamRoute, hops: int, request: Request
+    ) -> None:
+        if owner == self._outbox.node_id:
+            self._run_here(now, route, request)
+            return
+        forward = ForwardRequest(route.request_id, route.gateway, hops + 1, encode(request))
+        self._outbox.emit(SendToPeer(owner, forward))
+
+    def _give_up_unless_forwarded(self, request_id: str) -> None:
+        if not self._open[request_id].was_forwarded:
+            message = "no node that could own the program is known"
+            self._emit_reply(request_id, ErrorReply(ErrorType.NOT_RUN, message, RETRY_AFTER))
+
+    def handle_forwarded(self, now: float, message: ForwardRequest) -> None:
+        """Run a forwarded request here, or pass it on to the owner."""
+        request = decode(message.body)
+        route = StreamRoute(message.origin, message.request_id)
+        self.redirect(now, route, request, message.hops)
+
+    def redirect(self, now: float, route: StreamRoute, request: Request, hops: int) -> None:
+        """Hand a request to the program's owner, this node included."""
+        owner = self._members.owner_of(request.program_id, now)
+        if owner is None or hops >= MOST_HOPS:
+            owner = self._outbox.node_id
+        self._deliver(now, owner, route, hops, request)
+
+    def yield_to(self, now: float, winner: str, route: StreamRoute, request: Request) -> None:
+        """Hand a request to the node that holds the higher ballot; it passes it to nobody."""
+        if winner == self._outbox.node_id:
+            self.redirect(now, route, request, 0)
+        else:
+            self._deliver(now, winner, route, MOST_HOPS, request)
+
+    def handle_reply(self, message: ForwardReply) -> None:
+        """Take an owner's reply."""
+        self._emit_reply(message.request_id, decode(message.body))
+
+    def settle(self, now: float, request_id: str, reply: Reply) -> bool:
+        """Close a request with its final reply.
+
+        :returns: whether a caller waits for it.
+        """
+        entry = self._open.pop(request_id, None)
+        if entry is None:
+            return False
+        if entry.asker is not None:
+            self._answer_owner(now, entry.asker, entry.request, reply)
+            return False
+        return True
+
+    def forget(self, request_id: str) -> None:
+        """Forget a request whose caller has gone; its call goes on."""
+        self._open.pop(request_id, None)
+
+    def handle_timer(self, now: float, request_id: str) -> None:
+        """Forward again, or give the caller its final answer."""
+        entry = self._open.get(request_id)
+        if entry is None:
+            return
+        if now < entry.deadline:
+            self._send(now, request_id)
+            return
+        message = "no answer came from the program's owner in time"
+        self._emit_reply(request_id, ErrorReply(ErrorType.OUTCOME_UNKNOWN, message, RETRY_AFTER))
--- /dev/null
+++ b/yarrowwall/core/identifiers.py
@@ -0,0 +1,39 @@
+"""Program ids: the home zone is part of the id, so any gateway can route it."""
+
+from yarrowwall.messages.journal import Ballot
+
+_SEPARATOR = "."
+_SINGLE_CALL_MARK = "c"
+_PROGRAM_MARK = "p"
+_INCARNATION_SEPARATOR = "#"
+
+
+def make_program_id(zone: str, unique: str, single_call: bool = False) -> str:
+    """Return a program id.
+
+    :param zone: the home zone.
+    :param unique: a text that no other program of the zone has.
+    :param single_call: the program consists of one call made without a program.
+    """
+    mark = _SINGLE_CALL_MARK if single_call else _PROGRAM_MARK
+    return _SEPARATOR.join((zone, mark + unique))
+
+
+def home_zone(program_id: str) -> str:
+    """Return the zone whose gateways own the program."""
+    return program_id.rpartition(_SEPARATOR)[0]
+
+
+def is_single_call(program_id: str) -> bool:
+    """Return whether the program ends with its first call."""
+    return program_id.rpartition(_SEPARATOR)[2].startswith(_SINGLE_CALL_MARK)
+
+
+def ballot_holder(node_id: str, incarnation: int) -> str:
+    """Return how ballots name a node's incarnation."""
+    return f"{node_id}{_INCARNATION_SEPARATOR}{incarnation:020d}"
+
+
+def node_of(ballot: Ballot) -> str:
+    """Return the node that holds a ballot."""
+    return ballot.holder.partition(_INCARNATION_SEPARATOR)[0]
--- /dev/null
+++ b/yarrowwall/core/journal/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log of each program."""
--- /dev/null
+++ b/yarrowwall/core/journal/placement.py
@@ -0,0 +1,53 @@
+"""Which replicas hold a program's log, computed from the shard map."""
+
+from collections.abc import Sequence
+
+from yarrowwall.core.configuration.models import ShardMap, ShardReplica
+from yarrowwall.core.hashing import rank, score
+from yarrowwall.core.journal.proposer import ReplicaAddress, ReplicaGroups
+from yarrowwall.core.quorum import REPLICAS_PER_SHARD
+
+#: Programs are spread over this many shards; all programs of one move together.
+SHARDS = 4096
+#: Replicas that store the spread documents, so that their number does not
+#: grow with the fleet.
+DOCUMENT_REPLICAS = 5
+
+_DOCUMENTS_KEY = "documents"
+
+
+def shard_of(program_id: str) -> int:
+    """Return the shard of a program."""
+    return score("shard", program_id) % SHARDS
+
+
+def _choose(key: str, replicas: Sequence[ShardReplica], count: int) -> tuple[ReplicaAddress, ...]:
+    """Return the best replicas for a key, from different zones as far as there are zones."""
+    by_id = {replica.replica_id: replica for replica in replicas}
+    ranked = [by_id[replica_id] for replica_id in rank(key, by_id)]
+    chosen: list[ShardReplica] = []
+    while len(chosen) < min(count, len(ranked)):
+        zones_used: set[str] = set()
+        for replica in ranked:
+            fresh = replica not in chosen and replica.zone not in zones_used
+            if fresh and len(chosen) < count:
+                chosen.append(replica)
+                zones_used.add(replica.zone)
+    return tuple(ReplicaAddress(item.replica_id, item.node_id, item.zone) for item in chosen)
+
+
+def _groups(key: str, shard_map: ShardMap, version: int, count: int) -> ReplicaGroups:
+    groups = [_choose(key, shard_map.replicas, count)]
+    if shard_map.next_replicas:
+        groups.append(_choose(key, shard_map.next_replicas, count))
+    return ReplicaGroups(version, tuple(groups))
+
+
+def program_groups(program_id: str, shard_map: ShardMap, version: int) -> ReplicaGroups:
+    """Return the replica groups of a program's log."""
+    return _groups(f"shard/{shard_of(program_id)}", shard_map, version, REPLICAS_PER_SHARD)
+
+
+def document_groups(shard_map: ShardMap, version: int) -> ReplicaGroups:
+    """Return the replica groups that store the spread documents."""
+    return _groups(_DOCUMENTS_KEY, shard_map, version, DOCUMENT_REPLICAS)
--- /dev/null
+++ b/yarrowwall/core/journal/replica.py
@@ -0,0 +1,197 @@
+"""A journal replica: an acceptor of many programs' Paxos logs.
+
+Every answer that promises or accepts something depends on a record that must
+be durable first, so handlers return the record with the answer and the driver
+sends the answer only after the record is on disk.
+"""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+from yarrowwall.core.exceptions import InvariantError
+from yarrowwall.messages.journal import (
+    ZERO_BALLOT,
+    AcceptedEntry,
+    Append,
+    Appended,
+    Ballot,
+    BallotRefused,
+    Prepare,
+    Promise,
+    ReplicaBehind,
+)
+from yarrowwall.messages.peers import Document, DocumentStored, StoreDocument
+from yarrowwall.messages.records import (
+    BallotPromised,
+    DocumentKept,
+    EntriesAccepted,
+    LogSnapshot,
+    Record,
+)
+
+JournalAnswer = Promise | Appended | BallotRefused | ReplicaBehind | DocumentStored
+
+
+@dataclass(frozen=True)
+class ReplicaResult:
+    """What a handler decided.
+
+    :param record: must be durable before ``answer`` is sent; None if nothing changed.
+    """
+
+    record: Record | None
+    answer: JournalAnswer
+
+
+@dataclass
+class ReplicaLog:
+    """One program's log at one replica.
+
+    :ivar promised: appends under lower ballots are refused.
+    :ivar entries: accepted entries by position, without gaps.
+    :ivar synced: length up to which the log agrees with the owner of ``synced_ballot``.
+    :ivar chosen: length of the prefix known to be chosen; never shrinks.
+    """
+
+    promised: Ballot = ZERO_BALLOT
+    entries: list[AcceptedEntry] = field(default_factory=list)
+    synced: int = 0
+    synced_ballot: Ballot = ZERO_BALLOT
+    chosen: int = 0
+
+    def accept(self, ballot: Ballot, start: int, bodies: list[bytes], chosen: int) -> None:
+        """Store entries of a ballot that was checked and of a start that leaves no gap."""
+        self.promised = ballot
+        if self.synced_ballot != ballot:
+            self.synced_ballot = ballot
+            self.synced = self.chosen
+        self.entries[start : start + len(bodies)] = [AcceptedEntry(ballot, body) for body in bodies]
+        self.synced = max(self.synced, start + len(bodies))
+        # Entries past what this ballot sent may differ from the chosen ones.
+        self.chosen = max(self.chosen, min(chosen, self.synced))
+
+    def validate(self) -> None:
+        """Check what must hold between handlers.
+
+        :raises InvariantError: if it does not.
+        """
+        if not 0 <= self.chosen <= self.synced <= len(self.entries):
+            raise InvariantError("a log's chosen, synced and stored lengths are out of order")
+        if self.synced_ballot > self.promised:
+            raise InvariantError("a log accepted entries above its promise")
+
+
+class JournalReplica:
+    """All logs and documents of one data folder.
+
+    :param replica_id: made with the data folder; a replaced disk is a new replica.
+    """
+
+    def __init__(self, replica_id: str) -> None:
+        self.replica_id = replica_id
+        self._logs: dict[str, ReplicaLog] = {}
+        self._documents: dict[str, Document] = {}
+
+    def restore(self, records: Iterable[Record]) -> None:
+        """Rebuild the state from the records on disk, oldest first."""
+        for record in records:
+            self._apply(record)
+
+    def snapshot(self) -> Iterator[Record]:
+        """Return the fewest records that restore the present state."""
+        for document in self._documents.values():
+            yield DocumentKept(document)
+        for program_id in self._logs:
+            yield self.log_snapshot(program_id)
+
+    def log_snapshot(self, program_id: str) -> LogSnapshot:
+        """Return one program's log as one record."""
+        log = self._logs[program_id]
+        return LogSnapshot(
+            program_id, log.promised, log.synced, log.synced_ballot, log.chosen, list(log.entries)
+        )
+
+    def _apply(self, record: Record) -> None:
+        match record:
+            case BallotPromised(program_id, ballot):
+                self._log(program_id).promised = ballot
+            case EntriesAccepted(program_id, ballot, start, entries, chosen):
+                self._log(program_id).accept(ballot, start, entries, chosen)
+            case DocumentKept(document):
+                self._documents[document.name] = document
+            case LogSnapshot(program_id, promised, synced, synced_ballot, chosen, accepted):
+                self._logs[program_id] = ReplicaLog(
+                    promised, list(accepted), synced, synced_ballot, chosen
+                )
+
+    def _log(self, program_id: str) -> ReplicaLog:
+        return self._logs.setdefault(program_id, ReplicaLog())
+
+    def handle_prepare(self, request: Prepare) -> ReplicaResult:
+        """Promise a ballot unless a higher one was promised."""
+        log = self._log(request.program_id)
+        if request.ballot < log.promised:
+            return self._refusal(request.program_id, request.ballot, log)
+        record = None
+        if request.ballot != log.promised:
+            record = BallotPromised(request.program_id, request.ballot)
+            self._apply(record)
+        answer = Promise(
+            request.program_id, request.ballot, self.replica_id, log.chosen, list(log.entries)
+        )
+        return ReplicaResult(record, answer)
+
+    def handle_append(self, request: Append) -> ReplicaResult:
+        """Accept entries unless a higher ballot was promised or they would leave a gap."""
+        log = self._log(request.program_id)
+        if request.ballot < log.promised:
+            return self._refusal(request.program_id, request.ballot, log)
+        synced = log.synced if log.synced_ballot == request.ballot else log.chosen
+        if request.start > synced:
+            behind = ReplicaBehind(request.program_id, request.ballot, self.replica_id, synced)
+            return ReplicaResult(None, behind)
+        record = EntriesAccepted(
+            request.program_id, request.ballot, request.start, request.entries, request.chosen
+        )
+        self._apply(record)
+        answer = Appended(request.program_id, request.ballot, self.replica_id, log.synced)
+        return ReplicaResult(record, answer)
+
+    def _refusal(self, program_id: str, ballot: Ballot, log: ReplicaLog) -> ReplicaResult:
+        refused = BallotRefused(program_id, ballot, self.replica_id, log.promised)
+        return ReplicaResult(None, refused)
+
+    def handle_store_document(self, request: StoreDocument) -> ReplicaResult:
+        """Store a document unless a version at least as new is stored."""
+        document = request.document
+        current = self._documents.get(document.name)
+        record = None
+        if current is None or current.version < document.version:
+            record = DocumentKept(document)
+            self._apply(record)
+        version = self._documents[document.name].version
+        return ReplicaResult(record, DocumentStored(document.name, version, self.replica_id))
+
+    def documents(self) -> list[Document]:
+        """Return the newest documents stored."""
+        return list(self._documents.values())
+
+    def program_ids(self) -> list[str]:
+        """Return the programs this replica has a log of."""
+        return list(self._logs)
+
+    def log(self, program_id: str) -> ReplicaLog:
+        """Return the log of a program this replica knows."""
+        return self._logs[program_id]
+
+    def forget(self, program_id: str) -> None:
+        """Drop the log of a program that ended and holds nothing more."""
+        self._logs.pop(program_id, None)
+
+    def validate_state(self) -> None:
+        """Check every log's invariants; for tests.
+
+        :raises InvariantError: if one does not hold.
+        """
+        for log in self._logs.values():
+            log.validate()
--- /dev/null
+++ b/yarrowwall/core/journal/service.py
@@ -0,0 +1,88 @@
+"""A node's journal replica: answers requests and finds programs left behind."""
+
+from yarrowwall.core.effects import PersistThenSend, SendToPeer
+from yarrowwall.core.hashing import fraction
+from yarrowwall.core.journal.replica import JournalReplica, ReplicaResult
+from yarrowwall.core.limits import Limits
+from yarrowwall.core.outbox import Outbox
+from yarrowwall.core.program.state import ProgramState
+from yarrowwall.core.timers import Timers
+from yarrowwall.messages.codec import decode
+from yarrowwall.messages.journal import Append, Prepare, ShardMapStale
+from yarrowwall.messages.peers import FetchDocuments, FetchedDocuments, StoreDocument
+
+
+class JournalService:
+    """Drives a :class:`JournalReplica` within a node.
+
+    A program whose owner died with work left is found here: some time after
+    a log last changed, the replica looks whether the program is complete, and
+    if not asks for its owner to load it.
+    """
+
+    def __init__(self, replica: JournalReplica, limits: Limits, outbox: Outbox) -> None:
+        self.replica = replica
+        self._limits = limits
+        self._outbox = outbox
+        self.sweeps: Timers[str] = Timers()
+
+    def start(self, now: float) -> None:
+        """Plan a look at every log, spread over one interval."""
+        for program_id in self.replica.program_ids():
+            delay = self._limits.sweep_interval * (1.0 + fraction("sweep", program_id))
+            self.sweeps.set(program_id, now + delay)
+
+    def handle_prepare(self, sender: str, request: Prepare, map_version: int) -> None:
+        """Answer a prepare request."""
+        if not self._is_stale(sender, request, map_version):
+            self._answer(sender, self.replica.handle_prepare(request))
+
+    def handle_append(self, now: float, sender: str, request: Append, map_version: int) -> None:
+        """Answer an append request."""
+        if self._is_stale(sender, request, map_version):
+            return
+        self._answer(sender, self.replica.handle_append(request))
+        self.sweeps.set(request.program_id, now + self._limits.sweep_interval)
+
+    def _is_stale(self, sender: str, request: Prepare | Append, map_version: int) -> bool:
+        """Refuse owners that use an older shard map than this node's."""
+        if request.map_version >= map_version:
+            return False
+        stale = ShardMapStale(request.program_id, self.replica.replica_id, map_version)
+        self._outbox.emit(SendToPeer(sender, stale))
+        return True
+
+    def handle_store(self, sender: str, request: StoreDocument) -> None:
+        """Store a document."""
+        self._answer(sender, self.replica.handle_store_document(request))
+
+    def handle_fetch(self, request: FetchDocuments) -> None:
+        """Return the documents stored."""
+        answer = FetchedDocuments(self.replica.replica_id, self.replica.documents())
+        self._outbox.emit(SendToPeer(request.requester, answer))
+
+    def _answer(self, sender: str, result: ReplicaResult) -> None:
+        if result.record is None:
+            self._outbox.emit(SendToPeer(sender, result.answer))
+        else:
+            self._outbox.emit(PersistThenSend(result.record, sender, result.answer))
+
+    def due(self, now: float) -> list[str]:
+        """Return the programs whose owner should look after them now."""
+        return [
+            program_id for program_id in self.sweeps.due(now) if self._needs_owner(now, program_id)
+        ]
+
+    def _needs_owner(self, now: float, program_id: str) -> bool:
+        """Look at one log; plan the next look unless the program is complete."""
+        state = ProgramState(program_id)
+        for accepted in self.replica.log(program_id).entries:
+            state.apply(decode(accepted.body))
+        if state.opened is None or state.is_complete():
+            return False
+        idle_at = state.last_activity + self._limits.idle_limit
+        unfinished = state.ended is not None or state.unsettled_call() is not None
+        overdue = unfinished or now >= idle_at
+        next_look = now + self._limits.sweep_interval if overdue else idle_at
+        self.sweeps.set(program_id, next_look)
+        return overdue
--- /dev/null
+++ b/yarrowwall/core/lookups.py
@@ -0,0 +1,147 @@
+"""Lookups at record servers: urgent first, each answered once.
+
+A lookup only reads, so it may be tried again at another server. A part of
+every server's places is kept for urgent lookups: routine ones never fill it.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from yarrowwall.core.configuration.models import Machine
+from yarrowwall.core.effects import ReplyToLookup, SendLookup
+from yarrowwall.core.events import LookupAnswered, LookupRequested
+from yarrowwall.core.outbox import Outbox
+from yarrowwall.messages.entries import Priority
+
+#: Lookups of this node in flight at one server.
+PLACES_PER_SERVER = 16
+#: Places of each server that only urgent lookups take.
+URGENT_PLACES = 4
+#: Servers that one lookup is tried at.
+MOST_TRIES = 3
+#: Routine lookups that wait; more are refused at once.
+MOST_WAITING = 1_000
+#: Seconds a server gets nothing after a failure.
+AVOID_SECONDS = 2.0
+#: Seconds after which a refused caller may come back.
+RETRY_AFTER = 1.0
+
+
+@dataclass
+class _Server:
+    machine: Machine
+    in_flight: int = 0
+    avoid_until: float = 0.0
+
+
+@dataclass
+class _Lookup:
+    request: LookupRequested
+    tried: set[str] = field(default_factory=set)
+    server_id: str = ""
+
+
+class LookupDesk:
+    """The lookups that entered at this node."""
+
+    def __init__(self, zone: str, outbox: Outbox) -> None:
+        self._zone = zone
+        self._outbox = outbox
+        self._servers: dict[str, _Server] = {}
+        self._waiting: dict[Priority, deque[_Lookup]] = {
+            Priority.URGENT: deque(),
+            Priority.ROUTINE: deque(),
+        }
+        self._in_flight: dict[str, _Lookup] = {}
+
+    def set_machines(self, machines: Iterable[Machine]) -> None:
+        """Use the record servers of a newer machine list that are not leaving."""
+        wanted = {
+            machine.machine_id: machine
+            for machine in machines
+            if machine.kind == "records" and machine.state == "live"
+        }
+        kept = {name: server for name, server in self._servers.items() if name in wanted}
+        for name, machine in sorted(wanted.items()):
+            server = kept.setdefault(name, _Server(machine))
+            server.machine = machine
+        self._servers = kept
+
+    def is_idle(self) -> bool:
+        """Return whether no lookup waits or runs."""
+        return not self._in_flight and not any(self._waiting.values())
+
+    def accept(self, now: float, request: LookupRequested) -> None:
+        """Take a lookup."""
+        queue = self._waiting[request.priority]
+        if len(queue) >= MOST_WAITING:
+            self._refuse(request, "too many lookups wait")
+            return
+        queue.append(_Lookup(request))
+        self.dispatch(now)
+
+    def _refuse(self, request: LookupRequested, message: str) -> None:
+        self._outbox.emit(ReplyToLookup(request.request_id, None, message, RETRY_AFTER))
+
+    def dispatch(self, now: float) -> None:
+        """Send waiting lookups as far as servers have places."""
+        for priority in (Priority.URGENT, Priority.ROUTINE):
+            queue = self._waiting[priority]
+            while queue:
+                server = self._choose(now, queue[0])
+                if server is None:
+                    break
+                self._send(queue.popleft(), server)
+
+    def _choose(self, now: float, lookup: _Lookup) -> _Server | None:
+        """Return the server with the fewest lookups in flight, of the own zone if it can be."""
+        places = PLACES_PER_SERVER
+        if lookup.request.priority is Priority.ROUTINE:
+            places -= URGENT_PLACES
+        free = [
+            server
+            for name, server in self._servers.items()
+            if server.in_flight < places and now >= server.avoid_until and name not in lookup.tried
+        ]
+        return min(
+            free,
+            key=lambda server: (server.machine.zone != self._zone, server.in_flight),
+            default=None,
+        )
+
+    def _send(self, lookup: _Lookup, server: _Server) -> None:
+        server.in_flight += 1
+        lookup.server_id = server.machine.machine_id
+        lookup.tried.add(lookup.server_id)
+        self._in_flight[lookup.request.request_id] = lookup
+        self._outbox.emit(SendLookup(lookup.request, lookup.server_id, server.machine.address))
+
+    def handle_answer(self, now: float, event: LookupAnswered) -> None:
+        """Pass an answer on, or try another server."""
+        lookup = self._in_flight.pop(event.request_id, None)
+        if lookup is None:
+            return
+        server = self._servers.get(lookup.server_id)
+        if server is not None:
+            server.in_flight -= 1
+        if event.body is not None:
+            self._outbox.emit(ReplyToLookup(event.request_id, event.body, "", 0.0))
+        else:
+            if server is not None:
+                server.avoid_until = now + AVOID_SECONDS
+            self._try_again(lookup)
+        self.dispatch(now)
+
+    def _try_again(self, lookup: _Lookup) -> None:
+        others_left = any(name not in lookup.tried for name in self._servers)
+        if others_left and len(lookup.tried) < MOST_TRIES:
+            self._waiting[lookup.request.priority].appendleft(lookup)
+        else:
+            self._refuse(lookup.request, "no record server answers")
+
+    def give_up_overdue(self, now: float) -> None:
+        """Refuse waiting lookups whose deadline has come."""
+        for queue in self._waiting.values():
+            while queue and queue[0].request.deadline <= now:
+                self._refuse(queue.popleft().request, "no record server became free in time")
--- /dev/null
+++ b/yarrowwall/core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which nodes are alive, learnt by gossip."""
--- /dev/null
+++ b/yarrowwall/core/membership/table.py
@@ -0,0 +1,179 @@
+"""Member table and gossip.
+
+Within a zone every node learns of every other. Between zones only a few
+contacts a zone are known, so that no node's table grows with the whole fleet.
+A member is dead once its heartbeat has not risen for some time on the
+observer's own clock; clocks are never compared.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from yarrowwall.core.hashing import first, rank
+from yarrowwall.core.identifiers import home_zone
+from yarrowwall.messages.peers import MemberRecord, MemberStatus
+
+#: Peers of the own zone that one gossip round is sent to.
+GOSSIP_FANOUT = 2
+#: Nodes of a zone that other zones know.
+CONTACTS_PER_ZONE = 3
+#: Silence of another zone's contact before it counts as dead, as a multiple of
+#: the limit within the zone: its heartbeats take more hops.
+REMOTE_PATIENCE = 3.0
+
+
+@dataclass
+class _Member:
+    record: MemberRecord
+    heard_at: float
+
+
+class MemberTable:
+    """All members this node knows.
+
+    :param own: this node's record.
+    :param seeds: nodes named by the settings; they count as live at first.
+    :param dead_after: silence after which a member is dead, seconds.
+    """
+
+    def __init__(
+        self, own: MemberRecord, seeds: Iterable[MemberRecord], dead_after: float, now: float
+    ) -> None:
+        self._own = own
+        self._dead_after = dead_after
+        self._members: dict[str, _Member] = {
+            seed.node_id: _Member(seed, now) for seed in seeds if seed.node_id != own.node_id
+        }
+        self._round = 0
+
+    @property
+    def own(self) -> MemberRecord:
+        """This node's record."""
+        return self._own
+
+    def set_status(self, status: MemberStatus) -> None:
+        """Announce another status of this node."""
+        self._own = replace(self._own, status=status)
+
+    def begin_round(self) -> None:
+        """Raise the own heartbeat."""
+        self._round += 1
+        self._own = replace(self._own, heartbeat=self._own.heartbeat + 1)
+
+    def merge(self, records: Iterable[MemberRecord], now: float) -> None:
+        """Take what another node knows."""
+        for record in records:
+            if record.node_id == self._own.node_id:
+                continue
+            known = self._members.get(record.node_id)
+            if known is None or self._is_newer(record, known.record):
+                self._members[record.node_id] = _Member(record, now)
+
+    @staticmethod
+    def _is_newer(record: MemberRecord, known: MemberRecord) -> bool:
+        return (record.incarnation, record.heartbeat) > (known.incarnation, known.heartbeat)
+
+    def _is_alive(self, member: _Member, now: float) -> bool:
+        patience = self._dead_after
+        if member.record.zone != self._own.zone:
+            patience *= REMOTE_PATIENCE
+        return now - member.heard_at < patience
+
+    def forget_dead(self, now: float) -> None:
+        """Drop members that have been dead for long; seeds come back by gossip."""
+        limit = 100 * self._dead_after
+        for node_id, member in list(self._members.items()):
+            if now - member.heard_at > limit and member.record.incarnation > 0:
+                del self._members[node_id]
+
+    def live(self, zone: str, now: float) -> list[str]:
+        """Return the nodes of a zone that may own programs: alive and not leaving."""
+        names = [
+            node_id
+            for node_id, member in self._members.items()
+            if member.record.zone == zone
+            and member.record.status is MemberStatus.LIVE
+            and self._is_alive(member, now)
+        ]
+        if self._own.zone == zone and self._own.status is MemberStatus.LIVE:
+            names.append(self._own.node_id)
+        return names
+
+    def zones(self) -> list[str]:
+        """Return every zone heard of."""
+        zones = {member.record.zone for member in self._members.values()}
+        return sorted(zones | {self._own.zone})
+
+    def owner_of(self, program_id: str, now: float) -> str | None:
+        """Return the node that owns a program, as far as this node can see.
+
+        The home zone's nodes come first; without any, the other zones follow
+        in rendezvous order.
+        """
+        home = home_zone(program_id)
+        others = [zone for zone in rank(program_id, self.zones()) if zone != home]
+        for zone in [home, *others]:
+            owner = first(program_id, self.live(zone, now))
+            if owner is not None:
+                return owner
+        return None
+
+    def address_of(self, node_id: str) -> str | None:
+        """Return a node's address, ``IP:port``."""
+        if node_id == self._own.node_id:
+            return self._own.address
+        member = self._members.get(node_id)
+        return member.record.address if member else None
+
+    def records(self) -> list[MemberRecord]:
+        """Return every record known, this node's first."""
+        return [self._own, *(member.record for member in self._members.values())]
+
+    def contacts(self, zone: str, now: float) -> list[str]:
+        """Return the nodes of a zone that speak for it to other zones."""
+        return rank(f"contact/{zone}", self.live(zone, now))[:CONTACTS_PER_ZONE]
+
+    def gossip_targets(self, now: float) -> list[str]:
+        """Return the peers of this round: some of the zone, one of another zone.
+
+        Now and then a silent member is tried too, so two halves of a healed
+        cut find each other again.
+        """
+        salt = f"{self._own.node_id}/{self._round}"
+        near = [name for name in self.live(self._own.zone, now) if name != self._own.node_id]
+        targets = rank(salt, near)[:GOSSIP_FANOUT]
+        far = [
+            name
+            for zone in self.zones()
+            if zone != self._own.zone
+            for name in self.contacts(zone, now)
+        ]
+        targets += rank(salt, far)[:1]
+        silent = [name for name in self._members if name not in near and name not in far]
+        targets += rank(salt, silent)[:1]
+        return targets
+
+    def records_for(self, zone: str, now: float) -> list[MemberRecord]:
+        """Return what a gossip message to a zone carries: live records only."""
+        names = {self._own.node_id}
+        for known_zone in self.zones():
+            if known_zone == zone == self._own.zone:
+                names.update(self._alive_names(known_zone, now))
+            else:
+                names.update(self.contacts(known_zone, now))
+        return [record for record in self.records() if record.node_id in names]
+
+    def _alive_names(self, zone: str, now: float) -> list[str]:
+        """Return the zone's members that are alive, leaving ones included."""
+        return [
+            node_id
+            for node_id, member in self._members.items()
+            if member.record.zone == zone and self._is_alive(member, now)
+        ]
+
+    def zone_of(self, node_id: str) -> str:
+        """Return a member's zone; empty if unknown."""
+        if node_id == self._own.node_id:
+            return self._own.zone
+        member = self._members.get(node_id)
+        return member.record.zone if member else ""
--- /dev/null
+++ b/yarrowwall/core/program/__init__.py
@@ -0,0 +1,1 @@
+"""Programs: their state, and the owner that runs their calls."""
--- /dev/null
+++ b/yarrowwall/core/program/journaled.py
@@ -0,0 +1,137 @@
+"""A program whose log this node drives: recovery, proposals, deferred effects.
+
+An effect that depends on an entry waits until a quorum holds that entry. A
+node that was paused and has lost its ballot therefore never acts on entries of
+its own that nobody else will see.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+
+from yarrowwall.core.effects import Effect, SendToPeer
+from yarrowwall.core.journal.proposer import (
+    ProgramLog,
+    ProposerPhase,
+    ReplicaGroups,
+    ReplicaMessage,
+)
+from yarrowwall.core.limits import Limits
+from yarrowwall.core.outbox import Outbox
+from yarrowwall.core.program.state import ProgramState
+from yarrowwall.core.timers import Timers
+from yarrowwall.messages.codec import decode, encode
+from yarrowwall.messages.entries import Entry
+from yarrowwall.messages.journal import Appended, Ballot, BallotRefused, Promise, ReplicaBehind
+
+#: Timer key of the retransmission of journal messages.
+RETRANSMIT = "retransmit"
+
+
+@dataclass(frozen=True)
+class _Deferred:
+    position: int
+    effect: Effect
+
+
+class JournaledProgram:
+    """One program's log and state at its owner.
+
+    :ivar state: folded from everything proposed, chosen or not; only this
+        owner proposes, so it knows what will be chosen if it stays the owner.
+    """
+
+    def __init__(
+        self,
+        program_id: str,
+        groups: ReplicaGroups,
+        ballot: Ballot,
+        limits: Limits,
+        outbox: Outbox,
+    ) -> None:
+        self.program_id = program_id
+        self.state = ProgramState(program_id)
+        self.log = ProgramLog(program_id, groups, ballot)
+        self.timers: Timers[str] = Timers()
+        self._limits = limits
+        self._outbox = outbox
+        self._deferred: deque[_Deferred] = deque()
+
+    def start(self, now: float) -> None:
+        """Begin to take over the log."""
+        self._send(self.log.prepare())
+        self.timers.set(RETRANSMIT, now + self._limits.retransmit)
+
+    def is_leading(self) -> bool:
+        """Return whether this node may append."""
+        return self.log.phase is ProposerPhase.LEADING
+
+    def is_deposed(self) -> bool:
+        """Return whether another owner holds a higher ballot."""
+        return self.log.phase is ProposerPhase.DEPOSED
+
+    def handle_promise(self, now: float, promise: Promise) -> None:
+        """Count a promise; recover once there is a quorum."""
+        was_leading = self.is_leading()
+        self._send(self.log.handle_promise(promise))
+        if self.is_leading() and not was_leading:
+            for body in self.log.entries:
+                self.state.apply(decode(body))
+            self.timers.set(RETRANSMIT, now + self._limits.retransmit)
+            self.recovered(now)
+
+    def recovered(self, now: float) -> None:
+        """Go on from the recovered state; for subclasses."""
+
+    def propose(self, now: float, entries: list[Entry]) -> None:
+        """Append entries to the log and fold them."""
+        for entry in entries:
+            self.state.apply(entry)
+        self._send(self.log.append([encode(entry) for entry in entries]))
+        self.timers.set(RETRANSMIT, now + self._limits.retransmit)
+
+    def after_chosen(self, effect: Effect) -> None:
+        """Emit an effect as soon as everything proposed so far is chosen."""
+        position = len(self.log.entries)
+        if self.log.chosen >= position:
+            self._outbox.emit(effect)
+        else:
+            self._deferred.append(_Deferred(position, effect))
+
+    def handle_appended(self, answer: Appended) -> None:
+        """Count an acknowledgement and emit what waited for it."""
+        if not self.log.handle_appended(answer):
+            return
+        while self._deferred and self._deferred[0].position <= self.log.chosen:
+            self._outbox.emit(self._deferred.popleft().effect)
+        if self.log.settled():
+            self.timers.cancel(RETRANSMIT)
+
+    def handle_behind(self, answer: ReplicaBehind, node_id: str) -> None:
+        """Resend what a replica lacks."""
+        self._send(self.log.handle_behind(answer, node_id))
+
+    def handle_refused(self, answer: BallotRefused) -> bool:
+        """Note a refusal.
+
+        :returns: whether this owner has just been deposed.
+        """
+        if not self.log.handle_refused(answer):
+            return False
+        self._deferred.clear()
+        return True
+
+    def change_groups(self, now: float, groups: ReplicaGroups) -> None:
+        """Use a newer shard map."""
+        self._send(self.log.change_groups(groups))
+        self.timers.set(RETRANSMIT, now + self._limits.retransmit)
+
+    def retransmit(self, now: float) -> None:
+        """Send again what was not acknowledged."""
+        messages = self.log.retransmit()
+        if messages:
+            self._send(messages)
+            self.timers.set(RETRANSMIT, now + self._limits.retransmit)
+
+    def _send(self, messages: list[ReplicaMessage]) -> None:
+        for message in messages:
+            self._outbox.emit(SendToPeer(message.node_id, message.message))
--- /dev/null
+++ b/yarrowwall/core/program/registry.py
@@ -0,0 +1,243 @@
+"""The programs this node owns, and the ballots it takes for them."""
+
+from collections.abc import Callable
+
+from yarrowwall.core.effects import StreamRoute
+from yarrowwall.core.events import (
+    AttemptKey,
+    EngineCompleted,
+    EngineFailed,
+    EngineFault,
+    EngineReleased,
+)
+from yarrowwall.core.journal.proposer import ReplicaGroups
+from yarrowwall.core.limits import Limits
+from yarrowwall.core.outbox import Outbox
+from yarrowwall.core.program.owner import OwnerContext, PendingRequest, ProgramOwner
+from yarrowwall.core.scheduling.scheduler import Scheduler
+from yarrowwall.core.scheduling.types import Placement
+from yarrowwall.core.timers import Timers
+from yarrowwall.messages.journal import (
+    Appended,
+    Ballot,
+    BallotRefused,
+    Promise,
+    ReplicaBehind,
+)
+from yarrowwall.messages.requests import Reply, Request
+
+#: How many lost ballots are remembered; a forgotten one costs a round trip.
+REMEMBERED_BALLOTS = 10_000
+
+
+class OwnerRegistry:
+    """All program owners of one node.
+
+    :param holder: this node and incarnation, as ballots name it.
+    :param groups_of: returns the replica groups of a program.
+    :param ask: sends a request to another program's owner.
+    """
+
+    def __init__(
+        self,
+        holder: str,
+        limits: Limits,
+        outbox: Outbox,
+        scheduler: Scheduler,
+        groups_of: Callable[[str], ReplicaGroups],
+        ask: Callable[[float, str, Request], None],
+    ) -> None:
+        self._holder = holder
+        self._limits = limits
+        self._scheduler = scheduler
+        self._groups_of = groups_of
+        self._owners: dict[str, ProgramOwner] = {}
+        self._ballot_counters: dict[str, int] = {}
+        self._timers: Timers[str] = Timers()
+        self._now = 0.0
+        self._context = OwnerContext(
+            limits,
+            outbox,
+            scheduler.enqueue,
+            scheduler.withdraw,
+            lambda key, outcome: scheduler.attempt_ended(key, outcome, self._now),
+            lambda program_id, request: ask(self._now, program_id, request),
+        )
+
+    def __len__(self) -> int:
+        return len(self._owners)
+
+    def get(self, program_id: str) -> ProgramOwner | None:
+        """Return the owner of a program, if it is loaded here."""
+        return self._owners.get(program_id)
+
+    def load(self, now: float, program_id: str) -> ProgramOwner:
+        """Return the owner of a program; takes the program over if need be."""
+        self._now = now
+        owner = self._owners.get(program_id)
+        return owner if owner is not None else self._take_over(now, program_id)
+
+    def _take_over(self, now: float, program_id: str) -> ProgramOwner:
+        counter = self._ballot_counters.pop(program_id, 0) + 1
+        ballot = Ballot(counter, self._holder)
+        owner = ProgramOwner(program_id, self._groups_of(program_id), ballot, self._context)
+        self._owners[program_id] = owner
+        owner.start(now)
+        self._schedule(owner)
+        return owner
+
+    def handle_request(self, now: float, route: StreamRoute, request: Request) -> None:
+        """Hand a request to its program's owner."""
+        owner = self.load(now, request.program_id)
+        owner.handle_request(now, route, request)
+        self._schedule(owner)
+
+    def handle_owner_reply(
+        self, now: float, program_id: str, request: Request, reply: Reply
+    ) -> None:
+        """Hand the reply of another program's owner to the program that asked."""
+        self._with_owner(
+            now, program_id, lambda owner: owner.handle_owner_reply(now, request, reply)
+        )
+
+    def _with_owner(
+        self, now: float, program_id: str, action: Callable[[ProgramOwner], None]
+    ) -> None:
+        owner = self._owners.get(program_id)
+        if owner is None:
+            return
+        self._now = now
+        action(owner)
+        self._schedule(owner)
+
+    # Journal
+
+    def handle_promise(self, now: float, message: Promise) -> None:
+        """Hand a promise to its owner."""
+        self._with_owner(now, message.program_id, lambda owner: owner.handle_promise(now, message))
+
+    def handle_appended(self, now: float, message: Appended) -> None:
+        """Hand an acknowledgement to its owner."""
+        self._with_owner(now, message.program_id, lambda owner: owner.handle_appended(message))
+
+    def handle_behind(self, now: float, sender: str, message: ReplicaBehind) -> None:
+        """Resend to a replica what it lacks."""
+        self._with_owner(
+            now, message.program_id, lambda owner: owner.handle_behind(message, sender)
+        )
+
+    def handle_refused(self, now: float, message: BallotRefused) -> list[PendingRequest]:
+        """Drop an owner that has lost its ballot, or take a higher one.
+
+        A new owner starts low and learns the height from its first refusal. Any
+        other refusal means that another node owns the program: two nodes whose
+        views differ must not depose each other for ever, so the loser yields.
+
+        :returns: the dropped owner's requests, to be sent to the winner.
+        """
+        owner = self._owners.get(message.program_id)
+        if owner is None:
+            return []
+        may_retry = not owner.is_leading() and not owner.took_higher_ballot
+        if not owner.handle_refused(message):
+            return []
+        self._now = now
+        self._drop(owner)
+        self._remember_ballot(message.program_id, message.promised.counter)
+        pending = list(owner.pending.values())
+        if not may_retry:
+            return pending
+        successor = self._take_over(now, message.program_id)
+        successor.took_higher_ballot = True
+        for request in pending:
+            successor.handle_request(now, request.route, request.request)
+        return []
+
+    def _remember_ballot(self, program_id: str, counter: int) -> None:
+        self._ballot_counters[program_id] = counter
+        while len(self._ballot_counters) > REMEMBERED_BALLOTS:
+            self._ballot_counters.pop(next(iter(self._ballot_counters)))
+
+    def _drop(self, owner: ProgramOwner) -> None:
+        self._scheduler.withdraw(owner.program_id)
+        del self._owners[owner.program_id]
+        self._timers.cancel(owner.program_id)
+
+    def change_groups(self) -> None:
+        """Use a newer shard map for every program."""
+        for owner in list(self._owners.values()):
+            owner.change_groups(self._now, self._groups_of(owner.program_id))
+            self._schedule(owner)
+
+    # Engines
+
+    def place(self, now: float, placement: Placement) -> None:
+        """Run a placed call."""
+        owner = self._owners.get(placement.call.program_id)
+        if owner is None or not owner.is_leading():
+            return
+        self._now = now
+        key = owner.place(now, placement)
+        self._scheduler.note_dispatched(key, placement.engine_id)
+        self._schedule(owner)
+
+    def handle_completed(self, now: float, event: EngineCompleted) -> None:
+        """Hand an engine's answer to its owner."""
+        self._with_attempt(now, event.key, lambda owner: owner.handle_completed(now, event))
+
+    def handle_failed(self, now: float, event: EngineFailed) -> None:
+        """Hand an engine's failure to its owner."""
+        self._with_attempt(now, event.key, lambda owner: owner.handle_failed(now, event))
+
+    def _with_attempt(
+        self, now: float, key: AttemptKey, action: Callable[[ProgramOwner], None]
+    ) -> None:
+        if key.program_id in self._owners:
+            self._with_owner(now, key.program_id, action)
+        else:
+            self._scheduler.attempt_ended(key, EngineFault.UNKNOWN_REQUEST, now)
+
+    def handle_released(self, now: float, event: EngineReleased) -> None:
+        """Hand an engine's confirmation to the owner."""
+        self._with_owner(
+            now, event.program_id, lambda owner: owner.handle_released(now, event.engine_id)
+        )
+
+    # Time
+
+    def _schedule(self, owner: ProgramOwner) -> None:
+        if self._owners.get(owner.program_id) is not owner:
+            return
+        deadline = owner.timers.next_deadline()
+        if deadline is None:
+            self._timers.cancel(owner.program_id)
+        else:
+            self._timers.set(owner.program_id, deadline)
+
+    def next_deadline(self) -> float | None:
+        """Return the earliest deadline of any owner."""
+        return self._timers.next_deadline()
+
+    def handle_time(self, now: float) -> None:
+        """Run what is due; unload programs that need no owner in memory."""
+        self._now = now
+        for program_id in self._timers.due(now):
+            owner = self._owners[program_id]
+            owner.handle_time(now)
+            if owner.may_unload(now):
+                self._remember_ballot(program_id, owner.log.ballot.counter)
+                self._drop(owner)
+            else:
+                self._schedule(owner)
+
+    def is_idle(self) -> bool:
+        """Return whether nothing runs and nothing waits to be acknowledged."""
+        return all(owner.is_quiet() for owner in self._owners.values())
+
+    def validate_state(self) -> None:
+        """Check every program's state; for tests.
+
+        :raises InvariantError: if one does not hold.
+        """
+        for owner in self._owners.values():
+            owner.state.validate_state()
--- /dev/null
+++ b/yarrowwall/core/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Which engine runs a call, and in what order calls are placed."""
--- /dev/null
+++ b/yarrowwall/core/scheduling/engines.py
@@ -0,0 +1,139 @@
+"""What a node knows of an engine: its reports, own calls, and a cache belief."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from yarrowwall.core.events import AttemptKey, CacheBlocksChanged, EngineLoadReported
+from yarrowwall.core.hashing import PrefixBlock
+from yarrowwall.core.scheduling.types import EngineMachine, WaitingCall
+
+#: Most blocks remembered per engine; the least recently used go first.
+BELIEF_BLOCKS = 20_000
+#: Seconds an engine gets nothing new after it refused or did not answer.
+AVOID_SECONDS = 2.0
+
+
+@dataclass(frozen=True)
+class EngineProfile:
+    """Speeds used to estimate an engine's times.
+
+    :param prefill_tokens_per_second: prompt tokens computed alone.
+    :param decode_seconds_per_token: of one sequence in a batch of ordinary size.
+    """
+
+    prefill_tokens_per_second: float = 8000.0
+    decode_seconds_per_token: float = 0.025
+
+
+@dataclass
+class OwnCall:
+    """A call this node has sent to an engine and that has not ended."""
+
+    call: WaitingCall
+    sent_at: float
+    uncached_tokens: int
+
+
+class CacheBelief:
+    """Which prompt blocks an engine is believed to hold."""
+
+    def __init__(self) -> None:
+        self._blocks: OrderedDict[str, int] = OrderedDict()
+        self._sequence: int | None = None
+
+    def cached_tokens(self, prompt: tuple[PrefixBlock, ...]) -> int:
+        """Return the tokens of the longest believed prefix of a prompt."""
+        cached = 0
+        for block in prompt:
+            if block.key not in self._blocks:
+                break
+            cached += block.tokens
+        return cached
+
+    def note_prompt(self, prompt: tuple[PrefixBlock, ...]) -> None:
+        """Believe that a prompt is cached, as its call was sent."""
+        for block in reversed(prompt):
+            self._blocks[block.key] = block.tokens
+            self._blocks.move_to_end(block.key)
+        while len(self._blocks) > BELIEF_BLOCKS:
+            self._blocks.popitem(last=False)
+
+    def correct(self, event: CacheBlocksChanged) -> None:
+        """Take a late event; a gap in the sequence loses only what the events said."""
+        if self._sequence is not None and event.sequence <= self._sequence:
+            return
+        self._sequence = event.sequence
+        for key in event.evicted:
+            self._blocks.pop(key, None)
+
+    def clear(self) -> None:
+        """Believe nothing, as after an engine's restart."""
+        self._blocks.clear()
+        self._sequence = None
+
+
+@dataclass
+class EngineView:
+    """One engine as this node sees it.
+
+    :ivar own: calls of this node that the engine has.
+    :ivar ended_since_report: own calls that ended after the last report was made.
+    :ivar avoid_until: nothing new is placed here before.
+    """
+
+    machine: EngineMachine
+    belief: CacheBelief = field(default_factory=CacheBelief)
+    own: dict[AttemptKey, OwnCall] = field(default_factory=dict)
+    report: EngineLoadReported | None = None
+    ended_at: list[float] = field(default_factory=list)
+    avoid_until: float = 0.0
+
+    def is_usable(self, now: float, model: str) -> bool:
+        """Return whether a new call for a model may go here."""
+        if self.machine.leaving or now < self.avoid_until:
+            return False
+        return self.report is not None and not self.report.leaving and model in self.report.models
+
+    def occupancy(self) -> int:
+        """Return the estimated number of calls running or queued at the engine.
+
+        A report lags: own calls sent after it are added, own calls that ended
+        after it are taken off; own calls in flight are the least it can be.
+        """
+        if self.report is None:
+            return len(self.own)
+        made_at = self.report.reported_at
+        sent_since = sum(own.sent_at > made_at for own in self.own.values())
+        ended_since = sum(ended > made_at for ended in self.ended_at)
+        reported = self.report.running + self.report.queued
+        return max(len(self.own), reported + sent_since - ended_since)
+
+    def capacity(self) -> int:
+        """Return how many calls the engine batches."""
+        return self.report.capacity if self.report else 1
+
+    def pending_prefill(self) -> int:
+        """Return the prompt tokens believed to wait for prefill."""
+        if self.report is None:
+            return 0
+        made_at = self.report.reported_at
+        own = sum(own.uncached_tokens for own in self.own.values() if own.sent_at > made_at)
+        return own + self.report.queued_prompt_tokens
+
+    def note_sent(self, key: AttemptKey, call: WaitingCall, now: float) -> None:
+        """Note a call that goes to the engine."""
+        uncached = call.prompt_tokens() - self.belief.cached_tokens(call.prompt)
+        self.own[key] = OwnCall(call, now, uncached)
+        self.belief.note_prompt(call.prompt)
+
+    def note_ended(self, key: AttemptKey, now: float) -> None:
+        """Note that a call has left the engine."""
+        if self.own.pop(key, None) is not None:
+            self.ended_at.append(now)
+
+    def note_report(self, report: EngineLoadReported) -> None:
+        """Take a load report unless a newer one is known."""
+        if self.report is not None and report.reported_at < self.report.reported_at:
+            return
+        self.report = report
+        self.ended_at = [ended for ended in self.ended_at if ended > report.reported_at]
--- /dev/null
+++ b/yarrowwall/core/scheduling/scheduler.py
@@ -0,0 +1,172 @@
+"""The queue of calls that wait for an engine, and their placement."""
+
+from dataclasses import dataclass
+
+from yarrowwall.core.events import (
+    AttemptKey,
+    CacheBlocksChanged,
+    EngineCompleted,
+    EngineFault,
+    EngineLoadReported,
+)
+from yarrowwall.core.hashing import rank
+from yarrowwall.core.scheduling.engines import AVOID_SECONDS, EngineView
+from yarrowwall.core.scheduling.policies import Policy
+from yarrowwall.core.scheduling.types import EngineMachine, Placement, WaitingCall
+from yarrowwall.messages.entries import Priority
+
+#: Most engines one node uses and polls; more are shared out by rendezvous hash.
+ENGINES_PER_NODE = 16
+
+
+@dataclass(frozen=True)
+class SchedulerSettings:
+    """Bounds of the queue.
+
+    :param admission_wait: a routine call is refused when the estimated wait exceeds this, seconds.
+    :param starvation_wait: a routine call that waited this long goes before
+        urgent ones, seconds; bounds starvation.
+    :param seconds_per_waiting_call: estimate of what one waiting call adds to the wait.
+    """
+
+    admission_wait: float = 25.0
+    starvation_wait: float = 10.0
+    seconds_per_waiting_call: float = 4.0
+
+
+class Scheduler:
+    """Places waiting calls on the engines this node uses."""
+
+    def __init__(self, node_id: str, policy: Policy, settings: SchedulerSettings) -> None:
+        self._node_id = node_id
+        self._policy = policy
+        self._settings = settings
+        self._engines: dict[str, EngineView] = {}
+        self._waiting: dict[str, WaitingCall] = {}
+        self._engine_by_attempt: dict[AttemptKey, str] = {}
+
+    # Engines
+
+    def set_machines(self, machines: list[EngineMachine]) -> None:
+        """Use the engines of a newer machine list."""
+        ids = rank(self._node_id, [machine.engine_id for machine in machines])[:ENGINES_PER_NODE]
+        chosen = {machine.engine_id: machine for machine in machines if machine.engine_id in ids}
+        for engine_id in list(self._engines):
+            if engine_id not in chosen:
+                del self._engines[engine_id]
+        for engine_id, machine in sorted(chosen.items()):
+            view = self._engines.get(engine_id)
+            if view is None:
+                self._engines[engine_id] = EngineView(machine)
+            else:
+                view.machine = machine
+
+    def engines(self) -> dict[str, EngineView]:
+        """Return the engines this node uses, by id."""
+        return self._engines
+
+    def handle_report(self, report: EngineLoadReported) -> None:
+        """Take a load report."""
+        view = self._engines.get(report.engine_id)
+        if view is not None:
+            view.note_report(report)
+
+    def handle_cache_event(self, event: CacheBlocksChanged) -> None:
+        """Correct the cache belief of an engine."""
+        view = self._engines.get(event.engine_id)
+        if view is not None:
+            view.belief.correct(event)
+
+    def avoid(self, engine_id: str, now: float) -> None:
+        """Place nothing new on an engine that did not answer."""
+        view = self._engines.get(engine_id)
+        if view is not None:
+            view.avoid_until = now + AVOID_SECONDS
+
+    # Calls
+
+    def enqueue(self, call: WaitingCall) -> None:
+        """Add a call; a program has at most one."""
+        self._waiting[call.program_id] = call
+
+    def withdraw(self, program_id: str) -> None:
+        """Remove a program's waiting call."""
+        self._waiting.pop(program_id, None)
+
+    def waiting_count(self) -> int:
+        """Return how many calls wait."""
+        return len(self._waiting)
+
+    def place(self, now: float) -> list[Placement]:
+        """Take those calls off the queue that an engine is to run now."""
+        placements = []
+        for call in self._in_order(now):
+            engines = self._usable_engines(call, now)
+            if not engines:
+                continue
+            engine = self._policy.choose(call, engines, now)
+            if engine is None:
+                continue
+            del self._waiting[call.program_id]
+            placements.append(self._placement(call, engine))
+            # The next choice must see this call, before its dispatch is chosen.
+            provisional = AttemptKey(call.program_id, call.call_number, 0)
+            engine.note_sent(provisional, call, now)
+        return placements
+
+    def _in_order(self, now: float) -> list[WaitingCall]:
+        if not self._policy.orders_calls:
+            return list(self._waiting.values())
+        return sorted(self._waiting.values(), key=lambda call: self._order_key(call, now))
+
+    def _order_key(self, call: WaitingCall, now: float) -> tuple[int, float, float, str]:
+        """Starving calls first, then urgent ones, then the least attained service."""
+        starving = now - call.enqueued_at >= self._settings.starvation_wait
+        if starving:
+            return (0, call.enqueued_at, 0.0, call.program_id)
+        rank_of_class = 1 if call.priority is Priority.URGENT else 2
+        return (rank_of_class, float(call.attained), call.enqueued_at, call.program_id)
+
+    def _usable_engines(self, call: WaitingCall, now: float) -> list[EngineView]:
+        usable = [view for view in self._engines.values() if view.is_usable(now, call.model)]
+        preferred = [view for view in usable if view.machine.engine_id not in call.excluded]
+        return preferred or usable
+
+    def _placement(self, call: WaitingCall, engine: EngineView) -> Placement:
+        hold = self._policy.holds(call)
+        return Placement(call, engine.machine.engine_id, engine.machine.address, hold)
+
+    def note_dispatched(self, key: AttemptKey, engine_id: str) -> None:
+        """Tie a placed call to the attempt it became."""
+        view = self._engines.get(engine_id)
+        if view is None:
+            return
+        provisional = AttemptKey(key.program_id, key.call_number, 0)
+        own = view.own.pop(provisional, None)
+        if own is not None:
+            view.own[key] = own
+        self._engine_by_attempt[key] = engine_id
+
+    def attempt_ended(
+        self, key: AttemptKey, outcome: EngineCompleted | EngineFault, now: float
+    ) -> None:
+        """Take an attempt off its engine."""
+        engine_id = self._engine_by_attempt.pop(key, None)
+        view = self._engines.get(engine_id) if engine_id is not None else None
+        if view is None:
+            return
+        view.note_ended(key, now)
+        if isinstance(outcome, EngineFault):
+            view.avoid_until = now + AVOID_SECONDS
+            view.belief.clear()
+
+    def overload_wait(self, call: WaitingCall) -> float | None:
+        """Return after how many seconds to come back, if the queue is too long for a call.
+
+        :returns: None if the call may wait here.
+        """
+        if call.priority is Priority.URGENT or not self._policy.orders_calls:
+            return None
+        capacity = sum(view.capacity() for view in self._engines.values()) or 1
+        wait = len(self._waiting) * self._settings.seconds_per_waiting_call / capacity
+        return wait if wait > self._settings.admission_wait else None
--- /dev/null
+++ b/yarrowwall/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between nodes, their Avro schemas and their codec."""
--- /dev/null
+++ b/yarrowwall/messages/codec.py
@@ -0,0 +1,130 @@
+"""Encoding of messages: a two-byte type code, then Avro's binary form.
+
+The schemas are read from the committed ``schemas`` folder; they are made from
+the dataclasses by :mod:`yarrowwall.messages.generate`.
+"""
+
+import dataclasses
+import io
+import json
+import struct
+import types
+import typing
+from collections.abc import Callable
+from enum import StrEnum
+from functools import cache
+from pathlib import Path
+from typing import Any
+
+import fastavro
+
+import yarrowwall.messages.entries
+import yarrowwall.messages.journal
+import yarrowwall.messages.peers
+import yarrowwall.messages.records
+import yarrowwall.messages.requests  # noqa: F401  (imports register the classes)
+from yarrowwall.messages.exceptions import MalformedMessageError, UnknownMessageError
+from yarrowwall.messages.registry import CLASSES_BY_CODE, CODES_BY_CLASS
+
+SCHEMA_FOLDER = Path(__file__).parent / "schemas"
+
+_TYPE_CODE = struct.Struct(">H")
+_Converter = Callable[[Any], Any]
+
+
+def schema_path(code: int) -> Path:
+    """Return the file that holds the schema of a type code."""
+    return SCHEMA_FOLDER / f"{code:03d}_{CLASSES_BY_CODE[code].__name__}.avsc"
+
+
+@cache
+def _schema(code: int) -> Any:
+    """Parse the committed schema of a type code once."""
+    return fastavro.parse_schema(json.loads(schema_path(code).read_text()))
+
+
+@cache
+def _from_plain_fields(cls: type) -> dict[str, _Converter]:
+    """Return converters for those fields whose Avro value is not their Python value."""
+    hints = typing.get_type_hints(cls)
+    converters = {field.name: _from_plain(hints[field.name]) for field in dataclasses.fields(cls)}
+    return {name: converter for name, converter in converters.items() if converter is not None}
+
+
+def _from_plain(hint: Any) -> _Converter | None:
+    """Return the converter from Avro's value to ``hint``; None if they are the same."""
+    origin = typing.get_origin(hint)
+    if origin is types.UnionType:
+        inner = _from_plain(typing.get_args(hint)[0])
+        return None if inner is None else lambda value: None if value is None else inner(value)
+    if origin is list:
+        element = _from_plain(typing.get_args(hint)[0])
+        return None if element is None else lambda values: [element(value) for value in values]
+    if dataclasses.is_dataclass(hint):
+        return lambda value: _build(typing.cast(type, hint), value)
+    if isinstance(hint, type) and issubclass(hint, StrEnum):
+        return hint
+    return None
+
+
+def _build(cls: Any, fields: dict[str, Any]) -> Any:
+    """Make a frozen dataclass from decoded fields without its slow constructor."""
+    for name, converter in _from_plain_fields(cls).items():
+        fields[name] = converter(fields[name])
+    instance = cls.__new__(cls)
+    instance.__dict__.update(fields)
+    return instance
+
+
+@cache
+def _needs_conversion(cls: type) -> bool:
+    """Whether a class has nested records, so that its dict is not its Avro value."""
+    return bool(_from_plain_fields(cls))
+
+
+def _to_plain(value: Any) -> Any:
+    """Return the Avro value of a message, a part of one, or a list of parts."""
+    if dataclasses.is_dataclass(value):
+        fields = vars(value)
+        if not _needs_conversion(typing.cast(type, type(value))):
+            return fields
+        return {name: _to_plain(field) for name, field in fields.items()}
+    if isinstance(value, list):
+        return [_to_plain(element) for element in value]
+    return value
+
+
+def encode(message: Any) -> bytes:
+    """Encode a message with its type code.
+
+    :raises MalformedMessageError: if a field does not fit the schema.
+    """
+    code = CODES_BY_CLASS[type(message)]
+    buffer = io.BytesIO()
+    buffer.write(_TYPE_CODE.pack(code))
+    try:
+        fastavro.schemaless_writer(buffer, _schema(code), _to_plain(message))
+    except (ValueError, TypeError, AttributeError, OverflowError) as error:
+        raise MalformedMessageError(f"{type(message).__name__}: {error}") from error
+    return buffer.getvalue()
+
+
+def decode(data: bytes) -> Any:
+    """Decode a message.
+
+    :raises UnknownMessageError: if no message has the type code.
+    :raises MalformedMessageError: if the body does not follow the schema.
+    """
+    if len(data) < _TYPE_CODE.size:
+        raise MalformedMessageError("shorter than a type code")
+    (code,) = _TYPE_CODE.unpack_from(data)
+    cls = CLASSES_BY_CODE.get(code)
+    if cls is None:
+        raise UnknownMessageError(f"type code {code}")
+    try:
+        fields = fastavro.schemaless_reader(
+            io.BytesIO(data[_TYPE_CODE.size :]), _schema(code), None
+        )
+        return _build(cls, typing.cast(dict[str, Any], fields))
+    except (ValueError, EOFError, IndexError, KeyError, StopIteration, MemoryError) as error:
+        raise MalformedMessageError(f"{cls.__name__}: {error!r}") from error
--- /dev/null
+++ b/yarrowwall/messages/journal.py
@@ -0,0 +1,118 @@
+"""Messages between a program's owner and the journal replicas."""
+
+from dataclasses import dataclass
+
+from yarrowwall.messages.registry import message
+
+
+@dataclass(frozen=True, order=True)
+class Ballot:
+    """The right to append to one program's log; higher ballots win.
+
+    :param counter: raised by every owner that takes over.
+    :param holder: the owner's node id and incarnation; breaks ties.
+    """
+
+    counter: int
+    holder: str
+
+
+#: Lower than every ballot an owner can take.
+ZERO_BALLOT = Ballot(0, "")
+
+
+@dataclass(frozen=True)
+class AcceptedEntry:
+    """One log position as a replica holds it.
+
+    :param ballot: the ballot under which the entry was accepted.
+    :param body: the encoded entry, see :mod:`yarrowwall.messages.entries`.
+    """
+
+    ballot: Ballot
+    body: bytes
+
+
+@message(1)
+class Prepare:
+    """Ask a replica to promise a ballot and to return its log."""
+
+    program_id: str
+    ballot: Ballot
+    map_version: int
+
+
+@message(2)
+class Promise:
+    """A replica promised the ballot.
+
+    :param chosen: length of the prefix the replica knows to be chosen.
+    :param entries: the replica's whole log of the program.
+    """
+
+    program_id: str
+    ballot: Ballot
+    replica_id: str
+    chosen: int
+    entries: list[AcceptedEntry]
+
+
+@message(3)
+class Append:
+    """Ask a replica to accept entries from position ``start`` on.
+
+    :param chosen: length of the prefix the owner knows to be chosen.
+    """
+
+    program_id: str
+    ballot: Ballot
+    start: int
+    entries: list[bytes]
+    chosen: int
+    map_version: int
+
+
+@message(4)
+class Appended:
+    """A replica's log agrees with the owner's up to ``synced`` positions."""
+
+    program_id: str
+    ballot: Ballot
+    replica_id: str
+    synced: int
+
+
+@message(5)
+class BallotRefused:
+    """A replica has promised a higher ballot than the one it was sent."""
+
+    program_id: str
+    ballot: Ballot
+    replica_id: str
+    promised: Ballot
+
+
+@message(6)
+class ReplicaBehind:
+    """An append starts past what the replica holds; resend from ``synced``."""
+
+    program_id: str
+    ballot: Ballot
+    replica_id: str
+    synced: int
+
+
+@message(7)
+class ShardMapStale:
+    """The sender used an older shard map than the replica knows."""
+
+    program_id: str
+    replica_id: str
+    map_version: int
+
+
+@message(8)
+class SweepProgram:
+    """Ask a program's owner to load it and finish what is left to do."""
+
+    program_id: str
--- /dev/null
+++ b/yarrowwall/messages/records.py
@@ -0,0 +1,46 @@
+"""What a journal replica writes to its disk, and how a start reads it back."""
+
+from yarrowwall.messages.journal import AcceptedEntry, Ballot
+from yarrowwall.messages.peers import Document
+from yarrowwall.messages.registry import message
+
+
+@message(80)
+class BallotPromised:
+    """The replica promised a ballot for a program."""
+
+    program_id: str
+    ballot: Ballot
+
+
+@message(81)
+class EntriesAccepted:
+    """The replica accepted entries from position ``start`` on."""
+
+    program_id: str
+    ballot: Ballot
+    start: int
+    entries: list[bytes]
+    chosen: int
+
+
+@message(82)
+class DocumentKept:
+    """The replica stored a document of the platform."""
+
+    document: Document
+
+
+@message(83)
+class LogSnapshot:
+    """A program's log as one record; earlier records of it are obsolete."""
+
+    program_id: str
+    promised: Ballot
+    synced: int
+    synced_ballot: Ballot
+    chosen: int
+    entries: list[AcceptedEntry]
+
+
+Record = BallotPromised | EntriesAccepted | DocumentKept | LogSnapshot
--- /dev/null
+++ b/yarrowwall/runtime/engine_client.py
@@ -0,0 +1,265 @@
+"""Calls to model engines over HTTP."""
+
+import json
+
+import eventlet
+import logbook
+import urllib3
+from urllib3.exceptions import HTTPError, NewConnectionError
+
+from yarrowwall.core.effects import CancelAttempt, OrderEngine, ReleaseCache, StartAttempt
+from yarrowwall.core.events import (
+    AttemptKey,
+    CacheBlocksChanged,
+    EngineCompleted,
+    EngineFailed,
+    EngineFault,
+    EngineLoadReported,
+    EngineOrdered,
+    EngineReleased,
+    EngineUnreachable,
+)
+from yarrowwall.messages.entries import ChatMessage
+from yarrowwall.runtime.ports import NodePort
+from yarrowwall.runtime.sse import CompletionReader
+from yarrowwall.runtime.streams import StreamTable
+
+#: Silence after which an engine's stream counts as broken, seconds.
+STREAM_SILENCE_SECONDS = 30.0
+CONNECT_SECONDS = 2.0
+POLL_INTERVAL_SECONDS = 0.5
+MOST_CONNECTIONS_PER_ENGINE = 256
+
+_log = logbook.Logger(__name__)
+_TIMEOUT = urllib3.Timeout(connect=CONNECT_SECONDS, read=STREAM_SILENCE_SECONDS)
+_SHORT_TIMEOUT = urllib3.Timeout(connect=CONNECT_SECONDS, read=CONNECT_SECONDS)
+_HTTP_OK = 200
+_HTTP_CONFLICT = 409
+_HTTP_NOT_FOUND = 404
+
+
+class EngineClient:
+    """Carries out the effects that concern engines."""
+
+    def __init__(self, node: NodePort, streams: StreamTable) -> None:
+        self._node = node
+        self._streams = streams
+        self._pool = urllib3.PoolManager(
+            num_pools=64, maxsize=MOST_CONNECTIONS_PER_ENGINE, retries=False, timeout=_TIMEOUT
+        )
+        self._pollers: dict[str, eventlet.greenthread.GreenThread] = {}
+
+    # Attempts
+
+    def start(self, effect: StartAttempt) -> None:
+        """Run or resume an attempt in the background."""
+        self._streams.open(effect.key, effect.routes)
+        eventlet.spawn_n(self._run_attempt, effect)
+
+    def _run_attempt(self, effect: StartAttempt) -> None:
+        try:
+            response = self._open_stream(effect)
+        except NewConnectionError:
+            self._fail(effect.key, self._fault_before_start(effect))
+            return
+        except (HTTPError, OSError):
+            self._fail(effect.key, EngineFault.BROKEN)
+            return
+        if response.status != _HTTP_OK:
+            self._refused(effect, response)
+            return
+        self._read_stream(effect.key, response)
+
+    @staticmethod
+    def _fault_before_start(effect: StartAttempt) -> EngineFault:
+        """A connection that was never made started nothing, but ends no earlier run."""
+        return EngineFault.BROKEN if effect.resume else EngineFault.NOT_STARTED
+
+    def _open_stream(self, effect: StartAttempt) -> urllib3.BaseHTTPResponse:
+        base = f"http://{effect.engine_address}"
+        if effect.resume:
+            return self._pool.request(
+                "GET",
+                f"{base}/v1/requests",
+                fields={"id": str(effect.key)},
+                preload_content=False,
+            )
+        return self._pool.request(
+            "POST",
+            f"{base}/v1/chat/completions",
+            body=_request_body(effect),
+            headers=_request_headers(effect),
+            preload_content=False,
+        )
+
+    def _refused(self, effect: StartAttempt, response: urllib3.BaseHTTPResponse) -> None:
+        retry_after = _retry_after(response)
+        response.drain_conn()
+        response.release_conn()
+        if effect.resume:
+            known = response.status != _HTTP_NOT_FOUND
+            fault = EngineFault.BROKEN if known else EngineFault.UNKNOWN_REQUEST
+        elif response.status == _HTTP_CONFLICT:
+            fault = EngineFault.BROKEN
+        else:
+            fault = EngineFault.NOT_STARTED
+        self._fail(effect.key, fault, retry_after)
+
+    def _read_stream(self, key: AttemptKey, response: urllib3.BaseHTTPResponse) -> None:
+        reader = CompletionReader()
+        try:
+            # read_chunked yields bytes as they come; stream(n) would wait for n of them.
+            for data in response.read_chunked():
+                relayed = reader.feed(data)
+                if relayed:
+                    self._streams.relay(key, relayed, reader.text_length)
+            response.release_conn()
+        except (HTTPError, OSError, ValueError, KeyError) as error:
+            _log.info("a stream broke", extra={"attempt": str(key), "error": str(error)})
+            response.close()
+        self._streams.close(key)
+        if not reader.is_whole:
+            self._fail(key, EngineFault.BROKEN)
+            return
+        self._node.post(
+            EngineCompleted(
+                key,
+                reader.text,
+                reader.finish_reason,
+                reader.prompt_tokens,
+                reader.cached_tokens,
+                reader.completion_tokens,
+            )
+        )
+
+    def _fail(self, key: AttemptKey, fault: EngineFault, retry_after: float = 0.0) -> None:
+        self._node.post(EngineFailed(key, fault, retry_after))
+
+    # Control
+
+    def cancel(self, effect: CancelAttempt) -> None:
+        """Stop an attempt; a lost request is made up for by the release of its cache."""
+        eventlet.spawn_n(self._post, effect.engine_address, "/v1/cancel", {"id": str(effect.key)})
+
+    def release(self, effect: ReleaseCache) -> None:
+        """Release a program's cache; the core asks again until it is confirmed."""
+        eventlet.spawn_n(self._release, effect)
+
+    def _release(self, effect: ReleaseCache) -> None:
+        body = {"program": effect.program_id, "through_call": effect.through_call}
+        if self._post(effect.engine_address, "/v1/release", body) is not None:
+            self._node.post(EngineReleased(effect.program_id, effect.engine_id))
+
+    def order(self, effect: OrderEngine) -> None:
+        """Send a fenced order."""
+        eventlet.spawn_n(self._order, effect)
+
+    def _order(self, effect: OrderEngine) -> None:
+        body = {"term": effect.term, "models": list(effect.models)}
+        answer = self._post(effect.engine_address, "/orders", body)
+        if answer is not None:
+            accepted = bool(answer["accepted"])
+            event = EngineOrdered(effect.engine_id, effect.term, effect.models, accepted)
+            self._node.post(event)
+
+    def _post(self, address: str, path: str, body: dict) -> dict | None:
+        """Return the JSON answer; None if there is none."""
+        try:
+            response = self._pool.request(
+                "POST", f"http://{address}{path}", json=body, timeout=_SHORT_TIMEOUT
+            )
+            return response.json() if response.status in (_HTTP_OK, _HTTP_CONFLICT) else None
+        except (HTTPError, OSError, ValueError):
+            return None
+
+    # Reports
+
+    def poll(self, engine_id: str, address: str, enabled: bool) -> None:
+        """Start or stop reading an engine's load and cache events."""
+        poller = self._pollers.pop(engine_id, None)
+        if poller is not None:
+            poller.kill()
+        if enabled:
+            self._pollers[engine_id] = eventlet.spawn(self._poll_for_ever, engine_id, address)
+
+    def _poll_for_ever(self, engine_id: str, address: str) -> None:
+        sequence = 0
+        while True:
+            answer = self._get_load(address, sequence)
+            if answer is None:
+                self._node.post(EngineUnreachable(engine_id))
+            else:
+                self._report(engine_id, answer)
+                sequence = self._report_cache_events(engine_id, answer["events"], sequence)
+            eventlet.sleep(POLL_INTERVAL_SECONDS)
+
+    def _get_load(self, address: str, sequence: int) -> dict | None:
+        try:
+            response = self._pool.request(
+                "GET",
+                f"http://{address}/load",
+                fields={"after": str(sequence)},
+                timeout=_SHORT_TIMEOUT,
+            )
+            return response.json() if response.status == _HTTP_OK else None
+        except (HTTPError, OSError, ValueError):
+            return None
+
+    def _report(self, engine_id: str, answer: dict) -> None:
+        # Made-at on this node's clock: the age the engine states, taken off.
+        made_at = self._node.now() - float(answer["age_seconds"])
+        self._node.post(
+            EngineLoadReported(
+                engine_id,
+                int(answer["running"]),
+                int(answer["queued"]),
+                int(answer["queued_prompt_tokens"]),
+                int(answer["capacity"]),
+                tuple(answer["models"]),
+                int(answer["orders_term"]),
+                made_at,
+                bool(answer["leaving"]),
+            )
+        )
+
+    def _report_cache_events(self, engine_id: str, events: list[dict], sequence: int) -> int:
+        for event in events:
+            sequence = int(event["sequence"])
+            changed = CacheBlocksChanged(
+                engine_id, sequence, tuple(event["stored"]), tuple(event["evicted"])
+            )
+            self._node.post(changed)
+        return sequence
+
+
+def _message_document(message: ChatMessage) -> dict:
+    return {"role": message.role, "content": message.content}
+
+
+def _request_body(effect: StartAttempt) -> bytes:
+    document = {
+        "model": effect.model,
+        "messages": [_message_document(message) for message in effect.prompt],
+        "max_tokens": effect.max_tokens,
+        "stream": True,
+        "stream_options": {"include_usage": True},
+    }
+    return json.dumps(document).encode()
+
+
+def _request_headers(effect: StartAttempt) -> dict[str, str]:
+    return {
+        "Content-Type": "application/json",
+        "X-Request-Id": str(effect.key),
+        "X-Program": effect.key.program_id,
+        "X-Call-Number": str(effect.key.call_number),
+        "X-Priority": effect.priority.value,
+        "X-Hold": "true" if effect.hold else "false",
+    }
+
+
+def _retry_after(response: urllib3.BaseHTTPResponse) -> float:
+    try:
+        return float(response.headers.get("Retry-After", 0.0))
+    except ValueError:
+        return 0.0
--- /dev/null
+++ b/yarrowwall/runtime/peers.py
@@ -0,0 +1,182 @@
+"""Connections between nodes: frames over TCP.
+
+A frame is a four-byte length, the sender's node id and one encoded message.
+Messages may be lost (a full queue, a broken connection); the core repeats
+what matters.
+"""
+
+import socket
+import struct
+from collections import deque
+from collections.abc import Callable
+from typing import BinaryIO
+
+import eventlet
+import logbook
+from eventlet.event import Event
+
+from yarrowwall.messages.codec import decode, encode
+from yarrowwall.messages.exceptions import MessageError
+from yarrowwall.runtime.exceptions import FrameError
+
+#: Longest frame that is read; longer ones close the connection.
+MOST_FRAME_BYTES = 64 * 1024 * 1024
+#: Messages that wait for one peer; the oldest go first.
+MOST_QUEUED = 20_000
+#: Most bytes joined into one write.
+WRITE_BYTES = 256 * 1024
+#: Seconds between attempts to reach a peer.
+RECONNECT_SECONDS = 0.5
+CONNECT_TIMEOUT_SECONDS = 2.0
+
+_LENGTH = struct.Struct(">IB")
+_log = logbook.Logger(__name__)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``IP:port``."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def set_no_delay(connection: socket.socket) -> None:
+    """Send small messages at once instead of waiting to fill a packet."""
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+def frame(sender: str, message: object) -> bytes:
+    """Return the frame of a message."""
+    body = encode(message)
+    name = sender.encode()
+    return _LENGTH.pack(len(name) + len(body), len(name)) + name + body
+
+
+class _Link:
+    """The outgoing connection to one peer."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._queue: deque[bytes] = deque(maxlen=MOST_QUEUED)
+        self._wakeup = Event()
+        self._worker = eventlet.spawn(self._run)
+
+    def send(self, data: bytes) -> None:
+        """Queue a frame."""
+        self._queue.append(data)
+        if not self._wakeup.ready():
+            self._wakeup.send()
+
+    def close(self) -> None:
+        """Stop sending."""
+        self._worker.kill()
+
+    def _run(self) -> None:
+        while True:
+            self._wait()
+            try:
+                host_port = split_address(self.address)
+                with eventlet.Timeout(CONNECT_TIMEOUT_SECONDS):
+                    connection = eventlet.connect(host_port)
+            except (OSError, eventlet.Timeout):
+                self._queue.clear()
+                eventlet.sleep(RECONNECT_SECONDS)
+                continue
+            set_no_delay(connection)
+            self._send_until_broken(connection)
+
+    def _send_until_broken(self, connection: socket.socket) -> None:
+        try:
+            while True:
+                self._wait()
+                connection.sendall(self._next_write())
+        except OSError as error:
+            _log.info("connection to a peer broke", extra={"peer": self.address, "error": error})
+        finally:
+            connection.close()
+
+    def _next_write(self) -> bytes:
+        frames = []
+        size = 0
+        while self._queue and size < WRITE_BYTES:
+            data = self._queue.popleft()
+            frames.append(data)
+            size += len(data)
+        return b"".join(frames)
+
+    def _wait(self) -> None:
+        while not self._queue:
+            self._wakeup.wait()
+            self._wakeup = Event()
+
+
+class PeerTransport:
+    """Sends messages to nodes by id and receives theirs.
+
+    :param address_of: returns the address of a node id; None if unknown.
+    :param receive: called with the sender's node id and the message.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        listener: socket.socket,
+        address_of: Callable[[str], str | None],
+        receive: Callable[[str, object], None],
+    ) -> None:
+        self._node_id = node_id
+        self._listener = listener
+        self._address_of = address_of
+        self._receive = receive
+        self._links: dict[str, _Link] = {}
+        self._acceptor = eventlet.spawn(self._accept)
+
+    def send(self, node_id: str, message: object) -> None:
+        """Send a message; to this node itself it is handed over directly."""
+        if node_id == self._node_id:
+            eventlet.spawn_n(self._receive, node_id, message)
+            return
+        address = self._address_of(node_id)
+        if address is None:
+            return
+        link = self._links.get(node_id)
+        if link is None or link.address != address:
+            if link is not None:
+                link.close()
+            link = self._links[node_id] = _Link(address)
+        link.send(frame(self._node_id, message))
+
+    def _accept(self) -> None:
+        while True:
+            connection, _ = self._listener.accept()
+            set_no_delay(connection)
+            eventlet.spawn_n(self._serve, connection)
+
+    def _serve(self, connection: socket.socket) -> None:
+        stream = connection.makefile("rb")
+        try:
+            while True:
+                header = stream.read(_LENGTH.size)
+                if len(header) < _LENGTH.size:
+                    return
+                self._receive(*self._read_frame(stream, header))
+        except (FrameError, MessageError) as error:
+            _log.warning("closed a peer connection", extra={"error": str(error)})
+        except OSError as error:
+            _log.info("a peer connection broke", extra={"error": str(error)})
+        finally:
+            stream.close()
+            connection.close()
+
+    @staticmethod
+    def _read_frame(stream: BinaryIO, header: bytes) -> tuple[str, object]:
+        length, name_length = _LENGTH.unpack(header)
+        if length > MOST_FRAME_BYTES or name_length > length:
+            raise FrameError(f"a frame of {length} bytes")
+        data = stream.read(length)
+        if len(data) < length:
+            raise FrameError("the connection ended within a frame")
+        try:
+            sender = data[:name_length].decode()
+        except UnicodeDecodeError as error:
+            raise FrameError("the sender's name is not text") from error
+        return sender, decode(data[name_length:])
--- /dev/null
+++ b/yarrowwall/runtime/streams.py
@@ -0,0 +1,64 @@
+"""Relaying of engines' event streams to the callers, as they come.
+
+The bytes are passed on unchanged. Only the last event, which tells that the
+answer is whole, is held back until the answer is chosen.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from yarrowwall.core.effects import StreamRoute
+from yarrowwall.core.events import AttemptKey
+from yarrowwall.messages.peers import StreamChunk
+
+#: Delivers a chunk to the gateway that holds the caller's connection.
+SendChunk = Callable[[str, StreamChunk], None]
+
+
+@dataclass
+class _Relay:
+    routes: list[StreamRoute]
+    sent: bytearray = field(default_factory=bytearray)
+    text_length: int = 0
+
+
+class StreamTable:
+    """The attempts that this node relays."""
+
+    def __init__(self, send: SendChunk) -> None:
+        self._send = send
+        self._relays: dict[AttemptKey, _Relay] = {}
+
+    def open(self, key: AttemptKey, routes: tuple[StreamRoute, ...]) -> None:
+        """Begin to relay an attempt, or begin again from its first byte."""
+        known = self._relays.get(key)
+        merged = list(dict.fromkeys([*(known.routes if known else []), *routes]))
+        self._relays[key] = _Relay(merged)
+
+    def attach(self, key: AttemptKey, route: StreamRoute) -> None:
+        """Relay an attempt to one more caller, from the first byte on."""
+        relay = self._relays.get(key)
+        if relay is None:
+            return
+        relay.routes.append(route)
+        if relay.sent:
+            chunk = StreamChunk(
+                route.request_id, key.attempt, 0, relay.text_length, bytes(relay.sent)
+            )
+            self._send(route.gateway, chunk)
+
+    def relay(self, key: AttemptKey, data: bytes, text_length: int) -> None:
+        """Pass bytes on to every caller of an attempt."""
+        relay = self._relays.get(key)
+        if relay is None:
+            return
+        offset = len(relay.sent)
+        relay.sent += data
+        relay.text_length = text_length
+        for route in relay.routes:
+            chunk = StreamChunk(route.request_id, key.attempt, offset, text_length, data)
+            self._send(route.gateway, chunk)
+
+    def close(self, key: AttemptKey) -> None:
+        """Forget an attempt."""
+        self._relays.pop(key, None)
--- /dev/null
+++ b/yarrowwall/settings.py
@@ -0,0 +1,121 @@
+"""Settings files: TOML, checked by pydantic, every fault named with its key."""
+
+import ipaddress
+import tomllib
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
+from pydantic_core import ErrorDetails
+
+from yarrowwall.core.limits import Limits
+from yarrowwall.exceptions import SettingsError
+
+
+def _check_address(value: str) -> str:
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError as error:
+        raise ValueError("must be IP:PORT with a numeric IP address") from error
+    if not port.isdigit() or not 0 <= int(port) <= 65535:
+        raise ValueError("must be IP:PORT with a port from 0 to 65535")
+    return value
+
+
+Address = Annotated[str, AfterValidator(_check_address)]
+Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9_-]*$")]
+
+
+class _Section(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class PeerSettings(_Section):
+    """Another node to gossip with at first."""
+
+    node_id: Name
+    zone: Name
+    address: Address
+
+
+class ReplicaSettings(_Section):
+    """A journal replica of the first shard map."""
+
+    replica_id: Name
+    node_id: Name
+    zone: Name
+
+
+class SchedulingSettings(_Section):
+    """Weights of the placement; see docs/design for how they were found."""
+
+    policy: str = Field(
+        default="yarrowwall", pattern="^(yarrowwall|round-robin|least-loaded|sticky)$"
+    )
+    wasted_cache_weight: float = Field(default=1.0, ge=0.0, le=100.0)
+    prefill_tokens_per_second: float = Field(default=8000.0, gt=0.0)
+    decode_seconds_per_token: float = Field(default=0.025, gt=0.0)
+    admission_wait_seconds: float = Field(default=25.0, gt=0.0)
+
+
+class LimitSettings(_Section):
+    """Time limits of a node, in seconds."""
+
+    order_wait: float = Field(default=Limits.order_wait, gt=0.0, le=3600.0)
+    queue_wait: float = Field(default=Limits.queue_wait, gt=0.0, le=3600.0)
+    request_deadline: float = Field(default=Limits.request_deadline, gt=0.0, le=3600.0)
+    idle_limit: float = Field(default=Limits.idle_limit, gt=0.0)
+    calls_per_program: int = Field(default=Limits.calls_per_program, gt=0)
+
+
+class NodeFileSettings(_Section):
+    """The settings file of a node."""
+
+    node_id: Name
+    zone: Name
+    peer_address: Address
+    http_address: Address
+    platform_address: Address
+    data_folder: Path | None = None
+    log_level: str = Field(default="INFO", pattern="^(DEBUG|INFO|NOTICE|WARNING|ERROR)$")
+    default_budget_tokens: int = Field(default=200_000, gt=0)
+    peers: list[PeerSettings] = []
+    replicas: list[ReplicaSettings] = Field(min_length=1)
+    scheduling: SchedulingSettings = SchedulingSettings()
+    limits: LimitSettings = LimitSettings()
+
+
+def parse_settings(text: str) -> NodeFileSettings:
+    """Check the text of a settings file.
+
+    :raises SettingsError: with one line a fault.
+    """
+    try:
+        return NodeFileSettings.model_validate(tomllib.loads(text))
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError([f"not TOML: {error}"]) from error
+    except ValidationError as error:
+        raise SettingsError([_fault_line(fault) for fault in error.errors()]) from error
+
+
+def _fault_line(fault: ErrorDetails) -> str:
+    """Return key, value and what is allowed."""
+    key = ".".join(str(part) for part in fault["loc"])
+    if fault["type"] == "missing":
+        return f"{key}: missing: the key is required"
+    if fault["type"] == "extra_forbidden":
+        return f"{key}: {fault['input']!r}: no such key is known"
+    return f"{key}: {fault['input']!r}: {fault['msg']}"
+
+
+def load_settings(path: Path) -> NodeFileSettings:
+    """Read and check a settings file.
+
+    :raises SettingsError: if it cannot be read or has faults.
+    """
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError([f"{path}: {error}"]) from error
+    return parse_settings(text)
--- /dev/null
+++ b/yarrowwall/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Durable storage of a journal replica under its data folder."""
