Simulation of both deployments on a virtual clock, with an observer outside the core

Cause: nothing proved the promises under failure. Change: simpy world over the same NodeCore the runtime drives: network, disks, engines, platform, callers, operators, faults; an observer that checks the ten promises from what callers, engines and operators saw. Engines fence a resume of an unknown request; a dispatch proposed too long ago is not sent any more.

--- a/yarrowwall/cli/main.py
+++ b/yarrowwall/cli/main.py
@@ -8,6 +8,7 @@
 from yarrowwall.cli.demo import demo
 from yarrowwall.cli.node import check_settings, journal_init, node
 from yarrowwall.cli.operator import intent, plan, status
+from yarrowwall.cli.simulate import simulate
 from yarrowwall.cli.standin import standin
 
 
@@ -17,5 +18,5 @@
     """Scheduler for agent programs."""
 
 
-for command in (node, check_settings, journal_init, standin, demo, intent, plan, status):
+for command in (node, check_settings, journal_init, standin, demo, intent, plan, status, simulate):
     main.add_command(command)
--- a/yarrowwall/core/limits.py
+++ b/yarrowwall/core/limits.py
@@ -12,6 +12,8 @@
     :param queue_wait: longest wait of a call for an engine.
     :param forward_retry: silence after which a gateway forwards a request again.
     :param request_deadline: age at which a gateway gives up on a request.
+    :param dispatch_validity: age of a proposed dispatch at which it is not sent any
+        more; well below the time for which a new owner tries to resume it.
     :param resume_interval: pause between attempts to resume a broken stream.
     :param resume_attempts: how often a broken stream is resumed.
     :param start_attempts: how often a call that did not start is placed anew.
@@ -30,6 +32,7 @@
     queue_wait: float = 30.0
     forward_retry: float = 2.0
     request_deadline: float = 120.0
+    dispatch_validity: float = 1.5
     resume_interval: float = 0.5
     resume_attempts: int = 6
     start_attempts: int = 6
--- a/yarrowwall/core/program/journaled.py
+++ b/yarrowwall/core/program/journaled.py
@@ -5,6 +5,7 @@
 its own that nobody else will see.
 """
 
+import math
 from collections import deque
 from dataclasses import dataclass
 
@@ -31,6 +32,7 @@
 class _Deferred:
     position: int
     effect: Effect
+    valid_until: float
 
 
 class JournaledProgram:
@@ -89,22 +91,34 @@
         self._send(self.log.append([encode(entry) for entry in entries]))
         self.timers.set(RETRANSMIT, now + self._limits.retransmit)
 
-    def after_chosen(self, effect: Effect) -> None:
-        """Emit an effect as soon as everything proposed so far is chosen."""
+    def after_chosen(self, effect: Effect, valid_until: float = math.inf) -> None:
+        """Emit an effect as soon as everything proposed so far is chosen.
+
+        :param valid_until: the effect must not be emitted later than this.
+        """
         position = len(self.log.entries)
         if self.log.chosen >= position:
             self._outbox.emit(effect)
         else:
-            self._deferred.append(_Deferred(position, effect))
+            self._deferred.append(_Deferred(position, effect, valid_until))
+
+    def handle_appended(self, now: float, answer: Appended) -> bool:
+        """Count an acknowledgement and emit what waited for it.
 
-    def handle_appended(self, answer: Appended) -> None:
-        """Count an acknowledgement and emit what waited for it."""
+        :returns: False if an effect came too late to be emitted: this node was
+            paused, the program may have another owner, and it must be taken
+            over anew before anything more is done.
+        """
         if not self.log.handle_appended(answer):
-            return
+            return True
         while self._deferred and self._deferred[0].position <= self.log.chosen:
-            self._outbox.emit(self._deferred.popleft().effect)
+            deferred = self._deferred.popleft()
+            if now > deferred.valid_until:
+                return False
+            self._outbox.emit(deferred.effect)
         if self.log.settled():
             self.timers.cancel(RETRANSMIT)
+        return True
 
     def handle_behind(self, answer: ReplicaBehind, node_id: str) -> None:
         """Resend what a replica lacks."""
--- a/yarrowwall/core/program/owner.py
+++ b/yarrowwall/core/program/owner.py
@@ -6,7 +6,6 @@
 from yarrowwall.core.effects import (
     AttachStream,
     CancelAttempt,
-    Effect,
     ReleaseCache,
     StartAttempt,
     StreamRoute,
@@ -433,13 +432,13 @@
         )
         self.propose(now, entries)
         self._attempt = _Attempt(key, self._limits.resume_attempts)
-        self.start_after_dispatch(self._start_effect(self.state.calls[number], resume=False))
+        self.start_after_dispatch(now, self._start_effect(self.state.calls[number], resume=False))
         self._release_moved(now, number, placement.engine_id)
         return key
 
-    def start_after_dispatch(self, effect: Effect) -> None:
-        """Send an attempt to its engine, once its dispatch is chosen."""
-        self.after_chosen(effect)
+    def start_after_dispatch(self, now: float, effect: StartAttempt) -> None:
+        """Send an attempt to its engine, once its dispatch is chosen and not too late."""
+        self.after_chosen(effect, now + self._limits.dispatch_validity)
 
     def _entries_before_dispatch(self, now: float, number: int) -> list[Entry]:
         """Return the entries that bring a waiting request into the log."""
--- a/yarrowwall/core/program/registry.py
+++ b/yarrowwall/core/program/registry.py
@@ -117,8 +117,15 @@
         self._with_owner(now, message.program_id, lambda owner: owner.handle_promise(now, message))
 
     def handle_appended(self, now: float, message: Appended) -> None:
-        """Hand an acknowledgement to its owner."""
-        self._with_owner(now, message.program_id, lambda owner: owner.handle_appended(message))
+        """Hand an acknowledgement to its owner; take the program over anew if it came too late."""
+        owner = self._owners.get(message.program_id)
+        if owner is None:
+            return
+        self._now = now
+        if owner.handle_appended(now, message):
+            self._schedule(owner)
+        else:
+            self._restart(now, owner)
 
     def handle_behind(self, now: float, sender: str, message: ReplicaBehind) -> None:
         """Resend to a replica what it lacks."""
@@ -142,16 +149,22 @@
         if not owner.handle_refused(message):
             return []
         self._now = now
+        if may_retry:
+            self._restart(now, owner)
+            return []
         self._drop(owner)
         self._remember_ballot(message.program_id, message.promised.counter)
-        pending = list(owner.pending.values())
-        if not may_retry:
-            return pending
-        successor = self._take_over(now, message.program_id)
+        return list(owner.pending.values())
+
+    def _restart(self, now: float, owner: ProgramOwner) -> None:
+        """Take a program over anew, under a higher ballot than any seen."""
+        self._drop(owner)
+        highest = max(owner.log.ballot, owner.log.highest_seen)
+        self._remember_ballot(owner.program_id, highest.counter)
+        successor = self._take_over(now, owner.program_id)
         successor.took_higher_ballot = True
-        for request in pending:
-            successor.handle_request(now, request.route, request.request)
-        return []
+        for pending in owner.pending.values():
+            successor.handle_request(now, pending.route, pending.request)
 
     def _remember_ballot(self, program_id: str, counter: int) -> None:
         self._ballot_counters[program_id] = counter
--- a/yarrowwall/models/engine.py
+++ b/yarrowwall/models/engine.py
@@ -66,6 +66,7 @@
     LEAVING = "leaving"
     NO_MODEL = "no_model"
     FULL = "full"
+    FENCED = "fenced"
 
 
 @dataclass
@@ -167,6 +168,7 @@
         self._decode_mark = 0.0
         self._running = 0
         self._released_through: dict[str, int] = {}
+        self._fenced: set[str] = set()
         self._orders_term = 0
         self.is_leaving = False
 
@@ -176,6 +178,8 @@
         """Take a request, unless the engine must not or cannot run it."""
         if request.request_id in self.requests:
             return Admission.DUPLICATE
+        if request.request_id in self._fenced:
+            return Admission.FENCED
         if self.is_leaving:
             return Admission.LEAVING
         if request.model not in self._models:
@@ -233,6 +237,17 @@
             self._leave_batch(progress)
         self._fill_batch()
 
+    def resume(self, request_id: str) -> Progress | None:
+        """Return a request to stream it again from its start.
+
+        A request that was never seen is fenced: should it arrive later, from
+        a sender that was paused, it is refused.
+        """
+        progress = self.requests.get(request_id)
+        if progress is None:
+            self._fenced.add(request_id)
+        return progress
+
     def _leave_batch(self, progress: Progress) -> None:
         self._running -= 1
         self.cache.unpin(progress.request.prompt)
--- /dev/null
+++ b/yarrowwall/simulation/callers.py
@@ -0,0 +1,349 @@
+"""Callers and operators of the simulated world, as simpy processes."""
+
+from collections.abc import Generator
+from dataclasses import dataclass
+from enum import StrEnum
+from random import Random
+from typing import Any
+
+import simpy
+
+from yarrowwall.core.configuration.commands import (
+    ApplyIntents,
+    ConfirmPlan,
+    OperatorOutcome,
+    OperatorReply,
+)
+from yarrowwall.core.configuration.models import BudgetIntent, Intents
+from yarrowwall.core.effects import ReplyToLookup
+from yarrowwall.core.events import CallerGone, CallerRequest, LookupRequested, OperatorRequest
+from yarrowwall.core.identifiers import make_program_id
+from yarrowwall.messages.entries import ChatMessage, EndReason, Priority
+from yarrowwall.messages.requests import (
+    CallReply,
+    EndProgram,
+    ErrorReply,
+    ErrorType,
+    OpenProgram,
+    ProgramReply,
+    Request,
+    SubmitCall,
+)
+from yarrowwall.simulation.nodes import BrokenConnection, SimulatedNode
+from yarrowwall.simulation.observer import Observer, Promise
+from yarrowwall.simulation.workloads import (
+    MODEL,
+    Arrival,
+    CallStep,
+    ChildStep,
+    ProgramPlan,
+    ToolStep,
+    message_text,
+)
+
+#: Seconds after which a caller hangs up and asks another gateway.
+PATIENCE_SECONDS = 90.0
+RETRY_SECONDS = 0.5
+#: Requests after which a caller gives up on a call.
+MOST_TRIES = 400
+
+Process = Generator[simpy.Event, Any, Any]
+
+
+class Behaviour(StrEnum):
+    """How a caller treats its program."""
+
+    NORMAL = "normal"
+    #: Goes away without ending the program.
+    ABANDONS = "abandons"
+    #: Makes calls until it is refused.
+    LOOPS = "loops"
+    #: A tool hangs for longer than a program may idle.
+    TOOL_HANGS = "tool_hangs"
+    #: Ends the program while a sub-agent still runs.
+    ORPHANS_CHILD = "orphans_child"
+
+
+@dataclass
+class Latency:
+    """Latency of one finished program, tool pauses taken off."""
+
+    seconds: float
+    urgent: bool
+
+
+@dataclass(frozen=True)
+class CallerWorld:
+    """What callers use of the world."""
+
+    env: simpy.Environment
+    random: Random
+    observer: Observer
+    nodes: list[SimulatedNode]
+    latencies: list[Latency]
+    hang_seconds: float
+
+
+class ProgramOver(Exception):
+    """The system ended the program or refuses further calls."""
+
+
+class ProgramCaller:
+    """One program and its caller."""
+
+    def __init__(
+        self, world: CallerWorld, name: str, zone: str, plan: ProgramPlan, parent: str | None = None
+    ) -> None:
+        self._world = world
+        self._name = name
+        self._zone = zone
+        self._plan = plan
+        self._parent = parent
+        self._program_id = ""
+        self._requests = 0
+        self._children = 0
+        self._paused_seconds = 0.0
+        self.is_finished = False
+
+    # Requests
+
+    def _gateway(self, tries: int) -> SimulatedNode:
+        """Return a gateway: of the own zone at first, any other after a failure."""
+        nodes = self._world.nodes
+        near = [node for node in nodes if node.zone == self._zone]
+        return self._world.random.choice(near if tries == 0 else nodes)
+
+    def _ask(self, request: Request, tries: int, request_id: str) -> Process:
+        """Send one request; the value is the reply or a broken connection."""
+        gateway = self._gateway(tries)
+        answer = gateway.ask(request_id, CallerRequest(request_id, request))
+        timeout = self._world.env.timeout(PATIENCE_SECONDS)
+        yield answer | timeout
+        if answer.triggered and answer.processed:
+            return answer.value
+        gateway.hang_up(request_id)
+        gateway.post(CallerGone(request_id))
+        return BrokenConnection()
+
+    def _next_request_id(self) -> str:
+        self._requests += 1
+        return f"{self._name}#{self._requests}"
+
+    def _insist(self, request: Request) -> Process:
+        """Ask until there is a final reply."""
+        for tries in range(MOST_TRIES):
+            reply = yield from self._ask(request, tries, self._next_request_id())
+            wait = _wait_before_retry(reply)
+            if wait is None:
+                return reply
+            yield self._world.env.timeout(wait)
+        self._world.observer.check(Promise.LIVENESS, False, f"{self._name} got no answer")
+        raise ProgramOver
+
+    # The program
+
+    def run(self, behaviour: Behaviour = Behaviour.NORMAL) -> Process:
+        """Run the program to its end."""
+        started = self._world.env.now
+        try:
+            yield from self._open()
+            yield from self._run_steps(behaviour)
+        except ProgramOver:
+            self._world.observer.program_ended(self._program_id)
+            return
+        if behaviour is not Behaviour.ABANDONS:
+            yield from self._end()
+        self.is_finished = True
+        if behaviour is Behaviour.NORMAL:
+            seconds = self._world.env.now - started - self._paused_seconds
+            self._world.latencies.append(Latency(seconds, self._plan.is_urgent()))
+
+    def _open(self) -> Process:
+        self._program_id = make_program_id(self._zone, self._name.replace("/", "-"))
+        budget = self._plan.budget()
+        request = OpenProgram(self._program_id, "tenant", self._plan.desk, budget, self._parent)
+        reply = yield from self._insist(request)
+        if not isinstance(reply, ProgramReply):
+            raise ProgramOver
+        self._world.observer.program_opened(self._program_id, budget, self._parent)
+
+    def _end(self) -> Process:
+        reply = yield from self._insist(EndProgram(self._program_id, EndReason.CALLER))
+        if isinstance(reply, ProgramReply):
+            self._world.observer.program_ended(self._program_id)
+
+    def _run_steps(self, behaviour: Behaviour) -> Process:
+        number = 0
+        for position, step in enumerate(self._plan.steps):
+            if behaviour is Behaviour.ABANDONS and position > len(self._plan.steps) // 2:
+                return
+            match step:
+                case CallStep():
+                    number += 1
+                    yield from self._call(number, step)
+                case ToolStep(seconds):
+                    yield from self._pause(seconds)
+                case ChildStep(plan):
+                    yield from self._run_child(plan, behaviour)
+        if behaviour is Behaviour.TOOL_HANGS:
+            yield from self._pause(self._world.hang_seconds)
+            yield from self._call(number + 1, self._plan.calls()[-1])
+        while behaviour is Behaviour.LOOPS:
+            number += 1
+            yield from self._call(number, self._plan.calls()[-1])
+
+    def _pause(self, seconds: float) -> Process:
+        self._paused_seconds += seconds
+        yield self._world.env.timeout(seconds)
+
+    def _run_child(self, plan: ProgramPlan, behaviour: Behaviour) -> Process:
+        self._children += 1
+        name = f"{self._name}-child{self._children}"
+        child = ProgramCaller(self._world, name, self._zone, plan, self._program_id)
+        process = self._world.env.process(child.run())
+        if behaviour is Behaviour.ORPHANS_CHILD:
+            yield self._world.env.timeout(1.0)
+            return
+        yield process
+        self._paused_seconds += child._paused_seconds
+
+    def _messages(self, number: int, step: CallStep) -> list[ChatMessage]:
+        user = ChatMessage("user", message_text(step.new_tokens, self._name, str(number)))
+        if number > 1:
+            return [user]
+        system = message_text(self._plan.system_tokens, "system", self._plan.desk)
+        return [ChatMessage("system", system), user]
+
+    def _call(self, number: int, step: CallStep) -> Process:
+        messages = self._messages(number, step)
+        request = SubmitCall(
+            self._program_id,
+            number,
+            messages,
+            MODEL,
+            step.max_tokens,
+            step.priority,
+            step.repeatable,
+            False,
+            "",
+            "",
+            0,
+        )
+        for tries in range(MOST_TRIES):
+            reply = yield from self._try_call(request, tries)
+            wait = _wait_before_retry(reply)
+            if wait is None:
+                self._conclude(number, reply)
+                return
+            yield self._world.env.timeout(wait)
+        message = f"{self._program_id}/{number} got no answer"
+        self._world.observer.check(Promise.LIVENESS, False, message)
+        raise ProgramOver
+
+    def _try_call(self, request: SubmitCall, tries: int) -> Process:
+        observer = self._world.observer
+        request_id = self._next_request_id()
+        observer.call_made(
+            self._program_id, request.call_number, request_id, request.messages, request.repeatable
+        )
+        reply = yield from self._ask(request, tries, request_id)
+        if not isinstance(reply, BrokenConnection):
+            observer.call_answered(self._program_id, request.call_number, request_id, reply)
+        return reply
+
+    def _conclude(self, number: int, reply: object) -> None:
+        """Go on after an answer or an unknown outcome; stop otherwise."""
+        if isinstance(reply, CallReply):
+            return
+        assert isinstance(reply, ErrorReply)
+        if reply.error_type is ErrorType.OUTCOME_UNKNOWN:
+            return
+        expected = (ErrorType.BUDGET_EXHAUSTED, ErrorType.PROGRAM_ENDED, ErrorType.INVALID_REQUEST)
+        message = f"{self._program_id}/{number}: {reply.error_type} {reply.message}"
+        self._world.observer.check(Promise.HISTORY, reply.error_type in expected, message)
+        raise ProgramOver
+
+
+def _wait_before_retry(reply: object) -> float | None:
+    """Return how long to wait before asking again; None if the reply is final."""
+    if isinstance(reply, BrokenConnection):
+        return RETRY_SECONDS
+    if isinstance(reply, ErrorReply) and reply.retry_after:
+        return reply.retry_after
+    return None
+
+
+def look_up_for_ever(world: CallerWorld, rate: float, until: float) -> Process:
+    """Make lookups, one in five urgent; each must be answered once, with its record."""
+    number = 0
+    while world.env.now < until:
+        yield world.env.timeout(world.random.expovariate(rate))
+        number += 1
+        world.env.process(_look_up(world, number))
+
+
+def _look_up(world: CallerWorld, number: int) -> Process:
+    priority = Priority.URGENT if number % 5 == 0 else Priority.ROUTINE
+    request_id = f"lookup#{number}"
+    gateway = world.random.choice(world.nodes)
+    deadline = world.env.now + 10.0
+    request = LookupRequested(request_id, "record", str(number), priority, deadline)
+    reply = yield gateway.ask(request_id, request)
+    if isinstance(reply, ReplyToLookup) and reply.body is not None:
+        holds = reply.body == f"record/{number}".encode()
+        world.observer.check(Promise.WHOLE_ANSWER, holds, f"lookup {number}: {reply.body!r}")
+
+
+class OperatorCaller:
+    """An operator who changes a desk's budget now and then, often on a stale view."""
+
+    def __init__(self, world: CallerWorld, name: str) -> None:
+        self._world = world
+        self._name = name
+        self._commands = 0
+
+    def run(self, until: float) -> Process:
+        """Apply and confirm until a time."""
+        while self._world.env.now < until:
+            yield self._world.env.timeout(self._world.random.expovariate(1 / 15.0))
+            yield from self._change()
+
+    def _command(self, command: object) -> Process:
+        self._commands += 1
+        request_id = f"{self._name}#{self._commands}"
+        gateway = self._world.random.choice(self._world.nodes)
+        answer = gateway.ask(request_id, OperatorRequest(request_id, command))  # type: ignore[arg-type]
+        yield answer | self._world.env.timeout(PATIENCE_SECONDS)
+        return answer.value if answer.triggered and answer.processed else None
+
+    def _change(self) -> Process:
+        plan_id = f"{self._name}-{self._commands}"
+        tokens = self._world.random.randint(10_000, 90_000)
+        desk = f"desk-{self._world.random.randint(1, 3)}"
+        intents = Intents(budgets=[BudgetIntent(desk=desk, tokens=tokens)])
+        reply = yield from self._command(ApplyIntents(plan_id, intents))
+        if not isinstance(reply, OperatorReply) or reply.outcome is not OperatorOutcome.DONE:
+            return
+        yield self._world.env.timeout(self._world.random.expovariate(1 / 2.0))
+        reply = yield from self._command(ConfirmPlan(plan_id))
+        if isinstance(reply, OperatorReply) and reply.outcome is OperatorOutcome.DONE:
+            self._world.observer.configuration_accepted(reply.version)
+
+
+def run_arrivals(
+    world: CallerWorld, zones: tuple[str, ...], arrivals: list[Arrival], odd_share: float
+) -> Process:
+    """Start each program at its time; the value is the list of its processes.
+
+    :param odd_share: share of programs whose callers do not behave normally.
+    """
+    odd = [behaviour for behaviour in Behaviour if behaviour is not Behaviour.NORMAL]
+    processes = []
+    started = world.env.now
+    for number, arrival in enumerate(arrivals):
+        yield world.env.timeout(max(0.0, started + arrival.at - world.env.now))
+        is_odd = world.random.random() < odd_share
+        behaviour = world.random.choice(odd) if is_odd else Behaviour.NORMAL
+        caller = ProgramCaller(world, f"{number:05d}", zones[arrival.zone_index], arrival.plan)
+        processes.append(world.env.process(caller.run(behaviour)))
+    yield world.env.all_of(processes)
--- /dev/null
+++ b/yarrowwall/simulation/nodes.py
@@ -0,0 +1,316 @@
+"""A simulated node process: the core, its disk, and the ways it can fail."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from random import Random
+
+import simpy
+
+from yarrowwall.core.configuration.models import CONFIGURATION, ShardMap
+from yarrowwall.core.effects import (
+    AttachStream,
+    CancelAttempt,
+    Drained,
+    Effect,
+    OrderEngine,
+    PersistThenSend,
+    PollEngine,
+    ReadPlatform,
+    ReleaseCache,
+    ReplyToCaller,
+    ReplyToLookup,
+    ReplyToOperator,
+    SendLookup,
+    SendToPeer,
+    StartAttempt,
+    WatchPlatform,
+    WritePlatform,
+)
+from yarrowwall.core.events import DrainRequested, NodeStarted, PeerMessage, TimeAdvanced
+from yarrowwall.core.journal.replica import JournalReplica
+from yarrowwall.core.limits import Limits
+from yarrowwall.core.node import NodeCore, NodeSettings
+from yarrowwall.core.scheduling.engines import EngineProfile
+from yarrowwall.core.scheduling.policies import CostWeights, make_policy
+from yarrowwall.core.scheduling.scheduler import SchedulerSettings
+from yarrowwall.messages.peers import MemberRecord
+from yarrowwall.messages.records import Record
+from yarrowwall.simulation.backends import (
+    POLL_SECONDS,
+    SimulatedEngine,
+    SimulatedPlatform,
+    SimulatedRecords,
+)
+from yarrowwall.simulation.network import Network
+from yarrowwall.simulation.observer import Observer
+
+DISK_SECONDS = 0.001
+
+
+@dataclass
+class Disk:
+    """A data folder: survives its process, not its own replacement.
+
+    :ivar records: durable records, oldest first.
+    """
+
+    replica_id: str
+    records: list[Record] = field(default_factory=list)
+
+
+@dataclass(frozen=True)
+class _Write:
+    record: Record
+    node_id: str
+    message: object
+
+
+@dataclass(frozen=True)
+class BrokenConnection:
+    """What a caller gets whose gateway died or could not be reached."""
+
+
+@dataclass(frozen=True)
+class Surroundings:
+    """What every node shares.
+
+    :ivar nodes: all nodes by id.
+    :ivar core_class: the core, or a mutant of it.
+    """
+
+    env: simpy.Environment
+    network: Network
+    random: Random
+    observer: Observer
+    platform: SimulatedPlatform
+    engines: dict[str, SimulatedEngine]
+    records: dict[str, SimulatedRecords]
+    nodes: dict[str, "SimulatedNode"]
+    policy: str
+    weights: CostWeights
+    profile: EngineProfile
+    limits: Limits
+    shard_map: ShardMap
+    seeds: tuple[MemberRecord, ...]
+    core_class: type[NodeCore] = NodeCore
+
+
+class SimulatedNode:
+    """One machine of the system and the process on it."""
+
+    def __init__(self, node_id: str, zone: str, disk: Disk | None, world: Surroundings) -> None:
+        self.node_id = node_id
+        self.zone = zone
+        self.disk = disk
+        self.incarnation = 0
+        self.core: NodeCore | None = None
+        self.is_frozen = False
+        self._world = world
+        self._inbox: list[object] = []
+        self._waiting: dict[str, simpy.Event] = {}
+        self._writes: deque[_Write] = deque()
+        self._armed: float | None = None
+        self._carriers = self._effect_carriers()
+
+    # Life
+
+    @property
+    def is_up(self) -> bool:
+        """Whether a process runs here."""
+        return self.core is not None
+
+    def start(self) -> None:
+        """Start a process from what the disk holds."""
+        self.incarnation += 1
+        world = self._world
+        replica = None
+        if self.disk is not None:
+            replica = JournalReplica(self.disk.replica_id)
+            replica.restore(self.disk.records)
+        settings = NodeSettings(
+            self.node_id,
+            self.zone,
+            self.node_id,
+            self.incarnation,
+            world.seeds,
+            world.shard_map,
+            world.limits,
+            SchedulerSettings(),
+        )
+        policy = make_policy(world.policy, self.zone, world.profile, world.weights)
+        self.core = world.core_class(settings, policy, replica, world.env.now)
+        self.is_frozen = False
+        self._inbox = []
+        self._armed = None
+        world.observer.node_started(self.node_id)
+        self.post(NodeStarted())
+
+    def kill(self) -> None:
+        """End the process at once: memory is lost, of the writes under way some prefix is kept."""
+        if self.core is None:
+            return
+        kept = self._world.random.randint(0, len(self._writes))
+        for write in list(self._writes)[:kept]:
+            assert self.disk is not None
+            self.disk.records.append(write.record)
+        self._stop()
+
+    def _stop(self) -> None:
+        self.core = None
+        self._writes.clear()
+        self._world.platform.forget(self.node_id)
+        waiting, self._waiting = self._waiting, {}
+        for event in waiting.values():
+            self._succeed_later(event, BrokenConnection())
+
+    def freeze(self) -> None:
+        """Pause the process; it goes on later as if nothing had been."""
+        self.is_frozen = True
+
+    def thaw(self) -> None:
+        """Go on; everything that arrived meanwhile is handled now, in its order."""
+        if not self.is_frozen:
+            return
+        self.is_frozen = False
+        inbox, self._inbox = self._inbox, []
+        for event in inbox:
+            self.post(event)
+        if self.core is not None:
+            self._armed = None
+            self.post(TimeAdvanced())
+
+    def replace_disk(self, replica_id: str) -> None:
+        """Put in an empty disk; the process on it is a new replica."""
+        self.disk = Disk(replica_id)
+
+    def drain(self) -> None:
+        """Ask the process to stop once everything here has ended."""
+        self.post(DrainRequested())
+
+    # Events and effects
+
+    def post(self, event: object) -> None:
+        """Hand an event to the core and carry out its effects."""
+        if self.core is None:
+            return
+        if self.is_frozen:
+            self._inbox.append(event)
+            return
+        for effect in self.core.handle(self._world.env.now, event):
+            self._carry(effect)
+        if self.core is not None:
+            version = self.core.documents.version(CONFIGURATION)
+            self._world.observer.configuration_in_force(self, version)
+            self._arm()
+
+    def _arm(self) -> None:
+        assert self.core is not None
+        deadline = self.core.next_deadline()
+        if deadline is None or (self._armed is not None and self._armed <= deadline):
+            return
+        self._armed = deadline
+        incarnation = self.incarnation
+        delay = max(0.0, deadline - self._world.env.now)
+        self._world.network.after(delay, lambda: self._wake(incarnation, deadline))
+
+    def _wake(self, incarnation: int, deadline: float) -> None:
+        if incarnation != self.incarnation or self._armed != deadline or self.is_frozen:
+            return
+        self._armed = None
+        self.post(TimeAdvanced())
+
+    def _carry(self, effect: Effect) -> None:
+        self._carriers[type(effect)](effect)
+
+    def _effect_carriers(self) -> dict:
+        world = self._world
+        return {
+            SendToPeer: lambda effect: self._send(effect.node_id, effect.message),
+            PersistThenSend: self._persist,
+            ReplyToCaller: lambda effect: self._reply(effect.request_id, effect.reply),
+            ReplyToOperator: lambda effect: self._reply(effect.request_id, effect.reply),
+            ReplyToLookup: lambda effect: self._reply(effect.request_id, effect),
+            StartAttempt: lambda effect: world.engines[effect.engine_id].start(self, effect),
+            AttachStream: lambda effect: None,
+            CancelAttempt: lambda effect: world.engines[effect.engine_address].cancel(self, effect),
+            ReleaseCache: lambda effect: world.engines[effect.engine_id].release(self, effect),
+            OrderEngine: lambda effect: world.engines[effect.engine_id].order(self, effect),
+            PollEngine: self._poll,
+            ReadPlatform: lambda effect: world.platform.read(self, effect),
+            WritePlatform: lambda effect: world.platform.write(self, effect),
+            WatchPlatform: lambda effect: world.platform.watch(self, effect.enabled),
+            SendLookup: lambda effect: world.records[effect.server_id].send(self, effect),
+            Drained: lambda effect: self._drained(),
+        }
+
+    def _send(self, node_id: str, message: object) -> None:
+        target = self._world.nodes.get(node_id)
+        if target is None:
+            return
+        event = PeerMessage(self.node_id, message)
+        self._world.network.send(self.zone, target.zone, lambda: target.post(event))
+
+    def _persist(self, effect: PersistThenSend) -> None:
+        """Write in order; the answer leaves once the record is durable."""
+        self._writes.append(_Write(effect.record, effect.node_id, effect.message))
+        incarnation = self.incarnation
+        self._world.network.after(DISK_SECONDS, lambda: self._written(incarnation))
+
+    def _written(self, incarnation: int) -> None:
+        if incarnation != self.incarnation or self.core is None or not self._writes:
+            return
+        write = self._writes.popleft()
+        assert self.disk is not None
+        self.disk.records.append(write.record)
+        if write.node_id == self.node_id:
+            self.post(PeerMessage(self.node_id, write.message))
+        else:
+            self._send(write.node_id, write.message)
+
+    def _poll(self, effect: PollEngine) -> None:
+        if effect.enabled:
+            engine = self._world.engines[effect.engine_id]
+            self._poll_again(engine, self.incarnation, 0)
+
+    def _poll_again(self, engine: SimulatedEngine, incarnation: int, sequence: int) -> None:
+        if incarnation != self.incarnation or self.core is None:
+            return
+        if not self.is_frozen:
+            sequence = engine.poll(self, sequence)
+        self._world.network.after(
+            POLL_SECONDS, lambda: self._poll_again(engine, incarnation, sequence)
+        )
+
+    def _drained(self) -> None:
+        self._world.observer.node_drained(self.node_id, len(self._waiting))
+        self._stop()
+
+    # Callers
+
+    def ask(self, request_id: str, event: object) -> simpy.Event:
+        """Send a caller's or operator's request; the event's value is the reply."""
+        answer = self._world.env.event()
+        self._world.network.after(
+            self._world.network.client_latency(), lambda: self._take(request_id, event, answer)
+        )
+        return answer
+
+    def _take(self, request_id: str, event: object, answer: simpy.Event) -> None:
+        if self.core is None:
+            self._succeed_later(answer, BrokenConnection())
+            return
+        self._waiting[request_id] = answer
+        self.post(event)
+
+    def _reply(self, request_id: str, reply: object) -> None:
+        answer = self._waiting.pop(request_id, None)
+        if answer is not None:
+            self._succeed_later(answer, reply)
+
+    def _succeed_later(self, answer: simpy.Event, value: object) -> None:
+        delay = self._world.network.client_latency()
+        self._world.network.after(delay, lambda: answer.succeed(value))
+
+    def hang_up(self, request_id: str) -> None:
+        """The caller closes its connection."""
+        self._waiting.pop(request_id, None)
--- /dev/null
+++ b/yarrowwall/simulation/observer.py
@@ -0,0 +1,350 @@
+"""The observer: checks the ten promises from outside of the core.
+
+It is told what callers sent and got, what engines were asked and ran, what
+operators were told, and which configuration a node has in force. It trusts
+nothing that the core counts itself.
+"""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+import simpy
+import xxhash
+
+from yarrowwall.core.effects import StartAttempt
+from yarrowwall.messages.entries import ChatMessage
+from yarrowwall.messages.requests import CallReply, ErrorReply, ErrorType
+from yarrowwall.models.engine import Progress
+
+if TYPE_CHECKING:
+    from yarrowwall.simulation.backends import SimulatedEngine
+    from yarrowwall.simulation.nodes import SimulatedNode
+
+#: Seconds after which a leaving engine must get nothing new.
+LEAVING_SECONDS = 3.0
+#: Seconds within which an accepted configuration is in force everywhere.
+CONFIGURATION_SECONDS = 5.0
+
+
+class Promise(StrEnum):
+    """The ten points of "what must always hold"."""
+
+    ORDER = "order"
+    HISTORY = "history"
+    BUDGET = "budget"
+    RELEASED = "released"
+    WHOLE_ANSWER = "whole_answer"
+    NOT_RUN = "not_run"
+    AT_MOST_ONCE = "at_most_once"
+    LEAVING = "leaving"
+    PLANNED_STOP = "planned_stop"
+    CONFIGURATION = "configuration"
+    LIVENESS = "liveness"
+
+
+@dataclass
+class WatchedCall:
+    """What is known of one call from outside.
+
+    :ivar sent: messages the caller sent with it.
+    :ivar open_requests: request ids without a final answer.
+    :ivar texts: answers of finished engine runs, by attempt.
+    """
+
+    sent: list[ChatMessage]
+    repeatable: bool
+    open_requests: set[str] = field(default_factory=set)
+    starts: int = 0
+    answer: str | None = None
+    is_unknown: bool = False
+    is_refused: bool = False
+    texts: dict[int, str] = field(default_factory=dict)
+
+
+@dataclass
+class WatchedProgram:
+    """What is known of one program from outside."""
+
+    budget: int
+    parent: str | None
+    calls: dict[int, WatchedCall] = field(default_factory=dict)
+    last_started: int = 0
+    spent: int = 0
+    ended_at: float | None = None
+
+
+class Observer:
+    """Collects violations and counts how often each promise was checked."""
+
+    def __init__(self, clock: simpy.Environment) -> None:
+        self._clock = clock
+        self.violations: list[str] = []
+        self.checks: Counter[str] = Counter()
+        self.programs: dict[str, WatchedProgram] = {}
+        self.calls_completed = 0
+        self.prompt_tokens = 0
+        self.wasted_tokens = 0
+        self._computed_blocks: set[str] = set()
+        self._versions: dict[str, int] = {}
+        self._accepted_version = 0
+        self._accepted: list[tuple[float, int]] = []
+        self._floor_at_start: dict[str, int] = {}
+        self._highest_terms: dict[str, int] = {}
+        self._trace = xxhash.xxh3_128()
+
+    # Bookkeeping
+
+    def trace(self, *parts: object) -> None:
+        """Put an event into the digest of the run."""
+        line = "|".join(str(part) for part in parts)
+        self._trace.update(f"{self._clock.now:.6f}|{line}\n".encode())
+
+    def trace_digest(self) -> str:
+        """Return the digest of everything seen."""
+        return self._trace.hexdigest()
+
+    def check(self, promise: Promise, holds: bool, message: str) -> None:
+        """Count one evaluation of an invariant; note a violation."""
+        self.checks[promise] += 1
+        if not holds:
+            self.violations.append(f"{promise} at {self._clock.now:.3f}: {message}")
+
+    # Callers
+
+    def program_opened(self, program_id: str, budget: int, parent: str | None) -> None:
+        """A caller was told that its program is open."""
+        self.programs.setdefault(program_id, WatchedProgram(budget, parent))
+        self.trace("opened", program_id)
+
+    def call_made(
+        self,
+        program_id: str,
+        number: int,
+        request_id: str,
+        sent: list[ChatMessage],
+        repeatable: bool,
+    ) -> None:
+        """A caller sends a request for a call."""
+        program = self.programs[program_id]
+        call = program.calls.setdefault(number, WatchedCall(sent, repeatable))
+        call.open_requests.add(request_id)
+        call.is_refused = False
+        self.trace("call", program_id, number, request_id)
+
+    def call_answered(self, program_id: str, number: int, request_id: str, reply: object) -> None:
+        """A caller got the final answer of a request."""
+        call = self.programs[program_id].calls[number]
+        call.open_requests.discard(request_id)
+        self.trace("reply", program_id, number, request_id, type(reply).__name__)
+        if isinstance(reply, CallReply):
+            self._check_answer(program_id, number, call, reply)
+        elif isinstance(reply, ErrorReply):
+            self._check_error(program_id, number, call, reply)
+
+    def _check_answer(
+        self, program_id: str, number: int, call: WatchedCall, reply: CallReply
+    ) -> None:
+        own = (reply.program_id, reply.call_number) == (program_id, number)
+        whole = call.texts.get(reply.attempt) == reply.text
+        same = call.answer is None or call.answer == reply.text
+        name = f"{program_id}/{number}"
+        self.check(Promise.WHOLE_ANSWER, own and whole, f"{name} got an answer that no run gave")
+        self.check(Promise.WHOLE_ANSWER, same, f"{name} got two different answers")
+        if call.answer is None:
+            self.calls_completed += 1
+        call.answer = reply.text
+
+    def _check_error(
+        self, program_id: str, number: int, call: WatchedCall, reply: ErrorReply
+    ) -> None:
+        if reply.error_type is ErrorType.OUTCOME_UNKNOWN and not reply.retry_after:
+            call.is_unknown = True
+        if reply.error_type in (ErrorType.NOT_RUN, ErrorType.BUDGET_EXHAUSTED):
+            # Another copy of the call that is still open may have run it.
+            holds = call.starts == 0 or bool(call.open_requests) or call.answer is not None
+            self.check(Promise.NOT_RUN, holds, f"{program_id}/{number} was refused but ran")
+            call.is_refused = not call.open_requests
+
+    def program_ended(self, program_id: str) -> None:
+        """A caller was told that its program has ended."""
+        program = self.programs.get(program_id)
+        if program is not None and program.ended_at is None:
+            program.ended_at = self._clock.now
+            self.trace("ended", program_id)
+
+    # Engines
+
+    def engine_asked(self, engine: "SimulatedEngine", effect: StartAttempt, started: bool) -> None:
+        """An engine got a new request."""
+        key = effect.key
+        name = f"{key.program_id}/{key.call_number}"
+        self.trace("asked", engine.engine_id, key, started)
+        late = 0.0 if engine.leaving_at is None else self._clock.now - engine.leaving_at
+        self.check(
+            Promise.LEAVING, late <= LEAVING_SECONDS, f"{engine.engine_id} left {late:.1f} s ago"
+        )
+        program = self.programs.get(key.program_id)
+        if not started or program is None:
+            return
+        call = program.calls[key.call_number]
+        self.check(Promise.NOT_RUN, not call.is_refused, f"{name} ran after its refusal")
+        call.starts += 1
+        once = call.repeatable or call.starts == 1
+        self.check(Promise.AT_MOST_ONCE, once, f"{name} ran {call.starts} times")
+        self._check_order(program, key.call_number, name)
+        self._check_history(program, key.call_number, list(effect.prompt), name)
+
+    def _check_order(self, program: WatchedProgram, number: int, name: str) -> None:
+        before = program.calls.get(number - 1)
+        after_previous = number == 1 or (before is not None and bool(before.starts))
+        previous_unknown = before is not None and before.is_unknown
+        in_order = number >= program.last_started and (after_previous or previous_unknown)
+        self.check(Promise.ORDER, in_order, f"{name} ran after call {program.last_started}")
+        program.last_started = max(program.last_started, number)
+
+    def _check_history(
+        self, program: WatchedProgram, number: int, prompt: list[ChatMessage], name: str
+    ) -> None:
+        """The prompt is the program's own messages and answers in order, nothing else."""
+        position = 0
+        for earlier in range(1, number + 1):
+            call = program.calls.get(earlier)
+            if call is None:
+                continue
+            sent = prompt[position : position + len(call.sent)]
+            self.check(Promise.HISTORY, sent == call.sent, f"{name} misses call {earlier}")
+            position += len(call.sent)
+            if earlier < number:
+                position += self._check_recorded_answer(call, prompt, position, name, earlier)
+        rest = prompt[position:]
+        self.check(Promise.HISTORY, not rest, f"{name} has {len(rest)} foreign messages")
+
+    def _check_recorded_answer(
+        self, call: WatchedCall, prompt: list[ChatMessage], position: int, name: str, earlier: int
+    ) -> int:
+        """Return how many messages the recorded answer of a call takes in the prompt."""
+        found = prompt[position] if position < len(prompt) else None
+        recorded = found is not None and found.role == "assistant"
+        if call.answer is not None:
+            holds = recorded and found is not None and found.content == call.answer
+            self.check(Promise.HISTORY, holds, f"{name} misses the answer of call {earlier}")
+        elif recorded and found is not None:
+            holds = found.content in call.texts.values()
+            self.check(Promise.HISTORY, holds, f"{name} has a foreign answer to call {earlier}")
+        return 1 if recorded else 0
+
+    def engine_computed(self, engine_id: str, progress: Progress) -> None:
+        """An engine has prefilled a prompt; count what had been computed before."""
+        self.prompt_tokens += progress.prompt_tokens()
+        for block in progress.computed:
+            if block.key in self._computed_blocks:
+                self.wasted_tokens += block.tokens
+        self._computed_blocks.update(block.key for block in progress.request.prompt)
+
+    def engine_finished(self, engine_id: str, progress: Progress) -> None:
+        """An engine has finished a run."""
+        request = progress.request
+        self.trace("finished", engine_id, request.request_id)
+        program = self.programs.get(request.program_id)
+        if program is None:
+            return
+        attempt = int(request.request_id.rpartition("/")[2])
+        program.calls[request.call_number].texts[attempt] = progress.text
+        self._charge(request.program_id, progress.prompt_tokens() + progress.output_tokens)
+
+    def _charge(self, program_id: str | None, tokens: int) -> None:
+        while program_id is not None:
+            program = self.programs[program_id]
+            program.spent += tokens
+            holds = program.spent <= program.budget
+            message = f"{program_id} spent {program.spent} of {program.budget}"
+            self.check(Promise.BUDGET, holds, message)
+            program_id = program.parent
+
+    def engine_crashed(self, engine_id: str) -> None:
+        """An engine lost its memory; what it had cached is not wasted by anybody."""
+        self.trace("crashed", engine_id)
+
+    def engine_ordered(self, engine_id: str, term: int, accepted: bool) -> None:
+        """A controller's order reached an engine."""
+        highest = self._highest_terms.get(engine_id, 0)
+        self.check(
+            Promise.CONFIGURATION,
+            not accepted or term >= highest,
+            f"{engine_id} obeyed term {term} after {highest}",
+        )
+        self._highest_terms[engine_id] = max(highest, term)
+
+    # Configuration and nodes
+
+    def configuration_accepted(self, version: int) -> None:
+        """An operator was told that a version is accepted."""
+        self.trace("accepted", version)
+        self._accepted_version = max(self._accepted_version, version)
+        self._accepted.append((self._clock.now, version))
+
+    def node_started(self, node_id: str) -> None:
+        """A process starts; it must not serve older versions than were accepted before."""
+        self.trace("started", node_id)
+        self._floor_at_start[node_id] = self._accepted_version
+        self._versions[node_id] = 0
+
+    def configuration_in_force(self, node: "SimulatedNode", version: int) -> None:
+        """A node has handled an event with a version in force."""
+        known = self._versions.get(node.node_id, 0)
+        if version != known:
+            self.check(
+                Promise.CONFIGURATION, version > known, f"{node.node_id} went back to {version}"
+            )
+            self._versions[node.node_id] = version
+        assert node.core is not None
+        if node.core.documents.is_ready and node.node_id in self._floor_at_start:
+            floor = self._floor_at_start[node.node_id]
+            securing = node.core.documents.has_unfinished()
+            if version >= floor or not securing:
+                del self._floor_at_start[node.node_id]
+                message = f"{node.node_id} serves {version}, {floor} was accepted before it started"
+                self.check(Promise.CONFIGURATION, version >= floor, message)
+
+    def check_versions(self, nodes: list["SimulatedNode"], healthy_since: float) -> None:
+        """Every live node has every version that was accepted long enough ago."""
+        now = self._clock.now
+        due = [
+            version
+            for accepted_at, version in self._accepted
+            if now - max(accepted_at, healthy_since) >= CONFIGURATION_SECONDS
+        ]
+        if not due:
+            return
+        for node in nodes:
+            if node.core is not None and node.core.documents.is_ready:
+                version = self._versions[node.node_id]
+                message = f"{node.node_id} has {version}, {max(due)} was accepted"
+                self.check(Promise.CONFIGURATION, version >= max(due), message)
+
+    def node_drained(self, node_id: str, open_requests: int) -> None:
+        """A process ends after a planned stop."""
+        self.trace("drained", node_id)
+        self.check(
+            Promise.PLANNED_STOP,
+            open_requests == 0,
+            f"{node_id} cut {open_requests} requests short",
+        )
+
+    def check_released(self, held_by_engine: dict[str, list[str]]) -> None:
+        """No engine holds anything for an ended program."""
+        for engine_id, held in held_by_engine.items():
+            ended = [name for name in held if self._has_ended(name)]
+            message = f"{engine_id} holds cache of ended programs {ended[:3]}"
+            self.check(Promise.RELEASED, not ended, message)
+
+    def _has_ended(self, program_id: str) -> bool:
+        program = self.programs.get(program_id)
+        return program is not None and program.ended_at is not None
+
+    def check_nothing_held(self, held_by_engine: dict[str, list[str]]) -> None:
+        """Long after the last call nothing is held for anybody."""
+        for engine_id, held in held_by_engine.items():
+            self.check(Promise.RELEASED, not held, f"{engine_id} still holds {held[:3]}")
--- a/yarrowwall/standins/engine.py
+++ b/yarrowwall/standins/engine.py
@@ -28,6 +28,7 @@
 
 _STATUS_BY_ADMISSION = {
     Admission.DUPLICATE: "409 Conflict",
+    Admission.FENCED: "410 Gone",
     Admission.NO_MODEL: "404 Not Found",
     Admission.LEAVING: "503 Service Unavailable",
     Admission.FULL: "503 Service Unavailable",
@@ -99,7 +100,7 @@
         return call.stream(self._events(self.model.requests[request.request_id]))
 
     def _resume(self, call: Call) -> Iterable[bytes]:
-        progress = self.model.requests.get(call.query("id"))
+        progress = self.model.resume(call.query("id"))
         if progress is None or progress.cancelled:
             return call.json({"error": "no such request"}, "404 Not Found")
         return call.stream(self._events(progress))
