Recover a program's log as a whole, never position by position

Ruled out: the replaced disk's replica voting (it was not counted), ballot order. Change: a replica drops an older ballot's tail at the first append of a newer ballot; a promise carries the ballot of its log; the log under the highest ballot is taken whole.

--- a/yarrowwall/core/configuration/operator.py
+++ b/yarrowwall/core/configuration/operator.py
@@ -67,9 +67,15 @@
         self._documents = documents
         self._outbox = outbox
         self._awaiting_force: dict[str, tuple[int, OperatorReply]] = {}
+        self._unanswered: set[str] = set()
+
+    def is_idle(self) -> bool:
+        """Return whether every command has its reply."""
+        return not self._unanswered
 
     def handle(self, now: float, request_id: str, command: OperatorCommand) -> None:
         """Start a command; the reply follows as an effect."""
+        self._unanswered.add(request_id)
         match command:
             case ApplyIntents(plan_id, intents):
                 self._propose(now, request_id, plan_id, intents)
@@ -83,6 +89,7 @@
                 self._reject(now, request_id, plan_id)
 
     def _reply(self, request_id: str, reply: OperatorReply) -> None:
+        self._unanswered.discard(request_id)
         self._outbox.emit(ReplyToOperator(request_id, reply))
 
     def _reply_failure(self, request_id: str, result: TransactionResult) -> None:
--- a/yarrowwall/core/journal/proposer.py
+++ b/yarrowwall/core/journal/proposer.py
@@ -14,7 +14,6 @@
 from yarrowwall.core.quorum import has_quorum
 from yarrowwall.messages.journal import (
     ZERO_BALLOT,
-    AcceptedEntry,
     Append,
     Appended,
     Ballot,
@@ -92,7 +91,7 @@
     recovered: int = 0
     highest_seen: Ballot = ZERO_BALLOT
     _promises: dict[str, Promise] = field(default_factory=dict)
-    _synced: dict[str, int] = field(default_factory=dict)
+    _lengths: dict[str, int] = field(default_factory=dict)
 
     def prepare(self) -> list[ReplicaMessage]:
         """Return the prepare requests; sent again until a quorum promised."""
@@ -115,23 +114,17 @@
         return self._append_from(self.chosen)
 
     def _merge_promises(self) -> None:
-        """Take the chosen prefix and, past it, the entry with the highest ballot."""
-        longest_chosen = max(self._promises.values(), key=lambda promise: promise.chosen)
-        self.chosen = longest_chosen.chosen
-        merged = list(longest_chosen.entries[: self.chosen])
-        length = max(len(promise.entries) for promise in self._promises.values())
-        for position in range(self.chosen, length):
-            merged.append(self._highest_accepted(position))
-        self.entries = [accepted.body for accepted in merged]
-        self.recovered = len(self.entries)
+        """Take the log that was accepted under the highest ballot, as a whole.
 
-    def _highest_accepted(self, position: int) -> AcceptedEntry:
-        candidates = [
-            promise.entries[position]
-            for promise in self._promises.values()
-            if position < len(promise.entries)
-        ]
-        return max(candidates, key=lambda accepted: accepted.ballot)
+        A chosen entry is in it: whoever accepted a later ballot's log accepted
+        what that ballot's owner had recovered. Mixing positions of several
+        logs would put entries behind others than they were made for.
+        """
+        promises = self._promises.values()
+        best = max(promises, key=lambda promise: (promise.accepted_ballot, len(promise.entries)))
+        self.entries = list(best.entries)
+        self.chosen = max(promise.chosen for promise in promises)
+        self.recovered = len(self.entries)
 
     def append(self, bodies: list[bytes]) -> list[ReplicaMessage]:
         """Propose entries at the end of the log.
@@ -165,8 +158,8 @@
         """
         if answer.ballot != self.ballot or self.phase is not ProposerPhase.LEADING:
             return False
-        previous = self._synced.get(answer.replica_id, 0)
-        self._synced[answer.replica_id] = max(previous, answer.synced)
+        previous = self._lengths.get(answer.replica_id, 0)
+        self._lengths[answer.replica_id] = max(previous, answer.length)
         chosen = self._quorum_length()
         if chosen <= self.chosen:
             return False
@@ -175,8 +168,8 @@
 
     def _quorum_length(self) -> int:
         """Return the longest length that a quorum holds under this ballot."""
-        for length in sorted(set(self._synced.values()), reverse=True):
-            holders = {replica for replica, synced in self._synced.items() if synced >= length}
+        for length in sorted(set(self._lengths.values()), reverse=True):
+            holders = {replica for replica, held in self._lengths.items() if held >= length}
             if self.groups.is_quorum(holders):
                 return length
         return 0
@@ -185,7 +178,7 @@
         """Resend to a replica what it lacks."""
         if answer.ballot != self.ballot or self.phase is not ProposerPhase.LEADING:
             return []
-        return [ReplicaMessage(node_id, self._append_request(answer.synced))]
+        return [ReplicaMessage(node_id, self._append_request(answer.length))]
 
     def handle_refused(self, answer: BallotRefused) -> bool:
         """Note a refusal.
@@ -207,7 +200,7 @@
         return [
             ReplicaMessage(replica.node_id, self._append_request(self.chosen))
             for replica in self.groups.replicas()
-            if self._synced.get(replica.replica_id, 0) < len(self.entries)
+            if self._lengths.get(replica.replica_id, 0) < len(self.entries)
         ]
 
     def settled(self) -> bool:
@@ -226,5 +219,5 @@
         return [
             ReplicaMessage(replica.node_id, self._append_request(0))
             for replica in groups.replicas()
-            if self._synced.get(replica.replica_id, 0) < len(self.entries)
+            if self._lengths.get(replica.replica_id, 0) < len(self.entries)
         ]
--- a/yarrowwall/core/journal/replica.py
+++ b/yarrowwall/core/journal/replica.py
@@ -11,7 +11,6 @@
 from yarrowwall.core.exceptions import InvariantError
 from yarrowwall.messages.journal import (
     ZERO_BALLOT,
-    AcceptedEntry,
     Append,
     Appended,
     Ballot,
@@ -47,37 +46,46 @@
 class ReplicaLog:
     """One program's log at one replica.
 
+    An entry makes sense only after the entries before it, so the log is
+    accepted and recovered as a whole, never position by position: the first
+    append of a ballot drops what an older ballot left behind.
+
     :ivar promised: appends under lower ballots are refused.
+    :ivar accepted_ballot: the ballot under which the log was last accepted.
     :ivar entries: accepted entries by position, without gaps.
-    :ivar synced: length up to which the log agrees with the owner of ``synced_ballot``.
     :ivar chosen: length of the prefix known to be chosen; never shrinks.
     """
 
     promised: Ballot = ZERO_BALLOT
-    entries: list[AcceptedEntry] = field(default_factory=list)
-    synced: int = 0
-    synced_ballot: Ballot = ZERO_BALLOT
+    accepted_ballot: Ballot = ZERO_BALLOT
+    entries: list[bytes] = field(default_factory=list)
     chosen: int = 0
 
+    def agreed_length(self, ballot: Ballot) -> int:
+        """Return up to where the log surely agrees with that of a ballot's owner."""
+        return len(self.entries) if self.accepted_ballot == ballot else self.chosen
+
     def accept(self, ballot: Ballot, start: int, bodies: list[bytes], chosen: int) -> None:
-        """Store entries of a ballot that was checked and of a start that leaves no gap."""
+        """Store entries of a ballot that was checked and of a start that leaves no gap.
+
+        An append always reaches to the end of its owner's log at that time, so
+        one that ends earlier than what the same ballot stored came late.
+        """
         self.promised = ballot
-        if self.synced_ballot != ballot:
-            self.synced_ballot = ballot
-            self.synced = self.chosen
-        self.entries[start : start + len(bodies)] = [AcceptedEntry(ballot, body) for body in bodies]
-        self.synced = max(self.synced, start + len(bodies))
-        # Entries past what this ballot sent may differ from the chosen ones.
-        self.chosen = max(self.chosen, min(chosen, self.synced))
+        end = start + len(bodies)
+        if self.accepted_ballot != ballot or end > len(self.entries):
+            self.entries[start:] = bodies
+        self.accepted_ballot = ballot
+        self.chosen = max(self.chosen, min(chosen, len(self.entries)))
 
     def validate(self) -> None:
         """Check what must hold between handlers.
 
         :raises InvariantError: if it does not.
         """
-        if not 0 <= self.chosen <= self.synced <= len(self.entries):
-            raise InvariantError("a log's chosen, synced and stored lengths are out of order")
-        if self.synced_ballot > self.promised:
+        if not 0 <= self.chosen <= len(self.entries):
+            raise InvariantError("more of a log is chosen than stored")
+        if self.accepted_ballot > self.promised:
             raise InvariantError("a log accepted entries above its promise")
 
 
@@ -108,7 +116,7 @@
         """Return one program's log as one record."""
         log = self._logs[program_id]
         return LogSnapshot(
-            program_id, log.promised, log.synced, log.synced_ballot, log.chosen, list(log.entries)
+            program_id, log.promised, log.accepted_ballot, log.chosen, list(log.entries)
         )
 
     def _apply(self, record: Record) -> None:
@@ -119,9 +127,9 @@
                 self._log(program_id).accept(ballot, start, entries, chosen)
             case DocumentKept(document):
                 self._documents[document.name] = document
-            case LogSnapshot(program_id, promised, synced, synced_ballot, chosen, accepted):
+            case LogSnapshot(program_id, promised, accepted_ballot, chosen, entries):
                 self._logs[program_id] = ReplicaLog(
-                    promised, list(accepted), synced, synced_ballot, chosen
+                    promised, accepted_ballot, list(entries), chosen
                 )
 
     def _log(self, program_id: str) -> ReplicaLog:
@@ -137,7 +145,12 @@
             record = BallotPromised(request.program_id, request.ballot)
             self._apply(record)
         answer = Promise(
-            request.program_id, request.ballot, self.replica_id, log.chosen, list(log.entries)
+            request.program_id,
+            request.ballot,
+            self.replica_id,
+            log.accepted_ballot,
+            log.chosen,
+            list(log.entries),
         )
         return ReplicaResult(record, answer)
 
@@ -146,15 +159,15 @@
         log = self._log(request.program_id)
         if request.ballot < log.promised:
             return self._refusal(request.program_id, request.ballot, log)
-        synced = log.synced if log.synced_ballot == request.ballot else log.chosen
-        if request.start > synced:
-            behind = ReplicaBehind(request.program_id, request.ballot, self.replica_id, synced)
+        agreed = log.agreed_length(request.ballot)
+        if request.start > agreed:
+            behind = ReplicaBehind(request.program_id, request.ballot, self.replica_id, agreed)
             return ReplicaResult(None, behind)
         record = EntriesAccepted(
             request.program_id, request.ballot, request.start, request.entries, request.chosen
         )
         self._apply(record)
-        answer = Appended(request.program_id, request.ballot, self.replica_id, log.synced)
+        answer = Appended(request.program_id, request.ballot, self.replica_id, len(log.entries))
         return ReplicaResult(record, answer)
 
     def _refusal(self, program_id: str, ballot: Ballot, log: ReplicaLog) -> ReplicaResult:
--- a/yarrowwall/core/journal/service.py
+++ b/yarrowwall/core/journal/service.py
@@ -76,8 +76,8 @@
     def _needs_owner(self, now: float, program_id: str) -> bool:
         """Look at one log; plan the next look unless the program is complete."""
         state = ProgramState(program_id)
-        for accepted in self.replica.log(program_id).entries:
-            state.apply(decode(accepted.body))
+        for body in self.replica.log(program_id).entries:
+            state.apply(decode(body))
         if state.opened is None or state.is_complete():
             return False
         idle_at = state.last_activity + self._limits.idle_limit
--- a/yarrowwall/core/node.py
+++ b/yarrowwall/core/node.py
@@ -436,7 +436,7 @@
 
     def _check_drained(self, now: float) -> None:
         callers_served = self.gateway.open_count() == 0 and self.lookups.is_idle()
-        if callers_served and self.owners.is_idle():
+        if callers_served and self._operator_desk.is_idle() and self.owners.is_idle():
             self._outbox.emit(Drained())
         else:
             self._timers.set(_DRAIN, now + _DRAIN_INTERVAL)
--- a/yarrowwall/core/program/owner.py
+++ b/yarrowwall/core/program/owner.py
@@ -282,7 +282,7 @@
         """Settle the budget with the parent and end the children."""
         if self.state.child_reservations:
             self.timers.set(_SETTLE, now + self._limits.forward_retry)
-        for child in self.state.child_reservations:
+        for child in list(self.state.child_reservations):
             self._context.ask_owner(self.program_id, EndProgram(child, EndReason.PARENT_ENDED))
         if self.state.opened is not None and self.state.opened.parent_program_id is not None:
             self._ask_to_settle(now, self.state.opened.parent_program_id)
@@ -651,7 +651,7 @@
 
     def _release_moved(self, now: float, number: int, engine_id: str) -> None:
         """Release what engines hold of which the program has moved away."""
-        for held_id, address in self.state.held_engines.items():
+        for held_id, address in list(self.state.held_engines.items()):
             if held_id != engine_id:
                 effect = ReleaseCache(self.program_id, held_id, address, number - 1)
                 self.after_chosen(effect)
@@ -659,7 +659,7 @@
 
     def _release_all(self, now: float) -> None:
         """Release everything; repeated until every engine confirmed."""
-        for engine_id, address in self.state.held_engines.items():
+        for engine_id, address in list(self.state.held_engines.items()):
             effect = ReleaseCache(self.program_id, engine_id, address, ALL_CALLS)
             self.after_chosen(effect)
             self.timers.set(_RELEASE, now + 2 * self._limits.resume_interval)
--- a/yarrowwall/messages/journal.py
+++ b/yarrowwall/messages/journal.py
@@ -21,18 +21,6 @@
 ZERO_BALLOT = Ballot(0, "")
 
 
-@dataclass(frozen=True)
-class AcceptedEntry:
-    """One log position as a replica holds it.
-
-    :param ballot: the ballot under which the entry was accepted.
-    :param body: the encoded entry, see :mod:`yarrowwall.messages.entries`.
-    """
-
-    ballot: Ballot
-    body: bytes
-
-
 @message(1)
 class Prepare:
     """Ask a replica to promise a ballot and to return its log."""
@@ -46,6 +34,7 @@
 class Promise:
     """A replica promised the ballot.
 
+    :param accepted_ballot: the ballot under which the log was last accepted.
     :param chosen: length of the prefix the replica knows to be chosen.
     :param entries: the replica's whole log of the program.
     """
@@ -53,8 +42,9 @@
     program_id: str
     ballot: Ballot
     replica_id: str
+    accepted_ballot: Ballot
     chosen: int
-    entries: list[AcceptedEntry]
+    entries: list[bytes]
 
 
 @message(3)
@@ -74,12 +64,12 @@
 
 @message(4)
 class Appended:
-    """A replica's log agrees with the owner's up to ``synced`` positions."""
+    """A replica has accepted the owner's log up to ``length`` positions."""
 
     program_id: str
     ballot: Ballot
     replica_id: str
-    synced: int
+    length: int
 
 
 @message(5)
@@ -94,12 +84,12 @@
 
 @message(6)
 class ReplicaBehind:
-    """An append starts past what the replica holds; resend from ``synced``."""
+    """An append starts past what the replica holds for sure; resend from ``length``."""
 
     program_id: str
     ballot: Ballot
     replica_id: str
-    synced: int
+    length: int
 
 
 @message(7)
--- a/yarrowwall/messages/records.py
+++ b/yarrowwall/messages/records.py
@@ -1,6 +1,6 @@
 """What a journal replica writes to its disk, and how a start reads it back."""
 
-from yarrowwall.messages.journal import AcceptedEntry, Ballot
+from yarrowwall.messages.journal import Ballot
 from yarrowwall.messages.peers import Document
 from yarrowwall.messages.registry import message
 
@@ -37,10 +37,9 @@
 
     program_id: str
     promised: Ballot
-    synced: int
-    synced_ballot: Ballot
+    accepted_ballot: Ballot
     chosen: int
-    entries: list[AcceptedEntry]
+    entries: list[bytes]
 
 
 Record = BallotPromised | EntriesAccepted | DocumentKept | LogSnapshot
--- a/yarrowwall/simulation/world.py
+++ b/yarrowwall/simulation/world.py
@@ -70,7 +70,7 @@
     load: float = 0.6
     faults: tuple[FaultKind, ...] = ()
     schedule: tuple[Fault, ...] | None = None
-    fault_gap: float = 12.0
+    fault_gap: float = 4.0
     odd_share: float = 0.0
     policy: str = "yarrowwall"
     with_operators: bool = True
