Callers that pipeline their calls; copies of a waiting call join it

Cause: all simulated callers waited for each answer, so nothing could violate the order of calls; and a second copy of a call that waited for earlier ones was refused although the first copy could still run. Change: pipelining callers; copies of an out-of-order call wait together.

--- a/yarrowwall/core/program/owner.py
+++ b/yarrowwall/core/program/owner.py
@@ -127,7 +127,7 @@
         self.took_higher_ballot = False
         self.pending: dict[str, PendingRequest] = {}
         self._conversations: dict[int, _Conversation] = {}
-        self._out_of_order: dict[int, PendingRequest] = {}
+        self._out_of_order: dict[int, list[PendingRequest]] = {}
         self._waiting: PendingRequest | None = None
         self._is_queued = False
         self._excluded: frozenset[str] = frozenset()
@@ -273,8 +273,10 @@
             self._cancel_attempt(call)
             self._settle_conversation(number, self._unknown_error())
         self._refuse_waiting(now, ErrorType.PROGRAM_ENDED, "the program ended", 0.0)
-        for waiting in list(self._out_of_order.values()):
-            self._refuse(now, waiting, ErrorType.PROGRAM_ENDED, "the program ended", 0.0)
+        for number in list(self._out_of_order):
+            self._refuse_out_of_order(
+                now, number, ErrorType.PROGRAM_ENDED, "the program ended", 0.0
+            )
         self._release_all(now)
         self._finish_family(now)
 
@@ -337,13 +339,11 @@
             self._queue_request(now, pending, request)
 
     def _wait_for_order(self, now: float, pending: PendingRequest, request: SubmitCall) -> None:
-        number = request.call_number
-        if number in self._out_of_order:
-            message = f"call {number} already waits for the calls before it"
-            self._refuse(now, pending, ErrorType.NOT_RUN, message, RETRY_AFTER)
-            return
-        self._out_of_order[number] = pending
-        self.timers.set(f"{_ORDER_PREFIX}{number}", now + self._limits.order_wait)
+        waiting = self._out_of_order.setdefault(request.call_number, [])
+        if not waiting:
+            key = f"{_ORDER_PREFIX}{request.call_number}"
+            self.timers.set(key, now + self._limits.order_wait)
+        waiting.append(pending)
 
     def _join_waiting(self, pending: PendingRequest, request: SubmitCall) -> None:
         assert self._waiting is not None and isinstance(self._waiting.request, SubmitCall)
@@ -558,9 +558,9 @@
             return
         self._excluded = frozenset()
         self._starts_left = self._limits.start_attempts
-        waiting = self._out_of_order.pop(last.accepted.call_number + 1, None)
-        if waiting is not None:
-            self.timers.cancel(f"{_ORDER_PREFIX}{last.accepted.call_number + 1}")
+        next_number = last.accepted.call_number + 1
+        self.timers.cancel(f"{_ORDER_PREFIX}{next_number}")
+        for waiting in self._out_of_order.pop(next_number, []):
             self._process(now, waiting)
 
     def _conversation(self, call_number: int) -> _Conversation:
@@ -604,8 +604,6 @@
         """
         request = pending.request
         assert isinstance(request, SubmitCall)
-        if self._out_of_order.get(request.call_number) is pending:
-            del self._out_of_order[request.call_number]
         refused = CallRefused(
             self.program_id,
             request.call_number,
@@ -717,7 +715,9 @@
             message = "no engine became free in time"
             self._refuse_waiting(now, ErrorType.NOT_RUN, message, RETRY_AFTER)
         elif key.startswith(_ORDER_PREFIX):
-            self._refuse_out_of_order(now, int(key.removeprefix(_ORDER_PREFIX)))
+            number = int(key.removeprefix(_ORDER_PREFIX))
+            message = f"the calls before call {number} did not come in time"
+            self._refuse_out_of_order(now, number, ErrorType.NOT_RUN, message, RETRY_AFTER)
 
     def _end_if_idle(self, now: float) -> None:
         idle = now - self.state.last_activity
@@ -731,11 +731,12 @@
         if call is not None and call.status is CallStatus.DISPATCHED:
             self._resume_attempt(now, call)
 
-    def _refuse_out_of_order(self, now: float, number: int) -> None:
-        pending = self._out_of_order.get(number)
-        if pending is not None:
-            message = f"the calls before call {number} did not come in time"
-            self._refuse(now, pending, ErrorType.NOT_RUN, message, RETRY_AFTER)
+    def _refuse_out_of_order(
+        self, now: float, number: int, error_type: ErrorType, message: str, retry_after: float
+    ) -> None:
+        self.timers.cancel(f"{_ORDER_PREFIX}{number}")
+        for pending in self._out_of_order.pop(number, []):
+            self._refuse(now, pending, error_type, message, retry_after)
 
     def is_quiet(self) -> bool:
         """Return whether nothing runs here and everything proposed is chosen."""
--- a/yarrowwall/simulation/backends.py
+++ b/yarrowwall/simulation/backends.py
@@ -90,6 +90,7 @@
         self.engine_id = engine_id
         self.zone = zone
         self.leaving_at: float | None = None
+        self._leaves = 0
         self._parameters = parameters
         self._models = models
         self._env = env
@@ -311,20 +312,25 @@
         self._reports.clear()
 
     def restart(self) -> None:
-        """Come back with empty memory."""
+        """Come back with empty memory; a machine that leaves still leaves."""
         self.model = EngineModel(self._parameters, self._models, self._env.now)
+        self.model.is_leaving = self.leaving_at is not None
         self._armed = None
         self.is_up = True
 
     def leave(self) -> None:
         """Announce leaving; running requests go on."""
+        self._leaves += 1
         self.model.is_leaving = True
-        self.leaving_at = self._env.now
+        if self.leaving_at is None:
+            self.leaving_at = self._env.now
 
     def stay(self) -> None:
-        """Take new work again."""
-        self.model.is_leaving = False
-        self.leaving_at = None
+        """Take new work again, once as many leaves have been undone."""
+        self._leaves -= 1
+        if self._leaves == 0:
+            self.model.is_leaving = False
+            self.leaving_at = None
 
 
 def attempt_key(request_id: str) -> AttemptKey:
--- a/yarrowwall/simulation/callers.py
+++ b/yarrowwall/simulation/callers.py
@@ -1,6 +1,7 @@
 """Callers and operators of the simulated world, as simpy processes."""
 
 from collections.abc import Generator
+from contextlib import suppress
 from dataclasses import dataclass
 from enum import StrEnum
 from random import Random
@@ -60,6 +61,8 @@
     LOOPS = "loops"
     #: A tool hangs for longer than a program may idle.
     TOOL_HANGS = "tool_hangs"
+    #: Sends all its calls at once, the last one first.
+    PIPELINES = "pipelines"
     #: Ends the program while a sub-agent still runs.
     ORPHANS_CHILD = "orphans_child"
 
@@ -172,7 +175,22 @@
         if isinstance(reply, ProgramReply):
             self._world.observer.program_ended(self._program_id)
 
+    def _pipeline(self) -> Process:
+        """Send every call at once; they must run in their order all the same."""
+        env = self._world.env
+        numbered = list(enumerate(self._plan.calls(), start=1))
+        yield env.all_of(
+            [env.process(self._call_alone(number, step)) for number, step in reversed(numbered)]
+        )
+
+    def _call_alone(self, number: int, step: CallStep) -> Process:
+        with suppress(ProgramOver):
+            yield from self._call(number, step)
+
     def _run_steps(self, behaviour: Behaviour) -> Process:
+        if behaviour is Behaviour.PIPELINES:
+            yield from self._pipeline()
+            return
         number = 0
         for position, step in enumerate(self._plan.steps):
             if behaviour is Behaviour.ABANDONS and position > len(self._plan.steps) // 2:
