Engines whose load report is old get nothing new

Ruled out: the machine list (platform down), the engine's own refusal (it came, but the promise is that nothing new is sent). Change: a report older than 2.5 s makes an engine unusable until the next one.

--- a/yarrowwall/core/scheduling/engines.py
+++ b/yarrowwall/core/scheduling/engines.py
@@ -9,6 +9,9 @@
 
 #: Most blocks remembered per engine; the least recently used go first.
 BELIEF_BLOCKS = 20_000
+#: Age of a load report at which an engine gets nothing new until it reports
+#: again: it may have left since, and this node may have been paused.
+REPORT_VALID_SECONDS = 2.5
 #: Seconds an engine gets nothing new after it refused or did not answer.
 AVOID_SECONDS = 2.0
 
@@ -90,9 +93,10 @@
 
     def is_usable(self, now: float, model: str) -> bool:
         """Return whether a new call for a model may go here."""
-        if self.machine.leaving or now < self.avoid_until:
+        if self.machine.leaving or now < self.avoid_until or self.report is None:
             return False
-        return self.report is not None and not self.report.leaving and model in self.report.models
+        is_fresh = now - self.report.reported_at <= REPORT_VALID_SECONDS
+        return is_fresh and not self.report.leaving and model in self.report.models
 
     def occupancy(self) -> int:
         """Return the estimated number of calls running or queued at the engine.
