An ended child settles its budget only once its end is chosen

Ruled out: double runs, lost attempts (none in the log). Change: parent and children are asked only when the log is settled; a child waits for its own children first, so it is not charged for their reservations.

--- a/yarrowwall/core/program/owner.py
+++ b/yarrowwall/core/program/owner.py
@@ -66,6 +66,8 @@
 _SETTLE = "settle"
 _ORDER_PREFIX = "order/"
 _QUEUE = "queue"
+#: Seconds between looks whether the end of a program is chosen.
+_SETTLE_POLL = 0.02
 
 
 @dataclass(frozen=True)
@@ -281,19 +283,25 @@
         self._finish_family(now)
 
     def _finish_family(self, now: float) -> None:
-        """Settle the budget with the parent and end the children."""
-        if self.state.child_reservations:
-            self.timers.set(_SETTLE, now + self._limits.forward_retry)
-        for child in list(self.state.child_reservations):
-            self._context.ask_owner(self.program_id, EndProgram(child, EndReason.PARENT_ENDED))
-        if self.state.opened is not None and self.state.opened.parent_program_id is not None:
-            self._ask_to_settle(now, self.state.opened.parent_program_id)
+        """Settle the budget with the parent and end the children.
 
-    def _ask_to_settle(self, now: float, parent_program_id: str) -> None:
-        spent = self.state.spent_tokens + sum(self.state.child_reservations.values())
-        request = SettleChildBudget(parent_program_id, self.program_id, spent)
-        self._context.ask_owner(self.program_id, request)
+        Others act on what they are asked, so nothing is asked before the end
+        is chosen: an owner that was deposed meanwhile has not ended anything.
+        """
+        opened = self.state.opened
+        parent = opened.parent_program_id if opened is not None else None
+        if parent is None and not self.state.child_reservations:
+            return
+        if not self.log.settled():
+            self.timers.set(_SETTLE, now + _SETTLE_POLL)
+            return
         self.timers.set(_SETTLE, now + self._limits.forward_retry)
+        for child in list(self.state.child_reservations):
+            self._context.ask_owner(self.program_id, EndProgram(child, EndReason.PARENT_ENDED))
+        if parent is not None and not self.state.child_reservations:
+            spent = self.state.spent_tokens
+            request = SettleChildBudget(parent, self.program_id, spent)
+            self._context.ask_owner(self.program_id, request)
 
     # Calls
 
