--- /dev/null
+++ b/features/journal.feature
@@ -0,0 +1,46 @@
+Feature: A program's log survives its owners
+  Several owners may take themselves for the owner at once; messages are lost,
+  late, repeated and reordered. What was chosen stays, and no log mixes entries
+  that were appended to different logs.
+
+  Scenario: Random schedules of owners and replicas
+    Then 1500 random journal schedules keep every chosen entry
+
+  Scenario Outline: The schedules catch a journal without "<mutant>"
+    Given the mutant "<mutant>"
+    Then some of 1500 random journal schedules break an invariant
+
+    Examples:
+      | mutant                      |
+      | replicas accept any ballot  |
+      | a majority of one           |
+
+  Scenario: The unchosen tail of a deposed owner is not mixed into a later log
+    Given an owner whose two entries reached only replica "a"
+    And a second owner whose one entry reached replicas "a" and "b"
+    When a third owner recovers the log from replicas "a" and "c"
+    Then its log is the second owner's log
+
+  Scenario: Keeping an older ballot's tail mixes logs
+    Given the mutant "an older ballot's tail is kept"
+    And an owner whose two entries reached only replica "a"
+    And a second owner whose one entry reached replicas "a" and "b"
+    When a third owner recovers the log from replicas "a" and "c"
+    Then its log is not the second owner's log
+
+  Scenario: A replica restored from its records answers as before
+    Given an owner whose two entries reached only replica "a"
+    When replica "a" is restored from its records
+    Then it promises its two entries to the next owner
+
+  Scenario: A torn record at the end is cut, a damaged one inside stops the replica
+    Given a data folder with 5 durable records
+    When the last record is torn
+    Then 4 records are read
+    When a byte of the first record is changed
+    Then reading stops with a clear error
+
+  Scenario: Compaction keeps the state
+    Given a data folder with 5 durable records
+    When the folder is compacted to 2 records
+    Then 2 records are read
--- /dev/null
+++ b/features/steps/journal_steps.py
@@ -0,0 +1,147 @@
+"""Steps about the journal: replicas, owners and the files below them."""
+
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features.support.journal_model import NAMES, JournalSchedule, run_schedules
+from features.support.mutants import applied
+from yarrowwall.core.exceptions import InvariantError
+from yarrowwall.core.journal.proposer import ProgramLog
+from yarrowwall.core.journal.replica import JournalReplica
+from yarrowwall.messages.journal import Append, Ballot, Prepare
+from yarrowwall.messages.records import BallotPromised
+from yarrowwall.storage.exceptions import CorruptSegmentError
+from yarrowwall.storage.segments import SegmentStore
+
+
+@given('the mutant "{name}"')
+def use_mutant(context: Context, name: str) -> None:
+    context.mutant_name = name
+    mutant = applied(name)
+    mutant.__enter__()
+    context.add_cleanup(mutant.__exit__, None, None, None)
+
+
+@then("{count:d} random journal schedules keep every chosen entry")
+def schedules_hold(context: Context, count: int) -> None:
+    run_schedules(count)
+
+
+@then("some of {count:d} random journal schedules break an invariant")
+def schedules_break(context: Context, count: int) -> None:
+    try:
+        run_schedules(count)
+    except (AssertionError, InvariantError):
+        return
+    raise AssertionError("the mutant was not caught")
+
+
+def take_over(context: Context, counter: int, names: str) -> ProgramLog:
+    """Let a new owner recover the log from some replicas."""
+    schedule: JournalSchedule = context.schedule
+    owner = ProgramLog("p", schedule.groups, Ballot(counter, "owner"))
+    for name in names:
+        request = Prepare("p", owner.ballot, 1)
+        owner.handle_promise(schedule.replicas[name].handle_prepare(request).answer)
+    return owner
+
+
+def append(context: Context, owner: ProgramLog, body: bytes, names: str) -> None:
+    """Append an entry that reaches only some replicas."""
+    for message in owner.append([body]):
+        if message.node_id in names and isinstance(message.message, Append):
+            result = context.schedule.replicas[message.node_id].handle_append(message.message)
+            context.records.append((message.node_id, result.record))
+
+
+@given('an owner whose two entries reached only replica "a"')
+def first_owner(context: Context) -> None:
+    context.schedule, context.records = JournalSchedule(), []
+    owner = take_over(context, 1, "ab")
+    append(context, owner, b"first", "a")
+    append(context, owner, b"second", "a")
+
+
+@given('a second owner whose one entry reached replicas "a" and "b"')
+def second_owner(context: Context) -> None:
+    owner = take_over(context, 2, "bc")
+    append(context, owner, b"other", "ab")
+    context.expected = list(owner.entries)
+
+
+@when('a third owner recovers the log from replicas "a" and "c"')
+def third_owner(context: Context) -> None:
+    context.recovered = take_over(context, 3, "ac")
+
+
+@then("its log is the second owner's log")
+def log_is_second(context: Context) -> None:
+    assert context.recovered.entries == context.expected, context.recovered.entries
+
+
+@then("its log is not the second owner's log")
+def log_is_mixed(context: Context) -> None:
+    assert context.recovered.entries != context.expected, "the mutant was not caught"
+
+
+@when('replica "a" is restored from its records')
+def restore_replica(context: Context) -> None:
+    replica = JournalReplica("a")
+    replica.restore(record for name, record in context.records if name == "a")
+    context.schedule.replicas["a"] = replica
+
+
+@then("it promises its two entries to the next owner")
+def promises_entries(context: Context) -> None:
+    assert take_over(context, 2, "ac").entries == [b"first", b"second"]
+
+
+@given("a data folder with {count:d} durable records")
+def folder_with_records(context: Context, count: int) -> None:
+    temporary = tempfile.TemporaryDirectory()
+    context.add_cleanup(temporary.cleanup)
+    context.folder = Path(temporary.name)
+    context.store = SegmentStore(context.folder)
+    for number in range(count):
+        context.store.append([BallotPromised("p", Ballot(number, NAMES[0]))])
+
+
+def segment(context: Context) -> Path:
+    return next(context.folder.glob("*.segment"))
+
+
+@when("the last record is torn")
+def tear(context: Context) -> None:
+    data = segment(context).read_bytes()
+    segment(context).write_bytes(data[:-3])
+
+
+@then("{count:d} records are read")
+def records_read(context: Context, count: int) -> None:
+    assert len(list(SegmentStore(context.folder).read())) == count
+
+
+@when("a byte of the first record is changed")
+def damage(context: Context) -> None:
+    data = bytearray(segment(context).read_bytes())
+    data[15] ^= 1
+    segment(context).write_bytes(bytes(data))
+
+
+@then("reading stops with a clear error")
+def reading_stops(context: Context) -> None:
+    try:
+        list(SegmentStore(context.folder).read())
+    except CorruptSegmentError as error:
+        assert "byte 0" in str(error), error
+        return
+    raise AssertionError("a damaged record was read")
+
+
+@when("the folder is compacted to {count:d} records")
+def compact(context: Context, count: int) -> None:
+    records = [BallotPromised("p", Ballot(number, "z")) for number in range(count)]
+    context.store.compact(records)
--- /dev/null
+++ b/features/support/mutants.py
@@ -0,0 +1,232 @@
+"""Mutants of the core: each removes one protecting step.
+
+A mutant is a set of replaced methods; a check that no mutant turns red is not
+a check. Every mutant names the promises of which one at least must be seen
+broken.
+"""
+
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass, replace
+from typing import Any
+from unittest.mock import patch
+
+import yarrowwall.core.journal.proposer as proposer_module
+import yarrowwall.core.scheduling.engines as engines_module
+from yarrowwall.core.configuration.controller import Controller
+from yarrowwall.core.configuration.documents import DocumentTable
+from yarrowwall.core.effects import Drained
+from yarrowwall.core.events import EngineCompleted, EngineFault
+from yarrowwall.core.journal.replica import JournalReplica, ReplicaLog
+from yarrowwall.core.node import NodeCore
+from yarrowwall.core.program.journaled import JournaledProgram
+from yarrowwall.core.program.owner import ProgramOwner
+from yarrowwall.core.program.state import ProgramState
+from yarrowwall.core.scheduling.engines import EngineView
+from yarrowwall.messages.requests import ErrorReply
+from yarrowwall.models.engine import EngineModel
+from yarrowwall.simulation.faults import FaultKind
+from yarrowwall.simulation.observer import Promise
+
+#: Two nodes that each take themselves for the owner.
+SPLITS = (FaultKind.FREEZE, FaultKind.ZONE_CUT, FaultKind.ONE_WAY_CUT, FaultKind.MESSAGE_FAULTS)
+
+
+@dataclass(frozen=True)
+class Mutant:
+    """Replaced methods, the promises they must break, and the faults that show it."""
+
+    breaks: tuple[Promise, ...]
+    replacements: tuple[tuple[Any, str, Any], ...]
+    faults: tuple[FaultKind, ...] = tuple(FaultKind)
+
+
+def _append_whatever_the_ballot(self, request):
+    log = self._log(request.program_id)
+    log.promised = min(log.promised, request.ballot)
+    return _handle_append(self, request)
+
+
+_handle_append = JournalReplica.handle_append
+
+
+def _start_before_dispatch_is_chosen(self, now, effect):
+    self._outbox.emit(effect)
+
+
+def _any_replica_is_a_quorum(groups, acknowledged):
+    return bool(acknowledged)
+
+
+def _keep_the_old_tail(self, ballot, start, bodies, chosen):
+    self.promised = ballot
+    self.entries[start : start + len(bodies)] = bodies
+    self.accepted_ballot = ballot
+    self.chosen = max(self.chosen, min(chosen, len(self.entries)))
+
+
+def _emit_at_once(self, effect, valid_until=0.0):
+    self._outbox.emit(effect)
+
+
+def _refuse_unjournalled(self, now, pending, error_type, message, retry_after):
+    self.pending.pop(pending.route.request_id, None)
+    reply = ErrorReply(error_type, message, retry_after)
+    self._outbox.emit(self._outbox.reply_effect(pending.route, reply))
+
+
+def _nothing(self, *arguments):
+    return None
+
+
+def _stop_at_once(self, now, event):
+    self._outbox.emit(Drained())
+
+
+def _take_any_version(self, document):
+    self._in_force[document.name] = document
+    self._on_change(document)
+
+
+def _in_force_at_once(self, document):
+    self.apply(document)
+
+
+def _ready_at_once(self, answer):
+    self.is_ready = True
+
+
+def _usable_though_leaving(self, now, model):
+    return self.report is not None and model in self.report.models
+
+
+def _endless_budget(self):
+    return 10**12
+
+
+def _admit_in_any_order(self, now, pending, request):
+    self._queue_request(now, pending, request)
+
+
+def _take_a_broken_stream_for_whole(self, now, event):
+    if event.fault is EngineFault.BROKEN:
+        self.handle_completed(now, EngineCompleted(event.key, "part of", "stop", 1, 0, 1))
+    else:
+        _handle_failed(self, now, event)
+
+
+_handle_failed = ProgramOwner.handle_failed
+
+
+def _run_lost_attempts_again(self, now, key, call):
+    self._context.attempt_ended(key, EngineFault.BROKEN)
+    again = replace(call.accepted, repeatable=True)
+    call.accepted = again
+    _handle_lost(self, now, key, call)
+
+
+_handle_lost = ProgramOwner._handle_lost
+
+
+def _obey_any_term(self, term, models):
+    self._models = models
+    return True
+
+
+def _go_on_after_the_lease(self, now):
+    return self._term > 0
+
+
+def _forget_history(self, entry):
+    _apply_accepted(self, entry)
+    del self.history[: -len(entry.messages)]
+
+
+_apply_accepted = ProgramState._apply_accepted
+
+
+MUTANTS = {
+    "replicas accept any ballot": Mutant(
+        (Promise.HISTORY, Promise.AT_MOST_ONCE, Promise.WHOLE_ANSWER, Promise.ORDER),
+        ((JournalReplica, "handle_append", _append_whatever_the_ballot),),
+        SPLITS,
+    ),
+    "sent before the dispatch is chosen": Mutant(
+        (Promise.AT_MOST_ONCE,),
+        ((ProgramOwner, "start_after_dispatch", _start_before_dispatch_is_chosen),),
+    ),
+    "a majority of one": Mutant(
+        (Promise.HISTORY, Promise.AT_MOST_ONCE, Promise.WHOLE_ANSWER, Promise.ORDER),
+        ((proposer_module, "has_quorum", _any_replica_is_a_quorum),),
+    ),
+    "an older ballot's tail is kept": Mutant(
+        (Promise.HISTORY, Promise.AT_MOST_ONCE, Promise.ORDER),
+        ((ReplicaLog, "accept", _keep_the_old_tail),),
+        SPLITS,
+    ),
+    "effects do not wait for a quorum": Mutant(
+        (Promise.HISTORY, Promise.WHOLE_ANSWER, Promise.AT_MOST_ONCE, Promise.NOT_RUN),
+        ((JournaledProgram, "after_chosen", _emit_at_once),),
+    ),
+    "refusals are not journalled": Mutant(
+        (Promise.NOT_RUN,), ((ProgramOwner, "_refuse", _refuse_unjournalled),)
+    ),
+    "releases are forgotten": Mutant(
+        (Promise.RELEASED,), ((ProgramOwner, "_release_all", _nothing),)
+    ),
+    "the drain is skipped": Mutant(
+        (Promise.PLANNED_STOP,), ((NodeCore, "_handle_drain", _stop_at_once),)
+    ),
+    "older configurations are taken": Mutant(
+        (Promise.CONFIGURATION,), ((DocumentTable, "apply", _take_any_version),)
+    ),
+    "configurations in force before a majority has them": Mutant(
+        (Promise.CONFIGURATION,),
+        (
+            (DocumentTable, "secure", _in_force_at_once),
+            (DocumentTable, "handle_fetched", _ready_at_once),
+        ),
+    ),
+    "leaving engines are used": Mutant(
+        (Promise.LEAVING,), ((EngineView, "is_usable", _usable_though_leaving),)
+    ),
+    "budgets are not checked": Mutant(
+        (Promise.BUDGET,), ((ProgramState, "available_tokens", _endless_budget),)
+    ),
+    "calls are admitted in any order": Mutant(
+        (Promise.ORDER,), ((ProgramOwner, "_admit", _admit_in_any_order),)
+    ),
+    "broken streams are taken for whole": Mutant(
+        (Promise.WHOLE_ANSWER,), ((ProgramOwner, "handle_failed", _take_a_broken_stream_for_whole),)
+    ),
+    "lost attempts run again": Mutant(
+        (Promise.AT_MOST_ONCE,), ((ProgramOwner, "_handle_lost", _run_lost_attempts_again),)
+    ),
+    "engines obey any controller term": Mutant(
+        (Promise.CONFIGURATION,),
+        (
+            (EngineModel, "order", _obey_any_term),
+            (Controller, "holds_lease", _go_on_after_the_lease),
+        ),
+        (FaultKind.FREEZE, FaultKind.KILL),
+    ),
+    "controllers go on after their lease": Mutant(
+        (),
+        ((Controller, "holds_lease", _go_on_after_the_lease),),
+        (FaultKind.FREEZE, FaultKind.KILL),
+    ),
+    "old load reports are trusted": Mutant(
+        (Promise.LEAVING,), ((engines_module, "REPORT_VALID_SECONDS", 1e9),)
+    ),
+    "history is forgotten": Mutant(
+        (Promise.HISTORY,), ((ProgramState, "_apply_accepted", _forget_history),)
+    ),
+}
+
+
+@contextmanager
+def applied(name: str):
+    """Run with a mutant in place of the core."""
+    with ExitStack() as stack:
+        for target, attribute, replacement in MUTANTS[name].replacements:
+            stack.enter_context(patch.object(target, attribute, replacement))
+        yield
--- a/yarrowwall/cli/main.py
+++ b/yarrowwall/cli/main.py
@@ -6,6 +6,7 @@
 import click
 
 from yarrowwall.cli.demo import demo
+from yarrowwall.cli.experiment import experiment
 from yarrowwall.cli.node import check_settings, journal_init, node
 from yarrowwall.cli.operator import intent, plan, status
 from yarrowwall.cli.simulate import simulate
@@ -18,5 +19,16 @@
     """Scheduler for agent programs."""
 
 
-for command in (node, check_settings, journal_init, standin, demo, intent, plan, status, simulate):
+for command in (
+    node,
+    check_settings,
+    journal_init,
+    standin,
+    demo,
+    intent,
+    plan,
+    status,
+    simulate,
+    experiment,
+):
     main.add_command(command)
--- a/yarrowwall/simulation/callers.py
+++ b/yarrowwall/simulation/callers.py
@@ -15,7 +15,7 @@
     OperatorOutcome,
     OperatorReply,
 )
-from yarrowwall.core.configuration.models import BudgetIntent, Intents
+from yarrowwall.core.configuration.models import BudgetIntent, Intents, ServingIntent
 from yarrowwall.core.effects import ReplyToLookup
 from yarrowwall.core.events import CallerGone, CallerRequest, LookupRequested, OperatorRequest
 from yarrowwall.core.identifiers import make_program_id
@@ -334,11 +334,20 @@
         yield answer | self._world.env.timeout(PATIENCE_SECONDS)
         return answer.value if answer.triggered and answer.processed else None
 
+    def _next_intents(self) -> Intents:
+        """Return another budget, or another adapter beside the model."""
+        desk = f"desk-{self._world.random.randint(1, 3)}"
+        if self._world.random.random() < 0.5:
+            tokens = self._world.random.randint(10_000, 90_000)
+            return Intents(budgets=[BudgetIntent(desk=desk, tokens=tokens)])
+        adapter = f"version-{self._commands}"
+        zones = sorted({node.zone for node in self._world.nodes})
+        serving = ServingIntent(desk=desk, model=MODEL, adapter=adapter, zones=zones)
+        return Intents(serving=[serving])
+
     def _change(self) -> Process:
         plan_id = f"{self._name}-{self._commands}"
-        tokens = self._world.random.randint(10_000, 90_000)
-        desk = f"desk-{self._world.random.randint(1, 3)}"
-        intents = Intents(budgets=[BudgetIntent(desk=desk, tokens=tokens)])
+        intents = self._next_intents()
         reply = yield from self._command(ApplyIntents(plan_id, intents))
         if not isinstance(reply, OperatorReply) or reply.outcome is not OperatorOutcome.DONE:
             return
--- /dev/null
+++ b/yarrowwall/simulation/lower_bound.py
@@ -0,0 +1,52 @@
+"""The lower bound: every call alone on an empty engine with its prefix cached."""
+
+from dataclasses import dataclass
+from random import Random
+
+from yarrowwall.core.program.state import TOKENS_PER_MESSAGE
+from yarrowwall.models.engine import EngineParameters
+from yarrowwall.simulation.report import Percentiles, percentiles
+from yarrowwall.simulation.workloads import CallStep, ChildStep, ProgramPlan, make_arrivals
+from yarrowwall.simulation.world import RunSettings
+
+#: Mean answer length as a share of what is allowed; see ``models.engine.answer_tokens``.
+MEAN_ANSWER_SHARE = 0.75
+
+
+@dataclass(frozen=True)
+class LowerBound:
+    """Latencies that no placement can beat."""
+
+    program: Percentiles
+    urgent: Percentiles
+    routine: Percentiles
+
+
+def _call_seconds(call: CallStep, engine: EngineParameters) -> float:
+    step = engine.decode_base_seconds + engine.decode_sequence_seconds
+    prefill = (call.new_tokens + TOKENS_PER_MESSAGE) / engine.prefill_tokens_per_second
+    return prefill + MEAN_ANSWER_SHARE * call.max_tokens * step
+
+
+def _program_seconds(plan: ProgramPlan, engine: EngineParameters) -> float:
+    """Return a program's time; tool pauses are not counted, the system prompt is cached."""
+    total = 0.0
+    for step in plan.steps:
+        if isinstance(step, CallStep):
+            total += _call_seconds(step, engine)
+        elif isinstance(step, ChildStep):
+            total += _program_seconds(step.plan, engine)
+    return total
+
+
+def lower_bound(settings: RunSettings) -> LowerBound:
+    """Return the bound for the very programs of a run."""
+    random = Random(f"workload/{settings.seed}")
+    arrivals = make_arrivals(settings.deployment, random, settings.programs, settings.load)
+    engine = settings.deployment.engine
+    seconds = [(_program_seconds(item.plan, engine), item.plan.is_urgent()) for item in arrivals]
+    return LowerBound(
+        percentiles([time for time, _ in seconds]),
+        percentiles([time for time, urgent in seconds if urgent]),
+        percentiles([time for time, urgent in seconds if not urgent]),
+    )
--- a/yarrowwall/simulation/workloads.py
+++ b/yarrowwall/simulation/workloads.py
@@ -6,7 +6,7 @@
 from yarrowwall.core.hashing import digest
 from yarrowwall.core.program.state import BYTES_PER_TOKEN
 from yarrowwall.messages.entries import Priority
-from yarrowwall.models.engine import EngineParameters
+from yarrowwall.models.engine import DECODE_SHARE_DURING_PREFILL, EngineParameters
 from yarrowwall.simulation.deployments import Deployment
 
 MODEL = "assistant"
@@ -147,7 +147,10 @@
     decode_rate = engine.max_batch / step
     calls = plan.calls()
     decode = sum(0.75 * call.max_tokens for call in calls) / decode_rate
-    prefill = sum(call.new_tokens for call in calls) / engine.prefill_tokens_per_second
+    # While a prompt is prefilled, decoding only slows down.
+    lost_share = 1.0 - DECODE_SHARE_DURING_PREFILL
+    new_tokens = sum(call.new_tokens for call in calls)
+    prefill = lost_share * new_tokens / engine.prefill_tokens_per_second
     children = sum(
         engine_seconds(step.plan, engine) for step in plan.steps if isinstance(step, ChildStep)
     )
