Real processes that fail and callers that misbehave, as scenarios

Cause: planned stops, killed owners, outages and bad input were only simulated. Found: a request refused before its body was read (413) left the connection open, and the next request on it hung until its time-out; the answer now closes the connection.

--- /dev/null
+++ b/features/failures.feature
@@ -0,0 +1,39 @@
+Feature: Processes that fail, stop and misbehave
+  Real processes on loopback: planned stops under load, killed owners, and
+  callers that send nonsense or go away.
+
+  @own_system
+  Scenario: A planned stop cuts no request short
+    Given 24 callers that stream long answers through every node
+    When node 1 is asked to stop while they stream
+    Then every answer is whole
+    And node 1 has exited with code 0
+    And the other nodes accept new programs
+
+  @own_system
+  Scenario: A killed owner's caller comes back and gets its answer or a true outcome
+    Given programs whose long calls run at every node
+    When node 1 is killed while they run
+    Then each caller that comes back through another node gets the whole answer or a true "outcome_unknown"
+    And no call that may not be repeated was started twice
+
+  @own_system
+  Scenario: A node that starts while the platform is down has the accepted configuration
+    Given intents that give the desk "sourcing" a budget of 70000 tokens
+    When the operator applies them at node 0 and confirms the plan at node 2
+    And the platform goes down
+    And node 1 is killed and started again
+    Then the budget is in force on every node
+
+  @own_system
+  Scenario: An operator's write whose answer is lost is known to have taken effect
+    Given intents that give the desk "sourcing" a budget of 60000 tokens
+    And the platform will lose the answers of 3 writes
+    When the operator applies them at node 0 and confirms the plan at node 2
+    Then the budget is in force on every node
+
+  @own_system
+  Scenario: Broken frames from a peer close that connection only
+    When a peer sends node 0 an unknown message, an oversized frame and a cut one
+    Then each of its connections is closed
+    And node 0 still runs a program
--- a/yarrowwall/runtime/http_api.py
+++ b/yarrowwall/runtime/http_api.py
@@ -105,7 +105,7 @@
             route, handler = self._route(exchange)
             return handler(exchange)
         except InvalidRequestError as error:
-            return exchange.error(error.status, ErrorType.INVALID_REQUEST, str(error))
+            return exchange.refuse(error)
         finally:
             metrics = self._service.metrics
             metrics.requests.labels(route, exchange.status[:3]).inc()
@@ -489,6 +489,15 @@
         document = {"error": {"type": error_type, "message": message}}
         return self.json(status, document, headers)
 
+    def refuse(self, error: InvalidRequestError) -> list[bytes]:
+        """Answer a malformed request.
+
+        The connection is closed: the rest of a body that was not read would
+        otherwise be waited for before the next request.
+        """
+        document = {"error": {"type": ErrorType.INVALID_REQUEST, "message": str(error)}}
+        return self.json(error.status, document, [("Connection", "close")])
+
     def error_reply(self, reply: ErrorReply) -> list[bytes]:
         """Answer with the error of a reply."""
         status = _STATUS_BY_ERROR[ErrorType(reply.error_type)]
