--- a/yarrowwall/cli/main.py
+++ b/yarrowwall/cli/main.py
@@ -5,6 +5,7 @@
 
 import click
 
+from yarrowwall.cli.bench import bench
 from yarrowwall.cli.demo import demo
 from yarrowwall.cli.experiment import experiment
 from yarrowwall.cli.node import check_settings, journal_init, node
@@ -19,7 +20,7 @@
     """Scheduler for agent programs."""
 
 
-for command in (
+COMMANDS = (
     node,
     check_settings,
     journal_init,
@@ -30,5 +31,7 @@
     status,
     simulate,
     experiment,
-):
+    bench,
+)
+for command in COMMANDS:
     main.add_command(command)
