Placement: a program's first call chooses its home, later calls hardly ever leave it

Three causes, found one by one: the wait estimate moved programs although computing their history again slows a whole batch; the least attained service starved long programs, whose p95 it is; a high weight on the shared system prompt herded first calls onto the engines that had it already. Change: order by the program's age; the wasted cache's weight (30) counts for later calls only; a first call goes where the fewest programs are at home; four calls more than the batch are sent ahead; a queue without news is not looked at.

--- a/yarrowwall/core/journal/proposer.py
+++ b/yarrowwall/core/journal/proposer.py
@@ -111,7 +111,8 @@
             return []
         self._merge_promises()
         self.phase = ProposerPhase.LEADING
-        return self._append_from(self.chosen)
+        # A fresh program has nothing to append again.
+        return self._append_from(self.chosen) if self.entries else []
 
     def _merge_promises(self) -> None:
         """Take the log that was accepted under the highest ballot, as a whole.
--- a/yarrowwall/core/journal/replica.py
+++ b/yarrowwall/core/journal/replica.py
@@ -133,7 +133,10 @@
                 )
 
     def _log(self, program_id: str) -> ReplicaLog:
-        return self._logs.setdefault(program_id, ReplicaLog())
+        log = self._logs.get(program_id)
+        if log is None:
+            log = self._logs[program_id] = ReplicaLog()
+        return log
 
     def handle_prepare(self, request: Prepare) -> ReplicaResult:
         """Promise a ballot unless a higher one was promised."""
--- a/yarrowwall/core/program/owner.py
+++ b/yarrowwall/core/program/owner.py
@@ -406,6 +406,7 @@
             prompt_blocks(messages),
             accepted.max_tokens,
             self.state.spent_tokens,
+            self.state.opened.opened_at if self.state.opened else now,
             last.engine_id if last else "",
             now,
             isinstance(waiting, SubmitCall) and waiting.single,
@@ -504,6 +505,8 @@
                 now,
             )
         ]
+        if is_single_call(self.program_id):
+            entries.append(ProgramEnded(self.program_id, EndReason.SINGLE_CALL, now))
         self.propose(now, entries)
         self._settle_conversation(number, self._call_reply(call))
         self._advance(now)
@@ -560,8 +563,7 @@
     def _advance(self, now: float) -> None:
         """Admit the call that waited for the one that has just been settled."""
         last = self.state.calls[len(self.state.calls)]
-        opened = self.state.opened
-        if opened is not None and is_single_call(self.program_id):
+        if is_single_call(self.program_id):
             self._end(now, None, EndReason.SINGLE_CALL)
             return
         self._excluded = frozenset()
--- a/yarrowwall/core/scheduling/engines.py
+++ b/yarrowwall/core/scheduling/engines.py
@@ -9,6 +9,8 @@
 
 #: Most blocks remembered per engine; the least recently used go first.
 BELIEF_BLOCKS = 20_000
+#: Silence after which a program is not expected to come back to its engine.
+HOME_SECONDS = 30.0
 #: Age of a load report at which an engine gets nothing new until it reports
 #: again: it may have left since, and this node may have been paused.
 REPORT_VALID_SECONDS = 2.5
@@ -82,6 +84,7 @@
     :ivar own: calls of this node that the engine has.
     :ivar ended_since_report: own calls that ended after the last report was made.
     :ivar avoid_until: nothing new is placed here before.
+    :ivar home_of: programs whose latest call went here, and when.
     """
 
     machine: EngineMachine
@@ -90,6 +93,7 @@
     report: EngineLoadReported | None = None
     ended_at: list[float] = field(default_factory=list)
     avoid_until: float = 0.0
+    home_of: OrderedDict[str, float] = field(default_factory=OrderedDict)
 
     def is_usable(self, now: float, model: str) -> bool:
         """Return whether a new call for a model may go here."""
@@ -128,8 +132,16 @@
         """Note a call that goes to the engine."""
         uncached = call.prompt_tokens() - self.belief.cached_tokens(call.prompt)
         self.own[key] = OwnCall(call, now, uncached)
+        self.home_of[call.program_id] = now
+        self.home_of.move_to_end(call.program_id)
         self.belief.note_prompt(call.prompt)
 
+    def home_count(self, now: float) -> int:
+        """Return how many programs are likely to come back here."""
+        while self.home_of and now - next(iter(self.home_of.values())) > HOME_SECONDS:
+            self.home_of.popitem(last=False)
+        return len(self.home_of)
+
     def note_ended(self, key: AttemptKey, now: float) -> None:
         """Note that a call has left the engine."""
         if self.own.pop(key, None) is not None:
--- a/yarrowwall/core/scheduling/policies.py
+++ b/yarrowwall/core/scheduling/policies.py
@@ -24,15 +24,30 @@
         :param engines: usable engines, by id; never empty.
         """
 
+    def is_full(self, engine: EngineView) -> bool:
+        """Return whether routine calls are to wait rather than go to an engine now."""
+
     def holds(self, call: WaitingCall) -> bool:
         """Return whether the engine is to keep the call's prefix after the answer."""
 
 
-class RoundRobin:
-    """Baseline: the engines in turn."""
+class Baseline:
+    """What the baselines share: first come, first served, and nothing held."""
 
     orders_calls = False
 
+    def is_full(self, engine: EngineView) -> bool:
+        """Baselines send every call at once; it queues at the engine."""
+        return False
+
+    def holds(self, call: WaitingCall) -> bool:
+        """Baselines hold nothing."""
+        return False
+
+
+class RoundRobin(Baseline):
+    """Baseline: the engines in turn."""
+
     def __init__(self) -> None:
         self._count = 0
 
@@ -43,32 +58,20 @@
         self._count += 1
         return engines[self._count % len(engines)]
 
-    def holds(self, call: WaitingCall) -> bool:
-        """Baselines hold nothing."""
-        return False
-
 
-class LeastLoaded:
+class LeastLoaded(Baseline):
     """Baseline: the engine with the fewest calls for its capacity."""
 
-    orders_calls = False
-
     def choose(
         self, call: WaitingCall, engines: Sequence[EngineView], now: float
     ) -> EngineView | None:
         """Return the engine with the lowest occupancy."""
         return min(engines, key=lambda engine: engine.occupancy() / engine.capacity())
 
-    def holds(self, call: WaitingCall) -> bool:
-        """Baselines hold nothing."""
-        return False
-
 
-class Sticky:
+class Sticky(Baseline):
     """Baseline: all calls of a program go to one engine."""
 
-    orders_calls = False
-
     def choose(
         self, call: WaitingCall, engines: Sequence[EngineView], now: float
     ) -> EngineView | None:
@@ -76,10 +79,6 @@
         chosen = first(call.program_id, [engine.machine.engine_id for engine in engines])
         return next(engine for engine in engines if engine.machine.engine_id == chosen)
 
-    def holds(self, call: WaitingCall) -> bool:
-        """Baselines hold nothing."""
-        return False
-
 
 @dataclass(frozen=True)
 class CostWeights:
@@ -88,12 +87,15 @@
     :param wasted_cache: weight of the seconds spent on computing a cached
         prefix again, beside their share of the latency.
     :param spill_seconds: cost of leaving the zone, in seconds.
+    :param home_seconds: cost of every program that an engine is home of already,
+        for the first call of a program, in seconds.
     :param overcommit: calls per engine beyond its batch that are sent ahead of time.
     """
 
-    wasted_cache: float = 1.0
+    wasted_cache: float = 30.0
     spill_seconds: float = 0.05
-    overcommit: int = 1
+    overcommit: int = 4
+    home_seconds: float = 0.1
 
 
 class CostBased:
@@ -116,19 +118,34 @@
         self, call: WaitingCall, engines: Sequence[EngineView], now: float
     ) -> EngineView | None:
         """Return the cheapest engine; None if it is full and the call is routine."""
-        best = min(engines, key=lambda engine: self._cost(call, engine))
-        full = best.occupancy() >= best.capacity() + self._weights.overcommit
-        if full and call.priority is Priority.ROUTINE:
-            return None
-        return best
+        best = min(engines, key=lambda engine: self._cost(call, engine, now))
+        waits = call.priority is Priority.ROUTINE and self.is_full(best)
+        return None if waits else best
+
+    def is_full(self, engine: EngineView) -> bool:
+        """Return whether an engine has its batch and the overcommitted calls."""
+        return engine.occupancy() >= engine.capacity() + self._weights.overcommit
 
-    def _cost(self, call: WaitingCall, engine: EngineView) -> float:
+    def _cost(self, call: WaitingCall, engine: EngineView, now: float) -> float:
         uncached = call.prompt_tokens() - engine.belief.cached_tokens(call.prompt)
         prefill = uncached / self._profile.prefill_tokens_per_second
         pending = engine.pending_prefill() / self._profile.prefill_tokens_per_second
         spill = 0.0 if engine.machine.zone == self._zone else self._weights.spill_seconds
         wait = self._batch_wait(engine) + self._batch_slowdown(call, engine)
-        return wait + pending + prefill * (1.0 + self._weights.wasted_cache) + spill
+        return wait + pending + prefill + spill + self._lasting_cost(call, engine, prefill, now)
+
+    def _lasting_cost(
+        self, call: WaitingCall, engine: EngineView, prefill: float, now: float
+    ) -> float:
+        """Return what a placement costs later.
+
+        A program's first call chooses its home: what it computes there serves
+        its later calls, but many homes make an engine crowded. Any later call
+        that goes elsewhere computes its program's history for nothing.
+        """
+        if call.call_number == 1:
+            return self._weights.home_seconds * engine.home_count(now)
+        return self._weights.wasted_cache * prefill
 
     def _batch_wait(self, engine: EngineView) -> float:
         """Estimate the wait for a place in a batch that is full."""
--- a/yarrowwall/core/scheduling/scheduler.py
+++ b/yarrowwall/core/scheduling/scheduler.py
@@ -44,6 +44,7 @@
         self._engines: dict[str, EngineView] = {}
         self._waiting: dict[str, WaitingCall] = {}
         self._engine_by_attempt: dict[AttemptKey, str] = {}
+        self._has_news = False
 
     # Engines
 
@@ -70,6 +71,7 @@
         view = self._engines.get(report.engine_id)
         if view is not None:
             view.note_report(report)
+            self._has_news = True
 
     def handle_cache_event(self, event: CacheBlocksChanged) -> None:
         """Correct the cache belief of an engine."""
@@ -88,6 +90,7 @@
     def enqueue(self, call: WaitingCall) -> None:
         """Add a call; a program has at most one."""
         self._waiting[call.program_id] = call
+        self._has_news = True
 
     def withdraw(self, program_id: str) -> None:
         """Remove a program's waiting call."""
@@ -98,9 +101,18 @@
         return len(self._waiting)
 
     def place(self, now: float) -> list[Placement]:
-        """Take those calls off the queue that an engine is to run now."""
+        """Take those calls off the queue that an engine is to run now.
+
+        Without news since the last time nothing can have changed, and when all
+        engines are full only urgent calls are looked at: the queue may be long.
+        """
+        if not self._has_news:
+            return []
+        self._has_news = False
         placements = []
         for call in self._in_order(now):
+            if call.priority is Priority.ROUTINE and not self._has_room():
+                continue
             engines = self._usable_engines(call, now)
             if not engines:
                 continue
@@ -114,18 +126,21 @@
             engine.note_sent(provisional, call, now)
         return placements
 
+    def _has_room(self) -> bool:
+        return not all(self._policy.is_full(view) for view in self._engines.values())
+
     def _in_order(self, now: float) -> list[WaitingCall]:
         if not self._policy.orders_calls:
             return list(self._waiting.values())
         return sorted(self._waiting.values(), key=lambda call: self._order_key(call, now))
 
     def _order_key(self, call: WaitingCall, now: float) -> tuple[int, float, float, str]:
-        """Starving calls first, then urgent ones, then the least attained service."""
+        """Starving calls first, then urgent ones, then the oldest program."""
         starving = now - call.enqueued_at >= self._settings.starvation_wait
         if starving:
             return (0, call.enqueued_at, 0.0, call.program_id)
         rank_of_class = 1 if call.priority is Priority.URGENT else 2
-        return (rank_of_class, float(call.attained), call.enqueued_at, call.program_id)
+        return (rank_of_class, call.program_started_at, call.enqueued_at, call.program_id)
 
     def _usable_engines(self, call: WaitingCall, now: float) -> list[EngineView]:
         usable = [view for view in self._engines.values() if view.is_usable(now, call.model)]
@@ -156,6 +171,7 @@
         if view is None:
             return
         view.note_ended(key, now)
+        self._has_news = True
         if isinstance(outcome, EngineFault):
             view.avoid_until = now + AVOID_SECONDS
             view.belief.clear()
--- a/yarrowwall/core/scheduling/types.py
+++ b/yarrowwall/core/scheduling/types.py
@@ -13,6 +13,7 @@
     :param prompt: blocks of the whole prompt, for the cache belief.
     :param new_tokens: prompt tokens that no engine can have computed before.
     :param attained: service the program has had so far, in tokens.
+    :param program_started_at: when the program was opened.
     :param last_engine: engine of the program's previous call; empty at first.
     :param excluded: engines that refused this call.
     """
@@ -24,6 +25,7 @@
     prompt: tuple[PrefixBlock, ...]
     max_tokens: int
     attained: int
+    program_started_at: float
     last_engine: str
     enqueued_at: float
     single: bool
--- a/yarrowwall/messages/codec.py
+++ b/yarrowwall/messages/codec.py
@@ -77,21 +77,34 @@
 
 
 @cache
-def _needs_conversion(cls: type) -> bool:
-    """Whether a class has nested records, so that its dict is not its Avro value."""
-    return bool(_from_plain_fields(cls))
+def _to_plain_fields(cls: type) -> dict[str, _Converter]:
+    """Return converters for those fields whose Python value is not their Avro value."""
+    hints = typing.get_type_hints(cls)
+    converters = {field.name: _to_plain(hints[field.name]) for field in dataclasses.fields(cls)}
+    return {name: converter for name, converter in converters.items() if converter is not None}
+
+
+def _to_plain(hint: Any) -> _Converter | None:
+    """Return the converter from ``hint`` to Avro's value; None if they are the same."""
+    origin = typing.get_origin(hint)
+    if origin is types.UnionType:
+        inner = _to_plain(typing.get_args(hint)[0])
+        return None if inner is None else lambda value: None if value is None else inner(value)
+    if origin is list:
+        element = _to_plain(typing.get_args(hint)[0])
+        return None if element is None else lambda values: [element(value) for value in values]
+    return _fields_of if dataclasses.is_dataclass(hint) else None
 
 
-def _to_plain(value: Any) -> Any:
-    """Return the Avro value of a message, a part of one, or a list of parts."""
-    if dataclasses.is_dataclass(value):
-        fields = vars(value)
-        if not _needs_conversion(typing.cast(type, type(value))):
-            return fields
-        return {name: _to_plain(field) for name, field in fields.items()}
-    if isinstance(value, list):
-        return [_to_plain(element) for element in value]
-    return value
+def _fields_of(message: Any) -> dict[str, Any]:
+    """Return the Avro record of a message or a part of one."""
+    converters = _to_plain_fields(typing.cast(type, type(message)))
+    if not converters:
+        return vars(message)
+    fields = dict(vars(message))
+    for name, converter in converters.items():
+        fields[name] = converter(fields[name])
+    return fields
 
 
 def encode(message: Any) -> bytes:
@@ -103,7 +116,7 @@
     buffer = io.BytesIO()
     buffer.write(_TYPE_CODE.pack(code))
     try:
-        fastavro.schemaless_writer(buffer, _schema(code), _to_plain(message))
+        fastavro.schemaless_writer(buffer, _schema(code), _fields_of(message))
     except (ValueError, TypeError, AttributeError, OverflowError) as error:
         raise MalformedMessageError(f"{type(message).__name__}: {error}") from error
     return buffer.getvalue()
--- a/yarrowwall/runtime/peers.py
+++ b/yarrowwall/runtime/peers.py
@@ -128,6 +128,9 @@
         self._address_of = address_of
         self._receive = receive
         self._links: dict[str, _Link] = {}
+        # The same message often goes to several replicas in a row.
+        self._last_message: object = None
+        self._last_frame = b""
         self._acceptor = eventlet.spawn(self._accept)
 
     def send(self, node_id: str, message: object) -> None:
@@ -143,7 +146,13 @@
             if link is not None:
                 link.close()
             link = self._links[node_id] = _Link(address)
-        link.send(frame(self._node_id, message))
+        link.send(self._frame_of(message))
+
+    def _frame_of(self, message: object) -> bytes:
+        if message is not self._last_message:
+            self._last_frame = frame(self._node_id, message)
+            self._last_message = message
+        return self._last_frame
 
     def _accept(self) -> None:
         while True:
--- a/yarrowwall/simulation/deployments.py
+++ b/yarrowwall/simulation/deployments.py
@@ -37,7 +37,7 @@
     record_servers=3,
     zone_latency=0.0015,
     client_latency=0.001,
-    wasted_cache_weight=2.0,
+    wasted_cache_weight=30.0,
 )
 KINGSTON = Deployment(
     name="kingston",
@@ -47,7 +47,7 @@
     record_servers=4,
     zone_latency=0.0005,
     client_latency=0.003,
-    wasted_cache_weight=1.0,
+    wasted_cache_weight=30.0,
 )
 
 DEPLOYMENTS = {deployment.name: deployment for deployment in (NAIROBI, KINGSTON)}
