Scale run of hollow nodes, cost of a placement, retention of complete programs

Change: only a zone's contacts speak to other zones, a message carries four other zones' contacts, silent members are tried every fourth round, and silence counts as death after 3.5 s (2.5 s before). Replicas drop complete programs after an hour; a start with more than four segments compacts them.

--- a/features/journal.feature
+++ b/features/journal.feature
@@ -44,3 +44,10 @@
     Given a data folder with 5 durable records
     When the folder is compacted to 2 records
     Then 2 records are read
+
+  Scenario: A complete program's log is dropped after its retention
+    Given a replica with a complete program that ended at 100 seconds
+    When the replica looks after its logs at 3600 seconds
+    Then it still has the program's log
+    When the replica looks after its logs at 3701 seconds
+    Then it has dropped the program's log
--- a/features/steps/journal_steps.py
+++ b/features/steps/journal_steps.py
@@ -11,6 +11,11 @@
 from yarrowwall.core.exceptions import InvariantError
 from yarrowwall.core.journal.proposer import ProgramLog
 from yarrowwall.core.journal.replica import JournalReplica
+from yarrowwall.core.journal.service import JournalService
+from yarrowwall.core.limits import Limits
+from yarrowwall.core.outbox import Outbox
+from yarrowwall.messages.codec import encode
+from yarrowwall.messages.entries import EndReason, ProgramEnded, ProgramOpened
 from yarrowwall.messages.journal import Append, Ballot, Prepare
 from yarrowwall.messages.records import BallotPromised
 from yarrowwall.storage.exceptions import CorruptSegmentError
@@ -145,3 +150,30 @@
 def compact(context: Context, count: int) -> None:
     records = [BallotPromised("p", Ballot(number, "z")) for number in range(count)]
     context.store.compact(records)
+
+
+@given("a replica with a complete program that ended at {at:d} seconds")
+def complete_program(context: Context, at: int) -> None:
+    replica = JournalReplica("a")
+    entries = [
+        encode(ProgramOpened("p", "tenant", "desk", 10, None, 1.0)),
+        encode(ProgramEnded("p", EndReason.CALLER, float(at))),
+    ]
+    replica.handle_append(Append("p", Ballot(1, "o"), 0, entries, 2, 1))
+    context.service = JournalService(replica, Limits(), Outbox("a"))
+    context.service.start(float(at))
+
+
+@when("the replica looks after its logs at {at:d} seconds")
+def look_after_logs(context: Context, at: int) -> None:
+    assert context.service.due(float(at)) == []
+
+
+@then("it still has the program's log")
+def has_log(context: Context) -> None:
+    assert context.service.replica.program_ids() == ["p"]
+
+
+@then("it has dropped the program's log")
+def dropped_log(context: Context) -> None:
+    assert context.service.replica.program_ids() == []
--- a/yarrowwall/cli/main.py
+++ b/yarrowwall/cli/main.py
@@ -10,6 +10,8 @@
 from yarrowwall.cli.experiment import experiment
 from yarrowwall.cli.node import check_settings, journal_init, node
 from yarrowwall.cli.operator import intent, plan, status
+from yarrowwall.cli.placement_cost import placement_cost
+from yarrowwall.cli.scale import scale
 from yarrowwall.cli.simulate import simulate
 from yarrowwall.cli.standin import standin
 
@@ -32,6 +34,8 @@
     simulate,
     experiment,
     bench,
+    scale,
+    placement_cost,
 )
 for command in COMMANDS:
     main.add_command(command)
--- a/yarrowwall/core/journal/service.py
+++ b/yarrowwall/core/journal/service.py
@@ -74,11 +74,14 @@
         ]
 
     def _needs_owner(self, now: float, program_id: str) -> bool:
-        """Look at one log; plan the next look unless the program is complete."""
+        """Look at one log and plan the next look; forget a program long complete."""
         state = ProgramState(program_id)
         for body in self.replica.log(program_id).entries:
             state.apply(decode(body))
-        if state.opened is None or state.is_complete():
+        if state.opened is None:
+            return False
+        if state.ended is not None and state.is_complete():
+            self._forget_later(now, program_id, state.ended.ended_at + self._limits.retention)
             return False
         idle_at = state.last_activity + self._limits.idle_limit
         unfinished = state.ended is not None or state.unsettled_call() is not None
@@ -86,3 +89,14 @@
         next_look = now + self._limits.sweep_interval if overdue else idle_at
         self.sweeps.set(program_id, next_look)
         return overdue
+
+    def _forget_later(self, now: float, program_id: str, at: float) -> None:
+        """Drop a complete program's log once nobody can ask for its answers any more.
+
+        The records on disk go with the next compaction; a restart before that
+        brings the log back, to be forgotten again.
+        """
+        if now < at:
+            self.sweeps.set(program_id, at)
+        else:
+            self.replica.forget(program_id)
--- a/yarrowwall/core/limits.py
+++ b/yarrowwall/core/limits.py
@@ -22,6 +22,8 @@
         owner drops it from memory.
     :param calls_per_program: most calls of a program; bounds endless loops.
     :param sweep_interval: pause between a replica's searches for forgotten programs.
+    :param retention: age of a program's end at which its log is dropped; well
+        above every request's deadline.
     :param gossip_interval: pause between gossip rounds.
     :param dead_after: silence after which a member counts as dead.
     :param lease: length of the controller lease.
@@ -40,8 +42,9 @@
     unload_after: float = 60.0
     calls_per_program: int = 200
     sweep_interval: float = 10.0
+    retention: float = 3600.0
     gossip_interval: float = 0.5
-    dead_after: float = 2.5
+    dead_after: float = 3.5
     lease: float = 10.0
     document_retry: float = 0.5
     platform_retry: float = 1.0
--- a/yarrowwall/core/membership/table.py
+++ b/yarrowwall/core/membership/table.py
@@ -17,6 +17,10 @@
 GOSSIP_FANOUT = 2
 #: Nodes of a zone that other zones know.
 CONTACTS_PER_ZONE = 3
+#: Other zones whose contacts one gossip message within a zone carries.
+ZONES_PER_ROUND = 4
+#: A silent member is tried every so many rounds.
+ROUNDS_PER_SILENT_TRY = 4
 #: Silence of another zone's contact before it counts as dead, as a multiple of
 #: the limit within the zone: its heartbeats take more hops.
 REMOTE_PATIENCE = 3.0
@@ -134,33 +138,44 @@
         return rank(f"contact/{zone}", self.live(zone, now))[:CONTACTS_PER_ZONE]
 
     def gossip_targets(self, now: float) -> list[str]:
-        """Return the peers of this round: some of the zone, one of another zone.
+        """Return the peers of this round.
 
-        Now and then a silent member is tried too, so two halves of a healed
-        cut find each other again.
+        Some are of the zone; a zone's contacts also speak to another zone's.
+        Now and then a silent member is tried, so two halves of a healed cut
+        find each other again.
         """
         salt = f"{self._own.node_id}/{self._round}"
         near = [name for name in self.live(self._own.zone, now) if name != self._own.node_id]
         targets = rank(salt, near)[:GOSSIP_FANOUT]
-        far = [
-            name
-            for zone in self.zones()
-            if zone != self._own.zone
-            for name in self.contacts(zone, now)
-        ]
-        targets += rank(salt, far)[:1]
-        silent = [name for name in self._members if name not in near and name not in far]
-        targets += rank(salt, silent)[:1]
+        if self._own.node_id in self.contacts(self._own.zone, now):
+            targets += rank(salt, self._far_contacts(now))[:1]
+        if self._round % ROUNDS_PER_SILENT_TRY == 0:
+            silent = [
+                name for name, member in self._members.items() if self._is_silent(member, now)
+            ]
+            targets += rank(salt, silent)[:1]
         return targets
 
+    def _far_contacts(self, now: float) -> list[str]:
+        zones = [zone for zone in self.zones() if zone != self._own.zone]
+        return [name for zone in zones for name in self.contacts(zone, now)]
+
+    def _is_silent(self, member: _Member, now: float) -> bool:
+        return not self._is_alive(member, now)
+
     def records_for(self, zone: str, now: float) -> list[MemberRecord]:
-        """Return what a gossip message to a zone carries: live records only."""
-        names = {self._own.node_id}
-        for known_zone in self.zones():
-            if known_zone == zone == self._own.zone:
-                names.update(self._alive_names(known_zone, now))
-            else:
-                names.update(self.contacts(known_zone, now))
+        """Return what a gossip message to a zone carries: live records only.
+
+        Within the zone that is the whole zone, and the contacts of some other
+        zones, a different part of them every round; to another zone it is the
+        own zone's contacts.
+        """
+        names = {self._own.node_id, *self.contacts(self._own.zone, now)}
+        if zone == self._own.zone:
+            names.update(self._alive_names(zone, now))
+            others = [other for other in self.zones() if other != zone]
+            for other in rank(f"{self._own.node_id}/{self._round}", others)[:ZONES_PER_ROUND]:
+                names.update(self.contacts(other, now))
         return [record for record in self.records() if record.node_id in names]
 
     def _alive_names(self, zone: str, now: float) -> list[str]:
--- a/yarrowwall/runtime/service.py
+++ b/yarrowwall/runtime/service.py
@@ -51,6 +51,8 @@
 from yarrowwall.storage.segments import SegmentStore
 
 LISTEN_BACKLOG = 1024
+#: Segment files above which a start compacts the journal.
+SEGMENTS_KEPT = 4
 #: Connections the HTTP server handles at the same time.
 MOST_HTTP_CONNECTIONS = 10_000
 #: Seconds the HTTP server may take to end its last answers after a drain.
@@ -139,6 +141,8 @@
         replica = JournalReplica(identity.initialise(folder))
         self._store = SegmentStore(folder / "journal")
         replica.restore(self._store.read())
+        if self._store.segment_count() > SEGMENTS_KEPT:
+            self._store.compact(replica.snapshot())
         return replica
 
     def _serve_http(self) -> None:
--- a/yarrowwall/storage/segments.py
+++ b/yarrowwall/storage/segments.py
@@ -137,6 +137,10 @@
             self._file.close()
             self._file = None
 
+    def segment_count(self) -> int:
+        """Return how many segment files there are."""
+        return len(self._paths())
+
     def compact(self, records: Iterable[Record]) -> None:
         """Replace all segments by one that holds ``records``.
 
