--- a/yarrowwall/cli/main.py
+++ b/yarrowwall/cli/main.py
@@ -8,6 +8,7 @@
 from yarrowwall.cli.bench import bench
 from yarrowwall.cli.demo import demo
 from yarrowwall.cli.experiment import experiment
+from yarrowwall.cli.journal_cost import journal_cost
 from yarrowwall.cli.node import check_settings, journal_init, node
 from yarrowwall.cli.operator import intent, plan, status
 from yarrowwall.cli.placement_cost import placement_cost
@@ -36,6 +37,7 @@
     bench,
     scale,
     placement_cost,
+    journal_cost,
 )
 for command in COMMANDS:
     main.add_command(command)
