--- a/features/journal.feature
+++ b/features/journal.feature
@@ -51,3 +51,19 @@
     Then it still has the program's log
     When the replica looks after its logs at 3701 seconds
     Then it has dropped the program's log
+
+  Scenario: A replica is done with a shard map's change only when its logs are copied
+    Given a replica that had the log of a program when the shard map changed
+    Then it does not say that its logs are copied
+    When the program's owner says that the log is copied
+    Then it says that its logs are copied, once the map is on its disk
+
+  Scenario: Without waiting for the copies the replica would be done at once
+    Given the mutant "a shard map is finished before the logs are copied"
+    And a replica that had the log of a program when the shard map changed
+    Then it says that its logs are copied, once the map is on its disk
+
+  Scenario: Frequent requests do not put a retransmission off
+    Given an owner that prepares its ballot and hears from nobody
+    When it is asked for a copy every 0.2 seconds for 2 seconds
+    Then it has sent its prepare requests again
--- a/features/steps/journal_steps.py
+++ b/features/steps/journal_steps.py
@@ -8,15 +8,27 @@
 
 from features.support.journal_model import NAMES, JournalSchedule, run_schedules
 from features.support.mutants import applied
+from yarrowwall.core.configuration.models import SHARD_MAP
+from yarrowwall.core.effects import PersistThenSend
 from yarrowwall.core.exceptions import InvariantError
 from yarrowwall.core.journal.proposer import ProgramLog
+from yarrowwall.core.journal.reconfiguration import LogCopier
 from yarrowwall.core.journal.replica import JournalReplica
 from yarrowwall.core.journal.service import JournalService
 from yarrowwall.core.limits import Limits
 from yarrowwall.core.outbox import Outbox
+from yarrowwall.core.program.journaled import JournaledProgram
 from yarrowwall.messages.codec import encode
 from yarrowwall.messages.entries import EndReason, ProgramEnded, ProgramOpened
-from yarrowwall.messages.journal import Append, Ballot, Prepare
+from yarrowwall.messages.journal import (
+    Append,
+    AskCopied,
+    Ballot,
+    Prepare,
+    ProgramCopied,
+    ReplicaCopied,
+)
+from yarrowwall.messages.peers import Document
 from yarrowwall.messages.records import BallotPromised
 from yarrowwall.storage.exceptions import CorruptSegmentError
 from yarrowwall.storage.segments import SegmentStore
@@ -177,3 +189,56 @@
 @then("it has dropped the program's log")
 def dropped_log(context: Context) -> None:
     assert context.service.replica.program_ids() == []
+
+
+@given("a replica that had the log of a program when the shard map changed")
+def replica_in_change(context: Context) -> None:
+    context.outbox = Outbox("a")
+    context.copier = LogCopier("disk-a", context.outbox, lambda program_id: "owner")
+    context.copier.begin(2, ["p"])
+
+
+def ask_whether_copied(context: Context) -> list[object]:
+    context.copier.handle_ask("controller", AskCopied(2), Document(SHARD_MAP, 1, b"{}"))
+    return context.outbox.take()
+
+
+@then("it does not say that its logs are copied")
+def not_copied(context: Context) -> None:
+    assert ask_whether_copied(context) == []
+
+
+@when("the program's owner says that the log is copied")
+def owner_says_copied(context: Context) -> None:
+    context.copier.handle_copied(ProgramCopied("p", 2))
+
+
+@then("it says that its logs are copied, once the map is on its disk")
+def copied(context: Context) -> None:
+    (effect,) = ask_whether_copied(context)
+    assert isinstance(effect, PersistThenSend), effect
+    assert effect.message == ReplicaCopied("disk-a", 2), effect
+
+
+@given("an owner that prepares its ballot and hears from nobody")
+def preparing_owner(context: Context) -> None:
+    context.outbox = Outbox("a")
+    groups = JournalSchedule().groups
+    context.owner = JournaledProgram("p", groups, Ballot(1, "a"), Limits(), context.outbox)
+    context.owner.start(0.0)
+    context.outbox.take()
+
+
+@when("it is asked for a copy every 0.2 seconds for 2 seconds")
+def ask_often(context: Context) -> None:
+    for step in range(10):
+        now = 0.2 * step
+        context.owner.copy(now, 2, "b")
+        if context.owner.timers.due(now):
+            context.owner.retransmit(now)
+
+
+@then("it has sent its prepare requests again")
+def prepared_again(context: Context) -> None:
+    sent = [effect.message for effect in context.outbox.take()]
+    assert any(isinstance(message, Prepare) for message in sent), sent
--- a/features/support/mutants.py
+++ b/features/support/mutants.py
@@ -16,6 +16,7 @@
 from yarrowwall.core.configuration.documents import DocumentTable
 from yarrowwall.core.effects import Drained
 from yarrowwall.core.events import EngineCompleted, EngineFault
+from yarrowwall.core.journal.reconfiguration import LogCopier
 from yarrowwall.core.journal.replica import JournalReplica, ReplicaLog
 from yarrowwall.core.node import NodeCore
 from yarrowwall.core.program.journaled import JournaledProgram
@@ -136,6 +137,10 @@
     return self._term > 0
 
 
+def _copy_nothing(self, map_version, program_ids):
+    self._map_version = map_version
+
+
 def _forget_history(self, entry):
     _apply_accepted(self, entry)
     del self.history[: -len(entry.messages)]
@@ -214,6 +219,11 @@
         ((Controller, "holds_lease", _go_on_after_the_lease),),
         (FaultKind.FREEZE, FaultKind.KILL),
     ),
+    "a shard map is finished before the logs are copied": Mutant(
+        (Promise.HISTORY, Promise.AT_MOST_ONCE, Promise.LIVENESS, Promise.NOT_RUN),
+        ((LogCopier, "begin", _copy_nothing),),
+        (FaultKind.DISK_REPLACED, FaultKind.KILL, FaultKind.ZONE_CUT),
+    ),
     "old load reports are trusted": Mutant(
         (Promise.LEAVING,), ((engines_module, "REPORT_VALID_SECONDS", 1e9),)
     ),
--- a/yarrowwall/core/configuration/commands.py
+++ b/yarrowwall/core/configuration/commands.py
@@ -44,7 +44,17 @@
     plan_id: str
 
 
-OperatorCommand = ApplyIntents | ShowPlan | ConfirmPlan | AmendPlan | RejectPlan
+@dataclass(frozen=True)
+class ReplaceReplica:
+    """Put another replica in the place of one whose disk is gone."""
+
+    old_replica_id: str
+    new_replica_id: str
+    node_id: str
+    zone: str
+
+
+OperatorCommand = ApplyIntents | ShowPlan | ConfirmPlan | AmendPlan | RejectPlan | ReplaceReplica
 
 
 class OperatorOutcome(StrEnum):
--- a/yarrowwall/core/configuration/operator.py
+++ b/yarrowwall/core/configuration/operator.py
@@ -11,15 +11,19 @@
     OperatorOutcome,
     OperatorReply,
     RejectPlan,
+    ReplaceReplica,
     ShowPlan,
 )
 from yarrowwall.core.configuration.documents import DocumentTable
 from yarrowwall.core.configuration.models import (
     CONFIGURATION,
     PLAN_PREFIX,
+    SHARD_MAP,
     Configuration,
     Intents,
     Plan,
+    ShardMap,
+    ShardReplica,
 )
 from yarrowwall.core.configuration.plans import (
     confirmed_configuration,
@@ -34,6 +38,7 @@
 )
 from yarrowwall.core.effects import ReplyToOperator
 from yarrowwall.core.exceptions import ConfigurationError, StalePlanError
+from yarrowwall.core.journal.reconfiguration import parse_map, replaced, with_operation
 from yarrowwall.core.outbox import Outbox
 from yarrowwall.messages.peers import Document
 
@@ -58,11 +63,19 @@
 
 
 class OperatorDesk:
-    """Carries out operators' commands against the platform."""
+    """Carries out operators' commands against the platform.
+
+    :param first_map: the settings' shard map, in force until the platform has one.
+    """
 
     def __init__(
-        self, transactions: TransactionTable, documents: DocumentTable, outbox: Outbox
+        self,
+        transactions: TransactionTable,
+        documents: DocumentTable,
+        outbox: Outbox,
+        first_map: ShardMap,
     ) -> None:
+        self._first_map = first_map
         self._transactions = transactions
         self._documents = documents
         self._outbox = outbox
@@ -87,6 +100,8 @@
                 self._amend(now, request_id, plan_id, new_plan_id, intents)
             case RejectPlan(plan_id):
                 self._reject(now, request_id, plan_id)
+            case ReplaceReplica():
+                self._replace_replica(now, request_id, command)
 
     def _reply(self, request_id: str, reply: OperatorReply) -> None:
         self._unanswered.discard(request_id)
@@ -259,6 +274,35 @@
 
         self._run(now, operation_id, PLAN_PREFIX + plan_id, mark, finish)
 
+    # Replicas
+
+    def _replace_replica(self, now: float, request_id: str, command: ReplaceReplica) -> None:
+        # Fixed by the replicas: a command that is given again changes the map once.
+        operation_id = f"replace/{command.old_replica_id}/{command.new_replica_id}"
+        new = ShardReplica(
+            replica_id=command.new_replica_id, node_id=command.node_id, zone=command.zone
+        )
+
+        def change(document: Document | None) -> bytes:
+            current = parse_map(document) if document else self._first_map
+            return with_operation(replaced(current, command.old_replica_id, new), operation_id)
+
+        def finish(result: TransactionResult) -> None:
+            if result.outcome is TransactionOutcome.DONE:
+                message = "the replica is being replaced; see status"
+                self._reply(request_id, OperatorReply(OperatorOutcome.DONE, message))
+            else:
+                self._reply_failure(request_id, result)
+
+        self._transactions.begin(
+            now,
+            f"replace/{request_id}",
+            SHARD_MAP,
+            change,
+            lambda body: includes_operation(body, operation_id),
+            finish,
+        )
+
 
 def _plan_of(document: Document | None, plan_id: str) -> Plan:
     """Return the plan of a document.
--- a/yarrowwall/core/journal/placement.py
+++ b/yarrowwall/core/journal/placement.py
@@ -45,7 +45,20 @@
 
 def program_groups(program_id: str, shard_map: ShardMap, version: int) -> ReplicaGroups:
     """Return the replica groups of a program's log."""
-    return _groups(f"shard/{shard_of(program_id)}", shard_map, version, REPLICAS_PER_SHARD)
+    return _groups(_shard_key(shard_of(program_id)), shard_map, version, REPLICAS_PER_SHARD)
+
+
+def all_groups(replicas: Sequence[ShardReplica]) -> set[frozenset[str]]:
+    """Return every replica group that some shard has, as replica ids."""
+    groups = set()
+    for shard in range(SHARDS):
+        chosen = _choose(_shard_key(shard), replicas, REPLICAS_PER_SHARD)
+        groups.add(frozenset(item.replica_id for item in chosen))
+    return groups
+
+
+def _shard_key(shard: int) -> str:
+    return f"shard/{shard}"
 
 
 def document_groups(shard_map: ShardMap, version: int) -> ReplicaGroups:
--- a/yarrowwall/core/journal/proposer.py
+++ b/yarrowwall/core/journal/proposer.py
@@ -208,6 +208,21 @@
         """Return whether everything proposed is chosen."""
         return self.phase is ProposerPhase.LEADING and self.chosen == len(self.entries)
 
+    def is_replicated(self) -> bool:
+        """Return whether a quorum of the present groups is known to hold the whole log."""
+        leads = self.phase is ProposerPhase.LEADING
+        return leads and self._quorum_length() >= len(self.entries)
+
+    def replicate_again(self) -> list[ReplicaMessage]:
+        """Return the whole log for every replica that may lack some of it."""
+        if self.phase is not ProposerPhase.LEADING:
+            return []
+        return [
+            ReplicaMessage(replica.node_id, self._append_request(0))
+            for replica in self.groups.replicas()
+            if self._lengths.get(replica.replica_id, 0) < len(self.entries)
+        ]
+
     def change_groups(self, groups: ReplicaGroups) -> list[ReplicaMessage]:
         """Use a newer shard map.
 
@@ -215,10 +230,6 @@
         is chosen until the new quorums hold it.
         """
         self.groups = groups
-        if self.phase is not ProposerPhase.LEADING:
-            return self.prepare() if self.phase is ProposerPhase.PREPARING else []
-        return [
-            ReplicaMessage(replica.node_id, self._append_request(0))
-            for replica in groups.replicas()
-            if self._lengths.get(replica.replica_id, 0) < len(self.entries)
-        ]
+        if self.phase is ProposerPhase.PREPARING:
+            return self.prepare()
+        return self.replicate_again()
--- /dev/null
+++ b/yarrowwall/core/journal/reconfiguration.py
@@ -0,0 +1,171 @@
+"""Changing the shard map: joint majorities, copy, then the new replicas alone.
+
+While a map names next replicas, every decision needs a majority of the old and
+of the new group. Each old replica notes the logs it had when it learnt of the
+change, asks their owners to bring them to the new replicas, and is done when
+all are there. Once a majority of every old group is done, no chosen entry can
+be missing from the new group, and the change is finished.
+"""
+
+import json
+from collections.abc import Callable
+
+from yarrowwall.core.configuration.models import SHARD_MAP, ShardMap, ShardReplica
+from yarrowwall.core.configuration.plans import remember
+from yarrowwall.core.configuration.transactions import TransactionResult, TransactionTable
+from yarrowwall.core.effects import PersistThenSend, SendToPeer
+from yarrowwall.core.exceptions import ConfigurationError
+from yarrowwall.core.journal.placement import all_groups
+from yarrowwall.core.outbox import Outbox
+from yarrowwall.core.quorum import has_quorum
+from yarrowwall.messages.journal import AskCopied, CopyProgram, ProgramCopied, ReplicaCopied
+from yarrowwall.messages.peers import Document
+from yarrowwall.messages.records import DocumentKept
+
+#: Logs one replica asks to be copied at a time.
+COPIES_AT_A_TIME = 100
+
+
+def replaced(shard_map: ShardMap, old_replica_id: str, new: ShardReplica) -> ShardMap:
+    """Return the joint map that begins to replace one replica.
+
+    :raises ConfigurationError: if a change is under way or the replica is not in the map.
+    """
+    if shard_map.next_replicas:
+        raise ConfigurationError("another change of the shard map is under way")
+    kept = [item for item in shard_map.replicas if item.replica_id != old_replica_id]
+    if len(kept) == len(shard_map.replicas):
+        raise ConfigurationError(f"replica {old_replica_id} is not in the shard map")
+    if any(item.replica_id == new.replica_id for item in kept):
+        raise ConfigurationError(f"replica {new.replica_id} is in the shard map")
+    return shard_map.model_copy(update={"next_replicas": [*kept, new]})
+
+
+def finished(shard_map: ShardMap) -> ShardMap:
+    """Return the map after a change: the next replicas alone."""
+    return shard_map.model_copy(update={"replicas": shard_map.next_replicas, "next_replicas": []})
+
+
+def with_operation(shard_map: ShardMap, operation_id: str) -> bytes:
+    """Return the body of a map that remembers one more operation."""
+    operations = remember(shard_map.operations, operation_id)
+    return shard_map.model_copy(update={"operations": operations}).model_dump_json().encode()
+
+
+class LogCopier:
+    """A replica's part in a change of the map.
+
+    :param owner_of: returns the node that owns a program.
+    """
+
+    def __init__(
+        self, replica_id: str, outbox: Outbox, owner_of: Callable[[str], str | None]
+    ) -> None:
+        self._replica_id = replica_id
+        self._outbox = outbox
+        self._owner_of = owner_of
+        self._map_version = 0
+        self._left: dict[str, None] = {}
+
+    def begin(self, map_version: int, program_ids: list[str]) -> None:
+        """Note the logs that must be copied before this replica is done."""
+        self._map_version = map_version
+        self._left = dict.fromkeys(program_ids)
+
+    def stop(self) -> None:
+        """The change is over."""
+        self._left = {}
+
+    def ask_owners(self) -> None:
+        """Ask for some of the copies that are left; asked again until they are confirmed."""
+        for program_id in list(self._left)[:COPIES_AT_A_TIME]:
+            owner = self._owner_of(program_id)
+            if owner is not None:
+                self._outbox.emit(SendToPeer(owner, CopyProgram(program_id, self._map_version)))
+
+    def handle_copied(self, message: ProgramCopied) -> None:
+        """Note a copy."""
+        if message.map_version >= self._map_version:
+            self._left.pop(message.program_id, None)
+
+    def handle_ask(self, sender: str, message: AskCopied, map_document: Document | None) -> None:
+        """Say so if all is copied.
+
+        The map is durable before that is said: this replica must go on
+        refusing owners with an older map even after a restart.
+        """
+        done = message.map_version == self._map_version and not self._left
+        if done and map_document is not None:
+            answer = ReplicaCopied(self._replica_id, self._map_version)
+            self._outbox.emit(PersistThenSend(DocumentKept(map_document), sender, answer))
+
+
+class MapChangeCoordinator:
+    """Finishes a change once enough old replicas are done; runs where a controller does.
+
+    Several nodes may do so at once: the write is a compare-and-swap.
+    """
+
+    def __init__(self, node_id: str, transactions: TransactionTable, outbox: Outbox) -> None:
+        self._node_id = node_id
+        self._transactions = transactions
+        self._outbox = outbox
+        self._map_version = 0
+        self._done: set[str] = set()
+        self._attempts = 0
+
+    def poll(self, now: float, shard_map: ShardMap, map_version: int) -> None:
+        """Ask the old replicas, or finish the change."""
+        if not shard_map.next_replicas:
+            return
+        if self._map_version != map_version:
+            self._map_version = map_version
+            self._done = set()
+        if all(has_quorum([group], self._done) for group in all_groups(shard_map.replicas)):
+            self._finish(now)
+            return
+        for replica in shard_map.replicas:
+            if replica.replica_id not in self._done:
+                self._outbox.emit(SendToPeer(replica.node_id, AskCopied(map_version)))
+
+    def handle_copied(self, message: ReplicaCopied) -> None:
+        """Note a replica that is done."""
+        if message.map_version == self._map_version:
+            self._done.add(message.replica_id)
+
+    def _finish(self, now: float) -> None:
+        self._attempts += 1
+        operation_id = f"map/{self._node_id}/{self._map_version}/{self._attempts}"
+        expected_version = document_version(self._map_version)
+
+        def change(document: Document | None) -> bytes | None:
+            if document is None or document.version != expected_version:
+                raise ConfigurationError("the shard map has moved on")
+            return with_operation(finished(parse_map(document)), operation_id)
+
+        def done(result: TransactionResult) -> None:
+            """The watch tells every node, this one included."""
+
+        self._transactions.begin(
+            now,
+            operation_id,
+            SHARD_MAP,
+            change,
+            lambda body: operation_id in json.loads(body)["operations"],
+            done,
+        )
+
+
+def parse_map(document: Document) -> ShardMap:
+    """Return the shard map of a document."""
+    return ShardMap.model_validate_json(document.body)
+
+
+def map_version_of(document: Document | None) -> int:
+    """Return the version of a shard map; the settings' map is version 1."""
+    return 1 + (document.version if document else 0)
+
+
+def document_version(map_version: int) -> int:
+    """Return the version of the document that holds a version of the map."""
+    return map_version - 1
--- a/yarrowwall/core/node.py
+++ b/yarrowwall/core/node.py
@@ -57,6 +57,12 @@
 from yarrowwall.core.identifiers import ballot_holder, node_of
 from yarrowwall.core.journal.placement import document_groups, program_groups
 from yarrowwall.core.journal.proposer import ReplicaGroups
+from yarrowwall.core.journal.reconfiguration import (
+    LogCopier,
+    MapChangeCoordinator,
+    map_version_of,
+    parse_map,
+)
 from yarrowwall.core.journal.replica import JournalReplica
 from yarrowwall.core.journal.service import JournalService
 from yarrowwall.core.limits import Limits
@@ -71,10 +77,14 @@
 from yarrowwall.messages.journal import (
     Append,
     Appended,
+    AskCopied,
     BallotRefused,
+    CopyProgram,
     Prepare,
+    ProgramCopied,
     Promise,
     ReplicaBehind,
+    ReplicaCopied,
     ShardMapStale,
     SweepProgram,
 )
@@ -172,13 +182,23 @@
             lambda operation_id, at: self._timers.set(_TRANSACTION_PREFIX + operation_id, at),
         )
         self._transactions = transactions
-        self._operator_desk = OperatorDesk(transactions, self.documents, self._outbox)
+        self._operator_desk = OperatorDesk(
+            transactions, self.documents, self._outbox, settings.shard_map
+        )
+        self._map_coordinator = MapChangeCoordinator(self.node_id, transactions, self._outbox)
         self._controller = Controller(
             self.node_id, settings.zone, self._limits, transactions, self._outbox
         )
+        self._now = now
         self.journal: JournalService | None = None
+        self._copier: LogCopier | None = None
         if replica is not None:
             self.journal = JournalService(replica, self._limits, self._outbox)
+            self._copier = LogCopier(
+                replica.replica_id,
+                self._outbox,
+                lambda program_id: self.members.owner_of(program_id, self._now),
+            )
         self.lookups = LookupDesk(settings.zone, self._outbox)
         self._shard_map = settings.shard_map
         self._machines: list[Machine] = []
@@ -194,6 +214,7 @@
 
         :returns: the effects to carry out, in order.
         """
+        self._now = now
         self._handlers[type(event)](now, event)
         self._run_due(now)
         self._place_calls(now)
@@ -273,6 +294,7 @@
         }
 
     def _handle_started(self, now: float, event: NodeStarted) -> None:
+        self._apply_stored_map()
         self.documents.fetch()
         self._timers.set(_DOCUMENTS, now + self._limits.document_retry)
         self._timers.set(_GOSSIP, now)
@@ -280,6 +302,13 @@
         if self.journal is not None:
             self.journal.start(now)
 
+    def _apply_stored_map(self) -> None:
+        """Use the shard map this replica stored: it was in force before the restart."""
+        stored = self.journal.replica.documents() if self.journal is not None else []
+        for document in stored:
+            if document.name == SHARD_MAP:
+                self.documents.apply(document)
+
     def _handle_caller(self, now: float, event: CallerRequest) -> None:
         if not self.is_ready():
             message = "this node is starting or stopping"
@@ -313,6 +342,12 @@
             ReplicaBehind: self.owners.handle_behind,
             BallotRefused: lambda now, sender, message: self._handle_refused(now, message),
             ShardMapStale: self._handle_map_stale,
+            CopyProgram: self.owners.copy,
+            ProgramCopied: self._handle_program_copied,
+            AskCopied: self._handle_ask_copied,
+            ReplicaCopied: lambda now, sender, message: self._map_coordinator.handle_copied(
+                message
+            ),
             SweepProgram: lambda now, sender, message: self._sweep(now, message.program_id),
             DocumentStored: lambda now, sender, message: self._document_stored(now, message),
             FetchedDocuments: self._handle_fetched,
@@ -355,6 +390,14 @@
     def _handle_map_stale(self, now: float, sender: str, message: ShardMapStale) -> None:
         self._outbox.emit(SendToPeer(sender, DocumentPull(self.node_id, SHARD_MAP)))
 
+    def _handle_program_copied(self, now: float, sender: str, message: ProgramCopied) -> None:
+        if self._copier is not None:
+            self._copier.handle_copied(message)
+
+    def _handle_ask_copied(self, now: float, sender: str, message: AskCopied) -> None:
+        if self._copier is not None:
+            self._copier.handle_ask(sender, message, self.documents.in_force(SHARD_MAP))
+
     def _handle_fetched(self, now: float, sender: str, message: FetchedDocuments) -> None:
         self.documents.handle_fetched(message)
 
@@ -426,12 +469,16 @@
     def _retry_documents(self, now: float) -> None:
         if self.documents.has_unfinished():
             self.documents.retry()
+        if self._copier is not None:
+            self._copier.ask_owners()
         self._timers.set(_DOCUMENTS, now + self._limits.document_retry)
 
     def _control(self, now: float) -> None:
         self._timers.set(_CONTROLLER, now + self._limits.lease / RENEWALS_PER_LEASE)
         if self._is_watcher(now) and not self.is_draining():
             self._controller.renew(now)
+        if self._is_watcher(now):
+            self._map_coordinator.poll(now, self._shard_map, self._shard_map_version())
         self._controller.reconcile(now, self.configuration(), self._engine_machines())
 
     def _check_drained(self, now: float) -> None:
@@ -465,8 +512,7 @@
         if document.name == MACHINES:
             self._machines_changed(MachineList.model_validate_json(document.body))
         elif document.name == SHARD_MAP:
-            self._shard_map = ShardMap.model_validate_json(document.body)
-            self.owners.change_groups()
+            self._map_changed(parse_map(document))
         elif document.name == CONFIGURATION:
             self._operator_desk.handle_in_force()
 
@@ -492,8 +538,18 @@
                 self._outbox.emit(PollEngine(engine_id, address, True))
         self._polled = used
 
+    def _map_changed(self, shard_map: ShardMap) -> None:
+        self._shard_map = shard_map
+        self.owners.change_groups(self._now)
+        if self._copier is None or self.journal is None:
+            return
+        if shard_map.next_replicas:
+            self._copier.begin(self._shard_map_version(), self.journal.replica.program_ids())
+        else:
+            self._copier.stop()
+
     def _shard_map_version(self) -> int:
-        return max(1, self.documents.version(SHARD_MAP))
+        return map_version_of(self.documents.in_force(SHARD_MAP))
 
     def _document_groups(self) -> ReplicaGroups:
         return document_groups(self._shard_map, self._shard_map_version())
--- a/yarrowwall/core/program/journaled.py
+++ b/yarrowwall/core/program/journaled.py
@@ -22,7 +22,14 @@
 from yarrowwall.core.timers import Timers
 from yarrowwall.messages.codec import decode, encode
 from yarrowwall.messages.entries import Entry
-from yarrowwall.messages.journal import Appended, Ballot, BallotRefused, Promise, ReplicaBehind
+from yarrowwall.messages.journal import (
+    Appended,
+    Ballot,
+    BallotRefused,
+    ProgramCopied,
+    Promise,
+    ReplicaBehind,
+)
 
 #: Timer key of the retransmission of journal messages.
 RETRANSMIT = "retransmit"
@@ -57,11 +64,12 @@
         self._limits = limits
         self._outbox = outbox
         self._deferred: deque[_Deferred] = deque()
+        self._copy_requests: dict[str, int] = {}
 
     def start(self, now: float) -> None:
         """Begin to take over the log."""
         self._send(self.log.prepare())
-        self.timers.set(RETRANSMIT, now + self._limits.retransmit)
+        self._plan_retransmission(now)
 
     def is_leading(self) -> bool:
         """Return whether this node may append."""
@@ -78,7 +86,7 @@
         if self.is_leading() and not was_leading:
             for body in self.log.entries:
                 self.state.apply(decode(body))
-            self.timers.set(RETRANSMIT, now + self._limits.retransmit)
+            self._plan_retransmission(now)
             self.recovered(now)
 
     def recovered(self, now: float) -> None:
@@ -89,7 +97,7 @@
         for entry in entries:
             self.state.apply(entry)
         self._send(self.log.append([encode(entry) for entry in entries]))
-        self.timers.set(RETRANSMIT, now + self._limits.retransmit)
+        self._plan_retransmission(now)
 
     def after_chosen(self, effect: Effect, valid_until: float = math.inf) -> None:
         """Emit an effect as soon as everything proposed so far is chosen.
@@ -110,13 +118,14 @@
             over anew before anything more is done.
         """
         if not self.log.handle_appended(answer):
+            self._answer_copy_requests()
             return True
         while self._deferred and self._deferred[0].position <= self.log.chosen:
             deferred = self._deferred.popleft()
             if now > deferred.valid_until:
                 return False
             self._outbox.emit(deferred.effect)
-        if self.log.settled():
+        if self.log.settled() and self._answer_copy_requests():
             self.timers.cancel(RETRANSMIT)
         return True
 
@@ -134,16 +143,41 @@
         self._deferred.clear()
         return True
 
+    def copy(self, now: float, map_version: int, requester: str) -> None:
+        """Tell a replica once the log is on the replicas of a shard map."""
+        self._copy_requests[requester] = map_version
+        if not self._answer_copy_requests():
+            self._send(self.log.replicate_again())
+            self._plan_retransmission(now)
+
+    def _answer_copy_requests(self) -> bool:
+        """Answer those whose map this owner uses; return whether none is left."""
+        if self._copy_requests and self.log.is_replicated():
+            version = self.log.groups.map_version
+            for requester, wanted in list(self._copy_requests.items()):
+                if version >= wanted:
+                    del self._copy_requests[requester]
+                    copied = ProgramCopied(self.program_id, version)
+                    self._outbox.emit(SendToPeer(requester, copied))
+        return not self._copy_requests
+
     def change_groups(self, now: float, groups: ReplicaGroups) -> None:
         """Use a newer shard map."""
         self._send(self.log.change_groups(groups))
-        self.timers.set(RETRANSMIT, now + self._limits.retransmit)
+        self._plan_retransmission(now)
 
     def retransmit(self, now: float) -> None:
         """Send again what was not acknowledged."""
         messages = self.log.retransmit()
+        if not messages and not self._answer_copy_requests():
+            messages = self.log.replicate_again()
         if messages:
             self._send(messages)
+            self._plan_retransmission(now)
+
+    def _plan_retransmission(self, now: float) -> None:
+        """Plan one unless it is planned: what comes often must not put it off for ever."""
+        if RETRANSMIT not in self.timers:
             self.timers.set(RETRANSMIT, now + self._limits.retransmit)
 
     def _send(self, messages: list[ReplicaMessage]) -> None:
--- a/yarrowwall/core/program/registry.py
+++ b/yarrowwall/core/program/registry.py
@@ -21,6 +21,7 @@
     Appended,
     Ballot,
     BallotRefused,
+    CopyProgram,
     Promise,
     ReplicaBehind,
 )
@@ -176,10 +177,16 @@
         del self._owners[owner.program_id]
         self._timers.cancel(owner.program_id)
 
-    def change_groups(self) -> None:
+    def copy(self, now: float, sender: str, message: CopyProgram) -> None:
+        """Bring a program's log to the replicas of a newer shard map."""
+        owner = self.load(now, message.program_id)
+        owner.copy(now, message.map_version, sender)
+        self._schedule(owner)
+
+    def change_groups(self, now: float) -> None:
         """Use a newer shard map for every program."""
         for owner in list(self._owners.values()):
-            owner.change_groups(self._now, self._groups_of(owner.program_id))
+            owner.change_groups(now, self._groups_of(owner.program_id))
             self._schedule(owner)
 
     # Engines
--- a/yarrowwall/messages/journal.py
+++ b/yarrowwall/messages/journal.py
@@ -106,3 +106,34 @@
     """Ask a program's owner to load it and finish what is left to do."""
 
     program_id: str
+
+
+@message(9)
+class CopyProgram:
+    """Ask a program's owner to bring its log to the replicas of a newer shard map."""
+
+    program_id: str
+    map_version: int
+
+
+@message(14)
+class ProgramCopied:
+    """A program's log is on a quorum of the replicas of a shard map."""
+
+    program_id: str
+    map_version: int
+
+
+@message(15)
+class AskCopied:
+    """Ask a replica whether every log it has is on the replicas of a shard map."""
+
+    map_version: int
+
+
+@message(16)
+class ReplicaCopied:
+    """Every log that a replica had is on a quorum of the replicas of a shard map."""
+
+    replica_id: str
+    map_version: int
--- a/yarrowwall/simulation/callers.py
+++ b/yarrowwall/simulation/callers.py
@@ -12,6 +12,7 @@
 from yarrowwall.core.configuration.commands import (
     ApplyIntents,
     ConfirmPlan,
+    OperatorCommand,
     OperatorOutcome,
     OperatorReply,
 )
@@ -334,6 +335,14 @@
         yield answer | self._world.env.timeout(PATIENCE_SECONDS)
         return answer.value if answer.triggered and answer.processed else None
 
+    def insist(self, command: OperatorCommand) -> Process:
+        """Give a command until it is done."""
+        while True:
+            reply = yield from self._command(command)
+            if isinstance(reply, OperatorReply) and reply.outcome is OperatorOutcome.DONE:
+                return
+            yield self._world.env.timeout(RETRY_SECONDS)
+
     def _next_intents(self) -> Intents:
         """Return another budget, or another adapter beside the model."""
         desk = f"desk-{self._world.random.randint(1, 3)}"
--- a/yarrowwall/simulation/faults.py
+++ b/yarrowwall/simulation/faults.py
@@ -82,7 +82,9 @@
         zones: tuple[str, ...],
         observer: Observer,
         announce_machines: Callable[[], None],
+        replace_replica: Callable[[str, str, SimulatedNode], None],
     ) -> None:
+        self._replace_replica = replace_replica
         self._env = env
         self._network = network
         self._nodes = nodes
@@ -147,10 +149,20 @@
         return lambda: None if node.is_up else node.start()
 
     def _replace_disk(self, node: SimulatedNode) -> Callable[[], None]:
+        """Lose a disk; an operator puts the new, empty replica in its place."""
         node.kill()
-        if node.disk is not None:
-            node.replace_disk(f"{node.disk.replica_id}-replaced")
-        return lambda: None if node.is_up else node.start()
+        if node.disk is None:
+            return lambda: None if node.is_up else node.start()
+        old_id = node.disk.replica_id
+        new_id = f"{old_id}-replaced"
+        node.replace_disk(new_id)
+
+        def start() -> None:
+            if not node.is_up:
+                node.start()
+            self._replace_replica(old_id, new_id, node)
+
+        return start
 
     def _restart_when_stopped(self, node: SimulatedNode) -> None:
         """Start the node again once its planned stop is over."""
--- a/yarrowwall/simulation/nodes.py
+++ b/yarrowwall/simulation/nodes.py
@@ -45,6 +45,8 @@
 from yarrowwall.simulation.observer import Observer
 
 DISK_SECONDS = 0.001
+#: As ``yarrowwall.runtime.service.DRAIN_GRACE_SECONDS``.
+DRAIN_GRACE_SECONDS = 0.3
 
 
 @dataclass
@@ -282,6 +284,16 @@
         )
 
     def _drained(self) -> None:
+        """Stop a little later, as the process does: late requests are refused meanwhile."""
+        incarnation = self.incarnation
+        self._world.network.after(DRAIN_GRACE_SECONDS, lambda: self._stop_drained(incarnation))
+
+    def _stop_drained(self, incarnation: int) -> None:
+        if incarnation != self.incarnation or self.core is None:
+            return
+        if self.is_frozen:
+            self._drained()
+            return
         self._world.observer.node_drained(self.node_id, len(self._waiting))
         self._stop()
 
--- a/yarrowwall/simulation/world.py
+++ b/yarrowwall/simulation/world.py
@@ -6,9 +6,11 @@
 
 import simpy
 
+from yarrowwall.core.configuration.commands import ReplaceReplica
 from yarrowwall.core.configuration.models import (
     CONFIGURATION,
     MACHINES,
+    SHARD_MAP,
     Configuration,
     Intents,
     Machine,
@@ -107,7 +109,9 @@
             deployment.zones,
             self.observer,
             self._announce_machines_later,
+            self._replace_replica,
         )
+        self._replacements: list[str] = []
 
     def _zone(self, number: int) -> str:
         zones = self.settings.deployment.zones
@@ -198,6 +202,21 @@
         """The platform's list lags behind what happened."""
         self.network.after(MACHINE_LIST_LAG_SECONDS, self._announce_machines)
 
+    def _replace_replica(self, old_id: str, new_id: str, node: SimulatedNode) -> None:
+        self._replacements.append(new_id)
+        operator = OperatorCaller(self._caller_world(), f"replace-{new_id}")
+        command = ReplaceReplica(old_id, new_id, node.node_id, node.zone)
+        self.env.process(operator.insist(command))
+
+    def _check_shard_map(self) -> None:
+        """Every replica that was put in place of another one has taken it over."""
+        document = self.platform.model.read(SHARD_MAP)
+        shard_map = ShardMap.model_validate_json(document.body) if document else ShardMap()
+        ids = [replica.replica_id for replica in shard_map.replicas]
+        for new_id in self._replacements:
+            done = new_id in ids and not shard_map.next_replicas
+            self.observer.check(Promise.LIVENESS, done, f"{new_id} did not get its place")
+
     def _publish_configuration(self) -> None:
         serving = ServingIntent(desk="all", model=MODEL, zones=list(self.settings.deployment.zones))
         configuration = Configuration(intents=Intents(serving=[serving]))
@@ -280,5 +299,6 @@
         held = {
             engine.engine_id: engine.model.cache.held_programs() for engine in self.engines.values()
         }
+        self._check_shard_map()
         self.observer.check_released(held)
         self.observer.check_nothing_held(held)
