--- a/features/failures.feature
+++ b/features/failures.feature
@@ -37,3 +37,14 @@
     When a peer sends node 0 an unknown message, an oversized frame and a cut one
     Then each of its connections is closed
     And node 0 still runs a program
+
+  @own_system
+  Scenario: A replica whose disk is gone is replaced while programs go on
+    Given a program opened at node 0
+    When call 1 "first question" is made at node 1
+    And node 2 loses its disk and an operator replaces its replica
+    Then the shard map of every node names the new replica alone
+    When node 0 is killed and started again
+    And call 2 "second question" is made at node 1
+    Then every call was answered
+    And each call was started once on the engines
--- a/features/steps/failure_steps.py
+++ b/features/steps/failure_steps.py
@@ -1,6 +1,7 @@
 """Steps about real processes that fail and callers that misbehave."""
 
 import json
+import shutil
 import signal
 import socket
 import struct
@@ -12,7 +13,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.support.processes import MODEL, wait_until
+from features.support.processes import MODEL, ZONES, wait_until
 
 NODES = 3
 LONG_ANSWER = 300
@@ -302,3 +303,30 @@
     assert result.returncode == 2, result
     for key in ("peer_address: 'localhost:1'", "colour: 'red'", "zone: missing"):
         assert any(line.startswith(key) for line in result.stderr.splitlines()), result.stderr
+
+
+@when("node {node:d} loses its disk and an operator replaces its replica")
+def replace_replica(context: Context, node: int) -> None:
+    context.system.signal_node(node, signal.SIGKILL).wait()
+    folder = context.system.folder / f"data-{node}"
+    shutil.rmtree(folder)
+    folder.mkdir()
+    (folder / "replica-id").write_text("replica-new\n")
+    context.system.start_node(node)
+    wait_until(lambda: context.system.is_ready(node), "the node to be ready again")
+    zone = ZONES[node]
+    command = [sys.executable, "-m", "yarrowwall", "replica", "replace"]
+    command += [f"replica-{node}", "replica-new", "--on", f"node-{node}", "--zone", zone]
+    subprocess.run([*command, "--node", context.system.url(0)], check=True)
+
+
+@then("the shard map of every node names the new replica alone")
+def map_is_final(context: Context) -> None:
+    def is_final(node: int) -> bool:
+        status = context.system.request(node, "GET", "/v1/operator/status").json()
+        shard_map = status["shard_map"]
+        names = {item["replica_id"] for item in shard_map["replicas"]}
+        return names == {"replica-0", "replica-1", "replica-new"} and not shard_map["next_replicas"]
+
+    for node in range(NODES):
+        wait_until(lambda node=node: is_final(node), f"the new shard map on node {node}")
--- a/yarrowwall/cli/main.py
+++ b/yarrowwall/cli/main.py
@@ -10,7 +10,7 @@
 from yarrowwall.cli.experiment import experiment
 from yarrowwall.cli.journal_cost import journal_cost
 from yarrowwall.cli.node import check_settings, journal_init, node
-from yarrowwall.cli.operator import intent, plan, status
+from yarrowwall.cli.operator import intent, plan, replica, status
 from yarrowwall.cli.placement_cost import placement_cost
 from yarrowwall.cli.scale import scale
 from yarrowwall.cli.simulate import simulate
@@ -32,6 +32,7 @@
     intent,
     plan,
     status,
+    replica,
     simulate,
     experiment,
     bench,
--- a/yarrowwall/cli/operator.py
+++ b/yarrowwall/cli/operator.py
@@ -117,6 +117,27 @@
     _print_plan(_request(node, "POST", f"/v1/operator/plans/{plan_id}/amend", body), output)
 
 
+@click.group()
+def replica() -> None:
+    """Manage the journal's replicas."""
+
+
+@replica.command("replace")
+@click.argument("old_replica_id")
+@click.argument("new_replica_id")
+@click.option("--on", "node_id", required=True, help="Node id of the new replica.")
+@click.option("--zone", required=True, help="Zone of the new replica.")
+@_common_options
+def replica_replace(
+    old_replica_id: str, new_replica_id: str, node_id: str, zone: str, node: str, output: str
+) -> None:
+    """Put a new, empty replica in the place of one whose disk is gone."""
+    body = {"replica_id": new_replica_id, "node_id": node_id, "zone": zone}
+    path = f"/v1/operator/replicas/{old_replica_id}/replace"
+    document = _request(node, "POST", path, body)
+    click.echo(json.dumps(document) if output == "json" else document["message"])
+
+
 @click.command()
 @_common_options
 def status(node: str, output: str) -> None:
--- a/yarrowwall/core/node.py
+++ b/yarrowwall/core/node.py
@@ -243,6 +243,10 @@
         """Return the configuration in force."""
         return parse_configuration(self.documents.in_force(CONFIGURATION))
 
+    def shard_map(self) -> ShardMap:
+        """Return the shard map in force."""
+        return self._shard_map
+
     def machines(self) -> list[Machine]:
         """Return the machine list in force."""
         return self._machines
--- a/yarrowwall/runtime/bodies.py
+++ b/yarrowwall/runtime/bodies.py
@@ -54,6 +54,14 @@
     key: str = Field(min_length=1, max_length=500)
 
 
+class ReplaceReplicaBody(_Body):
+    """Body of ``POST /v1/operator/replicas/ID/replace``."""
+
+    replica_id: str = Field(min_length=1, max_length=200)
+    node_id: str = Field(min_length=1, max_length=200)
+    zone: str = Field(min_length=1, max_length=200)
+
+
 def parse_body(model: type[Body], data: bytes) -> Body:
     """Check a body.
 
--- a/yarrowwall/runtime/http_api.py
+++ b/yarrowwall/runtime/http_api.py
@@ -17,6 +17,7 @@
     OperatorOutcome,
     OperatorReply,
     RejectPlan,
+    ReplaceReplica,
     ShowPlan,
 )
 from yarrowwall.core.configuration.models import CONFIGURATION, Intents
@@ -42,6 +43,7 @@
     ChatCompletionBody,
     LookupBody,
     OpenProgramBody,
+    ReplaceReplicaBody,
     parse_body,
 )
 from yarrowwall.runtime.callers import FinalReply
@@ -141,6 +143,10 @@
                 return "/v1/operator/plans/ID/reject", lambda ex: self._command(
                     ex, RejectPlan(plan_id)
                 )
+            case ("POST", ["v1", "operator", "replicas", replica_id, "replace"]):
+                return "/v1/operator/replicas/ID/replace", lambda ex: self._replace_replica(
+                    ex, replica_id
+                )
             case ("POST", ["v1", "operator", "plans", plan_id, "amend"]):
                 return "/v1/operator/plans/ID/amend", lambda ex: self._amend(ex, plan_id)
         raise InvalidRequestError(f"{method} {path} is not known", _NOT_FOUND)
@@ -303,6 +309,11 @@
         intents = parse_body(Intents, exchange.body())
         return self._command(exchange, AmendPlan(plan_id, uuid4().hex[:12], intents))
 
+    def _replace_replica(self, exchange: "_Exchange", old_replica_id: str) -> Iterable[bytes]:
+        body = parse_body(ReplaceReplicaBody, exchange.body())
+        command = ReplaceReplica(old_replica_id, body.replica_id, body.node_id, body.zone)
+        return self._command(exchange, command)
+
     def _command(self, exchange: "_Exchange", command: OperatorCommand) -> Iterable[bytes]:
         request_id = self._new_id()
         self._service.callers.open(request_id)
@@ -328,6 +339,7 @@
             "configuration_version": core.documents.version(CONFIGURATION),
             "configuration": core.configuration().intents.model_dump(),
             "documents": {item.name: item.version for item in core.documents.versions()},
+            "shard_map": core.shard_map().model_dump(exclude={"operations"}),
             "members": members,
             "live_in_zone": core.members.live(core.settings.zone, now),
             "engines": [
