--- a/yarrowwall/core/events.py
+++ b/yarrowwall/core/events.py
@@ -57,13 +57,6 @@
         return f"{self.program_id}/{self.call_number}/{self.attempt}"
 
 
-@dataclass(frozen=True)
-class EngineFirstToken:
-    """An attempt's first token came from the engine."""
-
-    key: AttemptKey
-
-
 @dataclass(frozen=True)
 class EngineCompleted:
     """An attempt's whole stream came from the engine."""
--- /dev/null
+++ b/yarrowwall/core/program/holds.py
@@ -0,0 +1,49 @@
+"""What engines hold for a program, and its release."""
+
+from yarrowwall.core.effects import (
+    ReleaseCache,
+)
+from yarrowwall.core.program.requests import ProgramRequests
+from yarrowwall.messages.entries import (
+    CacheReleased,
+)
+
+#: ``through_call`` of a release that ends a program.
+ALL_CALLS = 2**31 - 1
+#: Timer key of the next look whether everything is released.
+RELEASE = "release"
+
+
+class CacheHolder(ProgramRequests):
+    """Releases the cache of engines the program has left, or of all when it ends."""
+
+    def _release_moved(self, now: float, number: int, engine_id: str) -> None:
+        """Release what engines hold of which the program has moved away."""
+        for held_id, address in list(self.state.held_engines.items()):
+            if held_id != engine_id:
+                effect = ReleaseCache(self.program_id, held_id, address, number - 1)
+                self.after_chosen(effect)
+                self.timers.set(RELEASE, now + self._limits.resume_interval)
+
+    def _release_all(self, now: float) -> None:
+        """Release everything; repeated until every engine confirmed."""
+        for engine_id, address in list(self.state.held_engines.items()):
+            effect = ReleaseCache(self.program_id, engine_id, address, ALL_CALLS)
+            self.after_chosen(effect)
+            self.timers.set(RELEASE, now + 2 * self._limits.resume_interval)
+
+    def handle_released(self, now: float, engine_id: str) -> None:
+        """Journal an engine's confirmation, unless the program is back on that engine."""
+        if not self.is_leading() or engine_id not in self.state.held_engines:
+            return
+        call = self.state.calls.get(len(self.state.calls))
+        is_current = call is not None and call.engine_id == engine_id
+        if self.state.ended is not None or not is_current:
+            self.propose(now, [CacheReleased(self.program_id, engine_id)])
+
+    def _retry_releases(self, now: float) -> None:
+        if self.state.ended is not None:
+            self._release_all(now)
+        elif self.state.calls:
+            last = self.state.calls[len(self.state.calls)]
+            self._release_moved(now, last.accepted.call_number, last.engine_id)
--- /dev/null
+++ b/yarrowwall/core/program/prompts.py
@@ -0,0 +1,29 @@
+"""What identifies a request, and the blocks of a prompt."""
+
+from yarrowwall.core.hashing import PrefixBlock, chain, digest
+from yarrowwall.core.program.state import (
+    count_message_tokens,
+)
+from yarrowwall.messages.entries import (
+    ChatMessage,
+)
+from yarrowwall.messages.requests import (
+    SubmitCall,
+)
+
+
+def request_digest(request: SubmitCall) -> str:
+    """Return a digest of what makes two requests of one call the same."""
+    parts = [request.model, str(request.max_tokens), str(request.repeatable)]
+    for message in request.messages:
+        parts += [message.role, message.content]
+    return digest(*parts)
+
+
+def prompt_blocks(messages: list[ChatMessage]) -> tuple[PrefixBlock, ...]:
+    """Return the prefix blocks of a prompt, one a message."""
+    contents = [
+        (digest(message.role, message.content), count_message_tokens([message]))
+        for message in messages
+    ]
+    return chain(contents)
--- a/yarrowwall/core/program/registry.py
+++ b/yarrowwall/core/program/registry.py
@@ -13,7 +13,8 @@
 from yarrowwall.core.journal.proposer import ReplicaGroups
 from yarrowwall.core.limits import Limits
 from yarrowwall.core.outbox import Outbox
-from yarrowwall.core.program.owner import OwnerContext, PendingRequest, ProgramOwner
+from yarrowwall.core.program.owner import ProgramOwner
+from yarrowwall.core.program.requests import OwnerContext, PendingRequest
 from yarrowwall.core.scheduling.scheduler import Scheduler
 from yarrowwall.core.scheduling.types import Placement
 from yarrowwall.core.timers import Timers
--- a/yarrowwall/core/scheduling/scheduler.py
+++ b/yarrowwall/core/scheduling/scheduler.py
@@ -23,15 +23,11 @@
 class SchedulerSettings:
     """Bounds of the queue.
 
-    :param admission_wait: a routine call is refused when the estimated wait exceeds this, seconds.
     :param starvation_wait: a routine call that waited this long goes before
         urgent ones, seconds; bounds starvation.
-    :param seconds_per_waiting_call: estimate of what one waiting call adds to the wait.
     """
 
-    admission_wait: float = 25.0
     starvation_wait: float = 10.0
-    seconds_per_waiting_call: float = 4.0
 
 
 class Scheduler:
@@ -175,14 +171,3 @@
         if isinstance(outcome, EngineFault):
             view.avoid_until = now + AVOID_SECONDS
             view.belief.clear()
-
-    def overload_wait(self, call: WaitingCall) -> float | None:
-        """Return after how many seconds to come back, if the queue is too long for a call.
-
-        :returns: None if the call may wait here.
-        """
-        if call.priority is Priority.URGENT or not self._policy.orders_calls:
-            return None
-        capacity = sum(view.capacity() for view in self._engines.values()) or 1
-        wait = len(self._waiting) * self._settings.seconds_per_waiting_call / capacity
-        return wait if wait > self._settings.admission_wait else None
--- a/yarrowwall/runtime/service.py
+++ b/yarrowwall/runtime/service.py
@@ -79,7 +79,6 @@
     )
     replicas = [ShardReplica(**replica.model_dump()) for replica in settings.replicas]
     limits = Limits(**settings.limits.model_dump())
-    scheduler = SchedulerSettings(admission_wait=settings.scheduling.admission_wait_seconds)
     return NodeSettings(
         settings.node_id,
         settings.zone,
@@ -88,7 +87,7 @@
         seeds,
         ShardMap(replicas=replicas),
         limits,
-        scheduler,
+        SchedulerSettings(),
     )
 
 
--- a/yarrowwall/settings.py
+++ b/yarrowwall/settings.py
@@ -56,7 +56,6 @@
     wasted_cache_weight: float = Field(default=30.0, ge=0.0, le=1000.0)
     prefill_tokens_per_second: float = Field(default=8000.0, gt=0.0)
     decode_seconds_per_token: float = Field(default=0.025, gt=0.0)
-    admission_wait_seconds: float = Field(default=25.0, gt=0.0)
 
 
 class LimitSettings(_Section):
--- a/yarrowwall/simulation/backends.py
+++ b/yarrowwall/simulation/backends.py
@@ -31,7 +31,7 @@
     PlatformWritten,
     WriteOutcome,
 )
-from yarrowwall.core.program.owner import prompt_blocks
+from yarrowwall.core.program.prompts import prompt_blocks
 from yarrowwall.messages.peers import Document
 from yarrowwall.models.engine import (
     Admission,
--- a/yarrowwall/standins/engine.py
+++ b/yarrowwall/standins/engine.py
@@ -9,7 +9,7 @@
 
 import eventlet
 
-from yarrowwall.core.program.owner import prompt_blocks
+from yarrowwall.core.program.prompts import prompt_blocks
 from yarrowwall.core.program.state import BYTES_PER_TOKEN
 from yarrowwall.messages.entries import ChatMessage, Priority
 from yarrowwall.models.engine import (
