--- a/features/support/mutants.py
+++ b/features/support/mutants.py
@@ -93,7 +93,7 @@
 
 
 def _ready_at_once(self, answer):
-    self.is_ready = True
+    self._has_fetched = True
 
 
 def _usable_though_leaving(self, now, model):
--- a/yarrowwall/cli/journal_cost.py
+++ b/yarrowwall/cli/journal_cost.py
@@ -1,7 +1,6 @@
 """What programs cost a journal replica: disk, memory and processor time."""
 
 import gc
-import os
 import tempfile
 import time
 from pathlib import Path
@@ -19,6 +18,7 @@
     ProgramOpened,
 )
 from yarrowwall.messages.journal import Append, Ballot
+from yarrowwall.simulation.scale import resident_bytes
 from yarrowwall.storage.segments import SegmentStore
 
 _BALLOT = Ballot(1, "node-00000#00000000000000000001")
@@ -42,11 +42,6 @@
     return appends
 
 
-def _resident_bytes() -> int:
-    pages = int(Path("/proc/self/statm").read_text().split()[1])
-    return pages * os.sysconf("SC_PAGE_SIZE")
-
-
 @click.command("journal-cost")
 @click.option("--programs", default=2000, show_default=True)
 @click.option("--calls", default=5, show_default=True, help="Calls of each program.")
@@ -56,7 +51,7 @@
     replica = JournalReplica("replica")
     appends = [_program_entries(f"zone.p{n:032d}", calls, tokens) for n in range(programs)]
     gc.collect()
-    resident = _resident_bytes()
+    resident = resident_bytes()
     records = []
     started = time.process_time()
     for number, program in enumerate(appends):
@@ -77,7 +72,7 @@
     gc.collect()
     history = calls * tokens * _BYTES_PER_TOKEN
     held = sum(len(body) for program in appends for part in program for body in part)
-    grown = _resident_bytes() - resident + held
+    grown = resident_bytes() - resident + held
     click.echo(f"history of a program          {history:>10} bytes")
     click.echo(f"disk a program                {size / programs:>10.0f} bytes")
     click.echo(f"disk a call                   {size / programs / calls:>10.0f} bytes")
--- a/yarrowwall/core/configuration/documents.py
+++ b/yarrowwall/core/configuration/documents.py
@@ -53,7 +53,14 @@
         self._securing: dict[str, _Securing] = {}
         self._fetched_from: set[str] = set()
         self._fetched: dict[str, Document] = {}
-        self.is_ready = False
+        self._has_fetched = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether everything a majority of replicas had at the start is in force here."""
+        return self._has_fetched and all(
+            self.version(document.name) >= document.version for document in self._fetched.values()
+        )
 
     def in_force(self, name: str) -> Document | None:
         """Return a document in force."""
@@ -87,8 +94,8 @@
                 self._outbox.emit(SendToPeer(replica.node_id, FetchDocuments(self._node_id)))
 
     def handle_fetched(self, answer: FetchedDocuments) -> None:
-        """Take a replica's documents; with a majority the node is ready."""
-        if self.is_ready:
+        """Take a replica's documents; those of a majority are brought into force."""
+        if self._has_fetched:
             return
         self._fetched_from.add(answer.replica_id)
         for document in answer.documents:
@@ -96,7 +103,7 @@
             if known is None or known.version < document.version:
                 self._fetched[document.name] = document
         if self._groups().is_quorum(self._fetched_from):
-            self.is_ready = True
+            self._has_fetched = True
             for document in self._fetched.values():
                 # One replica may hold a version that no majority does yet.
                 self.secure(document)
@@ -129,14 +136,14 @@
 
     def retry(self) -> None:
         """Send again what has not been answered."""
-        if not self.is_ready:
+        if not self._has_fetched:
             self.fetch()
         for securing in self._securing.values():
             self._send_store(securing.document, securing.stored_on)
 
     def has_unfinished(self) -> bool:
         """Return whether :meth:`retry` has something to do."""
-        return not self.is_ready or bool(self._securing)
+        return not self._has_fetched or bool(self._securing)
 
     # Gossip
 
--- a/yarrowwall/core/node.py
+++ b/yarrowwall/core/node.py
@@ -305,7 +305,11 @@
             self.journal.start(now)
 
     def _apply_stored_map(self) -> None:
-        """Use the shard map this replica stored: it was in force before the restart."""
+        """Use the newest shard map this replica stored.
+
+        It may not be on a majority of replicas yet. That does no harm: the
+        platform has it, and a newer map is never less strict than an older one.
+        """
         stored = self.journal.replica.documents() if self.journal is not None else []
         for document in stored:
             if document.name == SHARD_MAP:
--- a/yarrowwall/messages/codec.py
+++ b/yarrowwall/messages/codec.py
@@ -43,23 +43,35 @@
     return fastavro.parse_schema(json.loads(schema_path(code).read_text()))
 
 
-@cache
-def _from_plain_fields(cls: type) -> dict[str, _Converter]:
-    """Return converters for those fields whose Avro value is not their Python value."""
+def _field_converters(cls: type, leaf: Callable[[Any], _Converter | None]) -> dict[str, _Converter]:
+    """Return converters for those fields whose Avro value is not their Python value.
+
+    :param leaf: returns the converter for a type that is no list and no union.
+    """
     hints = typing.get_type_hints(cls)
-    converters = {field.name: _from_plain(hints[field.name]) for field in dataclasses.fields(cls)}
-    return {name: converter for name, converter in converters.items() if converter is not None}
+    found = {field.name: _converter(hints[field.name], leaf) for field in dataclasses.fields(cls)}
+    return {name: converter for name, converter in found.items() if converter is not None}
 
 
-def _from_plain(hint: Any) -> _Converter | None:
-    """Return the converter from Avro's value to ``hint``; None if they are the same."""
+def _converter(hint: Any, leaf: Callable[[Any], _Converter | None]) -> _Converter | None:
+    """Return the converter of a type hint; None if nothing is to be converted."""
     origin = typing.get_origin(hint)
     if origin is types.UnionType:
-        inner = _from_plain(typing.get_args(hint)[0])
+        inner = _converter(typing.get_args(hint)[0], leaf)
         return None if inner is None else lambda value: None if value is None else inner(value)
     if origin is list:
-        element = _from_plain(typing.get_args(hint)[0])
+        element = _converter(typing.get_args(hint)[0], leaf)
         return None if element is None else lambda values: [element(value) for value in values]
+    return leaf(hint)
+
+
+@cache
+def _from_plain_fields(cls: type) -> dict[str, _Converter]:
+    """Return the converters of a class from Avro's values."""
+    return _field_converters(cls, _from_plain)
+
+
+def _from_plain(hint: Any) -> _Converter | None:
     if dataclasses.is_dataclass(hint):
         return lambda value: _build(typing.cast(type, hint), value)
     if isinstance(hint, type) and issubclass(hint, StrEnum):
@@ -67,6 +79,16 @@
     return None
 
 
+@cache
+def _to_plain_fields(cls: type) -> dict[str, _Converter]:
+    """Return the converters of a class to Avro's values."""
+    return _field_converters(cls, _to_plain)
+
+
+def _to_plain(hint: Any) -> _Converter | None:
+    return _fields_of if dataclasses.is_dataclass(hint) else None
+
+
 def _build(cls: Any, fields: dict[str, Any]) -> Any:
     """Make a frozen dataclass from decoded fields without its slow constructor."""
     for name, converter in _from_plain_fields(cls).items():
@@ -76,26 +98,6 @@
     return instance
 
 
-@cache
-def _to_plain_fields(cls: type) -> dict[str, _Converter]:
-    """Return converters for those fields whose Python value is not their Avro value."""
-    hints = typing.get_type_hints(cls)
-    converters = {field.name: _to_plain(hints[field.name]) for field in dataclasses.fields(cls)}
-    return {name: converter for name, converter in converters.items() if converter is not None}
-
-
-def _to_plain(hint: Any) -> _Converter | None:
-    """Return the converter from ``hint`` to Avro's value; None if they are the same."""
-    origin = typing.get_origin(hint)
-    if origin is types.UnionType:
-        inner = _to_plain(typing.get_args(hint)[0])
-        return None if inner is None else lambda value: None if value is None else inner(value)
-    if origin is list:
-        element = _to_plain(typing.get_args(hint)[0])
-        return None if element is None else lambda values: [element(value) for value in values]
-    return _fields_of if dataclasses.is_dataclass(hint) else None
-
-
 def _fields_of(message: Any) -> dict[str, Any]:
     """Return the Avro record of a message or a part of one."""
     converters = _to_plain_fields(typing.cast(type, type(message)))
--- a/yarrowwall/runtime/http_api.py
+++ b/yarrowwall/runtime/http_api.py
@@ -1,12 +1,10 @@
 """The HTTP interface of a node, for callers and operators."""
 
-import json
 import time
 from collections.abc import Callable, Iterable, Iterator
 from typing import TYPE_CHECKING, Any
 from uuid import uuid4
 
-import eventlet
 import logbook
 
 from yarrowwall.core.configuration.commands import (
@@ -39,7 +37,6 @@
 )
 from yarrowwall.runtime import sse
 from yarrowwall.runtime.bodies import (
-    MOST_BODY_BYTES,
     ChatCompletionBody,
     LookupBody,
     OpenProgramBody,
@@ -48,36 +45,25 @@
 )
 from yarrowwall.runtime.callers import FinalReply
 from yarrowwall.runtime.exceptions import InvalidRequestError
+from yarrowwall.runtime.exchange import Exchange
+from yarrowwall.runtime.relayed_stream import RelayedStream
 
 if TYPE_CHECKING:
     from yarrowwall.runtime.service import NodeService
 
 DEFAULT_MAX_TOKENS = 512
-#: Seconds a caller may take to send its body.
-BODY_SECONDS = 30.0
 LOOKUP_DEADLINE_SECONDS = 10.0
 #: Longest wait for a final reply beyond the request's own deadline.
 GRACE_SECONDS = 5.0
 
 _log = logbook.Logger(__name__)
-_JSON = ("Content-Type", "application/json")
 _EVENT_STREAM = ("Content-Type", "text/event-stream")
 _OK = "200 OK"
 _BAD_REQUEST = "400 Bad Request"
 _NOT_FOUND = "404 Not Found"
 _CONFLICT = "409 Conflict"
-_TOO_LARGE = "413 Content Too Large"
 _UNAVAILABLE = "503 Service Unavailable"
 
-_STATUS_BY_ERROR = {
-    ErrorType.NOT_RUN: _UNAVAILABLE,
-    ErrorType.OUTCOME_UNKNOWN: "502 Bad Gateway",
-    ErrorType.BUDGET_EXHAUSTED: "402 Payment Required",
-    ErrorType.PROGRAM_ENDED: "410 Gone",
-    ErrorType.PROGRAM_UNKNOWN: _NOT_FOUND,
-    ErrorType.CALL_CONFLICT: _CONFLICT,
-    ErrorType.INVALID_REQUEST: _BAD_REQUEST,
-}
 _STATUS_BY_OUTCOME = {
     OperatorOutcome.DONE: _OK,
     OperatorOutcome.INVALID: _BAD_REQUEST,
@@ -87,9 +73,6 @@
     OperatorOutcome.OUTCOME_UNKNOWN: "502 Bad Gateway",
 }
 
-Environ = dict[str, Any]
-StartResponse = Callable[..., Any]
-
 
 class HttpApi:
     """The WSGI application of one node."""
@@ -98,9 +81,11 @@
         self._service = service
         self._sequence = 0
 
-    def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
         """Serve one request."""
-        exchange = _Exchange(environ, start_response)
+        exchange = Exchange(environ, start_response)
         started = time.monotonic()
         route = "unknown"
         try:
@@ -113,7 +98,7 @@
             metrics.requests.labels(route, exchange.status[:3]).inc()
             metrics.request_seconds.labels(route).observe(time.monotonic() - started)
 
-    def _route(self, exchange: "_Exchange") -> tuple[str, Callable]:
+    def _route(self, exchange: Exchange) -> tuple[str, Callable]:
         method, path = exchange.method, exchange.path
         fixed = {
             ("POST", "/v1/chat/completions"): self._complete,
@@ -158,7 +143,7 @@
 
     # Programs and calls
 
-    def _open_program(self, exchange: "_Exchange") -> Iterable[bytes]:
+    def _open_program(self, exchange: Exchange) -> Iterable[bytes]:
         body = parse_body(OpenProgramBody, exchange.body())
         program_id = make_program_id(self._service.settings.zone, uuid4().hex)
         request = OpenProgram(
@@ -174,9 +159,7 @@
             return limit or self._service.settings.default_budget_tokens
         return min(body.budget_tokens, limit or body.budget_tokens)
 
-    def _program(
-        self, exchange: "_Exchange", request: Request, status: str = _OK
-    ) -> Iterable[bytes]:
+    def _program(self, exchange: Exchange, request: Request, status: str = _OK) -> Iterable[bytes]:
         request_id = self._submit(request)
         try:
             reply = self._wait_for_reply(request_id)
@@ -204,7 +187,7 @@
     def _patience(self) -> float:
         return self._service.settings.limits.request_deadline + GRACE_SECONDS
 
-    def _complete(self, exchange: "_Exchange") -> Iterable[bytes]:
+    def _complete(self, exchange: Exchange) -> Iterable[bytes]:
         body = parse_body(ChatCompletionBody, exchange.body())
         request = self._call_request(exchange, body)
         request_id = self._submit(request)
@@ -218,7 +201,7 @@
             return exchange.json(_OK, sse.completion_document(reply), _call_headers(reply))
         return exchange.error_reply(reply)
 
-    def _call_request(self, exchange: "_Exchange", body: ChatCompletionBody) -> SubmitCall:
+    def _call_request(self, exchange: Exchange, body: ChatCompletionBody) -> SubmitCall:
         program_id = exchange.header("Yarrowwall-Program")
         single = program_id is None
         zone = self._service.settings.zone
@@ -237,9 +220,7 @@
             budget,
         )
 
-    def _stream(
-        self, exchange: "_Exchange", request_id: str, request: SubmitCall
-    ) -> Iterable[bytes]:
+    def _stream(self, exchange: Exchange, request_id: str, request: SubmitCall) -> Iterable[bytes]:
         """Answer with an event stream; a refusal before the first byte has its own status."""
         first = self._service.callers.next(request_id, self._patience())
         if first is None or isinstance(first, FinalReply):
@@ -254,7 +235,7 @@
         self, request_id: str, request: SubmitCall, first: StreamChunk | FinalReply | None
     ) -> Iterator[bytes]:
         """Yield chunks as they come, then what is missing of the whole answer."""
-        relayed = _RelayedStream()
+        relayed = RelayedStream()
         item = first
         try:
             while isinstance(item, StreamChunk):
@@ -272,7 +253,7 @@
 
     # Lookups
 
-    def _look_up(self, exchange: "_Exchange") -> Iterable[bytes]:
+    def _look_up(self, exchange: Exchange) -> Iterable[bytes]:
         body = parse_body(LookupBody, exchange.body())
         if not self._service.core.is_ready():
             return exchange.error_reply(_starting_or_stopping())
@@ -287,12 +268,12 @@
         finally:
             self._service.callers.close(request_id)
         if isinstance(reply, ReplyToLookup) and reply.body is not None:
-            return exchange.bytes(_OK, reply.body)
+            return exchange.encoded(_OK, reply.body)
         if isinstance(reply, ReplyToLookup):
             reply = ErrorReply(ErrorType.NOT_RUN, reply.message, reply.retry_after)
         return exchange.error_reply(reply)
 
-    def _lookup_priority(self, exchange: "_Exchange", kind: str) -> Priority:
+    def _lookup_priority(self, exchange: Exchange, kind: str) -> Priority:
         """Return urgent if the caller or the operators' intent says so."""
         lookups = self._service.core.configuration().intents.lookups
         if any(item.kind == kind and item.urgent for item in lookups):
@@ -301,20 +282,20 @@
 
     # Operators
 
-    def _apply_intents(self, exchange: "_Exchange") -> Iterable[bytes]:
+    def _apply_intents(self, exchange: Exchange) -> Iterable[bytes]:
         intents = parse_body(Intents, exchange.body())
         return self._command(exchange, ApplyIntents(uuid4().hex[:12], intents))
 
-    def _amend(self, exchange: "_Exchange", plan_id: str) -> Iterable[bytes]:
+    def _amend(self, exchange: Exchange, plan_id: str) -> Iterable[bytes]:
         intents = parse_body(Intents, exchange.body())
         return self._command(exchange, AmendPlan(plan_id, uuid4().hex[:12], intents))
 
-    def _replace_replica(self, exchange: "_Exchange", old_replica_id: str) -> Iterable[bytes]:
+    def _replace_replica(self, exchange: Exchange, old_replica_id: str) -> Iterable[bytes]:
         body = parse_body(ReplaceReplicaBody, exchange.body())
         command = ReplaceReplica(old_replica_id, body.replica_id, body.node_id, body.zone)
         return self._command(exchange, command)
 
-    def _command(self, exchange: "_Exchange", command: OperatorCommand) -> Iterable[bytes]:
+    def _command(self, exchange: Exchange, command: OperatorCommand) -> Iterable[bytes]:
         request_id = self._new_id()
         self._service.callers.open(request_id)
         self._service.post(OperatorRequest(request_id, command))
@@ -326,7 +307,7 @@
             return exchange.json(_STATUS_BY_OUTCOME[reply.outcome], _operator_document(reply))
         return exchange.error_reply(reply)
 
-    def _status(self, exchange: "_Exchange") -> Iterable[bytes]:
+    def _status(self, exchange: Exchange) -> Iterable[bytes]:
         core = self._service.core
         now = self._service.now()
         members = [
@@ -356,14 +337,14 @@
         }
         return exchange.json(_OK, document)
 
-    def _health(self, exchange: "_Exchange") -> Iterable[bytes]:
+    def _health(self, exchange: Exchange) -> Iterable[bytes]:
         core = self._service.core
         if core.is_ready():
             return exchange.json(_OK, {"status": "ready"})
         status = "draining" if core.is_draining() else "starting"
         return exchange.json(_UNAVAILABLE, {"status": status})
 
-    def _metrics(self, exchange: "_Exchange") -> Iterable[bytes]:
+    def _metrics(self, exchange: Exchange) -> Iterable[bytes]:
         core = self._service.core
         metrics = self._service.metrics
         metrics.loaded_programs.set(len(core.owners))
@@ -373,149 +354,6 @@
         return [metrics.render()]
 
 
-class _RelayedStream:
-    """What of one attempt's stream the caller has got."""
-
-    def __init__(self) -> None:
-        self._attempt = 0
-        self._sent_bytes = 0
-        self._sent_characters = 0
-        self._is_broken = False
-
-    def take(self, chunk: StreamChunk) -> bytes:
-        """Return the bytes of a chunk that the caller lacks.
-
-        After a gap or with another attempt's bytes nothing more is relayed;
-        the rest comes from the recorded answer.
-        """
-        if self._sent_bytes == 0:
-            self._attempt = chunk.attempt
-        end = chunk.offset + len(chunk.data)
-        gap = chunk.offset > self._sent_bytes or chunk.attempt != self._attempt
-        if self._is_broken or gap:
-            self._is_broken = True
-            return b""
-        data = chunk.data[self._sent_bytes - chunk.offset :]
-        if end > self._sent_bytes:
-            self._sent_bytes = end
-            self._sent_characters = chunk.text_length
-        return data
-
-    def ending(self, completion_id: str, reply: Any) -> bytes:
-        """Return the rest of the answer and its final mark, or an error."""
-        if not isinstance(reply, CallReply):
-            return sse.error_event(reply)
-        if self._sent_bytes and reply.attempt != self._attempt:
-            message = "another attempt ran; ask for the call again to get its whole answer"
-            return sse.error_event(ErrorReply(ErrorType.OUTCOME_UNKNOWN, message, 0.0))
-        rest = reply.text[self._sent_characters :]
-        missing = sse.chunk_event(completion_id, reply.model, rest) if rest else b""
-        return missing + sse.final_events(completion_id, reply)
-
-
-class _Exchange:
-    """One HTTP request and its response."""
-
-    def __init__(self, environ: Environ, start_response: StartResponse) -> None:
-        self._environ = environ
-        self._start_response = start_response
-        self.method: str = environ["REQUEST_METHOD"]
-        self.path: str = environ["PATH_INFO"]
-        self.status = _OK
-
-    # Request
-
-    def body(self) -> bytes:
-        """Return the request's body.
-
-        :raises InvalidRequestError: if it is too large, late or cut short.
-        """
-        text = self._environ.get("CONTENT_LENGTH") or "0"
-        if not text.isdigit():
-            raise InvalidRequestError("Content-Length must be a number")
-        length = int(text)
-        if length > MOST_BODY_BYTES:
-            raise InvalidRequestError(f"the body exceeds {MOST_BODY_BYTES} bytes", _TOO_LARGE)
-        try:
-            with eventlet.Timeout(BODY_SECONDS):
-                data = self._environ["wsgi.input"].read(length)
-        except (OSError, ValueError, eventlet.Timeout) as error:
-            raise InvalidRequestError("the body did not arrive") from error
-        if len(data) < length:
-            raise InvalidRequestError("the body ended early")
-        return data
-
-    def header(self, name: str) -> str | None:
-        """Return a request header."""
-        return self._environ.get("HTTP_" + name.upper().replace("-", "_"))
-
-    def positive_header(self, name: str) -> int:
-        """Return a header that must be a positive whole number."""
-        text = self.header(name) or ""
-        if not text.isascii() or not text.isdigit() or not 0 < int(text) < 2**31:
-            raise InvalidRequestError(f"{name} must be a whole number from 1")
-        return int(text)
-
-    def flag_header(self, name: str, default: bool) -> bool:
-        """Return a header that must be ``true`` or ``false``."""
-        text = self.header(name)
-        if text is None:
-            return default
-        if text.lower() not in ("true", "false"):
-            raise InvalidRequestError(f"{name} must be true or false")
-        return text.lower() == "true"
-
-    def priority(self) -> Priority:
-        """Return the priority header; routine without it."""
-        text = self.header("Yarrowwall-Priority") or Priority.ROUTINE
-        try:
-            return Priority(text)
-        except ValueError as error:
-            raise InvalidRequestError("Yarrowwall-Priority must be urgent or routine") from error
-
-    # Response
-
-    def start(self, status: str, headers: list[tuple[str, str]]) -> None:
-        """Begin the response."""
-        self.status = status
-        self._start_response(status, headers)
-
-    def bytes(
-        self, status: str, body: bytes, headers: Iterable[tuple[str, str]] = ()
-    ) -> list[bytes]:
-        """Answer with a JSON body that is encoded already."""
-        self.start(status, [_JSON, ("Content-Length", str(len(body))), *headers])
-        return [body]
-
-    def json(
-        self, status: str, document: dict, headers: Iterable[tuple[str, str]] = ()
-    ) -> list[bytes]:
-        """Answer with JSON."""
-        return self.bytes(status, json.dumps(document).encode(), headers)
-
-    def error(
-        self, status: str, error_type: ErrorType, message: str, retry_after: float = 0.0
-    ) -> list[bytes]:
-        """Answer with an error."""
-        headers = [("Retry-After", str(max(1, round(retry_after))))] if retry_after else []
-        document = {"error": {"type": error_type, "message": message}}
-        return self.json(status, document, headers)
-
-    def refuse(self, error: InvalidRequestError) -> list[bytes]:
-        """Answer a malformed request.
-
-        The connection is closed: the rest of a body that was not read would
-        otherwise be waited for before the next request.
-        """
-        document = {"error": {"type": ErrorType.INVALID_REQUEST, "message": str(error)}}
-        return self.json(error.status, document, [("Connection", "close")])
-
-    def error_reply(self, reply: ErrorReply) -> list[bytes]:
-        """Answer with the error of a reply."""
-        status = _STATUS_BY_ERROR[ErrorType(reply.error_type)]
-        return self.error(status, reply.error_type, reply.message, reply.retry_after)
-
-
 def _no_answer() -> ErrorReply:
     return ErrorReply(ErrorType.OUTCOME_UNKNOWN, "no answer came in time", 1.0)
 
--- a/yarrowwall/simulation/observer.py
+++ b/yarrowwall/simulation/observer.py
@@ -306,12 +306,9 @@
             self._versions[node.node_id] = version
         assert node.core is not None
         if node.core.documents.is_ready and node.node_id in self._floor_at_start:
-            floor = self._floor_at_start[node.node_id]
-            securing = node.core.documents.has_unfinished()
-            if version >= floor or not securing:
-                del self._floor_at_start[node.node_id]
-                message = f"{node.node_id} serves {version}, {floor} was accepted before it started"
-                self.check(Promise.CONFIGURATION, version >= floor, message)
+            floor = self._floor_at_start.pop(node.node_id)
+            message = f"{node.node_id} serves {version}, {floor} was accepted before it started"
+            self.check(Promise.CONFIGURATION, version >= floor, message)
 
     def check_versions(self, nodes: list["SimulatedNode"], healthy_since: float) -> None:
         """Every live node has every version that was accepted long enough ago."""
--- a/yarrowwall/simulation/scale.py
+++ b/yarrowwall/simulation/scale.py
@@ -85,7 +85,7 @@
         self.bytes_sent = 0
         self.messages_sent = 0
         self.in_force_at: dict[int, float] = {}
-        before = _resident_bytes()
+        before = resident_bytes()
         self.cores = [self._make_core(number) for number in range(members)]
         gc.collect()
         self._resident_before = before
@@ -179,7 +179,7 @@
     def memory_per_member(self) -> float:
         """Return resident bytes a member."""
         gc.collect()
-        return (_resident_bytes() - self._resident_before) / self.members
+        return (resident_bytes() - self._resident_before) / self.members
 
 
 def _platform_is_down(effect: ReadPlatform) -> PlatformRead:
@@ -193,7 +193,8 @@
     return DocumentPush(Document(CONFIGURATION, 1, body))
 
 
-def _resident_bytes() -> int:
+def resident_bytes() -> int:
+    """Return the memory this process has in use."""
     pages = int(Path("/proc/self/statm").read_text().split()[1])
     return pages * os.sysconf("SC_PAGE_SIZE")
 
