--- a/features/journal.feature
+++ b/features/journal.feature
@@ -67,3 +67,16 @@
     Given an owner that prepares its ballot and hears from nobody
     When it is asked for a copy every 0.2 seconds for 2 seconds
     Then it has sent its prepare requests again
+
+  Scenario: An ended child tells its parent what it spent only once its end is chosen
+    Given a child program whose owner leads
+    When it is ended and no replica has answered yet
+    Then its parent has not been asked to settle
+    When the replicas have answered
+    Then its parent is asked to settle what the child spent
+
+  Scenario: A draining node waits for an operator's command
+    Given a node that drains while an operator's command runs
+    Then it does not stop
+    When the operator has the reply
+    Then it stops
