A draining node refuses lookups and commands at once

Ruled out: programs' calls, they were refused; the process's grace time. Change: the core refuses both while it drains (not run, with Retry-After for lookups); the HTTP layer's own check of lookups is gone.

--- a/features/journal.feature
+++ b/features/journal.feature
@@ -75,6 +75,10 @@
     When the replicas have answered
     Then its parent is asked to settle what the child spent
 
+  Scenario: A draining node refuses lookups and commands that come late
+    Given a node that drains while an operator's command runs
+    Then a lookup and a command that come now are refused at once
+
   Scenario: A draining node waits for an operator's command
     Given a node that drains while an operator's command runs
     Then it does not stop
--- a/features/steps/owner_steps.py
+++ b/features/steps/owner_steps.py
@@ -4,11 +4,19 @@
 from behave.runner import Context
 
 from features.support.journal_model import JournalSchedule
-from yarrowwall.core.configuration.commands import ShowPlan
+from yarrowwall.core.configuration.commands import OperatorOutcome, ShowPlan
 from yarrowwall.core.configuration.models import ShardMap, ShardReplica
-from yarrowwall.core.effects import Drained, ReadPlatform, ReplyToOperator, SendToPeer, StreamRoute
+from yarrowwall.core.effects import (
+    Drained,
+    ReadPlatform,
+    ReplyToLookup,
+    ReplyToOperator,
+    SendToPeer,
+    StreamRoute,
+)
 from yarrowwall.core.events import (
     DrainRequested,
+    LookupRequested,
     NodeStarted,
     OperatorRequest,
     PlatformRead,
@@ -23,7 +31,7 @@
 from yarrowwall.core.scheduling.engines import EngineProfile
 from yarrowwall.core.scheduling.policies import CostWeights, make_policy
 from yarrowwall.core.scheduling.scheduler import SchedulerSettings
-from yarrowwall.messages.entries import EndReason
+from yarrowwall.messages.entries import EndReason, Priority
 from yarrowwall.messages.journal import Append, Ballot
 from yarrowwall.messages.requests import (
     EndProgram,
@@ -139,3 +147,13 @@
 @then("it stops")
 def stops(context: Context) -> None:
     assert is_drained(context, 2.0)
+
+
+@then("a lookup and a command that come now are refused at once")
+def late_ones_refused(context: Context) -> None:
+    lookup = LookupRequested("late", "kind", "key", Priority.ROUTINE, 10.0)
+    (reply,) = context.node.handle(1.2, lookup)
+    assert isinstance(reply, ReplyToLookup) and reply.body is None and reply.retry_after > 0
+    (reply,) = context.node.handle(1.2, OperatorRequest("late", ShowPlan("plan")))
+    assert isinstance(reply, ReplyToOperator), reply
+    assert reply.reply.outcome is OperatorOutcome.NOT_RUN, reply
--- a/yarrowwall/core/lookups.py
+++ b/yarrowwall/core/lookups.py
@@ -76,12 +76,13 @@
         """Take a lookup."""
         queue = self._waiting[request.priority]
         if len(queue) >= MOST_WAITING:
-            self._refuse(request, "too many lookups wait")
+            self.refuse(request, "too many lookups wait")
             return
         queue.append(_Lookup(request))
         self.dispatch(now)
 
-    def _refuse(self, request: LookupRequested, message: str) -> None:
+    def refuse(self, request: LookupRequested, message: str) -> None:
+        """Refuse a lookup that was not sent to any server."""
         self._outbox.emit(ReplyToLookup(request.request_id, None, message, RETRY_AFTER))
 
     def dispatch(self, now: float) -> None:
@@ -138,10 +139,10 @@
         if others_left and len(lookup.tried) < MOST_TRIES:
             self._waiting[lookup.request.priority].appendleft(lookup)
         else:
-            self._refuse(lookup.request, "no record server answers")
+            self.refuse(lookup.request, "no record server answers")
 
     def give_up_overdue(self, now: float) -> None:
         """Refuse waiting lookups whose deadline has come."""
         for queue in self._waiting.values():
             while queue and queue[0].request.deadline <= now:
-                self._refuse(queue.popleft().request, "no record server became free in time")
+                self.refuse(queue.popleft().request, "no record server became free in time")
--- a/yarrowwall/core/node.py
+++ b/yarrowwall/core/node.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from yarrowwall.core.configuration.commands import OperatorOutcome, OperatorReply
 from yarrowwall.core.configuration.controller import RENEWALS_PER_LEASE, Controller
 from yarrowwall.core.configuration.documents import DocumentTable
 from yarrowwall.core.configuration.models import (
@@ -26,6 +27,7 @@
     Effect,
     PollEngine,
     ReplyToCaller,
+    ReplyToOperator,
     SendToPeer,
     StreamRoute,
     WatchPlatform,
@@ -105,6 +107,7 @@
 #: Nodes of a zone that watch the platform; the rest learn by gossip.
 WATCHERS_PER_ZONE = 2
 
+_NOT_SERVING = "this node is starting or stopping"
 _GOSSIP = "gossip"
 _DOCUMENTS = "documents"
 _CONTROLLER = "controller"
@@ -290,7 +293,7 @@
             PlatformRead: self._handle_platform_read,
             PlatformWritten: self._transactions.handle_written,
             OperatorRequest: self._handle_operator,
-            LookupRequested: lambda now, event: self.lookups.accept(now, event),
+            LookupRequested: self._handle_lookup,
             LookupAnswered: lambda now, event: self.lookups.handle_answer(now, event),
             DrainRequested: self._handle_drain,
         }
@@ -316,14 +319,24 @@
                 self.documents.apply(document)
 
     def _handle_caller(self, now: float, event: CallerRequest) -> None:
-        if not self.is_ready():
-            message = "this node is starting or stopping"
-            self.gateway.refuse(event.request_id, event.request, message)
-            return
-        self.gateway.accept(now, event.request_id, event.request)
+        if self.is_ready():
+            self.gateway.accept(now, event.request_id, event.request)
+        else:
+            self.gateway.refuse(event.request_id, event.request, _NOT_SERVING)
+
+    def _handle_lookup(self, now: float, event: LookupRequested) -> None:
+        if self.is_ready():
+            self.lookups.accept(now, event)
+        else:
+            self.lookups.refuse(event, _NOT_SERVING)
 
     def _handle_operator(self, now: float, event: OperatorRequest) -> None:
-        self._operator_desk.handle(now, event.request_id, event.command)
+        """Carry out a command; a draining node could be gone before its reply."""
+        if self.is_draining():
+            reply = OperatorReply(OperatorOutcome.NOT_RUN, _NOT_SERVING)
+            self._outbox.emit(ReplyToOperator(event.request_id, reply))
+        else:
+            self._operator_desk.handle(now, event.request_id, event.command)
 
     def _handle_engine_failed(self, now: float, event: EngineFailed) -> None:
         self.owners.handle_failed(now, event)
--- a/yarrowwall/runtime/http_api.py
+++ b/yarrowwall/runtime/http_api.py
@@ -255,8 +255,6 @@
 
     def _look_up(self, exchange: Exchange) -> Iterable[bytes]:
         body = parse_body(LookupBody, exchange.body())
-        if not self._service.core.is_ready():
-            return exchange.error_reply(_starting_or_stopping())
         request_id = self._new_id()
         self._service.callers.open(request_id)
         deadline = self._service.now() + LOOKUP_DEADLINE_SECONDS
@@ -358,10 +356,6 @@
     return ErrorReply(ErrorType.OUTCOME_UNKNOWN, "no answer came in time", 1.0)
 
 
-def _starting_or_stopping() -> ErrorReply:
-    return ErrorReply(ErrorType.NOT_RUN, "this node is starting or stopping", 1.0)
-
-
 def _call_headers(reply: CallReply) -> list[tuple[str, str]]:
     return [
         ("Yarrowwall-Program", reply.program_id),
