--- a/features/steps/promise_steps.py
+++ b/features/steps/promise_steps.py
@@ -8,11 +8,11 @@
 
 from behave import given, then, when
 from behave.runner import Context
-from hypothesis import HealthCheck, Phase, settings
 from hypothesis import given as given_drawn
 from hypothesis import strategies as st
 
 from features.support.mutants import MUTANTS
+from features.support.schedules import derandomized
 from yarrowwall.core.configuration.documents import DocumentTable
 from yarrowwall.core.configuration.models import CONFIGURATION
 from yarrowwall.core.exceptions import CoreError
@@ -65,14 +65,7 @@
         target=st.integers(0, 30),
     )
 
-    @settings(
-        max_examples=count,
-        derandomize=True,
-        database=None,
-        deadline=None,
-        phases=(Phase.generate, Phase.shrink),
-        suppress_health_check=list(HealthCheck),
-    )
+    @derandomized(count)
     @given_drawn(st.sampled_from(sorted(DEPLOYMENTS)), st.lists(fault, min_size=4, max_size=24))
     def check(deployment: str, faults: list[Fault]) -> None:
         replaced = [item for item in faults if item.kind is FaultKind.DISK_REPLACED]
--- a/features/support/journal_model.py
+++ b/features/support/journal_model.py
@@ -5,9 +5,10 @@
 chosen must stay in every later owner's log.
 """
 
-from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 
+from features.support.schedules import derandomized
 from yarrowwall.core.hashing import digest
 from yarrowwall.core.journal.proposer import (
     ProgramLog,
@@ -133,14 +134,7 @@
     :raises AssertionError: with the shortest schedule that breaks an invariant.
     """
 
-    @settings(
-        max_examples=count,
-        derandomize=True,
-        database=None,
-        deadline=None,
-        phases=(Phase.generate, Phase.shrink),
-        suppress_health_check=list(HealthCheck),
-    )
+    @derandomized(count)
     @given(st.lists(st.integers(0, 12 * 512 - 1), min_size=40, max_size=220))
     def run(choices: list[int]) -> None:
         schedule = JournalSchedule()
