Remove code that nothing calls

Cause: read as a newcomer, four definitions had no caller left: is_deposed, held_tokens, blocks_of and BackendError. Behaviour is unchanged.

--- a/yarrowwall/core/program/journaled.py
+++ b/yarrowwall/core/program/journaled.py
@@ -75,10 +75,6 @@
         """Return whether this node may append."""
         return self.log.phase is ProposerPhase.LEADING
 
-    def is_deposed(self) -> bool:
-        """Return whether another owner holds a higher ballot."""
-        return self.log.phase is ProposerPhase.DEPOSED
-
     def handle_promise(self, now: float, promise: Promise) -> None:
         """Count a promise; recover once there is a quorum."""
         was_leading = self.is_leading()
--- a/yarrowwall/models/prefix_cache.py
+++ b/yarrowwall/models/prefix_cache.py
@@ -132,12 +132,3 @@
     def held_programs(self) -> list[str]:
         """Return the programs something is held for."""
         return list(self._holds)
-
-    def held_tokens(self) -> int:
-        """Return the tokens in memory that holds pin."""
-        keys = {key for held in self._holds.values() for key in held.keys}
-        return sum(self._blocks.get(key, 0) for key in keys)
-
-    def blocks_of(self, prompt: tuple[PrefixBlock, ...]) -> tuple[PrefixBlock, ...]:
-        """Return the leading blocks of a prompt that are in memory, for export."""
-        return prompt[: self.cached_blocks(prompt)]
--- a/yarrowwall/runtime/exceptions.py
+++ b/yarrowwall/runtime/exceptions.py
@@ -11,10 +11,6 @@
     """A peer sent a frame that cannot be taken; its connection is closed."""
 
 
-class BackendError(RuntimeLayerError):
-    """A back end gave no usable answer."""
-
-
 class InvalidRequestError(RuntimeLayerError):
     """A caller's or operator's request is malformed.
 
