--- /dev/null
+++ b/yarrowwall/platform/callers.py
@@ -0,0 +1,136 @@
+"""Requests of the platform's clients and the answers they get."""
+
+from http.cookies import CookieError, SimpleCookie
+from typing import Any
+
+from yarrowwall.platform import names
+from yarrowwall.relay.exceptions import InvalidAttemptError
+from yarrowwall.relay.model import Answer, Attempt, Header, ProgramContext, PromptPart, Refusal
+
+#: Seconds that a client without a deadline is held to wait.
+_DEFAULT_DEADLINE = 30.0
+#: Headers of one connection, and those that the system sets itself.
+_DROPPED = {
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+    "host",
+    "content-length",
+    names.DEADLINE.lower(),
+    names.EXPECT_INSTANCE.lower(),
+    names.REQUEST_PRIORITY.lower(),
+    names.LAST_EVENT_ID.lower(),
+}
+_DROPPED_FROM_ANSWERS = {
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+}
+
+
+class PlatformCallers:
+    """Translates between the clients' requests and attempts."""
+
+    def read_attempt(self, environ: dict[str, Any], now: float) -> Attempt:
+        """Return the attempt of a request without its body.
+
+        :raises InvalidAttemptError: if it is malformed.
+        """
+        headers = environ["headers_raw"]
+        values = {name.lower(): value for name, value in headers}
+        attempt_id = values.get(names.ATTEMPT_ID.lower(), "")
+        if not attempt_id:
+            raise InvalidAttemptError(f"{names.ATTEMPT_ID} is missing")
+        target = environ["RAW_PATH_INFO"]
+        if environ.get("QUERY_STRING") is not None:
+            target += "?" + environ["QUERY_STRING"]
+        return Attempt(
+            attempt_id=attempt_id,
+            method=environ["REQUEST_METHOD"],
+            target=target,
+            host=values.get("host", ""),
+            headers=_passed_on(headers, values.get("connection", "")),
+            body=b"",
+            arrived_at=now,
+            deadline=now + _deadline(values.get(names.DEADLINE.lower())),
+            program=_program(values),
+            prompt=_prompt(values.get(names.PROMPT_PREFIX.lower(), "")),
+            affinity=_affinity(values.get("cookie", "")),
+            last_event_id=values.get(names.LAST_EVENT_ID.lower()),
+        )
+
+    def answer_headers(self, answer: Answer) -> list[Header]:
+        """Return the headers of a server's answer that the client gets."""
+        return [
+            (name, value)
+            for name, value in answer.headers
+            if name.lower() not in _DROPPED_FROM_ANSWERS
+        ]
+
+    def refusal_headers(self, attempt_id: str, refusal: Refusal) -> list[Header]:
+        """Return the headers of an answer of the system itself."""
+        headers = [(names.ATTEMPT_ID, attempt_id)] if attempt_id else []
+        if refusal.retry_after is not None:
+            headers.append((names.RETRY_AFTER, f"{refusal.retry_after:.3f}"))
+        return headers
+
+
+def _passed_on(headers: tuple[Header, ...], connection: str) -> list[Header]:
+    dropped = _DROPPED | {name.strip().lower() for name in connection.split(",")}
+    return [(name, value) for name, value in headers if name.lower() not in dropped]
+
+
+def _deadline(text: str | None) -> float:
+    if text is None:
+        return _DEFAULT_DEADLINE
+    try:
+        return max(0.0, float(text) / 1000.0)
+    except ValueError as error:
+        raise InvalidAttemptError(f"{names.DEADLINE} must be a number") from error
+
+
+def _program(values: dict[str, str]) -> ProgramContext | None:
+    program_id = values.get(names.PROGRAM.lower())
+    if program_id is None:
+        return None
+    budget = values.get(names.TOKEN_BUDGET.lower())
+    most = values.get(names.TOKEN_COUNT.lower(), "").rpartition(",")[2].strip()
+    try:
+        return ProgramContext(
+            program_id,
+            values.get(names.SESSION.lower(), program_id),
+            int(budget) if budget is not None else None,
+            int(most) if most else 0,
+            values.get(names.PREVIOUS_TURN.lower()) or None,
+        )
+    except ValueError as error:
+        raise InvalidAttemptError("token counts must be whole numbers") from error
+
+
+def _prompt(text: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for piece in text.split(","):
+        part_id, _, tokens = piece.strip().rpartition(":")
+        if part_id and tokens.isdigit():
+            parts.append(PromptPart(part_id, int(tokens)))
+    return tuple(parts)
+
+
+def _affinity(text: str) -> str | None:
+    if names.AFFINITY_COOKIE not in text:
+        return None
+    try:
+        morsel = SimpleCookie(text).get(names.AFFINITY_COOKIE)
+    except CookieError:
+        return None
+    return morsel.value if morsel is not None else None
--- /dev/null
+++ b/yarrowwall/platform/documents.py
@@ -0,0 +1,108 @@
+"""The platform's objects as the relay's types."""
+
+from typing import Any
+
+from yarrowwall.platform import names
+from yarrowwall.relay.model import (
+    CallerLimits,
+    Configuration,
+    EngineTraits,
+    RequestKind,
+    Route,
+    Server,
+    Service,
+    ServiceShare,
+)
+from yarrowwall.relay.object_store import StoredObject
+
+_KINDS = {
+    "idempotent": RequestKind.IDEMPOTENT,
+    "mutating": RequestKind.MUTATING,
+    "streaming": RequestKind.STREAM,
+}
+
+
+class PlatformDocuments:
+    """Reads the platform's objects."""
+
+    servers_kind = names.SERVERS
+    configuration_kind = names.CONFIGURATION
+    retirements_kind = names.RETIREMENTS
+
+    def server(self, item: StoredObject) -> Server:
+        """Return a listed server."""
+        spec = item.spec
+        return Server(
+            item.name,
+            spec["service"],
+            spec["address"],
+            spec.get("zone", ""),
+            int(spec.get("slots") or 1),
+            spec.get("state") == "draining",
+        )
+
+    def configuration(self, item: StoredObject) -> Configuration | None:
+        """Return the operators' configuration; None if the object holds something else."""
+        if item.name != names.NEWEST_CONFIGURATION:
+            return None
+        spec = item.spec
+        return Configuration(
+            int(spec["version"]),
+            tuple(_route(route) for route in spec.get("routes", [])),
+            {service["name"]: _service(service) for service in spec.get("services", [])},
+            _limits(spec.get("limits") or {}),
+        )
+
+    def retirement_status(self, is_complete: bool) -> dict[str, Any]:
+        """Return the status of a storage machine that is emptied."""
+        return {"state": "complete" if is_complete else "running"}
+
+    def is_retired(self, item: StoredObject) -> bool:
+        """Return whether an emptied machine was reported as such."""
+        return item.status.get("state") == "complete"
+
+
+def _route(spec: dict[str, Any]) -> Route:
+    shares = [
+        ServiceShare(part["service"], float(part["weight"])) for part in spec.get("split") or []
+    ]
+    if not shares:
+        shares = [ServiceShare(spec["service"], 1.0)]
+    timeout_ms = float(spec.get("timeout_ms") or 30_000)
+    return Route(
+        name=spec.get("name", ""),
+        host=spec["host"],
+        prefix=spec.get("path_prefix", "/"),
+        kind=_KINDS.get(spec.get("type", ""), RequestKind.MUTATING),
+        shares=tuple(shares),
+        timeout=timeout_ms / 1000.0,
+        objective=float(spec.get("slo_ms") or timeout_ms) / 1000.0,
+        attempts=max(1, int(spec.get("attempts") or 1)),
+        priority=int(spec.get("priority") or 0),
+        is_stateful=bool(spec.get("stateful")),
+        retention=float(spec.get("retain_s") or 0.0),
+        is_sticky=bool(spec.get("sticky")),
+        is_resumable=bool(spec.get("resumable")),
+    )
+
+
+def _service(spec: dict[str, Any]) -> Service:
+    engine = spec.get("engine")
+    traits = None
+    if engine:
+        traits = EngineTraits(
+            int(engine.get("slots") or 1),
+            int(engine.get("kv_capacity") or 0),
+            int(engine.get("chunk_tokens") or 1),
+        )
+    return Service(spec["name"], int(spec.get("max_conns") or 100), traits)
+
+
+def _limits(spec: dict[str, Any]) -> CallerLimits:
+    usual = CallerLimits()
+    return CallerLimits(
+        int(spec.get("max_header_bytes") or usual.header_bytes),
+        int(spec.get("max_body_bytes") or usual.body_bytes),
+        float(spec.get("header_timeout_ms") or usual.header_seconds * 1000) / 1000.0,
+        float(spec.get("idle_timeout_ms") or usual.idle_seconds * 1000) / 1000.0,
+    )
--- /dev/null
+++ b/yarrowwall/platform/servers.py
@@ -0,0 +1,51 @@
+"""What the platform's servers are sent, and what their answers mean."""
+
+from yarrowwall.platform import names
+from yarrowwall.relay.model import Answer, Attempt, ResponseHead, Send
+
+_MISDIRECTED = 421
+_LEAST_PRIORITY = 9
+
+
+class PlatformServers:
+    """Translates between attempts and what servers are sent."""
+
+    def request_bytes(self, attempt: Attempt, send: Send) -> bytes:
+        """Return the bytes of one sending."""
+        lines = [f"{attempt.method} {attempt.target} HTTP/1.1", f"Host: {attempt.host}"]
+        lines += [f"{name}: {value}" for name, value in attempt.headers]
+        lines.append(f"{names.DEADLINE}: {max(1, int(send.remaining * 1000))}")
+        lines.append(f"{names.EXPECT_INSTANCE}: {send.server.server_id}")
+        if attempt.prompt:
+            priority = min(max(send.priority, 0), _LEAST_PRIORITY)
+            lines.append(f"{names.REQUEST_PRIORITY}: {priority}")
+        if send.last_event_id is not None:
+            lines.append(f"{names.LAST_EVENT_ID}: {send.last_event_id}")
+        if send.body or attempt.method in ("POST", "PUT", "PATCH"):
+            lines.append(f"Content-Length: {len(send.body)}")
+        return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + send.body
+
+    def read_answer(self, attempt: Attempt, send: Send, head: ResponseHead) -> Answer:
+        """Return what a response head means."""
+        values = {name.lower(): value for name, value in head.headers}
+        echoed = values.get(names.ATTEMPT_ID.lower())
+        vouched = names.NOT_EXECUTED.lower() in values or head.status == _MISDIRECTED
+        return Answer(
+            status=head.status,
+            headers=list(head.headers),
+            was_not_run=vouched,
+            belongs=echoed is None or echoed == attempt.attempt_id,
+            is_sealed=names.SEAL.lower() in values,
+            keep_alive=_keep_alive(values.get("keep-alive")),
+        )
+
+
+def _keep_alive(text: str | None) -> float | None:
+    """Return the seconds that a server keeps an idle connection, if it told them."""
+    if text is None:
+        return None
+    for piece in text.split(","):
+        name, _, value = piece.strip().partition("=")
+        if name.lower() in ("timeout", "") and value.strip().isdigit():
+            return float(value)
+    return float(text) if text.strip().isdigit() else None
--- /dev/null
+++ b/yarrowwall/platform/store.py
@@ -0,0 +1,159 @@
+"""Calls to the platform's store of objects."""
+
+import json
+from typing import Any
+from urllib.parse import quote
+
+from yarrowwall.relay.connection import ServerConnection
+from yarrowwall.relay.exceptions import RelayError
+from yarrowwall.relay.object_store import (
+    Change,
+    Changes,
+    ConflictError,
+    HistoryForgottenError,
+    Listing,
+    ObjectStoreError,
+    StoredObject,
+)
+
+#: Seconds that a watch waits for a change, and more that its answer may take.
+WATCH_SECONDS = 5.0
+_WATCH_MARGIN = 1.5
+#: Seconds for a connection to come up and for an answer.
+_CONNECT_SECONDS = 1.0
+_ANSWER_SECONDS = 2.0
+
+_JSON = "application/json"
+_NOT_FOUND = 404
+_CONFLICT = 409
+_GONE = 410
+
+
+class PlatformStore:
+    """The store; a connection for calls that answer at once and one for each watch.
+
+    :param address: ``IP:port``.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._idle: dict[str, ServerConnection] = {}
+
+    def list(self, kind: str) -> Listing:
+        """Return all objects of a kind."""
+        items: list[StoredObject] = []
+        revision: int | None = None
+        path = f"/objects/{kind}"
+        query = ""
+        while True:
+            _, document = self._call("GET", path + query, lane="calls")
+            items += [_object(item) for item in document["items"]]
+            # Changes after the first page's revision are delivered by the watch.
+            revision = document["at"] if revision is None else revision
+            if not document.get("more"):
+                return Listing(items, revision)
+            query = "?after=" + quote(items[-1].name, safe="")
+
+    def watch(self, kind: str, revision: int) -> Changes:
+        """Wait for changes after a revision; none if nothing happened for a while."""
+        path = f"/objects/{kind}?watch={revision}&wait_ms={int(WATCH_SECONDS * 1000)}"
+        timeout = WATCH_SECONDS + _WATCH_MARGIN
+        status, document = self._call("GET", path, lane=f"watch {kind}", timeout=timeout)
+        if status == _GONE:
+            raise HistoryForgottenError(f"{kind} since {revision}")
+        changes = [
+            Change(_object(event["object"]), bool(event["gone"])) for event in document["events"]
+        ]
+        return Changes(changes, document["at"])
+
+    def create(self, kind: str, name: str, spec: dict[str, Any]) -> StoredObject:
+        """Make an object."""
+        body = {"meta": {"name": name}, "spec": spec}
+        _, document = self._call("POST", f"/objects/{kind}", body)
+        return _object(document)
+
+    def replace(
+        self, kind: str, name: str, spec: dict[str, Any], revision: int | None
+    ) -> StoredObject:
+        """Replace an object's content if it still has a revision."""
+        meta: dict[str, Any] = {"name": name}
+        if revision is not None:
+            meta["revision"] = revision
+        path = f"/objects/{kind}/{quote(name, safe='')}"
+        _, document = self._call("PUT", path, {"meta": meta, "spec": spec})
+        return _object(document)
+
+    def set_status(self, kind: str, name: str, status: dict[str, Any]) -> None:
+        """Replace an object's status."""
+        path = f"/objects/{kind}/{quote(name, safe='')}/status"
+        self._call("PUT", path, {"meta": {"name": name}, "status": status})
+
+    def delete(self, kind: str, name: str) -> None:
+        """Remove an object; nothing happens if there is none."""
+        self._call("DELETE", f"/objects/{kind}/{quote(name, safe='')}", accept_missing=True)
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None = None,
+        lane: str = "calls",
+        timeout: float = _ANSWER_SECONDS,
+        accept_missing: bool = False,
+    ) -> tuple[int, dict[str, Any]]:
+        connection = self._idle.pop(lane, None)
+        try:
+            if connection is None or not connection.is_quiet():
+                connection = ServerConnection(self._address, _CONNECT_SECONDS)
+            connection.send(self._request(method, path, body), timeout)
+            head = connection.read_head(timeout)
+            data = connection.read_all(timeout)
+            connection.finish()
+        except RelayError as error:
+            if connection is not None:
+                connection.close()
+            raise ObjectStoreError(f"{method} {path}: {error}") from error
+        except BaseException:
+            if connection is not None:
+                connection.close()
+            raise
+        if connection.is_reusable and lane not in self._idle:
+            self._idle[lane] = connection
+        else:
+            connection.close()
+        return head.status, _document(method, path, head.status, data, accept_missing)
+
+    def _request(self, method: str, path: str, body: dict[str, Any] | None) -> bytes:
+        data = b"" if body is None else json.dumps(body).encode()
+        lines = [f"{method} {path} HTTP/1.1", f"Host: {self._address}"]
+        if data:
+            lines += [f"Content-Type: {_JSON}", f"Content-Length: {len(data)}"]
+        return ("\r\n".join(lines) + "\r\n\r\n").encode() + data
+
+
+def _document(
+    method: str, path: str, status: int, data: bytes, accept_missing: bool
+) -> dict[str, Any]:
+    if status == _GONE or (status == _NOT_FOUND and accept_missing):
+        return {}
+    if status == _CONFLICT:
+        raise ConflictError(f"{method} {path}")
+    if not 200 <= status < 300:
+        raise ObjectStoreError(f"{method} {path}: status {status}")
+    try:
+        document = json.loads(data) if data else {}
+    except ValueError as error:
+        raise ObjectStoreError(f"{method} {path}: no JSON") from error
+    if not isinstance(document, dict):
+        raise ObjectStoreError(f"{method} {path}: not an object")
+    return document
+
+
+def _object(document: dict[str, Any]) -> StoredObject:
+    meta = document.get("meta") or {}
+    return StoredObject(
+        meta.get("name", ""),
+        meta.get("revision", 0),
+        document.get("spec") or {},
+        document.get("status") or {},
+    )
--- /dev/null
+++ b/yarrowwall/relay/connection.py
@@ -0,0 +1,228 @@
+"""Connections to servers: one request at a time, strict about where an answer ends.
+
+``urllib3`` and ``http.client`` hide bytes that follow a whole answer, and with
+them the sign that a connection is spoiled; so responses are read here with
+``httptools`` (llhttp) on green sockets.
+"""
+
+import socket
+from collections import deque
+
+import httptools
+from eventlet.green import socket as green_socket
+
+from yarrowwall.relay.exceptions import (
+    AnswerTimeoutError,
+    ConnectError,
+    ConnectionBrokenError,
+    MalformedAnswerError,
+)
+from yarrowwall.relay.model import Header, ResponseHead
+
+_READ_BYTES = 64 * 1024
+#: Milliseconds that sent bytes may stay unacknowledged; a silent peer never resets.
+_USER_TIMEOUT_MS = 2500
+#: Seconds of silence before and between the probes that find a dark peer, and their count.
+_PROBE_SECONDS = 1
+_PROBE_COUNT = 2
+
+
+class _Response:
+    """One response as far as it has arrived."""
+
+    def __init__(self) -> None:
+        self.headers: list[Header] = []
+        self.head: ResponseHead | None = None
+        self.chunks: deque[bytes] = deque()
+        self.is_complete = False
+
+
+class _ResponseReader:
+    """Callbacks of the parser; a connection may carry more responses than were asked for."""
+
+    def __init__(self) -> None:
+        self.responses: deque[_Response] = deque()
+        self.is_spoiled = False
+        self._parser = httptools.HttpResponseParser(self)
+
+    def feed(self, data: bytes) -> None:
+        """Take in bytes; whatever is no HTTP spoils the connection."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.is_spoiled = True
+
+    def on_message_begin(self) -> None:
+        self.responses.append(_Response())
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        header = (name.decode("latin-1"), value.decode("latin-1"))
+        self.responses[-1].headers.append(header)
+
+    def on_headers_complete(self) -> None:
+        response = self.responses[-1]
+        status = self._parser.get_status_code()
+        response.head = ResponseHead(status, tuple(response.headers))
+
+    def on_body(self, body: bytes) -> None:
+        self.responses[-1].chunks.append(body)
+
+    def on_message_complete(self) -> None:
+        self.responses[-1].is_complete = True
+
+
+def open_socket(address: str, timeout: float) -> socket.socket:
+    """Return a connected socket that sends at once and finds dark peers.
+
+    :param address: ``IP:port``.
+    :param timeout: seconds for the connection to come up.
+    :raises ConnectError: if it does not.
+    """
+    host, _, port = address.rpartition(":")
+    connection = green_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        for option, value in (
+            (socket.TCP_NODELAY, 1),
+            (socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
+            (socket.TCP_KEEPIDLE, _PROBE_SECONDS),
+            (socket.TCP_KEEPINTVL, _PROBE_SECONDS),
+            (socket.TCP_KEEPCNT, _PROBE_COUNT),
+        ):
+            connection.setsockopt(socket.IPPROTO_TCP, option, value)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        connection.settimeout(timeout)
+        connection.connect((host, int(port)))
+    except (OSError, ValueError) as error:
+        connection.close()
+        raise ConnectError(f"{address}: {error}") from error
+    return connection
+
+
+class ServerConnection:
+    """A connection to one server.
+
+    :param address: ``IP:port``.
+    :param timeout: seconds for the connection to come up.
+    :raises ConnectError: if it does not.
+    """
+
+    def __init__(self, address: str, timeout: float) -> None:
+        self.idle_since = 0.0
+        self.keep_alive: float | None = None
+        self.uses = 0
+        self._reader = _ResponseReader()
+        self._is_unframed = False
+        self._must_close = False
+        self._socket = open_socket(address, timeout)
+
+    def is_quiet(self) -> bool:
+        """Return whether neither bytes nor an end have arrived since the last answer."""
+        self._socket.settimeout(0.0)
+        try:
+            self._socket.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, TimeoutError):
+            return True
+        except OSError:
+            return False
+        return False
+
+    def send(self, data: bytes, timeout: float) -> None:
+        """Send a request.
+
+        :raises ConnectionBrokenError: if the connection fails; the request may have run.
+        """
+        self.uses += 1
+        self._is_unframed = False
+        try:
+            self._socket.settimeout(max(timeout, 0.001))
+            self._socket.sendall(data)
+        except OSError as error:
+            # A server may answer before it has read the whole request.
+            if self.is_quiet():
+                raise ConnectionBrokenError(f"while sending: {error}") from error
+            self._must_close = True
+
+    def read_head(self, timeout: float) -> ResponseHead:
+        """Return the head of the next response.
+
+        :raises AnswerTimeoutError: if it does not come in time.
+        :raises ConnectionBrokenError: if the connection ends first.
+        :raises MalformedAnswerError: if the bytes are no response.
+        """
+        responses = self._reader.responses
+        while not responses or responses[0].head is None:
+            if not self._receive(timeout):
+                raise ConnectionBrokenError("closed before the answer")
+        head = responses[0].head
+        names = {name.lower(): value for name, value in head.headers}
+        framed = "content-length" in names or "transfer-encoding" in names
+        self._is_unframed = not framed and not responses[0].is_complete
+        if "close" in names.get("connection", "").lower() or not framed:
+            self._must_close = True
+        return head
+
+    def read_some(self, timeout: float) -> bytes:
+        """Return the next bytes of the body; empty at its end.
+
+        :raises AnswerTimeoutError: if none come in time.
+        :raises ConnectionBrokenError: if the connection ends before the body does.
+        :raises MalformedAnswerError: if the framing is broken.
+        """
+        response = self._reader.responses[0]
+        while not response.chunks:
+            if response.is_complete:
+                return b""
+            if not self._receive(timeout):
+                if not self._is_unframed:
+                    raise ConnectionBrokenError("closed within the answer")
+                response.is_complete = True
+        data = b"".join(response.chunks)
+        response.chunks.clear()
+        return data
+
+    def read_all(self, timeout: float) -> bytes:
+        """Return the rest of the body.
+
+        :raises AnswerTimeoutError: if some of it does not come in time.
+        :raises ConnectionBrokenError: if the connection ends before the body does.
+        :raises MalformedAnswerError: if the framing is broken.
+        """
+        parts = []
+        while data := self.read_some(timeout):
+            parts.append(data)
+        return b"".join(parts)
+
+    def finish(self) -> None:
+        """Leave a response that was read to its end."""
+        self._reader.responses.popleft()
+
+    def _receive(self, timeout: float) -> bool:
+        """Take in what arrives next; return False at the end of the connection."""
+        if self._reader.is_spoiled:
+            raise MalformedAnswerError("bytes that are no answer")
+        try:
+            self._socket.settimeout(max(timeout, 0.001))
+            data = self._socket.recv(_READ_BYTES)
+        except TimeoutError as error:
+            raise AnswerTimeoutError("no answer in time") from error
+        except OSError as error:
+            raise ConnectionBrokenError(str(error)) from error
+        if data:
+            self._reader.feed(data)
+        return bool(data)
+
+    @property
+    def is_unframed(self) -> bool:
+        """Return whether the answer ends with its connection."""
+        return self._is_unframed
+
+    @property
+    def is_reusable(self) -> bool:
+        """Return whether every response was left, nothing follows and the server goes on."""
+        reader = self._reader
+        is_clean = not reader.responses and not reader.is_spoiled and not self._must_close
+        return is_clean and self.is_quiet()
+
+    def close(self) -> None:
+        """Close the connection; the server takes that as a cancellation."""
+        self._socket.close()
--- /dev/null
+++ b/yarrowwall/relay/decisions.py
@@ -0,0 +1,231 @@
+"""Decision events of the direct path, one log line each.
+
+Every event names what was decided and the inputs that decided it. Lines go to
+standard output; above a rate, lines of one kind are left out and counted.
+"""
+
+import json
+import sys
+import time
+from collections import Counter
+from dataclasses import dataclass, fields
+from typing import Any, TextIO
+
+#: Lines of one kind written in a second before lines are left out.
+LINES_PER_SECOND = 200
+
+
+@dataclass(frozen=True)
+class Decision:
+    """Base of the events; ``kind`` is the class's name."""
+
+
+@dataclass(frozen=True)
+class AttemptAdmitted(Decision):
+    """A caller's attempt was read and has a route."""
+
+    attempt: str
+    program: str | None
+    route: str
+    configuration: int
+    remaining: float
+
+
+@dataclass(frozen=True)
+class AttemptSent(Decision):
+    """An attempt was sent to a server."""
+
+    attempt: str
+    server: str
+    service: str
+    cost: float
+    cached_tokens: int
+    candidates: int
+    number: int
+    resumed_after: str | None
+
+
+@dataclass(frozen=True)
+class SendFailed(Decision):
+    """A sending brought no answer that can be passed on."""
+
+    attempt: str
+    server: str
+    reason: str
+    may_have_run: bool
+
+
+@dataclass(frozen=True)
+class AttemptAnswered(Decision):
+    """A caller got a server's answer, whole."""
+
+    attempt: str
+    status: int
+    server: str
+    seconds: float
+    events: int
+
+
+@dataclass(frozen=True)
+class AttemptRefused(Decision):
+    """A caller got an answer of the gateway's own."""
+
+    attempt: str
+    status: int
+    reason: str
+    seconds: float
+
+
+@dataclass(frozen=True)
+class AnswerBrokenOff(Decision):
+    """An answer was cut because it can not be completed."""
+
+    attempt: str
+    reason: str
+    events: int
+
+
+@dataclass(frozen=True)
+class CallerLeft(Decision):
+    """A caller closed its connection; its request was cancelled."""
+
+    attempt: str
+    seconds: float
+
+
+@dataclass(frozen=True)
+class BudgetDecided(Decision):
+    """Tokens were reserved for a turn, or not."""
+
+    attempt: str
+    program: str
+    budget: int
+    used: int
+    wanted: int
+    granted: bool
+
+
+@dataclass(frozen=True)
+class BudgetSettled(Decision):
+    """A turn's reservation was replaced by what it emitted."""
+
+    attempt: str
+    program: str
+    tokens: int
+
+
+@dataclass(frozen=True)
+class ChainLookedUp(Decision):
+    """The earlier turns of a conversation were looked for."""
+
+    attempt: str
+    previous: str
+    outcome: str
+    turns: int
+
+
+@dataclass(frozen=True)
+class ConfigurationInForce(Decision):
+    """A newer configuration took effect."""
+
+    version: int
+    routes: int
+    services: int
+
+
+@dataclass(frozen=True)
+class ServerChanged(Decision):
+    """A server was listed, is leaving or is gone."""
+
+    server: str
+    service: str
+    change: str
+
+
+@dataclass(frozen=True)
+class DependencyChanged(Decision):
+    """A dependency was lost or is back."""
+
+    dependency: str
+    is_up: bool
+    reason: str
+
+
+@dataclass(frozen=True)
+class GroupChanged(Decision):
+    """A replica group took a new epoch."""
+
+    group: int
+    epoch: int
+    members: str
+    joining: str
+
+
+@dataclass(frozen=True)
+class ReplicaSynchronised(Decision):
+    """A replica holds all that its group had completed."""
+
+    group: int
+    epoch: int
+    copied: int
+
+
+@dataclass(frozen=True)
+class ProcessChanged(Decision):
+    """The process started, stops, reloaded or stopped."""
+
+    change: str
+    detail: str
+
+
+class DecisionLog:
+    """Writes decisions as JSON lines.
+
+    A write that would block is dropped and counted.
+
+    :param node: put into every line.
+    :param stream: where the lines go.
+    """
+
+    def __init__(self, node: str, stream: TextIO | None = None) -> None:
+        self._node = node
+        self._stream = stream if stream is not None else sys.stdout
+        self._second = 0
+        self._written: Counter[str] = Counter()
+        self._left_out: Counter[str] = Counter()
+        self.dropped = 0
+
+    def write(self, decision: Decision) -> None:
+        """Write one line, unless its kind is above its rate."""
+        kind = type(decision).__name__
+        now = time.time()
+        if int(now) != self._second:
+            self._begin_second(int(now))
+        self._written[kind] += 1
+        if self._written[kind] > LINES_PER_SECOND:
+            self._left_out[kind] += 1
+            return
+        self._write_line(now, kind, _fields(decision))
+
+    def _begin_second(self, second: int) -> None:
+        self._second = second
+        self._written.clear()
+        for kind, count in self._left_out.items():
+            self._write_line(time.time(), "LinesLeftOut", {"of": kind, "count": count})
+        self._left_out.clear()
+
+    def _write_line(self, now: float, kind: str, values: dict[str, Any]) -> None:
+        line = {"time": round(now, 4), "node": self._node, "kind": kind, **values}
+        try:
+            self._stream.write(json.dumps(line, default=str) + "\n")
+            self._stream.flush()
+        except (BlockingIOError, OSError, ValueError):
+            self.dropped += 1
+
+
+def _fields(decision: Decision) -> dict[str, Any]:
+    values = {field.name: getattr(decision, field.name) for field in fields(decision)}
+    return {
+        name: round(value, 5) if isinstance(value, float) else value
+        for name, value in values.items()
+    }
--- /dev/null
+++ b/yarrowwall/relay/events.py
@@ -0,0 +1,51 @@
+"""Splitting of an event stream into whole events."""
+
+import re
+from dataclasses import dataclass
+
+_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
+_DATA = re.compile(rb"^data:[ ]?([^\r\n]*)", re.MULTILINE)
+_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+
+
+@dataclass(frozen=True)
+class Event:
+    """One whole event as it came.
+
+    :param raw: its bytes with the empty line behind.
+    :param event_id: its id; None if it has none.
+    """
+
+    raw: bytes
+    event_id: str | None
+
+    @property
+    def data(self) -> bytes:
+        """Return the event's data, its lines joined by line feeds."""
+        return b"\n".join(_DATA.findall(self.raw))
+
+
+class EventSplitter:
+    """Collects bytes and returns the events that have become whole."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    @property
+    def rest(self) -> bytes:
+        """Return the bytes of an event that is not whole yet."""
+        return self._rest
+
+    def feed(self, data: bytes) -> list[Event]:
+        """Take in bytes and return the events that end in them."""
+        buffer = self._rest + data
+        events = []
+        start = 0
+        for end in _END.finditer(buffer):
+            raw = buffer[start : end.end()]
+            start = end.end()
+            found = _ID.search(raw)
+            event_id = found.group(1).decode("latin-1") if found else None
+            events.append(Event(raw, event_id))
+        self._rest = buffer[start:]
+        return events
--- /dev/null
+++ b/yarrowwall/relay/exceptions.py
@@ -0,0 +1,46 @@
+"""Errors of the relay layer."""
+
+from yarrowwall.exceptions import YarrowwallError
+
+
+class RelayError(YarrowwallError):
+    """Base of the errors of this layer."""
+
+
+class ConnectError(RelayError):
+    """No connection to a server came about; nothing was sent."""
+
+
+class ConnectionBrokenError(RelayError):
+    """A connection ended or failed before the answer was whole; the request may have run."""
+
+
+class AnswerTimeoutError(RelayError):
+    """The answer did not come in time; the request may have run."""
+
+
+class MalformedAnswerError(RelayError):
+    """A server sent bytes that are no answer to this request; the request may have run."""
+
+
+class InvalidAttemptError(RelayError):
+    """A caller's request is malformed.
+
+    :param status: the HTTP status to answer with.
+    """
+
+    def __init__(self, message: str, status: int = 400) -> None:
+        super().__init__(message)
+        self.status = status
+
+
+class CallerGoneError(RelayError):
+    """The caller closed its connection; its attempt is to be cancelled."""
+
+
+class TurnUnknownError(RelayError):
+    """A quorum of replicas does not know the turn that a request goes on from."""
+
+
+class StoreUncertainError(RelayError):
+    """Too few replicas answered; whether a record exists cannot be told."""
--- /dev/null
+++ b/yarrowwall/relay/gateway.py
@@ -0,0 +1,267 @@
+"""The WSGI application that answers callers."""
+
+from collections.abc import Callable, Iterable, Iterator
+from http import HTTPStatus
+from typing import Any
+
+from yarrowwall.relay import decisions
+from yarrowwall.relay.caller_watch import CallerWatch
+from yarrowwall.relay.exceptions import (
+    CallerGoneError,
+    InvalidAttemptError,
+    StoreUncertainError,
+    TurnUnknownError,
+)
+from yarrowwall.relay.http_server import ServerLimits, close_after_answer
+from yarrowwall.relay.model import Answer, Attempt, Configuration, Refusal, RequestKind, Route
+from yarrowwall.relay.offer import RETRY_AFTER_SECONDS, Offer, RefusedError, RelayParts
+from yarrowwall.relay.ports import CallerProtocol
+from yarrowwall.relay.programs import BudgetExhaustedError, ProgramLedger, TurnGrant
+from yarrowwall.relay.routing import RouteTable
+from yarrowwall.relay.streams import StreamBrokenError, StreamRelay
+from yarrowwall.relay.whole import relay_whole
+
+Environ = dict[str, Any]
+StartResponse = Callable[..., Any]
+
+_BAD_REQUEST = 400
+_BUDGET_SPENT = 402
+_NOT_FOUND = 404
+_TOO_LARGE = 413
+_UNAVAILABLE = 503
+_TEXT = ("Content-Type", "text/plain")
+
+
+class AnswerCutError(Exception):
+    """Raised through the WSGI server so that it closes the connection without an end."""
+
+
+class Gateway:
+    """Answers callers' attempts from the servers.
+
+    :param programs: budgets and turns of programs.
+    """
+
+    def __init__(
+        self,
+        parts: RelayParts,
+        callers: CallerProtocol,
+        programs: ProgramLedger,
+        limits: ServerLimits,
+    ) -> None:
+        self._parts = parts
+        self._callers = callers
+        self._programs = programs
+        self._limits = limits
+        self.table: RouteTable | None = None
+        self.is_stopping = False
+        self.running = 0
+
+    def put_in_force(self, configuration: Configuration) -> bool:
+        """Take a configuration unless it is older than the one in force."""
+        if self.table is not None and configuration.version <= self.table.configuration.version:
+            return False
+        self.table = RouteTable(configuration)
+        self._limits.current = configuration.limits
+        self._parts.decisions.write(
+            decisions.ConfigurationInForce(
+                configuration.version, len(configuration.routes), len(configuration.services)
+            )
+        )
+        return True
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        """Answer one request."""
+        return _Exchange(self, environ, start_response).run()
+
+    def match(self, attempt: Attempt) -> Route:
+        """Return an attempt's route.
+
+        :raises RefusedError: if there is none or no configuration is known.
+        """
+        if self.table is None:
+            raise RefusedError(
+                Refusal(_UNAVAILABLE, "no configuration is known", RETRY_AFTER_SECONDS)
+            )
+        route = self.table.match(attempt.host, attempt.path)
+        if route is None:
+            raise RefusedError(Refusal(_NOT_FOUND, "no route"))
+        return route
+
+
+class _Exchange:
+    """One request of a caller and its answer."""
+
+    def __init__(self, gateway: Gateway, environ: Environ, start_response: StartResponse) -> None:
+        self._gateway = gateway
+        self._parts = gateway._parts
+        self._environ = environ
+        self._start_response = start_response
+        self._attempt_id = ""
+        self._arrived_at = self._parts.now()
+
+    def run(self) -> Iterator[bytes]:
+        """Return the body of the answer; cancels whatever runs if it is closed early."""
+        self._gateway.running += 1
+        watch = CallerWatch(self._environ["eventlet.input"].get_socket())
+        try:
+            yield from self._answer(watch)
+        except CallerGoneError:
+            seconds = self._parts.now() - self._arrived_at
+            self._parts.decisions.write(decisions.CallerLeft(self._attempt_id, seconds))
+            raise AnswerCutError from None
+        finally:
+            watch.stop()
+            self._gateway.running -= 1
+
+    def _answer(self, watch: CallerWatch) -> Iterator[bytes]:
+        try:
+            attempt = self._gateway._callers.read_attempt(self._environ, self._arrived_at)
+            self._attempt_id = attempt.attempt_id
+            route = self._gateway.match(attempt)
+            attempt.body = self._read_body()
+        except InvalidAttemptError as error:
+            yield self._refuse(Refusal(error.status, str(error)))
+            return
+        except RefusedError as error:
+            yield self._refuse(error.refusal)
+            return
+        watch.start()
+        end = min(attempt.deadline, attempt.arrived_at + route.timeout)
+        self._note_admitted(attempt, route, end)
+        try:
+            if route.kind is RequestKind.STREAM:
+                yield from self._stream(attempt, route, end)
+            else:
+                yield self._whole(attempt, route, end)
+        except RefusedError as error:
+            yield self._refuse(error.refusal)
+
+    def _note_admitted(self, attempt: Attempt, route: Route, end: float) -> None:
+        table = self._gateway.table
+        self._parts.decisions.write(
+            decisions.AttemptAdmitted(
+                attempt.attempt_id,
+                attempt.program.program_id if attempt.program else None,
+                route.name,
+                table.configuration.version if table is not None else 0,
+                end - attempt.arrived_at,
+            )
+        )
+
+    def _read_body(self) -> bytes:
+        limit = self._gateway._limits.current.body_bytes
+        length = self._environ.get("CONTENT_LENGTH")
+        if length is not None and int(length) > limit:
+            raise InvalidAttemptError(f"the body exceeds {limit} bytes", _TOO_LARGE)
+        try:
+            body = self._environ["wsgi.input"].read(None if length is not None else limit + 1)
+        except (OSError, ValueError) as error:
+            raise CallerGoneError("the body did not arrive") from error
+        if length is not None and len(body) < int(length):
+            raise CallerGoneError("the body ended early")
+        if len(body) > limit:
+            raise InvalidAttemptError(f"the body exceeds {limit} bytes", _TOO_LARGE)
+        return body
+
+    def _offer(self, attempt: Attempt, route: Route, end: float, body: bytes) -> Offer:
+        table = self._gateway.table
+        service = table.choose_service(route) if table is not None else ""
+        return Offer(self._parts, attempt, route, service, end, body)
+
+    # Whole answers
+
+    def _whole(self, attempt: Attempt, route: Route, end: float) -> bytes:
+        offer = self._offer(attempt, route, end, attempt.body)
+        answer, body = relay_whole(self._parts, attempt, route, offer)
+        return self._pass_on(answer, body, offer)
+
+    def _pass_on(self, answer: Answer, body: bytes, offer: Offer) -> bytes:
+        headers = self._gateway._callers.answer_headers(answer)
+        self._start(answer.status, [*headers, ("Content-Length", str(len(body)))])
+        self._note_answered(answer.status, offer.log.tried[-1], 0)
+        return body
+
+    def _note_answered(self, status: int, server: str, events: int) -> None:
+        seconds = self._parts.now() - self._arrived_at
+        self._parts.decisions.write(
+            decisions.AttemptAnswered(self._attempt_id, status, server, seconds, events)
+        )
+
+    # Streams
+
+    def _stream(self, attempt: Attempt, route: Route, end: float) -> Iterator[bytes]:
+        grant = self._open_turn(attempt, route, end)
+        offer = self._offer(attempt, route, end, grant.body)
+        relay = StreamRelay(self._parts, attempt, route, offer)
+        try:
+            opened = relay.open()
+            if opened.answer.status != HTTPStatus.OK:
+                yield self._pass_on_failure(opened.answer, offer)
+                return
+            for events in relay.events():
+                if len(events) == len(relay.passed):
+                    self._start(HTTPStatus.OK, self._stream_headers(opened.answer))
+                yield b"".join(event.raw for event in events)
+            grant.complete(relay.passed)
+            relay.finish()
+            self._note_answered(HTTPStatus.OK, offer.log.tried[-1], len(relay.passed))
+        except (StreamBrokenError, StoreUncertainError) as error:
+            self._parts.decisions.write(
+                decisions.AnswerBrokenOff(attempt.attempt_id, str(error), len(relay.passed))
+            )
+            raise AnswerCutError from None
+        finally:
+            relay.cancel()
+            grant.close(relay.passed, offer.log.may_have_run)
+
+    def _stream_headers(self, answer: Answer) -> list[tuple[str, str]]:
+        return self._gateway._callers.answer_headers(answer)
+
+    def _pass_on_failure(self, answer: Answer, offer: Offer) -> bytes:
+        opened = offer.current
+        body = opened.connection.read_all(offer.remaining()) if opened is not None else b""
+        offer.release()
+        return self._pass_on(answer, body, offer)
+
+    def _open_turn(self, attempt: Attempt, route: Route, end: float) -> TurnGrant:
+        table = self._gateway.table
+        services = table.configuration.services if table is not None else {}
+        service = services.get(route.shares[0].service) if route.shares else None
+        engine = service.engine if service is not None else None
+        tokens_per_event = engine.tokens_per_event if engine is not None else 1
+        try:
+            return self._gateway._programs.open_turn(attempt, route, tokens_per_event, end)
+        except BudgetExhaustedError as error:
+            raise RefusedError(Refusal(_BUDGET_SPENT, str(error))) from error
+        except TurnUnknownError as error:
+            raise RefusedError(Refusal(_NOT_FOUND, str(error))) from error
+        except StoreUncertainError as error:
+            refusal = Refusal(_UNAVAILABLE, str(error), RETRY_AFTER_SECONDS)
+            raise RefusedError(refusal) from error
+
+    # Responses
+
+    def _start(self, status: int, headers: list[tuple[str, str]]) -> None:
+        if self._gateway.is_stopping:
+            close_after_answer(self._environ)
+        self._start_response(f"{status} {_reason(status)}", headers)
+
+    def _refuse(self, refusal: Refusal) -> bytes:
+        seconds = self._parts.now() - self._arrived_at
+        self._parts.decisions.write(
+            decisions.AttemptRefused(self._attempt_id, refusal.status, refusal.reason, seconds)
+        )
+        body = (refusal.reason + "\n").encode()
+        headers = self._gateway._callers.refusal_headers(self._attempt_id, refusal)
+        if refusal.status in (_BAD_REQUEST, _TOO_LARGE):
+            close_after_answer(self._environ)
+        self._start(refusal.status, [*headers, _TEXT, ("Content-Length", str(len(body)))])
+        return body
+
+
+def _reason(status: int) -> str:
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return "Unknown"
--- /dev/null
+++ b/yarrowwall/relay/gateway_service.py
@@ -0,0 +1,166 @@
+"""The gateway of a machine: listeners, followers of the platform's store, stop."""
+
+import socket
+import time
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING, Any
+
+import eventlet
+import eventlet.wsgi
+
+from yarrowwall.relay import decisions
+from yarrowwall.relay.decisions import DecisionLog
+from yarrowwall.relay.gateway import Gateway
+from yarrowwall.relay.http_server import ServerLimits, serve
+from yarrowwall.relay.model import Configuration, Server
+from yarrowwall.relay.object_store import Change, StoredObject
+from yarrowwall.relay.offer import RelayParts
+from yarrowwall.relay.pool import ConnectionPool
+from yarrowwall.relay.programs import NoLedger
+from yarrowwall.relay.servers import ServerDirectory
+from yarrowwall.relay.settings import GatewaySettings, MachineSettings
+from yarrowwall.relay.watching import KindFollower
+from yarrowwall.runtime.peers import split_address
+
+if TYPE_CHECKING:
+    from yarrowwall.relay.service import Adapter
+
+#: Seconds between rounds of housekeeping.
+HOUSEKEEPING_SECONDS = 0.5
+#: Seconds after a stop was asked for in which new connections may still come.
+LEAST_STOP_SECONDS = 3.2
+#: Seconds kept free at the end of the time that a stop may take.
+STOP_MARGIN_SECONDS = 0.7
+
+
+def listen(address: str) -> socket.socket:
+    """Return a listening socket."""
+    return eventlet.listen(split_address(address), backlog=512)
+
+
+class GatewayService:
+    """Runs a gateway."""
+
+    def __init__(
+        self,
+        settings: MachineSettings,
+        own: GatewaySettings,
+        adapter: "Adapter",
+        log: DecisionLog,
+    ) -> None:
+        self._settings = settings
+        self._own = own
+        self._adapter = adapter
+        self._log = log
+        self._directory = ServerDirectory(settings.zone)
+        self._pool = ConnectionPool(time.monotonic)
+        self._directory.on_removed = self._pool.forget
+        self._limits = ServerLimits()
+        parts = RelayParts(self._directory, self._pool, adapter.servers, log, time.monotonic)
+        self.gateway = Gateway(parts, adapter.callers, NoLedger(), self._limits)
+        self._followers = [
+            KindFollower(
+                adapter.store,
+                adapter.documents.configuration_kind,
+                self._configurations_listed,
+                lambda change: self._configuration_changed(change.item, change.is_gone),
+                log,
+            ),
+            KindFollower(
+                adapter.store,
+                adapter.documents.servers_kind,
+                self._servers_listed,
+                self._server_changed,
+                log,
+            ),
+        ]
+
+    def start(self) -> None:
+        """Begin to follow the store and to listen."""
+        for follower in self._followers:
+            follower.start()
+        eventlet.spawn_n(serve, listen(self._own.http_address), self.gateway, self._limits)
+        eventlet.spawn_n(
+            eventlet.wsgi.server,
+            listen(self._own.readiness_address),
+            self._answer_readiness,
+            log_output=False,
+        )
+        eventlet.spawn_n(self._keep_house)
+
+    def stop(self) -> None:
+        """Take no new connections, finish what runs, return."""
+        begun = time.monotonic()
+        self.gateway.is_stopping = True
+        last = begun + self._settings.bounds.stop - STOP_MARGIN_SECONDS
+        while time.monotonic() < last:
+            if time.monotonic() > begun + LEAST_STOP_SECONDS and not self.gateway.running:
+                return
+            eventlet.sleep(0.05)
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether new connections are welcome."""
+        has_listed = all(follower.has_listed for follower in self._followers)
+        return self.gateway.table is not None and has_listed and not self.gateway.is_stopping
+
+    def _answer_readiness(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        is_known = environ["PATH_INFO"] == self._adapter.readiness_path
+        status = "404 Not Found"
+        if is_known:
+            status = "200 OK" if self.is_ready else "503 Service Unavailable"
+        start_response(status, [("Content-Length", "0")])
+        return [b""]
+
+    def _keep_house(self) -> None:
+        while True:
+            eventlet.sleep(HOUSEKEEPING_SECONDS)
+            self._directory.forget_vanished(time.monotonic())
+            self._pool.close_expired()
+
+    # What the store tells
+
+    def _configurations_listed(self, items: list[StoredObject]) -> None:
+        for item in items:
+            self._configuration_changed(item, is_gone=False)
+
+    def _configuration_changed(self, item: StoredObject, is_gone: bool) -> None:
+        if is_gone:
+            return
+        try:
+            configuration = self._adapter.documents.configuration(item)
+        except (KeyError, TypeError, ValueError) as error:
+            self._log.write(decisions.DependencyChanged("configuration", False, repr(error)))
+            return
+        if configuration is not None:
+            self._put_in_force(configuration)
+
+    def _put_in_force(self, configuration: Configuration) -> None:
+        self.gateway.put_in_force(configuration)
+
+    def _servers_listed(self, items: list[StoredObject]) -> None:
+        servers = [server for item in items if (server := self._server(item)) is not None]
+        self._directory.replace_all(servers, self._services(), time.monotonic())
+
+    def _server_changed(self, change: Change) -> None:
+        if change.is_gone:
+            self._directory.remove(change.item.name, time.monotonic())
+            self._log.write(decisions.ServerChanged(change.item.name, "", "gone"))
+            return
+        server = self._server(change.item)
+        if server is not None:
+            self._directory.put(server, self._services(), time.monotonic())
+            state = "draining" if server.is_draining else "listed"
+            self._log.write(decisions.ServerChanged(server.server_id, server.service, state))
+
+    def _server(self, item: StoredObject) -> Server | None:
+        try:
+            return self._adapter.documents.server(item)
+        except (KeyError, TypeError, ValueError):
+            return None
+
+    def _services(self) -> dict[str, Any]:
+        table = self.gateway.table
+        return table.configuration.services if table is not None else {}
--- /dev/null
+++ b/yarrowwall/relay/model.py
@@ -0,0 +1,227 @@
+"""Types of the direct path: configuration, servers, attempts and answers.
+
+Times are seconds of the monotonic clock, durations are seconds.
+"""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+#: Header name and value, as they travel.
+Header = tuple[str, str]
+
+
+class RequestKind(StrEnum):
+    """What may be repeated about a request."""
+
+    IDEMPOTENT = "idempotent"
+    MUTATING = "mutating"
+    STREAM = "stream"
+
+
+@dataclass(frozen=True)
+class ServiceShare:
+    """One part of a route's traffic and the service that gets it."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True)
+class Route:
+    """Where requests of a host and path prefix go, and under which bounds.
+
+    :param timeout: the longest a request may be held, in seconds.
+    :param objective: seconds within which an answer (or a stream's first event) is wanted.
+    :param attempts: the most servers that one attempt of a caller may be sent to.
+    :param priority: rank, 0 is the most urgent.
+    :param retention: seconds that turns and budgets of a program are kept.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RequestKind
+    shares: tuple[ServiceShare, ...]
+    timeout: float
+    objective: float
+    attempts: int
+    priority: int
+    is_stateful: bool
+    retention: float
+    is_sticky: bool
+    is_resumable: bool
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Return whether a request may run more than once."""
+        return self.kind is RequestKind.IDEMPOTENT or (
+            self.kind is RequestKind.STREAM and self.is_resumable
+        )
+
+
+@dataclass(frozen=True)
+class EngineTraits:
+    """What is known of the model engines of a service.
+
+    :param cache_tokens: tokens that an engine's memory holds.
+    :param tokens_per_event: tokens that one event of a stream counts for.
+    """
+
+    slots: int
+    cache_tokens: int
+    tokens_per_event: int
+
+
+@dataclass(frozen=True)
+class Service:
+    """A set of interchangeable servers."""
+
+    name: str
+    most_connections: int
+    engine: EngineTraits | None
+
+
+@dataclass(frozen=True)
+class CallerLimits:
+    """Bounds on what callers may send."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 4 * 1024 * 1024
+    header_seconds: float = 3.0
+    idle_seconds: float = 15.0
+
+
+@dataclass(frozen=True)
+class Configuration:
+    """One version of the operators' configuration, whole."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, Service]
+    limits: CallerLimits
+
+
+@dataclass(frozen=True)
+class Server:
+    """A server as the platform lists it; each start has an id of its own."""
+
+    server_id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    is_draining: bool
+
+
+@dataclass(frozen=True)
+class PromptPart:
+    """One part of a prompt; equal ids mean equal tokens."""
+
+    part_id: str
+    tokens: int
+
+
+@dataclass(frozen=True)
+class ProgramContext:
+    """What a request says about the program it belongs to.
+
+    :param budget: tokens that all turns of the program may emit; None without a bound.
+    :param most_tokens: the most tokens that this turn may emit.
+    :param previous_turn: attempt id of the turn that this one goes on from.
+    """
+
+    program_id: str
+    line_id: str
+    budget: int | None
+    most_tokens: int
+    previous_turn: str | None
+
+
+@dataclass
+class Attempt:
+    """One attempt of a caller: a request with an id of its own.
+
+    :param deadline: when the caller stops waiting.
+    :param last_event_id: the last event that the caller has, if it resumes a stream.
+    """
+
+    attempt_id: str
+    method: str
+    target: str
+    host: str
+    headers: list[Header]
+    body: bytes
+    arrived_at: float
+    deadline: float
+    program: ProgramContext | None = None
+    prompt: tuple[PromptPart, ...] = ()
+    affinity: str | None = None
+    last_event_id: str | None = None
+
+    @property
+    def path(self) -> str:
+        """Return the target without its query."""
+        return self.target.partition("?")[0]
+
+
+@dataclass(frozen=True)
+class Send:
+    """One sending of an attempt to a server.
+
+    :param remaining: seconds that the server may work.
+    :param priority: rank at the server, 0 is the most urgent.
+    :param last_event_id: the event after which a resumed stream goes on.
+    """
+
+    server: Server
+    body: bytes
+    remaining: float
+    priority: int
+    last_event_id: str | None
+
+
+@dataclass(frozen=True)
+class ResponseHead:
+    """Status and headers of a response as they came."""
+
+    status: int
+    headers: tuple[Header, ...]
+
+
+@dataclass(frozen=True)
+class Answer:
+    """A server's response head, understood.
+
+    :param was_not_run: the server vouches that the request has not run and never will.
+    :param belongs: whether it names the attempt that was sent.
+    :param is_sealed: whether it carries the server's signature.
+    :param keep_alive: seconds that the server keeps an idle connection; None if untold.
+    """
+
+    status: int
+    headers: list[Header]
+    was_not_run: bool
+    belongs: bool
+    is_sealed: bool
+    keep_alive: float | None
+
+
+@dataclass(frozen=True)
+class Refusal:
+    """A final answer that the gateway gives itself.
+
+    :param retry_after: seconds until the caller should come back; None if it should not.
+    """
+
+    status: int
+    reason: str
+    retry_after: float | None = None
+
+
+@dataclass
+class SendLog:
+    """The servers that an attempt was offered to."""
+
+    tried: list[str] = field(default_factory=list)
+    offered: int = 0
+    may_have_run: bool = False
--- /dev/null
+++ b/yarrowwall/relay/object_store.py
@@ -0,0 +1,91 @@
+"""What the relay needs from the platform's store of objects; the adapter implements it."""
+
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from yarrowwall.relay.exceptions import RelayError
+
+
+class ObjectStoreError(RelayError):
+    """The store gave no usable answer; a change may or may not have been made."""
+
+
+class HistoryForgottenError(ObjectStoreError):
+    """The store no longer knows the changes since a revision; read anew."""
+
+
+class ConflictError(ObjectStoreError):
+    """An object exists already or has another revision than the one named."""
+
+
+@dataclass(frozen=True)
+class StoredObject:
+    """One object of the store.
+
+    :param revision: the store's revision at its last change.
+    """
+
+    name: str
+    revision: int
+    spec: dict[str, Any]
+    status: dict[str, Any]
+
+
+@dataclass(frozen=True)
+class Listing:
+    """All objects of a kind as they stood at a revision."""
+
+    items: list[StoredObject]
+    revision: int
+
+
+@dataclass(frozen=True)
+class Change:
+    """One change of an object."""
+
+    item: StoredObject
+    is_gone: bool
+
+
+@dataclass(frozen=True)
+class Changes:
+    """The changes after a revision, up to another one."""
+
+    changes: list[Change]
+    revision: int
+
+
+class ObjectStore(Protocol):
+    """Reads, watches and changes objects by kind and name.
+
+    Every method raises :class:`ObjectStoreError` if the store gives no usable answer.
+    """
+
+    def list(self, kind: str) -> Listing:
+        """Return all objects of a kind."""
+
+    def watch(self, kind: str, revision: int) -> Changes:
+        """Wait for changes after a revision; none if nothing happened for a while.
+
+        :raises HistoryForgottenError: if the revision is too old.
+        """
+
+    def create(self, kind: str, name: str, spec: dict[str, Any]) -> StoredObject:
+        """Make an object.
+
+        :raises ConflictError: if it exists.
+        """
+
+    def replace(
+        self, kind: str, name: str, spec: dict[str, Any], revision: int | None
+    ) -> StoredObject:
+        """Replace an object's content if it still has a revision.
+
+        :raises ConflictError: if it does not.
+        """
+
+    def set_status(self, kind: str, name: str, status: dict[str, Any]) -> None:
+        """Replace an object's status."""
+
+    def delete(self, kind: str, name: str) -> None:
+        """Remove an object; nothing happens if there is none."""
--- /dev/null
+++ b/yarrowwall/relay/offer.py
@@ -0,0 +1,242 @@
+"""Offering an attempt to servers: which one, how often, and what a failure proves.
+
+An attempt that may not be repeated is sent again only if the server vouches that it
+did not run, or if no byte of it was sent.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from yarrowwall.relay import decisions
+from yarrowwall.relay.connection import ServerConnection
+from yarrowwall.relay.decisions import DecisionLog
+from yarrowwall.relay.exceptions import (
+    AnswerTimeoutError,
+    ConnectError,
+    MalformedAnswerError,
+    RelayError,
+)
+from yarrowwall.relay.model import Answer, Attempt, Refusal, Route, Send, SendLog, Server
+from yarrowwall.relay.pool import ConnectionPool
+from yarrowwall.relay.ports import ServerProtocol
+from yarrowwall.relay.servers import Choice, ServerDirectory
+
+#: Seconds after which a caller that was refused for want of room should come back.
+RETRY_AFTER_SECONDS = 0.15
+#: Seconds left below which a request is not sent to another server.
+LEAST_REMAINING_SECONDS = 0.02
+#: Responses to other requests that are skipped on one connection.
+MOST_FOREIGN_ANSWERS = 4
+#: Servers that may turn an attempt away unreached before it is refused.
+MOST_UNREACHED = 3
+
+_BAD_GATEWAY = 502
+_UNAVAILABLE = 503
+_GATEWAY_TIMEOUT = 504
+
+
+@dataclass
+class RelayParts:
+    """What every relay of a gateway shares."""
+
+    directory: ServerDirectory
+    pool: ConnectionPool
+    protocol: ServerProtocol
+    decisions: DecisionLog
+    now: Callable[[], float]
+
+
+@dataclass
+class OpenAnswer:
+    """A server's answer whose body is still to be read."""
+
+    connection: ServerConnection
+    answer: Answer
+    send: Send
+    sent_at: float
+
+
+class RefusedError(RelayError):
+    """No server took the attempt.
+
+    :param refusal: the final answer.
+    """
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.reason)
+        self.refusal = refusal
+
+
+class Offer:
+    """The sendings of one attempt.
+
+    :param service: the service that the route chose.
+    :param end: when the attempt's time is over, by its caller or its route.
+    :param body: what servers get as the body.
+    """
+
+    def __init__(
+        self,
+        parts: RelayParts,
+        attempt: Attempt,
+        route: Route,
+        service: str,
+        end: float,
+        body: bytes,
+    ) -> None:
+        self._parts = parts
+        self._attempt = attempt
+        self._route = route
+        self._service = service
+        self._end = end
+        self._body = body
+        self._unreached = 0
+        self.log = SendLog()
+        self.current: OpenAnswer | None = None
+
+    def remaining(self) -> float:
+        """Return the seconds left."""
+        return self._end - self._parts.now()
+
+    def can_go_on(self) -> bool:
+        """Return whether one more server may get the attempt."""
+        has_tries = self.log.offered < self._route.attempts and self._unreached < MOST_UNREACHED
+        return has_tries and self.remaining() > LEAST_REMAINING_SECONDS
+
+    def open(self, last_event_id: str | None = None) -> OpenAnswer:
+        """Send the attempt until a server answers it.
+
+        :param last_event_id: the event after which a stream goes on.
+        :raises RefusedError: if no server did.
+        """
+        reason = "no server is known"
+        while self.can_go_on():
+            choice = self._choose()
+            if choice is None:
+                break
+            try:
+                opened = self._send(choice, last_event_id)
+            except RelayError as error:
+                reason = str(error)
+                self._note_failure(choice.server, error)
+                if self.log.may_have_run and not self._route.is_repeatable:
+                    break
+                continue
+            if not opened.answer.was_not_run:
+                return opened
+            reason = f"server answered {opened.answer.status}, not run"
+            self._turned_away(opened)
+        raise RefusedError(self.failure(reason))
+
+    def _choose(self) -> Choice | None:
+        attempt = self._attempt
+        affinity = attempt.program.line_id if attempt.program else attempt.affinity or ""
+        return self._parts.directory.choose(
+            self._service, self.log.tried, self._parts.now(), attempt.prompt, affinity
+        )
+
+    def _send(self, choice: Choice, last_event_id: str | None) -> OpenAnswer:
+        server = choice.server
+        self.log.tried.append(server.server_id)
+        connection = self._connect(server)
+        self.log.offered += 1
+        remaining = self.remaining()
+        send = Send(server, self._body, remaining, self._route.priority, last_event_id)
+        self._parts.decisions.write(
+            decisions.AttemptSent(
+                self._attempt.attempt_id,
+                server.server_id,
+                server.service,
+                choice.cost,
+                choice.cached_tokens,
+                choice.candidates,
+                self.log.offered,
+                last_event_id,
+            )
+        )
+        sent_at = self._parts.now()
+        self._parts.directory.started(server.server_id)
+        try:
+            answer = self._exchange(connection, send)
+        except BaseException:
+            self._parts.directory.ended(server.server_id)
+            connection.close()
+            raise
+        self.current = OpenAnswer(connection, answer, send, sent_at)
+        return self.current
+
+    def _connect(self, server: Server) -> ServerConnection:
+        try:
+            return self._parts.pool.take(server)
+        except ConnectError:
+            self._unreached += 1
+            raise
+
+    def _exchange(self, connection: ServerConnection, send: Send) -> Answer:
+        self.log.may_have_run = True
+        connection.send(self._parts.protocol.request_bytes(self._attempt, send), self.remaining())
+        for _ in range(MOST_FOREIGN_ANSWERS):
+            head = connection.read_head(self.remaining())
+            answer = self._parts.protocol.read_answer(self._attempt, send, head)
+            if answer.belongs:
+                break
+            connection.read_all(self.remaining())
+            connection.finish()
+        else:
+            raise MalformedAnswerError("only answers to other requests")
+        if answer.was_not_run:
+            self.log.may_have_run = False
+        elif answer.status < 300 and not answer.is_sealed:
+            raise MalformedAnswerError("a success without the server's signature")
+        connection.keep_alive = answer.keep_alive
+        return answer
+
+    def _note_failure(self, server: Server, error: RelayError) -> None:
+        if not isinstance(error, AnswerTimeoutError) or self.remaining() > 0:
+            self._parts.directory.note_failure(server.server_id, self._parts.now())
+        self._parts.decisions.write(
+            decisions.SendFailed(
+                self._attempt.attempt_id, server.server_id, str(error), self.log.may_have_run
+            )
+        )
+
+    def _turned_away(self, opened: OpenAnswer) -> None:
+        server = opened.send.server
+        self._parts.decisions.write(
+            decisions.SendFailed(
+                self._attempt.attempt_id, server.server_id, f"{opened.answer.status}", False
+            )
+        )
+        self._parts.directory.note_full(server.server_id, self._parts.now())
+        try:
+            opened.connection.read_all(self.remaining())
+        except RelayError:
+            self.abandon()
+            return
+        self.release()
+
+    def failure(self, reason: str) -> Refusal:
+        """Return the final answer of an attempt that no server answered."""
+        if not self.log.may_have_run:
+            return Refusal(_UNAVAILABLE, reason, RETRY_AFTER_SECONDS)
+        if self.remaining() <= LEAST_REMAINING_SECONDS:
+            return Refusal(_GATEWAY_TIMEOUT, reason)
+        return Refusal(_BAD_GATEWAY, reason)
+
+    def release(self) -> None:
+        """Leave the current answer, which was read to its end."""
+        if self.current is None:
+            return
+        opened, self.current = self.current, None
+        server = opened.send.server
+        self._parts.directory.ended(server.server_id)
+        opened.connection.finish()
+        self._parts.pool.give_back(server, opened.connection)
+
+    def abandon(self) -> None:
+        """Cancel the current answer at its server."""
+        if self.current is None:
+            return
+        opened, self.current = self.current, None
+        self._parts.directory.ended(opened.send.server.server_id)
+        opened.connection.close()
--- /dev/null
+++ b/yarrowwall/relay/ports.py
@@ -0,0 +1,61 @@
+"""What the relay needs from the protocol it is spoken to in; the platform's adapter gives it."""
+
+from typing import Any, Protocol
+
+from yarrowwall.relay.model import (
+    Answer,
+    Attempt,
+    Configuration,
+    Header,
+    Refusal,
+    ResponseHead,
+    Send,
+    Server,
+)
+from yarrowwall.relay.object_store import StoredObject
+
+
+class CallerProtocol(Protocol):
+    """Translates between callers' requests and attempts."""
+
+    def read_attempt(self, environ: dict[str, Any], now: float) -> Attempt:
+        """Return the attempt of a request without its body.
+
+        :raises InvalidAttemptError: if it is malformed.
+        """
+
+    def answer_headers(self, answer: Answer) -> list[Header]:
+        """Return the headers of a server's answer that the caller gets."""
+
+    def refusal_headers(self, attempt_id: str, refusal: Refusal) -> list[Header]:
+        """Return the headers of an answer of the gateway itself."""
+
+
+class ServerProtocol(Protocol):
+    """Translates between attempts and what servers are sent."""
+
+    def request_bytes(self, attempt: Attempt, send: Send) -> bytes:
+        """Return the bytes of one sending."""
+
+    def read_answer(self, attempt: Attempt, send: Send, head: ResponseHead) -> Answer:
+        """Return what a response head means."""
+
+
+class Documents(Protocol):
+    """Reads the platform's objects; names their kinds."""
+
+    servers_kind: str
+    configuration_kind: str
+    retirements_kind: str
+
+    def server(self, item: StoredObject) -> Server:
+        """Return a listed server."""
+
+    def configuration(self, item: StoredObject) -> Configuration | None:
+        """Return the operators' configuration; None if the object holds something else."""
+
+    def retirement_status(self, is_complete: bool) -> dict[str, Any]:
+        """Return the status of a machine that is emptied."""
+
+    def is_retired(self, item: StoredObject) -> bool:
+        """Return whether an emptied machine was reported as such."""
--- /dev/null
+++ b/yarrowwall/relay/prefixes.py
@@ -0,0 +1,52 @@
+"""What prompt prefixes each server is believed to keep in memory.
+
+The belief comes from this gateway's own sends. A server drops the parts unused
+longest once its memory is full; the belief does the same.
+"""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+
+from yarrowwall.relay.model import PromptPart
+
+#: Part of an engine's memory that is believed to hold cached parts; running
+#: requests and other gateways' prompts fill the rest.
+CACHE_SHARE = 0.7
+
+
+class PrefixBelief:
+    """The parts that one server is believed to keep.
+
+    :param capacity: tokens of memory.
+    """
+
+    def __init__(self, capacity: int) -> None:
+        self._capacity = int(capacity * CACHE_SHARE)
+        self._parts: OrderedDict[str, int] = OrderedDict()
+        self._tokens = 0
+
+    def cached_tokens(self, prompt: Sequence[PromptPart]) -> int:
+        """Return the tokens of a prompt that need not be read again."""
+        found = 0
+        for part in prompt:
+            if part.part_id not in self._parts:
+                break
+            found += part.tokens
+        return found
+
+    def note_sent(self, prompt: Sequence[PromptPart]) -> None:
+        """Take in that the server read a prompt."""
+        # Later parts are useless without earlier ones, so the first part is the newest.
+        for part in reversed(prompt):
+            self._tokens -= self._parts.pop(part.part_id, 0)
+            self._parts[part.part_id] = part.tokens
+            self._tokens += part.tokens
+        while self._tokens > self._capacity and len(self._parts) > 1:
+            _, tokens = self._parts.popitem(last=False)
+            self._tokens -= tokens
+
+    def note_grown(self, prompt: Sequence[PromptPart], tokens: int) -> None:
+        """Take in that the last part of a prompt grew by what the server made."""
+        if prompt and prompt[-1].part_id in self._parts:
+            self._parts[prompt[-1].part_id] += tokens
+            self._tokens += tokens
--- /dev/null
+++ b/yarrowwall/relay/programs.py
@@ -0,0 +1,59 @@
+"""Token budgets and conversations of programs, as a gateway uses them.
+
+Before a turn is sent, the most it may emit is reserved in the record store; after
+it, the reservation is settled to what was emitted. On stateful routes the turn's
+input and events are stored before the end of its answer is passed on.
+"""
+
+from typing import Protocol
+
+from yarrowwall.relay.events import Event
+from yarrowwall.relay.exceptions import RelayError
+from yarrowwall.relay.model import Attempt, Route
+
+
+class BudgetExhaustedError(RelayError):
+    """A program's budget does not hold one more turn."""
+
+
+class TurnGrant:
+    """The leave to run one turn; this one is for turns that nothing needs to be kept of.
+
+    :param body: what the server is to get.
+    """
+
+    def __init__(self, body: bytes) -> None:
+        self.body = body
+
+    def complete(self, passed: list[Event]) -> None:
+        """Store what must last before the end of the answer is passed on.
+
+        :raises StoreUncertainError: if that cannot be done.
+        """
+
+    def close(self, passed: list[Event], may_have_run: bool) -> None:
+        """Settle the turn, however it ended."""
+
+
+class ProgramLedger(Protocol):
+    """Grants turns."""
+
+    def open_turn(
+        self, attempt: Attempt, route: Route, tokens_per_event: int, end: float
+    ) -> TurnGrant:
+        """Return the leave to run a turn.
+
+        :raises BudgetExhaustedError: if the budget does not hold it.
+        :raises TurnUnknownError: if the turn it goes on from is surely unknown.
+        :raises StoreUncertainError: if the store cannot tell now.
+        """
+
+
+class NoLedger:
+    """Grants every turn; for deployments without a record store."""
+
+    def open_turn(
+        self, attempt: Attempt, route: Route, tokens_per_event: int, end: float
+    ) -> TurnGrant:
+        """Return the leave to run a turn as it came."""
+        return TurnGrant(attempt.body)
--- /dev/null
+++ b/yarrowwall/relay/routing.py
@@ -0,0 +1,47 @@
+"""Choice of the route by host and longest path prefix, and of a route's service by weight."""
+
+from collections import defaultdict
+
+from yarrowwall.relay.model import Configuration, Route, ServiceShare
+
+
+class RouteTable:
+    """The routes of one configuration version.
+
+    The service of a split route is chosen by smooth weighted round-robin, so that
+    every run of choices follows the weights closely.
+    """
+
+    def __init__(self, configuration: Configuration) -> None:
+        self.configuration = configuration
+        self._by_host: dict[str, list[Route]] = defaultdict(list)
+        for route in configuration.routes:
+            self._by_host[route.host.lower()].append(route)
+        for routes in self._by_host.values():
+            routes.sort(key=lambda route: len(route.prefix), reverse=True)
+        self._credit: dict[tuple[str, str], float] = defaultdict(float)
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route whose prefix is the longest that begins the path."""
+        name = host.lower()
+        routes = self._by_host.get(name)
+        if routes is None:
+            routes = self._by_host.get(name.rpartition(":")[0], [])
+        return next((route for route in routes if path.startswith(route.prefix)), None)
+
+    def choose_service(self, route: Route) -> str:
+        """Return the service that the next request of a route goes to."""
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        total = 0.0
+        best: ServiceShare | None = None
+        for share in route.shares:
+            key = (route.name, share.service)
+            self._credit[key] += share.weight
+            total += share.weight
+            if best is None or self._credit[key] > self._credit[(route.name, best.service)]:
+                best = share
+        if best is None:
+            return ""
+        self._credit[(route.name, best.service)] -= total
+        return best.service
--- /dev/null
+++ b/yarrowwall/relay/service.py
@@ -0,0 +1,125 @@
+"""The process of a machine: a gateway, a replica, or both."""
+
+import signal
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Protocol
+
+import eventlet
+from eventlet.event import Event
+
+from yarrowwall.exceptions import SettingsError
+from yarrowwall.relay import decisions
+from yarrowwall.relay.decisions import DecisionLog
+from yarrowwall.relay.gateway_service import GatewayService
+from yarrowwall.relay.object_store import ObjectStore
+from yarrowwall.relay.ports import CallerProtocol, Documents, ServerProtocol
+from yarrowwall.relay.settings import MachineSettings, load_machine_settings
+
+EXIT_BAD_SETTINGS = 2
+#: Seconds between looks at the settings file, which may change without a signal.
+SETTINGS_SECONDS = 2.0
+
+
+@dataclass(frozen=True)
+class Adapter:
+    """The platform's side of a machine."""
+
+    callers: CallerProtocol
+    servers: ServerProtocol
+    documents: Documents
+    store: ObjectStore
+    readiness_path: str
+
+
+class Part(Protocol):
+    """A role of a machine."""
+
+    def start(self) -> None:
+        """Begin to work."""
+
+    def stop(self) -> None:
+        """Finish what runs; returns when done."""
+
+
+class Machine:
+    """The process of a machine.
+
+    :param path: the settings file, looked at again while the process runs.
+    """
+
+    def __init__(self, settings: MachineSettings, adapter: Adapter, path: Path) -> None:
+        self._settings = settings
+        self._path = path
+        self._log = DecisionLog(settings.node_id)
+        self._stopped = Event()
+        self._is_stopping = False
+        self._parts: list[Part] = []
+        if settings.gateway is not None:
+            self._parts.append(GatewayService(settings, settings.gateway, adapter, self._log))
+
+    def start(self) -> None:
+        """Begin to work."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: eventlet.spawn_n(self.stop))
+        signal.signal(signal.SIGHUP, lambda *_: eventlet.spawn_n(self.reload))
+        signal.signal(signal.SIGPIPE, signal.SIG_IGN)
+        for part in self._parts:
+            part.start()
+        eventlet.spawn_n(self._watch_settings)
+        self._log.write(decisions.ProcessChanged("started", self._settings.zone))
+
+    def stop(self) -> None:
+        """Finish what runs and end."""
+        if self._is_stopping:
+            return
+        self._is_stopping = True
+        self._log.write(decisions.ProcessChanged("stopping", ""))
+        for part in self._parts:
+            part.stop()
+        self._stopped.send(0)
+
+    def reload(self) -> None:
+        """Read the settings file again; faults are told and the old settings stay."""
+        try:
+            settings = load_machine_settings(self._path)
+        except SettingsError as error:
+            self._log.write(decisions.ProcessChanged("settings refused", str(error)))
+            return
+        if settings != self._settings:
+            self._settings = settings
+            self._log.write(decisions.ProcessChanged("settings reloaded", ""))
+
+    def _watch_settings(self) -> None:
+        modified = self._modified_at()
+        while True:
+            eventlet.sleep(SETTINGS_SECONDS)
+            found = self._modified_at()
+            if found != modified:
+                modified = found
+                self.reload()
+
+    def _modified_at(self) -> float:
+        try:
+            return self._path.stat().st_mtime
+        except OSError:
+            return 0.0
+
+    def wait(self) -> int:
+        """Wait until the process has stopped.
+
+        :returns: its exit code.
+        """
+        code: int = self._stopped.wait()
+        self._log.write(decisions.ProcessChanged("stopped", ""))
+        return code
+
+
+def run_machine(settings: MachineSettings, adapter: Adapter, path: Path) -> int:
+    """Run the process of a machine until it is told to stop.
+
+    :returns: the process's exit code.
+    """
+    machine = Machine(settings, adapter, path)
+    machine.start()
+    return machine.wait()
--- /dev/null
+++ b/yarrowwall/relay/streams.py
@@ -0,0 +1,147 @@
+"""Relaying of event streams: each event as it comes, each once, in order."""
+
+from collections.abc import Iterator
+
+from yarrowwall.relay import decisions
+from yarrowwall.relay.events import Event, EventSplitter
+from yarrowwall.relay.exceptions import AnswerTimeoutError, ConnectionBrokenError, RelayError
+from yarrowwall.relay.model import Attempt, Route
+from yarrowwall.relay.offer import Offer, OpenAnswer, RefusedError, RelayParts
+
+#: Seconds of silence after which a stream that can be resumed goes on at another server.
+SILENCE_SECONDS = 0.8
+
+
+class StreamBrokenError(RelayError):
+    """A stream whose beginning was passed on cannot be completed."""
+
+
+class StreamRelay:
+    """One stream from its servers to its caller.
+
+    Only whole events are passed on. The stream may come from one server after
+    another if its route allows that; the caller sees one answer.
+    """
+
+    def __init__(self, parts: RelayParts, attempt: Attempt, route: Route, offer: Offer) -> None:
+        self._parts = parts
+        self._attempt = attempt
+        self._route = route
+        self._offer = offer
+        self._splitter = EventSplitter()
+        self._last_event_id = attempt.last_event_id
+        self._last_event_at = 0.0
+        self.passed: list[Event] = []
+
+    def open(self) -> OpenAnswer:
+        """Send the attempt until a server begins to answer it.
+
+        :raises RefusedError: if none does.
+        """
+        opened = self._offer.open(self._last_event_id)
+        self._begin(opened)
+        return opened
+
+    def _begin(self, opened: OpenAnswer) -> None:
+        self._splitter = EventSplitter()
+        self._last_event_at = opened.sent_at
+        if opened.answer.status == 200:
+            state = self._parts.directory.states.get(opened.send.server.server_id)
+            if state is not None:
+                state.belief.note_sent(self._attempt.prompt)
+
+    def events(self) -> Iterator[list[Event]]:
+        """Return the events in the groups in which they arrive.
+
+        :raises RefusedError: if the stream fails before its first event.
+        :raises StreamBrokenError: if it cannot be completed.
+        """
+        while True:
+            try:
+                events = self._read()
+            except RelayError as error:
+                self._go_on_elsewhere(error)
+                continue
+            if events is None:
+                return
+            if events:
+                self._note(events)
+                yield events
+
+    def _read(self) -> list[Event] | None:
+        """Return the events that arrive next; None at the end of the stream."""
+        opened = self._offer.current
+        if opened is None:
+            raise ConnectionBrokenError("no server streams")
+        data = opened.connection.read_some(self._patience())
+        if data:
+            return self._splitter.feed(data)
+        if self._splitter.rest:
+            raise ConnectionBrokenError("the stream ended within an event")
+        return None
+
+    def _patience(self) -> float:
+        remaining = self._offer.remaining()
+        if self._route.is_resumable and self._offer.can_go_on():
+            return min(remaining, SILENCE_SECONDS)
+        return remaining
+
+    def _note(self, events: list[Event]) -> None:
+        now = self._parts.now()
+        opened = self._offer.current
+        if self.passed and opened is not None:
+            gap = (now - self._last_event_at) / len(events)
+            self._parts.directory.note_pace(opened.send.server.server_id, gap, now)
+        self._last_event_at = now
+        self._last_event_id = events[-1].event_id or self._last_event_id
+        self.passed += events
+
+    def _go_on_elsewhere(self, error: RelayError) -> None:
+        """Resume the stream at another server.
+
+        :raises RefusedError: if nothing was passed on and no server goes on.
+        :raises StreamBrokenError: if something was.
+        """
+        opened = self._offer.current
+        self._offer.abandon()
+        if opened is not None:
+            self._note_broken(opened, error)
+        if not self._route.is_resumable or not self._offer.can_go_on():
+            self._fail(error)
+        try:
+            again = self._offer.open(self._last_event_id)
+        except RefusedError as refused:
+            self._fail(refused)
+        if again.answer.status != 200:
+            self._offer.abandon()
+            self._fail(error)
+        self._begin(again)
+
+    def _note_broken(self, opened: OpenAnswer, error: RelayError) -> None:
+        server_id = opened.send.server.server_id
+        is_late = isinstance(error, AnswerTimeoutError) and self._offer.remaining() <= 0
+        if not is_late:
+            self._parts.directory.note_failure(server_id, self._parts.now())
+        self._parts.decisions.write(
+            decisions.SendFailed(self._attempt.attempt_id, server_id, str(error), may_have_run=True)
+        )
+
+    def _fail(self, error: RelayError) -> None:
+        if self.passed:
+            raise StreamBrokenError(str(error)) from error
+        if isinstance(error, RefusedError):
+            raise error
+        raise RefusedError(self._offer.failure(str(error))) from error
+
+    def finish(self) -> None:
+        """Leave the stream, which was read to its end."""
+        opened = self._offer.current
+        if opened is not None:
+            state = self._parts.directory.states.get(opened.send.server.server_id)
+            if state is not None:
+                state.belief.note_grown(self._attempt.prompt, len(self.passed))
+        self._offer.release()
+
+    def cancel(self) -> None:
+        """Cancel the stream at its server."""
+        self._offer.abandon()
--- a/yarrowwall/settings.py
+++ b/yarrowwall/settings.py
@@ -95,10 +95,10 @@
     except tomllib.TOMLDecodeError as error:
         raise SettingsError([f"not TOML: {error}"]) from error
     except ValidationError as error:
-        raise SettingsError([_fault_line(fault) for fault in error.errors()]) from error
+        raise SettingsError([fault_line(fault) for fault in error.errors()]) from error
 
 
-def _fault_line(fault: ErrorDetails) -> str:
+def fault_line(fault: ErrorDetails) -> str:
     """Return key, value and what is allowed."""
     key = ".".join(str(part) for part in fault["loc"])
     if fault["type"] == "missing":
