--- a/yarrowwall/messages/codec.py
+++ b/yarrowwall/messages/codec.py
@@ -22,6 +22,7 @@
 import yarrowwall.messages.journal
 import yarrowwall.messages.peers
 import yarrowwall.messages.records
+import yarrowwall.messages.replicated
 import yarrowwall.messages.requests  # noqa: F401  (imports register the classes)
 from yarrowwall.messages.exceptions import MalformedMessageError, UnknownMessageError
 from yarrowwall.messages.registry import CLASSES_BY_CODE, CODES_BY_CLASS
--- a/yarrowwall/messages/records.py
+++ b/yarrowwall/messages/records.py
@@ -3,6 +3,7 @@
 from yarrowwall.messages.journal import Ballot
 from yarrowwall.messages.peers import Document
 from yarrowwall.messages.registry import message
+from yarrowwall.messages.replicated import RecordsKept, SynchronisationKept, ViewKept
 
 
 @message(80)
@@ -42,4 +43,12 @@
     entries: list[bytes]
 
 
-Record = BallotPromised | EntriesAccepted | DocumentKept | LogSnapshot
+Record = (
+    BallotPromised
+    | EntriesAccepted
+    | DocumentKept
+    | LogSnapshot
+    | RecordsKept
+    | ViewKept
+    | SynchronisationKept
+)
--- a/yarrowwall/relay/connection.py
+++ b/yarrowwall/relay/connection.py
@@ -71,6 +71,19 @@
         self.responses[-1].is_complete = True
 
 
+def set_silence_limits(connection: socket.socket) -> None:
+    """Let a connection send at once and find out when its peer has gone dark."""
+    for option, value in (
+        (socket.TCP_NODELAY, 1),
+        (socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
+        (socket.TCP_KEEPIDLE, _PROBE_SECONDS),
+        (socket.TCP_KEEPINTVL, _PROBE_SECONDS),
+        (socket.TCP_KEEPCNT, _PROBE_COUNT),
+    ):
+        connection.setsockopt(socket.IPPROTO_TCP, option, value)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+
+
 def open_socket(address: str, timeout: float) -> socket.socket:
     """Return a connected socket that sends at once and finds dark peers.
 
@@ -81,15 +94,7 @@
     host, _, port = address.rpartition(":")
     connection = green_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
-        for option, value in (
-            (socket.TCP_NODELAY, 1),
-            (socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
-            (socket.TCP_KEEPIDLE, _PROBE_SECONDS),
-            (socket.TCP_KEEPINTVL, _PROBE_SECONDS),
-            (socket.TCP_KEEPCNT, _PROBE_COUNT),
-        ):
-            connection.setsockopt(socket.IPPROTO_TCP, option, value)
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        set_silence_limits(connection)
         connection.settimeout(timeout)
         connection.connect((host, int(port)))
     except (OSError, ValueError) as error:
--- a/yarrowwall/relay/gateway_service.py
+++ b/yarrowwall/relay/gateway_service.py
@@ -8,18 +8,21 @@
 import eventlet
 import eventlet.wsgi
 
+from yarrowwall.messages.replicated import GroupView
 from yarrowwall.relay import decisions
 from yarrowwall.relay.decisions import DecisionLog
 from yarrowwall.relay.gateway import Gateway
 from yarrowwall.relay.http_server import ServerLimits, serve
+from yarrowwall.relay.ledger import ReplicatedLedger
 from yarrowwall.relay.model import Configuration, Server
 from yarrowwall.relay.object_store import Change, StoredObject
 from yarrowwall.relay.offer import RelayParts
 from yarrowwall.relay.pool import ConnectionPool
-from yarrowwall.relay.programs import NoLedger
 from yarrowwall.relay.servers import ServerDirectory
 from yarrowwall.relay.settings import GatewaySettings, MachineSettings
 from yarrowwall.relay.watching import KindFollower
+from yarrowwall.replication.documents import GROUPS_KIND, read_groups
+from yarrowwall.replication.quorum_client import GroupViews, LinkTable, QuorumClient
 from yarrowwall.runtime.peers import split_address
 
 if TYPE_CHECKING:
@@ -57,7 +60,10 @@
         self._directory.on_removed = self._pool.forget
         self._limits = ServerLimits()
         parts = RelayParts(self._directory, self._pool, adapter.servers, log, time.monotonic)
-        self.gateway = Gateway(parts, adapter.callers, NoLedger(), self._limits)
+        self._views = GroupViews(self._note_view)
+        client = QuorumClient(settings.zone, self._views, LinkTable(time.monotonic), time.monotonic)
+        self._ledger = ReplicatedLedger(self._views, client, log)
+        self.gateway = Gateway(parts, adapter.callers, self._ledger, self._limits)
         self._followers = [
             KindFollower(
                 adapter.store,
@@ -73,12 +79,16 @@
                 self._server_changed,
                 log,
             ),
+            KindFollower(
+                adapter.store, GROUPS_KIND, self._groups_listed, self._groups_changed, log
+            ),
         ]
 
     def start(self) -> None:
         """Begin to follow the store and to listen."""
         for follower in self._followers:
             follower.start()
+        self._ledger.start()
         eventlet.spawn_n(serve, listen(self._own.http_address), self.gateway, self._limits)
         eventlet.spawn_n(
             eventlet.wsgi.server,
@@ -94,7 +104,8 @@
         self.gateway.is_stopping = True
         last = begun + self._settings.bounds.stop - STOP_MARGIN_SECONDS
         while time.monotonic() < last:
-            if time.monotonic() > begun + LEAST_STOP_SECONDS and not self.gateway.running:
+            is_busy = self.gateway.running or self._ledger.has_unsettled
+            if time.monotonic() > begun + LEAST_STOP_SECONDS and not is_busy:
                 return
             eventlet.sleep(0.05)
 
@@ -164,3 +175,20 @@
     def _services(self) -> dict[str, Any]:
         table = self.gateway.table
         return table.configuration.services if table is not None else {}
+
+    def _groups_listed(self, items: list[StoredObject]) -> None:
+        for item in items:
+            self._take_groups(item)
+
+    def _groups_changed(self, change: Change) -> None:
+        if not change.is_gone:
+            self._take_groups(change.item)
+
+    def _take_groups(self, item: StoredObject) -> None:
+        for view in read_groups(item.spec):
+            self._views.take(view)
+
+    def _note_view(self, view: GroupView) -> None:
+        members = ",".join(member.node_id for member in view.members)
+        joining = ",".join(member.node_id for member in view.joining)
+        self._log.write(decisions.GroupChanged(view.group, view.epoch, members, joining))
--- /dev/null
+++ b/yarrowwall/relay/ledger.py
@@ -0,0 +1,304 @@
+"""Budgets and turns in the replicated record store.
+
+A reservation is written to a majority first; then all reservations of the program are
+read from a read quorum. Of any reservations that were granted, the one whose write was
+complete last sees all the others, so their sum never exceeds the budget, without a
+leader or an order among gateways. A reservation that is not settled, since its gateway
+died, counts in full.
+"""
+
+from dataclasses import dataclass
+
+import eventlet
+import xxhash
+
+from yarrowwall.messages.replicated import StoredRecord
+from yarrowwall.relay import decisions
+from yarrowwall.relay.decisions import DecisionLog
+from yarrowwall.relay.events import Event
+from yarrowwall.relay.exceptions import StoreUncertainError, TurnUnknownError
+from yarrowwall.relay.model import Attempt, ProgramContext, Route
+from yarrowwall.relay.programs import BudgetExhaustedError, TurnGrant
+from yarrowwall.relay.turns import Turn, TurnCache, output_of, prompt_body, read_turn, turn_key
+from yarrowwall.replication.exceptions import NoQuorumError
+from yarrowwall.replication.quorum_client import GroupViews, QuorumClient
+
+#: Seconds that settlements are collected before they are written together.
+SETTLE_SECONDS = 0.03
+#: Seconds before a settlement that found no quorum is written again.
+SETTLE_RETRY_SECONDS = 0.25
+#: Seconds that the end of an answer waits for its turn to be stored.
+KEEP_SECONDS = 2.0
+
+_RESERVED = 0
+_SETTLED = 1
+
+
+@dataclass(frozen=True)
+class Reservation:
+    """Tokens reserved for one turn."""
+
+    program_id: str
+    attempt_id: str
+    tokens: int
+    retention: float
+
+    @property
+    def key(self) -> str:
+        """Return the record's key."""
+        return f"budget/{self.program_id}/{self.attempt_id}"
+
+    def record(self, version: int, amount: int) -> StoredRecord:
+        """Return the record of the reservation or of its settlement."""
+        return StoredRecord(self.key, version, self.program_id, "", self.retention, amount, b"")
+
+
+class ReplicatedLedger:
+    """Grants turns by what the record store holds."""
+
+    def __init__(self, views: GroupViews, client: QuorumClient, log: DecisionLog) -> None:
+        self._views = views
+        self._client = client
+        self._log = log
+        self._cache = TurnCache()
+        self._settlements = _SettlementQueue(self, client)
+
+    def start(self) -> None:
+        """Begin to write settlements."""
+        self._settlements.start()
+
+    @property
+    def has_unsettled(self) -> bool:
+        """Return whether settlements are still to be written."""
+        return self._settlements.is_busy
+
+    def group_of(self, key: str) -> int:
+        """Return the group that keeps a key.
+
+        :raises StoreUncertainError: if no group is known yet.
+        """
+        count = self._views.count
+        if count == 0:
+            raise StoreUncertainError("no replica group is known")
+        return int(xxhash.xxh3_64_intdigest(key.encode()) % count)
+
+    def open_turn(
+        self, attempt: Attempt, route: Route, tokens_per_event: int, end: float
+    ) -> TurnGrant:
+        """Return the leave to run a turn.
+
+        :raises BudgetExhaustedError: if the budget does not hold it.
+        :raises TurnUnknownError: if the turn it goes on from is surely unknown.
+        :raises StoreUncertainError: if the store cannot tell now.
+        """
+        body = attempt.body
+        program = attempt.program
+        if route.is_stateful and program is not None and program.previous_turn:
+            turns = self._chain(attempt.attempt_id, program.previous_turn)
+            body = prompt_body(turns, attempt.body)
+        reservation = None
+        if program is not None and program.budget is not None:
+            reservation = self._reserve(attempt.attempt_id, program, program.budget, route)
+        return LedgerGrant(self, attempt, route, body, reservation, tokens_per_event)
+
+    # Budgets
+
+    def _reserve(
+        self, attempt_id: str, program: ProgramContext, budget: int, route: Route
+    ) -> Reservation:
+        reservation = Reservation(
+            program.program_id, attempt_id, program.most_tokens, route.retention
+        )
+        group = self.group_of(program.program_id)
+        try:
+            used = self._used_beside(group, reservation)
+        except NoQuorumError as error:
+            self.settle(reservation, 0)
+            raise StoreUncertainError(str(error)) from error
+        is_granted = used + reservation.tokens <= budget
+        self._log.write(
+            decisions.BudgetDecided(
+                attempt_id, program.program_id, budget, used, reservation.tokens, is_granted
+            )
+        )
+        if not is_granted:
+            self.settle(reservation, 0)
+            raise BudgetExhaustedError(f"{used} of {budget} tokens are used")
+        return reservation
+
+    def _used_beside(self, group: int, reservation: Reservation) -> int:
+        """Write a reservation; return the tokens of all others of its program."""
+        record = reservation.record(_RESERVED, reservation.tokens)
+        self._client.write(group, [record], reservation.program_id)
+        found = self._client.read_owner(group, reservation.program_id)
+        return sum(other.amount for key, other in found.items() if key != reservation.key)
+
+    def settle(self, reservation: Reservation, tokens: int) -> None:
+        """Replace a reservation by what was emitted, soon."""
+        self._settlements.add(reservation.record(_SETTLED, tokens))
+        self._log.write(
+            decisions.BudgetSettled(reservation.attempt_id, reservation.program_id, tokens)
+        )
+
+    # Turns
+
+    def _chain(self, attempt_id: str, previous: str) -> list[Turn]:
+        """Return the turns up to ``previous``, oldest first."""
+        turns, missing = self._cache.chain(previous)
+        fetched = 0
+        while missing:
+            more = self._fetch_chain(attempt_id, missing, is_first=not turns)
+            fetched += len(more)
+            turns += more
+            missing = turns[-1].previous
+        outcome = "fetched" if fetched else "cached"
+        self._log.write(decisions.ChainLookedUp(attempt_id, previous, outcome, len(turns)))
+        return turns[::-1]
+
+    def _fetch_chain(self, attempt_id: str, missing: str, is_first: bool) -> list[Turn]:
+        """Return a turn and those before it as far as its group has them, newest first."""
+        key = turn_key(missing)
+        try:
+            records = self._client.read_chain(self.group_of(key), key, [])
+        except NoQuorumError as error:
+            self._log.write(decisions.ChainLookedUp(attempt_id, missing, "uncertain", 0))
+            raise StoreUncertainError(str(error)) from error
+        found = []
+        while (record := records.get(key)) is not None:
+            turn = read_turn(record.key, record.link, record.value)
+            self._cache.put(turn)
+            found.append(turn)
+            key = record.link
+        if not found:
+            self._log.write(decisions.ChainLookedUp(attempt_id, missing, "unknown", 0))
+            if is_first:
+                raise TurnUnknownError(f"no turn {missing}")
+            raise StoreUncertainError(f"turn {missing} of the chain is missing")
+        return found
+
+    def keep_turn(
+        self, turn: Turn, route: Route, reservation: Reservation | None, tokens: int
+    ) -> None:
+        """Store a turn; its reservation is settled with it.
+
+        :raises StoreUncertainError: if no quorum took it in time.
+        """
+        key = turn_key(turn.attempt_id)
+        records = [
+            StoredRecord(
+                key, _SETTLED, "", turn_key(turn.previous), route.retention, 0, turn.value()
+            )
+        ]
+        group = self.group_of(key)
+        if reservation is not None:
+            settled = reservation.record(_SETTLED, tokens)
+            if self.group_of(reservation.program_id) == group:
+                records.append(settled)
+            else:
+                self._settlements.add(settled)
+        try:
+            self._client.write(group, records, timeout=KEEP_SECONDS)
+        except NoQuorumError as error:
+            raise StoreUncertainError(str(error)) from error
+        self._cache.put(turn)
+
+
+class LedgerGrant(TurnGrant):
+    """The leave to run one turn, with what is to be stored behind it."""
+
+    def __init__(
+        self,
+        ledger: ReplicatedLedger,
+        attempt: Attempt,
+        route: Route,
+        body: bytes,
+        reservation: Reservation | None,
+        tokens_per_event: int,
+    ) -> None:
+        super().__init__(body)
+        self._ledger = ledger
+        self._attempt = attempt
+        self._route = route
+        self._reservation = reservation
+        self._tokens_per_event = tokens_per_event
+        self._is_settled = False
+
+    def complete(self, passed: list[Event]) -> None:
+        """Store the turn before the end of the answer is passed on.
+
+        :raises StoreUncertainError: if that cannot be done.
+        """
+        program = self._attempt.program
+        if not self._route.is_stateful or program is None:
+            return
+        turn = Turn(
+            self._attempt.attempt_id,
+            program.previous_turn or "",
+            self._attempt.body,
+            output_of(passed),
+        )
+        tokens = len(passed) * self._tokens_per_event
+        self._ledger.keep_turn(turn, self._route, self._reservation, tokens)
+        self._is_settled = True
+
+    def close(self, passed: list[Event], may_have_run: bool) -> None:
+        """Settle the turn, however it ended."""
+        if self._reservation is not None and not self._is_settled:
+            self._is_settled = True
+            self._ledger.settle(self._reservation, len(passed) * self._tokens_per_event)
+
+
+class _SettlementQueue:
+    """Writes settlements together, again and again until a quorum has them."""
+
+    def __init__(self, ledger: ReplicatedLedger, client: QuorumClient) -> None:
+        self._ledger = ledger
+        self._client = client
+        self._waiting: list[StoredRecord] = []
+        self._is_writing = False
+        self._wakeup = eventlet.event.Event()
+
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a settlement is still to be written."""
+        return bool(self._waiting) or self._is_writing
+
+    def start(self) -> None:
+        """Begin to write."""
+        eventlet.spawn_n(self._run)
+
+    def add(self, record: StoredRecord) -> None:
+        """Queue a settlement."""
+        self._waiting.append(record)
+        if not self._wakeup.ready():
+            self._wakeup.send()
+
+    def _run(self) -> None:
+        while True:
+            if not self._waiting:
+                self._wakeup.wait()
+                self._wakeup = eventlet.event.Event()
+            eventlet.sleep(SETTLE_SECONDS)
+            batch, self._waiting = self._waiting, []
+            self._is_writing = True
+            failed = self._write(batch)
+            self._is_writing = False
+            if failed:
+                self._waiting = failed + self._waiting
+                eventlet.sleep(SETTLE_RETRY_SECONDS)
+
+    def _write(self, batch: list[StoredRecord]) -> list[StoredRecord]:
+        """Write settlements; return those that no quorum took."""
+        by_group: dict[int, list[StoredRecord]] = {}
+        for record in batch:
+            try:
+                by_group.setdefault(self._ledger.group_of(record.owner), []).append(record)
+            except StoreUncertainError:
+                return batch
+        failed = []
+        for group, records in by_group.items():
+            try:
+                self._client.write(group, records)
+            except NoQuorumError:
+                failed += records
+        return failed
--- a/yarrowwall/relay/service.py
+++ b/yarrowwall/relay/service.py
@@ -15,6 +15,7 @@
 from yarrowwall.relay.object_store import ObjectStore
 from yarrowwall.relay.ports import CallerProtocol, Documents, ServerProtocol
 from yarrowwall.relay.settings import MachineSettings, load_machine_settings
+from yarrowwall.replication.service import ReplicaService
 
 EXIT_BAD_SETTINGS = 2
 #: Seconds between looks at the settings file, which may change without a signal.
@@ -57,6 +58,12 @@
         self._parts: list[Part] = []
         if settings.gateway is not None:
             self._parts.append(GatewayService(settings, settings.gateway, adapter, self._log))
+        if settings.replica is not None:
+            self._parts.append(
+                ReplicaService(
+                    settings, settings.replica, adapter.documents, adapter.store, self._log
+                )
+            )
 
     def start(self) -> None:
         """Begin to work."""
--- /dev/null
+++ b/yarrowwall/relay/turns.py
@@ -0,0 +1,96 @@
+"""Turns of conversations: their stored form, a cache of them, and prompts built from them."""
+
+import struct
+from collections import OrderedDict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from yarrowwall.relay.events import Event
+
+#: Bytes of turns that a gateway keeps in memory.
+CACHE_BYTES = 24 * 1024 * 1024
+
+_LENGTH = struct.Struct(">I")
+_KEY_PREFIX = "turn/"
+
+
+@dataclass(frozen=True)
+class Turn:
+    """One finished turn.
+
+    :param previous: attempt id of the turn that it went on from; empty for none.
+    :param body: what the caller brought.
+    :param output: the data of each event, a line feed behind each.
+    """
+
+    attempt_id: str
+    previous: str
+    body: bytes
+    output: bytes
+
+    def value(self) -> bytes:
+        """Return body and output in one piece."""
+        return _LENGTH.pack(len(self.body)) + self.body + self.output
+
+
+def turn_key(attempt_id: str) -> str:
+    """Return the record key of a turn."""
+    return _KEY_PREFIX + attempt_id if attempt_id else ""
+
+
+def read_turn(key: str, link: str, value: bytes) -> Turn:
+    """Return the turn that a record holds."""
+    (length,) = _LENGTH.unpack_from(value)
+    start = _LENGTH.size
+    return Turn(
+        key.removeprefix(_KEY_PREFIX),
+        link.removeprefix(_KEY_PREFIX),
+        value[start : start + length],
+        value[start + length :],
+    )
+
+
+def output_of(events: Iterable[Event]) -> bytes:
+    """Return the output that a stream's events make up."""
+    return b"".join(event.data + b"\n" for event in events)
+
+
+def prompt_body(turns: Sequence[Turn], body: bytes) -> bytes:
+    """Return what a server gets for a turn: everything earlier, then the new input."""
+    return b"".join([part for turn in turns for part in (turn.body, turn.output)] + [body])
+
+
+class TurnCache:
+    """The turns that a gateway used last. A turn never changes, so any copy is good."""
+
+    def __init__(self, most_bytes: int = CACHE_BYTES) -> None:
+        self._most_bytes = most_bytes
+        self._bytes = 0
+        self._turns: OrderedDict[str, Turn] = OrderedDict()
+
+    def put(self, turn: Turn) -> None:
+        """Keep a turn."""
+        if turn.attempt_id in self._turns:
+            self._turns.move_to_end(turn.attempt_id)
+            return
+        self._turns[turn.attempt_id] = turn
+        self._bytes += len(turn.body) + len(turn.output)
+        while self._bytes > self._most_bytes:
+            _, oldest = self._turns.popitem(last=False)
+            self._bytes -= len(oldest.body) + len(oldest.output)
+
+    def chain(self, attempt_id: str) -> tuple[list[Turn], str]:
+        """Return the known turns up to one, newest first.
+
+        :returns: the turns, and the attempt id of the first unknown one; empty if the
+            chain is known from its beginning.
+        """
+        found = []
+        while attempt_id:
+            turn = self._turns.get(attempt_id)
+            if turn is None:
+                break
+            self._turns.move_to_end(attempt_id)
+            found.append(turn)
+            attempt_id = turn.previous
+        return found, attempt_id
--- /dev/null
+++ b/yarrowwall/replication/disk.py
@@ -0,0 +1,84 @@
+"""A replica's state machine with its log on disk."""
+
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from yarrowwall.relay import decisions
+from yarrowwall.relay.decisions import DecisionLog
+from yarrowwall.replication.replica import LogRecord, RecordReplica
+from yarrowwall.runtime.journal_writer import JournalWriter
+from yarrowwall.storage import identity
+from yarrowwall.storage.exceptions import CorruptSegmentError
+from yarrowwall.storage.segments import SegmentStore
+
+#: Segments after which the log is written anew without what is obsolete.
+SEGMENTS_KEPT = 2
+SEGMENT_BYTES = 16 * 1024 * 1024
+_LOG_FOLDER = "records"
+
+
+class ReplicaDisk:
+    """A replica's state machine with its log on disk."""
+
+    def __init__(self, node_id: str, folder: Path, log: DecisionLog) -> None:
+        self._log = log
+        self._folder = folder
+        self.replica = self._open(node_id)
+        self._writer = JournalWriter(self._store, self._refused)
+
+    def _open(self, node_id: str) -> RecordReplica:
+        try:
+            return self._restore(node_id)
+        except CorruptSegmentError as error:
+            # Acknowledged records are lost: this disk must not count as the old one.
+            self._log.write(decisions.ProcessChanged("disk given up", str(error)))
+            identity.discard(self._folder)
+            for path in (self._folder / _LOG_FOLDER).iterdir():
+                path.unlink()
+            return self._restore(node_id)
+
+    def _restore(self, node_id: str) -> RecordReplica:
+        disk_id = identity.initialise(self._folder)
+        self._store = SegmentStore(self._folder / _LOG_FOLDER, SEGMENT_BYTES)
+        replica = RecordReplica(node_id, disk_id)
+        replica.restore(self._store.read(), time.time())
+        if self._store.segment_count() > SEGMENTS_KEPT:
+            self._store.compact(replica.snapshot())
+        return replica
+
+    def _refused(self, error: Exception) -> bool:
+        self._log.write(decisions.DependencyChanged("disk", False, str(error)))
+        return True
+
+    def persist(
+        self,
+        records: list[LogRecord],
+        done: Callable[[], None] = lambda: None,
+        refused: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Write log records; ``done`` is called once all are on disk."""
+        if not records:
+            done()
+            return
+        for record in records[:-1]:
+            self._write(record, lambda: None, lambda: None)
+        self._write(records[-1], done, refused)
+
+    def _write(
+        self, record: LogRecord, done: Callable[[], None], refused: Callable[[], None]
+    ) -> None:
+        def durable() -> None:
+            self.replica.now_durable(record)
+            done()
+
+        def failed() -> None:
+            self.replica.not_durable(record)
+            refused()
+
+        self._writer.write(record, durable, failed)
+
+    def compact_if_long(self) -> None:
+        """Write the log anew if it has grown long."""
+        if self._store.segment_count() > SEGMENTS_KEPT:
+            self._writer.compact(self.replica.snapshot)
--- /dev/null
+++ b/yarrowwall/replication/documents.py
@@ -0,0 +1,47 @@
+"""Members and views as objects of the platform's store hold them."""
+
+from dataclasses import asdict
+from typing import Any
+
+from yarrowwall.messages.replicated import GroupView, Member
+
+#: Kind of the machines' registrations, one object a node.
+REPLICAS_KIND = "yarrowwall-replicas"
+#: Kind and name of the object that holds the newest view of every group.
+GROUPS_KIND = "yarrowwall-groups"
+GROUPS_NAME = "all"
+
+
+def member_spec(member: Member) -> dict[str, Any]:
+    """Return a member as an object of the platform's store holds it."""
+    return asdict(member)
+
+
+def read_member(spec: dict[str, Any]) -> Member:
+    """Return a member from an object's content."""
+    return Member(spec["node_id"], spec["disk_id"], spec["address"], spec["zone"])
+
+
+def view_spec(view: GroupView) -> dict[str, Any]:
+    """Return a view as an object of the platform's store holds it."""
+    return asdict(view)
+
+
+def read_view(spec: dict[str, Any]) -> GroupView:
+    """Return a view from an object's content."""
+    return GroupView(
+        spec["group"],
+        spec["epoch"],
+        [read_member(member) for member in spec["members"]],
+        [read_member(member) for member in spec["joining"]],
+    )
+
+
+def groups_spec(views: list[GroupView]) -> dict[str, Any]:
+    """Return the views of all groups as one object's content."""
+    return {"groups": [view_spec(view) for view in views]}
+
+
+def read_groups(spec: dict[str, Any]) -> list[GroupView]:
+    """Return the views of all groups from an object's content."""
+    return [read_view(view) for view in spec.get("groups", [])]
--- /dev/null
+++ b/yarrowwall/replication/exceptions.py
@@ -0,0 +1,15 @@
+"""Errors of the replication layer."""
+
+from yarrowwall.exceptions import YarrowwallError
+
+
+class ReplicationError(YarrowwallError):
+    """Base of the errors of this layer."""
+
+
+class LinkDownError(ReplicationError):
+    """A replica cannot be reached now."""
+
+
+class NoQuorumError(ReplicationError):
+    """Too few replicas answered in time; a write may or may not be complete."""
--- /dev/null
+++ b/yarrowwall/replication/peers.py
@@ -0,0 +1,63 @@
+"""What a replica knows of the other machines with disks: registrations and who is alive."""
+
+from collections.abc import Callable
+
+import eventlet
+
+from yarrowwall.messages.replicated import AskStatus, Member, StatusReply
+from yarrowwall.replication.quorum_client import LinkTable
+
+#: Seconds between questions, and how long an answer may take.
+HEARTBEAT_SECONDS = 0.4
+#: Seconds of silence after which a machine counts as down.
+DOWN_SECONDS = 1.6
+
+
+class ReplicaPeers:
+    """Asks every registered machine for its state again and again.
+
+    :param node_id: the own machine, which is always alive.
+    """
+
+    def __init__(self, node_id: str, links: LinkTable, now: Callable[[], float]) -> None:
+        self._node_id = node_id
+        self._links = links
+        self._now = now
+        self.registered: dict[str, Member] = {}
+        self._statuses: dict[str, StatusReply] = {}
+        self._heard_at: dict[str, float] = {}
+
+    def start(self) -> None:
+        """Begin to ask."""
+        eventlet.spawn_n(self._run)
+
+    def _run(self) -> None:
+        while True:
+            for member in list(self.registered.values()):
+                if member.node_id != self._node_id:
+                    self._ask(member)
+            eventlet.sleep(HEARTBEAT_SECONDS)
+
+    def _ask(self, member: Member) -> None:
+        link = self._links.get(member.address)
+        number = link.post(AskStatus(0), lambda reply: self._heard(member, reply))
+        eventlet.spawn_after(DOWN_SECONDS, link.forget, number)
+
+    def _heard(self, member: Member, reply: object | None) -> None:
+        # The address of a machine that is gone may belong to another one by now.
+        if isinstance(reply, StatusReply) and reply.node_id == member.node_id:
+            self._statuses[reply.disk_id] = reply
+            self._heard_at[member.node_id] = self._now()
+
+    def alive(self) -> set[str]:
+        """Return the machines that answered lately, the own one among them."""
+        since = self._now() - DOWN_SECONDS
+        heard = {node for node, heard_at in self._heard_at.items() if heard_at >= since}
+        return heard | {self._node_id}
+
+    def statuses(self, own: StatusReply) -> dict[str, StatusReply]:
+        """Return the newest state of each disk whose machine is alive."""
+        alive = self.alive()
+        found = {disk: status for disk, status in self._statuses.items() if status.node_id in alive}
+        found[own.disk_id] = own
+        return found
--- /dev/null
+++ b/yarrowwall/replication/planner.py
@@ -0,0 +1,117 @@
+"""Which replicas a group should have next. No I/O."""
+
+from collections import Counter
+from collections.abc import Collection, Sequence
+
+from yarrowwall.core.quorum import majority
+from yarrowwall.messages.replicated import GroupView, Member, StatusReply
+from yarrowwall.replication.views import disk_ids
+
+
+def target_size(machines_lost_at_once: int) -> int:
+    """Return how many replicas bear the loss of so many machines."""
+    return 2 * max(1, machines_lost_at_once) + 1
+
+
+def first_views(registered: Sequence[Member], size: int) -> list[GroupView]:
+    """Return the groups of a system that starts for the first time."""
+    count = max(1, len(registered) // size)
+    free = sorted(registered, key=lambda member: member.node_id)
+    views = []
+    for group in range(count):
+        chosen: list[Member] = []
+        for _ in range(min(size, len(free))):
+            best = _best_candidate(free, chosen)
+            chosen.append(best)
+            free.remove(best)
+        views.append(GroupView(group, 1, chosen, []))
+    return views
+
+
+def _best_candidate(candidates: Sequence[Member], chosen: Sequence[Member]) -> Member:
+    """Return the candidate whose zone is represented least."""
+    zones = Counter(member.zone for member in chosen)
+    return min(candidates, key=lambda member: (zones[member.zone], member.node_id))
+
+
+def next_view(
+    view: GroupView,
+    registered: dict[str, Member],
+    alive: Collection[str],
+    retiring: Collection[str],
+    busy: Collection[str],
+    size: int,
+) -> GroupView | None:
+    """Return the view that begins a change of a settled group; None if all is well.
+
+    :param registered: the machines' newest registrations by node id.
+    :param alive: node ids that answered lately.
+    :param retiring: node ids that are to be emptied.
+    :param busy: disks that are members of any group.
+    :param size: replicas wanted.
+    """
+    sound = [member for member in view.members if _is_sound(member, registered, alive, retiring)]
+    if len(_alive_members(view, registered, alive)) < majority(len(view.members)):
+        # Whoever sees only a minority may itself be the one that is cut off.
+        return None
+    candidates = [
+        member
+        for node_id, member in registered.items()
+        if node_id in alive and node_id not in retiring and member.disk_id not in busy
+    ]
+    joining = list(sound)
+    while len(joining) < size and candidates:
+        best = _best_candidate(candidates, joining)
+        candidates.remove(best)
+        joining.append(best)
+    missing = [member for member in view.members if member not in sound]
+    # Without a substitute, a silent member stays: it may come back with its disk. One
+    # that is to be emptied goes all the same.
+    for member in missing:
+        is_wanted = member.node_id not in retiring and not _has_other_disk(member, registered)
+        if is_wanted and len(joining) < len(view.members):
+            joining.append(member)
+    if not joining or set(disk_ids(joining)) == set(disk_ids(view.members)):
+        return None
+    return GroupView(view.group, view.epoch + 1, view.members, joining)
+
+
+def _has_other_disk(member: Member, registered: dict[str, Member]) -> bool:
+    newest = registered.get(member.node_id)
+    return newest is not None and newest.disk_id != member.disk_id
+
+
+def _is_sound(
+    member: Member,
+    registered: dict[str, Member],
+    alive: Collection[str],
+    retiring: Collection[str],
+) -> bool:
+    is_leaving = member.node_id in retiring or _has_other_disk(member, registered)
+    return member.node_id in alive and not is_leaving
+
+
+def _alive_members(
+    view: GroupView, registered: dict[str, Member], alive: Collection[str]
+) -> list[Member]:
+    return [
+        member
+        for member in view.members
+        if member.node_id in alive and not _has_other_disk(member, registered)
+    ]
+
+
+def settled_view(view: GroupView, statuses: dict[str, StatusReply]) -> GroupView | None:
+    """Return the view that ends a change; None if too few replicas have copied.
+
+    :param statuses: the newest answers of the joining replicas by disk.
+    """
+    copied = [
+        disk
+        for disk in disk_ids(view.joining)
+        if disk in statuses and statuses[disk].synchronised_epoch == view.epoch
+    ]
+    answering = [disk for disk in disk_ids(view.joining) if disk in statuses]
+    if len(copied) < majority(len(view.joining)) or len(copied) < len(answering):
+        return None
+    return GroupView(view.group, view.epoch + 1, view.joining, [])
--- /dev/null
+++ b/yarrowwall/replication/quorum_client.py
@@ -0,0 +1,255 @@
+"""Reads and writes of records through quorums of a group's replicas."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+import eventlet
+from eventlet.event import Event
+
+from yarrowwall.messages.replicated import (
+    GroupView,
+    InstallView,
+    Member,
+    ReadChain,
+    ReadOwner,
+    RecordsReply,
+    ReplyStatus,
+    StoredRecord,
+    WriteRecords,
+)
+from yarrowwall.replication.exceptions import NoQuorumError
+from yarrowwall.replication.rpc import Link
+from yarrowwall.replication.views import all_members, is_read, is_written
+
+#: Seconds that an operation waits for its quorum.
+OPERATION_SECONDS = 0.6
+#: Seconds that the nearest replica has to answer alone before all are asked.
+NEAREST_SECONDS = 0.08
+#: Seconds before an operation that met another view is tried again.
+RETRY_SECONDS = 0.01
+
+MakeRequest = Callable[[Member], object]
+
+
+@dataclass
+class _Round:
+    """The replies to one request of several replicas."""
+
+    acknowledged: set[str] = field(default_factory=set)
+    readers: set[str] = field(default_factory=set)
+    records: dict[str, StoredRecord] = field(default_factory=dict)
+    answered: int = 0
+    met_other_view: bool = False
+
+    def merge(self, records: Sequence[StoredRecord]) -> None:
+        """Take in records; the higher version of a key wins."""
+        for record in records:
+            held = self.records.get(record.key)
+            if held is None or held.version < record.version:
+                self.records[record.key] = record
+
+
+class GroupViews:
+    """The newest known view of each group.
+
+    :param changed: called with each newer view.
+    """
+
+    def __init__(self, changed: Callable[[GroupView], None] = lambda view: None) -> None:
+        self._views: dict[int, GroupView] = {}
+        self._changed = changed
+
+    def take(self, view: GroupView) -> None:
+        """Take in a view unless a newer one is known."""
+        known = self._views.get(view.group)
+        if known is None or known.epoch < view.epoch:
+            self._views[view.group] = view
+            self._changed(view)
+
+    def get(self, group: int) -> GroupView | None:
+        """Return a group's newest view."""
+        return self._views.get(group)
+
+    @property
+    def count(self) -> int:
+        """Return how many groups there are."""
+        return len(self._views)
+
+
+class LinkTable:
+    """Links by address."""
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self._now = now
+        self._links: dict[str, Link] = {}
+
+    def get(self, address: str) -> Link:
+        """Return the link to an address."""
+        link = self._links.get(address)
+        if link is None:
+            link = self._links[address] = Link(address, self._now)
+        return link
+
+
+class QuorumClient:
+    """Operations on records.
+
+    :param zone: the own zone; its replicas are asked first.
+    """
+
+    def __init__(
+        self, zone: str, views: GroupViews, links: LinkTable, now: Callable[[], float]
+    ) -> None:
+        self._zone = zone
+        self._views = views
+        self._links = links
+        self._now = now
+
+    def write(
+        self,
+        group: int,
+        records: list[StoredRecord],
+        owner: str = "",
+        timeout: float = OPERATION_SECONDS,
+    ) -> dict[str, StoredRecord]:
+        """Store records on a write quorum; return the owner's records that it reports.
+
+        :raises NoQuorumError: if the quorum does not answer in time.
+        """
+        return self._operate(
+            group,
+            lambda view, member: WriteRecords(group, view.epoch, member.disk_id, owner, records),
+            lambda view, found: is_written(view, found.acknowledged),
+            timeout,
+        ).records
+
+    def read_owner(
+        self, group: int, owner: str, timeout: float = OPERATION_SECONDS
+    ) -> dict[str, StoredRecord]:
+        """Return all complete records of an owner.
+
+        :raises NoQuorumError: if the quorum does not answer in time.
+        """
+        return self._operate(
+            group,
+            lambda view, member: ReadOwner(group, view.epoch, member.disk_id, owner),
+            lambda view, found: is_read(view, found.readers),
+            timeout,
+        ).records
+
+    def read_chain(
+        self, group: int, key: str, known: list[str], timeout: float = OPERATION_SECONDS
+    ) -> dict[str, StoredRecord]:
+        """Return a record and those it goes on from, as far as replicas have them.
+
+        The nearest replica is asked alone first. If a record is not found, no
+        complete write of it exists.
+
+        :raises NoQuorumError: if the quorum does not answer in time.
+        """
+
+        def request(view: GroupView, member: Member) -> object:
+            return ReadChain(group, view.epoch, member.disk_id, key, known)
+
+        stop = set(known)
+
+        def is_whole(view: GroupView, found: _Round) -> bool:
+            return _reaches_root(found.records, key, stop)
+
+        try:
+            nearest = self._operate(group, request, is_whole, NEAREST_SECONDS, only_nearest=True)
+            return nearest.records
+        except NoQuorumError:
+            pass
+        return self._operate(
+            group,
+            request,
+            lambda view, found: is_whole(view, found) or is_read(view, found.readers),
+            timeout,
+        ).records
+
+    def _operate(
+        self,
+        group: int,
+        request: Callable[[GroupView, Member], object],
+        is_enough: Callable[[GroupView, _Round], bool],
+        timeout: float,
+        only_nearest: bool = False,
+    ) -> _Round:
+        end = self._now() + timeout
+        while True:
+            view = self._views.get(group)
+            if view is None:
+                raise NoQuorumError(f"no view of group {group} is known")
+            members = self._nearest(view) if only_nearest else all_members(view)
+            found = self._round(view, members, request, is_enough, end)
+            if is_enough(view, found):
+                return found
+            newer = self._views.get(group) is not view or found.met_other_view
+            if only_nearest or not newer or self._now() + RETRY_SECONDS >= end:
+                raise NoQuorumError(f"group {group}: {found.answered} of {len(members)} answered")
+            eventlet.sleep(RETRY_SECONDS)
+
+    def _nearest(self, view: GroupView) -> list[Member]:
+        in_zone = [member for member in view.members if member.zone == self._zone]
+        return (in_zone or view.members)[:1]
+
+    def _round(
+        self,
+        view: GroupView,
+        members: list[Member],
+        request: Callable[[GroupView, Member], object],
+        is_enough: Callable[[GroupView, _Round], bool],
+        end: float,
+    ) -> _Round:
+        found = _Round()
+        done = Event()
+        posted = []
+
+        def take(member: Member, reply: object | None) -> None:
+            if done.ready():
+                return
+            found.answered += 1
+            if isinstance(reply, RecordsReply):
+                self._take_reply(view, member, reply, found)
+            if is_enough(view, found) or found.answered == len(members):
+                done.send(None)
+
+        for member in members:
+            link = self._links.get(member.address)
+            number = link.post(
+                request(view, member), lambda reply, member=member: take(member, reply)
+            )
+            posted.append((link, number))
+        done.wait(max(0.0, end - self._now()))
+        if not done.ready():
+            done.send(None)
+        for link, number in posted:
+            link.forget(number)
+        return found
+
+    def _take_reply(
+        self, view: GroupView, member: Member, reply: RecordsReply, found: _Round
+    ) -> None:
+        if reply.status is ReplyStatus.OK:
+            found.acknowledged.add(member.disk_id)
+            if reply.is_reader:
+                found.readers.add(member.disk_id)
+            found.merge(reply.records)
+        elif reply.status is ReplyStatus.BEHIND:
+            found.met_other_view = True
+            self._links.get(member.address).post(InstallView(view), lambda reply: None)
+        elif reply.status is ReplyStatus.STALE:
+            found.met_other_view = True
+            if reply.view is not None:
+                self._views.take(reply.view)
+
+
+def _reaches_root(records: dict[str, StoredRecord], key: str, stop: set[str]) -> bool:
+    """Return whether records link a key to a first one or to a known one."""
+    while key and key not in stop:
+        record = records.get(key)
+        if record is None:
+            return False
+        key = record.link
+    return True
--- /dev/null
+++ b/yarrowwall/replication/rpc.py
@@ -0,0 +1,219 @@
+"""Requests and replies between nodes: frames over TCP, matched by number.
+
+A frame is a four-byte length, a four-byte number and one encoded message.
+"""
+
+import contextlib
+import socket
+import struct
+from collections import deque
+from collections.abc import Callable
+
+import eventlet
+from eventlet.event import Event
+
+from yarrowwall.messages.codec import decode, encode
+from yarrowwall.messages.exceptions import MessageError
+from yarrowwall.relay.connection import open_socket, set_silence_limits
+from yarrowwall.relay.exceptions import ConnectError
+from yarrowwall.replication.exceptions import LinkDownError
+
+#: Longest frame that is read; longer ones close the connection.
+MOST_FRAME_BYTES = 64 * 1024 * 1024
+#: Seconds for a connection to come up.
+CONNECT_SECONDS = 0.3
+#: Seconds after a failed connection in which requests fail at once.
+DOWN_SECONDS = 0.1
+_READ_BYTES = 256 * 1024
+
+_HEADER = struct.Struct(">II")
+#: Called with the reply, or with None if none will come.
+Completion = Callable[[object | None], None]
+
+
+class FrameChannel:
+    """One connection that carries frames both ways.
+
+    :param receive: called with number and message of each frame.
+    :param closed: called once the connection is over.
+    """
+
+    def __init__(
+        self,
+        connection: socket.socket,
+        receive: Callable[[int, object], None],
+        closed: Callable[[], None],
+    ) -> None:
+        self._connection = connection
+        self._receive = receive
+        self._closed = closed
+        self._outgoing: deque[bytes] = deque()
+        self._wakeup = Event()
+        self.is_open = True
+        connection.settimeout(None)
+        eventlet.spawn_n(self._read)
+        eventlet.spawn_n(self._write)
+
+    def send(self, number: int, message: object) -> None:
+        """Queue a frame."""
+        body = encode(message)
+        self._outgoing.append(_HEADER.pack(len(body), number) + body)
+        if not self._wakeup.ready():
+            self._wakeup.send()
+
+    def close(self) -> None:
+        """End the connection."""
+        if not self.is_open:
+            return
+        self.is_open = False
+        with contextlib.suppress(OSError):
+            self._connection.shutdown(socket.SHUT_RDWR)
+        self._connection.close()
+        if not self._wakeup.ready():
+            self._wakeup.send()
+        self._closed()
+
+    def _write(self) -> None:
+        try:
+            while self.is_open:
+                if not self._outgoing:
+                    self._wakeup.wait()
+                    self._wakeup = Event()
+                    continue
+                data = b"".join(self._outgoing)
+                self._outgoing.clear()
+                self._connection.sendall(data)
+        except OSError:
+            self.close()
+
+    def _read(self) -> None:
+        buffer = bytearray()
+        try:
+            while self.is_open:
+                data = self._connection.recv(_READ_BYTES)
+                if not data:
+                    break
+                buffer += data
+                self._take_frames(buffer)
+        except (OSError, MessageError):
+            pass
+        self.close()
+
+    def _take_frames(self, buffer: bytearray) -> None:
+        start = 0
+        while len(buffer) - start >= _HEADER.size:
+            length, number = _HEADER.unpack_from(buffer, start)
+            if length > MOST_FRAME_BYTES:
+                raise OSError(f"a frame of {length} bytes")
+            end = start + _HEADER.size + length
+            if len(buffer) < end:
+                break
+            body = bytes(buffer[start + _HEADER.size : end])
+            start = end
+            self._receive(number, decode(body))
+        del buffer[:start]
+
+
+class Link:
+    """Requests to one node; the connection is opened when it is needed.
+
+    :param now: the monotonic clock.
+    """
+
+    def __init__(self, address: str, now: Callable[[], float]) -> None:
+        self.address = address
+        self._now = now
+        self._channel: FrameChannel | None = None
+        self._is_opening = False
+        self._down_until = 0.0
+        self._number = 0
+        self._waiting: dict[int, Completion] = {}
+        self._queued: dict[int, object] = {}
+
+    def post(self, message: object, completion: Completion) -> int:
+        """Send a request; ``completion`` is called with its reply or None.
+
+        :returns: a number to forget the request by.
+        """
+        self._number = (self._number + 1) % 2**32
+        self._waiting[self._number] = completion
+        if self._channel is not None and self._channel.is_open:
+            self._channel.send(self._number, message)
+            return self._number
+        self._queued[self._number] = message
+        if not self._is_opening:
+            self._is_opening = True
+            eventlet.spawn_n(self._open)
+        return self._number
+
+    def call(self, message: object, timeout: float) -> object:
+        """Send a request and return its reply.
+
+        :raises LinkDownError: if none comes in time.
+        """
+        arrived = Event()
+        number = self.post(message, lambda reply: None if arrived.ready() else arrived.send(reply))
+        reply = arrived.wait(timeout)
+        self.forget(number)
+        if reply is None:
+            raise LinkDownError(self.address)
+        return reply
+
+    def forget(self, number: int) -> None:
+        """Wait no more for a reply."""
+        self._waiting.pop(number, None)
+        self._queued.pop(number, None)
+
+    def _open(self) -> None:
+        try:
+            if self._now() < self._down_until:
+                raise ConnectError(self.address)
+            connection = open_socket(self.address, CONNECT_SECONDS)
+        except ConnectError:
+            self._is_opening = False
+            self._down_until = max(self._down_until, self._now() + DOWN_SECONDS)
+            self._fail_all()
+            return
+        self._is_opening = False
+        self._channel = FrameChannel(connection, self._receive, self._fail_all)
+        queued, self._queued = self._queued, {}
+        for number, message in queued.items():
+            self._channel.send(number, message)
+
+    def _receive(self, number: int, message: object) -> None:
+        completion = self._waiting.pop(number, None)
+        if completion is not None:
+            completion(message)
+
+    def _fail_all(self) -> None:
+        self._queued.clear()
+        waiting, self._waiting = self._waiting, {}
+        for completion in waiting.values():
+            completion(None)
+
+    def close(self) -> None:
+        """End the connection."""
+        if self._channel is not None:
+            self._channel.close()
+
+
+#: Called with a request and with what sends its reply.
+RequestHandler = Callable[[object, Callable[[object], None]], None]
+
+
+def serve_requests(listener: socket.socket, handle: RequestHandler) -> None:
+    """Accept connections and hand over their requests until the listener is closed."""
+    while True:
+        try:
+            connection, _ = listener.accept()
+        except OSError:
+            return
+        set_silence_limits(connection)
+        _serve_connection(connection, handle)
+
+
+def _serve_connection(connection: socket.socket, handle: RequestHandler) -> None:
+    def receive(number: int, message: object) -> None:
+        handle(message, lambda reply: channel.send(number, reply))
+
+    channel = FrameChannel(connection, receive, lambda: None)
--- /dev/null
+++ b/yarrowwall/replication/service.py
@@ -0,0 +1,223 @@
+"""The process side of a replica: requests of other nodes, registration, upkeep."""
+
+import time
+from collections.abc import Callable
+
+import eventlet
+
+from yarrowwall.messages.replicated import GroupView, Member, RecordsReply, ReplyStatus
+from yarrowwall.relay import decisions
+from yarrowwall.relay.decisions import DecisionLog
+from yarrowwall.relay.object_store import (
+    Change,
+    ConflictError,
+    ObjectStore,
+    ObjectStoreError,
+    StoredObject,
+)
+from yarrowwall.relay.ports import Documents
+from yarrowwall.relay.settings import MachineSettings, ReplicaSettings
+from yarrowwall.relay.watching import KindFollower
+from yarrowwall.replication.coordinator import Coordinator
+from yarrowwall.replication.disk import ReplicaDisk
+from yarrowwall.replication.documents import (
+    GROUPS_KIND,
+    REPLICAS_KIND,
+    member_spec,
+    read_groups,
+    read_member,
+)
+from yarrowwall.replication.peers import ReplicaPeers
+from yarrowwall.replication.planner import target_size
+from yarrowwall.replication.quorum_client import LinkTable
+from yarrowwall.replication.rpc import serve_requests
+from yarrowwall.replication.synchroniser import Synchroniser
+from yarrowwall.replication.views import all_members, disk_ids
+from yarrowwall.runtime.peers import split_address
+
+#: Seconds between rounds of upkeep, and between looks for records to drop.
+UPKEEP_SECONDS = 0.3
+EXPIRY_SECONDS = 5.0
+
+
+class ReplicaService:
+    """Runs a replica of the record store."""
+
+    def __init__(
+        self,
+        settings: MachineSettings,
+        own: ReplicaSettings,
+        documents: Documents,
+        store: ObjectStore,
+        log: DecisionLog,
+    ) -> None:
+        self._settings = settings
+        self._documents = documents
+        self._store = store
+        self._log = log
+        self._disk = ReplicaDisk(settings.node_id, own.data_folder, log)
+        self._replica = self._disk.replica
+        self._links = LinkTable(time.monotonic)
+        self._peers = ReplicaPeers(settings.node_id, self._links, time.monotonic)
+        self._synchroniser = Synchroniser(self._disk, self._links, log, time.time)
+        self._coordinator = Coordinator(
+            settings.node_id,
+            store,
+            self._replica,
+            self._peers,
+            log,
+            time.monotonic,
+            settings.is_first_start,
+            target_size(settings.machines_lost_at_once),
+        )
+        self._retirements: dict[str, StoredObject] = {}
+        self._has_told_retirement = False
+        self._followers = [
+            KindFollower(store, GROUPS_KIND, self._groups_listed, self._group_changed, log),
+            KindFollower(store, REPLICAS_KIND, self._replicas_listed, self._replica_changed, log),
+            KindFollower(
+                store,
+                documents.retirements_kind,
+                self._retirements_listed,
+                self._retirement_changed,
+                log,
+            ),
+        ]
+
+    def start(self) -> None:
+        """Begin to serve."""
+        address = split_address(self._settings.peer_address)
+        listener = eventlet.listen(address, backlog=512)
+        eventlet.spawn_n(serve_requests, listener, self._handle)
+        for follower in self._followers:
+            follower.start()
+        self._peers.start()
+        self._synchroniser.start()
+        self._coordinator.start()
+        eventlet.spawn_n(self._register)
+        eventlet.spawn_n(self._keep_house)
+
+    def stop(self) -> None:
+        """Return at once: whatever was acknowledged is on disk."""
+
+    # Requests
+
+    def _handle(self, request: object, reply: Callable[[object], None]) -> None:
+        outcome = self._replica.handle(request, time.time())  # type: ignore[arg-type]
+        if not outcome.persist:
+            reply(outcome.reply)
+            return
+        self._disk.persist(
+            list(outcome.persist),
+            lambda: reply(self._after_persist(outcome.reply)),
+            lambda: reply(RecordsReply(ReplyStatus.DISK_REFUSED, False, [], None)),
+        )
+
+    def _after_persist(self, reply: object) -> object:
+        self._synchroniser.look()
+        return reply if isinstance(reply, RecordsReply) else self._replica.status()
+
+    # The own registration
+
+    def _own_member(self) -> Member:
+        settings = self._settings
+        return Member(settings.node_id, self._replica.disk_id, settings.peer_address, settings.zone)
+
+    def _register(self) -> None:
+        """Tell the store of this machine and its disk until the store has taken it."""
+        spec = member_spec(self._own_member())
+        while True:
+            try:
+                self._store.create(REPLICAS_KIND, self._settings.node_id, spec)
+                return
+            except ConflictError:
+                if self._replace_registration(spec):
+                    return
+            except ObjectStoreError:
+                pass
+            eventlet.sleep(UPKEEP_SECONDS)
+
+    def _replace_registration(self, spec: dict) -> bool:
+        known = self._peers.registered.get(self._settings.node_id)
+        if known is not None and member_spec(known) == spec:
+            return True
+        try:
+            self._store.replace(REPLICAS_KIND, self._settings.node_id, spec, None)
+        except ObjectStoreError:
+            return False
+        return True
+
+    # Upkeep
+
+    def _keep_house(self) -> None:
+        next_expiry = time.monotonic() + EXPIRY_SECONDS
+        while True:
+            eventlet.sleep(UPKEEP_SECONDS)
+            self._tell_retirement()
+            if time.monotonic() > next_expiry:
+                next_expiry = time.monotonic() + EXPIRY_SECONDS
+                self._replica.table.expire(time.time())
+                self._disk.compact_if_long()
+
+    def _tell_retirement(self) -> None:
+        """Report whether this machine, if it is to be emptied, holds nothing any more."""
+        item = self._retirements.get(self._settings.node_id)
+        if item is None:
+            return
+        views = self._coordinator.views()
+        own = self._replica.disk_id
+        is_complete = bool(views) and all(own not in disk_ids(all_members(view)) for view in views)
+        status = self._documents.retirement_status(is_complete)
+        if item.status == status:
+            return
+        try:
+            self._store.set_status(self._documents.retirements_kind, self._settings.node_id, status)
+        except ObjectStoreError:
+            return
+        self._retirements[self._settings.node_id] = StoredObject(
+            item.name, item.revision, item.spec, status
+        )
+        change = "retired" if is_complete else "retiring"
+        self._log.write(decisions.ProcessChanged(change, self._settings.node_id))
+
+    # What the store tells
+
+    def _groups_listed(self, items: list[StoredObject]) -> None:
+        for item in items:
+            self._take_groups(item)
+        self._coordinator.has_listed = True
+
+    def _group_changed(self, change: Change) -> None:
+        if not change.is_gone:
+            self._take_groups(change.item)
+
+    def _take_groups(self, item: StoredObject) -> None:
+        self._coordinator.take_groups(item)
+        for view in read_groups(item.spec):
+            if self._concerns(view):
+                self._disk.persist(self._replica.take_view(view), self._synchroniser.look)
+
+    def _concerns(self, view: GroupView) -> bool:
+        own = self._replica.view
+        is_own_group = own is not None and own.group == view.group
+        return is_own_group or self._replica.disk_id in disk_ids(all_members(view))
+
+    def _replicas_listed(self, items: list[StoredObject]) -> None:
+        self._peers.registered = {item.name: read_member(item.spec) for item in items}
+
+    def _replica_changed(self, change: Change) -> None:
+        if change.is_gone:
+            self._peers.registered.pop(change.item.name, None)
+        else:
+            self._peers.registered[change.item.name] = read_member(change.item.spec)
+
+    def _retirements_listed(self, items: list[StoredObject]) -> None:
+        self._retirements = {item.name: item for item in items}
+        self._coordinator.retiring = set(self._retirements)
+
+    def _retirement_changed(self, change: Change) -> None:
+        if change.is_gone:
+            self._retirements.pop(change.item.name, None)
+        else:
+            self._retirements[change.item.name] = change.item
+        self._coordinator.retiring = set(self._retirements)
--- a/yarrowwall/runtime/journal_writer.py
+++ b/yarrowwall/runtime/journal_writer.py
@@ -1,6 +1,7 @@
 """Group commit: one fsync for all records that came during the previous one."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import eventlet
 from eventlet import tpool
@@ -13,28 +14,56 @@
 MOST_RECORDS_PER_COMMIT = 512
 
 
+@dataclass(frozen=True)
+class _Waiting:
+    record: Record
+    durable: Callable[[], None]
+    refused: Callable[[], None]
+
+
 class JournalWriter:
     """Writes records in the background and calls back once they are durable.
 
-    :param failed: called with the error if the disk refuses; the node must
-        stop, since it can acknowledge nothing any more.
+    :param failed: called with the error if the disk refuses; returns whether to go
+        on with later records. Those of the refused commit are reported by ``refused``.
     """
 
-    def __init__(self, store: SegmentStore, failed: Callable[[Exception], None]) -> None:
+    def __init__(self, store: SegmentStore, failed: Callable[[Exception], bool]) -> None:
         self._store = store
         self._failed = failed
-        self._waiting: list[tuple[Record, Callable[[], None]]] = []
+        self._waiting: list[_Waiting] = []
+        self._snapshot: Callable[[], list[Record]] | None = None
         self._wakeup = Event()
         self._worker = eventlet.spawn(self._run)
 
-    def write(self, record: Record, durable: Callable[[], None]) -> None:
-        """Queue a record; ``durable`` is called after its fsync."""
-        self._waiting.append((record, durable))
+    def write(
+        self,
+        record: Record,
+        durable: Callable[[], None],
+        refused: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Queue a record; ``durable`` is called after its fsync, or else ``refused``."""
+        self._waiting.append(_Waiting(record, durable, refused))
         if not self._wakeup.ready():
             self._wakeup.send()
 
+    def compact(self, snapshot: Callable[[], list[Record]]) -> None:
+        """Replace the whole log, between two commits, by what ``snapshot`` returns."""
+        self._snapshot = snapshot
+        if not self._wakeup.ready():
+            self._wakeup.send()
+
+    def _compact(self, snapshot: Callable[[], list[Record]]) -> None:
+        try:
+            tpool.execute(self._store.compact, snapshot())
+        except Exception as error:  # the node decides; the old log is still whole
+            self._failed(error)
+
     def _run(self) -> None:
         while True:
+            if self._snapshot is not None:
+                snapshot, self._snapshot = self._snapshot, None
+                self._compact(snapshot)
             if not self._waiting:
                 self._wakeup.wait()
                 self._wakeup = Event()
@@ -42,9 +71,12 @@
             batch = self._waiting[:MOST_RECORDS_PER_COMMIT]
             del self._waiting[:MOST_RECORDS_PER_COMMIT]
             try:
-                tpool.execute(self._store.append, [record for record, _ in batch])
+                tpool.execute(self._store.append, [waiting.record for waiting in batch])
             except Exception as error:  # the node decides; nothing may be acknowledged
-                self._failed(error)
-                return
-            for _, durable in batch:
-                durable()
+                if not self._failed(error):
+                    return
+                for waiting in batch:
+                    waiting.refused()
+                continue
+            for waiting in batch:
+                waiting.durable()
--- a/yarrowwall/runtime/service.py
+++ b/yarrowwall/runtime/service.py
@@ -227,9 +227,10 @@
         else:
             self._peers.send(gateway, chunk)
 
-    def _journal_failed(self, error: Exception) -> None:
+    def _journal_failed(self, error: Exception) -> bool:
         _log.error("the journal cannot be written; the node stops", extra={"error": str(error)})
         self._stop(1)
+        return False
 
     # Stopping
 
--- a/yarrowwall/storage/identity.py
+++ b/yarrowwall/storage/identity.py
@@ -1,9 +1,11 @@
 """The replica id, made with the data folder."""
 
+import os
 from pathlib import Path
 from uuid import uuid4
 
 from yarrowwall.storage.exceptions import FolderNotInitialisedError, StorageError
+from yarrowwall.storage.folders import sync_folder
 
 _FILE_NAME = "replica-id"
 
@@ -21,12 +23,23 @@
     chosen = replica_id or uuid4().hex
     try:
         folder.mkdir(parents=True, exist_ok=True)
-        (folder / _FILE_NAME).write_text(chosen + "\n")
+        _write_durably(folder, chosen + "\n")
     except OSError as error:
         raise StorageError(f"cannot initialise the data folder: {error}") from error
     return chosen
 
 
+def _write_durably(folder: Path, text: str) -> None:
+    """Write the id so that a loss of power leaves all of it or nothing."""
+    temporary = folder / (_FILE_NAME + ".temporary")
+    with temporary.open("w") as file:
+        file.write(text)
+        file.flush()
+        os.fsync(file.fileno())
+    temporary.rename(folder / _FILE_NAME)
+    sync_folder(folder)
+
+
 def read(folder: Path) -> str:
     """Return a data folder's replica id.
 
@@ -36,3 +49,9 @@
         return (folder / _FILE_NAME).read_text().strip()
     except FileNotFoundError as error:
         raise FolderNotInitialisedError(f"{folder} holds no replica id") from error
+
+
+def discard(folder: Path) -> None:
+    """Forget a data folder's replica id, so that it gets a new one."""
+    (folder / _FILE_NAME).unlink(missing_ok=True)
+    sync_folder(folder)
--- a/yarrowwall/storage/segments.py
+++ b/yarrowwall/storage/segments.py
@@ -1,9 +1,9 @@
 """Append-only segment files with checksums and group commit.
 
-A record is a header (length and checksum) and the encoded message. A torn
-record at the end of the last segment is what a crash during a write leaves:
-it was never acknowledged and is cut. A bad checksum anywhere else stops the
-replica, since acknowledged records are lost.
+One commit is one frame: a header (length and checksum) and the encoded messages,
+each with its length. A loss of power may leave the last frame torn in any way; it
+was never acknowledged and is cut. A damaged frame with an intact one behind it means
+that acknowledged records are lost, which stops the replica.
 """
 
 import os
@@ -17,27 +17,32 @@
 from yarrowwall.messages.codec import decode, encode
 from yarrowwall.messages.records import Record
 from yarrowwall.storage.exceptions import CorruptSegmentError, StorageError
+from yarrowwall.storage.folders import sync_folder
 
 #: A new segment is begun past this size.
 SEGMENT_BYTES = 64 * 1024 * 1024
 
 _HEADER = struct.Struct(">IQ")
+_RECORD_LENGTH = struct.Struct(">I")
 _SUFFIX = ".segment"
 _TEMPORARY_SUFFIX = ".temporary"
 
 
-def _frame(record: Record) -> bytes:
-    body = encode(record)
+def _frame(records: Iterable[Record]) -> bytes:
+    """Return the frame of one commit."""
+    encoded = [encode(record) for record in records]
+    body = b"".join(_RECORD_LENGTH.pack(len(record)) + record for record in encoded)
     return _HEADER.pack(len(body), xxhash.xxh3_64_intdigest(body)) + body
 
 
-def _sync_folder(folder: Path) -> None:
-    """Make created, renamed and removed files durable."""
-    descriptor = os.open(folder, os.O_RDONLY)
-    try:
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
+def _records(body: bytes) -> Iterator[Record]:
+    """Return the records of a frame's body."""
+    offset = 0
+    while offset < len(body):
+        (length,) = _RECORD_LENGTH.unpack_from(body, offset)
+        offset += _RECORD_LENGTH.size
+        yield decode(body[offset : offset + length])
+        offset += length
 
 
 class SegmentStore:
@@ -56,6 +61,7 @@
             raise StorageError(f"cannot use the data folder: {error}") from error
         self._number = max((self._number_of(path) for path in self._paths()), default=0)
         self._file: BinaryIO | None = None
+        self._durable_bytes = 0
 
     def _paths(self) -> list[Path]:
         return sorted(self._folder.glob(f"*{_SUFFIX}"))
@@ -70,23 +76,22 @@
     def read(self) -> Iterator[Record]:
         """Return all records, oldest first; cut a torn end.
 
-        :raises CorruptSegmentError: if a record before the end is damaged.
+        :raises CorruptSegmentError: if a frame before an intact one is damaged.
         """
-        paths = self._paths()
-        for path in paths:
-            yield from self._read_segment(path, is_last=path == paths[-1])
+        for path in self._paths():
+            yield from self._read_segment(path)
 
-    def _read_segment(self, path: Path, is_last: bool) -> Iterator[Record]:
+    def _read_segment(self, path: Path) -> Iterator[Record]:
         data = path.read_bytes()
         offset = 0
         while offset < len(data):
             body = self._body_at(data, offset)
             if body is None:
-                if not is_last or not self._is_torn(data, offset):
+                if not self._is_torn(data, offset):
                     raise CorruptSegmentError(f"{path.name}: damaged record at byte {offset}")
                 os.truncate(path, offset)
                 return
-            yield decode(body)
+            yield from _records(body)
             offset += _HEADER.size + len(body)
 
     @staticmethod
@@ -100,36 +105,56 @@
         intact = len(body) == length and xxhash.xxh3_64_intdigest(body) == checksum
         return body if intact else None
 
-    @staticmethod
-    def _is_torn(data: bytes, offset: int) -> bool:
-        """Return whether the damaged record reaches the end of the file."""
-        start = offset + _HEADER.size
-        if start > len(data):
+    @classmethod
+    def _is_torn(cls, data: bytes, offset: int) -> bool:
+        """Return whether no intact frame follows the damaged one."""
+        if offset + _HEADER.size > len(data):
             return True
         length, _ = _HEADER.unpack_from(data, offset)
-        return start + length >= len(data)
+        following = offset + _HEADER.size + length
+        return length == 0 or following >= len(data) or not cls._body_at(data, following)
 
     def append(self, records: Iterable[Record]) -> None:
         """Write records and make them durable with one fsync.
 
-        :raises StorageError: if the disk refuses; the replica must then stop.
+        :raises StorageError: if the disk refuses; nothing of it counts then.
         """
         try:
             file = self._open_file()
-            file.write(b"".join(_frame(record) for record in records))
+            self._durable_bytes = file.tell()
+            file.write(_frame(records))
             file.flush()
             os.fsync(file.fileno())
             if file.tell() >= self._segment_bytes:
                 self._close_file()
                 self._number += 1
         except OSError as error:
+            self._take_back()
             raise StorageError(f"cannot write the journal: {error}") from error
 
+    def _take_back(self) -> None:
+        """Cut what a refused write left, so that later frames follow an intact one.
+
+        If the disk refuses that too, a new segment is begun; reading takes the damaged
+        end of an earlier segment for torn as well, since nothing follows it there.
+        """
+        path = self._path(self._number)
+        try:
+            if self._file is not None:
+                self._file.close()
+        except OSError:
+            pass
+        self._file = None
+        try:
+            os.truncate(path, self._durable_bytes)
+        except OSError:
+            self._number += 1
+
     def _open_file(self) -> BinaryIO:
         if self._file is None:
             self._number = max(self._number, 1)
             self._file = self._path(self._number).open("ab")
-            _sync_folder(self._folder)
+            sync_folder(self._folder)
         return self._file
 
     def _close_file(self) -> None:
@@ -146,22 +171,27 @@
 
         The new segment is durable before the old ones go; a crash in between
         leaves both, and reading both gives the same state.
+
+        :raises StorageError: if the disk refuses; the old segments stay then.
         """
         old = self._paths()
         self._close_file()
         self._number = max(self._number, 1) + 1
         target = self._path(self._number)
         temporary = target.with_suffix(_TEMPORARY_SUFFIX)
-        with temporary.open("wb") as file:
-            for record in records:
-                file.write(_frame(record))
-            file.flush()
-            os.fsync(file.fileno())
-        temporary.rename(target)
-        _sync_folder(self._folder)
-        for path in old:
-            path.unlink()
-        _sync_folder(self._folder)
+        try:
+            with temporary.open("wb") as file:
+                for record in records:
+                    file.write(_frame([record]))
+                file.flush()
+                os.fsync(file.fileno())
+            temporary.rename(target)
+            sync_folder(self._folder)
+            for path in old:
+                path.unlink()
+            sync_folder(self._folder)
+        except OSError as error:
+            raise StorageError(f"cannot rewrite the journal: {error}") from error
 
     def close(self) -> None:
         """Close the open segment."""
