Receive on sockets by ourselves: a reset is no end, and closing a socket ends no process

Found on the way: its recv returns nothing for a reset, so an unframed answer that was reset would have passed for whole. Ruled out: the replica and the watch of callers (no socket of theirs is closed while read). Change: relay/sockets.py; replies about budgets carry amounts only.

--- a/yarrowwall/messages/replicated.py
+++ b/yarrowwall/messages/replicated.py
@@ -73,18 +73,17 @@
 
 @message(100)
 class WriteRecords:
-    """Store records; the reply has all records of ``owner``."""
+    """Store records."""
 
     group: int
     epoch: int
     disk_id: str
-    owner: str
     records: list[StoredRecord]
 
 
 @message(101)
 class ReadOwner:
-    """Return all records of an owner."""
+    """Return keys, versions and amounts of all records of an owner."""
 
     group: int
     epoch: int
@@ -152,12 +151,13 @@
 
 @message(111)
 class KeysReply:
-    """Answer to :class:`ListKeys`."""
+    """Answer to :class:`ListKeys` and :class:`ReadOwner`; the lists run in parallel."""
 
     status: ReplyStatus
     is_reader: bool
     keys: list[str]
     versions: list[int]
+    amounts: list[int]
     view: GroupView | None
 
 
--- a/yarrowwall/relay/caller_watch.py
+++ b/yarrowwall/relay/caller_watch.py
@@ -52,6 +52,7 @@
             if self._peek():
                 return
         except OSError:
+            # A reset; a closed descriptor means that the answer is over, and nobody watches.
             pass
         if self._is_active:
             get_hub().schedule_call_global(0, self._raise_in_handler)
--- a/yarrowwall/relay/connection.py
+++ b/yarrowwall/relay/connection.py
@@ -5,26 +5,19 @@
 ``httptools`` (llhttp) on green sockets.
 """
 
-import socket
 from collections import deque
 
 import httptools
-from eventlet.green import socket as green_socket
 
 from yarrowwall.relay.exceptions import (
     AnswerTimeoutError,
-    ConnectError,
     ConnectionBrokenError,
     MalformedAnswerError,
 )
 from yarrowwall.relay.model import Header, ResponseHead
+from yarrowwall.relay.sockets import is_quiet, open_socket, receive
 
 _READ_BYTES = 64 * 1024
-#: Milliseconds that sent bytes may stay unacknowledged; a silent peer never resets.
-_USER_TIMEOUT_MS = 2500
-#: Seconds of silence before and between the probes that find a dark peer, and their count.
-_PROBE_SECONDS = 1
-_PROBE_COUNT = 2
 
 
 class _Response:
@@ -71,38 +64,6 @@
         self.responses[-1].is_complete = True
 
 
-def set_silence_limits(connection: socket.socket) -> None:
-    """Let a connection send at once and find out when its peer has gone dark."""
-    for option, value in (
-        (socket.TCP_NODELAY, 1),
-        (socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
-        (socket.TCP_KEEPIDLE, _PROBE_SECONDS),
-        (socket.TCP_KEEPINTVL, _PROBE_SECONDS),
-        (socket.TCP_KEEPCNT, _PROBE_COUNT),
-    ):
-        connection.setsockopt(socket.IPPROTO_TCP, option, value)
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-
-
-def open_socket(address: str, timeout: float) -> socket.socket:
-    """Return a connected socket that sends at once and finds dark peers.
-
-    :param address: ``IP:port``.
-    :param timeout: seconds for the connection to come up.
-    :raises ConnectError: if it does not.
-    """
-    host, _, port = address.rpartition(":")
-    connection = green_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        set_silence_limits(connection)
-        connection.settimeout(timeout)
-        connection.connect((host, int(port)))
-    except (OSError, ValueError) as error:
-        connection.close()
-        raise ConnectError(f"{address}: {error}") from error
-    return connection
-
-
 class ServerConnection:
     """A connection to one server.
 
@@ -122,14 +83,7 @@
 
     def is_quiet(self) -> bool:
         """Return whether neither bytes nor an end have arrived since the last answer."""
-        self._socket.settimeout(0.0)
-        try:
-            self._socket.recv(1, socket.MSG_PEEK)
-        except (BlockingIOError, TimeoutError):
-            return True
-        except OSError:
-            return False
-        return False
+        return is_quiet(self._socket)
 
     def send(self, data: bytes, timeout: float) -> None:
         """Send a request.
@@ -206,8 +160,7 @@
         if self._reader.is_spoiled:
             raise MalformedAnswerError("bytes that are no answer")
         try:
-            self._socket.settimeout(max(timeout, 0.001))
-            data = self._socket.recv(_READ_BYTES)
+            data = receive(self._socket, _READ_BYTES, max(timeout, 0.001))
         except TimeoutError as error:
             raise AnswerTimeoutError("no answer in time") from error
         except OSError as error:
--- a/yarrowwall/relay/ledger.py
+++ b/yarrowwall/relay/ledger.py
@@ -129,9 +129,9 @@
     def _used_beside(self, group: int, reservation: Reservation) -> int:
         """Write a reservation; return the tokens of all others of its program."""
         record = reservation.record(_RESERVED, reservation.tokens)
-        self._client.write(group, [record], reservation.program_id)
-        found = self._client.read_owner(group, reservation.program_id)
-        return sum(other.amount for key, other in found.items() if key != reservation.key)
+        self._client.write(group, [record])
+        found = self._client.read_amounts(group, reservation.program_id)
+        return sum(other.tokens for key, other in found.items() if key != reservation.key)
 
     def settle(self, reservation: Reservation, tokens: int) -> None:
         """Replace a reservation by what was emitted, soon."""
--- /dev/null
+++ b/yarrowwall/relay/sockets.py
@@ -0,0 +1,81 @@
+"""Sockets that send at once, find dark peers and tell a reset from an end.
+
+eventlet's own ``recv`` returns nothing for a reset as it does for an orderly end, and
+raises ``EOFError`` into its hub when another greenthread closes the socket.
+"""
+
+import socket
+
+from eventlet.green import socket as green_socket
+from eventlet.hubs import IOClosed, trampoline
+
+from yarrowwall.relay.exceptions import ConnectError
+
+#: Milliseconds that sent bytes may stay unacknowledged; a silent peer never resets.
+USER_TIMEOUT_MS = 2500
+#: Seconds of silence before and between the probes that find a dark peer, and their count.
+PROBE_SECONDS = 1
+PROBE_COUNT = 2
+
+
+def set_silence_limits(connection: socket.socket) -> None:
+    """Let a connection send at once and find out when its peer has gone dark."""
+    for option, value in (
+        (socket.TCP_NODELAY, 1),
+        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+        (socket.TCP_KEEPIDLE, PROBE_SECONDS),
+        (socket.TCP_KEEPINTVL, PROBE_SECONDS),
+        (socket.TCP_KEEPCNT, PROBE_COUNT),
+    ):
+        connection.setsockopt(socket.IPPROTO_TCP, option, value)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+
+
+def open_socket(address: str, timeout: float) -> socket.socket:
+    """Return a connected socket.
+
+    :param address: ``IP:port``.
+    :param timeout: seconds for the connection to come up.
+    :raises ConnectError: if it does not.
+    """
+    host, _, port = address.rpartition(":")
+    connection = green_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        set_silence_limits(connection)
+        connection.settimeout(timeout)
+        connection.connect((host, int(port)))
+    except (OSError, ValueError) as error:
+        connection.close()
+        raise ConnectError(f"{address}: {error}") from error
+    return connection
+
+
+def receive(connection: socket.socket, size: int, timeout: float | None) -> bytes:
+    """Return the bytes that arrive next; empty at an orderly end.
+
+    :param timeout: seconds to wait; None without a bound.
+    :raises TimeoutError: if nothing arrives in time.
+    :raises OSError: if the connection fails, is reset or is closed here meanwhile.
+    """
+    raw = connection.fd  # type: ignore[attr-defined]  # the non-blocking socket below
+    while True:
+        try:
+            return raw.recv(size)
+        except BlockingIOError:
+            pass
+        try:
+            trampoline(raw, read=True, timeout=timeout, timeout_exc=TimeoutError)
+        except IOClosed as error:
+            raise ConnectionAbortedError("closed here") from error
+
+
+def is_quiet(connection: socket.socket) -> bool:
+    """Return whether neither bytes nor an end wait to be received."""
+    raw = connection.fd  # type: ignore[attr-defined]
+    try:
+        raw.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
--- a/yarrowwall/replication/disk.py
+++ b/yarrowwall/replication/disk.py
@@ -1,7 +1,7 @@
 """A replica's state machine with its log on disk."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 from yarrowwall.relay import decisions
@@ -42,11 +42,17 @@
         disk_id = identity.initialise(self._folder)
         self._store = SegmentStore(self._folder / _LOG_FOLDER, SEGMENT_BYTES)
         replica = RecordReplica(node_id, disk_id)
-        replica.restore(self._store.read(), time.time())
+        replica.restore(self._own_records(), time.time())
         if self._store.segment_count() > SEGMENTS_KEPT:
             self._store.compact(replica.snapshot())
         return replica
 
+    def _own_records(self) -> Iterator[LogRecord]:
+        for record in self._store.read():
+            if not isinstance(record, LogRecord):
+                raise CorruptSegmentError(f"a {type(record).__name__} among the records")
+            yield record
+
     def _refused(self, error: Exception) -> bool:
         self._log.write(decisions.DependencyChanged("disk", False, str(error)))
         return True
--- a/yarrowwall/replication/quorum_client.py
+++ b/yarrowwall/replication/quorum_client.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 
 import eventlet
 from eventlet.event import Event
@@ -9,6 +10,7 @@
 from yarrowwall.messages.replicated import (
     GroupView,
     InstallView,
+    KeysReply,
     Member,
     ReadChain,
     ReadOwner,
@@ -31,6 +33,14 @@
 MakeRequest = Callable[[Member], object]
 
 
+@dataclass(frozen=True)
+class Amount:
+    """What a record counts for."""
+
+    version: int
+    tokens: int
+
+
 @dataclass
 class _Round:
     """The replies to one request of several replicas."""
@@ -38,6 +48,7 @@
     acknowledged: set[str] = field(default_factory=set)
     readers: set[str] = field(default_factory=set)
     records: dict[str, StoredRecord] = field(default_factory=dict)
+    amounts: dict[str, Amount] = field(default_factory=dict)
     answered: int = 0
     met_other_view: bool = False
 
@@ -48,6 +59,13 @@
             if held is None or held.version < record.version:
                 self.records[record.key] = record
 
+    def merge_amounts(self, reply: KeysReply) -> None:
+        """Take in amounts; the higher version of a key wins."""
+        for key, version, tokens in zip(reply.keys, reply.versions, reply.amounts, strict=True):
+            held = self.amounts.get(key)
+            if held is None or held.version < version:
+                self.amounts[key] = Amount(version, tokens)
+
 
 class GroupViews:
     """The newest known view of each group.
@@ -109,24 +127,23 @@
         self,
         group: int,
         records: list[StoredRecord],
-        owner: str = "",
         timeout: float = OPERATION_SECONDS,
-    ) -> dict[str, StoredRecord]:
-        """Store records on a write quorum; return the owner's records that it reports.
+    ) -> None:
+        """Store records on a write quorum.
 
         :raises NoQuorumError: if the quorum does not answer in time.
         """
-        return self._operate(
+        self._operate(
             group,
-            lambda view, member: WriteRecords(group, view.epoch, member.disk_id, owner, records),
+            lambda view, member: WriteRecords(group, view.epoch, member.disk_id, records),
             lambda view, found: is_written(view, found.acknowledged),
             timeout,
-        ).records
+        )
 
-    def read_owner(
+    def read_amounts(
         self, group: int, owner: str, timeout: float = OPERATION_SECONDS
-    ) -> dict[str, StoredRecord]:
-        """Return all complete records of an owner.
+    ) -> dict[str, Amount]:
+        """Return the amounts of all complete records of an owner, by key.
 
         :raises NoQuorumError: if the quorum does not answer in time.
         """
@@ -135,7 +152,7 @@
             lambda view, member: ReadOwner(group, view.epoch, member.disk_id, owner),
             lambda view, found: is_read(view, found.readers),
             timeout,
-        ).records
+        ).amounts
 
     def read_chain(
         self, group: int, key: str, known: list[str], timeout: float = OPERATION_SECONDS
@@ -210,16 +227,14 @@
             if done.ready():
                 return
             found.answered += 1
-            if isinstance(reply, RecordsReply):
+            if isinstance(reply, RecordsReply | KeysReply):
                 self._take_reply(view, member, reply, found)
             if is_enough(view, found) or found.answered == len(members):
                 done.send(None)
 
         for member in members:
             link = self._links.get(member.address)
-            number = link.post(
-                request(view, member), lambda reply, member=member: take(member, reply)
-            )
+            number = link.post(request(view, member), partial(take, member))
             posted.append((link, number))
         done.wait(max(0.0, end - self._now()))
         if not done.ready():
@@ -229,13 +244,16 @@
         return found
 
     def _take_reply(
-        self, view: GroupView, member: Member, reply: RecordsReply, found: _Round
+        self, view: GroupView, member: Member, reply: RecordsReply | KeysReply, found: _Round
     ) -> None:
         if reply.status is ReplyStatus.OK:
             found.acknowledged.add(member.disk_id)
             if reply.is_reader:
                 found.readers.add(member.disk_id)
-            found.merge(reply.records)
+            if isinstance(reply, RecordsReply):
+                found.merge(reply.records)
+            else:
+                found.merge_amounts(reply)
         elif reply.status is ReplyStatus.BEHIND:
             found.met_other_view = True
             self._links.get(member.address).post(InstallView(view), lambda reply: None)
--- a/yarrowwall/replication/replica.py
+++ b/yarrowwall/replication/replica.py
@@ -194,9 +194,9 @@
         if isinstance(request, WriteRecords):
             return self._write(request, now)
         if isinstance(request, ListKeys):
-            return Outcome(self._list())
+            return Outcome(self._listed(self.table.all()))
         if isinstance(request, ReadOwner):
-            return Outcome(self._found(self.table.of_owner(request.owner)))
+            return Outcome(self._listed(self.table.of_owner(request.owner)))
         if isinstance(request, ReadChain):
             return Outcome(self._found(self.table.chain(request.key, request.known)))
         records = [self.table.get(key) for key in request.keys]
@@ -229,25 +229,24 @@
 
     def _refuse(self, request: Request, status: ReplyStatus) -> Reply:
         view = self.view if status is ReplyStatus.STALE else None
-        if isinstance(request, ListKeys):
-            return KeysReply(status, False, [], [], view)
+        if isinstance(request, ListKeys | ReadOwner):
+            return KeysReply(status, False, [], [], [], view)
         return RecordsReply(status, False, [], view)
 
     def _write(self, request: WriteRecords, now: float) -> Outcome:
         to_keep = self._take_records(request.records, now)
-        owned = self.table.of_owner(request.owner) if request.owner else []
-        return Outcome(self._found(owned), [RecordsKept(to_keep)] if to_keep else [])
+        return Outcome(self._found([]), [RecordsKept(to_keep)] if to_keep else [])
 
     def _found(self, records: list[StoredRecord]) -> RecordsReply:
         return RecordsReply(ReplyStatus.OK, self.is_reader, records, None)
 
-    def _list(self) -> KeysReply:
-        records = self.table.all()
+    def _listed(self, records: list[StoredRecord]) -> KeysReply:
         return KeysReply(
             ReplyStatus.OK,
             self.is_reader,
             [record.key for record in records],
             [record.version for record in records],
+            [record.amount for record in records],
             None,
         )
 
--- a/yarrowwall/replication/rpc.py
+++ b/yarrowwall/replication/rpc.py
@@ -14,8 +14,8 @@
 
 from yarrowwall.messages.codec import decode, encode
 from yarrowwall.messages.exceptions import MessageError
-from yarrowwall.relay.connection import open_socket, set_silence_limits
 from yarrowwall.relay.exceptions import ConnectError
+from yarrowwall.relay.sockets import open_socket, receive, set_silence_limits
 from yarrowwall.replication.exceptions import LinkDownError
 
 #: Longest frame that is read; longer ones close the connection.
@@ -90,7 +90,7 @@
         buffer = bytearray()
         try:
             while self.is_open:
-                data = self._connection.recv(_READ_BYTES)
+                data = receive(self._connection, _READ_BYTES, None)
                 if not data:
                     break
                 buffer += data
--- a/yarrowwall/runtime/journal_writer.py
+++ b/yarrowwall/runtime/journal_writer.py
@@ -1,6 +1,6 @@
 """Group commit: one fsync for all records that came during the previous one."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 import eventlet
@@ -32,7 +32,7 @@
         self._store = store
         self._failed = failed
         self._waiting: list[_Waiting] = []
-        self._snapshot: Callable[[], list[Record]] | None = None
+        self._snapshot: Callable[[], Sequence[Record]] | None = None
         self._wakeup = Event()
         self._worker = eventlet.spawn(self._run)
 
@@ -47,13 +47,13 @@
         if not self._wakeup.ready():
             self._wakeup.send()
 
-    def compact(self, snapshot: Callable[[], list[Record]]) -> None:
+    def compact(self, snapshot: Callable[[], Sequence[Record]]) -> None:
         """Replace the whole log, between two commits, by what ``snapshot`` returns."""
         self._snapshot = snapshot
         if not self._wakeup.ready():
             self._wakeup.send()
 
-    def _compact(self, snapshot: Callable[[], list[Record]]) -> None:
+    def _compact(self, snapshot: Callable[[], Sequence[Record]]) -> None:
         try:
             tpool.execute(self._store.compact, snapshot())
         except Exception as error:  # the node decides; the old log is still whole
