Record store: random schedules and their mutants; waits end when a server is silent everywhere

Cause: a request that may be repeated waited for a dark server until its deadline, and a cached part was held to be as long as the prompt's newest one. Change: after 0.8 s without a byte from a server on any connection such a request goes on elsewhere; a server that is heard of lets it wait up to 1.8 s. The belief about prefixes counts what was sent.

--- /dev/null
+++ b/features/record_store.feature
@@ -0,0 +1,48 @@
+Feature: Records survive replicas, and budgets hold without a leader
+  Gateways write and read through quorums while messages are lost, late and reordered,
+  replicas lose power or their disks, and the group changes.
+
+  Scenario: Random schedules of gateways and replicas
+    Then 600 random record schedules keep budgets and complete records
+
+  Scenario Outline: The schedules catch a record store that "<mutant>"
+    Given the record store's mutant "<mutant>"
+    Then some of 600 random record schedules break a promise
+
+    Examples:
+      | mutant                                      |
+      | grants without reading what others reserved |
+      | takes one acknowledgement for a quorum      |
+      | ends a change of the group without a copy   |
+      | acknowledges what is not on disk            |
+
+  Scenario: A write of an older epoch is refused once the group has changed
+    Given a group of "a1", "b1" and "c1" whose third replica is replaced by "d1"
+    When a write that began before the change reaches "c1" and "b1"
+    Then it is not complete
+    And the newer view is told to its sender
+
+  Scenario: Taking requests of any epoch would complete such a write
+    Given the record store's mutant "takes requests of any epoch"
+    And a group of "a1", "b1" and "c1" whose third replica is replaced by "d1"
+    When a write that began before the change reaches "c1" and "b1"
+    Then it is complete but a read quorum of the new group does not know it
+
+  Scenario: A disk that refuses a write acknowledges nothing, and its copy is written again
+    Given a replica whose disk refuses writes for a while
+    When a record is written, refused by the disk, and written again
+    Then the second write puts the record on disk
+
+  Scenario: What a loss of power leaves of the last commit is cut
+    Given a record log of 3 commits of several records
+    When the last commit is torn in its middle
+    Then the records of 2 commits are read
+    And a commit after that is read as well
+
+  Scenario: A group of three replaces a silent member only by one that is there
+    Given a group of "a1", "b1" and "c1" with "d1" registered besides
+    Then with "c" silent the group becomes "a1,b1,d1"
+    And with "c" and "d" silent the group stays
+    And with "b" and "c" silent the group stays
+    And with "c" to be emptied the group becomes "a1,b1,d1"
+    And with "c" on a new disk the group becomes "a1,b1,c2"
--- /dev/null
+++ b/features/steps/record_steps.py
@@ -0,0 +1,206 @@
+"""Steps about the replicated record store."""
+
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features.support.record_model import member, run_record_schedules
+from features.support.record_mutants import MUTANTS
+from yarrowwall.messages.replicated import (
+    GroupView,
+    RecordsKept,
+    ReplyStatus,
+    StoredRecord,
+    WriteRecords,
+)
+from yarrowwall.replication.planner import next_view
+from yarrowwall.replication.replica import RecordReplica
+from yarrowwall.replication.views import is_read, is_written
+from yarrowwall.storage.segments import SegmentStore
+
+
+@given('the record store\'s mutant "{name}"')
+def use_record_mutant(context: Context, name: str) -> None:
+    patcher = MUTANTS[name]()
+    patcher.start()
+    context.add_cleanup(patcher.stop)
+
+
+@then("{count:d} random record schedules keep budgets and complete records")
+def record_schedules_hold(context: Context, count: int) -> None:
+    granted = run_record_schedules(count)
+    assert granted > count / 2, f"only {granted} reservations were granted"
+
+
+@then("some of {count:d} random record schedules break a promise")
+def record_schedules_break(context: Context, count: int) -> None:
+    try:
+        run_record_schedules(count)
+    except AssertionError:
+        return
+    raise AssertionError("the mutant was not caught")
+
+
+def _views() -> tuple[GroupView, GroupView, GroupView]:
+    old = [member("a1"), member("b1"), member("c1")]
+    new = [member("a1"), member("b1"), member("d1")]
+    return GroupView(0, 1, old, []), GroupView(0, 2, old, new), GroupView(0, 3, new, [])
+
+
+def _take(replica: RecordReplica, view: GroupView) -> None:
+    for record in replica.take_view(view):
+        replica.now_durable(record)
+
+
+@given('a group of "a1", "b1" and "c1" whose third replica is replaced by "d1"')
+def replaced_group(context: Context) -> None:
+    context.old_view, joint, context.new_view = _views()
+    context.replicas = {disk: RecordReplica(disk[0], disk) for disk in ("a1", "b1", "c1", "d1")}
+    for disk in ("a1", "b1", "c1"):
+        _take(context.replicas[disk], context.old_view)
+    # "c1" hears nothing of the change.
+    for disk in ("a1", "b1", "d1"):
+        replica = context.replicas[disk]
+        _take(replica, joint)
+        mark = replica.synchronised(joint.epoch)
+        assert mark is not None
+        replica.now_durable(mark)
+        _take(replica, context.new_view)
+
+
+@when('a write that began before the change reaches "c1" and "b1"')
+def late_write(context: Context) -> None:
+    record = StoredRecord("budget/late", 0, "program", "", 60.0, 1, b"")
+    context.replies = {}
+    for disk in ("c1", "b1"):
+        request = WriteRecords(0, context.old_view.epoch, disk, [record])
+        context.replies[disk] = context.replicas[disk].handle(request, 0.0).reply
+    context.acknowledged = {
+        disk for disk, reply in context.replies.items() if reply.status is ReplyStatus.OK
+    }
+
+
+@then("it is not complete")
+def not_complete(context: Context) -> None:
+    assert not is_written(context.old_view, context.acknowledged)
+
+
+@then("the newer view is told to its sender")
+def newer_view_told(context: Context) -> None:
+    assert context.replies["b1"].view == context.new_view
+
+
+@then("it is complete but a read quorum of the new group does not know it")
+def complete_but_unknown(context: Context) -> None:
+    assert is_written(context.old_view, context.acknowledged)
+    readers = {"a1", "d1"}
+    assert is_read(context.new_view, readers)
+    assert all(context.replicas[disk].table.get("budget/late") is None for disk in readers)
+
+
+@given("a replica whose disk refuses writes for a while")
+def refusing_disk(context: Context) -> None:
+    context.replica = RecordReplica("a", "a1")
+    _take(context.replica, _views()[0])
+
+
+@when("a record is written, refused by the disk, and written again")
+def write_twice(context: Context) -> None:
+    record = StoredRecord("turn/t", 1, "", "", 60.0, 0, b"text")
+    request = WriteRecords(0, 1, "a1", [record])
+    first = context.replica.handle(request, 0.0)
+    for log_record in first.persist:
+        context.replica.not_durable(log_record)
+    context.second = context.replica.handle(request, 0.0)
+
+
+@then("the second write puts the record on disk")
+def written_again(context: Context) -> None:
+    kept = [record.key for log in context.second.persist for record in log.records]
+    assert kept == ["turn/t"], kept
+
+
+def _commit(number: int) -> list[RecordsKept]:
+    return [
+        RecordsKept([StoredRecord(f"turn/{number}-{part}", 1, "", "", 60.0, 0, b"x" * 40)])
+        for part in range(4)
+    ]
+
+
+def _read_keys(folder: Path) -> list[str]:
+    return [kept.key for log in SegmentStore(folder).read() for kept in log.records]
+
+
+@given("a record log of {count:d} commits of several records")
+def record_log(context: Context, count: int) -> None:
+    temporary = tempfile.TemporaryDirectory()
+    context.add_cleanup(temporary.cleanup)
+    context.folder = Path(temporary.name)
+    store = SegmentStore(context.folder)
+    for number in range(count):
+        store.append(_commit(number))
+
+
+@when("the last commit is torn in its middle")
+def tear_last_commit(context: Context) -> None:
+    path = next(context.folder.glob("*.segment"))
+    data = bytearray(path.read_bytes())
+    length = len(data) // 3
+    # A loss of power may keep the end of an unsynced write and lose its middle.
+    data[-length + 60 : -length + 90] = bytes(30)
+    path.write_bytes(bytes(data))
+
+
+@then("the records of {count:d} commits are read")
+def commits_read(context: Context, count: int) -> None:
+    assert len(_read_keys(context.folder)) == 4 * count
+
+
+@then("a commit after that is read as well")
+def commit_after(context: Context) -> None:
+    store = SegmentStore(context.folder)
+    before = len(list(store.read()))
+    store.append(_commit(9))
+    assert len(list(SegmentStore(context.folder).read())) == before + 4
+
+
+@given('a group of "a1", "b1" and "c1" with "d1" registered besides')
+def group_with_candidate(context: Context) -> None:
+    context.view = _views()[0]
+    context.registered = {name: member(f"{name}1") for name in "abcd"}
+
+
+def _next(context: Context, silent: str = "", retiring: str = "") -> str | None:
+    found = next_view(
+        context.view,
+        context.registered,
+        set("abcd") - set(silent),
+        set(retiring),
+        {"a1", "b1", "c1"},
+        3,
+    )
+    return None if found is None else ",".join(sorted(m.disk_id for m in found.joining))
+
+
+@then('with "{name}" silent the group becomes "{members}"')
+def silent_replaced(context: Context, name: str, members: str) -> None:
+    assert _next(context, silent=name) == members
+
+
+@then('with "{first}" and "{second}" silent the group stays')
+def two_silent(context: Context, first: str, second: str) -> None:
+    assert _next(context, silent=first + second) is None
+
+
+@then('with "{name}" to be emptied the group becomes "{members}"')
+def retiring_replaced(context: Context, name: str, members: str) -> None:
+    assert _next(context, retiring=name) == members
+
+
+@then('with "{name}" on a new disk the group becomes "{members}"')
+def wiped_replaced(context: Context, name: str, members: str) -> None:
+    context.registered[name] = member(f"{name}2")
+    context.registered.pop("d")
+    assert _next(context) == members
--- /dev/null
+++ b/features/support/record_model.py
@@ -0,0 +1,327 @@
+"""Random schedules of the record store: gateways, replicas, changes of the group, losses.
+
+Messages are lost, late and reordered; replicas lose power (what was not on disk is
+gone) or their disks; the group changes meanwhile. Gateways reserve tokens the way the
+ledger does, by the same quorum rules, and the model checks from outside that granted
+reservations never exceed the budget and that complete records are always found.
+"""
+
+import random
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from itertools import combinations
+
+from yarrowwall.core.quorum import read_quorum
+from yarrowwall.messages.replicated import (
+    FetchRecords,
+    GroupView,
+    InstallView,
+    KeysReply,
+    ListKeys,
+    Member,
+    ReadOwner,
+    RecordsReply,
+    ReplyStatus,
+    StoredRecord,
+    WriteRecords,
+)
+from yarrowwall.replication import planner
+from yarrowwall.replication.replica import LogRecord, RecordReplica
+from yarrowwall.replication.views import all_members, is_read, is_written, member_of
+
+BUDGET = 2
+PROGRAM = "program"
+MOST_STEPS = 250
+
+
+def member(disk_id: str) -> Member:
+    """Return a member whose node has the disk's first letter."""
+    return Member(disk_id[0], disk_id, f"10.0.0.{ord(disk_id[0])}:1", f"zone-{disk_id[0]}")
+
+
+@dataclass
+class Machine:
+    """A replica and its disk."""
+
+    replica: RecordReplica
+    disk: list[LogRecord] = field(default_factory=list)
+    waiting: list[tuple[LogRecord, Callable[[], None]]] = field(default_factory=list)
+
+    def persist(self, records: list[LogRecord], done: Callable[[], None]) -> None:
+        """Queue log records; ``done`` follows the last one."""
+        if not records:
+            done()
+            return
+        for record in records[:-1]:
+            self.waiting.append((record, lambda: None))
+        self.waiting.append((records[-1], done))
+
+    def sync(self) -> None:
+        """Write the oldest queued record."""
+        if self.waiting:
+            record, done = self.waiting.pop(0)
+            self.disk.append(record)
+            self.replica.now_durable(record)
+            done()
+
+    def lose_power(self) -> None:
+        """Start again from what is on disk."""
+        self.waiting.clear()
+        replica = RecordReplica(self.replica.node_id, self.replica.disk_id)
+        replica.restore(self.disk, 0.0)
+        self.replica = replica
+
+
+@dataclass
+class Call:
+    """A request on its way to one machine, and what takes its reply."""
+
+    node_id: str
+    request: object
+    take: Callable[[object], None]
+
+
+class RecordSchedule:
+    """One random schedule.
+
+    :param seed: fixes every choice.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.machines = {name: self._machine(name + "1") for name in "abcd"}
+        self.view = GroupView(0, planner_first_epoch(), [member(x) for x in ("a1", "b1", "c1")], [])
+        for name in "abc":
+            self._install(name, self.view)
+        self.calls: list[Call] = []
+        self.granted: list[str] = []
+        self.complete: set[str] = set()
+        self.tasks: list[Iterator[None]] = []
+        self.disks_lost = 0
+        self.reservations = 0
+
+    @staticmethod
+    def _machine(disk_id: str) -> Machine:
+        return Machine(RecordReplica(disk_id[0], disk_id))
+
+    def _install(self, name: str, view: GroupView) -> None:
+        machine = self.machines[name]
+        machine.persist(machine.replica.take_view(view), lambda: None)
+        while machine.waiting:
+            machine.sync()
+
+    # Messages
+
+    def send(self, target: Member, request: object, take: Callable[[object], None]) -> None:
+        """Send a request; its reply may come late or never."""
+        self.calls.append(Call(target.node_id, request, take))
+
+    def _deliver(self) -> None:
+        call = self.calls.pop(self.random.randrange(len(self.calls)))
+        if self.random.random() < 0.1:
+            return
+        machine = self.machines[call.node_id]
+        outcome = machine.replica.handle(call.request, 0.0)
+        machine.persist(list(outcome.persist), lambda: call.take(outcome.reply))
+
+    # Gateways
+
+    def reservation(self, name: str) -> Iterator[None]:
+        """Reserve one token the way the ledger does."""
+        record = StoredRecord(f"budget/{name}", 0, PROGRAM, "", 60.0, 1, b"")
+        view = self.view
+        acknowledged: set[str] = set()
+        for target in all_members(view):
+            request = WriteRecords(0, view.epoch, target.disk_id, [record])
+            self.send(target, request, self._acknowledgement(target, acknowledged))
+        while not is_written(view, acknowledged):
+            yield
+        self.complete.add(record.key)
+        found, readers = {}, set()
+        view = self.view
+        for target in all_members(view):
+            request = ReadOwner(0, view.epoch, target.disk_id, PROGRAM)
+            self.send(target, request, self._amounts(target, found, readers))
+        while not is_read(view, readers):
+            yield
+        if self.may_grant(found, record.key):
+            self.granted.append(name)
+
+    @staticmethod
+    def may_grant(found: dict[str, int], key: str) -> bool:
+        """Return whether the budget holds one token more than what others reserved."""
+        return sum(tokens for other, tokens in found.items() if other != key) + 1 <= BUDGET
+
+    @staticmethod
+    def _acknowledgement(target: Member, acknowledged: set[str]) -> Callable[[object], None]:
+        def take(reply: object) -> None:
+            if isinstance(reply, RecordsReply) and reply.status is ReplyStatus.OK:
+                acknowledged.add(target.disk_id)
+
+        return take
+
+    @staticmethod
+    def _amounts(
+        target: Member, found: dict[str, int], readers: set[str]
+    ) -> Callable[[object], None]:
+        def take(reply: object) -> None:
+            if not isinstance(reply, KeysReply) or reply.status is not ReplyStatus.OK:
+                return
+            if reply.is_reader:
+                readers.add(target.disk_id)
+            found.update(zip(reply.keys, reply.amounts, strict=True))
+
+        return take
+
+    # Replicas
+
+    def synchronisation(self, name: str) -> Iterator[None]:
+        """Copy to a machine the way the synchroniser does."""
+        machine = self.machines[name]
+        replica, view = machine.replica, machine.replica.view
+        if view is None or not replica.needs_synchronisation:
+            return
+        readers = {replica.disk_id} if replica.is_reader else set()
+        for source in view.members:
+            if source.disk_id == replica.disk_id or is_read(view, readers):
+                continue
+            replies: list[object] = []
+            self.send(source, InstallView(view), replies.append)
+            while not replies:
+                yield
+            replies.clear()
+            self.send(source, ListKeys(0, view.epoch, source.disk_id), replies.append)
+            while not replies:
+                yield
+            listed = replies.pop()
+            if not isinstance(listed, KeysReply) or not listed.is_reader:
+                continue
+            keys = replica.missing(listed.keys, listed.versions)
+            self.send(source, FetchRecords(0, view.epoch, source.disk_id, keys), replies.append)
+            while not replies:
+                yield
+            fetched = replies.pop()
+            if not isinstance(fetched, RecordsReply) or fetched.status is not ReplyStatus.OK:
+                continue
+            if machine.replica is not replica:
+                return
+            written: list[bool] = []
+            machine.persist(replica.copied(fetched.records, 0.0), lambda w=written: w.append(True))
+            while not written:
+                yield
+            readers.add(source.disk_id)
+        mark = replica.synchronised(view.epoch) if is_read(view, readers) else None
+        if mark is not None and machine.replica is replica:
+            machine.persist([mark], lambda: None)
+
+    # The group
+
+    def change_group(self) -> None:
+        """Begin or end a change the way the coordinator does."""
+        if self.view.joining:
+            statuses = {
+                machine.replica.disk_id: machine.replica.status()
+                for machine in self.machines.values()
+            }
+            settled = planner.settled_view(self.view, statuses)
+            if settled is not None:
+                self.view = settled
+            return
+        registered = {
+            name: member(machine.replica.disk_id) for name, machine in self.machines.items()
+        }
+        busy = {known.disk_id for known in all_members(self.view)}
+        alive = set(self.machines) - {self.random.choice("abcd")}
+        found = planner.next_view(self.view, registered, alive, set(), busy, 3)
+        if found is not None:
+            self.view = found
+
+    def lose_disk(self) -> None:
+        """Give one machine an empty disk, if the group bears that now."""
+        sound = [
+            known
+            for known in self.view.members
+            if self.machines[known.node_id].replica.disk_id == known.disk_id
+            and self.machines[known.node_id].replica.is_reader
+        ]
+        if self.view.joining or len(sound) < len(self.view.members):
+            return
+        self.disks_lost += 1
+        name = self.random.choice(self.view.members).node_id
+        self.machines[name] = self._machine(f"{name}{self.disks_lost + 1}")
+
+    # The schedule
+
+    def step(self) -> None:
+        """Do one random thing."""
+        chance = self.random.random()
+        names = sorted(self.machines)
+        for _ in range(3):
+            if self.calls:
+                self._deliver()
+            self.machines[self.random.choice(names)].sync()
+        if chance < 0.3:
+            pass
+        elif chance < 0.7:
+            name = self.random.choice(names)
+            machine = self.machines[name]
+            if member_of(self.view, machine.replica.disk_id) or machine.replica.view:
+                machine.persist(machine.replica.take_view(self.view), lambda: None)
+            self.tasks.append(self.synchronisation(name))
+        elif chance < 0.85:
+            self.change_group()
+        elif chance < 0.88:
+            self.machines[self.random.choice(names)].lose_power()
+        elif chance < 0.9:
+            self.lose_disk()
+        else:
+            self.reservations += 1
+            self.tasks.append(self.reservation(str(self.reservations)))
+        for task in list(self.tasks):
+            if next(task, "over") == "over":
+                self.tasks.remove(task)
+        for machine in self.machines.values():
+            machine.replica.validate_state()
+
+    def check(self) -> None:
+        """Raise AssertionError if more was granted than the budget holds."""
+        assert len(self.granted) <= BUDGET, f"granted {self.granted} of {BUDGET}"
+
+    def check_records(self) -> None:
+        """Raise AssertionError if any read quorum of today lacks a complete record."""
+        view = self.view
+        replicas = {machine.replica.disk_id: machine.replica for machine in self.machines.values()}
+        readers = [
+            known.disk_id
+            for known in view.members
+            if known.disk_id in replicas
+            and replicas[known.disk_id].is_reader
+            and replicas[known.disk_id].epoch == view.epoch
+        ]
+        for quorum in combinations(readers, read_quorum(len(view.members))):
+            held = {record.key for disk in quorum for record in replicas[disk].table.all()}
+            assert self.complete <= held, f"lost {self.complete - held}"
+
+
+def planner_first_epoch() -> int:
+    """Return the epoch of a group's first view."""
+    return 1
+
+
+def run_record_schedules(count: int) -> int:
+    """Run schedules; return how many reservations were granted in all.
+
+    :raises AssertionError: naming the seed, if a promise was broken.
+    """
+    granted = 0
+    for seed in range(count):
+        schedule = RecordSchedule(seed)
+        for _ in range(MOST_STEPS):
+            schedule.step()
+            try:
+                schedule.check()
+                schedule.check_records()
+            except AssertionError as error:
+                raise AssertionError(f"seed {seed}: {error}") from error
+        granted += len(schedule.granted)
+    return granted
--- /dev/null
+++ b/features/support/record_mutants.py
@@ -0,0 +1,64 @@
+"""Mutants of the record store: each removes one protecting step."""
+
+from contextlib import ExitStack
+from unittest.mock import patch
+
+from features.support import record_model
+from features.support.record_model import Machine, RecordSchedule
+from yarrowwall.messages.replicated import GroupView
+from yarrowwall.replication import planner
+from yarrowwall.replication.replica import RecordReplica
+
+
+def _grant_always(found: dict[str, int], key: str) -> bool:
+    return True
+
+
+def _any_acknowledgement(view: GroupView, acknowledged: set[str]) -> bool:
+    return bool(acknowledged)
+
+
+def _settled_at_once(view: GroupView, statuses: dict) -> GroupView:
+    return GroupView(view.group, view.epoch + 1, view.joining, [])
+
+
+def _persist_later(self: Machine, records: list, done) -> None:
+    self.waiting += [(record, lambda: None) for record in records]
+    done()
+
+
+def _takes_view(self: RecordReplica, view: GroupView) -> None:
+    if view.epoch > self.epoch:
+        self.view = view
+        self.is_reader = True
+
+
+class _CopyNothing:
+    """Two steps protect the copy: the planner waits for it, and a replica knows of it."""
+
+    def __init__(self) -> None:
+        self._patches = ExitStack()
+
+    def start(self) -> None:
+        """Put the mutant in place."""
+        self._patches.enter_context(patch.object(planner, "settled_view", _settled_at_once))
+        self._patches.enter_context(patch.object(RecordReplica, "_take_view", _takes_view))
+
+    def stop(self) -> None:
+        """Take the mutant away."""
+        self._patches.close()
+
+
+MUTANTS = {
+    "grants without reading what others reserved": lambda: patch.object(
+        RecordSchedule, "may_grant", staticmethod(_grant_always)
+    ),
+    "takes one acknowledgement for a quorum": lambda: patch.object(
+        record_model, "is_written", _any_acknowledgement
+    ),
+    "takes requests of any epoch": lambda: patch.object(
+        RecordReplica, "_refusal", lambda self, epoch, disk_id: None
+    ),
+    "ends a change of the group without a copy": _CopyNothing,
+    "acknowledges what is not on disk": lambda: patch.object(Machine, "persist", _persist_later),
+}
--- a/yarrowwall/platform/callers.py
+++ b/yarrowwall/platform/callers.py
@@ -63,7 +63,7 @@
             body=b"",
             arrived_at=now,
             deadline=now + _deadline(values.get(names.DEADLINE.lower())),
-            program=_program(values),
+            program=_program(values, now),
             prompt=_prompt(values.get(names.PROMPT_PREFIX.lower(), "")),
             affinity=_affinity(values.get("cookie", "")),
             last_event_id=values.get(names.LAST_EVENT_ID.lower()),
@@ -99,11 +99,12 @@
         raise InvalidAttemptError(f"{names.DEADLINE} must be a number") from error
 
 
-def _program(values: dict[str, str]) -> ProgramContext | None:
+def _program(values: dict[str, str], now: float) -> ProgramContext | None:
     program_id = values.get(names.PROGRAM.lower())
     if program_id is None:
         return None
     budget = values.get(names.TOKEN_BUDGET.lower())
+    finish_ms = values.get(names.FINISH.lower())
     most = values.get(names.TOKEN_COUNT.lower(), "").rpartition(",")[2].strip()
     try:
         return ProgramContext(
@@ -112,9 +113,10 @@
             int(budget) if budget is not None else None,
             int(most) if most else 0,
             values.get(names.PREVIOUS_TURN.lower()) or None,
+            now + float(finish_ms) / 1000.0 if finish_ms is not None else None,
         )
     except ValueError as error:
-        raise InvalidAttemptError("token counts must be whole numbers") from error
+        raise InvalidAttemptError("token counts and times must be numbers") from error
 
 
 def _prompt(text: str) -> tuple[PromptPart, ...]:
--- a/yarrowwall/platform/names.py
+++ b/yarrowwall/platform/names.py
@@ -15,6 +15,7 @@
 PROGRAM = "X-Program-Id"
 SESSION = "X-Session-Id"
 TOKEN_BUDGET = "X-Token-Budget"
+FINISH = "X-Finish-Ms"
 PREVIOUS_TURN = "X-Previous-Turn"
 
 # Kinds of objects in the store
--- a/yarrowwall/relay/model.py
+++ b/yarrowwall/relay/model.py
@@ -128,6 +128,7 @@
     :param budget: tokens that all turns of the program may emit; None without a bound.
     :param most_tokens: the most tokens that this turn may emit.
     :param previous_turn: attempt id of the turn that this one goes on from.
+    :param finish_at: when the whole program should be over; None if untold.
     """
 
     program_id: str
@@ -135,6 +136,7 @@
     budget: int | None
     most_tokens: int
     previous_turn: str | None
+    finish_at: float | None
 
 
 @dataclass
--- a/yarrowwall/relay/offer.py
+++ b/yarrowwall/relay/offer.py
@@ -16,7 +16,16 @@
     MalformedAnswerError,
     RelayError,
 )
-from yarrowwall.relay.model import Answer, Attempt, Refusal, Route, Send, SendLog, Server
+from yarrowwall.relay.model import (
+    Answer,
+    Attempt,
+    Refusal,
+    ResponseHead,
+    Route,
+    Send,
+    SendLog,
+    Server,
+)
 from yarrowwall.relay.pool import ConnectionPool
 from yarrowwall.relay.ports import ServerProtocol
 from yarrowwall.relay.servers import Choice, ServerDirectory
@@ -27,6 +36,12 @@
 LEAST_REMAINING_SECONDS = 0.02
 #: Responses to other requests that are skipped on one connection.
 MOST_FOREIGN_ANSWERS = 4
+#: Seconds of silence of a server, on all connections, after which a request that may be
+#: repeated goes on elsewhere. A server that is heard of merely lets the request wait.
+SILENCE_SECONDS = 0.8
+#: Seconds of waiting after which it goes on elsewhere in any case. Giving up a place in a
+#: queue costs more than most waits, so this is long.
+LONGEST_SILENCE_SECONDS = 1.8
 #: Servers that may turn an attempt away unreached before it is refused.
 MOST_UNREACHED = 3
 
@@ -176,7 +191,7 @@
         self.log.may_have_run = True
         connection.send(self._parts.protocol.request_bytes(self._attempt, send), self.remaining())
         for _ in range(MOST_FOREIGN_ANSWERS):
-            head = connection.read_head(self.remaining())
+            head = self._wait_for_head(connection, send.server.server_id)
             answer = self._parts.protocol.read_answer(self._attempt, send, head)
             if answer.belongs:
                 break
@@ -191,6 +206,38 @@
         connection.keep_alive = answer.keep_alive
         return answer
 
+    def _wait_for_head(self, connection: ServerConnection, server_id: str) -> ResponseHead:
+        """Return the next response head, as long as the server is worth waiting for."""
+        started_at = self._parts.now()
+        while True:
+            try:
+                head = connection.read_head(self.patience())
+            except AnswerTimeoutError:
+                if not self.is_worth_waiting(server_id, started_at):
+                    raise
+                continue
+            self._parts.directory.note_heard(server_id, self._parts.now())
+            return head
+
+    def patience(self) -> float:
+        """Return the seconds to wait before another look at the server."""
+        return min(self.remaining(), SILENCE_SECONDS) if self._may_repeat else self.remaining()
+
+    @property
+    def _may_repeat(self) -> bool:
+        return self._route.is_repeatable and self.can_go_on()
+
+    def is_worth_waiting(self, server_id: str, since: float) -> bool:
+        """Return whether to go on waiting for a server that was silent for a while.
+
+        :param since: when the wait began.
+        """
+        if not self._may_repeat:
+            return self.remaining() > 0
+        now = self._parts.now()
+        is_heard = now - self._parts.directory.last_heard(server_id) < SILENCE_SECONDS
+        return is_heard and now - since < LONGEST_SILENCE_SECONDS
+
     def _note_failure(self, server: Server, error: RelayError) -> None:
         if not isinstance(error, AnswerTimeoutError) or self.remaining() > 0:
             self._parts.directory.note_failure(server.server_id, self._parts.now())
--- a/yarrowwall/relay/prefixes.py
+++ b/yarrowwall/relay/prefixes.py
@@ -29,9 +29,10 @@
         """Return the tokens of a prompt that need not be read again."""
         found = 0
         for part in prompt:
-            if part.part_id not in self._parts:
+            kept = self._parts.get(part.part_id, 0)
+            found += min(kept, part.tokens)
+            if kept < part.tokens:
                 break
-            found += part.tokens
         return found
 
     def note_sent(self, prompt: Sequence[PromptPart]) -> None:
@@ -44,9 +45,3 @@
         while self._tokens > self._capacity and len(self._parts) > 1:
             _, tokens = self._parts.popitem(last=False)
             self._tokens -= tokens
-
-    def note_grown(self, prompt: Sequence[PromptPart], tokens: int) -> None:
-        """Take in that the last part of a prompt grew by what the server made."""
-        if prompt and prompt[-1].part_id in self._parts:
-            self._parts[prompt[-1].part_id] += tokens
-            self._tokens += tokens
--- a/yarrowwall/relay/servers.py
+++ b/yarrowwall/relay/servers.py
@@ -42,6 +42,7 @@
     running: int = 0
     pace: float | None = None
     pace_at: float = 0.0
+    heard_at: float = 0.0
     failures: int = 0
     suspended_until: float = 0.0
     vanished_at: float | None = None
@@ -161,6 +162,17 @@
 
     # Observations
 
+    def note_heard(self, server_id: str, now: float) -> None:
+        """Note that bytes came from a server."""
+        state = self.states.get(server_id)
+        if state is not None:
+            state.heard_at = now
+
+    def last_heard(self, server_id: str) -> float:
+        """Return when a server was last heard of on any connection of this gateway."""
+        state = self.states.get(server_id)
+        return state.heard_at if state is not None else 0.0
+
     def started(self, server_id: str) -> None:
         """Note that a request was sent to a server."""
         self.states[server_id].running += 1
--- a/yarrowwall/relay/streams.py
+++ b/yarrowwall/relay/streams.py
@@ -8,9 +8,6 @@
 from yarrowwall.relay.model import Attempt, Route
 from yarrowwall.relay.offer import Offer, OpenAnswer, RefusedError, RelayParts
 
-#: Seconds of silence after which a stream that can be resumed goes on at another server.
-SILENCE_SECONDS = 0.8
-
 
 class StreamBrokenError(RelayError):
     """A stream whose beginning was passed on cannot be completed."""
@@ -73,18 +70,28 @@
         opened = self._offer.current
         if opened is None:
             raise ConnectionBrokenError("no server streams")
-        data = opened.connection.read_some(self._patience())
+        data = self._receive(opened)
         if data:
             return self._splitter.feed(data)
         if self._splitter.rest:
             raise ConnectionBrokenError("the stream ended within an event")
         return None
 
-    def _patience(self) -> float:
-        remaining = self._offer.remaining()
-        if self._route.is_resumable and self._offer.can_go_on():
-            return min(remaining, SILENCE_SECONDS)
-        return remaining
+    def _receive(self, opened: OpenAnswer) -> bytes:
+        """Return the bytes that arrive next, as long as the server is worth waiting for.
+
+        :raises AnswerTimeoutError: if it is not, or the time is over.
+        """
+        server_id = opened.send.server.server_id
+        while True:
+            try:
+                data = opened.connection.read_some(self._offer.patience())
+            except AnswerTimeoutError:
+                if not self._offer.is_worth_waiting(server_id, self._last_event_at):
+                    raise
+                continue
+            self._parts.directory.note_heard(server_id, self._parts.now())
+            return data
 
     def _note(self, events: list[Event]) -> None:
         now = self._parts.now()
@@ -135,11 +142,6 @@
 
     def finish(self) -> None:
         """Leave the stream, which was read to its end."""
-        opened = self._offer.current
-        if opened is not None:
-            state = self._parts.directory.states.get(opened.send.server.server_id)
-            if state is not None:
-                state.belief.note_grown(self._attempt.prompt, len(self.passed))
         self._offer.release()
 
     def cancel(self) -> None:
