Platform scenarios with real processes; turns that come at once no longer all get 402

Cause: eight turns of a program at once at two gateways all saw one another's reservations and all got 402, though two fitted (first run of the new scenario).

--- a/features/environment.py
+++ b/features/environment.py
@@ -3,6 +3,7 @@
 from behave.model import Feature, Scenario
 from behave.runner import Context
 
+from features.support.platform_world import PlatformWorld
 from features.support.processes import System
 
 
@@ -23,9 +24,15 @@
     context.own_system = System() if "own_system" in scenario.effective_tags else None
     if context.own_system is not None:
         context.system = context.own_system
+    context.platform = PlatformWorld() if "platform_world" in scenario.effective_tags else None
+    if context.platform is not None:
+        context.by_route = {}
+        context.platform.wait_ready()
 
 
 def after_scenario(context: Context, scenario: Scenario) -> None:
     """End the processes of the scenario."""
     if context.own_system is not None:
         context.own_system.stop()
+    if context.platform is not None:
+        context.platform.stop()
--- /dev/null
+++ b/features/support/platform_world.py
@@ -0,0 +1,495 @@
+"""A platform of stand-ins on loopback: store of objects, servers, and machines as processes.
+
+Everything outside the processes under test runs in threads of the test process, so that
+tests can look at what reached whom. The names are the platform's own.
+"""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from features.support.processes import free_addresses, wait_until
+
+HOST = "desk.example"
+ROOT = Path(__file__).parent.parent.parent
+MAJOR = 3
+ANSWER_SECONDS = 10.0
+
+
+class QuietHandler(BaseHTTPRequestHandler):
+    """An HTTP/1.1 handler that logs nothing."""
+
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def log_message(self, format: str, *arguments: Any) -> None:
+        """Log nothing."""
+
+    def body(self) -> bytes:
+        """Return the request's body."""
+        return self.rfile.read(int(self.headers.get("Content-Length") or 0))
+
+    def answer(self, status: int, body: bytes, headers: dict[str, str] | None = None) -> None:
+        """Send a whole answer."""
+        self.send_response(status)
+        for name, value in (headers or {}).items():
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+def serve(handler: type[BaseHTTPRequestHandler], address: str = "127.0.0.1:0") -> Any:
+    """Serve a handler class from a thread of its own."""
+    host, _, port = address.partition(":")
+    server = ThreadingHTTPServer((host, int(port)), handler)
+    server.daemon_threads = True
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    return server
+
+
+def address_of(server: Any) -> str:
+    """Return ``IP:port`` of a server."""
+    return f"127.0.0.1:{server.server_address[1]}"
+
+
+class ObjectStore:
+    """The platform's store: objects, revisions, watches, conditional changes."""
+
+    def __init__(self) -> None:
+        self.lock = threading.Condition()
+        self.revision = 1
+        self.objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self.history: list[tuple[int, str, dict[str, Any], bool]] = []
+        self.oldest = 0
+        self.is_down = False
+        store = self
+
+        class Handler(QuietHandler):
+            """Answers one call."""
+
+            def _run(self) -> None:
+                store.handle(self)
+
+            do_GET = do_POST = do_PUT = do_DELETE = _run
+
+        self.server = serve(Handler)
+        self.address = address_of(self.server)
+
+    def put(self, kind: str, name: str, spec: dict[str, Any]) -> None:
+        """Write an object as the operators or servers do."""
+        with self.lock:
+            self._change(kind, name, spec, None)
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        with self.lock:
+            self._gone(kind, name)
+
+    def get(self, kind: str, name: str) -> dict[str, Any] | None:
+        """Return an object."""
+        with self.lock:
+            return self.objects.get((kind, name))
+
+    def forget_history(self) -> None:
+        """Let every running watch learn that its history is gone."""
+        with self.lock:
+            self.history.clear()
+            self.oldest = self.revision
+            self.lock.notify_all()
+
+    def _change(self, kind: str, name: str, spec: Any, status: Any) -> dict[str, Any]:
+        self.revision += 1
+        meta = {"name": name, "revision": self.revision, "made": 1, "finalizers": []}
+        item = {"meta": {**meta, "deleting": False}, "spec": spec, "status": status}
+        self.objects[(kind, name)] = item
+        self.history.append((self.revision, kind, item, False))
+        self.lock.notify_all()
+        return item
+
+    def _gone(self, kind: str, name: str) -> None:
+        item = self.objects.pop((kind, name), None)
+        if item is not None:
+            self.revision += 1
+            self.history.append((self.revision, kind, item, True))
+            self.lock.notify_all()
+
+    def handle(self, call: QuietHandler) -> None:
+        """Answer one call."""
+        parts = urlsplit(call.path)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        names = parts.path.strip("/").split("/")[1:]
+        body = json.loads(call.body() or b"{}")
+        if self.is_down:
+            call.close_connection = True
+            return
+        status, document = self._answer(call.command, names, query, body)
+        call.answer(status, json.dumps(document).encode(), {"Content-Type": "application/json"})
+
+    def _answer(
+        self, method: str, names: list[str], query: dict[str, str], body: dict[str, Any]
+    ) -> tuple[int, dict[str, Any]]:
+        with self.lock:
+            if method == "GET" and "watch" in query:
+                return self._watch(names[0], int(query["watch"]), int(query["wait_ms"]))
+            if method == "GET":
+                items = [item for (kind, _), item in self.objects.items() if kind == names[0]]
+                return 200, {"items": items, "more": False, "at": self.revision}
+            return self._write(method, names, body)
+
+    def _watch(self, kind: str, revision: int, wait_ms: int) -> tuple[int, dict[str, Any]]:
+        end = time.monotonic() + wait_ms / 1000.0
+        while True:
+            if revision < self.oldest:
+                return 410, {}
+            events = [
+                {"object": item, "gone": gone}
+                for at, of, item, gone in self.history
+                if at > revision and of == kind
+            ]
+            if events or time.monotonic() >= end or self.is_down:
+                return 200, {"events": events, "at": self.revision}
+            self.lock.wait(end - time.monotonic())
+
+    def _write(
+        self, method: str, names: list[str], body: dict[str, Any]
+    ) -> tuple[int, dict[str, Any]]:
+        kind = names[0]
+        name = names[1] if len(names) > 1 else body["meta"]["name"]
+        known = self.objects.get((kind, name))
+        if method == "POST":
+            if known is not None:
+                return 409, known
+            return 200, self._change(kind, name, body.get("spec"), None)
+        if known is None:
+            return 404, {}
+        if method == "DELETE":
+            self._gone(kind, name)
+            return 200, {}
+        wanted = (body.get("meta") or {}).get("revision")
+        if wanted is not None and wanted != known["meta"]["revision"]:
+            return 409, known
+        if len(names) == MAJOR:
+            return 200, self._change(kind, name, known["spec"], body["status"])
+        return 200, self._change(kind, name, body["spec"], known["status"])
+
+
+@dataclass
+class Arrival:
+    """One request as a server got it."""
+
+    attempt_id: str
+    path: str
+    body: bytes
+    headers: dict[str, str]
+
+
+@dataclass
+class Server:
+    """A server that answers as a script tells.
+
+    :param script: called for each request with the handler and the arrival; returns
+        whether it answered.
+    """
+
+    server_id: str
+    script: Callable[[QuietHandler, Arrival], bool] = lambda handler, arrival: False
+    arrivals: list[Arrival] = field(default_factory=list)
+    cancelled: list[str] = field(default_factory=list)
+
+    def start(self) -> str:
+        """Begin to serve; return the address."""
+        server = self
+
+        class Handler(QuietHandler):
+            """Answers one request."""
+
+            def _run(self) -> None:
+                server.handle(self)
+
+            do_GET = do_POST = _run
+
+        self.listener = serve(Handler)
+        return address_of(self.listener)
+
+    def handle(self, call: QuietHandler) -> None:
+        """Answer one request as the script tells; a seal, an echo and a body without one."""
+        headers = dict(call.headers.items())
+        arrival = Arrival(headers.get("X-Attempt-Id", ""), call.path, call.body(), headers)
+        if headers.get("X-Expect-Instance") != self.server_id:
+            call.answer(421, b"", {"X-Instance-Id": self.server_id})
+            return
+        self.arrivals.append(arrival)
+        if not self.script(call, arrival):
+            call.answer(200, b"record", own_headers(arrival))
+
+
+def own_headers(arrival: Arrival) -> dict[str, str]:
+    """Return the headers of every server's answer."""
+    return {"X-Attempt-Id": arrival.attempt_id, "X-Server-Seal": "seal." + arrival.attempt_id}
+
+
+def event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return b"id: %d\ndata: piece-%d\n\n" % (number, number)
+
+
+def stream(
+    call: QuietHandler, arrival: Arrival, events: range, pause: float = 0.0, is_whole: bool = True
+) -> bool:
+    """Answer with a stream of events, cut off behind them if it is not whole."""
+    call.send_response(200)
+    for name, value in own_headers(arrival).items():
+        call.send_header(name, value)
+    call.send_header("Content-Type", "text/event-stream")
+    call.send_header("Transfer-Encoding", "chunked")
+    call.end_headers()
+    for number in events:
+        data = event(number)
+        call.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
+        call.wfile.flush()
+        time.sleep(pause)
+    if is_whole:
+        call.wfile.write(b"0\r\n\r\n")
+    else:
+        call.wfile.write(b"3f\r\nid: 99\nda")
+        call.wfile.flush()
+        call.connection.shutdown(socket.SHUT_RDWR)
+        call.close_connection = True
+    return True
+
+
+@dataclass
+class Answer:
+    """What a client got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool
+    seconds: float
+
+
+class PlatformWorld:
+    """Stand-ins and machines.
+
+    :param gateways: how many machines take clients.
+    """
+
+    def __init__(self, gateways: int = 2, replicas: int = 3) -> None:
+        self._folder = tempfile.TemporaryDirectory()
+        self.folder = Path(self._folder.name)
+        self.store = ObjectStore()
+        self.servers: dict[str, Server] = {}
+        self.routes: list[dict[str, Any]] = []
+        self.version = 1
+        self.processes: dict[str, subprocess.Popen] = {}
+        self.addresses: dict[str, dict[str, str]] = {}
+        self._attempts = 0
+        for number in range(replicas):
+            self.start_machine(f"storage-{number}", is_gateway=False, is_first=True)
+        for number in range(gateways):
+            self.start_machine(f"edge-{number}", is_gateway=True, is_first=True)
+        # Nothing is ready before the first configuration is known.
+        self.publish()
+
+    # The operators
+
+    def add_route(self, name: str, kind: str, **fields: Any) -> None:
+        """Add a route of a kind whose service has its name."""
+        route = {
+            "name": name,
+            "host": HOST,
+            "path_prefix": f"/{name}/",
+            "type": kind,
+            "service": name,
+            "timeout_ms": 3000,
+            "slo_ms": 200,
+            "attempts": 2,
+            "priority": 1,
+            "stateful": False,
+            "retain_s": 60.0,
+            "resumable": False,
+        }
+        self.routes.append({**route, **fields})
+
+    def publish(self) -> int:
+        """Write the configuration; return its version."""
+        self.version += 3
+        engine = {"slots": 16, "kv_capacity": 500_000, "chunk_tokens": 10}
+        names = {route["service"] for route in self.routes}
+        services = [{"name": name, "max_conns": 100, "engine": engine} for name in sorted(names)]
+        limits = {"idle_timeout_ms": 15000, "max_body_bytes": 65536, "header_timeout_ms": 3000}
+        spec = {"routes": self.routes, "services": services, "limits": limits}
+        self.store.put("config", "main", {"version": self.version, **spec})
+        return self.version
+
+    def add_server(
+        self, service: str, script: Callable[[QuietHandler, Arrival], bool] | None = None
+    ) -> Server:
+        """Start a server and list it."""
+        server = Server(f"i-{len(self.servers)}")
+        if script is not None:
+            server.script = script
+        self.servers[server.server_id] = server
+        self._list(server, service, server.start(), "ready")
+        return server
+
+    def _list(self, server: Server, service: str, address: str, state: str) -> None:
+        spec = {"service": service, "address": address, "zone": "zone-a", "slots": 16}
+        self.store.put("servers", server.server_id, {**spec, "state": state, "seq": 1})
+
+    def drain(self, server: Server, service: str) -> None:
+        """Let a server tell that it leaves."""
+        self._list(server, service, address_of(server.listener), "draining")
+
+    # Machines
+
+    def start_machine(self, name: str, is_gateway: bool, is_first: bool = False) -> None:
+        """Start a machine's process; its settings are the same at every start."""
+        if name not in self.addresses:
+            keys = ("http", "readiness", "peer", "metrics")
+            self.addresses[name] = dict(zip(keys, free_addresses(len(keys)), strict=True))
+        path = self.folder / f"{name}.toml"
+        path.write_text(self._settings(name, is_gateway, is_first))
+        log = (self.folder / f"{name}.log").open("ab")
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, "-m", "yarrowwall.platform"],
+            cwd=ROOT,
+            env={**os.environ, "YARROWWALL_BOOT": str(path)},
+            stdout=log,
+            stderr=log,
+        )
+
+    def _settings(self, name: str, is_gateway: bool, is_first: bool) -> str:
+        own = self.addresses[name]
+        port = {key: address.rpartition(":")[2] for key, address in own.items()}
+        lines = [
+            f'node_id = "{name}"',
+            'zone = "zone-a"',
+            'ip = "127.0.0.1"',
+            f"first_peer_port = {port['peer']}",
+            f"last_peer_port = {port['metrics']}",
+            f'platform_address = "{self.store.address}"',
+            f"is_first_start = {str(is_first).lower()}",
+            "[bounds]",
+            "stop = 6.0",
+        ]
+        if is_gateway:
+            lines += [
+                "[gateway]",
+                f'http_address = "{own["http"]}"',
+                f'readiness_address = "{own["readiness"]}"',
+            ]
+        else:
+            lines += ["[replica]", f'data_folder = "{self.folder / name}"']
+        return "\n".join(lines) + "\n"
+
+    def kill(self, name: str, number: int = signal.SIGKILL) -> subprocess.Popen:
+        """Send a signal to a machine's process."""
+        process = self.processes[name]
+        process.send_signal(number)
+        if number == signal.SIGKILL:
+            process.wait()
+        return process
+
+    def log(self, name: str) -> list[dict[str, Any]]:
+        """Return the decisions that a machine has logged."""
+        lines = (self.folder / f"{name}.log").read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    def wait_ready(self) -> None:
+        """Wait until every gateway is ready and the record store has its group."""
+        for name in self.processes:
+            if name.startswith("edge"):
+                wait_until(lambda name=name: self.is_ready(name), f"{name} is ready")
+        wait_until(
+            lambda: self.store.get("yarrowwall-groups", "all") is not None, "the first group"
+        )
+
+    def is_ready(self, name: str) -> bool:
+        """Return whether a gateway says that it is ready."""
+        host, _, port = self.addresses[name]["readiness"].partition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=2.0)
+        try:
+            connection.request("GET", "/readyz")
+            return connection.getresponse().status == 200
+        except OSError:
+            return False
+        finally:
+            connection.close()
+
+    # Clients
+
+    def next_attempt(self) -> str:
+        """Return a new attempt id."""
+        self._attempts += 1
+        return f"attempt-{self._attempts}"
+
+    def connect(self, gateway: int = 0) -> http.client.HTTPConnection:
+        """Return a connection to a gateway."""
+        host, _, port = self.addresses[f"edge-{gateway}"]["http"].partition(":")
+        return http.client.HTTPConnection(host, int(port), timeout=ANSWER_SECONDS)
+
+    def ask(
+        self,
+        route: str,
+        body: bytes | None = None,
+        gateway: int = 0,
+        connection: http.client.HTTPConnection | None = None,
+        **headers: str,
+    ) -> Answer:
+        """Send a request as a client and return what came."""
+        own = connection is None
+        used = connection or self.connect(gateway)
+        sent = {"Host": HOST, "X-Attempt-Id": self.next_attempt(), "X-Deadline-Ms": "3000"}
+        sent |= {name.replace("_", "-"): value for name, value in headers.items()}
+        started = time.monotonic()
+        used.request("GET" if body is None else "POST", f"/{route}/x?q=1", body, sent)
+        answer = read_answer(used, started)
+        if own:
+            used.close()
+        return answer
+
+    def stop(self) -> None:
+        """End everything."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+        self.store.server.shutdown()
+        self.store.server.server_close()
+        for server in self.servers.values():
+            server.listener.shutdown()
+            server.listener.server_close()
+        self._folder.cleanup()
+
+
+def read_answer(connection: http.client.HTTPConnection, started: float) -> Answer:
+    """Return the answer that comes on a connection, whole or not."""
+    response = connection.getresponse()
+    body = bytearray()
+    is_whole = True
+    try:
+        while data := response.read1(65536):
+            body += data
+        is_whole = response.length in (None, 0)
+        response.close()
+    except (http.client.IncompleteRead, http.client.HTTPException, OSError, ValueError):
+        is_whole = False
+    seconds = time.monotonic() - started
+    return Answer(response.status, dict(response.headers.items()), bytes(body), is_whole, seconds)
--- a/yarrowwall/relay/ledger.py
+++ b/yarrowwall/relay/ledger.py
@@ -27,6 +27,9 @@
 SETTLE_SECONDS = 0.03
 #: Seconds before a settlement that found no quorum is written again.
 SETTLE_RETRY_SECONDS = 0.25
+#: Looks at the reservations of a program whose turns came at once, and seconds between.
+CONTENTION_LOOKS = 5
+CONTENTION_SECONDS = 0.05
 #: Seconds that the end of an answer waits for its turn to be stored.
 KEEP_SECONDS = 2.0
 
@@ -111,7 +114,7 @@
         )
         group = self.group_of(program.program_id)
         try:
-            used = self._used_beside(group, reservation)
+            used = self._used_beside(group, reservation, budget)
         except NoQuorumError as error:
             self.settle(reservation, 0)
             raise StoreUncertainError(str(error)) from error
@@ -126,12 +129,29 @@
             raise BudgetExhaustedError(f"{used} of {budget} tokens are used")
         return reservation
 
-    def _used_beside(self, group: int, reservation: Reservation) -> int:
-        """Write a reservation; return the tokens of all others of its program."""
+    def _used_beside(self, group: int, reservation: Reservation, budget: int) -> int:
+        """Write a reservation; return the tokens of all others of its program.
+
+        Turns that come at once all see one another. If not all of them fit, those
+        behind in the order of keys give up at once, and the ones in front look again.
+        """
         record = reservation.record(_RESERVED, reservation.tokens)
         self._client.write(group, [record])
-        found = self._client.read_amounts(group, reservation.program_id)
-        return sum(other.tokens for key, other in found.items() if key != reservation.key)
+        for _ in range(CONTENTION_LOOKS):
+            found = self._client.read_amounts(group, reservation.program_id)
+            found.pop(reservation.key, None)
+            used = sum(other.tokens for other in found.values())
+            if used + reservation.tokens <= budget:
+                return used
+            behind = sum(
+                other.tokens
+                for key, other in found.items()
+                if other.version == _RESERVED and key > reservation.key
+            )
+            if used - behind + reservation.tokens > budget:
+                return used
+            eventlet.sleep(CONTENTION_SECONDS)
+        return used
 
     def settle(self, reservation: Reservation, tokens: int) -> None:
         """Replace a reservation by what was emitted, soon."""
