--- /dev/null
+++ b/yarrowwall/cli/explain.py
@@ -0,0 +1,78 @@
+"""The story of one request or program, from the logs of many processes."""
+
+import gzip
+import json
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import click
+
+EXIT_UNKNOWN = 1
+_GZIP_MAGIC = b"\x1f\x8b"
+_HIDDEN = ("time", "node", "kind")
+
+
+@click.command()
+@click.argument("identifier")
+@click.argument("logs", nargs=-1, required=True, type=click.Path(exists=True, path_type=Path))
+@click.option("--output", type=click.Choice(["text", "json"]), default="text")
+def explain(identifier: str, logs: tuple[Path, ...], output: str) -> None:
+    """Tell what became of a request or program, by its id, in order.
+
+    LOGS are files of decision lines, of any number of processes, plain or gzipped; a
+    prefix before a line's JSON is passed over. Exit code 1 if nothing names the id.
+    """
+    story = find_story(identifier, logs)
+    if not story:
+        click.echo(f"no line names {identifier}", err=True)
+        sys.exit(EXIT_UNKNOWN)
+    for line in story:
+        click.echo(json.dumps(line) if output == "json" else describe(line, story[0]["time"]))
+
+
+def find_story(identifier: str, logs: tuple[Path, ...]) -> list[dict[str, Any]]:
+    """Return the lines that belong to an id, a program's with those of its attempts.
+
+    Lines of one process stay in the order in which it wrote them, whatever its clock did.
+    """
+    lines = [line for path in logs for line in read_lines(path)]
+    names = {identifier}
+    names |= {
+        line["attempt"]
+        for line in lines
+        if line.get("program") == identifier and line.get("attempt")
+    }
+    story = [line for line in lines if names & {line.get("attempt"), line.get("program")}]
+    latest: dict[str, float] = {}
+    for line in story:
+        node = line.get("node", "")
+        latest[node] = max(line.get("time", 0.0), latest.get(node, 0.0))
+        line["time"] = latest[node]
+    return sorted(story, key=lambda line: line["time"])
+
+
+def read_lines(path: Path) -> Iterator[dict[str, Any]]:
+    """Return the decisions of a file; whatever is no decision is passed over."""
+    data = path.read_bytes()
+    if data.startswith(_GZIP_MAGIC):
+        data = gzip.decompress(data)
+    for text in data.decode(errors="replace").splitlines():
+        start = text.find("{")
+        if start < 0:
+            continue
+        try:
+            line = json.loads(text[start:])
+        except ValueError:
+            continue
+        if isinstance(line, dict) and "kind" in line:
+            yield line
+
+
+def describe(line: dict[str, Any], started_at: float) -> str:
+    """Return one line of the story."""
+    values = " ".join(f"{name}={value}" for name, value in line.items() if name not in _HIDDEN)
+    return (
+        f"{line['time'] - started_at:9.4f} s  {line.get('node', ''):<20} {line['kind']}  {values}"
+    )
--- a/yarrowwall/cli/main.py
+++ b/yarrowwall/cli/main.py
@@ -8,6 +8,7 @@
 from yarrowwall.cli.bench import bench
 from yarrowwall.cli.demo import demo
 from yarrowwall.cli.experiment import experiment
+from yarrowwall.cli.explain import explain
 from yarrowwall.cli.journal_cost import journal_cost
 from yarrowwall.cli.node import check_settings, journal_init, node
 from yarrowwall.cli.operator import intent, plan, replica, status
@@ -39,6 +40,7 @@
     scale,
     placement_cost,
     journal_cost,
+    explain,
 )
 for command in COMMANDS:
     main.add_command(command)
--- a/yarrowwall/cli/node.py
+++ b/yarrowwall/cli/node.py
@@ -1,22 +1,26 @@
 """Commands that run and prepare a node."""
 
 import sys
+from collections.abc import Callable
 from pathlib import Path
+from typing import TypeVar
 
 import click
 
 from yarrowwall import logs
 from yarrowwall.exceptions import SettingsError, YarrowwallError
-from yarrowwall.settings import NodeFileSettings, load_settings
+from yarrowwall.relay.settings import load_machine_settings
+from yarrowwall.settings import load_settings
 
 EXIT_BAD_SETTINGS = 2
+_Settings = TypeVar("_Settings")
 _PATH = click.Path(dir_okay=False, path_type=Path)
 
 
-def _load_or_exit(path: Path) -> NodeFileSettings:
+def _load_or_exit(path: Path, load: Callable[[Path], _Settings]) -> _Settings:
     """Return the settings of a file; print its faults and exit if it has any."""
     try:
-        return load_settings(path)
+        return load(path)
     except SettingsError as error:
         for fault in error.faults:
             click.echo(fault, err=True)
@@ -27,7 +31,7 @@
 @click.option("--settings", "path", type=_PATH, required=True, help="TOML settings file.")
 def node(path: Path) -> None:
     """Run a node until SIGTERM; it then finishes what runs and exits."""
-    settings = _load_or_exit(path)
+    settings = _load_or_exit(path, load_settings)
     logs.set_up(settings.node_id, settings.zone, settings.log_level)
     from yarrowwall.runtime.service import run_node
 
@@ -38,10 +42,11 @@
 
 
 @click.command("check-settings")
+@click.option("--machine", is_flag=True, help="The settings of a machine on a platform.")
 @click.argument("path", type=_PATH)
-def check_settings(path: Path) -> None:
+def check_settings(machine: bool, path: Path) -> None:
     """Check a settings file; one line a fault, exit code 2 if there is one."""
-    _load_or_exit(path)
+    _load_or_exit(path, load_machine_settings if machine else load_settings)
     click.echo(f"{path}: ok")
 
 
--- a/yarrowwall/relay/decisions.py
+++ b/yarrowwall/relay/decisions.py
@@ -8,6 +8,7 @@
 import sys
 import time
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, fields
 from typing import Any, TextIO
 
@@ -185,10 +186,17 @@
 
     :param node: put into every line.
     :param stream: where the lines go.
+    :param count: called with every decision, written or not.
     """
 
-    def __init__(self, node: str, stream: TextIO | None = None) -> None:
+    def __init__(
+        self,
+        node: str,
+        stream: TextIO | None = None,
+        count: Callable[[Decision], None] = lambda decision: None,
+    ) -> None:
         self._node = node
+        self._count = count
         self._stream = stream if stream is not None else sys.stdout
         self._second = 0
         self._written: Counter[str] = Counter()
@@ -197,6 +205,7 @@
 
     def write(self, decision: Decision) -> None:
         """Write one line, unless its kind is above its rate."""
+        self._count(decision)
         kind = type(decision).__name__
         now = time.time()
         if int(now) != self._second:
--- a/yarrowwall/relay/service.py
+++ b/yarrowwall/relay/service.py
@@ -12,6 +12,7 @@
 from yarrowwall.relay import decisions
 from yarrowwall.relay.decisions import DecisionLog
 from yarrowwall.relay.gateway_service import GatewayService
+from yarrowwall.relay.metrics import MachineMetrics, serve_metrics
 from yarrowwall.relay.object_store import ObjectStore
 from yarrowwall.relay.ports import CallerProtocol, Documents, ServerProtocol
 from yarrowwall.relay.settings import MachineSettings, load_machine_settings
@@ -52,7 +53,8 @@
     def __init__(self, settings: MachineSettings, adapter: Adapter, path: Path) -> None:
         self._settings = settings
         self._path = path
-        self._log = DecisionLog(settings.node_id)
+        self._metrics = MachineMetrics()
+        self._log = DecisionLog(settings.node_id, count=self._metrics.count)
         self._stopped = Event()
         self._is_stopping = False
         self._parts: list[Part] = []
@@ -74,6 +76,11 @@
         for part in self._parts:
             part.start()
         eventlet.spawn_n(self._watch_settings)
+        eventlet.spawn_n(
+            serve_metrics,
+            self._settings.metrics_address,
+            lambda: self._metrics.render(self._log.dropped),
+        )
         self._log.write(decisions.ProcessChanged("started", self._settings.zone))
 
     def stop(self) -> None:
--- a/yarrowwall/relay/settings.py
+++ b/yarrowwall/relay/settings.py
@@ -46,6 +46,7 @@
     ip: str
     first_peer_port: int = Field(gt=0, lt=65536)
     last_peer_port: int = Field(gt=0, lt=65536)
+    metrics_port: int | None = Field(default=None, gt=0, lt=65536)
     platform_address: Address
     is_first_start: bool = False
     machines_lost_at_once: int = Field(default=1, ge=0)
@@ -62,7 +63,7 @@
     @property
     def metrics_address(self) -> str:
         """Return where metrics are told."""
-        return f"{self.ip}:{self.last_peer_port}"
+        return f"{self.ip}:{self.metrics_port or self.last_peer_port}"
 
 
 def parse_machine_settings(text: str) -> MachineSettings:
