Logs never hold a request up; turns ranked by their program's remaining time

Change: lines go through the kernel's own write, non-blocking; a line that does not fit is dropped and counted. A turn's rank at the engines follows its program's remaining time.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -153,3 +153,16 @@
     When replica 1 is killed for good
     And its third turn comes at gateway 1
     Then the server got all earlier inputs and outputs and the new input
+
+  Scenario: The logs and counters of the machines tell the story of a request
+    Given a stream route "talk" whose server sends 4 events
+    When a program with 100 tokens has spent 80 of them
+    Then explain tells of the program: admitted, granted, sent, answered, settled
+    And explain of an unknown id ends with exit code 1
+    And the metrics of gateway 0 count 2 answers and 2 grants
+
+  Scenario: The decisions' reader stops reading, and requests go on
+    Given a route "records" of type "mutating" with a server
+    When the log pipe of a gateway is full
+    And 6 clients send "payload" on "records"
+    Then every answer is 200
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -358,8 +358,13 @@
 
     # Machines
 
-    def start_machine(self, name: str, is_gateway: bool, is_first: bool = False) -> None:
-        """Start a machine's process; its settings are the same at every start."""
+    def start_machine(
+        self, name: str, is_gateway: bool, is_first: bool = False, output: int | None = None
+    ) -> None:
+        """Start a machine's process; its settings are the same at every start.
+
+        :param output: where its log goes instead of its file.
+        """
         if name not in self.addresses:
             keys = ("http", "readiness", "peer", "metrics")
             self.addresses[name] = dict(zip(keys, free_addresses(len(keys)), strict=True))
@@ -370,7 +375,7 @@
             [sys.executable, "-m", "yarrowwall.platform"],
             cwd=ROOT,
             env={**os.environ, "YARROWWALL_BOOT": str(path)},
-            stdout=log,
+            stdout=log if output is None else output,
             stderr=log,
         )
 
--- a/yarrowwall/relay/decisions.py
+++ b/yarrowwall/relay/decisions.py
@@ -5,12 +5,16 @@
 """
 
 import json
-import sys
 import time
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, fields
-from typing import Any, TextIO
+from typing import Any
+
+from eventlet import patcher
+
+# eventlet's own ``os.write`` waits where the kernel's would block.
+_os = patcher.original("os")
 
 #: Lines of one kind written in a second before lines are left out.
 LINES_PER_SECOND = 200
@@ -179,29 +183,67 @@
     detail: str
 
 
+class LineWriter:
+    """Writes lines to a descriptor without ever waiting for its reader.
+
+    A line that does not fit is dropped and counted; one that fits in part is
+    completed before the next.
+
+    :param descriptor: made non-blocking.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        self._rest = b""
+        self.dropped = 0
+        _os.set_blocking(descriptor, False)
+
+    def write(self, line: str) -> None:
+        """Write one line."""
+        self._rest = self._send(self._rest)
+        if self._rest:
+            self.dropped += 1
+            return
+        data = line.encode() + b"\n"
+        rest = self._send(data)
+        if rest == data:
+            self.dropped += 1
+        else:
+            self._rest = rest
+
+    def _send(self, data: bytes) -> bytes:
+        """Return what could not be written."""
+        try:
+            return data[_os.write(self._descriptor, data) :] if data else data
+        except OSError:
+            return data
+
+
 class DecisionLog:
     """Writes decisions as JSON lines.
 
-    A write that would block is dropped and counted.
-
     :param node: put into every line.
-    :param stream: where the lines go.
     :param count: called with every decision, written or not.
+    :param descriptor: where the lines go; standard output.
     """
 
     def __init__(
         self,
         node: str,
-        stream: TextIO | None = None,
         count: Callable[[Decision], None] = lambda decision: None,
+        descriptor: int = 1,
     ) -> None:
         self._node = node
         self._count = count
-        self._stream = stream if stream is not None else sys.stdout
+        self._writer = LineWriter(descriptor)
         self._second = 0
         self._written: Counter[str] = Counter()
         self._left_out: Counter[str] = Counter()
-        self.dropped = 0
+
+    @property
+    def dropped(self) -> int:
+        """Return how many lines were not written since their reader did not read."""
+        return self._writer.dropped
 
     def write(self, decision: Decision) -> None:
         """Write one line, unless its kind is above its rate."""
@@ -225,11 +267,7 @@
 
     def _write_line(self, now: float, kind: str, values: dict[str, Any]) -> None:
         line = {"time": round(now, 4), "node": self._node, "kind": kind, **values}
-        try:
-            self._stream.write(json.dumps(line, default=str) + "\n")
-            self._stream.flush()
-        except (BlockingIOError, OSError, ValueError):
-            self.dropped += 1
+        self._writer.write(json.dumps(line, default=str))
 
 
 def _fields(decision: Decision) -> dict[str, Any]:
--- a/yarrowwall/relay/offer.py
+++ b/yarrowwall/relay/offer.py
@@ -29,6 +29,7 @@
 from yarrowwall.relay.pool import ConnectionPool
 from yarrowwall.relay.ports import ServerProtocol
 from yarrowwall.relay.servers import Choice, ServerDirectory
+from yarrowwall.relay.urgency import turn_rank
 
 #: Seconds after which a caller that was refused for want of room should come back.
 RETRY_AFTER_SECONDS = 0.15
@@ -156,7 +157,8 @@
         connection = self._connect(server)
         self.log.offered += 1
         remaining = self.remaining()
-        send = Send(server, self._body, remaining, self._route.priority, last_event_id)
+        rank = turn_rank(self._attempt, self._route.priority, self._parts.now())
+        send = Send(server, self._body, remaining, rank, last_event_id)
         self._parts.decisions.write(
             decisions.AttemptSent(
                 self._attempt.attempt_id,
