A gateway that cannot reach the replicas takes itself out; ranks weigh the route as well

Change: not ready after 0.8 s without a quorum, with a probe until it is back; remaining time counts 0.7 on the most urgent routes, and programs past their time come before those with long left.

--- a/features/machine_settings.feature
+++ b/features/machine_settings.feature
@@ -20,7 +20,8 @@
     Examples:
       | seconds | priority | rank |
       | 0.3     | 1        | 0    |
-      | 1.2     | 0        | 3    |
+      | 1.2     | 1        | 3    |
+      | 1.2     | 0        | 2    |
       | 9.0     | 0        | 8    |
-      | -0.1    | 0        | 9    |
+      | -0.1    | 0        | 6    |
       | untold  | 2        | 2    |
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -135,6 +135,15 @@
     And a turn goes on from one that never was
     Then the answer is 503 with Retry-After
 
+  Scenario: A gateway that cannot reach the replicas takes itself out until it can
+    Given a stateful stream route "chat" whose server sends 2 events
+    When two replicas are killed
+    And a turn goes on from one that never was
+    Then the answer is 503 with Retry-After
+    And gateway 0 is not ready within 5 s
+    When the two replicas start again
+    Then gateway 0 is ready within 5 s
+
   Scenario: A replica that lost its disk is replaced by itself on an empty one
     Given a stateful stream route "chat" whose server sends 2 events
     When a conversation has two turns at gateway 0
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -735,3 +735,23 @@
     world(context).wait_ready()
     # Being ready tells that the configuration is known; the servers may follow a moment later.
     time.sleep(0.5)
+
+
+@then("gateway {number:d} is not ready within {limit:d} s")
+def not_ready_soon(context: Context, number: int, limit: int) -> None:
+    started = time.monotonic()
+    wait_until(lambda: not world(context).is_ready(f"edge-{number}"), "it takes itself out")
+    assert time.monotonic() - started < limit
+
+
+@when("the two replicas start again")
+def restart_two(context: Context) -> None:
+    for name in ("storage-0", "storage-1"):
+        world(context).start_machine(name, is_gateway=False)
+
+
+@then("gateway {number:d} is ready within {limit:d} s")
+def ready_soon(context: Context, number: int, limit: int) -> None:
+    started = time.monotonic()
+    wait_until(lambda: world(context).is_ready(f"edge-{number}"), "it is back")
+    assert time.monotonic() - started < limit
--- a/yarrowwall/relay/gateway_service.py
+++ b/yarrowwall/relay/gateway_service.py
@@ -111,9 +111,13 @@
 
     @property
     def is_ready(self) -> bool:
-        """Return whether new connections are welcome."""
+        """Return whether new connections are welcome.
+
+        A gateway that is cut off from the replicas refuses turns that others could run.
+        """
         has_listed = all(follower.has_listed for follower in self._followers)
-        return self.gateway.table is not None and has_listed and not self.gateway.is_stopping
+        is_able = self.gateway.table is not None and self._ledger.is_reachable
+        return is_able and has_listed and not self.gateway.is_stopping
 
     def _answer_readiness(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
@@ -130,6 +134,7 @@
             eventlet.sleep(HOUSEKEEPING_SECONDS)
             self._directory.forget_vanished(time.monotonic())
             self._pool.close_expired()
+            self._ledger.probe()
 
     # What the store tells
 
--- a/yarrowwall/relay/ledger.py
+++ b/yarrowwall/relay/ledger.py
@@ -7,6 +7,7 @@
 died, counts in full.
 """
 
+import contextlib
 from dataclasses import dataclass
 
 import eventlet
@@ -27,6 +28,8 @@
 SETTLE_SECONDS = 0.03
 #: Seconds before a settlement that found no quorum is written again.
 SETTLE_RETRY_SECONDS = 0.25
+#: Seconds without a quorum after which the store counts as out of reach.
+UNREACHABLE_SECONDS = 0.8
 #: Looks at the reservations of a program whose turns came at once, and seconds between.
 CONTENTION_LOOKS = 5
 CONTENTION_SECONDS = 0.05
@@ -75,6 +78,17 @@
         """Return whether settlements are still to be written."""
         return self._settlements.is_busy
 
+    @property
+    def is_reachable(self) -> bool:
+        """Return whether operations find their quorum, or did a moment ago."""
+        return self._client.failing_seconds < UNREACHABLE_SECONDS
+
+    def probe(self) -> None:
+        """If operations fail, find out whether they still do."""
+        if self._client.failing_seconds and self._views.count:
+            with contextlib.suppress(NoQuorumError):
+                self._client.read_amounts(0, "")
+
     def group_of(self, key: str) -> int:
         """Return the group that keeps a key.
 
--- a/yarrowwall/relay/urgency.py
+++ b/yarrowwall/relay/urgency.py
@@ -7,8 +7,12 @@
 
 #: Seconds left to a program at which the next less urgent rank begins.
 RANK_SECONDS: Sequence[float] = (0.4, 0.7, 1.0, 1.4, 2.0, 2.8, 4.0, 6.0)
-#: Rank of a turn whose program is past its time; it must not hold up one that is not.
-LATE_RANK = len(RANK_SECONDS) + 1
+#: Rank of a turn whose program is past its time. It goes before programs that have long
+#: left, which can still wait, and behind all that would be late by waiting.
+LATE_RANK = 6
+#: Part of the remaining time that counts on the most urgent routes.
+MOST_URGENT_FACTOR = 0.7
+_LAST_RANK = 9
 
 
 def turn_rank(attempt: Attempt, priority: int, now: float) -> int:
@@ -17,8 +21,9 @@
     :param priority: rank of the request's route, used if the program's time is untold.
     """
     if attempt.program is None or attempt.program.finish_at is None:
-        return min(max(priority, 0), LATE_RANK)
+        return min(max(priority, 0), _LAST_RANK)
     left = attempt.program.finish_at - now
     if left < 0.0:
         return LATE_RANK
-    return bisect(RANK_SECONDS, left)
+    factor = MOST_URGENT_FACTOR if priority == 0 else 1.0
+    return bisect(RANK_SECONDS, left * factor)
--- a/yarrowwall/replication/quorum_client.py
+++ b/yarrowwall/replication/quorum_client.py
@@ -122,6 +122,12 @@
         self._views = views
         self._links = links
         self._now = now
+        self._failing_since: float | None = None
+
+    @property
+    def failing_seconds(self) -> float:
+        """Return for how long no operation has found its quorum; 0 if the last one did."""
+        return 0.0 if self._failing_since is None else self._now() - self._failing_since
 
     def write(
         self,
@@ -201,9 +207,12 @@
             members = self._nearest(view) if only_nearest else all_members(view)
             found = self._round(view, members, request, is_enough, end)
             if is_enough(view, found):
+                self._failing_since = None
                 return found
             newer = self._views.get(group) is not view or found.met_other_view
             if only_nearest or not newer or self._now() + RETRY_SECONDS >= end:
+                if not only_nearest and self._failing_since is None:
+                    self._failing_since = self._now()
                 raise NoQuorumError(f"group {group}: {found.answered} of {len(members)} answered")
             eventlet.sleep(RETRY_SECONDS)
 
