--- a/yarrowwall/runtime/http_api.py
+++ b/yarrowwall/runtime/http_api.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable, Iterable, Iterator
-from typing import TYPE_CHECKING, Any
+from typing import Any
 from uuid import uuid4
 
 import logbook
@@ -46,11 +46,9 @@
 from yarrowwall.runtime.callers import FinalReply
 from yarrowwall.runtime.exceptions import InvalidRequestError
 from yarrowwall.runtime.exchange import Exchange
+from yarrowwall.runtime.ports import ServedNode
 from yarrowwall.runtime.relayed_stream import RelayedStream
 
-if TYPE_CHECKING:
-    from yarrowwall.runtime.service import NodeService
-
 DEFAULT_MAX_TOKENS = 512
 LOOKUP_DEADLINE_SECONDS = 10.0
 #: Longest wait for a final reply beyond the request's own deadline.
@@ -77,7 +75,7 @@
 class HttpApi:
     """The WSGI application of one node."""
 
-    def __init__(self, service: "NodeService") -> None:
+    def __init__(self, service: ServedNode) -> None:
         self._service = service
         self._sequence = 0
 
--- a/yarrowwall/runtime/ports.py
+++ b/yarrowwall/runtime/ports.py
@@ -2,6 +2,11 @@
 
 from typing import Protocol
 
+from yarrowwall.core.node import NodeCore
+from yarrowwall.runtime.callers import CallerTable
+from yarrowwall.runtime.metrics import NodeMetrics
+from yarrowwall.settings import NodeFileSettings
+
 
 class NodePort(Protocol):
     """The node as its clients see it."""
@@ -11,3 +16,12 @@
 
     def now(self) -> float:
         """Return the node's clock in seconds."""
+
+
+class ServedNode(NodePort, Protocol):
+    """The node as the HTTP interface sees it."""
+
+    core: NodeCore
+    callers: CallerTable
+    metrics: NodeMetrics
+    settings: NodeFileSettings
