An unreadable object ends no follower; faults of the program are told; unused code removed

Change: a follower lists anew after such an object; InternalFault with its traceback. Removed: NoLedger, ObjectStore.delete and what nothing calls; one function checks both settings files.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -175,3 +175,9 @@
     When the log pipe of a gateway is full
     And 6 clients send "payload" on "records"
     Then every answer is 200
+
+  Scenario: An object that cannot be read does not end the following of the others
+    Given a route "records" of type "mutating" with a server
+    When the store holds a configuration and a group that cannot be read
+    And the route "later" is added with a server
+    Then "later" answers 200 within 4 s at every gateway
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -755,3 +755,10 @@
     started = time.monotonic()
     wait_until(lambda: world(context).is_ready(f"edge-{number}"), "it is back")
     assert time.monotonic() - started < limit
+
+
+@when("the store holds a configuration and a group that cannot be read")
+def unreadable_objects(context: Context) -> None:
+    world(context).store.put("config", "main", {"version": "none", "routes": 7})
+    world(context).store.put("yarrowwall-groups", "broken", {"groups": [{"epoch": 1}]})
+    time.sleep(0.5)
--- a/yarrowwall/cli/node.py
+++ b/yarrowwall/cli/node.py
@@ -1,7 +1,6 @@
 """Commands that run and prepare a node."""
 
 import sys
-from collections.abc import Callable
 from pathlib import Path
 from typing import TypeVar
 
@@ -9,18 +8,18 @@
 
 from yarrowwall import logs
 from yarrowwall.exceptions import SettingsError, YarrowwallError
-from yarrowwall.relay.settings import load_machine_settings
-from yarrowwall.settings import load_settings
+from yarrowwall.relay.settings import MachineSettings
+from yarrowwall.settings import NodeFileSettings, load_settings
 
 EXIT_BAD_SETTINGS = 2
-_Settings = TypeVar("_Settings")
+_Settings = TypeVar("_Settings", NodeFileSettings, MachineSettings)
 _PATH = click.Path(dir_okay=False, path_type=Path)
 
 
-def _load_or_exit(path: Path, load: Callable[[Path], _Settings]) -> _Settings:
+def _load_or_exit(path: Path, model: type[_Settings]) -> _Settings:
     """Return the settings of a file; print its faults and exit if it has any."""
     try:
-        return load(path)
+        return load_settings(path, model)
     except SettingsError as error:
         for fault in error.faults:
             click.echo(fault, err=True)
@@ -31,7 +30,7 @@
 @click.option("--settings", "path", type=_PATH, required=True, help="TOML settings file.")
 def node(path: Path) -> None:
     """Run a node until SIGTERM; it then finishes what runs and exits."""
-    settings = _load_or_exit(path, load_settings)
+    settings = _load_or_exit(path, NodeFileSettings)
     logs.set_up(settings.node_id, settings.zone, settings.log_level)
     from yarrowwall.runtime.service import run_node
 
@@ -46,7 +45,10 @@
 @click.argument("path", type=_PATH)
 def check_settings(machine: bool, path: Path) -> None:
     """Check a settings file; one line a fault, exit code 2 if there is one."""
-    _load_or_exit(path, load_machine_settings if machine else load_settings)
+    if machine:
+        _load_or_exit(path, MachineSettings)
+    else:
+        _load_or_exit(path, NodeFileSettings)
     click.echo(f"{path}: ok")
 
 
--- a/yarrowwall/platform/__main__.py
+++ b/yarrowwall/platform/__main__.py
@@ -16,7 +16,8 @@
 from yarrowwall.platform.servers import PlatformServers
 from yarrowwall.platform.store import PlatformStore
 from yarrowwall.relay.service import EXIT_BAD_SETTINGS, Adapter, run_machine
-from yarrowwall.relay.settings import MachineSettings, load_machine_settings
+from yarrowwall.relay.settings import MachineSettings
+from yarrowwall.settings import load_settings
 
 
 def adapter(settings: MachineSettings) -> Adapter:
@@ -37,7 +38,7 @@
     """
     path = Path(os.environ.get(names.SETTINGS_VARIABLE, ""))
     try:
-        settings = load_machine_settings(path)
+        settings = load_settings(path, MachineSettings)
     except SettingsError as error:
         for fault in error.faults:
             print(fault, file=sys.stderr)
--- a/yarrowwall/platform/documents.py
+++ b/yarrowwall/platform/documents.py
@@ -57,10 +57,6 @@
         """Return the status of a storage machine that is emptied."""
         return {"state": "complete" if is_complete else "running"}
 
-    def is_retired(self, item: StoredObject) -> bool:
-        """Return whether an emptied machine was reported as such."""
-        return item.status.get("state") == "complete"
-
 
 def _route(spec: dict[str, Any]) -> Route:
     shares = [
--- a/yarrowwall/platform/store.py
+++ b/yarrowwall/platform/store.py
@@ -24,7 +24,6 @@
 _ANSWER_SECONDS = 2.0
 
 _JSON = "application/json"
-_NOT_FOUND = 404
 _CONFLICT = 409
 _GONE = 410
 
@@ -88,10 +87,6 @@
         path = f"/objects/{kind}/{quote(name, safe='')}/status"
         self._call("PUT", path, {"meta": {"name": name}, "status": status})
 
-    def delete(self, kind: str, name: str) -> None:
-        """Remove an object; nothing happens if there is none."""
-        self._call("DELETE", f"/objects/{kind}/{quote(name, safe='')}", accept_missing=True)
-
     def _call(
         self,
         method: str,
@@ -99,7 +94,6 @@
         body: dict[str, Any] | None = None,
         lane: str = "calls",
         timeout: float = _ANSWER_SECONDS,
-        accept_missing: bool = False,
     ) -> tuple[int, dict[str, Any]]:
         connection = self._idle.pop(lane, None)
         try:
@@ -121,7 +115,7 @@
             self._idle[lane] = connection
         else:
             connection.close()
-        return head.status, _document(method, path, head.status, data, accept_missing)
+        return head.status, _document(method, path, head.status, data)
 
     def _request(self, method: str, path: str, body: dict[str, Any] | None) -> bytes:
         data = b"" if body is None else json.dumps(body).encode()
@@ -131,10 +125,8 @@
         return ("\r\n".join(lines) + "\r\n\r\n").encode() + data
 
 
-def _document(
-    method: str, path: str, status: int, data: bytes, accept_missing: bool
-) -> dict[str, Any]:
-    if status == _GONE or (status == _NOT_FOUND and accept_missing):
+def _document(method: str, path: str, status: int, data: bytes) -> dict[str, Any]:
+    if status == _GONE:
         return {}
     if status == _CONFLICT:
         raise ConflictError(f"{method} {path}")
--- a/yarrowwall/relay/connection.py
+++ b/yarrowwall/relay/connection.py
@@ -75,7 +75,6 @@
     def __init__(self, address: str, timeout: float) -> None:
         self.idle_since = 0.0
         self.keep_alive: float | None = None
-        self.uses = 0
         self._reader = _ResponseReader()
         self._is_unframed = False
         self._must_close = False
@@ -90,7 +89,6 @@
 
         :raises ConnectionBrokenError: if the connection fails; the request may have run.
         """
-        self.uses += 1
         self._is_unframed = False
         try:
             self._socket.settimeout(max(timeout, 0.001))
@@ -169,11 +167,6 @@
             self._reader.feed(data)
         return bool(data)
 
-    @property
-    def is_unframed(self) -> bool:
-        """Return whether the answer ends with its connection."""
-        return self._is_unframed
-
     @property
     def is_reusable(self) -> bool:
         """Return whether every response was left, nothing follows and the server goes on."""
--- a/yarrowwall/relay/decisions.py
+++ b/yarrowwall/relay/decisions.py
@@ -98,6 +98,14 @@
     seconds: float
 
 
+@dataclass(frozen=True)
+class InternalFault(Decision):
+    """A fault of the program itself ended a request."""
+
+    attempt: str
+    trace: str
+
+
 @dataclass(frozen=True)
 class BudgetDecided(Decision):
     """Tokens were reserved for a turn, or not."""
--- a/yarrowwall/relay/gateway.py
+++ b/yarrowwall/relay/gateway.py
@@ -1,5 +1,6 @@
 """The WSGI application that answers callers."""
 
+import traceback
 from collections.abc import Callable, Iterable, Iterator
 from http import HTTPStatus
 from typing import Any
@@ -110,6 +111,12 @@
             seconds = self._parts.now() - self._arrived_at
             self._parts.decisions.write(decisions.CallerLeft(self._attempt_id, seconds))
             raise AnswerCutError from None
+        except (AnswerCutError, GeneratorExit, OSError):
+            raise
+        except Exception:
+            trace = traceback.format_exc()
+            self._parts.decisions.write(decisions.InternalFault(self._attempt_id, trace))
+            raise
         finally:
             watch.stop()
             self._gateway.running -= 1
--- a/yarrowwall/relay/object_store.py
+++ b/yarrowwall/relay/object_store.py
@@ -86,6 +86,3 @@
 
     def set_status(self, kind: str, name: str, status: dict[str, Any]) -> None:
         """Replace an object's status."""
-
-    def delete(self, kind: str, name: str) -> None:
-        """Remove an object; nothing happens if there is none."""
--- a/yarrowwall/relay/pool.py
+++ b/yarrowwall/relay/pool.py
@@ -30,14 +30,13 @@
         self._now = now
         self._idle: dict[str, list[ServerConnection]] = defaultdict(list)
 
-    def take(self, server: Server, fresh: bool = False) -> ServerConnection:
+    def take(self, server: Server) -> ServerConnection:
         """Return a connection, a kept one if there is one that can be trusted.
 
-        :param fresh: open a new one in any case.
         :raises ConnectError: if a new one does not come up.
         """
         idle = self._idle[server.server_id]
-        while idle and not fresh:
+        while idle:
             connection = idle.pop()
             if self._is_trusted(connection):
                 return connection
--- a/yarrowwall/relay/ports.py
+++ b/yarrowwall/relay/ports.py
@@ -56,6 +56,3 @@
 
     def retirement_status(self, is_complete: bool) -> dict[str, Any]:
         """Return the status of a machine that is emptied."""
-
-    def is_retired(self, item: StoredObject) -> bool:
-        """Return whether an emptied machine was reported as such."""
--- a/yarrowwall/relay/programs.py
+++ b/yarrowwall/relay/programs.py
@@ -47,13 +47,3 @@
         :raises TurnUnknownError: if the turn it goes on from is surely unknown.
         :raises StoreUncertainError: if the store cannot tell now.
         """
-
-
-class NoLedger:
-    """Grants every turn; for deployments without a record store."""
-
-    def open_turn(
-        self, attempt: Attempt, route: Route, tokens_per_event: int, end: float
-    ) -> TurnGrant:
-        """Return the leave to run a turn as it came."""
-        return TurnGrant(attempt.body)
--- a/yarrowwall/relay/service.py
+++ b/yarrowwall/relay/service.py
@@ -15,8 +15,9 @@
 from yarrowwall.relay.metrics import MachineMetrics, serve_metrics
 from yarrowwall.relay.object_store import ObjectStore
 from yarrowwall.relay.ports import CallerProtocol, Documents, ServerProtocol
-from yarrowwall.relay.settings import MachineSettings, load_machine_settings
+from yarrowwall.relay.settings import MachineSettings
 from yarrowwall.replication.service import ReplicaService
+from yarrowwall.settings import load_settings
 
 EXIT_BAD_SETTINGS = 2
 #: Seconds between looks at the settings file, which may change without a signal.
@@ -96,7 +97,7 @@
     def reload(self) -> None:
         """Read the settings file again; faults are told and the old settings stay."""
         try:
-            settings = load_machine_settings(self._path)
+            settings = load_settings(self._path, MachineSettings)
         except SettingsError as error:
             self._log.write(decisions.ProcessChanged("settings refused", str(error)))
             return
--- a/yarrowwall/relay/settings.py
+++ b/yarrowwall/relay/settings.py
@@ -1,12 +1,10 @@
 """Settings of a machine on a platform: TOML, checked, unknown keys passed over."""
 
-import tomllib
 from pathlib import Path
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field
 
-from yarrowwall.exceptions import SettingsError
-from yarrowwall.settings import Address, Name, fault_line
+from yarrowwall.settings import Address, Name
 
 
 class _Section(BaseModel):
@@ -64,28 +62,3 @@
     def metrics_address(self) -> str:
         """Return where metrics are told."""
         return f"{self.ip}:{self.metrics_port or self.last_peer_port}"
-
-
-def parse_machine_settings(text: str) -> MachineSettings:
-    """Check the text of a settings file.
-
-    :raises SettingsError: with one line a fault.
-    """
-    try:
-        return MachineSettings.model_validate(tomllib.loads(text))
-    except tomllib.TOMLDecodeError as error:
-        raise SettingsError([f"not TOML: {error}"]) from error
-    except ValidationError as error:
-        raise SettingsError([fault_line(fault) for fault in error.errors()]) from error
-
-
-def load_machine_settings(path: Path) -> MachineSettings:
-    """Read and check a settings file.
-
-    :raises SettingsError: if it cannot be read or has faults.
-    """
-    try:
-        text = path.read_text()
-    except (OSError, UnicodeDecodeError) as error:
-        raise SettingsError([f"{path}: {error}"]) from error
-    return parse_machine_settings(text)
--- a/yarrowwall/relay/watching.py
+++ b/yarrowwall/relay/watching.py
@@ -60,6 +60,11 @@
                 # still has; only a forgotten history needs a list.
                 self._note_down(error)
                 self._pause()
+            except (KeyError, TypeError, ValueError) as error:
+                # An object that cannot be read must not end the following of all others.
+                revision = None
+                self._note_down(error)
+                self._pause()
 
     def _list(self) -> int:
         listing = self._store.list(self._kind)
@@ -82,7 +87,7 @@
             self._failures = 0
             self._log.write(decisions.DependencyChanged(f"store/{self._kind}", True, ""))
 
-    def _note_down(self, error: ObjectStoreError) -> None:
+    def _note_down(self, error: Exception) -> None:
         self._failures += 1
         if self._failures == 1:
-            self._log.write(decisions.DependencyChanged(f"store/{self._kind}", False, str(error)))
+            self._log.write(decisions.DependencyChanged(f"store/{self._kind}", False, repr(error)))
--- a/yarrowwall/settings.py
+++ b/yarrowwall/settings.py
@@ -3,7 +3,7 @@
 import ipaddress
 import tomllib
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, TypeVar
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 from pydantic_core import ErrorDetails
@@ -85,20 +85,24 @@
     limits: LimitSettings = LimitSettings()
 
 
-def parse_settings(text: str) -> NodeFileSettings:
+_Checked = TypeVar("_Checked", bound=BaseModel)
+
+
+def parse_settings(text: str, model: type[_Checked]) -> _Checked:
     """Check the text of a settings file.
 
+    :param model: what the file is to hold.
     :raises SettingsError: with one line a fault.
     """
     try:
-        return NodeFileSettings.model_validate(tomllib.loads(text))
+        return model.model_validate(tomllib.loads(text))
     except tomllib.TOMLDecodeError as error:
         raise SettingsError([f"not TOML: {error}"]) from error
     except ValidationError as error:
-        raise SettingsError([fault_line(fault) for fault in error.errors()]) from error
+        raise SettingsError([_fault_line(fault) for fault in error.errors()]) from error
 
 
-def fault_line(fault: ErrorDetails) -> str:
+def _fault_line(fault: ErrorDetails) -> str:
     """Return key, value and what is allowed."""
     key = ".".join(str(part) for part in fault["loc"])
     if fault["type"] == "missing":
@@ -108,13 +112,14 @@
     return f"{key}: {fault['input']!r}: {fault['msg']}"
 
 
-def load_settings(path: Path) -> NodeFileSettings:
+def load_settings(path: Path, model: type[_Checked]) -> _Checked:
     """Read and check a settings file.
 
+    :param model: what the file is to hold.
     :raises SettingsError: if it cannot be read or has faults.
     """
     try:
         text = path.read_text()
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsError([f"{path}: {error}"]) from error
-    return parse_settings(text)
+    return parse_settings(text, model)
