--- a/features/platform.feature
+++ b/features/platform.feature
@@ -177,7 +177,10 @@
     Then every answer is 200
 
   Scenario: An object that cannot be read does not end the following of the others
-    Given a route "records" of type "mutating" with a server
-    When the store holds a configuration and a group that cannot be read
-    And the route "later" is added with a server
+    Given a stateful stream route "chat" whose server sends 2 events
+    When a conversation has two turns at gateway 0
+    And the store holds a configuration and a group that cannot be read
+    And replica 0 loses its disk and starts again
+    Then the group has its new disk within 10 s
+    When the route "later" is added with a server
     Then "later" answers 200 within 4 s at every gateway
--- a/yarrowwall/relay/gateway_service.py
+++ b/yarrowwall/relay/gateway_service.py
@@ -190,7 +190,7 @@
             self._take_groups(change.item)
 
     def _take_groups(self, item: StoredObject) -> None:
-        for view in read_groups(item.spec):
+        for view in read_groups(item) or ():
             self._views.take(view)
 
     def _note_view(self, view: GroupView) -> None:
--- a/yarrowwall/replication/coordinator.py
+++ b/yarrowwall/replication/coordinator.py
@@ -66,6 +66,7 @@
         self._started_at = now()
         self._needed_since: float | None = None
         self._groups: StoredObject | None = None
+        self._views: list[GroupView] = []
         self.has_listed = False
         self.retiring: set[str] = set()
 
@@ -75,12 +76,15 @@
 
     def take_groups(self, item: StoredObject) -> None:
         """Take in the newest views of all groups."""
-        if self._groups is None or self._groups.revision < item.revision:
+        views = read_groups(item)
+        is_newer = self._groups is None or self._groups.revision < item.revision
+        if views is not None and is_newer:
             self._groups = item
+            self._views = views
 
     def views(self) -> list[GroupView]:
         """Return the newest known views."""
-        return read_groups(self._groups.spec) if self._groups is not None else []
+        return self._views
 
     def _run(self) -> None:
         while True:
--- a/yarrowwall/replication/documents.py
+++ b/yarrowwall/replication/documents.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from yarrowwall.messages.replicated import GroupView, Member
+from yarrowwall.relay.object_store import StoredObject
 
 #: Kind of the machines' registrations, one object a node.
 REPLICAS_KIND = "yarrowwall-replicas"
@@ -42,6 +43,19 @@
     return {"groups": [view_spec(view) for view in views]}
 
 
-def read_groups(spec: dict[str, Any]) -> list[GroupView]:
-    """Return the views of all groups from an object's content."""
-    return [read_view(view) for view in spec.get("groups", [])]
+def read_groups(item: StoredObject) -> list[GroupView] | None:
+    """Return the views of all groups; None if the object holds something else."""
+    if item.name != GROUPS_NAME:
+        return None
+    try:
+        return [read_view(view) for view in item.spec["groups"]]
+    except (KeyError, TypeError):
+        return None
+
+
+def read_registration(item: StoredObject) -> Member | None:
+    """Return a registered machine; None if the object holds something else."""
+    try:
+        return read_member(item.spec)
+    except (KeyError, TypeError):
+        return None
--- a/yarrowwall/replication/service.py
+++ b/yarrowwall/replication/service.py
@@ -25,7 +25,7 @@
     REPLICAS_KIND,
     member_spec,
     read_groups,
-    read_member,
+    read_registration,
 )
 from yarrowwall.replication.peers import ReplicaPeers
 from yarrowwall.replication.planner import target_size
@@ -193,7 +193,7 @@
 
     def _take_groups(self, item: StoredObject) -> None:
         self._coordinator.take_groups(item)
-        for view in read_groups(item.spec):
+        for view in read_groups(item) or ():
             if self._concerns(view):
                 self._disk.persist(self._replica.take_view(view), self._synchroniser.look)
 
@@ -203,13 +203,16 @@
         return is_own_group or self._replica.disk_id in disk_ids(all_members(view))
 
     def _replicas_listed(self, items: list[StoredObject]) -> None:
-        self._peers.registered = {item.name: read_member(item.spec) for item in items}
+        self._peers.registered = {
+            item.name: member for item in items if (member := read_registration(item)) is not None
+        }
 
     def _replica_changed(self, change: Change) -> None:
+        member = read_registration(change.item)
         if change.is_gone:
             self._peers.registered.pop(change.item.name, None)
-        else:
-            self._peers.registered[change.item.name] = read_member(change.item.spec)
+        elif member is not None:
+            self._peers.registered[change.item.name] = member
 
     def _retirements_listed(self, items: list[StoredObject]) -> None:
         self._retirements = {item.name: item for item in items}
