A gateway that is about to end refuses what it could not finish

Ruled out: the server (it was sound), a stop that came too early (the time allowed was used up). Change: from 3 s after SIGTERM on, only a request that ends in time is taken; the others get 503 with Retry-After at once and their connection is closed.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -184,3 +184,8 @@
     Then the group has its new disk within 10 s
     When the route "later" is added with a server
     Then "later" answers 200 within 4 s at every gateway
+
+  Scenario: A gateway that is about to end refuses what it could not finish
+    Given a route "slow" of type "mutating" with a time of 3000 ms and a server that takes 2 s
+    When gateway 0 gets SIGTERM and a request comes 2.8 s later and another 0.8 s after that
+    Then the first is answered 200 and the second 503 with Retry-After at once
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -762,3 +762,25 @@
     world(context).store.put("config", "main", {"version": "none", "routes": 7})
     world(context).store.put("yarrowwall-groups", "broken", {"groups": [{"epoch": 1}]})
     time.sleep(0.5)
+
+
+@when(
+    "gateway {number:d} gets SIGTERM and a request comes {first:f} s later"
+    " and another {second:f} s after that"
+)
+def late_requests(context: Context, number: int, first: float, second: float) -> None:
+    world(context).kill(f"edge-{number}", signal.SIGTERM)
+    time.sleep(first)
+    with ThreadPoolExecutor(1) as pool:
+        running = pool.submit(world(context).ask, "slow", b"x", number)
+        time.sleep(second)
+        late = world(context).ask("slow", b"y", number)
+        context.answers = [running.result(), late]
+
+
+@then("the first is answered 200 and the second 503 with Retry-After at once")
+def late_refused(context: Context) -> None:
+    first, late = context.answers
+    assert first.status == 200 and first.is_whole, first
+    assert late.status == 503 and float(late.headers["Retry-After"]) > 0.0, late
+    assert late.seconds < 0.5, late
--- a/yarrowwall/relay/gateway.py
+++ b/yarrowwall/relay/gateway.py
@@ -30,6 +30,8 @@
 _NOT_FOUND = 404
 _TOO_LARGE = 413
 _UNAVAILABLE = 503
+#: Seconds after a stop was asked for in which every request is taken: clients still come.
+STOP_WELCOME_SECONDS = 3.0
 _TEXT = ("Content-Type", "text/plain")
 
 
@@ -55,8 +57,27 @@
         self._programs = programs
         self._limits = limits
         self.table: RouteTable | None = None
-        self.is_stopping = False
         self.running = 0
+        self._stops_at: float | None = None
+        self._refuses_from = 0.0
+
+    @property
+    def is_stopping(self) -> bool:
+        """Return whether the process was asked to stop."""
+        return self._stops_at is not None
+
+    def stop(self, now: float, stops_at: float) -> None:
+        """Close connections behind their answers; later take only what ends in time.
+
+        :param stops_at: when the process ends, whatever runs then.
+        """
+        self._stops_at = stops_at
+        self._refuses_from = now + STOP_WELCOME_SECONDS
+
+    def has_time_for(self, now: float, end: float) -> bool:
+        """Return whether a request that may last until ``end`` is still taken."""
+        is_welcome = self._stops_at is None or now < self._refuses_from
+        return is_welcome or end <= (self._stops_at or end)
 
     def put_in_force(self, configuration: Configuration) -> bool:
         """Take a configuration unless it is older than the one in force."""
@@ -136,6 +157,9 @@
         watch.start()
         end = min(attempt.deadline, attempt.arrived_at + route.timeout)
         self._note_admitted(attempt, route, end)
+        if not self._gateway.has_time_for(self._parts.now(), end):
+            yield self._refuse(Refusal(_UNAVAILABLE, "stopping", RETRY_AFTER_SECONDS))
+            return
         try:
             if route.kind is RequestKind.STREAM:
                 yield from self._stream(attempt, route, end)
--- a/yarrowwall/relay/gateway_service.py
+++ b/yarrowwall/relay/gateway_service.py
@@ -101,8 +101,8 @@
     def stop(self) -> None:
         """Take no new connections, finish what runs, return."""
         begun = time.monotonic()
-        self.gateway.is_stopping = True
         last = begun + self._settings.bounds.stop - STOP_MARGIN_SECONDS
+        self.gateway.stop(begun, last)
         while time.monotonic() < last:
             is_busy = self.gateway.running or self._ledger.has_unsettled
             if time.monotonic() > begun + LEAST_STOP_SECONDS and not is_busy:
