A new system waits for its machines before it makes the first group

The group had been made 1.5 s after the start with the machines that had registered by then; a group of one answers for itself. Change: until 6 s after the start the first views wait for as many machines as a group wants.

--- a/yarrowwall/replication/coordinator.py
+++ b/yarrowwall/replication/coordinator.py
@@ -33,6 +33,8 @@
 LOOK_SECONDS = 0.2
 #: Seconds after the start of a new system in which machines register.
 FIRST_START_SECONDS = 1.5
+#: Seconds in which a new system waits for as many machines as a group wants.
+FIRST_START_PATIENCE_SECONDS = 6.0
 #: Seconds by which each machine waits for the one before it in the order.
 TURN_SECONDS = 1.0
 
@@ -105,11 +107,15 @@
             self._propose(proposed)
 
     def _first_views(self) -> list[GroupView] | None:
-        is_early = self._now() - self._started_at < FIRST_START_SECONDS
-        if not self._wants_first_views or is_early or not self._peers.registered:
+        waited = self._now() - self._started_at
+        if not self._wants_first_views or waited < FIRST_START_SECONDS:
             return None
         alive = self._peers.alive()
         members = [member for node, member in self._peers.registered.items() if node in alive]
+        # A group that starts too small holds its first records on too few disks.
+        is_patient = waited < FIRST_START_PATIENCE_SECONDS
+        if not members or (is_patient and len(members) < self._size):
+            return None
         return first_views(members, self._size)
 
     def _next_views(self) -> list[GroupView] | None:
