--- a/yarrowwall/replication/quorum_client.py
+++ b/yarrowwall/replication/quorum_client.py
@@ -30,8 +30,6 @@
 #: Seconds before an operation that met another view is tried again.
 RETRY_SECONDS = 0.01
 
-MakeRequest = Callable[[Member], object]
-
 
 @dataclass(frozen=True)
 class Amount:
--- a/yarrowwall/replication/service.py
+++ b/yarrowwall/replication/service.py
@@ -71,7 +71,6 @@
             target_size(settings.machines_lost_at_once),
         )
         self._retirements: dict[str, StoredObject] = {}
-        self._has_told_retirement = False
         self._followers = [
             KindFollower(store, GROUPS_KIND, self._groups_listed, self._group_changed, log),
             KindFollower(store, REPLICAS_KIND, self._replicas_listed, self._replica_changed, log),
