Engines are chosen by the load of all gateways, and a program stays where it ran

Cause: a gateway knew only its own requests and its own beliefs.

Change: gateways report what they have under way to one replica every 0.1 s and get the sum of all others (load_board, load_reports); a hint, never stored. Pace counts only beyond twice the usual one. Where a program's turn ran is noted in its budget's settlement, and comes back with the next turn's reservation, whatever the gateway. The first turn is placed by a hash that the gateways of a zone agree on. What all programs share costs nothing as long as every engine can keep all of it.

--- /dev/null
+++ b/features/placement.feature
@@ -0,0 +1,54 @@
+Feature: Each turn goes to the engine where it ends soonest
+  A gateway chooses by what an engine keeps of the prompt, by the requests that all
+  gateways have under way there, and by where the program's turn before ran.
+
+  Scenario: Requests of other gateways count
+    Given engines "e1" and "e2" with 12 places each in one zone
+    When other gateways tell of 12 requests at "e1" and none at "e2"
+    Then 20 new programs all go to "e2"
+
+  Scenario: What other gateways told long ago counts no more
+    Given engines "e1" and "e2" with 12 places each in one zone
+    When other gateways tell of 12 requests at "e1" and none at "e2"
+    And 1.5 s pass without news of them
+    Then some of 20 new programs go to "e1"
+
+  Scenario: Gateways that know nothing of each other send a program to the same engine
+    Given engines "e1", "e2", "e3" and "e4" with 12 places each in one zone
+    Then 5 gateways choose the same engine for each of 40 programs
+
+  Scenario: The next turn follows the one before, whichever gateway it comes through
+    Given engines "e1", "e2", "e3" and "e4" with 12 places each in one zone
+    Then a gateway that is told where the turn before ran chooses that engine for each of 40 programs
+
+  Scenario: A full engine is left even if the turn before ran there
+    Given engines "e1" and "e2" with 12 places each in one zone
+    When other gateways tell of 30 requests at "e1" and none at "e2"
+    Then a program whose turn before ran at "e1" goes to "e2"
+
+  Scenario: Paces that differ by luck move no program
+    Given engines "e1", "e2" and "e3" with 12 places each in one zone
+    When events of "e1" take 55 ms and those of "e2" and "e3" 35 ms
+    Then a program whose turn before ran at "e1" goes to "e1"
+
+  Scenario: An engine that is several times slower than the others is left
+    Given engines "e1", "e2" and "e3" with 12 places each in one zone
+    When events of "e1" take 175 ms and those of "e2" and "e3" 35 ms
+    Then a program whose turn before ran at "e1" does not go to "e1"
+
+  Scenario: A replica adds up what gateways tell, and forgets those that fall silent
+    Given a load board that "g1" told of 3 requests at "e1" and "g2" of 4 at "e1"
+    Then "g1" is told of 4 requests at "e1"
+    And "g3" is told of 7 requests at "e1"
+    And 1.5 s later, when "g2" reports again, "g3" is told of 4 requests at "e1"
+
+  Scenario: More reporters report less often
+    Given a load board with 8 reporting gateways
+    Then they are to report every 0.1 s
+    Given a load board with 300 reporting gateways
+    Then they are to report every 0.6 s
+
+  Scenario: The newest note of a program is where its last settled turn ran
+    Given budget records of "p" that note "e1", then "e2", then nothing yet
+    Then the newest note of "p" is "e2"
+    And nothing is noted of "q"
--- a/yarrowwall/messages/replicated.py
+++ b/yarrowwall/messages/replicated.py
@@ -135,6 +135,18 @@
     view: GroupView
 
 
+@message(107)
+class ReportLoad:
+    """Take what a gateway has under way; return the sum of all others.
+
+    :param running: requests by server; runs parallel to ``servers``.
+    """
+
+    node_id: str
+    servers: list[str]
+    running: list[int]
+
+
 @message(110)
 class RecordsReply:
     """Answer to requests about records.
@@ -151,13 +163,17 @@
 
 @message(111)
 class KeysReply:
-    """Answer to :class:`ListKeys` and :class:`ReadOwner`; the lists run in parallel."""
+    """Answer to :class:`ListKeys` and :class:`ReadOwner`; the lists run in parallel.
+
+    :param note: value of the owner's newest record that has one, as text; empty for none.
+    """
 
     status: ReplyStatus
     is_reader: bool
     keys: list[str]
     versions: list[int]
     amounts: list[int]
+    note: str
     view: GroupView | None
 
 
@@ -175,6 +191,19 @@
     synchronised_epoch: int
 
 
+@message(113)
+class LoadReply:
+    """Answer to :class:`ReportLoad`.
+
+    :param running: requests of all other gateways by server; runs parallel to ``servers``.
+    :param interval_s: seconds after which the gateway should report again.
+    """
+
+    servers: list[str]
+    running: list[int]
+    interval_s: float
+
+
 @message(120)
 class RecordsKept:
     """Log record: records that the replica acknowledged."""
--- a/yarrowwall/relay/decisions.py
+++ b/yarrowwall/relay/decisions.py
@@ -38,7 +38,11 @@
 
 @dataclass(frozen=True)
 class AttemptSent(Decision):
-    """An attempt was sent to a server."""
+    """An attempt was sent to a server.
+
+    :param load: requests under way there, of all gateways as far as known.
+    :param rank: how urgent it is for the server, 0 is the most urgent.
+    """
 
     attempt: str
     server: str
@@ -46,6 +50,8 @@
     cost: float
     cached_tokens: int
     candidates: int
+    load: int
+    rank: int
     number: int
     resumed_after: str | None
 
--- a/yarrowwall/relay/gateway.py
+++ b/yarrowwall/relay/gateway.py
@@ -195,10 +195,12 @@
             raise InvalidAttemptError(f"the body exceeds {limit} bytes", _TOO_LARGE)
         return body
 
-    def _offer(self, attempt: Attempt, route: Route, end: float, body: bytes) -> Offer:
+    def _offer(
+        self, attempt: Attempt, route: Route, end: float, body: bytes, last_server: str = ""
+    ) -> Offer:
         table = self._gateway.table
         service = table.choose_service(route) if table is not None else ""
-        return Offer(self._parts, attempt, route, service, end, body)
+        return Offer(self._parts, attempt, route, service, end, body, last_server)
 
     # Whole answers
 
@@ -223,7 +225,7 @@
 
     def _stream(self, attempt: Attempt, route: Route, end: float) -> Iterator[bytes]:
         grant = self._open_turn(attempt, route, end)
-        offer = self._offer(attempt, route, end, grant.body)
+        offer = self._offer(attempt, route, end, grant.body, grant.last_server)
         relay = StreamRelay(self._parts, attempt, route, offer)
         try:
             opened = relay.open()
@@ -234,7 +236,7 @@
                 if len(events) == len(relay.passed):
                     self._start(HTTPStatus.OK, self._stream_headers(opened.answer))
                 yield b"".join(event.raw for event in events)
-            grant.complete(relay.passed)
+            grant.complete(relay.passed, offer.last_server)
             relay.finish()
             self._note_answered(HTTPStatus.OK, offer.log.tried[-1], len(relay.passed))
         except (StreamBrokenError, StoreUncertainError) as error:
@@ -244,7 +246,7 @@
             raise AnswerCutError from None
         finally:
             relay.cancel()
-            grant.close(relay.passed, offer.log.may_have_run)
+            grant.close(relay.passed, offer.last_server)
 
     def _stream_headers(self, answer: Answer) -> list[tuple[str, str]]:
         return self._gateway._callers.answer_headers(answer)
--- a/yarrowwall/relay/gateway_service.py
+++ b/yarrowwall/relay/gateway_service.py
@@ -14,6 +14,7 @@
 from yarrowwall.relay.gateway import Gateway
 from yarrowwall.relay.http_server import ServerLimits, serve
 from yarrowwall.relay.ledger import ReplicatedLedger
+from yarrowwall.relay.load_reports import LoadReporter
 from yarrowwall.relay.model import Configuration, Server
 from yarrowwall.relay.object_store import Change, StoredObject
 from yarrowwall.relay.offer import RelayParts
@@ -61,8 +62,12 @@
         self._limits = ServerLimits()
         parts = RelayParts(self._directory, self._pool, adapter.servers, log, time.monotonic)
         self._views = GroupViews(self._note_view)
-        client = QuorumClient(settings.zone, self._views, LinkTable(time.monotonic), time.monotonic)
+        links = LinkTable(time.monotonic)
+        client = QuorumClient(settings.zone, self._views, links, time.monotonic)
         self._ledger = ReplicatedLedger(self._views, client, log)
+        self._loads = LoadReporter(
+            settings.node_id, self._directory, self._views, links, time.monotonic
+        )
         self.gateway = Gateway(parts, adapter.callers, self._ledger, self._limits)
         self._followers = [
             KindFollower(
@@ -89,6 +94,7 @@
         for follower in self._followers:
             follower.start()
         self._ledger.start()
+        self._loads.start()
         eventlet.spawn_n(serve, listen(self._own.http_address), self.gateway, self._limits)
         eventlet.spawn_n(
             eventlet.wsgi.server,
--- a/yarrowwall/relay/ledger.py
+++ b/yarrowwall/relay/ledger.py
@@ -54,9 +54,13 @@
         """Return the record's key."""
         return f"budget/{self.program_id}/{self.attempt_id}"
 
-    def record(self, version: int, amount: int) -> StoredRecord:
-        """Return the record of the reservation or of its settlement."""
-        return StoredRecord(self.key, version, self.program_id, "", self.retention, amount, b"")
+    def record(self, version: int, amount: int, server_id: str = "") -> StoredRecord:
+        """Return the record of the reservation or of its settlement.
+
+        :param server_id: where the turn ran; the program's next turn had better go there.
+        """
+        note = server_id.encode()
+        return StoredRecord(self.key, version, self.program_id, "", self.retention, amount, note)
 
 
 class ReplicatedLedger:
@@ -114,21 +118,25 @@
             turns = self._chain(attempt.attempt_id, program.previous_turn)
             body = prompt_body(turns, attempt.body)
         reservation = None
+        last_server = ""
         if program is not None and program.budget is not None:
-            reservation = self._reserve(attempt.attempt_id, program, program.budget, route)
-        return LedgerGrant(self, attempt, route, body, reservation, tokens_per_event)
+            reservation, last_server = self._reserve(
+                attempt.attempt_id, program, program.budget, route
+            )
+        return LedgerGrant(self, attempt, route, body, last_server, reservation, tokens_per_event)
 
     # Budgets
 
     def _reserve(
         self, attempt_id: str, program: ProgramContext, budget: int, route: Route
-    ) -> Reservation:
+    ) -> tuple[Reservation, str]:
+        """Return a granted reservation, and the server that ran the program's turn before."""
         reservation = Reservation(
             program.program_id, attempt_id, program.most_tokens, route.retention
         )
         group = self.group_of(program.program_id)
         try:
-            used = self._used_beside(group, reservation, budget)
+            used, last_server = self._used_beside(group, reservation, budget)
         except NoQuorumError as error:
             self.settle(reservation, 0)
             raise StoreUncertainError(str(error)) from error
@@ -141,35 +149,37 @@
         if not is_granted:
             self.settle(reservation, 0)
             raise BudgetExhaustedError(f"{used} of {budget} tokens are used")
-        return reservation
+        return reservation, last_server
 
-    def _used_beside(self, group: int, reservation: Reservation, budget: int) -> int:
+    def _used_beside(self, group: int, reservation: Reservation, budget: int) -> tuple[int, str]:
         """Write a reservation; return the tokens of all others of its program.
 
+        The server that ran the program's turn before is returned as well.
+
         Turns that come at once all see one another. If not all of them fit, those
         behind in the order of keys give up at once, and the ones in front look again.
         """
         record = reservation.record(_RESERVED, reservation.tokens)
         self._client.write(group, [record])
         for _ in range(CONTENTION_LOOKS):
-            found = self._client.read_amounts(group, reservation.program_id)
+            found, last_server = self._client.read_amounts(group, reservation.program_id)
             found.pop(reservation.key, None)
             used = sum(other.tokens for other in found.values())
             if used + reservation.tokens <= budget:
-                return used
+                return used, last_server
             behind = sum(
                 other.tokens
                 for key, other in found.items()
                 if other.version == _RESERVED and key > reservation.key
             )
             if used - behind + reservation.tokens > budget:
-                return used
+                break
             eventlet.sleep(CONTENTION_SECONDS)
-        return used
+        return used, last_server
 
-    def settle(self, reservation: Reservation, tokens: int) -> None:
+    def settle(self, reservation: Reservation, tokens: int, server_id: str = "") -> None:
         """Replace a reservation by what was emitted, soon."""
-        self._settlements.add(reservation.record(_SETTLED, tokens))
+        self._settlements.add(reservation.record(_SETTLED, tokens, server_id))
         self._log.write(
             decisions.BudgetSettled(reservation.attempt_id, reservation.program_id, tokens)
         )
@@ -210,10 +220,10 @@
             raise StoreUncertainError(f"turn {missing} of the chain is missing")
         return found
 
-    def keep_turn(
-        self, turn: Turn, route: Route, reservation: Reservation | None, tokens: int
-    ) -> None:
-        """Store a turn; its reservation is settled with it.
+    def keep_turn(self, turn: Turn, route: Route, settled: StoredRecord | None) -> None:
+        """Store a turn.
+
+        :param settled: the settlement of its reservation, stored with it.
 
         :raises StoreUncertainError: if no quorum took it in time.
         """
@@ -224,9 +234,8 @@
             )
         ]
         group = self.group_of(key)
-        if reservation is not None:
-            settled = reservation.record(_SETTLED, tokens)
-            if self.group_of(reservation.program_id) == group:
+        if settled is not None:
+            if self.group_of(settled.owner) == group:
                 records.append(settled)
             else:
                 self._settlements.add(settled)
@@ -246,10 +255,11 @@
         attempt: Attempt,
         route: Route,
         body: bytes,
+        last_server: str,
         reservation: Reservation | None,
         tokens_per_event: int,
     ) -> None:
-        super().__init__(body)
+        super().__init__(body, last_server)
         self._ledger = ledger
         self._attempt = attempt
         self._route = route
@@ -257,7 +267,7 @@
         self._tokens_per_event = tokens_per_event
         self._is_settled = False
 
-    def complete(self, passed: list[Event]) -> None:
+    def complete(self, passed: list[Event], server_id: str) -> None:
         """Store the turn before the end of the answer is passed on.
 
         :raises StoreUncertainError: if that cannot be done.
@@ -271,15 +281,20 @@
             self._attempt.body,
             output_of(passed),
         )
-        tokens = len(passed) * self._tokens_per_event
-        self._ledger.keep_turn(turn, self._route, self._reservation, tokens)
+        settled = None
+        if self._reservation is not None:
+            settled = self._reservation.record(_SETTLED, self._tokens(passed), server_id)
+        self._ledger.keep_turn(turn, self._route, settled)
         self._is_settled = True
 
-    def close(self, passed: list[Event], may_have_run: bool) -> None:
+    def close(self, passed: list[Event], server_id: str) -> None:
         """Settle the turn, however it ended."""
         if self._reservation is not None and not self._is_settled:
             self._is_settled = True
-            self._ledger.settle(self._reservation, len(passed) * self._tokens_per_event)
+            self._ledger.settle(self._reservation, self._tokens(passed), server_id)
+
+    def _tokens(self, passed: list[Event]) -> int:
+        return len(passed) * self._tokens_per_event
 
 
 class _SettlementQueue:
--- /dev/null
+++ b/yarrowwall/relay/load_reports.py
@@ -0,0 +1,94 @@
+"""Telling a replica what this gateway has under way, and learning what all others have.
+
+Without it a gateway sees only its own requests, and all gateways together fill one
+server while another stands idle. All report to the same replica as long as it
+answers, so its sums are whole.
+"""
+
+from collections.abc import Callable
+
+import eventlet
+
+from yarrowwall.messages.replicated import LoadReply, Member, ReportLoad
+from yarrowwall.relay.servers import ServerDirectory
+from yarrowwall.replication.exceptions import LinkDownError
+from yarrowwall.replication.load_board import LEAST_INTERVAL_SECONDS
+from yarrowwall.replication.quorum_client import GroupViews, LinkTable
+
+#: Seconds that a replica may take to answer a report.
+ANSWER_SECONDS = 0.15
+#: Seconds for which a replica that did not answer is passed over.
+PASS_OVER_SECONDS = 5.0
+#: Seconds between looks for something to report while nothing is under way.
+IDLE_SECONDS = 0.05
+#: The group whose replicas take reports.
+BOARD_GROUP = 0
+
+
+class LoadReporter:
+    """Exchanges loads with a replica, again and again.
+
+    :param node_id: name of this gateway.
+    :param now: the monotonic clock.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        directory: ServerDirectory,
+        views: GroupViews,
+        links: LinkTable,
+        now: Callable[[], float],
+    ) -> None:
+        self._node_id = node_id
+        self._directory = directory
+        self._views = views
+        self._links = links
+        self._now = now
+        self._passed_over_until: dict[str, float] = {}
+        self._has_reported = False
+
+    def start(self) -> None:
+        """Begin to report."""
+        eventlet.spawn_n(self._run)
+
+    def _run(self) -> None:
+        while True:
+            running = self._directory.running()
+            if not running and not self._has_reported:
+                eventlet.sleep(IDLE_SECONDS)
+                continue
+            self._has_reported = bool(running)
+            eventlet.sleep(self.exchange(running))
+
+    def exchange(self, running: dict[str, int]) -> float:
+        """Report once and take in the answer.
+
+        :returns: the seconds after which to report again.
+        """
+        member = self._board()
+        if member is None:
+            return LEAST_INTERVAL_SECONDS
+        report = ReportLoad(self._node_id, list(running), list(running.values()))
+        try:
+            reply = self._links.get(member.address).call(report, ANSWER_SECONDS)
+        except LinkDownError:
+            self._passed_over_until[member.disk_id] = self._now() + PASS_OVER_SECONDS
+            return LEAST_INTERVAL_SECONDS
+        if not isinstance(reply, LoadReply):
+            return LEAST_INTERVAL_SECONDS
+        elsewhere = dict(zip(reply.servers, reply.running, strict=True))
+        self._directory.take_loads(elsewhere, self._now())
+        return reply.interval_s
+
+    def _board(self) -> Member | None:
+        """Return the replica that takes the reports of all gateways."""
+        view = self._views.get(BOARD_GROUP)
+        members = sorted(view.members, key=lambda member: member.disk_id) if view else []
+        now_s = self._now()
+        answering = [
+            member
+            for member in members
+            if self._passed_over_until.get(member.disk_id, 0.0) <= now_s
+        ]
+        return answering[0] if answering else None
--- a/yarrowwall/relay/offer.py
+++ b/yarrowwall/relay/offer.py
@@ -28,7 +28,7 @@
 )
 from yarrowwall.relay.pool import ConnectionPool
 from yarrowwall.relay.ports import ServerProtocol
-from yarrowwall.relay.servers import Choice, ServerDirectory
+from yarrowwall.relay.servers import Choice, ServerDirectory, Wish
 from yarrowwall.relay.urgency import turn_rank
 
 #: Seconds after which a caller that was refused for want of room should come back.
@@ -89,6 +89,7 @@
     :param service: the service that the route chose.
     :param end: when the attempt's time is over, by its caller or its route.
     :param body: what servers get as the body.
+    :param last_server: where the program's turn before ran; empty if unknown.
     """
 
     def __init__(
@@ -99,6 +100,7 @@
         service: str,
         end: float,
         body: bytes,
+        last_server: str = "",
     ) -> None:
         self._parts = parts
         self._attempt = attempt
@@ -106,10 +108,16 @@
         self._service = service
         self._end = end
         self._body = body
+        self._last_server = last_server
         self._unreached = 0
         self.log = SendLog()
         self.current: OpenAnswer | None = None
 
+    @property
+    def last_server(self) -> str:
+        """Return the server that got the attempt last; empty if none did."""
+        return self.log.tried[-1] if self.log.offered else self._last_server
+
     def remaining(self) -> float:
         """Return the seconds left."""
         return self._end - self._parts.now()
@@ -146,10 +154,11 @@
 
     def _choose(self) -> Choice | None:
         attempt = self._attempt
-        affinity = attempt.program.line_id if attempt.program else attempt.affinity or ""
-        return self._parts.directory.choose(
-            self._service, self.log.tried, self._parts.now(), attempt.prompt, affinity
-        )
+        affinity = attempt.affinity or "" if self._route.is_sticky else ""
+        if attempt.program is not None and (attempt.prompt or not affinity):
+            affinity = attempt.program.program_id
+        wish = Wish(attempt.prompt, affinity, self._last_server)
+        return self._parts.directory.choose(self._service, self.log.tried, self._parts.now(), wish)
 
     def _send(self, choice: Choice, last_event_id: str | None) -> OpenAnswer:
         server = choice.server
@@ -167,6 +176,8 @@
                 choice.cost,
                 choice.cached_tokens,
                 choice.candidates,
+                choice.load,
+                rank,
                 self.log.offered,
                 last_event_id,
             )
--- a/yarrowwall/relay/prefixes.py
+++ b/yarrowwall/relay/prefixes.py
@@ -12,6 +12,11 @@
 #: Part of an engine's memory that is believed to hold cached parts; running
 #: requests and other gateways' prompts fill the rest.
 CACHE_SHARE = 0.7
+#: Part of what is believed to be kept that shared parts may take if every server is to
+#: keep all of them.
+SHARED_SHARE = 0.4
+#: Shared parts that are remembered; beyond it the one unseen longest is forgotten.
+MOST_SHARED_PARTS = 1000
 
 
 class PrefixBelief:
@@ -25,6 +30,11 @@
         self._parts: OrderedDict[str, int] = OrderedDict()
         self._tokens = 0
 
+    @property
+    def capacity(self) -> int:
+        """Return the tokens that the server is believed to keep at most."""
+        return self._capacity
+
     def cached_tokens(self, prompt: Sequence[PromptPart]) -> int:
         """Return the tokens of a prompt that need not be read again."""
         found = 0
@@ -45,3 +55,20 @@
         while self._tokens > self._capacity and len(self._parts) > 1:
             _, tokens = self._parts.popitem(last=False)
             self._tokens -= tokens
+
+
+class SharedParts:
+    """The first parts of all prompts, which many programs share."""
+
+    def __init__(self) -> None:
+        self._parts: OrderedDict[str, int] = OrderedDict()
+        self._tokens = 0
+
+    def fits_into(self, capacity: int, part: PromptPart) -> bool:
+        """Take in one more first part; return whether a server can keep all of them."""
+        self._tokens += part.tokens - self._parts.pop(part.part_id, 0)
+        self._parts[part.part_id] = part.tokens
+        if len(self._parts) > MOST_SHARED_PARTS:
+            _, tokens = self._parts.popitem(last=False)
+            self._tokens -= tokens
+        return self._tokens <= SHARED_SHARE * capacity
--- a/yarrowwall/relay/programs.py
+++ b/yarrowwall/relay/programs.py
@@ -20,18 +20,21 @@
     """The leave to run one turn; this one is for turns that nothing needs to be kept of.
 
     :param body: what the server is to get.
+    :param last_server: where the program's turn before ran; empty if unknown.
     """
 
-    def __init__(self, body: bytes) -> None:
+    def __init__(self, body: bytes, last_server: str = "") -> None:
         self.body = body
+        self.last_server = last_server
 
-    def complete(self, passed: list[Event]) -> None:
+    def complete(self, passed: list[Event], server_id: str) -> None:
         """Store what must last before the end of the answer is passed on.
 
+        :param server_id: where the turn ran.
         :raises StoreUncertainError: if that cannot be done.
         """
 
-    def close(self, passed: list[Event], may_have_run: bool) -> None:
+    def close(self, passed: list[Event], server_id: str) -> None:
         """Settle the turn, however it ended."""
 
 
--- a/yarrowwall/relay/servers.py
+++ b/yarrowwall/relay/servers.py
@@ -1,20 +1,30 @@
 """The servers as this gateway knows them, and the choice of one for a request. No I/O."""
 
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from statistics import median
+from typing import NamedTuple
 
 from yarrowwall.core.hashing import fraction
 from yarrowwall.relay.model import PromptPart, Server, Service
-from yarrowwall.relay.prefixes import PrefixBelief
+from yarrowwall.relay.prefixes import PrefixBelief, SharedParts
 
-#: Tokens of prompt that an engine reads in a second; only ratios matter for the choice.
-PREFILL_TOKENS_PER_SECOND = 250_000.0
+#: Tokens of prompt that an engine reads in a second. Reading holds up all other requests
+#: of the engine, so this is half of what an engine reads for a request alone.
+PREFILL_TOKENS_PER_SECOND = 130_000.0
 #: Seconds that a request to another zone is held to cost more, for the way and its bytes.
 OTHER_ZONE_SECONDS = 0.012
-#: Seconds that each request of this gateway at a server adds for the next one.
-SECONDS_PER_RUNNING = 0.002
-#: Seconds added once this gateway alone fills a server's places.
-FULL_SECONDS = 0.5
+#: Seconds that each stream, or each lookup, at a server adds for the next one.
+STREAM_LOAD_SECONDS = 0.0005
+LOOKUP_LOAD_SECONDS = 0.002
+#: Part of a server's places up to which no request waits, even if the loads that other
+#: gateways told are a little old.
+FREE_SHARE = 0.75
+#: Seconds that a request is held to keep its place: a stream, and a lookup.
+STREAM_SECONDS = 0.4
+LOOKUP_SECONDS = 0.04
+#: Seconds after which what other gateways had under way is no longer believed.
+LOAD_MEMORY_SECONDS = 1.0
 #: Seconds a server is passed over after it failed, doubled up to the most.
 SUSPENSION_SECONDS = 0.5
 MOST_SUSPENSION_SECONDS = 4.0
@@ -24,8 +34,17 @@
 PACE_MEMORY_SECONDS = 4.0
 #: Events that a stream is held to have when paces are compared.
 EVENTS_PER_STREAM = 10.0
-#: Seconds of difference that hashing may decide, so that gateways agree without talking.
-TIE_SECONDS = 0.0005
+#: Seconds of difference that hashing may decide, so that gateways agree without talking:
+#: for lookups, which run faster where their object was seen lately, and for streams, whose
+#: program is read anew where it was not seen.
+LOOKUP_SPREAD_SECONDS = 0.004
+STREAM_SPREAD_SECONDS = 0.03
+#: Times the usual pace beyond which a server counts as slow.
+SLOW_FACTOR = 2.0
+#: Tokens that a server which ran the turn before is held to read at most.
+NEW_TOKENS = 1000
+#: Parts of a prompt of which the first is shared among programs.
+LEAST_SHARED_PARTS = 2
 #: Seconds after a server vanished from the list in which it may serve if no other does.
 VANISHED_SECONDS = 1.5
 
@@ -34,12 +53,15 @@
 class ServerState:
     """What this gateway knows of one server.
 
+    :param running: requests of this gateway under way there.
+    :param elsewhere: requests of all other gateways, as they told last.
     :param pace: ratio of its speed to others'; seconds between events or for a lookup.
     """
 
     server: Server
     belief: PrefixBelief
     running: int = 0
+    elsewhere: int = 0
     pace: float | None = None
     pace_at: float = 0.0
     heard_at: float = 0.0
@@ -49,6 +71,23 @@
     draining_at: float | None = None
 
 
+class Wish(NamedTuple):
+    """What speaks for one server or another.
+
+    :param affinity: what all requests that should meet at one server have in common.
+    :param last_server: where the program's turn before ran; empty if unknown.
+    """
+
+    prompt: Sequence[PromptPart]
+    affinity: str
+    last_server: str
+
+    @property
+    def tokens(self) -> int:
+        """Return the tokens of the prompt."""
+        return sum(part.tokens for part in self.prompt)
+
+
 @dataclass
 class Choice:
     """Why a server was chosen, for the decision log."""
@@ -57,6 +96,7 @@
     cost: float
     cached_tokens: int
     candidates: int
+    load: int
 
 
 @dataclass
@@ -69,6 +109,8 @@
     zone: str
     states: dict[str, ServerState] = field(default_factory=dict)
     on_removed: Callable[[str], None] = lambda server_id: None
+    _told_at: float = -LOAD_MEMORY_SECONDS
+    _shared: SharedParts = field(default_factory=SharedParts)
 
     def replace_all(
         self, servers: Iterable[Server], services: dict[str, Service], now: float
@@ -126,42 +168,100 @@
         service: str,
         tried: Collection[str],
         now: float,
-        prompt: Sequence[PromptPart] = (),
-        affinity: str = "",
+        wish: Wish,
     ) -> Choice | None:
         """Return the server with the least expected time; None if there is none."""
         states = self.candidates(service, tried, now)
         if not states:
             return None
+        usual = self._usual_pace(states, now)
+        if wish.last_server not in {state.server.server_id for state in states}:
+            wish = wish._replace(last_server="")
+        reading = self._reading(states, wish)
+        costs = {
+            state.server.server_id: self._cost(state, bool(wish.prompt), usual, now)
+            + self._preference(state, wish)
+            + reading[state.server.server_id] / PREFILL_TOKENS_PER_SECOND
+            for state in states
+        }
+        best = min(states, key=lambda state: costs[state.server.server_id])
+        server_id = best.server.server_id
+        cached = wish.tokens - reading[server_id]
+        return Choice(best.server, costs[server_id], cached, len(states), self.load(best, now))
+
+    def _preference(self, state: ServerState, wish: Wish) -> float:
+        """Return the seconds by which a server is less wanted, load and memory apart.
+
+        All gateways of a zone agree on it, so the requests of one program meet at one
+        server, whichever gateways they come through.
+        """
+        seconds = OTHER_ZONE_SECONDS if state.server.zone != self.zone else 0.0
+        if wish.last_server:
+            return seconds
+        spread_s = STREAM_SPREAD_SECONDS if wish.prompt else LOOKUP_SPREAD_SECONDS
+        return seconds + spread_s * fraction(wish.affinity, state.server.server_id)
+
+    def _reading(self, states: Sequence[ServerState], wish: Wish) -> dict[str, int]:
+        """Return the tokens that each server would have to read of a prompt."""
+        prompt = wish.prompt
+        found = {
+            state.server.server_id: wish.tokens - state.belief.cached_tokens(prompt)
+            for state in states
+        }
+        if len(prompt) < LEAST_SHARED_PARTS:
+            return found
+        shared = prompt[0].tokens
+        own = wish.tokens - shared
+        if self._shared.fits_into(min(state.belief.capacity for state in states), prompt[0]):
+            # Every server soon holds what all programs share.
+            found = {server_id: min(missing, own) for server_id, missing in found.items()}
+        if wish.last_server:
+            found[wish.last_server] = min(found[wish.last_server], NEW_TOKENS)
+        elif min(found.values()) >= own:
+            # Nothing of this program went through this gateway yet. If others saw it,
+            # they sent it where it is wanted most.
+            home = min(states, key=lambda state: self._preference(state, wish))
+            found[home.server.server_id] -= own
+        return found
+
+    def _usual_pace(self, states: Sequence[ServerState], now: float) -> float:
         paces = [pace for state in states if (pace := _pace(state, now)) is not None]
-        usual = min(paces, default=0.0)
-
-        def cost(state: ServerState) -> float:
-            return self._cost(state, prompt, usual, now) + TIE_SECONDS * fraction(
-                affinity, state.server.server_id
-            )
-
-        best = min(states, key=cost)
-        cached = best.belief.cached_tokens(prompt)
-        return Choice(best.server, cost(best), cached, len(states))
-
-    def _cost(
-        self, state: ServerState, prompt: Sequence[PromptPart], usual: float, now: float
-    ) -> float:
-        tokens = sum(part.tokens for part in prompt) - state.belief.cached_tokens(prompt)
-        seconds = tokens / PREFILL_TOKENS_PER_SECOND
-        seconds += state.running * SECONDS_PER_RUNNING
-        if state.server.zone != self.zone:
-            seconds += OTHER_ZONE_SECONDS
-        if state.running >= state.server.slots:
-            seconds += FULL_SECONDS * (1 + state.running - state.server.slots)
+        return median(paces) if paces else 0.0
+
+    def _cost(self, state: ServerState, is_stream: bool, usual: float, now: float) -> float:
+        """Return the seconds that a server's load and pace are expected to cost."""
+        load = self.load(state, now)
+        seconds = load * (STREAM_LOAD_SECONDS if is_stream else LOOKUP_LOAD_SECONDS)
+        ahead = load + 1 - FREE_SHARE * state.server.slots
+        if ahead > 0:
+            held = STREAM_SECONDS if is_stream else LOOKUP_SECONDS
+            seconds += ahead * held / state.server.slots
         pace = _pace(state, now)
         if pace is not None:
-            seconds += (pace - usual) * (EVENTS_PER_STREAM if prompt else 1.0)
+            # Paces differ by load and luck; only a server far off the others is slow.
+            excess = max(0.0, pace - SLOW_FACTOR * usual)
+            seconds += excess * (EVENTS_PER_STREAM if is_stream else 1.0)
         return seconds
 
+    def load(self, state: ServerState, now: float) -> int:
+        """Return the requests under way at a server, of all gateways as far as known."""
+        is_known = now - self._told_at < LOAD_MEMORY_SECONDS
+        return state.running + (state.elsewhere if is_known else 0)
+
     # Observations
 
+    def running(self) -> dict[str, int]:
+        """Return this gateway's requests under way by server id."""
+        return {
+            server_id: state.running for server_id, state in self.states.items() if state.running
+        }
+
+    def take_loads(self, elsewhere: Mapping[str, int], now: float) -> None:
+        """Take in what all other gateways have under way, by server id."""
+        self._told_at = now
+        for server_id, state in self.states.items():
+            state.elsewhere = elsewhere.get(server_id, 0)
+
     def note_heard(self, server_id: str, now: float) -> None:
         """Note that bytes came from a server."""
         state = self.states.get(server_id)
--- a/yarrowwall/replication/quorum_client.py
+++ b/yarrowwall/replication/quorum_client.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from functools import partial
+from typing import NamedTuple
 
 import eventlet
 from eventlet.event import Event
@@ -39,6 +40,17 @@
     tokens: int
 
 
+class OwnerReading(NamedTuple):
+    """What is recorded for an owner.
+
+    :param amounts: by key of the record.
+    :param note: a hint, which may be older than the newest record.
+    """
+
+    amounts: dict[str, Amount]
+    note: str
+
+
 @dataclass
 class _Round:
     """The replies to one request of several replicas."""
@@ -47,6 +59,7 @@
     readers: set[str] = field(default_factory=set)
     records: dict[str, StoredRecord] = field(default_factory=dict)
     amounts: dict[str, Amount] = field(default_factory=dict)
+    note: str = ""
     answered: int = 0
     met_other_view: bool = False
 
@@ -59,6 +72,7 @@
 
     def merge_amounts(self, reply: KeysReply) -> None:
         """Take in amounts; the higher version of a key wins."""
+        self.note = reply.note or self.note
         for key, version, tokens in zip(reply.keys, reply.versions, reply.amounts, strict=True):
             held = self.amounts.get(key)
             if held is None or held.version < version:
@@ -146,17 +160,18 @@
 
     def read_amounts(
         self, group: int, owner: str, timeout: float = OPERATION_SECONDS
-    ) -> dict[str, Amount]:
-        """Return the amounts of all complete records of an owner, by key.
+    ) -> OwnerReading:
+        """Return the amounts of all complete records of an owner, and its newest note.
 
         :raises NoQuorumError: if the quorum does not answer in time.
         """
-        return self._operate(
+        found = self._operate(
             group,
             lambda view, member: ReadOwner(group, view.epoch, member.disk_id, owner),
             lambda view, found: is_read(view, found.readers),
             timeout,
-        ).amounts
+        )
+        return OwnerReading(found.amounts, found.note)
 
     def read_chain(
         self, group: int, key: str, known: list[str], timeout: float = OPERATION_SECONDS
--- a/yarrowwall/replication/replica.py
+++ b/yarrowwall/replication/replica.py
@@ -196,7 +196,8 @@
         if isinstance(request, ListKeys):
             return Outcome(self._listed(self.table.all()))
         if isinstance(request, ReadOwner):
-            return Outcome(self._listed(self.table.of_owner(request.owner)))
+            note = self.table.newest_note(request.owner)
+            return Outcome(self._listed(self.table.of_owner(request.owner), note))
         if isinstance(request, ReadChain):
             return Outcome(self._found(self.table.chain(request.key, request.known)))
         records = [self.table.get(key) for key in request.keys]
@@ -230,7 +231,7 @@
     def _refuse(self, request: Request, status: ReplyStatus) -> Reply:
         view = self.view if status is ReplyStatus.STALE else None
         if isinstance(request, ListKeys | ReadOwner):
-            return KeysReply(status, False, [], [], [], view)
+            return KeysReply(status, False, [], [], [], "", view)
         return RecordsReply(status, False, [], view)
 
     def _write(self, request: WriteRecords, now: float) -> Outcome:
@@ -240,13 +241,14 @@
     def _found(self, records: list[StoredRecord]) -> RecordsReply:
         return RecordsReply(ReplyStatus.OK, self.is_reader, records, None)
 
-    def _listed(self, records: list[StoredRecord]) -> KeysReply:
+    def _listed(self, records: list[StoredRecord], note: str = "") -> KeysReply:
         return KeysReply(
             ReplyStatus.OK,
             self.is_reader,
             [record.key for record in records],
             [record.version for record in records],
             [record.amount for record in records],
+            note,
             None,
         )
 
--- a/yarrowwall/replication/service.py
+++ b/yarrowwall/replication/service.py
@@ -5,7 +5,14 @@
 
 import eventlet
 
-from yarrowwall.messages.replicated import GroupView, Member, RecordsReply, ReplyStatus
+from yarrowwall.messages.replicated import (
+    GroupView,
+    LoadReply,
+    Member,
+    RecordsReply,
+    ReplyStatus,
+    ReportLoad,
+)
 from yarrowwall.relay import decisions
 from yarrowwall.relay.decisions import DecisionLog
 from yarrowwall.relay.object_store import (
@@ -27,6 +34,7 @@
     read_groups,
     read_registration,
 )
+from yarrowwall.replication.load_board import LoadBoard
 from yarrowwall.replication.peers import ReplicaPeers
 from yarrowwall.replication.planner import target_size
 from yarrowwall.replication.quorum_client import LinkTable
@@ -70,6 +78,7 @@
             settings.is_first_start,
             target_size(settings.machines_lost_at_once),
         )
+        self._loads = LoadBoard()
         self._retirements: dict[str, StoredObject] = {}
         self._followers = [
             KindFollower(store, GROUPS_KIND, self._groups_listed, self._group_changed, log),
@@ -102,6 +111,9 @@
     # Requests
 
     def _handle(self, request: object, reply: Callable[[object], None]) -> None:
+        if isinstance(request, ReportLoad):
+            reply(self._exchange_loads(request))
+            return
         outcome = self._replica.handle(request, time.time())  # type: ignore[arg-type]
         if not outcome.persist:
             reply(outcome.reply)
@@ -112,6 +124,12 @@
             lambda: reply(RecordsReply(ReplyStatus.DISK_REFUSED, False, [], None)),
         )
 
+    def _exchange_loads(self, report: ReportLoad) -> LoadReply:
+        running = dict(zip(report.servers, report.running, strict=True))
+        self._loads.take(report.node_id, running, time.monotonic())
+        others = self._loads.others(report.node_id)
+        return LoadReply(list(others), list(others.values()), self._loads.interval_s)
+
     def _after_persist(self, reply: object) -> object:
         self._synchroniser.look()
         return reply if isinstance(reply, RecordsReply) else self._replica.status()
--- a/yarrowwall/replication/table.py
+++ b/yarrowwall/replication/table.py
@@ -15,7 +15,8 @@
     def __init__(self) -> None:
         self._records: dict[str, StoredRecord] = {}
         self._expires: dict[str, float] = {}
-        self._by_owner: dict[str, set[str]] = defaultdict(set)
+        #: Keys of an owner's records, the one that was news last at the end.
+        self._by_owner: dict[str, dict[str, None]] = defaultdict(dict)
 
     def __len__(self) -> int:
         return len(self._records)
@@ -39,7 +40,8 @@
         for record in news:
             self._records[record.key] = record
             if record.owner:
-                self._by_owner[record.owner].add(record.key)
+                self._by_owner[record.owner].pop(record.key, None)
+                self._by_owner[record.owner][record.key] = None
             self._keep(record, now)
         return news
 
@@ -57,6 +59,13 @@
         """Return all records of an owner."""
         return [self._records[key] for key in self._by_owner.get(owner, ())]
 
+    def newest_note(self, owner: str) -> str:
+        """Return the value of an owner's newest record that has one, as text."""
+        for key in reversed(self._by_owner.get(owner, {})):
+            if self._records[key].value:
+                return self._records[key].value.decode(errors="replace")
+        return ""
+
     def chain(self, key: str, known: Iterable[str]) -> list[StoredRecord]:
         """Return a record and those it goes on from, newest first, without known ones."""
         stop = set(known)
@@ -78,7 +87,7 @@
             del self._expires[key]
             keys = self._by_owner.get(record.owner)
             if keys is not None:
-                keys.discard(key)
+                keys.pop(key, None)
                 if not keys:
                     del self._by_owner[record.owner]
         return len(over)
