A reservation is granted by its own write if nothing else of the program is under way

Ruled out: granting by the write alone. Three reservations that each meet another one overspend (the mutant "grants at once although another turn is under way" shows it).

Change: ReserveRecord stores the reservation and returns what the replica holds of the program. If the replies form a read quorum of a settled group and all else is settled, that decides; otherwise the second round follows, and what was met while writing counts with it. Proof in docs/design/0004-platform.md. The schedules now settle turns and begin three at once, as sub-agents do.

--- a/features/record_store.feature
+++ b/features/record_store.feature
@@ -12,6 +12,7 @@
     Examples:
       | mutant                                      |
       | grants without reading what others reserved |
+      | grants at once although another turn is under way |
       | takes one acknowledgement for a quorum      |
       | ends a change of the group without a copy   |
       | acknowledges what is not on disk            |
--- a/features/support/record_model.py
+++ b/features/support/record_model.py
@@ -22,16 +22,24 @@
     ReadOwner,
     RecordsReply,
     ReplyStatus,
+    ReserveRecord,
     StoredRecord,
     WriteRecords,
 )
+from yarrowwall.relay.ledger import merged
 from yarrowwall.replication import planner
+from yarrowwall.replication.quorum_client import Amount
 from yarrowwall.replication.replica import LogRecord, RecordReplica
 from yarrowwall.replication.views import all_members, is_read, is_written, member_of
 
 BUDGET = 2
 PROGRAM = "program"
 MOST_STEPS = 250
+#: Steps that a granted turn may take until it is settled.
+MOST_TURN_STEPS = 40
+#: Versions of a reservation's record.
+RESERVED = 0
+SETTLED = 1
 
 
 def member(disk_id: str) -> Member:
@@ -81,6 +89,34 @@
     take: Callable[[object], None]
 
 
+class Reading:
+    """What the replies of replicas tell of an owner."""
+
+    def __init__(self) -> None:
+        self.acknowledged: set[str] = set()
+        self.readers: set[str] = set()
+        self._amounts: dict[str, Amount] = {}
+
+    def taking(self, target: Member) -> Callable[[object], None]:
+        """Return what takes in one machine's reply."""
+
+        def take(reply: object) -> None:
+            if not isinstance(reply, KeysReply) or reply.status is not ReplyStatus.OK:
+                return
+            self.acknowledged.add(target.disk_id)
+            if reply.is_reader:
+                self.readers.add(target.disk_id)
+            held = zip(reply.keys, reply.versions, reply.amounts, strict=True)
+            news = {key: Amount(version, tokens) for key, version, tokens in held}
+            self._amounts = merged(self._amounts, news)
+
+        return take
+
+    def others(self, key: str) -> dict[str, Amount]:
+        """Return all amounts but that of one key."""
+        return {other: amount for other, amount in self._amounts.items() if other != key}
+
+
 class RecordSchedule:
     """One random schedule.
 
@@ -94,11 +130,13 @@
         for name in "abc":
             self._install(name, self.view)
         self.calls: list[Call] = []
-        self.granted: list[str] = []
+        #: What each granted reservation counts for: its token, or what it was settled to.
+        self.granted: dict[str, int] = {}
         self.complete: set[str] = set()
         self.tasks: list[Iterator[None]] = []
         self.disks_lost = 0
         self.reservations = 0
+        self._begin_reservations(3)
 
     @staticmethod
     def _machine(disk_id: str) -> Machine:
@@ -127,51 +165,48 @@
     # Gateways
 
     def reservation(self, name: str) -> Iterator[None]:
-        """Reserve one token the way the ledger does."""
-        record = StoredRecord(f"budget/{name}", 0, PROGRAM, "", 60.0, 1, b"")
+        """Reserve one token the way the ledger does, and settle it some time later."""
+        record = StoredRecord(f"budget/{name}", RESERVED, PROGRAM, "", 60.0, 1, b"")
         view = self.view
-        acknowledged: set[str] = set()
+        met = Reading()
         for target in all_members(view):
-            request = WriteRecords(0, view.epoch, target.disk_id, [record])
-            self.send(target, request, self._acknowledgement(target, acknowledged))
-        while not is_written(view, acknowledged):
+            request = ReserveRecord(0, view.epoch, target.disk_id, record)
+            self.send(target, request, met.taking(target))
+        while not is_written(view, met.acknowledged):
             yield
         self.complete.add(record.key)
-        found, readers = {}, set()
-        view = self.view
-        for target in all_members(view):
-            request = ReadOwner(0, view.epoch, target.disk_id, PROGRAM)
-            self.send(target, request, self._amounts(target, found, readers))
-        while not is_read(view, readers):
+        is_sure = not view.joining and is_read(view, met.readers)
+        others = met.others(record.key)
+        if not (is_sure and self.is_alone(others)):
+            later = Reading()
+            view = self.view
+            for target in all_members(view):
+                request = ReadOwner(0, view.epoch, target.disk_id, PROGRAM)
+                self.send(target, request, later.taking(target))
+            while not is_read(view, later.readers):
+                yield
+            others = merged(others, later.others(record.key))
+        if not self.may_grant(others):
+            return
+        self.granted[name] = record.amount
+        for _ in range(self.random.randrange(MOST_TURN_STEPS)):
             yield
-        if self.may_grant(found, record.key):
-            self.granted.append(name)
-
-    @staticmethod
-    def may_grant(found: dict[str, int], key: str) -> bool:
-        """Return whether the budget holds one token more than what others reserved."""
-        return sum(tokens for other, tokens in found.items() if other != key) + 1 <= BUDGET
+        emitted = self.random.choice((0, 1))
+        self.granted[name] = emitted
+        settled = StoredRecord(record.key, SETTLED, PROGRAM, "", 60.0, emitted, b"")
+        for target in all_members(self.view):
+            request = WriteRecords(0, self.view.epoch, target.disk_id, [settled])
+            self.send(target, request, lambda reply: None)
 
     @staticmethod
-    def _acknowledgement(target: Member, acknowledged: set[str]) -> Callable[[object], None]:
-        def take(reply: object) -> None:
-            if isinstance(reply, RecordsReply) and reply.status is ReplyStatus.OK:
-                acknowledged.add(target.disk_id)
-
-        return take
+    def is_alone(others: dict[str, Amount]) -> bool:
+        """Return whether every other turn that was met is settled."""
+        return all(other.version == SETTLED for other in others.values())
 
     @staticmethod
-    def _amounts(
-        target: Member, found: dict[str, int], readers: set[str]
-    ) -> Callable[[object], None]:
-        def take(reply: object) -> None:
-            if not isinstance(reply, KeysReply) or reply.status is not ReplyStatus.OK:
-                return
-            if reply.is_reader:
-                readers.add(target.disk_id)
-            found.update(zip(reply.keys, reply.amounts, strict=True))
-
-        return take
+    def may_grant(others: dict[str, Amount]) -> bool:
+        """Return whether the budget holds one token more than what others reserved."""
+        return sum(other.tokens for other in others.values()) + 1 <= BUDGET
 
     # Replicas
 
@@ -252,6 +287,12 @@
 
     # The schedule
 
+    def _begin_reservations(self, count: int) -> None:
+        """Begin turns at once, as sub-agents do."""
+        for _ in range(count):
+            self.reservations += 1
+            self.tasks.append(self.reservation(str(self.reservations)))
+
     def step(self) -> None:
         """Do one random thing."""
         chance = self.random.random()
@@ -275,8 +316,7 @@
         elif chance < 0.9:
             self.lose_disk()
         else:
-            self.reservations += 1
-            self.tasks.append(self.reservation(str(self.reservations)))
+            self._begin_reservations(self.random.choice((1, 3)))
         for task in list(self.tasks):
             if next(task, "over") == "over":
                 self.tasks.remove(task)
@@ -285,7 +325,7 @@
 
     def check(self) -> None:
         """Raise AssertionError if more was granted than the budget holds."""
-        assert len(self.granted) <= BUDGET, f"granted {self.granted} of {BUDGET}"
+        assert sum(self.granted.values()) <= BUDGET, f"granted {self.granted} of {BUDGET}"
 
     def check_records(self) -> None:
         """Raise AssertionError if any read quorum of today lacks a complete record."""
--- a/features/support/record_mutants.py
+++ b/features/support/record_mutants.py
@@ -10,7 +10,7 @@
 from yarrowwall.replication.replica import RecordReplica
 
 
-def _grant_always(found: dict[str, int], key: str) -> bool:
+def _grant_always(others: dict) -> bool:
     return True
 
 
@@ -53,6 +53,9 @@
     "grants without reading what others reserved": lambda: patch.object(
         RecordSchedule, "may_grant", staticmethod(_grant_always)
     ),
+    "grants at once although another turn is under way": lambda: patch.object(
+        RecordSchedule, "is_alone", staticmethod(_grant_always)
+    ),
     "takes one acknowledgement for a quorum": lambda: patch.object(
         record_model, "is_written", _any_acknowledgement
     ),
--- a/yarrowwall/messages/replicated.py
+++ b/yarrowwall/messages/replicated.py
@@ -147,6 +147,16 @@
     running: list[int]
 
 
+@message(108)
+class ReserveRecord:
+    """Store a record and return what is held of its owner, itself included."""
+
+    group: int
+    epoch: int
+    disk_id: str
+    record: StoredRecord
+
+
 @message(110)
 class RecordsReply:
     """Answer to requests about records.
@@ -163,7 +173,7 @@
 
 @message(111)
 class KeysReply:
-    """Answer to :class:`ListKeys` and :class:`ReadOwner`; the lists run in parallel.
+    """Answer to requests for keys, versions and amounts; the lists run in parallel.
 
     :param note: value of the owner's newest record that has one, as text; empty for none.
     """
--- a/yarrowwall/relay/ledger.py
+++ b/yarrowwall/relay/ledger.py
@@ -1,10 +1,11 @@
 """Budgets and turns in the replicated record store.
 
-A reservation is written to a majority first; then all reservations of the program are
-read from a read quorum. Of any reservations that were granted, the one whose write was
-complete last sees all the others, so their sum never exceeds the budget, without a
-leader or an order among gateways. A reservation that is not settled, since its gateway
-died, counts in full.
+A reservation is written to a majority first, whose replies tell what else is held of
+the program. If all of that is settled, it is granted by that alone; else all
+reservations of the program are read from a read quorum afterwards. Of any reservations
+that were granted, one sees all the others (see docs/design/0004-platform.md), so their
+sum never exceeds the budget, without a leader or an order among gateways. A reservation
+that is not settled, since its gateway died, counts in full.
 """
 
 import contextlib
@@ -22,7 +23,7 @@
 from yarrowwall.relay.programs import BudgetExhaustedError, TurnGrant
 from yarrowwall.relay.turns import Turn, TurnCache, output_of, prompt_body, read_turn, turn_key
 from yarrowwall.replication.exceptions import NoQuorumError
-from yarrowwall.replication.quorum_client import GroupViews, QuorumClient
+from yarrowwall.replication.quorum_client import Amount, GroupViews, QuorumClient
 
 #: Seconds that settlements are collected before they are written together.
 SETTLE_SECONDS = 0.03
@@ -160,13 +161,17 @@
         behind in the order of keys give up at once, and the ones in front look again.
         """
         record = reservation.record(_RESERVED, reservation.tokens)
-        self._client.write(group, [record])
+        reading = self._client.reserve(group, record)
+        first = _others(reading.amounts, reservation)
+        if reading.is_sure and all(other.version == _SETTLED for other in first.values()):
+            return sum(other.tokens for other in first.values()), reading.note
         for _ in range(CONTENTION_LOOKS):
-            found, last_server = self._client.read_amounts(group, reservation.program_id)
-            found.pop(reservation.key, None)
+            reading = self._client.read_amounts(group, reservation.program_id)
+            # A reservation that was met while writing may not be complete yet.
+            found = merged(first, _others(reading.amounts, reservation))
             used = sum(other.tokens for other in found.values())
             if used + reservation.tokens <= budget:
-                return used, last_server
+                return used, reading.note
             behind = sum(
                 other.tokens
                 for key, other in found.items()
@@ -175,7 +180,7 @@
             if used - behind + reservation.tokens > budget:
                 break
             eventlet.sleep(CONTENTION_SECONDS)
-        return used, last_server
+        return used, reading.note
 
     def settle(self, reservation: Reservation, tokens: int, server_id: str = "") -> None:
         """Replace a reservation by what was emitted, soon."""
@@ -246,6 +251,19 @@
         self._cache.put(turn)
 
 
+def _others(amounts: dict[str, Amount], reservation: Reservation) -> dict[str, Amount]:
+    return {key: amount for key, amount in amounts.items() if key != reservation.key}
+
+
+def merged(one: dict[str, Amount], other: dict[str, Amount]) -> dict[str, Amount]:
+    """Return the amounts of two readings; the higher version of a key wins."""
+    found = dict(one)
+    for key, amount in other.items():
+        if key not in found or found[key].version < amount.version:
+            found[key] = amount
+    return found
+
+
 class LedgerGrant(TurnGrant):
     """The leave to run one turn, with what is to be stored behind it."""
 
--- a/yarrowwall/replication/quorum_client.py
+++ b/yarrowwall/replication/quorum_client.py
@@ -17,6 +17,7 @@
     ReadOwner,
     RecordsReply,
     ReplyStatus,
+    ReserveRecord,
     StoredRecord,
     WriteRecords,
 )
@@ -45,10 +46,12 @@
 
     :param amounts: by key of the record.
     :param note: a hint, which may be older than the newest record.
+    :param is_sure: whether every complete record is among the amounts.
     """
 
     amounts: dict[str, Amount]
     note: str
+    is_sure: bool
 
 
 @dataclass
@@ -60,6 +63,7 @@
     records: dict[str, StoredRecord] = field(default_factory=dict)
     amounts: dict[str, Amount] = field(default_factory=dict)
     note: str = ""
+    is_read_quorum: bool = False
     answered: int = 0
     met_other_view: bool = False
 
@@ -171,7 +175,25 @@
             lambda view, found: is_read(view, found.readers),
             timeout,
         )
-        return OwnerReading(found.amounts, found.note)
+        return OwnerReading(found.amounts, found.note, is_sure=True)
+
+    def reserve(
+        self, group: int, record: StoredRecord, timeout: float = OPERATION_SECONDS
+    ) -> OwnerReading:
+        """Store a record on a write quorum; return what its replicas hold of its owner.
+
+        Any other reservation, complete before this one was sent, is among the amounts
+        if the reading is sure. Of two that cross, at least one finds the other.
+
+        :raises NoQuorumError: if the quorum does not answer in time.
+        """
+        found = self._operate(
+            group,
+            lambda view, member: ReserveRecord(group, view.epoch, member.disk_id, record),
+            lambda view, found: is_written(view, found.acknowledged),
+            timeout,
+        )
+        return OwnerReading(found.amounts, found.note, found.is_read_quorum)
 
     def read_chain(
         self, group: int, key: str, known: list[str], timeout: float = OPERATION_SECONDS
@@ -220,6 +242,7 @@
             members = self._nearest(view) if only_nearest else all_members(view)
             found = self._round(view, members, request, is_enough, end)
             if is_enough(view, found):
+                found.is_read_quorum = not view.joining and is_read(view, found.readers)
                 self._failing_since = None
                 return found
             newer = self._views.get(group) is not view or found.met_other_view
--- a/yarrowwall/replication/replica.py
+++ b/yarrowwall/replication/replica.py
@@ -20,6 +20,7 @@
     RecordsKept,
     RecordsReply,
     ReplyStatus,
+    ReserveRecord,
     StatusReply,
     StoredRecord,
     SynchronisationKept,
@@ -30,7 +31,16 @@
 from yarrowwall.replication.views import disk_ids, member_of
 
 LogRecord = RecordsKept | ViewKept | SynchronisationKept
-Request = WriteRecords | ReadOwner | ReadChain | ListKeys | FetchRecords | AskStatus | InstallView
+Request = (
+    WriteRecords
+    | ReserveRecord
+    | ReadOwner
+    | ReadChain
+    | ListKeys
+    | FetchRecords
+    | AskStatus
+    | InstallView
+)
 Reply = RecordsReply | KeysReply | StatusReply
 
 #: Epoch of the first view; before it nothing was ever written.
@@ -193,11 +203,12 @@
             return Outcome(self._refuse(request, refused))
         if isinstance(request, WriteRecords):
             return self._write(request, now)
+        if isinstance(request, ReserveRecord):
+            return self._reserve(request.record, now)
         if isinstance(request, ListKeys):
             return Outcome(self._listed(self.table.all()))
         if isinstance(request, ReadOwner):
-            note = self.table.newest_note(request.owner)
-            return Outcome(self._listed(self.table.of_owner(request.owner), note))
+            return Outcome(self._owner_listed(request.owner))
         if isinstance(request, ReadChain):
             return Outcome(self._found(self.table.chain(request.key, request.known)))
         records = [self.table.get(key) for key in request.keys]
@@ -230,7 +241,7 @@
 
     def _refuse(self, request: Request, status: ReplyStatus) -> Reply:
         view = self.view if status is ReplyStatus.STALE else None
-        if isinstance(request, ListKeys | ReadOwner):
+        if isinstance(request, ListKeys | ReadOwner | ReserveRecord):
             return KeysReply(status, False, [], [], [], "", view)
         return RecordsReply(status, False, [], view)
 
@@ -238,6 +249,15 @@
         to_keep = self._take_records(request.records, now)
         return Outcome(self._found([]), [RecordsKept(to_keep)] if to_keep else [])
 
+    def _reserve(self, record: StoredRecord, now: float) -> Outcome:
+        # The reply tells what is held now, before the disk has the record: of two
+        # reservations that meet here, the later one sees the earlier one.
+        to_keep = self._take_records([record], now)
+        return Outcome(self._owner_listed(record.owner), [RecordsKept(to_keep)] if to_keep else [])
+
+    def _owner_listed(self, owner: str) -> KeysReply:
+        return self._listed(self.table.of_owner(owner), self.table.newest_note(owner))
+
     def _found(self, records: list[StoredRecord]) -> RecordsReply:
         return RecordsReply(ReplyStatus.OK, self.is_reader, records, None)
 
--- a/yarrowwall/replication/service.py
+++ b/yarrowwall/replication/service.py
@@ -12,6 +12,7 @@
     RecordsReply,
     ReplyStatus,
     ReportLoad,
+    StatusReply,
 )
 from yarrowwall.relay import decisions
 from yarrowwall.relay.decisions import DecisionLog
@@ -132,7 +133,7 @@
 
     def _after_persist(self, reply: object) -> object:
         self._synchroniser.look()
-        return reply if isinstance(reply, RecordsReply) else self._replica.status()
+        return self._replica.status() if isinstance(reply, StatusReply) else reply
 
     # The own registration
 
