A replica that is back is reached although requests never cease

Cause: while a replica is down, every request over its link put the next try off by another 0.1 s.

Change: only a failed try puts off the next one.

Test: record_store.feature, "A replica that is back", failed first.

--- a/features/record_store.feature
+++ b/features/record_store.feature
@@ -47,3 +47,9 @@
     And with "b" and "c" silent the group stays
     And with "c" to be emptied the group becomes "a1,b1,d1"
     And with "c" on a new disk the group becomes "a1,b1,c2"
+
+  Scenario: A replica that is back is reached although requests never cease
+    Given a link to a port where nobody listens yet
+    When requests go over the link every 0.02 s for 0.6 s
+    And a replica begins to listen there
+    Then a request over the link is answered within 0.5 s
--- a/features/steps/record_steps.py
+++ b/features/steps/record_steps.py
@@ -1,22 +1,29 @@
 """Steps about the replicated record store."""
 
+import socket
 import tempfile
+import time
 from pathlib import Path
 
+import eventlet
 from behave import given, then, when
 from behave.runner import Context
 
 from features.support.record_model import member, run_record_schedules
 from features.support.record_mutants import MUTANTS
 from yarrowwall.messages.replicated import (
+    AskStatus,
     GroupView,
     RecordsKept,
     ReplyStatus,
+    StatusReply,
     StoredRecord,
     WriteRecords,
 )
+from yarrowwall.replication.exceptions import LinkDownError
 from yarrowwall.replication.planner import next_view
 from yarrowwall.replication.replica import RecordReplica
+from yarrowwall.replication.rpc import Link, serve_requests
 from yarrowwall.replication.views import is_read, is_written
 from yarrowwall.storage.segments import SegmentStore
 
@@ -204,3 +211,46 @@
     context.registered[name] = member(f"{name}2")
     context.registered.pop("d")
     assert _next(context) == members
+
+
+@given("a link to a port where nobody listens yet")
+def link_to_silent_port(context: Context) -> None:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        context.port = probe.getsockname()[1]
+    context.link = Link(f"127.0.0.1:{context.port}", time.monotonic)
+
+
+@when("requests go over the link every {pause:f} s for {seconds:f} s")
+def requests_never_cease(context: Context, pause: float, seconds: float) -> None:
+    def ask() -> None:
+        while True:
+            context.link.post(AskStatus(0), lambda reply: None)
+            eventlet.sleep(pause)
+
+    asking = eventlet.spawn(ask)
+    context.add_cleanup(asking.kill)
+    eventlet.sleep(seconds)
+
+
+@when("a replica begins to listen there")
+def replica_listens(context: Context) -> None:
+    listener = eventlet.listen(("127.0.0.1", context.port))
+    status = StatusReply("a", "a1", 1, True, 1)
+    serving = eventlet.spawn(serve_requests, listener, lambda request, reply: reply(status))
+    context.add_cleanup(listener.close)
+    context.add_cleanup(serving.kill)
+
+
+@then("a request over the link is answered within {seconds:f} s")
+def answered_within(context: Context, seconds: float) -> None:
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        try:
+            context.link.call(AskStatus(0), 0.1)
+        except LinkDownError:
+            eventlet.sleep(0.01)
+            continue
+        context.link.close()
+        return
+    raise AssertionError(f"not reached within {seconds} s")
--- a/yarrowwall/replication/rpc.py
+++ b/yarrowwall/replication/rpc.py
@@ -185,21 +185,28 @@
         self._queued.pop(number, None)
 
     def _open(self) -> None:
-        try:
-            if self._now() < self._down_until:
-                raise ConnectError(self.address)
-            connection = open_socket(self.address, CONNECT_SECONDS)
-        except ConnectError:
-            self._is_opening = False
-            self._down_until = max(self._down_until, self._now() + DOWN_SECONDS)
+        connection = self._connect()
+        self._is_opening = False
+        if connection is None:
             self._fail_all()
             return
-        self._is_opening = False
         self._channel = FrameChannel(connection, self._receive, self._fail_all)
         queued, self._queued = self._queued, {}
         for number, message in queued.items():
             self._channel.send(number, message)
 
+    def _connect(self) -> socket.socket | None:
+        """Return a new connection; None if the node is down or was a moment ago."""
+        # What is asked meanwhile must not put off the next try, or steady requests would
+        # keep a node that is back down for ever.
+        if self._now() < self._down_until:
+            return None
+        try:
+            return open_socket(self.address, CONNECT_SECONDS)
+        except ConnectError:
+            self._down_until = self._now() + DOWN_SECONDS
+            return None
+
     def _receive(self, number: int, message: object) -> None:
         completion = self._waiting.pop(number, None)
         if completion is not None:
