A randomized fault soak: real processes, loopback proxies, signals, bad clocks and disks

Change: features/soak plays a seed: two gateways and three replicas as processes, each behind a proxy of its own to the store, servers behind proxies, clocks up to 2 s off; random kills, freezes, stops, torn and lost disks, cuts, resets, a slow, silent or forgetful store. Clients run stateful programs with budgets and lookups that may run once. The promises (TWICE, REFUSED, UNASKED, BUDGET, LOST, ORDER, MIXED, RECOVER) are checked from what clients got and servers received.

Not covered: storage that lies about fsync (a killed process keeps the kernel's pages), cuts between gateways and replicas other than by freezing, several groups.

--- /dev/null
+++ b/features/soak/__main__.py
@@ -0,0 +1,35 @@
+"""Plays seeds of the soak."""
+
+import json
+import sys
+import time
+from pathlib import Path
+
+import click
+
+from features.soak.run import play
+
+
+@click.command()
+@click.option("--seed", type=int, help="One seed.")
+@click.option("--seeds", help="Many, as FIRST-LAST.")
+@click.option("--seconds", "seconds_s", default=20.0, show_default=True, help="Time of faults.")
+@click.option("--clients", default=6, show_default=True)
+@click.option("--keep", type=click.Path(path_type=Path), help="Folder for logs of failed seeds.")
+def main(
+    seed: int | None, seeds: str | None, seconds_s: float, clients: int, keep: Path | None
+) -> None:
+    """Play seeds; exit 1 if one of them broke a promise."""
+    first, _, last = (seeds or str(1 if seed is None else seed)).partition("-")
+    failed = 0
+    for number in range(int(first), int(last or first) + 1):
+        began = time.monotonic()
+        result = play(number, seconds_s, clients, keep)
+        failed += bool(result.violations)
+        line = {"seed": number, "played_s": round(time.monotonic() - began, 1)}
+        click.echo(json.dumps({**line, **result._asdict()}))
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/features/soak/promises.py
@@ -0,0 +1,108 @@
+"""What clients and servers saw of each attempt, and the promises that must hold."""
+
+import threading
+from collections import Counter, defaultdict
+from typing import NamedTuple
+
+#: Tokens that one event counts for, as the stand-ins' configuration says.
+EVENT_TOKENS = 10
+#: The most tokens of one turn.
+TURN_TOKENS = 50
+#: Statuses that promise that the attempt never runs.
+NOT_RUN = (402, 408, 421, 429, 503)
+
+
+class Ended(NamedTuple):
+    """How an attempt ended for its client.
+
+    :param status: 0 if the connection ended without an answer.
+    :param body: the body as far as it came.
+    """
+
+    status: int
+    is_whole: bool
+    body: bytes
+
+
+class Record:
+    """Collects what was seen; thread-safe."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._expected: dict[str, bytes] = {}
+        self._programs: dict[str, str] = {}
+        self._budgets: dict[str, int] = {}
+        self._ended: dict[str, Ended] = {}
+        self._arrived: dict[str, list[bytes]] = defaultdict(list)
+        self._violations: list[str] = []
+
+    def begin_program(self, program: str, budget: int) -> None:
+        """Note a program and the tokens that it may emit."""
+        with self._lock:
+            self._budgets[program] = budget
+
+    def begin(self, attempt: str, expected: bytes, program: str = "") -> None:
+        """Note an attempt and the body that servers are to get, before it is sent."""
+        with self._lock:
+            self._expected[attempt] = expected
+            self._programs[attempt] = program
+
+    def arrived(self, attempt: str, body: bytes) -> None:
+        """Note that a server began to work on an attempt."""
+        with self._lock:
+            self._arrived[attempt].append(body)
+
+    def ended(self, attempt: str, end: Ended) -> None:
+        """Note how an attempt ended for its client."""
+        with self._lock:
+            self._ended[attempt] = end
+
+    def violated(self, text: str) -> None:
+        """Note a broken promise that a client saw at once."""
+        with self._lock:
+            self._violations.append(text)
+
+    @property
+    def served(self) -> int:
+        """Return how many attempts were answered whole with a success."""
+        with self._lock:
+            return sum(end.status == 200 and end.is_whole for end in self._ended.values())
+
+    def outcomes(self) -> Counter[int]:
+        """Return how many attempts ended with each status."""
+        with self._lock:
+            return Counter(end.status for end in self._ended.values())
+
+    def violations(self) -> list[str]:
+        """Return every broken promise."""
+        with self._lock:
+            found = list(self._violations)
+            for attempt, bodies in self._arrived.items():
+                found += self._of_arrivals(attempt, bodies)
+            found += self._of_budgets()
+            return found
+
+    def _of_arrivals(self, attempt: str, bodies: list[bytes]) -> list[str]:
+        found = []
+        expected = self._expected.get(attempt)
+        if expected is None:
+            found.append(f"UNASKED: {attempt} was sent by no client")
+        elif any(body != expected for body in bodies):
+            found.append(f"UNASKED: {attempt} ran with another body")
+        if len(bodies) > 1:
+            found.append(f"TWICE: {attempt} ran {len(bodies)} times")
+        end = self._ended.get(attempt)
+        if end is not None and end.status in NOT_RUN:
+            found.append(f"REFUSED: {attempt} got {end.status} and ran")
+        return found
+
+    def _of_budgets(self) -> list[str]:
+        spent: Counter[str] = Counter()
+        for attempt, end in self._ended.items():
+            if end.status == 200:
+                spent[self._programs.get(attempt, "")] += end.body.count(b"\n\n") * EVENT_TOKENS
+        return [
+            f"BUDGET: {program} got {spent[program]} of {budget} tokens"
+            for program, budget in self._budgets.items()
+            if spent[program] > budget + TURN_TOKENS
+        ]
--- /dev/null
+++ b/features/soak/proxy.py
@@ -0,0 +1,128 @@
+"""A TCP proxy on loopback that can fall silent, refuse or slow its connections."""
+
+import contextlib
+import socket
+import struct
+import threading
+import time
+from collections.abc import Callable
+from enum import StrEnum
+from typing import Self
+
+_CHUNK_BYTES = 65536
+_LOOK_S = 0.02
+_SLOW_S = 0.15
+_RESET = struct.pack("ii", 1, 0)
+
+
+class Mode(StrEnum):
+    """What a proxy does with its connections."""
+
+    PASS = "pass"
+    #: Nothing goes through, and nothing is reset: a cut or a machine without power.
+    SILENT = "silent"
+    #: Connections are reset, new ones as well.
+    REFUSE = "refuse"
+    SLOW = "slow"
+
+
+class Proxy:
+    """Passes connections on to a target.
+
+    :param target: returns ``IP:port``; asked for each connection.
+    """
+
+    def __init__(self, target: Callable[[], str]) -> None:
+        self.mode = Mode.PASS
+        self._target = target
+        self._is_open = True
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """End the proxy and its connections."""
+        self._is_open = False
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while self._is_open:
+            try:
+                conn, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
+
+    def _serve(self, conn: socket.socket) -> None:
+        if not self._wait_for_passage():
+            _reset(conn)
+            return
+        host, _, port = self._target().partition(":")
+        try:
+            upstream = socket.create_connection((host, int(port)), timeout=2.0)
+        except OSError:
+            _reset(conn)
+            return
+        for one in (conn, upstream):
+            one.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        back = threading.Thread(target=self._pump, args=(upstream, conn), daemon=True)
+        back.start()
+        self._pump(conn, upstream)
+        back.join()
+        conn.close()
+        upstream.close()
+
+    def _wait_for_passage(self) -> bool:
+        """Wait while silent; return whether bytes may pass."""
+        while self._is_open and self.mode is Mode.SILENT:
+            time.sleep(_LOOK_S)
+        return self._is_open and self.mode is not Mode.REFUSE
+
+    def _pump(self, source: socket.socket, sink: socket.socket) -> None:
+        source.settimeout(_LOOK_S)
+        while True:
+            if not self._wait_for_passage():
+                _reset(source)
+                _reset(sink)
+                return
+            try:
+                data = source.recv(_CHUNK_BYTES)
+            except TimeoutError:
+                continue
+            except OSError:
+                _reset(sink)
+                return
+            if self.mode is Mode.SLOW:
+                time.sleep(_SLOW_S)
+            if not self._wait_for_passage() or not _pass_on(data, sink):
+                _reset(source)
+                _reset(sink)
+                return
+            if not data:
+                return
+
+
+def _pass_on(data: bytes, sink: socket.socket) -> bool:
+    """Send bytes, or the end if there are none; return whether that went."""
+    try:
+        if data:
+            sink.settimeout(None)
+            sink.sendall(data)
+            sink.settimeout(_LOOK_S)
+        else:
+            sink.shutdown(socket.SHUT_WR)
+    except OSError:
+        return False
+    return True
+
+
+def _reset(conn: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        conn.close()
--- /dev/null
+++ b/features/soak/world.py
@@ -0,0 +1,134 @@
+"""Machines as processes, each behind a proxy to the store, and servers behind proxies."""
+
+import random
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+from typing import Self
+
+from features.soak.promises import Record
+from features.soak.proxy import Proxy
+from features.support.platform_world import (
+    Arrival,
+    PlatformWorld,
+    QuietHandler,
+    own_headers,
+    stream,
+)
+
+CHAT = "chat"
+LOOKUP = "records"
+_LOOKUP_SERVERS = 2
+_CHAT_SERVERS = 3
+#: Parts of the requests that servers turn away, lose the answer of, or break off.
+_TURNED_AWAY = 0.03
+_ANSWER_LOST = 0.02
+_BROKEN_OFF = 0.02
+#: Starts a machine whose time of day is off by the seconds in the first argument.
+_START = (
+    "import runpy, sys, time; off = float(sys.argv.pop(1)); real = time.time;"
+    " time.time = lambda: real() + off;"
+    " runpy.run_module('yarrowwall.platform', run_name='__main__')"
+)
+
+
+class SoakWorld(PlatformWorld):
+    """Stand-ins and machines; a context manager that ends them all."""
+
+    def __init__(self, record: Record, seed: int, gateways: int = 2, replicas: int = 3) -> None:
+        self._record = record
+        self._rng = random.Random(f"{seed}/servers")
+        self._rng_lock = threading.Lock()
+        self._clock_rng = random.Random(f"{seed}/clocks")
+        self.store_proxies: dict[str, Proxy] = {}
+        self.server_proxies: dict[str, Proxy] = {}
+        super().__init__(gateways, replicas)
+        self.gateways = [f"edge-{number}" for number in range(gateways)]
+        self.replicas = [f"storage-{number}" for number in range(replicas)]
+
+    def __enter__(self) -> Self:
+        self.add_route(CHAT, "streaming", stateful=True, attempts=2)
+        self.add_route(LOOKUP, "mutating", attempts=2)
+        for _ in range(_CHAT_SERVERS):
+            self.add_server(CHAT, self._chat)
+        for _ in range(_LOOKUP_SERVERS):
+            self.add_server(LOOKUP, self._look_up)
+        self.publish()
+        self.wait_ready()
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self.stop()
+        for proxy in [*self.store_proxies.values(), *self.server_proxies.values()]:
+            proxy.close()
+
+    # What stands between
+
+    def store_address(self, name: str) -> str:
+        """Return the address under which a machine reaches the store."""
+        if name not in self.store_proxies:
+            self.store_proxies[name] = Proxy(lambda: self.store.address)
+        return self.store_proxies[name].address
+
+    def listed_address(self, server_id: str, address: str) -> str:
+        """Return the address under which a server is listed."""
+        if server_id not in self.server_proxies:
+            self.server_proxies[server_id] = Proxy(lambda: address)
+        return self.server_proxies[server_id].address
+
+    def command(self, name: str) -> list[str]:
+        """Return the command of a machine; its time of day is up to 2 s off."""
+        off_s = self._clock_rng.uniform(-2.0, 2.0)
+        return [sys.executable, "-c", _START, f"{off_s:.3f}"]
+
+    # Servers
+
+    def _chance(self) -> float:
+        with self._rng_lock:
+            return self._rng.random()
+
+    def _chat(self, call: QuietHandler, arrival: Arrival) -> bool:
+        # Imported here since the workload knows the world.
+        from features.soak.workload import events_of
+
+        if self._turns_away(call, arrival):
+            return True
+        events = range(1, events_of(arrival.attempt_id) + 1)
+        is_whole = self._chance() >= _BROKEN_OFF
+        return stream(call, arrival, events, pause=0.01, is_whole=is_whole)
+
+    def _look_up(self, call: QuietHandler, arrival: Arrival) -> bool:
+        if self._turns_away(call, arrival):
+            return True
+        time.sleep(0.02)
+        if self._chance() < _ANSWER_LOST:
+            call.close_connection = True
+            return True
+        call.answer(200, arrival.attempt_id.encode(), own_headers(arrival))
+        return True
+
+    def _turns_away(self, call: QuietHandler, arrival: Arrival) -> bool:
+        if self._chance() < _TURNED_AWAY:
+            call.answer(503, b"", {"X-Not-Executed": "1", "X-Attempt-Id": arrival.attempt_id})
+            return True
+        self._record.arrived(arrival.attempt_id, arrival.body)
+        return False
+
+    # Machines
+
+    def restart(self, name: str) -> subprocess.Popen:
+        """Start a machine's process again, not for the first time."""
+        self.start_machine(name, is_gateway=name in self.gateways)
+        return self.processes[name]
+
+    def disk(self, name: str) -> Path:
+        """Return the data folder of a replica."""
+        return self.folder / name
+
+    def keep_logs(self, folder: Path) -> None:
+        """Copy the logs of all machines."""
+        folder.mkdir(parents=True, exist_ok=True)
+        for path in self.folder.glob("*.log"):
+            (folder / path.name).write_bytes(path.read_bytes())
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -348,8 +348,13 @@
         self._list(server, service, server.start(), "ready")
         return server
 
+    def listed_address(self, server_id: str, address: str) -> str:
+        """Return the address under which a server is listed."""
+        return address
+
     def _list(self, server: Server, service: str, address: str, state: str) -> None:
-        spec = {"service": service, "address": address, "zone": "zone-a", "slots": 16}
+        listed = self.listed_address(server.server_id, address)
+        spec = {"service": service, "address": listed, "zone": "zone-a", "slots": 16}
         self.store.put("servers", server.server_id, {**spec, "state": state, "seq": 1})
 
     def drain(self, server: Server, service: str) -> None:
@@ -372,13 +377,21 @@
         path.write_text(self._settings(name, is_gateway, is_first))
         log = (self.folder / f"{name}.log").open("ab")
         self.processes[name] = subprocess.Popen(
-            [sys.executable, "-m", "yarrowwall.platform"],
+            self.command(name),
             cwd=ROOT,
             env={**os.environ, "YARROWWALL_BOOT": str(path)},
             stdout=log if output is None else output,
             stderr=log,
         )
 
+    def command(self, name: str) -> list[str]:
+        """Return the command that runs a machine."""
+        return [sys.executable, "-m", "yarrowwall.platform"]
+
+    def store_address(self, name: str) -> str:
+        """Return the address under which a machine reaches the store."""
+        return self.store.address
+
     def _settings(self, name: str, is_gateway: bool, is_first: bool) -> str:
         own = self.addresses[name]
         port = {key: address.rpartition(":")[2] for key, address in own.items()}
@@ -388,7 +401,7 @@
             'ip = "127.0.0.1"',
             f"first_peer_port = {port['peer']}",
             f"last_peer_port = {port['metrics']}",
-            f'platform_address = "{self.store.address}"',
+            f'platform_address = "{self.store_address(name)}"',
             f"is_first_start = {str(is_first).lower()}",
             "[bounds]",
             "stop = 6.0",
