Soak: the number of a turn's events stands with the promises, no late import

Cause: the world imported the workload inside a function, since each knew the other; and the workload derived the most events from a bare 10 beside EVENT_TOKENS.

Change: events_of moved to promises.py, which both know. Same numbers, no assertion changed.

--- a/features/soak/promises.py
+++ b/features/soak/promises.py
@@ -12,6 +12,11 @@
 NOT_RUN = (402, 408, 421, 429, 503)
 
 
+def events_of(attempt: str) -> int:
+    """Return how many events the servers make for a turn; fixed by its attempt id."""
+    return 1 + sum(attempt.encode()) % (TURN_TOKENS // EVENT_TOKENS)
+
+
 class Ended(NamedTuple):
     """How an attempt ended for its client.
 
--- a/features/soak/workload.py
+++ b/features/soak/workload.py
@@ -6,13 +6,11 @@
 import time
 from typing import NamedTuple, Self
 
-from features.soak.promises import TURN_TOKENS, Ended, Record
+from features.soak.promises import TURN_TOKENS, Ended, Record, events_of
 from features.soak.world import CHAT, LOOKUP, SoakWorld
 from features.support.platform_world import HOST, event
 
 _TIMEOUT_S = 5.0
-#: What a turn's first event begins with, by which its number of events is known.
-_MOST_EVENTS = TURN_TOKENS // 10
 
 
 class Turn(NamedTuple):
@@ -22,11 +20,6 @@
     chain: bytes
 
 
-def events_of(attempt: str) -> int:
-    """Return how many events the servers make for a turn."""
-    return 1 + sum(attempt.encode()) % _MOST_EVENTS
-
-
 class Workload:
     """Clients in threads, until it is left.
 
--- a/features/soak/world.py
+++ b/features/soak/world.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Self
 
-from features.soak.promises import Record
+from features.soak.promises import Record, events_of
 from features.soak.proxy import Proxy
 from features.support.platform_world import (
     Arrival,
@@ -90,9 +90,6 @@
             return self._rng.random()
 
     def _chat(self, call: QuietHandler, arrival: Arrival) -> bool:
-        # Imported here since the workload knows the world.
-        from features.soak.workload import events_of
-
         if self._turns_away(call, arrival):
             return True
         events = range(1, events_of(arrival.attempt_id) + 1)
