--- a/features/platform.feature
+++ b/features/platform.feature
@@ -141,6 +141,7 @@
     And a turn goes on from one that never was
     Then the answer is 503 with Retry-After
     And gateway 0 is not ready within 5 s
+    And its answers to lookups close their connections
     When the two replicas start again
     Then gateway 0 is ready within 5 s
 
--- /dev/null
+++ b/features/start_and_retries.feature
@@ -0,0 +1,80 @@
+Feature: Starts, and answers that do not come
+
+  Scenario: A caller waits at a port whose program is still being loaded
+    Given a listening socket that is opened early
+    When a caller sends something before anybody takes the socket
+    Then whoever takes it gets what was sent
+    And a socket that nobody took is closed at the end
+
+  @platform_world
+  Scenario: A request that comes right after a start waits until the gateway knows its routes
+    Given a route "records" of type "mutating" with a server
+    And a store that takes 150 ms for each list
+    When gateway 0 is killed and starts again
+    And a client sends "payload" on "records" as soon as the port is open
+    Then the answer is 200 with the server's seal
+
+  @platform_world
+  Scenario: A request right after a start is refused soon if the store does not answer
+    Given a route "records" of type "mutating" with a server
+    And a store that takes 5000 ms for each list
+    When gateway 0 is killed and starts again
+    And a client sends "payload" on "records" as soon as the port is open
+    Then the answer is 503 with Retry-After
+    And it came within 1000 ms
+
+  @platform_world
+  Scenario: A list that the store never answers is asked for again soon
+    Given a route "records" of type "mutating" with a server
+    And a store that loses the next 3 lists
+    When gateway 0 is killed and starts again
+    Then gateway 0 is ready within 2 s
+
+  @platform_world
+  Scenario: A lookup whose answer is late by what is usual goes to another server
+    Given a route "lookup" of type "idempotent" with two servers of which one may fall silent
+    When 40 lookups on "lookup" were answered
+    And the server of "lookup" that got most of them falls silent
+    And 4 clients send nothing on "lookup"
+    Then every answer is 200
+    And each came within 700 ms
+
+  @platform_world
+  Scenario: Not run is not said of a request that may have run at an earlier server
+    Given a route "lookup" of type "idempotent" with two servers of which the first closes without an answer and the other turns it away
+    When 1 clients send nothing on "lookup"
+    Then the answer is 502 without Retry-After
+
+  @platform_world
+  Scenario: A request whose caller left is sent to no other server
+    Given a route "lookup" of type "idempotent" with two servers that never answer
+    When a client sends "payload" on "lookup" and leaves after 200 ms
+    Then the servers of "lookup" got it once after a while
+
+  Scenario: Second sendings are bounded by a share of the first ones
+    Given a budget for second sendings of a service
+    When 100 requests are late and none is answered
+    Then at most 18 of them are sent again
+
+  Scenario Outline: The programs that failed are told by cause
+    Given the log of a program whose <kind> request <end>
+    Then the failures name it with cause "<cause>"
+
+    Examples:
+      | kind       | end                            | cause                                       |
+      | mutating   | was under way at its death     | gateway died, request may not be repeated   |
+      | idempotent | was under way at its death     | gateway died, caller came back to nobody    |
+      | stream     | was refused with 503           | refused as not run                          |
+      | idempotent | was refused with 504           | no answer in time, request may be repeated  |
+      | mutating   | was refused with 502           | answer lost, request may not be repeated    |
+
+  Scenario Outline: Programs that did not fail are not among the failures
+    Given the log of a program whose <kind> request <end>
+    Then the failures do not name it
+
+    Examples:
+      | kind       | end                            |
+      | stream     | was answered                   |
+      | stream     | was refused with 402           |
+      | mutating   | was answered at last           |
+      | idempotent | is still under way             |
--- a/features/steps/machine_steps.py
+++ b/features/steps/machine_steps.py
@@ -9,9 +9,8 @@
 
 from yarrowwall.cli.node import check_settings
 from yarrowwall.relay.model import Attempt, ProgramContext
-from yarrowwall.relay.settings import MachineSettings
+from yarrowwall.relay.settings import parse_machine_settings
 from yarrowwall.relay.urgency import turn_rank
-from yarrowwall.settings import parse_settings
 
 SOUND = {
     "node_id": '"edge-1"',
@@ -34,7 +33,7 @@
 
 @then("they are accepted")
 def accepted(context: Context) -> None:
-    assert parse_settings(context.settings, MachineSettings).node_id == "edge-1"
+    assert parse_machine_settings(context.settings).node_id == "edge-1"
 
 
 @given('machine settings whose "{key}" is {value}')
--- /dev/null
+++ b/features/steps/start_steps.py
@@ -0,0 +1,221 @@
+"""Steps about starts, late answers and the programs that failed."""
+
+import json
+import socket
+import tempfile
+import time
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+from behave import given, then, when
+from behave.runner import Context
+from click.testing import CliRunner
+
+from features.steps.platform_steps import add, arrivals, full, silent, world
+from features.support.platform_world import Arrival, QuietHandler
+from features.support.processes import free_addresses, wait_until
+from yarrowwall.addresses import split_address
+from yarrowwall.cli.failures import failures
+from yarrowwall.listeners import EarlyListeners
+from yarrowwall.relay.stays import RetryBudget
+
+#: Seconds for which a silent server holds a request.
+SILENT_SECONDS = 4.0
+
+
+@given("a listening socket that is opened early")
+def early_socket(context: Context) -> None:
+    context.address, context.unused = free_addresses(2)
+    context.listeners = EarlyListeners([context.address, context.unused])
+
+
+@when("a caller sends something before anybody takes the socket")
+def early_caller(context: Context) -> None:
+    context.caller = socket.create_connection(split_address(context.address), timeout=2.0)
+    context.caller.sendall(b"hello")
+
+
+@then("whoever takes it gets what was sent")
+def early_taken(context: Context) -> None:
+    listener = context.listeners.take(context.address)
+    connection, _ = listener.accept()
+    assert connection.recv(16) == b"hello"
+    for used in (connection, context.caller, listener):
+        used.close()
+
+
+@then("a socket that nobody took is closed at the end")
+def early_closed(context: Context) -> None:
+    context.listeners.close()
+    try:
+        socket.create_connection(split_address(context.unused), timeout=2.0).close()
+    except ConnectionRefusedError:
+        return
+    raise AssertionError("the port is still open")
+
+
+@given("a store that takes {delay:d} ms for each list")
+def slow_store(context: Context, delay: int) -> None:
+    world(context).store.list_delay_s = delay / 1000.0
+
+
+@given("a store that loses the next {count:d} lists")
+def losing_store(context: Context, count: int) -> None:
+    world(context).store.lists_to_lose = count
+
+
+@when("gateway {number:d} is killed and starts again")
+def gateway_restarts(context: Context, number: int) -> None:
+    world(context).kill(f"edge-{number}")
+    world(context).start_machine(f"edge-{number}", is_gateway=True)
+
+
+@when('a client sends "{text}" on "{route}" as soon as the port is open')
+def ask_when_open(context: Context, text: str, route: str) -> None:
+    address = split_address(world(context).addresses["edge-0"]["http"])
+
+    def is_open() -> bool:
+        try:
+            socket.create_connection(address, timeout=1.0).close()
+        except OSError:
+            return False
+        return True
+
+    wait_until(is_open, "the port is open")
+    # The handler's first line is written once all is imported; what counts is from then on.
+    known = len(world(context).log("edge-0"))
+    context.answers = [world(context).ask(route, text.encode())]
+    context.answer = context.answers[0]
+    started = [line["time"] for line in world(context).log("edge-0")[known:]][:1]
+    if started:
+        context.answer.seconds = min(context.answer.seconds, time.time() - started[0])
+
+
+@given('a route "{route}" of type "{kind}" with two servers of which one may fall silent')
+def may_fall_silent(context: Context, route: str, kind: str) -> None:
+    context.silent_id = None
+
+    def script(call: QuietHandler, arrival: Arrival) -> bool:
+        if arrival.headers["X-Expect-Instance"] != context.silent_id:
+            return False
+        time.sleep(SILENT_SECONDS)
+        return silent(call, arrival)
+
+    add(context, route, kind, script, script)
+
+
+@when('{count:d} lookups on "{route}" were answered')
+def lookups_answered(context: Context, count: int, route: str) -> None:
+    for _ in range(count):
+        assert world(context).ask(route).status == 200
+
+
+@when('the server of "{route}" that got most of them falls silent')
+def falls_silent(context: Context, route: str) -> None:
+    busiest = max(context.by_route[route], key=lambda server: len(server.arrivals))
+    context.silent_id = busiest.server_id
+
+
+@then("each came within {limit:d} ms")
+def each_within(context: Context, limit: int) -> None:
+    slowest = max(answer.seconds for answer in context.answers)
+    assert slowest * 1000.0 <= limit, slowest
+
+
+@given(
+    'a route "{route}" of type "{kind}" with two servers'
+    " of which the first closes without an answer and the other turns it away"
+)
+def closes_then_turns_away(context: Context, route: str, kind: str) -> None:
+    def script(call: QuietHandler, arrival: Arrival) -> bool:
+        is_second = len(arrivals(context, route)) > 1
+        return full(call, arrival) if is_second else silent(call, arrival)
+
+    add(context, route, kind, script, script)
+
+
+@given('a route "{route}" of type "{kind}" with two servers that never answer')
+def never_answer(context: Context, route: str, kind: str) -> None:
+    def script(call: QuietHandler, arrival: Arrival) -> bool:
+        time.sleep(SILENT_SECONDS)
+        return silent(call, arrival)
+
+    add(context, route, kind, script, script)
+
+
+@then('the servers of "{route}" got it once after a while')
+def got_once_later(context: Context, route: str) -> None:
+    time.sleep(2.5)
+    assert len(arrivals(context, route)) == 1
+
+
+@then("its answers to lookups close their connections")
+def lookups_close(context: Context) -> None:
+    add(context, "records", "mutating", None)
+    with ThreadPoolExecutor(4) as pool:
+        answers = list(pool.map(lambda _: world(context).ask("records", b"x"), range(4)))
+    assert all(answer.status == 200 for answer in answers)
+    assert all(answer.headers.get("Connection") == "close" for answer in answers)
+
+
+@given("a budget for second sendings of a service")
+def retry_budget(context: Context) -> None:
+    context.budget = RetryBudget()
+
+
+@when("{count:d} requests are late and none is answered")
+def all_late(context: Context, count: int) -> None:
+    context.sent_again = 0
+    for _ in range(count):
+        context.budget.earn("records")
+        context.sent_again += context.budget.take("records")
+
+
+@then("at most {most:d} of them are sent again")
+def at_most_again(context: Context, most: int) -> None:
+    assert 0 < context.sent_again <= most, context.sent_again
+
+
+def line(time_s: float, kind: str, **fields: object) -> dict[str, object]:
+    return {"time": time_s, "node": "edge-0", "kind": kind, **fields}
+
+
+@given("the log of a program whose {kind} request {end}")
+def program_log(context: Context, kind: str, end: str) -> None:
+    context.log = [
+        line(0.0, "ProcessChanged", change="started", detail=""),
+        line(1.0, "AttemptAdmitted", attempt="a1", program="p1", route="r", route_kind=kind),
+        line(1.5, "BudgetSettled", attempt="a0", program="p0", tokens=1),
+    ]
+    if end == "was under way at its death":
+        context.log.append(line(3.0, "ProcessChanged", change="started", detail=""))
+    elif end.startswith("was refused with"):
+        status = int(end.rpartition(" ")[2])
+        context.log.append(line(2.0, "AttemptRefused", attempt="a1", status=status, reason="r"))
+    elif end == "was answered at last":
+        context.log.append(line(2.0, "AttemptRefused", attempt="a1", status=503, reason="r"))
+        again = {"attempt": "a2", "program": "p1", "route": "r", "route_kind": kind}
+        context.log.append(line(2.2, "AttemptAdmitted", **again))
+        context.log.append(line(2.3, "AttemptAnswered", attempt="a2", status=200))
+    elif end == "was answered":
+        context.log.append(line(2.0, "AttemptAnswered", attempt="a1", status=200))
+
+
+def found_failures(context: Context) -> list[dict[str, object]]:
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "edge-0.log"
+        path.write_text("".join(json.dumps(one) + "\n" for one in context.log))
+        result = CliRunner().invoke(failures, [str(path), "--output", "json"])
+    assert result.exit_code == 0, result.output
+    return [json.loads(row) for row in result.output.splitlines()]
+
+
+@then('the failures name it with cause "{cause}"')
+def named(context: Context, cause: str) -> None:
+    (found,) = found_failures(context)
+    assert (found["program_id"], found["cause"]) == ("p1", cause), found
+
+
+@then("the failures do not name it")
+def not_named(context: Context) -> None:
+    assert found_failures(context) == []
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -76,6 +76,10 @@
         self.history: list[tuple[int, str, dict[str, Any], bool]] = []
         self.oldest = 0
         self.is_down = False
+        #: Seconds that every answer to a list takes.
+        self.list_delay_s = 0.0
+        #: Lists that get no answer at all, neither now nor later.
+        self.lists_to_lose = 0
         store = self
 
         class Handler(QuietHandler):
@@ -136,9 +140,21 @@
         if self.is_down:
             call.close_connection = True
             return
+        if call.command == "GET" and "watch" not in query:
+            if self._loses_list():
+                time.sleep(ANSWER_SECONDS)
+                call.close_connection = True
+                return
+            time.sleep(self.list_delay_s)
         status, document = self._answer(call.command, names, query, body)
         call.answer(status, json.dumps(document).encode(), {"Content-Type": "application/json"})
 
+    def _loses_list(self) -> bool:
+        with self.lock:
+            is_lost = self.lists_to_lose > 0
+            self.lists_to_lose -= is_lost
+            return is_lost
+
     def _answer(
         self, method: str, names: list[str], query: dict[str, str], body: dict[str, Any]
     ) -> tuple[int, dict[str, Any]]:
--- a/yarrowwall/cli/main.py
+++ b/yarrowwall/cli/main.py
@@ -9,6 +9,7 @@
 from yarrowwall.cli.demo import demo
 from yarrowwall.cli.experiment import experiment
 from yarrowwall.cli.explain import explain
+from yarrowwall.cli.failures import failures
 from yarrowwall.cli.journal_cost import journal_cost
 from yarrowwall.cli.node import check_settings, journal_init, node
 from yarrowwall.cli.operator import intent, plan, replica, status
@@ -41,6 +42,7 @@
     placement_cost,
     journal_cost,
     explain,
+    failures,
 )
 for command in COMMANDS:
     main.add_command(command)
--- a/yarrowwall/cli/node.py
+++ b/yarrowwall/cli/node.py
@@ -1,6 +1,7 @@
 """Commands that run and prepare a node."""
 
 import sys
+from collections.abc import Callable
 from pathlib import Path
 from typing import TypeVar
 
@@ -8,18 +9,22 @@
 
 from yarrowwall import logs
 from yarrowwall.exceptions import SettingsError, YarrowwallError
-from yarrowwall.relay.settings import MachineSettings
+from yarrowwall.relay.settings import load_machine_settings
 from yarrowwall.settings import NodeFileSettings, load_settings
 
 EXIT_BAD_SETTINGS = 2
-_Settings = TypeVar("_Settings", NodeFileSettings, MachineSettings)
+_Settings = TypeVar("_Settings")
 _PATH = click.Path(dir_okay=False, path_type=Path)
 
 
-def _load_or_exit(path: Path, model: type[_Settings]) -> _Settings:
+def _load_node_settings(path: Path) -> NodeFileSettings:
+    return load_settings(path, NodeFileSettings)
+
+
+def _load_or_exit(path: Path, load: Callable[[Path], _Settings]) -> _Settings:
     """Return the settings of a file; print its faults and exit if it has any."""
     try:
-        return load_settings(path, model)
+        return load(path)
     except SettingsError as error:
         for fault in error.faults:
             click.echo(fault, err=True)
@@ -30,7 +35,7 @@
 @click.option("--settings", "path", type=_PATH, required=True, help="TOML settings file.")
 def node(path: Path) -> None:
     """Run a node until SIGTERM; it then finishes what runs and exits."""
-    settings = _load_or_exit(path, NodeFileSettings)
+    settings = _load_or_exit(path, _load_node_settings)
     logs.set_up(settings.node_id, settings.zone, settings.log_level)
     from yarrowwall.runtime.service import run_node
 
@@ -46,9 +51,9 @@
 def check_settings(machine: bool, path: Path) -> None:
     """Check a settings file; one line a fault, exit code 2 if there is one."""
     if machine:
-        _load_or_exit(path, MachineSettings)
+        _load_or_exit(path, load_machine_settings)
     else:
-        _load_or_exit(path, NodeFileSettings)
+        _load_or_exit(path, _load_node_settings)
     click.echo(f"{path}: ok")
 
 
--- a/yarrowwall/core/gateway.py
+++ b/yarrowwall/core/gateway.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import yarrowwall.messages.all_messages  # noqa: F401
 from yarrowwall.core.effects import ReplyToCaller, SendToPeer, StreamRoute
 from yarrowwall.core.limits import Limits
 from yarrowwall.core.membership.table import MemberTable
--- a/yarrowwall/core/journal/service.py
+++ b/yarrowwall/core/journal/service.py
@@ -1,5 +1,6 @@
 """A node's journal replica: answers requests and finds programs left behind."""
 
+import yarrowwall.messages.all_messages  # noqa: F401
 from yarrowwall.core.effects import PersistThenSend, SendToPeer
 from yarrowwall.core.hashing import fraction
 from yarrowwall.core.journal.replica import JournalReplica, ReplicaResult
--- a/yarrowwall/core/program/journaled.py
+++ b/yarrowwall/core/program/journaled.py
@@ -9,6 +9,7 @@
 from collections import deque
 from dataclasses import dataclass
 
+import yarrowwall.messages.all_messages  # noqa: F401
 from yarrowwall.core.effects import Effect, SendToPeer
 from yarrowwall.core.journal.proposer import (
     ProgramLog,
--- /dev/null
+++ b/yarrowwall/messages/all_messages.py
@@ -0,0 +1,8 @@
+"""Importing this module registers every message with the codec."""
+
+import yarrowwall.messages.entries
+import yarrowwall.messages.journal
+import yarrowwall.messages.peers
+import yarrowwall.messages.records
+import yarrowwall.messages.replicated
+import yarrowwall.messages.requests  # noqa: F401
--- a/yarrowwall/messages/codec.py
+++ b/yarrowwall/messages/codec.py
@@ -2,6 +2,9 @@
 
 The schemas are read from the committed ``schemas`` folder; they are made from
 the dataclasses by :mod:`yarrowwall.messages.generate`.
+
+A class is known once its module is imported; a program imports those whose messages it
+sends or takes, and :mod:`yarrowwall.messages.all_messages` imports every one.
 """
 
 import dataclasses
@@ -18,12 +21,6 @@
 
 import fastavro
 
-import yarrowwall.messages.entries
-import yarrowwall.messages.journal
-import yarrowwall.messages.peers
-import yarrowwall.messages.records
-import yarrowwall.messages.replicated
-import yarrowwall.messages.requests  # noqa: F401  (imports register the classes)
 from yarrowwall.messages.exceptions import MalformedMessageError, UnknownMessageError
 from yarrowwall.messages.registry import CLASSES_BY_CODE, CODES_BY_CLASS
 
--- a/yarrowwall/messages/generate.py
+++ b/yarrowwall/messages/generate.py
@@ -10,6 +10,7 @@
 from enum import StrEnum
 from typing import Any
 
+import yarrowwall.messages.all_messages  # noqa: F401
 from yarrowwall.messages.codec import schema_path
 from yarrowwall.messages.registry import CLASSES_BY_CODE
 
--- a/yarrowwall/platform/__main__.py
+++ b/yarrowwall/platform/__main__.py
@@ -3,32 +3,16 @@
 The platform fills ``deploy/node.toml`` and names the result in an environment variable.
 """
 
-import yarrowwall.runtime  # noqa: F401  isort: skip  (patches the standard library first)
-
 import os
 import sys
 from pathlib import Path
 
 from yarrowwall.exceptions import SettingsError
+from yarrowwall.listeners import EarlyListeners
 from yarrowwall.platform import names
-from yarrowwall.platform.callers import PlatformCallers
-from yarrowwall.platform.documents import PlatformDocuments
-from yarrowwall.platform.servers import PlatformServers
-from yarrowwall.platform.store import PlatformStore
-from yarrowwall.relay.service import EXIT_BAD_SETTINGS, Adapter, run_machine
-from yarrowwall.relay.settings import MachineSettings
-from yarrowwall.settings import load_settings
-
-
-def adapter(settings: MachineSettings) -> Adapter:
-    """Return the platform's side of a node."""
-    return Adapter(
-        PlatformCallers(),
-        PlatformServers(),
-        PlatformDocuments(),
-        PlatformStore(settings.platform_address),
-        names.READINESS_PATH,
-    )
+from yarrowwall.relay.settings import MachineSettings, load_machine_settings
+
+EXIT_BAD_SETTINGS = 2
 
 
 def main() -> int:
@@ -38,12 +22,25 @@
     """
     path = Path(os.environ.get(names.SETTINGS_VARIABLE, ""))
     try:
-        settings = load_settings(path, MachineSettings)
+        settings = load_machine_settings(path)
     except SettingsError as error:
         for fault in error.faults:
             print(fault, file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    return run_machine(settings, adapter(settings), path)
+    with EarlyListeners(settings.listen_addresses) as listeners:
+        return _run(settings, listeners, path)
+
+
+def _run(settings: MachineSettings, listeners: EarlyListeners, path: Path) -> int:
+    # Imported only now, for callers already wait at the listeners.
+    from yarrowwall.eventlet_setup import patch_sockets
+
+    patch_sockets()
+
+    from yarrowwall.platform.adapter import make_adapter
+    from yarrowwall.relay.service import run_machine
+
+    return run_machine(settings, make_adapter(settings), listeners, path)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/yarrowwall/platform/adapter.py
@@ -0,0 +1,20 @@
+"""The platform's side of a node, put together."""
+
+from yarrowwall.platform import names
+from yarrowwall.platform.callers import PlatformCallers
+from yarrowwall.platform.documents import PlatformDocuments
+from yarrowwall.platform.servers import PlatformServers
+from yarrowwall.platform.store import PlatformStore
+from yarrowwall.relay.service import Adapter
+from yarrowwall.relay.settings import MachineSettings
+
+
+def make_adapter(settings: MachineSettings) -> Adapter:
+    """Return the platform's side of a node."""
+    return Adapter(
+        PlatformCallers(),
+        PlatformServers(),
+        PlatformDocuments(),
+        PlatformStore(settings.platform_address),
+        names.READINESS_PATH,
+    )
--- a/yarrowwall/platform/store.py
+++ b/yarrowwall/platform/store.py
@@ -38,14 +38,17 @@
         self._address = address
         self._idle: dict[str, ServerConnection] = {}
 
-    def list(self, kind: str) -> Listing:
-        """Return all objects of a kind."""
+    def list(self, kind: str, timeout_s: float) -> Listing:
+        """Return all objects of a kind.
+
+        :param timeout_s: the longest that each page of it may take.
+        """
         items: list[StoredObject] = []
         revision: int | None = None
         path = f"/objects/{kind}"
         query = ""
         while True:
-            _, document = self._call("GET", path + query, lane="calls")
+            _, document = self._call("GET", path + query, lane=f"list {kind}", timeout=timeout_s)
             items += [_object(item) for item in document["items"]]
             # Changes after the first page's revision are delivered by the watch.
             revision = document["at"] if revision is None else revision
--- a/yarrowwall/relay/decisions.py
+++ b/yarrowwall/relay/decisions.py
@@ -35,6 +35,7 @@
     attempt: str
     program: str | None
     route: str
+    route_kind: str
     configuration: int
     remaining: float
 
--- a/yarrowwall/relay/exceptions.py
+++ b/yarrowwall/relay/exceptions.py
@@ -34,8 +34,12 @@
         self.status = status
 
 
-class CallerGoneError(RelayError):
-    """The caller closed its connection; its attempt is to be cancelled."""
+class CallerGoneError(YarrowwallError):
+    """The caller closed its connection; its attempt is to be cancelled.
+
+    Raised in the middle of whatever is done for the caller. It is no error of the relay's
+    own, so that nothing takes it for a server's failure and asks the next one.
+    """
 
 
 class TurnUnknownError(RelayError):
--- a/yarrowwall/relay/gateway.py
+++ b/yarrowwall/relay/gateway.py
@@ -5,6 +5,8 @@
 from http import HTTPStatus
 from typing import Any
 
+from eventlet.event import Event
+
 from yarrowwall.relay import decisions
 from yarrowwall.relay.caller_watch import CallerWatch
 from yarrowwall.relay.exceptions import (
@@ -32,6 +34,10 @@
 _UNAVAILABLE = 503
 #: Seconds after a stop was asked for in which every request is taken: clients still come.
 STOP_WELCOME_SECONDS = 3.0
+#: Seconds from a process's start in which a request waits for the first reading of the
+#: platform's store. The reading takes 0.02 s if the store answers at once; beyond this the
+#: store is slow or away, and callers are better told to come back.
+START_HOLD_SECONDS = 0.4
 _TEXT = ("Content-Type", "text/plain")
 
 
@@ -60,12 +66,38 @@
         self.running = 0
         self._stops_at: float | None = None
         self._refuses_from = 0.0
+        self._holds_until = parts.now() + START_HOLD_SECONDS
+        self._informed = Event()
+
+    def note_informed(self) -> None:
+        """Note that configuration, servers and replicas were read for the first time."""
+        if not self._informed.ready():
+            self._informed.send()
+
+    def wait_until_informed(self) -> None:
+        """Hold a request that came before the first reading, for a moment at most.
+
+        Right after a start callers may have tried once already, and a refusal would end
+        their programs.
+        """
+        left = self._holds_until - self._parts.now()
+        if left > 0.0 and not self._informed.ready():
+            self._informed.wait(left)
 
     @property
     def is_stopping(self) -> bool:
         """Return whether the process was asked to stop."""
         return self._stops_at is not None
 
+    @property
+    def sends_callers_away(self) -> bool:
+        """Return whether callers had better come back through another gateway.
+
+        One that is out of the replicas' reach can run no turn, and callers stay with a
+        connection for as long as it is kept.
+        """
+        return self.is_stopping or not self._programs.is_reachable
+
     def stop(self, now: float, stops_at: float) -> None:
         """Close connections behind their answers; later take only what ends in time.
 
@@ -146,6 +178,7 @@
         try:
             attempt = self._gateway._callers.read_attempt(self._environ, self._arrived_at)
             self._attempt_id = attempt.attempt_id
+            self._gateway.wait_until_informed()
             route = self._gateway.match(attempt)
             attempt.body = self._read_body()
         except InvalidAttemptError as error:
@@ -175,6 +208,7 @@
                 attempt.attempt_id,
                 attempt.program.program_id if attempt.program else None,
                 route.name,
+                route.kind.value,
                 table.configuration.version if table is not None else 0,
                 end - attempt.arrived_at,
             )
@@ -276,7 +310,7 @@
     # Responses
 
     def _start(self, status: int, headers: list[tuple[str, str]]) -> None:
-        if self._gateway.is_stopping:
+        if self._gateway.sends_callers_away:
             close_after_answer(self._environ)
         self._start_response(f"{status} {_reason(status)}", headers)
 
--- a/yarrowwall/relay/gateway_service.py
+++ b/yarrowwall/relay/gateway_service.py
@@ -1,6 +1,5 @@
 """The gateway of a machine: listeners, followers of the platform's store, stop."""
 
-import socket
 import time
 from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING, Any
@@ -8,6 +7,7 @@
 import eventlet
 import eventlet.wsgi
 
+from yarrowwall.listeners import EarlyListeners
 from yarrowwall.messages.replicated import GroupView
 from yarrowwall.relay import decisions
 from yarrowwall.relay.decisions import DecisionLog
@@ -21,10 +21,10 @@
 from yarrowwall.relay.pool import ConnectionPool
 from yarrowwall.relay.servers import ServerDirectory
 from yarrowwall.relay.settings import GatewaySettings, MachineSettings
-from yarrowwall.relay.watching import KindFollower
+from yarrowwall.relay.sockets import green
+from yarrowwall.relay.watching import FLURRY_SECONDS, KindFollower
 from yarrowwall.replication.documents import GROUPS_KIND, read_groups
 from yarrowwall.replication.quorum_client import GroupViews, LinkTable, QuorumClient
-from yarrowwall.runtime.peers import split_address
 
 if TYPE_CHECKING:
     from yarrowwall.relay.service import Adapter
@@ -37,11 +37,6 @@
 STOP_MARGIN_SECONDS = 0.7
 
 
-def listen(address: str) -> socket.socket:
-    """Return a listening socket."""
-    return eventlet.listen(split_address(address), backlog=512)
-
-
 class GatewayService:
     """Runs a gateway."""
 
@@ -50,11 +45,13 @@
         settings: MachineSettings,
         own: GatewaySettings,
         adapter: "Adapter",
+        listeners: EarlyListeners,
         log: DecisionLog,
     ) -> None:
         self._settings = settings
         self._own = own
         self._adapter = adapter
+        self._listeners = listeners
         self._log = log
         self._directory = ServerDirectory(settings.zone)
         self._pool = ConnectionPool(time.monotonic)
@@ -76,6 +73,7 @@
                 self._configurations_listed,
                 lambda change: self._configuration_changed(change.item, change.is_gone),
                 log,
+                self._note_read,
             ),
             KindFollower(
                 adapter.store,
@@ -83,9 +81,16 @@
                 self._servers_listed,
                 self._server_changed,
                 log,
+                self._note_read,
+                FLURRY_SECONDS,
             ),
             KindFollower(
-                adapter.store, GROUPS_KIND, self._groups_listed, self._groups_changed, log
+                adapter.store,
+                GROUPS_KIND,
+                self._groups_listed,
+                self._groups_changed,
+                log,
+                self._note_read,
             ),
         ]
 
@@ -95,10 +100,11 @@
             follower.start()
         self._ledger.start()
         self._loads.start()
-        eventlet.spawn_n(serve, listen(self._own.http_address), self.gateway, self._limits)
+        callers = green(self._listeners.take(self._own.http_address))
+        eventlet.spawn_n(serve, callers, self.gateway, self._limits)
         eventlet.spawn_n(
             eventlet.wsgi.server,
-            listen(self._own.readiness_address),
+            green(self._listeners.take(self._own.readiness_address)),
             self._answer_readiness,
             log_output=False,
         )
@@ -121,9 +127,18 @@
 
         A gateway that is cut off from the replicas refuses turns that others could run.
         """
+        is_able = self._is_informed and self._ledger.is_reachable
+        return is_able and not self.gateway.is_stopping
+
+    @property
+    def _is_informed(self) -> bool:
+        """Return whether configuration, servers and replicas were read."""
         has_listed = all(follower.has_listed for follower in self._followers)
-        is_able = self.gateway.table is not None and self._ledger.is_reachable
-        return is_able and has_listed and not self.gateway.is_stopping
+        return has_listed and self.gateway.table is not None and self._views.count > 0
+
+    def _note_read(self) -> None:
+        if self._is_informed:
+            self.gateway.note_informed()
 
     def _answer_readiness(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
--- a/yarrowwall/relay/metrics.py
+++ b/yarrowwall/relay/metrics.py
@@ -1,103 +1,151 @@
-"""Metrics of a machine, in Prometheus' text form, counted from its decisions."""
+"""Metrics of a machine, in Prometheus' text form, counted from its decisions.
 
-from collections.abc import Callable, Iterable
-from typing import Any
+They are counted in plain numbers. The library that writes them is loaded at the first
+scrape, for it takes part of a start that callers wait for and memory that most never need.
+"""
+
+from bisect import bisect_left
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import eventlet
 import eventlet.wsgi
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
+from yarrowwall.addresses import split_address
 from yarrowwall.relay import decisions
 from yarrowwall.relay.decisions import Decision
-from yarrowwall.runtime.peers import split_address
+
+if TYPE_CHECKING:
+    from prometheus_client.metrics_core import Metric
 
 _LATENCY_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 3.0, 5.0, 10.0)
 _METRICS_PATH = "/metrics"
+_PREFIX = "yarrowwall_"
+
+
+class _Description(NamedTuple):
+    """A metric as Prometheus shows it."""
+
+    name: str
+    text: str
+    label: str | None = None
+
+
+ANSWERS = _Description("answers", "Attempts answered by a server", "status")
+REFUSALS = _Description("refusals", "Answers of the gateway's own", "status")
+SENDS = _Description("sends", "Sendings to servers", "service")
+FAILED_SENDS = _Description("failed_sends", "Sendings without an answer to pass on", "may_have_run")
+CACHED_TOKENS = _Description(
+    "cached_prompt_tokens", "Prompt tokens believed to be in the chosen server's memory"
+)
+BROKEN = _Description("answers_broken_off", "Answers cut midway")
+LEFT = _Description("callers_left", "Callers that closed their connection")
+BUDGETS = _Description("budget_decisions", "Reservations of tokens", "granted")
+CHAINS = _Description("chain_lookups", "Lookups of earlier turns", "outcome")
+SYNCHRONISATIONS = _Description("synchronisations", "Copies of a group that a replica finished")
+DEPENDENCY = _Description("dependency_up", "Whether a dependency answers", "dependency")
+VERSION = _Description("configuration_version", "Version in force")
+EPOCH = _Description("group_epoch", "Newest view of a group", "group")
+DROPPED = _Description("log_lines_dropped", "Log lines not written")
+SECONDS = _Description("attempt_seconds", "Time from an attempt's arrival to the end of its answer")
+
+
+class _Key(NamedTuple):
+    """One series of a metric."""
+
+    metric: _Description
+    label: str = ""
 
 
 class MachineMetrics:
-    """All metrics of one machine, in a registry of its own."""
+    """All metrics of one machine."""
 
     def __init__(self) -> None:
-        self.registry = CollectorRegistry()
-        self.answers = self._counter("answers", "Attempts answered by a server", ["status"])
-        self.refusals = self._counter("refusals", "Answers of the gateway's own", ["status"])
-        self.seconds = Histogram(
-            "yarrowwall_attempt_seconds",
-            "Time from an attempt's arrival to the end of its answer",
-            buckets=_LATENCY_BUCKETS,
-            registry=self.registry,
-        )
-        self.sends = self._counter("sends", "Sendings to servers", ["service"])
-        self.failed_sends = self._counter(
-            "failed_sends", "Sendings without an answer to pass on", ["may_have_run"]
-        )
-        self.cached_tokens = self._counter(
-            "cached_prompt_tokens", "Prompt tokens believed to be in the chosen server's memory"
-        )
-        self.broken = self._counter("answers_broken_off", "Answers cut midway")
-        self.left = self._counter("callers_left", "Callers that closed their connection")
-        self.budgets = self._counter("budget_decisions", "Reservations of tokens", ["granted"])
-        self.chains = self._counter("chain_lookups", "Lookups of earlier turns", ["outcome"])
-        self.dependency = Gauge(
-            "yarrowwall_dependency_up",
-            "Whether a dependency answers",
-            ["dependency"],
-            registry=self.registry,
-        )
-        self.version = Gauge(
-            "yarrowwall_configuration_version", "Version in force", registry=self.registry
-        )
-        self.epoch = Gauge(
-            "yarrowwall_group_epoch", "Newest view of a group", ["group"], registry=self.registry
-        )
-        self.synchronisations = self._counter(
-            "synchronisations", "Copies of a group that a replica finished"
-        )
-        self.dropped = Gauge(
-            "yarrowwall_log_lines_dropped", "Log lines not written", registry=self.registry
-        )
+        self._counts: Counter[_Key] = Counter()
+        self._gauges: dict[_Key, float] = {}
+        self._latencies = [0] * (len(_LATENCY_BUCKETS) + 1)
+        self._latency_sum_s = 0.0
         self._handlers: dict[type[Decision], Callable[[Any], None]] = {
             decisions.AttemptAnswered: self._answered,
-            decisions.AttemptRefused: lambda event: self.refusals.labels(event.status).inc(),
+            decisions.AttemptRefused: lambda event: self._add(REFUSALS, event.status),
             decisions.AttemptSent: self._sent,
-            decisions.SendFailed: lambda event: self.failed_sends.labels(event.may_have_run).inc(),
-            decisions.AnswerBrokenOff: lambda event: self.broken.inc(),
-            decisions.CallerLeft: lambda event: self.left.inc(),
-            decisions.BudgetDecided: lambda event: self.budgets.labels(event.granted).inc(),
-            decisions.ChainLookedUp: lambda event: self.chains.labels(event.outcome).inc(),
-            decisions.DependencyChanged: lambda event: self.dependency.labels(event.dependency).set(
-                event.is_up
+            decisions.SendFailed: lambda event: self._add(FAILED_SENDS, event.may_have_run),
+            decisions.AnswerBrokenOff: lambda event: self._add(BROKEN),
+            decisions.CallerLeft: lambda event: self._add(LEFT),
+            decisions.BudgetDecided: lambda event: self._add(BUDGETS, event.granted),
+            decisions.ChainLookedUp: lambda event: self._add(CHAINS, event.outcome),
+            decisions.ReplicaSynchronised: lambda event: self._add(SYNCHRONISATIONS),
+            decisions.DependencyChanged: lambda event: self._set(
+                DEPENDENCY, event.is_up, event.dependency
             ),
-            decisions.ConfigurationInForce: lambda event: self.version.set(event.version),
-            decisions.GroupChanged: lambda event: self.epoch.labels(event.group).set(event.epoch),
-            decisions.ReplicaSynchronised: lambda event: self.synchronisations.inc(),
+            decisions.ConfigurationInForce: lambda event: self._set(VERSION, event.version),
+            decisions.GroupChanged: lambda event: self._set(EPOCH, event.epoch, event.group),
         }
 
-    def _counter(self, name: str, text: str, labels: Iterable[str] = ()) -> Counter:
-        return Counter(f"yarrowwall_{name}", text, labels, registry=self.registry)
-
     def count(self, decision: Decision) -> None:
         """Count a decision."""
         handler = self._handlers.get(type(decision))
         if handler is not None:
             handler(decision)
 
+    def _add(self, metric: _Description, label: object = "", amount: int = 1) -> None:
+        self._counts[_Key(metric, str(label))] += amount
+
+    def _set(self, metric: _Description, value: float, label: object = "") -> None:
+        self._gauges[_Key(metric, str(label))] = value
+
     def _answered(self, event: decisions.AttemptAnswered) -> None:
-        self.answers.labels(event.status).inc()
-        self.seconds.observe(event.seconds)
+        self._add(ANSWERS, event.status)
+        self._latencies[bisect_left(_LATENCY_BUCKETS, event.seconds)] += 1
+        self._latency_sum_s += event.seconds
 
     def _sent(self, event: decisions.AttemptSent) -> None:
-        self.sends.labels(event.service).inc()
-        self.cached_tokens.inc(event.cached_tokens)
+        self._add(SENDS, event.service)
+        self._add(CACHED_TOKENS, amount=event.cached_tokens)
 
     def render(self, dropped: int) -> bytes:
         """Return the text that a scrape gets.
 
         :param dropped: log lines that were not written.
         """
-        self.dropped.set(dropped)
-        return generate_latest(self.registry)
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        self._set(DROPPED, dropped)
+        registry = CollectorRegistry()
+        registry.register(self)  # type: ignore[arg-type]  # a collector is whatever collects
+        return generate_latest(registry)
+
+    def collect(self) -> "Iterator[Metric]":
+        """Return every metric, for Prometheus' library."""
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            GaugeMetricFamily,
+            HistogramMetricFamily,
+        )
+
+        yield from _families(self._counts, CounterMetricFamily)
+        yield from _families(self._gauges, GaugeMetricFamily)
+        latencies = HistogramMetricFamily(_PREFIX + SECONDS.name, SECONDS.text)
+        latencies.add_metric([], self._cumulative(), sum_value=self._latency_sum_s)
+        yield latencies
+
+    def _cumulative(self) -> list[tuple[str, float]]:
+        """Return the bounds of the buckets, each with how many attempts took at most so long."""
+        bounds = [*(str(bound) for bound in _LATENCY_BUCKETS), "+Inf"]
+        counts = [float(sum(self._latencies[: end + 1])) for end in range(len(bounds))]
+        return list(zip(bounds, counts, strict=True))
+
+
+def _families(series: dict[_Key, Any], family: Callable[..., Any]) -> "Iterator[Metric]":
+    """Return the metrics of one type, each with all of its series."""
+    metrics: dict[_Description, Any] = {}
+    for (metric, label), value in series.items():
+        labels = [metric.label] if metric.label else []
+        if metric not in metrics:
+            metrics[metric] = family(_PREFIX + metric.name, metric.text, labels=labels)
+        metrics[metric].add_metric([label] if labels else [], value)
+    yield from metrics.values()
 
 
 def serve_metrics(address: str, render: Callable[[], bytes]) -> None:
--- a/yarrowwall/relay/object_store.py
+++ b/yarrowwall/relay/object_store.py
@@ -61,8 +61,11 @@
     Every method raises :class:`ObjectStoreError` if the store gives no usable answer.
     """
 
-    def list(self, kind: str) -> Listing:
-        """Return all objects of a kind."""
+    def list(self, kind: str, timeout_s: float) -> Listing:
+        """Return all objects of a kind.
+
+        :param timeout_s: the longest that each page of it may take.
+        """
 
     def watch(self, kind: str, revision: int) -> Changes:
         """Wait for changes after a revision; none if nothing happened for a while.
--- a/yarrowwall/relay/offer.py
+++ b/yarrowwall/relay/offer.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from yarrowwall.relay import decisions
 from yarrowwall.relay.connection import ServerConnection
@@ -20,6 +20,7 @@
     Answer,
     Attempt,
     Refusal,
+    RequestKind,
     ResponseHead,
     Route,
     Send,
@@ -29,6 +30,7 @@
 from yarrowwall.relay.pool import ConnectionPool
 from yarrowwall.relay.ports import ServerProtocol
 from yarrowwall.relay.servers import Choice, ServerDirectory, Wish
+from yarrowwall.relay.stays import RetryBudget, StayEstimator
 from yarrowwall.relay.urgency import turn_rank
 
 #: Seconds after which a caller that was refused for want of room should come back.
@@ -37,8 +39,9 @@
 LEAST_REMAINING_SECONDS = 0.02
 #: Responses to other requests that are skipped on one connection.
 MOST_FOREIGN_ANSWERS = 4
-#: Seconds of silence of a server, on all connections, after which a request that may be
-#: repeated goes on elsewhere. A server that is heard of merely lets the request wait.
+#: As long as too few answers of a route were seen, and for streams: seconds of silence of a
+#: server, on all connections, after which a request that may be repeated goes on elsewhere.
+#: A server that is heard of merely lets the request wait.
 SILENCE_SECONDS = 0.8
 #: Seconds of waiting after which it goes on elsewhere in any case. Giving up a place in a
 #: queue costs more than most waits, so this is long.
@@ -60,6 +63,8 @@
     protocol: ServerProtocol
     decisions: DecisionLog
     now: Callable[[], float]
+    stays: StayEstimator = field(default_factory=StayEstimator)
+    retries: RetryBudget = field(default_factory=RetryBudget)
 
 
 @dataclass
@@ -183,6 +188,8 @@
             )
         )
         sent_at = self._parts.now()
+        if self.log.offered == 1:
+            self._parts.retries.earn(self._service)
         self._parts.directory.started(server.server_id)
         try:
             answer = self._exchange(connection, send)
@@ -201,6 +208,7 @@
             raise
 
     def _exchange(self, connection: ServerConnection, send: Send) -> Answer:
+        may_have_run_before = self.log.may_have_run
         self.log.may_have_run = True
         connection.send(self._parts.protocol.request_bytes(self._attempt, send), self.remaining())
         for _ in range(MOST_FOREIGN_ANSWERS):
@@ -213,7 +221,8 @@
         else:
             raise MalformedAnswerError("only answers to other requests")
         if answer.was_not_run:
-            self.log.may_have_run = False
+            # It says nothing of other servers that got the request before.
+            self.log.may_have_run = may_have_run_before
         elif answer.status < 300 and not answer.is_sealed:
             raise MalformedAnswerError("a success without the server's signature")
         connection.keep_alive = answer.keep_alive
@@ -234,7 +243,15 @@
 
     def patience(self) -> float:
         """Return the seconds to wait before another look at the server."""
-        return min(self.remaining(), SILENCE_SECONDS) if self._may_repeat else self.remaining()
+        if not self._may_repeat:
+            return self.remaining()
+        return min(self.remaining(), self._usual_limit_s() or SILENCE_SECONDS)
+
+    def _usual_limit_s(self) -> float | None:
+        """Return the seconds after which a whole answer is late; None if not known."""
+        if self._route.kind is not RequestKind.IDEMPOTENT:
+            return None
+        return self._parts.stays.limit_s(self._route.name)
 
     @property
     def _may_repeat(self) -> bool:
@@ -248,6 +265,9 @@
         if not self._may_repeat:
             return self.remaining() > 0
         now = self._parts.now()
+        limit_s = self._usual_limit_s()
+        if limit_s is not None:
+            return now - since < limit_s or not self._parts.retries.take(self._service)
         is_heard = now - self._parts.directory.last_heard(server_id) < SILENCE_SECONDS
         return is_heard and now - since < LONGEST_SILENCE_SECONDS
 
--- a/yarrowwall/relay/programs.py
+++ b/yarrowwall/relay/programs.py
@@ -41,6 +41,10 @@
 class ProgramLedger(Protocol):
     """Grants turns."""
 
+    @property
+    def is_reachable(self) -> bool:
+        """Return whether turns can be granted now, as far as known."""
+
     def open_turn(
         self, attempt: Attempt, route: Route, tokens_per_event: int, end: float
     ) -> TurnGrant:
--- a/yarrowwall/relay/service.py
+++ b/yarrowwall/relay/service.py
@@ -9,17 +9,16 @@
 from eventlet.event import Event
 
 from yarrowwall.exceptions import SettingsError
+from yarrowwall.listeners import EarlyListeners
 from yarrowwall.relay import decisions
 from yarrowwall.relay.decisions import DecisionLog
 from yarrowwall.relay.gateway_service import GatewayService
 from yarrowwall.relay.metrics import MachineMetrics, serve_metrics
 from yarrowwall.relay.object_store import ObjectStore
 from yarrowwall.relay.ports import CallerProtocol, Documents, ServerProtocol
-from yarrowwall.relay.settings import MachineSettings
+from yarrowwall.relay.settings import MachineSettings, load_machine_settings
 from yarrowwall.replication.service import ReplicaService
-from yarrowwall.settings import load_settings
 
-EXIT_BAD_SETTINGS = 2
 #: Seconds between looks at the settings file, which may change without a signal.
 SETTINGS_SECONDS = 2.0
 
@@ -48,10 +47,17 @@
 class Machine:
     """The process of a machine.
 
+    :param listeners: listening sockets that were opened before.
     :param path: the settings file, looked at again while the process runs.
     """
 
-    def __init__(self, settings: MachineSettings, adapter: Adapter, path: Path) -> None:
+    def __init__(
+        self,
+        settings: MachineSettings,
+        adapter: Adapter,
+        listeners: EarlyListeners,
+        path: Path,
+    ) -> None:
         self._settings = settings
         self._path = path
         self._metrics = MachineMetrics()
@@ -60,11 +66,18 @@
         self._is_stopping = False
         self._parts: list[Part] = []
         if settings.gateway is not None:
-            self._parts.append(GatewayService(settings, settings.gateway, adapter, self._log))
+            self._parts.append(
+                GatewayService(settings, settings.gateway, adapter, listeners, self._log)
+            )
         if settings.replica is not None:
             self._parts.append(
                 ReplicaService(
-                    settings, settings.replica, adapter.documents, adapter.store, self._log
+                    settings,
+                    settings.replica,
+                    adapter.documents,
+                    adapter.store,
+                    listeners,
+                    self._log,
                 )
             )
 
@@ -97,7 +110,7 @@
     def reload(self) -> None:
         """Read the settings file again; faults are told and the old settings stay."""
         try:
-            settings = load_settings(self._path, MachineSettings)
+            settings = load_machine_settings(self._path)
         except SettingsError as error:
             self._log.write(decisions.ProcessChanged("settings refused", str(error)))
             return
@@ -130,11 +143,13 @@
         return code
 
 
-def run_machine(settings: MachineSettings, adapter: Adapter, path: Path) -> int:
+def run_machine(
+    settings: MachineSettings, adapter: Adapter, listeners: EarlyListeners, path: Path
+) -> int:
     """Run the process of a machine until it is told to stop.
 
     :returns: the process's exit code.
     """
-    machine = Machine(settings, adapter, path)
+    machine = Machine(settings, adapter, listeners, path)
     machine.start()
     return machine.wait()
--- a/yarrowwall/relay/settings.py
+++ b/yarrowwall/relay/settings.py
@@ -1,54 +1,68 @@
-"""Settings of a machine on a platform: TOML, checked, unknown keys passed over."""
+"""Settings of a machine on a platform: TOML, checked, unknown keys passed over.
 
+Checked by ``msgspec`` and not, as the product's other settings, by ``pydantic``: that
+takes 0.1 s and 10 MB of every start, which on these machines is time out of service.
+"""
+
+import re
+import tomllib
 from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+
+from yarrowwall.addresses import check_address
+from yarrowwall.exceptions import SettingsError
+
+_Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9_-]*$")]
+_Port = Annotated[int, msgspec.Meta(gt=0, lt=65536)]
+_Seconds = Annotated[float, msgspec.Meta(gt=0.0)]
+#: msgspec puts the place of a fault behind its text.
+_PLACE = re.compile(r" - at `\$\.?(.*)`$")
 
-from pydantic import BaseModel, ConfigDict, Field
 
-from yarrowwall.settings import Address, Name
+class _Section(msgspec.Struct, frozen=True):
+    """A table of the file. A platform adds keys of its own with time; they are no faults."""
 
 
-class _Section(BaseModel):
-    # A platform adds keys of its own with time; they are no faults.
-    model_config = ConfigDict(extra="ignore", frozen=True)
+class Address(str):
+    """An address, ``IP:port``."""
 
 
-class GatewaySettings(_Section):
+class GatewaySettings(_Section, frozen=True, kw_only=True):
     """Listeners towards callers and the platform."""
 
     http_address: Address
     readiness_address: Address
 
 
-class ReplicaSettings(_Section):
-    """The disk and the listener of a replica."""
+class ReplicaSettings(_Section, frozen=True, kw_only=True):
+    """The disk of a replica."""
 
-    data_folder: Path
-    disk_megabytes: int = Field(default=0, ge=0)
+    data_folder: str
 
 
-class BoundSettings(_Section):
-    """Time limits that the deployment sets, in seconds."""
+class BoundSettings(_Section, frozen=True, kw_only=True):
+    """Time limits that the deployment sets.
 
-    stop: float = Field(default=8.0, gt=0.0)
-    drain: float = Field(default=2.0, gt=0.0)
-    catch_up: float = Field(default=4.0, gt=0.0)
-    contact: float = Field(default=3.0, gt=0.0)
-    heartbeat: float = Field(default=1.0, gt=0.0)
+    :param stop: seconds that a process has to end after it was asked to.
+    """
 
+    stop: _Seconds = 8.0
 
-class MachineSettings(_Section):
+
+class MachineSettings(_Section, frozen=True, kw_only=True):
     """The settings file of a machine."""
 
-    node_id: Name
-    zone: Name
+    node_id: _Name
+    zone: _Name
     ip: str
-    first_peer_port: int = Field(gt=0, lt=65536)
-    last_peer_port: int = Field(gt=0, lt=65536)
-    metrics_port: int | None = Field(default=None, gt=0, lt=65536)
+    first_peer_port: _Port
+    last_peer_port: _Port
+    metrics_port: _Port | None = None
     platform_address: Address
     is_first_start: bool = False
-    machines_lost_at_once: int = Field(default=1, ge=0)
-    memory_megabytes: int = Field(default=256, gt=0)
+    machines_lost_at_once: Annotated[int, msgspec.Meta(ge=0)] = 1
     bounds: BoundSettings = BoundSettings()
     gateway: GatewaySettings | None = None
     replica: ReplicaSettings | None = None
@@ -62,3 +76,71 @@
     def metrics_address(self) -> str:
         """Return where metrics are told."""
         return f"{self.ip}:{self.metrics_port or self.last_peer_port}"
+
+    @property
+    def listen_addresses(self) -> list[str]:
+        """Return where others reach this process."""
+        found: list[str] = []
+        if self.gateway is not None:
+            found += [self.gateway.http_address, self.gateway.readiness_address]
+        if self.replica is not None:
+            found.append(self.peer_address)
+        return found
+
+
+def parse_machine_settings(text: str) -> MachineSettings:
+    """Check the text of a machine's settings file.
+
+    :raises SettingsError: with one line for each faulty key; of a table, for its first.
+    """
+    try:
+        values = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError([f"not TOML: {error}"]) from error
+    faults = []
+    for field in msgspec.structs.fields(MachineSettings):
+        if field.name in values:
+            faults += _faults(field, values[field.name])
+        elif field.required:
+            faults.append(f"{field.name}: missing: the key is required")
+    if faults:
+        raise SettingsError(faults)
+    return _convert(values, MachineSettings)
+
+
+def _faults(field: msgspec.structs.FieldInfo, value: object) -> list[str]:
+    try:
+        _convert(value, field.type)
+    except msgspec.ValidationError as error:
+        return [_fault_line(field.name, value, str(error))]
+    return []
+
+
+def _convert(value: object, wanted: Any) -> Any:
+    return msgspec.convert(value, wanted, dec_hook=_address)
+
+
+def _address(wanted: type, value: object) -> Address:
+    """Return a value of a type that msgspec does not know."""
+    return wanted(check_address(str(value)))
+
+
+def _fault_line(key: str, value: object, text: str) -> str:
+    """Return key, value and what is allowed."""
+    place = _PLACE.search(text)
+    if place is None:
+        return f"{key}: {value!r}: {text}"
+    inner = f"{key}.{place[1]}" if place[1] else key
+    return f"{inner}: {value!r}: {text[: place.start()]}"
+
+
+def load_machine_settings(path: Path) -> MachineSettings:
+    """Read and check a machine's settings file.
+
+    :raises SettingsError: if it cannot be read or has faults.
+    """
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError([f"{path}: {error}"]) from error
+    return parse_machine_settings(text)
--- a/yarrowwall/relay/watching.py
+++ b/yarrowwall/relay/watching.py
@@ -18,6 +18,16 @@
 #: Seconds before a failed read is tried again, doubled up to the most.
 RETRY_SECONDS = 0.15
 MOST_RETRY_SECONDS = 1.0
+#: The same until the first list, without which the process is of no use.
+MOST_FIRST_RETRY_SECONDS = 0.3
+#: Seconds that a list may take, doubled up to the most after each that was not answered. A
+#: call that was lost in an outage is never answered, so the first are short; a slow store
+#: (0.4 s an answer was seen) is reached by the later ones.
+LIST_SECONDS = 0.3
+MOST_LIST_SECONDS = 2.4
+#: Seconds between the changes of a kind that comes in flurries and the next question for
+#: more. Each question is a call that is paid for; a flurry is then told by few of them.
+FLURRY_SECONDS = 0.25
 
 
 class KindFollower:
@@ -25,6 +35,8 @@
 
     :param on_list: called with all objects after each list.
     :param on_change: called with each change after that.
+    :param on_read: called after each list and each answer to a watch.
+    :param pause_s: seconds to wait after changes before the next ones are asked for.
     """
 
     def __init__(
@@ -34,12 +46,16 @@
         on_list: Callable[[list[StoredObject]], None],
         on_change: Callable[[Change], None],
         log: DecisionLog,
+        on_read: Callable[[], None] = lambda: None,
+        pause_s: float = 0.0,
     ) -> None:
         self._store = store
         self._kind = kind
         self._on_list = on_list
         self._on_change = on_change
         self._log = log
+        self._on_read = on_read
+        self._pause_s = pause_s
         self._failures = 0
         self.has_listed = False
 
@@ -53,6 +69,7 @@
             try:
                 revision = self._list() if revision is None else self._watch(revision)
                 self._note_up()
+                self._on_read()
             except HistoryForgottenError:
                 revision = None
             except ObjectStoreError as error:
@@ -67,7 +84,8 @@
                 self._pause()
 
     def _list(self) -> int:
-        listing = self._store.list(self._kind)
+        timeout_s = min(LIST_SECONDS * 2**self._failures, MOST_LIST_SECONDS)
+        listing = self._store.list(self._kind, timeout_s)
         self._on_list(listing.items)
         self.has_listed = True
         return listing.revision
@@ -76,10 +94,13 @@
         found = self._store.watch(self._kind, revision)
         for change in found.changes:
             self._on_change(change)
+        if found.changes:
+            eventlet.sleep(self._pause_s)
         return found.revision
 
     def _pause(self) -> None:
-        pause = min(RETRY_SECONDS * 2 ** (self._failures - 1), MOST_RETRY_SECONDS)
+        most_s = MOST_RETRY_SECONDS if self.has_listed else MOST_FIRST_RETRY_SECONDS
+        pause = min(RETRY_SECONDS * 2 ** (self._failures - 1), most_s)
         eventlet.sleep(pause * (0.75 + 0.5 * fraction(self._kind, str(self._failures))))
 
     def _note_up(self) -> None:
--- a/yarrowwall/relay/whole.py
+++ b/yarrowwall/relay/whole.py
@@ -30,6 +30,7 @@
         offer.release()
         now = parts.now()
         parts.directory.note_pace(server_id, now - opened.sent_at, now)
+        parts.stays.note(route.name, now - opened.sent_at)
         return opened.answer, body
 
 
--- a/yarrowwall/replication/disk.py
+++ b/yarrowwall/replication/disk.py
@@ -7,9 +7,9 @@
 from yarrowwall.relay import decisions
 from yarrowwall.relay.decisions import DecisionLog
 from yarrowwall.replication.replica import LogRecord, RecordReplica
-from yarrowwall.runtime.journal_writer import JournalWriter
 from yarrowwall.storage import identity
 from yarrowwall.storage.exceptions import CorruptSegmentError
+from yarrowwall.storage.journal_writer import JournalWriter
 from yarrowwall.storage.segments import SegmentStore
 
 #: Segments after which the log is written anew without what is obsolete.
--- a/yarrowwall/replication/service.py
+++ b/yarrowwall/replication/service.py
@@ -2,9 +2,11 @@
 
 import time
 from collections.abc import Callable
+from pathlib import Path
 
 import eventlet
 
+from yarrowwall.listeners import EarlyListeners
 from yarrowwall.messages.replicated import (
     GroupView,
     LoadReply,
@@ -25,6 +27,7 @@
 )
 from yarrowwall.relay.ports import Documents
 from yarrowwall.relay.settings import MachineSettings, ReplicaSettings
+from yarrowwall.relay.sockets import green
 from yarrowwall.relay.watching import KindFollower
 from yarrowwall.replication.coordinator import Coordinator
 from yarrowwall.replication.disk import ReplicaDisk
@@ -42,7 +45,6 @@
 from yarrowwall.replication.rpc import serve_requests
 from yarrowwall.replication.synchroniser import Synchroniser
 from yarrowwall.replication.views import all_members, disk_ids
-from yarrowwall.runtime.peers import split_address
 
 #: Seconds between rounds of upkeep, and between looks for records to drop.
 UPKEEP_SECONDS = 0.3
@@ -58,13 +60,15 @@
         own: ReplicaSettings,
         documents: Documents,
         store: ObjectStore,
+        listeners: EarlyListeners,
         log: DecisionLog,
     ) -> None:
         self._settings = settings
         self._documents = documents
         self._store = store
+        self._listeners = listeners
         self._log = log
-        self._disk = ReplicaDisk(settings.node_id, own.data_folder, log)
+        self._disk = ReplicaDisk(settings.node_id, Path(own.data_folder), log)
         self._replica = self._disk.replica
         self._links = LinkTable(time.monotonic)
         self._peers = ReplicaPeers(settings.node_id, self._links, time.monotonic)
@@ -95,8 +99,7 @@
 
     def start(self) -> None:
         """Begin to serve."""
-        address = split_address(self._settings.peer_address)
-        listener = eventlet.listen(address, backlog=512)
+        listener = green(self._listeners.take(self._settings.peer_address))
         eventlet.spawn_n(serve_requests, listener, self._handle)
         for follower in self._followers:
             follower.start()
--- a/yarrowwall/runtime/__init__.py
+++ b/yarrowwall/runtime/__init__.py
@@ -4,11 +4,6 @@
 before anything that opens a socket.
 """
 
-import warnings
+from yarrowwall.eventlet_setup import patch_all
 
-# The docs name the risk that eventlet is in maintenance only; every start need not.
-with warnings.catch_warnings():
-    warnings.simplefilter("ignore")
-    import eventlet
-
-eventlet.monkey_patch()
+patch_all()
--- a/yarrowwall/runtime/peers.py
+++ b/yarrowwall/runtime/peers.py
@@ -15,6 +15,8 @@
 import logbook
 from eventlet.event import Event
 
+import yarrowwall.messages.all_messages  # noqa: F401
+from yarrowwall.addresses import split_address
 from yarrowwall.messages.codec import decode, encode
 from yarrowwall.messages.exceptions import MessageError
 from yarrowwall.runtime.exceptions import FrameError
@@ -33,12 +35,6 @@
 _log = logbook.Logger(__name__)
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of ``IP:port``."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 def set_no_delay(connection: socket.socket) -> None:
     """Send small messages at once instead of waiting to fill a packet."""
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/yarrowwall/runtime/service.py
+++ b/yarrowwall/runtime/service.py
@@ -10,6 +10,7 @@
 import logbook
 from eventlet.event import Event
 
+from yarrowwall.addresses import split_address
 from yarrowwall.core.configuration.models import ShardMap, ShardReplica
 from yarrowwall.core.effects import (
     AttachStream,
@@ -41,13 +42,13 @@
 from yarrowwall.runtime.callers import CallerTable
 from yarrowwall.runtime.engine_client import EngineClient
 from yarrowwall.runtime.http_api import HttpApi
-from yarrowwall.runtime.journal_writer import JournalWriter
 from yarrowwall.runtime.metrics import NodeMetrics
-from yarrowwall.runtime.peers import PeerTransport, set_no_delay, split_address
+from yarrowwall.runtime.peers import PeerTransport, set_no_delay
 from yarrowwall.runtime.platform_client import PlatformClient, RecordsClient
 from yarrowwall.runtime.streams import StreamTable
 from yarrowwall.settings import NodeFileSettings
 from yarrowwall.storage import identity
+from yarrowwall.storage.journal_writer import JournalWriter
 from yarrowwall.storage.segments import SegmentStore
 
 LISTEN_BACKLOG = 1024
--- a/yarrowwall/settings.py
+++ b/yarrowwall/settings.py
@@ -1,6 +1,5 @@
 """Settings files: TOML, checked by pydantic, every fault named with its key."""
 
-import ipaddress
 import tomllib
 from pathlib import Path
 from typing import Annotated, TypeVar
@@ -8,22 +7,11 @@
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 from pydantic_core import ErrorDetails
 
+from yarrowwall.addresses import check_address
 from yarrowwall.core.limits import Limits
 from yarrowwall.exceptions import SettingsError
 
-
-def _check_address(value: str) -> str:
-    host, _, port = value.rpartition(":")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-    except ValueError as error:
-        raise ValueError("must be IP:PORT with a numeric IP address") from error
-    if not port.isdigit() or not 0 <= int(port) <= 65535:
-        raise ValueError("must be IP:PORT with a port from 0 to 65535")
-    return value
-
-
-Address = Annotated[str, AfterValidator(_check_address)]
+Address = Annotated[str, AfterValidator(check_address)]
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9_-]*$")]
 
 
--- a/yarrowwall/storage/journal_writer.py
+++ b/yarrowwall/storage/journal_writer.py
@@ -1,15 +1,20 @@
 """Group commit: one fsync for all records that came during the previous one."""
 
+from __future__ import annotations
+
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 import eventlet
 from eventlet import tpool
 from eventlet.event import Event
 
-from yarrowwall.messages.records import Record
 from yarrowwall.storage.segments import SegmentStore
 
+if TYPE_CHECKING:
+    from yarrowwall.messages.records import Record
+
 #: Bytes-free bound of one commit; more records wait for the next.
 MOST_RECORDS_PER_COMMIT = 512
 
--- a/yarrowwall/storage/segments.py
+++ b/yarrowwall/storage/segments.py
@@ -6,19 +6,24 @@
 that acknowledged records are lost, which stops the replica.
 """
 
+from __future__ import annotations
+
 import os
 import struct
 from collections.abc import Iterable, Iterator
 from pathlib import Path
-from typing import BinaryIO
+from typing import TYPE_CHECKING, BinaryIO
 
 import xxhash
 
 from yarrowwall.messages.codec import decode, encode
-from yarrowwall.messages.records import Record
 from yarrowwall.storage.exceptions import CorruptSegmentError, StorageError
 from yarrowwall.storage.folders import sync_folder
 
+if TYPE_CHECKING:
+    # The records of both kinds of replicas; a process loads those that it keeps.
+    from yarrowwall.messages.records import Record
+
 #: A new segment is begun past this size.
 SEGMENT_BYTES = 64 * 1024 * 1024
 
