--- a/features/placement.feature
+++ b/features/placement.feature
@@ -45,6 +45,8 @@
   Scenario: More reporters report less often
     Given a load board with 8 reporting gateways
     Then they are to report every 0.1 s
+    Given a load board with 60 reporting gateways
+    Then they are to report every 0.3 s
     Given a load board with 300 reporting gateways
     Then they are to report every 0.6 s
 
--- a/features/start_and_retries.feature
+++ b/features/start_and_retries.feature
@@ -30,6 +30,19 @@
     When gateway 0 is killed and starts again
     Then gateway 0 is ready within 2 s
 
+  @platform_world
+  Scenario: Long watches that were lost in an outage begin anew once the short one fails
+    Given a route "records" of type "mutating" with a server
+    When the store loses all watches that wait or begin within 1 s
+    And a server of "records" is added
+    Then gateway 0 knows it within 10 s
+
+  @platform_world
+  Scenario: A watch that begins while the store drops its history is not trusted for long
+    Given a route "records" of type "mutating" with a server
+    When a configuration is written and the store cuts its watches while it drops its history
+    Then the configuration is in force at gateway 0 within 2 s
+
   @platform_world
   Scenario: A lookup whose answer is late by what is usual goes to another server
     Given a route "lookup" of type "idempotent" with two servers of which one may fall silent
--- a/features/steps/start_steps.py
+++ b/features/steps/start_steps.py
@@ -64,6 +64,53 @@
     world(context).store.lists_to_lose = count
 
 
+@when("the store loses all watches that wait or begin within {seconds:d} s")
+def watches_lost(context: Context, seconds: int) -> None:
+    # Longer than the pause between two watches of a kind that changed: all of them wait.
+    time.sleep(0.6)
+    world(context).store.lose_watches(float(seconds))
+
+
+@when('a server of "{route}" is added')
+def server_added(context: Context, route: str) -> None:
+    context.added = world(context).add_server(route)
+
+
+@then("gateway {number:d} knows it within {limit:d} s")
+def knows_added(context: Context, number: int, limit: int) -> None:
+    began = time.monotonic()
+
+    def is_known() -> bool:
+        lines = world(context).log(f"edge-{number}")
+        return any(line.get("server") == context.added.server_id for line in lines)
+
+    wait_until(is_known, "the server is known")
+    assert time.monotonic() - began < limit
+
+
+@when("a configuration is written and the store cuts its watches while it drops its history")
+def dropping_history(context: Context) -> None:
+    store = world(context).store
+    # The watch that followed the last change is waiting by now.
+    time.sleep(0.2)
+    # Watches that are cut and begun anew while the history goes.
+    store.drop_history_slowly(0.5)
+    context.version = world(context).publish()
+
+
+@then("the configuration is in force at gateway {number:d} within {limit:d} s")
+def in_force_within(context: Context, number: int, limit: int) -> None:
+    began = time.monotonic()
+
+    def is_in_force() -> bool:
+        lines = world(context).log(f"edge-{number}")
+        versions = [one["version"] for one in lines if one["kind"] == "ConfigurationInForce"]
+        return versions[-1] >= context.version
+
+    wait_until(is_in_force, "the configuration is in force")
+    assert time.monotonic() - began < limit
+
+
 @when("gateway {number:d} is killed and starts again")
 def gateway_restarts(context: Context, number: int) -> None:
     world(context).kill(f"edge-{number}")
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -27,6 +27,11 @@
 ROOT = Path(__file__).parent.parent.parent
 MAJOR = 3
 ANSWER_SECONDS = 10.0
+#: Stands for an answer that never comes, and the seconds until its connection ends.
+LOST = 0
+#: Stands for a connection that ends at once without an answer.
+CUT = 1
+LOST_SECONDS = 40.0
 
 
 class QuietHandler(BaseHTTPRequestHandler):
@@ -80,6 +85,10 @@
         self.list_delay_s = 0.0
         #: Lists that get no answer at all, neither now nor later.
         self.lists_to_lose = 0
+        self._silent_until = 0.0
+        self._outages = 0
+        self._cuts = 0
+        self._deaf_until = 0.0
         store = self
 
         class Handler(QuietHandler):
@@ -108,6 +117,20 @@
         with self.lock:
             return self.objects.get((kind, name))
 
+    def lose_watches(self, seconds: float) -> None:
+        """Answer no watch that waits now or begins within some seconds, ever."""
+        with self.lock:
+            self._outages += 1
+            self._silent_until = time.monotonic() + seconds
+            self.lock.notify_all()
+
+    def drop_history_slowly(self, seconds: float) -> None:
+        """Cut every watch; those that begin within some seconds hear nothing, then it is gone."""
+        with self.lock:
+            self._cuts += 1
+            self._deaf_until = time.monotonic() + seconds
+            self.lock.notify_all()
+
     def forget_history(self) -> None:
         """Let every running watch learn that its history is gone."""
         with self.lock:
@@ -147,6 +170,10 @@
                 return
             time.sleep(self.list_delay_s)
         status, document = self._answer(call.command, names, query, body)
+        if status in (LOST, CUT):
+            time.sleep(LOST_SECONDS if status == LOST else 0.0)
+            call.close_connection = True
+            return
         call.answer(status, json.dumps(document).encode(), {"Content-Type": "application/json"})
 
     def _loses_list(self) -> bool:
@@ -168,7 +195,19 @@
 
     def _watch(self, kind: str, revision: int, wait_ms: int) -> tuple[int, dict[str, Any]]:
         end = time.monotonic() + wait_ms / 1000.0
+        outages = self._outages
+        cuts = self._cuts
+        is_deaf = time.monotonic() < self._deaf_until
         while True:
+            if self._cuts != cuts:
+                return CUT, {}
+            if is_deaf and time.monotonic() < end:
+                self.lock.wait(end - time.monotonic())
+                continue
+            if is_deaf:
+                return 410, {}
+            if self._outages != outages or time.monotonic() < self._silent_until:
+                return LOST, {}
             if revision < self.oldest:
                 return 410, {}
             events = [
--- a/yarrowwall/platform/store.py
+++ b/yarrowwall/platform/store.py
@@ -14,15 +14,16 @@
     Listing,
     ObjectStoreError,
     StoredObject,
+    WatchInterruptedError,
 )
 
-#: Seconds that a watch waits for a change, and more that its answer may take.
-WATCH_SECONDS = 5.0
+#: Seconds that the answer to a watch may take beyond its wait.
 _WATCH_MARGIN = 1.5
 #: Seconds for a connection to come up and for an answer.
 _CONNECT_SECONDS = 1.0
 _ANSWER_SECONDS = 2.0
 
+_WATCH_LANE = "watch "
 _JSON = "application/json"
 _CONFLICT = 409
 _GONE = 410
@@ -37,6 +38,8 @@
     def __init__(self, address: str) -> None:
         self._address = address
         self._idle: dict[str, ServerConnection] = {}
+        self._watching: dict[str, ServerConnection] = {}
+        self._interrupted: set[str] = set()
 
     def list(self, kind: str, timeout_s: float) -> Listing:
         """Return all objects of a kind.
@@ -56,11 +59,19 @@
                 return Listing(items, revision)
             query = "?after=" + quote(items[-1].name, safe="")
 
-    def watch(self, kind: str, revision: int) -> Changes:
+    def watch(self, kind: str, revision: int, wait_s: float) -> Changes:
         """Wait for changes after a revision; none if nothing happened for a while."""
-        path = f"/objects/{kind}?watch={revision}&wait_ms={int(WATCH_SECONDS * 1000)}"
-        timeout = WATCH_SECONDS + _WATCH_MARGIN
-        status, document = self._call("GET", path, lane=f"watch {kind}", timeout=timeout)
+        path = f"/objects/{kind}?watch={revision}&wait_ms={int(wait_s * 1000)}"
+        lane = _WATCH_LANE + kind
+        try:
+            status, document = self._call("GET", path, lane=lane, timeout=wait_s + _WATCH_MARGIN)
+        except ObjectStoreError as error:
+            if lane in self._interrupted:
+                raise WatchInterruptedError(str(error)) from error
+            raise
+        finally:
+            self._watching.pop(lane, None)
+            self._interrupted.discard(lane)
         if status == _GONE:
             raise HistoryForgottenError(f"{kind} since {revision}")
         changes = [
@@ -68,6 +79,12 @@
         ]
         return Changes(changes, document["at"])
 
+    def interrupt_watches(self) -> None:
+        """End all waiting watches of this process."""
+        self._interrupted |= set(self._watching)
+        for connection in list(self._watching.values()):
+            connection.interrupt()
+
     def create(self, kind: str, name: str, spec: dict[str, Any]) -> StoredObject:
         """Make an object."""
         body = {"meta": {"name": name}, "spec": spec}
@@ -102,6 +119,8 @@
         try:
             if connection is None or not connection.is_quiet():
                 connection = ServerConnection(self._address, _CONNECT_SECONDS)
+            if lane.startswith(_WATCH_LANE):
+                self._watching[lane] = connection
             connection.send(self._request(method, path, body), timeout)
             head = connection.read_head(timeout)
             data = connection.read_all(timeout)
--- a/yarrowwall/relay/connection.py
+++ b/yarrowwall/relay/connection.py
@@ -5,6 +5,8 @@
 ``httptools`` (llhttp) on green sockets.
 """
 
+import contextlib
+import socket
 from collections import deque
 
 import httptools
@@ -174,6 +176,15 @@
         is_clean = not reader.responses and not reader.is_spoiled and not self._must_close
         return is_clean and self.is_quiet()
 
+    def interrupt(self) -> None:
+        """End the connection under a greenthread that reads it, which then sees its end.
+
+        Closing would not wake that greenthread: eventlet's hub forgets closed descriptors
+        only once their number is used again.
+        """
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RDWR)
+
     def close(self) -> None:
         """Close the connection; the server takes that as a cancellation."""
         self._socket.close()
--- a/yarrowwall/relay/decisions.py
+++ b/yarrowwall/relay/decisions.py
@@ -4,20 +4,19 @@
 standard output; above a rate, lines of one kind are left out and counted.
 """
 
-import json
 import time
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
+import msgspec
 from eventlet import patcher
 
 # eventlet's own ``os.write`` waits where the kernel's would block.
 _os = patcher.original("os")
 
-#: ``json.dumps`` with options would make an encoder for each line.
-_ENCODER = json.JSONEncoder(default=str)
+_ENCODER = msgspec.json.Encoder(enc_hook=str)
 
 #: Lines of one kind written in a second before lines are left out.
 LINES_PER_SECOND = 200
@@ -216,13 +215,13 @@
         self.dropped = 0
         _os.set_blocking(descriptor, False)
 
-    def write(self, line: str) -> None:
+    def write(self, line: bytes) -> None:
         """Write one line."""
         self._rest = self._send(self._rest)
         if self._rest:
             self.dropped += 1
             return
-        data = line.encode() + b"\n"
+        data = line + b"\n"
         rest = self._send(data)
         if rest == data:
             self.dropped += 1
--- a/yarrowwall/relay/gateway_service.py
+++ b/yarrowwall/relay/gateway_service.py
@@ -22,7 +22,7 @@
 from yarrowwall.relay.servers import ServerDirectory
 from yarrowwall.relay.settings import GatewaySettings, MachineSettings
 from yarrowwall.relay.sockets import green
-from yarrowwall.relay.watching import FLURRY_SECONDS, KindFollower
+from yarrowwall.relay.watching import FLURRY_SECONDS, LONG_WATCH_SECONDS, KindFollower
 from yarrowwall.replication.documents import GROUPS_KIND, read_groups
 from yarrowwall.replication.quorum_client import GroupViews, LinkTable, QuorumClient
 
@@ -83,6 +83,7 @@
                 log,
                 self._note_read,
                 FLURRY_SECONDS,
+                LONG_WATCH_SECONDS,
             ),
             KindFollower(
                 adapter.store,
@@ -91,6 +92,7 @@
                 self._groups_changed,
                 log,
                 self._note_read,
+                watch_s=LONG_WATCH_SECONDS,
             ),
         ]
 
--- a/yarrowwall/relay/load_reports.py
+++ b/yarrowwall/relay/load_reports.py
@@ -19,8 +19,9 @@
 ANSWER_SECONDS = 0.15
 #: Seconds for which a replica that did not answer is passed over.
 PASS_OVER_SECONDS = 5.0
-#: Seconds between looks for something to report while nothing is under way.
-IDLE_SECONDS = 0.05
+#: Seconds between looks for something to report while nothing is under way. Each is a
+#: wake-up of a process that has nothing else to do.
+IDLE_SECONDS = 0.2
 #: The group whose replicas take reports.
 BOARD_GROUP = 0
 
--- a/yarrowwall/relay/object_store.py
+++ b/yarrowwall/relay/object_store.py
@@ -14,6 +14,10 @@
     """The store no longer knows the changes since a revision; read anew."""
 
 
+class WatchInterruptedError(ObjectStoreError):
+    """A watch was ended from within this process; ask again at once."""
+
+
 class ConflictError(ObjectStoreError):
     """An object exists already or has another revision than the one named."""
 
@@ -67,12 +71,17 @@
         :param timeout_s: the longest that each page of it may take.
         """
 
-    def watch(self, kind: str, revision: int) -> Changes:
+    def watch(self, kind: str, revision: int, wait_s: float) -> Changes:
         """Wait for changes after a revision; none if nothing happened for a while.
 
+        :param wait_s: the longest wait.
         :raises HistoryForgottenError: if the revision is too old.
+        :raises WatchInterruptedError: if :meth:`interrupt_watches` ended it.
         """
 
+    def interrupt_watches(self) -> None:
+        """End all waiting watches of this process."""
+
     def create(self, kind: str, name: str, spec: dict[str, Any]) -> StoredObject:
         """Make an object.
 
--- a/yarrowwall/relay/watching.py
+++ b/yarrowwall/relay/watching.py
@@ -13,6 +13,7 @@
     ObjectStore,
     ObjectStoreError,
     StoredObject,
+    WatchInterruptedError,
 )
 
 #: Seconds before a failed read is tried again, doubled up to the most.
@@ -27,7 +28,15 @@
 MOST_LIST_SECONDS = 2.4
 #: Seconds between the changes of a kind that comes in flurries and the next question for
 #: more. Each question is a call that is paid for; a flurry is then told by few of them.
-FLURRY_SECONDS = 0.25
+FLURRY_SECONDS = 0.4
+#: Seconds that a watch waits for a change. A watch that was lost in an outage says nothing
+#: until its wait is over, so one kind, the configuration, is asked for again often; once
+#: that fails, all other watches are begun anew too, so they may wait long.
+WATCH_SECONDS = 5.0
+LONG_WATCH_SECONDS = 25.0
+#: The same for the first watch after one that ended badly. The store may just be dropping
+#: its history, and a watch that begins in that moment can miss what came before it.
+CAUTIOUS_WATCH_SECONDS = 0.4
 
 
 class KindFollower:
@@ -37,6 +46,7 @@
     :param on_change: called with each change after that.
     :param on_read: called after each list and each answer to a watch.
     :param pause_s: seconds to wait after changes before the next ones are asked for.
+    :param watch_s: the longest that one watch waits.
     """
 
     def __init__(
@@ -48,6 +58,7 @@
         log: DecisionLog,
         on_read: Callable[[], None] = lambda: None,
         pause_s: float = 0.0,
+        watch_s: float = WATCH_SECONDS,
     ) -> None:
         self._store = store
         self._kind = kind
@@ -56,6 +67,8 @@
         self._log = log
         self._on_read = on_read
         self._pause_s = pause_s
+        self._watch_s = watch_s
+        self._is_cautious = False
         self._failures = 0
         self.has_listed = False
 
@@ -72,9 +85,16 @@
                 self._on_read()
             except HistoryForgottenError:
                 revision = None
+            except WatchInterruptedError:
+                # Another kind's watch failed; the history still has what this one missed.
+                self._is_cautious = True
+                eventlet.sleep(RETRY_SECONDS)
             except ObjectStoreError as error:
                 # A watch that ended badly may have missed changes that the history
                 # still has; only a forgotten history needs a list.
+                if not self._failures:
+                    self._store.interrupt_watches()
+                self._is_cautious = True
                 self._note_down(error)
                 self._pause()
             except (KeyError, TypeError, ValueError) as error:
@@ -91,7 +111,9 @@
         return listing.revision
 
     def _watch(self, revision: int) -> int:
-        found = self._store.watch(self._kind, revision)
+        wait_s = min(CAUTIOUS_WATCH_SECONDS, self._watch_s) if self._is_cautious else self._watch_s
+        found = self._store.watch(self._kind, revision, wait_s)
+        self._is_cautious = False
         for change in found.changes:
             self._on_change(change)
         if found.changes:
--- a/yarrowwall/replication/load_board.py
+++ b/yarrowwall/replication/load_board.py
@@ -13,8 +13,11 @@
 FORGET_SECONDS = 1.0
 #: Least seconds between two reports of a gateway.
 LEAST_INTERVAL_SECONDS = 0.1
-#: Seconds of interval for each reporting gateway, which bounds the reports a replica gets.
-INTERVAL_PER_REPORTER_SECONDS = 0.002
+#: Seconds of interval for each reporting gateway, which bounds the reports a replica gets:
+#: 200 a second, about a twentieth of a core there.
+INTERVAL_PER_REPORTER_SECONDS = 0.005
+#: Most seconds between two reports of a gateway: less than the time for which they count.
+MOST_INTERVAL_SECONDS = 0.6
 
 
 class Report(NamedTuple):
@@ -52,4 +55,5 @@
     @property
     def interval_s(self) -> float:
         """Return the seconds after which a gateway should report again."""
-        return max(LEAST_INTERVAL_SECONDS, len(self._reports) * INTERVAL_PER_REPORTER_SECONDS)
+        wanted_s = len(self._reports) * INTERVAL_PER_REPORTER_SECONDS
+        return min(max(LEAST_INTERVAL_SECONDS, wanted_s), MOST_INTERVAL_SECONDS)
--- a/yarrowwall/replication/service.py
+++ b/yarrowwall/replication/service.py
@@ -28,7 +28,7 @@
 from yarrowwall.relay.ports import Documents
 from yarrowwall.relay.settings import MachineSettings, ReplicaSettings
 from yarrowwall.relay.sockets import green
-from yarrowwall.relay.watching import KindFollower
+from yarrowwall.relay.watching import LONG_WATCH_SECONDS, KindFollower
 from yarrowwall.replication.coordinator import Coordinator
 from yarrowwall.replication.disk import ReplicaDisk
 from yarrowwall.replication.documents import (
@@ -86,8 +86,22 @@
         self._loads = LoadBoard()
         self._retirements: dict[str, StoredObject] = {}
         self._followers = [
-            KindFollower(store, GROUPS_KIND, self._groups_listed, self._group_changed, log),
-            KindFollower(store, REPLICAS_KIND, self._replicas_listed, self._replica_changed, log),
+            KindFollower(
+                store,
+                GROUPS_KIND,
+                self._groups_listed,
+                self._group_changed,
+                log,
+                watch_s=LONG_WATCH_SECONDS,
+            ),
+            KindFollower(
+                store,
+                REPLICAS_KIND,
+                self._replicas_listed,
+                self._replica_changed,
+                log,
+                watch_s=LONG_WATCH_SECONDS,
+            ),
             KindFollower(
                 store,
                 documents.retirements_kind,
