--- a/yarrowwall/cli/journal_cost.py
+++ b/yarrowwall/cli/journal_cost.py
@@ -1,6 +1,7 @@
 """What programs cost a journal replica: disk, memory and processor time."""
 
 import gc
+import os
 import tempfile
 import time
 from pathlib import Path
@@ -19,7 +20,6 @@
     ProgramOpened,
 )
 from yarrowwall.messages.journal import Append, Ballot
-from yarrowwall.simulation.scale import resident_bytes
 from yarrowwall.storage.segments import SegmentStore
 
 _BALLOT = Ballot(1, "node-00000#00000000000000000001")
@@ -43,6 +43,12 @@
     return appends
 
 
+def resident_bytes() -> int:
+    """Return the memory this process has in use."""
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE")
+
+
 @click.command("journal-cost")
 @click.option("--programs", default=2000, show_default=True)
 @click.option("--calls", default=5, show_default=True, help="Calls of each program.")
--- a/yarrowwall/cli/main.py
+++ b/yarrowwall/cli/main.py
@@ -14,7 +14,6 @@
 from yarrowwall.cli.node import check_settings, journal_init, node
 from yarrowwall.cli.operator import intent, plan, replica, status
 from yarrowwall.cli.placement_cost import placement_cost
-from yarrowwall.cli.scale import scale
 from yarrowwall.cli.simulate import simulate
 from yarrowwall.cli.standin import standin
 
@@ -38,7 +37,6 @@
     simulate,
     experiment,
     bench,
-    scale,
     placement_cost,
     journal_cost,
     explain,
