--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,5 +1,8 @@
 """Steps about the randomized soak and its own checks."""
 
+import tempfile
+from pathlib import Path
+
 from behave import given, then
 from behave.runner import Context
 
@@ -8,12 +11,14 @@
 from features.support.platform_world import event
 
 CLIENTS = 4
+#: Where the logs of a seed that broke a promise go.
+KEPT_LOGS = Path(tempfile.gettempdir()) / "yarrowwall-soak"
 BUDGET = 20
 
 
 @then("{seconds:d} s of the soak with seed {seed:d} break no promise")
 def soak_holds(context: Context, seconds: int, seed: int) -> None:
-    result = play(seed, float(seconds), CLIENTS)
+    result = play(seed, float(seconds), CLIENTS, keep=KEPT_LOGS)
     assert not result.violations, result
 
 
