--- /dev/null
+++ b/features/steps/quorum_steps.py
@@ -0,0 +1,155 @@
+"""Steps about whom an operation of the record store asks."""
+
+import time
+from collections.abc import Callable
+
+import eventlet
+from behave import given, then, when
+from behave.runner import Context
+
+from yarrowwall.messages.replicated import (
+    GroupView,
+    Member,
+    RecordsReply,
+    ReplyStatus,
+    StoredRecord,
+    WriteRecords,
+)
+from yarrowwall.replication.exceptions import NoQuorumError
+from yarrowwall.replication.quorum_client import GroupViews, QuorumClient
+
+OWN_ZONE = "zone-a"
+#: The clock stands still, so that a busy machine changes no verdict.
+NOW_S = 100.0
+
+
+class ScriptedLink:
+    """A link whose replica takes every write, says nothing, or is out of reach."""
+
+    def __init__(self) -> None:
+        self.asked: list[WriteRecords] = []
+        self.is_silent = False
+        self.is_down = False
+
+    def post(self, message: WriteRecords, completion: Callable[[object | None], None]) -> int:
+        self.asked.append(message)
+        reply = None if self.is_down else RecordsReply(ReplyStatus.OK, True, [], None)
+        if not self.is_silent:
+            completion(reply)
+        return len(self.asked)
+
+    def forget(self, number: int) -> None:
+        """Nothing waits here."""
+
+
+class ScriptedLinks:
+    """Links by address."""
+
+    def __init__(self) -> None:
+        self.by_address: dict[str, ScriptedLink] = {}
+
+    def get(self, address: str) -> ScriptedLink:
+        return self.by_address.setdefault(address, ScriptedLink())
+
+
+def members(first: int, count: int) -> list[Member]:
+    return [
+        Member(f"s{n}", f"d{n}", f"a{n}", OWN_ZONE if n == 0 else f"zone-{n % 2}")
+        for n in range(first, first + count)
+    ]
+
+
+def begin(context: Context, view: GroupView) -> None:
+    context.links = ScriptedLinks()
+    views = GroupViews()
+    views.take(view)
+    for member in [*view.members, *view.joining]:
+        context.links.get(member.address)
+    context.client = QuorumClient(OWN_ZONE, views, context.links, lambda: NOW_S)
+    context.own = context.links.get("a0")
+
+
+def record(number: int) -> StoredRecord:
+    return StoredRecord(f"key-{number}", 1, "", "", 60.0, 0, b"")
+
+
+@given("a group of {count:d} replicas, one of them in the own zone")
+def group(context: Context, count: int) -> None:
+    begin(context, GroupView(0, 1, members(0, count), []))
+
+
+@given("a group of {count:d} replicas that is being replaced by {others:d} others")
+def changing_group(context: Context, count: int, others: int) -> None:
+    begin(context, GroupView(0, 2, members(0, count), members(count, others)))
+
+
+@given("the replica of the own zone is silent")
+def own_silent(context: Context) -> None:
+    context.own.is_silent = True
+
+
+@given("the connection to the replica of the own zone fails")
+def own_down(context: Context) -> None:
+    context.own.is_down = True
+
+
+@given("all replicas but that of the own zone are silent")
+def others_silent(context: Context) -> None:
+    for link in context.links.by_address.values():
+        link.is_silent = link is not context.own
+
+
+@when("{count:d} records are written")
+def written(context: Context, count: int) -> None:
+    waited: list[bool] = []
+    # Runs as soon as the writes wait for anything.
+    eventlet.spawn_n(waited.append, True)
+    for number in range(count):
+        context.client.write(0, [record(number)])
+    context.has_waited = bool(waited)
+    context.count = count
+
+
+@when("a record is written within {limit:d} ms, it fails for want of a quorum")
+def not_written(context: Context, limit: int) -> None:
+    began = time.monotonic()
+    try:
+        context.client.write(0, [record(0)], timeout=limit / 1000.0)
+    except NoQuorumError:
+        assert (time.monotonic() - began) * 1000.0 >= 0.9 * limit
+        return
+    raise AssertionError("it was written")
+
+
+@then("each was sent to {count:d} replicas, and always to the one of the own zone")
+def sent_to(context: Context, count: int) -> None:
+    asked = sum(len(link.asked) for link in context.links.by_address.values())
+    assert asked == count * context.count, asked
+    assert len(context.own.asked) == context.count
+
+
+@then("every replica got some")
+def all_got(context: Context) -> None:
+    assert all(link.asked for link in context.links.by_address.values())
+
+
+@then("the writes waited for nothing")
+def waited_for_nothing(context: Context) -> None:
+    assert not context.has_waited
+
+
+@then("the writes waited for it")
+def waited_for_it(context: Context) -> None:
+    assert context.has_waited
+
+
+@then("the silent replica was asked once")
+def asked_once(context: Context) -> None:
+    assert len(context.own.asked) == 1, len(context.own.asked)
+
+
+@then("a majority of the old and of the new replicas got it")
+def both_majorities(context: Context) -> None:
+    got = {address for address, link in context.links.by_address.items() if link.asked}
+    assert len(got & {"a0", "a1", "a2"}) >= 2, got
+    assert len(got & {"a3", "a4", "a5"}) >= 2, got
