The quorum client says once what makes an operation complete

Read once more, the change had written the same three things for each of four operations: which replies count, whether they suffice, and how many members to ask first; and 'the higher version of a key wins' stood three times (records, amounts, two readings).

_Quorum and _Operation hold what differs; the nearest replica has a method of its own instead of a flag through the common one; the rule of versions is one function. Behaviour is meant to be the same: record_store.feature (random schedules, mutants) and quorum.feature passed, 18 scenarios.

--- a/features/steps/quorum_steps.py
+++ b/features/steps/quorum_steps.py
@@ -16,7 +16,8 @@
     WriteRecords,
 )
 from yarrowwall.replication.exceptions import NoQuorumError
-from yarrowwall.replication.quorum_client import GroupViews, QuorumClient
+from yarrowwall.replication.group_views import GroupViews
+from yarrowwall.replication.quorum_client import QuorumClient
 
 OWN_ZONE = "zone-a"
 #: The clock stands still, so that a busy machine changes no verdict.
--- a/features/support/record_model.py
+++ b/features/support/record_model.py
@@ -26,10 +26,9 @@
     StoredRecord,
     WriteRecords,
 )
-from yarrowwall.relay.ledger import merged
 from yarrowwall.replication import planner
-from yarrowwall.replication.quorum_client import Amount
 from yarrowwall.replication.replica import LogRecord, RecordReplica
+from yarrowwall.replication.rounds import Amount, merged
 from yarrowwall.replication.views import all_members, is_read, is_written, member_of
 
 BUDGET = 2
--- a/yarrowwall/relay/gateway_service.py
+++ b/yarrowwall/relay/gateway_service.py
@@ -24,7 +24,9 @@
 from yarrowwall.relay.sockets import green
 from yarrowwall.relay.watching import FLURRY_SECONDS, LONG_WATCH_SECONDS, KindFollower
 from yarrowwall.replication.documents import GROUPS_KIND, read_groups
-from yarrowwall.replication.quorum_client import GroupViews, LinkTable, QuorumClient
+from yarrowwall.replication.group_views import GroupViews
+from yarrowwall.replication.quorum_client import QuorumClient
+from yarrowwall.replication.rpc import LinkTable
 
 if TYPE_CHECKING:
     from yarrowwall.relay.service import Adapter
--- a/yarrowwall/relay/ledger.py
+++ b/yarrowwall/relay/ledger.py
@@ -23,7 +23,9 @@
 from yarrowwall.relay.programs import BudgetExhaustedError, TurnGrant
 from yarrowwall.relay.turns import Turn, TurnCache, output_of, prompt_body, read_turn, turn_key
 from yarrowwall.replication.exceptions import NoQuorumError
-from yarrowwall.replication.quorum_client import Amount, GroupViews, QuorumClient
+from yarrowwall.replication.group_views import GroupViews
+from yarrowwall.replication.quorum_client import QuorumClient
+from yarrowwall.replication.rounds import Amount, merged
 
 #: Seconds that settlements are collected before they are written together.
 SETTLE_SECONDS = 0.03
@@ -255,15 +257,6 @@
     return {key: amount for key, amount in amounts.items() if key != reservation.key}
 
 
-def merged(one: dict[str, Amount], other: dict[str, Amount]) -> dict[str, Amount]:
-    """Return the amounts of two readings; the higher version of a key wins."""
-    found = dict(one)
-    for key, amount in other.items():
-        if key not in found or found[key].version < amount.version:
-            found[key] = amount
-    return found
-
-
 class LedgerGrant(TurnGrant):
     """The leave to run one turn, with what is to be stored behind it."""
 
--- a/yarrowwall/relay/load_reports.py
+++ b/yarrowwall/relay/load_reports.py
@@ -12,8 +12,9 @@
 from yarrowwall.messages.replicated import LoadReply, Member, ReportLoad
 from yarrowwall.relay.servers import ServerDirectory
 from yarrowwall.replication.exceptions import LinkDownError
+from yarrowwall.replication.group_views import GroupViews
 from yarrowwall.replication.load_board import LEAST_INTERVAL_SECONDS
-from yarrowwall.replication.quorum_client import GroupViews, LinkTable
+from yarrowwall.replication.rpc import LinkTable
 
 #: Seconds that a replica may take to answer a report.
 ANSWER_SECONDS = 0.15
--- /dev/null
+++ b/yarrowwall/replication/group_views.py
@@ -0,0 +1,32 @@
+"""The views of all groups as a process knows them."""
+
+from collections.abc import Callable
+
+from yarrowwall.messages.replicated import GroupView
+
+
+class GroupViews:
+    """The newest known view of each group.
+
+    :param changed: called with each newer view.
+    """
+
+    def __init__(self, changed: Callable[[GroupView], None] = lambda view: None) -> None:
+        self._views: dict[int, GroupView] = {}
+        self._changed = changed
+
+    def take(self, view: GroupView) -> None:
+        """Take in a view unless a newer one is known."""
+        known = self._views.get(view.group)
+        if known is None or known.epoch < view.epoch:
+            self._views[view.group] = view
+            self._changed(view)
+
+    def get(self, group: int) -> GroupView | None:
+        """Return a group's newest view."""
+        return self._views.get(group)
+
+    @property
+    def count(self) -> int:
+        """Return how many groups there are."""
+        return len(self._views)
--- a/yarrowwall/replication/peers.py
+++ b/yarrowwall/replication/peers.py
@@ -5,7 +5,7 @@
 import eventlet
 
 from yarrowwall.messages.replicated import AskStatus, Member, StatusReply
-from yarrowwall.replication.quorum_client import LinkTable
+from yarrowwall.replication.rpc import LinkTable
 
 #: Seconds between questions, and how long an answer may take.
 HEARTBEAT_SECONDS = 0.4
--- a/yarrowwall/replication/quorum_client.py
+++ b/yarrowwall/replication/quorum_client.py
@@ -1,12 +1,11 @@
 """Reads and writes of records through quorums of a group's replicas."""
 
+import contextlib
 from collections.abc import Callable, Collection, Sequence
-from dataclasses import dataclass, field
 from functools import partial
 from typing import NamedTuple
 
 import eventlet
-from eventlet.event import Event
 
 from yarrowwall.core.hashing import score
 from yarrowwall.messages.replicated import (
@@ -23,8 +22,10 @@
     WriteRecords,
 )
 from yarrowwall.replication.exceptions import NoQuorumError
-from yarrowwall.replication.rpc import Link
-from yarrowwall.replication.views import all_members, is_read, is_written
+from yarrowwall.replication.group_views import GroupViews
+from yarrowwall.replication.rounds import Amount, Round
+from yarrowwall.replication.rpc import LinkTable
+from yarrowwall.replication.views import all_members, disk_ids, is_read, is_written
 
 #: Seconds that an operation waits for its quorum.
 OPERATION_SECONDS = 0.6
@@ -45,18 +46,6 @@
 ASKED_LAST_SECONDS = 1.0
 
 
-#: Tells whether disks make up a quorum of a view.
-Quorum = Callable[[GroupView, Collection[str]], bool]
-
-
-@dataclass(frozen=True)
-class Amount:
-    """What a record counts for."""
-
-    version: int
-    tokens: int
-
-
 class OwnerReading(NamedTuple):
     """What is recorded for an owner.
 
@@ -70,99 +59,41 @@
     is_sure: bool
 
 
-@dataclass
-class _Round:
-    """The replies to one request of several replicas.
-
-    :param silent: disks of those that were asked and have not replied.
-    """
+class _Quorum(NamedTuple):
+    """Which replicas complete an operation.
 
-    acknowledged: set[str] = field(default_factory=set)
-    readers: set[str] = field(default_factory=set)
-    records: dict[str, StoredRecord] = field(default_factory=dict)
-    amounts: dict[str, Amount] = field(default_factory=dict)
-    note: str = ""
-    is_read_quorum: bool = False
-    answered: int = 0
-    met_other_view: bool = False
-    is_enough: bool = False
-    silent: set[str] = field(default_factory=set)
-    posted: list[tuple[Link, int]] = field(default_factory=list)
-    _wakeup: Event = field(default_factory=Event)
-
-    def wait(self, timeout_s: float) -> None:
-        """Wait until the replies suffice or nobody is left who could reply."""
-        if self.is_enough or not self.silent or timeout_s <= 0.0:
-            return
-        self._wakeup = Event()
-        self._wakeup.wait(timeout_s)
-
-    def wake(self) -> None:
-        """End the wait if there is nothing more to wait for."""
-        if (self.is_enough or not self.silent) and not self._wakeup.ready():
-            self._wakeup.send()
-
-    def close(self) -> None:
-        """Take no more replies."""
-        for link, number in self.posted:
-            link.forget(number)
-
-    def merge(self, records: Sequence[StoredRecord]) -> None:
-        """Take in records; the higher version of a key wins."""
-        for record in records:
-            held = self.records.get(record.key)
-            if held is None or held.version < record.version:
-                self.records[record.key] = record
-
-    def merge_amounts(self, reply: KeysReply) -> None:
-        """Take in amounts; the higher version of a key wins."""
-        self.note = reply.note or self.note
-        for key, version, tokens in zip(reply.keys, reply.versions, reply.amounts, strict=True):
-            held = self.amounts.get(key)
-            if held is None or held.version < version:
-                self.amounts[key] = Amount(version, tokens)
-
-
-class GroupViews:
-    """The newest known view of each group.
-
-    :param changed: called with each newer view.
+    :param is_made_by: tells whether disks suffice in a view.
+    :param counted: returns the disks that count of those that replied.
     """
 
-    def __init__(self, changed: Callable[[GroupView], None] = lambda view: None) -> None:
-        self._views: dict[int, GroupView] = {}
-        self._changed = changed
+    is_made_by: Callable[[GroupView, Collection[str]], bool]
+    counted: Callable[[Round], Collection[str]]
 
-    def take(self, view: GroupView) -> None:
-        """Take in a view unless a newer one is known."""
-        known = self._views.get(view.group)
-        if known is None or known.epoch < view.epoch:
-            self._views[view.group] = view
-            self._changed(view)
 
-    def get(self, group: int) -> GroupView | None:
-        """Return a group's newest view."""
-        return self._views.get(group)
+_WRITERS = _Quorum(is_written, lambda found: found.acknowledged)
+_READERS = _Quorum(is_read, lambda found: found.readers)
+#: For operations that are complete by what was found, whoever has replied.
+_NOBODY = _Quorum(lambda view, disks: False, lambda found: ())
 
-    @property
-    def count(self) -> int:
-        """Return how many groups there are."""
-        return len(self._views)
 
+class _Operation(NamedTuple):
+    """What is asked of the replicas of a group.
 
-class LinkTable:
-    """Links by address."""
+    :param key: decides which replicas are asked first.
+    :param request: returns the request for a member.
+    :param is_whole: tells whether the replies suffice although they are no quorum.
+    """
 
-    def __init__(self, now: Callable[[], float]) -> None:
-        self._now = now
-        self._links: dict[str, Link] = {}
+    group: int
+    key: str
+    quorum: _Quorum
+    request: Callable[[GroupView, Member], object]
+    is_whole: Callable[[Round], bool] = lambda found: False
 
-    def get(self, address: str) -> Link:
-        """Return the link to an address."""
-        link = self._links.get(address)
-        if link is None:
-            link = self._links[address] = Link(address, self._now)
-        return link
+    def is_complete(self, view: GroupView, found: Round) -> bool:
+        """Return whether the replies suffice."""
+        disks = self.quorum.counted(found)
+        return self.is_whole(found) or self.quorum.is_made_by(view, disks)
 
 
 class QuorumClient:
@@ -197,14 +128,13 @@
 
         :raises NoQuorumError: if the quorum does not answer in time.
         """
-        self._operate(
+        operation = _Operation(
             group,
-            lambda view, member: WriteRecords(group, view.epoch, member.disk_id, records),
-            lambda view, found: is_written(view, found.acknowledged),
-            timeout,
             records[0].key,
-            is_written,
+            _WRITERS,
+            lambda view, member: WriteRecords(group, view.epoch, member.disk_id, records),
         )
+        self._operate(operation, timeout)
 
     def read_amounts(
         self, group: int, owner: str, timeout: float = OPERATION_SECONDS
@@ -213,14 +143,13 @@
 
         :raises NoQuorumError: if the quorum does not answer in time.
         """
-        found = self._operate(
+        operation = _Operation(
             group,
-            lambda view, member: ReadOwner(group, view.epoch, member.disk_id, owner),
-            lambda view, found: is_read(view, found.readers),
-            timeout,
             owner,
-            is_read,
+            _READERS,
+            lambda view, member: ReadOwner(group, view.epoch, member.disk_id, owner),
         )
+        found = self._operate(operation, timeout)
         return OwnerReading(found.amounts, found.note, is_sure=True)
 
     def reserve(
@@ -233,14 +162,13 @@
 
         :raises NoQuorumError: if the quorum does not answer in time.
         """
-        found = self._operate(
+        operation = _Operation(
             group,
-            lambda view, member: ReserveRecord(group, view.epoch, member.disk_id, record),
-            lambda view, found: is_written(view, found.acknowledged),
-            timeout,
             record.owner,
-            is_written,
+            _WRITERS,
+            lambda view, member: ReserveRecord(group, view.epoch, member.disk_id, record),
         )
+        found = self._operate(operation, timeout)
         return OwnerReading(found.amounts, found.note, found.is_read_quorum)
 
     def read_chain(
@@ -254,59 +182,55 @@
         :raises NoQuorumError: if the quorum does not answer in time.
         """
 
-        def request(view: GroupView, member: Member) -> object:
-            return ReadChain(group, view.epoch, member.disk_id, key, known)
-
         stop = set(known)
-
-        def is_whole(view: GroupView, found: _Round) -> bool:
-            return _reaches_root(found.records, key, stop)
-
-        try:
-            nearest = self._operate(
-                group, request, is_whole, NEAREST_SECONDS, key, is_read, only_nearest=True
-            )
-            return nearest.records
-        except NoQuorumError:
-            pass
-        return self._operate(
+        chain = _Operation(
             group,
-            request,
-            lambda view, found: is_whole(view, found) or is_read(view, found.readers),
-            timeout,
             key,
-            is_read,
-        ).records
+            _NOBODY,
+            lambda view, member: ReadChain(group, view.epoch, member.disk_id, key, known),
+            lambda found: _reaches_root(found.records, key, stop),
+        )
+        with contextlib.suppress(NoQuorumError):
+            return self._ask_nearest(chain).records
+        return self._operate(chain._replace(quorum=_READERS), timeout).records
 
-    def _operate(
-        self,
-        group: int,
-        request: Callable[[GroupView, Member], object],
-        is_enough: Callable[[GroupView, _Round], bool],
-        timeout: float,
-        key: str,
-        quorum: Quorum,
-        only_nearest: bool = False,
-    ) -> _Round:
+    def _ask_nearest(self, operation: _Operation) -> Round:
+        """Ask the nearest replica alone.
+
+        :raises NoQuorumError: if it does not know enough, or says nothing.
+        """
+        view = self._view(operation.group)
+        end = self._now() + NEAREST_SECONDS
+        found = self._round(view, self._nearest(view), operation, end)
+        if not found.is_complete:
+            raise NoQuorumError(f"group {operation.group}: not at the nearest replica")
+        self._failing_since = None
+        return found
+
+    def _operate(self, operation: _Operation, timeout: float) -> Round:
         end = self._now() + timeout
         while True:
-            view = self._views.get(group)
-            if view is None:
-                raise NoQuorumError(f"no view of group {group} is known")
-            members = self._nearest(view) if only_nearest else self._order(view, key)
-            needed = 1 if only_nearest else _needed(view, members, quorum)
-            found = self._round(view, members, needed, request, is_enough, end)
-            if is_enough(view, found):
+            view = self._view(operation.group)
+            members = self._order(view, operation.key)
+            found = self._round(view, members, operation, end)
+            if found.is_complete:
                 found.is_read_quorum = not view.joining and is_read(view, found.readers)
                 self._failing_since = None
                 return found
-            newer = self._views.get(group) is not view or found.met_other_view
-            if only_nearest or not newer or self._now() + RETRY_SECONDS >= end:
-                if not only_nearest and self._failing_since is None:
+            newer = self._views.get(operation.group) is not view or found.met_other_view
+            if not newer or self._now() + RETRY_SECONDS >= end:
+                if self._failing_since is None:
                     self._failing_since = self._now()
-                raise NoQuorumError(f"group {group}: {found.answered} of {len(members)} answered")
+                answered = f"{found.answered} of {len(members)} answered"
+                raise NoQuorumError(f"group {operation.group}: {answered}")
             eventlet.sleep(RETRY_SECONDS)
 
+    def _view(self, group: int) -> GroupView:
+        view = self._views.get(group)
+        if view is None:
+            raise NoQuorumError(f"no view of group {group} is known")
+        return view
+
     def _nearest(self, view: GroupView) -> list[Member]:
         in_zone = [member for member in view.members if member.zone == self._zone]
         return (in_zone or view.members)[:1]
@@ -326,28 +250,23 @@
         return sorted(all_members(view), key=place)
 
     def _round(
-        self,
-        view: GroupView,
-        members: list[Member],
-        needed: int,
-        request: Callable[[GroupView, Member], object],
-        is_enough: Callable[[GroupView, _Round], bool],
-        end: float,
-    ) -> _Round:
+        self, view: GroupView, members: list[Member], operation: _Operation, end: float
+    ) -> Round:
         """Ask as many members as are needed; all others too if those do not suffice soon.
 
-        :param needed: how many of the members, the first ones, make up a quorum.
+        :param members: those first that are asked first.
         """
-        found = _Round()
+        needed = _needed(view, members, operation.quorum)
+        found = Round()
         begun = self._now()
-        self._ask(members[:needed], view, request, is_enough, found)
+        self._ask(members[:needed], view, operation, found)
         has_rest = needed < len(members)
         found.wait(min(self._slow_s(), end - begun) if has_rest else end - begun)
-        if found.is_enough:
+        if found.is_complete:
             self._usual_s += USUAL_WEIGHT * (self._now() - begun - self._usual_s)
         elif has_rest:
             self._note_slow(found.silent)
-            self._ask(members[needed:], view, request, is_enough, found)
+            self._ask(members[needed:], view, operation, found)
             found.wait(end - self._now())
         found.close()
         return found
@@ -357,12 +276,7 @@
         return min(max(SLOW_FACTOR * self._usual_s, LEAST_SLOW_SECONDS), MOST_SLOW_SECONDS)
 
     def _ask(
-        self,
-        members: list[Member],
-        view: GroupView,
-        request: Callable[[GroupView, Member], object],
-        is_enough: Callable[[GroupView, _Round], bool],
-        found: _Round,
+        self, members: list[Member], view: GroupView, operation: _Operation, found: Round
     ) -> None:
         """Send a request to members; what they reply goes into a round."""
 
@@ -373,13 +287,13 @@
                 self._note_slow([member.disk_id])
             if isinstance(reply, RecordsReply | KeysReply):
                 self._take_reply(view, member, reply, found)
-            found.is_enough = is_enough(view, found)
+            found.is_complete = operation.is_complete(view, found)
             found.wake()
 
         found.silent |= {member.disk_id for member in members}
         for member in members:
             link = self._links.get(member.address)
-            number = link.post(request(view, member), partial(take, member))
+            number = link.post(operation.request(view, member), partial(take, member))
             found.posted.append((link, number))
 
     def _note_slow(self, disks: Collection[str]) -> None:
@@ -388,7 +302,7 @@
             self._asked_last_until[disk_id] = until
 
     def _take_reply(
-        self, view: GroupView, member: Member, reply: RecordsReply | KeysReply, found: _Round
+        self, view: GroupView, member: Member, reply: RecordsReply | KeysReply, found: Round
     ) -> None:
         if reply.status is ReplyStatus.OK:
             found.acknowledged.add(member.disk_id)
@@ -407,11 +321,11 @@
                 self._views.take(reply.view)
 
 
-def _needed(view: GroupView, members: Sequence[Member], quorum: Quorum) -> int:
+def _needed(view: GroupView, members: Sequence[Member], quorum: _Quorum) -> int:
     """Return how many of the members, the first ones, make up a quorum."""
-    disks = [member.disk_id for member in members]
+    disks = disk_ids(members)
     for count in range(1, len(disks)):
-        if quorum(view, disks[:count]):
+        if quorum.is_made_by(view, disks[:count]):
             return count
     return len(disks)
 
--- /dev/null
+++ b/yarrowwall/replication/rounds.py
@@ -0,0 +1,93 @@
+"""The replies to one request of several replicas, and the wait for them."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Protocol, TypeVar
+
+from eventlet.event import Event
+
+from yarrowwall.messages.replicated import KeysReply, StoredRecord
+from yarrowwall.replication.rpc import Link
+
+
+class _Versioned(Protocol):
+    """Anything of which a higher version replaces a lower one."""
+
+    @property
+    def version(self) -> int:
+        """Return the version."""
+
+
+_V = TypeVar("_V", bound=_Versioned)
+
+
+@dataclass(frozen=True)
+class Amount:
+    """What a record counts for."""
+
+    version: int
+    tokens: int
+
+
+def _keep_newest(held: dict[str, _V], key: str, value: _V) -> None:
+    """Take a value in unless as high a version is held."""
+    known = held.get(key)
+    if known is None or known.version < value.version:
+        held[key] = value
+
+
+def merged(one: Mapping[str, Amount], other: Mapping[str, Amount]) -> dict[str, Amount]:
+    """Return the amounts of two readings; the higher version of a key wins."""
+    found = dict(one)
+    for key, amount in other.items():
+        _keep_newest(found, key, amount)
+    return found
+
+
+@dataclass
+class Round:
+    """The replies to one request of several replicas.
+
+    :param silent: disks of those that were asked and have not replied.
+    """
+
+    acknowledged: set[str] = field(default_factory=set)
+    readers: set[str] = field(default_factory=set)
+    records: dict[str, StoredRecord] = field(default_factory=dict)
+    amounts: dict[str, Amount] = field(default_factory=dict)
+    note: str = ""
+    is_read_quorum: bool = False
+    answered: int = 0
+    met_other_view: bool = False
+    is_complete: bool = False
+    silent: set[str] = field(default_factory=set)
+    posted: list[tuple[Link, int]] = field(default_factory=list)
+    _wakeup: Event = field(default_factory=Event)
+
+    def wait(self, timeout_s: float) -> None:
+        """Wait until the replies suffice or nobody is left who could reply."""
+        if self.is_complete or not self.silent or timeout_s <= 0.0:
+            return
+        self._wakeup = Event()
+        self._wakeup.wait(timeout_s)
+
+    def wake(self) -> None:
+        """End the wait if there is nothing more to wait for."""
+        if (self.is_complete or not self.silent) and not self._wakeup.ready():
+            self._wakeup.send()
+
+    def close(self) -> None:
+        """Take no more replies."""
+        for link, number in self.posted:
+            link.forget(number)
+
+    def merge(self, records: Sequence[StoredRecord]) -> None:
+        """Take in records; the higher version of a key wins."""
+        for record in records:
+            _keep_newest(self.records, record.key, record)
+
+    def merge_amounts(self, reply: KeysReply) -> None:
+        """Take in amounts; the higher version of a key wins."""
+        self.note = reply.note or self.note
+        for key, version, tokens in zip(reply.keys, reply.versions, reply.amounts, strict=True):
+            _keep_newest(self.amounts, key, Amount(version, tokens))
--- a/yarrowwall/replication/rpc.py
+++ b/yarrowwall/replication/rpc.py
@@ -224,6 +224,21 @@
             self._channel.close()
 
 
+class LinkTable:
+    """Links by address."""
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self._now = now
+        self._links: dict[str, Link] = {}
+
+    def get(self, address: str) -> Link:
+        """Return the link to an address."""
+        link = self._links.get(address)
+        if link is None:
+            link = self._links[address] = Link(address, self._now)
+        return link
+
+
 #: Called with a request and with what sends its reply.
 RequestHandler = Callable[[object, Callable[[object], None]], None]
 
--- a/yarrowwall/replication/service.py
+++ b/yarrowwall/replication/service.py
@@ -41,8 +41,7 @@
 from yarrowwall.replication.load_board import LoadBoard
 from yarrowwall.replication.peers import ReplicaPeers
 from yarrowwall.replication.planner import target_size
-from yarrowwall.replication.quorum_client import LinkTable
-from yarrowwall.replication.rpc import serve_requests
+from yarrowwall.replication.rpc import LinkTable, serve_requests
 from yarrowwall.replication.synchroniser import Synchroniser
 from yarrowwall.replication.views import all_members, disk_ids
 
--- a/yarrowwall/replication/synchroniser.py
+++ b/yarrowwall/replication/synchroniser.py
@@ -18,7 +18,7 @@
 from yarrowwall.relay.decisions import DecisionLog
 from yarrowwall.replication.disk import ReplicaDisk
 from yarrowwall.replication.exceptions import LinkDownError
-from yarrowwall.replication.quorum_client import LinkTable
+from yarrowwall.replication.rpc import LinkTable
 from yarrowwall.replication.views import is_read
 
 #: Seconds before a copy that could not be finished is tried again.
