Settings files are read by one piece of code, whoever checks them

Cause: when the machine's settings went from pydantic to msgspec, reading the file, the error for text that is no TOML, the pattern of names and the exit code were written a second time. They stand in settings_file.py, which imports neither, so a machine's start stays without pydantic. Nothing about what is accepted changes. machine_settings.feature and bad_input.feature passed.

--- a/yarrowwall/cli/node.py
+++ b/yarrowwall/cli/node.py
@@ -11,8 +11,8 @@
 from yarrowwall.exceptions import SettingsError, YarrowwallError
 from yarrowwall.relay.settings import load_machine_settings
 from yarrowwall.settings import NodeFileSettings, load_settings
+from yarrowwall.settings_file import EXIT_BAD_SETTINGS
 
-EXIT_BAD_SETTINGS = 2
 _Settings = TypeVar("_Settings")
 _PATH = click.Path(dir_okay=False, path_type=Path)
 
--- a/yarrowwall/platform/__main__.py
+++ b/yarrowwall/platform/__main__.py
@@ -11,8 +11,7 @@
 from yarrowwall.listeners import EarlyListeners
 from yarrowwall.platform import names
 from yarrowwall.relay.settings import MachineSettings, load_machine_settings
-
-EXIT_BAD_SETTINGS = 2
+from yarrowwall.settings_file import EXIT_BAD_SETTINGS
 
 
 def main() -> int:
--- a/yarrowwall/relay/settings.py
+++ b/yarrowwall/relay/settings.py
@@ -5,7 +5,6 @@
 """
 
 import re
-import tomllib
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -13,8 +12,9 @@
 
 from yarrowwall.addresses import check_address
 from yarrowwall.exceptions import SettingsError
+from yarrowwall.settings_file import NAME_PATTERN, parse_toml, read_text
 
-_Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9_-]*$")]
+_Name = Annotated[str, msgspec.Meta(pattern=NAME_PATTERN)]
 _Port = Annotated[int, msgspec.Meta(gt=0, lt=65536)]
 _Seconds = Annotated[float, msgspec.Meta(gt=0.0)]
 #: msgspec puts the place of a fault behind its text.
@@ -93,10 +93,7 @@
 
     :raises SettingsError: with one line for each faulty key; of a table, for its first.
     """
-    try:
-        values = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
-        raise SettingsError([f"not TOML: {error}"]) from error
+    values = parse_toml(text)
     faults = []
     for field in msgspec.structs.fields(MachineSettings):
         if field.name in values:
@@ -139,8 +136,4 @@
 
     :raises SettingsError: if it cannot be read or has faults.
     """
-    try:
-        text = path.read_text()
-    except (OSError, UnicodeDecodeError) as error:
-        raise SettingsError([f"{path}: {error}"]) from error
-    return parse_machine_settings(text)
+    return parse_machine_settings(read_text(path))
--- a/yarrowwall/settings.py
+++ b/yarrowwall/settings.py
@@ -1,6 +1,5 @@
 """Settings files: TOML, checked by pydantic, every fault named with its key."""
 
-import tomllib
 from pathlib import Path
 from typing import Annotated, TypeVar
 
@@ -10,9 +9,10 @@
 from yarrowwall.addresses import check_address
 from yarrowwall.core.limits import Limits
 from yarrowwall.exceptions import SettingsError
+from yarrowwall.settings_file import NAME_PATTERN, parse_toml, read_text
 
 Address = Annotated[str, AfterValidator(check_address)]
-Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9_-]*$")]
+Name = Annotated[str, Field(pattern=NAME_PATTERN)]
 
 
 class _Section(BaseModel):
@@ -82,10 +82,9 @@
     :param model: what the file is to hold.
     :raises SettingsError: with one line a fault.
     """
+    values = parse_toml(text)
     try:
-        return model.model_validate(tomllib.loads(text))
-    except tomllib.TOMLDecodeError as error:
-        raise SettingsError([f"not TOML: {error}"]) from error
+        return model.model_validate(values)
     except ValidationError as error:
         raise SettingsError([_fault_line(fault) for fault in error.errors()]) from error
 
@@ -106,8 +105,4 @@
     :param model: what the file is to hold.
     :raises SettingsError: if it cannot be read or has faults.
     """
-    try:
-        text = path.read_text()
-    except (OSError, UnicodeDecodeError) as error:
-        raise SettingsError([f"{path}: {error}"]) from error
-    return parse_settings(text, model)
+    return parse_settings(read_text(path), model)
