A failed sending is noted in one place; latencies are kept, limits worked out when asked for

Offer.note_failure serves all; relay_whole needs no attempt then. The new estimator kept limits beside the latencies they follow from, and sorted after every answer, those of routes that have no limit as well: it keeps the latencies of repeatable routes and works a limit out when one is asked for. Renamed from 'stays' to the field's word.

--- a/features/steps/start_steps.py
+++ b/features/steps/start_steps.py
@@ -19,8 +19,8 @@
 from yarrowwall.cli.failures import failures
 from yarrowwall.listeners import EarlyListeners
 from yarrowwall.platform.store import PlatformStore
+from yarrowwall.relay.latency import RetryBudget
 from yarrowwall.relay.object_store import ObjectStoreError
-from yarrowwall.relay.stays import RetryBudget
 
 #: Seconds for which a silent server holds a request.
 SILENT_SECONDS = 4.0
--- a/yarrowwall/relay/gateway.py
+++ b/yarrowwall/relay/gateway.py
@@ -240,7 +240,7 @@
 
     def _whole(self, attempt: Attempt, route: Route, end: float) -> bytes:
         offer = self._offer(attempt, route, end, attempt.body)
-        answer, body = relay_whole(self._parts, attempt, route, offer)
+        answer, body = relay_whole(self._parts, route, offer)
         return self._pass_on(answer, body, offer)
 
     def _pass_on(self, answer: Answer, body: bytes, offer: Offer) -> bytes:
--- a/yarrowwall/relay/stays.py
+++ b/yarrowwall/relay/latency.py
@@ -8,7 +8,7 @@
 LEAST_SEEN = 16
 #: Part of the answers that come within the time that is taken as usual.
 USUAL_SHARE = 0.95
-#: Times the usual after which an answer is held to be lost. Where stays are spread as on
+#: Times the usual after which an answer is held to be lost. Where latencies are spread as on
 #: the users' sites (some answers take four times the mean), one in a thousand comes later.
 LIMIT_FACTOR = 2.5
 #: Seconds below which no limit goes, for the way and the load of the machines.
@@ -19,24 +19,23 @@
 MOST_SAVED = 8.0
 
 
-class StayEstimator:
-    """The usual time to an answer, by route."""
+class LatencyEstimator:
+    """The usual time to a whole answer, by route."""
 
     def __init__(self) -> None:
-        self._stays: dict[str, deque[float]] = {}
-        self._limits: dict[str, float] = {}
+        self._seconds: dict[str, deque[float]] = {}
 
     def note(self, route: str, seconds: float) -> None:
         """Note how long a whole answer took."""
-        stays = self._stays.setdefault(route, deque(maxlen=REMEMBERED))
-        stays.append(seconds)
-        if len(stays) >= LEAST_SEEN:
-            usual = sorted(stays)[int(USUAL_SHARE * len(stays))]
-            self._limits[route] = max(LEAST_LIMIT_SECONDS, LIMIT_FACTOR * usual)
+        self._seconds.setdefault(route, deque(maxlen=REMEMBERED)).append(seconds)
 
     def limit_s(self, route: str) -> float | None:
         """Return the seconds after which an answer is held to be lost; None if unknown."""
-        return self._limits.get(route)
+        seen = self._seconds.get(route, ())
+        if len(seen) < LEAST_SEEN:
+            return None
+        usual_s = sorted(seen)[int(USUAL_SHARE * len(seen))]
+        return max(LEAST_LIMIT_SECONDS, LIMIT_FACTOR * usual_s)
 
 
 class RetryBudget:
--- a/yarrowwall/relay/offer.py
+++ b/yarrowwall/relay/offer.py
@@ -16,6 +16,7 @@
     MalformedAnswerError,
     RelayError,
 )
+from yarrowwall.relay.latency import LatencyEstimator, RetryBudget
 from yarrowwall.relay.model import (
     Answer,
     Attempt,
@@ -30,7 +31,6 @@
 from yarrowwall.relay.pool import ConnectionPool
 from yarrowwall.relay.ports import ServerProtocol
 from yarrowwall.relay.servers import Choice, ServerDirectory, Wish
-from yarrowwall.relay.stays import RetryBudget, StayEstimator
 from yarrowwall.relay.urgency import turn_rank
 
 #: Seconds after which a caller that was refused for want of room should come back.
@@ -63,7 +63,7 @@
     protocol: ServerProtocol
     decisions: DecisionLog
     now: Callable[[], float]
-    stays: StayEstimator = field(default_factory=StayEstimator)
+    latencies: LatencyEstimator = field(default_factory=LatencyEstimator)
     retries: RetryBudget = field(default_factory=RetryBudget)
 
 
@@ -147,7 +147,7 @@
                 opened = self._send(choice, last_event_id)
             except RelayError as error:
                 reason = str(error)
-                self._note_failure(choice.server, error)
+                self.note_failure(choice.server, error)
                 if self.log.may_have_run and not self._route.is_repeatable:
                     break
                 continue
@@ -159,7 +159,7 @@
 
     def _choose(self) -> Choice | None:
         attempt = self._attempt
-        affinity = attempt.affinity or "" if self._route.is_sticky else ""
+        affinity = (attempt.affinity or "") if self._route.is_sticky else ""
         if attempt.program is not None and (attempt.prompt or not affinity):
             affinity = attempt.program.program_id
         wish = Wish(attempt.prompt, affinity, self._last_server)
@@ -251,7 +251,7 @@
         """Return the seconds after which a whole answer is late; None if not known."""
         if self._route.kind is not RequestKind.IDEMPOTENT:
             return None
-        return self._parts.stays.limit_s(self._route.name)
+        return self._parts.latencies.limit_s(self._route.name)
 
     @property
     def _may_repeat(self) -> bool:
@@ -271,7 +271,8 @@
         is_heard = now - self._parts.directory.last_heard(server_id) < SILENCE_SECONDS
         return is_heard and now - since < LONGEST_SILENCE_SECONDS
 
-    def _note_failure(self, server: Server, error: RelayError) -> None:
+    def note_failure(self, server: Server, error: RelayError) -> None:
+        """Note that a sending failed, and pass the server over unless the time was just over."""
         if not isinstance(error, AnswerTimeoutError) or self.remaining() > 0:
             self._parts.directory.note_failure(server.server_id, self._parts.now())
         self._parts.decisions.write(
--- a/yarrowwall/relay/streams.py
+++ b/yarrowwall/relay/streams.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterator
 
-from yarrowwall.relay import decisions
 from yarrowwall.relay.events import Event, EventSplitter
 from yarrowwall.relay.exceptions import AnswerTimeoutError, ConnectionBrokenError, RelayError
 from yarrowwall.relay.model import Attempt, Route
@@ -112,7 +111,7 @@
         opened = self._offer.current
         self._offer.abandon()
         if opened is not None:
-            self._note_broken(opened, error)
+            self._offer.note_failure(opened.send.server, error)
         if not self._route.is_resumable or not self._offer.can_go_on():
             self._fail(error)
         try:
@@ -124,15 +123,6 @@
             self._fail(error)
         self._begin(again)
 
-    def _note_broken(self, opened: OpenAnswer, error: RelayError) -> None:
-        server_id = opened.send.server.server_id
-        is_late = isinstance(error, AnswerTimeoutError) and self._offer.remaining() <= 0
-        if not is_late:
-            self._parts.directory.note_failure(server_id, self._parts.now())
-        self._parts.decisions.write(
-            decisions.SendFailed(self._attempt.attempt_id, server_id, str(error), may_have_run=True)
-        )
-
     def _fail(self, error: RelayError) -> None:
         if self.passed:
             raise StreamBrokenError(str(error)) from error
