--- a/features/steps/journal_steps.py
+++ b/features/steps/journal_steps.py
@@ -6,7 +6,6 @@
 from behave import given, then, when
 from behave.runner import Context
 
-import yarrowwall.messages.all_messages  # noqa: F401
 from features.support.journal_model import NAMES, JournalSchedule, run_schedules
 from features.support.mutants import applied
 from yarrowwall.core.configuration.models import SHARD_MAP
--- a/yarrowwall/cli/failures.py
+++ b/yarrowwall/cli/failures.py
@@ -127,6 +127,7 @@
     """
     # Attempts come in the order of their time, so each program's last one stays.
     begun_last_s = {attempt.program_id: attempt.begun_s for attempt in attempts}
+    severity = list(Cause)
     failed: dict[str, FailedProgram] = {}
     for attempt in attempts:
         cause = cause_of(attempt)
@@ -135,8 +136,7 @@
         if begun_last_s[attempt.program_id] > attempt.ended_s:
             continue
         known = failed.get(attempt.program_id)
-        order = list(Cause)
-        if known is None or order.index(cause) < order.index(known.cause):
+        if known is None or severity.index(cause) < severity.index(known.cause):
             failed[attempt.program_id] = FailedProgram(cause, attempt)
     return sorted(failed.values(), key=lambda one: one.attempt.begun_s)
 
--- a/yarrowwall/cli/journal_cost.py
+++ b/yarrowwall/cli/journal_cost.py
@@ -8,7 +8,6 @@
 
 import click
 
-import yarrowwall.messages.all_messages  # noqa: F401
 from yarrowwall.core.journal.replica import JournalReplica
 from yarrowwall.messages.codec import encode
 from yarrowwall.messages.entries import (
--- a/yarrowwall/eventlet_setup.py
+++ b/yarrowwall/eventlet_setup.py
@@ -5,12 +5,13 @@
 
 import os
 import warnings
+from types import ModuleType
 
 #: Threads that run what would block the process: a disk is written by one at a time.
 _POOL_THREADS = "2"
 
 
-def _import_eventlet() -> None:
+def _import_eventlet() -> ModuleType:
     # Addresses are numeric everywhere, so the resolver (216 modules, a quarter of a
     # process's start and 7 MB) is never asked.
     os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
@@ -18,15 +19,13 @@
     # The docs name the risk that eventlet is in maintenance only; every start need not.
     with warnings.catch_warnings():
         warnings.simplefilter("ignore")
-        import eventlet  # noqa: F401
+        import eventlet
+    return eventlet
 
 
 def patch_all() -> None:
     """Patch everything that eventlet can, for programs whose libraries use threads."""
-    _import_eventlet()
-    import eventlet
-
-    eventlet.monkey_patch()
+    _import_eventlet().monkey_patch()
 
 
 def patch_sockets() -> None:
@@ -35,7 +34,4 @@
     Patching threads walks through all objects of the process to find locks, which takes
     longer than all else here. A process with one native thread never waits for a lock.
     """
-    _import_eventlet()
-    import eventlet
-
-    eventlet.monkey_patch(socket=True, select=True, time=True)
+    _import_eventlet().monkey_patch(socket=True, select=True, time=True)
--- a/yarrowwall/relay/gateway_service.py
+++ b/yarrowwall/relay/gateway_service.py
@@ -22,7 +22,7 @@
 from yarrowwall.relay.servers import ServerDirectory
 from yarrowwall.relay.settings import GatewaySettings, MachineSettings
 from yarrowwall.relay.sockets import green
-from yarrowwall.relay.watching import FLURRY_SECONDS, LONG_WATCH_SECONDS, KindFollower
+from yarrowwall.relay.watching import COALESCE_SECONDS, LONG_WATCH_SECONDS, KindFollower
 from yarrowwall.replication.documents import GROUPS_KIND, read_groups
 from yarrowwall.replication.group_views import GroupViews
 from yarrowwall.replication.quorum_client import QuorumClient
@@ -84,8 +84,8 @@
                 self._server_changed,
                 log,
                 self._note_read,
-                FLURRY_SECONDS,
-                LONG_WATCH_SECONDS,
+                pause_s=COALESCE_SECONDS,
+                watch_s=LONG_WATCH_SECONDS,
             ),
             KindFollower(
                 adapter.store,
--- a/yarrowwall/relay/prefixes.py
+++ b/yarrowwall/relay/prefixes.py
@@ -64,11 +64,14 @@
         self._parts: OrderedDict[str, int] = OrderedDict()
         self._tokens = 0
 
-    def fits_into(self, capacity: int, part: PromptPart) -> bool:
-        """Take in one more first part; return whether a server can keep all of them."""
+    def note(self, part: PromptPart) -> None:
+        """Take in the first part of a prompt."""
         self._tokens += part.tokens - self._parts.pop(part.part_id, 0)
         self._parts[part.part_id] = part.tokens
         if len(self._parts) > MOST_SHARED_PARTS:
             _, tokens = self._parts.popitem(last=False)
             self._tokens -= tokens
+
+    def fit_into(self, capacity: int) -> bool:
+        """Return whether a server of a capacity in tokens can keep all of them."""
         return self._tokens <= SHARED_SHARE * capacity
--- a/yarrowwall/relay/servers.py
+++ b/yarrowwall/relay/servers.py
@@ -218,7 +218,8 @@
             return found
         shared = prompt[0].tokens
         own = wish.tokens - shared
-        if self._shared.fits_into(min(state.belief.capacity for state in states), prompt[0]):
+        self._shared.note(prompt[0])
+        if self._shared.fit_into(min(state.belief.capacity for state in states)):
             # Every server soon holds what all programs share.
             found = {server_id: min(missing, own) for server_id, missing in found.items()}
         if wish.last_server:
--- a/yarrowwall/relay/watching.py
+++ b/yarrowwall/relay/watching.py
@@ -26,9 +26,9 @@
 #: (0.4 s an answer was seen) is reached by the later ones.
 LIST_SECONDS = 0.3
 MOST_LIST_SECONDS = 2.4
-#: Seconds between the changes of a kind that comes in flurries and the next question for
-#: more. Each question is a call that is paid for; a flurry is then told by few of them.
-FLURRY_SECONDS = 0.4
+#: Seconds between the changes of a kind of which many come together and the next question
+#: for more, so that they are coalesced: each question is a call that is paid for.
+COALESCE_SECONDS = 0.4
 #: Seconds that a watch waits for a change. A watch that was lost in an outage says nothing
 #: until its wait is over, so one kind, the configuration, is asked for again often; once
 #: that fails, all other watches are begun anew too, so they may wait long.
--- a/yarrowwall/replication/planner.py
+++ b/yarrowwall/replication/planner.py
@@ -50,8 +50,12 @@
     :param busy: disks that are members of any group.
     :param size: replicas wanted.
     """
-    sound = [member for member in view.members if _is_sound(member, registered, alive, retiring)]
-    if len(_alive_members(view, registered, alive)) < read_quorum(len(view.members)):
+    holding = [
+        member
+        for member in view.members
+        if member.node_id in alive and not _has_other_disk(member, registered)
+    ]
+    if len(holding) < read_quorum(len(view.members)):
         # Nobody could copy what is complete; and whoever sees so few may itself be the one
         # that is cut off. A majority would be too much to ask for: in a group of two, left by
         # a retirement, the one that still has its disk holds every complete write.
@@ -61,6 +65,7 @@
         for node_id, member in registered.items()
         if node_id in alive and node_id not in retiring and member.disk_id not in busy
     ]
+    sound = [member for member in holding if member.node_id not in retiring]
     joining = list(sound)
     while len(joining) < size and candidates:
         best = _best_candidate(candidates, joining)
@@ -83,26 +88,6 @@
     return newest is not None and newest.disk_id != member.disk_id
 
 
-def _is_sound(
-    member: Member,
-    registered: dict[str, Member],
-    alive: Collection[str],
-    retiring: Collection[str],
-) -> bool:
-    is_leaving = member.node_id in retiring or _has_other_disk(member, registered)
-    return member.node_id in alive and not is_leaving
-
-
-def _alive_members(
-    view: GroupView, registered: dict[str, Member], alive: Collection[str]
-) -> list[Member]:
-    return [
-        member
-        for member in view.members
-        if member.node_id in alive and not _has_other_disk(member, registered)
-    ]
-
-
 def settled_view(view: GroupView, statuses: dict[str, StatusReply]) -> GroupView | None:
     """Return the view that ends a change; None if too few replicas have copied.
 
