Scenarios run in several processes, each in its own

Change: features/run.py makes a job of every scenario (of a whole feature where scenarios share a running system) and runs two of those that start machines beside three that compute; output is kept apart and printed whole when one fails. A scenario that did not run counts as failed. KNOWN-RED.txt and the closing line are as before.

--- a/features/run.py
+++ b/features/run.py
@@ -1,20 +1,69 @@
 """Run all scenarios and print one line ``N passed, N failed`` at the end.
 
+Scenarios run in several processes: those that share a running system in one, each other
+one in its own. Few of those that start machines run at once, since they measure time; those
+that only compute run beside them.
+
 Scenarios named in KNOWN-RED.txt (``scenario name | cause | issue``) are run
 and printed; their failures do not count. One that passes there counts as
 failed, so that the list is kept short.
 """
 
 import json
+import os
+import subprocess
 import sys
 import tempfile
+import threading
+import time
+from collections.abc import Iterable
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
+from typing import NamedTuple
 
-from behave.__main__ import main as behave_main
+from behave.model import Feature, Scenario
+from behave.parser import parse_file
 
 ROOT = Path(__file__).parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 MOST_KNOWN_RED = 3
+#: Tags of scenarios that start processes of their own.
+SYSTEM_TAGS = {"own_system", "platform_world", "real_processes"}
+SHARED_TAG = "shared_system"
+#: Jobs at once that start machines, each some five processes that mostly wait, and jobs that
+#: compute all the time: together they leave a third of eight processors free.
+MACHINE_JOBS = 2 if (os.cpu_count() or 1) >= 8 else 1
+COMPUTING_JOBS = max(1, (os.cpu_count() or 1) // 2 - 1)
+#: Seconds after which a job counts as hung. The longest takes some 60 s on a free machine.
+JOB_SECONDS = 1200.0
+#: Jobs of which the durations are printed.
+SLOWEST_SHOWN = 5
+
+
+class Job(NamedTuple):
+    """Scenarios that one process runs.
+
+    :param places: ``file:line`` of each scenario, or a whole file.
+    :param names: the scenarios' names.
+    :param starts_machines: whether it measures time on processes of its own.
+    """
+
+    places: list[str]
+    names: list[str]
+    starts_machines: bool
+
+
+class Outcome(NamedTuple):
+    """What a job came to.
+
+    :param results: whether each scenario passed, by name.
+    :param text: what it printed.
+    """
+
+    job: Job
+    results: dict[str, bool]
+    text: str
+    seconds: float
 
 
 def known_red() -> list[str]:
@@ -26,32 +75,106 @@
     return names
 
 
-def outcomes(report: Path) -> dict[str, bool]:
-    """Return whether each scenario passed, by its unique name."""
-    found: dict[str, bool] = {}
-    for feature in json.loads(report.read_text() or "[]"):
-        for element in feature.get("elements", []):
-            if element["type"] != "background":
-                found[f"{element['name']}"] = element.get("status") == "passed"
-    return found
+def find_jobs(paths: Iterable[Path]) -> list[Job]:
+    """Return the jobs of feature files."""
+    jobs: list[Job] = []
+    for path in paths:
+        feature = parse_file(str(path))
+        scenarios = list(feature.walk_scenarios())
+        if SHARED_TAG in feature.tags:
+            names = [scenario.name for scenario in scenarios]
+            jobs.append(Job([str(path)], names, starts_machines=True))
+        else:
+            jobs += [_own_job(path, feature, scenario) for scenario in scenarios]
+    return jobs
 
 
-def main() -> int:
-    """Run behave; return the exit code."""
+def _own_job(path: Path, feature: Feature, scenario: Scenario) -> Job:
+    tags = set(scenario.effective_tags) | set(feature.tags)
+    place = f"{path}:{scenario.line}"
+    return Job([place], [scenario.name], bool(tags & SYSTEM_TAGS))
+
+
+def run_job(job: Job) -> Outcome:
+    """Run the scenarios of a job in a process of its own."""
+    began = time.monotonic()
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / "report.json"
-        arguments = ["--format", "json", "--outfile", str(report), "--format", "progress2"]
-        code = behave_main(
-            [
-                *arguments,
-                "--no-timings",
-                "--logging-level",
-                "ERROR",
-                *sys.argv[1:],
-                str(ROOT / "features"),
-            ]
-        )
-        results = outcomes(report)
+        command = [sys.executable, "-m", "behave", "--format", "json", "--outfile", str(report)]
+        command += ["--format", "plain", "--no-timings", "--logging-level", "ERROR"]
+        try:
+            done = subprocess.run(
+                [*command, *job.places],
+                cwd=ROOT,
+                capture_output=True,
+                text=True,
+                timeout=JOB_SECONDS,
+                check=False,
+            )
+        except subprocess.TimeoutExpired as error:
+            results = dict.fromkeys(job.names, False)
+            return Outcome(job, results, f"no end after {error.timeout} s", JOB_SECONDS)
+        results = _results(report)
+    text = done.stdout + done.stderr
+    # A scenario that never ran has not passed.
+    whole = {name: results.get(name, False) for name in job.names}
+    if done.returncode != 0 and all(whole.values()):
+        whole = dict.fromkeys(job.names, False)
+        text += f"\nbehave ended with {done.returncode}\n"
+    return Outcome(job, whole, text, time.monotonic() - began)
+
+
+def _results(report: Path) -> dict[str, bool]:
+    """Return whether each scenario of a report passed, by its unique name."""
+    try:
+        features = json.loads(report.read_text() or "[]")
+    except (OSError, ValueError):
+        return {}
+    return {
+        element["name"]: element.get("status") == "passed"
+        for feature in features
+        for element in feature.get("elements", [])
+        if element["type"] != "background"
+    }
+
+
+def run_jobs(jobs: list[Job]) -> list[Outcome]:
+    """Run all jobs."""
+    outcomes: list[Outcome] = []
+    lock = threading.Lock()
+
+    def run(job: Job) -> None:
+        outcome = run_job(job)
+        with lock:
+            outcomes.append(outcome)
+            _print_outcome(outcome)
+
+    with (
+        ThreadPoolExecutor(MACHINE_JOBS) as machines,
+        ThreadPoolExecutor(COMPUTING_JOBS) as computing,
+    ):
+        for job in jobs:
+            (machines if job.starts_machines else computing).submit(run, job)
+    return outcomes
+
+
+def _print_outcome(outcome: Outcome) -> None:
+    failed = [name for name, is_green in outcome.results.items() if not is_green]
+    if failed:
+        print(outcome.text, flush=True)
+    verdict = "failed" if failed else "passed"
+    print(f"{verdict} {outcome.job.names[0]} ({outcome.seconds:.1f} s)", flush=True)
+
+
+def main() -> int:
+    """Run the features that are named, or all; return the exit code."""
+    named = [Path(name).resolve() for name in sys.argv[1:]]
+    paths = named or sorted((ROOT / "features").glob("*.feature"))
+    outcomes = run_jobs(find_jobs(paths))
+    slowest = sorted(outcomes, key=lambda outcome: -outcome.seconds)[:SLOWEST_SHOWN]
+    for outcome in slowest:
+        print(f"slowest: {outcome.job.names[0]}: {outcome.seconds:.0f} s")
+    results = {name: green for outcome in outcomes for name, green in outcome.results.items()}
     allowed = known_red()
     passed, failed = 0, 0
     for name, is_green in results.items():
@@ -63,9 +186,6 @@
             failed += not is_green
             if not is_green:
                 print(f"FAILED: {name}")
-    if code != 0 and all(results.values()):
-        print("behave itself failed")
-        failed += 1
     print(f"{passed} passed, {failed} failed")
     return 1 if failed or not results else 0
 
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -1,3 +1,4 @@
+@real_processes
 Feature: A randomized soak keeps the promises, and its checks see broken ones
   Real processes, loopback proxies, signals, clocks that are off, torn and lost disks;
   more seeds are played by hand: python -m features.soak --seeds 1-20
