The store is read by one machine of a zone, and all others ask it

Ways weighed: one watcher elected a zone (a lease, and a pause without a reader when it dies); gossip (a mesh, no bound on the age); every machine with a disk reading always (24 instead of 5). Taken: whoever is asked reads. All machines of a zone ask the machines with disks in the same order, so one a zone is asked; when it does not answer, answers that it hears nothing from the store itself, or is frozen, the next one is asked and begins to read. The protocol is the store's own, list and watch by revision, so followers stay as they were, and the store itself is the last resort, spread over a second. A start lists the configuration at the store (linearizable), and servers, groups and registrations by its 'stale' answer. Tests: random histories through two readers with three mutants; real processes: reader killed, frozen, cut off, all readers cut off, a gateway turned away by the store, history forgotten.

--- /dev/null
+++ b/features/readers.feature
@@ -0,0 +1,72 @@
+Feature: Few machines of a zone read the platform's store, and all others ask them
+
+  Scenario: Whatever readers a machine follows, it comes to the state of the store
+    Then 300 random histories of changes, followed through two readers, end in the store's state
+
+  Scenario Outline: The check of histories catches <mutant>
+    Given readers of which <mutant>
+    Then some random history followed through two readers ends in another state
+
+    Examples:
+      | mutant                                     |
+      | the ends of objects are not told           |
+      | forgotten changes are passed over          |
+      | a batch that was partly known is left out  |
+
+  Scenario: All machines of a zone ask the same reader first
+    Given readers "a-1", "a-2", "a-3" of zone "a" and "b-1", "b-2" of zone "b"
+    Then 20 machines of zone "a" all ask "a-1", then "a-2", then "b-1"
+
+  Scenario: A reader that falls silent is passed over for a while, each time for longer
+    Given readers "a-1", "a-2", "a-3" of zone "a" and "b-1", "b-2" of zone "b"
+    When "a-1" does not answer at 0.0 s
+    Then at 0.5 s machines of zone "a" ask "a-2" first
+    And at 1.5 s machines of zone "a" ask "a-1" first
+    When "a-1" does not answer at 1.5 s
+    Then at 3.0 s machines of zone "a" ask "a-2" first
+
+  @platform_world
+  Scenario: One machine of a zone watches the store for all
+    When readers have been asked for 3 s
+    Then only one machine watches "config" at the store
+    And only one machine watches "servers" at the store
+
+  @platform_world
+  Scenario Outline: A configuration is in force soon although the reader <fails>
+    Given a route "records" of type "mutating" with a server
+    When readers have been asked for 3 s
+    And the reader <fails>
+    And a configuration is written
+    Then the configuration is in force at gateway 0 within <limit> s
+    And the configuration is in force at gateway 1 within <limit> s
+
+    Examples:
+      | fails                         | limit |
+      | is killed                     | 2     |
+      | is frozen                     | 3     |
+      | is cut off from the store     | 3     |
+
+  @platform_world
+  Scenario: A gateway that the store turns away goes on learning through its reader
+    Given a route "records" of type "mutating" with a server
+    When readers have been asked for 3 s
+    And the store turns gateway 0 away
+    And a configuration is written
+    Then the configuration is in force at gateway 0 within 2 s
+
+  @platform_world
+  Scenario: All readers are cut off from the store, and gateways ask it themselves
+    Given a route "records" of type "mutating" with a server
+    When readers have been asked for 3 s
+    And the store turns every reader away
+    And a configuration is written
+    Then the configuration is in force at gateway 0 within 5 s
+    And the configuration is in force at gateway 1 within 5 s
+
+  @platform_world
+  Scenario: The store forgets its history and a configuration is written meanwhile
+    Given a route "records" of type "mutating" with a server
+    When readers have been asked for 3 s
+    And the store forgets its history and a configuration is written
+    Then the configuration is in force at gateway 0 within 2 s
+    And the configuration is in force at gateway 1 within 2 s
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -14,6 +14,7 @@
 import tempfile
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -99,8 +100,39 @@
 
             do_GET = do_POST = do_PUT = do_DELETE = _run
 
+        self._handler = Handler
         self.server = serve(Handler)
         self.address = address_of(self.server)
+        #: Servers of the same objects by the machine that they answer.
+        self._own_servers: dict[str, Any] = {}
+        self._turned_away: set[str] = set()
+        #: Watches that wait, by machine and kind.
+        self.watching: Counter[tuple[str, str]] = Counter()
+
+    def address_for(self, machine: str) -> str:
+        """Return an address at which one machine alone reaches the store."""
+        if machine not in self._own_servers:
+            self._own_servers[machine] = serve(self._handler)
+        return address_of(self._own_servers[machine])
+
+    def turn_away(self, machine: str) -> None:
+        """Answer one machine nothing more; its watches end."""
+        with self.lock:
+            self._turned_away.add(machine)
+            self.lock.notify_all()
+
+    def stop(self) -> None:
+        """Serve no more."""
+        for server in (self.server, *self._own_servers.values()):
+            server.shutdown()
+            server.server_close()
+
+    def _machine(self, call: QuietHandler) -> str:
+        """Return the machine that a call comes from; empty if it is not known."""
+        for machine, server in self._own_servers.items():
+            if server is call.server:
+                return machine
+        return ""
 
     def put(self, kind: str, name: str, spec: dict[str, Any]) -> None:
         """Write an object as the operators or servers do."""
@@ -160,7 +192,8 @@
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         names = parts.path.strip("/").split("/")[1:]
         body = json.loads(call.body() or b"{}")
-        if self.is_down:
+        machine = self._machine(call)
+        if self.is_down or machine in self._turned_away:
             call.close_connection = True
             return
         if call.command == "GET" and "watch" not in query:
@@ -169,7 +202,7 @@
                 call.close_connection = True
                 return
             time.sleep(self.list_delay_s)
-        status, document = self._answer(call.command, names, query, body)
+        status, document = self._answer(call.command, names, query, body, machine)
         if status in (LOST, CUT):
             time.sleep(LOST_SECONDS if status == LOST else 0.0)
             call.close_connection = True
@@ -183,23 +216,35 @@
             return is_lost
 
     def _answer(
-        self, method: str, names: list[str], query: dict[str, str], body: dict[str, Any]
+        self,
+        method: str,
+        names: list[str],
+        query: dict[str, str],
+        body: dict[str, Any],
+        machine: str,
     ) -> tuple[int, dict[str, Any]]:
         with self.lock:
             if method == "GET" and "watch" in query:
-                return self._watch(names[0], int(query["watch"]), int(query["wait_ms"]))
+                revision, wait_ms = int(query["watch"]), int(query["wait_ms"])
+                self.watching[(machine, names[0])] += 1
+                try:
+                    return self._watch(names[0], revision, wait_ms, machine)
+                finally:
+                    self.watching[(machine, names[0])] -= 1
             if method == "GET":
                 items = [item for (kind, _), item in self.objects.items() if kind == names[0]]
                 return 200, {"items": items, "more": False, "at": self.revision}
             return self._write(method, names, body)
 
-    def _watch(self, kind: str, revision: int, wait_ms: int) -> tuple[int, dict[str, Any]]:
+    def _watch(
+        self, kind: str, revision: int, wait_ms: int, machine: str
+    ) -> tuple[int, dict[str, Any]]:
         end = time.monotonic() + wait_ms / 1000.0
         outages = self._outages
         cuts = self._cuts
         is_deaf = time.monotonic() < self._deaf_until
         while True:
-            if self._cuts != cuts:
+            if self._cuts != cuts or machine in self._turned_away:
                 return CUT, {}
             if is_deaf and time.monotonic() < end:
                 self.lock.wait(end - time.monotonic())
@@ -445,7 +490,7 @@
 
     def store_address(self, name: str) -> str:
         """Return the address under which a machine reaches the store."""
-        return self.store.address
+        return self.store.address_for(name)
 
     def _settings(self, name: str, is_gateway: bool, is_first: bool) -> str:
         own = self.addresses[name]
@@ -544,8 +589,7 @@
                 process.kill()
         for process in self.processes.values():
             process.wait()
-        self.store.server.shutdown()
-        self.store.server.server_close()
+        self.store.stop()
         for server in self.servers.values():
             server.listener.shutdown()
             server.listener.server_close()
--- /dev/null
+++ b/features/support/reader_model.py
@@ -0,0 +1,90 @@
+"""Random histories of a kind of objects, followed through two readers without any I/O."""
+
+import random
+from dataclasses import dataclass, field
+
+from yarrowwall.readers.picture import KindPicture
+from yarrowwall.relay.object_store import Change, Changes, StoredObject
+
+NAMES = ("a", "b", "c", "d")
+STEPS = 60
+
+
+@dataclass
+class StoreModel:
+    """The store: its objects and every change of them."""
+
+    revision: int = 1
+    items: dict[str, StoredObject] = field(default_factory=dict)
+    history: list[tuple[int, Change]] = field(default_factory=list)
+
+    def change(self, rng: random.Random) -> None:
+        """Write or remove one object."""
+        name = rng.choice(NAMES)
+        self.revision += 1
+        if name in self.items and rng.random() < 0.4:
+            item = self.items.pop(name)
+            self.history.append((self.revision, Change(item, True)))
+            return
+        item = StoredObject(name, self.revision, {"value": self.revision}, {})
+        self.items[name] = item
+        self.history.append((self.revision, Change(item, False)))
+
+    def since(self, revision: int) -> list[Change]:
+        """Return the changes after a revision."""
+        return [change for at, change in self.history if at > revision]
+
+
+class Receiver:
+    """A machine that follows the kind through whatever reader it is told to."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, StoredObject] = {}
+        self.revision = 0
+
+    def ask(self, picture: KindPicture) -> None:
+        """Take in what a reader tells, as a follower does."""
+        found: Changes | None = None
+        if self.revision:
+            found = picture.changes_since(self.revision)
+        if found is None:
+            listing = picture.listing()
+            if listing.revision < self.revision:
+                return
+            self.items = {item.name: item for item in listing.items}
+            self.revision = listing.revision
+            return
+        for change in found.changes:
+            if change.is_gone:
+                self.items.pop(change.item.name, None)
+            else:
+                self.items[change.item.name] = change.item
+        self.revision = found.revision
+
+
+def ends_in_state(seed: int) -> bool:
+    """Play a random history; return whether the receiver ends in the store's state.
+
+    Readers list anew now and then, as they do after the store has forgotten its history.
+    """
+    rng = random.Random(seed)
+    store = StoreModel()
+    pictures = [KindPicture(), KindPicture()]
+    for picture in pictures:
+        picture.replace_all([], store.revision)
+    receiver = Receiver()
+    for _ in range(STEPS):
+        action = rng.random()
+        picture = rng.choice(pictures)
+        if action < 0.45:
+            store.change(rng)
+        elif action < 0.7:
+            picture.take(store.since(picture.revision), store.revision)
+        elif action < 0.76:
+            picture.replace_all(list(store.items.values()), store.revision)
+        else:
+            receiver.ask(picture)
+    for picture in pictures:
+        picture.take(store.since(picture.revision), store.revision)
+    receiver.ask(rng.choice(pictures))
+    return receiver.items == store.items and receiver.revision == store.revision
--- a/yarrowwall/messages/all_messages.py
+++ b/yarrowwall/messages/all_messages.py
@@ -2,6 +2,7 @@
 
 import yarrowwall.messages.entries
 import yarrowwall.messages.journal
+import yarrowwall.messages.objects
 import yarrowwall.messages.peers
 import yarrowwall.messages.records
 import yarrowwall.messages.replicated
--- /dev/null
+++ b/yarrowwall/messages/objects.py
@@ -0,0 +1,65 @@
+"""Messages between machines that read the platform's store and those that they read it for."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from yarrowwall.messages.registry import message
+
+
+class ObjectsStatus(StrEnum):
+    """How a reader took a question."""
+
+    OK = "ok"
+    #: The reader no longer knows the changes since the revision; list anew.
+    FORGOTTEN = "forgotten"
+    #: The reader itself gets no answers from the store, or none that is new enough.
+    OUT_OF_CONTACT = "out_of_contact"
+
+
+@dataclass(frozen=True)
+class RelayedObject:
+    """An object of the store, or the end of one.
+
+    :param revision: the store's revision at its last change.
+    :param content: its specification and status, as JSON.
+    """
+
+    name: str
+    revision: int
+    content: str
+    is_gone: bool
+
+
+@message(130)
+class ListObjects:
+    """Return all objects of a kind.
+
+    :param least_revision: the revision that the list has to have at least.
+    """
+
+    kind: str
+    least_revision: int
+
+
+@message(131)
+class WatchObjects:
+    """Return what changed after a revision, as soon as something did.
+
+    :param wait_s: seconds after which the answer comes without a change.
+    """
+
+    kind: str
+    revision: int
+    wait_s: float
+
+
+@message(132)
+class ObjectsReply:
+    """Answer to :class:`ListObjects` and :class:`WatchObjects`.
+
+    :param revision: the store's revision that the objects bring a receiver to.
+    """
+
+    status: ObjectsStatus
+    objects: list[RelayedObject]
+    revision: int
--- a/yarrowwall/platform/adapter.py
+++ b/yarrowwall/platform/adapter.py
@@ -15,6 +15,6 @@
         PlatformCallers(),
         PlatformServers(),
         PlatformDocuments(),
-        PlatformStore(settings.platform_address),
+        lambda: PlatformStore(settings.platform_address),
         names.READINESS_PATH,
     )
--- a/yarrowwall/platform/store.py
+++ b/yarrowwall/platform/store.py
@@ -43,23 +43,27 @@
         self._watching: dict[str, ServerConnection] = {}
         self._interrupted: set[str] = set()
 
-    def list(self, kind: str, timeout_s: float) -> Listing:
+    def list(self, kind: str, timeout_s: float, may_be_old: bool = False) -> Listing:
         """Return all objects of a kind.
 
         :param timeout_s: the longest that each page of it may take.
+        :param may_be_old: whether the list may be some seconds old, at a tenth of the price.
         """
         items: list[StoredObject] = []
         revision: int | None = None
         path = f"/objects/{kind}"
-        query = ""
+        age = "stale=1" if may_be_old else ""
+        query = age
         while True:
-            _, document = self._call("GET", path + query, lane=f"list {kind}", timeout=timeout_s)
+            target = f"{path}?{query}" if query else path
+            _, document = self._call("GET", target, lane=f"list {kind}", timeout=timeout_s)
             items += [_object(item) for item in document["items"]]
             # Changes after the first page's revision are delivered by the watch.
             revision = document["at"] if revision is None else revision
             if not document.get("more"):
                 return Listing(items, revision)
-            query = "?after=" + quote(items[-1].name, safe="")
+            after = "after=" + quote(items[-1].name, safe="")
+            query = f"{age}&{after}" if age else after
 
     def watch(self, kind: str, revision: int, wait_s: float) -> Changes:
         """Wait for changes after a revision; none if nothing happened for a while."""
--- /dev/null
+++ b/yarrowwall/readers/reader.py
@@ -0,0 +1,211 @@
+"""Follows kinds of the platform's store for other machines, as long as they ask.
+
+Nobody is chosen for this: all machines of a zone ask the same ones in the same order
+(:mod:`yarrowwall.readers.order`), and a machine that is asked begins to follow.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import eventlet
+
+from yarrowwall.messages.objects import (
+    ListObjects,
+    ObjectsReply,
+    ObjectsStatus,
+    WatchObjects,
+)
+from yarrowwall.readers.picture import KindPicture
+from yarrowwall.readers.wire import relayed
+from yarrowwall.relay.decisions import DecisionLog
+from yarrowwall.relay.object_store import Change, ObjectStore, StoredObject
+from yarrowwall.relay.watching import COALESCE_SECONDS, LONG_WATCH_SECONDS, KindFollower
+
+#: Seconds for which a question waits for the reader's own first list. A list takes 0.01 s if
+#: the store answers at once; beyond this the asker had better try another reader.
+FIRST_LIST_SECONDS = 0.4
+#: Seconds without a question after which a kind is no longer followed.
+IDLE_SECONDS = 8.0
+#: Seconds before a failed read of the store is tried again at most. Many wait for a reader
+#: and few machines are readers, so they try more often than others.
+MOST_RETRY_SECONDS = 0.3
+
+_OUT_OF_CONTACT = ObjectsReply(ObjectsStatus.OUT_OF_CONTACT, [], 0)
+_FORGOTTEN = ObjectsReply(ObjectsStatus.FORGOTTEN, [], 0)
+#: Called with the reply to a question.
+Reply = Callable[[ObjectsReply], None]
+
+
+class _Question:
+    """A question that waits for its answer.
+
+    :ivar timer: ends the wait.
+    """
+
+    def __init__(self, request: ListObjects | WatchObjects, reply: Reply) -> None:
+        self.request = request
+        self.reply = reply
+        self.timer: Any = None
+
+
+class FollowedKind:
+    """One kind of objects that is followed, and the questions about it.
+
+    :param watch_s: the longest that one watch at the store waits.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        kind: str,
+        watch_s: float,
+        log: DecisionLog,
+        now: Callable[[], float],
+    ) -> None:
+        self._now = now
+        self._picture = KindPicture()
+        self._is_in_contact = False
+        self._listed: list[StoredObject] | None = None
+        self._changed: list[Change] = []
+        self._waiting: dict[int, _Question] = {}
+        self.asked_at = now()
+        self._follower = KindFollower(
+            store,
+            kind,
+            self._note_list,
+            self._changed.append,
+            log,
+            self._take_read,
+            on_lost=self._lose_contact,
+            pause_s=COALESCE_SECONDS,
+            watch_s=watch_s,
+            most_retry_s=MOST_RETRY_SECONDS,
+        )
+        self._follower.start()
+
+    @property
+    def is_wanted(self) -> bool:
+        """Return whether somebody waits for it or asked lately."""
+        return bool(self._waiting) or self._now() - self.asked_at < IDLE_SECONDS
+
+    def stop(self) -> None:
+        """Follow no more."""
+        self._follower.stop()
+
+    def ask(self, request: ListObjects | WatchObjects, reply: Reply) -> None:
+        """Answer a question at once or later."""
+        self.asked_at = self._now()
+        answer = self._answer(request)
+        if answer is not None:
+            reply(answer)
+            return
+        question = _Question(request, reply)
+        self._waiting[id(question)] = question
+        question.timer = eventlet.spawn_after(self._wait_s(request), self._end_wait, question)
+
+    def _wait_s(self, request: ListObjects | WatchObjects) -> float:
+        if not self._picture.revision or isinstance(request, ListObjects):
+            return FIRST_LIST_SECONDS
+        return request.wait_s
+
+    def _answer(self, request: ListObjects | WatchObjects) -> ObjectsReply | None:
+        """Return the answer to a question; None if it has to wait."""
+        if not self._picture.revision:
+            return None
+        if not self._is_in_contact:
+            return _OUT_OF_CONTACT
+        if isinstance(request, ListObjects):
+            return self._list(request)
+        found = self._picture.changes_since(request.revision)
+        if found is None:
+            return _FORGOTTEN
+        if not found.changes and request.wait_s > 0.0:
+            return None
+        objects = [relayed(change.item, change.is_gone) for change in found.changes]
+        return ObjectsReply(ObjectsStatus.OK, objects, found.revision)
+
+    def _list(self, request: ListObjects) -> ObjectsReply | None:
+        listing = self._picture.listing()
+        if listing.revision < request.least_revision:
+            return None
+        objects = [relayed(item) for item in listing.items]
+        return ObjectsReply(ObjectsStatus.OK, objects, listing.revision)
+
+    def _end_wait(self, question: _Question) -> None:
+        self._waiting.pop(id(question), None)
+        self.asked_at = self._now()
+        request = question.request
+        is_quiet = self._is_in_contact and isinstance(request, WatchObjects)
+        if not is_quiet:
+            question.reply(_OUT_OF_CONTACT)
+            return
+        revision = max(self._picture.revision, request.revision)  # type: ignore[union-attr]
+        question.reply(ObjectsReply(ObjectsStatus.OK, [], revision))
+
+    # What the store tells
+
+    def _note_list(self, items: list[StoredObject]) -> None:
+        self._listed = items
+
+    def _take_read(self, revision: int) -> None:
+        """Take in all that one answer of the store brought."""
+        if self._listed is not None:
+            self._picture.replace_all(self._listed, revision)
+            self._listed = None
+        self._picture.take(list(self._changed), revision)
+        self._changed.clear()
+        self._is_in_contact = True
+        self._answer_waiting()
+
+    def _lose_contact(self) -> None:
+        self._is_in_contact = False
+        # Whoever waits finds a reader that still hears of changes.
+        if self._picture.revision:
+            self._answer_waiting()
+
+    def _answer_waiting(self) -> None:
+        for key, question in list(self._waiting.items()):
+            answer = self._answer(question.request)
+            if answer is not None:
+                del self._waiting[key]
+                question.timer.cancel()
+                question.reply(answer)
+
+
+class ObjectReader:
+    """Answers other machines' questions about the store's objects.
+
+    :param store: the store, for this reader alone.
+    :param watch_s: the longest that a watch waits, for kinds where that is not the usual.
+    :param now: the monotonic clock.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        watch_s: Mapping[str, float],
+        log: DecisionLog,
+        now: Callable[[], float],
+    ) -> None:
+        self._store = store
+        self._watch_s = watch_s
+        self._log = log
+        self._now = now
+        self._kinds: dict[str, FollowedKind] = {}
+
+    def ask(self, request: ListObjects | WatchObjects, reply: Reply) -> None:
+        """Answer a question at once or later."""
+        kind = request.kind
+        followed = self._kinds.get(kind)
+        if followed is None:
+            watch_s = self._watch_s.get(kind, LONG_WATCH_SECONDS)
+            followed = FollowedKind(self._store, kind, watch_s, self._log, self._now)
+            self._kinds[kind] = followed
+        followed.ask(request, reply)
+
+    def stop_unwanted(self) -> None:
+        """Follow no more what nobody asked for lately."""
+        for kind, followed in list(self._kinds.items()):
+            if not followed.is_wanted:
+                followed.stop()
+                del self._kinds[kind]
--- a/yarrowwall/relay/gateway_service.py
+++ b/yarrowwall/relay/gateway_service.py
@@ -16,13 +16,13 @@
 from yarrowwall.relay.ledger import ReplicatedLedger
 from yarrowwall.relay.load_reports import LoadReporter
 from yarrowwall.relay.model import Configuration, Server
-from yarrowwall.relay.object_store import Change, StoredObject
+from yarrowwall.relay.object_store import Change, ObjectStore, StoredObject
 from yarrowwall.relay.offer import RelayParts
 from yarrowwall.relay.pool import ConnectionPool
 from yarrowwall.relay.servers import ServerDirectory
 from yarrowwall.relay.settings import GatewaySettings, MachineSettings
 from yarrowwall.relay.sockets import green
-from yarrowwall.relay.watching import COALESCE_SECONDS, LONG_WATCH_SECONDS, KindFollower
+from yarrowwall.relay.watching import LONG_WATCH_SECONDS, KindFollower
 from yarrowwall.replication.documents import GROUPS_KIND, read_groups
 from yarrowwall.replication.group_views import GroupViews
 from yarrowwall.replication.quorum_client import QuorumClient
@@ -47,6 +47,7 @@
         settings: MachineSettings,
         own: GatewaySettings,
         adapter: "Adapter",
+        store: ObjectStore,
         listeners: EarlyListeners,
         log: DecisionLog,
     ) -> None:
@@ -70,7 +71,7 @@
         self.gateway = Gateway(parts, adapter.callers, self._ledger, self._limits)
         self._followers = [
             KindFollower(
-                adapter.store,
+                store,
                 adapter.documents.configuration_kind,
                 self._configurations_listed,
                 lambda change: self._configuration_changed(change.item, change.is_gone),
@@ -78,23 +79,24 @@
                 self._note_read,
             ),
             KindFollower(
-                adapter.store,
+                store,
                 adapter.documents.servers_kind,
                 self._servers_listed,
                 self._server_changed,
                 log,
                 self._note_read,
-                pause_s=COALESCE_SECONDS,
                 watch_s=LONG_WATCH_SECONDS,
+                may_be_old=True,
             ),
             KindFollower(
-                adapter.store,
+                store,
                 GROUPS_KIND,
                 self._groups_listed,
                 self._groups_changed,
                 log,
                 self._note_read,
                 watch_s=LONG_WATCH_SECONDS,
+                may_be_old=True,
             ),
         ]
 
@@ -140,7 +142,7 @@
         has_listed = all(follower.has_listed for follower in self._followers)
         return has_listed and self.gateway.table is not None and self._views.count > 0
 
-    def _note_read(self) -> None:
+    def _note_read(self, revision: int) -> None:
         if self._is_informed:
             self.gateway.note_informed()
 
--- a/yarrowwall/relay/object_store.py
+++ b/yarrowwall/relay/object_store.py
@@ -65,10 +65,12 @@
     Every method raises :class:`ObjectStoreError` if the store gives no usable answer.
     """
 
-    def list(self, kind: str, timeout_s: float) -> Listing:
+    def list(self, kind: str, timeout_s: float, may_be_old: bool = False) -> Listing:
         """Return all objects of a kind.
 
         :param timeout_s: the longest that each page of it may take.
+        :param may_be_old: whether the list may be some seconds old, which costs the store less;
+            a watch from its revision catches up.
         """
 
     def watch(self, kind: str, revision: int, wait_s: float) -> Changes:
--- a/yarrowwall/relay/service.py
+++ b/yarrowwall/relay/service.py
@@ -1,6 +1,8 @@
 """The process of a machine: a gateway, a replica, or both."""
 
 import signal
+import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Protocol
@@ -10,6 +12,8 @@
 
 from yarrowwall.exceptions import SettingsError
 from yarrowwall.listeners import EarlyListeners
+from yarrowwall.readers.reader import ObjectReader
+from yarrowwall.readers.store import ReaderStore
 from yarrowwall.relay import decisions
 from yarrowwall.relay.decisions import DecisionLog
 from yarrowwall.relay.gateway_service import GatewayService
@@ -17,20 +21,27 @@
 from yarrowwall.relay.object_store import ObjectStore
 from yarrowwall.relay.ports import CallerProtocol, Documents, ServerProtocol
 from yarrowwall.relay.settings import MachineSettings, load_machine_settings
+from yarrowwall.relay.watching import WATCH_SECONDS
 from yarrowwall.replication.service import ReplicaService
 
 #: Seconds between looks at the settings file, which may change without a signal.
 SETTINGS_SECONDS = 2.0
+#: Seconds that a reader's watch of the configuration waits. One that was lost in an outage
+#: says nothing until its wait is over, and a whole zone waits for it.
+CONFIGURATION_WATCH_SECONDS = 2.0
 
 
 @dataclass(frozen=True)
 class Adapter:
-    """The platform's side of a machine."""
+    """The platform's side of a machine.
+
+    :param make_store: returns a client of the platform's store.
+    """
 
     callers: CallerProtocol
     servers: ServerProtocol
     documents: Documents
-    store: ObjectStore
+    make_store: Callable[[], ObjectStore]
     readiness_path: str
 
 
@@ -64,29 +75,57 @@
         self._log = DecisionLog(settings.node_id, count=self._metrics.count)
         self._stopped = Event()
         self._is_stopping = False
+        reader = self._make_reader(adapter) if settings.replica is not None else None
+        self._store = self._make_store(adapter, reader)
         self._parts: list[Part] = []
         if settings.gateway is not None:
             self._parts.append(
-                GatewayService(settings, settings.gateway, adapter, listeners, self._log)
+                GatewayService(
+                    settings, settings.gateway, adapter, self._store, listeners, self._log
+                )
             )
-        if settings.replica is not None:
+        if settings.replica is not None and reader is not None:
             self._parts.append(
                 ReplicaService(
                     settings,
                     settings.replica,
                     adapter.documents,
-                    adapter.store,
+                    self._store,
+                    reader,
                     listeners,
                     self._log,
                 )
             )
 
+    def _make_reader(self, adapter: Adapter) -> ObjectReader:
+        """Return what reads the store for other machines, and for this one."""
+        documents = adapter.documents
+        watch_s = {
+            documents.configuration_kind: CONFIGURATION_WATCH_SECONDS,
+            documents.retirements_kind: WATCH_SECONDS,
+        }
+        return ObjectReader(adapter.make_store(), watch_s, self._log, time.monotonic)
+
+    def _make_store(self, adapter: Adapter, reader: ObjectReader | None) -> ReaderStore:
+        """Return the store as this machine reads it."""
+        documents = adapter.documents
+        return ReaderStore(
+            self._settings.node_id,
+            self._settings.zone,
+            adapter.make_store(),
+            reader,
+            (documents.configuration_kind, documents.retirements_kind),
+            self._log,
+            time.monotonic,
+        )
+
     def start(self) -> None:
         """Begin to work."""
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: eventlet.spawn_n(self.stop))
         signal.signal(signal.SIGHUP, lambda *_: eventlet.spawn_n(self.reload))
         signal.signal(signal.SIGPIPE, signal.SIG_IGN)
+        self._store.start()
         for part in self._parts:
             part.start()
         eventlet.spawn_n(self._watch_settings)
--- a/yarrowwall/relay/watching.py
+++ b/yarrowwall/relay/watching.py
@@ -1,6 +1,7 @@
 """Following all objects of one kind through lists and watches."""
 
 from collections.abc import Callable
+from typing import Any
 
 import eventlet
 
@@ -44,9 +45,12 @@
 
     :param on_list: called with all objects after each list.
     :param on_change: called with each change after that.
-    :param on_read: called after each list and each answer to a watch.
+    :param on_read: called with the revision after each list and each answer to a watch.
+    :param on_lost: called once the store gives no usable answer any more.
     :param pause_s: seconds to wait after changes before the next ones are asked for.
     :param watch_s: the longest that one watch waits.
+    :param most_retry_s: the longest pause before a failed read is tried again.
+    :param may_be_old: whether lists may be some seconds old.
     """
 
     def __init__(
@@ -56,9 +60,12 @@
         on_list: Callable[[list[StoredObject]], None],
         on_change: Callable[[Change], None],
         log: DecisionLog,
-        on_read: Callable[[], None] = lambda: None,
+        on_read: Callable[[int], None] = lambda revision: None,
+        on_lost: Callable[[], None] = lambda: None,
         pause_s: float = 0.0,
         watch_s: float = WATCH_SECONDS,
+        most_retry_s: float = MOST_RETRY_SECONDS,
+        may_be_old: bool = False,
     ) -> None:
         self._store = store
         self._kind = kind
@@ -66,15 +73,24 @@
         self._on_change = on_change
         self._log = log
         self._on_read = on_read
+        self._on_lost = on_lost
         self._pause_s = pause_s
         self._watch_s = watch_s
+        self._most_retry_s = most_retry_s
+        self._may_be_old = may_be_old
+        self._running: Any = None
         self._is_cautious = False
         self._failures = 0
         self.has_listed = False
 
     def start(self) -> None:
         """Begin to follow."""
-        eventlet.spawn(self._run)
+        self._running = eventlet.spawn(self._run)
+
+    def stop(self) -> None:
+        """Follow no more."""
+        if self._running is not None:
+            self._running.kill()
 
     def _run(self) -> None:
         revision: int | None = None
@@ -82,7 +98,6 @@
             try:
                 revision = self._list() if revision is None else self._watch(revision)
                 self._note_up()
-                self._on_read()
             except HistoryForgottenError:
                 revision = None
             except WatchInterruptedError:
@@ -105,9 +120,10 @@
 
     def _list(self) -> int:
         timeout_s = min(LIST_SECONDS * 2**self._failures, MOST_LIST_SECONDS)
-        listing = self._store.list(self._kind, timeout_s)
+        listing = self._store.list(self._kind, timeout_s, self._may_be_old)
         self._on_list(listing.items)
         self.has_listed = True
+        self._on_read(listing.revision)
         return listing.revision
 
     def _watch(self, revision: int) -> int:
@@ -116,12 +132,13 @@
         self._is_cautious = False
         for change in found.changes:
             self._on_change(change)
+        self._on_read(found.revision)
         if found.changes:
             eventlet.sleep(self._pause_s)
         return found.revision
 
     def _pause(self) -> None:
-        most_s = MOST_RETRY_SECONDS if self.has_listed else MOST_FIRST_RETRY_SECONDS
+        most_s = self._most_retry_s if self.has_listed else MOST_FIRST_RETRY_SECONDS
         pause = min(RETRY_SECONDS * 2 ** (self._failures - 1), most_s)
         eventlet.sleep(pause * (0.75 + 0.5 * fraction(self._kind, str(self._failures))))
 
@@ -133,4 +150,5 @@
     def _note_down(self, error: Exception) -> None:
         self._failures += 1
         if self._failures == 1:
+            self._on_lost()
             self._log.write(decisions.DependencyChanged(f"store/{self._kind}", False, repr(error)))
--- a/yarrowwall/replication/service.py
+++ b/yarrowwall/replication/service.py
@@ -7,6 +7,7 @@
 import eventlet
 
 from yarrowwall.listeners import EarlyListeners
+from yarrowwall.messages.objects import ListObjects, WatchObjects
 from yarrowwall.messages.replicated import (
     GroupView,
     LoadReply,
@@ -16,6 +17,7 @@
     ReportLoad,
     StatusReply,
 )
+from yarrowwall.readers.reader import ObjectReader
 from yarrowwall.relay import decisions
 from yarrowwall.relay.decisions import DecisionLog
 from yarrowwall.relay.object_store import (
@@ -59,12 +61,14 @@
         own: ReplicaSettings,
         documents: Documents,
         store: ObjectStore,
+        reader: ObjectReader,
         listeners: EarlyListeners,
         log: DecisionLog,
     ) -> None:
         self._settings = settings
         self._documents = documents
         self._store = store
+        self._reader = reader
         self._listeners = listeners
         self._log = log
         self._disk = ReplicaDisk(settings.node_id, Path(own.data_folder), log)
@@ -92,6 +96,7 @@
                 self._group_changed,
                 log,
                 watch_s=LONG_WATCH_SECONDS,
+                may_be_old=True,
             ),
             KindFollower(
                 store,
@@ -100,6 +105,7 @@
                 self._replica_changed,
                 log,
                 watch_s=LONG_WATCH_SECONDS,
+                may_be_old=True,
             ),
             KindFollower(
                 store,
@@ -107,6 +113,7 @@
                 self._retirements_listed,
                 self._retirement_changed,
                 log,
+                may_be_old=True,
             ),
         ]
 
@@ -131,6 +138,9 @@
         if isinstance(request, ReportLoad):
             reply(self._exchange_loads(request))
             return
+        if isinstance(request, ListObjects | WatchObjects):
+            self._reader.ask(request, reply)
+            return
         outcome = self._replica.handle(request, time.time())  # type: ignore[arg-type]
         if not outcome.persist:
             reply(outcome.reply)
@@ -188,6 +198,7 @@
         while True:
             eventlet.sleep(UPKEEP_SECONDS)
             self._tell_retirement()
+            self._reader.stop_unwanted()
             if time.monotonic() > next_expiry:
                 next_expiry = time.monotonic() + EXPIRY_SECONDS
                 self._replica.table.expire(time.time())
