--- a/yarrowwall/messages/replicated.py
+++ b/yarrowwall/messages/replicated.py
@@ -157,6 +157,18 @@
     record: StoredRecord
 
 
+@message(109)
+class TellLoad:
+    """Take what a gateway has under way; there is no reply.
+
+    :param running: requests by server; runs parallel to ``servers``.
+    """
+
+    node_id: str
+    servers: list[str]
+    running: list[int]
+
+
 @message(110)
 class RecordsReply:
     """Answer to requests about records.
--- a/yarrowwall/relay/gateway.py
+++ b/yarrowwall/relay/gateway.py
@@ -258,7 +258,9 @@
     # Streams
 
     def _stream(self, attempt: Attempt, route: Route, end: float) -> Iterator[bytes]:
+        loads = self._parts.loads.ask()
         grant = self._open_turn(attempt, route, end)
+        loads.wait()
         offer = self._offer(attempt, route, end, grant.body, grant.last_server)
         relay = StreamRelay(self._parts, attempt, route, offer)
         try:
--- a/yarrowwall/relay/gateway_service.py
+++ b/yarrowwall/relay/gateway_service.py
@@ -68,6 +68,7 @@
         self._loads = LoadReporter(
             settings.node_id, self._directory, self._views, links, time.monotonic
         )
+        parts.loads = self._loads
         self.gateway = Gateway(parts, adapter.callers, self._ledger, self._limits)
         self._followers = [
             KindFollower(
--- a/yarrowwall/relay/load_reports.py
+++ b/yarrowwall/relay/load_reports.py
@@ -3,13 +3,19 @@
 Without it a gateway sees only its own requests, and all gateways together fill one
 server while another stands idle. All report to the same replica as long as it
 answers, so its sums are whole.
+
+Sums that are older than a turn lasts are worse than none: all gateways choose the same
+idle engine by them. So each turn asks for them while its reservation is made, and tells of
+its start and end at once; in between, gateways report now and then.
 """
 
 from collections.abc import Callable
 
 import eventlet
+from eventlet.event import Event
 
-from yarrowwall.messages.replicated import LoadReply, Member, ReportLoad
+from yarrowwall.messages.replicated import LoadReply, Member, ReportLoad, TellLoad
+from yarrowwall.relay.loads import LoadQuestion, LoadSource, NothingAsked
 from yarrowwall.relay.servers import ServerDirectory
 from yarrowwall.replication.exceptions import LinkDownError
 from yarrowwall.replication.group_views import GroupViews
@@ -18,6 +24,9 @@
 
 #: Seconds that a replica may take to answer a report.
 ANSWER_SECONDS = 0.15
+#: Seconds that a turn waits for the answer beyond its reservation, which takes as many ways
+#: to and fro. Old sums are not worth more.
+FRESH_SECONDS = 0.02
 #: Seconds for which a replica that did not answer is passed over.
 PASS_OVER_SECONDS = 5.0
 #: Seconds between looks for something to report while nothing is under way. Each is a
@@ -27,7 +36,29 @@
 BOARD_GROUP = 0
 
 
-class LoadReporter:
+class _Exchange(LoadQuestion):
+    """A report whose answer is under way.
+
+    :param take: called with the answer.
+    """
+
+    def __init__(self, take: Callable[[LoadReply], None]) -> None:
+        self._take = take
+        self._arrived = Event()
+
+    def complete(self, reply: object | None) -> None:
+        """Take in the answer; None if there is none."""
+        if isinstance(reply, LoadReply):
+            self._take(reply)
+        if not self._arrived.ready():
+            self._arrived.send(reply)
+
+    def wait(self) -> None:
+        """Wait for the answer, no longer than it is worth."""
+        self._arrived.wait(FRESH_SECONDS)
+
+
+class LoadReporter(LoadSource):
     """Exchanges loads with a replica, again and again.
 
     :param node_id: name of this gateway.
@@ -71,7 +102,7 @@
         member = self._board()
         if member is None:
             return LEAST_INTERVAL_SECONDS
-        report = ReportLoad(self._node_id, list(running), list(running.values()))
+        report = self._report(running)
         try:
             reply = self._links.get(member.address).call(report, ANSWER_SECONDS)
         except LinkDownError:
@@ -79,9 +110,36 @@
             return LEAST_INTERVAL_SECONDS
         if not isinstance(reply, LoadReply):
             return LEAST_INTERVAL_SECONDS
+        self._take(reply)
+        return reply.interval_s
+
+    def ask(self) -> LoadQuestion:
+        """Begin to ask what all others have under way; the directory takes the answer in."""
+        member = self._board()
+        if member is None:
+            return NothingAsked()
+        exchange = _Exchange(self._take)
+        link = self._links.get(member.address)
+        number = link.post(self._report(self._directory.running()), exchange.complete)
+        # A late answer is still news; one that never comes must not be kept for ever.
+        eventlet.spawn_after(ANSWER_SECONDS, link.forget, number)
+        return exchange
+
+    def tell(self) -> None:
+        """Tell what this gateway has under way now."""
+        member = self._board()
+        if member is None:
+            return
+        running = self._directory.running()
+        message = TellLoad(self._node_id, list(running), list(running.values()))
+        self._links.get(member.address).tell(message)
+
+    def _report(self, running: dict[str, int]) -> ReportLoad:
+        return ReportLoad(self._node_id, list(running), list(running.values()))
+
+    def _take(self, reply: LoadReply) -> None:
         elsewhere = dict(zip(reply.servers, reply.running, strict=True))
         self._directory.take_loads(elsewhere, self._now())
-        return reply.interval_s
 
     def _board(self) -> Member | None:
         """Return the replica that takes the reports of all gateways."""
--- /dev/null
+++ b/yarrowwall/relay/loads.py
@@ -0,0 +1,41 @@
+"""What all other gateways have under way, as the relay asks for it."""
+
+from abc import ABC, abstractmethod
+
+
+class LoadQuestion(ABC):
+    """A question for the loads of all gateways that is under way."""
+
+    @abstractmethod
+    def wait(self) -> None:
+        """Wait for the answer, no longer than it is worth."""
+
+
+class LoadSource(ABC):
+    """Tells of this gateway's requests and learns of all others'."""
+
+    @abstractmethod
+    def ask(self) -> LoadQuestion:
+        """Begin to ask what all others have under way; the directory takes the answer in."""
+
+    @abstractmethod
+    def tell(self) -> None:
+        """Tell what this gateway has under way now."""
+
+
+class NothingAsked(LoadQuestion):
+    """Stands for a question that nobody could be asked."""
+
+    def wait(self) -> None:
+        """Return at once."""
+
+
+class NoLoads(LoadSource):
+    """Knows of this gateway alone."""
+
+    def ask(self) -> LoadQuestion:
+        """Ask nobody."""
+        return NothingAsked()
+
+    def tell(self) -> None:
+        """Tell nobody."""
--- a/yarrowwall/relay/offer.py
+++ b/yarrowwall/relay/offer.py
@@ -17,6 +17,7 @@
     RelayError,
 )
 from yarrowwall.relay.latency import LatencyEstimator, RetryBudget
+from yarrowwall.relay.loads import LoadSource, NoLoads
 from yarrowwall.relay.model import (
     Answer,
     Attempt,
@@ -63,6 +64,7 @@
     protocol: ServerProtocol
     decisions: DecisionLog
     now: Callable[[], float]
+    loads: LoadSource = field(default_factory=NoLoads)
     latencies: LatencyEstimator = field(default_factory=LatencyEstimator)
     retries: RetryBudget = field(default_factory=RetryBudget)
 
@@ -190,11 +192,11 @@
         sent_at = self._parts.now()
         if self.log.offered == 1:
             self._parts.retries.earn(self._service)
-        self._parts.directory.started(server.server_id)
+        self._note_started(server)
         try:
             answer = self._exchange(connection, send)
         except BaseException:
-            self._parts.directory.ended(server.server_id)
+            self._note_ended(server)
             connection.close()
             raise
         self.current = OpenAnswer(connection, answer, send, sent_at)
@@ -310,7 +312,7 @@
             return
         opened, self.current = self.current, None
         server = opened.send.server
-        self._parts.directory.ended(server.server_id)
+        self._note_ended(server)
         opened.connection.finish()
         self._parts.pool.give_back(server, opened.connection)
 
@@ -319,5 +321,18 @@
         if self.current is None:
             return
         opened, self.current = self.current, None
-        self._parts.directory.ended(opened.send.server.server_id)
+        self._note_ended(opened.send.server)
         opened.connection.close()
+
+    def _note_started(self, server: Server) -> None:
+        self._parts.directory.started(server.server_id)
+        self._tell_loads()
+
+    def _note_ended(self, server: Server) -> None:
+        self._parts.directory.ended(server.server_id)
+        self._tell_loads()
+
+    def _tell_loads(self) -> None:
+        """Let other gateways know at once of a turn, which holds a place for long."""
+        if self._route.kind is RequestKind.STREAM:
+            self._parts.loads.tell()
--- a/yarrowwall/replication/load_board.py
+++ b/yarrowwall/replication/load_board.py
@@ -28,29 +28,41 @@
 
 
 class LoadBoard:
-    """The newest report of each gateway."""
+    """The newest report of each gateway, and their sum."""
 
     def __init__(self) -> None:
         self._reports: dict[str, Report] = {}
+        self._total: Counter[str] = Counter()
 
     def take(self, node_id: str, running: Mapping[str, int], now_s: float) -> None:
         """Take in a gateway's report, and forget those who no longer report.
 
         :param running: requests under way by server id.
         """
+        self._drop(node_id)
+        # The newest stand last, so those who fell silent are found first.
         self._reports[node_id] = Report(running, now_s)
+        self._total.update(running)
         since_s = now_s - FORGET_SECONDS
-        silent = [node for node, report in self._reports.items() if report.at_s < since_s]
-        for node in silent:
-            del self._reports[node]
+        while (oldest := next(iter(self._reports))) and self._reports[oldest].at_s < since_s:
+            self._drop(oldest)
+
+    def _drop(self, node_id: str) -> None:
+        report = self._reports.pop(node_id, None)
+        if report is None:
+            return
+        for server, count in report.running.items():
+            self._total[server] -= count
+            if not self._total[server]:
+                del self._total[server]
 
     def others(self, node_id: str) -> Counter[str]:
         """Return the requests under way by server id, without those of one gateway."""
-        total: Counter[str] = Counter()
-        for node, report in self._reports.items():
-            if node != node_id:
-                total.update(report.running)
-        return total
+        found = self._total.copy()
+        own = self._reports.get(node_id)
+        if own is not None:
+            found.subtract(own.running)
+        return +found
 
     @property
     def interval_s(self) -> float:
--- a/yarrowwall/replication/rpc.py
+++ b/yarrowwall/replication/rpc.py
@@ -25,6 +25,9 @@
 #: Seconds after a failed connection in which requests fail at once.
 DOWN_SECONDS = 0.1
 _READ_BYTES = 256 * 1024
+#: Number of frames that get no reply; requests are numbered from 1 to the most.
+NO_REPLY = 0
+MOST_NUMBER = 2**32 - 1
 
 _HEADER = struct.Struct(">II")
 #: Called with the reply, or with None if none will come.
@@ -155,7 +158,7 @@
 
         :returns: a number to forget the request by.
         """
-        self._number = (self._number + 1) % 2**32
+        self._number = self._number % MOST_NUMBER + 1
         self._waiting[self._number] = completion
         if self._channel is not None and self._channel.is_open:
             self._channel.send(self._number, message)
@@ -166,6 +169,11 @@
             eventlet.spawn_n(self._open)
         return self._number
 
+    def tell(self, message: object) -> None:
+        """Send what needs no reply, if there is a connection; it may be lost."""
+        if self._channel is not None and self._channel.is_open:
+            self._channel.send(NO_REPLY, message)
+
     def call(self, message: object, timeout: float) -> object:
         """Send a request and return its reply.
 
--- a/yarrowwall/replication/service.py
+++ b/yarrowwall/replication/service.py
@@ -16,6 +16,7 @@
     ReplyStatus,
     ReportLoad,
     StatusReply,
+    TellLoad,
 )
 from yarrowwall.readers.reader import ObjectReader
 from yarrowwall.relay import decisions
@@ -138,6 +139,9 @@
         if isinstance(request, ReportLoad):
             reply(self._exchange_loads(request))
             return
+        if isinstance(request, TellLoad):
+            self._take_loads(request)
+            return
         if isinstance(request, ListObjects | WatchObjects):
             self._reader.ask(request, reply)
             return
@@ -152,11 +156,14 @@
         )
 
     def _exchange_loads(self, report: ReportLoad) -> LoadReply:
-        running = dict(zip(report.servers, report.running, strict=True))
-        self._loads.take(report.node_id, running, time.monotonic())
+        self._take_loads(report)
         others = self._loads.others(report.node_id)
         return LoadReply(list(others), list(others.values()), self._loads.interval_s)
 
+    def _take_loads(self, report: ReportLoad | TellLoad) -> None:
+        running = dict(zip(report.servers, report.running, strict=True))
+        self._loads.take(report.node_id, running, time.monotonic())
+
     def _after_persist(self, reply: object) -> object:
         self._synchroniser.look()
         return self._replica.status() if isinstance(reply, StatusReply) else reply
