Engines listed before the first configuration are believed to keep what it says; tests of fresh loads

Cause, found by reading: servers and configuration are read at once at a start; an engine that was taken in first got a belief of no memory, for good. The gateway then held every prompt for unread there and sent programs where it had sent before. Change: a configuration resizes the beliefs. Test: placement.feature, 'Engines that were listed before'; it fails without the change.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -17,6 +17,11 @@
     Given engines "e1", "e2", "e3" and "e4" with 12 places each in one zone
     Then 5 gateways choose the same engine for each of 40 programs
 
+  Scenario: Engines that were listed before the first configuration keep what it says
+    Given an engine "e1" that was listed before the configuration that gives it 500000 tokens
+    When the configuration comes
+    Then a prompt of 3 parts that "e1" read is believed to be kept there whole
+
   Scenario: The next turn follows the one before, whichever gateway it comes through
     Given engines "e1", "e2", "e3" and "e4" with 12 places each in one zone
     Then a gateway that is told where the turn before ran chooses that engine for each of 40 programs
@@ -66,3 +71,18 @@
     Given engines "e1" and "e2" with 12 places each in one zone
     And an engine "far" with 12 places in another zone
     Then a program whose turn before ran at "far" goes to "far"
+
+  Scenario: A turn that starts or ends is known to the next turn of any gateway
+    Given gateways "g1" and "g2" that tell one load board of engine "e1"
+    When "g1" starts a turn at "e1" and tells of it
+    And "g2" asks for the loads
+    Then "g2" knows of 1 requests at "e1"
+    When "g1" ends a turn at "e1" and tells of it
+    And "g2" asks for the loads
+    Then "g2" knows of 0 requests at "e1"
+
+  Scenario: A load board that does not answer holds a turn up only shortly
+    Given gateways "g1" and "g2" that tell one load board of engine "e1"
+    When the load board falls silent
+    And "g2" asks for the loads
+    Then "g2" waited at most 200 ms
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -1,13 +1,24 @@
 """Steps about the choice of servers and what gateways tell each other of their loads."""
 
 import re
+import time
+from collections.abc import Callable
 
 from behave import given, then, when
 from behave.runner import Context
 
-from yarrowwall.messages.replicated import StoredRecord
+from yarrowwall.messages.replicated import (
+    GroupView,
+    LoadReply,
+    Member,
+    ReportLoad,
+    StoredRecord,
+    TellLoad,
+)
+from yarrowwall.relay.load_reports import LoadReporter
 from yarrowwall.relay.model import EngineTraits, PromptPart, Server, Service
 from yarrowwall.relay.servers import ServerDirectory, Wish
+from yarrowwall.replication.group_views import GroupViews
 from yarrowwall.replication.load_board import LoadBoard
 from yarrowwall.replication.table import RecordTable
 
@@ -177,3 +188,108 @@
 @then('nothing is noted of "{program}"')
 def no_note(context: Context, program: str) -> None:
     assert context.records.newest_note(program) == ""
+
+
+@given(
+    'an engine "{name}" that was listed before the configuration that gives it {tokens:d} tokens'
+)
+def listed_early(context: Context, name: str, tokens: int) -> None:
+    context.engines = ServerDirectory("zone-a")
+    server = Server(name, SERVICE, "127.0.0.1:1", "zone-a", 6, False)
+    context.engines.replace_all([server], {}, NOW)
+    context.services = {SERVICE: Service(SERVICE, 100, EngineTraits(6, tokens, 23))}
+
+
+@when("the configuration comes")
+def configuration_comes(context: Context) -> None:
+    context.engines.take_services(context.services)
+
+
+@then('a prompt of {count:d} parts that "{name}" read is believed to be kept there whole')
+def kept_whole(context: Context, count: int, name: str) -> None:
+    prompt = [PromptPart(f"part-{number}", 1000) for number in range(count)]
+    belief = context.engines.states[name].belief
+    belief.note_sent(prompt)
+    assert belief.cached_tokens(prompt) == 1000 * count
+
+
+class _BoardLink:
+    """A link to a machine whose load board answers at once, or not at all."""
+
+    def __init__(self) -> None:
+        self.board = LoadBoard()
+        self.is_silent = False
+
+    def post(self, message: ReportLoad, completion: Callable[[object], None]) -> int:
+        """Take a report and answer it."""
+        if not self.is_silent:
+            self._take(message)
+            others = self.board.others(message.node_id)
+            completion(LoadReply(list(others), list(others.values()), 0.1))
+        return 1
+
+    def tell(self, message: TellLoad) -> None:
+        """Take what is told."""
+        if not self.is_silent:
+            self._take(message)
+
+    def _take(self, message: ReportLoad | TellLoad) -> None:
+        running = dict(zip(message.servers, message.running, strict=True))
+        self.board.take(message.node_id, running, NOW)
+
+    def forget(self, number: int) -> None:
+        """Wait no more for a reply."""
+
+
+class _BoardLinks:
+    """The links of all gateways lead to one machine."""
+
+    def __init__(self) -> None:
+        self.link = _BoardLink()
+
+    def get(self, address: str) -> _BoardLink:
+        """Return the link to an address."""
+        return self.link
+
+
+@given('gateways "{one}" and "{two}" that tell one load board of engine "{engine}"')
+def reporting_gateways(context: Context, one: str, two: str, engine: str) -> None:
+    context.links = _BoardLinks()
+    views = GroupViews()
+    views.take(GroupView(0, 1, [Member("r1", "disk-1", "127.0.0.1:2", "zone-a")], []))
+    context.directories = {name: directory([engine], 6) for name in (one, two)}
+    context.reporters = {
+        name: LoadReporter(name, known, views, context.links, lambda: NOW)
+        for name, known in context.directories.items()
+    }
+
+
+@when('"{gateway}" {change} a turn at "{engine}" and tells of it')
+def turn_changes(context: Context, gateway: str, change: str, engine: str) -> None:
+    known = context.directories[gateway]
+    note = known.started if change == "starts" else known.ended
+    note(engine)
+    context.reporters[gateway].tell()
+
+
+@when('"{gateway}" asks for the loads')
+def asks_for_loads(context: Context, gateway: str) -> None:
+    began = time.monotonic()
+    context.reporters[gateway].ask().wait()
+    context.waited_s = time.monotonic() - began
+
+
+@then('"{gateway}" knows of {count:d} requests at "{engine}"')
+def knows_load(context: Context, gateway: str, count: int, engine: str) -> None:
+    known = context.directories[gateway]
+    assert known.load(known.states[engine], NOW) == count
+
+
+@when("the load board falls silent")
+def board_silent(context: Context) -> None:
+    context.links.link.is_silent = True
+
+
+@then('"{gateway}" waited at most {limit:d} ms')
+def waited_at_most(context: Context, gateway: str, limit: int) -> None:
+    assert context.waited_s * 1000.0 <= limit, context.waited_s
--- a/yarrowwall/relay/gateway_service.py
+++ b/yarrowwall/relay/gateway_service.py
@@ -182,7 +182,8 @@
             self._put_in_force(configuration)
 
     def _put_in_force(self, configuration: Configuration) -> None:
-        self.gateway.put_in_force(configuration)
+        if self.gateway.put_in_force(configuration):
+            self._directory.take_services(configuration.services)
 
     def _servers_listed(self, items: list[StoredObject]) -> None:
         servers = [server for item in items if (server := self._server(item)) is not None]
--- a/yarrowwall/relay/prefixes.py
+++ b/yarrowwall/relay/prefixes.py
@@ -35,6 +35,14 @@
         """Return the tokens that the server is believed to keep at most."""
         return self._capacity
 
+    def resize(self, capacity: int) -> None:
+        """Take in another size of the server's memory.
+
+        :param capacity: tokens of memory.
+        """
+        self._capacity = int(capacity * CACHE_SHARE)
+        self._forget_beyond()
+
     def cached_tokens(self, prompt: Sequence[PromptPart]) -> int:
         """Return the tokens of a prompt that need not be read again."""
         found = 0
@@ -52,6 +60,9 @@
             self._tokens -= self._parts.pop(part.part_id, 0)
             self._parts[part.part_id] = part.tokens
             self._tokens += part.tokens
+        self._forget_beyond()
+
+    def _forget_beyond(self) -> None:
         while self._tokens > self._capacity and len(self._parts) > 1:
             _, tokens = self._parts.popitem(last=False)
             self._tokens -= tokens
--- a/yarrowwall/relay/servers.py
+++ b/yarrowwall/relay/servers.py
@@ -139,6 +139,14 @@
         elif state.draining_at is None:
             state.draining_at = now
 
+    def take_services(self, services: dict[str, Service]) -> None:
+        """Take in what a configuration says of the engines' memory.
+
+        Servers may be known before the configuration: both are read at once at a start.
+        """
+        for state in self.states.values():
+            state.belief.resize(_cache_tokens(state.server, services))
+
     def remove(self, server_id: str, now: float) -> None:
         """Take in that an entry is gone."""
         state = self.states.get(server_id)
