--- a/features/placement.feature
+++ b/features/placement.feature
@@ -86,3 +86,11 @@
     When the load board falls silent
     And "g2" asks for the loads
     Then "g2" waited at most 200 ms
+
+  Scenario: Loads that are asked for by each turn keep programs in time that old ones make late
+    Given 171 gateways before 30 engines of 6 places, and a burst
+    When gateways report every 0.6 s
+    Then over 100 programs in 1000 are late
+    When gateways report every 0.6 s and turns ask for the loads
+    Then under 20 programs in 1000 are late
+    And under 20 turns were put back
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from features.support.placement_model import PlacementModel
 from yarrowwall.messages.replicated import (
     GroupView,
     LoadReply,
@@ -293,3 +294,33 @@
 @then('"{gateway}" waited at most {limit:d} ms')
 def waited_at_most(context: Context, gateway: str, limit: int) -> None:
     assert context.waited_s * 1000.0 <= limit, context.waited_s
+
+
+@given("171 gateways before 30 engines of 6 places, and a burst")
+def many_gateways(context: Context) -> None:
+    """Is what :mod:`features.support.placement_model` is made of."""
+
+
+@when("gateways report every {seconds:f} s")
+def reports_only(context: Context, seconds: float) -> None:
+    context.outcome = PlacementModel(1, seconds, is_fresh=False).run()
+
+
+@when("gateways report every {seconds:f} s and turns ask for the loads")
+def reports_and_questions(context: Context, seconds: float) -> None:
+    context.outcome = PlacementModel(1, seconds, is_fresh=True).run()
+
+
+@then("over {count:d} programs in 1000 are late")
+def many_late(context: Context, count: int) -> None:
+    assert context.outcome.late * 1000 > count * context.outcome.programs, context.outcome
+
+
+@then("under {count:d} programs in 1000 are late")
+def few_late(context: Context, count: int) -> None:
+    assert context.outcome.late * 1000 < count * context.outcome.programs, context.outcome
+
+
+@then("under {count:d} turns were put back")
+def few_put_back(context: Context, count: int) -> None:
+    assert context.outcome.put_back < count, context.outcome
--- /dev/null
+++ b/features/support/placement_model.py
@@ -0,0 +1,243 @@
+"""Many gateways that choose engines for programs' turns, on a virtual clock, without I/O.
+
+The gateways are the product's directories and their loads go over the product's load board;
+engines, programs and the ways between are modelled: an engine runs as many turns as it has
+places, each slower the more of them run, admits by rank, and puts back the newest of the
+least urgent for one that is more urgent, which then begins anew.
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from yarrowwall.relay.model import EngineTraits, PromptPart, Server, Service
+from yarrowwall.relay.servers import ServerDirectory, Wish
+from yarrowwall.relay.urgency import RANK_SECONDS
+from yarrowwall.replication.load_board import LoadBoard
+
+SERVICE = "models"
+ENGINES = 30
+PLACES = 6
+GATEWAYS = 171
+ZONES = 5
+SHARED_TOKENS = 12_600
+#: Seconds of a turn of nine events on an idle engine, and its growth by each turn beside it.
+TURN_SECONDS = 0.1
+TURN_GROWTH_SECONDS = 0.027
+READ_TOKENS_PER_SECOND = 270_000.0
+TOOL_SECONDS = 0.06
+LATE_RANK = 6
+#: Programs a second, their growth in the middle of the time, and the time.
+PROGRAMS_PER_SECOND = 64.0
+BURST_FACTOR = 1.8
+BURST_FROM_S, BURST_TO_S = 3.0, 7.0
+LAST_BEGIN_S = 10.0
+#: Seconds of the way to the load board and back.
+WAY_SECONDS = 0.002
+
+
+@dataclass
+class Program:
+    """A chain of turns.
+
+    :param aim_s: when it is late.
+    """
+
+    name: str
+    shared: str
+    turns_left: int
+    aim_s: float
+    zone: int
+    tokens: int
+    last_server: str = ""
+
+
+@dataclass(eq=False)
+class Turn:
+    """A turn at an engine.
+
+    :param starts: how often it was begun.
+    """
+
+    program: Program
+    gateway: int
+    rank: int
+    arrived_s: float
+    started_s: float = 0.0
+    starts: int = 0
+
+
+@dataclass
+class Engine:
+    """An engine."""
+
+    name: str
+    running: list[Turn] = field(default_factory=list)
+    waiting: list[Turn] = field(default_factory=list)
+    kept: set[str] = field(default_factory=set)
+
+
+@dataclass
+class Outcome:
+    """What a run came to."""
+
+    programs: int = 0
+    late: int = 0
+    put_back: int = 0
+
+
+class PlacementModel:
+    """One run.
+
+    :param report_s: seconds between two reports of a gateway.
+    :param is_fresh: whether turns ask for loads and tell of their start and end.
+    """
+
+    def __init__(self, seed: int, report_s: float, is_fresh: bool) -> None:
+        self._rng = random.Random(seed)
+        self._report_s = report_s
+        self._is_fresh = is_fresh
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._count = itertools.count()
+        self._now_s = 0.0
+        self._board = LoadBoard()
+        self._engines = {f"e{number}": Engine(f"e{number}") for number in range(ENGINES)}
+        self._gateways = [self._gateway(number) for number in range(GATEWAYS)]
+        self.outcome = Outcome()
+
+    def _gateway(self, number: int) -> ServerDirectory:
+        found = ServerDirectory(f"z{number % ZONES}")
+        services = {SERVICE: Service(SERVICE, 1000, EngineTraits(PLACES, 236_000, 10))}
+        for index, name in enumerate(self._engines):
+            server = Server(name, SERVICE, "127.0.0.1:1", f"z{index % ZONES}", PLACES, False)
+            found.put(server, services, 0.0)
+        return found
+
+    def _at(self, delay_s: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (self._now_s + delay_s, next(self._count), action))
+
+    def run(self) -> Outcome:
+        """Play all programs."""
+        for number in range(GATEWAYS):
+            self._at(
+                self._rng.random() * self._report_s, lambda number=number: self._report(number)
+            )
+        self._begin_programs()
+        while self._events:
+            self._now_s, _, action = heapq.heappop(self._events)
+            action()
+        return self.outcome
+
+    def _begin_programs(self) -> None:
+        at_s = 0.0
+        while at_s < LAST_BEGIN_S:
+            is_burst = BURST_FROM_S < at_s < BURST_TO_S
+            per_s = PROGRAMS_PER_SECOND * (BURST_FACTOR if is_burst else 1.0)
+            at_s += self._rng.expovariate(per_s)
+            is_long = self._rng.random() < 0.29
+            turns = 9 if is_long else 3
+            aim_s = at_s + 0.22 + (1.5 if is_long else 1.4) * turns * 0.22
+            shared = f"shared-{is_long}-{self._rng.randrange(3)}"
+            program = Program(
+                f"p{next(self._count)}", shared, turns, aim_s, self._rng.randrange(ZONES), 1200
+            )
+            self._at(at_s, lambda program=program: self._ask(program))
+
+    # Gateways
+
+    def _report(self, gateway: int) -> None:
+        self._tell(gateway)
+        self._take(gateway)
+        if self._now_s < LAST_BEGIN_S:
+            self._at(self._report_s, lambda: self._report(gateway))
+
+    def _tell(self, gateway: int) -> None:
+        running = self._gateways[gateway].running()
+        self._board.take(f"g{gateway}", running, self._now_s)
+
+    def _take(self, gateway: int) -> None:
+        others = self._board.others(f"g{gateway}")
+        self._gateways[gateway].take_loads(others, self._now_s)
+
+    def _ask(self, program: Program) -> None:
+        gateway = self._rng.randrange(GATEWAYS // ZONES) * ZONES + program.zone
+        if self._is_fresh:
+            self._tell(gateway)
+            self._take(gateway)
+        self._at(WAY_SECONDS / 2, lambda: self._place(program, gateway))
+
+    def _place(self, program: Program, gateway: int) -> None:
+        known = self._gateways[gateway]
+        prompt = (
+            PromptPart(program.shared, SHARED_TOKENS),
+            PromptPart(program.name, program.tokens),
+        )
+        wish = Wish(prompt, program.name, program.last_server)
+        choice = known.choose(SERVICE, (), self._now_s, wish)
+        assert choice is not None
+        name = choice.server.server_id
+        known.started(name)
+        known.states[name].belief.note_sent(prompt)
+        program.last_server = name
+        self._tell_soon(gateway)
+        turn = Turn(program, gateway, self._rank(program), self._now_s)
+        self._arrive(self._engines[name], turn)
+
+    def _tell_soon(self, gateway: int) -> None:
+        if self._is_fresh:
+            self._at(WAY_SECONDS / 2, lambda: self._tell(gateway))
+
+    def _rank(self, program: Program) -> int:
+        left_s = program.aim_s - self._now_s
+        if left_s < 0.0:
+            return LATE_RANK
+        return sum(left_s >= limit_s for limit_s in RANK_SECONDS)
+
+    # Engines
+
+    def _arrive(self, engine: Engine, turn: Turn) -> None:
+        if len(engine.running) < PLACES:
+            self._start(engine, turn)
+            return
+        least = max(engine.running, key=lambda one: (one.rank, one.started_s))
+        if turn.rank >= least.rank:
+            engine.waiting.append(turn)
+            return
+        self.outcome.put_back += 1
+        engine.running.remove(least)
+        engine.waiting.append(least)
+        self._start(engine, turn)
+
+    def _start(self, engine: Engine, turn: Turn) -> None:
+        turn.starts += 1
+        turn.started_s = self._now_s
+        engine.running.append(turn)
+        parts = {turn.program.shared: SHARED_TOKENS, turn.program.name: turn.program.tokens}
+        unread = sum(tokens for part, tokens in parts.items() if part not in engine.kept)
+        engine.kept |= set(parts)
+        lasts_s = TURN_SECONDS + TURN_GROWTH_SECONDS * len(engine.running)
+        starts = turn.starts
+        self._at(lasts_s + unread / READ_TOKENS_PER_SECOND, lambda: self._end(engine, turn, starts))
+
+    def _end(self, engine: Engine, turn: Turn, starts: int) -> None:
+        if turn.starts != starts or turn not in engine.running:
+            return
+        engine.running.remove(turn)
+        if engine.waiting:
+            first = min(engine.waiting, key=lambda one: (one.rank, one.arrived_s))
+            engine.waiting.remove(first)
+            self._start(engine, first)
+        self._gateways[turn.gateway].ended(engine.name)
+        self._tell_soon(turn.gateway)
+        self._go_on(turn.program)
+
+    def _go_on(self, program: Program) -> None:
+        program.turns_left -= 1
+        program.tokens += 1000
+        if program.turns_left:
+            self._at(TOOL_SECONDS, lambda: self._ask(program))
+            return
+        self.outcome.programs += 1
+        self.outcome.late += self._now_s > program.aim_s
