A reader always follows a kind with short watches; servers that a list brings are logged; tests get ports of their own

A list that brings news writes one now. Read in the same logs: a reader that is asked for long kinds only has no short watch that finds an outage; it follows the configuration as well now. - readers.feature 'is frozen' failed once: a machine never started. Questions wait 5 s at most at a reader, so machines come back to the first one soon.

--- a/features/run.py
+++ b/features/run.py
@@ -24,6 +24,8 @@
 from behave.model import Feature, Scenario
 from behave.parser import parse_file
 
+from features.support.processes import PLACE_VARIABLE
+
 ROOT = Path(__file__).parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 MOST_KNOWN_RED = 3
@@ -43,11 +45,13 @@
 class Job(NamedTuple):
     """Scenarios that one process runs.
 
+    :param number: place of the job, by which it gets ports of its own.
     :param places: ``file:line`` of each scenario, or a whole file.
     :param names: the scenarios' names.
     :param starts_machines: whether it measures time on processes of its own.
     """
 
+    number: int
     places: list[str]
     names: list[str]
     starts_machines: bool
@@ -83,16 +87,19 @@
         scenarios = list(feature.walk_scenarios())
         if SHARED_TAG in feature.tags:
             names = [scenario.name for scenario in scenarios]
-            jobs.append(Job([str(path)], names, starts_machines=True))
-        else:
-            jobs += [_own_job(path, feature, scenario) for scenario in scenarios]
+            jobs.append(Job(len(jobs), [str(path)], names, starts_machines=True))
+            continue
+        for scenario in scenarios:
+            place = f"{path}:{scenario.line}"
+            jobs.append(
+                Job(len(jobs), [place], [scenario.name], _starts_machines(feature, scenario))
+            )
     return jobs
 
 
-def _own_job(path: Path, feature: Feature, scenario: Scenario) -> Job:
+def _starts_machines(feature: Feature, scenario: Scenario) -> bool:
     tags = set(scenario.effective_tags) | set(feature.tags)
-    place = f"{path}:{scenario.line}"
-    return Job([place], [scenario.name], bool(tags & SYSTEM_TAGS))
+    return bool(tags & SYSTEM_TAGS)
 
 
 def run_job(job: Job) -> Outcome:
@@ -106,6 +113,7 @@
             done = subprocess.run(
                 [*command, *job.places],
                 cwd=ROOT,
+                env={**os.environ, PLACE_VARIABLE: str(job.number)},
                 capture_output=True,
                 text=True,
                 timeout=JOB_SECONDS,
--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -1,5 +1,6 @@
 """Starts nodes and stand-ins as processes of their own, on loopback."""
 
+import itertools
 import json
 import os
 import signal
@@ -8,7 +9,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import urllib3
@@ -26,13 +27,37 @@
         time.sleep(0.02)
 
 
+#: Ports of the machines that scenarios start. The kernel hands out those from 32768 on to
+#: connections, so an address there that was free may be taken before its process listens.
+FIRST_PORT, LAST_PORT = 10_000, 32_000
+#: Environment variable with the place of this process among those that run scenarios at once,
+#: and how many ports each of them has.
+PLACE_VARIABLE = "YARROWWALL_TEST_PLACE"
+PORTS_PER_PLACE = 1_000
+_PLACES = (LAST_PORT - FIRST_PORT) // PORTS_PER_PLACE
+
+
+def _ports() -> Iterator[int]:
+    """Return the ports of this process, again and again."""
+    place = int(os.environ.get(PLACE_VARIABLE, os.getpid())) % _PLACES
+    first = FIRST_PORT + place * PORTS_PER_PLACE
+    return itertools.cycle(range(first, first + PORTS_PER_PLACE))
+
+
+_own_ports = _ports()
+
+
 def free_addresses(count: int) -> list[str]:
-    """Return loopback addresses that nobody listens on."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    addresses = [f"127.0.0.1:{server.getsockname()[1]}" for server in sockets]
-    for server in sockets:
-        server.close()
-    return addresses
+    """Return loopback addresses that nobody listens on, each at most once in a long while."""
+    found: list[str] = []
+    while len(found) < count:
+        port = next(_own_ports)
+        try:
+            socket.create_server(("127.0.0.1", port)).close()
+        except OSError:
+            continue
+        found.append(f"127.0.0.1:{port}")
+    return found
 
 
 class System:
--- a/yarrowwall/readers/reader.py
+++ b/yarrowwall/readers/reader.py
@@ -176,6 +176,9 @@
     """Answers other machines' questions about the store's objects.
 
     :param store: the store, for this reader alone.
+    :param prompt_kind: a kind whose watches wait only shortly. It is followed as long as any
+        other is, for a watch that was lost in an outage says nothing until its wait is over;
+        once a short one fails, all others are begun anew.
     :param watch_s: the longest that a watch waits, for kinds where that is not the usual.
     :param now: the monotonic clock.
     """
@@ -183,11 +186,13 @@
     def __init__(
         self,
         store: ObjectStore,
+        prompt_kind: str,
         watch_s: Mapping[str, float],
         log: DecisionLog,
         now: Callable[[], float],
     ) -> None:
         self._store = store
+        self._prompt_kind = prompt_kind
         self._watch_s = watch_s
         self._log = log
         self._now = now
@@ -195,17 +200,22 @@
 
     def ask(self, request: ListObjects | WatchObjects, reply: Reply) -> None:
         """Answer a question at once or later."""
-        kind = request.kind
+        self._follow(self._prompt_kind)
+        self._follow(request.kind).ask(request, reply)
+
+    def _follow(self, kind: str) -> FollowedKind:
+        """Return a kind that is followed from now on."""
         followed = self._kinds.get(kind)
         if followed is None:
             watch_s = self._watch_s.get(kind, LONG_WATCH_SECONDS)
             followed = FollowedKind(self._store, kind, watch_s, self._log, self._now)
             self._kinds[kind] = followed
-        followed.ask(request, reply)
+        return followed
 
     def stop_unwanted(self) -> None:
         """Follow no more what nobody asked for lately."""
         for kind, followed in list(self._kinds.items()):
-            if not followed.is_wanted:
+            is_needed = kind == self._prompt_kind and len(self._kinds) > 1
+            if not followed.is_wanted and not is_needed:
                 followed.stop()
                 del self._kinds[kind]
--- a/yarrowwall/readers/store.py
+++ b/yarrowwall/readers/store.py
@@ -37,8 +37,10 @@
 from yarrowwall.replication.documents import REPLICAS_KIND, read_registration
 from yarrowwall.replication.rpc import LinkTable
 
-#: Seconds that a question waits for a change of a kind by which silent readers are found.
+#: Seconds that a question waits for a change of a kind by which silent readers are found, and
+#: of any other: so long may a machine stay with another reader once the first is back.
 PROMPT_WAIT_SECONDS = 1.0
+MOST_WAIT_SECONDS = 5.0
 #: Seconds that the answer to a question may take beyond its wait.
 ANSWER_SECONDS = 0.5
 #: Seconds for the first answer of a reader, which may have to list the objects itself.
@@ -157,8 +159,8 @@
 
     def _watch_at(self, reader: Member, kind: str, revision: int, wait_s: float) -> Changes | None:
         """Return the changes that a reader told; None if it is of no use now."""
-        if kind in self._prompt_kinds:
-            wait_s = min(wait_s, PROMPT_WAIT_SECONDS)
+        is_prompt = kind in self._prompt_kinds
+        wait_s = min(wait_s, PROMPT_WAIT_SECONDS if is_prompt else MOST_WAIT_SECONDS)
         if reader.node_id not in self._proven:
             # A reader that does not answer must be found before it is relied on.
             first = self._ask(reader, WatchObjects(kind, revision, 0.0), FIRST_ANSWER_SECONDS)
--- a/yarrowwall/relay/gateway_service.py
+++ b/yarrowwall/relay/gateway_service.py
@@ -187,7 +187,12 @@
 
     def _servers_listed(self, items: list[StoredObject]) -> None:
         servers = [server for item in items if (server := self._server(item)) is not None]
+        known = set(self._directory.states)
         self._directory.replace_all(servers, self._services(), time.monotonic())
+        # The first list is no news, and a start has other things to do than to write lines.
+        news = [server for server in servers if known and server.server_id not in known]
+        for server in news:
+            self._log.write(decisions.ServerChanged(server.server_id, server.service, "listed"))
 
     def _server_changed(self, change: Change) -> None:
         if change.is_gone:
--- a/yarrowwall/relay/service.py
+++ b/yarrowwall/relay/service.py
@@ -104,7 +104,13 @@
             documents.configuration_kind: CONFIGURATION_WATCH_SECONDS,
             documents.retirements_kind: WATCH_SECONDS,
         }
-        return ObjectReader(adapter.make_store(), watch_s, self._log, time.monotonic)
+        return ObjectReader(
+            adapter.make_store(),
+            documents.configuration_kind,
+            watch_s,
+            self._log,
+            time.monotonic,
+        )
 
     def _make_store(self, adapter: Adapter, reader: ObjectReader | None) -> ReaderStore:
         """Return the store as this machine reads it."""
