A reader asks for the next configuration at once, and is cautious in all kinds once one is lost

Ruled out: load (it failed alone as well). Change: no pause behind the prompt kind; when one kind's watch is lost, the next watch of every kind waits 0.4 s.

--- a/yarrowwall/readers/reader.py
+++ b/yarrowwall/readers/reader.py
@@ -52,6 +52,8 @@
     """One kind of objects that is followed, and the questions about it.
 
     :param watch_s: the longest that one watch at the store waits.
+    :param pause_s: seconds after changes before the next ones are asked for.
+    :param on_lost: called once the store gives no usable answer any more.
     """
 
     def __init__(
@@ -59,10 +61,13 @@
         store: ObjectStore,
         kind: str,
         watch_s: float,
+        pause_s: float,
         log: DecisionLog,
         now: Callable[[], float],
+        on_lost: Callable[[], None],
     ) -> None:
         self._now = now
+        self._on_lost = on_lost
         self._picture = KindPicture()
         self._is_in_contact = False
         self._listed: list[StoredObject] | None = None
@@ -77,7 +82,7 @@
             log,
             self._take_read,
             on_lost=self._lose_contact,
-            pause_s=COALESCE_SECONDS,
+            pause_s=pause_s,
             watch_s=watch_s,
             most_retry_s=MOST_RETRY_SECONDS,
         )
@@ -92,6 +97,10 @@
         """Follow no more."""
         self._follower.stop()
 
+    def be_cautious(self) -> None:
+        """Let the next watch wait shortly: one of another kind was lost."""
+        self._follower.be_cautious()
+
     def ask(self, request: ListObjects | WatchObjects, reply: Reply) -> None:
         """Answer a question at once or later."""
         self.asked_at = self._now()
@@ -159,6 +168,7 @@
 
     def _lose_contact(self) -> None:
         self._is_in_contact = False
+        self._on_lost()
         # Whoever waits finds a reader that still hears of changes.
         if self._picture.revision:
             self._answer_waiting()
@@ -208,10 +218,19 @@
         followed = self._kinds.get(kind)
         if followed is None:
             watch_s = self._watch_s.get(kind, LONG_WATCH_SECONDS)
-            followed = FollowedKind(self._store, kind, watch_s, self._log, self._now)
+            # Each change of the prompt kind is asked for at once; it changes seldom.
+            pause_s = 0.0 if kind == self._prompt_kind else COALESCE_SECONDS
+            followed = FollowedKind(
+                self._store, kind, watch_s, pause_s, self._log, self._now, self._be_cautious
+            )
             self._kinds[kind] = followed
         return followed
 
+    def _be_cautious(self) -> None:
+        """Let all kinds be cautious: a kind that is not waiting now is not interrupted."""
+        for followed in self._kinds.values():
+            followed.be_cautious()
+
     def stop_unwanted(self) -> None:
         """Follow no more what nobody asked for lately."""
         for kind, followed in list(self._kinds.items()):
--- a/yarrowwall/relay/watching.py
+++ b/yarrowwall/relay/watching.py
@@ -92,6 +92,10 @@
         if self._running is not None:
             self._running.kill()
 
+    def be_cautious(self) -> None:
+        """Let the next watch wait shortly, for the store may be dropping its history."""
+        self._is_cautious = True
+
     def _run(self) -> None:
         revision: int | None = None
         while True:
