A question whose wait ends while others are told of a change is told of it as well

Cancelling a greenthread's timer lets others run (eventlet's kill switches), so a question's wait could end between the taking in of a change and its answer: it was told 'nothing new' with the new revision, and its asker never learned of the change. The loop over the questions then met one that was gone (KeyError), and the reader listed anew. Change: a wait that ends is answered by what changed; a question is answered by whoever takes it out first. A scenario that fails shows the ends of its machines' logs now.

--- a/features/environment.py
+++ b/features/environment.py
@@ -35,4 +35,6 @@
     if context.own_system is not None:
         context.own_system.stop()
     if context.platform is not None:
+        if scenario.status.has_failed():
+            print(context.platform.ends_of_logs())
         context.platform.stop()
--- a/features/readers.feature
+++ b/features/readers.feature
@@ -70,3 +70,9 @@
     And the store forgets its history and a configuration is written
     Then the configuration is in force at gateway 0 within 2 s
     And the configuration is in force at gateway 1 within 2 s
+
+  Scenario: A question whose wait ends while a change is being told is told of it as well
+    Given a reader of a store with one configuration
+    When two questions wait for a change, the second for 200 ms
+    And the configuration changes after 150 ms, and answering the first takes 200 ms
+    Then both are told of the change
--- a/features/steps/reader_steps.py
+++ b/features/steps/reader_steps.py
@@ -5,20 +5,27 @@
 from collections.abc import Callable
 from unittest.mock import patch
 
+import eventlet
 from behave import given, then, when
 from behave.runner import Context
+from eventlet.event import Event
 
 from features.support.platform_scripts import world
 from features.support.processes import wait_until
 from features.support.reader_model import ends_in_state
+from yarrowwall.messages.objects import ListObjects, ObjectsReply, WatchObjects
 from yarrowwall.messages.replicated import Member
 from yarrowwall.readers.order import ReaderOrder
 from yarrowwall.readers.picture import KindPicture
-from yarrowwall.relay.object_store import Change, Changes
+from yarrowwall.readers.reader import ObjectReader
+from yarrowwall.relay.decisions import DecisionLog
+from yarrowwall.relay.object_store import Change, Changes, Listing, StoredObject
 
 SEEDS = range(300)
 #: All machines of the scenarios' world stand in one zone, and this is the first by name.
 READER = "storage-0"
+#: The store's revision at the one change of a scenario.
+CHANGED_REVISION = 2
 READERS = ("storage-0", "storage-1", "storage-2")
 
 
@@ -162,3 +169,70 @@
 def forgotten_and_written(context: Context) -> None:
     context.version = world(context).publish()
     world(context).store.forget_history()
+
+
+class _OneObject:
+    """A store with one object, whose next change comes when it is told."""
+
+    def __init__(self) -> None:
+        self.changed = Event()
+
+    def list(self, kind: str, timeout_s: float, may_be_old: bool = False) -> Listing:
+        """Return the object."""
+        return Listing([StoredObject("main", 1, {}, {})], 1)
+
+    def watch(self, kind: str, revision: int, wait_s: float) -> Changes:
+        """Wait for the change."""
+        if revision >= CHANGED_REVISION:
+            eventlet.sleep(wait_s)
+            return Changes([], revision)
+        self.changed.wait()
+        changed = Change(StoredObject("main", CHANGED_REVISION, {}, {}), False)
+        return Changes([changed], CHANGED_REVISION)
+
+    def interrupt_watches(self) -> None:
+        """End nothing."""
+
+
+@given("a reader of a store with one configuration")
+def reader_of_one(context: Context) -> None:
+    context.one_object = _OneObject()
+    log = DecisionLog("storage-0")
+    context.reader = ObjectReader(context.one_object, "config", {}, log, time.monotonic)
+
+
+@when("two questions wait for a change, the second for {wait_ms:d} ms")
+def two_questions(context: Context, wait_ms: int) -> None:
+    context.replies = {}
+    context.first_takes_s = 0.0
+
+    def first(reply: ObjectsReply) -> None:
+        eventlet.sleep(context.first_takes_s)
+        context.replies["first"] = reply
+
+    def second(reply: ObjectsReply) -> None:
+        context.replies["second"] = reply
+
+    # The reader's own first list comes before both.
+    context.reader.ask(ListObjects("config", 0), lambda reply: None)
+    eventlet.sleep(0.05)
+    context.reader.ask(WatchObjects("config", 1, 5.0), first)
+    context.reader.ask(WatchObjects("config", 1, wait_ms / 1000.0), second)
+
+
+@when(
+    "the configuration changes after {after_ms:d} ms, and answering the first takes {takes_ms:d} ms"
+)
+def changes_meanwhile(context: Context, after_ms: int, takes_ms: int) -> None:
+    context.first_takes_s = takes_ms / 1000.0
+    eventlet.sleep(after_ms / 1000.0)
+    context.one_object.changed.send()
+    eventlet.sleep((takes_ms + 200) / 1000.0)
+
+
+@then("both are told of the change")
+def both_told(context: Context) -> None:
+    revisions = {
+        name: [item.revision for item in reply.objects] for name, reply in context.replies.items()
+    }
+    assert revisions == {"first": [CHANGED_REVISION], "second": [CHANGED_REVISION]}, revisions
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -33,6 +33,8 @@
 #: Stands for a connection that ends at once without an answer.
 CUT = 1
 LOST_SECONDS = 40.0
+#: Lines of each machine's log that are shown when a scenario has failed.
+SHOWN_LINES = 40
 
 
 class QuietHandler(BaseHTTPRequestHandler):
@@ -529,6 +531,14 @@
         lines = (self.folder / f"{name}.log").read_text().splitlines()
         return [json.loads(line) for line in lines if line.startswith("{")]
 
+    def ends_of_logs(self) -> str:
+        """Return the last lines that each machine wrote, and whether it still runs."""
+        found: list[str] = []
+        for name, process in sorted(self.processes.items()):
+            lines = (self.folder / f"{name}.log").read_text(errors="replace").splitlines()
+            found += [f"{name}, exit code {process.poll()}:", *lines[-SHOWN_LINES:]]
+        return "\n".join(found)
+
     def wait_ready(self) -> None:
         """Wait until every gateway is ready and the record store has its group."""
         for name in self.processes:
--- a/yarrowwall/readers/reader.py
+++ b/yarrowwall/readers/reader.py
@@ -104,7 +104,7 @@
     def ask(self, request: ListObjects | WatchObjects, reply: Reply) -> None:
         """Answer a question at once or later."""
         self.asked_at = self._now()
-        answer = self._answer(request)
+        answer = self._answer(request, is_over=False)
         if answer is not None:
             reply(answer)
             return
@@ -117,39 +117,39 @@
             return FIRST_LIST_SECONDS
         return request.wait_s
 
-    def _answer(self, request: ListObjects | WatchObjects) -> ObjectsReply | None:
-        """Return the answer to a question; None if it has to wait."""
+    def _answer(self, request: ListObjects | WatchObjects, is_over: bool) -> ObjectsReply | None:
+        """Return the answer to a question; None if it has to wait.
+
+        :param is_over: whether it waits no longer.
+        """
         if not self._picture.revision:
-            return None
+            return _OUT_OF_CONTACT if is_over else None
         if not self._is_in_contact:
             return _OUT_OF_CONTACT
         if isinstance(request, ListObjects):
-            return self._list(request)
+            return self._list(request, is_over)
         found = self._picture.changes_since(request.revision)
         if found is None:
             return _FORGOTTEN
-        if not found.changes and request.wait_s > 0.0:
+        if not found.changes and request.wait_s > 0.0 and not is_over:
             return None
         objects = [relayed(change.item, change.is_gone) for change in found.changes]
         return ObjectsReply(ObjectsStatus.OK, objects, found.revision)
 
-    def _list(self, request: ListObjects) -> ObjectsReply | None:
+    def _list(self, request: ListObjects, is_over: bool) -> ObjectsReply | None:
         listing = self._picture.listing()
         if listing.revision < request.least_revision:
-            return None
+            return _OUT_OF_CONTACT if is_over else None
         objects = [relayed(item) for item in listing.items]
         return ObjectsReply(ObjectsStatus.OK, objects, listing.revision)
 
     def _end_wait(self, question: _Question) -> None:
-        self._waiting.pop(id(question), None)
-        self.asked_at = self._now()
-        request = question.request
-        is_quiet = self._is_in_contact and isinstance(request, WatchObjects)
-        if not is_quiet:
-            question.reply(_OUT_OF_CONTACT)
+        if self._waiting.pop(id(question), None) is None:
             return
-        revision = max(self._picture.revision, request.revision)  # type: ignore[union-attr]
-        question.reply(ObjectsReply(ObjectsStatus.OK, [], revision))
+        self.asked_at = self._now()
+        # A change may have come that others are just being told of.
+        answer = self._answer(question.request, is_over=True)
+        question.reply(answer or _OUT_OF_CONTACT)
 
     # What the store tells
 
@@ -175,9 +175,9 @@
 
     def _answer_waiting(self) -> None:
         for key, question in list(self._waiting.items()):
-            answer = self._answer(question.request)
-            if answer is not None:
-                del self._waiting[key]
+            answer = self._answer(question.request, is_over=False)
+            # Cancelling and answering let others run, whose waits may end meanwhile.
+            if answer is not None and self._waiting.pop(key, None) is not None:
                 question.timer.cancel()
                 question.reply(answer)
 
