--- a/features/steps/platform_stream_steps.py
+++ b/features/steps/platform_stream_steps.py
@@ -16,6 +16,7 @@
     read_answer,
     stream,
 )
+from features.support.processes import wait_until
 
 # Streams
 
@@ -102,6 +103,8 @@
 @then("{count:d} events came whole and in order, the first before the last was made")
 def events_as_made(context: Context, count: int) -> None:
     events_whole(context, count)
+    # The server's thread notes the time once it has sent the end, which may be here before.
+    wait_until(lambda: bool(context.made_at), "the server has noted the end")
     assert context.first_at < context.made_at[0] - 0.3
 
 
