--- a/features/readers.feature
+++ b/features/readers.feature
@@ -76,3 +76,10 @@
     When two questions wait for a change, the second for 200 ms
     And the configuration changes after 150 ms, and answering the first takes 200 ms
     Then both are told of the change
+
+  Scenario: An object that many ask for is encoded once for each of its states
+    Given a configuration of 1900 routes that a reader tells
+    When 35 machines ask for it
+    Then it was encoded once, in under 60000 bytes
+    When it changes and 35 machines ask for the change
+    Then it was encoded twice, and each machine got what the store has
--- a/features/steps/reader_steps.py
+++ b/features/steps/reader_steps.py
@@ -18,6 +18,7 @@
 from yarrowwall.readers.order import ReaderOrder
 from yarrowwall.readers.picture import KindPicture
 from yarrowwall.readers.reader import ObjectReader
+from yarrowwall.readers.wire import ObjectEncoder, changes, stored
 from yarrowwall.relay.decisions import DecisionLog
 from yarrowwall.relay.object_store import Change, Changes, Listing, StoredObject
 
@@ -236,3 +237,48 @@
         name: [item.revision for item in reply.objects] for name, reply in context.replies.items()
     }
     assert revisions == {"first": [CHANGED_REVISION], "second": [CHANGED_REVISION]}, revisions
+
+
+def _configuration(count: int, revision: int) -> StoredObject:
+    """Return a configuration of many routes."""
+    routes = [
+        {"name": f"r-{number:x}", "path_prefix": f"/r{number}/", "timeout_ms": 1200}
+        for number in range(count)
+    ]
+    return StoredObject("main", revision, {"version": revision, "routes": routes}, {})
+
+
+@given("a configuration of {count:d} routes that a reader tells")
+def large_configuration(context: Context, count: int) -> None:
+    context.encoder = ObjectEncoder()
+    context.item = _configuration(count, 1)
+    context.encodings = []
+
+
+@when("{count:d} machines ask for it")
+def many_ask(context: Context, count: int) -> None:
+    context.encodings += [context.encoder.relayed(context.item) for _ in range(count)]
+
+
+@when("it changes and {count:d} machines ask for the change")
+def many_ask_for_change(context: Context, count: int) -> None:
+    context.item = _configuration(len(context.item.spec["routes"]), 2)
+    change = Change(context.item, False)
+    context.encodings += [context.encoder.relayed_change(change) for _ in range(count)]
+
+
+def _distinct(context: Context) -> int:
+    return len({id(one) for one in context.encodings})
+
+
+@then("it was encoded once, in under {limit:d} bytes")
+def encoded_once(context: Context, limit: int) -> None:
+    assert _distinct(context) == 1
+    assert len(context.encodings[0].content) < limit, len(context.encodings[0].content)
+    assert stored(context.encodings[0]) == context.item
+
+
+@then("it was encoded twice, and each machine got what the store has")
+def encoded_twice(context: Context) -> None:
+    assert _distinct(context) == 2
+    assert changes([context.encodings[-1]]) == [Change(context.item, False)]
--- a/yarrowwall/readers/wire.py
+++ b/yarrowwall/readers/wire.py
@@ -21,7 +21,7 @@
 
 
 class ObjectEncoder:
-    """Objects as they travel; each state of one is encoded once, however many ask for it."""
+    """Objects as they travel; the state last asked for is kept encoded, for many ask for it."""
 
     def __init__(self) -> None:
         self._known: dict[str, _Encoded] = {}
