Callers are known by their keys; what only the system may set is dropped

Cause: tenants, keys and the headers that are the system's own were unknown to the relay.

Change: typed tenants in the configuration, checked (doubled key or name, negative limit: refused, the one in force stays); a key is looked up in a dictionary; unknown, missing or doubled key on a route that is not public: 401. Servers get the tenant's name and never the key. One table in the adapter says what a client may not set, compared in one spelling. A tenant's priority goes before the route's. Turns and budgets are kept under their tenant's name.

--- a/features/steps/machine_steps.py
+++ b/features/steps/machine_steps.py
@@ -60,9 +60,9 @@
     finish_at = None if seconds == "untold" else 100.0 + float(seconds)
     program = ProgramContext("p", "l", None, 10, None, finish_at)
     context.attempt = Attempt("a", "POST", "/", "h", [], b"", 100.0, 103.0, program)
-    context.priority = priority
+    context.attempt.priority = priority
 
 
 @then("its rank is {rank:d}")
 def rank_is(context: Context, rank: int) -> None:
-    assert turn_rank(context.attempt, context.priority, 100.0) == rank
+    assert turn_rank(context.attempt, 100.0) == rank
--- /dev/null
+++ b/features/steps/tenant_steps.py
@@ -0,0 +1,246 @@
+"""Steps about tenants: keys, what servers are told, and what is kept apart."""
+
+import time
+from typing import Any
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features.support.platform_scripts import add, arrivals, publish, world
+from features.support.platform_world import HOST, Answer, Arrival, read_answer, stream
+from features.support.processes import wait_until
+from yarrowwall.platform import names
+
+#: What a client puts into headers that are not its own.
+FORGED = "forged-by-client"
+EVENTS = 4
+
+
+def tenant(name: str, key: str, **fields: Any) -> dict[str, Any]:
+    return {"name": name, "api_keys": [key], "rate_per_s": 0, "burst": 0, **fields}
+
+
+def ask_as(context: Context, key: str, route: str, text: str = "payload", **headers) -> Answer:
+    """Send a request with a key; ``none`` stands for none, ``and`` joins two."""
+    used = world(context).connect()
+    sent = {"X-Attempt-Id": world(context).next_attempt(), "X-Deadline-Ms": "3000"}
+    sent |= {name.replace("_", "-"): value for name, value in headers.items()}
+    started = time.monotonic()
+    used.putrequest("POST", f"/{route}/x?q=1", skip_host=True)
+    used.putheader("Host", HOST)
+    for one in key.split(" and ") if key != "none" else []:
+        used.putheader("X-Key", one)
+    for name, value in sent.items():
+        used.putheader(name, value)
+    used.putheader("Content-Length", str(len(text)))
+    used.endheaders(text.encode())
+    answer = read_answer(used, started)
+    used.close()
+    return answer
+
+
+def ask_turn(context: Context, key: str, route: str, program: str, **headers) -> Answer:
+    return ask_as(
+        context,
+        key,
+        route,
+        X_Program_Id=program,
+        X_Session_Id=program,
+        X_Token_Budget="40",
+        X_Token_Count="100,40",
+        **headers,
+    )
+
+
+def answered(context: Context, key: str, route: str, program: str, **headers) -> int:
+    """Return the status of a turn once the record store can tell."""
+    found: list[int] = []
+
+    def run() -> bool:
+        found.append(ask_turn(context, key, route, program, **headers).status)
+        return found[-1] != 503
+
+    wait_until(run, "the store can tell")
+    return found[-1]
+
+
+@given('tenants "{one}" with key "{one_key}" and "{other}" with key "{other_key}"')
+def two_tenants(context: Context, one: str, one_key: str, other: str, other_key: str) -> None:
+    world(context).tenants = [tenant(one, one_key), tenant(other, other_key)]
+    publish(context)
+
+
+@given('a tenant "{name}" with key "{key}" and priority {priority:d}')
+def urgent_tenant(context: Context, name: str, key: str, priority: int) -> None:
+    world(context).tenants.append(tenant(name, key, priority=priority))
+
+
+@given('a public route "{route}" with a server')
+def public_route(context: Context, route: str) -> None:
+    add(context, route, "mutating", None, public=True)
+
+
+@given('a stateful stream route "{route}"')
+def stateful_route(context: Context, route: str) -> None:
+    def script(call, arrival: Arrival) -> bool:
+        return stream(call, arrival, range(EVENTS))
+
+    add(context, route, "streaming", script, stateful=True, resumable=True)
+
+
+@when('a client with key "{key}" sends "{text}" on "{route}"')
+def send_as(context: Context, key: str, text: str, route: str) -> None:
+    context.answers = [ask_as(context, key, route, text)]
+
+
+@then('the server was told the tenant "{name}" and no key')
+def told_tenant(context: Context, name: str) -> None:
+    (arrival,) = arrivals(context, "records")
+    assert arrival.headers.get("X-Tenant") == name, arrival.headers
+    assert not any("key-" in value for value in arrival.headers.values()), arrival.headers
+
+
+@then("the server was told no tenant")
+def told_no_tenant(context: Context) -> None:
+    (arrival,) = arrivals(context, "notices")
+    assert "X-Tenant" not in arrival.headers
+
+
+@then('the servers of "{route}" got nothing')
+def got_nothing(context: Context, route: str) -> None:
+    assert not arrivals(context, route)
+
+
+def spellings(name: str) -> list[dict[str, str]]:
+    """Return headers by which a client may try to set one that is not its own."""
+    return [
+        {name: FORGED},
+        {name.lower(): FORGED},
+        {name.upper(): FORGED},
+        {name.replace("-", "_"): FORGED},
+        {name: FORGED, name.lower(): FORGED + "2"},
+        {name: FORGED, "Connection": name},
+    ]
+
+
+@when('a client with key "{key}" sends every header that is the system\'s, in every spelling')
+def forge(context: Context, key: str) -> None:
+    # A doubled key is no key; a deadline of the client's own has to be a number.
+    forged = [name for name in names.NOT_PASSED_ON if name not in (names.API_KEY, names.DEADLINE)]
+    context.answers = []
+    for name in forged:
+        for headers in spellings(name):
+            context.answers.append(send_exactly(context, key, headers))
+
+
+def send_exactly(context: Context, key: str, headers: dict[str, str]) -> Answer:
+    used = world(context).connect()
+    started = time.monotonic()
+    used.putrequest("POST", "/records/x", skip_host=True)
+    used.putheader("Host", HOST)
+    used.putheader("X-Key", key)
+    used.putheader("X-Attempt-Id", world(context).next_attempt())
+    for name, value in headers.items():
+        used.putheader(name, value)
+    used.putheader("Content-Length", "1")
+    used.endheaders(b"x")
+    answer = read_answer(used, started)
+    used.close()
+    return answer
+
+
+@then("no server got a value of the client in any of them")
+def no_forged(context: Context) -> None:
+    found = arrivals(context, "records")
+    assert len(found) == len(context.answers)
+    for arrival in found:
+        assert not any(FORGED in value for value in arrival.headers.values()), arrival.headers
+        assert arrival.headers["X-Tenant"] == "alloy"
+
+
+@when('clients with keys "{one}" and "{other}" each send a prompt on "{route}"')
+def send_prompts(context: Context, one: str, other: str, route: str) -> None:
+    for key in (one, other):
+        ask_as(context, key, route, X_Prompt_Prefix="ab:100", X_Token_Count="100,40")
+
+
+@then("the server was told rank {first:d}, then rank {second:d}")
+def told_ranks(context: Context, first: int, second: int) -> None:
+    ranks = [int(one.headers["X-Request-Priority"]) for one in arrivals(context, "talk")]
+    assert ranks == [first, second], ranks
+
+
+@when('a client with key "{key}" has a turn on "{route}"')
+def has_turn(context: Context, key: str, route: str) -> None:
+    def run() -> bool:
+        context.turn = ask_as(context, key, route, X_Program_Id="p", X_Token_Count="100,40")
+        return context.turn.status != 503
+
+    wait_until(run, "the store can tell")
+    assert context.turn.status == 200 and context.turn.is_whole
+
+
+@then('a client with key "{key}" that goes on from it gets {status:d}')
+def goes_on(context: Context, key: str, status: int) -> None:
+    previous = context.turn.headers["X-Attempt-Id"]
+    assert answered(context, key, "chat", "next", X_Previous_Turn=previous) == status
+
+
+@when('a client with key "{key}" spends the whole budget of the program "{name}" on "{route}"')
+def spend_all(context: Context, key: str, name: str, route: str) -> None:
+    assert answered(context, key, route, name) == 200
+
+
+@then('a client with key "{key}" gets {status:d} for the program "{name}" on "{route}"')
+def budget_answer(context: Context, key: str, status: int, name: str, route: str) -> None:
+    assert answered(context, key, route, name) == status
+
+
+@when('the operators replace the key "{old}" of "{name}" by "{new}"')
+def replace_key(context: Context, old: str, name: str, new: str) -> None:
+    for one in world(context).tenants:
+        if one["name"] == name:
+            one["api_keys"] = [new if key == old else key for key in one["api_keys"]]
+    publish(context)
+
+
+@then('a client with key "{key}" soon gets {status:d} on "{route}"')
+def soon_gets(context: Context, key: str, status: int, route: str) -> None:
+    wait_until(lambda: ask_as(context, key, route).status == status, f"{key} gets {status}")
+
+
+FAULTY = {
+    "a doubled key": [tenant("alloy", "key-a"), tenant("ore", "key-a")],
+    "a doubled name": [tenant("alloy", "key-a"), tenant("alloy", "key-o")],
+    "a negative rate": [tenant("alloy", "key-a", rate_per_s=-1)],
+}
+
+
+@when("the operators publish tenants with {fault}")
+def publish_faulty(context: Context, fault: str) -> None:
+    world(context).tenants = FAULTY[fault]
+    world(context).publish()
+
+
+@then('every gateway logs a fault that names "{name}"')
+def logged_fault(context: Context, name: str) -> None:
+    for machine in ("edge-0", "edge-1"):
+        wait_until(
+            lambda machine=machine: any(
+                name in line.get("reason", "")
+                for line in world(context).log(machine)
+                if line.get("dependency") == "configuration"
+            ),
+            f"{machine} logs {name}",
+        )
+
+
+@then('no machine\'s log holds "{text}"')
+def no_log_holds(context: Context, text: str) -> None:
+    for machine in world(context).processes:
+        assert text not in (world(context).folder / f"{machine}.log").read_text()
+
+
+@then('the gateway logged the tenant "{name}"')
+def logged_tenant(context: Context, name: str) -> None:
+    assert any(line.get("tenant") == name for line in world(context).log("edge-0"))
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -397,6 +397,8 @@
         self.store = ObjectStore()
         self.servers: dict[str, Server] = {}
         self.routes: list[dict[str, Any]] = []
+        #: The tenants of the configuration; None if it has none.
+        self.tenants: list[dict[str, Any]] | None = None
         self.version = 1
         self.processes: dict[str, subprocess.Popen] = {}
         self.addresses: dict[str, dict[str, str]] = {}
@@ -435,7 +437,9 @@
         names = {route["service"] for route in self.routes}
         services = [{"name": name, "max_conns": 100, "engine": engine} for name in sorted(names)]
         limits = {"idle_timeout_ms": 15000, "max_body_bytes": 65536, "header_timeout_ms": 3000}
-        spec = {"routes": self.routes, "services": services, "limits": limits}
+        spec: dict[str, Any] = {"routes": self.routes, "services": services, "limits": limits}
+        if self.tenants is not None:
+            spec["tenants"] = self.tenants
         self.store.put("config", "main", {"version": self.version, **spec})
         return self.version
 
--- a/yarrowwall/platform/callers.py
+++ b/yarrowwall/platform/callers.py
@@ -9,7 +9,7 @@
 
 #: Seconds that a client without a deadline is held to wait.
 _DEFAULT_DEADLINE = 30.0
-#: Headers of one connection, and those that the system sets itself.
+#: Headers of one connection, those that the system sets itself, and callers' secrets.
 _DROPPED = {
     "connection",
     "keep-alive",
@@ -21,10 +21,7 @@
     "expect",
     "host",
     "content-length",
-    names.DEADLINE.lower(),
-    names.EXPECT_INSTANCE.lower(),
-    names.REQUEST_PRIORITY.lower(),
-    names.LAST_EVENT_ID.lower(),
+    *(name.lower() for name in names.NOT_PASSED_ON),
 }
 _DROPPED_FROM_ANSWERS = {
     "connection",
@@ -49,6 +46,7 @@
         headers = environ["headers_raw"]
         values = {name.lower(): value for name, value in headers}
         attempt_id = values.get(names.ATTEMPT_ID.lower(), "")
+        key = _only_value(headers, names.API_KEY)
         if not attempt_id:
             raise InvalidAttemptError(f"{names.ATTEMPT_ID} is missing")
         target = environ["RAW_PATH_INFO"]
@@ -67,6 +65,7 @@
             prompt=_prompt(values.get(names.PROMPT_PREFIX.lower(), "")),
             affinity=_affinity(values.get("cookie", "")),
             last_event_id=values.get(names.LAST_EVENT_ID.lower()),
+            api_key=key,
         )
 
     def answer_headers(self, answer: Answer) -> list[Header]:
@@ -86,8 +85,22 @@
 
 
 def _passed_on(headers: tuple[Header, ...], connection: str) -> list[Header]:
-    dropped = _DROPPED | {name.strip().lower() for name in connection.split(",")}
-    return [(name, value) for name, value in headers if name.lower() not in dropped]
+    dropped = _DROPPED | {_canonical(name) for name in connection.split(",")}
+    return [(name, value) for name, value in headers if _canonical(name) not in dropped]
+
+
+def _canonical(name: str) -> str:
+    """Return a header's name in the one spelling that it is compared in.
+
+    Servers that hand headers on as variables take ``_`` and ``-`` for the same.
+    """
+    return name.strip().lower().replace("_", "-")
+
+
+def _only_value(headers: tuple[Header, ...], wanted: str) -> str | None:
+    """Return the value of a header; None if it is missing or comes with different values."""
+    values = {value.strip() for name, value in headers if name.lower() == wanted.lower()}
+    return values.pop() if len(values) == 1 else None
 
 
 def _deadline(text: str | None) -> float:
--- a/yarrowwall/platform/documents.py
+++ b/yarrowwall/platform/documents.py
@@ -12,6 +12,7 @@
     Server,
     Service,
     ServiceShare,
+    Tenant,
 )
 from yarrowwall.relay.object_store import StoredObject
 
@@ -51,6 +52,7 @@
             tuple(_route(route) for route in spec.get("routes", [])),
             {service["name"]: _service(service) for service in spec.get("services", [])},
             _limits(spec.get("limits") or {}),
+            _tenants(spec["tenants"]) if spec.get("tenants") is not None else None,
         )
 
     def retirement_status(self, is_complete: bool) -> dict[str, Any]:
@@ -79,9 +81,46 @@
         retention=float(spec.get("retain_s") or 0.0),
         is_sticky=bool(spec.get("sticky")),
         is_resumable=bool(spec.get("resumable")),
+        is_public=bool(spec.get("public")),
     )
 
 
+def _tenants(specs: list[dict[str, Any]]) -> tuple[Tenant, ...]:
+    """Return the tenants of a configuration.
+
+    :raises ValueError: if two have the same name or key, or a limit is negative.
+    """
+    found = tuple(_tenant(spec) for spec in specs)
+    names_seen: set[str] = set()
+    holders: dict[str, str] = {}
+    for tenant in found:
+        if tenant.name in names_seen:
+            raise ValueError(f"tenant {tenant.name!r} is there twice")
+        names_seen.add(tenant.name)
+        for key in tenant.api_keys:
+            holder = holders.setdefault(key, tenant.name)
+            if holder != tenant.name:
+                raise ValueError(f"tenants {holder!r} and {tenant.name!r} hold the same key")
+    return found
+
+
+def _tenant(spec: dict[str, Any]) -> Tenant:
+    priority = spec.get("priority")
+    tenant = Tenant(
+        spec["name"],
+        tuple(spec.get("api_keys") or ()),
+        int(priority) if priority is not None else None,
+        float(spec.get("rate_per_s") or 0.0),
+        float(spec.get("burst") or 0.0),
+    )
+    if not tenant.name:
+        raise ValueError("a tenant without a name")
+    for limit in ("rate_per_s", "burst"):
+        if getattr(tenant, limit) < 0.0:
+            raise ValueError(f"tenant {tenant.name!r}: {limit} is negative")
+    return tenant
+
+
 def _service(spec: dict[str, Any]) -> Service:
     engine = spec.get("engine")
     traits = None
--- a/yarrowwall/platform/names.py
+++ b/yarrowwall/platform/names.py
@@ -17,6 +17,31 @@
 TOKEN_BUDGET = "X-Token-Budget"
 FINISH = "X-Finish-Ms"
 PREVIOUS_TURN = "X-Previous-Turn"
+API_KEY = "X-Key"
+TENANT = "X-Tenant"
+EXPECT_VERSION = "X-Expect-Version"
+HOLD = "X-Hold"
+PIN = "X-Pin-Ms"
+MEMORY_BACKUP = "X-Kv-Backup"
+MEMORY_SOURCE = "Kv-From"
+MEMORY_FETCH = "Kv-Fetch"
+
+#: Headers that are the system's to set or the caller's own secret: whatever a client sends in
+#: them reaches no server.
+NOT_PASSED_ON = (
+    API_KEY,
+    TENANT,
+    DEADLINE,
+    EXPECT_INSTANCE,
+    EXPECT_VERSION,
+    REQUEST_PRIORITY,
+    LAST_EVENT_ID,
+    HOLD,
+    PIN,
+    MEMORY_BACKUP,
+    MEMORY_SOURCE,
+    MEMORY_FETCH,
+)
 
 # Kinds of objects in the store
 SERVERS = "servers"
--- a/yarrowwall/platform/servers.py
+++ b/yarrowwall/platform/servers.py
@@ -19,6 +19,8 @@
         if attempt.prompt:
             priority = min(max(send.priority, 0), _LEAST_PRIORITY)
             lines.append(f"{names.REQUEST_PRIORITY}: {priority}")
+        if attempt.tenant:
+            lines.append(f"{names.TENANT}: {attempt.tenant}")
         if send.last_event_id is not None:
             lines.append(f"{names.LAST_EVENT_ID}: {send.last_event_id}")
         if send.body or attempt.method in ("POST", "PUT", "PATCH"):
--- a/yarrowwall/relay/decisions.py
+++ b/yarrowwall/relay/decisions.py
@@ -37,6 +37,7 @@
     route_kind: str
     configuration: int
     remaining: float
+    tenant: str
 
 
 @dataclass(frozen=True)
--- a/yarrowwall/relay/gateway.py
+++ b/yarrowwall/relay/gateway.py
@@ -28,6 +28,7 @@
 StartResponse = Callable[..., Any]
 
 _BAD_REQUEST = 400
+_KEY_UNKNOWN = 401
 _BUDGET_SPENT = 402
 _NOT_FOUND = 404
 _TOO_LARGE = 413
@@ -129,9 +130,10 @@
         return _Exchange(self, environ, start_response).run()
 
     def match(self, attempt: Attempt) -> Route:
-        """Return an attempt's route.
+        """Return an attempt's route, and note its tenant in the attempt.
 
-        :raises RefusedError: if there is none or no configuration is known.
+        :raises RefusedError: if there is none, no configuration is known, or nobody holds
+            the attempt's key.
         """
         if self.table is None:
             raise RefusedError(
@@ -140,8 +142,25 @@
         route = self.table.match(attempt.host, attempt.path)
         if route is None:
             raise RefusedError(Refusal(_NOT_FOUND, "no route"))
+        self._identify(attempt, route, self.table)
         return route
 
+    def _identify(self, attempt: Attempt, route: Route, table: RouteTable) -> None:
+        """Note whose attempt it is, and so how urgent.
+
+        :raises RefusedError: if its key is needed and nobody holds it.
+        """
+        attempt.priority = route.priority
+        if not table.needs_keys:
+            return
+        tenant = table.tenant_of(attempt.api_key)
+        if tenant is not None:
+            attempt.tenant = tenant.name
+            if tenant.priority is not None:
+                attempt.priority = tenant.priority
+        elif not route.is_public:
+            raise RefusedError(Refusal(_KEY_UNKNOWN, "no tenant holds the key"))
+
 
 class _Exchange:
     """One request of a caller and its answer."""
@@ -211,6 +230,7 @@
                 route.kind.value,
                 table.configuration.version if table is not None else 0,
                 end - attempt.arrived_at,
+                attempt.tenant,
             )
         )
 
--- a/yarrowwall/relay/ledger.py
+++ b/yarrowwall/relay/ledger.py
@@ -43,9 +43,18 @@
 _SETTLED = 1
 
 
+def _scoped(tenant: str, name: str) -> str:
+    """Return a name that callers chose as one of its tenant's alone."""
+    # No caller can make up another tenant's name: the length in front tells where it ends.
+    return f"{len(tenant)}:{tenant}:{name}" if tenant and name else name
+
+
 @dataclass(frozen=True)
 class Reservation:
-    """Tokens reserved for one turn."""
+    """Tokens reserved for one turn.
+
+    :param program_id: the program, as one of its tenant's.
+    """
 
     program_id: str
     attempt_id: str
@@ -118,26 +127,25 @@
         body = attempt.body
         program = attempt.program
         if route.is_stateful and program is not None and program.previous_turn:
-            turns = self._chain(attempt.attempt_id, program.previous_turn)
+            previous = _scoped(attempt.tenant, program.previous_turn)
+            turns = self._chain(attempt.attempt_id, previous)
             body = prompt_body(turns, attempt.body)
         reservation = None
         last_server = ""
         if program is not None and program.budget is not None:
-            reservation, last_server = self._reserve(
-                attempt.attempt_id, program, program.budget, route
-            )
+            reservation, last_server = self._reserve(attempt, program, program.budget, route)
         return LedgerGrant(self, attempt, route, body, last_server, reservation, tokens_per_event)
 
     # Budgets
 
     def _reserve(
-        self, attempt_id: str, program: ProgramContext, budget: int, route: Route
+        self, attempt: Attempt, program: ProgramContext, budget: int, route: Route
     ) -> tuple[Reservation, str]:
         """Return a granted reservation, and the server that ran the program's turn before."""
-        reservation = Reservation(
-            program.program_id, attempt_id, program.most_tokens, route.retention
-        )
-        group = self.group_of(program.program_id)
+        attempt_id = attempt.attempt_id
+        program_id = _scoped(attempt.tenant, program.program_id)
+        reservation = Reservation(program_id, attempt_id, program.most_tokens, route.retention)
+        group = self.group_of(program_id)
         try:
             used, last_server = self._used_beside(group, reservation, budget)
         except NoQuorumError as error:
@@ -286,9 +294,10 @@
         program = self._attempt.program
         if not self._route.is_stateful or program is None:
             return
+        tenant = self._attempt.tenant
         turn = Turn(
-            self._attempt.attempt_id,
-            program.previous_turn or "",
+            _scoped(tenant, self._attempt.attempt_id),
+            _scoped(tenant, program.previous_turn or ""),
             self._attempt.body,
             output_of(passed),
         )
--- a/yarrowwall/relay/model.py
+++ b/yarrowwall/relay/model.py
@@ -35,6 +35,7 @@
     :param attempts: the most servers that one attempt of a caller may be sent to.
     :param priority: rank, 0 is the most urgent.
     :param retention: seconds that turns and budgets of a program are kept.
+    :param is_public: whether requests need no key.
     """
 
     name: str
@@ -50,6 +51,7 @@
     retention: float
     is_sticky: bool
     is_resumable: bool
+    is_public: bool = False
 
     @property
     def is_repeatable(self) -> bool:
@@ -91,14 +93,34 @@
     idle_seconds: float = 15.0
 
 
+@dataclass(frozen=True)
+class Tenant:
+    """A customer of the operators, whose callers are known by their keys.
+
+    :param priority: rank of its requests, 0 is the most urgent; None for that of the route.
+    :param rate_per_s: requests a second that it may send, over all gateways; 0 without a limit.
+    :param burst: requests on top of that.
+    """
+
+    name: str
+    api_keys: tuple[str, ...]
+    priority: int | None
+    rate_per_s: float
+    burst: float
+
+
 @dataclass(frozen=True)
 class Configuration:
-    """One version of the operators' configuration, whole."""
+    """One version of the operators' configuration, whole.
+
+    :param tenants: whose keys callers need; None if callers need no keys.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: CallerLimits
+    tenants: tuple[Tenant, ...] | None = None
 
 
 @dataclass(frozen=True)
@@ -145,6 +167,9 @@
 
     :param deadline: when the caller stops waiting.
     :param last_event_id: the last event that the caller has, if it resumes a stream.
+    :param api_key: the caller's secret, which goes into no log and to no server.
+    :param tenant: name of the tenant that holds the key; empty if none is needed.
+    :param priority: rank of the request by tenant and route, 0 is the most urgent.
     """
 
     attempt_id: str
@@ -159,6 +184,9 @@
     prompt: tuple[PromptPart, ...] = ()
     affinity: str | None = None
     last_event_id: str | None = None
+    api_key: str | None = field(default=None, repr=False)
+    tenant: str = ""
+    priority: int = 0
 
     @property
     def path(self) -> str:
--- a/yarrowwall/relay/offer.py
+++ b/yarrowwall/relay/offer.py
@@ -173,7 +173,7 @@
         connection = self._connect(server)
         self.log.offered += 1
         remaining = self.remaining()
-        rank = turn_rank(self._attempt, self._route.priority, self._parts.now())
+        rank = turn_rank(self._attempt, self._parts.now())
         send = Send(server, self._body, remaining, rank, last_event_id)
         self._parts.decisions.write(
             decisions.AttemptSent(
--- a/yarrowwall/relay/routing.py
+++ b/yarrowwall/relay/routing.py
@@ -2,7 +2,7 @@
 
 from collections import defaultdict
 
-from yarrowwall.relay.model import Configuration, Route, ServiceShare
+from yarrowwall.relay.model import Configuration, Route, ServiceShare, Tenant
 
 
 class RouteTable:
@@ -20,6 +20,18 @@
         for routes in self._by_host.values():
             routes.sort(key=lambda route: len(route.prefix), reverse=True)
         self._credit: dict[tuple[str, str], float] = defaultdict(float)
+        self._by_key = {
+            key: tenant for tenant in configuration.tenants or () for key in tenant.api_keys
+        }
+
+    @property
+    def needs_keys(self) -> bool:
+        """Return whether callers need a key, but on public routes."""
+        return self.configuration.tenants is not None
+
+    def tenant_of(self, api_key: str | None) -> Tenant | None:
+        """Return the tenant that holds a key; None if nobody does."""
+        return self._by_key.get(api_key) if api_key else None
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route whose prefix is the longest that begins the path."""
--- a/yarrowwall/relay/urgency.py
+++ b/yarrowwall/relay/urgency.py
@@ -15,15 +15,15 @@
 _LAST_RANK = 9
 
 
-def turn_rank(attempt: Attempt, priority: int, now: float) -> int:
+def turn_rank(attempt: Attempt, now: float) -> int:
     """Return the rank of a request at an engine, 0 is the most urgent.
 
-    :param priority: rank of the request's route, used if the program's time is untold.
+    The priority of tenant or route alone decides if the program's time is untold.
     """
     if attempt.program is None or attempt.program.finish_at is None:
-        return min(max(priority, 0), _LAST_RANK)
+        return min(max(attempt.priority, 0), _LAST_RANK)
     left = attempt.program.finish_at - now
     if left < 0.0:
         return LATE_RANK
-    factor = MOST_URGENT_FACTOR if priority == 0 else 1.0
+    factor = MOST_URGENT_FACTOR if attempt.priority == 0 else 1.0
     return bisect(RANK_SECONDS, left * factor)
