Keys are served only while the configuration is surely the newest

Hypothesis: a gateway that was told of the newest configuration cannot tell that no newer one exists; a key that was taken away must not be served 5 s later by any gateway, in touch or not (strict revocation).

The moment at which an answered question was sent proves the state that the answer shows, once that state is known. Readers pass it on relative to the arrival of a question, askers count it from the sending, so no clocks are compared. A waiting watch, a list that may be old and a forgotten history prove nothing.

--- a/features/steps/reader_steps.py
+++ b/features/steps/reader_steps.py
@@ -20,7 +20,7 @@
 from yarrowwall.readers.reader import ObjectReader
 from yarrowwall.readers.wire import ObjectEncoder, changes, stored
 from yarrowwall.relay.decisions import DecisionLog
-from yarrowwall.relay.object_store import Change, Changes, Listing, StoredObject
+from yarrowwall.relay.object_store import Change, Changes, Listing, ObjectName, StoredObject
 
 SEEDS = range(300)
 #: All machines of the scenarios' world stand in one zone, and this is the first by name.
@@ -199,7 +199,8 @@
 def reader_of_one(context: Context) -> None:
     context.one_object = _OneObject()
     log = DecisionLog("storage-0")
-    context.reader = ObjectReader(context.one_object, "config", {}, log, time.monotonic)
+    target = ObjectName("config", "main")
+    context.reader = ObjectReader(context.one_object, target, {}, log, time.monotonic)
 
 
 @when("two questions wait for a change, the second for {wait_ms:d} ms")
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -84,6 +84,8 @@
         self.history: list[tuple[int, str, dict[str, Any], bool]] = []
         self.oldest = 0
         self.is_down = False
+        #: Whether questions for a single object get no answer; watches and lists do.
+        self.loses_gets = False
         #: Seconds that every answer to a list takes.
         self.list_delay_s = 0.0
         #: Lists that get no answer at all, neither now nor later.
@@ -123,6 +125,11 @@
             self._turned_away.add(machine)
             self.lock.notify_all()
 
+    def take_back(self) -> None:
+        """Answer every machine again."""
+        with self.lock:
+            self._turned_away.clear()
+
     def stop(self) -> None:
         """Serve no more."""
         for server in (self.server, *self._own_servers.values()):
@@ -198,6 +205,10 @@
         if self.is_down or machine in self._turned_away:
             call.close_connection = True
             return
+        if call.command == "GET" and len(names) > 1 and self.loses_gets:
+            time.sleep(ANSWER_SECONDS)
+            call.close_connection = True
+            return
         if call.command == "GET" and "watch" not in query:
             if self._loses_list():
                 time.sleep(ANSWER_SECONDS)
@@ -233,6 +244,9 @@
                     return self._watch(names[0], revision, wait_ms, machine)
                 finally:
                     self.watching[(machine, names[0])] -= 1
+            if method == "GET" and len(names) > 1:
+                found = self.objects.get((names[0], names[1]))
+                return (200, found) if found is not None else (404, {})
             if method == "GET":
                 items = [item for (kind, _), item in self.objects.items() if kind == names[0]]
                 return 200, {"items": items, "more": False, "at": self.revision}
@@ -511,6 +525,8 @@
             f"is_first_start = {str(is_first).lower()}",
             "[bounds]",
             "stop = 6.0",
+            "revocation_ms = 5000",
+            "configuration_ms = 3000",
         ]
         if is_gateway:
             lines += [
--- a/yarrowwall/messages/objects.py
+++ b/yarrowwall/messages/objects.py
@@ -58,8 +58,12 @@
     """Answer to :class:`ListObjects` and :class:`WatchObjects`.
 
     :param revision: the store's revision that the objects bring a receiver to.
+    :param proved_after_s: a moment at which the store had acknowledged nothing newer, in
+        seconds from the arrival of the question, before it if negative; None if none is
+        known. Whoever asked counts it from the sending, which is never later.
     """
 
     status: ObjectsStatus
     objects: list[RelayedObject]
     revision: int
+    proved_after_s: float | None
--- a/yarrowwall/platform/documents.py
+++ b/yarrowwall/platform/documents.py
@@ -28,6 +28,7 @@
 
     servers_kind = names.SERVERS
     configuration_kind = names.CONFIGURATION
+    configuration_name = names.NEWEST_CONFIGURATION
     retirements_kind = names.RETIREMENTS
 
     def server(self, item: StoredObject) -> Server:
--- a/yarrowwall/platform/store.py
+++ b/yarrowwall/platform/store.py
@@ -27,6 +27,7 @@
 
 _WATCH_LANE = "watch "
 _JSON = "application/json"
+_NOT_FOUND = 404
 _CONFLICT = 409
 _GONE = 410
 
@@ -91,6 +92,12 @@
         for connection in list(self._watching.values()):
             connection.interrupt()
 
+    def get(self, kind: str, name: str, timeout_s: float) -> StoredObject | None:
+        """Return an object as it stands now; None if there is none."""
+        path = f"/objects/{kind}/{quote(name, safe='')}"
+        status, document = self._call("GET", path, lane=f"get {kind}", timeout=timeout_s)
+        return None if status == _NOT_FOUND else _object(document)
+
     def create(self, kind: str, name: str, spec: dict[str, Any]) -> StoredObject:
         """Make an object."""
         body = {"meta": {"name": name}, "spec": spec}
@@ -154,7 +161,7 @@
 
 
 def _document(method: str, path: str, status: int, data: bytes) -> dict[str, Any]:
-    if status == _GONE:
+    if status == _GONE or (status == _NOT_FOUND and method == "GET"):
         return {}
     if status == _CONFLICT:
         raise ConflictError(f"{method} {path}")
--- a/yarrowwall/readers/picture.py
+++ b/yarrowwall/readers/picture.py
@@ -53,6 +53,11 @@
             self.oldest_revision = self._batches.popleft().revision
         self.revision = max(self.revision, revision)
 
+    def revision_of(self, name: str) -> int:
+        """Return the revision of an object's last change; 0 if there is no such object."""
+        item = self._items.get(name)
+        return item.revision if item is not None else 0
+
     def listing(self) -> Listing:
         """Return all objects."""
         return Listing(list(self._items.values()), self.revision)
--- a/yarrowwall/readers/reader.py
+++ b/yarrowwall/readers/reader.py
@@ -16,9 +16,10 @@
     WatchObjects,
 )
 from yarrowwall.readers.picture import KindPicture
+from yarrowwall.readers.prover import ObjectProver
 from yarrowwall.readers.wire import ObjectEncoder
 from yarrowwall.relay.decisions import DecisionLog
-from yarrowwall.relay.object_store import Change, ObjectStore, StoredObject
+from yarrowwall.relay.object_store import Change, ObjectName, ObjectStore, StoredObject
 from yarrowwall.relay.watching import COALESCE_SECONDS, LONG_WATCH_SECONDS, KindFollower
 
 #: Seconds for which a question waits for the reader's own first list. A list takes 0.01 s if
@@ -30,8 +31,8 @@
 #: and few machines are readers, so they try more often than others.
 MOST_RETRY_SECONDS = 0.3
 
-_OUT_OF_CONTACT = ObjectsReply(ObjectsStatus.OUT_OF_CONTACT, [], 0)
-_FORGOTTEN = ObjectsReply(ObjectsStatus.FORGOTTEN, [], 0)
+_OUT_OF_CONTACT = ObjectsReply(ObjectsStatus.OUT_OF_CONTACT, [], 0, None)
+_FORGOTTEN = ObjectsReply(ObjectsStatus.FORGOTTEN, [], 0, None)
 #: Called with the reply to a question.
 Reply = Callable[[ObjectsReply], None]
 
@@ -39,12 +40,16 @@
 class _Question:
     """A question that waits for its answer.
 
+    :param arrived_at_s: when it arrived.
     :ivar timer: ends the wait.
     """
 
-    def __init__(self, request: ListObjects | WatchObjects, reply: Reply) -> None:
+    def __init__(
+        self, request: ListObjects | WatchObjects, reply: Reply, arrived_at_s: float
+    ) -> None:
         self.request = request
         self.reply = reply
+        self.arrived_at_s = arrived_at_s
         self.timer: Any = None
 
 
@@ -54,6 +59,7 @@
     :param watch_s: the longest that one watch at the store waits.
     :param pause_s: seconds after changes before the next ones are asked for.
     :param on_lost: called once the store gives no usable answer any more.
+    :param proved: name of an object of which answers say until when its state was the newest.
     """
 
     def __init__(
@@ -65,6 +71,7 @@
         log: DecisionLog,
         now: Callable[[], float],
         on_lost: Callable[[], None],
+        proved: str | None = None,
     ) -> None:
         self._now = now
         self._on_lost = on_lost
@@ -88,6 +95,11 @@
             most_retry_s=MOST_RETRY_SECONDS,
         )
         self._follower.start()
+        self._prover: ObjectProver | None = None
+        if proved is not None:
+            target = ObjectName(kind, proved)
+            self._prover = ObjectProver(store, target, log, now, self._lose_contact)
+            self._prover.start()
 
     @property
     def is_wanted(self) -> bool:
@@ -97,6 +109,8 @@
     def stop(self) -> None:
         """Follow no more."""
         self._follower.stop()
+        if self._prover is not None:
+            self._prover.stop()
 
     def be_cautious(self) -> None:
         """Let the next watch wait shortly: one of another kind was lost."""
@@ -105,11 +119,11 @@
     def ask(self, request: ListObjects | WatchObjects, reply: Reply) -> None:
         """Answer a question at once or later."""
         self.asked_at = self._now()
-        answer = self._answer(request, is_over=False)
+        question = _Question(request, reply, self.asked_at)
+        answer = self._answer(question, is_over=False)
         if answer is not None:
             reply(answer)
             return
-        question = _Question(request, reply)
         self._waiting[id(question)] = question
         question.timer = eventlet.spawn_after(self._wait_s(request), self._end_wait, question)
 
@@ -118,38 +132,47 @@
             return FIRST_LIST_SECONDS
         return request.wait_s
 
-    def _answer(self, request: ListObjects | WatchObjects, is_over: bool) -> ObjectsReply | None:
+    def _answer(self, question: _Question, is_over: bool) -> ObjectsReply | None:
         """Return the answer to a question; None if it has to wait.
 
         :param is_over: whether it waits no longer.
         """
+        request = question.request
         if not self._picture.revision:
             return _OUT_OF_CONTACT if is_over else None
         if not self._is_in_contact:
             return _OUT_OF_CONTACT
         if isinstance(request, ListObjects):
-            return self._list(request, is_over)
+            return self._list(request, question, is_over)
         found = self._picture.changes_since(request.revision)
         if found is None:
             return _FORGOTTEN
         if not found.changes and request.wait_s > 0.0 and not is_over:
             return None
         objects = [self._encoder.relayed_change(change) for change in found.changes]
-        return ObjectsReply(ObjectsStatus.OK, objects, found.revision)
+        proved_after_s = self._proved_after_s(question)
+        return ObjectsReply(ObjectsStatus.OK, objects, found.revision, proved_after_s)
+
+    def _proved_after_s(self, question: _Question) -> float | None:
+        proved_at_s = self._prover.proof.proved_at_s if self._prover is not None else None
+        return proved_at_s - question.arrived_at_s if proved_at_s is not None else None
 
-    def _list(self, request: ListObjects, is_over: bool) -> ObjectsReply | None:
+    def _list(
+        self, request: ListObjects, question: _Question, is_over: bool
+    ) -> ObjectsReply | None:
         listing = self._picture.listing()
         if listing.revision < request.least_revision:
             return _OUT_OF_CONTACT if is_over else None
         objects = [self._encoder.relayed(item) for item in listing.items]
-        return ObjectsReply(ObjectsStatus.OK, objects, listing.revision)
+        proved_after_s = self._proved_after_s(question)
+        return ObjectsReply(ObjectsStatus.OK, objects, listing.revision, proved_after_s)
 
     def _end_wait(self, question: _Question) -> None:
         if self._waiting.pop(id(question), None) is None:
             return
         self.asked_at = self._now()
         # A change may have come that others are just being told of.
-        answer = self._answer(question.request, is_over=True)
+        answer = self._answer(question, is_over=True)
         question.reply(answer or _OUT_OF_CONTACT)
 
     # What the store tells
@@ -164,6 +187,9 @@
             self._listed = None
         self._picture.take(list(self._changed), revision)
         self._changed.clear()
+        if self._prover is not None:
+            name = self._prover.target.name
+            self._prover.proof.note_known(self._picture.revision_of(name))
         self._is_in_contact = True
         self._answer_waiting()
 
@@ -176,7 +202,7 @@
 
     def _answer_waiting(self) -> None:
         for key, question in list(self._waiting.items()):
-            answer = self._answer(question.request, is_over=False)
+            answer = self._answer(question, is_over=False)
             # Cancelling and answering let others run, whose waits may end meanwhile.
             if answer is not None and self._waiting.pop(key, None) is not None:
                 question.timer.cancel()
@@ -187,9 +213,10 @@
     """Answers other machines' questions about the store's objects.
 
     :param store: the store, for this reader alone.
-    :param prompt_kind: a kind whose watches wait only shortly. It is followed as long as any
-        other is, for a watch that was lost in an outage says nothing until its wait is over;
-        once a short one fails, all others are begun anew.
+    :param prompt: an object whose kind is watched only shortly at a time, and which is asked
+        for besides. Its kind is followed as long as any other is, for a watch that was lost in
+        an outage says nothing until its wait is over; once a short one fails, all others are
+        begun anew.
     :param watch_s: the longest that a watch waits, for kinds where that is not the usual.
     :param now: the monotonic clock.
     """
@@ -197,13 +224,14 @@
     def __init__(
         self,
         store: ObjectStore,
-        prompt_kind: str,
+        prompt: ObjectName,
         watch_s: Mapping[str, float],
         log: DecisionLog,
         now: Callable[[], float],
     ) -> None:
         self._store = store
-        self._prompt_kind = prompt_kind
+        self._prompt_kind = prompt.kind
+        self._prompt_name = prompt.name
         self._watch_s = watch_s
         self._log = log
         self._now = now
@@ -220,9 +248,16 @@
         if followed is None:
             watch_s = self._watch_s.get(kind, LONG_WATCH_SECONDS)
             # Each change of the prompt kind is asked for at once; it changes seldom.
-            pause_s = 0.0 if kind == self._prompt_kind else COALESCE_SECONDS
+            is_prompt = kind == self._prompt_kind
             followed = FollowedKind(
-                self._store, kind, watch_s, pause_s, self._log, self._now, self._be_cautious
+                self._store,
+                kind,
+                watch_s,
+                0.0 if is_prompt else COALESCE_SECONDS,
+                self._log,
+                self._now,
+                self._be_cautious,
+                self._prompt_name if is_prompt else None,
             )
             self._kinds[kind] = followed
         return followed
--- a/yarrowwall/readers/store.py
+++ b/yarrowwall/readers/store.py
@@ -120,15 +120,24 @@
         listing = self._list_at_readers(kind, known) if known else None
         if listing is None:
             is_start = not known or not self._order.is_known
-            listing = self._direct.list(kind, timeout_s, may_be_old and is_start)
+            listing = self._list_directly(kind, timeout_s, may_be_old and is_start)
         self._revisions[kind] = max(known, listing.revision)
         return listing
 
+    def _list_directly(self, kind: str, timeout_s: float, may_be_old: bool) -> Listing:
+        sent_at_s = self._now()
+        listing = self._direct.list(kind, timeout_s, may_be_old)
+        if may_be_old:
+            return listing
+        return Listing(listing.items, listing.revision, sent_at_s)
+
     def _list_at_readers(self, kind: str, known: int) -> Listing | None:
         for reader in self._order.candidates(self._now()):
+            sent_at_s = self._now()
             reply = self._ask(reader, ListObjects(kind, known), FIRST_ANSWER_SECONDS)
             if reply is not None and reply.status is ObjectsStatus.OK:
-                return Listing([stored(item) for item in reply.objects], reply.revision)
+                items = [stored(item) for item in reply.objects]
+                return Listing(items, reply.revision, proved_at_s(reply, sent_at_s))
         return None
 
     def watch(self, kind: str, revision: int, wait_s: float) -> Changes:
@@ -163,20 +172,22 @@
         wait_s = min(wait_s, PROMPT_WAIT_SECONDS if is_prompt else MOST_WAIT_SECONDS)
         if reader.node_id not in self._proven:
             # A reader that does not answer must be found before it is relied on.
-            first = self._ask(reader, WatchObjects(kind, revision, 0.0), FIRST_ANSWER_SECONDS)
-            found = self._read(reader, first)
-            if found is None or found.changes:
+            found = self._watch_once(reader, WatchObjects(kind, revision, 0.0))
+            # With a proof the answer is worth as much as a change.
+            if found is None or found.changes or found.proved_at_s is not None:
                 return found
-        reply = self._ask(reader, WatchObjects(kind, revision, wait_s), wait_s + ANSWER_SECONDS)
-        return self._read(reader, reply)
+        return self._watch_once(reader, WatchObjects(kind, revision, wait_s))
 
-    def _read(self, reader: Member, reply: ObjectsReply | None) -> Changes | None:
+    def _watch_once(self, reader: Member, request: WatchObjects) -> Changes | None:
+        timeout_s = request.wait_s + ANSWER_SECONDS if request.wait_s else FIRST_ANSWER_SECONDS
+        sent_at_s = self._now()
+        reply = self._ask(reader, request, timeout_s)
         if reply is None or reply.status is ObjectsStatus.OUT_OF_CONTACT:
             return None
         self._note_proven(reader)
         if reply.status is ObjectsStatus.FORGOTTEN:
             raise HistoryForgottenError(f"reader {reader.node_id}")
-        return Changes(changes(reply.objects), reply.revision)
+        return Changes(changes(reply.objects), reply.revision, proved_at_s(reply, sent_at_s))
 
     # Questions to readers
 
@@ -276,7 +287,11 @@
             if asked != candidates[0].node_id and not arrived.ready():
                 arrived.send(_INTERRUPTED)
 
-    # Changes of objects
+    # Single objects
+
+    def get(self, kind: str, name: str, timeout_s: float) -> StoredObject | None:
+        """Return an object as it stands now at the store itself; None if there is none."""
+        return self._direct.get(kind, name, timeout_s)
 
     def create(self, kind: str, name: str, spec: dict[str, Any]) -> StoredObject:
         """Make an object."""
@@ -291,3 +306,11 @@
     def set_status(self, kind: str, name: str, status: dict[str, Any]) -> None:
         """Replace an object's status."""
         self._direct.set_status(kind, name, status)
+
+
+def proved_at_s(reply: ObjectsReply, sent_at_s: float) -> float | None:
+    """Return the moment of this machine's clock for which a reader vouches.
+
+    The reader counts it from the question's arrival, which was never before its sending.
+    """
+    return sent_at_s + reply.proved_after_s if reply.proved_after_s is not None else None
--- a/yarrowwall/relay/gateway.py
+++ b/yarrowwall/relay/gateway.py
@@ -15,6 +15,7 @@
     StoreUncertainError,
     TurnUnknownError,
 )
+from yarrowwall.relay.freshness import Freshness
 from yarrowwall.relay.http_server import ServerLimits, close_after_answer
 from yarrowwall.relay.model import Answer, Attempt, Configuration, Refusal, RequestKind, Route
 from yarrowwall.relay.offer import RETRY_AFTER_SECONDS, Offer, RefusedError, RelayParts
@@ -50,6 +51,7 @@
     """Answers callers' attempts from the servers.
 
     :param programs: budgets and turns of programs.
+    :param freshness: the age of the configuration in force.
     """
 
     def __init__(
@@ -58,11 +60,13 @@
         callers: CallerProtocol,
         programs: ProgramLedger,
         limits: ServerLimits,
+        freshness: Freshness,
     ) -> None:
         self._parts = parts
         self._callers = callers
         self._programs = programs
         self._limits = limits
+        self._freshness = freshness
         self.table: RouteTable | None = None
         self.running = 0
         self._stops_at: float | None = None
@@ -94,10 +98,17 @@
     def sends_callers_away(self) -> bool:
         """Return whether callers had better come back through another gateway.
 
-        One that is out of the replicas' reach can run no turn, and callers stay with a
-        connection for as long as it is kept.
+        One that is out of the replicas' reach can run no turn, one whose configuration is
+        too old serves no key, and callers stay with a connection for as long as it is kept.
         """
-        return self.is_stopping or not self._programs.is_reachable
+        is_able = self._programs.is_reachable and self.serves_keys
+        return self.is_stopping or not is_able
+
+    @property
+    def serves_keys(self) -> bool:
+        """Return whether the configuration is fresh enough for callers with keys, if any."""
+        needs_keys = self.table is not None and self.table.needs_keys
+        return not needs_keys or self._freshness.may_serve_keys(self._parts.now())
 
     def stop(self, now: float, stops_at: float) -> None:
         """Close connections behind their answers; later take only what ends in time.
@@ -141,25 +152,40 @@
             )
         route = self.table.match(attempt.host, attempt.path)
         if route is None:
-            raise RefusedError(Refusal(_NOT_FOUND, "no route"))
+            raise self._denied(attempt, Refusal(_NOT_FOUND, "no route"))
         self._identify(attempt, route, self.table)
         return route
 
     def _identify(self, attempt: Attempt, route: Route, table: RouteTable) -> None:
         """Note whose attempt it is, and so how urgent.
 
-        :raises RefusedError: if its key is needed and nobody holds it.
+        :raises RefusedError: if its key is needed and nobody holds it, or the configuration is
+            too old to tell.
         """
         attempt.priority = route.priority
         if not table.needs_keys:
             return
         tenant = table.tenant_of(attempt.api_key)
         if tenant is not None:
+            if not route.is_public and not self._freshness.may_serve_keys(attempt.arrived_at):
+                raise self._too_old()
             attempt.tenant = tenant.name
             if tenant.priority is not None:
                 attempt.priority = tenant.priority
         elif not route.is_public:
-            raise RefusedError(Refusal(_KEY_UNKNOWN, "no tenant holds the key"))
+            raise self._denied(attempt, Refusal(_KEY_UNKNOWN, "no tenant holds the key"))
+
+    def _denied(self, attempt: Attempt, refusal: Refusal) -> RefusedError:
+        """Return a denial, if the configuration is fresh enough to tell."""
+        if self._freshness.may_deny(attempt.arrived_at):
+            return RefusedError(refusal)
+        return self._too_old()
+
+    def _too_old(self) -> RefusedError:
+        now = self._parts.now()
+        reason = f"the configuration was last proved {self._freshness.age_s(now):.2f} s ago"
+        refusal = Refusal(_UNAVAILABLE, reason, self._freshness.retry_after_s(now))
+        return RefusedError(refusal)
 
 
 class _Exchange:
--- a/yarrowwall/relay/gateway_service.py
+++ b/yarrowwall/relay/gateway_service.py
@@ -11,12 +11,14 @@
 from yarrowwall.messages.replicated import GroupView
 from yarrowwall.relay import decisions
 from yarrowwall.relay.decisions import DecisionLog
+from yarrowwall.relay.freshness import Freshness
+from yarrowwall.relay.freshness_probe import FreshnessProbe
 from yarrowwall.relay.gateway import Gateway
 from yarrowwall.relay.http_server import ServerLimits, serve
 from yarrowwall.relay.ledger import ReplicatedLedger
 from yarrowwall.relay.load_reports import LoadReporter
 from yarrowwall.relay.model import Configuration, Server
-from yarrowwall.relay.object_store import Change, ObjectStore, StoredObject
+from yarrowwall.relay.object_store import Change, ObjectName, ObjectStore, StoredObject
 from yarrowwall.relay.offer import RelayParts
 from yarrowwall.relay.pool import ConnectionPool
 from yarrowwall.relay.servers import ServerDirectory
@@ -69,7 +71,18 @@
             settings.node_id, self._directory, self._views, links, time.monotonic
         )
         parts.loads = self._loads
-        self.gateway = Gateway(parts, adapter.callers, self._ledger, self._limits)
+        bounds = settings.bounds
+        self._freshness = Freshness(bounds.revocation_s, bounds.configuration_s)
+        self.gateway = Gateway(parts, adapter.callers, self._ledger, self._limits, self._freshness)
+        documents = adapter.documents
+        self._probe = FreshnessProbe(
+            settings.node_id,
+            store,
+            ObjectName(documents.configuration_kind, documents.configuration_name),
+            self._freshness,
+            lambda item: self._configuration_changed(item, is_gone=False),
+            time.monotonic,
+        )
         self._followers = [
             KindFollower(
                 store,
@@ -78,6 +91,7 @@
                 lambda change: self._configuration_changed(change.item, change.is_gone),
                 log,
                 self._note_read,
+                on_proved=self._freshness.note_proved,
             ),
             KindFollower(
                 store,
@@ -107,6 +121,7 @@
             follower.start()
         self._ledger.start()
         self._loads.start()
+        self._probe.start()
         callers = green(self._listeners.take(self._own.http_address))
         eventlet.spawn_n(serve, callers, self.gateway, self._limits)
         eventlet.spawn_n(
@@ -132,9 +147,10 @@
     def is_ready(self) -> bool:
         """Return whether new connections are welcome.
 
-        A gateway that is cut off from the replicas refuses turns that others could run.
+        A gateway that is cut off from the replicas refuses turns that others could run; one
+        that hears nothing of the configuration, all that come with a key.
         """
-        is_able = self._is_informed and self._ledger.is_reachable
+        is_able = self._is_informed and self._ledger.is_reachable and self.gateway.serves_keys
         return is_able and not self.gateway.is_stopping
 
     @property
--- a/yarrowwall/relay/object_store.py
+++ b/yarrowwall/relay/object_store.py
@@ -1,7 +1,7 @@
 """What the relay needs from the platform's store of objects; the adapter implements it."""
 
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from yarrowwall.relay.exceptions import RelayError
 
@@ -22,6 +22,13 @@
     """An object exists already or has another revision than the one named."""
 
 
+class ObjectName(NamedTuple):
+    """Where an object of the store is found."""
+
+    kind: str
+    name: str
+
+
 @dataclass(frozen=True)
 class StoredObject:
     """One object of the store.
@@ -37,10 +44,15 @@
 
 @dataclass(frozen=True)
 class Listing:
-    """All objects of a kind as they stood at a revision."""
+    """All objects of a kind as they stood at a revision.
+
+    :param proved_at_s: a moment of this machine's monotonic clock at which nothing newer had
+        been acknowledged; None if none is known.
+    """
 
     items: list[StoredObject]
     revision: int
+    proved_at_s: float | None = None
 
 
 @dataclass(frozen=True)
@@ -53,10 +65,14 @@
 
 @dataclass(frozen=True)
 class Changes:
-    """The changes after a revision, up to another one."""
+    """The changes after a revision, up to another one.
+
+    :param proved_at_s: as in :class:`Listing`, once the changes are taken in.
+    """
 
     changes: list[Change]
     revision: int
+    proved_at_s: float | None = None
 
 
 class ObjectStore(Protocol):
@@ -84,6 +100,12 @@
     def interrupt_watches(self) -> None:
         """End all waiting watches of this process."""
 
+    def get(self, kind: str, name: str, timeout_s: float) -> StoredObject | None:
+        """Return an object as it stands now; None if there is none.
+
+        Whatever was acknowledged before the call was sent is in the answer.
+        """
+
     def create(self, kind: str, name: str, spec: dict[str, Any]) -> StoredObject:
         """Make an object.
 
--- a/yarrowwall/relay/ports.py
+++ b/yarrowwall/relay/ports.py
@@ -46,6 +46,7 @@
 
     servers_kind: str
     configuration_kind: str
+    configuration_name: str
     retirements_kind: str
 
     def server(self, item: StoredObject) -> Server:
--- a/yarrowwall/relay/service.py
+++ b/yarrowwall/relay/service.py
@@ -18,7 +18,7 @@
 from yarrowwall.relay.decisions import DecisionLog
 from yarrowwall.relay.gateway_service import GatewayService
 from yarrowwall.relay.metrics import MachineMetrics, serve_metrics
-from yarrowwall.relay.object_store import ObjectStore
+from yarrowwall.relay.object_store import ObjectName, ObjectStore
 from yarrowwall.relay.ports import CallerProtocol, Documents, ServerProtocol
 from yarrowwall.relay.settings import MachineSettings, load_machine_settings
 from yarrowwall.relay.watching import WATCH_SECONDS
@@ -106,7 +106,7 @@
         }
         return ObjectReader(
             adapter.make_store(),
-            documents.configuration_kind,
+            ObjectName(documents.configuration_kind, documents.configuration_name),
             watch_s,
             self._log,
             time.monotonic,
--- a/yarrowwall/relay/settings.py
+++ b/yarrowwall/relay/settings.py
@@ -17,6 +17,7 @@
 _Name = Annotated[str, msgspec.Meta(pattern=NAME_PATTERN)]
 _Port = Annotated[int, msgspec.Meta(gt=0, lt=65536)]
 _Seconds = Annotated[float, msgspec.Meta(gt=0.0)]
+_Milliseconds = Annotated[float, msgspec.Meta(gt=0.0)]
 #: msgspec puts the place of a fault behind its text.
 _PLACE = re.compile(r" - at `\$\.?(.*)`$")
 
@@ -46,9 +47,25 @@
     """Time limits that the deployment sets.
 
     :param stop: seconds that a process has to end after it was asked to.
+    :param revocation_ms: in which a key may still be served after it was taken away; None
+        without a bound.
+    :param configuration_ms: in which callers may still be refused by an older configuration;
+        None without a bound.
     """
 
     stop: _Seconds = 8.0
+    revocation_ms: _Milliseconds | None = None
+    configuration_ms: _Milliseconds | None = None
+
+    @property
+    def revocation_s(self) -> float | None:
+        """Return the bound of revocation in seconds."""
+        return self.revocation_ms / 1000.0 if self.revocation_ms is not None else None
+
+    @property
+    def configuration_s(self) -> float | None:
+        """Return the bound of a configuration's age in seconds."""
+        return self.configuration_ms / 1000.0 if self.configuration_ms is not None else None
 
 
 class MachineSettings(_Section, frozen=True, kw_only=True):
--- a/yarrowwall/relay/watching.py
+++ b/yarrowwall/relay/watching.py
@@ -46,6 +46,8 @@
     :param on_list: called with all objects after each list.
     :param on_change: called with each change after that.
     :param on_read: called with the revision after each list and each answer to a watch.
+    :param on_proved: called after those with the moment of the monotonic clock, if one is
+        known, at which nothing newer had been acknowledged.
     :param on_lost: called once the store gives no usable answer any more.
     :param pause_s: seconds to wait after changes before the next ones are asked for.
     :param watch_s: the longest that one watch waits.
@@ -66,6 +68,7 @@
         watch_s: float = WATCH_SECONDS,
         most_retry_s: float = MOST_RETRY_SECONDS,
         may_be_old: bool = False,
+        on_proved: Callable[[float], None] = lambda proved_at_s: None,
     ) -> None:
         self._store = store
         self._kind = kind
@@ -78,6 +81,7 @@
         self._watch_s = watch_s
         self._most_retry_s = most_retry_s
         self._may_be_old = may_be_old
+        self._on_proved = on_proved
         self._running: Any = None
         self._is_cautious = False
         self._failures = 0
@@ -128,6 +132,8 @@
         self._on_list(listing.items)
         self.has_listed = True
         self._on_read(listing.revision)
+        if listing.proved_at_s is not None:
+            self._on_proved(listing.proved_at_s)
         return listing.revision
 
     def _watch(self, revision: int) -> int:
@@ -137,6 +143,8 @@
         for change in found.changes:
             self._on_change(change)
         self._on_read(found.revision)
+        if found.proved_at_s is not None:
+            self._on_proved(found.proved_at_s)
         if found.changes:
             eventlet.sleep(self._pause_s)
         return found.revision
