--- /dev/null
+++ b/features/support/quota_model.py
@@ -0,0 +1,407 @@
+"""Random schedules of lenders and gateways, with kills, cuts, pauses and changes of the group.
+
+Lenders and their right to lend are the product's own; the world around them is made up here:
+clocks that run apart, messages that are lost or seconds late, disks that lose what was not
+synced. The model counts what arrives at servers, and no window may hold more than the limit.
+"""
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from yarrowwall.core.quorum import majority
+from yarrowwall.messages.quotas import (
+    LendingBegun,
+    LimitTold,
+    QuotaLent,
+    QuotaReply,
+    QuotaStatus,
+    ReturnQuota,
+    TakeQuota,
+)
+from yarrowwall.messages.replicated import GroupView, Member
+from yarrowwall.quotas import terms as quota_terms
+from yarrowwall.quotas.entitlement import Entitlement, Voucher
+from yarrowwall.quotas.lender import Clock, Lender
+from yarrowwall.quotas.lending import QuotaLending
+from yarrowwall.quotas.terms import QuotaTerms, TenantLimit
+from yarrowwall.replication.views import disk_ids
+
+END_S = 45.0
+LENDERS = 5
+SPARES = 2
+GATEWAYS = 6
+TENANT = "alloy"
+#: Five parts of five requests make up the whole limit, so one more breaks it.
+TERMS = QuotaTerms(5.0, 0.1, 1.0)
+LIMIT = LimitTold(1, 4.0, 2.0)
+LOWERED = LimitTold(2, 1.0, 1.0)
+#: Seconds between two questions of a gateway: many times what the limit allows.
+ASK_S = 0.12
+HEARTBEAT_S = 0.4
+FORGET_S = 1.6
+#: Part by which a clock runs fast or slow.
+DRIFT = 0.002
+
+
+@dataclass
+class ModelDisk:
+    """What survives of a lender, and its state machines."""
+
+    replica: Any
+    lender: Lender
+    entitlement: Entitlement
+    persist: Callable[..., None]
+
+
+@dataclass
+class _Replica:
+    """What the lending asks of the records' replica."""
+
+    disk_id: str
+    epoch: int = 0
+
+
+class _Log:
+    """Takes decisions and forgets them."""
+
+    def write(self, decision: object) -> None:
+        """Forget it."""
+
+
+class _Peers:
+    """The vouchers of a machine."""
+
+    def __init__(self) -> None:
+        self.known: dict[str, Voucher] = {}
+
+    def vouchers(self) -> dict[str, Voucher]:
+        """Return what the others said."""
+        return self.known
+
+
+@dataclass
+class Machine:
+    """A lender's machine."""
+
+    disk_id: str
+    steady_offset_s: float
+    rate: float
+    wall_offset_s: float = 0.0
+    log: list[Any] = field(default_factory=list)
+    is_up: bool = True
+    is_cut: bool = False
+    incarnation: int = 0
+    frozen_until_s: float = 0.0
+    lending: QuotaLending | None = None
+    disk: ModelDisk | None = None
+    peers: _Peers = field(default_factory=_Peers)
+
+
+class World:
+    """A schedule and its outcome.
+
+    :ivar arrived_s: when servers got requests.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.now_s = 0.0
+        self.arrived_s: list[float] = []
+        self.lowered_at_s = float("inf")
+        self._steps: list[tuple[float, int, Callable[[], None]]] = []
+        self._number = 0
+        names = [f"d{number}" for number in range(LENDERS + SPARES)]
+        self.machines = {name: self._machine(name) for name in names}
+        members = [Member(name, name, "127.0.0.1:1", "z") for name in names]
+        self.by_disk = {member.disk_id: member for member in members}
+        self.view = GroupView(0, 1, members[:LENDERS], [])
+        self.installed: dict[str, int] = dict.fromkeys(names, 0)
+        for machine in self.machines.values():
+            self.start(machine)
+            self._learn(machine, self.view)
+        self.is_late = self.rng.random() < 0.5
+
+    def _machine(self, name: str) -> Machine:
+        drift = self.rng.uniform(-DRIFT, DRIFT)
+        return Machine(name, self.rng.uniform(0.0, 1000.0), 1.0 + drift)
+
+    # Time
+
+    def at(self, delay_s: float, step: Callable[[], None]) -> None:
+        """Do something after some seconds."""
+        self._number += 1
+        heapq.heappush(self._steps, (self.now_s + delay_s, self._number, step))
+
+    def run(self) -> None:
+        """Play the schedule."""
+        for machine in self.machines.values():
+            self.at(self.rng.uniform(0.0, 0.4), lambda machine=machine: self._heartbeat(machine))
+        for number in range(GATEWAYS):
+            self.at(self.rng.uniform(0.0, ASK_S), lambda number=number: self._gateway(number))
+        self._plan_faults()
+        while self._steps and self._steps[0][0] < END_S:
+            self.now_s, _, step = heapq.heappop(self._steps)
+            step()
+
+    def clock(self, machine: Machine) -> Clock:
+        """Return what a machine's clocks show."""
+        steady_s = machine.steady_offset_s + self.now_s * machine.rate
+        return Clock(1_000_000.0 + self.now_s + machine.wall_offset_s, steady_s)
+
+    def delay_s(self) -> float:
+        """Return how long a message is under way."""
+        if self.is_late and self.rng.random() < 0.2:
+            return self.rng.uniform(0.2, 2.0)
+        return self.rng.uniform(0.0005, 0.004)
+
+    def deliver(self, machine: Machine, step: Callable[[], None]) -> None:
+        """Let a message reach a machine's process, unless it is lost; a frozen one reads later."""
+        if self.rng.random() < 0.01:
+            return
+        self.at(self.delay_s(), lambda: self._arrive(machine, step))
+
+    def _arrive(self, machine: Machine, step: Callable[[], None]) -> None:
+        if not machine.is_up:
+            return
+        if self.now_s < machine.frozen_until_s:
+            self.at(machine.frozen_until_s - self.now_s, lambda: self._arrive(machine, step))
+            return
+        step()
+
+    # Machines
+
+    def start(self, machine: Machine) -> None:
+        """Start a lender's process from its disk."""
+        machine.incarnation += 1
+        machine.is_up = True
+        replica = _Replica(machine.disk_id)
+        lender = Lender(TERMS, LENDERS)
+        entitlement = Entitlement(machine.disk_id, TERMS.lent_s)
+        machine.peers = _Peers()
+        machine.disk = ModelDisk(
+            replica,
+            lender,
+            entitlement,
+            lambda records, done=lambda: None, refused=lambda: None: self.persist(
+                machine, records, done
+            ),
+        )
+        machine.lending = QuotaLending(
+            machine.disk, machine.peers, _Log(), lambda: self.clock(machine)
+        )
+        clock = self.clock(machine)
+        for record in machine.log:
+            restore(machine.disk, record, clock)
+
+    def persist(self, machine: Machine, records: list[Any], done: Callable[[], None]) -> None:
+        """Write records; they count once they are synced."""
+        incarnation = machine.incarnation
+
+        def synced() -> None:
+            if machine.incarnation == incarnation and machine.is_up:
+                machine.log += records
+                done()
+
+        self.at(self.rng.uniform(0.001, 0.01), synced)
+
+    def _learn(self, machine: Machine, view: GroupView) -> None:
+        if view.epoch <= self.installed[machine.disk_id] or not machine.is_up:
+            return
+        self.installed[machine.disk_id] = view.epoch
+        machine.log.append(view)
+        machine.disk.replica.epoch = view.epoch
+        machine.disk.entitlement.take_view(view, self.clock(machine).steady_s)
+
+    def _heartbeat(self, machine: Machine) -> None:
+        self.at(HEARTBEAT_S, lambda: self._heartbeat(machine))
+        if not machine.is_up or self.now_s < machine.frozen_until_s:
+            return
+        machine.lending.note_begun()
+        for other in self.machines.values():
+            if other is not machine and not (machine.is_cut or other.is_cut):
+                self._ask_peer(machine, other)
+
+    def _ask_peer(self, machine: Machine, other: Machine) -> None:
+        asked_at_s = self.clock(machine).steady_s
+        sent_s, incarnation = self.now_s, machine.incarnation
+
+        def answer() -> None:
+            epoch = self.installed[other.disk_id]
+            self.deliver(machine, lambda: heard(epoch))
+
+        def heard(epoch: int) -> None:
+            if machine.incarnation == incarnation and self.now_s - sent_s < FORGET_S:
+                machine.peers.known[other.disk_id] = Voucher(epoch, asked_at_s)
+
+        self.deliver(other, answer)
+
+    # Faults
+
+    def _plan_faults(self) -> None:
+        rng = self.rng
+        for _ in range(rng.randrange(1, 6)):
+            kinds = [self._kill, self._kill_all, self._freeze, self._jump, self._cut]
+            kind = rng.choice([*kinds, self._replace, self._replace])
+            self.at(rng.uniform(1.0, END_S - 12.0), kind)
+        if rng.random() < 0.3:
+            self.at(rng.uniform(5.0, 25.0), self._lower)
+
+    def _kill(self, machine: Machine | None = None) -> None:
+        machine = machine or self.rng.choice(list(self.machines.values()))
+        machine.is_up = False
+        is_reboot = self.rng.random() < 0.5
+        if is_reboot:
+            machine.steady_offset_s = -self.now_s * machine.rate
+        self.at(self.rng.uniform(0.1, 2.0), lambda: machine.is_up or self.start(machine))
+
+    def _kill_all(self) -> None:
+        for machine in self.machines.values():
+            self._kill(machine)
+
+    def _freeze(self) -> None:
+        machine = self.rng.choice(list(self.machines.values()))
+        machine.frozen_until_s = self.now_s + self.rng.uniform(0.5, 8.0)
+
+    def _jump(self) -> None:
+        """Let the time of day of a machine that goes on running jump."""
+        machine = self.rng.choice(list(self.machines.values()))
+        machine.wall_offset_s += self.rng.uniform(-20.0, 20.0)
+        if self.rng.random() < 0.5:
+            machine.is_up = False
+            self.at(0.2, lambda: machine.is_up or self.start(machine))
+
+    def _cut(self) -> None:
+        machine = self.rng.choice(list(self.machines.values()))
+        machine.is_cut = True
+        self.at(self.rng.uniform(0.5, 10.0), lambda: setattr(machine, "is_cut", False))
+
+    def _replace(self) -> None:
+        """Replace a member that the others do not reach, though gateways may."""
+        if self.view.joining:
+            return
+        members = disk_ids(self.view.members)
+        spare = [disk for disk in self.machines if disk not in members]
+        leaving = self.rng.choice(members)
+        self.machines[leaving].is_cut = True
+        self.at(self.rng.uniform(2.0, 20.0), lambda: self._heal(leaving))
+        joining = [disk for disk in members if disk != leaving] + [self.rng.choice(spare)]
+        self.at(1.6, lambda: self._propose(joining))
+
+    def _heal(self, disk_id: str) -> None:
+        self.machines[disk_id].is_cut = False
+
+    def _propose(self, joining: list[str]) -> None:
+        view = self.view
+        if view.joining:
+            return
+        coming = [self.by_disk[disk] for disk in joining]
+        self.view = GroupView(0, view.epoch + 1, view.members, coming)
+        self._spread()
+        self.at(0.3, self._settle)
+
+    def _settle(self) -> None:
+        """End a change once most of the old and of the new members have heard of it."""
+        view = self.view
+        for group in (view.members, view.joining):
+            heard = sum(self.installed[disk] >= view.epoch for disk in disk_ids(group))
+            if heard < majority(len(group)):
+                self.at(0.3, self._settle)
+                return
+        self.view = GroupView(0, view.epoch + 1, view.joining, [])
+        self._spread()
+
+    def _spread(self) -> None:
+        """Tell all machines of the newest view, again and again."""
+        view = self.view
+        for machine in self.machines.values():
+            if not machine.is_cut:
+                self.deliver(machine, lambda machine=machine: self._learn(machine, view))
+        if self.now_s < END_S - 1.0 and view is self.view:
+            self.at(0.5, lambda: self._spread() if view is self.view else None)
+
+    def _lower(self) -> None:
+        self.lowered_at_s = self.now_s
+
+    # Gateways
+
+    def _gateway(self, number: int) -> None:
+        self.at(self.rng.uniform(0.5, 1.5) * ASK_S, lambda: self._gateway(number))
+        # A gateway may know an older group, or ask whoever has just joined.
+        machine = self.rng.choice(list(self.machines.values()))
+        # Gateways learn of a new limit within a second.
+        is_lowered = self.now_s > self.lowered_at_s + self.rng.uniform(0.0, 1.0)
+        limit = LOWERED if is_lowered else LIMIT
+        request = TakeQuota(0, machine.disk_id, TENANT, limit, 1, 0.0)
+        asked_s = self.now_s
+
+        def ask() -> None:
+            incarnation = machine.incarnation
+
+            def reply(answer: QuotaReply) -> None:
+                if machine.incarnation == incarnation:
+                    self.at(
+                        self.delay_s(), lambda: self._granted(machine, request, answer, asked_s)
+                    )
+
+            machine.lending.take(request, reply)
+
+        self.deliver(machine, ask)
+
+    def _granted(
+        self, machine: Machine, request: TakeQuota, answer: QuotaReply, asked_s: float
+    ) -> None:
+        if answer.status is not QuotaStatus.GRANTED:
+            return
+        left_s = credit_left_s(self, asked_s)
+        if left_s <= 0.0:
+            return
+        if self.rng.random() < 0.1:
+            returned = ReturnQuota(0, request.disk_id, TENANT, answer.ticket)
+            self.deliver(machine, lambda: machine.lending.give_back(returned))
+            return
+        way_s = self.rng.uniform(0.0, quota_terms.WAY_SECONDS)
+        wait_s = self.rng.choice([0.0, self.rng.uniform(0.0, left_s)])
+        self.at(wait_s + way_s, lambda: self.arrived_s.append(self.now_s))
+
+    # The promise
+
+    def excess(self) -> float:
+        """Return by how many requests the worst window is beyond the limit; 0 if none is."""
+        worst = 0.0
+        arrived = sorted(self.arrived_s)
+        first = 0
+        for last, at_s in enumerate(arrived):
+            while arrived[first] < at_s - TERMS.window_s:
+                first += 1
+            # A lower limit holds one window after every gateway knows of it.
+            is_low = arrived[first] > self.lowered_at_s + 1.5 + TERMS.lent_s
+            told = LOWERED if is_low else LIMIT
+            limit = TenantLimit(told.version, told.rate_per_s, told.burst)
+            worst = max(worst, last - first + 1 - limit.most(TERMS))
+        return worst
+
+
+def restore(disk: ModelDisk, record: Any, clock: Clock) -> None:
+    """Take in a record as :class:`yarrowwall.replication.disk.ReplicaDisk` does."""
+    if isinstance(record, QuotaLent):
+        disk.lender.restore(record, clock)
+    elif isinstance(record, LendingBegun):
+        disk.entitlement.restore_begun(clock.steady_s)
+    else:
+        disk.replica.epoch = record.epoch
+        disk.entitlement.take_view(record, clock.steady_s)
+
+
+def credit_left_s(world: World, asked_s: float) -> float:
+    """Return for how long a gateway may still use what it was lent."""
+    return asked_s + quota_terms.CREDIT_SECONDS - world.now_s
+
+
+def played(seed: int) -> World:
+    """Return a schedule that was played."""
+    world = World(seed)
+    world.run()
+    return world
--- a/yarrowwall/quotas/lending.py
+++ b/yarrowwall/quotas/lending.py
@@ -18,12 +18,22 @@
 
 
 class QuotaLending:
-    """Lends this replica's part of tenants' limits while it is entitled to."""
+    """Lends this replica's part of tenants' limits while it is entitled to.
 
-    def __init__(self, disk: ReplicaDisk, peers: ReplicaPeers, log: DecisionLog) -> None:
+    :param clock: reads the machine's clocks.
+    """
+
+    def __init__(
+        self,
+        disk: ReplicaDisk,
+        peers: ReplicaPeers,
+        log: DecisionLog,
+        clock: Callable[[], Clock] = read_clock,
+    ) -> None:
         self._disk = disk
         self._peers = peers
         self._log = log
+        self._clock = clock
         self._was_entitled = False
 
     @property
@@ -36,7 +46,7 @@
 
     def take(self, request: TakeQuota, reply: Callable[[QuotaReply], None]) -> None:
         """Lend if this replica may, and answer."""
-        clock = read_clock()
+        clock = self._clock()
         is_meant = request.disk_id == self._disk.replica.disk_id
         if not is_meant or request.group != self._entitlement.group:
             reply(NOT_ENTITLED)
@@ -68,10 +78,10 @@
 
     def note_begun(self) -> None:
         """Note on disk that lending has begun, so that a new start need not wait again."""
-        epoch = self._entitlement.begin(time.monotonic())
+        epoch = self._entitlement.begin(self._clock().steady_s)
         if epoch is not None:
             self._disk.persist([LendingBegun(epoch)])
 
     def forget_idle(self) -> None:
         """Forget what counts no more."""
-        self._lender.drop_idle(time.monotonic())
+        self._lender.drop_idle(self._clock().steady_s)
