Logs and metrics tell of keys (by fingerprint), ages, limits and what is lent; ways to keep limits compared

Admissions carry the configuration's age, a 401 the key's fingerprint; a configuration logs which keys it gave and took away. Metrics: configuration age, key changes, refusals by limit, whether a replica lends and what counts.

--- a/yarrowwall/cli/main.py
+++ b/yarrowwall/cli/main.py
@@ -14,6 +14,7 @@
 from yarrowwall.cli.node import check_settings, journal_init, node
 from yarrowwall.cli.operator import intent, plan, replica, status
 from yarrowwall.cli.placement_cost import placement_cost
+from yarrowwall.cli.quota_experiment import quota_experiment
 from yarrowwall.cli.simulate import simulate
 from yarrowwall.cli.standin import standin
 
@@ -36,6 +37,7 @@
     replica,
     simulate,
     experiment,
+    quota_experiment,
     bench,
     placement_cost,
     journal_cost,
--- a/yarrowwall/relay/decisions.py
+++ b/yarrowwall/relay/decisions.py
@@ -29,7 +29,10 @@
 
 @dataclass(frozen=True)
 class AttemptAdmitted(Decision):
-    """A caller's attempt was read and has a route."""
+    """A caller's attempt was read and has a route.
+
+    :param configuration_age: seconds since the configuration was proved to be the newest.
+    """
 
     attempt: str
     program: str | None
@@ -38,6 +41,7 @@
     configuration: int
     remaining: float
     tenant: str
+    configuration_age: float
 
 
 @dataclass(frozen=True)
@@ -156,6 +160,16 @@
     services: int
 
 
+@dataclass(frozen=True)
+class KeysChanged(Decision):
+    """A configuration gave keys to a tenant or took some away; keys by fingerprint."""
+
+    version: int
+    tenant: str
+    added: list[str]
+    removed: list[str]
+
+
 @dataclass(frozen=True)
 class ServerChanged(Decision):
     """A server was listed, is leaving or is gone."""
--- a/yarrowwall/relay/gateway.py
+++ b/yarrowwall/relay/gateway.py
@@ -17,6 +17,7 @@
 )
 from yarrowwall.relay.freshness import Freshness
 from yarrowwall.relay.http_server import ServerLimits, close_after_answer
+from yarrowwall.relay.keys import fingerprint, key_changes
 from yarrowwall.relay.model import Answer, Attempt, Configuration, Refusal, RequestKind, Route
 from yarrowwall.relay.offer import RETRY_AFTER_SECONDS, Offer, RefusedError, RelayParts
 from yarrowwall.relay.ports import CallerProtocol
@@ -105,6 +106,11 @@
         is_able = self._programs.is_reachable and self.serves_keys
         return self.is_stopping or not is_able
 
+    @property
+    def configuration_age_s(self) -> float:
+        """Return the seconds since the configuration in force was proved to be the newest."""
+        return self._freshness.age_s(self._parts.now())
+
     @property
     def serves_keys(self) -> bool:
         """Return whether the configuration is fresh enough for callers with keys, if any."""
@@ -128,6 +134,7 @@
         """Take a configuration unless it is older than the one in force."""
         if self.table is not None and configuration.version <= self.table.configuration.version:
             return False
+        before = self.table.configuration if self.table is not None else None
         self.table = RouteTable(configuration)
         self._limits.current = configuration.limits
         self._parts.decisions.write(
@@ -135,6 +142,8 @@
                 configuration.version, len(configuration.routes), len(configuration.services)
             )
         )
+        for change in key_changes(before, configuration):
+            self._parts.decisions.write(decisions.KeysChanged(configuration.version, *change))
         return True
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
@@ -174,7 +183,7 @@
             if tenant.priority is not None:
                 attempt.priority = tenant.priority
         elif not route.is_public:
-            raise self._denied(attempt, Refusal(_KEY_UNKNOWN, "no tenant holds the key"))
+            raise self._denied(attempt, Refusal(_KEY_UNKNOWN, _unknown_key(attempt.api_key)))
 
     def _denied(self, attempt: Attempt, refusal: Refusal) -> RefusedError:
         """Return a denial, if the configuration is fresh enough to tell."""
@@ -258,6 +267,7 @@
                 table.configuration.version if table is not None else 0,
                 end - attempt.arrived_at,
                 attempt.tenant,
+                self._gateway.configuration_age_s,
             )
         )
 
@@ -419,6 +429,13 @@
         return body
 
 
+def _unknown_key(api_key: str | None) -> str:
+    """Return why a caller is not known."""
+    if api_key is None:
+        return "there is no key, or more than one"
+    return f"no tenant holds the key {fingerprint(api_key)}"
+
+
 def _reason(status: int) -> str:
     try:
         return HTTPStatus(status).phrase
--- a/yarrowwall/relay/gateway_service.py
+++ b/yarrowwall/relay/gateway_service.py
@@ -18,6 +18,7 @@
 from yarrowwall.relay.http_server import ServerLimits, serve
 from yarrowwall.relay.ledger import ReplicatedLedger
 from yarrowwall.relay.load_reports import LoadReporter
+from yarrowwall.relay.metrics import MachineMetrics
 from yarrowwall.relay.model import Configuration, Server
 from yarrowwall.relay.object_store import Change, ObjectName, ObjectStore, StoredObject
 from yarrowwall.relay.offer import RelayParts
@@ -146,6 +147,10 @@
                 return
             eventlet.sleep(0.05)
 
+    def measure(self, metrics: MachineMetrics) -> None:
+        """Set the metrics that are measured when they are asked for."""
+        metrics.set_age(self.gateway.configuration_age_s)
+
     @property
     def is_ready(self) -> bool:
         """Return whether new connections are welcome.
--- a/yarrowwall/relay/metrics.py
+++ b/yarrowwall/relay/metrics.py
@@ -6,7 +6,7 @@
 
 from bisect import bisect_left
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import eventlet
@@ -45,6 +45,13 @@
 CHAINS = _Description("chain_lookups", "Lookups of earlier turns", "outcome")
 SYNCHRONISATIONS = _Description("synchronisations", "Copies of a group that a replica finished")
 DEPENDENCY = _Description("dependency_up", "Whether a dependency answers", "dependency")
+QUOTA_REFUSALS = _Description(
+    "quota_refusals", "Attempts refused by their tenant's limit", "begins_program"
+)
+LENDING = _Description("quota_lending", "Whether this replica lends its part of limits")
+LENT = _Description("quota_lent", "Requests that count against this replica's part", "tenant")
+AGE = _Description("configuration_age_seconds", "Time since the newest proof of the configuration")
+KEYS = _Description("key_changes", "Keys given to tenants or taken away", "change")
 VERSION = _Description("configuration_version", "Version in force")
 EPOCH = _Description("group_epoch", "Newest view of a group", "group")
 DROPPED = _Description("log_lines_dropped", "Log lines not written")
@@ -80,6 +87,9 @@
                 DEPENDENCY, event.is_up, event.dependency
             ),
             decisions.ConfigurationInForce: lambda event: self._set(VERSION, event.version),
+            decisions.QuotaRefused: lambda event: self._add(QUOTA_REFUSALS, event.begins),
+            decisions.LendingChanged: lambda event: self._set(LENDING, event.lends),
+            decisions.KeysChanged: self._keys_changed,
             decisions.GroupChanged: lambda event: self._set(EPOCH, event.epoch, event.group),
         }
 
@@ -100,6 +110,21 @@
         self._latencies[bisect_left(_LATENCY_BUCKETS, event.seconds)] += 1
         self._latency_sum_s += event.seconds
 
+    def _keys_changed(self, event: decisions.KeysChanged) -> None:
+        self._add(KEYS, "added", len(event.added))
+        self._add(KEYS, "removed", len(event.removed))
+
+    def set_age(self, age_s: float) -> None:
+        """Take in how old the proof of the configuration is."""
+        self._set(AGE, age_s)
+
+    def set_lent(self, lent: Mapping[str, int]) -> None:
+        """Take in what counts against each tenant's part."""
+        for key in [key for key in self._gauges if key.metric is LENT]:
+            del self._gauges[key]
+        for tenant, count in lent.items():
+            self._set(LENT, count, tenant)
+
     def _sent(self, event: decisions.AttemptSent) -> None:
         self._add(SENDS, event.service)
         self._add(CACHED_TOKENS, amount=event.cached_tokens)
--- a/yarrowwall/relay/service.py
+++ b/yarrowwall/relay/service.py
@@ -54,6 +54,9 @@
     def stop(self) -> None:
         """Finish what runs; returns when done."""
 
+    def measure(self, metrics: MachineMetrics) -> None:
+        """Set the metrics that are measured when they are asked for."""
+
 
 class Machine:
     """The process of a machine.
@@ -138,10 +141,15 @@
         eventlet.spawn_n(
             serve_metrics,
             self._settings.metrics_address,
-            lambda: self._metrics.render(self._log.dropped),
+            self._render_metrics,
         )
         self._log.write(decisions.ProcessChanged("started", self._settings.zone))
 
+    def _render_metrics(self) -> bytes:
+        for part in self._parts:
+            part.measure(self._metrics)
+        return self._metrics.render(self._log.dropped)
+
     def stop(self) -> None:
         """Finish what runs and end."""
         if self._is_stopping:
--- a/yarrowwall/replication/service.py
+++ b/yarrowwall/replication/service.py
@@ -23,6 +23,7 @@
 from yarrowwall.readers.reader import ObjectReader
 from yarrowwall.relay import decisions
 from yarrowwall.relay.decisions import DecisionLog
+from yarrowwall.relay.metrics import MachineMetrics
 from yarrowwall.relay.object_store import (
     Change,
     ConflictError,
@@ -138,6 +139,10 @@
     def stop(self) -> None:
         """Return at once: whatever was acknowledged is on disk."""
 
+    def measure(self, metrics: MachineMetrics) -> None:
+        """Set the metrics that are measured when they are asked for."""
+        metrics.set_lent(self._disk.lender.lent_by_tenant(time.monotonic()))
+
     # Requests
 
     def _handle(self, request: object, reply: Callable[[object], None]) -> None:
