Connections that fall silent are found by time-outs of our own

A link between machines waited for its requests one by one and kept the connection for good; TCP's own time-out ends only what the peer's kernel does not acknowledge. A request that timed out at a server went to the next one over another kept connection, which may be as silent: 504 after 3 s (scenario, failed first).

Change: a link gives its connection up after 1 s in which answers were late and nothing at all came. After a time-out the kept connections to that server are closed, and the attempt's next sending uses a new connection. The store's calls have time-outs already; the configuration's watch is checked by the reader's own questions.

--- a/features/environment.py
+++ b/features/environment.py
@@ -5,6 +5,7 @@
 
 from features.support.platform_world import PlatformWorld
 from features.support.processes import System
+from features.support.proxied_world import ProxiedWorld
 
 
 def before_feature(context: Context, feature: Feature) -> None:
@@ -24,7 +25,11 @@
     context.own_system = System() if "own_system" in scenario.effective_tags else None
     if context.own_system is not None:
         context.system = context.own_system
-    context.platform = PlatformWorld() if "platform_world" in scenario.effective_tags else None
+    context.platform = None
+    if "platform_world" in scenario.effective_tags:
+        context.platform = PlatformWorld()
+    if "proxied_world" in scenario.effective_tags:
+        context.platform = ProxiedWorld()
     if context.platform is not None:
         context.by_route = {}
         context.platform.wait_ready()
--- a/features/soak/proxy.py
+++ b/features/soak/proxy.py
@@ -34,6 +34,8 @@
 
     def __init__(self, target: Callable[[], str]) -> None:
         self.mode = Mode.PASS
+        self._accepted = 0
+        self._silent_up_to = 0
         self._target = target
         self._is_open = True
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=128)
@@ -51,15 +53,21 @@
         self._is_open = False
         self._listener.close()
 
+    def silence_open(self) -> None:
+        """Let connections that are open now say nothing more, for good; new ones pass."""
+        self._silent_up_to = self._accepted
+
     def _accept(self) -> None:
         while self._is_open:
             try:
                 conn, _ = self._listener.accept()
             except OSError:
                 return
-            threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
+            self._accepted += 1
+            arguments = (conn, self._accepted)
+            threading.Thread(target=self._serve, args=arguments, daemon=True).start()
 
-    def _serve(self, conn: socket.socket) -> None:
+    def _serve(self, conn: socket.socket, number: int) -> None:
         if not self._wait_for_passage():
             _reset(conn)
             return
@@ -71,9 +79,9 @@
             return
         for one in (conn, upstream):
             one.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        back = threading.Thread(target=self._pump, args=(upstream, conn), daemon=True)
+        back = threading.Thread(target=self._pump, args=(upstream, conn, number), daemon=True)
         back.start()
-        self._pump(conn, upstream)
+        self._pump(conn, upstream, number)
         back.join()
         conn.close()
         upstream.close()
@@ -84,7 +92,7 @@
             time.sleep(_LOOK_S)
         return self._is_open and self.mode is not Mode.REFUSE
 
-    def _pump(self, source: socket.socket, sink: socket.socket) -> None:
+    def _pump(self, source: socket.socket, sink: socket.socket, number: int) -> None:
         source.settimeout(_LOOK_S)
         while True:
             if not self._wait_for_passage():
@@ -98,6 +106,9 @@
             except OSError:
                 _reset(sink)
                 return
+            if number <= self._silent_up_to and data:
+                # Taken from its sender, and never seen again.
+                continue
             if self.mode is Mode.SLOW:
                 time.sleep(_SLOW_S)
             if not self._wait_for_passage() or not _pass_on(data, sink):
--- /dev/null
+++ b/features/steps/silent_steps.py
@@ -0,0 +1,129 @@
+"""Steps about connections that say nothing more although nobody reset them."""
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import eventlet
+from behave import given, then, when
+from behave.runner import Context
+
+from features.soak.proxy import Mode, Proxy
+from features.support.platform_scripts import world
+from features.support.processes import wait_until
+from yarrowwall.messages.replicated import AskStatus, StatusReply
+from yarrowwall.replication.exceptions import LinkDownError
+from yarrowwall.replication.rpc import Link, serve_requests
+
+ANSWER = StatusReply("storage-0", "disk", 1, True, 1)
+TIMEOUT_S = 0.15
+#: More than the time-out, less than a connection may be silent.
+LATE_S = 0.3
+
+
+@given("a link to a replica through a proxy")
+def link_through_proxy(context: Context) -> None:
+    listener = eventlet.listen(("127.0.0.1", 0))
+    context.connections = 0
+    context.delay_s = 0.0
+
+    def handle(request: object, reply) -> None:
+        eventlet.spawn_after(context.delay_s, reply, ANSWER)
+
+    eventlet.spawn_n(serve_requests, listener, handle)
+    port = listener.getsockname()[1]
+
+    def target() -> str:
+        context.connections += 1
+        return f"127.0.0.1:{port}"
+
+    context.proxy = Proxy(target)
+    context.link = Link(context.proxy.address, time.monotonic)
+    assert is_answered(context)
+
+
+def is_answered(context: Context) -> bool:
+    try:
+        return isinstance(context.link.call(AskStatus(0), TIMEOUT_S), StatusReply)
+    except LinkDownError:
+        return False
+
+
+@when("the link's connection falls silent")
+def link_silent(context: Context) -> None:
+    context.proxy.silence_open()
+
+
+@then("questions are answered again within {limit:f} s")
+def answered_again(context: Context, limit: float) -> None:
+    end = time.monotonic() + limit
+    while not is_answered(context):
+        assert time.monotonic() < end
+        eventlet.sleep(0.05)
+    assert context.connections == 2
+    context.proxy.close()
+
+
+@when("some answers come after their time-out")
+def late_answers(context: Context) -> None:
+    context.delay_s = LATE_S
+    for _ in range(8):
+        assert not is_answered(context)
+        eventlet.sleep(LATE_S)
+    context.delay_s = 0.0
+    assert is_answered(context)
+
+
+@then("the connection is the same")
+def same_connection(context: Context) -> None:
+    assert context.connections == 1
+    assert context.proxy.mode is Mode.PASS
+    context.proxy.close()
+
+
+@when("all connections to the store fall silent")
+def store_silent(context: Context) -> None:
+    for proxy in world(context).store_proxies.values():
+        proxy.silence_open()
+
+
+@when("all connections to servers fall silent")
+def servers_silent(context: Context) -> None:
+    for proxy in world(context).server_proxies.values():
+        proxy.silence_open()
+
+
+@when('the operators replace the key "{old}" of "{name}" by "{new}" without waiting')
+def replace_without_waiting(context: Context, old: str, name: str, new: str) -> None:
+    for one in world(context).tenants:
+        if one["name"] == name:
+            one["api_keys"] = [new if key == old else key for key in one["api_keys"]]
+    for proxy in world(context).store_proxies.values():
+        proxy.silence_open()
+    context.version = world(context).publish()
+    context.published_at = time.monotonic()
+
+
+@then("within {limit:f} s every gateway knows the newest configuration")
+def known_within(context: Context, limit: float) -> None:
+    def is_known(name: str) -> bool:
+        lines = world(context).log(name)
+        return any(
+            line["kind"] == "ConfigurationInForce" and line["version"] == context.version
+            for line in lines
+        )
+
+    for name in ("edge-0", "edge-1"):
+        wait_until(lambda name=name: is_known(name), f"{name} knows")
+    assert time.monotonic() - context.published_at < limit
+
+
+@when('{count:d} clients send nothing on "{route}" at once')
+def send_at_once(context: Context, count: int, route: str) -> None:
+    with ThreadPoolExecutor(count) as pool:
+        context.answers = list(pool.map(lambda _: world(context).ask(route), range(count)))
+
+
+@then("all came within {limit:f} s")
+def all_within(context: Context, limit: float) -> None:
+    slow = [answer.seconds for answer in context.answers if answer.seconds > limit]
+    assert not slow, slow
--- a/yarrowwall/quotas/borrowing.py
+++ b/yarrowwall/quotas/borrowing.py
@@ -76,7 +76,7 @@
         self._is_given_up = False
         self._link = link
         self._request = request
-        link.post(request, self._complete)
+        self._number = link.post(request, self._complete)
 
     def _complete(self, reply: object | None) -> None:
         if self._is_given_up:
@@ -89,6 +89,7 @@
         reply = self._arrived.wait(timeout_s)
         if isinstance(reply, QuotaReply):
             return reply
+        self._link.note_late(self._number)
         self.give_up()
         return None
 
--- a/yarrowwall/readers/store.py
+++ b/yarrowwall/readers/store.py
@@ -202,7 +202,8 @@
             reply = arrived.wait(timeout_s)
         finally:
             self._pending.pop(arrived, None)
-            forget()
+            # A question that was ended from within this process is not late.
+            forget(not arrived.ready())
         if reply is _INTERRUPTED:
             raise WatchInterruptedError(request.kind)
         if not isinstance(reply, ObjectsReply):
@@ -214,8 +215,8 @@
 
     def _send(
         self, reader: Member, request: ListObjects | WatchObjects, arrived: Event
-    ) -> Callable[[], None]:
-        """Send a question; return what forgets it."""
+    ) -> Callable[[bool], None]:
+        """Send a question; return what forgets it, told whether its answer is late."""
 
         def complete(reply: object) -> None:
             if not arrived.ready():
@@ -223,10 +224,10 @@
 
         if reader.node_id == self._node_id and self._own_reader is not None:
             self._own_reader.ask(request, complete)
-            return lambda: None
+            return lambda is_late: None
         link = self._links.get(reader.address)
         number = link.post(request, complete)
-        return lambda: link.forget(number)
+        return lambda is_late: link.forget(number, is_late)
 
     def _note_proven(self, reader: Member) -> None:
         self._order.note_answered(reader.node_id)
--- a/yarrowwall/relay/load_reports.py
+++ b/yarrowwall/relay/load_reports.py
@@ -122,7 +122,7 @@
         link = self._links.get(member.address)
         number = link.post(self._report(self._directory.running()), exchange.complete)
         # A late answer is still news; one that never comes must not be kept for ever.
-        eventlet.spawn_after(ANSWER_SECONDS, link.forget, number)
+        eventlet.spawn_after(ANSWER_SECONDS, link.forget, number, is_late=True)
         return exchange
 
     def tell(self) -> None:
--- a/yarrowwall/relay/offer.py
+++ b/yarrowwall/relay/offer.py
@@ -124,6 +124,8 @@
         self._allowance = allowance
         self._last_server = last_server
         self._unreached = 0
+        #: Whether a server said nothing in time: kept connections may all have fallen silent.
+        self._met_silence = False
         self.log = SendLog()
         self.current: OpenAnswer | None = None
 
@@ -226,7 +228,7 @@
 
     def _connect(self, server: Server) -> ServerConnection:
         try:
-            return self._parts.pool.take(server)
+            return self._parts.pool.take(server, is_fresh=self._met_silence)
         except ConnectError:
             self._unreached += 1
             raise
@@ -299,6 +301,9 @@
         """Note that a sending failed, and pass the server over unless the time was just over."""
         if not isinstance(error, AnswerTimeoutError) or self.remaining() > 0:
             self._parts.directory.note_failure(server.server_id, self._parts.now())
+        if isinstance(error, AnswerTimeoutError):
+            self._met_silence = True
+            self._parts.pool.forget(server.server_id)
         self._parts.decisions.write(
             decisions.SendFailed(
                 self._attempt.attempt_id, server.server_id, str(error), self.log.may_have_run
--- a/yarrowwall/relay/pool.py
+++ b/yarrowwall/relay/pool.py
@@ -30,11 +30,14 @@
         self._now = now
         self._idle: dict[str, list[ServerConnection]] = defaultdict(list)
 
-    def take(self, server: Server) -> ServerConnection:
+    def take(self, server: Server, is_fresh: bool = False) -> ServerConnection:
         """Return a connection, a kept one if there is one that can be trusted.
 
+        :param is_fresh: whether it has to be a new one.
         :raises ConnectError: if a new one does not come up.
         """
+        if is_fresh:
+            return ServerConnection(server.address, CONNECT_SECONDS)
         idle = self._idle[server.server_id]
         while idle:
             connection = idle.pop()
--- a/yarrowwall/replication/peers.py
+++ b/yarrowwall/replication/peers.py
@@ -50,7 +50,7 @@
         link = self._links.get(member.address)
         asked_at = self._now()
         number = link.post(AskStatus(0), lambda reply: self._heard(member, asked_at, reply))
-        eventlet.spawn_after(DOWN_SECONDS, link.forget, number)
+        eventlet.spawn_after(DOWN_SECONDS, link.forget, number, is_late=True)
 
     def _heard(self, member: Member, asked_at: float, reply: object | None) -> None:
         # The address of a machine that is gone may belong to another one by now.
--- a/yarrowwall/replication/quorum_client.py
+++ b/yarrowwall/replication/quorum_client.py
@@ -23,7 +23,7 @@
 )
 from yarrowwall.replication.exceptions import NoQuorumError
 from yarrowwall.replication.group_views import GroupViews
-from yarrowwall.replication.rounds import Amount, Round
+from yarrowwall.replication.rounds import Amount, Posted, Round
 from yarrowwall.replication.rpc import LinkTable
 from yarrowwall.replication.views import all_members, disk_ids, is_read, is_written
 
@@ -294,7 +294,7 @@
         for member in members:
             link = self._links.get(member.address)
             number = link.post(operation.request(view, member), partial(take, member))
-            found.posted.append((link, number))
+            found.posted.append(Posted(link, number, member.disk_id))
 
     def _note_slow(self, disks: Collection[str]) -> None:
         until = self._now() + ASKED_LAST_SECONDS
--- a/yarrowwall/replication/rounds.py
+++ b/yarrowwall/replication/rounds.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
-from typing import Protocol, TypeVar
+from typing import NamedTuple, Protocol, TypeVar
 
 from eventlet.event import Event
 
@@ -44,6 +44,17 @@
     return found
 
 
+class Posted(NamedTuple):
+    """A request that was sent.
+
+    :param number: by which the link forgets it.
+    """
+
+    link: Link
+    number: int
+    disk_id: str
+
+
 @dataclass
 class Round:
     """The replies to one request of several replicas.
@@ -61,7 +72,7 @@
     met_other_view: bool = False
     is_complete: bool = False
     silent: set[str] = field(default_factory=set)
-    posted: list[tuple[Link, int]] = field(default_factory=list)
+    posted: list[Posted] = field(default_factory=list)
     _wakeup: Event = field(default_factory=Event)
 
     def wait(self, timeout_s: float) -> None:
@@ -78,8 +89,8 @@
 
     def close(self) -> None:
         """Take no more replies."""
-        for link, number in self.posted:
-            link.forget(number)
+        for one in self.posted:
+            one.link.forget(one.number, is_late=one.disk_id in self.silent)
 
     def merge(self, records: Sequence[StoredRecord]) -> None:
         """Take in records; the higher version of a key wins."""
--- a/yarrowwall/replication/rpc.py
+++ b/yarrowwall/replication/rpc.py
@@ -22,6 +22,10 @@
 MOST_FRAME_BYTES = 64 * 1024 * 1024
 #: Seconds for a connection to come up.
 CONNECT_SECONDS = 0.3
+#: Seconds in which a connection says nothing although it was asked, after which a new one is
+#: opened. A connection may fall silent for good without a reset, while its peer's kernel goes
+#: on acknowledging; answers take milliseconds.
+SILENT_SECONDS = 1.0
 #: Seconds after a failed connection in which requests fail at once.
 DOWN_SECONDS = 0.1
 _READ_BYTES = 256 * 1024
@@ -152,6 +156,8 @@
         self._number = 0
         self._waiting: dict[int, Completion] = {}
         self._queued: dict[int, object] = {}
+        self._posted_at: dict[int, float] = {}
+        self._silent_since: float | None = None
 
     def post(self, message: object, completion: Completion) -> int:
         """Send a request; ``completion`` is called with its reply or None.
@@ -160,6 +166,7 @@
         """
         self._number = self._number % MOST_NUMBER + 1
         self._waiting[self._number] = completion
+        self._posted_at[self._number] = self._now()
         if self._channel is not None and self._channel.is_open:
             self._channel.send(self._number, message)
             return self._number
@@ -182,15 +189,35 @@
         arrived = Event()
         number = self.post(message, lambda reply: None if arrived.ready() else arrived.send(reply))
         reply = arrived.wait(timeout)
-        self.forget(number)
+        self.forget(number, is_late=reply is None)
         if reply is None:
             raise LinkDownError(self.address)
         return reply
 
-    def forget(self, number: int) -> None:
-        """Wait no more for a reply."""
-        self._waiting.pop(number, None)
+    def forget(self, number: int, is_late: bool = False) -> None:
+        """Wait no more for a reply.
+
+        :param is_late: whether it should have come by now.
+        """
+        is_unanswered = self._waiting.pop(number, None) is not None
         self._queued.pop(number, None)
+        posted_at = self._posted_at.pop(number, None)
+        if is_late and is_unanswered and posted_at is not None:
+            self._note_late(posted_at)
+
+    def note_late(self, number: int) -> None:
+        """Note that a reply should have come by now; it is still taken in if it comes."""
+        posted_at = self._posted_at.get(number)
+        if posted_at is not None:
+            self._note_late(posted_at)
+
+    def _note_late(self, posted_at: float) -> None:
+        """Give the connection up once it has been silent for long."""
+        if self._silent_since is None:
+            self._silent_since = posted_at
+        if self._now() - self._silent_since >= SILENT_SECONDS and self._channel is not None:
+            self._silent_since = None
+            self._channel.close()
 
     def _open(self) -> None:
         connection = self._connect()
@@ -216,12 +243,16 @@
             return None
 
     def _receive(self, number: int, message: object) -> None:
+        self._silent_since = None
+        self._posted_at.pop(number, None)
         completion = self._waiting.pop(number, None)
         if completion is not None:
             completion(message)
 
     def _fail_all(self) -> None:
         self._queued.clear()
+        self._posted_at.clear()
+        self._silent_since = None
         waiting, self._waiting = self._waiting, {}
         for completion in waiting.values():
             completion(None)
