--- a/features/start_and_retries.feature
+++ b/features/start_and_retries.feature
@@ -86,6 +86,13 @@
       | stream     | was refused with 503           | refused as not run                          |
       | idempotent | was refused with 504           | no answer in time, request may be repeated  |
       | mutating   | was refused with 502           | answer lost, request may not be repeated    |
+      | stream     | was refused with 429           | refused by its tenant's limit               |
+      | stream     | was refused with 401           | key unknown                                 |
+      | stream     | was refused with 503 for age   | refused for the configuration's age         |
+
+  Scenario: Programs that were late are told by what they spent their time on
+    Given the log of a program of 2 s whose turns waited 1.5 s for their first events
+    Then the late programs name it with 0.4 s, most of it spent on "waits for first events"
 
   Scenario Outline: Programs that did not fail are not among the failures
     Given the log of a program whose <kind> request <end>
--- a/features/steps/start_steps.py
+++ b/features/steps/start_steps.py
@@ -295,8 +295,10 @@
     if end == "was under way at its death":
         context.log.append(line(3.0, "ProcessChanged", change="started", detail=""))
     elif end.startswith("was refused with"):
-        status = int(end.rpartition(" ")[2])
-        context.log.append(line(2.0, "AttemptRefused", attempt="a1", status=status, reason="r"))
+        status = int(end.split()[3])
+        reason = "the configuration was last proved 5.01 s ago" if "for age" in end else "r"
+        refused = {"attempt": "a1", "status": status, "reason": reason}
+        context.log.append(line(2.0, "AttemptRefused", **refused))
     elif end == "was answered at last":
         context.log.append(line(2.0, "AttemptRefused", attempt="a1", status=503, reason="r"))
         again = {"attempt": "a2", "program": "p1", "route": "r", "route_kind": kind}
@@ -306,11 +308,11 @@
         context.log.append(line(2.0, "AttemptAnswered", attempt="a1", status=200))
 
 
-def found_failures(context: Context) -> list[dict[str, object]]:
+def found_failures(context: Context, *options: str) -> list[dict[str, object]]:
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "edge-0.log"
         path.write_text("".join(json.dumps(one) + "\n" for one in context.log))
-        result = CliRunner().invoke(failures, [str(path), "--output", "json"])
+        result = CliRunner().invoke(failures, [str(path), "--output", "json", *options])
     assert result.exit_code == 0, result.output
     return [json.loads(row) for row in result.output.splitlines()]
 
@@ -321,6 +323,25 @@
     assert (found["program_id"], found["cause"]) == ("p1", cause), found
 
 
+@given("the log of a program of 2 s whose turns waited 1.5 s for their first events")
+def late_log(context: Context) -> None:
+    context.log = []
+    for number, begun_s in enumerate((1.0, 2.2)):
+        attempt = {"attempt": f"a{number}", "program": "p1", "route": "r", "route_kind": "stream"}
+        told = {"tenant": "alloy", "finish_in": 2.0 - (begun_s - 1.0)}
+        context.log.append(line(begun_s, "AttemptAdmitted", **attempt, **told))
+        answered = {"attempt": f"a{number}", "status": 200, "first_seconds": 0.75}
+        context.log.append(line(begun_s + 1.2, "AttemptAnswered", **answered))
+
+
+@then('the late programs name it with {late_s:f} s, most of it spent on "{what}"')
+def late_named(context: Context, late_s: float, what: str) -> None:
+    (found,) = found_failures(context, "--late")
+    assert abs(found["late_s"] - late_s) < 0.001, found
+    assert next(iter(found["spent_s"])) == what, found
+    assert found["tenant"] == "alloy"
+
+
 @then("the failures do not name it")
 def not_named(context: Context) -> None:
     assert found_failures(context) == []
--- a/yarrowwall/cli/failures.py
+++ b/yarrowwall/cli/failures.py
@@ -27,6 +27,12 @@
     LOST_UNREPEATABLE = "answer lost, request may not be repeated"
     #: The gateway died; the caller may ask again, and found nobody in time.
     DIED_REPEATABLE = "gateway died, caller came back to nobody"
+    #: No tenant held the caller's key.
+    KEY_UNKNOWN = "key unknown"
+    #: The tenant's limit had no room, and the program did not come again in time.
+    LIMIT = "refused by its tenant's limit"
+    #: The configuration was too old to tell whether the key still holds.
+    AGE = "refused for the configuration's age"
     #: The gateway refused: not run.
     REFUSED = "refused as not run"
     #: No server answered a request that may be repeated within its time.
@@ -39,7 +45,18 @@
     @property
     def could_be_saved(self) -> bool:
         """Return whether a policy of the gateways might have saved the program."""
-        return self not in (Cause.DIED_UNREPEATABLE, Cause.LOST_UNREPEATABLE)
+        return self not in (
+            Cause.DIED_UNREPEATABLE,
+            Cause.LOST_UNREPEATABLE,
+            Cause.KEY_UNKNOWN,
+        )
+
+
+#: Causes of a gateway's own answers that are told by their status alone.
+_REFUSALS = {401: Cause.KEY_UNKNOWN, 429: Cause.LIMIT}
+_UNAVAILABLE = 503
+#: How the reason of a refusal for age begins.
+_TOO_OLD = "the configuration was last proved"
 
 
 class Attempt(NamedTuple):
@@ -48,6 +65,8 @@
     :param ended_s: when it ended, at the latest with its gateway's process; None if it is
         still under way where the log ends.
     :param end: the line of its end; empty if its gateway died.
+    :param tenant: whose it was; empty if untold.
+    :param finish_s: when its program should have been over; None if untold.
     """
 
     attempt_id: str
@@ -58,6 +77,8 @@
     begun_s: float
     ended_s: float | None
     end: dict[str, Any]
+    tenant: str = ""
+    finish_s: float | None = None
 
 
 class FailedProgram(NamedTuple):
@@ -92,6 +113,8 @@
                 line["time"],
                 None,
                 {},
+                line.get("tenant", ""),
+                _finish_s(line),
             )
             open_at[node].add(attempt_id)
         elif line["kind"] in _ENDS and attempt_id in found:
@@ -100,6 +123,11 @@
     return sorted(found.values(), key=lambda attempt: attempt.begun_s)
 
 
+def _finish_s(line: dict[str, Any]) -> float | None:
+    finish_in_s = line.get("finish_in")
+    return line["time"] + finish_in_s if finish_in_s is not None else None
+
+
 def cause_of(attempt: Attempt) -> Cause | None:
     """Return why an attempt failed; None if it did not, or ended as its program had to."""
     is_repeatable = attempt.kind != "mutating"
@@ -112,10 +140,15 @@
         return Cause.BROKEN_OFF
     if kind == "CallerLeft":
         return Cause.CALLER_LEFT
-    if kind == "AttemptAnswered" or status < _SERVER_ERROR:
+    if kind == "AttemptAnswered":
+        return None
+    if status in _REFUSALS:
+        return _REFUSALS[status]
+    if status < _SERVER_ERROR:
         return None
-    if status == 503:
-        return Cause.REFUSED
+    if status == _UNAVAILABLE:
+        is_old = attempt.end.get("reason", "").startswith(_TOO_OLD)
+        return Cause.AGE if is_old else Cause.REFUSED
     return Cause.TIMED_OUT if is_repeatable else Cause.LOST_UNREPEATABLE
 
 
@@ -141,17 +174,78 @@
     return sorted(failed.values(), key=lambda one: one.attempt.begun_s)
 
 
+class LateProgram(NamedTuple):
+    """A program that ended after its time, and what it spent most of its time on.
+
+    :param late_s: seconds beyond its time.
+    :param spent_s: seconds by what they were spent on, most first.
+    """
+
+    program_id: str
+    tenant: str
+    begun_s: float
+    late_s: float
+    spent_s: dict[str, float]
+
+
+def late_programs(attempts: list[Attempt]) -> list[LateProgram]:
+    """Return the programs whose last attempt was answered after their time.
+
+    Sub-agents run side by side, so the times of one program may add up to more than it took.
+    """
+    by_program: dict[str, list[Attempt]] = defaultdict(list)
+    for attempt in attempts:
+        by_program[attempt.program_id].append(attempt)
+    found: list[LateProgram] = []
+    for program_id, own in by_program.items():
+        finish_s, last = own[0].finish_s, own[-1]
+        if finish_s is None or last.ended_s is None or not _is_answered(last):
+            continue
+        if last.ended_s > finish_s:
+            late_s = last.ended_s - finish_s
+            begun_s = own[0].begun_s
+            found.append(LateProgram(program_id, last.tenant, begun_s, late_s, _spent_s(own)))
+    return sorted(found, key=lambda one: one.begun_s)
+
+
+def _is_answered(attempt: Attempt) -> bool:
+    return attempt.end.get("kind") == "AttemptAnswered"
+
+
+def _spent_s(attempts: list[Attempt]) -> dict[str, float]:
+    """Return what a program's attempts spent their time on, most first."""
+    spent_s: Counter[str] = Counter()
+    for attempt in attempts:
+        if attempt.ended_s is None:
+            continue
+        seconds = attempt.ended_s - attempt.begun_s
+        first_s = attempt.end.get("first_seconds")
+        if not _is_answered(attempt):
+            spent_s["attempts that failed"] += seconds
+        elif first_s is None:
+            spent_s["lookups"] += seconds
+        else:
+            spent_s["waits for first events"] += first_s
+            spent_s["events"] += seconds - first_s
+    return dict(spent_s.most_common())
+
+
 @click.command()
+@click.option("--late", is_flag=True, help="List the programs that were late instead.")
 @click.argument("logs", nargs=-1, required=True, type=click.Path(exists=True, path_type=Path))
 @click.option("--output", type=click.Choice(["text", "json"]), default="text")
-def failures(logs: tuple[Path, ...], output: str) -> None:
-    """List the programs that failed, by what ended them.
+def failures(logs: tuple[Path, ...], output: str, late: bool) -> None:
+    """List the programs that failed, by what ended them, or those that were late.
 
     LOGS are files of decision lines, of all gateways, plain or gzipped. For each cause it
     is said whether a policy might have saved the program.
     """
     lines = [line for path in logs for line in read_lines(path)]
-    failed = failed_programs(read_attempts(lines))
+    attempts = read_attempts(lines)
+    if late:
+        _list_late(late_programs(attempts), output)
+        return
+    failed = failed_programs(attempts)
     if output == "json":
         for one in failed:
             row = {**one.attempt._asdict(), "cause": one.cause.value}
@@ -160,9 +254,25 @@
     for one in failed:
         attempt = one.attempt
         click.echo(
-            f"{attempt.begun_s:.3f} {attempt.program_id} {attempt.node} {attempt.route}"
+            f"{attempt.begun_s:.3f} {attempt.program_id} {attempt.tenant} {attempt.node}"
+            f" {attempt.route}"
             f" {attempt.kind} {attempt.attempt_id}: {one.cause} {attempt.end.get('reason', '')}"
         )
     for cause, count in Counter(one.cause for one in failed).most_common():
         saved = "might be saved" if cause.could_be_saved else "could not be saved"
         click.echo(f"{count:5d} {cause} ({saved})")
+
+
+def _list_late(programs: list[LateProgram], output: str) -> None:
+    if output == "json":
+        for one in programs:
+            click.echo(json.dumps(one._asdict()))
+        return
+    for one in programs:
+        spent = ", ".join(f"{what} {seconds:.2f} s" for what, seconds in one.spent_s.items())
+        click.echo(
+            f"{one.begun_s:.3f} {one.program_id} {one.tenant} {one.late_s:.2f} s late: {spent}"
+        )
+    most = Counter(next(iter(one.spent_s), "") for one in programs)
+    for what, count in most.most_common():
+        click.echo(f"{count:5d} spent most on {what}")
--- a/yarrowwall/relay/decisions.py
+++ b/yarrowwall/relay/decisions.py
@@ -32,6 +32,7 @@
     """A caller's attempt was read and has a route.
 
     :param configuration_age: seconds since the configuration was proved to be the newest.
+    :param finish_in: seconds left to its program; None if untold.
     """
 
     attempt: str
@@ -42,6 +43,7 @@
     remaining: float
     tenant: str
     configuration_age: float
+    finish_in: float | None
 
 
 @dataclass(frozen=True)
@@ -76,13 +78,17 @@
 
 @dataclass(frozen=True)
 class AttemptAnswered(Decision):
-    """A caller got a server's answer, whole."""
+    """A caller got a server's answer, whole.
+
+    :param first_seconds: until its first event; None for an answer without events.
+    """
 
     attempt: str
     status: int
     server: str
     seconds: float
     events: int
+    first_seconds: float | None
 
 
 @dataclass(frozen=True)
--- a/yarrowwall/relay/gateway.py
+++ b/yarrowwall/relay/gateway.py
@@ -208,6 +208,7 @@
         self._start_response = start_response
         self._attempt_id = ""
         self._arrived_at = self._parts.now()
+        self._first_s: float | None = None
 
     def run(self) -> Iterator[bytes]:
         """Return the body of the answer; cancels whatever runs if it is closed early."""
@@ -268,6 +269,7 @@
                 end - attempt.arrived_at,
                 attempt.tenant,
                 self._gateway.configuration_age_s,
+                _finish_in_s(attempt),
             )
         )
 
@@ -327,7 +329,9 @@
     def _note_answered(self, status: int, server: str, events: int) -> None:
         seconds = self._parts.now() - self._arrived_at
         self._parts.decisions.write(
-            decisions.AttemptAnswered(self._attempt_id, status, server, seconds, events)
+            decisions.AttemptAnswered(
+                self._attempt_id, status, server, seconds, events, self._first_s
+            )
         )
 
     # Streams
@@ -356,6 +360,7 @@
                 return
             for events in relay.events():
                 if len(events) == len(relay.passed):
+                    self._first_s = self._parts.now() - self._arrived_at
                     self._start(HTTPStatus.OK, self._stream_headers(opened.answer))
                 yield b"".join(event.raw for event in events)
             grant.complete(relay.passed, offer.last_server)
@@ -429,6 +434,13 @@
         return body
 
 
+def _finish_in_s(attempt: Attempt) -> float | None:
+    """Return the seconds that an attempt's program had left when it arrived."""
+    if attempt.program is None or attempt.program.finish_at is None:
+        return None
+    return attempt.program.finish_at - attempt.arrived_at
+
+
 def _unknown_key(api_key: str | None) -> str:
     """Return why a caller is not known."""
     if api_key is None:
