--- a/features/steps/quota_proof_steps.py
+++ b/features/steps/quota_proof_steps.py
@@ -13,7 +13,7 @@
 from yarrowwall.quotas.terms import QuotaTerms, TenantLimit
 
 #: Schedules in which a mutant has to be found.
-MUTANT_SEEDS = range(60)
+MUTANT_SEEDS = range(150)
 NOW_S = 100.0
 PLAIN = QuotaTerms(5.0)
 
