--- a/features/quota_proof.feature
+++ b/features/quota_proof.feature
@@ -63,3 +63,17 @@
   Scenario: How many requests a program makes is learned by route
     Given programs of 3 turns on "short" and of 11 turns on "long", with 1.3 lookups a turn
     Then 200 of each later "short" is expected to make 6 to 8 requests and "long" 23 to 28
+
+  Scenario Outline: Of five lenders, <known>, a gateway of zone "a" asks <asked>
+    Given lenders "a1", "a2", "b1", "b2" and "c1" in the zones they are named after
+    When at 10.0 s <known>
+    Then at 10.1 s a gateway of zone "a" asks <asked>
+    And at 11.2 s a gateway of zone "a" asks 5, those of its zone first
+
+    Examples:
+      | known                  | asked                         |
+      | nothing is known       | 5, those of its zone first    |
+      | "a1" has no room       | 4, "a2" first                 |
+      | "a1" does not answer   | 4, "a2" first                 |
+      | none has room          | 1                             |
+      | none answers           | 1                             |
--- a/features/steps/quota_proof_steps.py
+++ b/features/steps/quota_proof_steps.py
@@ -9,6 +9,7 @@
 from yarrowwall.messages.replicated import GroupView, Member
 from yarrowwall.quotas.entitlement import Entitlement, Voucher
 from yarrowwall.quotas.lender import Clock, Lender
+from yarrowwall.quotas.order import LenderOrder
 from yarrowwall.quotas.program_sizes import ProgramSizes
 from yarrowwall.quotas.terms import QuotaTerms, TenantLimit
 
@@ -158,3 +159,61 @@
         context.run("long", 11)
     assert 6.0 <= context.sizes.expected("short") <= 8.0, context.sizes.expected("short")
     assert 23.0 <= context.sizes.expected("long") <= 28.0, context.sizes.expected("long")
+
+
+LENDERS = ("a1", "a2", "b1", "b2", "c1")
+
+
+@given('lenders "a1", "a2", "b1", "b2" and "c1" in the zones they are named after')
+def five_lenders(context: Context) -> None:
+    context.order = LenderOrder("a")
+    context.lenders = [Member(name, name, "127.0.0.1:1", name[0]) for name in LENDERS]
+
+
+@when("at {at_s:f} s nothing is known")
+def nothing_known(context: Context, at_s: float) -> None:
+    pass
+
+
+@when('at {at_s:f} s "{name}" has no room')
+def one_without_room(context: Context, at_s: float, name: str) -> None:
+    member = next(one for one in context.lenders if one.node_id == name)
+    context.order.note_exhausted(member, "alloy", 3.0, at_s)
+
+
+@when('at {at_s:f} s "{name}" does not answer')
+def one_silent(context: Context, at_s: float, name: str) -> None:
+    context.order.note_silent(next(one for one in context.lenders if one.node_id == name), at_s)
+
+
+@when("at {at_s:f} s none has room")
+def none_with_room(context: Context, at_s: float) -> None:
+    for name in LENDERS:
+        one_without_room(context, at_s, name)
+
+
+@when("at {at_s:f} s none answers")
+def none_answers(context: Context, at_s: float) -> None:
+    for name in LENDERS:
+        one_silent(context, at_s, name)
+
+
+def asked(context: Context, at_s: float) -> list[str]:
+    return [one.node_id for one in context.order.candidates(context.lenders, "alloy", at_s)]
+
+
+@then('at {at_s:f} s a gateway of zone "a" asks {count:d}')
+def asks_count(context: Context, at_s: float, count: int) -> None:
+    assert len(asked(context, at_s)) == count, asked(context, at_s)
+
+
+@then('at {at_s:f} s a gateway of zone "a" asks {count:d}, those of its zone first')
+def asks_zone_first(context: Context, at_s: float, count: int) -> None:
+    asks_count(context, at_s, count)
+    assert {name[0] for name in asked(context, at_s)[:2]} == {"a"}
+
+
+@then('at {at_s:f} s a gateway of zone "a" asks {count:d}, "{name}" first')
+def asks_first(context: Context, at_s: float, count: int, name: str) -> None:
+    asks_count(context, at_s, count)
+    assert asked(context, at_s)[0] == name
--- a/yarrowwall/quotas/order.py
+++ b/yarrowwall/quotas/order.py
@@ -34,25 +34,29 @@
     def candidates(self, members: Sequence[Member], tenant: str, now_s: float) -> list[Member]:
         """Return the lenders worth asking, those first that had better be asked first.
 
-        Of those known to have no room only the one that has room first is worth a question, and
-        only if there is no other: a tenant far above its limit would cost five for each request.
+        Of those known to have no room, or not to answer, only one is worth a question, and only
+        if there is no other. A tenant far above its limit would cost five for each request, and a
+        gateway that is cut off would hold each request for five time-outs (0.35 s were seen).
         """
 
         def exhausted_until_s(member: Member) -> float:
             until_s = self._exhausted_until_s.get(_Place(tenant, member.disk_id), 0.0)
             return until_s if until_s > now_s else 0.0
 
+        def is_silent(member: Member) -> bool:
+            return self._silent_until_s.get(member.disk_id, 0.0) > now_s
+
         def rank(member: Member) -> tuple[bool, float, bool, int]:
             return (
-                self._silent_until_s.get(member.disk_id, 0.0) > now_s,
+                is_silent(member),
                 exhausted_until_s(member),
                 member.zone != self._zone,
                 score(tenant, member.disk_id),
             )
 
         ranked = sorted(members, key=rank)
-        with_room = [member for member in ranked if not exhausted_until_s(member)]
-        return with_room or ranked[:1]
+        able = [one for one in ranked if not is_silent(one) and not exhausted_until_s(one)]
+        return able or ranked[:1]
 
     def home(self, members: Sequence[Member], tenant: str, now_s: float) -> list[Member]:
         """Return the lenders in the order in which all gateways ask them of new programs."""
