A watch that says nothing of a change that was read is begun anew at once

Denials need a proof since. What is left is to be told soon: the reader's own question shows a change at most 1 s after the store answers again, but a lost watch was begun anew only after a second one.

Change: 0.1 s after such an answer. Test: freshness.feature, a prover whose watch says nothing (failed first).

--- a/features/freshness.feature
+++ b/features/freshness.feature
@@ -57,6 +57,17 @@
     When the store answers no question for single objects, while watches go on
     Then a client with key "key-a" gets 503 on "records" within 6.0 s of the outage
 
+  Scenario: A watch that says nothing of a change that an answer has shown is begun anew
+    Given a prover whose store has a newer state than is known
+    When it has asked once
+    Then the watches are begun anew within 300 ms
+
+  @platform_world
+  Scenario: A configuration is in force soon although all watches were lost
+    Given a route "records" of type "mutating" with a server
+    When all watches are lost and a configuration is written
+    Then within 2.0 s every gateway knows the newest configuration
+
   @platform_world
   Scenario: A gateway that was frozen serves no key before it asked again
     Given tenants "alloy" with key "key-a" and "ore" with key "key-o"
--- a/features/steps/freshness_steps.py
+++ b/features/steps/freshness_steps.py
@@ -4,6 +4,7 @@
 import time
 from unittest.mock import patch
 
+import eventlet
 from behave import given, then, when
 from behave.runner import Context
 
@@ -12,7 +13,10 @@
 from features.support.freshness_model import MUTANTS, oldest_trust_s
 from features.support.platform_scripts import arrivals, world
 from features.support.processes import wait_until
+from yarrowwall.readers.prover import ObjectProver
+from yarrowwall.relay.decisions import DecisionLog
 from yarrowwall.relay.freshness import Freshness
+from yarrowwall.relay.object_store import ObjectName, StoredObject
 
 SEEDS = range(400)
 NOW_S = 1000.0
@@ -48,6 +52,46 @@
     assert context.freshness.may_deny(NOW_S) == (denied == "yes")
 
 
+class NewerStore:
+    """A store whose answers show a newer state than watches told of."""
+
+    def __init__(self) -> None:
+        self.asked_at = 0.0
+        self.interrupted_at = 0.0
+
+    def get(self, kind: str, name: str, timeout_s: float) -> StoredObject:
+        """Return the newer state."""
+        self.asked_at = self.asked_at or time.monotonic()
+        return StoredObject(name, 7, {}, {})
+
+    def interrupt_watches(self) -> None:
+        """Note when."""
+        self.interrupted_at = self.interrupted_at or time.monotonic()
+
+
+@given("a prover whose store has a newer state than is known")
+def prover_behind(context: Context) -> None:
+    context.newer = NewerStore()
+    log = DecisionLog("storage-0")
+    target = ObjectName("config", "main")
+    context.prover = ObjectProver(context.newer, target, log, time.monotonic, lambda: None)
+    context.prover.proof.note_known(3)
+
+
+@when("it has asked once")
+def asked_once(context: Context) -> None:
+    context.prover.start()
+    eventlet.sleep(0.5)
+    context.prover.stop()
+
+
+@then("the watches are begun anew within {limit_ms:d} ms")
+def begun_anew(context: Context, limit_ms: int) -> None:
+    assert context.newer.interrupted_at > 0.0
+    took_s = context.newer.interrupted_at - context.newer.asked_at
+    assert took_s < limit_ms / 1000.0, took_s
+
+
 # The store
 
 
@@ -72,6 +116,14 @@
     begin_outage(context)
 
 
+@when("all watches are lost and a configuration is written")
+def watches_lost(context: Context) -> None:
+    world(context).store.lose_watches(0.3)
+    time.sleep(0.4)
+    context.version = world(context).publish()
+    context.published_at = time.monotonic()
+
+
 @when("every answer of the store takes {delay_ms:d} ms")
 def slow_store(context: Context, delay_ms: int) -> None:
     world(context).store.list_delay_s = delay_ms / 1000.0
--- a/yarrowwall/readers/prover.py
+++ b/yarrowwall/readers/prover.py
@@ -17,6 +17,10 @@
 PROOF_SECONDS = 1.0
 #: Seconds that an answer may take. A slow store (0.24 s an answer was seen) still proves.
 ANSWER_SECONDS = 1.0
+#: Seconds within which a watch has to tell of a change that an answer has shown. It is told at
+#: the moment of the change, so a watch that says nothing by then is lost: waiting for its end
+#: would take 3.5 s, and a configuration has 3 s to be in force everywhere.
+BEHIND_SECONDS = 0.1
 #: Questions without an answer, one after the other, that show that the store is out of reach.
 LOST_ANSWERS = 2
 
@@ -60,7 +64,6 @@
             eventlet.sleep(PROOF_SECONDS)
 
     def _ask(self) -> None:
-        was_behind = self.proof.is_behind
         sent_at_s = self._now()
         try:
             item = self._store.get(*self.target, ANSWER_SECONDS)
@@ -69,8 +72,13 @@
             return
         self._note_answered()
         self.proof.note_answer(item.revision if item is not None else 0, sent_at_s)
-        if was_behind and self.proof.is_behind:
-            # The watch has said nothing of a change for a whole pause: it is lost.
+        if self.proof.is_behind:
+            self._expect_change()
+
+    def _expect_change(self) -> None:
+        """Begin the watches anew unless they tell soon of what was just read."""
+        eventlet.sleep(BEHIND_SECONDS)
+        if self.proof.is_behind:
             self._store.interrupt_watches()
 
     def _note_answered(self) -> None:
