A store that does not answer is asked once for all kinds

Change: after a read that the store itself did not answer, the machine asks it no more for 0.8 s, whatever the kind; first lists of a start go on as before. Test: readers.feature, four kinds in an outage of 4 s (failed first).

--- a/features/readers.feature
+++ b/features/readers.feature
@@ -83,3 +83,10 @@
     Then it was encoded once, in under 60000 bytes
     When it changes and 35 machines ask for the change
     Then it was encoded twice, and each machine got what the store has
+
+  Scenario: A store that does not answer is asked once for all kinds
+    Given a machine without readers whose store does not answer
+    When it follows 4 kinds for 4 s
+    Then the store was asked at most 7 times
+    When the store answers again
+    Then all 4 kinds are followed again within 2.5 s
--- a/features/steps/reader_steps.py
+++ b/features/steps/reader_steps.py
@@ -18,9 +18,18 @@
 from yarrowwall.readers.order import ReaderOrder
 from yarrowwall.readers.picture import KindPicture
 from yarrowwall.readers.reader import ObjectReader
+from yarrowwall.readers.store import ReaderStore
 from yarrowwall.readers.wire import ObjectEncoder, changes, stored
 from yarrowwall.relay.decisions import DecisionLog
-from yarrowwall.relay.object_store import Change, Changes, Listing, ObjectName, StoredObject
+from yarrowwall.relay.object_store import (
+    Change,
+    Changes,
+    Listing,
+    ObjectName,
+    ObjectStoreError,
+    StoredObject,
+)
+from yarrowwall.relay.watching import KindFollower
 
 SEEDS = range(300)
 #: All machines of the scenarios' world stand in one zone, and this is the first by name.
@@ -283,3 +292,74 @@
 def encoded_twice(context: Context) -> None:
     assert _distinct(context) == 2
     assert changes([context.encodings[-1]]) == [Change(context.item, False)]
+
+
+class _SilentStore:
+    """A store that lists once, and answers nothing more until it is told to."""
+
+    def __init__(self) -> None:
+        self.asked = 0
+        self.is_up = True
+        self.answered: set[str] = set()
+
+    def _answer(self, kind: str) -> None:
+        eventlet.sleep(0.01)
+        if not self.is_up:
+            self.asked += 1
+            raise ObjectStoreError(kind)
+        self.answered.add(kind)
+
+    def list(self, kind: str, timeout_s: float, may_be_old: bool = False) -> Listing:
+        """Return nothing, if it answers."""
+        self._answer(kind)
+        return Listing([], 1)
+
+    def watch(self, kind: str, revision: int, wait_s: float) -> Changes:
+        """Tell of nothing, if it answers."""
+        self._answer(kind)
+        eventlet.sleep(0.2)
+        self._answer(kind)
+        return Changes([], revision)
+
+    def interrupt_watches(self) -> None:
+        """End nothing."""
+
+
+KINDS = ("config", "servers", "groups", "retirements")
+
+
+@given("a machine without readers whose store does not answer")
+def without_readers(context: Context) -> None:
+    context.silent = _SilentStore()
+    log = DecisionLog("edge-0")
+    context.store = ReaderStore("edge-0", "a", context.silent, None, (), log, time.monotonic)
+    # It has long known that there is no reader.
+    context.store._started_at -= 10.0
+    context.store._answered_at -= 10.0
+
+
+@when("it follows 4 kinds for 4 s")
+def follows_kinds(context: Context) -> None:
+    log = DecisionLog("edge-0")
+    for kind in KINDS:
+        KindFollower(context.store, kind, lambda items: None, lambda change: None, log).start()
+    eventlet.sleep(0.1)
+    context.silent.is_up = False
+    eventlet.sleep(4.0)
+
+
+@then("the store was asked at most {most:d} times")
+def asked_at_most(context: Context, most: int) -> None:
+    assert 1 <= context.silent.asked <= most, context.silent.asked
+
+
+@when("the store answers again")
+def answers_again(context: Context) -> None:
+    context.silent.answered.clear()
+    context.silent.is_up = True
+
+
+@then("all 4 kinds are followed again within {limit:f} s")
+def followed_again(context: Context, limit: float) -> None:
+    eventlet.sleep(limit)
+    assert context.silent.answered == set(KINDS), context.silent.answered
--- a/yarrowwall/readers/store.py
+++ b/yarrowwall/readers/store.py
@@ -4,7 +4,8 @@
 a machine that has just started is of no use before it and readers may be starting too.
 """
 
-from collections.abc import Callable, Collection, Sequence
+import contextlib
+from collections.abc import Callable, Collection, Iterator, Sequence
 from typing import Any
 
 import eventlet
@@ -51,6 +52,10 @@
 #: seconds over which all machines spread that, so that no outage ends in a stampede.
 DIRECT_AFTER_SECONDS = 0.8
 DIRECT_SPREAD_SECONDS = 1.0
+#: Seconds after a read that the store itself did not answer in which this process asks it no
+#: more, whatever the kind: in an outage each of four kinds and the age of the configuration would
+#: ask for itself, and calls are paid for.
+DIRECT_PAUSE_SECONDS = 0.8
 #: Seconds from the start in which readers may register, and between two looks for them.
 FIRST_READERS_SECONDS = 3.0
 LOOK_SECONDS = 0.25
@@ -92,6 +97,7 @@
         self._pending: dict[Event, str] = {}
         self._revisions: dict[str, int] = {}
         self._answered_at = now()
+        self._direct_failed_at: float | None = None
         self._direct_after_s = DIRECT_AFTER_SECONDS + DIRECT_SPREAD_SECONDS * fraction(
             "direct", node_id
         )
@@ -126,7 +132,12 @@
 
     def _list_directly(self, kind: str, timeout_s: float, may_be_old: bool) -> Listing:
         sent_at_s = self._now()
-        listing = self._direct.list(kind, timeout_s, may_be_old)
+        if kind in self._revisions:
+            with self._asking_directly():
+                listing = self._direct.list(kind, timeout_s, may_be_old)
+        else:
+            # A machine that has just started is of no use before its first lists.
+            listing = self._direct.list(kind, timeout_s, may_be_old)
         if may_be_old:
             return listing
         return Listing(listing.items, listing.revision, sent_at_s)
@@ -151,9 +162,27 @@
             return self._wait_for_readers(kind, revision)
         if self._now() - self._answered_at < self._direct_after_s:
             raise ObjectStoreError("no reader hears from the store")
-        return self._noted(
-            kind, self._direct.watch(kind, revision, min(wait_s, DIRECT_WAIT_SECONDS))
-        )
+        with self._asking_directly():
+            found = self._direct.watch(kind, revision, min(wait_s, DIRECT_WAIT_SECONDS))
+        return self._noted(kind, found)
+
+    @contextlib.contextmanager
+    def _asking_directly(self) -> Iterator[None]:
+        """Note whether the store itself answers what is asked within.
+
+        :raises ObjectStoreError: before it is asked, if it did not answer a moment ago.
+        """
+        failed_at = self._direct_failed_at
+        if failed_at is not None and self._now() - failed_at < DIRECT_PAUSE_SECONDS:
+            raise ObjectStoreError("the store itself did not answer a moment ago")
+        try:
+            yield
+        except (HistoryForgottenError, WatchInterruptedError):
+            raise
+        except ObjectStoreError:
+            self._direct_failed_at = self._now()
+            raise
+        self._direct_failed_at = None
 
     def _noted(self, kind: str, found: Changes) -> Changes:
         self._revisions[kind] = max(self._revisions.get(kind, 0), found.revision)
@@ -292,7 +321,8 @@
 
     def get(self, kind: str, name: str, timeout_s: float) -> StoredObject | None:
         """Return an object as it stands now at the store itself; None if there is none."""
-        return self._direct.get(kind, name, timeout_s)
+        with self._asking_directly():
+            return self._direct.get(kind, name, timeout_s)
 
     def create(self, kind: str, name: str, spec: dict[str, Any]) -> StoredObject:
         """Make an object."""
