Lenders that are late are not given up: the next one is asked as well

A lender that was late once was asked last for a second, and once all were, one was asked for 80 ms.

Change: a late lender's answer still counts; the next one is asked beside it, after four times what is usual (0.08 to 0.3 s), and whoever answers clears its mark. All together get 0.6 s, as a turn's reservation does; a gateway none of whose lenders answered lately waits 0.08 s.

Tests: quotas.feature, replicas that are stopped for 150 ms again and again refuse nobody; a gateway that reaches none refuses within 200 ms.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -60,3 +60,13 @@
     When a client with key "key-a" spends the whole budget of the program "same" on "chat"
     And 60 more turns of it are refused for its budget
     Then a client with key "key-a" soon gets 200 on "records"
+
+  Scenario: Replicas that are all slow refuse nobody
+    Given the tenant "alloy" has a limit of 100 a second and a burst of 10
+    When every replica is stopped for 150 ms again and again for 4 s
+    Then all requests with key "key-a" that came meanwhile got 200
+
+  Scenario: A gateway that reaches no replica refuses at once
+    Given the tenant "alloy" has a limit of 100 a second and a burst of 10
+    When all replicas are killed and 3 requests with key "key-a" have come
+    Then the next 5 requests with key "key-a" get 503, each within 200 ms
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -1,5 +1,7 @@
 """Steps about tenants' limits, from what callers and servers see."""
 
+import signal
+import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
@@ -172,3 +174,52 @@
     assert answered(context, "key-a", "chat", "same") == 402
     for _ in range(count - 1):
         assert ask_turn(context, "key-a", "chat", "same").status == 402
+
+
+# Replicas that are slow or gone
+
+
+@when("every replica is stopped for {pause_ms:d} ms again and again for {seconds:d} s")
+def replicas_slow(context: Context, pause_ms: int, seconds: int) -> None:
+    replicas = [name for name in world(context).processes if name.startswith("storage")]
+    end = time.monotonic() + seconds
+    is_over = threading.Event()
+
+    def pause() -> None:
+        while time.monotonic() < end:
+            for name in replicas:
+                world(context).kill(name, signal.SIGSTOP)
+            time.sleep(pause_ms / 1000.0)
+            for name in replicas:
+                world(context).kill(name, signal.SIGCONT)
+            time.sleep(0.05)
+        is_over.set()
+
+    threading.Thread(target=pause).start()
+    context.answers = []
+    while not is_over.is_set():
+        context.answers.append(ask_at(context, "key-a", "records", 0))
+        time.sleep(0.02)
+
+
+@then('all requests with key "{key}" that came meanwhile got 200')
+def all_served(context: Context, key: str) -> None:
+    statuses = [answer.status for answer in context.answers]
+    assert len(statuses) >= 10 and set(statuses) == {200}, statuses
+
+
+@when('all replicas are killed and {count:d} requests with key "{key}" have come')
+def all_replicas_killed(context: Context, count: int, key: str) -> None:
+    for name in list(world(context).processes):
+        if name.startswith("storage"):
+            world(context).kill(name)
+    for _ in range(count):
+        ask_at(context, key, "records", 0)
+
+
+@then('the next {count:d} requests with key "{key}" get 503, each within {limit_ms:d} ms')
+def refused_soon(context: Context, count: int, key: str, limit_ms: int) -> None:
+    for _ in range(count):
+        answer = ask_at(context, key, "records", 0)
+        assert answer.status == 503, answer
+        assert answer.seconds < limit_ms / 1000.0, answer
--- a/yarrowwall/quotas/borrowing.py
+++ b/yarrowwall/quotas/borrowing.py
@@ -4,7 +4,7 @@
 sent, which is no later than the moment from which the lender counts it.
 """
 
-from collections import defaultdict
+from collections import defaultdict, deque
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -29,9 +29,18 @@
 from yarrowwall.replication.group_views import GroupViews
 from yarrowwall.replication.rpc import Link, LinkTable
 
-#: Seconds that a lender may take to answer before the next one is asked: the way between
-#: zones, a sync of its disk and its queue take 5 ms.
-ANSWER_SECONDS = 0.08
+#: A lender is late, and the next one is asked as well, after this many times what is usual,
+#: within these bounds in seconds. The way between zones, a sync of its disk and its queue take
+#: 5 ms; where all are slow, asking all of them for each request would make them slower.
+LATE_FACTOR = 4.0
+LATE_SECONDS = 0.08
+MOST_LATE_SECONDS = 0.3
+#: What is held to be usual before the first answer, and the weight of the newest one.
+FIRST_USUAL_SECONDS = 0.01
+USUAL_WEIGHT = 0.1
+#: Seconds to wait for any lender. All replicas may be slow at once, and a refusal may end a
+#: program; the reservation of a turn waits as long.
+MOST_WAIT_SECONDS = 0.6
 #: Requests asked for at once where another one of the tenant is likely to follow, and the seconds
 #: since its last question within which it is: 1.5 messages a request instead of 2.4, with as
 #: much refused (emulator, 57 gateways).
@@ -67,50 +76,100 @@
 
 
 class _Question:
-    """A question to one lender that is under way."""
+    """A question to one lender.
 
-    def __init__(self, lender: Member, link: Link, request: TakeQuota, now_s: float) -> None:
+    :param arrived: called with the question once its answer is there.
+    :param answered: the same, even if it was given up before.
+    """
+
+    def __init__(
+        self,
+        lender: Member,
+        link: Link,
+        request: TakeQuota,
+        now_s: float,
+        arrived: Callable[["_Question"], None],
+        answered: Callable[["_Question"], None],
+    ) -> None:
         self.lender = lender
         self.asked_at_s = now_s
-        self._arrived = Event()
+        self.reply: QuotaReply | None = None
+        self._arrived = arrived
+        self._answered = answered
         self._is_given_up = False
         self._link = link
         self._request = request
         self._number = link.post(request, self._complete)
 
     def _complete(self, reply: object | None) -> None:
+        self.reply = reply if isinstance(reply, QuotaReply) else None
+        self._answered(self)
         if self._is_given_up:
-            self._give_back(reply)
-        elif not self._arrived.ready():
-            self._arrived.send(reply)
-
-    def wait(self, timeout_s: float) -> QuotaReply | None:
-        """Return the reply; None if none comes in time."""
-        reply = self._arrived.wait(timeout_s)
-        if isinstance(reply, QuotaReply):
-            return reply
+            self._give_back()
+        else:
+            self._arrived(self)
+
+    def note_late(self) -> None:
+        """Note that the answer should have come by now."""
         self._link.note_late(self._number)
-        self.give_up()
-        return None
 
     def give_up(self) -> None:
         """Give back whatever is granted, now or later."""
-        if self._is_given_up:
-            return
         self._is_given_up = True
-        if self._arrived.ready():
-            self._give_back(self._arrived.wait())
+        self._give_back()
 
-    def credits(self, reply: QuotaReply) -> list[Credit]:
-        """Return the leave that a reply brings."""
+    def credits(self) -> list[Credit]:
+        """Return the leave that the answer brings, once."""
+        reply, self.reply = self.reply, None
+        if reply is None:
+            return []
         expires_at_s = self.asked_at_s + CREDIT_SECONDS
-        credit = Credit(self.lender, self._request, reply.ticket, expires_at_s)
-        return [credit] * reply.granted
+        return [Credit(self.lender, self._request, reply.ticket, expires_at_s)] * reply.granted
+
+    def _give_back(self) -> None:
+        for credit in self.credits():
+            self._link.tell(credit.returned())
+
+
+class _Questions:
+    """Questions of one attempt to several lenders, whose answers are taken as they come.
+
+    :param answered: called with each question that was answered, late as it may be.
+    """
+
+    def __init__(self, answered: Callable[[_Question], None]) -> None:
+        self._answered = answered
+        self.open: list[_Question] = []
+        self._arrived: deque[_Question] = deque()
+        self._wakeup = Event()
+
+    def add(self, lender: Member, link: Link, request: TakeQuota, now_s: float) -> None:
+        """Ask a lender."""
+        question = _Question(lender, link, request, now_s, self._take, self._answered)
+        self.open.append(question)
+
+    def _take(self, question: _Question) -> None:
+        self._arrived.append(question)
+        if not self._wakeup.ready():
+            self._wakeup.send()
+
+    def next(self, timeout_s: float) -> _Question | None:
+        """Return a question whose answer is there; None if none comes in time."""
+        if not self._arrived and timeout_s > 0.0:
+            self._wakeup = Event()
+            self._wakeup.wait(timeout_s)
+        if not self._arrived:
+            return None
+        question = self._arrived.popleft()
+        self.open.remove(question)
+        return question
 
-    def _give_back(self, reply: object | None) -> None:
-        if isinstance(reply, QuotaReply):
-            for credit in self.credits(reply):
-                self._link.tell(credit.returned())
+    def close(self) -> None:
+        """Give back whatever else is granted, now or later."""
+        for question in self.open:
+            question.give_up()
+        self.open.clear()
+        self._arrived.clear()
 
 
 class CreditStock:
@@ -183,6 +242,20 @@
         self.now = now
         self.order = LenderOrder(zone)
         self.stock = CreditStock(links, now)
+        self._usual_s = FIRST_USUAL_SECONDS
+
+    @property
+    def late_s(self) -> float:
+        """Return the seconds after which a lender is held to be late."""
+        return min(max(LATE_FACTOR * self._usual_s, LATE_SECONDS), MOST_LATE_SECONDS)
+
+    def note_answered(self, question: _Question) -> None:
+        """Take in that a lender answered, and how long it took."""
+        if question.reply is None or question.reply.status is QuotaStatus.NOT_ENTITLED:
+            return
+        self.order.note_answered(question.lender)
+        took_s = self.now() - question.asked_at_s
+        self._usual_s += USUAL_WEIGHT * (took_s - self._usual_s)
 
     def allowance(self, attempt: Attempt, configuration: Configuration | None) -> Allowance:
         """Return the leave that an attempt needs."""
@@ -209,7 +282,8 @@
         self._attempt = attempt
         self._tenant = tenant
         self._limit = LimitTold(version, tenant.rate_per_s, tenant.burst)
-        self._question: _Question | None = None
+        self._questions = _Questions(borrower.note_answered)
+        self._asked: set[str] = set()
         self._credit: Credit | None = None
         self._spent: Credit | None = None
 
@@ -218,9 +292,8 @@
     def begin(self) -> None:
         """Take leave that is held, or begin to ask the first lender."""
         self._credit = self._borrower.stock.take(self._tenant.name)
-        lenders = self._lenders()
-        if self._credit is None and lenders:
-            self._question = self._ask_for_some(lenders[0])
+        if self._credit is None:
+            self._ask_next()
 
     def begin_program(self, expected_requests: float) -> None:
         """Ask whether a new program is welcome; whoever cannot be asked welcomes it.
@@ -230,10 +303,13 @@
         now_s = self._borrower.now()
         members = self._members()
         for lender in self._borrower.order.home(members, self._tenant.name, now_s):
-            question = self._ask(lender, 0, expected_requests)
-            reply = question.wait(ANSWER_SECONDS)
+            questions = _Questions(self._borrower.note_answered)
+            self._ask(questions, lender, 0, expected_requests)
+            question = questions.next(self._borrower.late_s)
+            questions.close()
+            reply = question.reply if question is not None else None
             if reply is None or reply.status is QuotaStatus.NOT_ENTITLED:
-                self._borrower.order.note_silent(lender, self._borrower.now())
+                self._note_silent(lender)
                 continue
             if reply.status is QuotaStatus.NO_ROOM:
                 raise self._refused(1, reply.retry_after_s, begins=True)
@@ -258,9 +334,7 @@
 
     def close(self) -> None:
         """Give back what was not used."""
-        if self._question is not None:
-            self._question.give_up()
-            self._question = None
+        self._questions.close()
         if self._credit is not None:
             self._borrower.stock.put(self._credit)
             self._credit = None
@@ -279,55 +353,95 @@
         now_s = self._borrower.now()
         return self._borrower.order.candidates(self._members(), self._tenant.name, now_s)
 
-    def _ask(self, lender: Member, count: int, program_size: float) -> _Question:
+    def _ask(self, questions: _Questions, lender: Member, count: int, program_size: float) -> None:
         request = TakeQuota(
             self._group(), lender.disk_id, self._tenant.name, self._limit, count, program_size
         )
         link = self._borrower.links.get(lender.address)
-        return _Question(lender, link, request, self._borrower.now())
-
-    def _ask_for_some(self, lender: Member) -> _Question:
-        return self._ask(lender, self._borrower.stock.wanted(self._tenant.name), 0.0)
+        questions.add(lender, link, request, self._borrower.now())
+
+    def _ask_next(self) -> bool:
+        """Ask the next lender; return whether there is one."""
+        left = [lender for lender in self._lenders() if lender.disk_id not in self._asked]
+        if not left:
+            return False
+        self._asked.add(left[0].disk_id)
+        count = self._borrower.stock.wanted(self._tenant.name)
+        self._ask(self._questions, left[0], count, 0.0)
+        return True
 
     def _borrow(self) -> Credit:
         """Return leave from whichever lender has room.
 
-        :raises RefusedError: if none has, or none answers.
+        A lender that is late is not given up: the next one is asked, and whoever answers first
+        counts. All of them may be slow at once.
+
+        :raises RefusedError: if none has room, or none answers.
         """
+        end_s = self._borrower.now() + self._patience_s()
         retry_after_s: float | None = None
-        asked: set[str] = set()
-        while (question := self._next_question(asked)) is not None:
-            asked.add(question.lender.disk_id)
-            reply = question.wait(ANSWER_SECONDS)
-            now_s = self._borrower.now()
+        while self._questions.open or self._ask_next():
+            question = self._next_answer(end_s)
+            if question is None:
+                break
+            reply = question.reply
             if reply is None or reply.status is QuotaStatus.NOT_ENTITLED:
-                self._borrower.order.note_silent(question.lender, now_s)
-                continue
-            if reply.status is QuotaStatus.NO_ROOM:
-                self._note_exhausted(question.lender, reply.retry_after_s, now_s)
+                self._note_silent(question.lender)
+            elif reply.status is QuotaStatus.NO_ROOM:
+                self._note_exhausted(question.lender, reply.retry_after_s)
                 retry_after_s = min(retry_after_s or reply.retry_after_s, reply.retry_after_s)
-                continue
-            if not reply.room:
-                self._note_exhausted(question.lender, ANSWER_SECONDS, now_s)
-            first, *others = question.credits(reply)
-            for credit in others:
-                self._borrower.stock.put(credit)
-            if first.expires_at_s > now_s:
-                return first
-            self._borrower.stock.give_back(first)
+            else:
+                credit = self._take(question, reply)
+                if credit is not None:
+                    return credit
+        asked = len(self._asked)
+        self._begin_anew()
         if retry_after_s is None:
             reason = f"no replica lends of the limit of {self._tenant.name}"
             raise RefusedError(Refusal(_UNAVAILABLE, reason, RETRY_AFTER_SECONDS))
-        raise self._refused(len(asked), retry_after_s, begins=False)
+        raise self._refused(asked, retry_after_s, begins=False)
+
+    def _patience_s(self) -> float:
+        """Return for how long to wait for any lender: shortly if none is held to answer."""
+        is_hopeless = self._borrower.order.is_silent(self._members(), self._borrower.now())
+        return LATE_SECONDS if is_hopeless else MOST_WAIT_SECONDS
+
+    def _next_answer(self, end_s: float) -> _Question | None:
+        """Return the next answer, asking one lender more each time that none comes soon."""
+        while (left_s := end_s - self._borrower.now()) > 0.0:
+            question = self._questions.next(min(self._borrower.late_s, left_s))
+            if question is not None:
+                return question
+            for late in self._questions.open:
+                late.note_late()
+                self._note_silent(late.lender)
+            if not self._ask_next():
+                return self._questions.next(end_s - self._borrower.now())
+        return None
 
-    def _next_question(self, asked: set[str]) -> _Question | None:
-        question, self._question = self._question, None
-        if question is not None:
-            return question
-        left = [lender for lender in self._lenders() if lender.disk_id not in asked]
-        return self._ask_for_some(left[0]) if left else None
+    def _take(self, question: _Question, reply: QuotaReply) -> Credit | None:
+        """Take in what a lender granted; return leave for one sending."""
+        if not reply.room:
+            self._note_exhausted(question.lender, LATE_SECONDS)
+        first, *others = question.credits()
+        for credit in others:
+            self._borrower.stock.put(credit)
+        if first.expires_at_s <= self._borrower.now():
+            self._borrower.stock.give_back(first)
+            return None
+        self._begin_anew()
+        return first
 
-    def _note_exhausted(self, lender: Member, after_s: float, now_s: float) -> None:
+    def _begin_anew(self) -> None:
+        """Give up what is still asked; a later sending may ask every lender again."""
+        self._questions.close()
+        self._asked.clear()
+
+    def _note_silent(self, lender: Member) -> None:
+        self._borrower.order.note_silent(lender, self._borrower.now())
+
+    def _note_exhausted(self, lender: Member, after_s: float) -> None:
+        now_s = self._borrower.now()
         self._borrower.order.note_exhausted(lender, self._tenant.name, after_s, now_s)
 
     def _refused(self, asked: int, retry_after_s: float, begins: bool) -> RefusedError:
--- a/yarrowwall/quotas/order.py
+++ b/yarrowwall/quotas/order.py
@@ -58,6 +58,10 @@
         able = [one for one in ranked if not is_silent(one) and not exhausted_until_s(one)]
         return able or ranked[:1]
 
+    def is_silent(self, members: Sequence[Member], now_s: float) -> bool:
+        """Return whether none of the lenders answered lately."""
+        return all(self._silent_until_s.get(one.disk_id, 0.0) > now_s for one in members)
+
     def home(self, members: Sequence[Member], tenant: str, now_s: float) -> list[Member]:
         """Return the lenders in the order in which all gateways ask them of new programs."""
 
@@ -67,6 +71,10 @@
 
         return sorted(members, key=rank)
 
+    def note_answered(self, member: Member) -> None:
+        """Note that a lender answers, late as it may be."""
+        self._silent_until_s.pop(member.disk_id, None)
+
     def note_silent(self, member: Member, now_s: float) -> None:
         """Note that a lender did not answer, or may not lend."""
         self._silent_until_s[member.disk_id] = now_s + PASS_OVER_SECONDS
