Small limits are divided whole; doubles of links take the new argument

Tests: the parts of five lenders make up limits of 0 to 40; schedules with a rest of two keep every window (160); the mutant 'a better rank counts at once' is caught in schedule 13.

The doubles take it now; nothing else of those scenarios changed.

--- a/features/quota_proof.feature
+++ b/features/quota_proof.feature
@@ -26,6 +26,7 @@
       | leave counts from the answer               |
       | ages go by the time of day alone           |
       | the parts are too large                    |
+      | a better rank counts at once               |
 
   Scenario: Schedules use most of the limit, so that they show something
     Then the schedules 0 to 9 use at least half of what the limit allows
@@ -43,6 +44,9 @@
       | 1     | 0.4 | 1     | no    |
       | 4     | 0.4 | 2     | no    |
 
+  Scenario: The parts of all lenders make up the whole limit, however small it is
+    Then for limits of 0 to 40 requests the parts of five lenders make up the limit
+
   Scenario: Leave that is given back is lent again
     Given a lender of a part of 3 requests
     When 3 requests are lent and one is given back
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -238,7 +238,7 @@
         running = dict(zip(message.servers, message.running, strict=True))
         self.board.take(message.node_id, running, NOW)
 
-    def forget(self, number: int) -> None:
+    def forget(self, number: int, is_late: bool = False) -> None:
         """Wait no more for a reply."""
 
 
--- a/features/steps/quorum_steps.py
+++ b/features/steps/quorum_steps.py
@@ -39,7 +39,7 @@
             completion(reply)
         return len(self.asked)
 
-    def forget(self, number: int) -> None:
+    def forget(self, number: int, is_late: bool = False) -> None:
         """Nothing waits here."""
 
 
--- a/features/steps/quota_proof_steps.py
+++ b/features/steps/quota_proof_steps.py
@@ -61,7 +61,7 @@
 
 
 def lender_of(context: Context, rate_per_s: float, burst: float) -> None:
-    context.lender = Lender(PLAIN, 1)
+    context.lender = Lender(PLAIN, 1, lambda tenant, now_s: 0)
     context.limit = LimitTold(1, rate_per_s, burst)
     context.replies = []
 
@@ -217,3 +217,19 @@
 def asks_first(context: Context, at_s: float, count: int, name: str) -> None:
     asks_count(context, at_s, count)
     assert asked(context, at_s)[0] == name
+
+
+@then("for limits of 0 to 40 requests the parts of five lenders make up the limit")
+def parts_make_up(context: Context) -> None:
+    members = [Member(name, name, "127.0.0.1:1", "z") for name in LENDERS]
+    entitlements = []
+    for name in LENDERS:
+        one = Entitlement(name, PLAIN.lent_s)
+        one.take_view(GroupView(0, 1, members, []), 0.0)
+        entitlements.append(one)
+    for most in range(41):
+        limit = TenantLimit(1, 0.0, float(most))
+        for tenant in ("alloy", "ore", "slag"):
+            parts = [limit.share(PLAIN, 5, one.rank(tenant, NOW_S)) for one in entitlements]
+            assert sum(parts) == most, (most, tenant, parts)
+            assert max(parts) - min(parts) <= 1
--- a/features/support/quota_model.py
+++ b/features/support/quota_model.py
@@ -33,8 +33,8 @@
 SPARES = 2
 GATEWAYS = 6
 TENANT = "alloy"
-#: Five parts of five requests make up the whole limit, so one more breaks it.
-TERMS = QuotaTerms(5.0, 0.1, 1.0)
+#: Three parts of five requests and two of six make up the whole limit, so one more breaks it.
+TERMS = QuotaTerms(5.0, 0.1, 3.0)
 LIMIT = LimitTold(1, 4.0, 2.0)
 LOWERED = LimitTold(2, 1.0, 1.0)
 #: Seconds between two questions of a gateway: many times what the limit allows.
@@ -177,8 +177,8 @@
         machine.incarnation += 1
         machine.is_up = True
         replica = _Replica(machine.disk_id)
-        lender = Lender(TERMS, LENDERS)
         entitlement = Entitlement(machine.disk_id, TERMS.lent_s)
+        lender = Lender(TERMS, LENDERS, entitlement.rank)
         machine.peers = _Peers()
         machine.disk = ModelDisk(
             replica,
--- a/features/support/quota_mutants.py
+++ b/features/support/quota_mutants.py
@@ -42,10 +42,14 @@
     return max(0.0, self.wall_s - wall_s)
 
 
-def _whole_limit(self: Any, terms: QuotaTerms, lenders: int) -> int:
+def _whole_limit(self: Any, terms: QuotaTerms, lenders: int, rank: int) -> int:
     return int(self.most(terms) / (lenders - 1))
 
 
+def _new_rank_at_once(self: Entitlement, tenant: str, now_s: float) -> int:
+    return self._place(self._view, tenant)
+
+
 #: What each mutant replaces.
 MUTANTS: dict[str, Callable[[], AbstractContextManager[Any]]] = {
     "a lender answers before its disk has it": lambda: patch.object(
@@ -61,6 +65,7 @@
         quota_model, "credit_left_s", _from_answer
     ),
     "ages go by the time of day alone": lambda: patch.object(Clock, "age_s", _by_time_of_day),
+    "a better rank counts at once": lambda: patch.object(Entitlement, "rank", _new_rank_at_once),
     "the parts are too large": lambda: patch(
         "yarrowwall.quotas.terms.TenantLimit.share", _whole_limit
     ),
--- a/yarrowwall/quotas/emulator.py
+++ b/yarrowwall/quotas/emulator.py
@@ -195,7 +195,9 @@
     def may_send(self, request: Request, limit: TenantLimit, is_cut: bool) -> bool:
         """Count against the own part."""
         window = self._windows[request.tenant, request.gateway]
-        is_full = window.total(request.at_s) + 1 > limit.share(TERMS, self.gateways)
+        is_full = window.total(request.at_s) + 1 > limit.share(
+            TERMS, self.gateways, request.gateway
+        )
         if is_full or request.at_s < self._blocked_until_s:
             return False
         window.add(1, request.at_s)
@@ -294,7 +296,10 @@
             Member(f"s{number}", f"s{number}", "", ZONES[number % len(ZONES)])
             for number in range(LENDERS)
         ]
-        self._lenders = {member.disk_id: Lender(TERMS, LENDERS) for member in self._members}
+        self._lenders = {
+            member.disk_id: Lender(TERMS, LENDERS, lambda tenant, now_s, rank=rank: rank)  # type: ignore[misc]
+            for rank, member in enumerate(self._members)
+        }
         self._orders = [LenderOrder(ZONES[number % len(ZONES)]) for number in range(gateways)]
         self._lost = ""
         self._held: dict[tuple[int, int], _Batch] = {}
--- a/yarrowwall/quotas/entitlement.py
+++ b/yarrowwall/quotas/entitlement.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from yarrowwall.core.hashing import score
 from yarrowwall.core.quorum import majority
 from yarrowwall.messages.replicated import GroupView
 from yarrowwall.replication.views import disk_ids
@@ -22,6 +23,8 @@
 #: when that is over. A replica that sees a longer step may have been out of the group.
 EPOCHS_OF_A_CHANGE = 2
 _FIRST_EPOCH = 1
+#: The place of a disk that is not of a group: behind all lenders.
+_LAST_PLACE = 1000
 
 
 class Voucher(NamedTuple):
@@ -34,6 +37,16 @@
     asked_at_s: float
 
 
+class _Former(NamedTuple):
+    """A group that there was before.
+
+    :param until_s: when what was lent in it counts no more.
+    """
+
+    view: GroupView
+    until_s: float
+
+
 class Entitlement:
     """The right of one disk to lend.
 
@@ -44,6 +57,7 @@
         self._disk_id = disk_id
         self._wait_s = lent_s + LEASE_SECONDS + MARGIN_SECONDS
         self._view: GroupView | None = None
+        self._formers: list[_Former] = []
         self._from_s: float | None = None
         self._has_begun = False
 
@@ -62,6 +76,11 @@
         if known is not None and view.epoch <= known.epoch:
             return
         was_member = self._is_member
+        if known is None and view.epoch > _FIRST_EPOCH:
+            # What was before is not known any more, after a start.
+            known = GroupView(view.group, 0, [], [])
+        if known is not None:
+            self._formers.append(_Former(known, now_s + self._wait_s))
         self._view = view
         if not self._is_member:
             self._from_s = None
@@ -92,6 +111,22 @@
         self._has_begun = True
         return self._view.epoch
 
+    def rank(self, tenant: str, now_s: float) -> int:
+        """Return the place of this disk among the group's for a tenant, from 0.
+
+        For a while after a change it is the worst one of all groups that there were: whoever had
+        the better place before has lent by it.
+        """
+        self._formers = [former for former in self._formers if former.until_s > now_s]
+        places = [self._place(former.view, tenant) for former in self._formers]
+        return max([self._place(self._view, tenant), *places])
+
+    def _place(self, view: GroupView | None, tenant: str) -> int:
+        disks = disk_ids(view.members) if view is not None else []
+        if self._disk_id not in disks:
+            return _LAST_PLACE
+        return sorted(disks, key=lambda disk: score(tenant, disk)).index(self._disk_id)
+
     def holds(self, vouchers: Mapping[str, Voucher], now_s: float) -> bool:
         """Return whether the replica may lend now.
 
--- a/yarrowwall/quotas/lender.py
+++ b/yarrowwall/quotas/lender.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from collections.abc import Callable
 from typing import NamedTuple
 
 from yarrowwall.messages.quotas import (
@@ -77,11 +78,16 @@
     """One replica's part of all tenants' limits.
 
     :param lenders: into how many parts each limit is divided.
+    :param rank_of: returns this lender's place among them for a tenant, at a moment of the
+        monotonic clock.
     """
 
-    def __init__(self, terms: QuotaTerms, lenders: int) -> None:
+    def __init__(
+        self, terms: QuotaTerms, lenders: int, rank_of: Callable[[str, float], int]
+    ) -> None:
         self._terms = terms
         self._lenders = lenders
+        self._rank_of = rank_of
         self._books: dict[str, _Book] = {}
 
     def take(self, request: TakeQuota, clock: Clock) -> Outcome:
@@ -95,7 +101,8 @@
                 return Outcome(_no_room(welcome_after_s))
         if not request.count:
             return Outcome(QuotaReply(QuotaStatus.GRANTED, 0, 0, 0, 0.0))
-        share = book.limit.share(self._terms, self._lenders)
+        rank = self._rank_of(request.tenant, now_s)
+        share = book.limit.share(self._terms, self._lenders, rank)
         room = math.floor(share - book.lent.total(now_s))
         if room < 1:
             return Outcome(_no_room(book.lent.room_after_s(1, share, now_s)))
--- a/yarrowwall/quotas/terms.py
+++ b/yarrowwall/quotas/terms.py
@@ -51,6 +51,13 @@
         """Return the requests of a window beyond which the limit is broken."""
         return self.agreed(terms) * (1.0 + terms.overage) + terms.slack
 
-    def share(self, terms: QuotaTerms, lenders: int) -> int:
-        """Return the requests of a window that each of a number of lenders may lend."""
-        return math.floor(self.most(terms) / lenders)
+    def share(self, terms: QuotaTerms, lenders: int, rank: int) -> int:
+        """Return the requests of a window that one of a number of lenders may lend.
+
+        What does not divide evenly goes to the lenders of the first ranks, one each: a limit of
+        three would be none for five lenders otherwise.
+
+        :param rank: the lender's place among them for this tenant, from 0.
+        """
+        base, rest = divmod(math.floor(self.most(terms)), lenders)
+        return base + (1 if rank < rest else 0)
--- a/yarrowwall/replication/disk.py
+++ b/yarrowwall/replication/disk.py
@@ -62,8 +62,8 @@
         disk_id = identity.initialise(self._folder)
         self._store = SegmentStore(self._folder / _LOG_FOLDER, SEGMENT_BYTES)
         replica = RecordReplica(node_id, disk_id)
-        self.lender = Lender(self._quotas.terms, self._quotas.lenders)
         self.entitlement = Entitlement(disk_id, self._quotas.terms.lent_s)
+        self.lender = Lender(self._quotas.terms, self._quotas.lenders, self.entitlement.rank)
         clock = Clock(time.time(), time.monotonic())
         replica.restore(self._restore_quotas(self._own_records(), clock), clock.wall_s)
         self.replica = replica
