--- a/yarrowwall/cli/quota_experiment.py
+++ b/yarrowwall/cli/quota_experiment.py
@@ -5,7 +5,7 @@
 
 import click
 
-from yarrowwall.quotas.emulator import SCENARIOS, WAYS, Figures, compare
+from yarrowwall.simulation.quota_ways import SCENARIOS, WAYS, Figures, compare
 
 
 def _print_table(rows: list[Figures]) -> None:
--- a/yarrowwall/quotas/borrowing.py
+++ b/yarrowwall/quotas/borrowing.py
@@ -4,30 +4,27 @@
 sent, which is no later than the moment from which the lender counts it.
 """
 
-from collections import defaultdict, deque
 from collections.abc import Callable
-from typing import NamedTuple
 
 import xxhash
-from eventlet.event import Event
 
 from yarrowwall.messages.quotas import (
     LimitTold,
     QuotaReply,
     QuotaStatus,
-    ReturnQuota,
     TakeQuota,
 )
 from yarrowwall.messages.replicated import Member
+from yarrowwall.quotas.credits import Credit, CreditStock
 from yarrowwall.quotas.order import LenderOrder
-from yarrowwall.quotas.terms import CREDIT_SECONDS
+from yarrowwall.quotas.questions import Question, Questions
 from yarrowwall.relay import decisions
 from yarrowwall.relay.decisions import DecisionLog
 from yarrowwall.relay.model import Attempt, Configuration, Refusal, Tenant
 from yarrowwall.relay.offer import RETRY_AFTER_SECONDS, RefusedError
 from yarrowwall.relay.quotas import Allowance, QuotaSource, Unlimited
 from yarrowwall.replication.group_views import GroupViews
-from yarrowwall.replication.rpc import Link, LinkTable
+from yarrowwall.replication.rpc import LinkTable
 
 #: A lender is late, and the next one is asked as well, after this many times what is usual,
 #: within these bounds in seconds. The way between zones, a sync of its disk and its queue take
@@ -41,14 +38,6 @@
 #: Seconds to wait for any lender. All replicas may be slow at once, and a refusal may end a
 #: program; the reservation of a turn waits as long.
 MOST_WAIT_SECONDS = 0.6
-#: Requests asked for at once where another one of the tenant is likely to follow, and the seconds
-#: since its last question within which it is: 1.5 messages a request instead of 2.4, with as
-#: much refused (emulator, 57 gateways).
-PAIR = 2
-FREQUENT_SECONDS = 0.3
-#: Seconds that leave must have left to be used for another request: what that takes from its
-#: arrival to its sending, a turn's reservation included.
-LEAST_LEFT_SECONDS = 0.05
 #: Bounds of the seconds after which callers that were refused should come back.
 LEAST_RETRY_SECONDS = 0.05
 MOST_RETRY_SECONDS = 2.0
@@ -57,171 +46,6 @@
 _UNAVAILABLE = 503
 
 
-class Credit(NamedTuple):
-    """Leave for one sending.
-
-    :param request: the question that was answered by it.
-    :param ticket: by which the lender takes it back.
-    """
-
-    lender: Member
-    request: TakeQuota
-    ticket: int
-    expires_at_s: float
-
-    def returned(self) -> ReturnQuota:
-        """Return the message that gives it back."""
-        request = self.request
-        return ReturnQuota(request.group, request.disk_id, request.tenant, self.ticket)
-
-
-class _Question:
-    """A question to one lender.
-
-    :param arrived: called with the question once its answer is there.
-    :param answered: the same, even if it was given up before.
-    """
-
-    def __init__(
-        self,
-        lender: Member,
-        link: Link,
-        request: TakeQuota,
-        now_s: float,
-        arrived: Callable[["_Question"], None],
-        answered: Callable[["_Question"], None],
-    ) -> None:
-        self.lender = lender
-        self.asked_at_s = now_s
-        self.reply: QuotaReply | None = None
-        self._arrived = arrived
-        self._answered = answered
-        self._is_given_up = False
-        self._link = link
-        self._request = request
-        self._number = link.post(request, self._complete)
-
-    def _complete(self, reply: object | None) -> None:
-        self.reply = reply if isinstance(reply, QuotaReply) else None
-        self._answered(self)
-        if self._is_given_up:
-            self._give_back()
-        else:
-            self._arrived(self)
-
-    def note_late(self) -> None:
-        """Note that the answer should have come by now."""
-        self._link.note_late(self._number)
-
-    def give_up(self) -> None:
-        """Give back whatever is granted, now or later."""
-        self._is_given_up = True
-        self._give_back()
-
-    def credits(self) -> list[Credit]:
-        """Return the leave that the answer brings, once."""
-        reply, self.reply = self.reply, None
-        if reply is None:
-            return []
-        expires_at_s = self.asked_at_s + CREDIT_SECONDS
-        return [Credit(self.lender, self._request, reply.ticket, expires_at_s)] * reply.granted
-
-    def _give_back(self) -> None:
-        for credit in self.credits():
-            self._link.tell(credit.returned())
-
-
-class _Questions:
-    """Questions of one attempt to several lenders, whose answers are taken as they come.
-
-    :param answered: called with each question that was answered, late as it may be.
-    """
-
-    def __init__(self, answered: Callable[[_Question], None]) -> None:
-        self._answered = answered
-        self.open: list[_Question] = []
-        self._arrived: deque[_Question] = deque()
-        self._wakeup = Event()
-
-    def add(self, lender: Member, link: Link, request: TakeQuota, now_s: float) -> None:
-        """Ask a lender."""
-        question = _Question(lender, link, request, now_s, self._take, self._answered)
-        self.open.append(question)
-
-    def _take(self, question: _Question) -> None:
-        self._arrived.append(question)
-        if not self._wakeup.ready():
-            self._wakeup.send()
-
-    def next(self, timeout_s: float) -> _Question | None:
-        """Return a question whose answer is there; None if none comes in time."""
-        if not self._arrived and timeout_s > 0.0:
-            self._wakeup = Event()
-            self._wakeup.wait(timeout_s)
-        if not self._arrived:
-            return None
-        question = self._arrived.popleft()
-        self.open.remove(question)
-        return question
-
-    def close(self) -> None:
-        """Give back whatever else is granted, now or later."""
-        for question in self.open:
-            question.give_up()
-        self.open.clear()
-        self._arrived.clear()
-
-
-class CreditStock:
-    """Leave that a gateway holds for the next request of a tenant."""
-
-    def __init__(self, links: LinkTable, now: Callable[[], float]) -> None:
-        self._links = links
-        self._now = now
-        self._credits: dict[str, list[Credit]] = defaultdict(list)
-        self._asked_at_s: dict[str, float] = {}
-
-    def take(self, tenant: str) -> Credit | None:
-        """Return leave that may still be used for a while; None if there is none."""
-        credits = self._credits.get(tenant)
-        while credits:
-            credit = credits.pop()
-            if credit.expires_at_s > self._now() + LEAST_LEFT_SECONDS:
-                return credit
-            self.give_back(credit)
-        return None
-
-    def put(self, credit: Credit) -> None:
-        """Keep leave for the next request."""
-        self._credits[credit.request.tenant].append(credit)
-
-    def give_back(self, credit: Credit) -> None:
-        """Let the lender lend it to others."""
-        self._links.get(credit.lender.address).tell(credit.returned())
-
-    def wanted(self, tenant: str) -> int:
-        """Return for how many requests to ask at once."""
-        now_s = self._now()
-        asked_at_s = self._asked_at_s.get(tenant)
-        self._asked_at_s[tenant] = now_s
-        is_frequent = asked_at_s is not None and now_s - asked_at_s < FREQUENT_SECONDS
-        return PAIR if is_frequent else 1
-
-    def sweep(self) -> None:
-        """Give back what is over, and forget tenants who have fallen silent."""
-        now_s = self._now()
-        for tenant, credits in list(self._credits.items()):
-            over = [credit for credit in credits if credit.expires_at_s <= now_s]
-            for credit in over:
-                credits.remove(credit)
-                self.give_back(credit)
-            if not credits:
-                del self._credits[tenant]
-        for tenant, asked_at_s in list(self._asked_at_s.items()):
-            if now_s - asked_at_s > FREQUENT_SECONDS:
-                del self._asked_at_s[tenant]
-
-
 class QuotaBorrower(QuotaSource):
     """Borrows from the replicas of a tenant's group.
 
@@ -249,7 +73,7 @@
         """Return the seconds after which a lender is held to be late."""
         return min(max(LATE_FACTOR * self._usual_s, LATE_SECONDS), MOST_LATE_SECONDS)
 
-    def note_answered(self, question: _Question) -> None:
+    def note_answered(self, question: Question) -> None:
         """Take in that a lender answered, and how long it took."""
         if question.reply is None or question.reply.status is QuotaStatus.NOT_ENTITLED:
             return
@@ -282,7 +106,7 @@
         self._attempt = attempt
         self._tenant = tenant
         self._limit = LimitTold(version, tenant.rate_per_s, tenant.burst)
-        self._questions = _Questions(borrower.note_answered)
+        self._questions = Questions(borrower.note_answered)
         self._asked: set[str] = set()
         self._credit: Credit | None = None
         self._spent: Credit | None = None
@@ -303,7 +127,7 @@
         now_s = self._borrower.now()
         members = self._members()
         for lender in self._borrower.order.home(members, self._tenant.name, now_s):
-            questions = _Questions(self._borrower.note_answered)
+            questions = Questions(self._borrower.note_answered)
             self._ask(questions, lender, 0, expected_requests)
             question = questions.next(self._borrower.late_s)
             questions.close()
@@ -353,7 +177,7 @@
         now_s = self._borrower.now()
         return self._borrower.order.candidates(self._members(), self._tenant.name, now_s)
 
-    def _ask(self, questions: _Questions, lender: Member, count: int, program_size: float) -> None:
+    def _ask(self, questions: Questions, lender: Member, count: int, program_size: float) -> None:
         request = TakeQuota(
             self._group(), lender.disk_id, self._tenant.name, self._limit, count, program_size
         )
@@ -406,7 +230,7 @@
         is_hopeless = self._borrower.order.is_silent(self._members(), self._borrower.now())
         return LATE_SECONDS if is_hopeless else MOST_WAIT_SECONDS
 
-    def _next_answer(self, end_s: float) -> _Question | None:
+    def _next_answer(self, end_s: float) -> Question | None:
         """Return the next answer, asking one lender more each time that none comes soon."""
         while (left_s := end_s - self._borrower.now()) > 0.0:
             question = self._questions.next(min(self._borrower.late_s, left_s))
@@ -419,7 +243,7 @@
                 return self._questions.next(end_s - self._borrower.now())
         return None
 
-    def _take(self, question: _Question, reply: QuotaReply) -> Credit | None:
+    def _take(self, question: Question, reply: QuotaReply) -> Credit | None:
         """Take in what a lender granted; return leave for one sending."""
         if not reply.room:
             self._note_exhausted(question.lender, LATE_SECONDS)
--- /dev/null
+++ b/yarrowwall/quotas/credits.py
@@ -0,0 +1,86 @@
+"""Leave that a gateway holds, and the stock of it. No I/O but messages that give leave back."""
+
+from collections import defaultdict
+from collections.abc import Callable
+from typing import NamedTuple
+
+from yarrowwall.messages.quotas import ReturnQuota, TakeQuota
+from yarrowwall.messages.replicated import Member
+from yarrowwall.replication.rpc import LinkTable
+
+#: Requests asked for at once where another one of the tenant is likely to follow, and the seconds
+#: since its last question within which it is: 1.5 messages a request instead of 2.4, with as
+#: much refused (emulator, 57 gateways).
+PAIR = 2
+FREQUENT_SECONDS = 0.3
+#: Seconds that leave must have left to be used for another request: what that takes from its
+#: arrival to its sending, a turn's reservation included.
+LEAST_LEFT_SECONDS = 0.05
+
+
+class Credit(NamedTuple):
+    """Leave for one sending.
+
+    :param request: the question that was answered by it.
+    :param ticket: by which the lender takes it back.
+    """
+
+    lender: Member
+    request: TakeQuota
+    ticket: int
+    expires_at_s: float
+
+    def returned(self) -> ReturnQuota:
+        """Return the message that gives it back."""
+        request = self.request
+        return ReturnQuota(request.group, request.disk_id, request.tenant, self.ticket)
+
+
+class CreditStock:
+    """Leave that a gateway holds for the next request of a tenant."""
+
+    def __init__(self, links: LinkTable, now: Callable[[], float]) -> None:
+        self._links = links
+        self._now = now
+        self._credits: dict[str, list[Credit]] = defaultdict(list)
+        self._asked_at_s: dict[str, float] = {}
+
+    def take(self, tenant: str) -> Credit | None:
+        """Return leave that may still be used for a while; None if there is none."""
+        credits = self._credits.get(tenant)
+        while credits:
+            credit = credits.pop()
+            if credit.expires_at_s > self._now() + LEAST_LEFT_SECONDS:
+                return credit
+            self.give_back(credit)
+        return None
+
+    def put(self, credit: Credit) -> None:
+        """Keep leave for the next request."""
+        self._credits[credit.request.tenant].append(credit)
+
+    def give_back(self, credit: Credit) -> None:
+        """Let the lender lend it to others."""
+        self._links.get(credit.lender.address).tell(credit.returned())
+
+    def wanted(self, tenant: str) -> int:
+        """Return for how many requests to ask at once."""
+        now_s = self._now()
+        asked_at_s = self._asked_at_s.get(tenant)
+        self._asked_at_s[tenant] = now_s
+        is_frequent = asked_at_s is not None and now_s - asked_at_s < FREQUENT_SECONDS
+        return PAIR if is_frequent else 1
+
+    def sweep(self) -> None:
+        """Give back what is over, and forget tenants who have fallen silent."""
+        now_s = self._now()
+        for tenant, credits in list(self._credits.items()):
+            over = [credit for credit in credits if credit.expires_at_s <= now_s]
+            for credit in over:
+                credits.remove(credit)
+                self.give_back(credit)
+            if not credits:
+                del self._credits[tenant]
+        for tenant, asked_at_s in list(self._asked_at_s.items()):
+            if now_s - asked_at_s > FREQUENT_SECONDS:
+                del self._asked_at_s[tenant]
--- a/yarrowwall/relay/gateway.py
+++ b/yarrowwall/relay/gateway.py
@@ -8,6 +8,7 @@
 from eventlet.event import Event
 
 from yarrowwall.relay import decisions
+from yarrowwall.relay.admission import Admission
 from yarrowwall.relay.caller_watch import CallerWatch
 from yarrowwall.relay.exceptions import (
     CallerGoneError,
@@ -17,7 +18,7 @@
 )
 from yarrowwall.relay.freshness import Freshness
 from yarrowwall.relay.http_server import ServerLimits, close_after_answer
-from yarrowwall.relay.keys import fingerprint, key_changes
+from yarrowwall.relay.keys import key_changes
 from yarrowwall.relay.model import Answer, Attempt, Configuration, Refusal, RequestKind, Route
 from yarrowwall.relay.offer import RETRY_AFTER_SECONDS, Offer, RefusedError, RelayParts
 from yarrowwall.relay.ports import CallerProtocol
@@ -31,7 +32,6 @@
 StartResponse = Callable[..., Any]
 
 _BAD_REQUEST = 400
-_KEY_UNKNOWN = 401
 _BUDGET_SPENT = 402
 _NOT_FOUND = 404
 _TOO_LARGE = 413
@@ -69,7 +69,7 @@
         self._programs = programs
         self._limits = limits
         self._freshness = freshness
-        self.table: RouteTable | None = None
+        self.admission = Admission(freshness, parts.now)
         self.running = 0
         self._stops_at: float | None = None
         self._refuses_from = 0.0
@@ -91,6 +91,11 @@
         if left > 0.0 and not self._informed.ready():
             self._informed.wait(left)
 
+    @property
+    def table(self) -> RouteTable | None:
+        """Return the routes and keys in force; None before the first configuration."""
+        return self.admission.table
+
     @property
     def is_stopping(self) -> bool:
         """Return whether the process was asked to stop."""
@@ -135,7 +140,7 @@
         if self.table is not None and configuration.version <= self.table.configuration.version:
             return False
         before = self.table.configuration if self.table is not None else None
-        self.table = RouteTable(configuration)
+        self.admission.table = RouteTable(configuration)
         self._limits.current = configuration.limits
         self._parts.decisions.write(
             decisions.ConfigurationInForce(
@@ -150,53 +155,6 @@
         """Answer one request."""
         return _Exchange(self, environ, start_response).run()
 
-    def match(self, attempt: Attempt) -> Route:
-        """Return an attempt's route, and note its tenant in the attempt.
-
-        :raises RefusedError: if there is none, no configuration is known, or nobody holds
-            the attempt's key.
-        """
-        if self.table is None:
-            raise RefusedError(
-                Refusal(_UNAVAILABLE, "no configuration is known", RETRY_AFTER_SECONDS)
-            )
-        route = self.table.match(attempt.host, attempt.path)
-        if route is None:
-            raise self._denied(attempt, Refusal(_NOT_FOUND, "no route"))
-        self._identify(attempt, route, self.table)
-        return route
-
-    def _identify(self, attempt: Attempt, route: Route, table: RouteTable) -> None:
-        """Note whose attempt it is, and so how urgent.
-
-        :raises RefusedError: if its key is needed and nobody holds it, or the configuration is
-            too old to tell.
-        """
-        attempt.priority = route.priority
-        if not table.needs_keys:
-            return
-        tenant = table.tenant_of(attempt.api_key)
-        if tenant is not None:
-            if not route.is_public and not self._freshness.may_serve_keys(attempt.arrived_at):
-                raise self._too_old()
-            attempt.tenant = tenant.name
-            if tenant.priority is not None:
-                attempt.priority = tenant.priority
-        elif not route.is_public:
-            raise self._denied(attempt, Refusal(_KEY_UNKNOWN, _unknown_key(attempt.api_key)))
-
-    def _denied(self, attempt: Attempt, refusal: Refusal) -> RefusedError:
-        """Return a denial, if the configuration is fresh enough to tell."""
-        if self._freshness.may_deny(attempt.arrived_at):
-            return RefusedError(refusal)
-        return self._too_old()
-
-    def _too_old(self) -> RefusedError:
-        now = self._parts.now()
-        reason = f"the configuration was last proved {self._freshness.age_s(now):.2f} s ago"
-        refusal = Refusal(_UNAVAILABLE, reason, self._freshness.retry_after_s(now))
-        return RefusedError(refusal)
-
 
 class _Exchange:
     """One request of a caller and its answer."""
@@ -235,7 +193,7 @@
             attempt = self._gateway._callers.read_attempt(self._environ, self._arrived_at)
             self._attempt_id = attempt.attempt_id
             self._gateway.wait_until_informed()
-            route = self._gateway.match(attempt)
+            route = self._gateway.admission.match(attempt)
             attempt.body = self._read_body()
         except InvalidAttemptError as error:
             yield self._refuse(Refusal(error.status, str(error)))
@@ -441,13 +399,6 @@
     return attempt.program.finish_at - attempt.arrived_at
 
 
-def _unknown_key(api_key: str | None) -> str:
-    """Return why a caller is not known."""
-    if api_key is None:
-        return "there is no key, or more than one"
-    return f"no tenant holds the key {fingerprint(api_key)}"
-
-
 def _reason(status: int) -> str:
     try:
         return HTTPStatus(status).phrase
