One hash of keys to groups, one text of an age, one way to ask with a key

Read once more as a newcomer, without a change of behaviour: - the group of a tenant and that of a record are found by GroupViews.group_of (the hash stood in the ledger and in the borrowing); - the failure tool looks for the text that the refusal for age is made of, instead of a copy; - Entitlement uses the replica's FIRST_EPOCH; the voucher stands with the arithmetic of groups, so that replication/peers.py does not import from quotas/; - a lender's place is counted instead of sorted; a request's header names are lowered once (they were lowered again for the key); - the first list of a kind and later ones share one call; two settings types said the same; - steps: world.ask sends with a key already, a first turn is ask_turn with a budget.

--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -9,15 +9,17 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.steps.tenant_steps import answered, ask_as, ask_turn
+from features.steps.tenant_steps import answered, ask_turn
 from features.support.platform_scripts import add, arrivals, publish, world
-from features.support.platform_world import HOST, Answer, Arrival, read_answer, stream
+from features.support.platform_world import Answer, Arrival, stream
 from features.support.processes import wait_until
 
 WINDOW_S = 5.0
 #: Requests that clients have under way at once.
 CLIENTS = 8
 MOST_PROGRAMS = 30
+#: Tokens that a program with several turns may emit.
+BUDGET = 400
 
 
 def set_limit(context: Context, name: str, rate_per_s: int, burst: int) -> None:
@@ -54,17 +56,7 @@
 
 
 def ask_at(context: Context, key: str, route: str, gateway: int) -> Answer:
-    used = world(context).connect(gateway)
-    started = time.monotonic()
-    headers = {
-        "Host": HOST,
-        "X-Key": key,
-        "X-Attempt-Id": world(context).next_attempt(),
-        "X-Deadline-Ms": "3000",
-    }
-    used.request("POST", f"/{route}/x", b"payload", headers)
-    answer = read_answer(used, started)
-    used.close()
+    answer = world(context).ask(route, b"payload", gateway, X_Key=key)
     if answer.status == 200:
         context.ran.append(time.monotonic())
     return answer
@@ -133,24 +125,12 @@
     add(context, route, "streaming", script)
 
 
-def first_turn(context: Context, key: str, route: str, program: str) -> Answer:
-    return ask_as(
-        context,
-        key,
-        route,
-        X_Program_Id=program,
-        X_Session_Id=program,
-        X_Token_Budget="400",
-        X_Token_Count="100,40",
-    )
-
-
 @when('programs of "alloy" begin on "{route}" until one is refused')
 def begin_programs(context: Context, route: str) -> None:
     with ThreadPoolExecutor(MOST_PROGRAMS) as pool:
         running = []
         for number in range(MOST_PROGRAMS):
-            running.append(pool.submit(first_turn, context, "key-a", route, f"p-{number}"))
+            running.append(pool.submit(ask_turn, context, "key-a", route, f"p-{number}", BUDGET))
             time.sleep(0.05)
         context.begun = [one.result() for one in running]
 
@@ -166,7 +146,7 @@
 
 @then("a second turn of the first program gets {status:d}")
 def second_turn(context: Context, status: int) -> None:
-    assert first_turn(context, "key-a", "talk", "p-0").status == status
+    assert ask_turn(context, "key-a", "talk", "p-0", BUDGET).status == status
 
 
 @when("{count:d} more turns of it are refused for its budget")
--- a/features/steps/tenant_steps.py
+++ b/features/steps/tenant_steps.py
@@ -39,14 +39,16 @@
     return answer
 
 
-def ask_turn(context: Context, key: str, route: str, program: str, **headers) -> Answer:
+def ask_turn(
+    context: Context, key: str, route: str, program: str, budget: int = 40, **headers
+) -> Answer:
     return ask_as(
         context,
         key,
         route,
         X_Program_Id=program,
         X_Session_Id=program,
-        X_Token_Budget="40",
+        X_Token_Budget=str(budget),
         X_Token_Count="100,40",
         **headers,
     )
--- a/yarrowwall/cli/failures.py
+++ b/yarrowwall/cli/failures.py
@@ -10,6 +10,7 @@
 import click
 
 from yarrowwall.cli.explain import read_lines
+from yarrowwall.relay.freshness import TOO_OLD
 
 _ENDS = {"AttemptAnswered", "AttemptRefused", "AnswerBrokenOff", "CallerLeft"}
 _BUDGET_SPENT = 402
@@ -55,8 +56,6 @@
 #: Causes of a gateway's own answers that are told by their status alone.
 _REFUSALS = {401: Cause.KEY_UNKNOWN, 429: Cause.LIMIT}
 _UNAVAILABLE = 503
-#: How the reason of a refusal for age begins.
-_TOO_OLD = "the configuration was last proved"
 
 
 class Attempt(NamedTuple):
@@ -147,7 +146,7 @@
     if status < _SERVER_ERROR:
         return None
     if status == _UNAVAILABLE:
-        is_old = attempt.end.get("reason", "").startswith(_TOO_OLD)
+        is_old = attempt.end.get("reason", "").startswith(TOO_OLD)
         return Cause.AGE if is_old else Cause.REFUSED
     return Cause.TIMED_OUT if is_repeatable else Cause.LOST_UNREPEATABLE
 
--- a/yarrowwall/platform/callers.py
+++ b/yarrowwall/platform/callers.py
@@ -44,9 +44,9 @@
         :raises InvalidAttemptError: if it is malformed.
         """
         headers = environ["headers_raw"]
-        values = {name.lower(): value for name, value in headers}
+        lowered = [(name.lower(), value) for name, value in headers]
+        values = dict(lowered)
         attempt_id = values.get(names.ATTEMPT_ID.lower(), "")
-        key = _only_value(headers, names.API_KEY)
         if not attempt_id:
             raise InvalidAttemptError(f"{names.ATTEMPT_ID} is missing")
         target = environ["RAW_PATH_INFO"]
@@ -65,7 +65,7 @@
             prompt=_prompt(values.get(names.PROMPT_PREFIX.lower(), "")),
             affinity=_affinity(values.get("cookie", "")),
             last_event_id=values.get(names.LAST_EVENT_ID.lower()),
-            api_key=key,
+            api_key=_only_value(lowered, names.API_KEY.lower()),
         )
 
     def answer_headers(self, answer: Answer) -> list[Header]:
@@ -97,9 +97,9 @@
     return name.strip().lower().replace("_", "-")
 
 
-def _only_value(headers: tuple[Header, ...], wanted: str) -> str | None:
+def _only_value(headers: list[Header], wanted: str) -> str | None:
     """Return the value of a header; None if it is missing or comes with different values."""
-    values = {value.strip() for name, value in headers if name.lower() == wanted.lower()}
+    values = {value.strip() for name, value in headers if name == wanted}
     return values.pop() if len(values) == 1 else None
 
 
--- a/yarrowwall/quotas/borrowing.py
+++ b/yarrowwall/quotas/borrowing.py
@@ -6,8 +6,6 @@
 
 from collections.abc import Callable
 
-import xxhash
-
 from yarrowwall.messages.quotas import (
     LimitTold,
     QuotaReply,
@@ -165,13 +163,14 @@
 
     # Lenders
 
+    @property
     def _group(self) -> int:
-        count = self._borrower.views.count
-        return xxhash.xxh3_64_intdigest(self._tenant.name.encode()) % count if count else 0
+        """Return the tenant's group; while none is known, one that has no members yet."""
+        return self._borrower.views.group_of(self._tenant.name) or 0
 
     def _members(self) -> list[Member]:
-        view = self._borrower.views.get(self._group())
-        return list(view.members) if view is not None else []
+        view = self._borrower.views.get(self._group)
+        return view.members if view is not None else []
 
     def _lenders(self) -> list[Member]:
         now_s = self._borrower.now()
@@ -179,7 +178,7 @@
 
     def _ask(self, questions: Questions, lender: Member, count: int, program_size: float) -> None:
         request = TakeQuota(
-            self._group(), lender.disk_id, self._tenant.name, self._limit, count, program_size
+            self._group, lender.disk_id, self._tenant.name, self._limit, count, program_size
         )
         link = self._borrower.links.get(lender.address)
         questions.add(lender, link, request, self._borrower.now())
--- a/yarrowwall/quotas/entitlement.py
+++ b/yarrowwall/quotas/entitlement.py
@@ -12,7 +12,8 @@
 from yarrowwall.core.hashing import score
 from yarrowwall.core.quorum import majority
 from yarrowwall.messages.replicated import GroupView
-from yarrowwall.replication.views import disk_ids
+from yarrowwall.replication.replica import FIRST_EPOCH
+from yarrowwall.replication.views import Voucher, disk_ids
 
 #: Seconds for which the answer of another replica vouches, counted from the sending of the
 #: question: four questions, so that one lost answer ends nothing.
@@ -22,21 +23,10 @@
 #: Epochs by which a group moves on when one member is replaced: one while it changes, one
 #: when that is over. A replica that sees a longer step may have been out of the group.
 EPOCHS_OF_A_CHANGE = 2
-_FIRST_EPOCH = 1
 #: The place of a disk that is not of a group: behind all lenders.
 _LAST_PLACE = 1000
 
 
-class Voucher(NamedTuple):
-    """What another replica said of its group.
-
-    :param asked_at_s: when the question was sent.
-    """
-
-    epoch: int
-    asked_at_s: float
-
-
 class _Former(NamedTuple):
     """A group that there was before.
 
@@ -76,7 +66,7 @@
         if known is not None and view.epoch <= known.epoch:
             return
         was_member = self._is_member
-        if known is None and view.epoch > _FIRST_EPOCH:
+        if known is None and view.epoch > FIRST_EPOCH:
             # What was before is not known any more, after a start.
             known = GroupView(view.group, 0, [], [])
         if known is not None:
@@ -85,7 +75,7 @@
         if not self._is_member:
             self._from_s = None
             self._has_begun = False
-        elif view.epoch == _FIRST_EPOCH:
+        elif view.epoch == FIRST_EPOCH:
             # Nobody has lent before.
             self._from_s = now_s
             self._has_begun = True
@@ -125,7 +115,8 @@
         disks = disk_ids(view.members) if view is not None else []
         if self._disk_id not in disks:
             return _LAST_PLACE
-        return sorted(disks, key=lambda disk: score(tenant, disk)).index(self._disk_id)
+        own = score(tenant, self._disk_id)
+        return sum(score(tenant, disk) < own for disk in disks)
 
     def holds(self, vouchers: Mapping[str, Voucher], now_s: float) -> bool:
         """Return whether the replica may lend now.
--- a/yarrowwall/readers/store.py
+++ b/yarrowwall/readers/store.py
@@ -132,11 +132,9 @@
 
     def _list_directly(self, kind: str, timeout_s: float, may_be_old: bool) -> Listing:
         sent_at_s = self._now()
-        if kind in self._revisions:
-            with self._asking_directly():
-                listing = self._direct.list(kind, timeout_s, may_be_old)
-        else:
-            # A machine that has just started is of no use before its first lists.
+        # A machine that has just started is of no use before its first lists.
+        is_first = kind not in self._revisions
+        with contextlib.nullcontext() if is_first else self._asking_directly():
             listing = self._direct.list(kind, timeout_s, may_be_old)
         if may_be_old:
             return listing
--- a/yarrowwall/relay/admission.py
+++ b/yarrowwall/relay/admission.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from yarrowwall.relay.freshness import Freshness
+from yarrowwall.relay.freshness import TOO_OLD, Freshness
 from yarrowwall.relay.keys import fingerprint
 from yarrowwall.relay.model import Attempt, Refusal, Route
 from yarrowwall.relay.offer import RETRY_AFTER_SECONDS, RefusedError
@@ -64,7 +64,7 @@
 
     def _too_old(self) -> RefusedError:
         now = self._now()
-        reason = f"the configuration was last proved {self._freshness.age_s(now):.2f} s ago"
+        reason = f"{TOO_OLD} {self._freshness.age_s(now):.2f} s ago"
         refusal = Refusal(_UNAVAILABLE, reason, self._freshness.retry_after_s(now))
         return RefusedError(refusal)
 
--- a/yarrowwall/relay/freshness.py
+++ b/yarrowwall/relay/freshness.py
@@ -14,6 +14,8 @@
 #: itself. Through readers a configuration is 2 s old at most, so half of the usual 5 s is
 #: beyond what they explain and leaves time for two tries.
 OWN_QUESTION_PART = 0.5
+#: How the reason of a refusal for age begins; logs are searched for it.
+TOO_OLD = "the configuration was last proved"
 #: Bounds of the seconds after which callers that were refused for age should come back.
 LEAST_RETRY_SECONDS = 0.15
 MOST_RETRY_SECONDS = 1.0
--- a/yarrowwall/relay/ledger.py
+++ b/yarrowwall/relay/ledger.py
@@ -13,7 +13,6 @@
 from typing import NamedTuple
 
 import eventlet
-import xxhash
 
 from yarrowwall.messages.replicated import StoredRecord
 from yarrowwall.relay import decisions
@@ -135,10 +134,10 @@
 
         :raises StoreUncertainError: if no group is known yet.
         """
-        count = self._views.count
-        if count == 0:
+        group = self._views.group_of(key)
+        if group is None:
             raise StoreUncertainError("no replica group is known")
-        return int(xxhash.xxh3_64_intdigest(key.encode()) % count)
+        return group
 
     def open_turn(
         self, attempt: Attempt, route: Route, tokens_per_event: int, end: float
--- a/yarrowwall/relay/settings.py
+++ b/yarrowwall/relay/settings.py
@@ -18,8 +18,8 @@
 _Name = Annotated[str, msgspec.Meta(pattern=NAME_PATTERN)]
 _Port = Annotated[int, msgspec.Meta(gt=0, lt=65536)]
 _Seconds = Annotated[float, msgspec.Meta(gt=0.0)]
-_Part = Annotated[float, msgspec.Meta(ge=0.0)]
-_Milliseconds = Annotated[float, msgspec.Meta(gt=0.0)]
+_Milliseconds = _Seconds
+_NotNegative = Annotated[float, msgspec.Meta(ge=0.0)]
 #: msgspec puts the place of a fault behind its text.
 _PLACE = re.compile(r" - at `\$\.?(.*)`$")
 
@@ -62,8 +62,8 @@
     revocation_ms: _Milliseconds | None = None
     configuration_ms: _Milliseconds | None = None
     quota_window_s: _Seconds = 5.0
-    quota_overage: _Part = 0.0
-    quota_slack: Annotated[float, msgspec.Meta(ge=0.0)] = 0.0
+    quota_overage: _NotNegative = 0.0
+    quota_slack: _NotNegative = 0.0
 
     @property
     def quota_terms(self) -> QuotaTerms:
--- a/yarrowwall/replication/group_views.py
+++ b/yarrowwall/replication/group_views.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import xxhash
+
 from yarrowwall.messages.replicated import GroupView
 
 
@@ -26,6 +28,12 @@
         """Return a group's newest view."""
         return self._views.get(group)
 
+    def group_of(self, key: str) -> int | None:
+        """Return the group that keeps what belongs to a key; None if no group is known yet."""
+        if not self._views:
+            return None
+        return int(xxhash.xxh3_64_intdigest(key.encode()) % len(self._views))
+
     @property
     def count(self) -> int:
         """Return how many groups there are."""
--- a/yarrowwall/replication/peers.py
+++ b/yarrowwall/replication/peers.py
@@ -5,8 +5,8 @@
 import eventlet
 
 from yarrowwall.messages.replicated import AskStatus, Member, StatusReply
-from yarrowwall.quotas.entitlement import Voucher
 from yarrowwall.replication.rpc import LinkTable
+from yarrowwall.replication.views import Voucher
 
 #: Seconds between questions, and how long an answer may take.
 HEARTBEAT_SECONDS = 0.4
--- a/yarrowwall/replication/views.py
+++ b/yarrowwall/replication/views.py
@@ -1,11 +1,22 @@
 """Arithmetic of groups: which replicas make a write complete and a read sure."""
 
 from collections.abc import Collection, Sequence
+from typing import NamedTuple
 
 from yarrowwall.core.quorum import has_quorum, read_quorum
 from yarrowwall.messages.replicated import GroupView, Member
 
 
+class Voucher(NamedTuple):
+    """What another replica said of its group.
+
+    :param asked_at_s: when the question was sent.
+    """
+
+    epoch: int
+    asked_at_s: float
+
+
 def disk_ids(members: Sequence[Member]) -> list[str]:
     """Return the disks of members."""
     return [member.disk_id for member in members]
