One type of a tenant's limit, looked up once with the key

Read once more: the limit stood in two types of the same three fields (one with methods, one in messages) that were turned into each other at both ends, and a tenant was found twice for each request, by its key and then by its name in a second dictionary made for that. Now admission notes the limit with the tenant, the message's type is the only one, and the arithmetic stands with the terms that it needs. Configuration.tenant() and its cache are gone.

--- a/features/steps/quota_proof_steps.py
+++ b/features/steps/quota_proof_steps.py
@@ -9,13 +9,13 @@
 from features.support.quota_model import END_S, LIMIT, TERMS, played
 from features.support.quota_mutants import MUTANTS
 from yarrowwall.cli.quota_experiment import quota_experiment
-from yarrowwall.messages.quotas import LimitTold, QuotaReply, QuotaStatus, ReturnQuota, TakeQuota
+from yarrowwall.messages.quotas import QuotaReply, QuotaStatus, ReturnQuota, TakeQuota, TenantLimit
 from yarrowwall.messages.replicated import GroupView, Member
 from yarrowwall.quotas.entitlement import Entitlement, Voucher
 from yarrowwall.quotas.lender import Clock, Lender
 from yarrowwall.quotas.order import LenderOrder
 from yarrowwall.quotas.program_sizes import ProgramSizes
-from yarrowwall.quotas.terms import QuotaTerms, TenantLimit
+from yarrowwall.quotas.terms import QuotaTerms
 
 #: Schedules in which a mutant has to be found.
 MUTANT_SEEDS = range(150)
@@ -40,8 +40,7 @@
 def schedules_use(context: Context, first: int, last: int) -> None:
     seeds = range(first, last + 1)
     arrived = sum(len(played(seed).arrived_s) for seed in seeds)
-    limit = TenantLimit(LIMIT.version, LIMIT.rate_per_s, LIMIT.burst)
-    allowed = limit.most(TERMS) * END_S / TERMS.window_s * len(seeds)
+    allowed = TERMS.most(LIMIT) * END_S / TERMS.window_s * len(seeds)
     assert arrived > allowed / 2.0, (arrived, allowed)
 
 
@@ -66,7 +65,7 @@
 
 def lender_of(context: Context, rate_per_s: float, burst: float) -> None:
     context.lender = Lender(PLAIN, 1, lambda tenant, now_s: 0)
-    context.limit = LimitTold(1, rate_per_s, burst)
+    context.limit = TenantLimit(1, rate_per_s, burst)
     context.replies = []
 
 
@@ -234,7 +233,7 @@
     for most in range(41):
         limit = TenantLimit(1, 0.0, float(most))
         for tenant in ("alloy", "ore", "slag"):
-            parts = [limit.share(PLAIN, 5, one.rank(tenant, NOW_S)) for one in entitlements]
+            parts = [PLAIN.share(limit, 5, one.rank(tenant, NOW_S)) for one in entitlements]
             assert sum(parts) == most, (most, tenant, parts)
             assert max(parts) - min(parts) <= 1
 
--- a/features/support/quota_model.py
+++ b/features/support/quota_model.py
@@ -14,18 +14,18 @@
 from yarrowwall.core.quorum import majority
 from yarrowwall.messages.quotas import (
     LendingBegun,
-    LimitTold,
     QuotaLent,
     QuotaReply,
     ReturnQuota,
     TakeQuota,
+    TenantLimit,
 )
 from yarrowwall.messages.replicated import GroupView, Member
 from yarrowwall.quotas import terms as quota_terms
 from yarrowwall.quotas.entitlement import Entitlement, Voucher
 from yarrowwall.quotas.lender import Clock, Lender
 from yarrowwall.quotas.lending import QuotaLending
-from yarrowwall.quotas.terms import QuotaTerms, TenantLimit
+from yarrowwall.quotas.terms import QuotaTerms
 from yarrowwall.replication.views import disk_ids
 
 END_S = 45.0
@@ -35,8 +35,8 @@
 TENANT = "alloy"
 #: Three parts of five requests and two of six make up the whole limit, so one more breaks it.
 TERMS = QuotaTerms(5.0, 0.1, 3.0)
-LIMIT = LimitTold(1, 4.0, 2.0)
-LOWERED = LimitTold(2, 1.0, 1.0)
+LIMIT = TenantLimit(1, 4.0, 2.0)
+LOWERED = TenantLimit(2, 1.0, 1.0)
 #: Seconds between two questions of a gateway: many times what the limit allows.
 ASK_S = 0.12
 HEARTBEAT_S = 0.4
@@ -381,9 +381,8 @@
                 first += 1
             # A lower limit holds one window after every gateway knows of it.
             is_low = arrived[first] > self.lowered_at_s + 1.5 + TERMS.lent_s
-            told = LOWERED if is_low else LIMIT
-            limit = TenantLimit(told.version, told.rate_per_s, told.burst)
-            worst = max(worst, last - first + 1 - limit.most(TERMS))
+            limit = LOWERED if is_low else LIMIT
+            worst = max(worst, last - first + 1 - TERMS.most(limit))
         return worst
 
 
--- a/features/support/quota_mutants.py
+++ b/features/support/quota_mutants.py
@@ -7,7 +7,7 @@
 
 from features.support import quota_model
 from features.support.quota_model import World
-from yarrowwall.messages.quotas import QuotaLent
+from yarrowwall.messages.quotas import QuotaLent, TenantLimit
 from yarrowwall.quotas.entitlement import Entitlement, Voucher
 from yarrowwall.quotas.lender import Clock, Lender, Outcome
 from yarrowwall.quotas.terms import CREDIT_SECONDS, QuotaTerms
@@ -42,8 +42,8 @@
     return max(0.0, self.wall_s - wall_s)
 
 
-def _whole_limit(self: Any, terms: QuotaTerms, lenders: int, rank: int) -> int:
-    return int(self.most(terms) / (lenders - 1))
+def _whole_limit(self: QuotaTerms, limit: TenantLimit, lenders: int, rank: int) -> int:
+    return int(self.most(limit) / (lenders - 1))
 
 
 def _new_rank_at_once(self: Entitlement, tenant: str, now_s: float) -> int:
@@ -66,7 +66,5 @@
     ),
     "ages go by the time of day alone": lambda: patch.object(Clock, "age_s", _by_time_of_day),
     "a better rank counts at once": lambda: patch.object(Entitlement, "rank", _new_rank_at_once),
-    "the parts are too large": lambda: patch(
-        "yarrowwall.quotas.terms.TenantLimit.share", _whole_limit
-    ),
+    "the parts are too large": lambda: patch.object(QuotaTerms, "share", _whole_limit),
 }
--- a/yarrowwall/messages/quotas.py
+++ b/yarrowwall/messages/quotas.py
@@ -18,10 +18,12 @@
 
 
 @dataclass(frozen=True)
-class LimitTold:
-    """A tenant's limit as the asking gateway knows it.
+class TenantLimit:
+    """A tenant's limit as a version of the configuration has it.
 
     :param version: of the configuration; a lender goes by the newest that it was told.
+    :param rate_per_s: requests a second.
+    :param burst: requests on top of that in any window.
     """
 
     version: int
@@ -41,7 +43,7 @@
     group: int
     disk_id: str
     tenant: str
-    limit: LimitTold
+    limit: TenantLimit
     count: int
     program_size: float
 
@@ -82,7 +84,7 @@
     """
 
     tenant: str
-    limit: LimitTold
+    limit: TenantLimit
     count: float
     wall_s: float
     steady_s: float
--- a/yarrowwall/quotas/borrowing.py
+++ b/yarrowwall/quotas/borrowing.py
@@ -7,10 +7,10 @@
 from collections.abc import Callable
 
 from yarrowwall.messages.quotas import (
-    LimitTold,
     QuotaReply,
     QuotaStatus,
     TakeQuota,
+    TenantLimit,
 )
 from yarrowwall.messages.replicated import Member
 from yarrowwall.quotas.credits import Credit, CreditStock
@@ -18,7 +18,7 @@
 from yarrowwall.quotas.questions import Question, Questions
 from yarrowwall.relay import decisions
 from yarrowwall.relay.decisions import DecisionLog
-from yarrowwall.relay.model import Attempt, Configuration, Refusal, Tenant
+from yarrowwall.relay.model import Attempt, Refusal
 from yarrowwall.relay.offer import RETRY_AFTER_SECONDS, RefusedError
 from yarrowwall.relay.quotas import Allowance, QuotaSource, Unlimited
 from yarrowwall.replication.group_views import GroupViews
@@ -79,14 +79,11 @@
         took_s = self.now() - question.asked_at_s
         self._usual_s += USUAL_WEIGHT * (took_s - self._usual_s)
 
-    def allowance(self, attempt: Attempt, configuration: Configuration | None) -> Allowance:
+    def allowance(self, attempt: Attempt) -> Allowance:
         """Return the leave that an attempt needs."""
-        if configuration is None or not attempt.tenant:
+        if attempt.limit is None:
             return Unlimited()
-        tenant = configuration.tenant(attempt.tenant)
-        if tenant is None or tenant.rate_per_s <= 0.0:
-            return Unlimited()
-        return BorrowedAllowance(self, attempt, tenant, configuration.version)
+        return BorrowedAllowance(self, attempt, attempt.limit)
 
     def keep_house(self) -> None:
         """Give back what is over; forget which lenders had no room a while ago."""
@@ -97,13 +94,11 @@
 class BorrowedAllowance(Allowance):
     """Leave that lenders give, one request at a time."""
 
-    def __init__(
-        self, borrower: QuotaBorrower, attempt: Attempt, tenant: Tenant, version: int
-    ) -> None:
+    def __init__(self, borrower: QuotaBorrower, attempt: Attempt, limit: TenantLimit) -> None:
         self._borrower = borrower
-        self._attempt = attempt
-        self._tenant = tenant
-        self._limit = LimitTold(version, tenant.rate_per_s, tenant.burst)
+        self._attempt_id = attempt.attempt_id
+        self._tenant = attempt.tenant
+        self._limit = limit
         self._questions = Questions(borrower.note_answered)
         self._asked: set[str] = set()
         self._credit: Credit | None = None
@@ -113,7 +108,7 @@
 
     def begin(self) -> None:
         """Take leave that is held, or begin to ask the first lender."""
-        self._credit = self._borrower.stock.take(self._tenant.name)
+        self._credit = self._borrower.stock.take(self._tenant)
         if self._credit is None:
             self._ask_next()
 
@@ -124,7 +119,7 @@
         """
         now_s = self._borrower.now()
         members = self._members()
-        for lender in self._borrower.order.home(members, self._tenant.name, now_s):
+        for lender in self._borrower.order.home(members, self._tenant, now_s):
             questions = Questions(self._borrower.note_answered)
             self._ask(questions, lender, 0, expected_requests)
             question = questions.next(self._borrower.late_s)
@@ -166,7 +161,7 @@
     @property
     def _group(self) -> int:
         """Return the tenant's group; while none is known, one that has no members yet."""
-        return self._borrower.views.group_of(self._tenant.name) or 0
+        return self._borrower.views.group_of(self._tenant) or 0
 
     def _members(self) -> list[Member]:
         view = self._borrower.views.get(self._group)
@@ -174,11 +169,11 @@
 
     def _lenders(self) -> list[Member]:
         now_s = self._borrower.now()
-        return self._borrower.order.candidates(self._members(), self._tenant.name, now_s)
+        return self._borrower.order.candidates(self._members(), self._tenant, now_s)
 
     def _ask(self, questions: Questions, lender: Member, count: int, program_size: float) -> None:
         request = TakeQuota(
-            self._group, lender.disk_id, self._tenant.name, self._limit, count, program_size
+            self._group, lender.disk_id, self._tenant, self._limit, count, program_size
         )
         link = self._borrower.links.get(lender.address)
         questions.add(lender, link, request, self._borrower.now())
@@ -189,7 +184,7 @@
         if not left:
             return False
         self._asked.add(left[0].disk_id)
-        count = self._borrower.stock.wanted(self._tenant.name)
+        count = self._borrower.stock.wanted(self._tenant)
         self._ask(self._questions, left[0], count, 0.0)
         return True
 
@@ -220,7 +215,7 @@
         asked = len(self._asked)
         self._begin_anew()
         if retry_after_s is None:
-            reason = f"no replica lends of the limit of {self._tenant.name}"
+            reason = f"no replica lends of the limit of {self._tenant}"
             raise RefusedError(Refusal(_UNAVAILABLE, reason, RETRY_AFTER_SECONDS))
         raise self._refused(asked, retry_after_s, begins=False)
 
@@ -265,14 +260,12 @@
 
     def _note_exhausted(self, lender: Member, after_s: float) -> None:
         now_s = self._borrower.now()
-        self._borrower.order.note_exhausted(lender, self._tenant.name, after_s, now_s)
+        self._borrower.order.note_exhausted(lender, self._tenant, after_s, now_s)
 
     def _refused(self, asked: int, retry_after_s: float, begins: bool) -> RefusedError:
         retry_after_s = min(max(retry_after_s, LEAST_RETRY_SECONDS), MOST_RETRY_SECONDS)
         self._borrower.log.write(
-            decisions.QuotaRefused(
-                self._attempt.attempt_id, self._tenant.name, asked, begins, retry_after_s
-            )
+            decisions.QuotaRefused(self._attempt_id, self._tenant, asked, begins, retry_after_s)
         )
-        reason = f"the limit of {self._tenant.name} is used up"
+        reason = f"the limit of {self._tenant} is used up"
         return RefusedError(Refusal(_TOO_MANY, reason, retry_after_s))
--- a/yarrowwall/quotas/lender.py
+++ b/yarrowwall/quotas/lender.py
@@ -10,14 +10,14 @@
 from typing import NamedTuple
 
 from yarrowwall.messages.quotas import (
-    LimitTold,
     QuotaLent,
     QuotaReply,
     QuotaStatus,
     ReturnQuota,
     TakeQuota,
+    TenantLimit,
 )
-from yarrowwall.quotas.terms import QuotaTerms, TenantLimit
+from yarrowwall.quotas.terms import QuotaTerms
 from yarrowwall.quotas.window import SlidingWindow
 
 NOT_ENTITLED = QuotaReply(QuotaStatus.NOT_ENTITLED, 0, 0, 0, 0.0)
@@ -68,10 +68,10 @@
         self.lent = SlidingWindow(terms.lent_s)
         self.begun = SlidingWindow(terms.window_s)
 
-    def take_limit(self, told: LimitTold) -> None:
+    def take_limit(self, told: TenantLimit) -> None:
         """Take in a limit unless it is older than the one that is known."""
         if told.version >= self.limit.version:
-            self.limit = TenantLimit(told.version, told.rate_per_s, told.burst)
+            self.limit = told
 
 
 class Lender:
@@ -102,7 +102,7 @@
         if not request.count:
             return Outcome(QuotaReply(QuotaStatus.GRANTED, 0, 0, 0, 0.0))
         rank = self._rank_of(request.tenant, now_s)
-        share = book.limit.share(self._terms, self._lenders, rank)
+        share = self._terms.share(book.limit, self._lenders, rank)
         room = math.floor(share - book.lent.total(now_s))
         if room < 1:
             return Outcome(_no_room(book.lent.room_after_s(1, share, now_s)))
@@ -116,7 +116,7 @@
 
         One program is always welcome, however large it is expected to be.
         """
-        most = max(book.limit.agreed(self._terms), size)
+        most = max(self._terms.agreed(book.limit), size)
         wait_s = book.begun.room_after_s(size, most, now_s)
         if wait_s <= 0.0:
             book.begun.add(size, now_s)
@@ -144,8 +144,8 @@
 
     @staticmethod
     def _record(tenant: str, book: _Book, count: float, age_s: float, clock: Clock) -> QuotaLent:
-        limit = LimitTold(*book.limit)
-        return QuotaLent(tenant, limit, count, clock.wall_s - age_s, clock.steady_s - age_s)
+        wall_s, steady_s = clock.wall_s - age_s, clock.steady_s - age_s
+        return QuotaLent(tenant, book.limit, count, wall_s, steady_s)
 
     def restore(self, record: QuotaLent, clock: Clock) -> None:
         """Take in a record that was found on disk."""
--- a/yarrowwall/quotas/terms.py
+++ b/yarrowwall/quotas/terms.py
@@ -3,6 +3,8 @@
 import math
 from typing import NamedTuple
 
+from yarrowwall.messages.quotas import TenantLimit
+
 #: Seconds after a question for leave in which a request that got it may be sent. Leave is used
 #: at once mostly; this bounds for how long a lender has to count it beyond the window.
 CREDIT_SECONDS = 0.5
@@ -31,27 +33,15 @@
         """Return for how many seconds a request counts after it was lent."""
         return (self.window_s + CREDIT_SECONDS + WAY_SECONDS) * (1.0 + CLOCK_DRIFT)
 
-
-class TenantLimit(NamedTuple):
-    """A tenant's limit as a version of the configuration has it.
-
-    :param rate_per_s: requests a second.
-    :param burst: requests on top of that in any window.
-    """
-
-    version: int
-    rate_per_s: float
-    burst: float
-
-    def agreed(self, terms: QuotaTerms) -> float:
+    def agreed(self, limit: TenantLimit) -> float:
         """Return the requests of a window that the operators agreed with the tenant."""
-        return self.rate_per_s * terms.window_s + self.burst
+        return limit.rate_per_s * self.window_s + limit.burst
 
-    def most(self, terms: QuotaTerms) -> float:
+    def most(self, limit: TenantLimit) -> float:
         """Return the requests of a window beyond which the limit is broken."""
-        return self.agreed(terms) * (1.0 + terms.overage) + terms.slack
+        return self.agreed(limit) * (1.0 + self.overage) + self.slack
 
-    def share(self, terms: QuotaTerms, lenders: int, rank: int) -> int:
+    def share(self, limit: TenantLimit, lenders: int, rank: int) -> int:
         """Return the requests of a window that one of a number of lenders may lend.
 
         What does not divide evenly goes to the lenders of the first ranks, one each: a limit of
@@ -59,5 +49,5 @@
 
         :param rank: the lender's place among them for this tenant, from 0.
         """
-        base, rest = divmod(math.floor(self.most(terms)), lenders)
+        base, rest = divmod(math.floor(self.most(limit)), lenders)
         return base + (1 if rank < rest else 0)
--- a/yarrowwall/relay/admission.py
+++ b/yarrowwall/relay/admission.py
@@ -42,7 +42,7 @@
         return route
 
     def _identify(self, attempt: Attempt, route: Route, table: RouteTable) -> None:
-        """Note whose attempt it is, and so how urgent."""
+        """Note whose attempt it is, and so how urgent and how limited."""
         attempt.priority = route.priority
         if not table.needs_keys:
             return
@@ -51,6 +51,7 @@
             if not route.is_public and not self._freshness.may_serve_keys(attempt.arrived_at):
                 raise self._too_old()
             attempt.tenant = tenant.name
+            attempt.limit = table.limit_of(tenant)
             if tenant.priority is not None:
                 attempt.priority = tenant.priority
         elif not route.is_public:
--- a/yarrowwall/relay/gateway.py
+++ b/yarrowwall/relay/gateway.py
@@ -259,17 +259,12 @@
         service = table.choose_service(route) if table is not None else ""
         return Offer(self._parts, attempt, route, service, end, body, allowance, last_server)
 
-    def _allowance(self, attempt: Attempt) -> Allowance:
-        table = self._gateway.table
-        configuration = table.configuration if table is not None else None
-        return self._parts.quotas.allowance(attempt, configuration)
-
     # Whole answers
 
     def _whole(self, attempt: Attempt, route: Route, end: float) -> bytes:
         if attempt.program is not None:
             self._parts.program_sizes.note_lookup()
-        allowance = self._allowance(attempt)
+        allowance = self._parts.quotas.allowance(attempt)
         allowance.begin()
         try:
             offer = self._offer(attempt, route, end, attempt.body, allowance)
@@ -296,7 +291,7 @@
 
     def _stream(self, attempt: Attempt, route: Route, end: float) -> Iterator[bytes]:
         loads = self._parts.loads.ask()
-        allowance = self._allowance(attempt)
+        allowance = self._parts.quotas.allowance(attempt)
         allowance.begin()
         try:
             grant = self._open_turn(attempt, route, end)
--- a/yarrowwall/relay/model.py
+++ b/yarrowwall/relay/model.py
@@ -5,7 +5,8 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
-from functools import cached_property
+
+from yarrowwall.messages.quotas import TenantLimit
 
 #: Header name and value, as they travel.
 Header = tuple[str, str]
@@ -123,14 +124,6 @@
     limits: CallerLimits
     tenants: tuple[Tenant, ...] | None = None
 
-    def tenant(self, name: str) -> Tenant | None:
-        """Return a tenant by its name; None if there is none."""
-        return self._tenants_by_name.get(name)
-
-    @cached_property
-    def _tenants_by_name(self) -> dict[str, Tenant]:
-        return {tenant.name: tenant for tenant in self.tenants or ()}
-
 
 @dataclass(frozen=True)
 class Server:
@@ -179,6 +172,7 @@
     :param api_key: the caller's secret, which goes into no log and to no server.
     :param tenant: name of the tenant that holds the key; empty if none is needed.
     :param priority: rank of the request by tenant and route, 0 is the most urgent.
+    :param limit: the limit of its tenant; None without one.
     """
 
     attempt_id: str
@@ -196,6 +190,7 @@
     api_key: str | None = field(default=None, repr=False)
     tenant: str = ""
     priority: int = 0
+    limit: TenantLimit | None = None
 
     @property
     def path(self) -> str:
--- a/yarrowwall/relay/quotas.py
+++ b/yarrowwall/relay/quotas.py
@@ -2,7 +2,7 @@
 
 from abc import ABC, abstractmethod
 
-from yarrowwall.relay.model import Attempt, Configuration
+from yarrowwall.relay.model import Attempt
 
 
 class Allowance(ABC):
@@ -40,7 +40,7 @@
     """Gives leave."""
 
     @abstractmethod
-    def allowance(self, attempt: Attempt, configuration: Configuration | None) -> Allowance:
+    def allowance(self, attempt: Attempt) -> Allowance:
         """Return the leave that an attempt needs."""
 
 
@@ -66,6 +66,6 @@
 class NoQuotas(QuotaSource):
     """Knows no limits."""
 
-    def allowance(self, attempt: Attempt, configuration: Configuration | None) -> Allowance:
+    def allowance(self, attempt: Attempt) -> Allowance:
         """Return leave without a limit."""
         return Unlimited()
--- a/yarrowwall/relay/routing.py
+++ b/yarrowwall/relay/routing.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 
+from yarrowwall.messages.quotas import TenantLimit
 from yarrowwall.relay.model import Configuration, Route, ServiceShare, Tenant
 
 
@@ -33,6 +34,12 @@
         """Return the tenant that holds a key; None if nobody does."""
         return self._by_key.get(api_key) if api_key else None
 
+    def limit_of(self, tenant: Tenant) -> TenantLimit | None:
+        """Return a tenant's limit; None without one."""
+        if tenant.rate_per_s <= 0.0:
+            return None
+        return TenantLimit(self.configuration.version, tenant.rate_per_s, tenant.burst)
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route whose prefix is the longest that begins the path."""
         name = host.lower()
--- a/yarrowwall/simulation/quota_ways.py
+++ b/yarrowwall/simulation/quota_ways.py
@@ -13,12 +13,12 @@
 from typing import NamedTuple
 
 from yarrowwall.messages.codec import encode
-from yarrowwall.messages.quotas import LimitTold, QuotaReply, QuotaStatus, TakeQuota
+from yarrowwall.messages.quotas import QuotaReply, QuotaStatus, TakeQuota, TenantLimit
 from yarrowwall.messages.replicated import Member
 from yarrowwall.quotas.entitlement import LEASE_SECONDS
 from yarrowwall.quotas.lender import Clock, Lender
 from yarrowwall.quotas.order import LenderOrder
-from yarrowwall.quotas.terms import CREDIT_SECONDS, QuotaTerms, TenantLimit
+from yarrowwall.quotas.terms import CREDIT_SECONDS, QuotaTerms
 from yarrowwall.quotas.window import SlidingWindow
 
 #: The users' terms: 5 s, a tenth and 20 requests above the limit.
@@ -158,8 +158,7 @@
 
 
 def _question(tenant: int, limit: TenantLimit, count: int) -> TakeQuota:
-    told = LimitTold(limit.version, limit.rate_per_s, limit.burst)
-    return TakeQuota(0, "disk-0123456789", f"tenant-{tenant}", told, count, 0.0)
+    return TakeQuota(0, "disk-0123456789", f"tenant-{tenant}", limit, count, 0.0)
 
 
 class Oracle(Way):
@@ -174,7 +173,7 @@
     def may_send(self, request: Request, limit: TenantLimit, is_cut: bool) -> bool:
         """Count."""
         window = self._windows[request.tenant]
-        if window.total(request.at_s) + 1 > limit.most(TERMS):
+        if window.total(request.at_s) + 1 > TERMS.most(limit):
             return False
         window.add(1, request.at_s)
         return True
@@ -195,8 +194,8 @@
     def may_send(self, request: Request, limit: TenantLimit, is_cut: bool) -> bool:
         """Count against the own part."""
         window = self._windows[request.tenant, request.gateway]
-        is_full = window.total(request.at_s) + 1 > limit.share(
-            TERMS, self.gateways, request.gateway
+        is_full = window.total(request.at_s) + 1 > TERMS.share(
+            limit, self.gateways, request.gateway
         )
         if is_full or request.at_s < self._blocked_until_s:
             return False
@@ -235,7 +234,7 @@
         """Use the own part, then leave that is held, then ask for a batch."""
         key = (request.tenant, request.gateway)
         own = self._own[key]
-        floor = int(self.floor_part * limit.most(TERMS) / self.gateways)
+        floor = int(self.floor_part * TERMS.most(limit) / self.gateways)
         if own.total(request.at_s) + 1 <= floor:
             own.add(1, request.at_s)
             return True
@@ -254,7 +253,7 @@
         self._asked_s[key] = request.at_s
         wanted = 1 if since_s >= CREDIT_SECONDS else 2
         window = self._windows[request.tenant]
-        most = (1.0 - self.floor_part) * limit.most(TERMS)
+        most = (1.0 - self.floor_part) * TERMS.most(limit)
         room = int(most - window.total(request.at_s))
         count = 0 if self._blocked(request.tenant, request.at_s) else max(0, min(wanted, room))
         status = QuotaStatus.GRANTED if count else QuotaStatus.NO_ROOM
@@ -405,7 +404,7 @@
             first = bisect_left(times, at_s - TERMS.window_s)
             is_late = times[first] > FAULT_AT_SECONDS + TERMS.lent_s
             limit = workload.limit(tenant, scenario.limit_factor if is_late else 1.0)
-            worst = max(worst, last - first + 1 - limit.most(TERMS))
+            worst = max(worst, last - first + 1 - TERMS.most(limit))
     return worst
 
 
