--- a/features/quota_proof.feature
+++ b/features/quota_proof.feature
@@ -23,7 +23,7 @@
       | what was lent counts for the window alone  |
       | whoever joins lends at once                |
       | a lender needs no vouchers                 |
-      | leave counts from the answer               |
+      | credits count from the answer              |
       | ages go by the time of day alone           |
       | the parts are too large                    |
       | a better rank counts at once               |
@@ -47,7 +47,7 @@
   Scenario: The parts of all lenders make up the whole limit, however small it is
     Then for limits of 0 to 40 requests the parts of five lenders make up the limit
 
-  Scenario: Leave that is given back is lent again
+  Scenario: A credit that is given back is lent again
     Given a lender of a part of 3 requests
     When 3 requests are lent and one is given back
     Then 1 more is lent, and then none
--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -1,6 +1,6 @@
 @platform_world
 Feature: A tenant's limit holds over all gateways together
-  Before a request is sent to a server its gateway borrows leave from a replica. Each of the
+  Before a request is sent to a server its gateway borrows a credit from a replica. Each of the
   three replicas lends a third of the limit. A limit of 4 a second and a burst of 10 allows 38
   requests in any 5 s here, 36 in whole thirds.
 
@@ -41,7 +41,7 @@
     And 40 requests with key "key-a" come at two gateways at once
     Then at most 11 of them ran
 
-  Scenario: A request that its server turned away needs leave only once
+  Scenario: A request that its server turned away needs a credit only once
     Given a route "busy" of type "mutating" with a full server and a sound one
     And the tenant "alloy" has a limit of 4 a second and a burst of 10
     When 30 requests with key "key-a" come on "busy"
@@ -54,7 +54,7 @@
     Then it was refused at once with 429 and a Retry-After
     And a second turn of the first program gets 200
 
-  Scenario: A turn that its budget refuses gives its leave back
+  Scenario: A turn that its budget refuses gives its credit back
     Given a stateful stream route "chat"
     And the tenant "alloy" has a limit of 4 a second and a burst of 10
     When a client with key "key-a" spends the whole budget of the program "same" on "chat"
--- a/features/steps/tenant_steps.py
+++ b/features/steps/tenant_steps.py
@@ -1,6 +1,7 @@
 """Steps about tenants: keys, what servers are told, and what is kept apart."""
 
 import time
+from collections.abc import Sequence
 from typing import Any
 
 from behave import given, then, when
@@ -22,15 +23,22 @@
 
 def ask_as(context: Context, key: str, route: str, text: str = "payload", **headers) -> Answer:
     """Send a request with a key; ``none`` stands for none, ``and`` joins two."""
+    keys = [("X-Key", one) for one in key.split(" and ") if one != "none"]
+    own = [(name.replace("_", "-"), value) for name, value in headers.items()]
+    return send_exactly(context, route, keys + own, text)
+
+
+def send_exactly(
+    context: Context, route: str, headers: Sequence[tuple[str, str]], text: str = "payload"
+) -> Answer:
+    """Send a request whose headers may be doubled, in the spelling that they are given in."""
     used = world(context).connect()
-    sent = {"X-Attempt-Id": world(context).next_attempt(), "X-Deadline-Ms": "3000"}
-    sent |= {name.replace("_", "-"): value for name, value in headers.items()}
     started = time.monotonic()
     used.putrequest("POST", f"/{route}/x?q=1", skip_host=True)
     used.putheader("Host", HOST)
-    for one in key.split(" and ") if key != "none" else []:
-        used.putheader("X-Key", one)
-    for name, value in sent.items():
+    used.putheader("X-Attempt-Id", world(context).next_attempt())
+    used.putheader("X-Deadline-Ms", "3000")
+    for name, value in headers:
         used.putheader(name, value)
     used.putheader("Content-Length", str(len(text)))
     used.endheaders(text.encode())
@@ -132,23 +140,8 @@
     context.answers = []
     for name in forged:
         for headers in spellings(name):
-            context.answers.append(send_exactly(context, key, headers))
-
-
-def send_exactly(context: Context, key: str, headers: dict[str, str]) -> Answer:
-    used = world(context).connect()
-    started = time.monotonic()
-    used.putrequest("POST", "/records/x", skip_host=True)
-    used.putheader("Host", HOST)
-    used.putheader("X-Key", key)
-    used.putheader("X-Attempt-Id", world(context).next_attempt())
-    for name, value in headers.items():
-        used.putheader(name, value)
-    used.putheader("Content-Length", "1")
-    used.endheaders(b"x")
-    answer = read_answer(used, started)
-    used.close()
-    return answer
+            sent = [("X-Key", key), *headers.items()]
+            context.answers.append(send_exactly(context, "records", sent))
 
 
 @then("no server got a value of the client in any of them")
--- a/features/support/quota_mutants.py
+++ b/features/support/quota_mutants.py
@@ -61,7 +61,7 @@
     ),
     "whoever joins lends at once": lambda: patch.object(Entitlement, "take_view", _lend_at_once),
     "a lender needs no vouchers": lambda: patch.object(Entitlement, "holds", _need_no_vouchers),
-    "leave counts from the answer": lambda: patch.object(
+    "credits count from the answer": lambda: patch.object(
         quota_model, "credit_left_s", _from_answer
     ),
     "ages go by the time of day alone": lambda: patch.object(Clock, "age_s", _by_time_of_day),
--- a/yarrowwall/cli/quota_experiment.py
+++ b/yarrowwall/cli/quota_experiment.py
@@ -5,7 +5,8 @@
 
 import click
 
-from yarrowwall.simulation.quota_ways import SCENARIOS, WAYS, Figures, compare
+from yarrowwall.simulation.quota_comparison import SCENARIOS, Figures, compare
+from yarrowwall.simulation.quota_ways import WAYS
 
 
 def _print_table(rows: list[Figures]) -> None:
--- a/yarrowwall/messages/quotas.py
+++ b/yarrowwall/messages/quotas.py
@@ -33,7 +33,7 @@
 
 @message(114)
 class TakeQuota:
-    """Lend leave to send requests of a tenant.
+    """Lend credits for sending requests of a tenant.
 
     :param count: requests to be sent; fewer may be granted, but at least one.
     :param program_size: if a program begins, the requests that it is expected to make; it is
@@ -52,8 +52,8 @@
 class QuotaReply:
     """Answer to :class:`TakeQuota`.
 
-    :param granted: requests that leave was lent for.
-    :param ticket: by which unused leave is given back.
+    :param granted: credits that were lent, each for one request.
+    :param ticket: by which unused credits are given back.
     :param room: requests that could still be lent.
     :param retry_after_s: seconds until there is room, if there is none.
     """
@@ -67,7 +67,7 @@
 
 @message(116)
 class ReturnQuota:
-    """Take back leave for one request that was not used; there is no reply."""
+    """Take back a credit that was not used; there is no reply."""
 
     group: int
     disk_id: str
@@ -77,7 +77,7 @@
 
 @message(123)
 class QuotaLent:
-    """Log record: leave was lent.
+    """Log record: credits were lent.
 
     :param wall_s: when, by the time of day.
     :param steady_s: when, by the machine's monotonic clock.
--- a/yarrowwall/quotas/borrowing.py
+++ b/yarrowwall/quotas/borrowing.py
@@ -1,6 +1,6 @@
-"""The gateway's side of limits: borrows leave before requests are sent.
+"""The gateway's side of limits: borrows credits before requests are sent.
 
-Leave holds for a short time on this gateway's own clock, counted from before its question was
+A credit holds for a short time on this gateway's own clock, counted from before its question was
 sent, which is no later than the moment from which the lender counts it.
 """
 
@@ -80,7 +80,7 @@
         self._usual_s += USUAL_WEIGHT * (took_s - self._usual_s)
 
     def allowance(self, attempt: Attempt) -> Allowance:
-        """Return the leave that an attempt needs."""
+        """Return the allowance of an attempt."""
         if attempt.limit is None:
             return Unlimited()
         return BorrowedAllowance(self, attempt, attempt.limit)
@@ -92,7 +92,7 @@
 
 
 class BorrowedAllowance(Allowance):
-    """Leave that lenders give, one request at a time."""
+    """The allowance of an attempt of a tenant with a limit."""
 
     def __init__(self, borrower: QuotaBorrower, attempt: Attempt, limit: TenantLimit) -> None:
         self._borrower = borrower
@@ -107,7 +107,7 @@
     # What the relay asks
 
     def begin(self) -> None:
-        """Take leave that is held, or begin to ask the first lender."""
+        """Take a credit that is held, or begin to ask the first lender."""
         self._credit = self._borrower.stock.take(self._tenant)
         if self._credit is None:
             self._ask_next()
@@ -133,7 +133,7 @@
             return
 
     def spend(self) -> None:
-        """Use leave for a sending that happens right now, waiting for it if need be.
+        """Use a credit for a sending that happens right now, waiting for it if need be.
 
         :raises RefusedError: if there is none.
         """
@@ -146,7 +146,7 @@
         self._spent = credit
 
     def not_run(self) -> None:
-        """Note that the last sending surely did not run: its leave serves the next one."""
+        """Note that the last sending surely did not run: its credit serves the next one."""
         self._credit, self._spent = self._spent, None
 
     def close(self) -> None:
@@ -189,7 +189,7 @@
         return True
 
     def _borrow(self) -> Credit:
-        """Return leave from whichever lender has room.
+        """Return a credit from whichever lender has room.
 
         A lender that is late is not given up: the next one is asked, and whoever answers first
         counts. All of them may be slow at once.
@@ -238,7 +238,7 @@
         return None
 
     def _take(self, question: Question, reply: QuotaReply) -> Credit | None:
-        """Take in what a lender granted; return leave for one sending."""
+        """Take in what a lender granted; return a credit that may be used now."""
         if not reply.room:
             self._note_exhausted(question.lender, LATE_SECONDS)
         first, *others = question.credits()
--- a/yarrowwall/quotas/credits.py
+++ b/yarrowwall/quotas/credits.py
@@ -1,4 +1,4 @@
-"""Leave that a gateway holds, and the stock of it. No I/O but messages that give leave back."""
+"""Credits, each for one sending, and the stock of them that a gateway holds."""
 
 from collections import defaultdict
 from collections.abc import Callable
@@ -9,17 +9,17 @@
 from yarrowwall.replication.rpc import LinkTable
 
 #: Requests asked for at once where another one of the tenant is likely to follow, and the seconds
-#: since its last question within which it is: 1.5 messages a request instead of 2.4, with as
-#: much refused (emulator, 57 gateways).
+#: since its last question within which it is: 1.4 messages a request instead of 2.3, with as
+#: much refused (yarrowwall quota-experiment, 57 gateways).
 PAIR = 2
 FREQUENT_SECONDS = 0.3
-#: Seconds that leave must have left to be used for another request: what that takes from its
+#: Seconds that a credit must have left to be used for another request: what that takes from its
 #: arrival to its sending, a turn's reservation included.
 LEAST_LEFT_SECONDS = 0.05
 
 
 class Credit(NamedTuple):
-    """Leave for one sending.
+    """The permission to send one request of a tenant.
 
     :param request: the question that was answered by it.
     :param ticket: by which the lender takes it back.
@@ -37,7 +37,7 @@
 
 
 class CreditStock:
-    """Leave that a gateway holds for the next request of a tenant."""
+    """Credits that a gateway holds for the next requests of tenants."""
 
     def __init__(self, links: LinkTable, now: Callable[[], float]) -> None:
         self._links = links
@@ -46,7 +46,7 @@
         self._asked_at_s: dict[str, float] = {}
 
     def take(self, tenant: str) -> Credit | None:
-        """Return leave that may still be used for a while; None if there is none."""
+        """Return a credit that may still be used for a while; None if there is none."""
         credits = self._credits.get(tenant)
         while credits:
             credit = credits.pop()
@@ -56,7 +56,7 @@
         return None
 
     def put(self, credit: Credit) -> None:
-        """Keep leave for the next request."""
+        """Keep a credit for the next request."""
         self._credits[credit.request.tenant].append(credit)
 
     def give_back(self, credit: Credit) -> None:
--- a/yarrowwall/quotas/lender.py
+++ b/yarrowwall/quotas/lender.py
@@ -59,7 +59,7 @@
 class _Book:
     """What is known and lent of one tenant.
 
-    :ivar lent: requests that gateways got leave to send.
+    :ivar lent: requests that gateways got credits for.
     :ivar begun: requests that the programs begun lately are expected to make.
     """
 
--- a/yarrowwall/quotas/order.py
+++ b/yarrowwall/quotas/order.py
@@ -1,4 +1,4 @@
-"""Which replicas a gateway asks for leave, and in which order. No I/O."""
+"""Which replicas a gateway asks for credits, and in which order. No I/O."""
 
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -8,7 +8,7 @@
 
 #: Seconds for which a replica that did not answer, or may not lend, is asked last.
 PASS_OVER_SECONDS = 1.0
-#: Most seconds for which a replica without room is asked last: others may give leave back.
+#: Most seconds for which a replica without room is asked last: others may give credits back.
 MOST_EXHAUSTED_SECONDS = 0.5
 
 
--- a/yarrowwall/quotas/questions.py
+++ b/yarrowwall/quotas/questions.py
@@ -56,7 +56,7 @@
         self._give_back()
 
     def credits(self) -> list[Credit]:
-        """Return the leave that the answer brings, once."""
+        """Return the credits that the answer brings, once."""
         reply, self.reply = self.reply, None
         if reply is None:
             return []
--- a/yarrowwall/quotas/terms.py
+++ b/yarrowwall/quotas/terms.py
@@ -5,8 +5,8 @@
 
 from yarrowwall.messages.quotas import TenantLimit
 
-#: Seconds after a question for leave in which a request that got it may be sent. Leave is used
-#: at once mostly; this bounds for how long a lender has to count it beyond the window.
+#: Seconds after a question for a credit in which a request that got it may be sent. Credits are
+#: used at once mostly; this bounds for how long a lender has to count them beyond the window.
 CREDIT_SECONDS = 0.5
 #: Seconds that a sent request may take to arrive at its server: many times the way between
 #: zones (1.4 ms), for links that carry much.
--- a/yarrowwall/readers/reader.py
+++ b/yarrowwall/readers/reader.py
@@ -13,6 +13,7 @@
     ListObjects,
     ObjectsReply,
     ObjectsStatus,
+    RelayedObject,
     WatchObjects,
 )
 from yarrowwall.readers.picture import KindPicture
@@ -150,12 +151,15 @@
         if not found.changes and request.wait_s > 0.0 and not is_over:
             return None
         objects = [self._encoder.relayed_change(change) for change in found.changes]
-        proved_after_s = self._proved_after_s(question)
-        return ObjectsReply(ObjectsStatus.OK, objects, found.revision, proved_after_s)
+        return self._reply(question, objects, found.revision)
 
-    def _proved_after_s(self, question: _Question) -> float | None:
+    def _reply(
+        self, question: _Question, objects: list[RelayedObject], revision: int
+    ) -> ObjectsReply:
+        """Return objects, with the moment for which their state is proved."""
         proved_at_s = self._prover.proof.proved_at_s if self._prover is not None else None
-        return proved_at_s - question.arrived_at_s if proved_at_s is not None else None
+        proved_after_s = proved_at_s - question.arrived_at_s if proved_at_s is not None else None
+        return ObjectsReply(ObjectsStatus.OK, objects, revision, proved_after_s)
 
     def _list(
         self, request: ListObjects, question: _Question, is_over: bool
@@ -164,8 +168,7 @@
         if listing.revision < request.least_revision:
             return _OUT_OF_CONTACT if is_over else None
         objects = [self._encoder.relayed(item) for item in listing.items]
-        proved_after_s = self._proved_after_s(question)
-        return ObjectsReply(ObjectsStatus.OK, objects, listing.revision, proved_after_s)
+        return self._reply(question, objects, listing.revision)
 
     def _end_wait(self, question: _Question) -> None:
         if self._waiting.pop(id(question), None) is None:
@@ -230,8 +233,7 @@
         now: Callable[[], float],
     ) -> None:
         self._store = store
-        self._prompt_kind = prompt.kind
-        self._prompt_name = prompt.name
+        self._prompt = prompt
         self._watch_s = watch_s
         self._log = log
         self._now = now
@@ -239,7 +241,7 @@
 
     def ask(self, request: ListObjects | WatchObjects, reply: Reply) -> None:
         """Answer a question at once or later."""
-        self._follow(self._prompt_kind)
+        self._follow(self._prompt.kind)
         self._follow(request.kind).ask(request, reply)
 
     def _follow(self, kind: str) -> FollowedKind:
@@ -248,7 +250,7 @@
         if followed is None:
             watch_s = self._watch_s.get(kind, LONG_WATCH_SECONDS)
             # Each change of the prompt kind is asked for at once; it changes seldom.
-            is_prompt = kind == self._prompt_kind
+            is_prompt = kind == self._prompt.kind
             followed = FollowedKind(
                 self._store,
                 kind,
@@ -257,7 +259,7 @@
                 self._log,
                 self._now,
                 self._be_cautious,
-                self._prompt_name if is_prompt else None,
+                self._prompt.name if is_prompt else None,
             )
             self._kinds[kind] = followed
         return followed
@@ -270,7 +272,7 @@
     def stop_unwanted(self) -> None:
         """Follow no more what nobody asked for lately."""
         for kind, followed in list(self._kinds.items()):
-            is_needed = kind == self._prompt_kind and len(self._kinds) > 1
+            is_needed = kind == self._prompt.kind and len(self._kinds) > 1
             if not followed.is_wanted and not is_needed:
                 followed.stop()
                 del self._kinds[kind]
--- a/yarrowwall/relay/offer.py
+++ b/yarrowwall/relay/offer.py
@@ -100,7 +100,7 @@
     :param service: the service that the route chose.
     :param end: when the attempt's time is over, by its caller or its route.
     :param body: what servers get as the body.
-    :param allowance: the leave of the attempt's tenant to send it.
+    :param allowance: the credits for its sendings.
     :param last_server: where the program's turn before ran; empty if unknown.
     """
 
@@ -157,7 +157,7 @@
             try:
                 opened = self._send(choice, last_event_id)
             except RefusedError as refused:
-                raise self._without_leave(refused) from refused
+                raise self._without_credit(refused) from refused
             except RelayError as error:
                 reason = str(error)
                 self.note_failure(choice.server, error)
@@ -171,7 +171,7 @@
             self._turned_away(opened)
         raise RefusedError(self.failure(reason))
 
-    def _without_leave(self, refused: RefusedError) -> RefusedError:
+    def _without_credit(self, refused: RefusedError) -> RefusedError:
         """Return the final answer of an attempt that may not be sent (again)."""
         if self.log.may_have_run:
             # It is not for the limit to say that the request has not run.
--- a/yarrowwall/relay/quotas.py
+++ b/yarrowwall/relay/quotas.py
@@ -1,4 +1,4 @@
-"""Leave to send requests of a tenant, as the relay asks for it."""
+"""Credits for sending requests of a tenant, as the relay asks for them."""
 
 from abc import ABC, abstractmethod
 
@@ -6,11 +6,11 @@
 
 
 class Allowance(ABC):
-    """The leave of one attempt: one sending needs one."""
+    """The credits of one attempt: each sending needs one."""
 
     @abstractmethod
     def begin(self) -> None:
-        """Begin to ask; whoever needs the leave waits for the answer then."""
+        """Begin to ask for a credit; whoever needs it waits for the answer then."""
 
     @abstractmethod
     def begin_program(self, expected_requests: float) -> None:
@@ -22,14 +22,14 @@
 
     @abstractmethod
     def spend(self) -> None:
-        """Use leave for a sending that happens right now, waiting for it if need be.
+        """Use a credit for a sending that happens right now, waiting for it if need be.
 
         :raises RefusedError: if there is none.
         """
 
     @abstractmethod
     def not_run(self) -> None:
-        """Note that the last sending surely did not run: its leave serves the next one."""
+        """Note that the last sending surely did not run: its credit serves the next one."""
 
     @abstractmethod
     def close(self) -> None:
@@ -37,15 +37,15 @@
 
 
 class QuotaSource(ABC):
-    """Gives leave."""
+    """Gives attempts their credits."""
 
     @abstractmethod
     def allowance(self, attempt: Attempt) -> Allowance:
-        """Return the leave that an attempt needs."""
+        """Return the allowance of an attempt."""
 
 
 class Unlimited(Allowance):
-    """The leave of a tenant without a limit."""
+    """The allowance of a tenant without a limit."""
 
     def begin(self) -> None:
         """Ask nobody."""
@@ -67,5 +67,5 @@
     """Knows no limits."""
 
     def allowance(self, attempt: Attempt) -> Allowance:
-        """Return leave without a limit."""
+        """Return an allowance without a limit."""
         return Unlimited()
--- a/yarrowwall/replication/rpc.py
+++ b/yarrowwall/replication/rpc.py
@@ -8,6 +8,7 @@
 import struct
 from collections import deque
 from collections.abc import Callable
+from typing import NamedTuple
 
 import eventlet
 from eventlet.event import Event
@@ -141,6 +142,16 @@
         del buffer[:start]
 
 
+class _Posted(NamedTuple):
+    """A request that waits for its reply.
+
+    :param at: when it was posted, on the monotonic clock.
+    """
+
+    completion: Completion
+    at: float
+
+
 class Link:
     """Requests to one node; the connection is opened when it is needed.
 
@@ -154,9 +165,8 @@
         self._is_opening = False
         self._down_until = 0.0
         self._number = 0
-        self._waiting: dict[int, Completion] = {}
+        self._waiting: dict[int, _Posted] = {}
         self._queued: dict[int, object] = {}
-        self._posted_at: dict[int, float] = {}
         self._silent_since: float | None = None
 
     def post(self, message: object, completion: Completion) -> int:
@@ -165,8 +175,7 @@
         :returns: a number to forget the request by.
         """
         self._number = self._number % MOST_NUMBER + 1
-        self._waiting[self._number] = completion
-        self._posted_at[self._number] = self._now()
+        self._waiting[self._number] = _Posted(completion, self._now())
         if self._channel is not None and self._channel.is_open:
             self._channel.send(self._number, message)
             return self._number
@@ -199,22 +208,21 @@
 
         :param is_late: whether it should have come by now.
         """
-        is_unanswered = self._waiting.pop(number, None) is not None
+        posted = self._waiting.pop(number, None)
         self._queued.pop(number, None)
-        posted_at = self._posted_at.pop(number, None)
-        if is_late and is_unanswered and posted_at is not None:
-            self._note_late(posted_at)
+        if is_late and posted is not None:
+            self._note_silence(posted.at)
 
     def note_late(self, number: int) -> None:
         """Note that a reply should have come by now; it is still taken in if it comes."""
-        posted_at = self._posted_at.get(number)
-        if posted_at is not None:
-            self._note_late(posted_at)
+        posted = self._waiting.get(number)
+        if posted is not None:
+            self._note_silence(posted.at)
 
-    def _note_late(self, posted_at: float) -> None:
+    def _note_silence(self, since: float) -> None:
         """Give the connection up once it has been silent for long."""
         if self._silent_since is None:
-            self._silent_since = posted_at
+            self._silent_since = since
         if self._now() - self._silent_since >= SILENT_SECONDS and self._channel is not None:
             self._silent_since = None
             self._channel.close()
@@ -244,18 +252,16 @@
 
     def _receive(self, number: int, message: object) -> None:
         self._silent_since = None
-        self._posted_at.pop(number, None)
-        completion = self._waiting.pop(number, None)
-        if completion is not None:
-            completion(message)
+        posted = self._waiting.pop(number, None)
+        if posted is not None:
+            posted.completion(message)
 
     def _fail_all(self) -> None:
         self._queued.clear()
-        self._posted_at.clear()
         self._silent_since = None
         waiting, self._waiting = self._waiting, {}
-        for completion in waiting.values():
-            completion(None)
+        for posted in waiting.values():
+            posted.completion(None)
 
     def close(self) -> None:
         """End the connection."""
