A gateway's own questions for the configuration log that they have no answer; sources of constants

Read once more: the probe's error was passed over in silence, with a comment that followers log it, which they do not where they hear a reader whose proof is old. It logs once when it goes down and once when it is back (proof/config).

--- a/features/freshness.feature
+++ b/features/freshness.feature
@@ -40,6 +40,7 @@
     And it came within 100 ms
     And a client with key "none" soon gets 200 on "notices"
     And the gateways are not ready
+    And the gateways logged that their own questions had no answer
     When the store is back
     Then a client with key "key-a" soon gets 200 on "records"
 
--- a/features/steps/freshness_steps.py
+++ b/features/steps/freshness_steps.py
@@ -200,3 +200,10 @@
 def not_ready(context: Context) -> None:
     for name in ("edge-0", "edge-1"):
         wait_until(lambda name=name: not world(context).is_ready(name), f"{name} is not ready")
+
+
+@then("the gateways logged that their own questions had no answer")
+def logged_no_proof(context: Context) -> None:
+    for name in ("edge-0", "edge-1"):
+        lines = [one for one in world(context).log(name) if one["kind"] == "DependencyChanged"]
+        assert any(one["dependency"] == "proof/config" and not one["is_up"] for one in lines)
--- a/yarrowwall/quotas/borrowing.py
+++ b/yarrowwall/quotas/borrowing.py
@@ -36,7 +36,8 @@
 #: Seconds to wait for any lender. All replicas may be slow at once, and a refusal may end a
 #: program; the reservation of a turn waits as long.
 MOST_WAIT_SECONDS = 0.6
-#: Bounds of the seconds after which callers that were refused should come back.
+#: Bounds of the seconds after which callers that were refused should come back: not before another
+#: credit can have been given back, and before most callers' time is over.
 LEAST_RETRY_SECONDS = 0.05
 MOST_RETRY_SECONDS = 2.0
 
--- a/yarrowwall/quotas/order.py
+++ b/yarrowwall/quotas/order.py
@@ -6,7 +6,8 @@
 from yarrowwall.core.hashing import score
 from yarrowwall.messages.replicated import Member
 
-#: Seconds for which a replica that did not answer, or may not lend, is asked last.
+#: Seconds for which a replica that did not answer, or may not lend, is asked last: as long as one
+#: that was too slow for a quorum.
 PASS_OVER_SECONDS = 1.0
 #: Most seconds for which a replica without room is asked last: others may give credits back.
 MOST_EXHAUSTED_SECONDS = 0.5
--- a/yarrowwall/quotas/program_sizes.py
+++ b/yarrowwall/quotas/program_sizes.py
@@ -6,7 +6,8 @@
 #: A program of a few turns with a lookup or two behind each makes some eight requests.
 FIRST_SIZE = 8.0
 FIRST_PROGRAMS = 3.0
-#: Programs of a route after which the oldest have lost half of their weight.
+#: Programs of a route after which the oldest have lost half of their weight: a minute or two of
+#: traffic at a gateway where one begins each second.
 HALF_LIFE_PROGRAMS = 100.0
 
 _DECAY = 0.5 ** (1.0 / HALF_LIFE_PROGRAMS)
--- a/yarrowwall/relay/freshness_probe.py
+++ b/yarrowwall/relay/freshness_probe.py
@@ -5,6 +5,8 @@
 import eventlet
 
 from yarrowwall.core.hashing import fraction
+from yarrowwall.relay import decisions
+from yarrowwall.relay.decisions import DecisionLog
 from yarrowwall.relay.freshness import Freshness
 from yarrowwall.relay.object_store import ObjectName, ObjectStore, ObjectStoreError, StoredObject
 
@@ -32,13 +34,16 @@
         target: ObjectName,
         freshness: Freshness,
         take: Callable[[StoredObject], None],
+        log: DecisionLog,
         now: Callable[[], float],
     ) -> None:
         self._store = store
         self._target = target
         self._freshness = freshness
         self._take = take
+        self._log = log
         self._now = now
+        self._failures = 0
         # All gateways lose their readers at the same moment.
         self._own_look_s = LOOK_SECONDS * (1.0 + fraction("probe", node_id))
 
@@ -47,24 +52,30 @@
         eventlet.spawn_n(self._run)
 
     def _run(self) -> None:
-        failures = 0
         while True:
             eventlet.sleep(self._own_look_s)
             if not self._freshness.is_worth_asking(self._now()):
                 continue
-            failures = 0 if self._ask() else failures + 1
-            if failures:
-                eventlet.sleep(min(PAUSE_SECONDS * 2 ** (failures - 1), MOST_PAUSE_SECONDS))
+            self._ask()
+            if self._failures:
+                pause_s = PAUSE_SECONDS * 2 ** (self._failures - 1)
+                eventlet.sleep(min(pause_s, MOST_PAUSE_SECONDS))
 
-    def _ask(self) -> bool:
-        """Return whether the store answered."""
+    def _ask(self) -> None:
         sent_at_s = self._now()
         try:
             item = self._store.get(*self._target, ANSWER_SECONDS)
-        except ObjectStoreError:
-            # The followers of the store log that it is out of reach.
-            return False
+        except ObjectStoreError as error:
+            self._failures += 1
+            if self._failures == 1:
+                self._note(is_up=False, reason=str(error))
+            return
+        if self._failures:
+            self._failures = 0
+            self._note(is_up=True, reason="")
         if item is not None:
             self._take(item)
             self._freshness.note_proved(sent_at_s)
-        return True
+
+    def _note(self, is_up: bool, reason: str) -> None:
+        self._log.write(decisions.DependencyChanged(f"proof/{self._target.kind}", is_up, reason))
--- a/yarrowwall/relay/gateway_service.py
+++ b/yarrowwall/relay/gateway_service.py
@@ -85,6 +85,7 @@
             ObjectName(documents.configuration_kind, documents.configuration_name),
             self._freshness,
             lambda item: self._configuration_changed(item, is_gone=False),
+            log,
             time.monotonic,
         )
         self._followers = [
