A pause that doubles stays a number, however long the outage

Cause: five places doubled a pause by 2 ** failures and bounded the product. After 1,023 doublings the power no longer fits a float; OverflowError ended the greenthread, in KindFollower from within the handler of the store's error. A store that is away for some 17 minutes would have ended the following of the configuration, the servers and the groups for good, and a server that failed 1,024 times in a row would have failed the request that noted it.

Change: yarrowwall/backoff.py bounds the doublings, and all five places call it. Pauses are the same up to their most.

--- a/features/start_and_retries.feature
+++ b/features/start_and_retries.feature
@@ -104,3 +104,16 @@
       | stream     | was refused with 402           |
       | mutating   | was answered at last           |
       | idempotent | is still under way             |
+
+  Scenario Outline: Whoever goes on failing for hours pauses as before: <who>
+    Given <who> that has failed <count> times
+    When it fails once more
+    Then its pause is <pause> s at most, and it goes on
+
+    Examples:
+      | who                             | count | pause |
+      | a follower of the store         | 3     | 1.25  |
+      | a follower of the store         | 5000  | 1.25  |
+      | a reader that does not answer   | 5000  | 16.0  |
+      | a server that fails             | 5000  | 4.0   |
+      | a gateway's own question        | 5000  | 1.6   |
--- /dev/null
+++ b/features/steps/backoff_steps.py
@@ -0,0 +1,120 @@
+"""Steps about pauses of those that go on failing."""
+
+from collections.abc import Callable
+from unittest.mock import patch
+
+from behave import given, then, when
+from behave.runner import Context
+
+from yarrowwall.messages.replicated import Member
+from yarrowwall.readers.order import ReaderOrder
+from yarrowwall.relay.decisions import DecisionLog
+from yarrowwall.relay.freshness import Freshness
+from yarrowwall.relay.freshness_probe import FreshnessProbe
+from yarrowwall.relay.model import Server
+from yarrowwall.relay.object_store import Listing, ObjectName, ObjectStoreError, StoredObject
+from yarrowwall.relay.servers import ServerDirectory
+from yarrowwall.relay.watching import KindFollower
+
+NOW_S = 100.0
+
+
+class _Stopped(Exception):
+    """Ends what would go on for ever, at its first pause that counts."""
+
+
+class _Silent:
+    """A store that answers nothing."""
+
+    def list(self, kind: str, timeout_s: float, may_be_old: bool = False) -> Listing:
+        """Fail."""
+        raise ObjectStoreError(kind)
+
+    def get(self, kind: str, name: str, timeout_s: float) -> StoredObject:
+        """Fail."""
+        raise ObjectStoreError(kind)
+
+    def interrupt_watches(self) -> None:
+        """End nothing."""
+
+
+def pauses(run: Callable[[], None], count: int) -> list[float]:
+    """Return the first pauses of what never returns."""
+    found: list[float] = []
+
+    def sleep(seconds: float) -> None:
+        found.append(seconds)
+        if len(found) == count:
+            raise _Stopped
+
+    with patch("eventlet.sleep", sleep):
+        try:
+            run()
+        except _Stopped:
+            return found
+    raise AssertionError("it ended by itself")
+
+
+def _ignore(found: object) -> None:
+    """Take in nothing."""
+
+
+def follower_pause_s(failures: int) -> float:
+    follower = KindFollower(_Silent(), "config", _ignore, _ignore, DecisionLog("edge-0"))
+    follower.has_listed = True
+    follower._failures = failures
+    return pauses(follower._run, 1)[-1]
+
+
+def reader_pause_s(failures: int) -> float:
+    order = ReaderOrder("edge-0", "a")
+    order.put(Member("a-1", "disk", "127.0.0.1:1", "a"))
+    for _ in range(failures + 1):
+        order.note_silent("a-1", NOW_S)
+    return order._passed_over_until["a-1"] - NOW_S
+
+
+def server_pause_s(failures: int) -> float:
+    directory = ServerDirectory("a")
+    directory.put(Server("i-1", "records", "127.0.0.1:1", "a", 4, False), {}, NOW_S)
+    for _ in range(failures + 1):
+        directory.note_failure("i-1", NOW_S)
+    return directory.states["i-1"].suspended_until - NOW_S
+
+
+def question_pause_s(failures: int) -> float:
+    probe = FreshnessProbe(
+        "edge-0",
+        _Silent(),
+        ObjectName("config", "main"),
+        Freshness(5.0, 3.0),
+        lambda item: None,
+        DecisionLog("edge-0"),
+        lambda: NOW_S,
+    )
+    probe._failures = failures
+    # The first pause is that between two looks at the age.
+    return pauses(probe._run, 2)[-1]
+
+
+WHO = {
+    "a follower of the store": follower_pause_s,
+    "a reader that does not answer": reader_pause_s,
+    "a server that fails": server_pause_s,
+    "a gateway's own question": question_pause_s,
+}
+
+
+@given("{who} that has failed {count:d} times")
+def failed_often(context: Context, who: str, count: int) -> None:
+    context.who, context.failures = WHO[who], count
+
+
+@when("it fails once more")
+def fails_again(context: Context) -> None:
+    context.pause_s = context.who(context.failures)
+
+
+@then("its pause is {most_s:f} s at most, and it goes on")
+def pause_at_most(context: Context, most_s: float) -> None:
+    assert 0.0 < context.pause_s <= most_s, context.pause_s
--- a/yarrowwall/relay/freshness_probe.py
+++ b/yarrowwall/relay/freshness_probe.py
@@ -4,6 +4,7 @@
 
 import eventlet
 
+from yarrowwall.backoff import doubled_s
 from yarrowwall.core.hashing import fraction
 from yarrowwall.relay import decisions
 from yarrowwall.relay.decisions import DecisionLog
@@ -58,8 +59,7 @@
                 continue
             self._ask()
             if self._failures:
-                pause_s = PAUSE_SECONDS * 2 ** (self._failures - 1)
-                eventlet.sleep(min(pause_s, MOST_PAUSE_SECONDS))
+                eventlet.sleep(doubled_s(PAUSE_SECONDS, MOST_PAUSE_SECONDS, self._failures - 1))
 
     def _ask(self) -> None:
         sent_at_s = self._now()
--- a/yarrowwall/relay/servers.py
+++ b/yarrowwall/relay/servers.py
@@ -5,6 +5,7 @@
 from statistics import median
 from typing import NamedTuple
 
+from yarrowwall.backoff import doubled_s
 from yarrowwall.core.hashing import fraction
 from yarrowwall.relay.model import PromptPart, Server, Service
 from yarrowwall.relay.prefixes import PrefixBelief, SharedParts
@@ -311,7 +312,7 @@
         state = self.states.get(server_id)
         if state is None:
             return
-        pause = min(SUSPENSION_SECONDS * 2**state.failures, MOST_SUSPENSION_SECONDS)
+        pause = doubled_s(SUSPENSION_SECONDS, MOST_SUSPENSION_SECONDS, state.failures)
         state.failures += 1
         state.suspended_until = now + pause
 
--- a/yarrowwall/relay/watching.py
+++ b/yarrowwall/relay/watching.py
@@ -5,6 +5,7 @@
 
 import eventlet
 
+from yarrowwall.backoff import doubled_s
 from yarrowwall.core.hashing import fraction
 from yarrowwall.relay import decisions
 from yarrowwall.relay.decisions import DecisionLog
@@ -127,7 +128,7 @@
                 self._pause()
 
     def _list(self) -> int:
-        timeout_s = min(LIST_SECONDS * 2**self._failures, MOST_LIST_SECONDS)
+        timeout_s = doubled_s(LIST_SECONDS, MOST_LIST_SECONDS, self._failures)
         listing = self._store.list(self._kind, timeout_s, self._may_be_old)
         self._on_list(listing.items)
         self.has_listed = True
@@ -151,7 +152,7 @@
 
     def _pause(self) -> None:
         most_s = self._most_retry_s if self.has_listed else MOST_FIRST_RETRY_SECONDS
-        pause = min(RETRY_SECONDS * 2 ** (self._failures - 1), most_s)
+        pause = doubled_s(RETRY_SECONDS, most_s, self._failures - 1)
         eventlet.sleep(pause * (0.75 + 0.5 * fraction(self._kind, str(self._failures))))
 
     def _note_up(self) -> None:
