Machines that follow the store on a virtual clock: an incident's cause fails in schedules

Seen: a gateway served by a version that had been superseded 2.43 s before, 3 s after the store was back from an outage.

Ruled out: the row of versions (all came together).

--- /dev/null
+++ b/features/support/following_model.py
@@ -0,0 +1,315 @@
+"""Machines that follow the store, on a virtual clock: the product's own code, a model around it.
+
+Gateways and readers of a deployment follow a stand-in of the store through its outages. Only
+connections, links between machines and the log are stand-ins, so each time-out, pause and
+second try is the product's.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+from unittest.mock import patch
+
+import eventlet
+from eventlet.event import Event
+
+from features.support.following_store import StandInConnection, StoreStandIn
+from features.support.virtual_time import now_s
+from yarrowwall.messages.replicated import Member
+from yarrowwall.platform import store as platform_store
+from yarrowwall.platform.store import PlatformStore
+from yarrowwall.readers import store as reader_store
+from yarrowwall.readers.reader import ObjectReader
+from yarrowwall.readers.store import ReaderStore
+from yarrowwall.relay.decisions import Decision
+from yarrowwall.relay.freshness import Freshness
+from yarrowwall.relay.freshness_probe import FreshnessProbe
+from yarrowwall.relay.object_store import ObjectName, StoredObject
+from yarrowwall.relay.service import CONFIGURATION_WATCH_SECONDS
+from yarrowwall.relay.watching import LONG_WATCH_SECONDS, WATCH_SECONDS, KindFollower
+from yarrowwall.replication.documents import REPLICAS_KIND, member_spec
+
+CONFIG = ObjectName("config", "main")
+SERVERS = "servers"
+GROUPS = "yarrowwall-groups"
+RETIREMENTS = "retirements"
+#: Seconds in which a gateway may refuse by an older configuration, as on the smaller deployments.
+DENIAL_S = 2.0
+#: One way between machines, and what connecting to a machine without power takes.
+WAY_S = 0.001
+DARK_S = 0.3
+#: Seconds between two rounds of a machine's upkeep.
+UPKEEP_S = 0.3
+
+
+class Seen(NamedTuple):
+    """A version that took effect at a gateway."""
+
+    at_s: float
+    version: int
+
+
+class Lines:
+    """Stands for the log; keeps what is written with its moment."""
+
+    def __init__(self) -> None:
+        self.lines: list[tuple[float, Decision]] = []
+
+    def write(self, decision: Decision) -> None:
+        """Keep a decision."""
+        self.lines.append((now_s(), decision))
+
+
+@dataclass
+class Host:
+    """A machine: its processes come and go.
+
+    :ivar life: number of its process; what an earlier one still does has no effect.
+    """
+
+    node_id: str
+    zone: str
+    life: int = 0
+    is_up: bool = False
+    is_frozen: bool = False
+    reader: ObjectReader | None = None
+    lines: Lines = field(default_factory=Lines)
+    seen: list[Seen] = field(default_factory=list)
+    running: list[Any] = field(default_factory=list)
+
+
+class _Links:
+    """Links of one process to the other machines."""
+
+    def __init__(self, world: "FollowingWorld", host: Host) -> None:
+        self._world = world
+        self._host = host
+
+    def get(self, address: str) -> "_Link":
+        return _Link(self._world, self._host, self._world.hosts[address])
+
+
+class _Link:
+    def __init__(self, world: "FollowingWorld", asker: Host, reader: Host) -> None:
+        self._world = world
+        self._asker = asker
+        self._reader = reader
+
+    def post(self, request: Any, complete: Callable[[object | None], None]) -> int:
+        eventlet.spawn_n(self._carry, request, complete, self._reader.life, self._asker.life)
+        return 0
+
+    def forget(self, number: int, is_late: bool) -> None:
+        """Nothing is kept."""
+
+    def _carry(
+        self, request: Any, complete: Callable[[object | None], None], life: int, asking: int
+    ) -> None:
+        if (self._asker.node_id, self._reader.node_id) in self._world.cuts:
+            eventlet.sleep(DARK_S)
+            complete(None)
+            return
+        eventlet.sleep(WAY_S)
+        if not self._reader.is_up:
+            complete(None)
+            return
+        while self._reader.is_frozen:
+            eventlet.sleep(0.05)
+        if self._reader.life != life or self._reader.reader is None:
+            complete(None)
+            return
+        self._world.waiting.append((self._reader, life, complete))
+
+        def reply(found: object) -> None:
+            eventlet.spawn_n(self._bring, found, complete, life, asking)
+
+        self._reader.reader.ask(request, reply)
+
+    def _bring(
+        self, found: object, complete: Callable[[object | None], None], life: int, asking: int
+    ) -> None:
+        eventlet.sleep(WAY_S)
+        while self._reader.is_frozen and self._reader.life == life:
+            eventlet.sleep(0.05)
+        is_cut = (self._asker.node_id, self._reader.node_id) in self._world.cuts
+        if not is_cut and self._reader.life == life and self._asker.life == asking:
+            complete(found)
+
+
+class FollowingWorld:
+    """Gateways and readers in zones, and the store that they follow."""
+
+    def __init__(self, gateways: int = 8, zones: tuple[str, ...] = ("a", "b", "c")) -> None:
+        self.store = StoreStandIn()
+        self.hosts: dict[str, Host] = {}
+        self.cuts: set[tuple[str, str]] = set()
+        self.waiting: list[tuple[Host, int, Callable[[object | None], None]]] = []
+        self.acknowledged: list[Seen] = []
+        self._version = 0
+        for zone in zones:
+            self._add(Host(f"storage-{zone}-1", zone))
+        for number in range(gateways):
+            zone = zones[number % len(zones)]
+            self._add(Host(f"edge-{zone}-{number // len(zones) + 1}", zone))
+
+    def _add(self, host: Host) -> None:
+        self.hosts[host.node_id] = host
+
+    @property
+    def gateways(self) -> list[Host]:
+        """Return the machines that serve callers."""
+        return [host for host in self.hosts.values() if host.node_id.startswith("edge")]
+
+    @property
+    def readers(self) -> list[Host]:
+        """Return the machines that read the store for others."""
+        return [host for host in self.hosts.values() if host.node_id.startswith("storage")]
+
+    def publish(self) -> int:
+        """Write and acknowledge the next configuration; the store must be there."""
+        self._version += 1
+        self.store.put(*CONFIG, {"version": self._version})
+        self.acknowledged.append(Seen(now_s(), self._version))
+        return self._version
+
+    # Processes
+
+    def start_all(self) -> None:
+        """Start all machines; the readers register first."""
+        for host in self.readers:
+            member = Member(host.node_id, f"disk-{host.node_id}", host.node_id, host.zone)
+            self.store.put(REPLICAS_KIND, host.node_id, member_spec(member))
+        for host in self.hosts.values():
+            self.start(host)
+
+    def start(self, host: Host) -> None:
+        """Start a machine's process."""
+        host.life += 1
+        host.is_up = True
+        direct = self._client(host)
+        is_reader = host in self.readers
+        host.reader = self._make_reader(host) if is_reader else None
+        with patch.object(reader_store, "LinkTable", lambda now: _Links(self, host)):
+            store = ReaderStore(
+                host.node_id,
+                host.zone,
+                direct,
+                host.reader,
+                (CONFIG.kind, RETIREMENTS),
+                host.lines,  # type: ignore[arg-type]
+                now_s,
+            )
+        store.start()
+        if is_reader:
+            self._follow(host, store, GROUPS, LONG_WATCH_SECONDS)
+            self._follow(host, store, REPLICAS_KIND, LONG_WATCH_SECONDS)
+            self._follow(host, store, RETIREMENTS, WATCH_SECONDS)
+            eventlet.spawn_n(self._keep_reader, host, host.life)
+        else:
+            self._start_gateway(host, store)
+
+    def _make_reader(self, host: Host) -> ObjectReader:
+        watch_s = {CONFIG.kind: CONFIGURATION_WATCH_SECONDS, RETIREMENTS: WATCH_SECONDS}
+        log: Any = host.lines
+        return ObjectReader(self._client(host), CONFIG, watch_s, log, now_s)
+
+    def _client(self, host: Host) -> PlatformStore:
+        return _Client(self, host, host.life)
+
+    def _keep_reader(self, host: Host, life: int) -> None:
+        while host.life == life and host.reader is not None:
+            host.reader.stop_unwanted()
+            eventlet.sleep(UPKEEP_S)
+
+    def _start_gateway(self, host: Host, store: ReaderStore) -> None:
+        log: Any = host.lines
+        life = host.life
+        freshness = Freshness(None, DENIAL_S)
+
+        def take(item: StoredObject) -> None:
+            if host.life == life:
+                self._note_seen(host, item.spec["version"])
+
+        config = KindFollower(
+            store,
+            CONFIG.kind,
+            lambda items: [take(item) for item in items] and None,
+            lambda change: take(change.item),
+            log,
+            on_proved=freshness.note_proved,
+        )
+        config.start()
+        self._follow(host, store, SERVERS, LONG_WATCH_SECONDS)
+        self._follow(host, store, GROUPS, LONG_WATCH_SECONDS)
+        probe = FreshnessProbe(host.node_id, store, CONFIG, freshness, take, log, now_s)
+        probe.start()
+
+    def _note_seen(self, host: Host, version: int) -> None:
+        if not host.seen or host.seen[-1].version < version:
+            host.seen.append(Seen(now_s(), version))
+
+    def _follow(self, host: Host, store: ReaderStore, kind: str, watch_s: float) -> None:
+        log: Any = host.lines
+        KindFollower(
+            store,
+            kind,
+            lambda items: None,
+            lambda change: None,
+            log,
+            watch_s=watch_s,
+            may_be_old=True,
+        ).start()
+
+    def kill(self, host: Host) -> None:
+        """End a machine's process at once."""
+        host.life += 1
+        host.is_up = False
+        host.reader = None
+        host.seen = []
+        for reader, life, complete in self.waiting:
+            if reader is host and life == host.life - 1:
+                complete(None)
+        self.waiting = [one for one in self.waiting if one[0] is not host]
+
+    def kill_for(self, host: Host, seconds: float) -> None:
+        """End a machine's process and start it again after a while."""
+        self.kill(host)
+        eventlet.spawn_after(seconds, self.start, host)
+
+
+class _Client(PlatformStore):
+    """The product's client of one process; it does nothing once that process has ended."""
+
+    def __init__(self, world: FollowingWorld, host: Host, life: int) -> None:
+        super().__init__(host.node_id)
+        self._world = world
+        self._host = host
+        self._life = life
+
+    def _call(self, *args: Any, **kwargs: Any) -> Any:
+        self._stay_dead()
+        try:
+            return super()._call(*args, **kwargs)
+        finally:
+            self._stay_dead()
+
+    def _stay_dead(self) -> None:
+        while self._host.life != self._life:
+            Event().wait()
+
+
+class connections_to:
+    """Lets the product's client of the store open stand-in connections."""
+
+    def __init__(self, world: FollowingWorld) -> None:
+        self._patch = patch.object(
+            platform_store,
+            "ServerConnection",
+            lambda address, timeout: StandInConnection(world.store, address, timeout),
+        )
+
+    def __enter__(self) -> None:
+        self._patch.start()
+
+    def __exit__(self, *_: object) -> None:
+        self._patch.stop()
--- /dev/null
+++ b/features/support/following_store.py
@@ -0,0 +1,232 @@
+"""A stand-in of the platform's store for the product's own client, on a virtual clock.
+
+It speaks through connections as the client sees them: what a fault does to the store, it does
+to connections. So time-outs, pauses and second tries are those of the product.
+"""
+
+import json
+from collections import deque
+from enum import Enum
+from typing import Any
+from urllib.parse import parse_qs, unquote, urlsplit
+
+import eventlet
+from eventlet.event import Event
+
+from features.support.virtual_time import now_s
+from yarrowwall.relay.exceptions import AnswerTimeoutError, ConnectError, ConnectionBrokenError
+from yarrowwall.relay.model import ResponseHead
+
+#: Seconds until an answer of a healthy store has arrived.
+ANSWER_S = 0.004
+_OK, _NOT_FOUND, _GONE, _BUSY = 200, 404, 410, 503
+
+
+class Outage(Enum):
+    """What a store that is away does with a call."""
+
+    SILENT = "silent"
+    RESET = "reset"
+    BUSY = "busy"
+
+
+class StoreStandIn:
+    """Objects, their history and the watches that wait for it."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self._items: dict[str, dict[str, dict[str, Any]]] = {}
+        self._history: dict[str, deque[tuple[int, dict[str, Any]]]] = {}
+        self._dropped: dict[str, int] = {}
+        # In order, as sets of objects have none that repeats.
+        self._watches: dict[str, list[Event]] = {}
+        self.outage: Outage | None = None
+        self.turned_away: dict[str, Outage] = {}
+        self.slow_s = 0.0
+        self.calls = 0
+        self._connections: dict[StandInConnection, None] = {}
+
+    # What operators and servers do
+
+    def put(self, kind: str, name: str, spec: dict[str, Any]) -> int:
+        """Write an object; return its revision."""
+        self.revision += 1
+        meta = {"name": name, "revision": self.revision}
+        document = {"meta": meta, "spec": spec, "status": {}}
+        self._items.setdefault(kind, {})[name] = document
+        self._note(kind, {"object": document, "gone": False})
+        return self.revision
+
+    def remove(self, kind: str, name: str) -> None:
+        """Take an object away."""
+        document = self._items.get(kind, {}).pop(name, None)
+        if document is not None:
+            self.revision += 1
+            self._note(kind, {"object": document, "gone": True})
+
+    def _note(self, kind: str, event: dict[str, Any]) -> None:
+        self._history.setdefault(kind, deque()).append((self.revision, event))
+        self._wake(kind)
+
+    def _wake(self, kind: str) -> None:
+        for waiting in self._watches.pop(kind, []):
+            if not waiting.ready():
+                waiting.send(None)
+
+    # Faults
+
+    def go_away(self, how: Outage) -> None:
+        """Begin an outage; watches that wait are lost, with or without a word."""
+        self.outage = how
+        for connection in list(self._connections):
+            connection.lose(how)
+
+    def come_back(self) -> None:
+        """End the outage; what was lost in it stays lost."""
+        self.outage = None
+
+    def turn_away(self, node: str, how: Outage) -> None:
+        """Let one machine reach the store no more."""
+        self.turned_away[node] = how
+        for connection in list(self._connections):
+            if connection.node == node:
+                connection.lose(how)
+
+    def let_in(self, node: str) -> None:
+        """Let a machine reach the store again."""
+        self.turned_away.pop(node, None)
+
+    def forget_history(self) -> None:
+        """Drop all that changed so far, and cut the watches that wait for more."""
+        for kind, history in self._history.items():
+            history.clear()
+            self._dropped[kind] = self.revision
+        for connection in list(self._connections):
+            if connection.is_watching:
+                connection.lose(Outage.RESET)
+
+    # Answers
+
+    def trouble_of(self, node: str) -> Outage | None:
+        """Return what keeps a machine from being answered."""
+        return self.outage or self.turned_away.get(node)
+
+    def note_open(self, connection: "StandInConnection") -> None:
+        """Note a connection."""
+        self._connections[connection] = None
+
+    def note_closed(self, connection: "StandInConnection") -> None:
+        """Forget a connection."""
+        self._connections.pop(connection, None)
+
+    def answer(self, target: str) -> tuple[int, dict[str, Any]]:
+        """Answer a read; waits as long as a watch does."""
+        parts = urlsplit(target)
+        query = {name: found[0] for name, found in parse_qs(parts.query).items()}
+        names = [unquote(part) for part in parts.path.split("/")[2:]]
+        kind = names[0]
+        if len(names) > 1:
+            document = self._items.get(kind, {}).get(names[1])
+            return (_OK, document) if document is not None else (_NOT_FOUND, {})
+        if "watch" not in query:
+            items = list(self._items.get(kind, {}).values())
+            return _OK, {"items": items, "at": self.revision}
+        return self._watch(kind, int(query["watch"]), int(query["wait_ms"]) / 1000.0)
+
+    def _watch(self, kind: str, since: int, wait_s: float) -> tuple[int, dict[str, Any]]:
+        end_s = now_s() + wait_s
+        while True:
+            if since < self._dropped.get(kind, 0):
+                return _GONE, {}
+            events = [event for at, event in self._history.get(kind, ()) if at > since]
+            left_s = end_s - now_s()
+            if events or left_s <= 0.0:
+                return _OK, {"events": events, "at": self.revision}
+            waiting = Event()
+            self._watches.setdefault(kind, []).append(waiting)
+            waiting.wait(left_s)
+
+
+class StandInConnection:
+    """A connection to the stand-in with the face of the product's ``ServerConnection``."""
+
+    is_reusable = True
+
+    def __init__(self, store: StoreStandIn, node: str, timeout: float) -> None:
+        self.node = node
+        self.is_watching = False
+        self._store = store
+        self._answer: Event | None = None
+        self._is_silent = False
+        self._is_closed = False
+        trouble = store.trouble_of(node)
+        if trouble is Outage.SILENT:
+            eventlet.sleep(timeout)
+            raise ConnectError("no connection in time")
+        eventlet.sleep(ANSWER_S / 2)
+        if trouble is Outage.RESET:
+            raise ConnectError("refused")
+        store.note_open(self)
+
+    def is_quiet(self) -> bool:
+        """Return whether it may still be used."""
+        return not self._is_closed
+
+    def lose(self, how: Outage) -> None:
+        """Take a fault: no word more, or an end."""
+        if how is Outage.SILENT:
+            self._is_silent = True
+        elif how is Outage.RESET or self.is_watching:
+            self.interrupt()
+
+    def send(self, data: bytes, timeout: float) -> None:
+        """Send a request."""
+        target = data.split(b" ", 2)[1].decode()
+        self._store.calls += 1
+        self.is_watching = "watch=" in target
+        self._answer = Event()
+        eventlet.spawn_n(self._reply, target, self._answer)
+
+    def _reply(self, target: str, answer: Event) -> None:
+        eventlet.sleep(ANSWER_S / 2)
+        if self._is_silent or self._store.trouble_of(self.node) is Outage.SILENT:
+            self._is_silent = True
+            return
+        if self._store.trouble_of(self.node) is Outage.BUSY:
+            found = (_BUSY, {})
+        else:
+            found = self._store.answer(target)
+        eventlet.sleep(ANSWER_S / 2 + self._store.slow_s)
+        if not self._is_silent and not answer.ready():
+            answer.send(found)
+
+    def read_head(self, timeout: float) -> ResponseHead:
+        """Return the head of the answer."""
+        assert self._answer is not None
+        ready = self._answer.wait(timeout) if not self._answer.ready() else self._answer.wait()
+        if not self._answer.ready():
+            raise AnswerTimeoutError("no answer in time")
+        if ready is None:
+            raise ConnectionBrokenError("closed before the answer")
+        self._found: tuple[int, dict[str, Any]] = ready
+        return ResponseHead(ready[0], ())
+
+    def read_all(self, timeout: float) -> bytes:
+        """Return the body."""
+        return json.dumps(self._found[1]).encode()
+
+    def finish(self) -> None:
+        """Leave the answer."""
+        self.is_watching = False
+
+    def interrupt(self) -> None:
+        """End the connection under whoever reads it."""
+        self._is_closed = True
+        self._store.note_closed(self)
+        if self._answer is not None and not self._answer.ready():
+            self._answer.send(None)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._is_closed = True
+        self._store.note_closed(self)
