Schedules of overlapping troubles find eight broken followers; one question a second looks for better readers

The stand-in of the store answers old copies and falls quiet before it drops its history; gateways die right after a change took effect. Tried and not among them: a time-out as news of its end, and changes that were not told and not listed, are made up for by the question that is sent at once after each failure, so neither shows in a version's lateness.

--- a/features/following.feature
+++ b/features/following.feature
@@ -15,3 +15,33 @@
 
   Scenario: Whatever troubles overlap, a configuration is in force within its bound
     Then in 40 schedules of each trouble every gateway has each version in force within 2.0 s
+
+  Scenario: After an outage of the store a configuration is in force within half of its bound
+    Then in 100 schedules of each outage every gateway has each version in force within 1.0 s
+
+  Scenario Outline: The schedules find that <mutant>
+    Given machines of which <mutant>
+    Then some schedule finds a version late, or one that came back
+
+    Examples:
+      | mutant                                     |
+      | a watch from before an outage is trusted   |
+      | the last change of a row is lost           |
+      | a wait goes on from a later revision       |
+      | a lost question is waited for              |
+      | no reader is looked for                    |
+      | pauses go on when the store is back        |
+      | a gateway never asks for itself            |
+      | a configuration is listed from an old copy |
+
+  Scenario Outline: What a failure tells, by when its question was sent
+    Given a store that answered a question sent at 10.0 s
+    When a question sent at <sent> s <fails> at <noted> s
+    Then the store counts as lost: <lost>, and at <later> s as out: <out>
+
+    Examples:
+      | sent | fails         | noted | lost | later | out |
+      | 9.0  | has no answer | 12.5  | no   | 13.0  | no  |
+      | 11.0 | has no answer | 12.5  | yes  | 12.6  | no  |
+      | 11.0 | has no answer | 12.5  | yes  | 12.9  | yes |
+      | 9.0  | is refused    | 12.5  | yes  | 12.9  | yes |
--- a/features/support/following_model.py
+++ b/features/support/following_model.py
@@ -65,6 +65,8 @@
     """A machine: its processes come and go.
 
     :ivar life: number of its process; what an earlier one still does has no effect.
+    :ivar seen: what took effect in this life.
+    :ivar had: the newest version of its lives before.
     """
 
     node_id: str
@@ -75,6 +77,7 @@
     reader: ObjectReader | None = None
     lines: Lines = field(default_factory=Lines)
     seen: list[Seen] = field(default_factory=list)
+    had: int = 0
     running: list[Any] = field(default_factory=list)
 
 
@@ -265,6 +268,7 @@
         host.life += 1
         host.is_up = False
         host.reader = None
+        host.had = max([host.had, *(seen.version for seen in host.seen)])
         host.seen = []
         for reader, life, complete in self.waiting:
             if reader is host and life == host.life - 1:
--- a/features/support/following_schedules.py
+++ b/features/support/following_schedules.py
@@ -41,6 +41,12 @@
     calls: int
 
 
+def _went_back(host: Host) -> bool:
+    """Return whether a gateway went by an older version than before, also across a start."""
+    versions = [host.had, *(seen.version for seen in host.seen)]
+    return versions != sorted(versions)
+
+
 class _Schedule:
     def __init__(self, seed: int, trouble: str) -> None:
         self.rng = random.Random(f"{seed} {trouble}")
@@ -61,7 +67,7 @@
         lates = [
             self._late(host, version, at) for host in world.gateways for at, version in self._due()
         ]
-        went_back = any(host.seen != sorted(host.seen) or not host.seen for host in world.gateways)
+        went_back = any(_went_back(host) for host in world.gateways)
         return Outcome(self.seed, self.trouble, max(lates), went_back, world.store.calls)
 
     def _due(self) -> list[tuple[float, int]]:
@@ -142,12 +148,20 @@
     schedule.row()
 
 
-def _history_dropped(schedule: _Schedule) -> None:
+def _drop_history(schedule: _Schedule) -> None:
+    """Let watches hear nothing for a second while changes are made, then drop the history."""
+    schedule.world.store.tell_nothing()
+    eventlet.sleep(schedule.rng.uniform(0.0, 0.5))
     schedule.world.publish()
+    eventlet.sleep(schedule.rng.uniform(0.0, 0.5))
     schedule.world.store.forget_history()
+
+
+def _history_dropped(schedule: _Schedule) -> None:
+    _drop_history(schedule)
     schedule.row()
     schedule.outage(schedule.any_way(), schedule.rng.uniform(1.0, 6.0))
-    schedule.world.store.forget_history()
+    _drop_history(schedule)
     schedule.row()
 
 
@@ -198,6 +212,15 @@
     schedule.row()
 
 
+def _gateways_killed(schedule: _Schedule) -> None:
+    """Gateways die right after a change took effect there."""
+    for _ in range(3):
+        schedule.row()
+        eventlet.sleep(schedule.rng.uniform(0.0, 0.3))
+        schedule.herd()
+        eventlet.sleep(schedule.rng.uniform(RESTART_S, 3.0))
+
+
 def _cut_from_readers(schedule: _Schedule) -> None:
     """Gateways hear no reader, and reach the store."""
     for gateway in schedule.world.gateways:
@@ -218,12 +241,23 @@
     "history dropped": _history_dropped,
     "slow after an outage": _slow_afterwards,
     "readers turned away": _readers_turned_away,
+    "gateways killed": _gateways_killed,
     "gateways turned away": _gateways_turned_away,
     "a reader frozen": _reader_frozen,
     "a reader killed": _reader_killed,
     "cut off from the readers": _cut_from_readers,
 }
 
+#: Those in which the store is away for all and comes back.
+OUTAGES = (
+    "outage",
+    "outage, half of the gateways killed",
+    "two outages",
+    "outage, readers killed",
+    "history dropped",
+    "slow after an outage",
+)
+
 
 def play(seed: int, trouble: str) -> Outcome:
     """Play one schedule on a virtual clock."""
--- a/features/support/following_store.py
+++ b/features/support/following_store.py
@@ -7,7 +7,7 @@
 import json
 from collections import deque
 from enum import Enum
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import parse_qs, unquote, urlsplit
 
 import eventlet
@@ -24,6 +24,8 @@
 
 #: Seconds until an answer of a healthy store has arrived.
 ANSWER_S = 0.004
+#: How old the answer to a question is that may be answered from a copy.
+STALE_S = 3.0
 _OK, _NOT_FOUND, _GONE, _BUSY = 200, 404, 410, 503
 
 
@@ -35,6 +37,14 @@
     BUSY = "busy"
 
 
+class _Copy(NamedTuple):
+    """The objects of a kind as they stood once."""
+
+    at_s: float
+    revision: int
+    items: list[dict[str, Any]]
+
+
 class StoreStandIn:
     """Objects, their history and the watches that wait for it."""
 
@@ -49,6 +59,8 @@
         self.turned_away: dict[str, Outage] = {}
         self.slow_s = 0.0
         self.calls = 0
+        self._copies: dict[str, list[_Copy]] = {}
+        self._is_quiet = False
         self._connections: dict[StandInConnection, None] = {}
 
     # What operators and servers do
@@ -71,7 +83,10 @@
 
     def _note(self, kind: str, event: dict[str, Any]) -> None:
         self._history.setdefault(kind, deque()).append((self.revision, event))
-        self._wake(kind)
+        items = list(self._items.get(kind, {}).values())
+        self._copies.setdefault(kind, []).append(_Copy(now_s(), self.revision, items))
+        if not self._is_quiet:
+            self._wake(kind)
 
     def _wake(self, kind: str) -> None:
         for waiting in self._watches.pop(kind, []):
@@ -101,8 +116,13 @@
         """Let a machine reach the store again."""
         self.turned_away.pop(node, None)
 
+    def tell_nothing(self) -> None:
+        """Let watches hear nothing, as a store does before it drops its history."""
+        self._is_quiet = True
+
     def forget_history(self) -> None:
         """Drop all that changed so far, and cut the watches that wait for more."""
+        self._is_quiet = False
         for kind, history in self._history.items():
             history.clear()
             self._dropped[kind] = self.revision
@@ -133,11 +153,19 @@
         if len(names) > 1:
             document = self._items.get(kind, {}).get(names[1])
             return (_OK, document) if document is not None else (_NOT_FOUND, {})
+        if "stale" in query:
+            return _OK, self._copy(kind)
         if "watch" not in query:
             items = list(self._items.get(kind, {}).values())
             return _OK, {"items": items, "at": self.revision}
         return self._watch(kind, int(query["watch"]), int(query["wait_ms"]) / 1000.0)
 
+    def _copy(self, kind: str) -> dict[str, Any]:
+        old = [copy for copy in self._copies.get(kind, []) if copy.at_s <= now_s() - STALE_S]
+        if not old:
+            return {"items": [], "at": 1}
+        return {"items": old[-1].items, "at": old[-1].revision}
+
     def _watch(self, kind: str, since: int, wait_s: float) -> tuple[int, dict[str, Any]]:
         end_s = now_s() + wait_s
         while True:
@@ -145,8 +173,11 @@
                 return _GONE, {}
             events = [event for at, event in self._history.get(kind, ()) if at > since]
             left_s = end_s - now_s()
+            if self._is_quiet:
+                events = []
             if events or left_s <= 0.0:
-                return _OK, {"events": events, "at": self.revision}
+                at = since if self._is_quiet else self.revision
+                return _OK, {"events": events, "at": at}
             waiting = Event()
             self._watches.setdefault(kind, []).append(waiting)
             waiting.wait(left_s)
--- a/yarrowwall/readers/contact_store.py
+++ b/yarrowwall/readers/contact_store.py
@@ -81,19 +81,22 @@
     def _note_answered(self, sent_at_s: float) -> None:
         if not self._contact.note_answered(sent_at_s):
             return
-        # Watches that began before may be lost, and say nothing until their waits are over.
-        self._direct.interrupt_watches(sent_at_s)
+        self._end_doubted(sent_at_s)
         back, self._back = self._back, Event()
         back.send()
         self._on_back()
 
     def _note_silence(self, sent_at_s: float, error: StoreSilentError) -> None:
         # Connections may fall silent for good while new ones work.
-        self._direct.interrupt_watches(sent_at_s)
+        self._end_doubted(sent_at_s)
         is_news = self._note_lost(lambda: self._contact.note_silence(sent_at_s, self._now()))
         if not is_news:
             raise WatchInterruptedError(f"overtaken: {error}") from error
 
+    def _end_doubted(self, opened_before_s: float) -> None:
+        """End watches that may be lost: they would say nothing until their waits are over."""
+        self._direct.interrupt_watches(opened_before_s)
+
     def _note_lost(self, note: Callable[[], bool | None]) -> bool:
         was_lost = self.is_lost
         is_news = note() is not False
--- a/yarrowwall/readers/store.py
+++ b/yarrowwall/readers/store.py
@@ -60,6 +60,8 @@
 #: Seconds from the start in which readers may register, and between two looks for them.
 FIRST_READERS_SECONDS = 3.0
 LOOK_SECONDS = 0.25
+#: The same while a reader is relied on: a better one that was passed over may be back.
+CALM_LOOK_SECONDS = 1.0
 #: Seconds of a pause after a failed read if a reader was found meanwhile.
 FOUND_SECONDS = 0.05
 #: Readers that are asked at each look: the first of the own zone and the next one.
@@ -101,6 +103,7 @@
         self._order = ReaderOrder(node_id, zone)
         self._proven: set[str] = set()
         self._looking: set[str] = set()
+        self._doubt = Event()
         self._found = Event()
         self._pending: dict[Event, str] = {}
         self._revisions: dict[str, int] = {}
@@ -240,12 +243,18 @@
         come back to the first one soon after it hears of the store again.
         """
         while True:
-            eventlet.sleep(LOOK_SECONDS)
+            self._doubt.wait(CALM_LOOK_SECONDS if self._proven else LOOK_SECONDS)
+            self._doubt = Event()
             for reader in self._unproven_readers():
                 if reader.node_id not in self._looking:
                     self._looking.add(reader.node_id)
                     eventlet.spawn_n(self._prove, reader)
 
+    def _note_doubt(self) -> None:
+        """Look for readers at once: one was left, or others are known now."""
+        if not self._doubt.ready():
+            self._doubt.send()
+
     def _unproven_readers(self) -> Sequence[Member]:
         """Return the readers that would be better than those which are relied on."""
         found = []
@@ -347,6 +356,7 @@
         for arrived, asked in list(self._pending.items()):
             if asked == reader.node_id and not arrived.ready():
                 arrived.send(None)
+        self._note_doubt()
 
     def interrupt_watches(
         self, opened_before_s: float = float("inf"), kind: str | None = None
@@ -360,6 +370,7 @@
         registered = [read_registration(item) for item in items]
         self._order.replace_all(member for member in registered if member is not None)
         self._return_to_first()
+        self._note_doubt()
 
     def _reader_changed(self, change: Change) -> None:
         member = read_registration(change.item)
@@ -368,6 +379,7 @@
         elif member is not None:
             self._order.put(member)
         self._return_to_first()
+        self._note_doubt()
 
     def _return_to_first(self) -> None:
         """End the questions that wait at others than the first reader.
