yarrowwall stale: requests handled by a superseded configuration, with what their gateway knew; fewer calls in outages

Sight: logs told when a version came into force, but not which requests were handled by an older one, by how old a proof, relying on whom. The command lists them.

A gateway's own question for the configuration tells its followers as well whether the store answers, and a reader watches the configuration as long as everything else: the question that is asked each 0.9 s finds a lost watch.

--- a/features/following.feature
+++ b/features/following.feature
@@ -34,6 +34,11 @@
       | a gateway never asks for itself            |
       | a configuration is listed from an old copy |
 
+  Scenario: Requests that were handled by a superseded configuration are told with their reason
+    Given logs of two gateways of which one has version 24 at 10.0 s and the other stays with 12
+    When that one admits requests at 11.0 s and at 12.5 s, its proof 3.1 s old
+    Then only the later one is told as stale, with version, age, reader and what was given up
+
   Scenario Outline: What a failure tells, by when its question was sent
     Given a store that answered a question sent at 10.0 s
     When a question sent at <sent> s <fails> at <noted> s
--- a/features/steps/following_steps.py
+++ b/features/steps/following_steps.py
@@ -1,9 +1,14 @@
 """Steps about machines that follow the store through its troubles, on a virtual clock."""
 
+import json
+import tempfile
 from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
 
 from behave import given, then, when
 from behave.runner import Context
+from click.testing import CliRunner
 
 from features.support.following_mutants import MUTANTS
 from features.support.following_schedules import (
@@ -13,6 +18,7 @@
     play,
     readers_left_after,
 )
+from yarrowwall.cli.stale import stale
 from yarrowwall.readers.contact import StoreContact
 
 #: Schedules of each trouble in which a broken product has to be found.
@@ -96,3 +102,45 @@
 
 def _told(outcomes: list[Outcome]) -> str:
     return "\n".join(str(outcome) for outcome in outcomes)
+
+
+@given(
+    "logs of two gateways of which one has version {newer:d} at {at_s:f} s and the other "
+    "stays with {older:d}"
+)
+def two_logs(context: Context, newer: int, at_s: float, older: int) -> None:
+    silence = {"dependency": "reader/storage-1", "is_up": False, "reason": "no answer"}
+    context.lines = [
+        _line("edge-1", 1.0, "ConfigurationInForce", version=older),
+        _line("edge-0", 1.0, "ConfigurationInForce", version=older),
+        _line("edge-1", 2.0, "DependencyChanged", dependency="reader/storage-0", is_up=True),
+        _line("edge-1", 9.0, "DependencyChanged", **silence),
+        _line("edge-0", at_s, "ConfigurationInForce", version=newer),
+    ]
+    context.versions = (older, newer)
+
+
+@when("that one admits requests at {one_s:f} s and at {other_s:f} s, its proof {age_s:f} s old")
+def admits(context: Context, one_s: float, other_s: float, age_s: float) -> None:
+    proof = {"configuration": context.versions[0], "configuration_age": age_s}
+    context.lines += [
+        _line("edge-1", one_s, "AttemptAdmitted", attempt="in-time", **proof),
+        _line("edge-1", other_s, "AttemptAdmitted", attempt="too-late", **proof),
+    ]
+
+
+@then("only the later one is told as stale, with version, age, reader and what was given up")
+def told_as_stale(context: Context) -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "lines.log"
+        path.write_text("\n".join(json.dumps(line) for line in context.lines))
+        result = CliRunner().invoke(stale, [str(path), "--output", "json"])
+    (found,) = [json.loads(line) for line in result.output.splitlines()]
+    assert found["attempt_id"] == "too-late"
+    assert (found["version"], found["newer"]) == context.versions
+    assert found["reader"] == "storage-0"
+    assert found["left"].startswith("reader/storage-1 at 9.000")
+
+
+def _line(node: str, at_s: float, kind: str, **fields: Any) -> dict[str, Any]:
+    return {"time": at_s, "node": node, "kind": kind, **fields}
--- a/features/steps/reader_steps.py
+++ b/features/steps/reader_steps.py
@@ -211,7 +211,7 @@
     context.one_object = _OneObject()
     log = DecisionLog("storage-0")
     target = ObjectName("config", "main")
-    context.reader = ObjectReader(context.one_object, target, {}, log, time.monotonic)
+    context.reader = ObjectReader(context.one_object, target, log, time.monotonic)
 
 
 @when("two questions wait for a change, the second for {wait_ms:d} ms")
--- a/features/support/following_model.py
+++ b/features/support/following_model.py
@@ -25,7 +25,6 @@
 from yarrowwall.relay.freshness import Freshness
 from yarrowwall.relay.freshness_probe import FreshnessProbe
 from yarrowwall.relay.object_store import ObjectName, StoredObject
-from yarrowwall.relay.service import CONFIGURATION_WATCH_SECONDS
 from yarrowwall.relay.watching import LONG_WATCH_SECONDS, WATCH_SECONDS, KindFollower
 from yarrowwall.replication.documents import REPLICAS_KIND, member_spec
 
@@ -212,9 +211,8 @@
             self._start_gateway(host, store)
 
     def _make_reader(self, host: Host) -> ObjectReader:
-        watch_s = {CONFIG.kind: CONFIGURATION_WATCH_SECONDS, RETIREMENTS: WATCH_SECONDS}
         log: Any = host.lines
-        return ObjectReader(self._client(host), CONFIG, watch_s, log, now_s)
+        return ObjectReader(self._client(host), CONFIG, log, now_s)
 
     def _client(self, host: Host) -> PlatformStore:
         return _Client(self, host, host.life)
--- a/yarrowwall/cli/main.py
+++ b/yarrowwall/cli/main.py
@@ -16,6 +16,7 @@
 from yarrowwall.cli.placement_cost import placement_cost
 from yarrowwall.cli.quota_experiment import quota_experiment
 from yarrowwall.cli.simulate import simulate
+from yarrowwall.cli.stale import stale
 from yarrowwall.cli.standin import standin
 
 
@@ -43,6 +44,7 @@
     journal_cost,
     explain,
     failures,
+    stale,
 )
 for command in COMMANDS:
     main.add_command(command)
--- a/yarrowwall/readers/reader.py
+++ b/yarrowwall/readers/reader.py
@@ -4,7 +4,7 @@
 (:mod:`yarrowwall.readers.order`), and a machine that is asked begins to follow.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import Any
 
 import eventlet
@@ -59,7 +59,6 @@
 class FollowedKind:
     """One kind of objects that is followed, and the questions about it.
 
-    :param watch_s: the longest that one watch at the store waits.
     :param pause_s: seconds after changes before the next ones are asked for.
     :param is_out: returns whether the store has not answered for more than a moment.
     :param proved: name of an object of which answers say until when its state was the newest.
@@ -69,7 +68,6 @@
         self,
         store: ObjectStore,
         kind: str,
-        watch_s: float,
         pause_s: float,
         log: DecisionLog,
         now: Callable[[], float],
@@ -92,7 +90,7 @@
             log,
             self._take_read,
             pause_s=pause_s,
-            watch_s=watch_s,
+            watch_s=LONG_WATCH_SECONDS,
             most_retry_s=MOST_RETRY_SECONDS,
         )
         self._follower.start()
@@ -225,7 +223,6 @@
     :param prompt: an object which is asked for besides. Its kind is followed as long as any
         other is, for a watch that was lost in an outage says nothing until its wait is over;
         once that object is answered again, all that began before is begun anew.
-    :param watch_s: the longest that a watch waits, for kinds where that is not the usual.
     :param now: the monotonic clock.
     """
 
@@ -233,13 +230,11 @@
         self,
         store: ObjectStore,
         prompt: ObjectName,
-        watch_s: Mapping[str, float],
         log: DecisionLog,
         now: Callable[[], float],
     ) -> None:
         self._store = ContactStore(store, now, self._note_lost)
         self._prompt = prompt
-        self._watch_s = watch_s
         self._log = log
         self._now = now
         self._kinds: dict[str, FollowedKind] = {}
@@ -253,13 +248,11 @@
         """Return a kind that is followed from now on."""
         followed = self._kinds.get(kind)
         if followed is None:
-            watch_s = self._watch_s.get(kind, LONG_WATCH_SECONDS)
             # Each change of the prompt kind is asked for at once; it changes seldom.
             is_prompt = kind == self._prompt.kind
             followed = FollowedKind(
                 self._store,
                 kind,
-                watch_s,
                 0.0 if is_prompt else COALESCE_SECONDS,
                 self._log,
                 self._now,
--- a/yarrowwall/readers/store.py
+++ b/yarrowwall/readers/store.py
@@ -57,6 +57,9 @@
 #: more, whatever the kind: in an outage each of four kinds and the age of the configuration would
 #: ask for itself, and calls are paid for.
 DIRECT_PAUSE_SECONDS = 0.8
+#: The same after a question for a single object: whoever asks for one goes on asking, every 1.6 s
+#: at most, and tells all others by the first answer.
+PROBED_PAUSE_SECONDS = 2.0
 #: Seconds from the start in which readers may register, and between two looks for them.
 FIRST_READERS_SECONDS = 3.0
 LOOK_SECONDS = 0.25
@@ -108,7 +111,7 @@
         self._pending: dict[Event, str] = {}
         self._revisions: dict[str, int] = {}
         self._answered_at = now()
-        self._direct_failed_at: float | None = None
+        self._direct_again_at = 0.0
         self._direct_after_s = DIRECT_AFTER_SECONDS + DIRECT_SPREAD_SECONDS * fraction(
             "direct", node_id
         )
@@ -198,17 +201,16 @@
 
         :raises ObjectStoreError: before it is asked, if it did not answer a moment ago.
         """
-        failed_at = self._direct_failed_at
-        if failed_at is not None and self._now() - failed_at < DIRECT_PAUSE_SECONDS:
+        if self._now() < self._direct_again_at:
             raise ObjectStoreError("the store itself did not answer a moment ago")
         try:
             yield
         except (HistoryForgottenError, WatchInterruptedError):
             raise
         except ObjectStoreError:
-            self._direct_failed_at = self._now()
+            self._direct_again_at = self._now() + DIRECT_PAUSE_SECONDS
             raise
-        self._direct_failed_at = None
+        self._direct_again_at = 0.0
 
     def _noted(self, kind: str, found: Changes) -> Changes:
         self._revisions[kind] = max(self._revisions.get(kind, 0), found.revision)
@@ -400,7 +402,15 @@
 
     def get(self, kind: str, name: str, timeout_s: float) -> StoredObject | None:
         """Return an object as it stands now at the store itself; None if there is none."""
-        return self._direct.get(kind, name, timeout_s)
+        try:
+            item = self._direct.get(kind, name, timeout_s)
+        except WatchInterruptedError:
+            raise
+        except ObjectStoreError:
+            self._direct_again_at = self._now() + PROBED_PAUSE_SECONDS
+            raise
+        self._direct_again_at = 0.0
+        return item
 
     def create(self, kind: str, name: str, spec: dict[str, Any]) -> StoredObject:
         """Make an object."""
--- a/yarrowwall/relay/service.py
+++ b/yarrowwall/relay/service.py
@@ -21,14 +21,10 @@
 from yarrowwall.relay.object_store import ObjectName, ObjectStore
 from yarrowwall.relay.ports import CallerProtocol, Documents, ServerProtocol
 from yarrowwall.relay.settings import MachineSettings, load_machine_settings
-from yarrowwall.relay.watching import WATCH_SECONDS
 from yarrowwall.replication.service import ReplicaService
 
 #: Seconds between looks at the settings file, which may change without a signal.
 SETTINGS_SECONDS = 2.0
-#: Seconds that a reader's watch of the configuration waits. One that was lost in an outage
-#: says nothing until its wait is over, and a whole zone waits for it.
-CONFIGURATION_WATCH_SECONDS = 2.0
 
 
 @dataclass(frozen=True)
@@ -103,14 +99,9 @@
     def _make_reader(self, adapter: Adapter) -> ObjectReader:
         """Return what reads the store for other machines, and for this one."""
         documents = adapter.documents
-        watch_s = {
-            documents.configuration_kind: CONFIGURATION_WATCH_SECONDS,
-            documents.retirements_kind: WATCH_SECONDS,
-        }
         return ObjectReader(
             adapter.make_store(),
             ObjectName(documents.configuration_kind, documents.configuration_name),
-            watch_s,
             self._log,
             time.monotonic,
         )
