--- a/features/steps/following_steps.py
+++ b/features/steps/following_steps.py
@@ -86,7 +86,8 @@
 
 @when("a question sent at {sent_at_s:f} s has no answer at {now_s:f} s")
 def silence(context: Context, sent_at_s: float, now_s: float) -> None:
-    context.contact.note_silence(sent_at_s, now_s)
+    if not context.contact.is_overtaken(sent_at_s):
+        context.contact.note_failed(now_s)
 
 
 @when("a question sent at {sent_at_s:f} s is refused at {now_s:f} s")
--- a/yarrowwall/platform/store.py
+++ b/yarrowwall/platform/store.py
@@ -1,6 +1,7 @@
 """Calls to the platform's store of objects."""
 
 import json
+import math
 import time
 from collections.abc import Callable
 from typing import Any, NamedTuple
@@ -103,12 +104,12 @@
     def interrupt_watches(
         self, opened_before_s: float = float("inf"), kind: str | None = None
     ) -> None:
-        """End waiting watches of this process; older connections are used no more."""
+        """End waiting watches of this process; connections in doubt are used no more."""
         for lane, opened in list(self._watching.items()):
             if opened.at_s < opened_before_s and kind in (None, lane.removeprefix(_WATCH_LANE)):
                 self._interrupted.add(lane)
                 opened.connection.interrupt()
-        if kind is None:
+        if math.isfinite(opened_before_s):
             self._close_idle(opened_before_s)
 
     def _close_idle(self, opened_before_s: float) -> None:
--- a/yarrowwall/readers/contact.py
+++ b/yarrowwall/readers/contact.py
@@ -28,17 +28,16 @@
         self.lost_at_s = None
         return was_lost
 
-    def note_silence(self, sent_at_s: float, now_s: float) -> bool:
-        """Take in that a question got no answer in time; return whether that is news."""
-        if sent_at_s < self._answered_s:
-            return False
-        self.note_failed(now_s)
-        return True
-
-    def note_failed(self, now_s: float) -> None:
-        """Take in that a question was refused or its connection ended."""
-        if self.lost_at_s is None:
+    def is_overtaken(self, sent_at_s: float) -> bool:
+        """Return whether a question that was sent later has been answered."""
+        return sent_at_s < self._answered_s
+
+    def note_failed(self, now_s: float) -> bool:
+        """Take in a failure that is news; return whether it is the first one."""
+        is_first = self.lost_at_s is None
+        if is_first:
             self.lost_at_s = now_s
+        return is_first
 
     def is_out(self, now_s: float) -> bool:
         """Return whether the store has been lost for more than a moment."""
--- a/yarrowwall/readers/contact_store.py
+++ b/yarrowwall/readers/contact_store.py
@@ -26,6 +26,7 @@
     :param direct: the store itself.
     :param now: the monotonic clock.
     :param on_lost: called once a failure shows that the store does not answer.
+    :param on_back: called once it answers again.
     """
 
     def __init__(
@@ -74,7 +75,7 @@
             self._note_silence(sent_at_s, error)
             raise
         except ObjectStoreError:
-            self._note_lost(lambda: self._contact.note_failed(self._now()))
+            self._note_failed()
             raise
         self._note_answered(sent_at_s)
 
@@ -89,20 +90,17 @@
     def _note_silence(self, sent_at_s: float, error: StoreSilentError) -> None:
         # Connections may fall silent for good while new ones work.
         self._end_doubted(sent_at_s)
-        is_news = self._note_lost(lambda: self._contact.note_silence(sent_at_s, self._now()))
-        if not is_news:
+        if self._contact.is_overtaken(sent_at_s):
             raise WatchInterruptedError(f"overtaken: {error}") from error
+        self._note_failed()
 
     def _end_doubted(self, opened_before_s: float) -> None:
         """End watches that may be lost: they would say nothing until their waits are over."""
         self._direct.interrupt_watches(opened_before_s)
 
-    def _note_lost(self, note: Callable[[], bool | None]) -> bool:
-        was_lost = self.is_lost
-        is_news = note() is not False
-        if self.is_lost and not was_lost:
+    def _note_failed(self) -> None:
+        if self._contact.note_failed(self._now()):
             self._on_lost()
-        return is_news
 
     # The store's own
 
--- a/yarrowwall/readers/store.py
+++ b/yarrowwall/readers/store.py
@@ -66,7 +66,7 @@
 #: The same while a reader is relied on: a better one that was passed over may be back.
 CALM_LOOK_SECONDS = 1.0
 #: Seconds of a pause after a failed read if a reader was found meanwhile.
-FOUND_SECONDS = 0.05
+FOUND_SECONDS = 0.25
 #: Readers that are asked at each look: the first of the own zone and the next one.
 READERS_LOOKED_FOR = 2
 
--- a/yarrowwall/relay/object_store.py
+++ b/yarrowwall/relay/object_store.py
@@ -107,7 +107,7 @@
         """End waiting watches of this process.
 
         :param opened_before_s: those on connections opened before a moment of the monotonic
-            clock; they are used no more.
+            clock, for these are in doubt; none of them is used any more.
         :param kind: those of one kind; of all without it.
         """
 
--- a/yarrowwall/relay/watching.py
+++ b/yarrowwall/relay/watching.py
@@ -125,12 +125,12 @@
                 # still has; only a forgotten history needs a list.
                 self._is_cautious = True
                 self._note_down(error)
-                self._pause()
+                self._store.wait_for_contact(self._retry_pause_s())
             except (KeyError, TypeError, ValueError) as error:
                 # An object that cannot be read must not end the following of all others.
                 revision = None
                 self._note_down(error)
-                self._pause()
+                eventlet.sleep(self._retry_pause_s())
 
     def _list(self) -> int:
         timeout_s = doubled_s(LIST_SECONDS, MOST_LIST_SECONDS, self._failures)
@@ -155,11 +155,11 @@
             eventlet.sleep(self._pause_s)
         return found.revision
 
-    def _pause(self) -> None:
+    def _retry_pause_s(self) -> float:
         most_s = self._most_retry_s if self.has_listed else MOST_FIRST_RETRY_SECONDS
         pause = doubled_s(RETRY_SECONDS, most_s, self._failures - 1)
         spread = 0.75 + 0.5 * fraction(self._kind, str(self._failures))
-        self._store.wait_for_contact(pause * spread)
+        return pause * spread
 
     def _note_up(self) -> None:
         if self._failures:
