--- a/yarrowwall/readers/reader.py
+++ b/yarrowwall/readers/reader.py
@@ -28,6 +28,10 @@
 #: Seconds for which a question waits for the reader's own first list. A list takes 0.01 s if
 #: the store answers at once; beyond this the asker had better try another reader.
 FIRST_LIST_SECONDS = 0.4
+#: Seconds that a watch of the prompt kind waits. Watches can be lost while all else is answered;
+#: then they say nothing until their waits are over. The short one tells for the others, whose
+#: waits are 25 s, after 3.5 s.
+PROMPT_WATCH_SECONDS = 2.0
 #: Seconds without a question after which a kind is no longer followed.
 IDLE_SECONDS = 8.0
 #: Seconds before a failed read of the store is tried again at most, if nothing shows before
@@ -59,6 +63,7 @@
 class FollowedKind:
     """One kind of objects that is followed, and the questions about it.
 
+    :param watch_s: the longest that one watch at the store waits.
     :param pause_s: seconds after changes before the next ones are asked for.
     :param is_out: returns whether the store has not answered for more than a moment.
     :param proved: name of an object of which answers say until when its state was the newest.
@@ -68,6 +73,7 @@
         self,
         store: ObjectStore,
         kind: str,
+        watch_s: float,
         pause_s: float,
         log: DecisionLog,
         now: Callable[[], float],
@@ -90,7 +96,7 @@
             log,
             self._take_read,
             pause_s=pause_s,
-            watch_s=LONG_WATCH_SECONDS,
+            watch_s=watch_s,
             most_retry_s=MOST_RETRY_SECONDS,
         )
         self._follower.start()
@@ -220,9 +226,10 @@
     """Answers other machines' questions about the store's objects.
 
     :param store: the store, for this reader alone.
-    :param prompt: an object which is asked for besides. Its kind is followed as long as any
-        other is, for a watch that was lost in an outage says nothing until its wait is over;
-        once that object is answered again, all that began before is begun anew.
+    :param prompt: an object whose kind is watched only shortly at a time, and which is asked
+        for besides. Its kind is followed as long as any other is, for a watch that was lost
+        says nothing until its wait is over; what a short one or a question finds out lets
+        all others begin anew.
     :param now: the monotonic clock.
     """
 
@@ -253,6 +260,7 @@
             followed = FollowedKind(
                 self._store,
                 kind,
+                PROMPT_WATCH_SECONDS if is_prompt else LONG_WATCH_SECONDS,
                 0.0 if is_prompt else COALESCE_SECONDS,
                 self._log,
                 self._now,
