--- /dev/null
+++ b/features/processor_bench.py
@@ -0,0 +1,188 @@
+"""Processor time that machines take for a request and while idle, paired with another checkout.
+
+    python -m features.processor_bench [--against CHECKOUT] [--limits] [--rounds 3]
+
+The machines are real processes on loopback before stand-in servers; a round of the other
+checkout follows each round of this one, so that a busy machine slows both.
+"""
+
+import os
+import statistics
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import NamedTuple
+
+import click
+
+from features.support.platform_world import ROOT, PlatformWorld, stream
+
+#: Seconds that machines are left alone, and that clients ask without a pause of their own.
+IDLE_S = 5.0
+BUSY_S = 6.0
+#: Clients, and seconds between two requests of one: some 200 requests a second in all.
+CLIENTS = 6
+PAUSE_S = 0.02
+#: Seconds after a new limit until every replica lends.
+SETTLE_S = 2.5
+#: One request in so many is a turn of eleven events; the others are lookups.
+TURN_EVERY = 3
+TURNS_A_PROGRAM = 9
+KEY = "key-a"
+TENANT = {"name": "alloy", "api_keys": [KEY], "priority": 1, "rate_per_s": 100_000, "burst": 1000}
+
+
+class Usage(NamedTuple):
+    """What a process has used since its start."""
+
+    cpu_s: float
+    wakeups: int
+
+
+class Cost(NamedTuple):
+    """What the machines of a role took in a round.
+
+    :ivar idle_share: of a core, one machine.
+    :ivar idle_wakeups: one machine, a second.
+    :ivar request_ms: processor time of all machines of the role for a request.
+    :ivar request_wakeups: how often they slept and were woken for a request.
+    """
+
+    idle_share: float
+    idle_wakeups: float
+    request_ms: float
+    request_wakeups: float
+
+
+class _World(PlatformWorld):
+    """Machines that run from a checkout."""
+
+    def __init__(self, checkout: Path) -> None:
+        self._checkout = checkout
+        super().__init__()
+
+    def command(self, name: str) -> list[str]:
+        """Return the command that runs a machine."""
+        # The folder of a module that is run goes before all others on Python's path.
+        program = f"import sys; sys.path.insert(0, {str(self._checkout)!r})"
+        run = "import runpy; runpy.run_module('yarrowwall.platform', run_name='__main__')"
+        python, *_ = super().command(name)
+        return [python, "-c", f"{program}; {run}"]
+
+
+def usage(pid: int) -> Usage:
+    """Return what a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    cpu_s = (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    values = dict(line.split(":", 1) for line in lines)
+    return Usage(cpu_s, int(values["voluntary_ctxt_switches"]))
+
+
+@contextmanager
+def _measured(world: PlatformWorld) -> Iterator[dict[str, Usage]]:
+    """Fill in, at the end, what each machine used within."""
+    before = {name: usage(process.pid) for name, process in world.processes.items()}
+    used: dict[str, Usage] = {}
+    yield used
+    for name, process in world.processes.items():
+        after = usage(process.pid)
+        used[name] = Usage(*(new - old for new, old in zip(after, before[name], strict=True)))
+
+
+def play(checkout: Path, has_limits: bool) -> dict[str, Cost]:
+    """Play a round; return the costs by role."""
+    world = _World(checkout)
+    try:
+        world.wait_ready()
+        world.tenants = [TENANT] if has_limits else None
+        world.add_route("talk", "streaming")
+        world.add_route("lookup", "idempotent")
+        world.add_server("talk", lambda call, arrival: stream(call, arrival, range(1, 12)))
+        world.add_server("lookup")
+        world.publish()
+        time.sleep(SETTLE_S)
+        with _measured(world) as idle:
+            time.sleep(IDLE_S)
+        with _measured(world) as busy:
+            requests = _ask(world, has_limits)
+    finally:
+        world.stop()
+    return {role: _cost(role, idle, busy, requests) for role in ("edge", "storage")}
+
+
+def _cost(role: str, idle: dict[str, Usage], busy: dict[str, Usage], requests: int) -> Cost:
+    names = [name for name in idle if name.startswith(role)]
+    return Cost(
+        sum(idle[name].cpu_s for name in names) / len(names) / IDLE_S,
+        sum(idle[name].wakeups for name in names) / len(names) / IDLE_S,
+        sum(busy[name].cpu_s for name in names) / requests * 1000.0,
+        sum(busy[name].wakeups for name in names) / requests,
+    )
+
+
+def _ask(world: PlatformWorld, has_limits: bool) -> int:
+    """Let clients ask for a while; return how many requests were answered with success."""
+    counts = [0] * CLIENTS
+    end_s = time.monotonic() + BUSY_S
+    threads = [
+        threading.Thread(target=_client, args=(world, number, has_limits, end_s, counts))
+        for number in range(CLIENTS)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return sum(counts)
+
+
+def _client(
+    world: PlatformWorld, number: int, has_limits: bool, end_s: float, counts: list[int]
+) -> None:
+    connection = world.connect(number % 2)
+    headers = {"X_Session_Id": f"s{number}", "X_Finish_Ms": "5000"}
+    headers |= {"X_Key": KEY} if has_limits else {}
+    asked = 0
+    while time.monotonic() < end_s:
+        asked += 1
+        program = {"X_Program_Id": f"p{number}-{asked // TURNS_A_PROGRAM}"}
+        if asked % TURN_EVERY:
+            answer = world.ask("lookup", None, connection=connection, **program, **headers)
+        else:
+            prompt = f"aa:80,{number * 10_000 + asked:x}:20"
+            turn = {"X_Token_Budget": "9000", "X_Token_Count": "100,40", "X_Prompt_Prefix": prompt}
+            answer = world.ask(
+                "talk", b"question", connection=connection, **program, **turn, **headers
+            )
+        counts[number] += answer.status == 200
+        time.sleep(PAUSE_S)
+
+
+@click.command()
+@click.option("--against", type=click.Path(exists=True, path_type=Path), help="Other checkout.")
+@click.option("--limits", is_flag=True, help="All requests are of a tenant with a limit.")
+@click.option("--rounds", default=3, show_default=True)
+def main(against: Path | None, limits: bool, rounds: int) -> None:
+    """Print each figure's median, and its least and most over the rounds."""
+    checkouts = {"this": ROOT} | ({"other": against.resolve()} if against else {})
+    found: dict[str, list[dict[str, Cost]]] = {name: [] for name in checkouts}
+    for _ in range(rounds):
+        for name, checkout in checkouts.items():
+            found[name].append(play(checkout, limits))
+    for name, played in found.items():
+        for role in ("edge", "storage"):
+            costs = [one[role] for one in played]
+            told = [
+                _told(field, [getattr(cost, field) for cost in costs]) for field in Cost._fields
+            ]
+            click.echo(f"{name} {role}: {', '.join(told)}")
+
+
+def _told(name: str, values: list[float]) -> str:
+    return f"{name} {statistics.median(values):.4g} ({min(values):.4g} to {max(values):.4g})"
+
+
+if __name__ == "__main__":
+    main()
--- a/features/support/following_model.py
+++ b/features/support/following_model.py
@@ -5,7 +5,8 @@
 second try is the product's.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 from unittest.mock import patch
@@ -231,10 +232,14 @@
             if host.life == life:
                 self._note_seen(host, item.spec["version"])
 
+        def take_all(items: list[StoredObject]) -> None:
+            for item in items:
+                take(item)
+
         config = KindFollower(
             store,
             CONFIG.kind,
-            lambda items: [take(item) for item in items] and None,
+            take_all,
             lambda change: take(change.item),
             log,
             on_proved=freshness.note_proved,
@@ -273,11 +278,6 @@
                 complete(None)
         self.waiting = [one for one in self.waiting if one[0] is not host]
 
-    def kill_for(self, host: Host, seconds: float) -> None:
-        """End a machine's process and start it again after a while."""
-        self.kill(host)
-        eventlet.spawn_after(seconds, self.start, host)
-
 
 class _Client(PlatformStore):
     """The product's client of one process; it does nothing once that process has ended."""
@@ -300,18 +300,12 @@
             Event().wait()
 
 
-class connections_to:
-    """Lets the product's client of the store open stand-in connections."""
-
-    def __init__(self, world: FollowingWorld) -> None:
-        self._patch = patch.object(
-            platform_store,
-            "ServerConnection",
-            lambda address, timeout: StandInConnection(world.store, address, timeout),
-        )
+@contextmanager
+def connections_to(world: FollowingWorld) -> Iterator[None]:
+    """Let the product's client of the store open stand-in connections."""
 
-    def __enter__(self) -> None:
-        self._patch.start()
+    def connect(address: str, timeout: float) -> StandInConnection:
+        return StandInConnection(world.store, address, timeout)
 
-    def __exit__(self, *_: object) -> None:
-        self._patch.stop()
+    with patch.object(platform_store, "ServerConnection", connect):
+        yield
