A property that nothing reads is removed

ContactStore.is_lost was left over when the judgement moved into StoreContact. Nothing in the product or its tests names it; lint and types are clean. No behaviour changes.

--- a/yarrowwall/readers/contact_store.py
+++ b/yarrowwall/readers/contact_store.py
@@ -43,11 +43,6 @@
         self._contact = StoreContact()
         self._back = Event()
 
-    @property
-    def is_lost(self) -> bool:
-        """Return whether the newest that is known of the store is a failure."""
-        return self._contact.lost_at_s is not None
-
     @property
     def is_out(self) -> bool:
         """Return whether the store has been lost for more than a moment."""
