--- /dev/null
+++ b/yarrowwall/core/machines.py
@@ -0,0 +1,53 @@
+"""The machines of the platform as a node knows them, and which engines it polls."""
+
+from yarrowwall.core.configuration.models import Machine, MachineList
+from yarrowwall.core.effects import PollEngine
+from yarrowwall.core.lookups import LookupDesk
+from yarrowwall.core.outbox import Outbox
+from yarrowwall.core.scheduling.scheduler import Scheduler
+from yarrowwall.core.scheduling.types import EngineMachine
+
+_ENGINE = "engine"
+_LEAVING = "leaving"
+
+
+class MachineTable:
+    """Tells the scheduler and the lookups of the machines in force.
+
+    :param outbox: takes the orders to poll an engine or to cease.
+    """
+
+    def __init__(self, scheduler: Scheduler, lookups: LookupDesk, outbox: Outbox) -> None:
+        self._scheduler = scheduler
+        self._lookups = lookups
+        self._outbox = outbox
+        self._polled: dict[str, str] = {}
+        self.machines: list[Machine] = []
+
+    def engines(self) -> list[EngineMachine]:
+        """Return the machines that are engines."""
+        return [
+            EngineMachine(item.machine_id, item.zone, item.address, item.state == _LEAVING)
+            for item in self.machines
+            if item.kind == _ENGINE
+        ]
+
+    def take(self, found: MachineList) -> None:
+        """Take in a newer list."""
+        self.machines = found.machines
+        self._scheduler.set_machines(self.engines())
+        self._lookups.set_machines(self.machines)
+        self._poll_used()
+
+    def _poll_used(self) -> None:
+        """Poll the engines that the scheduler uses, at the addresses that they have now."""
+        used = {
+            engine_id: view.machine.address for engine_id, view in self._scheduler.engines().items()
+        }
+        for engine_id, address in self._polled.items():
+            if used.get(engine_id) != address:
+                self._outbox.emit(PollEngine(engine_id, address, False))
+        for engine_id, address in used.items():
+            if self._polled.get(engine_id) != address:
+                self._outbox.emit(PollEngine(engine_id, address, True))
+        self._polled = used
--- a/yarrowwall/core/node.py
+++ b/yarrowwall/core/node.py
@@ -25,7 +25,6 @@
 from yarrowwall.core.effects import (
     Drained,
     Effect,
-    PollEngine,
     ReplyToCaller,
     ReplyToOperator,
     SendToPeer,
@@ -68,12 +67,12 @@
 from yarrowwall.core.journal.service import JournalService
 from yarrowwall.core.limits import Limits
 from yarrowwall.core.lookups import LookupDesk
+from yarrowwall.core.machines import MachineTable
 from yarrowwall.core.membership.table import MemberTable
 from yarrowwall.core.outbox import Outbox
 from yarrowwall.core.program.registry import OwnerRegistry
 from yarrowwall.core.scheduling.policies import Policy
 from yarrowwall.core.scheduling.scheduler import Scheduler, SchedulerSettings
-from yarrowwall.core.scheduling.types import EngineMachine
 from yarrowwall.core.timers import Timers
 from yarrowwall.messages.journal import (
     Append,
@@ -203,8 +202,7 @@
             )
         self.lookups = LookupDesk(settings.zone, self._outbox)
         self._shard_map = settings.shard_map
-        self._machines: list[Machine] = []
-        self._polled: dict[str, str] = {}
+        self._machines = MachineTable(self.scheduler, self.lookups, self._outbox)
         self._is_watching = False
         self._handlers = self._event_handlers()
         self._peer_handlers = self._message_handlers()
@@ -251,7 +249,7 @@
 
     def machines(self) -> list[Machine]:
         """Return the machine list in force."""
-        return self._machines
+        return self._machines.machines
 
     def _finish(self, now: float) -> list[Effect]:
         """Handle messages to this node itself and settle replies; return the rest."""
@@ -498,7 +496,7 @@
             self._controller.renew(now)
         if self._is_watcher(now):
             self._map_coordinator.poll(now, self._shard_map, self._shard_map_version())
-        self._controller.reconcile(now, self.configuration(), self._engine_machines())
+        self._controller.reconcile(now, self.configuration(), self._machines.engines())
 
     def _check_drained(self, now: float) -> None:
         callers_served = self.gateway.open_count() == 0 and self.lookups.is_idle()
@@ -529,34 +527,12 @@
 
     def _document_changed(self, document: Document) -> None:
         if document.name == MACHINES:
-            self._machines_changed(MachineList.model_validate_json(document.body))
+            self._machines.take(MachineList.model_validate_json(document.body))
         elif document.name == SHARD_MAP:
             self._map_changed(parse_map(document))
         elif document.name == CONFIGURATION:
             self._operator_desk.handle_in_force()
 
-    def _engine_machines(self) -> list[EngineMachine]:
-        return [
-            EngineMachine(item.machine_id, item.zone, item.address, item.state == "leaving")
-            for item in self._machines
-            if item.kind == "engine"
-        ]
-
-    def _machines_changed(self, machines: MachineList) -> None:
-        self._machines = machines.machines
-        self.scheduler.set_machines(self._engine_machines())
-        self.lookups.set_machines(self._machines)
-        used = {
-            engine_id: view.machine.address for engine_id, view in self.scheduler.engines().items()
-        }
-        for engine_id, address in self._polled.items():
-            if used.get(engine_id) != address:
-                self._outbox.emit(PollEngine(engine_id, address, False))
-        for engine_id, address in used.items():
-            if self._polled.get(engine_id) != address:
-                self._outbox.emit(PollEngine(engine_id, address, True))
-        self._polled = used
-
     def _map_changed(self, shard_map: ShardMap) -> None:
         self._shard_map = shard_map
         self.owners.change_groups(self._now)
