Zone groups: numbers, quorums, first views and how processes know them

Cause: a zone that is cut from the others reaches no majority of any group, so its gateways refuse every turn.

Nobody proposes them yet.

--- a/yarrowwall/replication/group_views.py
+++ b/yarrowwall/replication/group_views.py
@@ -5,6 +5,7 @@
 import xxhash
 
 from yarrowwall.messages.replicated import GroupView
+from yarrowwall.replication.views import bears_losses, is_zone_group, zone_of
 
 
 class GroupViews:
@@ -15,6 +16,9 @@
 
     def __init__(self, changed: Callable[[GroupView], None] = lambda view: None) -> None:
         self._views: dict[int, GroupView] = {}
+        self._common_count = 0
+        self._zone_groups: dict[str, int] = {}
+        self._zone_parts = 0
         self._changed = changed
 
     def take(self, view: GroupView) -> None:
@@ -22,19 +26,51 @@
         known = self._views.get(view.group)
         if known is None or known.epoch < view.epoch:
             self._views[view.group] = view
+            self._count(view, is_new=known is None)
             self._changed(view)
 
+    def _count(self, view: GroupView, is_new: bool) -> None:
+        if not is_zone_group(view.group):
+            self._common_count += is_new
+            return
+        self._zone_parts += is_new
+        others = {zone: group for zone, group in self._zone_groups.items() if group != view.group}
+        zone = zone_of(view)
+        self._zone_groups = {**others, zone: view.group} if zone else others
+
     def get(self, group: int) -> GroupView | None:
         """Return a group's newest view."""
         return self._views.get(group)
 
     def group_of(self, key: str) -> int | None:
-        """Return the group that keeps what belongs to a key; None if no group is known yet."""
-        if not self._views:
+        """Return the common group that keeps what belongs to a key; None if none is known yet."""
+        if not self._common_count:
             return None
-        return int(xxhash.xxh3_64_intdigest(key.encode()) % len(self._views))
+        return int(xxhash.xxh3_64_intdigest(key.encode()) % self._common_count)
 
     @property
     def count(self) -> int:
-        """Return how many groups there are."""
-        return len(self._views)
+        """Return how many common groups there are."""
+        return self._common_count
+
+    def zone_group(self, zone: str) -> int | None:
+        """Return the number of a zone's own group; None if it has none."""
+        return self._zone_groups.get(zone)
+
+    def zone_groups(self) -> dict[str, int]:
+        """Return the numbers of all zones' own groups by zone."""
+        return self._zone_groups
+
+    @property
+    def zone_parts(self) -> int:
+        """Return how many zone groups there ever were, those that have ended among them.
+
+        It is the same in every process and for the life of a deployment, so whatever is divided
+        among them beforehand stays divided as it was.
+        """
+        return self._zone_parts
+
+    def bears_losses(self, group: int) -> bool:
+        """Return whether a group's writes outlive as many disks lost at once as are to be borne."""
+        view = self._views.get(group)
+        return view is not None and bears_losses(view)
--- a/yarrowwall/replication/planner.py
+++ b/yarrowwall/replication/planner.py
@@ -3,9 +3,14 @@
 from collections import Counter
 from collections.abc import Collection, Sequence
 
-from yarrowwall.core.quorum import majority, read_quorum
+from yarrowwall.core.quorum import majority
 from yarrowwall.messages.replicated import GroupView, Member, StatusReply
-from yarrowwall.replication.views import disk_ids
+from yarrowwall.replication.views import ZONE_GROUPS_FROM, disk_ids, read_quorum
+
+#: Replicas that a zone needs for a group of its own: a single disk would bear no loss.
+LEAST_ZONE_REPLICAS = 2
+#: Zones of a system whose zones have groups of their own: one alone is cut from nobody.
+LEAST_ZONES = 2
 
 
 def target_size(machines_lost_at_once: int) -> int:
@@ -28,6 +33,24 @@
     return views
 
 
+def first_zone_views(zone_disks: Sequence[Member], size: int) -> list[GroupView]:
+    """Return the zones' own groups of a system that starts for the first time.
+
+    :param zone_disks: the disks that registered for these groups.
+    :param size: most replicas of one: two times what is to be borne, and one.
+    """
+    by_zone: dict[str, list[Member]] = {}
+    for member in sorted(zone_disks, key=lambda member: member.node_id):
+        by_zone.setdefault(member.zone, []).append(member)
+    if len(by_zone) < LEAST_ZONES:
+        return []
+    copies = size // 2 + 1
+    chosen = [by_zone[zone][:size] for zone in sorted(by_zone)]
+    found = [members for members in chosen if len(members) >= LEAST_ZONE_REPLICAS]
+    first = ZONE_GROUPS_FROM * copies
+    return [GroupView(first + place, 1, members, []) for place, members in enumerate(found)]
+
+
 def _best_candidate(candidates: Sequence[Member], chosen: Sequence[Member]) -> Member:
     """Return the candidate whose zone is represented least."""
     zones = Counter(member.zone for member in chosen)
@@ -55,7 +78,7 @@
         for member in view.members
         if member.node_id in alive and not _has_other_disk(member, registered)
     ]
-    if len(holding) < read_quorum(len(view.members)):
+    if len(holding) < read_quorum(view.group, len(view.members)):
         # Nobody could copy what is complete; and whoever sees so few may itself be the one
         # that is cut off. A majority would be too much to ask for: in a group of two, left by
         # a retirement, the one that still has its disk holds every complete write.
--- a/yarrowwall/replication/views.py
+++ b/yarrowwall/replication/views.py
@@ -3,9 +3,15 @@
 from collections.abc import Collection, Sequence
 from typing import NamedTuple
 
-from yarrowwall.core.quorum import has_quorum, read_quorum
+from yarrowwall.core.quorum import majority
 from yarrowwall.messages.replicated import GroupView, Member
 
+#: Numbers of zone groups begin here; smaller ones are those of common groups. A zone group's
+#: number has this many for each copy that a write in it should have, so that everybody who
+#: knows the number counts the same quorum: 3000 and 3001 are two zones' groups whose writes
+#: are on three disks where the zone has three.
+ZONE_GROUPS_FROM = 1000
+
 
 class Voucher(NamedTuple):
     """What another replica said of its group.
@@ -33,18 +39,61 @@
     return next((member for member in all_members(view) if member.disk_id == disk_id), None)
 
 
+def is_zone_group(group: int) -> bool:
+    """Return whether a number is that of a zone's own group."""
+    return group >= ZONE_GROUPS_FROM
+
+
+def zone_of(view: GroupView) -> str:
+    """Return the zone in which the members of a zone group stand; empty if it has ended."""
+    return next((member.zone for member in all_members(view)), "")
+
+
+def copies_wanted(group: int) -> int:
+    """Return how many disks should have a complete write, beside the majority that must."""
+    return max(1, group // ZONE_GROUPS_FROM)
+
+
+def write_quorum(group: int, size: int) -> int:
+    """Return how many of a group's replicas make a write complete.
+
+    A majority, so that any two writes share a replica. In a zone group also as many as are to
+    be lost at once and one more, if it has so many: three of three bear the loss of two.
+    """
+    return max(majority(size), min(size, copies_wanted(group)))
+
+
+def read_quorum(group: int, size: int) -> int:
+    """Return how many of a group's replicas share one with every complete write."""
+    return size - write_quorum(group, size) + 1
+
+
+def bears_losses(view: GroupView) -> bool:
+    """Return whether a complete write outlives as many disks lost at once as are to be borne.
+
+    Of ``n`` replicas a write is on ``w``, and ``n - w + 1`` make a read sure: ``w - 1`` may be
+    lost. While the group changes, both the old and the new members have to bear it.
+    """
+    wanted = copies_wanted(view.group)
+    sides = [view.members, view.joining] if view.joining else [view.members]
+    return all(write_quorum(view.group, len(side)) >= wanted for side in sides)
+
+
 def is_written(view: GroupView, acknowledged: Collection[str]) -> bool:
     """Return whether the acknowledging disks make a write complete.
 
-    While the group changes that takes a majority of the old and of the new members.
+    While the group changes that takes a write quorum of the old and of the new members.
     """
-    groups = [disk_ids(view.members)]
-    if view.joining:
-        groups.append(disk_ids(view.joining))
-    return has_quorum(groups, acknowledged)
+    sides = [view.members, view.joining] if view.joining else [view.members]
+    return all(_has_writers(view.group, side, acknowledged) for side in sides)
+
+
+def _has_writers(group: int, side: Sequence[Member], acknowledged: Collection[str]) -> bool:
+    found = sum(member.disk_id in acknowledged for member in side)
+    return found >= write_quorum(group, len(side))
 
 
 def is_read(view: GroupView, readers: Collection[str]) -> bool:
     """Return whether disks that answered as readers share one with every complete write."""
     members = disk_ids(view.members)
-    return sum(disk in readers for disk in members) >= read_quorum(len(members))
+    return sum(disk in readers for disk in members) >= read_quorum(view.group, len(members))
