Zone groups: second replica on storage machines, first views, changes by the zone's machines

Cause: the views of zone groups were planned, but nobody held their records.

A storage machine has a second disk (zone/) with id and log, requests are told apart by group; one registration names both. Machines of a zone with a group exchange both states in one heartbeat. Retirement completes once both disks are in no view; the last machine of a zone ends the group when its records have expired. A change whose joining disk was lost is revised instead of waiting for it for ever.

--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -15,7 +15,7 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
@@ -413,9 +413,13 @@
     """Stand-ins and machines.
 
     :param gateways: how many machines take clients.
+    :param zones: over which machines of each kind are spread in turn.
     """
 
-    def __init__(self, gateways: int = 2, replicas: int = 3) -> None:
+    def __init__(
+        self, gateways: int = 2, replicas: int = 3, zones: Sequence[str] = ("zone-a",)
+    ) -> None:
+        self._zones = zones
         self._folder = tempfile.TemporaryDirectory()
         self.folder = Path(self._folder.name)
         self.store = ObjectStore()
@@ -522,12 +526,16 @@
         """Return the address under which a machine reaches the store."""
         return self.store.address_for(name)
 
+    def zone_of(self, name: str) -> str:
+        """Return the zone of a machine, by the number in its name."""
+        return self._zones[int(name.rpartition("-")[2]) % len(self._zones)]
+
     def _settings(self, name: str, is_gateway: bool, is_first: bool) -> str:
         own = self.addresses[name]
         port = {key: address.rpartition(":")[2] for key, address in own.items()}
         lines = [
             f'node_id = "{name}"',
-            'zone = "zone-a"',
+            f'zone = "{self.zone_of(name)}"',
             'ip = "127.0.0.1"',
             f"first_peer_port = {port['peer']}",
             f"last_peer_port = {port['metrics']}",
--- a/yarrowwall/messages/replicated.py
+++ b/yarrowwall/messages/replicated.py
@@ -226,6 +226,19 @@
     interval_s: float
 
 
+@message(117)
+class AskStatuses:
+    """Return the states of both replicas of a machine: that of a common group, then its zone's."""
+
+
+@message(118)
+class StatusesReply:
+    """Answer to :class:`AskStatuses`."""
+
+    common: StatusReply
+    zone: StatusReply
+
+
 @message(120)
 class RecordsKept:
     """Log record: records that the replica acknowledged."""
--- a/yarrowwall/replication/coordinator.py
+++ b/yarrowwall/replication/coordinator.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 import eventlet
 
@@ -25,9 +26,16 @@
     read_groups,
 )
 from yarrowwall.replication.peers import ReplicaPeers
-from yarrowwall.replication.planner import first_views, next_view, settled_view
+from yarrowwall.replication.planner import (
+    ended_view,
+    first_views,
+    first_zone_views,
+    next_view,
+    revised_view,
+    settled_view,
+)
 from yarrowwall.replication.replica import RecordReplica
-from yarrowwall.replication.views import all_members, disk_ids
+from yarrowwall.replication.views import all_members, disk_ids, is_zone_group, zone_of
 
 #: Seconds between looks at the groups.
 LOOK_SECONDS = 0.2
@@ -35,13 +43,41 @@
 FIRST_START_SECONDS = 1.5
 #: Seconds in which a new system waits for as many machines as a group wants.
 FIRST_START_PATIENCE_SECONDS = 6.0
+#: Seconds without a new machine after which a new system holds all to be there, within that
+#: patience: a zone none of whose machines were there in time never gets a group of its own.
+FIRST_START_STEADY_SECONDS = 1.0
 #: Seconds by which each machine waits for the one before it in the order.
 TURN_SECONDS = 1.0
 
 
+class OwnReplicas(NamedTuple):
+    """The replicas of a machine.
+
+    :param zone_name: the machine's zone.
+    :param zone: the replica of that zone's own group.
+    """
+
+    zone_name: str
+    common: RecordReplica
+    zone: RecordReplica
+
+
+class _Proposal(NamedTuple):
+    """New views of all groups.
+
+    :param zone: whose machines alone propose them; empty for any machine.
+    """
+
+    views: list[GroupView]
+    zone: str
+
+
 class Coordinator:
     """Proposes changes of the groups.
 
+    Those of a zone's own group are proposed by machines of that zone alone: only they ask one
+    another for the states of its replicas.
+
     :param wants_first_views: whether the system starts for the first time.
     :param size: replicas wanted in a group.
     """
@@ -50,7 +86,7 @@
         self,
         node_id: str,
         store: ObjectStore,
-        replica: RecordReplica,
+        own: OwnReplicas,
         peers: ReplicaPeers,
         log: DecisionLog,
         now: Callable[[], float],
@@ -59,7 +95,7 @@
     ) -> None:
         self._node_id = node_id
         self._store = store
-        self._replica = replica
+        self._own = own
         self._peers = peers
         self._log = log
         self._now = now
@@ -67,6 +103,8 @@
         self._size = size
         self._started_at = now()
         self._needed_since: float | None = None
+        self._first_members: set[str] = set()
+        self._first_members_at = now()
         self._groups: StoredObject | None = None
         self._views: list[GroupView] = []
         self.has_listed = False
@@ -103,43 +141,85 @@
         proposed = self._first_views() if self._groups is None else self._next_views()
         if proposed is None:
             self._needed_since = None
-        elif self._is_own_turn():
-            self._propose(proposed)
+        elif self._is_own_turn(proposed):
+            self._propose(proposed.views)
 
-    def _first_views(self) -> list[GroupView] | None:
-        waited = self._now() - self._started_at
-        if not self._wants_first_views or waited < FIRST_START_SECONDS:
+    def _first_views(self) -> _Proposal | None:
+        if not self._wants_first_views:
             return None
         alive = self._peers.alive()
         members = [member for node, member in self._peers.registered.items() if node in alive]
+        is_steady = self._is_steady(members)
+        waited = self._now() - self._started_at
         # A group that starts too small holds its first records on too few disks.
-        is_patient = waited < FIRST_START_PATIENCE_SECONDS
-        if not members or (is_patient and len(members) < self._size):
+        is_whole = waited >= FIRST_START_SECONDS and len(members) >= self._size and is_steady
+        if not members or (waited < FIRST_START_PATIENCE_SECONDS and not is_whole):
             return None
-        return first_views(members, self._size)
-
-    def _next_views(self) -> list[GroupView] | None:
+        zone_disks = [member for node, member in self._peers.zone_disks.items() if node in alive]
+        views = first_views(members, self._size) + first_zone_views(zone_disks, self._size)
+        return _Proposal(views, "")
+
+    def _is_steady(self, members: list[Member]) -> bool:
+        """Return whether no further machine has come for a while."""
+        names = {member.node_id for member in members}
+        if names != self._first_members:
+            self._first_members = names
+            self._first_members_at = self._now()
+        return self._now() - self._first_members_at >= FIRST_START_STEADY_SECONDS
+
+    def _next_views(self) -> _Proposal | None:
         """Return all views with one changed; None if none needs a change."""
         views = self.views()
         for index, view in enumerate(views):
             changed = self._next_view(view, views)
             if changed is not None:
-                return [*views[:index], changed, *views[index + 1 :]]
+                zone = zone_of(view) if is_zone_group(view.group) else ""
+                return _Proposal([*views[:index], changed, *views[index + 1 :]], zone)
         return None
 
     def _next_view(self, view: GroupView, views: list[GroupView]) -> GroupView | None:
+        if not is_zone_group(view.group):
+            return self._changed(view, views, self._own.common, self._peers.registered)
+        if zone_of(view) != self._own.zone_name:
+            return None
+        replica = self._own.zone
+        in_zone = {
+            node: member
+            for node, member in self._peers.zone_disks.items()
+            if member.zone == self._own.zone_name
+        }
+        changed = self._changed(view, views, replica, in_zone)
+        return changed or ended_view(view, replica, self.retiring)
+
+    def _changed(
+        self,
+        view: GroupView,
+        views: list[GroupView],
+        replica: RecordReplica,
+        registered: dict[str, Member],
+    ) -> GroupView | None:
+        """Return the view that follows on one; None if it may stay.
+
+        :param replica: the own one of that kind of groups.
+        :param registered: the disks for that kind of groups.
+        """
         if view.joining:
-            return settled_view(view, self._peers.statuses(self._replica.status()))
+            settled = settled_view(view, self._peers.statuses(replica.status()))
+            return settled or revised_view(view, registered)
         busy = {disk for other in views for disk in disk_ids(all_members(other))}
-        return next_view(
-            view, self._peers.registered, self._peers.alive(), self.retiring, busy, self._size
-        )
+        alive = self._peers.alive()
+        return next_view(view, registered, alive, self.retiring, busy, self._size)
 
-    def _is_own_turn(self) -> bool:
+    def _is_own_turn(self, proposal: _Proposal) -> bool:
         now = self._now()
         if self._needed_since is None:
             self._needed_since = now
-        order = sorted(self._peers.alive() & set(self._peers.registered))
+        able = {
+            node
+            for node, member in self._peers.registered.items()
+            if proposal.zone in ("", member.zone)
+        }
+        order = sorted(self._peers.alive() & able)
         place = order.index(self._node_id) if self._node_id in order else len(order)
         return now - self._needed_since >= place * TURN_SECONDS
 
--- a/yarrowwall/replication/disk.py
+++ b/yarrowwall/replication/disk.py
@@ -1,4 +1,4 @@
-"""A replica's state machines with their log on disk: records, and what was lent."""
+"""Replicas with their logs on disk: of records alone, and of records and what was lent."""
 
 import time
 from collections.abc import Callable, Iterator, Sequence
@@ -33,17 +33,15 @@
     lenders: int
 
 
-class ReplicaDisk:
-    """A replica's state machines with their log on disk.
+class RecordDisk:
+    """A replica of the record store with its log on disk.
 
-    :ivar lender: its part of tenants' limits.
-    :ivar entitlement: whether it may lend.
+    :ivar replica: its state machine.
     """
 
-    def __init__(self, node_id: str, folder: Path, quotas: QuotaSettings, log: DecisionLog) -> None:
+    def __init__(self, node_id: str, folder: Path, log: DecisionLog) -> None:
         self._log = log
         self._folder = folder
-        self._quotas = quotas
         self.replica = self._open(node_id)
         self._writer = JournalWriter(self._store, self._refused)
 
@@ -62,10 +60,8 @@
         disk_id = identity.initialise(self._folder)
         self._store = SegmentStore(self._folder / _LOG_FOLDER, SEGMENT_BYTES)
         replica = RecordReplica(node_id, disk_id)
-        self.entitlement = Entitlement(disk_id, self._quotas.terms.lent_s)
-        self.lender = Lender(self._quotas.terms, self._quotas.lenders, self.entitlement.rank)
         clock = Clock(time.time(), time.monotonic())
-        replica.restore(self._restore_quotas(self._own_records(), clock), clock.wall_s)
+        replica.restore(self._restore_beside(disk_id, self._own_records(), clock), clock.wall_s)
         self.replica = replica
         if self._store.segment_count() > SEGMENTS_KEPT:
             self._store.compact(self._snapshot())
@@ -77,25 +73,18 @@
                 raise CorruptSegmentError(f"a {type(record).__name__} among the records")
             yield record
 
-    def _restore_quotas(self, records: Iterator[DiskRecord], clock: Clock) -> Iterator[LogRecord]:
-        """Take in what concerns lending; return what concerns records."""
+    def _restore_beside(
+        self, disk_id: str, records: Iterator[DiskRecord], clock: Clock
+    ) -> Iterator[LogRecord]:
+        """Take in what concerns no records; return what does."""
         for record in records:
-            if isinstance(record, QuotaLent):
-                self.lender.restore(record, clock)
-                continue
-            if isinstance(record, LendingBegun):
-                self.entitlement.restore_begun(clock.steady_s)
-                continue
-            if isinstance(record, ViewKept):
-                self.entitlement.take_view(record.view, clock.steady_s)
+            if not isinstance(record, LogRecord):
+                raise CorruptSegmentError(f"a {type(record).__name__} among the records")
             yield record
 
     def _snapshot(self) -> list[DiskRecord]:
         """Return a log that restores all state."""
-        found: list[DiskRecord] = list(self.replica.snapshot())
-        if self.entitlement.has_begun:
-            found.append(LendingBegun(self.replica.epoch))
-        return found + list(self.lender.snapshot(Clock(time.time(), time.monotonic())))
+        return list(self.replica.snapshot())
 
     def _refused(self, error: Exception) -> bool:
         self._log.write(decisions.DependencyChanged("disk", False, str(error)))
@@ -119,10 +108,7 @@
         self, record: DiskRecord, done: Callable[[], None], refused: Callable[[], None]
     ) -> None:
         def durable() -> None:
-            if isinstance(record, LogRecord):
-                self.replica.now_durable(record)
-            if isinstance(record, ViewKept):
-                self.entitlement.take_view(record.view, time.monotonic())
+            self._now_durable(record)
             done()
 
         def failed() -> None:
@@ -132,7 +118,54 @@
 
         self._writer.write(record, durable, failed)
 
+    def _now_durable(self, record: DiskRecord) -> None:
+        if isinstance(record, LogRecord):
+            self.replica.now_durable(record)
+
     def compact_if_long(self) -> None:
         """Write the log anew if it has grown long."""
         if self._store.segment_count() > SEGMENTS_KEPT:
             self._writer.compact(self._snapshot)
+
+
+class ReplicaDisk(RecordDisk):
+    """A replica of a common group, which also lends, with its log on disk.
+
+    :ivar lender: its part of tenants' limits.
+    :ivar entitlement: whether it may lend.
+    """
+
+    def __init__(self, node_id: str, folder: Path, quotas: QuotaSettings, log: DecisionLog) -> None:
+        self._quotas = quotas
+        super().__init__(node_id, folder, log)
+
+    def _restore_beside(
+        self, disk_id: str, records: Iterator[DiskRecord], clock: Clock
+    ) -> Iterator[LogRecord]:
+        self.entitlement = Entitlement(disk_id, self._quotas.terms.lent_s)
+        self.lender = Lender(self._quotas.terms, self._quotas.lenders, self.entitlement.rank)
+        return self._restore_quotas(records, clock)
+
+    def _restore_quotas(self, records: Iterator[DiskRecord], clock: Clock) -> Iterator[LogRecord]:
+        """Take in what concerns lending; return what concerns records."""
+        for record in records:
+            if isinstance(record, QuotaLent):
+                self.lender.restore(record, clock)
+                continue
+            if isinstance(record, LendingBegun):
+                self.entitlement.restore_begun(clock.steady_s)
+                continue
+            if isinstance(record, ViewKept):
+                self.entitlement.take_view(record.view, clock.steady_s)
+            yield record
+
+    def _snapshot(self) -> list[DiskRecord]:
+        found = super()._snapshot()
+        if self.entitlement.has_begun:
+            found.append(LendingBegun(self.replica.epoch))
+        return found + list(self.lender.snapshot(Clock(time.time(), time.monotonic())))
+
+    def _now_durable(self, record: DiskRecord) -> None:
+        super()._now_durable(record)
+        if isinstance(record, ViewKept):
+            self.entitlement.take_view(record.view, time.monotonic())
--- a/yarrowwall/replication/documents.py
+++ b/yarrowwall/replication/documents.py
@@ -1,6 +1,6 @@
 """Members and views as objects of the platform's store hold them."""
 
-from dataclasses import asdict
+from dataclasses import asdict, replace
 from typing import Any
 
 from yarrowwall.messages.replicated import GroupView, Member
@@ -8,6 +8,8 @@
 
 #: Kind of the machines' registrations, one object a node.
 REPLICAS_KIND = "yarrowwall-replicas"
+#: Field of a registration with the disk of the zone's own group, which earlier releases lack.
+ZONE_DISK = "zone_disk_id"
 #: Kind and name of the object that holds the newest view of every group.
 GROUPS_KIND = "yarrowwall-groups"
 GROUPS_NAME = "all"
@@ -53,9 +55,23 @@
         return None
 
 
+def registration_spec(common: Member, zone_disk_id: str) -> dict[str, Any]:
+    """Return a machine's registration with both disks as an object of the store holds it."""
+    return {**member_spec(common), ZONE_DISK: zone_disk_id}
+
+
 def read_registration(item: StoredObject) -> Member | None:
     """Return a registered machine; None if the object holds something else."""
     try:
         return read_member(item.spec)
     except (KeyError, TypeError):
         return None
+
+
+def read_zone_registration(item: StoredObject) -> Member | None:
+    """Return a machine with its disk for its zone's own group; None if it has none."""
+    common = read_registration(item)
+    disk_id = item.spec.get(ZONE_DISK) if common is not None else None
+    if common is None or not isinstance(disk_id, str):
+        return None
+    return replace(common, disk_id=disk_id)
--- a/yarrowwall/replication/peers.py
+++ b/yarrowwall/replication/peers.py
@@ -4,7 +4,13 @@
 
 import eventlet
 
-from yarrowwall.messages.replicated import AskStatus, Member, StatusReply
+from yarrowwall.messages.replicated import (
+    AskStatus,
+    AskStatuses,
+    Member,
+    StatusesReply,
+    StatusReply,
+)
 from yarrowwall.replication.rpc import LinkTable
 from yarrowwall.replication.views import Voucher
 
@@ -21,14 +27,23 @@
 class ReplicaPeers:
     """Asks every registered machine for its state again and again.
 
+    Machines of a zone with a group of its own tell one another of both replicas in one answer;
+    nobody needs to know elsewhere.
+
     :param node_id: the own machine, which is always alive.
+    :ivar registered: the machines with their disks for a common group, by node id.
+    :ivar zone_disks: the machines with their disks for their zones' groups, by node id.
+    :ivar has_zone_group: whether the own zone has a group.
     """
 
-    def __init__(self, node_id: str, links: LinkTable, now: Callable[[], float]) -> None:
+    def __init__(self, node_id: str, zone: str, links: LinkTable, now: Callable[[], float]) -> None:
         self._node_id = node_id
+        self._zone = zone
         self._links = links
         self._now = now
         self.registered: dict[str, Member] = {}
+        self.zone_disks: dict[str, Member] = {}
+        self.has_zone_group = False
         self._statuses: dict[str, StatusReply] = {}
         self._heard_at: dict[str, float] = {}
         self._vouchers: dict[str, Voucher] = {}
@@ -49,16 +64,38 @@
     def _ask(self, member: Member) -> None:
         link = self._links.get(member.address)
         asked_at = self._now()
-        number = link.post(AskStatus(0), lambda reply: self._heard(member, asked_at, reply))
+        asks_both = self.has_zone_group and member.zone == self._zone
+        question = AskStatuses() if asks_both else AskStatus(0)
+        number = link.post(question, lambda reply: self._heard(member, asked_at, reply))
         eventlet.spawn_after(DOWN_SECONDS, link.forget, number, is_late=True)
 
     def _heard(self, member: Member, asked_at: float, reply: object | None) -> None:
+        if isinstance(reply, StatusesReply):
+            self._heard(member, asked_at, reply.common)
+            self._heard(member, asked_at, reply.zone)
+            return
         # The address of a machine that is gone may belong to another one by now.
         if isinstance(reply, StatusReply) and reply.node_id == member.node_id:
             self._statuses[reply.disk_id] = reply
             self._heard_at[member.node_id] = self._now()
             self._vouchers[reply.disk_id] = Voucher(reply.epoch, asked_at)
 
+    def take(self, node_id: str, common: Member, zone: Member | None) -> None:
+        """Take in a machine's newest registration."""
+        self.registered[node_id] = common
+        if zone is not None:
+            self.zone_disks[node_id] = zone
+
+    def forget_all(self) -> None:
+        """Forget all registrations."""
+        self.registered.clear()
+        self.zone_disks.clear()
+
+    def forget(self, node_id: str) -> None:
+        """Forget the registration of a machine that is gone."""
+        self.registered.pop(node_id, None)
+        self.zone_disks.pop(node_id, None)
+
     def alive(self) -> set[str]:
         """Return the machines that answered lately, the own one among them."""
         since = self._now() - DOWN_SECONDS
--- a/yarrowwall/replication/planner.py
+++ b/yarrowwall/replication/planner.py
@@ -5,7 +5,8 @@
 
 from yarrowwall.core.quorum import majority
 from yarrowwall.messages.replicated import GroupView, Member, StatusReply
-from yarrowwall.replication.views import ZONE_GROUPS_FROM, disk_ids, read_quorum
+from yarrowwall.replication.replica import RecordReplica
+from yarrowwall.replication.views import ZONE_GROUPS_FROM, disk_ids, member_of, read_quorum
 
 #: Replicas that a zone needs for a group of its own: a single disk would bear no loss.
 LEAST_ZONE_REPLICAS = 2
@@ -125,3 +126,37 @@
     if len(copied) < majority(len(view.joining)) or len(copied) < len(answering):
         return None
     return GroupView(view.group, view.epoch + 1, view.joining, [])
+
+
+def revised_view(view: GroupView, registered: dict[str, Member]) -> GroupView | None:
+    """Return the view of a change whose joining members lost disks since; None if none did.
+
+    The members of before still hold what is complete; a disk that is gone would never copy.
+    """
+    joining = [
+        registered[member.node_id] if _has_other_disk(member, registered) else member
+        for member in view.joining
+    ]
+    if disk_ids(joining) == disk_ids(view.joining):
+        return None
+    return GroupView(view.group, view.epoch + 1, view.members, joining)
+
+
+def ended_view(
+    view: GroupView, replica: RecordReplica, retiring: Collection[str]
+) -> GroupView | None:
+    """Return the next view of a zone group all of whose machines are to be emptied.
+
+    The group shrinks to one replica, which then holds all that is complete, and ends without
+    members once that has expired.
+
+    :param replica: the own one; a member proposes itself.
+    """
+    own = member_of(view, replica.disk_id)
+    if own is None or view.joining or any(m.node_id not in retiring for m in view.members):
+        return None
+    if len(view.members) > 1:
+        return GroupView(view.group, view.epoch + 1, view.members, [own])
+    if not replica.is_reader or len(replica.table):
+        return None
+    return GroupView(view.group, view.epoch + 1, [], [])
--- a/yarrowwall/replication/service.py
+++ b/yarrowwall/replication/service.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
+from typing import NamedTuple
 
 import eventlet
 
@@ -10,12 +11,15 @@
 from yarrowwall.messages.objects import ListObjects, WatchObjects
 from yarrowwall.messages.quotas import ReturnQuota, TakeQuota
 from yarrowwall.messages.replicated import (
+    AskStatuses,
     GroupView,
+    InstallView,
     LoadReply,
     Member,
     RecordsReply,
     ReplyStatus,
     ReportLoad,
+    StatusesReply,
     StatusReply,
     TellLoad,
 )
@@ -35,25 +39,38 @@
 from yarrowwall.relay.settings import MachineSettings, ReplicaSettings
 from yarrowwall.relay.sockets import green
 from yarrowwall.relay.watching import LONG_WATCH_SECONDS, KindFollower
-from yarrowwall.replication.coordinator import Coordinator
-from yarrowwall.replication.disk import QuotaSettings, ReplicaDisk
+from yarrowwall.replication.coordinator import Coordinator, OwnReplicas
+from yarrowwall.replication.disk import QuotaSettings, RecordDisk, ReplicaDisk
 from yarrowwall.replication.documents import (
     GROUPS_KIND,
     REPLICAS_KIND,
-    member_spec,
-    read_groups,
     read_registration,
+    read_zone_registration,
+    registration_spec,
 )
 from yarrowwall.replication.load_board import LoadBoard
 from yarrowwall.replication.peers import ReplicaPeers
 from yarrowwall.replication.planner import target_size
+from yarrowwall.replication.replica import RecordReplica, Request
 from yarrowwall.replication.rpc import LinkTable, serve_requests
 from yarrowwall.replication.synchroniser import Synchroniser
-from yarrowwall.replication.views import all_members, disk_ids
+from yarrowwall.replication.views import all_members, disk_ids, is_zone_group, zone_of
 
 #: Seconds between rounds of upkeep, and between looks for records to drop.
 UPKEEP_SECONDS = 0.3
 EXPIRY_SECONDS = 5.0
+#: Seconds between looks whether the zone group's replica needs a copy: a new view makes one look
+#: at once, and fewer looks of one that has little to do are fewer wake-ups.
+ZONE_LOOK_SECONDS = 1.0
+#: Where the disk of the zone's own group is, in the data folder.
+ZONE_FOLDER = "zone"
+
+
+class _Replica(NamedTuple):
+    """A replica of the machine with its disk and its copying."""
+
+    disk: RecordDisk
+    synchroniser: Synchroniser
 
 
 class ReplicaService:
@@ -77,16 +94,20 @@
         self._log = log
         lenders = target_size(settings.machines_lost_at_once)
         quotas = QuotaSettings(settings.bounds.quota_terms, lenders)
-        self._disk = ReplicaDisk(settings.node_id, Path(own.data_folder), quotas, log)
-        self._replica = self._disk.replica
+        folder = Path(own.data_folder)
+        self._disk = ReplicaDisk(settings.node_id, folder, quotas, log)
+        zone_disk = RecordDisk(settings.node_id, folder / ZONE_FOLDER, log)
         self._links = LinkTable(time.monotonic)
-        self._peers = ReplicaPeers(settings.node_id, self._links, time.monotonic)
+        self._peers = ReplicaPeers(settings.node_id, settings.zone, self._links, time.monotonic)
         self._lending = QuotaLending(self._disk, self._peers, log)
-        self._synchroniser = Synchroniser(self._disk, self._links, log, time.time)
+        self._common = _Replica(self._disk, Synchroniser(self._disk, self._links, log, time.time))
+        self._zone = _Replica(
+            zone_disk, Synchroniser(zone_disk, self._links, log, time.time, ZONE_LOOK_SECONDS)
+        )
         self._coordinator = Coordinator(
             settings.node_id,
             store,
-            self._replica,
+            OwnReplicas(settings.zone, self._disk.replica, zone_disk.replica),
             self._peers,
             log,
             time.monotonic,
@@ -131,7 +152,8 @@
         for follower in self._followers:
             follower.start()
         self._peers.start()
-        self._synchroniser.start()
+        for replica in (self._common, self._zone):
+            replica.synchroniser.start()
         self._coordinator.start()
         eventlet.spawn_n(self._register)
         eventlet.spawn_n(self._keep_house)
@@ -161,16 +183,28 @@
         if isinstance(request, ListObjects | WatchObjects):
             self._reader.ask(request, reply)
             return
-        outcome = self._replica.handle(request, time.time())  # type: ignore[arg-type]
+        if isinstance(request, AskStatuses):
+            reply(StatusesReply(self._disk.replica.status(), self._zone.disk.replica.status()))
+            return
+        self._ask_replica(request, reply)  # type: ignore[arg-type]
+
+    def _ask_replica(self, request: Request, reply: Callable[[object], None]) -> None:
+        """Hand a request to the replica that it is meant for."""
+        group = request.view.group if isinstance(request, InstallView) else request.group
+        asked = self._replica_of(group)
+        outcome = asked.disk.replica.handle(request, time.time())
         if not outcome.persist:
             reply(outcome.reply)
             return
-        self._disk.persist(
+        asked.disk.persist(
             list(outcome.persist),
-            lambda: reply(self._after_persist(outcome.reply)),
+            lambda: reply(self._after_persist(asked, outcome.reply)),
             lambda: reply(RecordsReply(ReplyStatus.DISK_REFUSED, False, [], None)),
         )
 
+    def _replica_of(self, group: int) -> _Replica:
+        return self._zone if is_zone_group(group) else self._common
+
     def _exchange_loads(self, report: ReportLoad) -> LoadReply:
         self._take_loads(report)
         others = self._loads.others(report.node_id)
@@ -180,19 +214,21 @@
         running = dict(zip(report.servers, report.running, strict=True))
         self._loads.take(report.node_id, running, time.monotonic())
 
-    def _after_persist(self, reply: object) -> object:
-        self._synchroniser.look()
-        return self._replica.status() if isinstance(reply, StatusReply) else reply
+    @staticmethod
+    def _after_persist(asked: _Replica, reply: object) -> object:
+        asked.synchroniser.look()
+        return asked.disk.replica.status() if isinstance(reply, StatusReply) else reply
 
     # The own registration
 
     def _own_member(self) -> Member:
         settings = self._settings
-        return Member(settings.node_id, self._replica.disk_id, settings.peer_address, settings.zone)
+        disk_id = self._disk.replica.disk_id
+        return Member(settings.node_id, disk_id, settings.peer_address, settings.zone)
 
     def _register(self) -> None:
-        """Tell the store of this machine and its disk until the store has taken it."""
-        spec = member_spec(self._own_member())
+        """Tell the store of this machine and its disks until the store has taken it."""
+        spec = registration_spec(self._own_member(), self._zone.disk.replica.disk_id)
         while True:
             try:
                 self._store.create(REPLICAS_KIND, self._settings.node_id, spec)
@@ -205,8 +241,10 @@
             eventlet.sleep(UPKEEP_SECONDS)
 
     def _replace_registration(self, spec: dict) -> bool:
-        known = self._peers.registered.get(self._settings.node_id)
-        if known is not None and member_spec(known) == spec:
+        common = self._peers.registered.get(self._settings.node_id)
+        zone = self._peers.zone_disks.get(self._settings.node_id)
+        known = registration_spec(common, zone.disk_id) if common and zone else None
+        if known == spec:
             return True
         try:
             self._store.replace(REPLICAS_KIND, self._settings.node_id, spec, None)
@@ -226,8 +264,9 @@
             if time.monotonic() > next_expiry:
                 next_expiry = time.monotonic() + EXPIRY_SECONDS
                 self._lending.forget_idle()
-                self._replica.table.expire(time.time())
-                self._disk.compact_if_long()
+                for disk in (self._disk, self._zone.disk):
+                    disk.replica.table.expire(time.time())
+                    disk.compact_if_long()
 
     def _tell_retirement(self) -> None:
         """Report whether this machine, if it is to be emptied, holds nothing any more."""
@@ -235,8 +274,10 @@
         if item is None:
             return
         views = self._coordinator.views()
-        own = self._replica.disk_id
-        is_complete = bool(views) and all(own not in disk_ids(all_members(view)) for view in views)
+        own = {self._disk.replica.disk_id, self._zone.disk.replica.disk_id}
+        is_complete = bool(views) and all(
+            own.isdisjoint(disk_ids(all_members(view))) for view in views
+        )
         status = self._documents.retirement_status(is_complete)
         if item.status == status:
             return
@@ -263,26 +304,29 @@
 
     def _take_groups(self, item: StoredObject) -> None:
         self._coordinator.take_groups(item)
-        for view in read_groups(item) or ():
-            if self._concerns(view):
-                self._disk.persist(self._replica.take_view(view), self._synchroniser.look)
-
-    def _concerns(self, view: GroupView) -> bool:
-        own = self._replica.view
-        is_own_group = own is not None and own.group == view.group
-        return is_own_group or self._replica.disk_id in disk_ids(all_members(view))
+        for view in self._coordinator.views():
+            replica = self._replica_of(view.group)
+            if _concerns(view, replica.disk.replica):
+                views = replica.disk.replica.take_view(view)
+                replica.disk.persist(views, replica.synchroniser.look)
+            if is_zone_group(view.group) and zone_of(view) == self._settings.zone:
+                self._peers.has_zone_group = True
 
     def _replicas_listed(self, items: list[StoredObject]) -> None:
-        self._peers.registered = {
-            item.name: member for item in items if (member := read_registration(item)) is not None
-        }
+        self._peers.forget_all()
+        for item in items:
+            self._take_registration(item)
 
     def _replica_changed(self, change: Change) -> None:
-        member = read_registration(change.item)
         if change.is_gone:
-            self._peers.registered.pop(change.item.name, None)
-        elif member is not None:
-            self._peers.registered[change.item.name] = member
+            self._peers.forget(change.item.name)
+        else:
+            self._take_registration(change.item)
+
+    def _take_registration(self, item: StoredObject) -> None:
+        common = read_registration(item)
+        if common is not None:
+            self._peers.take(item.name, common, read_zone_registration(item))
 
     def _retirements_listed(self, items: list[StoredObject]) -> None:
         self._retirements = {item.name: item for item in items}
@@ -294,3 +338,10 @@
         else:
             self._retirements[change.item.name] = change.item
         self._coordinator.retiring = set(self._retirements)
+
+
+def _concerns(view: GroupView, replica: RecordReplica) -> bool:
+    """Return whether a replica is of a group, or was."""
+    own = replica.view
+    is_own_group = own is not None and own.group == view.group
+    return is_own_group or replica.disk_id in disk_ids(all_members(view))
--- a/yarrowwall/replication/synchroniser.py
+++ b/yarrowwall/replication/synchroniser.py
@@ -16,7 +16,7 @@
 )
 from yarrowwall.relay import decisions
 from yarrowwall.relay.decisions import DecisionLog
-from yarrowwall.replication.disk import ReplicaDisk
+from yarrowwall.replication.disk import RecordDisk
 from yarrowwall.replication.exceptions import LinkDownError
 from yarrowwall.replication.rpc import LinkTable
 from yarrowwall.replication.views import is_read
@@ -30,16 +30,25 @@
 
 
 class Synchroniser:
-    """Keeps the own replica's copy complete."""
+    """Keeps the own replica's copy complete.
+
+    :param look_s: seconds between looks whether a copy is needed when nobody asked for one.
+    """
 
     def __init__(
-        self, disk: ReplicaDisk, links: LinkTable, log: DecisionLog, now: Callable[[], float]
+        self,
+        disk: RecordDisk,
+        links: LinkTable,
+        log: DecisionLog,
+        now: Callable[[], float],
+        look_s: float = RETRY_SECONDS,
     ) -> None:
         self._disk = disk
         self._replica = disk.replica
         self._links = links
         self._log = log
         self._now = now
+        self._look_s = look_s
         self._wakeup = eventlet.event.Event()
 
     def start(self) -> None:
@@ -55,7 +64,7 @@
         while True:
             view = self._replica.view
             if view is None or not self._replica.needs_synchronisation:
-                self._wakeup.wait(RETRY_SECONDS)
+                self._wakeup.wait(self._look_s)
                 if self._wakeup.ready():
                     self._wakeup = eventlet.event.Event()
                 continue
