--- /dev/null
+++ b/features/steps/zone_group_steps.py
@@ -0,0 +1,346 @@
+"""Steps about the zones' own groups of replicas."""
+
+import time
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features.support.platform_scripts import world
+from features.support.platform_world import PlatformWorld
+from features.support.processes import wait_until
+from features.support.zone_groups_model import run_zone_group_schedules
+from features.support.zone_groups_mutants import MUTANTS
+from yarrowwall.messages.replicated import GroupView, Member, StoredRecord
+from yarrowwall.relay.object_store import StoredObject
+from yarrowwall.replication.documents import read_groups
+from yarrowwall.replication.exceptions import NoQuorumError
+from yarrowwall.replication.group_views import GroupViews
+from yarrowwall.replication.planner import (
+    ended_view,
+    first_zone_views,
+    next_view,
+    revised_view,
+    target_size,
+)
+from yarrowwall.replication.quorum_client import QuorumClient
+from yarrowwall.replication.replica import RecordReplica
+from yarrowwall.replication.rpc import LinkTable
+from yarrowwall.replication.views import (
+    ZONE_GROUPS_FROM,
+    bears_losses,
+    is_read,
+    is_written,
+    is_zone_group,
+    zone_of,
+)
+
+GROUP = 2 * ZONE_GROUPS_FROM
+KEY = "turn/zone-record"
+
+
+def disk(name: str, zone: str = "zone-a", number: int = 1) -> Member:
+    return Member(name, f"{name}-{number}", f"10.0.0.1:{ord(name[0])}", zone)
+
+
+def _record(key: str = KEY) -> StoredRecord:
+    return StoredRecord(key, 1, "", "", 600.0, 0, b"text")
+
+
+# Quorums
+
+
+@given("a zone group of {members:d} replicas in a system that bears the loss of {losses:d}")
+def zone_group(context: Context, members: int, losses: int) -> None:
+    group = ZONE_GROUPS_FROM * (losses + 1)
+    context.view = GroupView(group, 1, [disk(name) for name in "abcde"[:members]], [])
+    context.disks = [member.disk_id for member in context.view.members]
+
+
+@then("a write is complete on {writers:d} and a read sure with {readers:d}")
+def quorums(context: Context, writers: int, readers: int) -> None:
+    assert is_written(context.view, context.disks[:writers])
+    assert not is_written(context.view, context.disks[: writers - 1])
+    assert is_read(context.view, context.disks[:readers])
+    assert not is_read(context.view, context.disks[: readers - 1])
+
+
+@then("it {bears} the loss of as many disks at once")
+def losses_borne(context: Context, bears: str) -> None:
+    assert bears_losses(context.view) is (bears == "bears")
+
+
+# Views
+
+
+def _registered(zones: str) -> list[Member]:
+    return [disk(f"{zone}{place}", zone) for place, zone in enumerate(zones.split(","))]
+
+
+@given('storage machines registered in zones "{zones}"')
+def registered(context: Context, zones: str) -> None:
+    context.registered = _registered(zones)
+
+
+@then('the first zone groups are "{first}" and "{second}" where {losses:d} may be lost')
+def first_groups(context: Context, first: str, second: str, losses: int) -> None:
+    views = first_zone_views(context.registered, target_size(losses))
+    found = [f"{v.group}: {','.join(one.node_id for one in v.members)}" for v in views]
+    assert found == [first, second], found
+
+
+@then('storage machines registered in zones "{zones}" get no zone groups')
+def no_groups(context: Context, zones: str) -> None:
+    assert first_zone_views(_registered(zones), target_size(1)) == []
+
+
+@given('a process that knows {count:d} common groups and zone groups {a:d} of "a" and {b:d} of "b"')
+def process_views(context: Context, count: int, a: int, b: int) -> None:
+    context.views = GroupViews()
+    for group in range(count):
+        context.views.take(GroupView(group, 1, [disk("c")], []))
+    for group, zone in ((a, "a"), (b, "b")):
+        context.views.take(GroupView(group, 1, [disk("d", zone), disk("e", zone)], []))
+    context.groups = {"a": a, "b": b}
+
+
+@then('it counts {count:d} groups, puts keys there alone and knows the zone groups of "a" and "b"')
+def knows_groups(context: Context, count: int) -> None:
+    views = context.views
+    assert views.count == count
+    assert {views.group_of(f"key-{n}") for n in range(50)} == set(range(count))
+    assert views.zone_groups() == context.groups
+    assert views.zone_group("b") == context.groups["b"]
+    assert views.zone_group("c") is None
+    assert not views.bears_losses(context.groups["a"])
+
+
+@then('once the group of "b" has ended it knows that of "a" alone, and still {parts:d} parts')
+def knows_end(context: Context, parts: int) -> None:
+    context.views.take(GroupView(context.groups["b"], 2, [], []))
+    assert context.views.zone_groups() == {"a": context.groups["a"]}
+    assert context.views.zone_parts == parts
+
+
+@given('a zone group of "a" and "b" that are both to be emptied')
+def both_retiring(context: Context) -> None:
+    context.view = GroupView(GROUP, 1, [disk("a"), disk("b")], [])
+    context.replica = RecordReplica("a", "a-1")
+
+
+@then('it becomes a group of "a" alone')
+def shrinks(context: Context) -> None:
+    registered = {member.node_id: member for member in context.view.members}
+    arguments = (registered, {"a", "b"}, {"a", "b"}, {"a-1", "b-1"}, 3)
+    assert next_view(context.view, *arguments) is None
+    assert ended_view(context.view, context.replica, {"a"}) is None
+    shrinking = ended_view(context.view, context.replica, {"a", "b"})
+    assert shrinking == GroupView(GROUP, 2, context.view.members, [disk("a")])
+    assert ended_view(shrinking, context.replica, {"a", "b"}) is None
+
+
+@then("that ends only once its records have expired")
+def ends(context: Context) -> None:
+    alone = GroupView(GROUP, 3, [disk("a")], [])
+    assert ended_view(alone, context.replica, {"a"}) is None, "it does not hold what is complete"
+    context.replica.is_reader = True
+    context.replica.table.put([_record()], 0.0)
+    assert ended_view(alone, context.replica, {"a"}) is None
+    context.replica.table.expire(1e6)
+    assert ended_view(alone, context.replica, {"a"}) == GroupView(GROUP, 4, [], [])
+
+
+@given('a zone group of "a" and "b" where "c" joins for "b"')
+def joining(context: Context) -> None:
+    context.view = GroupView(GROUP, 2, [disk("a"), disk("b")], [disk("a"), disk("c")])
+    context.newest = {name: disk(name) for name in "abc"}
+
+
+@then('with "c" on a new disk the change goes on with that')
+def revised(context: Context) -> None:
+    newest = {**context.newest, "c": disk("c", number=2)}
+    found = revised_view(context.view, newest)
+    joining = [disk("a"), disk("c", number=2)]
+    assert found == GroupView(GROUP, 3, context.view.members, joining)
+
+
+@then("with all disks in place the change is not revised")
+def not_revised(context: Context) -> None:
+    assert revised_view(context.view, context.newest) is None
+
+
+# Schedules
+
+
+@given('the zone group\'s mutant "{name}"')
+def use_mutant(context: Context, name: str) -> None:
+    patcher = MUTANTS[name]()
+    patcher.start()
+    context.add_cleanup(patcher.stop)
+
+
+@then(
+    "{count:d} random schedules of a zone group of {members:d} that bears {losses:d} "
+    "keep budgets and records"
+)
+def schedules_hold(context: Context, count: int, members: int, losses: int) -> None:
+    granted, changed = run_zone_group_schedules(count, members, losses)
+    assert granted > count / 20, f"only {granted} reservations were granted"
+    assert changed > count / 2, f"only {changed} groups changed"
+
+
+@then(
+    "some of {count:d} random schedules of a zone group of {members:d} that bears {losses:d} "
+    "break a promise"
+)
+def schedules_break(context: Context, count: int, members: int, losses: int) -> None:
+    try:
+        run_zone_group_schedules(count, members, losses)
+    except AssertionError:
+        return
+    raise AssertionError("the mutant was not caught")
+
+
+# Processes
+
+
+@given('{replicas:d} storage machines in the zones "{first}" and "{second}" and a gateway')
+def zones_of_machines(context: Context, replicas: int, first: str, second: str) -> None:
+    context.platform = PlatformWorld(gateways=1, replicas=replicas, zones=(first, second))
+    context.replica_count = replicas
+    context.by_route = {}
+    world(context).wait_ready()
+
+
+def _views(context: Context) -> dict[str, GroupView]:
+    """Return the newest views of zone groups by zone, and that of the common group by ""."""
+    item = world(context).store.get("yarrowwall-groups", "all")
+    views = read_groups(StoredObject("all", 1, item["spec"], None)) or []
+    return {zone_of(view) if is_zone_group(view.group) else "": view for view in views}
+
+
+def _client(context: Context) -> QuorumClient:
+    views = GroupViews()
+    for view in _views(context).values():
+        views.take(view)
+    return QuorumClient("zone-b", views, LinkTable(time.monotonic), time.monotonic)
+
+
+def _until_done(operation, what: str) -> object:
+    """Return what an operation returns once it finds its quorum."""
+    found: list[object] = []
+
+    def is_done() -> bool:
+        try:
+            found.append(operation())
+        except NoQuorumError:
+            return False
+        return True
+
+    wait_until(is_done, what)
+    return found[0]
+
+
+@then(
+    "the groups of both zones have {size:d} members each, the machine in no common group among them"
+)
+def zone_groups_up(context: Context, size: int) -> None:
+    views = _views(context)
+    common = {member.node_id for member in views.pop("").members}
+    assert {zone: len(view.members) for zone, view in views.items()} == {
+        "zone-a": size,
+        "zone-b": size,
+    }
+    in_zones = {member.node_id for view in views.values() for member in view.members}
+    assert len(in_zones - common) == context.replica_count - len(common) == 1
+
+
+@then("the gateway knows them")
+def gateway_knows(context: Context) -> None:
+    wanted = {view.group for view in _views(context).values()}
+
+    def is_known() -> bool:
+        lines = [line for line in world(context).log("edge-0") if line["kind"] == "GroupChanged"]
+        return {line["group"] for line in lines} == wanted
+
+    wait_until(is_known, "the gateway knows all groups")
+
+
+@when('a record is written in the group of "{zone}"')
+def write_record(context: Context, zone: str) -> None:
+    group = _views(context)[zone].group
+    _until_done(lambda: _client(context).write(group, [_record()]), "the record is written")
+
+
+@when("every storage machine is killed and starts again")
+def restart_all(context: Context) -> None:
+    names = [name for name in world(context).processes if name.startswith("storage")]
+    for name in names:
+        world(context).kill(name)
+    for name in names:
+        world(context).start_machine(name, is_gateway=False)
+
+
+@then('the record is found in the group of "{zone}"')
+def record_found(context: Context, zone: str) -> None:
+    def read() -> dict[str, StoredRecord]:
+        return _client(context).read_chain(_views(context)[zone].group, KEY, [])
+
+    assert _until_done(read, "the group answers") == {KEY: _record()}
+
+
+@then("no common group has it")
+def not_in_common(context: Context) -> None:
+    def read() -> dict[str, StoredRecord]:
+        return _client(context).read_chain(_views(context)[""].group, KEY, [])
+
+    assert _until_done(read, "the common group answers") == {}
+
+
+def _members(context: Context, zone: str) -> set[str]:
+    view = _views(context)[zone]
+    return set() if view.joining else {member.disk_id for member in view.members}
+
+
+@then('its new disk is a member of the group of "{zone}" within {limit:d} s')
+def new_disk_in(context: Context, zone: str, limit: int) -> None:
+    started = time.monotonic()
+    path = context.own_folder / "zone" / "replica-id"
+
+    def is_in() -> bool:
+        return path.exists() and path.read_text().strip() in _members(context, zone)
+
+    wait_until(is_in, "the new disk is a member")
+    assert time.monotonic() - started < limit
+    context.new_disk = path.read_text().strip()
+    assert len(_members(context, zone)) == 2
+
+
+@then('a write in the group of "{zone}" is complete on the new disk')
+def write_on_new_disk(context: Context, zone: str) -> None:
+    view = _views(context)[zone]
+    others = [member.disk_id for member in view.members if member.disk_id != context.new_disk]
+    assert not is_written(view, others), "a write would be complete without it"
+    record = _record("turn/after")
+    _until_done(lambda: _client(context).write(view.group, [record]), "the record is written")
+
+
+@when('the other storage machine of "{zone}" is to be emptied')
+def retire_other(context: Context, zone: str) -> None:
+    view = _views(context)[zone]
+    others = [member for member in view.members if member.disk_id != context.new_disk]
+    context.retired = others[0].node_id
+    context.retired_zone = zone
+    world(context).store.put("retirements", context.retired, {"period_s": 10})
+
+
+@then("its retirement is complete within {limit:d} s, and that group has the new disk alone")
+def retired_from_both(context: Context, limit: int) -> None:
+    started = time.monotonic()
+
+    def is_complete() -> bool:
+        item = world(context).store.get("retirements", context.retired)
+        return (item["status"] or {}).get("state") == "complete"
+
+    wait_until(is_complete, "the retirement is complete")
+    assert time.monotonic() - started < limit
+    assert _members(context, context.retired_zone) == {context.new_disk}
--- a/features/support/record_model.py
+++ b/features/support/record_model.py
@@ -11,7 +11,6 @@
 from dataclasses import dataclass, field
 from itertools import combinations
 
-from yarrowwall.core.quorum import read_quorum
 from yarrowwall.messages.replicated import (
     FetchRecords,
     GroupView,
@@ -29,7 +28,13 @@
 from yarrowwall.replication import planner
 from yarrowwall.replication.replica import LogRecord, RecordReplica
 from yarrowwall.replication.rounds import Amount, merged
-from yarrowwall.replication.views import all_members, is_read, is_written, member_of
+from yarrowwall.replication.views import (
+    all_members,
+    is_read,
+    is_written,
+    member_of,
+    read_quorum,
+)
 
 BUDGET = 2
 PROGRAM = "program"
@@ -169,7 +174,7 @@
         view = self.view
         met = Reading()
         for target in all_members(view):
-            request = ReserveRecord(0, view.epoch, target.disk_id, record)
+            request = ReserveRecord(view.group, view.epoch, target.disk_id, record)
             self.send(target, request, met.taking(target))
         while not is_written(view, met.acknowledged):
             yield
@@ -180,7 +185,7 @@
             later = Reading()
             view = self.view
             for target in all_members(view):
-                request = ReadOwner(0, view.epoch, target.disk_id, PROGRAM)
+                request = ReadOwner(view.group, view.epoch, target.disk_id, PROGRAM)
                 self.send(target, request, later.taking(target))
             while not is_read(view, later.readers):
                 yield
@@ -194,7 +199,7 @@
         self.granted[name] = emitted
         settled = StoredRecord(record.key, SETTLED, PROGRAM, "", 60.0, emitted, b"")
         for target in all_members(self.view):
-            request = WriteRecords(0, self.view.epoch, target.disk_id, [settled])
+            request = WriteRecords(self.view.group, self.view.epoch, target.disk_id, [settled])
             self.send(target, request, lambda reply: None)
 
     @staticmethod
@@ -224,14 +229,15 @@
             while not replies:
                 yield
             replies.clear()
-            self.send(source, ListKeys(0, view.epoch, source.disk_id), replies.append)
+            self.send(source, ListKeys(view.group, view.epoch, source.disk_id), replies.append)
             while not replies:
                 yield
             listed = replies.pop()
             if not isinstance(listed, KeysReply) or not listed.is_reader:
                 continue
             keys = replica.missing(listed.keys, listed.versions)
-            self.send(source, FetchRecords(0, view.epoch, source.disk_id, keys), replies.append)
+            fetch = FetchRecords(view.group, view.epoch, source.disk_id, keys)
+            self.send(source, fetch, replies.append)
             while not replies:
                 yield
             fetched = replies.pop()
@@ -252,38 +258,58 @@
 
     def change_group(self) -> None:
         """Begin or end a change the way the coordinator does."""
-        if self.view.joining:
-            statuses = {
-                machine.replica.disk_id: machine.replica.status()
-                for machine in self.machines.values()
-            }
-            settled = planner.settled_view(self.view, statuses)
-            if settled is not None:
-                self.view = settled
-            return
         registered = {
             name: member(machine.replica.disk_id) for name, machine in self.machines.items()
         }
+        statuses = {
+            machine.replica.disk_id: machine.replica.status() for machine in self.machines.values()
+        }
+        if self.view.joining and (settled := planner.settled_view(self.view, statuses)) is not None:
+            self.view = settled
+            return
+        if not planner.has_readers(self.view, statuses):
+            return
+        if self.view.joining:
+            self.view = planner.revised_view(self.view, registered) or self.view
+            return
         busy = {known.disk_id for known in all_members(self.view)}
-        alive = set(self.machines) - {self.random.choice("abcd")}
-        found = planner.next_view(self.view, registered, alive, set(), busy, 3)
+        found = planner.next_view(self.view, registered, self.alive(), set(), busy, self.size)
         if found is not None:
             self.view = found
 
-    def lose_disk(self) -> None:
-        """Give one machine an empty disk, if the group bears that now."""
+    def alive(self) -> set[str]:
+        """Return the machines that answered whoever proposes a change."""
+        return set(self.machines) - {self.random.choice(sorted(self.machines))}
+
+    @property
+    def size(self) -> int:
+        """Return how many replicas are wanted."""
+        return 3
+
+    @property
+    def is_sound(self) -> bool:
+        """Return whether the group is settled and each member holds what was complete."""
         sound = [
             known
             for known in self.view.members
             if self.machines[known.node_id].replica.disk_id == known.disk_id
             and self.machines[known.node_id].replica.is_reader
         ]
-        if self.view.joining or len(sound) < len(self.view.members):
+        return not self.view.joining and len(sound) == len(self.view.members)
+
+    def lose_disk(self) -> None:
+        """Give one machine an empty disk, if the group bears that now."""
+        if not self.is_sound:
             return
         self.disks_lost += 1
         name = self.random.choice(self.view.members).node_id
         self.machines[name] = self._machine(f"{name}{self.disks_lost + 1}")
 
+    def tell_view(self, machine: Machine) -> None:
+        """Let a machine hear of the newest view from the store."""
+        if member_of(self.view, machine.replica.disk_id) or machine.replica.view:
+            machine.persist(machine.replica.take_view(self.view), lambda: None)
+
     # The schedule
 
     def _begin_reservations(self, count: int) -> None:
@@ -304,9 +330,7 @@
             pass
         elif chance < 0.7:
             name = self.random.choice(names)
-            machine = self.machines[name]
-            if member_of(self.view, machine.replica.disk_id) or machine.replica.view:
-                machine.persist(machine.replica.take_view(self.view), lambda: None)
+            self.tell_view(self.machines[name])
             self.tasks.append(self.synchronisation(name))
         elif chance < 0.85:
             self.change_group()
@@ -337,7 +361,7 @@
             and replicas[known.disk_id].is_reader
             and replicas[known.disk_id].epoch == view.epoch
         ]
-        for quorum in combinations(readers, read_quorum(len(view.members))):
+        for quorum in combinations(readers, read_quorum(view.group, len(view.members))):
             held = {record.key for disk in quorum for record in replicas[disk].table.all()}
             assert self.complete <= held, f"lost {self.complete - held}"
 
--- a/yarrowwall/replication/coordinator.py
+++ b/yarrowwall/replication/coordinator.py
@@ -30,6 +30,7 @@
     ended_view,
     first_views,
     first_zone_views,
+    has_readers,
     next_view,
     revised_view,
     settled_view,
@@ -203,9 +204,12 @@
         :param replica: the own one of that kind of groups.
         :param registered: the disks for that kind of groups.
         """
+        statuses = self._peers.statuses(replica.status())
+        settled = settled_view(view, statuses) if view.joining else None
+        if settled is not None or not has_readers(view, statuses):
+            return settled
         if view.joining:
-            settled = settled_view(view, self._peers.statuses(replica.status()))
-            return settled or revised_view(view, registered)
+            return revised_view(view, registered)
         busy = {disk for other in views for disk in disk_ids(all_members(other))}
         alive = self._peers.alive()
         return next_view(view, registered, alive, self.retiring, busy, self._size)
--- a/yarrowwall/replication/planner.py
+++ b/yarrowwall/replication/planner.py
@@ -1,7 +1,7 @@
 """Which replicas a group should have next. No I/O."""
 
 from collections import Counter
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 from yarrowwall.core.quorum import majority
 from yarrowwall.messages.replicated import GroupView, Member, StatusReply
@@ -128,6 +128,17 @@
     return GroupView(view.group, view.epoch + 1, view.joining, [])
 
 
+def has_readers(view: GroupView, statuses: Mapping[str, StatusReply]) -> bool:
+    """Return whether enough members hold what is complete, and know the view, for the next one.
+
+    A member that misses a view in which a change begins or ends counts no more until it has
+    copied; were the next one begun too soon, nobody might be left to copy from.
+    """
+    known = [statuses[disk] for disk in disk_ids(view.members) if disk in statuses]
+    readers = sum(status.is_reader and status.epoch == view.epoch for status in known)
+    return readers >= read_quorum(view.group, len(view.members))
+
+
 def revised_view(view: GroupView, registered: dict[str, Member]) -> GroupView | None:
     """Return the view of a change whose joining members lost disks since; None if none did.
 
