--- a/yarrowwall/messages/replicated.py
+++ b/yarrowwall/messages/replicated.py
@@ -247,6 +247,19 @@
     factors: list[float]
 
 
+@message(117)
+class AskStatuses:
+    """Return the states of both replicas of a machine: that of a common group, then its zone's."""
+
+
+@message(118)
+class StatusesReply:
+    """Answer to :class:`AskStatuses`."""
+
+    common: StatusReply
+    zone: StatusReply
+
+
 @message(120)
 class RecordsKept:
     """Log record: records that the replica acknowledged."""
--- a/yarrowwall/replication/planner.py
+++ b/yarrowwall/replication/planner.py
@@ -1,11 +1,17 @@
 """Which replicas a group should have next. No I/O."""
 
 from collections import Counter
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
-from yarrowwall.core.quorum import majority, read_quorum
+from yarrowwall.core.quorum import majority
 from yarrowwall.messages.replicated import GroupView, Member, StatusReply
-from yarrowwall.replication.views import disk_ids
+from yarrowwall.replication.replica import RecordReplica
+from yarrowwall.replication.views import ZONE_GROUPS_FROM, disk_ids, member_of, read_quorum
+
+#: Replicas that a zone needs for a group of its own: a single disk would bear no loss.
+LEAST_ZONE_REPLICAS = 2
+#: Zones of a system whose zones have groups of their own: one alone is cut from nobody.
+LEAST_ZONES = 2
 
 
 def target_size(machines_lost_at_once: int) -> int:
@@ -28,6 +34,24 @@
     return views
 
 
+def first_zone_views(zone_disks: Sequence[Member], size: int) -> list[GroupView]:
+    """Return the zones' own groups of a system that starts for the first time.
+
+    :param zone_disks: the disks that registered for these groups.
+    :param size: most replicas of one: two times what is to be borne, and one.
+    """
+    by_zone: dict[str, list[Member]] = {}
+    for member in sorted(zone_disks, key=lambda member: member.node_id):
+        by_zone.setdefault(member.zone, []).append(member)
+    if len(by_zone) < LEAST_ZONES:
+        return []
+    copies = size // 2 + 1
+    chosen = [by_zone[zone][:size] for zone in sorted(by_zone)]
+    found = [members for members in chosen if len(members) >= LEAST_ZONE_REPLICAS]
+    first = ZONE_GROUPS_FROM * copies
+    return [GroupView(first + place, 1, members, []) for place, members in enumerate(found)]
+
+
 def _best_candidate(candidates: Sequence[Member], chosen: Sequence[Member]) -> Member:
     """Return the candidate whose zone is represented least."""
     zones = Counter(member.zone for member in chosen)
@@ -55,7 +79,7 @@
         for member in view.members
         if member.node_id in alive and not _has_other_disk(member, registered)
     ]
-    if len(holding) < read_quorum(len(view.members)):
+    if len(holding) < read_quorum(view.group, len(view.members)):
         # Nobody could copy what is complete; and whoever sees so few may itself be the one
         # that is cut off. A majority would be too much to ask for: in a group of two, left by
         # a retirement, the one that still has its disk holds every complete write.
@@ -102,3 +126,48 @@
     if len(copied) < majority(len(view.joining)) or len(copied) < len(answering):
         return None
     return GroupView(view.group, view.epoch + 1, view.joining, [])
+
+
+def has_readers(view: GroupView, statuses: Mapping[str, StatusReply]) -> bool:
+    """Return whether enough members hold what is complete, and know the view, for the next one.
+
+    A member that misses a view in which a change begins or ends counts no more until it has
+    copied; were the next one begun too soon, nobody might be left to copy from.
+    """
+    known = [statuses[disk] for disk in disk_ids(view.members) if disk in statuses]
+    readers = sum(status.is_reader and status.epoch == view.epoch for status in known)
+    return readers >= read_quorum(view.group, len(view.members))
+
+
+def revised_view(view: GroupView, registered: dict[str, Member]) -> GroupView | None:
+    """Return the view of a change whose joining members lost disks since; None if none did.
+
+    The members of before still hold what is complete; a disk that is gone would never copy.
+    """
+    joining = [
+        registered[member.node_id] if _has_other_disk(member, registered) else member
+        for member in view.joining
+    ]
+    if disk_ids(joining) == disk_ids(view.joining):
+        return None
+    return GroupView(view.group, view.epoch + 1, view.members, joining)
+
+
+def ended_view(
+    view: GroupView, replica: RecordReplica, retiring: Collection[str]
+) -> GroupView | None:
+    """Return the next view of a zone group all of whose machines are to be emptied.
+
+    The group shrinks to one replica, which then holds all that is complete, and ends without
+    members once that has expired.
+
+    :param replica: the own one; a member proposes itself.
+    """
+    own = member_of(view, replica.disk_id)
+    if own is None or view.joining or any(m.node_id not in retiring for m in view.members):
+        return None
+    if len(view.members) > 1:
+        return GroupView(view.group, view.epoch + 1, view.members, [own])
+    if not replica.is_reader or len(replica.table):
+        return None
+    return GroupView(view.group, view.epoch + 1, [], [])
