--- a/features/steps/backoff_steps.py
+++ b/features/steps/backoff_steps.py
@@ -12,7 +12,7 @@
 from yarrowwall.relay.decisions import DecisionLog
 from yarrowwall.relay.freshness import Freshness
 from yarrowwall.relay.freshness_probe import FreshnessProbe
-from yarrowwall.relay.model import Server
+from yarrowwall.relay.model import Server, ServerLife
 from yarrowwall.relay.object_store import Listing, ObjectName, ObjectStoreError, StoredObject
 from yarrowwall.relay.servers import ServerDirectory
 from yarrowwall.relay.watching import KindFollower
@@ -80,7 +80,7 @@
     directory = ServerDirectory("a")
     directory.put(Server("i-1", "records", "127.0.0.1:1", "a", 4, False), {}, NOW_S)
     for _ in range(failures + 1):
-        directory.note_failure("i-1", NOW_S)
+        directory.note_failure(ServerLife("i-1"), NOW_S)
     return directory.states["i-1"].suspended_until - NOW_S
 
 
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -17,7 +17,7 @@
     TellLoad,
 )
 from yarrowwall.relay.load_reports import LoadReporter
-from yarrowwall.relay.model import EngineTraits, PromptPart, Server, Service
+from yarrowwall.relay.model import EngineTraits, PromptPart, Server, ServerLife, Service
 from yarrowwall.relay.servers import ServerDirectory, Wish
 from yarrowwall.replication.group_views import GroupViews
 from yarrowwall.replication.load_board import LoadBoard
@@ -84,7 +84,7 @@
 @when('events of "{slow}" take {slow_ms:d} ms and those of "{one}" and "{other}" {usual_ms:d} ms')
 def paces(context: Context, slow: str, slow_ms: int, one: str, other: str, usual_ms: int) -> None:
     for name, pace_ms in ((slow, slow_ms), (one, usual_ms), (other, usual_ms)):
-        context.engines.note_pace(name, pace_ms / 1000.0, context.now)
+        context.engines.note_pace(ServerLife(name), pace_ms / 1000.0, context.now)
 
 
 @then('{count:d} new programs all go to "{name}"')
@@ -268,8 +268,10 @@
 @when('"{gateway}" {change} a turn at "{engine}" and tells of it')
 def turn_changes(context: Context, gateway: str, change: str, engine: str) -> None:
     known = context.directories[gateway]
-    note = known.started if change == "starts" else known.ended
-    note(engine)
+    if change == "starts":
+        context.place = known.started(ServerLife(engine))
+    else:
+        context.place.running -= 1
     context.reporters[gateway].tell()
 
 
--- /dev/null
+++ b/features/steps/server_entry_steps.py
@@ -0,0 +1,209 @@
+"""Steps about entries of the list of servers that another writer made."""
+
+import json
+import os
+import time
+from collections import Counter
+from typing import Any
+from unittest.mock import patch
+
+from behave import given, then, when
+from behave.runner import Context
+from hypothesis import given as given_drawn
+
+from features.support.drawn_entries import (
+    BATCHES,
+    LISTS,
+    NOW_S,
+    DrawnEntry,
+    DrawnEvent,
+    ScriptedStore,
+    entry_data,
+    expected_names,
+    follow,
+    sound_spec,
+)
+from features.support.platform_scripts import world
+from features.support.schedules import derandomized
+from yarrowwall.platform.documents import PlatformDocuments
+from yarrowwall.platform.objects import read_json, read_object
+from yarrowwall.relay import decisions
+from yarrowwall.relay.decisions import Decision, DecisionLog
+from yarrowwall.relay.exceptions import UnusableEntryError
+from yarrowwall.relay.model import Service
+from yarrowwall.relay.object_store import Change, StoredObject
+from yarrowwall.relay.server_list import ServerList
+from yarrowwall.relay.servers import ServerDirectory, Wish
+
+NEVER = Wish((), "", "")
+
+
+def _quiet_log(noted: list[Decision]) -> DecisionLog:
+    """Return a log whose lines go nowhere."""
+    descriptor = os.open(os.devnull, os.O_WRONLY)
+    return DecisionLog("edge-0", noted.append, descriptor)
+
+
+def item(name: str, spec: Any) -> StoredObject:
+    """Return an entry as the store's client hands it on."""
+    return read_object(read_json(entry_data(name, spec)))
+
+
+def spec_at(port: int) -> dict[str, Any]:
+    return sound_spec() | {"address": f"127.0.0.1:{port}"}
+
+
+def _begin(context: Context, *items: StoredObject) -> None:
+    context.noted = []
+    context.services = {"records": Service("records", 10, None)}
+    context.directory = ServerDirectory("a")
+    context.servers = ServerList(
+        PlatformDocuments(lambda: NOW_S),
+        context.directory,
+        lambda: context.services,
+        _quiet_log(context.noted),
+        lambda: NOW_S,
+    )
+    context.servers.take_list(list(items))
+
+
+@given('a list of servers that has "{one}" and "{other}"')
+def list_of_two(context: Context, one: str, other: str) -> None:
+    _begin(context, item(one, spec_at(11)), item(other, spec_at(12)))
+
+
+@given('a list of servers that has "{one}" and "{other}", the latter of a service to come')
+def list_with_early(context: Context, one: str, other: str) -> None:
+    early = spec_at(12) | {"service": "later"}
+    _begin(context, item(one, spec_at(11)), item(other, early))
+
+
+@given('a list of servers that has "{one}" and "{other}", both at one address')
+def list_with_doubled(context: Context, one: str, other: str) -> None:
+    _begin(context, item(one, spec_at(11)))
+    for _ in range(2):
+        context.servers.take_change(Change(item(other, spec_at(11)), False))
+
+
+@when('the entry of "{name}" is written with {field} as {value}')
+def entry_written(context: Context, name: str, field: str, value: str) -> None:
+    spec: Any = spec_at(12)
+    if field == "all of it":
+        spec = json.loads(value)
+    elif value == "missing":
+        del spec[field]
+    else:
+        spec[field] = json.loads(value)
+    context.bad = item(name, spec)
+    for _ in range(3):
+        context.servers.take_change(Change(context.bad, False))
+    good = item("good", spec_at(11))
+    context.servers.take_list([context.bad, good])
+
+
+@when('the entry of "{name}" is written as a server would')
+def entry_sound(context: Context, name: str) -> None:
+    context.servers.take_change(Change(item(name, spec_at(12)), False))
+
+
+def _listed(directory: ServerDirectory) -> set[str]:
+    return {name for name, state in directory.states.items() if state.vanished_at is None}
+
+
+@then('"{good}" is listed and "{bad}" is not')
+def one_listed(context: Context, good: str, bad: str) -> None:
+    assert _listed(context.directory) == {good}, _listed(context.directory)
+
+
+@then('"{one}" and "{other}" are listed')
+def both_listed(context: Context, one: str, other: str) -> None:
+    assert _listed(context.directory) == {one, other}, _listed(context.directory)
+
+
+@then('"{name}" was told of once as "{fault}"')
+def told_once(context: Context, name: str, fault: str) -> None:
+    refused = [line for line in context.noted if isinstance(line, decisions.EntryRefused)]
+    found = Counter((line.server, line.fault) for line in refused)
+    assert found == {(name, fault): 1}, found
+
+
+@then('"{name}" is chosen once a configuration has its service')
+def chosen_later(context: Context, name: str) -> None:
+    context.services = {**context.services, "later": Service("later", 10, None)}
+    choice = context.directory.choose("later", (), NOW_S, NEVER)
+    assert choice is not None
+    assert choice.server.server_id == name
+
+
+# Drawn entries
+
+
+def check_drawn(listed: list[DrawnEntry], batches: list[list[DrawnEvent]]) -> None:
+    """Follow drawn lists and batches; check which servers are in use."""
+    noted: list[Decision] = []
+    log = _quiet_log(noted)
+    try:
+        directory = follow(ScriptedStore(listed, batches), log)
+    finally:
+        os.close(log._writer._descriptor)
+    expected = expected_names(listed, batches)
+    assert _listed(directory) == expected, (_listed(directory), expected)
+
+
+@then("in {count:d} drawn lists and batches of the store each good entry is in use and no other")
+def drawn_hold(context: Context, count: int) -> None:
+    derandomized(count)(given_drawn(LISTS, BATCHES)(check_drawn))()
+
+
+def _list_or_nothing(self: ServerList, items: list[StoredObject]) -> None:
+    try:
+        servers = [self._documents.server(one) for one in items]
+    except UnusableEntryError:
+        servers = []
+    self._directory.replace_all(servers, {}, NOW_S)
+
+
+def _read_or_raise(self: ServerList, one: StoredObject) -> Any:
+    return self._documents.server(one)
+
+
+_take_change = ServerList.take_change
+
+
+def _skip_known_bad(self: ServerList, change: Change) -> None:
+    if change.item.name not in self._faults:
+        _take_change(self, change)
+
+
+MUTANTS = {
+    "one bad entry drops the list": ("take_list", _list_or_nothing),
+    "one bad entry ends the follower": ("_read", _read_or_raise),
+    "one bad entry hides the next good one": ("take_change", _skip_known_bad),
+}
+
+
+@given("a reader of entries of which {mutant}")
+def mutant_reader(context: Context, mutant: str) -> None:
+    context.mutant = MUTANTS[mutant]
+
+
+@then("some drawn list or batch loses a good entry")
+def some_list_loses(context: Context) -> None:
+    name, replacement = context.mutant
+    with patch.object(ServerList, name, replacement):
+        try:
+            drawn_hold(context, 400)
+        except (AssertionError, UnusableEntryError, ExceptionGroup):
+            return
+    raise AssertionError("no drawn list or batch finds it")
+
+
+# Whole machines
+
+
+@when("another writer spoils {count:d} entries of the list in turn")
+def spoil_entries(context: Context, count: int) -> None:
+    specs: list[Any] = [None, "\udcff", [1], {"service": 7}, {"slots": -1, "state": "?"}]
+    for number in range(count):
+        world(context).store.put("servers", f"x-{number % 7}", specs[number % len(specs)])
+        time.sleep(0.02)
--- /dev/null
+++ b/features/steps/server_life_steps.py
@@ -0,0 +1,402 @@
+"""Steps about servers that start again under their id."""
+
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from threading import Thread
+from typing import Any
+from unittest.mock import patch
+
+import eventlet
+from behave import given, then, when
+from behave.runner import Context
+from eventlet.event import Event
+from hypothesis import given as given_drawn
+from hypothesis import strategies as st
+
+from features.support.platform_scripts import add, silent, world
+from features.support.platform_world import Arrival, QuietHandler, address_of, serve
+from features.support.schedules import derandomized
+from yarrowwall.relay.connection import ServerConnection
+from yarrowwall.relay.exceptions import ConnectionBrokenError, RelayError
+from yarrowwall.relay.lives import NewestLives
+from yarrowwall.relay.model import EngineTraits, PromptPart, Server, ServerLife, Service
+from yarrowwall.relay.pool import ConnectionPool
+from yarrowwall.relay.servers import NEW_TOKENS, ServerDirectory, Wish
+
+NOW_S = 100.0
+SERVICES = {"models": Service("models", 100, EngineTraits(16, 500_000, 10))}
+PROMPT = (PromptPart("shared", 2_000), PromptPart("own", 3_000))
+#: Seconds after which a server that vanished is forgotten.
+FORGOTTEN_S = 5.0
+
+
+def told(life: ServerLife, is_draining: bool = False, address: str = "127.0.0.1:1") -> Server:
+    """Return what an entry tells of a life."""
+    return Server(life.server_id, "models", address, "a", 16, is_draining, life.born_ms)
+
+
+# What a gateway knows
+
+
+@given('a gateway that knows life {born:d} of "{name}"')
+def knows_life(context: Context, born: int, name: str) -> None:
+    context.now_s = NOW_S
+    context.directory = ServerDirectory("a")
+    context.directory.put(told(ServerLife(name, born)), SERVICES, NOW_S)
+
+
+@given(
+    'a gateway that knows life {born:d} of "{name}", which failed, is draining and holds a prompt'
+)
+def knows_worn_life(context: Context, born: int, name: str) -> None:
+    knows_life(context, born, name)
+    life = ServerLife(name, born)
+    directory = context.directory
+    directory.put(told(life, is_draining=True), SERVICES, NOW_S)
+    directory.note_pace(life, 3.0, NOW_S)
+    directory.note_failure(life, NOW_S)
+    directory.started(life)
+    directory.take_loads({life.text: 5}, NOW_S)
+    directory.states[name].belief.note_sent(PROMPT)
+
+
+@when('life {born:d} of "{name}" is told')
+def life_is_told(context: Context, born: int, name: str) -> None:
+    context.directory.put(told(ServerLife(name, born)), SERVICES, context.now_s)
+
+
+@when('life {born:d} of "{name}" is told by a watch')
+def told_by_watch(context: Context, born: int, name: str) -> None:
+    life_is_told(context, born, name)
+
+
+@when('life {born:d} of "{name}" is told by a list')
+def told_by_list(context: Context, born: int, name: str) -> None:
+    context.directory.replace_all([told(ServerLife(name, born))], SERVICES, context.now_s)
+
+
+@when('an entry of "{name}" tells no start')
+def told_without_start(context: Context, name: str) -> None:
+    context.directory.put(told(ServerLife(name)), SERVICES, context.now_s)
+
+
+@when('the entry of life {born:d} of "{name}" is told to be gone')
+def told_gone(context: Context, born: int, name: str) -> None:
+    context.directory.remove(ServerLife(name, born), context.now_s)
+
+
+@when("{seconds:d} s pass for that gateway")
+def time_passes(context: Context, seconds: int) -> None:
+    context.now_s += seconds
+    context.directory.forget_vanished(context.now_s)
+
+
+@then('"{name}" is in life {born:d} with nothing held, no failure, no pace and no request')
+def is_new(context: Context, name: str, born: int) -> None:
+    state = context.directory.states[name]
+    assert state.server.born_ms == born
+    assert state.belief.cached_tokens(PROMPT) == 0
+    seen = (state.failures, state.suspended_until, state.pace, state.running, state.elsewhere)
+    assert seen == (0, 0.0, None, 0, 0), seen
+    assert state.draining_at is None
+    assert state.heard_at == 0.0
+
+
+@then('"{name}" is in life {born:d} and listed')
+def is_listed(context: Context, name: str, born: int) -> None:
+    state = context.directory.states[name]
+    assert state.server.born_ms == born, state.server
+    assert state.vanished_at is None
+
+
+@then('"{name}" is not known')
+def is_unknown(context: Context, name: str) -> None:
+    assert name not in context.directory.states
+
+
+@when('{count:d} requests begin at "{name}"')
+def requests_begin(context: Context, count: int, name: str) -> None:
+    life = context.directory.states[name].server.life
+    places = context.places = getattr(context, "places", {})
+    places[life.born_ms] = [context.directory.started(life) for _ in range(count)]
+
+
+@when("the {count:d} requests of life {born:d} end")
+def requests_end(context: Context, count: int, born: int) -> None:
+    assert len(context.places[born]) == count
+    for place in context.places[born]:
+        place.running -= 1
+
+
+@when('another gateway tells of {count:d} requests at life {born:d} of "{name}"')
+def other_tells(context: Context, count: int, born: int, name: str) -> None:
+    context.directory.take_loads({ServerLife(name, born).text: count}, context.now_s)
+
+
+@then('{count:d} requests are under way at "{name}"')
+def under_way(context: Context, count: int, name: str) -> None:
+    directory = context.directory
+    assert directory.load(directory.states[name], context.now_s) == count
+
+
+@then('a turn whose predecessor ran in life {born:d} of "{name}" has {what} to read there')
+def to_read(context: Context, born: int, name: str, what: str) -> None:
+    wish = Wish(PROMPT, "program", ServerLife(name, born).text)
+    lives = context.directory
+    # With others of its service, it is no program's home by being the only one.
+    for other in ("e2", "e3", "e4", "e5"):
+        lives.put(told(ServerLife(other, born)), SERVICES, NOW_S)
+    found = lives._reading(list(lives.states.values()), _matched(lives, wish))
+    own = PROMPT[1].tokens
+    expected = {"little": NEW_TOKENS, "all": own}[what]
+    assert found[name] == expected or (what == "all" and _is_home(lives, wish, name)), found
+
+
+def _matched(directory: ServerDirectory, wish: Wish) -> Wish:
+    """Return a wish as the choice understands it."""
+    seen: list[Wish] = []
+    reading = directory._reading
+
+    def note(states: Any, understood: Wish) -> dict[str, int]:
+        seen.append(understood)
+        return reading(states, understood)
+
+    with patch.object(directory, "_reading", note):
+        directory.choose("models", (), NOW_S, wish)
+    return seen[0]
+
+
+def _is_home(directory: ServerDirectory, wish: Wish, name: str) -> bool:
+    states = directory.states.values()
+    unknown = wish._replace(last_server="")
+    home = min(states, key=lambda state: directory._preference(state, unknown))
+    return home.server.server_id == name
+
+
+# Drawn orders
+
+_LIVES = st.sampled_from((None, 1_000, 2_000, 3_000))
+_ORDERS = st.lists(st.tuples(st.sampled_from(("list", "watch", "gone", "pass")), _LIVES))
+
+
+def _age(born_ms: int | None) -> int:
+    return born_ms if born_ms is not None else 0
+
+
+def check_order(order: list[tuple[str, int | None]]) -> None:
+    """Play what is told of one server; check the life in use after each step."""
+    directory = ServerDirectory("a")
+    now_s = NOW_S
+    newest: ServerLife | None = None
+    is_listed = False
+    for how, born_ms in order:
+        life = ServerLife("e1", born_ms)
+        if how == "pass":
+            now_s += FORGOTTEN_S
+            directory.forget_vanished(now_s)
+        elif how == "gone":
+            directory.remove(life, now_s)
+            is_listed = is_listed and born_ms is not None and life.is_before(newest)
+        elif how == "list":
+            directory.replace_all([told(life)], SERVICES, now_s)
+        else:
+            directory.put(told(life), SERVICES, now_s)
+        if how in ("list", "watch") and (newest is None or not life.is_before(newest)):
+            newest, is_listed = life, True
+        state = directory.states.get("e1")
+        assert (state is not None and state.vanished_at is None) == is_listed, order
+        assert state is None or state.server.life == newest, order
+
+
+@then("in {count:d} drawn orders the newest life that was told of is the one in use")
+def drawn_orders(context: Context, count: int) -> None:
+    derandomized(count)(given_drawn(_ORDERS)(check_order))()
+
+
+def _take_any(self: NewestLives, life: ServerLife) -> bool:
+    return True
+
+
+def _remove_any(self: ServerDirectory, life: ServerLife, now: float) -> None:
+    state = self.states.get(life.server_id)
+    if state is not None and state.vanished_at is None:
+        state.vanished_at = now
+
+
+_end_life = ServerDirectory._end_life
+
+
+def _end_and_forget(self: ServerDirectory, state: Any, successor: ServerLife | None) -> None:
+    self._newest._newest.pop(state.server.server_id, None)
+    _end_life(self, state, successor)
+
+
+MUTANTS = {
+    "an earlier life undoes a later one": (NewestLives, "note", _take_any),
+    "the end of an earlier life ends the later one": (ServerDirectory, "remove", _remove_any),
+    "what has gone is forgotten at once": (ServerDirectory, "_end_life", _end_and_forget),
+}
+
+
+@given("a directory of which {mutant}")
+def mutant_directory(context: Context, mutant: str) -> None:
+    context.mutant = MUTANTS[mutant]
+
+
+@then("some drawn order ends in another life than the newest")
+def some_order_fails(context: Context) -> None:
+    target, name, replacement = context.mutant
+    with patch.object(target, name, replacement):
+        try:
+            drawn_orders(context, 300)
+        except (AssertionError, ExceptionGroup):
+            return
+    raise AssertionError("no drawn order finds it")
+
+
+# Connections
+
+
+class _Keeping(QuietHandler):
+    """Answers at once, or never where that is asked for."""
+
+    def _run(self) -> None:
+        if self.path == "/wait":
+            time.sleep(2.0)
+            return
+        self.answer(200, b"x", {"Keep-Alive": "timeout=60"})
+
+    do_GET = _run
+
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+WAITING = b"GET /wait HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+@contextmanager
+def _keeping_server(context: Context) -> Iterator[str]:
+    server = serve(_Keeping)
+    context.add_cleanup(lambda: Thread(target=server.shutdown, daemon=True).start())
+    yield address_of(server)
+
+
+def _pool(context: Context) -> ConnectionPool:
+    context.unix_s = 1_000.0
+    return ConnectionPool(time.monotonic, lambda: context.unix_s)
+
+
+def _used(connection: ServerConnection) -> ServerConnection:
+    """Return a connection over which one request was answered."""
+    connection.send(REQUEST, 1.0)
+    connection.read_head(1.0)
+    connection.read_all(1.0)
+    connection.finish()
+    connection.keep_alive = 60.0
+    return connection
+
+
+@given("a server that keeps connections, and a pool with one to its life {born:d}")
+def pool_with_kept(context: Context, born: int) -> None:
+    with _keeping_server(context) as address:
+        context.pool = _pool(context)
+        context.old = told(ServerLife("e1", born), address=address)
+        context.new = told(ServerLife("e1", born + 1_000), address=address)
+        context.lent = _used(context.pool.take(context.old))
+        context.kept = _used(context.pool.take(context.old))
+        context.pool.give_back(context.old, context.kept)
+        assert context.pool.take(context.old) is context.kept
+        context.pool.give_back(context.old, context.kept)
+
+
+@when("its life {born:d} is told")
+def new_life_told(context: Context, born: int) -> None:
+    assert context.new.born_ms == born
+    context.pool.end_life(context.old.life, context.new.life)
+
+
+@then("the next request of life {born:d} goes over a new connection")
+def over_new(context: Context, born: int) -> None:
+    taken = context.pool.take(context.new)
+    assert taken not in (context.kept, context.lent)
+    _used(taken)
+
+
+@then("a connection of life {born:d} that is given back then is not used either")
+def late_is_unused(context: Context, born: int) -> None:
+    context.pool.give_back(context.old, context.lent)
+    assert context.pool.take(context.new) is not context.lent
+
+
+@given("a server that keeps connections, and a request that waits at its life {born:d}")
+def request_waits(context: Context, born: int) -> None:
+    with _keeping_server(context) as address:
+        context.pool = _pool(context)
+        context.old = told(ServerLife("e1", born), address=address)
+        connection = context.pool.take(context.old)
+        connection.send(WAITING, 1.0)
+        context.ended = Event()
+
+        def wait() -> None:
+            try:
+                connection.read_head(1.5)
+            except RelayError as error:
+                context.ended.send(error)
+
+        eventlet.spawn(wait)
+        eventlet.sleep(0.05)
+
+
+@when("its life is told that began {seconds:d} s {side} that connection was opened")
+def life_began(context: Context, seconds: int, side: str) -> None:
+    offset_s = seconds if side == "after" else -seconds
+    successor = ServerLife("e1", int((context.unix_s + offset_s) * 1000))
+    context.pool.end_life(context.old.life, successor)
+
+
+@then("the request is broken off within {limit:d} ms")
+def broken_off(context: Context, limit: int) -> None:
+    error = context.ended.wait(limit / 1000.0)
+    assert isinstance(error, ConnectionBrokenError), error
+
+
+@then("the request is still under way after {limit:d} ms")
+def still_under_way(context: Context, limit: int) -> None:
+    assert context.ended.wait(limit / 1000.0) is None
+
+
+# Whole machines
+
+
+@given('a route "{route}" of type "{kind}" with a server that never answers')
+def route_with_mute(context: Context, route: str, kind: str) -> None:
+    def mute(call: QuietHandler, arrival: Arrival) -> bool:
+        time.sleep(4.0)
+        return silent(call, arrival)
+
+    add(context, route, kind, mute)
+    context.mute = context.by_route[route][0]
+
+
+@when('a second server of "{route}" is listed')
+def second_listed(context: Context, route: str) -> None:
+    context.sound = world(context).add_server(route)
+
+
+@when(
+    'a client sends "{text}" on "{route}" '
+    "and its server starts again {ahead:d} s later by its clock"
+)
+def sent_and_reborn(context: Context, text: str, route: str, ahead: int) -> None:
+    born_ms = int((time.time() + ahead) * 1000)
+
+    def be_reborn() -> None:
+        deadline = time.monotonic() + 2.0
+        while not context.mute.arrivals and time.monotonic() < deadline:
+            time.sleep(0.01)
+        world(context).list_reborn(context.mute, route, born_ms)
+
+    reborn = Thread(target=be_reborn, daemon=True)
+    reborn.start()
+    context.answers = [world(context).ask(route, text.encode())]
+    reborn.join(3.0)
--- /dev/null
+++ b/features/support/drawn_entries.py
@@ -0,0 +1,219 @@
+"""Entries of servers as they lie in the store, sound ones and others, and a store of them."""
+
+import contextlib
+import json
+from typing import Any, NamedTuple
+from unittest.mock import patch
+
+from hypothesis import strategies as st
+
+from yarrowwall.platform import store as store_module
+from yarrowwall.platform.documents import PlatformDocuments
+from yarrowwall.platform.store import PlatformStore
+from yarrowwall.relay.decisions import DecisionLog
+from yarrowwall.relay.model import ResponseHead
+from yarrowwall.relay.server_list import ServerList
+from yarrowwall.relay.servers import ServerDirectory
+from yarrowwall.relay.watching import KindFollower
+
+NOW_S = 1_700_000_000.0
+#: Answers of the store after which a follower has had all that it needs.
+MOST_ANSWERS = 12
+
+
+class DrawnEntry(NamedTuple):
+    """An entry as the store would send it.
+
+    :param name: the server's; empty for an entry without a name that can be read.
+    :param data: its bytes.
+    """
+
+    name: str
+    is_good: bool
+    data: bytes
+
+
+class DrawnEvent(NamedTuple):
+    """A change of an entry."""
+
+    entry: DrawnEntry
+    is_gone: bool
+
+
+def sound_spec() -> dict[str, Any]:
+    """Return what a server writes about itself."""
+    return {
+        "service": "records",
+        "address": "127.0.0.1:9",
+        "zone": "a",
+        "version": "v1",
+        "slots": 6,
+        "state": "ready",
+        "cold_left_ms": 0,
+        "born": 1_600_000_000_000,
+        "seq": 3,
+    }
+
+
+def entry_data(name: Any, spec: Any) -> bytes:
+    """Return an entry's bytes."""
+    return json.dumps({"meta": {"name": name, "revision": 5}, "spec": spec}).encode()
+
+
+_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=6),
+    lambda inner: (
+        st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=6), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+_NAMES = st.sampled_from(("s-1", "s-2", "s-3", "s-4"))
+_REQUIRED = st.sampled_from(("service", "address", "zone", "slots", "state"))
+_GOOD = st.builds(
+    lambda name: DrawnEntry(name, True, entry_data(name, sound_spec())),
+    _NAMES,
+)
+
+
+def _without(name: str, field: str) -> DrawnEntry:
+    spec = sound_spec()
+    del spec[field]
+    return DrawnEntry(name, False, entry_data(name, spec))
+
+
+def _with_other_type(name: str, field: str, value: Any) -> DrawnEntry:
+    return DrawnEntry(name, False, entry_data(name, sound_spec() | {field: value}))
+
+
+_NOT_TEXT = _VALUES.filter(lambda value: not isinstance(value, str))
+_NOT_WHOLE = _VALUES.filter(lambda value: type(value) is not int)
+_NO_MAPPING = _VALUES.filter(lambda value: not isinstance(value, dict))
+#: Bytes inside an entry that are no text, and a number too long to be read.
+_SPOILED = (
+    b'{"meta":{"name":"s-1","revision":5},"spec":{"service":"\xff\xfe\x00"}}',
+    b'{"meta":{"name":"s-2","revision":5},"spec":{"slots":' + b"9" * 5_000 + b"}}",
+    b'{"meta":{"name":"s-3","revision":' + b"9" * 5_000 + b'},"spec":"\xc3\x28"}',
+    b'{"meta":{"name":"\\ud800"},"spec":{}}',
+    b'{"meta":[],"spec":{}}',
+)
+_BAD = st.one_of(
+    st.builds(_without, _NAMES, _REQUIRED),
+    st.builds(_with_other_type, _NAMES, st.sampled_from(("service", "address", "zone")), _NOT_TEXT),
+    st.builds(_with_other_type, _NAMES, st.sampled_from(("slots", "born", "seq")), _NOT_WHOLE),
+    st.builds(_with_other_type, _NAMES, st.just("slots"), st.integers(max_value=0)),
+    st.builds(_with_other_type, _NAMES, st.just("born"), st.integers(min_value=10**14)),
+    st.builds(_with_other_type, _NAMES, st.just("state"), st.text(max_size=5)),
+    st.builds(lambda name, spec: DrawnEntry(name, False, entry_data(name, spec)), _NAMES, _VALUES),
+    _VALUES.map(lambda value: DrawnEntry("", False, json.dumps(value).encode())),
+    _NO_MAPPING.map(lambda value: DrawnEntry("", False, json.dumps({"meta": value}).encode())),
+    st.sampled_from(_SPOILED).map(
+        lambda data: DrawnEntry(
+            next((name for name in ("s-1", "s-2", "s-3") if name.encode() in data), ""), False, data
+        )
+    ),
+)
+ENTRIES = _GOOD | _BAD
+#: A list in which each server has one sound entry at most.
+LISTS = st.lists(ENTRIES, max_size=8, unique_by=lambda entry: (entry.name, entry.data))
+EVENTS = st.lists(
+    st.builds(DrawnEvent, ENTRIES, st.booleans() | st.just(False)), min_size=1, max_size=5
+)
+BATCHES = st.lists(EVENTS, max_size=4)
+
+
+class OverError(BaseException):
+    """The store has told all that it had to."""
+
+
+class ScriptedStore:
+    """A store that answers a list, then batches of changes, over connections of its own.
+
+    :ivar listed: the entries that a list holds now.
+    """
+
+    def __init__(self, listed: list[DrawnEntry], batches: list[list[DrawnEvent]]) -> None:
+        self.listed = list(listed)
+        self._batches = list(batches)
+        self._answers = 0
+
+    def answer(self, target: str) -> bytes:
+        """Return the body of one answer."""
+        self._answers += 1
+        if self._answers > MOST_ANSWERS:
+            raise OverError
+        if "watch=" not in target:
+            items = b",".join(entry.data for entry in self.listed)
+            return b'{"items":[' + items + b'],"more":false,"at":10}'
+        if not self._batches:
+            raise OverError
+        batch = self._batches.pop(0)
+        for event in batch:
+            self.listed = [one for one in self.listed if one.name != event.entry.name]
+            if not event.is_gone:
+                self.listed.append(event.entry)
+        events = b",".join(
+            b'{"gone":%s,"object":%s}' % (b"true" if event.is_gone else b"false", event.entry.data)
+            for event in batch
+        )
+        return b'{"events":[' + events + b'],"at":11}'
+
+
+class _ScriptedConnection:
+    """A connection over which a scripted store answers."""
+
+    store: ScriptedStore
+    is_reusable = False
+
+    def __init__(self, address: str, timeout: float) -> None:
+        self._target = ""
+
+    def is_quiet(self) -> bool:
+        """Return whether nothing arrived."""
+        return True
+
+    def send(self, data: bytes, timeout: float) -> None:
+        """Take a question."""
+        self._target = data.decode().split(" ")[1]
+
+    def read_head(self, timeout: float) -> ResponseHead:
+        """Return the head of the answer."""
+        return ResponseHead(200, ())
+
+    def read_all(self, timeout: float) -> bytes:
+        """Return the body of the answer."""
+        return self.store.answer(self._target)
+
+    def finish(self) -> None:
+        """Leave the answer."""
+
+    def close(self) -> None:
+        """Close the connection."""
+
+
+def follow(store: ScriptedStore, log: DecisionLog) -> ServerDirectory:
+    """Return the servers that a gateway knows once the store has told all."""
+    directory = ServerDirectory("a")
+    documents = PlatformDocuments(lambda: NOW_S)
+    servers = ServerList(documents, directory, dict, log, lambda: NOW_S)
+    with (
+        patch.object(store_module, "ServerConnection", _ScriptedConnection),
+        patch.object(_ScriptedConnection, "store", store, create=True),
+        patch("yarrowwall.relay.watching.eventlet.sleep"),
+        patch("yarrowwall.platform.store.eventlet.sleep"),
+    ):
+        follower = KindFollower(
+            PlatformStore("127.0.0.1:1"), "servers", servers.take_list, servers.take_change, log
+        )
+        with contextlib.suppress(OverError):
+            follower._run()
+    return directory
+
+
+def expected_names(listed: list[DrawnEntry], batches: list[list[DrawnEvent]]) -> set[str]:
+    """Return the servers that are to be in use at the end."""
+    names = {entry.name for entry in listed if entry.is_good}
+    for event in (event for batch in batches for event in batch):
+        names.discard(event.entry.name)
+        if event.entry.is_good and not event.is_gone:
+            names.add(event.entry.name)
+    return names
--- a/features/support/placement_model.py
+++ b/features/support/placement_model.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from yarrowwall.relay.model import EngineTraits, PromptPart, Server, Service
+from yarrowwall.relay.model import EngineTraits, PromptPart, Server, ServerLife, Service
 from yarrowwall.relay.servers import ServerDirectory, Wish
 from yarrowwall.relay.urgency import RANK_SECONDS
 from yarrowwall.replication.load_board import LoadBoard
@@ -178,7 +178,7 @@
         choice = known.choose(SERVICE, (), self._now_s, wish)
         assert choice is not None
         name = choice.server.server_id
-        known.started(name)
+        known.started(ServerLife(name))
         known.states[name].belief.note_sent(prompt)
         program.last_server = name
         self._tell_soon(gateway)
@@ -229,7 +229,7 @@
             first = min(engine.waiting, key=lambda one: (one.rank, one.arrived_s))
             engine.waiting.remove(first)
             self._start(engine, first)
-        self._gateways[turn.gateway].ended(engine.name)
+        self._gateways[turn.gateway].states[engine.name].running -= 1
         self._tell_soon(turn.gateway)
         self._go_on(turn.program)
 
--- a/yarrowwall/platform/documents.py
+++ b/yarrowwall/platform/documents.py
@@ -1,8 +1,12 @@
 """The platform's objects as the relay's types."""
 
+import time
+from collections.abc import Callable
 from typing import Any
 
 from yarrowwall.platform import names
+from yarrowwall.platform.server_entries import read_life, read_server
+from yarrowwall.relay.exceptions import EntryFault, UnusableEntryError
 from yarrowwall.relay.model import (
     CallerLimits,
     Configuration,
@@ -10,6 +14,7 @@
     RequestKind,
     Route,
     Server,
+    ServerLife,
     Service,
     ServiceShare,
     Tenant,
@@ -24,24 +29,31 @@
 
 
 class PlatformDocuments:
-    """Reads the platform's objects."""
+    """Reads the platform's objects.
+
+    :param wall_clock: Unix time in seconds, by which a server's start can't lie far ahead.
+    """
 
     servers_kind = names.SERVERS
     configuration_kind = names.CONFIGURATION
     configuration_name = names.NEWEST_CONFIGURATION
     retirements_kind = names.RETIREMENTS
 
+    def __init__(self, wall_clock: Callable[[], float] = time.time) -> None:
+        self._wall_clock = wall_clock
+
     def server(self, item: StoredObject) -> Server:
-        """Return a listed server."""
-        spec = item.spec
-        return Server(
-            item.name,
-            spec["service"],
-            spec["address"],
-            spec.get("zone", ""),
-            int(spec.get("slots") or 1),
-            spec.get("state") == "draining",
-        )
+        """Return a listed server.
+
+        :raises UnusableEntryError: if the entry names none.
+        """
+        if not item.is_readable:
+            raise UnusableEntryError(EntryFault.UNREADABLE, "spec")
+        return read_server(item.name, item.spec, self._wall_clock())
+
+    def server_life(self, item: StoredObject) -> ServerLife:
+        """Return the life that an entry tells of, as far as it can be read."""
+        return read_life(item.name, item.spec, self._wall_clock())
 
     def configuration(self, item: StoredObject) -> Configuration | None:
         """Return the operators' configuration; None if the object holds something else."""
--- a/yarrowwall/platform/store.py
+++ b/yarrowwall/platform/store.py
@@ -3,12 +3,13 @@
 import json
 import math
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 from urllib.parse import quote
 
 import eventlet
 
+from yarrowwall.platform.objects import read_json, read_object
 from yarrowwall.relay.connection import ServerConnection
 from yarrowwall.relay.exceptions import AnswerTimeoutError, ConnectTimeoutError, RelayError
 from yarrowwall.relay.object_store import (
@@ -73,12 +74,13 @@
         while True:
             target = f"{path}?{query}" if query else path
             _, document = self._call("GET", target, lane=f"list {kind}", timeout=timeout_s)
-            items += [_object(item) for item in document["items"]]
+            page = [read_object(item) for item in document["items"]]
+            items += page
             # Changes after the first page's revision are delivered by the watch.
             revision = document["at"] if revision is None else revision
             if not document.get("more"):
                 return Listing(items, revision)
-            after = "after=" + quote(items[-1].name, safe="")
+            after = "after=" + quote(_last_name(page), safe="")
             query = f"{age}&{after}" if age else after
 
     def watch(self, kind: str, revision: int, wait_s: float) -> Changes:
@@ -97,7 +99,9 @@
         if status == _GONE:
             raise HistoryForgottenError(f"{kind} since {revision}")
         changes = [
-            Change(_object(event["object"]), bool(event["gone"])) for event in document["events"]
+            Change(read_object(event["object"]), bool(event["gone"]))
+            for event in document["events"]
+            if isinstance(event, dict) and "object" in event and "gone" in event
         ]
         return Changes(changes, document["at"])
 
@@ -126,13 +130,13 @@
         """Return an object as it stands now; None if there is none."""
         path = f"/objects/{kind}/{quote(name, safe='')}"
         status, document = self._call("GET", path, lane=f"get {kind}", timeout=timeout_s)
-        return None if status == _NOT_FOUND else _object(document)
+        return None if status == _NOT_FOUND else read_object(document)
 
     def create(self, kind: str, name: str, spec: dict[str, Any]) -> StoredObject:
         """Make an object."""
         body = {"meta": {"name": name}, "spec": spec}
         _, document = self._call("POST", f"/objects/{kind}", body)
-        return _object(document)
+        return read_object(document)
 
     def replace(
         self, kind: str, name: str, spec: dict[str, Any], revision: int | None
@@ -143,7 +147,7 @@
             meta["revision"] = revision
         path = f"/objects/{kind}/{quote(name, safe='')}"
         _, document = self._call("PUT", path, {"meta": meta, "spec": spec})
-        return _object(document)
+        return read_object(document)
 
     def set_status(self, kind: str, name: str, status: dict[str, Any]) -> None:
         """Replace an object's status."""
@@ -202,19 +206,20 @@
     if not 200 <= status < 300:
         raise ObjectStoreError(f"{method} {path}: status {status}")
     try:
-        document = json.loads(data) if data else {}
-    except ValueError as error:
+        document = read_json(data) if data else {}
+    except (RecursionError, ValueError) as error:
         raise ObjectStoreError(f"{method} {path}: no JSON") from error
     if not isinstance(document, dict):
         raise ObjectStoreError(f"{method} {path}: not an object")
     return document
 
 
-def _object(document: dict[str, Any]) -> StoredObject:
-    meta = document.get("meta") or {}
-    return StoredObject(
-        meta.get("name", ""),
-        meta.get("revision", 0),
-        document.get("spec") or {},
-        document.get("status") or {},
-    )
+def _last_name(page: Sequence[StoredObject]) -> str:
+    """Return the name after which the next page begins.
+
+    :raises ObjectStoreError: if no name of the page can be read.
+    """
+    named = [item.name for item in page if item.name]
+    if not named:
+        raise ObjectStoreError("a page of a list without a name that can be read")
+    return named[-1]
--- a/yarrowwall/readers/store.py
+++ b/yarrowwall/readers/store.py
@@ -161,7 +161,7 @@
             reply = self._ask(reader, ListObjects(kind, known), FIRST_ANSWER_SECONDS)
             if reply is not None and reply.status is ObjectsStatus.OK:
                 items = [stored(item) for item in reply.objects]
-                return Listing(items, reply.revision, proved_at_s(reply, sent_at_s))
+                return Listing(items, reply.revision, _proved_at_s(reply, items, sent_at_s))
         return None
 
     def watch(self, kind: str, revision: int, wait_s: float) -> Changes:
@@ -234,7 +234,9 @@
         self._note_proven(reader)
         if reply.status is ObjectsStatus.FORGOTTEN:
             raise HistoryForgottenError(f"reader {reader.node_id}")
-        return Changes(changes(reply.objects), reply.revision, proved_at_s(reply, sent_at_s))
+        found = changes(reply.objects)
+        items = [change.item for change in found]
+        return Changes(found, reply.revision, _proved_at_s(reply, items, sent_at_s))
 
     # Finding readers
 
@@ -427,6 +429,14 @@
         self._direct.set_status(kind, name, status)
 
 
+def _proved_at_s(
+    reply: ObjectsReply, items: Sequence[StoredObject], sent_at_s: float
+) -> float | None:
+    """Return the moment for which a reader vouches; None if not all it told could be read."""
+    is_whole = all(item.is_readable for item in items)
+    return proved_at_s(reply, sent_at_s) if is_whole else None
+
+
 def proved_at_s(reply: ObjectsReply, sent_at_s: float) -> float | None:
     """Return the moment of this machine's clock for which a reader vouches.
 
--- a/yarrowwall/readers/wire.py
+++ b/yarrowwall/readers/wire.py
@@ -50,19 +50,17 @@
 def stored(found: RelayedObject) -> StoredObject:
     """Return an object that travelled.
 
-    :raises ValueError: if its content cannot be read.
+    One whose content can't be read is empty: it must not take the others of its list with it.
     """
     try:
-        text = zlib.decompress(found.content)
-    except zlib.error as error:
-        raise ValueError(f"{found.name}: {error}") from error
-    spec, status = json.loads(text)
+        spec, status = json.loads(zlib.decompress(found.content))
+    except (RecursionError, TypeError, ValueError, zlib.error):
+        return StoredObject(found.name, found.revision, {}, {}, is_readable=False)
+    if not isinstance(spec, dict) or not isinstance(status, dict):
+        return StoredObject(found.name, found.revision, {}, {}, is_readable=False)
     return StoredObject(found.name, found.revision, spec, status)
 
 
 def changes(found: Iterable[RelayedObject]) -> list[Change]:
-    """Return changes that travelled.
-
-    :raises ValueError: if the content of one cannot be read.
-    """
+    """Return changes that travelled."""
     return [Change(stored(one), one.is_gone) for one in found]
--- a/yarrowwall/relay/connection.py
+++ b/yarrowwall/relay/connection.py
@@ -76,6 +76,7 @@
 
     def __init__(self, address: str, timeout: float) -> None:
         self.idle_since = 0.0
+        self.opened_unix_s = 0.0
         self.keep_alive: float | None = None
         self._reader = _ResponseReader()
         self._is_unframed = False
--- a/yarrowwall/relay/decisions.py
+++ b/yarrowwall/relay/decisions.py
@@ -178,13 +178,26 @@
 
 @dataclass(frozen=True)
 class ServerChanged(Decision):
-    """A server was listed, is leaving or is gone."""
+    """A server was listed, started again, is leaving or is gone."""
 
     server: str
     service: str
     change: str
 
 
+@dataclass(frozen=True)
+class EntryRefused(Decision):
+    """An entry of the list of servers names no server to use.
+
+    :param fault: an :class:`EntryFault`.
+    :param detail: the field or the other server that it is about.
+    """
+
+    server: str
+    fault: str
+    detail: str
+
+
 @dataclass(frozen=True)
 class DependencyChanged(Decision):
     """A dependency was lost or is back."""
--- a/yarrowwall/relay/exceptions.py
+++ b/yarrowwall/relay/exceptions.py
@@ -1,5 +1,7 @@
 """Errors of the relay layer."""
 
+from enum import StrEnum
+
 from yarrowwall.exceptions import YarrowwallError
 
 
@@ -46,6 +48,34 @@
     """
 
 
+class EntryFault(StrEnum):
+    """What is wrong with an entry of the list of servers."""
+
+    UNREADABLE = "unreadable"
+    BAD_NAME = "bad_name"
+    MISSING_FIELD = "missing_field"
+    WRONG_TYPE = "wrong_type"
+    BAD_ADDRESS = "bad_address"
+    UNKNOWN_STATE = "unknown_state"
+    UNKNOWN_SERVICE = "unknown_service"
+    ABSURD_FIGURE = "absurd_figure"
+    DOUBLED_ID = "doubled_id"
+    DOUBLED_ADDRESS = "doubled_address"
+
+
+class UnusableEntryError(RelayError):
+    """An entry of the list of servers names no server to use.
+
+    :param fault: what is wrong with it.
+    :param name: the field that is.
+    """
+
+    def __init__(self, fault: EntryFault, name: str) -> None:
+        super().__init__(f"{fault}: {name}")
+        self.fault = fault
+        self.name = name
+
+
 class TurnUnknownError(RelayError):
     """A quorum of replicas does not know the turn that a request goes on from."""
 
--- a/yarrowwall/relay/gateway_service.py
+++ b/yarrowwall/relay/gateway_service.py
@@ -19,10 +19,11 @@
 from yarrowwall.relay.ledger import ReplicatedLedger
 from yarrowwall.relay.load_reports import LoadReporter
 from yarrowwall.relay.metrics import MachineMetrics
-from yarrowwall.relay.model import Configuration, Server
+from yarrowwall.relay.model import Configuration
 from yarrowwall.relay.object_store import Change, ObjectName, ObjectStore, StoredObject
 from yarrowwall.relay.offer import RelayParts
 from yarrowwall.relay.pool import ConnectionPool
+from yarrowwall.relay.server_list import ServerList
 from yarrowwall.relay.servers import ServerDirectory
 from yarrowwall.relay.settings import GatewaySettings, MachineSettings
 from yarrowwall.relay.sockets import green
@@ -61,8 +62,8 @@
         self._listeners = listeners
         self._log = log
         self._directory = ServerDirectory(settings.zone)
-        self._pool = ConnectionPool(time.monotonic)
-        self._directory.on_removed = self._pool.forget
+        self._pool = ConnectionPool(time.monotonic, time.time)
+        self._directory.on_removed = self._pool.end_life
         self._limits = ServerLimits()
         parts = RelayParts(self._directory, self._pool, adapter.servers, log, time.monotonic)
         self._views = GroupViews(self._note_view)
@@ -88,6 +89,7 @@
             log,
             time.monotonic,
         )
+        servers = ServerList(documents, self._directory, self._services, log, time.monotonic)
         self._followers = [
             KindFollower(
                 store,
@@ -101,8 +103,8 @@
             KindFollower(
                 store,
                 adapter.documents.servers_kind,
-                self._servers_listed,
-                self._server_changed,
+                servers.take_list,
+                servers.take_change,
                 log,
                 self._note_read,
                 watch_s=LONG_WATCH_SECONDS,
@@ -201,7 +203,7 @@
             return
         try:
             configuration = self._adapter.documents.configuration(item)
-        except (KeyError, TypeError, ValueError) as error:
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
             self._log.write(decisions.DependencyChanged("configuration", False, repr(error)))
             return
         if configuration is not None:
@@ -211,32 +213,6 @@
         if self.gateway.put_in_force(configuration):
             self._directory.take_services(configuration.services)
 
-    def _servers_listed(self, items: list[StoredObject]) -> None:
-        servers = [server for item in items if (server := self._server(item)) is not None]
-        known = set(self._directory.states)
-        self._directory.replace_all(servers, self._services(), time.monotonic())
-        # The first list is no news, and a start has other things to do than to write lines.
-        news = [server for server in servers if known and server.server_id not in known]
-        for server in news:
-            self._log.write(decisions.ServerChanged(server.server_id, server.service, "listed"))
-
-    def _server_changed(self, change: Change) -> None:
-        if change.is_gone:
-            self._directory.remove(change.item.name, time.monotonic())
-            self._log.write(decisions.ServerChanged(change.item.name, "", "gone"))
-            return
-        server = self._server(change.item)
-        if server is not None:
-            self._directory.put(server, self._services(), time.monotonic())
-            state = "draining" if server.is_draining else "listed"
-            self._log.write(decisions.ServerChanged(server.server_id, server.service, state))
-
-    def _server(self, item: StoredObject) -> Server | None:
-        try:
-            return self._adapter.documents.server(item)
-        except (KeyError, TypeError, ValueError):
-            return None
-
     def _services(self) -> dict[str, Any]:
         table = self.gateway.table
         return table.configuration.services if table is not None else {}
--- a/yarrowwall/relay/ledger.py
+++ b/yarrowwall/relay/ledger.py
@@ -69,7 +69,8 @@
     def record(self, version: int, amount: int, server_id: str = "") -> StoredRecord:
         """Return the record of the reservation or of its settlement.
 
-        :param server_id: where the turn ran; the program's next turn had better go there.
+        :param server_id: the life of the server where the turn ran, as its text; the program's next
+            turn had better go there.
         """
         note = server_id.encode()
         return StoredRecord(self.key, version, self.program_id, "", self.retention, amount, note)
--- a/yarrowwall/relay/metrics.py
+++ b/yarrowwall/relay/metrics.py
@@ -51,6 +51,9 @@
 LENDING = _Description("quota_lending", "Whether this replica lends its part of limits")
 LENT = _Description("quota_lent", "Requests that count against this replica's part", "tenant")
 AGE = _Description("configuration_age_seconds", "Time since the newest proof of the configuration")
+ENTRIES_REFUSED = _Description(
+    "server_entries_refused", "Entries of servers that name none to use", "fault"
+)
 KEYS = _Description("key_changes", "Keys given to tenants or taken away", "change")
 VERSION = _Description("configuration_version", "Version in force")
 EPOCH = _Description("group_epoch", "Newest view of a group", "group")
@@ -89,6 +92,7 @@
             decisions.ConfigurationInForce: lambda event: self._set(VERSION, event.version),
             decisions.QuotaRefused: lambda event: self._add(QUOTA_REFUSALS, event.begins),
             decisions.LendingChanged: lambda event: self._set(LENDING, event.lends),
+            decisions.EntryRefused: lambda event: self._add(ENTRIES_REFUSED, event.fault),
             decisions.KeysChanged: self._keys_changed,
             decisions.GroupChanged: lambda event: self._set(EPOCH, event.epoch, event.group),
         }
--- a/yarrowwall/relay/model.py
+++ b/yarrowwall/relay/model.py
@@ -5,6 +5,7 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import NamedTuple
 
 from yarrowwall.messages.quotas import TenantLimit
 
@@ -125,9 +126,33 @@
     tenants: tuple[Tenant, ...] | None = None
 
 
+class ServerLife(NamedTuple):
+    """One life of a server, from a start to its end; a server may start again under its id.
+
+    :param born_ms: Unix time of the start, by the server's own clock; None if it is not told.
+    """
+
+    server_id: str
+    born_ms: int | None = None
+
+    @property
+    def text(self) -> str:
+        """Return it as records and load reports name it; an id holds no blank."""
+        return self.server_id if self.born_ms is None else f"{self.server_id} {self.born_ms}"
+
+    def is_before(self, other: "ServerLife") -> bool:
+        """Return whether this is an earlier life of the same server; one untold is the first."""
+        if other.born_ms is None:
+            return False
+        return self.born_ms is None or self.born_ms < other.born_ms
+
+
 @dataclass(frozen=True)
 class Server:
-    """A server as the platform lists it; each start has an id of its own."""
+    """A server as the platform lists it.
+
+    :param born_ms: Unix time of its start; None where servers do not tell it.
+    """
 
     server_id: str
     service: str
@@ -135,6 +160,12 @@
     zone: str
     slots: int
     is_draining: bool
+    born_ms: int | None = None
+
+    @property
+    def life(self) -> ServerLife:
+        """Return the life of which this is told."""
+        return ServerLife(self.server_id, self.born_ms)
 
 
 @dataclass(frozen=True)
--- a/yarrowwall/relay/object_store.py
+++ b/yarrowwall/relay/object_store.py
@@ -38,12 +38,14 @@
     """One object of the store.
 
     :param revision: the store's revision at its last change.
+    :param is_readable: whether its content could be read; it is empty otherwise.
     """
 
     name: str
     revision: int
     spec: dict[str, Any]
     status: dict[str, Any]
+    is_readable: bool = True
 
 
 @dataclass(frozen=True)
--- a/yarrowwall/relay/offer.py
+++ b/yarrowwall/relay/offer.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from http import HTTPStatus
 
 from yarrowwall.quotas.program_sizes import ProgramSizes
 from yarrowwall.relay import decisions
@@ -29,11 +30,12 @@
     Send,
     SendLog,
     Server,
+    ServerLife,
 )
 from yarrowwall.relay.pool import ConnectionPool
 from yarrowwall.relay.ports import ServerProtocol
 from yarrowwall.relay.quotas import Allowance, NoQuotas, QuotaSource
-from yarrowwall.relay.servers import Choice, ServerDirectory, Wish
+from yarrowwall.relay.servers import Choice, ServerDirectory, ServerState, Wish
 from yarrowwall.relay.urgency import turn_rank
 
 #: Seconds after which a caller that was refused for want of room should come back.
@@ -123,6 +125,8 @@
         self._body = body
         self._allowance = allowance
         self._last_server = last_server
+        self._last_life: ServerLife | None = None
+        self._place: ServerState | None = None
         self._unreached = 0
         #: Whether a server said nothing in time: kept connections may all have fallen silent.
         self._met_silence = False
@@ -131,8 +135,10 @@
 
     @property
     def last_server(self) -> str:
-        """Return the server that got the attempt last; empty if none did."""
-        return self.log.tried[-1] if self.log.offered else self._last_server
+        """Return the life of the server that got the attempt last; empty if none did."""
+        if self._last_life is None or not self.log.offered:
+            return self._last_server
+        return self._last_life.text
 
     def remaining(self) -> float:
         """Return the seconds left."""
@@ -189,6 +195,7 @@
     def _send(self, choice: Choice, last_event_id: str | None) -> OpenAnswer:
         server = choice.server
         self.log.tried.append(server.server_id)
+        self._last_life = server.life
         connection = self._connect(server)
         try:
             self._allowance.spend()
@@ -220,7 +227,7 @@
         try:
             answer = self._exchange(connection, send)
         except BaseException:
-            self._note_ended(server)
+            self._note_ended()
             connection.close()
             raise
         self.current = OpenAnswer(connection, answer, send, sent_at)
@@ -238,7 +245,7 @@
         self.log.may_have_run = True
         connection.send(self._parts.protocol.request_bytes(self._attempt, send), self.remaining())
         for _ in range(MOST_FOREIGN_ANSWERS):
-            head = self._wait_for_head(connection, send.server.server_id)
+            head = self._wait_for_head(connection, send.server.life)
             answer = self._parts.protocol.read_answer(self._attempt, send, head)
             if answer.belongs:
                 break
@@ -254,17 +261,17 @@
         connection.keep_alive = answer.keep_alive
         return answer
 
-    def _wait_for_head(self, connection: ServerConnection, server_id: str) -> ResponseHead:
+    def _wait_for_head(self, connection: ServerConnection, life: ServerLife) -> ResponseHead:
         """Return the next response head, as long as the server is worth waiting for."""
         started_at = self._parts.now()
         while True:
             try:
                 head = connection.read_head(self.patience())
             except AnswerTimeoutError:
-                if not self.is_worth_waiting(server_id, started_at):
+                if not self.is_worth_waiting(life, started_at):
                     raise
                 continue
-            self._parts.directory.note_heard(server_id, self._parts.now())
+            self._parts.directory.note_heard(life, self._parts.now())
             return head
 
     def patience(self) -> float:
@@ -283,7 +290,7 @@
     def _may_repeat(self) -> bool:
         return self._route.is_repeatable and self.can_go_on()
 
-    def is_worth_waiting(self, server_id: str, since: float) -> bool:
+    def is_worth_waiting(self, life: ServerLife, since: float) -> bool:
         """Return whether to go on waiting for a server that was silent for a while.
 
         :param since: when the wait began.
@@ -294,16 +301,16 @@
         limit_s = self._usual_limit_s()
         if limit_s is not None:
             return now - since < limit_s or not self._parts.retries.take(self._service)
-        is_heard = now - self._parts.directory.last_heard(server_id) < SILENCE_SECONDS
+        is_heard = now - self._parts.directory.last_heard(life) < SILENCE_SECONDS
         return is_heard and now - since < LONGEST_SILENCE_SECONDS
 
     def note_failure(self, server: Server, error: RelayError) -> None:
         """Note that a sending failed, and pass the server over unless the time was just over."""
         if not isinstance(error, AnswerTimeoutError) or self.remaining() > 0:
-            self._parts.directory.note_failure(server.server_id, self._parts.now())
+            self._parts.directory.note_failure(server.life, self._parts.now())
         if isinstance(error, AnswerTimeoutError):
             self._met_silence = True
-            self._parts.pool.forget(server.server_id)
+            self._parts.pool.forget(server.life)
         self._parts.decisions.write(
             decisions.SendFailed(
                 self._attempt.attempt_id, server.server_id, str(error), self.log.may_have_run
@@ -317,7 +324,11 @@
                 self._attempt.attempt_id, server.server_id, f"{opened.answer.status}", False
             )
         )
-        self._parts.directory.note_full(server.server_id, self._parts.now())
+        if opened.answer.status == HTTPStatus.MISDIRECTED_REQUEST:
+            # Another server has the address: the entry is false until it changes.
+            self._parts.directory.note_failure(server.life, self._parts.now())
+        else:
+            self._parts.directory.note_full(server.life, self._parts.now())
         try:
             opened.connection.read_all(self.remaining())
         except RelayError:
@@ -338,25 +349,26 @@
         if self.current is None:
             return
         opened, self.current = self.current, None
-        server = opened.send.server
-        self._note_ended(server)
+        self._note_ended()
         opened.connection.finish()
-        self._parts.pool.give_back(server, opened.connection)
+        self._parts.pool.give_back(opened.send.server, opened.connection)
 
     def abandon(self) -> None:
         """Cancel the current answer at its server."""
         if self.current is None:
             return
         opened, self.current = self.current, None
-        self._note_ended(opened.send.server)
+        self._note_ended()
         opened.connection.close()
 
     def _note_started(self, server: Server) -> None:
-        self._parts.directory.started(server.server_id)
+        self._place = self._parts.directory.started(server.life)
         self._tell_loads()
 
-    def _note_ended(self, server: Server) -> None:
-        self._parts.directory.ended(server.server_id)
+    def _note_ended(self) -> None:
+        if self._place is not None:
+            self._place.running -= 1
+            self._place = None
         self._tell_loads()
 
     def _tell_loads(self) -> None:
--- a/yarrowwall/relay/pool.py
+++ b/yarrowwall/relay/pool.py
@@ -6,9 +6,10 @@
 
 from collections import defaultdict
 from collections.abc import Callable
+from weakref import WeakSet
 
 from yarrowwall.relay.connection import ServerConnection
-from yarrowwall.relay.model import Server
+from yarrowwall.relay.model import Server, ServerLife
 
 #: Seconds an idle connection is trusted when the server did not say how long it keeps one.
 DEFAULT_IDLE_SECONDS = 2.0
@@ -16,19 +17,28 @@
 IDLE_MARGIN_SECONDS = 0.7
 #: Seconds for a connection to come up; nothing was sent if it does not.
 CONNECT_SECONDS = 0.25
+#: Seconds by which a connection has to be older than a server's start, by two clocks, to count
+#: as one of the life before.
+CLOCK_MARGIN_SECONDS = 1.0
 #: Idle connections kept to one server.
 MOST_IDLE = 8
 
 
 class ConnectionPool:
-    """Kept connections by server id.
+    """Kept connections by the life of the server for which they were made.
+
+    A connection that was made before a newer life was known is not used for that one, also if
+    the server's new process was already there to take it.
 
     :param now: the monotonic clock.
+    :param unix_s: the time of day.
     """
 
-    def __init__(self, now: Callable[[], float]) -> None:
+    def __init__(self, now: Callable[[], float], unix_s: Callable[[], float]) -> None:
         self._now = now
-        self._idle: dict[str, list[ServerConnection]] = defaultdict(list)
+        self._unix_s = unix_s
+        self._lent: dict[ServerLife, WeakSet[ServerConnection]] = defaultdict(WeakSet)
+        self._idle: dict[ServerLife, list[ServerConnection]] = defaultdict(list)
 
     def take(self, server: Server, is_fresh: bool = False) -> ServerConnection:
         """Return a connection, a kept one if there is one that can be trusted.
@@ -36,15 +46,25 @@
         :param is_fresh: whether it has to be a new one.
         :raises ConnectError: if a new one does not come up.
         """
-        if is_fresh:
-            return ServerConnection(server.address, CONNECT_SECONDS)
-        idle = self._idle[server.server_id]
+        kept = None if is_fresh else self._take_kept(server.life)
+        connection = kept if kept is not None else self._open(server)
+        self._lent[server.life].add(connection)
+        return connection
+
+    def _take_kept(self, life: ServerLife) -> ServerConnection | None:
+        idle = self._idle[life]
         while idle:
             connection = idle.pop()
             if self._is_trusted(connection):
                 return connection
             connection.close()
-        return ServerConnection(server.address, CONNECT_SECONDS)
+        return None
+
+    def _open(self, server: Server) -> ServerConnection:
+        opened_unix_s = self._unix_s()
+        connection = ServerConnection(server.address, CONNECT_SECONDS)
+        connection.opened_unix_s = opened_unix_s
+        return connection
 
     def _is_trusted(self, connection: ServerConnection) -> bool:
         kept = connection.keep_alive
@@ -53,26 +73,41 @@
 
     def give_back(self, server: Server, connection: ServerConnection) -> None:
         """Keep a connection for reuse if its last answer allows it."""
-        idle = self._idle[server.server_id]
+        self._lent[server.life].discard(connection)
+        idle = self._idle[server.life]
         if len(idle) >= MOST_IDLE or not connection.is_reusable:
             connection.close()
             return
         connection.idle_since = self._now()
         idle.append(connection)
 
-    def forget(self, server_id: str) -> None:
+    def forget(self, life: ServerLife) -> None:
         """Close the idle connections to a server."""
-        for connection in self._idle.pop(server_id, []):
+        for connection in self._idle.pop(life, []):
             connection.close()
 
+    def end_life(self, life: ServerLife, successor: ServerLife | None) -> None:
+        """Close the idle connections to a life that is over, and end those under way.
+
+        Whoever waits there learns at once that no answer will come, and has no proof that its
+        request did not run. A connection that may have been opened to the new life goes on.
+        """
+        self.forget(life)
+        lent = self._lent.pop(life, None)
+        if lent is None or successor is None or successor.born_ms is None:
+            return
+        for connection in list(lent):
+            if connection.opened_unix_s + CLOCK_MARGIN_SECONDS < successor.born_ms / 1000.0:
+                connection.interrupt()
+
     def close_expired(self) -> None:
         """Close idle connections that will not be used any more."""
-        for server_id, idle in list(self._idle.items()):
+        for life, idle in list(self._idle.items()):
             kept = [connection for connection in idle if self._is_trusted(connection)]
             for connection in idle:
                 if connection not in kept:
                     connection.close()
             if kept:
-                self._idle[server_id] = kept
+                self._idle[life] = kept
             else:
-                del self._idle[server_id]
+                del self._idle[life]
--- a/yarrowwall/relay/ports.py
+++ b/yarrowwall/relay/ports.py
@@ -11,6 +11,7 @@
     ResponseHead,
     Send,
     Server,
+    ServerLife,
 )
 from yarrowwall.relay.object_store import StoredObject
 
@@ -50,7 +51,13 @@
     retirements_kind: str
 
     def server(self, item: StoredObject) -> Server:
-        """Return a listed server."""
+        """Return a listed server.
+
+        :raises UnusableEntryError: if the entry names none.
+        """
+
+    def server_life(self, item: StoredObject) -> ServerLife:
+        """Return the life that an entry tells of, as far as it can be read."""
 
     def configuration(self, item: StoredObject) -> Configuration | None:
         """Return the operators' configuration; None if the object holds something else."""
--- /dev/null
+++ b/yarrowwall/relay/server_list.py
@@ -0,0 +1,124 @@
+"""The list of servers as the platform's store tells it, entry by entry.
+
+An entry that can't be used stands for no server and leaves all others as they are.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+
+from yarrowwall.relay import decisions
+from yarrowwall.relay.decisions import DecisionLog
+from yarrowwall.relay.exceptions import EntryFault, UnusableEntryError
+from yarrowwall.relay.model import Server, Service
+from yarrowwall.relay.object_store import Change, StoredObject
+from yarrowwall.relay.ports import Documents
+from yarrowwall.relay.servers import ServerDirectory
+
+#: Entries whose faults are remembered, so that each is told of once and not at every list.
+MOST_REMEMBERED = 1000
+#: Faults that show only beside other entries.
+_DOUBLED = (EntryFault.DOUBLED_ID, EntryFault.DOUBLED_ADDRESS)
+
+
+class ServerList:
+    """Takes lists and changes of entries into a directory.
+
+    :param services: returns the services of the configuration in force; empty before the first.
+    :param now: the monotonic clock.
+    """
+
+    def __init__(
+        self,
+        documents: Documents,
+        directory: ServerDirectory,
+        services: Callable[[], dict[str, Service]],
+        log: DecisionLog,
+        now: Callable[[], float],
+    ) -> None:
+        self._documents = documents
+        self._directory = directory
+        self._services = services
+        self._log = log
+        self._now = now
+        self._faults: dict[str, EntryFault] = {}
+
+    def take_list(self, items: list[StoredObject]) -> None:
+        """Take in the whole list."""
+        servers = [server for item in items if (server := self._read(item)) is not None]
+        known = {server_id: state.server for server_id, state in self._directory.states.items()}
+        self._directory.replace_all(servers, self._services(), self._now())
+        for name, count in Counter(item.name for item in items).items():
+            if count > 1:
+                self._note_fault(name, EntryFault.DOUBLED_ID, f"{count} entries")
+        # The first list is no news, and a start has other things to do than to write lines.
+        for server in servers if known else ():
+            self._tell(server, known.get(server.server_id), is_change=False)
+        self._look_at_addresses(servers)
+
+    def take_change(self, change: Change) -> None:
+        """Take in one change."""
+        item = change.item
+        if change.is_gone:
+            self._faults.pop(item.name, None)
+            self._directory.remove(self._documents.server_life(item), self._now())
+            self._log.write(decisions.ServerChanged(item.name, "", "gone"))
+            return
+        server = self._read(item)
+        if server is None:
+            self._directory.remove(self._documents.server_life(item), self._now())
+            return
+        before = self._directory.states.get(server.server_id)
+        known = before.server if before is not None else None
+        self._directory.put(server, self._services(), self._now())
+        self._tell(server, known, is_change=True)
+        self._look_at_addresses([server])
+
+    def _read(self, item: StoredObject) -> Server | None:
+        """Return the server that an entry names; None if it names none."""
+        try:
+            server = self._documents.server(item)
+        except UnusableEntryError as error:
+            self._note_fault(item.name, error.fault, error.name)
+            return None
+        services = self._services()
+        if services and server.service not in services:
+            # Nothing is sent there, unless a later configuration has the service.
+            self._note_fault(item.name, EntryFault.UNKNOWN_SERVICE, server.service)
+        elif self._faults.get(item.name) not in _DOUBLED:
+            self._faults.pop(item.name, None)
+        return server
+
+    def _tell(self, server: Server, before: Server | None, is_change: bool) -> None:
+        """Write what became of a server."""
+        if before is not None and server.life.is_before(before.life):
+            change = "told of a life that is over"
+        elif before is not None and before.life.is_before(server.life):
+            change = "started again"
+        elif before is not None and not is_change:
+            return
+        else:
+            change = "draining" if server.is_draining else "listed"
+        self._log.write(decisions.ServerChanged(server.server_id, server.service, change))
+
+    def _look_at_addresses(self, servers: list[Server]) -> None:
+        """Tell of addresses that two listed servers have.
+
+        Both may get requests, which name the one that is meant: an address is used again after
+        a server has gone, and whose it is only the answer shows.
+        """
+        holders: dict[str, list[str]] = {}
+        for state in self._directory.states.values():
+            if state.vanished_at is None:
+                holders.setdefault(state.server.address, []).append(state.server.server_id)
+        for server in servers:
+            others = [name for name in holders.get(server.address, ()) if name != server.server_id]
+            if others:
+                self._note_fault(server.server_id, EntryFault.DOUBLED_ADDRESS, others[0])
+
+    def _note_fault(self, name: str, fault: EntryFault, detail: str) -> None:
+        if self._faults.get(name) is fault:
+            return
+        if len(self._faults) >= MOST_REMEMBERED:
+            self._faults.clear()
+        self._faults[name] = fault
+        self._log.write(decisions.EntryRefused(name[:80], fault.value, detail[:80]))
--- a/yarrowwall/relay/servers.py
+++ b/yarrowwall/relay/servers.py
@@ -7,7 +7,8 @@
 
 from yarrowwall.backoff import doubled_s
 from yarrowwall.core.hashing import fraction
-from yarrowwall.relay.model import PromptPart, Server, Service
+from yarrowwall.relay.lives import NewestLives
+from yarrowwall.relay.model import PromptPart, Server, ServerLife, Service
 from yarrowwall.relay.prefixes import PrefixBelief, SharedParts
 
 #: Tokens of prompt that an engine reads in a second. Reading holds up all other requests
@@ -55,7 +56,7 @@
 
 @dataclass
 class ServerState:
-    """What this gateway knows of one server.
+    """What this gateway knows of one life of a server.
 
     :param running: requests of this gateway under way there.
     :param elsewhere: requests of all other gateways, as they told last.
@@ -79,7 +80,8 @@
     """What speaks for one server or another.
 
     :param affinity: what all requests that should meet at one server have in common.
-    :param last_server: where the program's turn before ran; empty if unknown.
+    :param last_server: the life of the server where the program's turn before ran, as
+        :attr:`ServerLife.text`; empty if unknown.
     """
 
     prompt: Sequence[PromptPart]
@@ -105,31 +107,43 @@
 
 @dataclass
 class ServerDirectory:
-    """All known servers.
+    """All known servers, each by its newest life.
+
+    What is known of a life counts for no other one. Lists, watches and the ends of requests may
+    tell of lives in any order.
 
     :param zone: the gateway's own zone.
+    :ivar on_removed: called with a life of which nothing is kept any more, and with the one
+        that has taken its place, if it is known.
     """
 
     zone: str
     states: dict[str, ServerState] = field(default_factory=dict)
-    on_removed: Callable[[str], None] = lambda server_id: None
+    on_removed: Callable[[ServerLife, ServerLife | None], None] = lambda life, successor: None
     _told_at: float = -LOAD_MEMORY_SECONDS
     _shared: SharedParts = field(default_factory=SharedParts)
+    _newest: NewestLives = field(default_factory=NewestLives)
 
     def replace_all(
         self, servers: Iterable[Server], services: dict[str, Service], now: float
     ) -> None:
         """Take in the whole list."""
-        listed = {server.server_id: server for server in servers}
+        listed = list(servers)
+        names = {server.server_id for server in listed}
         for server_id in list(self.states):
-            if server_id not in listed:
-                self.remove(server_id, now)
-        for server in listed.values():
+            if server_id not in names:
+                self.remove(ServerLife(server_id), now)
+        for server in listed:
             self.put(server, services, now)
 
     def put(self, server: Server, services: dict[str, Service], now: float) -> None:
-        """Take in one entry of the list."""
+        """Take in one entry of the list, unless it tells of a life that is over."""
+        if not self._newest.note(server.life):
+            return
         state = self.states.get(server.server_id)
+        if state is not None and state.server.life != server.life:
+            self._end_life(state, server.life)
+            state = None
         if state is None:
             state = ServerState(server, PrefixBelief(_cache_tokens(server, services)))
             self.states[server.server_id] = state
@@ -140,6 +154,11 @@
         elif state.draining_at is None:
             state.draining_at = now
 
+    def _end_life(self, state: ServerState, successor: ServerLife | None) -> None:
+        """Forget all that was known of a life that is over, its requests under way with it."""
+        del self.states[state.server.server_id]
+        self.on_removed(state.server.life, successor)
+
     def take_services(self, services: dict[str, Service]) -> None:
         """Take in what a configuration says of the engines' memory.
 
@@ -148,19 +167,23 @@
         for state in self.states.values():
             state.belief.resize(_cache_tokens(state.server, services))
 
-    def remove(self, server_id: str, now: float) -> None:
-        """Take in that an entry is gone."""
-        state = self.states.get(server_id)
-        if state is not None and state.vanished_at is None:
+    def remove(self, life: ServerLife, now: float) -> None:
+        """Take in that an entry is gone, or can't be used.
+
+        :param life: the life that the entry told; one untold stands for whichever is known.
+        """
+        state = self.states.get(life.server_id)
+        if state is None or state.vanished_at is not None:
+            return
+        if life.born_ms is None or not life.is_before(state.server.life):
             state.vanished_at = now
 
     def forget_vanished(self, now: float) -> None:
         """Drop servers that vanished and run nothing of this gateway any more."""
-        for server_id, state in list(self.states.items()):
+        for state in list(self.states.values()):
             gone = state.vanished_at is not None and now - state.vanished_at > VANISHED_SECONDS
             if gone and not state.running:
-                del self.states[server_id]
-                self.on_removed(server_id)
+                self._end_life(state, None)
 
     def candidates(self, service: str, tried: Collection[str], now: float) -> list[ServerState]:
         """Return the servers that may take a request, the sound ones if there are any."""
@@ -187,8 +210,9 @@
         if not states:
             return None
         usual = self._usual_pace(states, now)
-        if wish.last_server not in {state.server.server_id for state in states}:
-            wish = wish._replace(last_server="")
+        # A server that started again holds nothing of the turn before.
+        lives = {state.server.life.text: state.server.server_id for state in states}
+        wish = wish._replace(last_server=lives.get(wish.last_server, ""))
         reading = self._reading(states, wish)
         costs = {
             state.server.server_id: self._cost(state, bool(wish.prompt), usual, now)
@@ -267,39 +291,47 @@
     # Observations
 
     def running(self) -> dict[str, int]:
-        """Return this gateway's requests under way by server id."""
+        """Return this gateway's requests under way by the text of the server's life."""
         return {
-            server_id: state.running for server_id, state in self.states.items() if state.running
+            state.server.life.text: state.running for state in self.states.values() if state.running
         }
 
     def take_loads(self, elsewhere: Mapping[str, int], now: float) -> None:
-        """Take in what all other gateways have under way, by server id."""
+        """Take in what all other gateways have under way, by the text of the server's life."""
         self._told_at = now
-        for server_id, state in self.states.items():
-            state.elsewhere = elsewhere.get(server_id, 0)
+        for state in self.states.values():
+            state.elsewhere = elsewhere.get(state.server.life.text, 0)
+
+    def state_of(self, life: ServerLife) -> ServerState | None:
+        """Return what is known of a life; None once it is over."""
+        state = self.states.get(life.server_id)
+        return state if state is not None and state.server.life == life else None
 
-    def note_heard(self, server_id: str, now: float) -> None:
+    def note_heard(self, life: ServerLife, now: float) -> None:
         """Note that bytes came from a server."""
-        state = self.states.get(server_id)
+        state = self.state_of(life)
         if state is not None:
             state.heard_at = now
 
-    def last_heard(self, server_id: str) -> float:
+    def last_heard(self, life: ServerLife) -> float:
         """Return when a server was last heard of on any connection of this gateway."""
-        state = self.states.get(server_id)
+        state = self.state_of(life)
         return state.heard_at if state is not None else 0.0
 
-    def started(self, server_id: str) -> None:
-        """Note that a request was sent to a server."""
-        self.states[server_id].running += 1
+    def started(self, life: ServerLife) -> ServerState | None:
+        """Note that a request was sent to a server.
 
-    def ended(self, server_id: str) -> None:
-        """Note that a request at a server is over."""
-        self.states[server_id].running -= 1
+        :returns: where its end is to be noted, whatever lives the server has meanwhile; None if
+            this one is over already.
+        """
+        state = self.state_of(life)
+        if state is not None:
+            state.running += 1
+        return state
 
-    def note_pace(self, server_id: str, seconds: float, now: float) -> None:
+    def note_pace(self, life: ServerLife, seconds: float, now: float) -> None:
         """Note how long a server took for one event or one lookup."""
-        state = self.states.get(server_id)
+        state = self.state_of(life)
         if state is None:
             return
         known = _pace(state, now)
@@ -307,18 +339,18 @@
         state.pace_at = now
         state.failures = 0
 
-    def note_failure(self, server_id: str, now: float) -> None:
+    def note_failure(self, life: ServerLife, now: float) -> None:
         """Pass a server over for a while after it failed."""
-        state = self.states.get(server_id)
+        state = self.state_of(life)
         if state is None:
             return
         pause = doubled_s(SUSPENSION_SECONDS, MOST_SUSPENSION_SECONDS, state.failures)
         state.failures += 1
         state.suspended_until = now + pause
 
-    def note_full(self, server_id: str, now: float) -> None:
+    def note_full(self, life: ServerLife, now: float) -> None:
         """Pass a server over for a moment after it said that it is full."""
-        state = self.states.get(server_id)
+        state = self.state_of(life)
         if state is not None:
             state.suspended_until = max(state.suspended_until, now + 0.1)
 
--- a/yarrowwall/relay/streams.py
+++ b/yarrowwall/relay/streams.py
@@ -42,7 +42,7 @@
         self._splitter = EventSplitter()
         self._last_event_at = opened.sent_at
         if opened.answer.status == 200:
-            state = self._parts.directory.states.get(opened.send.server.server_id)
+            state = self._parts.directory.state_of(opened.send.server.life)
             if state is not None:
                 state.belief.note_sent(self._attempt.prompt)
 
@@ -81,15 +81,15 @@
 
         :raises AnswerTimeoutError: if it is not, or the time is over.
         """
-        server_id = opened.send.server.server_id
+        life = opened.send.server.life
         while True:
             try:
                 data = opened.connection.read_some(self._offer.patience())
             except AnswerTimeoutError:
-                if not self._offer.is_worth_waiting(server_id, self._last_event_at):
+                if not self._offer.is_worth_waiting(life, self._last_event_at):
                     raise
                 continue
-            self._parts.directory.note_heard(server_id, self._parts.now())
+            self._parts.directory.note_heard(life, self._parts.now())
             return data
 
     def _note(self, events: list[Event]) -> None:
@@ -97,7 +97,7 @@
         opened = self._offer.current
         if self.passed and opened is not None:
             gap = (now - self._last_event_at) / len(events)
-            self._parts.directory.note_pace(opened.send.server.server_id, gap, now)
+            self._parts.directory.note_pace(opened.send.server.life, gap, now)
         self._last_event_at = now
         self._last_event_id = events[-1].event_id or self._last_event_id
         self.passed += events
--- a/yarrowwall/relay/watching.py
+++ b/yarrowwall/relay/watching.py
@@ -126,7 +126,7 @@
                 self._is_cautious = True
                 self._note_down(error)
                 self._store.wait_for_contact(self._retry_pause_s())
-            except (KeyError, TypeError, ValueError) as error:
+            except (AttributeError, LookupError, RecursionError, TypeError, ValueError) as error:
                 # An object that cannot be read must not end the following of all others.
                 revision = None
                 self._note_down(error)
--- a/yarrowwall/relay/whole.py
+++ b/yarrowwall/relay/whole.py
@@ -23,10 +23,10 @@
         except BaseException:
             offer.abandon()
             raise
-        server_id = opened.send.server.server_id
+        life = opened.send.server.life
         offer.release()
         now = parts.now()
-        parts.directory.note_pace(server_id, now - opened.sent_at, now)
+        parts.directory.note_pace(life, now - opened.sent_at, now)
         if route.is_repeatable:
             parts.latencies.note(route.name, now - opened.sent_at)
         return opened.answer, body
