--- a/yarrowwall/relay/metrics.py
+++ b/yarrowwall/relay/metrics.py
@@ -55,6 +55,9 @@
 )
 READING = _Description("prompt_tokens_read_per_second", "Reading speed of engines", "service")
 AGE = _Description("configuration_age_seconds", "Time since the newest proof of the configuration")
+ENTRIES_REFUSED = _Description(
+    "server_entries_refused", "Entries of servers that name none to use", "fault"
+)
 KEYS = _Description("key_changes", "Keys given to tenants or taken away", "change")
 VERSION = _Description("configuration_version", "Version in force")
 EPOCH = _Description("group_epoch", "Newest view of a group", "group")
@@ -93,6 +96,7 @@
             decisions.ConfigurationInForce: lambda event: self._set(VERSION, event.version),
             decisions.QuotaRefused: lambda event: self._add(QUOTA_REFUSALS, event.begins),
             decisions.LendingChanged: lambda event: self._set(LENDING, event.lends),
+            decisions.EntryRefused: lambda event: self._add(ENTRIES_REFUSED, event.fault),
             decisions.KeysChanged: self._keys_changed,
             decisions.GroupChanged: lambda event: self._set(EPOCH, event.epoch, event.group),
         }
--- a/yarrowwall/relay/whole.py
+++ b/yarrowwall/relay/whole.py
@@ -25,14 +25,14 @@
         except BaseException:
             offer.abandon()
             raise
-        server_id = opened.send.server.server_id
+        life = opened.send.server.life
         offer.release()
         now = parts.now()
         seconds = now - opened.sent_at
-        parts.directory.note_pace(server_id, seconds, now)
+        parts.directory.note_pace(life, seconds, now)
         if opened.answer.status < HTTPStatus.MULTIPLE_CHOICES:
             # A server that fails at once is not fast.
-            parts.directory.paces.note(route.name, server_id, seconds)
+            parts.directory.paces.note(route.name, life.text, seconds)
             parts.directory.note_stay(is_stream=False, seconds=seconds)
         if route.is_repeatable:
             parts.latencies.note(route.name, seconds)
