Programs are admitted by room

When many programs come at once they push one another's prompts out of the engines' memory; each is read again, turns last longer, and more programs are under way than before: it goes on after the burst is over. While half of a service's places or more are taken, a gateway now asks the replica that keeps the loads whether a new program may begin; its answer goes by places, programs between two turns, engines' memory, shares of tenants and the order of those refused before.

--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -8,6 +8,7 @@
 from behave.runner import Context
 
 from features.support.placement_model import PlacementModel
+from yarrowwall.capacity.programs import ProgramsUnderWay
 from yarrowwall.messages.replicated import (
     GroupView,
     LoadReply,
@@ -226,7 +227,7 @@
         if not self.is_silent:
             self._take(message)
             others = self.board.others(message.node_id)
-            completion(LoadReply(list(others), list(others.values()), 0.1))
+            completion(LoadReply(list(others), list(others.values()), 0.1, 2))
         return 1
 
     def tell(self, message: TellLoad) -> None:
@@ -260,7 +261,7 @@
     views.take(GroupView(0, 1, [Member("r1", "disk-1", "127.0.0.1:2", "zone-a")], []))
     context.directories = {name: directory([engine], 6) for name in (one, two)}
     context.reporters = {
-        name: LoadReporter(name, known, views, context.links, lambda: NOW)
+        name: LoadReporter(name, known, views, context.links, lambda: NOW, ProgramsUnderWay())
         for name, known in context.directories.items()
     }
 
--- /dev/null
+++ b/yarrowwall/capacity/admission.py
@@ -0,0 +1,166 @@
+"""Admission of new programs at one service, over all gateways, while it is nearly full. No I/O.
+
+A replica decides, since gateways that decide alone admit the same free place hundreds of times.
+Its memory is a hint like the loads: a replica that takes over knows the sums within a report, and
+lets programs in as they come until it has refused some itself.
+"""
+
+from collections import OrderedDict
+
+from yarrowwall.capacity.returns import Ahead, ReturnOrder, Standing
+from yarrowwall.capacity.room import Forecast, UnderWay, forecast, free_places
+from yarrowwall.capacity.shares import TenantShares
+from yarrowwall.messages.capacity import AskRoom, RoomReply, Scarce
+
+#: Seconds from an admission until its first turn is in the sums that others are told.
+VISIBLE_SECONDS = 0.1
+#: Seconds for which an admitted program may come again, since its first turn failed, and is let in.
+REMEMBER_SECONDS = 10.0
+#: Admitted programs that are remembered.
+MOST_ADMITTED = 5000
+#: Seconds within which a program that was refused and goes first is due: its place is kept.
+SOON_SECONDS = 0.2
+#: Part of the places kept free of tenants with more than their share, so that the others, who
+#: come by ones and twos, find room at once.
+KEPT_SHARE = 0.08
+#: Programs in time that may go before one that cannot be: it is worth less, and not nothing.
+LATE_EVERY = 3
+#: Bounds of the seconds after which a refused program should come back.
+LEAST_RETRY_SECONDS = 0.1
+#: Seconds of admissions from which the rate is told, and that must have passed since the first
+#: refusal; before, programs are held to end once in the time that they have.
+RATE_SECONDS = 1.0
+LEAST_RATE_PER_S = 2.0
+#: Weight of the newest program in the mean time that programs have, and what is held to be usual
+#: before the first.
+FINISH_WEIGHT = 0.02
+FIRST_FINISH_SECONDS = 4.0
+
+
+class ProgramAdmission:
+    """Decides which programs may begin at a service."""
+
+    def __init__(self) -> None:
+        self._shares = TenantShares()
+        self._returns = ReturnOrder()
+        self._admitted: OrderedDict[int, float] = OrderedDict()
+        self._overtaking = 0
+        self._contended_since_s: float | None = None
+        self._finish_in_s = FIRST_FINISH_SECONDS
+
+    def decide(self, ask: AskRoom, under_way: UnderWay, now_s: float) -> RoomReply:
+        """Return whether a program may begin, or when it should come back.
+
+        :param under_way: what all gateways told.
+        """
+        self._forget_past(now_s)
+        if ask.program in self._admitted:
+            return self._reply(True, 0.0, Forecast(0.0, Scarce.NOTHING), Ahead(0, 0))
+        self._note_time(ask.finish_in_s)
+        room = self._forecast(ask, under_way, now_s)
+        over = self._tenants_over(ask.tenant)
+        standing = self._returns.standing(ask.program, ask.tenant in over, now_s)
+        due_by_s = now_s + SOON_SECONDS
+        ahead = self._returns.ahead(ask.program, standing, over, due_by_s, now_s)
+        if room.programs >= self._needed(ask, standing, ahead, now_s):
+            self._admit(ask, standing, now_s)
+            return self._reply(True, 0.0, room, ahead)
+        if room.programs >= 1.0:
+            room = Forecast(room.programs, Scarce.TURN)
+        retry_after_s = self._refuse(ask, under_way, ahead, now_s)
+        return self._reply(False, retry_after_s, room, ahead)
+
+    def _forecast(self, ask: AskRoom, under_way: UnderWay, now_s: float) -> Forecast:
+        begun = self._shares.since(now_s - ask.age_s - VISIBLE_SECONDS)
+        free = free_places(ask.places, ask.taken)
+        return forecast(free, ask.memory_tokens, under_way, begun, ask.tokens)
+
+    def _tenants_over(self, tenant: str) -> set[str]:
+        waiting = self._returns.by_tenant
+        names = {tenant, *waiting}
+        return {name for name in names if self._shares.is_over(name, waiting)}
+
+    def _needed(self, ask: AskRoom, standing: Standing, ahead: Ahead, now_s: float) -> float:
+        """Return how many programs there must be room for, so that this one may begin."""
+        if standing.is_late and self._overtaking >= LATE_EVERY:
+            return 1.0
+        needed = 1.0 + ahead.due
+        if standing.is_over:
+            needed += KEPT_SHARE * ask.places
+        is_turn_of_late = not standing.is_late and self._overtaking >= LATE_EVERY
+        if is_turn_of_late and self._returns.is_late_one_due(now_s + SOON_SECONDS, now_s):
+            needed += 1.0
+        return needed
+
+    def _admit(self, ask: AskRoom, standing: Standing, now_s: float) -> None:
+        if standing.is_late:
+            self._overtaking = 0
+        elif self._returns.is_late_one_due(now_s + SOON_SECONDS, now_s):
+            self._overtaking += 1
+        self._returns.remove(ask.program)
+        self._shares.note_admitted(ask.tenant, ask.weight, now_s)
+        self._admitted[ask.program] = now_s
+        if len(self._admitted) > MOST_ADMITTED:
+            self._admitted.popitem(last=False)
+
+    def _refuse(self, ask: AskRoom, under_way: UnderWay, ahead: Ahead, now_s: float) -> float:
+        """Note a refusal; return the seconds until it should be the program's turn."""
+        if self._contended_since_s is None:
+            self._contended_since_s = now_s
+        late_from_s = self._returns.late_from_s(ask.program, ask.finish_in_s, now_s)
+        rate_per_s = self._rate_per_s(ask, under_way, now_s)
+        wait_s = (ahead.all + 1) / rate_per_s
+        if now_s + wait_s >= late_from_s:
+            # It will be late and go behind all that are in time.
+            wait_s = (len(self._returns) + 1) / rate_per_s
+        wait_s = max(LEAST_RETRY_SECONDS, min(wait_s, self._spread(ask)))
+        self._returns.note_refused(ask.program, ask.tenant, late_from_s, now_s + wait_s)
+        return wait_s
+
+    def _spread(self, ask: AskRoom) -> float:
+        """Return the longest that a caller is told to wait.
+
+        Those whose turn comes later than their callers would wait come one after another too.
+        """
+        part = ask.program % 1024 / 1024.0
+        return ask.patience_s * (0.75 + 0.25 * part)
+
+    def _rate_per_s(self, ask: AskRoom, under_way: UnderWay, now_s: float) -> float:
+        """Return how many programs are expected to be admitted in a second."""
+        since_s = self._contended_since_s
+        if since_s is not None and now_s - since_s >= RATE_SECONDS:
+            rate_per_s = self._shares.since(now_s - RATE_SECONDS) / RATE_SECONDS
+        else:
+            rate_per_s = (ask.taken + under_way.between) / self._finish_in_s
+        return max(rate_per_s, LEAST_RATE_PER_S)
+
+    def _note_time(self, finish_in_s: float) -> None:
+        if finish_in_s > 0.0:
+            self._finish_in_s += FINISH_WEIGHT * (finish_in_s - self._finish_in_s)
+
+    def _forget_past(self, now_s: float) -> None:
+        self._shares.forget_past(now_s)
+        self._returns.forget_past(now_s)
+        if not len(self._returns):
+            self._contended_since_s = None
+            self._overtaking = 0
+        while self._admitted:
+            program, at_s = next(iter(self._admitted.items()))
+            if at_s >= now_s - REMEMBER_SECONDS:
+                break
+            del self._admitted[program]
+
+    def _reply(
+        self, is_admitted: bool, retry_after_s: float, room: Forecast, ahead: Ahead
+    ) -> RoomReply:
+        holder = self._shares.holder
+        return RoomReply(
+            is_admitted,
+            retry_after_s,
+            Scarce.NOTHING if is_admitted else room.scarce,
+            room.programs,
+            len(self._returns),
+            ahead.all,
+            holder.tenant,
+            holder.share,
+        )
--- /dev/null
+++ b/yarrowwall/capacity/own_share.py
@@ -0,0 +1,45 @@
+"""What one gateway admits by itself, where no replica decides for all of them. No I/O."""
+
+from yarrowwall.capacity.room import ServiceRoom, free_places
+
+#: Seconds after which the sums of other gateways are no longer believed.
+BELIEVED_SECONDS = 1.0
+#: Times an even part of the room that a gateway without believable sums may have under way:
+#: clients are spread unevenly, up to about this much.
+BLIND_FACTOR = 2.0
+#: Requests that it may have under way in any case.
+BLIND_LEAST = 2.0
+
+
+class OwnShare:
+    """Bounds what a gateway admits between two times that it is told the sums.
+
+    All gateways see the same room and admit at once, so each takes its even part of what is
+    free, and at least one program: together at most one a gateway too many.
+    """
+
+    def __init__(self) -> None:
+        self._told_at_s = 0.0
+        self._admitted = 0
+
+    def admits(self, room: ServiceRoom, own: int, reporters: int, now_s: float) -> bool:
+        """Return whether a program may begin, and count it if so.
+
+        :param own: requests that this gateway has under way there.
+        :param reporters: gateways that share the room; 0 if untold.
+        """
+        if not reporters:
+            return True
+        if room.age_s > BELIEVED_SECONDS:
+            even = free_places(room.places, 0.0) / reporters
+            return own < max(BLIND_LEAST, BLIND_FACTOR * even)
+        if room.is_open:
+            return True
+        told_at_s = now_s - room.age_s
+        if told_at_s > self._told_at_s:
+            self._told_at_s, self._admitted = told_at_s, 0
+        free = free_places(room.places, room.taken)
+        if free < 1.0 or self._admitted + 1 > max(1.0, free / reporters):
+            return False
+        self._admitted += 1
+        return True
--- /dev/null
+++ b/yarrowwall/capacity/returns.py
@@ -0,0 +1,135 @@
+"""The programs that were refused and may come back, and the order in which they do. No I/O.
+
+Whoever was refused first goes first, among those that can still be in time. A program that cannot
+goes behind them, for it would make one more late, but not for ever: see
+:data:`yarrowwall.capacity.admission.LATE_EVERY`.
+"""
+
+from collections import Counter
+from typing import NamedTuple
+
+#: Seconds beyond the time at which a caller was told to come back for which it is waited for. It
+#: is a way to and fro and, if its request is out of tries, a pause before it is sent anew.
+GRACE_SECONDS = 0.6
+#: Programs that are remembered. Beyond it whoever is refused is told when to come back and comes
+#: as a new one: at a thousand refusals a second the table holds those of one second.
+MOST_WAITING = 1000
+#: Part of the time that a program had when it first came, below which it can no longer be in time.
+#: Programs are wanted within about twice their time on idle servers; at the most that servers
+#: are filled to, they take up to 1.3 times that.
+IN_TIME_SHARE = 0.6
+
+
+class Standing(NamedTuple):
+    """A program's place in the order; the least goes first."""
+
+    is_late: bool
+    is_over: bool
+    number: int
+
+
+class _Waiting(NamedTuple):
+    """A program that was refused.
+
+    :param number: rises with each program's first refusal.
+    :param late_from_s: when it can no longer be in time.
+    """
+
+    tenant: str
+    number: int
+    late_from_s: float
+    due_s: float
+
+
+class Ahead(NamedTuple):
+    """The programs that go before one.
+
+    :param due: those of them that should be back by now, or are any moment.
+    """
+
+    all: int
+    due: int
+
+
+class ReturnOrder:
+    """The programs that were refused, until they are admitted or given up."""
+
+    def __init__(self) -> None:
+        self._waiting: dict[int, _Waiting] = {}
+        self._next_number = 0
+        self.by_tenant: Counter[str] = Counter()
+
+    def __len__(self) -> int:
+        """Return how many programs are waited for."""
+        return len(self._waiting)
+
+    def forget_past(self, now_s: float) -> None:
+        """Wait no more for programs that should have come back long ago."""
+        past = [
+            program
+            for program, known in self._waiting.items()
+            if known.due_s + GRACE_SECONDS < now_s
+        ]
+        for program in past:
+            self.remove(program)
+
+    def remove(self, program: int) -> None:
+        """Take in that a program was admitted or is given up."""
+        known = self._waiting.pop(program, None)
+        if known is None:
+            return
+        self.by_tenant[known.tenant] -= 1
+        if not self.by_tenant[known.tenant]:
+            del self.by_tenant[known.tenant]
+
+    def standing(self, program: int, is_over: bool, now_s: float) -> Standing:
+        """Return the place of a program, which may be a new one."""
+        known = self._waiting.get(program)
+        if known is None:
+            return Standing(False, is_over, self._next_number)
+        return Standing(now_s >= known.late_from_s, is_over, known.number)
+
+    def late_from_s(self, program: int, finish_in_s: float, now_s: float) -> float:
+        """Return when a program can no longer be in time; infinite if its time is untold."""
+        known = self._waiting.get(program)
+        if known is not None:
+            return known.late_from_s
+        if finish_in_s <= 0.0:
+            return float("inf")
+        return now_s + (1.0 - IN_TIME_SHARE) * finish_in_s
+
+    def ahead(
+        self, program: int, standing: Standing, over: set[str], due_by_s: float, now_s: float
+    ) -> Ahead:
+        """Return the programs that go before one.
+
+        :param over: tenants with more than their share.
+        """
+        count = due = 0
+        for name, known in self._waiting.items():
+            if name == program:
+                continue
+            other = Standing(now_s >= known.late_from_s, known.tenant in over, known.number)
+            if other < standing:
+                count += 1
+                due += known.due_s <= due_by_s
+        return Ahead(count, due)
+
+    def is_late_one_due(self, due_by_s: float, now_s: float) -> bool:
+        """Return whether a program that cannot be in time is back, or is any moment."""
+        return any(
+            known.due_s <= due_by_s and now_s >= known.late_from_s
+            for known in self._waiting.values()
+        )
+
+    def note_refused(self, program: int, tenant: str, late_from_s: float, due_s: float) -> None:
+        """Take in that a program was told to come back at a time."""
+        known = self._waiting.get(program)
+        if known is not None:
+            self._waiting[program] = known._replace(due_s=due_s)
+            return
+        if len(self._waiting) >= MOST_WAITING:
+            return
+        self._waiting[program] = _Waiting(tenant, self._next_number, late_from_s, due_s)
+        self._next_number += 1
+        self.by_tenant[tenant] += 1
--- a/yarrowwall/core/hashing.py
+++ b/yarrowwall/core/hashing.py
@@ -36,6 +36,11 @@
     return xxhash.xxh3_64_intdigest("\x00".join(parts).encode()) / 2.0**64
 
 
+def first_bits(*parts: str) -> int:
+    """Return a number of 63 bits fixed by the parts, which fits a field of a message."""
+    return int(digest(*parts)[:16], 16) >> 1
+
+
 @dataclass(frozen=True)
 class PrefixBlock:
     """One block of a prompt, named by a hash of everything up to its end.
--- a/yarrowwall/messages/all_messages.py
+++ b/yarrowwall/messages/all_messages.py
@@ -1,5 +1,6 @@
 """Importing this module registers every message with the codec."""
 
+import yarrowwall.messages.capacity
 import yarrowwall.messages.entries
 import yarrowwall.messages.journal
 import yarrowwall.messages.objects
--- a/yarrowwall/messages/replicated.py
+++ b/yarrowwall/messages/replicated.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from yarrowwall.messages.capacity import ServiceUnderWay
 from yarrowwall.messages.registry import message
 
 
@@ -140,11 +141,13 @@
     """Take what a gateway has under way; return the sum of all others.
 
     :param running: requests by server; runs parallel to ``servers``.
+    :param services: programs and what they keep, by service with engines.
     """
 
     node_id: str
     servers: list[str]
     running: list[int]
+    services: list[ServiceUnderWay]
 
 
 @message(108)
@@ -162,11 +165,13 @@
     """Take what a gateway has under way; there is no reply.
 
     :param running: requests by server; runs parallel to ``servers``.
+    :param services: programs and what they keep, by service with engines.
     """
 
     node_id: str
     servers: list[str]
     running: list[int]
+    services: list[ServiceUnderWay]
 
 
 @message(110)
@@ -219,11 +224,13 @@
 
     :param running: requests of all other gateways by server; runs parallel to ``servers``.
     :param interval_s: seconds after which the gateway should report again.
+    :param reporters: gateways that report, this one included.
     """
 
     servers: list[str]
     running: list[int]
     interval_s: float
+    reporters: int
 
 
 @message(120)
--- a/yarrowwall/quotas/program_sizes.py
+++ b/yarrowwall/quotas/program_sizes.py
@@ -51,3 +51,8 @@
         """Return the requests that a program beginning on a route is expected to make."""
         counts = self._routes[route]
         return counts.turns / counts.programs * (1.0 + self._lookups / self._turns)
+
+    def expected_turns(self, route: str) -> float:
+        """Return the turns that a program beginning on a route is expected to have."""
+        counts = self._routes[route]
+        return counts.turns / counts.programs
--- a/yarrowwall/relay/decisions.py
+++ b/yarrowwall/relay/decisions.py
@@ -227,6 +227,35 @@
     retry_after: float
 
 
+@dataclass(frozen=True)
+class RoomDecided(Decision):
+    """A new program came while half of the places or more were taken, and may begin or not.
+
+    :param scarce: what was lacking.
+    :param taken: requests under way at the service, as this gateway was told ``age`` s before.
+    :param free: programs that there was room for, programs between two turns considered.
+    :param waiting: programs that were refused and may come back.
+    :param ahead: those of them that go before this one.
+    :param holder: the tenant with most programs admitted in the last seconds.
+    """
+
+    attempt: str
+    program: str
+    tenant: str
+    service: str
+    admitted: bool
+    scarce: str
+    retry_after: float
+    taken: int
+    places: int
+    age: float
+    free: float
+    waiting: int
+    ahead: int
+    holder: str
+    holder_share: float
+
+
 @dataclass(frozen=True)
 class ReplicaSynchronised(Decision):
     """A replica holds all that its group had completed."""
--- a/yarrowwall/relay/gateway.py
+++ b/yarrowwall/relay/gateway.py
@@ -2,6 +2,7 @@
 
 import traceback
 from collections.abc import Callable, Iterable, Iterator
+from contextlib import ExitStack
 from http import HTTPStatus
 from typing import Any
 
@@ -19,11 +20,20 @@
 from yarrowwall.relay.freshness import Freshness
 from yarrowwall.relay.http_server import ServerLimits, close_after_answer
 from yarrowwall.relay.keys import key_changes
-from yarrowwall.relay.model import Answer, Attempt, Configuration, Refusal, RequestKind, Route
+from yarrowwall.relay.model import (
+    Answer,
+    Attempt,
+    Configuration,
+    Refusal,
+    RequestKind,
+    Route,
+    Service,
+)
 from yarrowwall.relay.offer import RETRY_AFTER_SECONDS, Offer, RefusedError, RelayParts
 from yarrowwall.relay.ports import CallerProtocol
 from yarrowwall.relay.programs import BudgetExhaustedError, ProgramLedger, TurnGrant
 from yarrowwall.relay.quotas import Allowance
+from yarrowwall.relay.rooms import NewProgram
 from yarrowwall.relay.routing import RouteTable
 from yarrowwall.relay.streams import StreamBrokenError, StreamRelay
 from yarrowwall.relay.whole import relay_whole
@@ -267,6 +277,8 @@
         allowance = self._parts.quotas.allowance(attempt)
         allowance.begin()
         try:
+            if attempt.program is not None and route.shares:
+                self._parts.rooms.note_lookup(route.shares[0].service)
             offer = self._offer(attempt, route, end, attempt.body, allowance)
             answer, body = relay_whole(self._parts, route, offer)
             return self._pass_on(answer, body, offer)
@@ -305,8 +317,10 @@
     ) -> Iterator[bytes]:
         offer = self._offer(attempt, route, end, grant.body, allowance, grant.last_server)
         relay = StreamRelay(self._parts, attempt, route, offer)
+        under_way = ExitStack()
         try:
             self._begin_program(attempt, route, grant, allowance)
+            under_way.enter_context(self._parts.rooms.turn(attempt, self._service_of(route)))
             opened = relay.open()
             if opened.answer.status != HTTPStatus.OK:
                 yield self._pass_on_failure(opened.answer, offer)
@@ -325,6 +339,7 @@
             )
             raise AnswerCutError from None
         finally:
+            under_way.close()
             relay.cancel()
             grant.close(relay.passed, offer.last_server)
 
@@ -333,12 +348,18 @@
     ) -> None:
         """Ask whether a turn's program is welcome, if it is the first one.
 
+        There is to be room for it at the servers and in its tenant's limit.
+
         :raises RefusedError: if it is not.
         """
         if attempt.program is None:
             return
         sizes = self._parts.program_sizes
         if grant.is_first:
+            service = self._service_of(route)
+            if service is not None and service.engine is not None:
+                turns = sizes.expected_turns(route.name)
+                self._parts.rooms.begin_program(NewProgram(attempt, service, turns))
             allowance.begin_program(sizes.expected(route.name))
         sizes.note_turn(route.name, grant.is_first)
 
@@ -351,10 +372,14 @@
         offer.release()
         return self._pass_on(answer, body, offer)
 
-    def _open_turn(self, attempt: Attempt, route: Route, end: float) -> TurnGrant:
+    def _service_of(self, route: Route) -> Service | None:
+        """Return the service that gets most of a route's requests, as it is configured."""
         table = self._gateway.table
         services = table.configuration.services if table is not None else {}
-        service = services.get(route.shares[0].service) if route.shares else None
+        return services.get(route.shares[0].service) if route.shares else None
+
+    def _open_turn(self, attempt: Attempt, route: Route, end: float) -> TurnGrant:
+        service = self._service_of(route)
         engine = service.engine if service is not None else None
         tokens_per_event = engine.tokens_per_event if engine is not None else 1
         try:
--- a/yarrowwall/relay/gateway_service.py
+++ b/yarrowwall/relay/gateway_service.py
@@ -7,6 +7,7 @@
 import eventlet
 import eventlet.wsgi
 
+from yarrowwall.capacity.programs import ProgramsUnderWay
 from yarrowwall.listeners import EarlyListeners
 from yarrowwall.messages.replicated import GroupView
 from yarrowwall.quotas.borrowing import QuotaBorrower
@@ -23,6 +24,7 @@
 from yarrowwall.relay.object_store import Change, ObjectName, ObjectStore, StoredObject
 from yarrowwall.relay.offer import RelayParts
 from yarrowwall.relay.pool import ConnectionPool
+from yarrowwall.relay.program_rooms import ProgramRooms
 from yarrowwall.relay.servers import ServerDirectory
 from yarrowwall.relay.settings import GatewaySettings, MachineSettings
 from yarrowwall.relay.sockets import green
@@ -69,10 +71,12 @@
         links = LinkTable(time.monotonic)
         client = QuorumClient(settings.zone, self._views, links, time.monotonic)
         self._ledger = ReplicatedLedger(self._views, client, log)
+        programs = ProgramsUnderWay()
         self._loads = LoadReporter(
-            settings.node_id, self._directory, self._views, links, time.monotonic
+            settings.node_id, self._directory, self._views, links, time.monotonic, programs
         )
         parts.loads = self._loads
+        parts.rooms = ProgramRooms(self._directory, self._loads, programs, log, time.monotonic)
         self._quotas = QuotaBorrower(settings.zone, self._views, links, log, time.monotonic)
         parts.quotas = self._quotas
         bounds = settings.bounds
--- a/yarrowwall/relay/load_reports.py
+++ b/yarrowwall/relay/load_reports.py
@@ -14,6 +14,8 @@
 import eventlet
 from eventlet.event import Event
 
+from yarrowwall.capacity.programs import ProgramsUnderWay
+from yarrowwall.messages.capacity import AskRoom, RoomReply, ServiceUnderWay
 from yarrowwall.messages.replicated import LoadReply, Member, ReportLoad, TellLoad
 from yarrowwall.relay.loads import LoadQuestion, LoadSource, NothingAsked
 from yarrowwall.relay.servers import ServerDirectory
@@ -24,6 +26,9 @@
 
 #: Seconds that a replica may take to answer a report.
 ANSWER_SECONDS = 0.15
+#: Seconds that a new program waits to be told whether there is room for it; after that its gateway
+#: decides alone. Answers take a way to and fro, 5 ms where machines are not slow.
+ROOM_SECONDS = 0.06
 #: Seconds that a turn waits for the answer beyond its reservation, which takes as many ways
 #: to and fro. Old sums are not worth more.
 FRESH_SECONDS = 0.02
@@ -63,6 +68,7 @@
 
     :param node_id: name of this gateway.
     :param now: the monotonic clock.
+    :param programs: this gateway's programs.
     """
 
     def __init__(
@@ -72,7 +78,10 @@
         views: GroupViews,
         links: LinkTable,
         now: Callable[[], float],
+        programs: ProgramsUnderWay,
     ) -> None:
+        self.reporters = 0
+        self._programs = programs
         self._node_id = node_id
         self._directory = directory
         self._views = views
@@ -131,13 +140,30 @@
         if member is None:
             return
         running = self._directory.running()
-        message = TellLoad(self._node_id, list(running), list(running.values()))
+        services = self._services()
+        message = TellLoad(self._node_id, list(running), list(running.values()), services)
         self._links.get(member.address).tell(message)
 
     def _report(self, running: dict[str, int]) -> ReportLoad:
-        return ReportLoad(self._node_id, list(running), list(running.values()))
+        services = self._services()
+        return ReportLoad(self._node_id, list(running), list(running.values()), services)
+
+    def _services(self) -> list[ServiceUnderWay]:
+        return [ServiceUnderWay(*own) for own in self._programs.by_service(self._now())]
+
+    def ask_room(self, question: AskRoom) -> RoomReply | None:
+        """Return whether a new program may begin; None if no replica says so in time."""
+        member = self._board()
+        if member is None:
+            return None
+        try:
+            reply = self._links.get(member.address).call(question, ROOM_SECONDS)
+        except LinkDownError:
+            return None
+        return reply if isinstance(reply, RoomReply) else None
 
     def _take(self, reply: LoadReply) -> None:
+        self.reporters = reply.reporters
         elsewhere = dict(zip(reply.servers, reply.running, strict=True))
         self._directory.take_loads(elsewhere, self._now())
 
--- a/yarrowwall/relay/metrics.py
+++ b/yarrowwall/relay/metrics.py
@@ -48,6 +48,16 @@
 QUOTA_REFUSALS = _Description(
     "quota_refusals", "Attempts refused by their tenant's limit", "begins_program"
 )
+ROOM = _Description(
+    "room_decisions",
+    "New programs while half of the places were taken, by what was lacking",
+    "scarce",
+)
+ROOM_REFUSALS = _Description(
+    "room_refusals", "New programs refused for want of room, by tenant", "tenant"
+)
+ROOM_FREE = _Description("room_free_programs", "Programs there was room for at last", "service")
+ROOM_WAITING = _Description("room_waiting_programs", "Refused programs that may return", "service")
 LENDING = _Description("quota_lending", "Whether this replica lends its part of limits")
 LENT = _Description("quota_lent", "Requests that count against this replica's part", "tenant")
 AGE = _Description("configuration_age_seconds", "Time since the newest proof of the configuration")
@@ -88,6 +98,7 @@
             ),
             decisions.ConfigurationInForce: lambda event: self._set(VERSION, event.version),
             decisions.QuotaRefused: lambda event: self._add(QUOTA_REFUSALS, event.begins),
+            decisions.RoomDecided: self._room_decided,
             decisions.LendingChanged: lambda event: self._set(LENDING, event.lends),
             decisions.KeysChanged: self._keys_changed,
             decisions.GroupChanged: lambda event: self._set(EPOCH, event.epoch, event.group),
@@ -114,6 +125,13 @@
         self._add(KEYS, "added", len(event.added))
         self._add(KEYS, "removed", len(event.removed))
 
+    def _room_decided(self, event: decisions.RoomDecided) -> None:
+        self._add(ROOM, event.scarce)
+        if not event.admitted:
+            self._add(ROOM_REFUSALS, event.tenant)
+        self._set(ROOM_FREE, event.free, event.service)
+        self._set(ROOM_WAITING, event.waiting, event.service)
+
     def set_age(self, age_s: float) -> None:
         """Take in how old the proof of the configuration is."""
         self._set(AGE, age_s)
--- a/yarrowwall/relay/offer.py
+++ b/yarrowwall/relay/offer.py
@@ -33,6 +33,7 @@
 from yarrowwall.relay.pool import ConnectionPool
 from yarrowwall.relay.ports import ServerProtocol
 from yarrowwall.relay.quotas import Allowance, NoQuotas, QuotaSource
+from yarrowwall.relay.rooms import AlwaysRoom, RoomSource
 from yarrowwall.relay.servers import Choice, ServerDirectory, Wish
 from yarrowwall.relay.urgency import turn_rank
 
@@ -68,6 +69,7 @@
     now: Callable[[], float]
     loads: LoadSource = field(default_factory=NoLoads)
     quotas: QuotaSource = field(default_factory=NoQuotas)
+    rooms: RoomSource = field(default_factory=AlwaysRoom)
     latencies: LatencyEstimator = field(default_factory=LatencyEstimator)
     retries: RetryBudget = field(default_factory=RetryBudget)
     program_sizes: ProgramSizes = field(default_factory=ProgramSizes)
--- /dev/null
+++ b/yarrowwall/relay/program_rooms.py
@@ -0,0 +1,176 @@
+"""The gateway's side of room: asks a replica about new programs while servers are scarce."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from yarrowwall.capacity.own_share import BELIEVED_SECONDS, OwnShare
+from yarrowwall.capacity.programs import ProgramsUnderWay
+from yarrowwall.capacity.room import ServiceRoom
+from yarrowwall.capacity.shares import PLAIN_WEIGHT
+from yarrowwall.core.hashing import first_bits
+from yarrowwall.messages.capacity import AskRoom, RoomReply, Scarce
+from yarrowwall.relay import decisions
+from yarrowwall.relay.decisions import DecisionLog
+from yarrowwall.relay.load_reports import LoadReporter
+from yarrowwall.relay.model import Attempt, Refusal, Service
+from yarrowwall.relay.offer import RefusedError
+from yarrowwall.relay.rooms import NewProgram, RoomSource
+from yarrowwall.relay.servers import ServerDirectory
+from yarrowwall.relay.service_room import measure
+
+#: Part of its remaining time that a caller waits before it comes back; told to wait for longer, it
+#: comes sooner than it was told.
+MOST_WAIT_SHARE = 1.0 / 3.0
+#: Bounds of the wait of a program that a gateway refuses by itself: about as long as programs take
+#: to end, spread over half of it.
+OWN_WAIT_SECONDS = 1.0
+#: Services of lookups that are remembered.
+MOST_LOOKUP_SERVICES = 50
+#: How a refusal for want of room begins.
+NO_ROOM = "no room for a new program"
+
+_UNAVAILABLE = 503
+
+
+class ProgramRooms(RoomSource):
+    """Room for the programs of one gateway.
+
+    :param under_way: counts this gateway's programs; the reporter tells of them.
+    :param now: the monotonic clock.
+    """
+
+    def __init__(
+        self,
+        directory: ServerDirectory,
+        reporter: LoadReporter,
+        under_way: ProgramsUnderWay,
+        log: DecisionLog,
+        now: Callable[[], float],
+    ) -> None:
+        self._directory = directory
+        self._reporter = reporter
+        self._under_way = under_way
+        self._log = log
+        self._now = now
+        self._own = OwnShare()
+        self._lookup_services: dict[str, None] = {}
+
+    def begin_program(self, new: NewProgram) -> None:
+        """Ask whether a new program may begin.
+
+        A replica is asked only while half of the places are taken, so ordinary load costs nothing.
+
+        :raises RefusedError: if there is no room for it.
+        """
+        now_s = self._now()
+        room = measure(self._directory, new.service, now_s)
+        is_known = room.age_s <= BELIEVED_SECONDS
+        if is_known and room.is_open:
+            return
+        ask = self._question(new, room, now_s)
+        reply = self._reporter.ask_room(ask) if is_known else None
+        if reply is None:
+            reply = self._decide_alone(ask, room)
+        self._note_decided(new.attempt, ask, reply)
+        if not reply.is_admitted:
+            reason = (
+                f"{NO_ROOM}: {reply.scarce}, {reply.ahead} of {reply.waiting} waiting go before"
+            )
+            raise RefusedError(Refusal(_UNAVAILABLE, reason, reply.retry_after_s))
+
+    @contextmanager
+    def turn(self, attempt: Attempt, service: Service | None) -> Iterator[None]:
+        """Count a turn as under way until the context is left."""
+        if service is None or service.engine is None or attempt.program is None:
+            yield
+            return
+        program = _program_key(attempt)
+        self._under_way.begin_turn(program, service.name, _own_tokens(attempt), self._now())
+        try:
+            yield
+        finally:
+            self._under_way.end_turn(program, self._now())
+
+    def note_lookup(self, service: str) -> None:
+        """Note a service whose servers programs call between their turns."""
+        if len(self._lookup_services) < MOST_LOOKUP_SERVICES:
+            self._lookup_services[service] = None
+
+    def _question(self, new: NewProgram, room: ServiceRoom, now_s: float) -> AskRoom:
+        attempt = new.attempt
+        limit, program = attempt.limit, attempt.program
+        finish_at = program.finish_at if program is not None else None
+        # A program's prompt grows by about its first one with each turn.
+        tokens = round(_own_tokens(attempt) * (1.0 + new.turns) / 2.0)
+        return AskRoom(
+            new.service.name,
+            attempt.tenant,
+            _program_key(attempt),
+            limit.rate_per_s if limit is not None else PLAIN_WEIGHT,
+            tokens,
+            max(room.taken, round(self._lookup_load(now_s) * room.places)),
+            room.age_s,
+            room.places,
+            room.memory_tokens,
+            finish_at - now_s if finish_at is not None else 0.0,
+            max(0.0, (attempt.deadline - now_s) * MOST_WAIT_SHARE),
+        )
+
+    def _lookup_load(self, now_s: float) -> float:
+        """Return the part of the places that is taken where programs look things up most."""
+        most = 0.0
+        for name in self._lookup_services:
+            room = measure(self._directory, Service(name, 0, None), now_s)
+            if room.places:
+                most = max(most, room.taken / room.places)
+        return most
+
+    def _decide_alone(self, ask: AskRoom, room: ServiceRoom) -> RoomReply:
+        own = sum(
+            state.running
+            for state in self._directory.states.values()
+            if state.server.service == ask.service
+        )
+        is_admitted = self._own.admits(room, own, self._reporter.reporters, self._now())
+        part = ask.program % 1024 / 1024.0
+        wait_s = min(ask.patience_s, OWN_WAIT_SECONDS) * (0.5 + 0.5 * part)
+        scarce = Scarce.NOTHING if is_admitted else Scarce.PLACES
+        return RoomReply(is_admitted, wait_s, scarce, 0.0, 0, 0, "", 0.0)
+
+    def _note_decided(self, attempt: Attempt, ask: AskRoom, reply: RoomReply) -> None:
+        self._log.write(
+            decisions.RoomDecided(
+                attempt.attempt_id,
+                attempt.program.program_id if attempt.program is not None else "",
+                ask.tenant,
+                ask.service,
+                reply.is_admitted,
+                reply.scarce.value,
+                reply.retry_after_s,
+                ask.taken,
+                ask.places,
+                ask.age_s,
+                reply.free,
+                reply.waiting,
+                reply.ahead,
+                reply.holder,
+                reply.holder_share,
+            )
+        )
+
+
+def _program_key(attempt: Attempt) -> int:
+    """Return a number for an attempt's program, as one of its tenant's."""
+    name = attempt.program.program_id if attempt.program is not None else attempt.attempt_id
+    return first_bits(attempt.tenant, name)
+
+
+def _own_tokens(attempt: Attempt) -> int:
+    """Return the tokens of a prompt that engines keep for its program alone.
+
+    Its first part is shared with other programs, but engines that are told the tenant share it
+    only within that, and of a tenant seldom two programs meet at one engine.
+    """
+    tokens = sum(part.tokens for part in attempt.prompt)
+    is_shared = len(attempt.prompt) > 1 and not attempt.tenant
+    return tokens - attempt.prompt[0].tokens if is_shared else tokens
--- /dev/null
+++ b/yarrowwall/relay/rooms.py
@@ -0,0 +1,54 @@
+"""Room for new programs, as the relay asks for it."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import NamedTuple
+
+from yarrowwall.relay.model import Attempt, Service
+
+
+class NewProgram(NamedTuple):
+    """A program whose first turn has come.
+
+    :param turns: that it is expected to have.
+    """
+
+    attempt: Attempt
+    service: Service
+    turns: float
+
+
+class RoomSource(ABC):
+    """Says which new programs may begin, and learns of those under way."""
+
+    @abstractmethod
+    def begin_program(self, new: NewProgram) -> None:
+        """Ask whether a new program may begin.
+
+        :raises RefusedError: if there is no room for it.
+        """
+
+    @abstractmethod
+    @contextmanager
+    def turn(self, attempt: Attempt, service: Service | None) -> Iterator[None]:
+        """Count a turn as under way until the context is left."""
+
+    @abstractmethod
+    def note_lookup(self, service: str) -> None:
+        """Note a service whose servers programs call between their turns."""
+
+
+class AlwaysRoom(RoomSource):
+    """Lets every program begin."""
+
+    def begin_program(self, new: NewProgram) -> None:
+        """Ask nobody."""
+
+    @contextmanager
+    def turn(self, attempt: Attempt, service: Service | None) -> Iterator[None]:
+        """Count nothing."""
+        yield
+
+    def note_lookup(self, service: str) -> None:
+        """Note nothing."""
--- a/yarrowwall/relay/servers.py
+++ b/yarrowwall/relay/servers.py
@@ -264,6 +264,10 @@
         is_known = now - self._told_at < LOAD_MEMORY_SECONDS
         return state.running + (state.elsewhere if is_known else 0)
 
+    def loads_age_s(self, now: float) -> float:
+        """Return the seconds since other gateways' requests were told."""
+        return now - self._told_at
+
     # Observations
 
     def running(self) -> dict[str, int]:
--- /dev/null
+++ b/yarrowwall/relay/service_room.py
@@ -0,0 +1,42 @@
+"""The room of a service, measured from what a gateway knows of its servers. No I/O."""
+
+from statistics import median
+
+from yarrowwall.capacity.room import ServiceRoom
+from yarrowwall.relay.model import Service
+from yarrowwall.relay.servers import PACE_MEMORY_SECONDS, SLOW_FACTOR, ServerDirectory, ServerState
+
+
+def measure(directory: ServerDirectory, service: Service, now_s: float) -> ServiceRoom:
+    """Return a service's places and what is taken of them."""
+    listed = [
+        state
+        for state in directory.states.values()
+        if state.server.service == service.name and state.vanished_at is None
+    ]
+    sound = directory.candidates(service.name, (), now_s)
+    cache_tokens = service.engine.cache_tokens if service.engine is not None else 0
+    return ServiceRoom(
+        sum(directory.load(state, now_s) for state in listed),
+        sum(state.server.slots for state in listed),
+        round(_places(sound, now_s)),
+        cache_tokens * len(sound),
+        directory.loads_age_s(now_s),
+    )
+
+
+def _places(states: list[ServerState], now_s: float) -> float:
+    """Return the places of servers; one that is slow counts for as much less."""
+    paces = [
+        state.pace
+        for state in states
+        if state.pace is not None and now_s - state.pace_at < PACE_MEMORY_SECONDS
+    ]
+    usual = median(paces) if paces else 0.0
+    found = 0.0
+    for state in states:
+        is_believed = now_s - state.pace_at < PACE_MEMORY_SECONDS
+        is_slow = state.pace is not None and is_believed and state.pace > SLOW_FACTOR * usual
+        factor = usual / state.pace if is_slow and state.pace else 1.0
+        found += state.server.slots * factor
+    return found
--- a/yarrowwall/replication/load_board.py
+++ b/yarrowwall/replication/load_board.py
@@ -6,9 +6,12 @@
 """
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
+from yarrowwall.capacity.room import UnderWay
+from yarrowwall.messages.capacity import ServiceUnderWay
+
 #: Seconds after which a gateway that has fallen silent counts for nothing.
 FORGET_SECONDS = 1.0
 #: Least seconds between two reports of a gateway.
@@ -24,6 +27,7 @@
     """What a gateway had under way."""
 
     running: Mapping[str, int]
+    services: Sequence[ServiceUnderWay]
     at_s: float
 
 
@@ -33,16 +37,28 @@
     def __init__(self) -> None:
         self._reports: dict[str, Report] = {}
         self._total: Counter[str] = Counter()
+        self._between: Counter[str] = Counter()
+        self._tokens: Counter[str] = Counter()
 
-    def take(self, node_id: str, running: Mapping[str, int], now_s: float) -> None:
+    def take(
+        self,
+        node_id: str,
+        running: Mapping[str, int],
+        now_s: float,
+        services: Sequence[ServiceUnderWay] = (),
+    ) -> None:
         """Take in a gateway's report, and forget those who no longer report.
 
         :param running: requests under way by server id.
+        :param services: its programs at services with engines.
         """
         self._drop(node_id)
         # The newest stand last, so those who fell silent are found first.
-        self._reports[node_id] = Report(running, now_s)
+        self._reports[node_id] = Report(running, services, now_s)
         self._total.update(running)
+        for told in services:
+            self._between[told.service] += told.between
+            self._tokens[told.service] += told.tokens
         since_s = now_s - FORGET_SECONDS
         while (oldest := next(iter(self._reports))) and self._reports[oldest].at_s < since_s:
             self._drop(oldest)
@@ -55,6 +71,18 @@
             self._total[server] -= count
             if not self._total[server]:
                 del self._total[server]
+        for told in report.services:
+            self._between[told.service] -= told.between
+            self._tokens[told.service] -= told.tokens
+
+    def under_way(self, service: str) -> UnderWay:
+        """Return what all gateways told of their programs at a service."""
+        return UnderWay(self._between[service], self._tokens[service])
+
+    @property
+    def reporters(self) -> int:
+        """Return how many gateways report."""
+        return len(self._reports)
 
     def others(self, node_id: str) -> Counter[str]:
         """Return the requests under way by server id, without those of one gateway."""
--- /dev/null
+++ b/yarrowwall/replication/room_board.py
@@ -0,0 +1,24 @@
+"""Admission of new programs by service, over the sums of the load board. No I/O."""
+
+from yarrowwall.capacity.admission import ProgramAdmission
+from yarrowwall.messages.capacity import AskRoom, RoomReply
+from yarrowwall.replication.load_board import LoadBoard
+
+#: Services that are remembered; beyond it the one asked for longest ago is forgotten.
+MOST_SERVICES = 200
+
+
+class RoomBoard:
+    """Decides which new programs may begin."""
+
+    def __init__(self) -> None:
+        self._services: dict[str, ProgramAdmission] = {}
+
+    def decide(self, ask: AskRoom, loads: LoadBoard, now_s: float) -> RoomReply:
+        """Return whether a program may begin, or when it should come back."""
+        # The one asked for last stands last.
+        admission = self._services.pop(ask.service, None) or ProgramAdmission()
+        self._services[ask.service] = admission
+        if len(self._services) > MOST_SERVICES:
+            del self._services[next(iter(self._services))]
+        return admission.decide(ask, loads.under_way(ask.service), now_s)
--- a/yarrowwall/replication/service.py
+++ b/yarrowwall/replication/service.py
@@ -7,6 +7,7 @@
 import eventlet
 
 from yarrowwall.listeners import EarlyListeners
+from yarrowwall.messages.capacity import AskRoom
 from yarrowwall.messages.objects import ListObjects, WatchObjects
 from yarrowwall.messages.quotas import ReturnQuota, TakeQuota
 from yarrowwall.messages.replicated import (
@@ -47,6 +48,7 @@
 from yarrowwall.replication.load_board import LoadBoard
 from yarrowwall.replication.peers import ReplicaPeers
 from yarrowwall.replication.planner import target_size
+from yarrowwall.replication.room_board import RoomBoard
 from yarrowwall.replication.rpc import LinkTable, serve_requests
 from yarrowwall.replication.synchroniser import Synchroniser
 from yarrowwall.replication.views import all_members, disk_ids
@@ -94,6 +96,7 @@
             target_size(settings.machines_lost_at_once),
         )
         self._loads = LoadBoard()
+        self._rooms = RoomBoard()
         self._retirements: dict[str, StoredObject] = {}
         self._followers = [
             KindFollower(
@@ -152,6 +155,9 @@
         if isinstance(request, TellLoad):
             self._take_loads(request)
             return
+        if isinstance(request, AskRoom):
+            reply(self._rooms.decide(request, self._loads, time.monotonic()))
+            return
         if isinstance(request, TakeQuota):
             self._lending.take(request, reply)
             return
@@ -174,11 +180,12 @@
     def _exchange_loads(self, report: ReportLoad) -> LoadReply:
         self._take_loads(report)
         others = self._loads.others(report.node_id)
-        return LoadReply(list(others), list(others.values()), self._loads.interval_s)
+        interval_s, reporters = self._loads.interval_s, self._loads.reporters
+        return LoadReply(list(others), list(others.values()), interval_s, reporters)
 
     def _take_loads(self, report: ReportLoad | TellLoad) -> None:
         running = dict(zip(report.servers, report.running, strict=True))
-        self._loads.take(report.node_id, running, time.monotonic())
+        self._loads.take(report.node_id, running, time.monotonic(), report.services)
 
     def _after_persist(self, reply: object) -> object:
         self._synchroniser.look()
