--- a/yarrowwall/messages/replicated.py
+++ b/yarrowwall/messages/replicated.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from yarrowwall.messages.capacity import ServiceUnderWay
 from yarrowwall.messages.registry import message
 
 
@@ -154,11 +155,13 @@
     """Take what a gateway has under way; return the sum of all others.
 
     :param running: requests by server; runs parallel to ``servers``.
+    :param services: programs and what they keep, by service with engines.
     """
 
     node_id: str
     servers: list[str]
     running: list[int]
+    services: list[ServiceUnderWay]
     paces: list[ToldPace]
 
 
@@ -177,11 +180,13 @@
     """Take what a gateway has under way; there is no reply.
 
     :param running: requests by server; runs parallel to ``servers``.
+    :param services: programs and what they keep, by service with engines.
     """
 
     node_id: str
     servers: list[str]
     running: list[int]
+    services: list[ServiceUnderWay]
 
 
 @message(110)
@@ -234,6 +239,7 @@
 
     :param running: requests of all other gateways by server; runs parallel to ``servers``.
     :param interval_s: seconds after which the gateway should report again.
+    :param reporters: gateways that report, this one included.
     :param has_factors: whether the factors are told this time.
     :param uneven: servers that are faster or slower than usual.
     :param factors: how many times as long as usual they take; runs parallel to ``uneven``.
@@ -242,6 +248,7 @@
     servers: list[str]
     running: list[int]
     interval_s: float
+    reporters: int
     has_factors: bool
     uneven: list[str]
     factors: list[float]
--- a/yarrowwall/replication/service.py
+++ b/yarrowwall/replication/service.py
@@ -8,6 +8,7 @@
 import eventlet
 
 from yarrowwall.listeners import EarlyListeners
+from yarrowwall.messages.capacity import AskRoom
 from yarrowwall.messages.objects import ListObjects, WatchObjects
 from yarrowwall.messages.quotas import ReturnQuota, TakeQuota
 from yarrowwall.messages.replicated import (
@@ -53,6 +54,7 @@
 from yarrowwall.replication.peers import ReplicaPeers
 from yarrowwall.replication.planner import target_size
 from yarrowwall.replication.replica import RecordReplica, Request
+from yarrowwall.replication.room_board import RoomBoard
 from yarrowwall.replication.rpc import LinkTable, serve_requests
 from yarrowwall.replication.synchroniser import Synchroniser
 from yarrowwall.replication.views import all_members, disk_ids, is_zone_group, zone_of
@@ -117,6 +119,7 @@
         )
         self._loads = LoadBoard()
         self._paces = PaceBoard()
+        self._rooms = RoomBoard()
         self._retirements: dict[str, StoredObject] = {}
         self._followers = [
             KindFollower(
@@ -176,6 +179,9 @@
         if isinstance(request, TellLoad):
             self._take_loads(request)
             return
+        if isinstance(request, AskRoom):
+            reply(self._rooms.decide(request, self._loads, time.monotonic()))
+            return
         if isinstance(request, TakeQuota):
             self._lending.take(request, reply)
             return
@@ -217,6 +223,7 @@
             list(others),
             list(others.values()),
             self._loads.interval_s,
+            self._loads.reporters,
             factors is not None,
             list(factors or ()),
             list((factors or {}).values()),
@@ -224,7 +231,7 @@
 
     def _take_loads(self, report: ReportLoad | TellLoad) -> None:
         running = dict(zip(report.servers, report.running, strict=True))
-        self._loads.take(report.node_id, running, time.monotonic())
+        self._loads.take(report.node_id, running, time.monotonic(), report.services)
 
     @staticmethod
     def _after_persist(asked: _Replica, reply: object) -> object:
