A gateway out of the replicas' reach goes through a neighbour

Cause: a gateway that is cut off from the replicas refused every turn, while its neighbours in the zone reached them all.

Links to replicas take a detour through a gateway of the zone while this one holds itself to be cut off; it is not ready then and goes on serving.

A schedule for doubled and late requests: features/record_store.feature.

Failed try: to count answers of the last second as signs that only replicas are down held the detour up by that second, and held an idle gateway beside one dead replica to be cut off; answers now count from the sending of the newest lost question.

--- a/features/environment.py
+++ b/features/environment.py
@@ -3,6 +3,7 @@
 from behave.model import Feature, Scenario
 from behave.runner import Context
 
+from features.support.cut_world import CutWorld
 from features.support.platform_world import PlatformWorld
 from features.support.processes import System
 from features.support.proxied_world import ProxiedWorld
@@ -30,6 +31,8 @@
         context.platform = PlatformWorld()
     if "proxied_world" in scenario.effective_tags:
         context.platform = ProxiedWorld()
+    if "cut_world" in scenario.effective_tags:
+        context.platform = CutWorld()
     if context.platform is not None:
         context.by_route = {}
         context.platform.wait_ready()
--- a/features/record_store.feature
+++ b/features/record_store.feature
@@ -5,6 +5,9 @@
   Scenario: Random schedules of gateways and replicas
     Then 600 random record schedules keep budgets and complete records
 
+  Scenario: Requests that arrive twice, directly and through a neighbour, however late
+    Then 600 random record schedules with doubled requests keep them as well
+
   Scenario Outline: The schedules catch a record store that "<mutant>"
     Given the record store's mutant "<mutant>"
     Then some of 600 random record schedules break a promise
--- /dev/null
+++ b/features/steps/reach_steps.py
@@ -0,0 +1,298 @@
+"""Steps about gateways that are cut off from the replicas and go through a neighbour."""
+
+import http.client
+import time
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+
+import eventlet
+from behave import given, then, when
+from behave.runner import Context
+
+from features.steps.platform_program_steps import turn
+from features.support.cut_world import CutWorld
+from yarrowwall.messages.codec import encode
+from yarrowwall.messages.relaying import Forward, Forwarded, ForwardStatus, Neighbour
+from yarrowwall.messages.replicated import AskStatus, ReadChain, StatusReply
+from yarrowwall.relay.decisions import DecisionLog
+from yarrowwall.replication.forwarding import Forwarder
+from yarrowwall.replication.neighbours import NeighbourBoard
+from yarrowwall.replication.paths import Paths
+from yarrowwall.replication.relayed_links import RelayedLinkTable
+from yarrowwall.replication.rpc import serve_requests
+
+ANSWER = StatusReply("storage-0", "disk", 1, True, 1)
+
+
+def cut_world(context: Context) -> CutWorld:
+    """Return the scenario's platform."""
+    assert isinstance(context.platform, CutWorld)
+    return context.platform
+
+
+def _metrics(context: Context, name: str) -> str:
+    host, _, port = cut_world(context).addresses[name]["metrics"].partition(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=5.0)
+    connection.request("GET", "/metrics")
+    return connection.getresponse().read().decode()
+
+
+# Real processes
+
+
+@given("the gateways know their neighbours")
+def know_neighbours(context: Context) -> None:
+    # Each asks every 0.4 to 0.6 s until it is told, and the first ones know too few.
+    time.sleep(7.0)
+
+
+@when("gateway {number:d} is cut off from all replicas")
+def cut_off(context: Context, number: int) -> None:
+    cut_world(context).cut_off(number)
+
+
+@when("gateway {number:d} is no longer cut off")
+def heal(context: Context, number: int) -> None:
+    cut_world(context).heal(number)
+
+
+@when('{count:d} turns of "{route}" come at gateway {number:d} within {seconds:f} s')
+def turns_come(context: Context, count: int, route: str, number: int, seconds: float) -> None:
+    started = time.monotonic()
+
+    def run(place: int):
+        time.sleep(max(started + place * seconds / count - time.monotonic(), 0.0))
+        return turn(context, route, f"program-{started}-{place}", 1000, number)
+
+    with ThreadPoolExecutor(count) as pool:
+        context.answers = list(pool.map(run, range(count)))
+
+
+@then("gateway 0 is not ready, and gateways 1 and 2 are")
+def readiness(context: Context) -> None:
+    ready = [cut_world(context).is_ready(f"edge-{number}") for number in range(3)]
+    assert ready == [False, True, True], ready
+
+
+def _passing(context: Context) -> list[str]:
+    """Return the gateways that passed requests on for the first one."""
+    found = 'yarrowwall_forwarded_requests_total{gateway="edge-0"}'
+    running = [name for name, one in cut_world(context).processes.items() if one.poll() is None]
+    edges = [name for name in running if name.startswith("edge") and name != "edge-0"]
+    return [name for name in edges if found in _metrics(context, name)]
+
+
+@then("a neighbour passed requests on for gateway 0")
+def passed_on(context: Context) -> None:
+    assert _passing(context)
+
+
+@when("the neighbour that passed requests on for gateway 0 is killed")
+def kill_neighbour(context: Context) -> None:
+    (name,) = _passing(context)
+    cut_world(context).kill(name)
+
+
+@then("within {seconds:f} s gateway 0 is ready and asks the replicas directly")
+def ready_again(context: Context, seconds: float) -> None:
+    world = cut_world(context)
+    end = time.monotonic() + seconds
+    while not world.is_ready("edge-0"):
+        assert time.monotonic() < end
+        time.sleep(0.05)
+    lines = [
+        line["is_up"] for line in world.log("edge-0") if line.get("dependency") == "replicas/direct"
+    ]
+    assert lines == [False, True], lines
+
+
+# One neighbour
+
+
+class _Replica:
+    """A replica that answers after a while, and counts."""
+
+    def __init__(self, delay_s: float) -> None:
+        self.delay_s = delay_s
+        self.under_way = 0
+        self.most = 0
+        self.requests = 0
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{listener.getsockname()[1]}"
+        eventlet.spawn_n(serve_requests, listener, self._handle)
+
+    def _handle(self, request: object, reply) -> None:
+        self.requests += 1
+        self.under_way += 1
+        self.most = max(self.most, self.under_way)
+
+        def answer() -> None:
+            self.under_way -= 1
+            reply(ANSWER)
+
+        eventlet.spawn_after(self.delay_s, answer)
+
+
+@given("a neighbour whose replica answers after {delay_ms:d} ms")
+def one_neighbour(context: Context, delay_ms: int) -> None:
+    context.replica = _Replica(delay_ms / 1000.0)
+    context.links = RelayedLinkTable("edge-1", DecisionLog("edge-1"), time.monotonic)
+    context.forwarder = Forwarder(context.links, lambda address: address == context.replica.address)
+
+
+@when("{gateways:d} gateways ask it for {count:d} requests of 1 KB each at once")
+def many_ask(context: Context, gateways: int, count: int) -> None:
+    context.replies = []
+    request = encode(ReadChain(0, 1, "disk", "k" * 1024, []))
+    began_s = time.monotonic()
+
+    def take(reply: Forwarded) -> None:
+        context.replies.append((reply.status, time.monotonic() - began_s))
+
+    for _ in range(count):
+        for number in range(gateways):
+            asked = Forward(f"edge-{number}", context.replica.address, request)
+            context.forwarder.handle(asked, take)
+    context.wanted = gateways * count
+    eventlet.sleep(1.0)
+
+
+@then("no more than {most:d} of them are under way at the replica at any moment")
+def bounded(context: Context, most: int) -> None:
+    assert 0 < context.replica.most <= most, context.replica.most
+
+
+@then("each of the others is refused at once as busy")
+def refused_at_once(context: Context) -> None:
+    counts = Counter(status for status, _ in context.replies)
+    assert counts[ForwardStatus.OK] == context.replica.requests == 64, counts
+    assert counts[ForwardStatus.BUSY] == context.wanted - 64, counts
+    late = [after_s for status, after_s in context.replies if status is ForwardStatus.BUSY]
+    assert max(late) < 0.3, max(late)
+
+
+@then("nothing is counted as under way at the end")
+def nothing_left(context: Context) -> None:
+    assert context.forwarder.under_way == (0, 0), context.forwarder.under_way
+
+
+@when("a gateway asks it to pass on {what}")
+def pass_on(context: Context, what: str) -> None:
+    status = encode(AskStatus(0))
+    address = context.replica.address
+    if what == "a request while it is cut off":
+        context.links.paths.note_late("10.0.0.1:1", 1.0)
+    asked = {
+        "a request that is to be passed on": Forward(
+            "edge-0", address, encode(Forward("edge-0", address, status))
+        ),
+        "a request to an address of nobody": Forward("edge-0", "127.0.0.1:9", status),
+        "a request that cannot be read": Forward("edge-0", address, b"no message"),
+        "a request while it is cut off": Forward("edge-0", address, status),
+    }[what]
+    context.replies = []
+    context.forwarder.handle(asked, context.replies.append)
+    eventlet.sleep(0.1)
+
+
+@then("it is refused as {status}, and reaches no replica")
+def refused_as(context: Context, status: str) -> None:
+    assert [reply.status.value for reply in context.replies] == [status], context.replies
+    assert context.replica.requests == 0
+
+
+# Paths
+
+
+@given("a gateway that asked {heard:d} replicas that answer and {lost:d} that do not")
+def asked_replicas(context: Context, heard: int, lost: int) -> None:
+    context.paths = Paths()
+    for number in range(heard + lost):
+        context.paths.note_asked(f"replica-{number}", 10.0)
+    for number in range(heard):
+        context.paths.note_answered(f"replica-{number}", 10.01)
+    for number in range(heard, heard + lost):
+        context.paths.note_late(f"replica-{number}", 10.0)
+    context.lost = f"replica-{heard}"
+
+
+@then("it takes the detour: {detour}")
+def takes_detour(context: Context, detour: str) -> None:
+    assert context.paths.takes_detour(context.lost) == (detour == "yes")
+
+
+@given("a gateway that is cut off")
+def cut_gateway(context: Context) -> None:
+    context.paths = Paths()
+    context.now_s = 10.0
+    for number in range(5):
+        context.paths.note_late(f"replica-{number}", context.now_s)
+    context.detours = []
+
+
+@when("a replica answers and is lost again by turns, {gap_s:f} s apart, for {seconds:f} s")
+def comes_and_goes(context: Context, gap_s: float, seconds: float) -> None:
+    for turn_number in range(int(seconds / gap_s)):
+        context.now_s += gap_s
+        if turn_number % 2:
+            context.paths.note_late("replica-0", context.now_s)
+        else:
+            context.paths.note_answered("replica-0", context.now_s)
+        context.detours.append(context.paths.takes_detour("replica-0"))
+
+
+@then("its requests take the detour all the time")
+def always_detour(context: Context) -> None:
+    assert all(context.detours), context.detours
+
+
+@when("it answers every {gap_s:f} s for {seconds:f} s")
+def answers_again(context: Context, gap_s: float, seconds: float) -> None:
+    for _ in range(int(seconds / gap_s)):
+        context.now_s += gap_s
+        context.paths.note_answered("replica-0", context.now_s)
+
+
+@then("its requests go directly")
+def goes_directly(context: Context) -> None:
+    assert not context.paths.takes_detour("replica-0")
+
+
+# Who is a neighbour of whom
+
+
+@given("{count:d} gateways in {zones:d} zones that ask for neighbours")
+def ask_board(context: Context, count: int, zones: int) -> None:
+    context.board = NeighbourBoard()
+    context.gateways = [
+        Neighbour(f"edge-{number:03d}", f"zone-{number % zones}", f"10.0.0.{number}:1")
+        for number in range(count)
+    ]
+    for _ in range(2):
+        context.told = {one: context.board.ask(one, 0.0) for one in context.gateways}
+
+
+@then("each is told 4 of its zone and 1 of another")
+def told_of_zone(context: Context) -> None:
+    for own, told in context.told.items():
+        assert [one.zone == own.zone for one in told] == [True] * 4 + [False], (own, told)
+        assert own not in told and len(set(told)) == 5
+
+
+@then("none is told first of all to more than 2 of them")
+def spread(context: Context) -> None:
+    first = Counter(told[0] for told in context.told.values())
+    assert max(first.values()) <= 2, first
+
+
+@when("those of a zone ask no more for {seconds:f} s")
+def ask_no_more(context: Context, seconds: float) -> None:
+    staying = [one for one in context.gateways if one.zone != "zone-0"]
+    for one in staying:
+        context.board.ask(one, seconds)
+    context.told = {one: context.board.ask(one, seconds) for one in staying}
+
+
+@then("nobody is told of them")
+def not_told(context: Context) -> None:
+    assert all(one.zone != "zone-0" for told in context.told.values() for one in told)
--- a/features/steps/record_steps.py
+++ b/features/steps/record_steps.py
@@ -41,6 +41,12 @@
     assert granted > count / 2, f"only {granted} reservations were granted"
 
 
+@then("{count:d} random record schedules with doubled requests keep them as well")
+def doubled_schedules_hold(context: Context, count: int) -> None:
+    granted = run_record_schedules(count, doubles=True)
+    assert granted > count / 2, f"only {granted} reservations were granted"
+
+
 @then("some of {count:d} random record schedules break a promise")
 def record_schedules_break(context: Context, count: int) -> None:
     try:
--- /dev/null
+++ b/features/support/cut_machine.py
@@ -0,0 +1,54 @@
+"""Runs a machine that can be cut off: frames to the addresses in a file are lost.
+
+Its command in place of ``python3 -m yarrowwall.platform``; the file is ``cut`` beside the settings.
+"""
+
+import os
+import sys
+from pathlib import Path
+from typing import Any
+
+import eventlet
+
+from yarrowwall import eventlet_setup
+from yarrowwall.platform import __main__ as platform_main
+from yarrowwall.platform import names
+
+_CUT = Path(os.environ[names.SETTINGS_VARIABLE]).with_suffix(".cut")
+_patch_sockets = eventlet_setup.patch_sockets
+
+
+def _is_cut(address: str) -> bool:
+    return _CUT.exists() and address in _CUT.read_text().split()
+
+
+def _patch() -> None:
+    """Let links lose what they send; the machine notices nothing but silence."""
+    _patch_sockets()
+    from yarrowwall.relay.exceptions import ConnectTimeoutError
+    from yarrowwall.replication import rpc
+
+    open_socket = rpc.open_socket
+    send = rpc.FrameChannel.send
+
+    def open_or_wait(address: str, timeout: float) -> Any:
+        if _is_cut(address):
+            eventlet.sleep(timeout)
+            raise ConnectTimeoutError(address)
+        return open_socket(address, timeout)
+
+    def send_or_lose(self: Any, number: int, message: object) -> None:
+        try:
+            host, port = self._connection.getpeername()
+        except OSError:
+            return
+        if not _is_cut(f"{host}:{port}"):
+            send(self, number, message)
+
+    rpc.open_socket = open_or_wait
+    rpc.FrameChannel.send = send_or_lose  # type: ignore[method-assign]
+
+
+if __name__ == "__main__":
+    eventlet_setup.patch_sockets = _patch
+    sys.exit(platform_main.main())
--- a/features/support/record_model.py
+++ b/features/support/record_model.py
@@ -120,9 +120,12 @@
     """One random schedule.
 
     :param seed: fixes every choice.
+    :param doubles: whether requests of gateways may arrive twice, the second time at any moment
+        later, as they do that go directly and through a neighbour.
     """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, doubles: bool = False) -> None:
+        self._doubles = doubles
         self.random = random.Random(seed)
         self.machines = {name: self._machine(name + "1") for name in "abcd"}
         self.view = GroupView(0, planner_first_epoch(), [member(x) for x in ("a1", "b1", "c1")], [])
@@ -157,6 +160,9 @@
         call = self.calls.pop(self.random.randrange(len(self.calls)))
         if self.random.random() < 0.1:
             return
+        is_doubled = isinstance(call.request, ReserveRecord | WriteRecords | ReadOwner)
+        if self._doubles and is_doubled and self.random.random() < 0.4:
+            self.calls.append(call)
         machine = self.machines[call.node_id]
         outcome = machine.replica.handle(call.request, 0.0)
         machine.persist(list(outcome.persist), lambda: call.take(outcome.reply))
@@ -347,14 +353,14 @@
     return 1
 
 
-def run_record_schedules(count: int) -> int:
+def run_record_schedules(count: int, doubles: bool = False) -> int:
     """Run schedules; return how many reservations were granted in all.
 
     :raises AssertionError: naming the seed, if a promise was broken.
     """
     granted = 0
     for seed in range(count):
-        schedule = RecordSchedule(seed)
+        schedule = RecordSchedule(seed, doubles)
         for _ in range(MOST_STEPS):
             schedule.step()
             try:
--- a/yarrowwall/messages/all_messages.py
+++ b/yarrowwall/messages/all_messages.py
@@ -6,5 +6,6 @@
 import yarrowwall.messages.peers
 import yarrowwall.messages.quotas
 import yarrowwall.messages.records
+import yarrowwall.messages.relaying
 import yarrowwall.messages.replicated
 import yarrowwall.messages.requests  # noqa: F401
--- a/yarrowwall/relay/gateway_service.py
+++ b/yarrowwall/relay/gateway_service.py
@@ -8,6 +8,7 @@
 import eventlet.wsgi
 
 from yarrowwall.listeners import EarlyListeners
+from yarrowwall.messages.relaying import Neighbour
 from yarrowwall.messages.replicated import GroupView
 from yarrowwall.quotas.borrowing import QuotaBorrower
 from yarrowwall.relay import decisions
@@ -28,9 +29,12 @@
 from yarrowwall.relay.sockets import green
 from yarrowwall.relay.watching import LONG_WATCH_SECONDS, KindFollower
 from yarrowwall.replication.documents import GROUPS_KIND, read_groups
+from yarrowwall.replication.forwarding import Forwarder
 from yarrowwall.replication.group_views import GroupViews
+from yarrowwall.replication.neighbour_finder import NeighbourFinder
 from yarrowwall.replication.quorum_client import QuorumClient
-from yarrowwall.replication.rpc import LinkTable
+from yarrowwall.replication.relayed_links import RelayedLinkTable
+from yarrowwall.replication.rpc import serve_requests
 
 if TYPE_CHECKING:
     from yarrowwall.relay.service import Adapter
@@ -66,7 +70,10 @@
         self._limits = ServerLimits()
         parts = RelayParts(self._directory, self._pool, adapter.servers, log, time.monotonic)
         self._views = GroupViews(self._note_view)
-        links = LinkTable(time.monotonic)
+        links = self._links = RelayedLinkTable(settings.node_id, log, time.monotonic)
+        own_address = Neighbour(settings.node_id, settings.zone, settings.peer_address)
+        self._finder = NeighbourFinder(own_address, self._views, links)
+        self._forwarder = Forwarder(links, self._views.has_replica_at)
         client = QuorumClient(settings.zone, self._views, links, time.monotonic)
         self._ledger = ReplicatedLedger(self._views, client, log)
         self._loads = LoadReporter(
@@ -127,6 +134,10 @@
         self._ledger.start()
         self._loads.start()
         self._probe.start()
+        if self._settings.takes_forwarded:
+            peers = green(self._listeners.take(self._settings.peer_address))
+            eventlet.spawn_n(serve_requests, peers, self._forwarder.handle)
+            self._finder.start()
         callers = green(self._listeners.take(self._own.http_address))
         eventlet.spawn_n(serve, callers, self.gateway, self._limits)
         eventlet.spawn_n(
@@ -151,14 +162,19 @@
     def measure(self, metrics: MachineMetrics) -> None:
         """Set the metrics that are measured when they are asked for."""
         metrics.set_age(self.gateway.configuration_age_s)
+        metrics.set_relayed(self._links.relayed, self._forwarder.forwarded)
+        metrics.set_relay_refusals(self._links.refused, self._forwarder.refused)
 
     @property
     def is_ready(self) -> bool:
         """Return whether new connections are welcome.
 
-        A gateway that is cut off from the replicas refuses turns that others could run; one
-        that hears nothing of the configuration, all that come with a key.
+        A gateway that is cut off from the replicas refuses turns that others could run, or runs
+        them through those; one that hears nothing of the configuration refuses all that come
+        with a key.
         """
+        if self._links.is_cut and self._links.paths.has_neighbour(time.monotonic()):
+            return False
         is_able = self._is_informed and self._ledger.is_reachable and self.gateway.serves_keys
         return is_able and not self.gateway.is_stopping
 
@@ -189,6 +205,7 @@
             self._pool.close_expired()
             self._quotas.keep_house()
             self._ledger.probe()
+            self._links.probe()
 
     # What the store tells
 
--- a/yarrowwall/relay/metrics.py
+++ b/yarrowwall/relay/metrics.py
@@ -55,6 +55,10 @@
 VERSION = _Description("configuration_version", "Version in force")
 EPOCH = _Description("group_epoch", "Newest view of a group", "group")
 DROPPED = _Description("log_lines_dropped", "Log lines not written")
+RELAYED = _Description("relayed_requests", "Requests sent through a neighbour", "neighbour")
+FORWARDED = _Description("forwarded_requests", "Requests passed on for a gateway", "gateway")
+RELAY_REFUSALS = _Description("relay_refusals", "Refusals of neighbours", "status")
+FORWARD_REFUSALS = _Description("forward_refusals", "Requests not passed on", "status")
 SECONDS = _Description("attempt_seconds", "Time from an attempt's arrival to the end of its answer")
 
 
@@ -118,6 +122,20 @@
         """Take in how old the proof of the configuration is."""
         self._set(AGE, age_s)
 
+    def set_relayed(self, relayed: Mapping[str, int], forwarded: Mapping[str, int]) -> None:
+        """Take in the requests that went through neighbours, and those passed on for others."""
+        self._set_counts(RELAYED, relayed)
+        self._set_counts(FORWARDED, forwarded)
+
+    def set_relay_refusals(self, met: Mapping[str, int], given: Mapping[str, int]) -> None:
+        """Take in the refusals of neighbours, and those given to others."""
+        self._set_counts(RELAY_REFUSALS, met)
+        self._set_counts(FORWARD_REFUSALS, given)
+
+    def _set_counts(self, metric: _Description, counts: Mapping[str, int]) -> None:
+        for label, count in counts.items():
+            self._counts[_Key(metric, label)] = count
+
     def set_lent(self, lent: Mapping[str, int]) -> None:
         """Take in what counts against each tenant's part."""
         for key in [key for key in self._gauges if key.metric is LENT]:
--- a/yarrowwall/relay/settings.py
+++ b/yarrowwall/relay/settings.py
@@ -102,6 +102,15 @@
         """Return where other nodes reach this one."""
         return f"{self.ip}:{self.first_peer_port}"
 
+    @property
+    def takes_forwarded(self) -> bool:
+        """Return whether this machine forwards requests of gateways that are cut off.
+
+        A replica takes its own requests at the peer address, and so may metrics be told there.
+        """
+        is_free = self.replica is None and self.peer_address != self.metrics_address
+        return self.gateway is not None and is_free
+
     @property
     def metrics_address(self) -> str:
         """Return where metrics are told."""
@@ -113,7 +122,7 @@
         found: list[str] = []
         if self.gateway is not None:
             found += [self.gateway.http_address, self.gateway.readiness_address]
-        if self.replica is not None:
+        if self.replica is not None or self.takes_forwarded:
             found.append(self.peer_address)
         return found
 
--- a/yarrowwall/replication/group_views.py
+++ b/yarrowwall/replication/group_views.py
@@ -5,6 +5,7 @@
 import xxhash
 
 from yarrowwall.messages.replicated import GroupView
+from yarrowwall.replication.views import all_members
 
 
 class GroupViews:
@@ -28,6 +29,11 @@
         """Return a group's newest view."""
         return self._views.get(group)
 
+    def has_replica_at(self, address: str) -> bool:
+        """Return whether a member of a group is at an address."""
+        views = self._views.values()
+        return any(member.address == address for view in views for member in all_members(view))
+
     def group_of(self, key: str) -> int | None:
         """Return the group that keeps what belongs to a key; None if no group is known yet."""
         if not self._views:
--- /dev/null
+++ b/yarrowwall/replication/relayed_links.py
@@ -0,0 +1,313 @@
+"""Links to replicas that go through a neighbour while this gateway is cut off from them.
+
+A request may arrive twice, directly and forwarded, and either one late. Both are harmless:
+records are versioned and written by one gateway, a reservation that comes again is the same
+record, reads change nothing, and credits lent twice are lent for no use and count as lent.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+
+import eventlet
+
+from yarrowwall.messages.codec import decode, encode
+from yarrowwall.messages.exceptions import MessageError
+from yarrowwall.messages.relaying import Forward, Forwarded, ForwardStatus, Neighbour
+from yarrowwall.messages.replicated import AskStatus
+from yarrowwall.relay import decisions
+from yarrowwall.relay.decisions import DecisionLog
+from yarrowwall.replication.paths import LATE_SECONDS, Paths
+from yarrowwall.replication.rpc import MOST_NUMBER, Completion, Link, LinkTable
+
+#: Neighbours that are asked for one request, each LATE_SECONDS after the one before.
+MOST_NEIGHBOURS = 3
+
+
+class _Asked:
+    """A request under way.
+
+    :ivar direct: number of its direct sending; None if there is none or its link ended.
+    :ivar is_late: whether the direct sending was noted as late.
+    :ivar is_done: whether nobody waits for the reply any more.
+    :ivar is_hopeless: whether a neighbour said that the replica does not answer it either.
+    :ivar forward: number at the neighbour's link; None if none is under way.
+    """
+
+    def __init__(self, message: object, completion: Completion, at_s: float) -> None:
+        self.message = message
+        self.completion = completion
+        self.at_s = at_s
+        self.direct: int | None = None
+        self.was_direct = False
+        self.is_late = False
+        self.is_done = False
+        self.tried: list[Neighbour] = []
+        self.forward: int | None = None
+        self.forwarded_s = 0.0
+        self.is_hopeless = False
+
+    @property
+    def tried_ids(self) -> list[str]:
+        """Return the names of the neighbours that were asked."""
+        return [neighbour.node_id for neighbour in self.tried]
+
+
+class RelayedLink(Link):
+    """Requests to one replica, directly or through a neighbour."""
+
+    def __init__(self, address: str, now: Callable[[], float], table: "RelayedLinkTable") -> None:
+        super().__init__(address, now)
+        self._table = table
+        self._paths = table.paths
+        self._asked: dict[int, _Asked] = {}
+        self._last = 0
+        self._is_watching = False
+
+    def post(self, message: object, completion: Completion) -> int:
+        """Send a request; ``completion`` is called with its reply or None."""
+        now_s = self._now()
+        self._last = self._last % MOST_NUMBER + 1
+        asked = self._asked[self._last] = _Asked(message, completion, now_s)
+        self._paths.note_asked(self.address, now_s)
+        is_forwarded = self._paths.takes_detour(self.address) and self._forward(self._last, asked)
+        if not is_forwarded or self._paths.is_probe_due(self.address, now_s):
+            self._send_directly(self._last, asked)
+        self._watch()
+        return self._last
+
+    def post_directly(self, message: object, completion: Completion) -> int:
+        """Send a request for another gateway; only over this one's own connection."""
+        return super().post(message, completion)
+
+    def forget_direct(self, number: int) -> None:
+        """Wait no more for a reply to what was posted directly."""
+        super().forget(number)
+
+    def probe(self) -> None:
+        """Ask for no more than an answer, directly."""
+        asked = _Asked(AskStatus(0), lambda reply: None, self._now())
+        asked.is_done = True
+        self._last = self._last % MOST_NUMBER + 1
+        self._asked[self._last] = asked
+        self._send_directly(self._last, asked)
+        self._watch()
+
+    def forget(self, number: int, is_late: bool = False) -> None:
+        """Wait no more for a reply."""
+        asked = self._asked.get(number)
+        if asked is None:
+            return
+        self._end(asked)
+        if is_late and asked.direct is not None:
+            super().note_late(asked.direct)
+
+    def note_late(self, number: int) -> None:
+        """Note that a reply should have come by now; it is still taken in if it comes."""
+        asked = self._asked.get(number)
+        if asked is not None and asked.direct is not None:
+            super().note_late(asked.direct)
+
+    def _end(self, asked: _Asked) -> None:
+        """Take no reply any more; the direct sending still tells whether the path is there."""
+        asked.is_done = True
+        if asked.forward is not None:
+            self._table.neighbour_link(asked.tried[-1]).forget(asked.forward)
+            asked.forward = None
+
+    def _complete(self, number: int, reply: object | None) -> None:
+        asked = self._asked.get(number)
+        if asked is None or asked.is_done:
+            return
+        self._end(asked)
+        asked.completion(reply)
+
+    # The direct way
+
+    def _send_directly(self, number: int, asked: _Asked) -> None:
+        asked.was_direct = True
+        asked.direct = super().post(
+            asked.message, lambda reply: self._take_direct(number, asked, reply)
+        )
+
+    def _take_direct(self, number: int, asked: _Asked, reply: object | None) -> None:
+        asked.direct = None
+        if reply is not None:
+            self._paths.note_answered(self.address, self._now())
+            self._complete(number, reply)
+        else:
+            self._paths.note_late(self.address, asked.at_s)
+            self._go_on(number, asked)
+        self._table.note_changes()
+        if asked.is_done:
+            self._asked.pop(number, None)
+
+    def _go_on(self, number: int, asked: _Asked) -> None:
+        """Take the next way of a request; without one it has no reply."""
+        if asked.is_done or asked.forward is not None:
+            return
+        is_detour = self._paths.takes_detour(self.address)
+        if is_detour and self._forward(number, asked):
+            return
+        if not asked.was_direct:
+            # Perhaps the replicas are only slow: whatever comes is better than nothing.
+            self._send_directly(number, asked)
+        elif asked.direct is None:
+            self._complete(number, None)
+
+    # Through a neighbour
+
+    def _forward(self, number: int, asked: _Asked) -> bool:
+        """Send a request through a neighbour; return whether there was one."""
+        now_s = self._now()
+        neighbour = self._paths.neighbour(now_s, asked.tried_ids)
+        is_over = asked.is_hopeless or len(asked.tried) >= MOST_NEIGHBOURS
+        if neighbour is None or is_over:
+            return False
+        asked.tried.append(neighbour)
+        asked.forwarded_s = now_s
+        asked.forward = self._table.forward(
+            neighbour,
+            self.address,
+            asked.message,
+            lambda reply: self._take_forwarded(number, asked, neighbour, reply),
+        )
+        return True
+
+    def _take_forwarded(
+        self, number: int, asked: _Asked, neighbour: Neighbour, reply: object | None
+    ) -> None:
+        if asked.forward is None or asked.tried[-1] is not neighbour:
+            return
+        asked.forward = None
+        is_alike = isinstance(reply, Forwarded) and reply.status is ForwardStatus.NO_ANSWER
+        asked.is_hopeless = is_alike
+        found = self._table.read(neighbour, reply)
+        if found is not None:
+            self._complete(number, found)
+        else:
+            self._go_on(number, asked)
+
+    # Late answers
+
+    def _watch(self) -> None:
+        if not self._is_watching:
+            self._is_watching = True
+            eventlet.spawn_after(LATE_SECONDS, self._look)
+
+    def _look(self) -> None:
+        """Find what is late; once for all requests that are under way."""
+        self._is_watching = False
+        late_s = self._now() - LATE_SECONDS
+        for number, asked in list(self._asked.items()):
+            if asked.at_s <= late_s:
+                self._note_late_sending(asked)
+                self._note_late_forward(asked, late_s)
+                self._go_on(number, asked)
+            if asked.is_done and (asked.direct is None or asked.is_late):
+                self._drop(number, asked)
+        self._table.note_changes()
+        if self._asked:
+            self._watch()
+
+    def _note_late_sending(self, asked: _Asked) -> None:
+        if asked.direct is not None and not asked.is_late:
+            asked.is_late = True
+            self._paths.note_late(self.address, asked.at_s)
+
+    def _note_late_forward(self, asked: _Asked, late_s: float) -> None:
+        if asked.forward is None or asked.forwarded_s > late_s:
+            return
+        neighbour = asked.tried[-1]
+        self._table.neighbour_link(neighbour).forget(asked.forward, is_late=True)
+        asked.forward = None
+        self._paths.note_useless(neighbour.node_id, self._now())
+
+    def _drop(self, number: int, asked: _Asked) -> None:
+        if asked.direct is not None:
+            super().forget(asked.direct, is_late=True)
+        self._asked.pop(number, None)
+
+
+class RelayedLinkTable(LinkTable):
+    """Links of a gateway to replicas, and what it knows of its paths.
+
+    :param node_id: this gateway.
+    """
+
+    def __init__(self, node_id: str, log: DecisionLog, now: Callable[[], float]) -> None:
+        super().__init__(now)
+        self.paths = Paths()
+        self._node_id = node_id
+        self._log = log
+        self._neighbours = LinkTable(now)
+        self._was_cut = False
+        #: Requests that went through each neighbour, and those that one refused.
+        self.relayed: Counter[str] = Counter()
+        self.refused: Counter[str] = Counter()
+
+    @property
+    def is_cut(self) -> bool:
+        """Return whether this gateway seems to be cut off from the replicas."""
+        return self.paths.is_cut
+
+    def get(self, address: str) -> RelayedLink:
+        """Return the link to a replica."""
+        link = self._links.get(address)
+        if not isinstance(link, RelayedLink):
+            link = self._links[address] = RelayedLink(address, self._now, self)
+        return link
+
+    def neighbour_link(self, neighbour: Neighbour) -> Link:
+        """Return the link to a neighbour."""
+        return self._neighbours.get(neighbour.address)
+
+    def forward(
+        self, neighbour: Neighbour, address: str, message: object, completion: Completion
+    ) -> int:
+        """Send a request for a replica to a neighbour."""
+        self.relayed[neighbour.node_id] += 1
+        request = Forward(self._node_id, address, encode(message))
+        return self.neighbour_link(neighbour).post(request, completion)
+
+    def read(self, neighbour: Neighbour, reply: object | None) -> object | None:
+        """Return the replica's reply that a neighbour brought; None if it brought none."""
+        now_s = self._now()
+        if not isinstance(reply, Forwarded):
+            self.paths.note_useless(neighbour.node_id, now_s)
+            return None
+        if reply.status is ForwardStatus.OK:
+            self.paths.note_forwarded(neighbour.node_id)
+            return _decoded(reply.reply)
+        self.refused[reply.status.value] += 1
+        if reply.status is ForwardStatus.BUSY:
+            self.paths.note_busy(neighbour.node_id, now_s)
+        elif reply.status is not ForwardStatus.NO_ANSWER:
+            self.paths.note_useless(neighbour.node_id, now_s)
+        return None
+
+    def probe(self) -> None:
+        """Find out whether replicas that were out of reach answer again."""
+        now_s = self._now()
+        self.paths.forget_unasked(now_s)
+        for address in self.paths.out_of_reach():
+            if self.paths.is_probe_due(address, now_s):
+                self.get(address).probe()
+        self.note_changes()
+
+    def note_changes(self) -> None:
+        """Write a line once this gateway is cut off, or no longer is."""
+        if self.is_cut == self._was_cut:
+            return
+        self._was_cut = not self._was_cut
+        out = ",".join(self.paths.out_of_reach())
+        names = ",".join(neighbour.node_id for neighbour in self.paths.neighbours)
+        reason = f"no answer from {out}; neighbours {names or 'none'}" if self._was_cut else ""
+        self._log.write(decisions.DependencyChanged("replicas/direct", not self._was_cut, reason))
+
+
+def _decoded(body: bytes) -> object | None:
+    """Return a message that a neighbour brought; None if it cannot be read."""
+    try:
+        return decode(body)
+    except MessageError:
+        return None
--- a/yarrowwall/replication/service.py
+++ b/yarrowwall/replication/service.py
@@ -9,6 +9,7 @@
 from yarrowwall.listeners import EarlyListeners
 from yarrowwall.messages.objects import ListObjects, WatchObjects
 from yarrowwall.messages.quotas import ReturnQuota, TakeQuota
+from yarrowwall.messages.relaying import AskNeighbours, NeighboursReply
 from yarrowwall.messages.replicated import (
     GroupView,
     LoadReply,
@@ -45,6 +46,7 @@
     read_registration,
 )
 from yarrowwall.replication.load_board import LoadBoard
+from yarrowwall.replication.neighbours import NeighbourBoard
 from yarrowwall.replication.peers import ReplicaPeers
 from yarrowwall.replication.planner import target_size
 from yarrowwall.replication.rpc import LinkTable, serve_requests
@@ -94,6 +96,7 @@
             target_size(settings.machines_lost_at_once),
         )
         self._loads = LoadBoard()
+        self._neighbours = NeighbourBoard()
         self._retirements: dict[str, StoredObject] = {}
         self._followers = [
             KindFollower(
@@ -158,6 +161,10 @@
         if isinstance(request, ReturnQuota):
             self._lending.give_back(request)
             return
+        if isinstance(request, AskNeighbours):
+            neighbours = self._neighbours.ask(request.gateway, time.monotonic())
+            reply(NeighboursReply(neighbours))
+            return
         if isinstance(request, ListObjects | WatchObjects):
             self._reader.ask(request, reply)
             return
