Detours: slow replicas are not out of reach, and make no gateway leave

The change: 0.15 s instead of 0.1 s; an answer within 0.5 s after all shows a slow replica; a neighbour has 0.2 s; if all neighbours are passed over, one is asked all the same. A gateway is not ready for a detour only while a neighbour brings replies.

--- a/features/reach.feature
+++ b/features/reach.feature
@@ -79,3 +79,9 @@
     And none is told first of all to more than 2 of them
     When those of a zone ask no more for 16.0 s
     Then nobody is told of them
+
+  Scenario: Slow replicas make no gateway leave
+    Given a gateway that is cut off
+    Then it is not held to be served by a neighbour
+    When a neighbour brings a reply
+    Then it is held to be served by a neighbour for 2.0 s
--- a/features/steps/reach_steps.py
+++ b/features/steps/reach_steps.py
@@ -74,23 +74,26 @@
     assert ready == [False, True, True], ready
 
 
-def _passing(context: Context) -> list[str]:
-    """Return the gateways that passed requests on for the first one."""
-    found = 'yarrowwall_forwarded_requests_total{gateway="edge-0"}'
-    running = [name for name, one in cut_world(context).processes.items() if one.poll() is None]
-    edges = [name for name in running if name.startswith("edge") and name != "edge-0"]
-    return [name for name in edges if found in _metrics(context, name)]
+def _passed(context: Context) -> dict[str, float]:
+    """Return how many requests each other gateway passed on for the first one."""
+    found = 'yarrowwall_forwarded_requests_total{gateway="edge-0"} '
+    counts = {}
+    for name in ("edge-1", "edge-2"):
+        lines = _metrics(context, name).splitlines()
+        values = [line.removeprefix(found) for line in lines if line.startswith(found)]
+        counts[name] = float(values[0]) if values else 0.0
+    return counts
 
 
 @then("a neighbour passed requests on for gateway 0")
 def passed_on(context: Context) -> None:
-    assert _passing(context)
+    assert any(_passed(context).values())
 
 
 @when("the neighbour that passed requests on for gateway 0 is killed")
 def kill_neighbour(context: Context) -> None:
-    (name,) = _passing(context)
-    cut_world(context).kill(name)
+    passed = _passed(context)
+    cut_world(context).kill(max(passed, key=lambda name: passed[name]))
 
 
 @then("within {seconds:f} s gateway 0 is ready and asks the replicas directly")
@@ -296,3 +299,22 @@
 @then("nobody is told of them")
 def not_told(context: Context) -> None:
     assert all(one.zone != "zone-0" for told in context.told.values() for one in told)
+
+
+# Readiness
+
+
+@then("it is not held to be served by a neighbour")
+def not_served(context: Context) -> None:
+    assert context.paths.is_cut and not context.paths.is_served(context.now_s)
+
+
+@when("a neighbour brings a reply")
+def brings_reply(context: Context) -> None:
+    context.paths.note_forwarded("edge-1", context.now_s)
+
+
+@then("it is held to be served by a neighbour for {seconds:f} s")
+def served(context: Context, seconds: float) -> None:
+    assert context.paths.is_served(context.now_s + seconds - 0.01)
+    assert not context.paths.is_served(context.now_s + seconds + 0.01)
--- a/yarrowwall/relay/gateway_service.py
+++ b/yarrowwall/relay/gateway_service.py
@@ -173,7 +173,7 @@
         them through those; one that hears nothing of the configuration refuses all that come
         with a key.
         """
-        if self._links.is_cut and self._links.paths.has_neighbour(time.monotonic()):
+        if self._links.paths.is_served(time.monotonic()):
             return False
         is_able = self._is_informed and self._ledger.is_reachable and self.gateway.serves_keys
         return is_able and not self.gateway.is_stopping
--- a/yarrowwall/replication/paths.py
+++ b/yarrowwall/replication/paths.py
@@ -6,9 +6,13 @@
 from yarrowwall.messages.relaying import Neighbour
 
 #: Seconds without an answer after which a replica counts as out of reach. An answer takes 5 ms
-#: (a round trip, a sync and the queue) and an operation waits 0.6 s for its quorum: so two of
-#: these, for the replicas that are asked first and for the others, leave 0.4 s for the detour.
-LATE_SECONDS = 0.1
+#: (a round trip, a sync and the queue) and an operation waits 0.6 s for its quorum: the replicas
+#: that are asked last, 0.08 s after the first, leave 0.37 s for the detour.
+LATE_SECONDS = 0.15
+#: Seconds in which an answer that was late shows that a replica is slow and not out of reach.
+SLOW_SECONDS = 0.5
+#: Seconds without an answer of a neighbour after which the next one is asked.
+FORWARD_LATE_SECONDS = 0.2
 #: Seconds before the newest question without an answer from which answers of other replicas
 #: still count, once a gateway is held to be cut off: two direct tries.
 STAY_SECONDS = 0.5
@@ -23,6 +27,9 @@
 SILENT_SECONDS = 1.0
 MOST_SILENT_SECONDS = 8.0
 BUSY_SECONDS = 0.2
+#: Seconds for which a forwarded request shows that neighbours reach the replicas. It is tried
+#: every 0.5 s.
+SERVED_SECONDS = 2.0
 
 
 class _Replica:
@@ -52,6 +59,7 @@
     def __init__(self) -> None:
         self.is_cut = False
         self._late_sent_s = float("-inf")
+        self._served_s = float("-inf")
         self._replicas: dict[str, _Replica] = {}
         self._neighbours: list[Neighbour] = []
         self._failures: dict[str, int] = {}
@@ -84,6 +92,14 @@
             replica.back_s = None
         self._judge()
 
+    def note_slow(self, address: str, now_s: float) -> None:
+        """Note that a replica answered late: it is slow, and in reach."""
+        replica = self._replicas.setdefault(address, _Replica())
+        replica.answered_s = now_s
+        replica.failing = False
+        replica.back_s = None
+        self._judge()
+
     def note_late(self, address: str, sent_s: float) -> None:
         """Note that a replica did not answer directly in time, or no connection came up.
 
@@ -141,15 +157,22 @@
         return self._neighbours
 
     def neighbour(self, now_s: float, tried: Collection[str]) -> Neighbour | None:
-        """Return the neighbour to ask next; None if there is none."""
+        """Return the neighbour to ask next; None if there is none.
+
+        If all are passed over, one is asked all the same: it costs a message, and the direct way
+        is lost.
+        """
         for neighbour in self._neighbours:
             node_id = neighbour.node_id
             if node_id not in tried and self._passed_over_until.get(node_id, 0.0) <= now_s:
                 return neighbour
-        return None
+        if tried or not self._neighbours:
+            return None
+        return min(self._neighbours, key=lambda one: self._passed_over_until[one.node_id])
 
-    def note_forwarded(self, node_id: str) -> None:
-        """Note that a neighbour forwarded a request."""
+    def note_forwarded(self, node_id: str, now_s: float) -> None:
+        """Note that a neighbour forwarded a request and brought its reply."""
+        self._served_s = now_s
         self._failures.pop(node_id, None)
         self._passed_over_until.pop(node_id, None)
 
@@ -164,6 +187,9 @@
         pause_s = doubled_s(SILENT_SECONDS, MOST_SILENT_SECONDS, failures)
         self._passed_over_until[node_id] = now_s + pause_s
 
-    def has_neighbour(self, now_s: float) -> bool:
-        """Return whether a neighbour may be asked now."""
-        return self.neighbour(now_s, ()) is not None
+    def is_served(self, now_s: float) -> bool:
+        """Return whether a neighbour reaches the replicas that this gateway does not.
+
+        If all replicas are slow, every gateway may hold itself to be cut off; then none is.
+        """
+        return self.is_cut and now_s - self._served_s <= SERVED_SECONDS
--- a/yarrowwall/replication/relayed_links.py
+++ b/yarrowwall/replication/relayed_links.py
@@ -16,10 +16,17 @@
 from yarrowwall.messages.replicated import AskStatus
 from yarrowwall.relay import decisions
 from yarrowwall.relay.decisions import DecisionLog
-from yarrowwall.replication.paths import LATE_SECONDS, Paths
+from yarrowwall.replication.paths import (
+    FORWARD_LATE_SECONDS,
+    LATE_SECONDS,
+    SLOW_SECONDS,
+    Paths,
+)
 from yarrowwall.replication.rpc import MOST_NUMBER, Completion, Link, LinkTable
 
-#: Neighbours that are asked for one request, each LATE_SECONDS after the one before.
+#: Seconds between looks for late answers while requests are under way.
+LOOK_SECONDS = 0.075
+#: Neighbours that are asked for one request, one after the other.
 MOST_NEIGHBOURS = 3
 
 
@@ -83,13 +90,13 @@
         """Wait no more for a reply to what was posted directly."""
         super().forget(number)
 
-    def probe(self) -> None:
-        """Ask for no more than an answer, directly."""
+    def probe(self, with_detour: bool) -> None:
+        """Ask for no more than an answer, directly; through a neighbour as well if wanted."""
         asked = _Asked(AskStatus(0), lambda reply: None, self._now())
-        asked.is_done = True
         self._last = self._last % MOST_NUMBER + 1
         self._asked[self._last] = asked
         self._send_directly(self._last, asked)
+        asked.is_done = not (with_detour and self._forward(self._last, asked))
         self._watch()
 
     def forget(self, number: int, is_late: bool = False) -> None:
@@ -132,7 +139,7 @@
     def _take_direct(self, number: int, asked: _Asked, reply: object | None) -> None:
         asked.direct = None
         if reply is not None:
-            self._paths.note_answered(self.address, self._now())
+            self._note_answered(asked)
             self._complete(number, reply)
         else:
             self._paths.note_late(self.address, asked.at_s)
@@ -141,6 +148,13 @@
         if asked.is_done:
             self._asked.pop(number, None)
 
+    def _note_answered(self, asked: _Asked) -> None:
+        now_s = self._now()
+        if asked.is_late and now_s - asked.at_s <= SLOW_SECONDS:
+            self._paths.note_slow(self.address, now_s)
+        else:
+            self._paths.note_answered(self.address, now_s)
+
     def _go_on(self, number: int, asked: _Asked) -> None:
         """Take the next way of a request; without one it has no reply."""
         if asked.is_done or asked.forward is not None:
@@ -192,18 +206,19 @@
     def _watch(self) -> None:
         if not self._is_watching:
             self._is_watching = True
-            eventlet.spawn_after(LATE_SECONDS, self._look)
+            eventlet.spawn_after(LOOK_SECONDS, self._look)
 
     def _look(self) -> None:
         """Find what is late; once for all requests that are under way."""
         self._is_watching = False
-        late_s = self._now() - LATE_SECONDS
+        now_s = self._now()
         for number, asked in list(self._asked.items()):
-            if asked.at_s <= late_s:
+            if now_s - asked.at_s >= LATE_SECONDS:
                 self._note_late_sending(asked)
-                self._note_late_forward(asked, late_s)
+                self._note_late_forward(asked, now_s)
                 self._go_on(number, asked)
-            if asked.is_done and (asked.direct is None or asked.is_late):
+            is_lost = now_s - asked.at_s >= SLOW_SECONDS
+            if asked.is_done and (asked.direct is None or is_lost):
                 self._drop(number, asked)
         self._table.note_changes()
         if self._asked:
@@ -214,8 +229,8 @@
             asked.is_late = True
             self._paths.note_late(self.address, asked.at_s)
 
-    def _note_late_forward(self, asked: _Asked, late_s: float) -> None:
-        if asked.forward is None or asked.forwarded_s > late_s:
+    def _note_late_forward(self, asked: _Asked, now_s: float) -> None:
+        if asked.forward is None or now_s - asked.forwarded_s < FORWARD_LATE_SECONDS:
             return
         neighbour = asked.tried[-1]
         self._table.neighbour_link(neighbour).forget(asked.forward, is_late=True)
@@ -276,7 +291,7 @@
             self.paths.note_useless(neighbour.node_id, now_s)
             return None
         if reply.status is ForwardStatus.OK:
-            self.paths.note_forwarded(neighbour.node_id)
+            self.paths.note_forwarded(neighbour.node_id, now_s)
             return _decoded(reply.reply)
         self.refused[reply.status.value] += 1
         if reply.status is ForwardStatus.BUSY:
@@ -289,9 +304,11 @@
         """Find out whether replicas that were out of reach answer again."""
         now_s = self._now()
         self.paths.forget_unasked(now_s)
+        with_detour = self.is_cut
         for address in self.paths.out_of_reach():
             if self.paths.is_probe_due(address, now_s):
-                self.get(address).probe()
+                self.get(address).probe(with_detour)
+                with_detour = False
         self.note_changes()
 
     def note_changes(self) -> None:
