--- a/yarrowwall/relay/gateway_service.py
+++ b/yarrowwall/relay/gateway_service.py
@@ -135,9 +135,7 @@
         self._loads.start()
         self._probe.start()
         if self._settings.takes_forwarded:
-            peers = green(self._listeners.take(self._settings.peer_address))
-            eventlet.spawn_n(serve_requests, peers, self._forwarder.handle)
-            self._finder.start()
+            self._start_forwarding()
         callers = green(self._listeners.take(self._own.http_address))
         eventlet.spawn_n(serve, callers, self.gateway, self._limits)
         eventlet.spawn_n(
@@ -148,6 +146,16 @@
         )
         eventlet.spawn_n(self._keep_house)
 
+    def _start_forwarding(self) -> None:
+        """Forward for neighbours, and learn of them; callers are served without it as well."""
+        try:
+            peers = green(self._listeners.take(self._settings.peer_address))
+        except OSError as error:
+            self._log.write(decisions.DependencyChanged("peer port", False, str(error)))
+            return
+        eventlet.spawn_n(serve_requests, peers, self._forwarder.handle)
+        self._finder.start()
+
     def stop(self) -> None:
         """Take no new connections, finish what runs, return."""
         begun = time.monotonic()
--- a/yarrowwall/relay/settings.py
+++ b/yarrowwall/relay/settings.py
@@ -122,7 +122,7 @@
         found: list[str] = []
         if self.gateway is not None:
             found += [self.gateway.http_address, self.gateway.readiness_address]
-        if self.replica is not None or self.takes_forwarded:
+        if self.replica is not None:
             found.append(self.peer_address)
         return found
 
