--- a/yarrowwall/readers/store.py
+++ b/yarrowwall/readers/store.py
@@ -198,7 +198,8 @@
         def ask() -> None:
             try:
                 found = self._direct.watch(kind, revision, wait_s)
-            except ObjectStoreError as error:
+            except Exception as error:
+                # Also an answer that cannot be read: whoever waits has to hear of it.
                 if not ended.ready():
                     ended.send_exception(error)
                 return
