--- a/yarrowwall/messages/capacity.py
+++ b/yarrowwall/messages/capacity.py
@@ -31,7 +31,7 @@
     tokens: int
 
 
-@message(140)
+@message(144)
 class AskRoom:
     """Say whether a new program may begin.
 
@@ -59,7 +59,7 @@
     patience_s: float
 
 
-@message(141)
+@message(145)
 class RoomReply:
     """Answer to :class:`AskRoom`.
 
--- a/yarrowwall/relay/gateway_service.py
+++ b/yarrowwall/relay/gateway_service.py
@@ -9,6 +9,7 @@
 
 from yarrowwall.capacity.programs import ProgramsUnderWay
 from yarrowwall.listeners import EarlyListeners
+from yarrowwall.messages.relaying import Neighbour
 from yarrowwall.messages.replicated import GroupView
 from yarrowwall.quotas.borrowing import QuotaBorrower
 from yarrowwall.relay import decisions
@@ -31,9 +32,12 @@
 from yarrowwall.relay.sockets import green
 from yarrowwall.relay.watching import LONG_WATCH_SECONDS, KindFollower
 from yarrowwall.replication.documents import GROUPS_KIND, read_groups
+from yarrowwall.replication.forwarding import Forwarder
 from yarrowwall.replication.group_views import GroupViews
+from yarrowwall.replication.neighbour_finder import NeighbourFinder
 from yarrowwall.replication.quorum_client import QuorumClient
-from yarrowwall.replication.rpc import LinkTable
+from yarrowwall.replication.relayed_links import RelayedLinkTable
+from yarrowwall.replication.rpc import serve_requests
 
 if TYPE_CHECKING:
     from yarrowwall.relay.service import Adapter
@@ -69,7 +73,10 @@
         self._limits = ServerLimits()
         parts = RelayParts(self._directory, self._pool, adapter.servers, log, time.monotonic)
         self._views = GroupViews(self._note_view)
-        links = LinkTable(time.monotonic)
+        links = self._links = RelayedLinkTable(settings.node_id, log, time.monotonic)
+        own_address = Neighbour(settings.node_id, settings.zone, settings.peer_address)
+        self._finder = NeighbourFinder(own_address, self._views, links)
+        self._forwarder = Forwarder(links, self._views.has_replica_at)
         client = QuorumClient(settings.zone, self._views, links, time.monotonic)
         self._ledger = ReplicatedLedger(self._views, client, log)
         programs = ProgramsUnderWay()
@@ -133,6 +140,8 @@
         self._ledger.start()
         self._loads.start()
         self._probe.start()
+        if self._settings.takes_forwarded:
+            self._start_forwarding()
         callers = green(self._listeners.take(self._own.http_address))
         eventlet.spawn_n(serve, callers, self.gateway, self._limits)
         eventlet.spawn_n(
@@ -143,6 +152,16 @@
         )
         eventlet.spawn_n(self._keep_house)
 
+    def _start_forwarding(self) -> None:
+        """Forward for neighbours, and learn of them; callers are served without it as well."""
+        try:
+            peers = green(self._listeners.take(self._settings.peer_address))
+        except OSError as error:
+            self._log.write(decisions.DependencyChanged("peer port", False, str(error)))
+            return
+        eventlet.spawn_n(serve_requests, peers, self._forwarder.handle)
+        self._finder.start()
+
     def stop(self) -> None:
         """Take no new connections, finish what runs, return."""
         begun = time.monotonic()
@@ -158,14 +177,19 @@
         """Set the metrics that are measured when they are asked for."""
         metrics.set_age(self.gateway.configuration_age_s)
         metrics.set_paces(self._directory.factors(time.monotonic()), self._directory.rates.all())
+        metrics.set_relayed(self._links.relayed, self._forwarder.forwarded)
+        metrics.set_relay_refusals(self._links.refused, self._forwarder.refused)
 
     @property
     def is_ready(self) -> bool:
         """Return whether new connections are welcome.
 
-        A gateway that is cut off from the replicas refuses turns that others could run; one
-        that hears nothing of the configuration, all that come with a key.
+        A gateway that is cut off from the replicas refuses turns that others could run, or runs
+        them through those; one that hears nothing of the configuration refuses all that come
+        with a key.
         """
+        if self._links.paths.is_served(time.monotonic()):
+            return False
         is_able = self._is_informed and self._ledger.is_reachable and self.gateway.serves_keys
         return is_able and not self.gateway.is_stopping
 
@@ -196,6 +220,7 @@
             self._pool.close_expired()
             self._quotas.keep_house()
             self._ledger.probe()
+            self._links.probe()
 
     # What the store tells
 
--- a/yarrowwall/replication/group_views.py
+++ b/yarrowwall/replication/group_views.py
@@ -5,7 +5,7 @@
 import xxhash
 
 from yarrowwall.messages.replicated import GroupView
-from yarrowwall.replication.views import bears_losses, is_zone_group, zone_of
+from yarrowwall.replication.views import all_members, bears_losses, is_zone_group, zone_of
 
 
 class GroupViews:
@@ -42,6 +42,11 @@
         """Return a group's newest view."""
         return self._views.get(group)
 
+    def has_replica_at(self, address: str) -> bool:
+        """Return whether a member of a group is at an address."""
+        views = self._views.values()
+        return any(member.address == address for view in views for member in all_members(view))
+
     def group_of(self, key: str) -> int | None:
         """Return the common group that keeps what belongs to a key; None if none is known yet."""
         if not self._common_count:
--- a/yarrowwall/replication/service.py
+++ b/yarrowwall/replication/service.py
@@ -11,6 +11,7 @@
 from yarrowwall.messages.capacity import AskRoom
 from yarrowwall.messages.objects import ListObjects, WatchObjects
 from yarrowwall.messages.quotas import ReturnQuota, TakeQuota
+from yarrowwall.messages.relaying import AskNeighbours, NeighboursReply
 from yarrowwall.messages.replicated import (
     AskStatuses,
     GroupView,
@@ -50,6 +51,7 @@
     registration_spec,
 )
 from yarrowwall.replication.load_board import LoadBoard
+from yarrowwall.replication.neighbours import NeighbourBoard
 from yarrowwall.replication.pace_board import PaceBoard, read_paces
 from yarrowwall.replication.peers import ReplicaPeers
 from yarrowwall.replication.planner import target_size
@@ -120,6 +122,7 @@
         self._loads = LoadBoard()
         self._paces = PaceBoard()
         self._rooms = RoomBoard()
+        self._neighbours = NeighbourBoard()
         self._retirements: dict[str, StoredObject] = {}
         self._followers = [
             KindFollower(
@@ -188,6 +191,10 @@
         if isinstance(request, ReturnQuota):
             self._lending.give_back(request)
             return
+        if isinstance(request, AskNeighbours):
+            neighbours = self._neighbours.ask(request.gateway, time.monotonic())
+            reply(NeighboursReply(neighbours))
+            return
         if isinstance(request, ListObjects | WatchObjects):
             self._reader.ask(request, reply)
             return
