--- a/yarrowwall/relay/ledger.py
+++ b/yarrowwall/relay/ledger.py
@@ -12,7 +12,7 @@
 from yarrowwall.relay.group_reach import GroupReach
 from yarrowwall.relay.model import Attempt, ProgramContext, Route
 from yarrowwall.relay.programs import TurnGrant
-from yarrowwall.relay.reservations import Reservation, Reservations, Reserved
+from yarrowwall.relay.reservations import Reservations, Reserved, wanted_by
 from yarrowwall.relay.settlements import SettlementQueues
 from yarrowwall.relay.turn_store import Placed, TurnStore
 from yarrowwall.relay.turns import Turn, output_of, prompt_body
@@ -156,38 +156,26 @@
         :raises BudgetExhaustedError: if the budget does not hold it.
         """
         program_id = _scoped(attempt.tenant, program.program_id)
-        wanted = Reservation(
-            program_id,
-            program.program_id,
-            attempt.attempt_id,
-            program.most_tokens,
-            route.retention,
-            self.group_of(program_id),
-        )
+        common = self.group_of(program_id)
+        wanted = wanted_by(program_id, program, attempt.attempt_id, route.retention, common)
         return self._reservations.reserve(wanted, budget)
 
-    def settle(self, reservation: Reservation, tokens: int, server_id: str) -> None:
+    def settle(self, reserved: Reserved, tokens: int, server_id: str) -> None:
         """Replace a reservation by what was emitted, soon."""
-        self._reservations.settle(reservation, tokens, server_id)
-        self._log.write(
-            decisions.BudgetSettled(reservation.attempt_id, reservation.program_id, tokens)
-        )
+        self._reservations.settle(reserved, tokens, server_id)
+        wanted = reserved.wanted
+        self._log.write(decisions.BudgetSettled(wanted.attempt_id, wanted.program_id, tokens))
 
     def keep_turn(
-        self,
-        turn: Turn,
-        route: Route,
-        reservation: Reservation | None,
-        tokens: int,
-        server_id: str,
+        self, turn: Turn, route: Route, reserved: Reserved | None, tokens: int, server_id: str
     ) -> None:
         """Store a turn and the settlement of its reservation, if it has one.
 
         :raises StoreUncertainError: if no quorum took it in time.
         """
         settled: list[Placed] = []
-        if reservation is not None:
-            settled = self._reservations.settled(reservation, tokens, server_id)
+        if reserved is not None:
+            settled = self._reservations.settled(reserved, tokens, server_id)
         self._turns.keep(turn, route.retention, settled)
 
 
@@ -210,7 +198,7 @@
         self._ledger = ledger
         self._attempt = attempt
         self._route = route
-        self._reservation = reserved.reservation if reserved is not None else None
+        self._reserved = reserved
         self._tokens_per_event = tokens_per_event
         self._is_settled = False
 
@@ -219,12 +207,12 @@
 
         :raises StoreUncertainError: if less than the turn's most was granted, and they exceed it.
         """
-        reservation = self._reservation
-        if reservation is None or not reservation.is_short:
+        reserved = self._reserved
+        if reserved is None or not reserved.is_short:
             return
         tokens = len(passed) * self._tokens_per_event
-        if tokens > reservation.granted:
-            raise StoreUncertainError(f"{tokens} tokens, {reservation.granted} were granted")
+        if tokens > reserved.granted:
+            raise StoreUncertainError(f"{tokens} tokens, {reserved.granted} were granted")
 
     def complete(self, passed: list[Event], server_id: str) -> None:
         """Store the turn before the end of the answer is passed on.
@@ -241,23 +229,21 @@
             self._attempt.body,
             output_of(passed),
         )
-        self._ledger.keep_turn(
-            turn, self._route, self._reservation, self._tokens(passed), server_id
-        )
+        self._ledger.keep_turn(turn, self._route, self._reserved, self._tokens(passed), server_id)
         self._is_settled = True
 
     def close(self, passed: list[Event], server_id: str) -> None:
         """Settle the turn, however it ended."""
-        if self._reservation is not None and not self._is_settled:
+        if self._reserved is not None and not self._is_settled:
             self._is_settled = True
-            self._ledger.settle(self._reservation, self._tokens(passed), server_id)
+            self._ledger.settle(self._reserved, self._tokens(passed), server_id)
 
     def _tokens(self, passed: list[Event]) -> int:
         """Return the tokens that callers got."""
         tokens = len(passed) * self._tokens_per_event
-        reservation = self._reservation
-        if reservation is not None and reservation.is_short:
+        reserved = self._reserved
+        if reserved is not None and reserved.is_short:
             # What was beyond the grant was not passed on.
-            most = reservation.granted - reservation.granted % self._tokens_per_event
+            most = reserved.granted - reserved.granted % self._tokens_per_event
             return min(tokens, most)
         return tokens
--- a/yarrowwall/relay/reservations.py
+++ b/yarrowwall/relay/reservations.py
@@ -11,7 +11,7 @@
 turn. What is missing is asked of the zones' groups, the own zone's first.
 """
 
-from dataclasses import dataclass, field, replace
+from collections.abc import Iterator
 from typing import NamedTuple
 
 import eventlet
@@ -32,6 +32,7 @@
 from yarrowwall.relay.decisions import DecisionLog
 from yarrowwall.relay.exceptions import StoreUncertainError
 from yarrowwall.relay.group_reach import GroupReach
+from yarrowwall.relay.model import ProgramContext
 from yarrowwall.relay.programs import BudgetExhaustedError
 from yarrowwall.relay.settlements import SettlementQueues
 from yarrowwall.relay.zone_groups import ZoneGroups
@@ -59,60 +60,65 @@
 _TRACE_PREFIX = "zone-turn/"
 
 
-@dataclass(frozen=True)
-class Reservation:
-    """Tokens reserved for one turn.
+class Wanted(NamedTuple):
+    """Tokens that a turn wants.
 
     :param program_id: the program, as one of its tenant's.
     :param program_name: the program as callers name it.
-    :param pieces: tokens granted by each group; the sum may be less than ``tokens``.
+    :param key: of the turn's records, the same in all groups.
     :param common: the program's common group.
     """
 
     program_id: str
     program_name: str
     attempt_id: str
+    key: str
     tokens: int
     retention: float
     common: int
-    pieces: dict[int, int] = field(default_factory=dict)
 
-    @property
-    def key(self) -> str:
-        """Return the key of its records, the same in all groups."""
-        return f"{_BUDGET_PREFIX}{self.program_id}/{self.attempt_id}"
 
-    @property
-    def granted(self) -> int:
-        """Return the tokens that the turn may emit."""
-        return sum(self.pieces.values())
-
-    @property
-    def is_short(self) -> bool:
-        """Return whether the turn got less than the most that it may emit."""
-        return self.granted < self.tokens
+def wanted_by(
+    program_id: str, program: ProgramContext, attempt_id: str, retention: float, common: int
+) -> Wanted:
+    """Return what a turn of a program wants."""
+    key = f"{_BUDGET_PREFIX}{program_id}/{attempt_id}"
+    return Wanted(
+        program_id, program.program_id, attempt_id, key, program.most_tokens, retention, common
+    )
 
 
 class Reserved(NamedTuple):
     """A granted reservation, and what it tells of its program.
 
+    :param pieces: tokens granted by each group.
+    :param granted: the sum of these; less than what was wanted if some group was out of reach.
     :param last_server: where its turn before ran; empty if unknown.
     :param is_first: whether the program surely emitted nothing, and nothing of it is under way.
     """
 
-    reservation: Reservation
+    wanted: Wanted
+    pieces: dict[int, int]
+    granted: int
     last_server: str
     is_first: bool
 
+    @property
+    def is_short(self) -> bool:
+        """Return whether the turn got less than the most that it may emit."""
+        return self.granted < self.wanted.tokens
+
 
 class _Held(NamedTuple):
     """What a group told of a program beside one reservation.
 
     :param amounts: by key, all that was met so far.
+    :param tokens: the sum of these.
     """
 
     amounts: dict[str, Amount]
     note: str
+    tokens: int
 
     @property
     def is_settled(self) -> bool:
@@ -122,13 +128,11 @@
     @property
     def is_blank(self) -> bool:
         """Return whether the program has emitted nothing, and nothing of it is under way."""
-        has_trace = any(key.startswith(_TRACE_PREFIX) for key in self.amounts)
-        return not has_trace and self.tokens == 0
+        return self.tokens == 0 and not any(key.startswith(_TRACE_PREFIX) for key in self.amounts)
 
-    @property
-    def tokens(self) -> int:
-        """Return what other turns hold."""
-        return sum(amount.tokens for amount in self.amounts.values())
+
+def _held(amounts: dict[str, Amount], note: str) -> _Held:
+    return _Held(amounts, note, sum([amount.tokens for amount in amounts.values()]))
 
 
 class _Request:
@@ -137,11 +141,13 @@
     :param parts: the division of its program's budget.
     """
 
-    def __init__(self, reservation: Reservation, parts: Parts) -> None:
-        self.reservation = reservation
-        self.common = reservation.common
+    def __init__(self, wanted: Wanted, parts: Parts) -> None:
+        self.wanted = wanted
+        self.common = wanted.common
         self._parts = parts
         self.held: dict[int, _Held] = {}
+        #: What the turn may take of each part that was asked.
+        self.pieces: dict[int, int] = {}
         self.asked: dict[int, int] = {}
         self.unreachable: list[int] = []
         self.failure = ""
@@ -154,15 +160,20 @@
             for group, held in self.held.items()
         }
 
-    @property
-    def pieces(self) -> dict[int, int]:
-        """Return what the turn may take of each part that was asked."""
-        return pieces_of(self.readings, self.reservation.tokens)
+    def take(self, group: int, held: _Held) -> None:
+        """Take in what a group told."""
+        self.held[group] = held
+        self.pieces = pieces_of(self.readings, self.wanted.tokens)
+
+    def drop(self, group: int) -> None:
+        """Take nothing of a group that tells no more."""
+        del self.held[group]
+        self.pieces = pieces_of(self.readings, self.wanted.tokens)
 
     @property
     def missing(self) -> int:
         """Return the tokens that the parts asked so far do not hold."""
-        return self.reservation.tokens - sum(self.pieces.values())
+        return self.wanted.tokens - sum(self.pieces.values())
 
     @property
     def used(self) -> int:
@@ -201,7 +212,7 @@
         self._queues = queues
         self._log = log
 
-    def reserve(self, wanted: Reservation, budget: int) -> Reserved:
+    def reserve(self, wanted: Wanted, budget: int) -> Reserved:
         """Return a granted reservation.
 
         :raises BudgetExhaustedError: if the budget does not hold it.
@@ -219,23 +230,23 @@
         silent = ", ".join(str(group) for group in request.unreachable)
         raise StoreUncertainError(request.failure or f"out of reach: {silent or 'none'}")
 
-    def settle(self, reservation: Reservation, tokens: int, server_id: str) -> None:
+    def settle(self, reserved: Reserved, tokens: int, server_id: str) -> None:
         """Replace a reservation by what was emitted, soon."""
-        for group, record in self.settled(reservation, tokens, server_id):
+        for group, record in self.settled(reserved, tokens, server_id):
             self._queues.add(group, record)
 
     def settled(
-        self, reservation: Reservation, tokens: int, server_id: str
+        self, reserved: Reserved, tokens: int, server_id: str
     ) -> list[tuple[int, StoredRecord]]:
         """Return the records that replace a reservation by what was emitted, with their groups."""
-        spent = spread(reservation.pieces, tokens)
+        wanted = reserved.wanted
+        spent = spread(reserved.pieces, tokens)
         found = [
-            (group, self._record(group, reservation, ClaimState.SETTLED, amount, server_id))
+            (group, self._record(group, wanted, ClaimState.SETTLED, amount, server_id))
             for group, amount in spent.items()
         ]
-        common = reservation.common
-        if tokens and not spent.get(common):
-            found.append((common, self._trace(common, reservation, server_id)))
+        if tokens and not spent.get(wanted.common):
+            found.append((wanted.common, self._trace(wanted, server_id)))
         return found
 
     # Records
@@ -243,7 +254,7 @@
     def _record(
         self,
         group: int,
-        reservation: Reservation,
+        wanted: Wanted,
         state: ClaimState,
         amount: int,
         server_id: str = "",
@@ -252,17 +263,15 @@
 
         :param server_id: where the turn ran; the program's next turn had better go there.
         """
-        retention = self._retention(group, reservation.retention)
-        owner = reservation.program_id
-        return StoredRecord(
-            reservation.key, state, owner, "", retention, amount, server_id.encode()
-        )
+        retention = self._retention(group, wanted.retention)
+        owner = wanted.program_id
+        return StoredRecord(wanted.key, state, owner, "", retention, amount, server_id.encode())
 
-    def _trace(self, group: int, reservation: Reservation, server_id: str) -> StoredRecord:
+    def _trace(self, wanted: Wanted, server_id: str) -> StoredRecord:
         """Return the record that tells the common group of a turn that ran without it."""
-        key = f"{_TRACE_PREFIX}{reservation.program_id}/{reservation.attempt_id}"
-        owner = reservation.program_id
-        retention = self._retention(group, reservation.retention)
+        key = f"{_TRACE_PREFIX}{wanted.program_id}/{wanted.attempt_id}"
+        retention = self._retention(wanted.common, wanted.retention)
+        owner = wanted.program_id
         return StoredRecord(key, ClaimState.SETTLED, owner, "", retention, 0, server_id.encode())
 
     def _retention(self, group: int, wanted: float) -> float:
@@ -277,7 +286,7 @@
 
     def _ask_groups(self, request: _Request) -> Verdict:
         """Claim tokens of one group after the other until the turn has what it wants."""
-        for group in [request.common, *self._zones.in_order]:
+        for group in self._in_order(request.common):
             if self._reach.is_out(group) or not self._may_ask(request, group):
                 request.unreachable.append(group)
                 continue
@@ -290,6 +299,11 @@
                 return Verdict.GRANTED
         return self._decide(request)
 
+    def _in_order(self, common: int) -> Iterator[int]:
+        """Return the groups to ask, as far as they are needed."""
+        yield common
+        yield from self._zones.in_order
+
     def _may_ask(self, request: _Request, group: int) -> bool:
         """Return whether a group may grant by what is known of the common one."""
         if group == request.common or request.common in request.held:
@@ -307,27 +321,27 @@
 
         :raises NoQuorumError: if the group does not answer in time.
         """
-        reservation = request.reservation
+        wanted = request.wanted
         missing = request.missing
         # Also a write without an answer may have arrived.
         request.asked[group] = missing
-        record = self._record(group, reservation, ClaimState.RESERVED, missing)
+        record = self._record(group, wanted, ClaimState.RESERVED, missing)
         reading = self._client.reserve(group, record, timeout=self._wait_s)
-        held = _Held(_others(reading, reservation), reading.note)
+        held = _held(_others(reading, wanted), reading.note)
         if not (reading.is_sure and held.is_settled):
-            held = self._look(group, reservation, held)
+            held = self._look(group, wanted, held)
         self._reach.note_reached(group)
-        request.held[group] = held
+        request.take(group, held)
 
-    def _look(self, group: int, reservation: Reservation, before: _Held) -> _Held:
+    def _look(self, group: int, wanted: Wanted, before: _Held) -> _Held:
         """Return what a group holds of a program now.
 
         :raises NoQuorumError: if the group does not answer in time.
         """
-        reading = self._client.read_amounts(group, reservation.program_id, timeout=self._wait_s)
+        reading = self._client.read_amounts(group, wanted.program_id, timeout=self._wait_s)
         # A reservation that was met while writing may not be complete yet.
-        amounts = merged(before.amounts, _others(reading, reservation))
-        return _Held(amounts, reading.note)
+        amounts = merged(before.amounts, _others(reading, wanted))
+        return _held(amounts, reading.note)
 
     def _decide(self, request: _Request) -> Verdict:
         """Return what becomes of a turn that no group's part holds alone.
@@ -342,24 +356,24 @@
             eventlet.sleep(CONTENTION_SECONDS)
             self._look_again(request)
             verdict = self._judge(request)
-        is_spent = not holds_beside_all(request.readings, request.reservation.tokens)
+        is_spent = not holds_beside_all(request.readings, request.wanted.tokens)
         if verdict is Verdict.CONTENDED and is_spent and not request.unreachable:
             return Verdict.EXHAUSTED
         return verdict
 
     @staticmethod
     def _judge(request: _Request) -> Verdict:
-        reservation = request.reservation
+        wanted = request.wanted
         is_everyone_asked = not request.unreachable
-        return judge(request.readings, reservation.key, reservation.tokens, is_everyone_asked)
+        return judge(request.readings, wanted.key, wanted.tokens, is_everyone_asked)
 
     def _look_again(self, request: _Request) -> None:
         """Look at all parts once more."""
         for group, held in list(request.held.items()):
             try:
-                request.held[group] = self._look(group, request.reservation, held)
+                request.take(group, self._look(group, request.wanted, held))
             except NoQuorumError as error:
-                del request.held[group]
+                request.drop(group)
                 self._note_failed(request, group, error)
 
     @property
@@ -371,7 +385,7 @@
 
     def _granted(self, request: _Request) -> Reserved:
         """Note what a granted turn takes; hand back what it has claimed beyond that."""
-        reservation = request.reservation
+        wanted = request.wanted
         pieces = {}
         is_divided = len(request.held) > 1
         for group, taken in request.pieces.items():
@@ -379,23 +393,23 @@
                 pieces[group] = taken
             if is_divided or taken < request.asked[group]:
                 state = ClaimState.GRANTED if group in pieces else ClaimState.SETTLED
-                self._queues.add(group, self._record(group, reservation, state, taken))
+                self._queues.add(group, self._record(group, wanted, state, taken))
         for group in request.asked.keys() - request.held.keys():
-            self._queues.add(group, self._record(group, reservation, ClaimState.SETTLED, 0))
-        granted = replace(reservation, pieces=pieces)
-        return Reserved(granted, request.last_server, request.is_first)
+            self._queues.add(group, self._record(group, wanted, ClaimState.SETTLED, 0))
+        granted = sum(pieces.values())
+        return Reserved(wanted, pieces, granted, request.last_server, request.is_first)
 
     def _note_decided(self, request: _Request, budget: int, verdict: Verdict) -> None:
-        reservation = request.reservation
+        wanted = request.wanted
         is_granted = verdict in (Verdict.GRANTED, Verdict.SHORT)
         if is_granted or verdict is Verdict.EXHAUSTED:
             self._log.write(
                 decisions.BudgetDecided(
-                    reservation.attempt_id,
-                    reservation.program_name,
+                    wanted.attempt_id,
+                    wanted.program_name,
                     budget,
                     request.used,
-                    reservation.tokens,
+                    wanted.tokens,
                     is_granted,
                 )
             )
@@ -405,7 +419,7 @@
             common_tokens = pieces.get(request.common, 0)
             self._log.write(
                 decisions.PartsAsked(
-                    reservation.attempt_id,
+                    wanted.attempt_id,
                     verdict.name.lower(),
                     common_tokens,
                     sum(pieces.values()) - common_tokens,
@@ -415,5 +429,6 @@
             )
 
 
-def _others(reading: OwnerReading, reservation: Reservation) -> dict[str, Amount]:
-    return {key: amount for key, amount in reading.amounts.items() if key != reservation.key}
+def _others(reading: OwnerReading, wanted: Wanted) -> dict[str, Amount]:
+    own = wanted.key
+    return {key: amount for key, amount in reading.amounts.items() if key != own}
