Schedules of cut zones run one program after the other; a later list of servers is told

A gateway whose watch of the servers ended before any server was listed wrote no line for those in the next list, since it knew none before: a scenario on a busy machine waited for the line in vain.

--- a/features/support/zone_model.py
+++ b/features/support/zone_model.py
@@ -44,8 +44,10 @@
 UPKEEP_S = 0.4
 TOKENS_PER_EVENT = 2
 MOST_TOKENS = 12
-BUDGETS = (40, 120, 300)
-PROGRAMS = 5
+BUDGETS = (30, 50, 100)
+#: Programs that run at once, and the most seconds that one lasts.
+CALLERS = 5
+PROGRAM_S = 4.0
 
 
 class ModelDisk:
@@ -296,9 +298,7 @@
             self.views[view.group] = view
         self._tell_views()
         self.gateways = {zone: [Gateway(self, zone), Gateway(self, zone)] for zone in ZONES}
-        self.programs = [
-            Program(f"p{number}", self.random.choice(BUDGETS)) for number in range(PROGRAMS)
-        ]
+        self.programs: list[Program] = []
         self._attempts = 0
         self.violations: list[str] = []
 
@@ -387,8 +387,8 @@
 
     def play(self) -> None:
         """Let everything happen, then heal and look at what was promised."""
-        for program in self.programs:
-            eventlet.spawn_n(self._call, program)
+        for _ in range(CALLERS):
+            eventlet.spawn_n(self._call)
         eventlet.spawn_n(self._change)
         eventlet.spawn_n(self._cut_zones)
         while now_s() < PLAY_S:
@@ -423,13 +423,22 @@
             self.gateways[zone][0].links.is_dead = True
             self.gateways[zone] = [self.gateways[zone][1], Gateway(self, zone)]
 
-    def _call(self, program: Program) -> None:
+    def _call(self) -> None:
+        """Run one program after the other."""
         while now_s() < PLAY_S:
-            eventlet.sleep(self.random.expovariate(2.0))
-            home = self.random.choice(ZONES)
-            for _ in range(self.random.choice((1, 1, 1, 3))):
-                zone = home if self.random.random() < 0.7 else self.random.choice(ZONES)
-                eventlet.spawn_n(self._turn, program, self.random.choice(self.gateways[zone]))
+            program = Program(f"p{len(self.programs)}", self.random.choice(BUDGETS))
+            self.programs.append(program)
+            end_s = now_s() + self.random.uniform(1.0, PROGRAM_S)
+            while now_s() < min(end_s, PLAY_S):
+                self._begin_turns(program)
+                eventlet.sleep(self.random.expovariate(2.5))
+
+    def _begin_turns(self, program: Program) -> None:
+        """Begin a turn, or some at once as sub-agents do."""
+        home = self.random.choice(ZONES)
+        for _ in range(self.random.choice((1, 1, 1, 3))):
+            zone = home if self.random.random() < 0.7 else self.random.choice(ZONES)
+            eventlet.spawn_n(self._turn, program, self.random.choice(self.gateways[zone]))
 
     def _turn(self, program: Program, gateway: Gateway) -> None:
         self._attempts += 1
--- a/yarrowwall/relay/gateway_service.py
+++ b/yarrowwall/relay/gateway_service.py
@@ -61,6 +61,7 @@
         self._listeners = listeners
         self._log = log
         self._directory = ServerDirectory(settings.zone)
+        self._has_listed_servers = False
         self._pool = ConnectionPool(time.monotonic)
         self._directory.on_removed = self._pool.forget
         self._limits = ServerLimits()
@@ -215,7 +216,8 @@
         known = set(self._directory.states)
         self._directory.replace_all(servers, self._services(), time.monotonic())
         # The first list is no news, and a start has other things to do than to write lines.
-        news = [server for server in servers if known and server.server_id not in known]
+        is_news, self._has_listed_servers = self._has_listed_servers, True
+        news = [server for server in servers if is_news and server.server_id not in known]
         for server in news:
             self._log.write(decisions.ServerChanged(server.server_id, server.service, "listed"))
 
