--- a/yarrowwall/relay/metrics.py
+++ b/yarrowwall/relay/metrics.py
@@ -54,6 +54,10 @@
 KEYS = _Description("key_changes", "Keys given to tenants or taken away", "change")
 VERSION = _Description("configuration_version", "Version in force")
 EPOCH = _Description("group_epoch", "Newest view of a group", "group")
+MEMBERS = _Description("group_members", "Replicas of a group's newest view", "group")
+ZONE_RECORDS = _Description(
+    "zone_group_records", "Records that this machine holds for its zone's own group"
+)
 DROPPED = _Description("log_lines_dropped", "Log lines not written")
 SECONDS = _Description("attempt_seconds", "Time from an attempt's arrival to the end of its answer")
 
@@ -90,7 +94,7 @@
             decisions.QuotaRefused: lambda event: self._add(QUOTA_REFUSALS, event.begins),
             decisions.LendingChanged: lambda event: self._set(LENDING, event.lends),
             decisions.KeysChanged: self._keys_changed,
-            decisions.GroupChanged: lambda event: self._set(EPOCH, event.epoch, event.group),
+            decisions.GroupChanged: self._group_changed,
         }
 
     def count(self, decision: Decision) -> None:
@@ -114,6 +118,14 @@
         self._add(KEYS, "added", len(event.added))
         self._add(KEYS, "removed", len(event.removed))
 
+    def _group_changed(self, event: decisions.GroupChanged) -> None:
+        self._set(EPOCH, event.epoch, event.group)
+        self._set(MEMBERS, len(event.members.split(",")) if event.members else 0, event.group)
+
+    def set_zone_records(self, count: int) -> None:
+        """Take in how many records are held for the zone's own group."""
+        self._set(ZONE_RECORDS, count)
+
     def set_age(self, age_s: float) -> None:
         """Take in how old the proof of the configuration is."""
         self._set(AGE, age_s)
--- a/yarrowwall/replication/coordinator.py
+++ b/yarrowwall/replication/coordinator.py
@@ -10,7 +10,7 @@
 
 import eventlet
 
-from yarrowwall.messages.replicated import GroupView, Member
+from yarrowwall.messages.replicated import GroupView, Member, StatusReply
 from yarrowwall.relay import decisions
 from yarrowwall.relay.decisions import DecisionLog
 from yarrowwall.relay.object_store import (
@@ -73,6 +73,19 @@
     zone: str
 
 
+class _Known(NamedTuple):
+    """What is known of the machines at one look.
+
+    :param alive: those that answered lately.
+    :param statuses: the newest state of each disk whose machine is alive.
+    :param busy: disks that are members of any group.
+    """
+
+    alive: set[str]
+    statuses: dict[str, StatusReply]
+    busy: set[str]
+
+
 class Coordinator:
     """Proposes changes of the groups.
 
@@ -171,48 +184,40 @@
     def _next_views(self) -> _Proposal | None:
         """Return all views with one changed; None if none needs a change."""
         views = self.views()
+        known = self._known(views)
         for index, view in enumerate(views):
-            changed = self._next_view(view, views)
+            changed = self._next_view(view, known)
             if changed is not None:
                 zone = zone_of(view) if is_zone_group(view.group) else ""
                 return _Proposal([*views[:index], changed, *views[index + 1 :]], zone)
         return None
 
-    def _next_view(self, view: GroupView, views: list[GroupView]) -> GroupView | None:
+    def _known(self, views: list[GroupView]) -> _Known:
+        own = (self._own.common.status(), self._own.zone.status())
+        busy = {disk for view in views for disk in disk_ids(all_members(view))}
+        return _Known(self._peers.alive(), self._peers.statuses(own), busy)
+
+    def _next_view(self, view: GroupView, known: _Known) -> GroupView | None:
         if not is_zone_group(view.group):
-            return self._changed(view, views, self._own.common, self._peers.registered)
+            return self._changed(view, known, self._peers.registered)
         if zone_of(view) != self._own.zone_name:
             return None
-        replica = self._own.zone
-        in_zone = {
-            node: member
-            for node, member in self._peers.zone_disks.items()
-            if member.zone == self._own.zone_name
-        }
-        changed = self._changed(view, views, replica, in_zone)
-        return changed or ended_view(view, replica, self.retiring)
+        changed = self._changed(view, known, self._peers.disks_of(self._own.zone_name))
+        return changed or ended_view(view, self._own.zone, self.retiring)
 
     def _changed(
-        self,
-        view: GroupView,
-        views: list[GroupView],
-        replica: RecordReplica,
-        registered: dict[str, Member],
+        self, view: GroupView, known: _Known, registered: dict[str, Member]
     ) -> GroupView | None:
         """Return the view that follows on one; None if it may stay.
 
-        :param replica: the own one of that kind of groups.
         :param registered: the disks for that kind of groups.
         """
-        statuses = self._peers.statuses(replica.status())
-        settled = settled_view(view, statuses) if view.joining else None
-        if settled is not None or not has_readers(view, statuses):
+        settled = settled_view(view, known.statuses) if view.joining else None
+        if settled is not None or not has_readers(view, known.statuses):
             return settled
         if view.joining:
             return revised_view(view, registered)
-        busy = {disk for other in views for disk in disk_ids(all_members(other))}
-        alive = self._peers.alive()
-        return next_view(view, registered, alive, self.retiring, busy, self._size)
+        return next_view(view, registered, known.alive, self.retiring, known.busy, self._size)
 
     def _is_own_turn(self, proposal: _Proposal) -> bool:
         now = self._now()
--- a/yarrowwall/replication/peers.py
+++ b/yarrowwall/replication/peers.py
@@ -1,6 +1,6 @@
 """What a replica knows of the other machines with disks: registrations and who is alive."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 
 import eventlet
 
@@ -106,9 +106,16 @@
         """Return what each disk's replica said last, and when it was asked."""
         return self._vouchers
 
-    def statuses(self, own: StatusReply) -> dict[str, StatusReply]:
-        """Return the newest state of each disk whose machine is alive."""
+    def disks_of(self, zone: str) -> dict[str, Member]:
+        """Return the machines of a zone with their disks for its group, by node id."""
+        return {node: member for node, member in self.zone_disks.items() if member.zone == zone}
+
+    def statuses(self, own: Sequence[StatusReply]) -> dict[str, StatusReply]:
+        """Return the newest state of each disk whose machine is alive.
+
+        :param own: the states of the own disks.
+        """
         alive = self.alive()
         found = {disk: status for disk, status in self._statuses.items() if status.node_id in alive}
-        found[own.disk_id] = own
+        found.update({status.disk_id: status for status in own})
         return found
--- a/yarrowwall/replication/service.py
+++ b/yarrowwall/replication/service.py
@@ -164,6 +164,7 @@
     def measure(self, metrics: MachineMetrics) -> None:
         """Set the metrics that are measured when they are asked for."""
         metrics.set_lent(self._disk.lender.lent_by_tenant(time.monotonic()))
+        metrics.set_zone_records(len(self._zone.disk.replica.table))
 
     # Requests
 
