--- a/features/steps/zone_group_steps.py
+++ b/features/steps/zone_group_steps.py
@@ -344,3 +344,38 @@
     wait_until(is_complete, "the retirement is complete")
     assert time.monotonic() - started < limit
     assert _members(context, context.retired_zone) == {context.new_disk}
+
+
+@when('a further storage machine of "{zone}" starts')
+def further_machine(context: Context, zone: str) -> None:
+    number = context.replica_count
+    while world(context).zone_of(f"storage-{number}") != zone:
+        number += 1
+    world(context).start_machine(f"storage-{number}", is_gateway=False)
+
+
+@then('the group of "{zone}" has {size:d} members within {limit:d} s')
+def group_grown(context: Context, zone: str, size: int, limit: int) -> None:
+    started = time.monotonic()
+    wait_until(lambda: len(_members(context, zone)) == size, "the machine has joined")
+    assert time.monotonic() - started < limit
+
+
+@when('every storage machine is killed and starts again, half of them in "{zone}"')
+def restart_in_zones(context: Context, zone: str) -> None:
+    world(context).zones = (world(context).zones[0], zone)
+    restart_all(context)
+
+
+@then("{seconds:d} s later there is still no zone group, and records are written")
+def no_zone_group(context: Context, seconds: int) -> None:
+    time.sleep(seconds)
+    registered = [
+        item["spec"]["zone"]
+        for (kind, _), item in world(context).store.objects.items()
+        if kind == "yarrowwall-replicas"
+    ]
+    assert set(registered) == {"zone-a", "zone-b"}, registered
+    assert set(_views(context)) == {""}
+    group = _views(context)[""].group
+    _until_done(lambda: _client(context).write(group, [_record()]), "the record is written")
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -419,7 +419,8 @@
     def __init__(
         self, gateways: int = 2, replicas: int = 3, zones: Sequence[str] = ("zone-a",)
     ) -> None:
-        self._zones = zones
+        #: Zones by the number of a machine, in turn; a machine has its own from its next start on.
+        self.zones = zones
         self._folder = tempfile.TemporaryDirectory()
         self.folder = Path(self._folder.name)
         self.store = ObjectStore()
@@ -528,7 +529,7 @@
 
     def zone_of(self, name: str) -> str:
         """Return the zone of a machine, by the number in its name."""
-        return self._zones[int(name.rpartition("-")[2]) % len(self._zones)]
+        return self.zones[int(name.rpartition("-")[2]) % len(self.zones)]
 
     def _settings(self, name: str, is_gateway: bool, is_first: bool) -> str:
         own = self.addresses[name]
--- a/features/zone_groups.feature
+++ b/features/zone_groups.feature
@@ -72,3 +72,12 @@
     When the other storage machine of "zone-b" is to be emptied
     Then its retirement is complete within 15 s, and that group has the new disk alone
     And the record is found in the group of "zone-b"
+    When a further storage machine of "zone-b" starts
+    Then the group of "zone-b" has 2 members within 15 s
+    And the record is found in the group of "zone-b"
+
+  @real_processes
+  Scenario: A system whose groups were made without zone groups gets none
+    Given 4 storage machines in the zones "zone-a" and "zone-a" and a gateway
+    When every storage machine is killed and starts again, half of them in "zone-b"
+    Then 5 s later there is still no zone group, and records are written
