--- a/features/steps/zone_world_steps.py
+++ b/features/steps/zone_world_steps.py
@@ -9,7 +9,7 @@
 from features.support.platform_scripts import arrivals
 from features.support.platform_world import Answer
 from features.support.processes import wait_until
-from features.support.zoned_world import ZONES, ZonedWorld
+from features.support.zoned_world import CUT_ZONE, ZONES, ZonedWorld
 from yarrowwall.replication.views import is_zone_group
 
 ANSWERED = 200
@@ -96,13 +96,15 @@
 
 @when("zone {zone:d} is cut off from the others")
 def cut_zone(context: Context, zone: int) -> None:
-    world(context).set_cut(ZONES[zone], is_cut=True)
+    assert ZONES[zone] == CUT_ZONE
+    world(context).set_cut(is_cut=True)
     context.cut_at = time.monotonic()
 
 
 @when("zone {zone:d} is no longer cut off")
 def heal_zone(context: Context, zone: int) -> None:
-    world(context).set_cut(ZONES[zone], is_cut=False)
+    assert ZONES[zone] == CUT_ZONE
+    world(context).set_cut(is_cut=False)
 
 
 @then("after {pause_s:d} s every turn in zone {zone:d} is answered, most within {limit:f} s")
