--- a/features/environment.py
+++ b/features/environment.py
@@ -7,6 +7,7 @@
 from features.support.platform_world import PlatformWorld
 from features.support.processes import System
 from features.support.proxied_world import ProxiedWorld
+from features.support.zoned_world import ZonedWorld
 
 
 def before_feature(context: Context, feature: Feature) -> None:
@@ -33,6 +34,8 @@
         context.platform = ProxiedWorld()
     if "cut_world" in scenario.effective_tags:
         context.platform = CutWorld()
+    if "zoned_world" in scenario.effective_tags:
+        context.platform = ZonedWorld()
     if context.platform is not None:
         context.by_route = {}
         context.platform.wait_ready()
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -420,10 +420,11 @@
     def __init__(
         self, gateways: int = 2, replicas: int = 3, zones: Sequence[str] = ("zone-a",)
     ) -> None:
-        self._zones = zones
+        #: Zones by the number of a machine, in turn; a machine has its own from its next start on.
+        self.zones = zones
         self._folder = tempfile.TemporaryDirectory()
         self.folder = Path(self._folder.name)
-        self.store = ObjectStore()
+        self.store = self.make_store()
         self.servers: dict[str, Server] = {}
         self.routes: list[dict[str, Any]] = []
         #: The tenants of the configuration; None if it has none.
@@ -439,6 +440,10 @@
         # Nothing is ready before the first configuration is known.
         self.publish()
 
+    def make_store(self) -> ObjectStore:
+        """Return the platform's store."""
+        return ObjectStore()
+
     # The operators
 
     def add_route(self, name: str, kind: str, **fields: Any) -> None:
@@ -536,7 +541,7 @@
 
     def zone_of(self, name: str) -> str:
         """Return the zone of a machine, by the number in its name."""
-        return self._zones[int(name.rpartition("-")[2]) % len(self._zones)]
+        return self.zones[int(name.rpartition("-")[2]) % len(self.zones)]
 
     def _settings(self, name: str, is_gateway: bool, is_first: bool) -> str:
         own = self.addresses[name]
--- a/yarrowwall/relay/gateway_service.py
+++ b/yarrowwall/relay/gateway_service.py
@@ -78,8 +78,8 @@
         self._finder = NeighbourFinder(own_address, self._views, links)
         self._forwarder = Forwarder(links, self._views.has_replica_at)
         client = QuorumClient(settings.zone, self._views, links, time.monotonic)
-        self._ledger = ReplicatedLedger(self._views, client, log)
         programs = ProgramsUnderWay()
+        self._ledger = ReplicatedLedger(settings.zone, self._views, client, log, time.monotonic)
         self._loads = LoadReporter(
             settings.node_id, self._directory, self._views, links, time.monotonic, programs
         )
@@ -137,7 +137,6 @@
         """Begin to follow the store and to listen."""
         for follower in self._followers:
             follower.start()
-        self._ledger.start()
         self._loads.start()
         self._probe.start()
         if self._settings.takes_forwarded:
--- a/yarrowwall/relay/metrics.py
+++ b/yarrowwall/relay/metrics.py
@@ -42,6 +42,14 @@
 BROKEN = _Description("answers_broken_off", "Answers cut midway")
 LEFT = _Description("callers_left", "Callers that closed their connection")
 BUDGETS = _Description("budget_decisions", "Reservations of tokens", "granted")
+PARTS = _Description(
+    "budget_parts", "Turns whose tokens were asked beside the common group", "verdict"
+)
+ZONE_TURNS = _Description("zone_turns", "Turns served by the own zone's part of a budget alone")
+ZONE_TOKENS = _Description("zone_tokens", "Tokens reserved of zones' parts of budgets")
+ZONE_KEPT = _Description("zone_turns_kept", "Turns kept in the own zone's group")
+COPIED = _Description("zone_turns_copied", "Turns copied from zones' groups to common ones")
+REACH = _Description("group_reached", "Whether a group of replicas answers", "group")
 CHAINS = _Description("chain_lookups", "Lookups of earlier turns", "outcome")
 SYNCHRONISATIONS = _Description("synchronisations", "Copies of a group that a replica finished")
 DEPENDENCY = _Description("dependency_up", "Whether a dependency answers", "dependency")
@@ -71,6 +79,10 @@
 KEYS = _Description("key_changes", "Keys given to tenants or taken away", "change")
 VERSION = _Description("configuration_version", "Version in force")
 EPOCH = _Description("group_epoch", "Newest view of a group", "group")
+MEMBERS = _Description("group_members", "Replicas of a group's newest view", "group")
+ZONE_RECORDS = _Description(
+    "zone_group_records", "Records that this machine holds for its zone's own group"
+)
 DROPPED = _Description("log_lines_dropped", "Log lines not written")
 RELAYED = _Description("relayed_requests", "Requests sent through a neighbour", "neighbour")
 FORWARDED = _Description("forwarded_requests", "Requests passed on for a gateway", "gateway")
@@ -102,6 +114,12 @@
             decisions.AnswerBrokenOff: lambda event: self._add(BROKEN),
             decisions.CallerLeft: lambda event: self._add(LEFT),
             decisions.BudgetDecided: lambda event: self._add(BUDGETS, event.granted),
+            decisions.PartsAsked: self._parts_asked,
+            decisions.TurnKeptInZone: lambda event: self._add(ZONE_KEPT),
+            decisions.TurnCopied: lambda event: self._add(COPIED),
+            decisions.GroupReachChanged: lambda event: self._set(
+                REACH, event.is_reached, event.group
+            ),
             decisions.ChainLookedUp: lambda event: self._add(CHAINS, event.outcome),
             decisions.ReplicaSynchronised: lambda event: self._add(SYNCHRONISATIONS),
             decisions.DependencyChanged: lambda event: self._set(
@@ -113,7 +131,7 @@
             decisions.LendingChanged: lambda event: self._set(LENDING, event.lends),
             decisions.EntryRefused: lambda event: self._add(ENTRIES_REFUSED, event.fault),
             decisions.KeysChanged: self._keys_changed,
-            decisions.GroupChanged: lambda event: self._set(EPOCH, event.epoch, event.group),
+            decisions.GroupChanged: self._group_changed,
         }
 
     def count(self, decision: Decision) -> None:
@@ -133,6 +151,13 @@
         self._latencies[bisect_left(_LATENCY_BUCKETS, event.seconds)] += 1
         self._latency_sum_s += event.seconds
 
+    def _parts_asked(self, event: decisions.PartsAsked) -> None:
+        self._add(PARTS, event.verdict)
+        if event.verdict not in ("granted", "short"):
+            return
+        self._add(ZONE_TOKENS, amount=event.zone_tokens)
+        self._add(ZONE_TURNS, amount=int(event.is_alone))
+
     def _keys_changed(self, event: decisions.KeysChanged) -> None:
         self._add(KEYS, "added", len(event.added))
         self._add(KEYS, "removed", len(event.removed))
@@ -144,6 +169,14 @@
         self._set(ROOM_FREE, event.free, event.service)
         self._set(ROOM_WAITING, event.waiting, event.service)
 
+    def _group_changed(self, event: decisions.GroupChanged) -> None:
+        self._set(EPOCH, event.epoch, event.group)
+        self._set(MEMBERS, len(event.members.split(",")) if event.members else 0, event.group)
+
+    def set_zone_records(self, count: int) -> None:
+        """Take in how many records are held for the zone's own group."""
+        self._set(ZONE_RECORDS, count)
+
     def set_age(self, age_s: float) -> None:
         """Take in how old the proof of the configuration is."""
         self._set(AGE, age_s)
