The soak learns servers that start again, entries of another writer and callers that send slowly

Until now the soak's servers lived once, all entries were sound and callers sent at once. Four faults more: a server whose connections end and that tells a later `born`, an earlier life told of late, six spoiled entries beside one written over a server's own, 20 callers that do not end their bodies. Slow servers it had already. Callers that do not read are not in it: its streams are smaller than what the kernel takes.

--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -3,16 +3,33 @@
 import random
 import shutil
 import signal
+import socket
 import time
 from collections import Counter
 from collections.abc import Callable
+from typing import Any
 
 from features.soak.proxy import Mode
 from features.soak.world import SoakWorld
+from features.support.platform_world import Server
 
 #: Seconds that a wiped replica has to be in its group again.
 _REJOIN_S = 25.0
 _LOOK_S = 0.1
+_SLOW_CALLERS = 20
+_SLOW_HEAD = (
+    b"POST /records/x HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: slow-%d\r\n"
+    b"X-Deadline-Ms: 3000\r\nContent-Length: 60000\r\n\r\n"
+)
+#: What another writer puts in place of an entry.
+_SPOILED: tuple[Any, ...] = (
+    None,
+    "no entry",
+    [1, 2],
+    {"service": 7},
+    {"service": "records", "address": "127.0.0.1:1", "zone": "zone-a", "slots": -3},
+    {"service": "records", "address": "nowhere", "zone": "", "slots": 4, "state": "ready"},
+)
 
 
 class Faults:
@@ -44,6 +61,10 @@
             "server cut": lambda: self._server(Mode.SILENT),
             "server resets": lambda: self._server(Mode.REFUSE),
             "server slow": lambda: self._server(Mode.SLOW),
+            "server starts again": self._reborn,
+            "an earlier life told late": self._told_late,
+            "entries of another writer": self._spoiled,
+            "callers that send slowly": self._slow_callers,
             "configuration": lambda: world.publish() and None,
         }
 
@@ -138,6 +159,61 @@
         server_id = self._rng.choice(sorted(self._world.server_proxies))
         self._through(self._world.server_proxies[server_id], mode)
 
+    # Servers and callers
+
+    def _pick_server(self) -> tuple[Server, str]:
+        """Return a server and its service."""
+        server = self._world.servers[self._rng.choice(sorted(self._world.servers))]
+        return server, self._world.service_of[server.server_id]
+
+    def _reborn(self) -> None:
+        """Let a server start again at once under its id; connections to it end."""
+        server, service = self._pick_server()
+        proxy = self._world.server_proxies[server.server_id]
+        proxy.mode = Mode.REFUSE
+        time.sleep(self._rng.uniform(0.0, 0.2))
+        proxy.mode = Mode.PASS
+        self._world.list_reborn(server, service, int(time.time() * 1000))
+
+    def _told_late(self) -> None:
+        """Tell of an earlier life of a server, as a list that is old does."""
+        server, service = self._pick_server()
+        newest = server.born_ms or int(time.time() * 1000)
+        self._world.list_reborn(server, service, newest)
+        self._world.list_reborn(server, service, newest - 60_000)
+        self._pause()
+        self._world.list_reborn(server, service, newest)
+
+    def _spoiled(self) -> None:
+        """Let another writer spoil entries, one of them a server's own for a while."""
+        server, service = self._pick_server()
+        store = self._world.store
+        for number, spec in enumerate(_SPOILED):
+            store.put("servers", f"x-{number}", spec)
+        store.put("servers", server.server_id, self._rng.choice(_SPOILED))
+        self._pause()
+        self._world.list_again(server, service)
+        for number in range(len(_SPOILED)):
+            store.remove("servers", f"x-{number}")
+
+    def _slow_callers(self) -> None:
+        """Let callers begin bodies that they do not end."""
+        host, _, port = self._world.addresses[self._rng.choice(self._world.gateways)][
+            "http"
+        ].partition(":")
+        callers = []
+        for number in range(_SLOW_CALLERS):
+            try:
+                caller = socket.create_connection((host, int(port)), timeout=1.0)
+                caller.sendall(_SLOW_HEAD % number + b"x" * 1_000)
+                callers.append(caller)
+            except OSError:
+                # The gateway may just be down.
+                continue
+        self._pause()
+        for caller in callers:
+            caller.close()
+
     def _through(self, proxy, mode: Mode) -> None:
         proxy.mode = mode
         self._pause(2.5)
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -421,6 +421,7 @@
         self.folder = Path(self._folder.name)
         self.store = ObjectStore()
         self.servers: dict[str, Server] = {}
+        self.service_of: dict[str, str] = {}
         self.routes: list[dict[str, Any]] = []
         #: The tenants of the configuration; None if it has none.
         self.tenants: list[dict[str, Any]] | None = None
@@ -475,6 +476,7 @@
     ) -> Server:
         """Start a server and list it."""
         server = Server(f"i-{len(self.servers)}")
+        self.service_of[server.server_id] = service
         if script is not None:
             server.script = script
         self.servers[server.server_id] = server
@@ -492,10 +494,14 @@
             spec["born"] = server.born_ms
         self.store.put("servers", server.server_id, {**spec, "state": state, "seq": 1})
 
+    def list_again(self, server: Server, service: str) -> None:
+        """Let a server tell of itself as before."""
+        self._list(server, service, address_of(server.listener), "ready")
+
     def list_reborn(self, server: Server, service: str, born_ms: int) -> None:
         """Let a server tell that it started again, at the address that it had."""
         server.born_ms = born_ms
-        self._list(server, service, address_of(server.listener), "ready")
+        self.list_again(server, service)
 
     def drain(self, server: Server, service: str) -> None:
         """Let a server tell that it leaves."""
