--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -426,6 +426,7 @@
         self.folder = Path(self._folder.name)
         self.store = self.make_store()
         self.servers: dict[str, Server] = {}
+        self.service_of: dict[str, str] = {}
         self.routes: list[dict[str, Any]] = []
         #: The tenants of the configuration; None if it has none.
         self.tenants: list[dict[str, Any]] | None = None
@@ -433,6 +434,8 @@
         self.processes: dict[str, subprocess.Popen] = {}
         self.addresses: dict[str, dict[str, str]] = {}
         self._attempts = 0
+        #: Memory of the machines that are started from now on, in MB; None for the usual.
+        self.memory_mb: int | None = None
         for number in range(replicas):
             self.start_machine(f"storage-{number}", is_gateway=False, is_first=True)
         for number in range(gateways):
@@ -482,6 +485,7 @@
     ) -> Server:
         """Start a server and list it."""
         server = Server(f"i-{len(self.servers)}")
+        self.service_of[server.server_id] = service
         if script is not None:
             server.script = script
         self.servers[server.server_id] = server
@@ -499,10 +503,14 @@
             spec["born"] = server.born_ms
         self.store.put("servers", server.server_id, {**spec, "state": state, "seq": 1})
 
+    def list_again(self, server: Server, service: str) -> None:
+        """Let a server tell of itself as before."""
+        self._list(server, service, address_of(server.listener), "ready")
+
     def list_reborn(self, server: Server, service: str, born_ms: int) -> None:
         """Let a server tell that it started again, at the address that it had."""
         server.born_ms = born_ms
-        self._list(server, service, address_of(server.listener), "ready")
+        self.list_again(server, service)
 
     def drain(self, server: Server, service: str) -> None:
         """Let a server tell that it leaves."""
@@ -554,6 +562,7 @@
             f"last_peer_port = {port['metrics']}",
             f'platform_address = "{self.store_address(name)}"',
             f"is_first_start = {str(is_first).lower()}",
+            *([f"memory_mb = {self.memory_mb}"] if self.memory_mb is not None else []),
             "[bounds]",
             "stop = 6.0",
             "revocation_ms = 5000",
--- a/yarrowwall/relay/gateway_service.py
+++ b/yarrowwall/relay/gateway_service.py
@@ -20,6 +20,7 @@
 from yarrowwall.relay.http_server import ServerLimits, serve
 from yarrowwall.relay.ledger import ReplicatedLedger
 from yarrowwall.relay.load_reports import LoadReporter
+from yarrowwall.relay.memory_budget import MemoryBounds, MemoryBudget
 from yarrowwall.relay.metrics import MachineMetrics
 from yarrowwall.relay.model import Configuration
 from yarrowwall.relay.object_store import Change, ObjectName, ObjectStore, StoredObject
@@ -71,7 +72,15 @@
         self._pool = ConnectionPool(time.monotonic, time.time)
         self._directory.on_removed = self._pool.end_life
         self._limits = ServerLimits()
-        parts = RelayParts(self._directory, self._pool, adapter.servers, log, time.monotonic)
+        self._memory = MemoryBudget(MemoryBounds.of_machine(settings.memory_mb))
+        parts = RelayParts(
+            self._directory,
+            self._pool,
+            adapter.servers,
+            log,
+            time.monotonic,
+            memory=self._memory,
+        )
         self._views = GroupViews(self._note_view)
         links = self._links = RelayedLinkTable(settings.node_id, log, time.monotonic)
         own_address = Neighbour(settings.node_id, settings.zone, settings.peer_address)
@@ -178,6 +187,14 @@
         metrics.set_paces(self._directory.factors(time.monotonic()), self._directory.rates.all())
         metrics.set_relayed(self._links.relayed, self._forwarder.forwarded)
         metrics.set_relay_refusals(self._links.refused, self._forwarder.refused)
+        metrics.set_held(
+            {
+                "all": self._memory.held,
+                "peak": self._memory.peak,
+                "bound": self._memory.bounds.total,
+                "server_with_most": self._memory.most_for_a_server,
+            }
+        )
 
     @property
     def is_ready(self) -> bool:
--- a/yarrowwall/relay/metrics.py
+++ b/yarrowwall/relay/metrics.py
@@ -73,6 +73,8 @@
 )
 READING = _Description("prompt_tokens_read_per_second", "Reading speed of engines", "service")
 AGE = _Description("configuration_age_seconds", "Time since the newest proof of the configuration")
+GIVEN_UP = _Description("callers_given_up", "Callers that read or sent nothing for too long")
+HELD = _Description("held_bytes", "Bytes held for callers and servers", "of")
 ENTRIES_REFUSED = _Description(
     "server_entries_refused", "Entries of servers that name none to use", "fault"
 )
@@ -113,6 +115,7 @@
             decisions.SendFailed: lambda event: self._add(FAILED_SENDS, event.may_have_run),
             decisions.AnswerBrokenOff: lambda event: self._add(BROKEN),
             decisions.CallerLeft: lambda event: self._add(LEFT),
+            decisions.CallerGivenUp: lambda event: self._add(GIVEN_UP),
             decisions.BudgetDecided: lambda event: self._add(BUDGETS, event.granted),
             decisions.PartsAsked: self._parts_asked,
             decisions.TurnKeptInZone: lambda event: self._add(ZONE_KEPT),
@@ -195,6 +198,11 @@
         for label, count in counts.items():
             self._counts[_Key(metric, label)] = count
 
+    def set_held(self, held: Mapping[str, int]) -> None:
+        """Take in how many bytes are held, by what is told of them."""
+        for of, count in held.items():
+            self._set(HELD, count, of)
+
     def set_lent(self, lent: Mapping[str, int]) -> None:
         """Take in what counts against each tenant's part."""
         self._set_all(LENT, lent)
