--- /dev/null
+++ b/features/room_at_gateways.feature
@@ -0,0 +1,13 @@
+@platform_world
+Feature: Gateways ask a replica for room before a new program begins
+  Gateways and replicas run as processes; a server with 16 places holds streams for 2.4 s.
+
+  Scenario: What is new is refused before it is sent, and what runs goes on
+    Given a stream route "talk" whose server pauses 600 ms between events
+    When 16 new programs come at two gateways, one each 120 ms
+    Then the first 11 of them at least got whole answers
+    And the others got 503 with Retry-After and reached no server
+    And a sub-agent of the first program got a whole answer meanwhile
+    And the log of a gateway tells why, and who had the room
+    When those who were refused come back after all have ended
+    Then they all got whole answers
--- a/features/steps/platform_program_steps.py
+++ b/features/steps/platform_program_steps.py
@@ -22,7 +22,7 @@
         headers.pop("text", "question").encode(),
         gateway,
         X_Program_Id=program,
-        X_Session_Id=program,
+        X_Session_Id=headers.pop("session", program),
         X_Token_Budget=str(budget),
         X_Token_Count="100,40",
         **headers,
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -1,6 +1,8 @@
 """Steps about the admission of new programs while servers are scarce."""
 
+import time
 from collections.abc import Callable, Iterable
+from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
 from behave.runner import Context
@@ -8,6 +10,9 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from features.steps.platform_program_steps import turn
+from features.support.platform_scripts import arrivals, world
+from features.support.platform_world import Answer
 from features.support.room_model import (
     Day,
     LetIn,
@@ -318,3 +323,75 @@
     programs.end_turn(1, NOW + 9.0)
     assert programs.by_service(NOW + 9.1) == [("models", 1, 3000)]
     assert programs.by_service(NOW + 12.0) == []
+
+
+# At gateways
+
+
+def talk(context: Context, program: str, gateway: int, session: str = "") -> Answer:
+    """Send the first turn of a line of a program."""
+    return turn(context, "talk", program, 1000, gateway, session=session or program)
+
+
+@when("{count:d} new programs come at two gateways, one each {pause:d} ms")
+def programs_come(context: Context, count: int, pause: int) -> None:
+    with ThreadPoolExecutor(count + 1) as pool:
+        coming = []
+        for number in range(count):
+            coming.append(pool.submit(talk, context, f"p{number}", number % 2))
+            time.sleep(pause / 1000.0)
+        helper = pool.submit(talk, context, "p0", 1, "helper")
+        context.answers = [one.result() for one in coming]
+        context.helper = helper.result()
+
+
+@then("the first {count:d} of them at least got whole answers")
+def first_whole(context: Context, count: int) -> None:
+    statuses = [answer.status for answer in context.answers]
+    assert all(answer.is_whole for answer in context.answers), statuses
+    assert statuses[:count] == [200] * count, statuses
+
+
+@then("the others got 503 with Retry-After and reached no server")
+def others_refused(context: Context) -> None:
+    refused = [answer for answer in context.answers if answer.status != 200]
+    assert refused and all(answer.status == 503 for answer in refused), refused
+    assert all(0.0 < float(answer.headers["Retry-After"]) <= 1.1 for answer in refused), refused
+    reached = {arrival.attempt_id for arrival in arrivals(context, "talk")}
+    assert not reached & {answer.headers["X-Attempt-Id"] for answer in refused}
+    assert max(answer.seconds for answer in refused) < 0.5, refused
+
+
+@then("a sub-agent of the first program got a whole answer meanwhile")
+def helper_served(context: Context) -> None:
+    assert context.helper.status == 200 and context.helper.is_whole, context.helper
+
+
+@then("the log of a gateway tells why, and who had the room")
+def log_tells(context: Context) -> None:
+    lines = [
+        line
+        for name in ("edge-0", "edge-1")
+        for line in world(context).log(name)
+        if line["kind"] == "RoomDecided"
+    ]
+    refused = [line for line in lines if not line["admitted"]]
+    assert refused and all(line["scarce"] in ("places", "turn") for line in refused), lines
+    assert all(line["taken"] >= 8 and line["places"] == 16 for line in lines), lines
+    assert all(line["holder_share"] == 1.0 for line in refused), refused
+
+
+@when("those who were refused come back after all have ended")
+def refused_return(context: Context) -> None:
+    numbers = [number for number, answer in enumerate(context.answers) if answer.status != 200]
+    time.sleep(2.5)
+    with ThreadPoolExecutor(len(numbers)) as pool:
+        context.answers = list(
+            pool.map(lambda number: talk(context, f"p{number}", number % 2), numbers)
+        )
+
+
+@then("they all got whole answers")
+def all_whole(context: Context) -> None:
+    found = [(answer.status, answer.is_whole) for answer in context.answers]
+    assert found == [(200, True)] * len(found), found
--- a/yarrowwall/cli/failures.py
+++ b/yarrowwall/cli/failures.py
@@ -11,6 +11,7 @@
 
 from yarrowwall.cli.explain import read_lines
 from yarrowwall.relay.freshness import TOO_OLD
+from yarrowwall.relay.program_rooms import NO_ROOM
 
 _ENDS = {"AttemptAnswered", "AttemptRefused", "AnswerBrokenOff", "CallerLeft"}
 _BUDGET_SPENT = 402
@@ -34,6 +35,8 @@
     LIMIT = "refused by its tenant's limit"
     #: The configuration was too old to tell whether the key still holds.
     AGE = "refused for the configuration's age"
+    #: The servers were full, and the program did not find room when it came again.
+    ROOM = "refused for want of room"
     #: The gateway refused: not run.
     REFUSED = "refused as not run"
     #: No server answered a request that may be repeated within its time.
@@ -146,11 +149,16 @@
     if status < _SERVER_ERROR:
         return None
     if status == _UNAVAILABLE:
-        is_old = attempt.end.get("reason", "").startswith(TOO_OLD)
-        return Cause.AGE if is_old else Cause.REFUSED
+        return _cause_of_unavailable(attempt.end.get("reason", ""))
     return Cause.TIMED_OUT if is_repeatable else Cause.LOST_UNREPEATABLE
 
 
+def _cause_of_unavailable(reason: str) -> Cause:
+    if reason.startswith(TOO_OLD):
+        return Cause.AGE
+    return Cause.ROOM if reason.startswith(NO_ROOM) else Cause.REFUSED
+
+
 def failed_programs(attempts: list[Attempt]) -> list[FailedProgram]:
     """Return the programs of which nothing was heard after an attempt had failed.
 
@@ -229,6 +237,43 @@
     return dict(spent_s.most_common())
 
 
+class RoomHolders(NamedTuple):
+    """Who had the room that programs were refused for.
+
+    :param refused: new programs that were refused, by tenant.
+    :param holders: the same refusals, by the tenant with most programs admitted then.
+    :param scarce: the same, by what was lacking.
+    """
+
+    refused: Counter[str]
+    holders: Counter[str]
+    scarce: Counter[str]
+
+
+def room_holders(lines: Iterable[dict[str, Any]]) -> RoomHolders:
+    """Return who was refused for want of room, and who had it."""
+    found = RoomHolders(Counter(), Counter(), Counter())
+    for line in lines:
+        if line["kind"] == "RoomDecided" and not line["admitted"]:
+            found.refused[line["tenant"]] += 1
+            found.holders[line["holder"] or "nobody yet"] += 1
+            found.scarce[line["scarce"]] += 1
+    return found
+
+
+#: Tenants that are listed beside refusals for want of room.
+MOST_TENANTS_LISTED = 5
+
+
+def _list_room(found: RoomHolders) -> None:
+    if not found.refused:
+        return
+    click.echo(f"{found.refused.total():5d} new programs refused for want of room")
+    for title, counts in zip(("of", "while most was held by", "lacking"), found, strict=True):
+        listed = counts.most_common(MOST_TENANTS_LISTED)
+        click.echo(f"      {title} " + ", ".join(f"{name} {count}" for name, count in listed))
+
+
 @click.command()
 @click.option("--late", is_flag=True, help="List the programs that were late instead.")
 @click.argument("logs", nargs=-1, required=True, type=click.Path(exists=True, path_type=Path))
@@ -260,6 +305,7 @@
     for cause, count in Counter(one.cause for one in failed).most_common():
         saved = "might be saved" if cause.could_be_saved else "could not be saved"
         click.echo(f"{count:5d} {cause} ({saved})")
+    _list_room(room_holders(lines))
 
 
 def _list_late(programs: list[LateProgram], output: str) -> None:
