A decision on room costs one pass; a program that its limit refused gives its room back

Shares were worked out once for each tenant that waits; now once a decision. A program that was let in by room and refused by its tenant's limit (429) was let in for 10 s without being counted; its room is given back.

--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -273,6 +273,15 @@
     assert admission.decide(question(1, taken=80), UnderWay(), NOW + 0.3).is_admitted
 
 
+@then("a program that its tenant's limit refused after all leaves its room to the next")
+def given_back(context: Context) -> None:
+    admission = ProgramAdmission()
+    assert admission.decide(question(1, taken=79), UnderWay(), NOW).is_admitted
+    admission.take_back(1, "t")
+    assert admission.decide(question(2, taken=79), UnderWay(), NOW).is_admitted
+    assert not admission.decide(question(1, taken=79), UnderWay(), NOW).is_admitted
+
+
 @then("all of a capacity is shared out, and nobody goes without while another has more")
 def max_min(context: Context) -> None:
     amounts = st.floats(0.0, 1000.0)
--- a/yarrowwall/capacity/admission.py
+++ b/yarrowwall/capacity/admission.py
@@ -55,48 +55,50 @@
         """
         self._forget_past(now_s)
         if ask.program in self._admitted:
-            return self._reply(True, 0.0, Forecast(0.0, Scarce.NOTHING), Ahead(0, 0))
+            return self._reply(True, 0.0, Forecast(0.0, Scarce.NOTHING), 0)
         self._note_time(ask.finish_in_s)
         room = self._forecast(ask, under_way, now_s)
-        over = self._tenants_over(ask.tenant)
+        over = self._shares.tenants_over(self._returns.by_tenant)
         standing = self._returns.standing(ask.program, ask.tenant in over, now_s)
         due_by_s = now_s + SOON_SECONDS
         ahead = self._returns.ahead(ask.program, standing, over, due_by_s, now_s)
-        if room.programs >= self._needed(ask, standing, ahead, now_s):
-            self._admit(ask, standing, now_s)
-            return self._reply(True, 0.0, room, ahead)
+        if room.programs >= self._needed(ask, standing, ahead):
+            self._count_overtaking(standing, ahead)
+            self._admit(ask, now_s)
+            return self._reply(True, 0.0, room, ahead.all)
         if room.programs >= 1.0:
             room = Forecast(room.programs, Scarce.TURN)
         retry_after_s = self._refuse(ask, under_way, ahead, now_s)
-        return self._reply(False, retry_after_s, room, ahead)
+        return self._reply(False, retry_after_s, room, ahead.all)
+
+    def take_back(self, program: int, tenant: str) -> None:
+        """Take in that an admitted program did not begin, since its tenant's limit had no room."""
+        if self._admitted.pop(program, None) is not None:
+            self._shares.take_back(tenant)
 
     def _forecast(self, ask: AskRoom, under_way: UnderWay, now_s: float) -> Forecast:
         begun = self._shares.since(now_s - ask.age_s - VISIBLE_SECONDS)
         free = free_places(ask.places, ask.taken)
         return forecast(free, ask.memory_tokens, under_way, begun, ask.tokens)
 
-    def _tenants_over(self, tenant: str) -> set[str]:
-        waiting = self._returns.by_tenant
-        names = {tenant, *waiting}
-        return {name for name in names if self._shares.is_over(name, waiting)}
-
-    def _needed(self, ask: AskRoom, standing: Standing, ahead: Ahead, now_s: float) -> float:
+    def _needed(self, ask: AskRoom, standing: Standing, ahead: Ahead) -> float:
         """Return how many programs there must be room for, so that this one may begin."""
         if standing.is_late and self._overtaking >= LATE_EVERY:
             return 1.0
         needed = 1.0 + ahead.due
         if standing.is_over:
             needed += KEPT_SHARE * ask.places
-        is_turn_of_late = not standing.is_late and self._overtaking >= LATE_EVERY
-        if is_turn_of_late and self._returns.is_late_one_due(now_s + SOON_SECONDS, now_s):
+        if ahead.is_late_due and not standing.is_late and self._overtaking >= LATE_EVERY:
             needed += 1.0
         return needed
 
-    def _admit(self, ask: AskRoom, standing: Standing, now_s: float) -> None:
+    def _count_overtaking(self, standing: Standing, ahead: Ahead) -> None:
         if standing.is_late:
             self._overtaking = 0
-        elif self._returns.is_late_one_due(now_s + SOON_SECONDS, now_s):
+        elif ahead.is_late_due:
             self._overtaking += 1
+
+    def _admit(self, ask: AskRoom, now_s: float) -> None:
         self._returns.remove(ask.program)
         self._shares.note_admitted(ask.tenant, ask.weight, now_s)
         self._admitted[ask.program] = now_s
@@ -151,7 +153,7 @@
             del self._admitted[program]
 
     def _reply(
-        self, is_admitted: bool, retry_after_s: float, room: Forecast, ahead: Ahead
+        self, is_admitted: bool, retry_after_s: float, room: Forecast, ahead: int
     ) -> RoomReply:
         holder = self._shares.holder
         return RoomReply(
@@ -160,7 +162,7 @@
             Scarce.NOTHING if is_admitted else room.scarce,
             room.programs,
             len(self._returns),
-            ahead.all,
+            ahead,
             holder.tenant,
             holder.share,
         )
--- a/yarrowwall/capacity/returns.py
+++ b/yarrowwall/capacity/returns.py
@@ -45,10 +45,12 @@
     """The programs that go before one.
 
     :param due: those of them that should be back by now, or are any moment.
+    :param is_late_due: whether one that can no longer be in time is due, before it or behind.
     """
 
     all: int
     due: int
+    is_late_due: bool
 
 
 class ReturnOrder:
@@ -103,24 +105,28 @@
     ) -> Ahead:
         """Return the programs that go before one.
 
+        This is gone through for each question, so it makes no values of its own on the way.
+
         :param over: tenants with more than their share.
         """
         count = due = 0
+        is_late_due = False
         for name, known in self._waiting.items():
             if name == program:
                 continue
-            other = Standing(known.tenant in over, now_s >= known.late_from_s, known.number)
-            if other < standing:
+            is_due = known.due_s <= due_by_s
+            is_late = now_s >= known.late_from_s
+            is_late_due = is_late_due or (is_due and is_late)
+            if (known.tenant in over) != standing.is_over:
+                goes_before = standing.is_over
+            elif is_late != standing.is_late:
+                goes_before = standing.is_late
+            else:
+                goes_before = known.number < standing.number
+            if goes_before:
                 count += 1
-                due += known.due_s <= due_by_s
-        return Ahead(count, due)
-
-    def is_late_one_due(self, due_by_s: float, now_s: float) -> bool:
-        """Return whether a program that cannot be in time is back, or is any moment."""
-        return any(
-            known.due_s <= due_by_s and now_s >= known.late_from_s
-            for known in self._waiting.values()
-        )
+                due += is_due
+        return Ahead(count, due, is_late_due)
 
     def note_refused(self, program: int, tenant: str, late_from_s: float, due_s: float) -> None:
         """Take in that a program was told to come back at a time."""
--- a/yarrowwall/capacity/shares.py
+++ b/yarrowwall/capacity/shares.py
@@ -54,24 +54,34 @@
         """Count no more what was admitted long ago."""
         while self._admissions and self._admissions[0][0] < now_s - WINDOW_SECONDS:
             _, tenant = self._admissions.popleft()
-            self._admitted[tenant] -= 1
-            if not self._admitted[tenant]:
-                del self._admitted[tenant], self._weights[tenant]
+            self._count_less(tenant)
 
-    def is_over(self, tenant: str, waiting: Mapping[str, int]) -> bool:
-        """Return whether a tenant has more than its share of the programs admitted lately.
+    def take_back(self, tenant: str) -> None:
+        """Count one program less, which was admitted and did not begin."""
+        for index in range(len(self._admissions) - 1, -1, -1):
+            if self._admissions[index][1] == tenant:
+                del self._admissions[index]
+                self._count_less(tenant)
+                return
+
+    def _count_less(self, tenant: str) -> None:
+        self._admitted[tenant] -= 1
+        if not self._admitted[tenant]:
+            del self._admitted[tenant], self._weights[tenant]
+
+    def tenants_over(self, waiting: Mapping[str, int]) -> set[str]:
+        """Return the tenants with more than their share of the programs admitted lately.
 
         :param waiting: programs that were refused and may come back, by tenant.
         """
-        admitted = self._admitted[tenant]
-        if not admitted or len(self._admitted) + len(waiting) < 2:
-            return False
-        # Each tenant may send one more any moment; what nobody else asks for is no one's share.
         names = self._admitted.keys() | waiting.keys()
+        if len(names) < 2:
+            return set()
+        # Each tenant may send one more any moment; what nobody else asks for is no one's share.
         demands = {name: self._admitted[name] + waiting.get(name, 0) + 1.0 for name in names}
         weights = {name: self._weights.get(name, PLAIN_WEIGHT) for name in names}
         level = water_level(demands, weights, float(self._admitted.total()))
-        return admitted > weights[tenant] * level
+        return {name for name, count in self._admitted.items() if count > weights[name] * level}
 
     def since(self, after_s: float) -> int:
         """Return how many programs were admitted after a moment of the window."""
--- a/yarrowwall/messages/capacity.py
+++ b/yarrowwall/messages/capacity.py
@@ -79,3 +79,12 @@
     ahead: int
     holder: str
     holder_share: float
+
+
+@message(142)
+class ReturnRoom:
+    """Note that a program which was admitted did not begin; there is no reply."""
+
+    service: str
+    tenant: str
+    program: int
--- a/yarrowwall/relay/gateway.py
+++ b/yarrowwall/relay/gateway.py
@@ -356,13 +356,24 @@
             return
         sizes = self._parts.program_sizes
         if grant.is_first:
-            service = self._service_of(route)
-            if service is not None and service.engine is not None:
-                turns = sizes.expected_turns(route.name)
-                self._parts.rooms.begin_program(NewProgram(attempt, service, turns))
-            allowance.begin_program(sizes.expected(route.name))
+            self._ask_for_room(attempt, route, allowance)
         sizes.note_turn(route.name, grant.is_first)
 
+    def _ask_for_room(self, attempt: Attempt, route: Route, allowance: Allowance) -> None:
+        sizes = self._parts.program_sizes
+        service = self._service_of(route)
+        if service is None or service.engine is None:
+            allowance.begin_program(sizes.expected(route.name))
+            return
+        # A lender counts each program that it welcomes, so the servers' room goes first.
+        new = NewProgram(attempt, service, sizes.expected_turns(route.name))
+        self._parts.rooms.begin_program(new)
+        try:
+            allowance.begin_program(sizes.expected(route.name))
+        except RefusedError:
+            self._parts.rooms.did_not_begin(new)
+            raise
+
     def _stream_headers(self, answer: Answer) -> list[tuple[str, str]]:
         return self._gateway._callers.answer_headers(answer)
 
--- a/yarrowwall/relay/load_reports.py
+++ b/yarrowwall/relay/load_reports.py
@@ -15,7 +15,7 @@
 from eventlet.event import Event
 
 from yarrowwall.capacity.programs import ProgramsUnderWay
-from yarrowwall.messages.capacity import AskRoom, RoomReply, ServiceUnderWay
+from yarrowwall.messages.capacity import AskRoom, ReturnRoom, RoomReply, ServiceUnderWay
 from yarrowwall.messages.replicated import LoadReply, Member, ReportLoad, TellLoad
 from yarrowwall.relay.loads import LoadQuestion, LoadSource, NothingAsked
 from yarrowwall.relay.servers import ServerDirectory
@@ -162,6 +162,12 @@
             return None
         return reply if isinstance(reply, RoomReply) else None
 
+    def return_room(self, told: ReturnRoom) -> None:
+        """Tell that a program which was admitted did not begin."""
+        member = self._board()
+        if member is not None:
+            self._links.get(member.address).tell(told)
+
     def _take(self, reply: LoadReply) -> None:
         self.reporters = reply.reporters
         elsewhere = dict(zip(reply.servers, reply.running, strict=True))
--- a/yarrowwall/relay/program_rooms.py
+++ b/yarrowwall/relay/program_rooms.py
@@ -8,7 +8,7 @@
 from yarrowwall.capacity.room import ServiceRoom
 from yarrowwall.capacity.shares import PLAIN_WEIGHT
 from yarrowwall.core.hashing import first_bits
-from yarrowwall.messages.capacity import AskRoom, RoomReply, Scarce
+from yarrowwall.messages.capacity import AskRoom, ReturnRoom, RoomReply, Scarce
 from yarrowwall.relay import decisions
 from yarrowwall.relay.decisions import DecisionLog
 from yarrowwall.relay.load_reports import LoadReporter
@@ -78,6 +78,12 @@
             )
             raise RefusedError(Refusal(_UNAVAILABLE, reason, reply.retry_after_s))
 
+    def did_not_begin(self, new: NewProgram) -> None:
+        """Give back the room of a program that its tenant's limit refused."""
+        attempt = new.attempt
+        told = ReturnRoom(new.service.name, attempt.tenant, _program_key(attempt))
+        self._reporter.return_room(told)
+
     @contextmanager
     def turn(self, attempt: Attempt, service: Service | None) -> Iterator[None]:
         """Count a turn as under way until the context is left."""
--- a/yarrowwall/relay/rooms.py
+++ b/yarrowwall/relay/rooms.py
@@ -29,6 +29,10 @@
         :raises RefusedError: if there is no room for it.
         """
 
+    @abstractmethod
+    def did_not_begin(self, new: NewProgram) -> None:
+        """Note that a program for which there was room was refused for another reason."""
+
     @abstractmethod
     @contextmanager
     def turn(self, attempt: Attempt, service: Service | None) -> Iterator[None]:
@@ -45,6 +49,9 @@
     def begin_program(self, new: NewProgram) -> None:
         """Ask nobody."""
 
+    def did_not_begin(self, new: NewProgram) -> None:
+        """Tell nobody."""
+
     @contextmanager
     def turn(self, attempt: Attempt, service: Service | None) -> Iterator[None]:
         """Count nothing."""
--- a/yarrowwall/replication/room_board.py
+++ b/yarrowwall/replication/room_board.py
@@ -1,7 +1,7 @@
 """Admission of new programs by service, over the sums of the load board. No I/O."""
 
 from yarrowwall.capacity.admission import ProgramAdmission
-from yarrowwall.messages.capacity import AskRoom, RoomReply
+from yarrowwall.messages.capacity import AskRoom, ReturnRoom, RoomReply
 from yarrowwall.replication.load_board import LoadBoard
 
 #: Services that are remembered; beyond it the one asked for longest ago is forgotten.
@@ -22,3 +22,9 @@
         if len(self._services) > MOST_SERVICES:
             del self._services[next(iter(self._services))]
         return admission.decide(ask, loads.under_way(ask.service), now_s)
+
+    def take_back(self, told: ReturnRoom) -> None:
+        """Take in that an admitted program did not begin."""
+        admission = self._services.get(told.service)
+        if admission is not None:
+            admission.take_back(told.program, told.tenant)
--- a/yarrowwall/replication/service.py
+++ b/yarrowwall/replication/service.py
@@ -7,7 +7,7 @@
 import eventlet
 
 from yarrowwall.listeners import EarlyListeners
-from yarrowwall.messages.capacity import AskRoom
+from yarrowwall.messages.capacity import AskRoom, ReturnRoom
 from yarrowwall.messages.objects import ListObjects, WatchObjects
 from yarrowwall.messages.quotas import ReturnQuota, TakeQuota
 from yarrowwall.messages.replicated import (
@@ -158,6 +158,9 @@
         if isinstance(request, AskRoom):
             reply(self._rooms.decide(request, self._loads, time.monotonic()))
             return
+        if isinstance(request, ReturnRoom):
+            self._rooms.take_back(request)
+            return
         if isinstance(request, TakeQuota):
             self._lending.take(request, reply)
             return
