--- a/features/room.feature
+++ b/features/room.feature
@@ -37,6 +37,13 @@
     Then at least 980 in 1000 programs that begin three seconds after the burst are in time
     And longer programs are served within 50 in 1000 of shorter ones
 
+  Scenario: A burst so large that many cannot be served passes no kind by
+    Given a day with a burst of 7 times and a quarter of the engines slow
+    When a replica admits programs by room
+    Then at least 980 in 1000 programs that begin three seconds after the burst are in time
+    And at least 750 in 1000 programs of the burst are served
+    And both kinds of programs are served within 50 in 1000 of each other
+
   Scenario Outline: Sums that are <age> ms old
     Given a day with a burst of 4 times, a tenant of 24 times and a quarter of the engines slow
     And sums of what is under way that are up to <age> ms old
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -87,6 +87,19 @@
     context.day = Day(float(burst), float(burst), 0.25, burst_of_long=True)
 
 
+@given("a day with a burst of {burst:d} times and a quarter of the engines slow")
+def large_burst(context: Context, burst: int) -> None:
+    context.day = Day(float(burst), float(burst), 0.25)
+
+
+@then("both kinds of programs are served within {count:d} in 1000 of each other")
+def kinds_equal(context: Context, count: int) -> None:
+    programs = of_burst(context)
+    long = share_of([one for one in programs if one.is_long], is_served)
+    short = share_of([one for one in programs if not one.is_long], is_served)
+    assert abs(short - long) * 1000.0 <= count, (long, short)
+
+
 @given("a day with a burst of {burst:d} times and all engines sound")
 def bursty_day(context: Context, burst: int) -> None:
     context.day = Day(float(burst), float(burst))
--- a/yarrowwall/capacity/admission.py
+++ b/yarrowwall/capacity/admission.py
@@ -83,11 +83,11 @@
 
     def _needed(self, ask: AskRoom, standing: Standing, ahead: Ahead) -> float:
         """Return how many programs there must be room for, so that this one may begin."""
-        if standing.is_late and self._overtaking >= LATE_EVERY:
-            return 1.0
         needed = 1.0 + ahead.due
         if standing.is_over:
-            needed += KEPT_SHARE * ask.places
+            return needed + KEPT_SHARE * ask.places
+        if standing.is_late and self._overtaking >= LATE_EVERY:
+            return 1.0
         if ahead.is_late_due and not standing.is_late and self._overtaking >= LATE_EVERY:
             needed += 1.0
         return needed
--- a/yarrowwall/capacity/returns.py
+++ b/yarrowwall/capacity/returns.py
@@ -19,6 +19,11 @@
 #: Programs are wanted within about twice their time on idle servers; at the most that servers
 #: are filled to, they take up to 1.3 times that.
 IN_TIME_SHARE = 0.6
+#: Seconds after which a program goes behind in any case. Long programs have time for more, and
+#: would pass all short ones by: in the model of features/room.feature (a burst of 7 times) 85 in
+#: 100 long programs are served and 77 short ones without it, 77 and 80 with it. It is about the
+#: longest that a caller waits at once.
+MOST_AHEAD_SECONDS = 1.5
 
 
 class Standing(NamedTuple):
@@ -46,7 +51,8 @@
     """The programs that go before one.
 
     :param due: those of them that should be back by now, or are any moment.
-    :param is_late_due: whether one that can no longer be in time is due, before it or behind.
+    :param is_late_due: whether one that can no longer be in time, of a tenant within its share, is
+        due, before it or behind.
     """
 
     all: int
@@ -93,13 +99,13 @@
         return Standing(is_over, now_s >= known.late_from_s, known.number)
 
     def late_from_s(self, program: int, finish_in_s: float, now_s: float) -> float:
-        """Return when a program can no longer be in time; infinite if its time is untold."""
+        """Return when a program is held to be late; infinite if its time is untold."""
         known = self._waiting.get(program)
         if known is not None:
             return known.late_from_s
         if finish_in_s <= 0.0:
             return float("inf")
-        return now_s + (1.0 - IN_TIME_SHARE) * finish_in_s
+        return now_s + min((1.0 - IN_TIME_SHARE) * finish_in_s, MOST_AHEAD_SECONDS)
 
     def ahead(
         self, program: int, standing: Standing, over: set[str], due_by_s: float, now_s: float
@@ -117,8 +123,9 @@
                 continue
             is_due = known.due_s <= due_by_s
             is_late = now_s >= known.late_from_s
-            is_late_due = is_late_due or (is_due and is_late)
-            if (known.tenant in over) != standing.is_over:
+            is_over = known.tenant in over
+            is_late_due = is_late_due or (is_due and is_late and not is_over)
+            if is_over != standing.is_over:
                 goes_before = standing.is_over
             elif is_late != standing.is_late:
                 goes_before = standing.is_late
