--- a/features/room.feature
+++ b/features/room.feature
@@ -79,6 +79,7 @@
     And callers that are refused together are told to come back one after another
     And an admitted program whose first turn is sent once more takes no second place
     And a program that its tenant's limit refused after all leaves its room to the next
+    And of two tenants the one with twice the agreed rate is over its share at twice as many
     And all of a capacity is shared out, and nobody goes without while another has more
 
   Scenario: Where no replica answers, gateways keep to their own parts
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -27,7 +27,7 @@
 from yarrowwall.capacity.programs import ProgramsUnderWay
 from yarrowwall.capacity.returns import GRACE_SECONDS
 from yarrowwall.capacity.room import PLACES_SHARE, ServiceRoom, UnderWay
-from yarrowwall.capacity.shares import water_level
+from yarrowwall.capacity.shares import TenantShares, water_level
 from yarrowwall.messages.capacity import AskRoom
 
 #: What a program that ends late is worth, in parts of one in time: callers give 0.12 to 0.46.
@@ -291,6 +291,20 @@
     assert admission.decide(question(1, taken=80), UnderWay(), NOW + 0.3).is_admitted
 
 
+@then("of two tenants the one with twice the agreed rate is over its share at twice as many")
+def weighted(context: Context) -> None:
+    shares = TenantShares()
+    waiting = {"large": 100, "small": 100}
+    for _ in range(20):
+        shares.note_admitted("large", 20.0, NOW)
+    for _ in range(8):
+        shares.note_admitted("small", 10.0, NOW)
+    assert shares.tenants_over(waiting) == {"large"}
+    for _ in range(4):
+        shares.note_admitted("small", 10.0, NOW)
+    assert shares.tenants_over(waiting) == {"small"}
+
+
 @then("a program that its tenant's limit refused after all leaves its room to the next")
 def given_back(context: Context) -> None:
     admission = ProgramAdmission()
--- a/yarrowwall/capacity/shares.py
+++ b/yarrowwall/capacity/shares.py
@@ -7,7 +7,7 @@
 #: Seconds for which an admission counts. Programs last a few seconds; what was admitted before
 #: has ended, and a tenant that was hot is no longer held back.
 WINDOW_SECONDS = 2.0
-#: Weight of a tenant without an agreed rate.
+#: Weight of all tenants if none has an agreed rate.
 PLAIN_WEIGHT = 1.0
 
 
@@ -45,10 +45,14 @@
         self._weights: dict[str, float] = {}
 
     def note_admitted(self, tenant: str, weight: float, now_s: float) -> None:
-        """Count a program."""
+        """Count a program.
+
+        :param weight: the tenant's agreed rate; 0 without one.
+        """
         self._admissions.append((now_s, tenant))
         self._admitted[tenant] += 1
-        self._weights[tenant] = max(weight, 1e-6)
+        if weight > 0.0:
+            self._weights[tenant] = weight
 
     def forget_past(self, now_s: float) -> None:
         """Count no more what was admitted long ago."""
@@ -67,7 +71,8 @@
     def _count_less(self, tenant: str) -> None:
         self._admitted[tenant] -= 1
         if not self._admitted[tenant]:
-            del self._admitted[tenant], self._weights[tenant]
+            del self._admitted[tenant]
+            self._weights.pop(tenant, None)
 
     def tenants_over(self, waiting: Mapping[str, int]) -> set[str]:
         """Return the tenants with more than their share of the programs admitted lately.
@@ -79,10 +84,16 @@
             return set()
         # Each tenant may send one more any moment; what nobody else asks for is no one's share.
         demands = {name: self._admitted[name] + waiting.get(name, 0) + 1.0 for name in names}
-        weights = {name: self._weights.get(name, PLAIN_WEIGHT) for name in names}
+        weights = {name: self._weights.get(name, self._usual_weight) for name in names}
         level = water_level(demands, weights, float(self._admitted.total()))
         return {name for name, count in self._admitted.items() if count > weights[name] * level}
 
+    @property
+    def _usual_weight(self) -> float:
+        """Return the weight of tenants without an agreed rate, or not admitted lately."""
+        known = self._weights.values()
+        return sum(known) / len(known) if known else PLAIN_WEIGHT
+
     def since(self, after_s: float) -> int:
         """Return how many programs were admitted after a moment of the window."""
         count = 0
--- a/yarrowwall/messages/capacity.py
+++ b/yarrowwall/messages/capacity.py
@@ -36,7 +36,7 @@
     """Say whether a new program may begin.
 
     :param program: digest of the program's name, as one of its tenant's.
-    :param weight: of the tenant, in shares of what is scarce.
+    :param weight: of the tenant, in shares of what is scarce: its agreed rate; 0 without one.
     :param tokens: of the engines' memory that the program is expected to keep.
     :param taken: requests under way at the service, as the gateway was told.
     :param age_s: how old that is.
--- a/yarrowwall/relay/program_rooms.py
+++ b/yarrowwall/relay/program_rooms.py
@@ -6,7 +6,6 @@
 from yarrowwall.capacity.own_share import BELIEVED_SECONDS, OwnShare
 from yarrowwall.capacity.programs import ProgramsUnderWay
 from yarrowwall.capacity.room import ServiceRoom
-from yarrowwall.capacity.shares import PLAIN_WEIGHT
 from yarrowwall.core.hashing import first_bits
 from yarrowwall.messages.capacity import AskRoom, ReturnRoom, RoomReply, Scarce
 from yarrowwall.relay import decisions
@@ -104,7 +103,7 @@
             new.service.name,
             attempt.tenant,
             _program_key(attempt),
-            limit.rate_per_s if limit is not None else PLAIN_WEIGHT,
+            limit.rate_per_s if limit is not None else 0.0,
             tokens,
             room.taken,
             room.age_s,
