--- a/features/steps/zone_group_steps.py
+++ b/features/steps/zone_group_steps.py
@@ -379,3 +379,61 @@
     assert set(_views(context)) == {""}
     group = _views(context)[""].group
     _until_done(lambda: _client(context).write(group, [_record()]), "the record is written")
+
+
+def _storage_of(context: Context, zone: str) -> list[str]:
+    names = [name for name in world(context).processes if name.startswith("storage")]
+    return [name for name in names if world(context).zone_of(name) == zone]
+
+
+@when('the storage machines of "{gone}" are killed and the store turns away those of "{cut}"')
+def cut_zone(context: Context, gone: str, cut: str) -> None:
+    context.gone = _storage_of(context, gone)
+    for name in context.gone:
+        world(context).kill(name)
+    for name in _storage_of(context, cut):
+        world(context).store.turn_away(name)
+
+
+@then(
+    'for {seconds:d} s each write in the group of "{zone}" is complete, '
+    "and none in the common group"
+)
+def writes_in_cut(context: Context, seconds: int, zone: str) -> None:
+    groups = {name: view.group for name, view in _views(context).items()}
+    client = _client(context)
+    context.written = []
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        key = f"turn/cut-{len(context.written)}"
+        client.write(groups[zone], [_record(key)])
+        context.written.append(key)
+        try:
+            client.write(groups[""], [_record(key)], timeout=0.2)
+        except NoQuorumError:
+            continue
+        raise AssertionError("the common group took a write")
+
+
+@when('the store takes all back and the storage machines of "{zone}" start again')
+def heal(context: Context, zone: str) -> None:
+    world(context).store.take_back()
+    for name in _storage_of(context, zone):
+        world(context).start_machine(name, is_gateway=False)
+
+
+@then("a write in the common group is complete")
+def common_writes(context: Context) -> None:
+    def write() -> None:
+        _client(context).write(_views(context)[""].group, [_record("turn/healed")])
+
+    _until_done(write, "the common group takes a write")
+
+
+@then('all that was written in the group of "{zone}" is found there')
+def all_found(context: Context, zone: str) -> None:
+    client = _client(context)
+    group = _views(context)[zone].group
+    assert len(context.written) > 1
+    for key in context.written:
+        assert client.read_chain(group, key, []) == {key: _record(key)}
--- a/features/zone_groups.feature
+++ b/features/zone_groups.feature
@@ -76,6 +76,15 @@
     Then the group of "zone-b" has 2 members within 15 s
     And the record is found in the group of "zone-b"
 
+  @real_processes
+  Scenario: A zone that reaches neither the others nor the store goes on in its own group
+    Given 4 storage machines in the zones "zone-a" and "zone-b" and a gateway
+    When the storage machines of "zone-a" are killed and the store turns away those of "zone-b"
+    Then for 3 s each write in the group of "zone-b" is complete, and none in the common group
+    When the store takes all back and the storage machines of "zone-a" start again
+    Then a write in the common group is complete
+    And all that was written in the group of "zone-b" is found there
+
   @real_processes
   Scenario: A system whose groups were made without zone groups gets none
     Given 4 storage machines in the zones "zone-a" and "zone-a" and a gateway
