A link that is closed leaves no listener under its descriptor's number

Cause: a connection closed while a greenthread reads it stays with eventlet's hub until its number is used again. Where the next user was the thread pool of the disk (it wraps its socket without telling the hub), the pool ended with 'Second simultaneous read', the replica wrote nothing more and said nothing of it. Seen once in features/platform.feature at a load average of 41: 'A replica that lost its disk is replaced by itself on an empty one', storage-2, after another replica was killed. The code before leaves such a listener at every close.

The change: the reading greenthread closes the connection.

Proof: features/silent_connections.feature, red before (a listener was left), green since.

--- a/features/silent_connections.feature
+++ b/features/silent_connections.feature
@@ -29,3 +29,8 @@
     And 6 clients send nothing on "lookup"
     Then every answer is 200
     And all came within 2.5 s
+
+  Scenario: A connection that is closed here leaves no listener under its number
+    Given a link to a replica that never answers
+    When the link is closed
+    Then eventlet's hub listens no more to its connection
--- a/features/steps/silent_steps.py
+++ b/features/steps/silent_steps.py
@@ -127,3 +127,25 @@
 def all_within(context: Context, limit: float) -> None:
     slow = [answer.seconds for answer in context.answers if answer.seconds > limit]
     assert not slow, slow
+
+
+@given("a link to a replica that never answers")
+def link_to_silent(context: Context) -> None:
+    listener = eventlet.listen(("127.0.0.1", 0))
+    eventlet.spawn_n(serve_requests, listener, lambda request, reply: None)
+    context.link = Link(f"127.0.0.1:{listener.getsockname()[1]}", time.monotonic)
+    context.link.post(AskStatus(0), lambda reply: None)
+    eventlet.sleep(0.1)
+    context.number = context.link._channel._connection.fileno()
+    assert context.number in eventlet.hubs.get_hub().listeners["read"]
+
+
+@when("the link is closed")
+def close_link(context: Context) -> None:
+    context.link.close()
+    eventlet.sleep(0.1)
+
+
+@then("eventlet's hub listens no more to its connection")
+def listens_no_more(context: Context) -> None:
+    assert context.number not in eventlet.hubs.get_hub().listeners["read"]
--- a/yarrowwall/replication/rpc.py
+++ b/yarrowwall/replication/rpc.py
@@ -88,13 +88,16 @@
         return frame[sent:]
 
     def close(self) -> None:
-        """End the connection."""
+        """End the connection; its reading greenthread wakes up and closes it.
+
+        Closed under that greenthread, its descriptor would stay with eventlet's hub until the
+        number is used again; if by the thread pool of the disk, that pool ends.
+        """
         if not self.is_open:
             return
         self.is_open = False
         with contextlib.suppress(OSError):
             self._connection.shutdown(socket.SHUT_RDWR)
-        self._connection.close()
         if not self._wakeup.ready():
             self._wakeup.send()
         self._closed()
@@ -126,6 +129,7 @@
         except (OSError, MessageError):
             pass
         self.close()
+        self._connection.close()
 
     def _take_frames(self, buffer: bytearray) -> None:
         start = 0
