A fault of an entry is told once whatever else is wrong with it; a life's text is kept

Cause: faults were remembered one a name, so an entry with two (a bad and a sound one of one id in each list) was told again at every list; entries without a name were told as one id that is there twice.

--- a/features/steps/server_entry_steps.py
+++ b/features/steps/server_entry_steps.py
@@ -171,7 +171,7 @@
 
 
 def _skip_known_bad(self: ServerList, change: Change) -> None:
-    if change.item.name not in self._faults:
+    if change.item.name not in {told.name for told in self._faults}:
         _take_change(self, change)
 
 
--- a/yarrowwall/relay/server_list.py
+++ b/yarrowwall/relay/server_list.py
@@ -5,6 +5,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from typing import NamedTuple
 
 from yarrowwall.relay import decisions
 from yarrowwall.relay.decisions import DecisionLog
@@ -16,8 +17,19 @@
 
 #: Entries whose faults are remembered, so that each is told of once and not at every list.
 MOST_REMEMBERED = 1000
-#: Faults that show only beside other entries.
-_DOUBLED = (EntryFault.DOUBLED_ID, EntryFault.DOUBLED_ADDRESS)
+#: Faults that show only beside other entries or the configuration.
+_BESIDE_OTHERS = (
+    EntryFault.DOUBLED_ID,
+    EntryFault.DOUBLED_ADDRESS,
+    EntryFault.UNKNOWN_SERVICE,
+)
+
+
+class _Told(NamedTuple):
+    """A fault of an entry that was told."""
+
+    name: str
+    fault: EntryFault
 
 
 class ServerList:
@@ -40,7 +52,7 @@
         self._services = services
         self._log = log
         self._now = now
-        self._faults: dict[str, EntryFault] = {}
+        self._faults: set[_Told] = set()
 
     def take_list(self, items: list[StoredObject]) -> None:
         """Take in the whole list."""
@@ -48,18 +60,20 @@
         known = {server_id: state.server for server_id, state in self._directory.states.items()}
         self._directory.replace_all(servers, self._services(), self._now())
         for name, count in Counter(item.name for item in items).items():
-            if count > 1:
+            if name and count > 1:
                 self._note_fault(name, EntryFault.DOUBLED_ID, f"{count} entries")
         # The first list is no news, and a start has other things to do than to write lines.
         for server in servers if known else ():
             self._tell(server, known.get(server.server_id), is_change=False)
+        for server in servers:
+            self._look_at_service(server)
         self._look_at_addresses(servers)
 
     def take_change(self, change: Change) -> None:
         """Take in one change."""
         item = change.item
         if change.is_gone:
-            self._faults.pop(item.name, None)
+            self._faults -= {told for told in self._faults if told.name == item.name}
             self._directory.remove(self._documents.server_life(item), self._now())
             self._log.write(decisions.ServerChanged(item.name, "", "gone"))
             return
@@ -69,8 +83,10 @@
             return
         before = self._directory.states.get(server.server_id)
         known = before.server if before is not None else None
+        self._forget_own_faults(server.server_id)
         self._directory.put(server, self._services(), self._now())
         self._tell(server, known, is_change=True)
+        self._look_at_service(server)
         self._look_at_addresses([server])
 
     def _read(self, item: StoredObject) -> Server | None:
@@ -80,12 +96,6 @@
         except UnusableEntryError as error:
             self._note_fault(item.name, error.fault, error.name)
             return None
-        services = self._services()
-        if services and server.service not in services:
-            # Nothing is sent there, unless a later configuration has the service.
-            self._note_fault(item.name, EntryFault.UNKNOWN_SERVICE, server.service)
-        elif self._faults.get(item.name) not in _DOUBLED:
-            self._faults.pop(item.name, None)
         return server
 
     def _tell(self, server: Server, before: Server | None, is_change: bool) -> None:
@@ -100,6 +110,12 @@
             change = "draining" if server.is_draining else "listed"
         self._log.write(decisions.ServerChanged(server.server_id, server.service, change))
 
+    def _look_at_service(self, server: Server) -> None:
+        """Tell of a service that no configuration has yet: nothing is sent there before."""
+        services = self._services()
+        if services and server.service not in services:
+            self._note_fault(server.server_id, EntryFault.UNKNOWN_SERVICE, server.service)
+
     def _look_at_addresses(self, servers: list[Server]) -> None:
         """Tell of addresses that two listed servers have.
 
@@ -115,10 +131,17 @@
             if others:
                 self._note_fault(server.server_id, EntryFault.DOUBLED_ADDRESS, others[0])
 
+    def _forget_own_faults(self, name: str) -> None:
+        """Tell anew of what is wrong with an entry that was sound meanwhile."""
+        self._faults -= {
+            told for told in self._faults if told.name == name and told.fault not in _BESIDE_OTHERS
+        }
+
     def _note_fault(self, name: str, fault: EntryFault, detail: str) -> None:
-        if self._faults.get(name) is fault:
+        told = _Told(name, fault)
+        if told in self._faults:
             return
         if len(self._faults) >= MOST_REMEMBERED:
             self._faults.clear()
-        self._faults[name] = fault
+        self._faults.add(told)
         self._log.write(decisions.EntryRefused(name[:80], fault.value, detail[:80]))
--- a/yarrowwall/relay/servers.py
+++ b/yarrowwall/relay/servers.py
@@ -61,6 +61,7 @@
     :param running: requests of this gateway under way there.
     :param elsewhere: requests of all other gateways, as they told last.
     :param pace: ratio of its speed to others'; seconds between events or for a lookup.
+    :ivar life: the life that this is known of, and its text, which each choice looks up.
     """
 
     server: Server
@@ -74,6 +75,13 @@
     suspended_until: float = 0.0
     vanished_at: float | None = None
     draining_at: float | None = None
+    life: ServerLife = field(init=False)
+    life_text: str = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Keep the life, which is the same for as long as the state is."""
+        self.life = self.server.life
+        self.life_text = self.life.text
 
 
 class Wish(NamedTuple):
@@ -141,7 +149,7 @@
         if not self._newest.note(server.life):
             return
         state = self.states.get(server.server_id)
-        if state is not None and state.server.life != server.life:
+        if state is not None and state.life != server.life:
             self._end_life(state, server.life)
             state = None
         if state is None:
@@ -157,7 +165,7 @@
     def _end_life(self, state: ServerState, successor: ServerLife | None) -> None:
         """Forget all that was known of a life that is over, its requests under way with it."""
         del self.states[state.server.server_id]
-        self.on_removed(state.server.life, successor)
+        self.on_removed(state.life, successor)
 
     def take_services(self, services: dict[str, Service]) -> None:
         """Take in what a configuration says of the engines' memory.
@@ -175,7 +183,7 @@
         state = self.states.get(life.server_id)
         if state is None or state.vanished_at is not None:
             return
-        if life.born_ms is None or not life.is_before(state.server.life):
+        if life.born_ms is None or not life.is_before(state.life):
             state.vanished_at = now
 
     def forget_vanished(self, now: float) -> None:
@@ -211,7 +219,7 @@
             return None
         usual = self._usual_pace(states, now)
         # A server that started again holds nothing of the turn before.
-        lives = {state.server.life.text: state.server.server_id for state in states}
+        lives = {state.life_text: state.server.server_id for state in states}
         wish = wish._replace(last_server=lives.get(wish.last_server, ""))
         reading = self._reading(states, wish)
         costs = {
@@ -292,20 +300,18 @@
 
     def running(self) -> dict[str, int]:
         """Return this gateway's requests under way by the text of the server's life."""
-        return {
-            state.server.life.text: state.running for state in self.states.values() if state.running
-        }
+        return {state.life_text: state.running for state in self.states.values() if state.running}
 
     def take_loads(self, elsewhere: Mapping[str, int], now: float) -> None:
         """Take in what all other gateways have under way, by the text of the server's life."""
         self._told_at = now
         for state in self.states.values():
-            state.elsewhere = elsewhere.get(state.server.life.text, 0)
+            state.elsewhere = elsewhere.get(state.life_text, 0)
 
     def state_of(self, life: ServerLife) -> ServerState | None:
         """Return what is known of a life; None once it is over."""
         state = self.states.get(life.server_id)
-        return state if state is not None and state.server.life == life else None
+        return state if state is not None and state.life == life else None
 
     def note_heard(self, life: ServerLife, now: float) -> None:
         """Note that bytes came from a server."""
