Placement by observed speeds is taken back; room may be asked for through a neighbour

Engines there are slower the more they run, so whoever has little to do looks fast and draws everybody's work.

AskRoom is among the requests that go through neighbours.

--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -227,7 +227,7 @@
         if not self.is_silent:
             self._take(message)
             others = self.board.others(message.node_id)
-            completion(LoadReply(list(others), list(others.values()), 0.1, 2, False, [], []))
+            completion(LoadReply(list(others), list(others.values()), 0.1, 2))
         return 1
 
     def tell(self, message: TellLoad) -> None:
--- a/features/support/placement_model.py
+++ b/features/support/placement_model.py
@@ -9,16 +9,13 @@
 import heapq
 import itertools
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import StrEnum
 
 from yarrowwall.relay.model import EngineTraits, PromptPart, Server, ServerLife, Service
-from yarrowwall.relay.paces import PaceSamples
 from yarrowwall.relay.servers import ServerDirectory, Wish
 from yarrowwall.relay.urgency import RANK_SECONDS
 from yarrowwall.replication.load_board import LoadBoard
-from yarrowwall.replication.pace_board import PaceBoard
 
 SERVICE = "models"
 ENGINES = 30
@@ -39,37 +36,6 @@
 LAST_BEGIN_S = 10.0
 #: Seconds of the way to the load board and back.
 WAY_SECONDS = 0.002
-#: Events of a turn.
-TURN_EVENTS = 9
-
-
-class Knowledge(StrEnum):
-    """What gateways know of the engines' speeds."""
-
-    NONE = "none"
-    SHARED = "shared"
-    TRUE = "true"
-
-
-@dataclass(frozen=True)
-class Fleet:
-    """The engines' speeds, and a moment in which some are slow.
-
-    :param speeds: taken in turn by the engines.
-    :param slow: engines, the first ones, that are slower for a while.
-    :param slow_factor: how many times as long they take then.
-    """
-
-    speeds: tuple[float, ...] = (1.0,)
-    slow: int = 0
-    slow_factor: float = 1.0
-    slow_from_s: float = 0.0
-    slow_to_s: float = 0.0
-
-    def factor(self, index: int, now_s: float) -> float:
-        """Return how many times as long as one of speed 1 an engine takes."""
-        is_slow = index < self.slow and self.slow_from_s <= now_s < self.slow_to_s
-        return (self.slow_factor if is_slow else 1.0) / self.speeds[index % len(self.speeds)]
 
 
 @dataclass
@@ -85,8 +51,6 @@
     aim_s: float
     zone: int
     tokens: int
-    begun_s: float
-    idle_s: float
     last_server: str = ""
 
 
@@ -110,7 +74,6 @@
     """An engine."""
 
     name: str
-    index: int
     running: list[Turn] = field(default_factory=list)
     waiting: list[Turn] = field(default_factory=list)
     kept: set[str] = field(default_factory=set)
@@ -123,12 +86,6 @@
     programs: int = 0
     late: int = 0
     put_back: int = 0
-    seconds: list[float] = field(default_factory=list)
-
-    @property
-    def p95_s(self) -> float:
-        """Return the time of a program that 95 in 100 stay below, against its aim."""
-        return sorted(self.seconds)[int(0.95 * len(self.seconds))]
 
 
 class PlacementModel:
@@ -136,31 +93,17 @@
 
     :param report_s: seconds between two reports of a gateway.
     :param is_fresh: whether turns ask for loads and tell of their start and end.
-    :param load: programs a second, as part of the usual.
     """
 
-    def __init__(
-        self,
-        seed: int,
-        report_s: float,
-        is_fresh: bool,
-        fleet: Fleet | None = None,
-        knowledge: Knowledge = Knowledge.NONE,
-        load: float = 1.0,
-    ) -> None:
+    def __init__(self, seed: int, report_s: float, is_fresh: bool) -> None:
         self._rng = random.Random(seed)
         self._report_s = report_s
         self._is_fresh = is_fresh
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._count = itertools.count()
         self._now_s = 0.0
-        self._fleet = fleet or Fleet()
-        self._knowledge = knowledge
-        self._load = load
         self._board = LoadBoard()
-        self._paces = PaceBoard()
-        self._samples = [PaceSamples() for _ in range(GATEWAYS)]
-        self._engines = {f"e{number}": Engine(f"e{number}", number) for number in range(ENGINES)}
+        self._engines = {f"e{number}": Engine(f"e{number}") for number in range(ENGINES)}
         self._gateways = [self._gateway(number) for number in range(GATEWAYS)]
         self.outcome = Outcome()
 
@@ -191,21 +134,14 @@
         at_s = 0.0
         while at_s < LAST_BEGIN_S:
             is_burst = BURST_FROM_S < at_s < BURST_TO_S
-            per_s = self._load * PROGRAMS_PER_SECOND * (BURST_FACTOR if is_burst else 1.0)
+            per_s = PROGRAMS_PER_SECOND * (BURST_FACTOR if is_burst else 1.0)
             at_s += self._rng.expovariate(per_s)
             is_long = self._rng.random() < 0.29
             turns = 9 if is_long else 3
             aim_s = at_s + 0.22 + (1.5 if is_long else 1.4) * turns * 0.22
             shared = f"shared-{is_long}-{self._rng.randrange(3)}"
             program = Program(
-                f"p{next(self._count)}",
-                shared,
-                turns,
-                aim_s,
-                self._rng.randrange(ZONES),
-                1200,
-                at_s,
-                turns * 0.22,
+                f"p{next(self._count)}", shared, turns, aim_s, self._rng.randrange(ZONES), 1200
             )
             self._at(at_s, lambda program=program: self._ask(program))
 
@@ -220,21 +156,10 @@
     def _tell(self, gateway: int) -> None:
         running = self._gateways[gateway].running()
         self._board.take(f"g{gateway}", running, self._now_s)
-        self._paces.take(self._samples[gateway].take(), self._now_s)
 
     def _take(self, gateway: int) -> None:
         others = self._board.others(f"g{gateway}")
         self._gateways[gateway].take_loads(others, self._now_s)
-        if self._knowledge is not Knowledge.NONE:
-            self._gateways[gateway].take_factors(self._factors(), self._now_s)
-
-    def _factors(self) -> Mapping[str, float]:
-        if self._knowledge is Knowledge.SHARED:
-            return self._paces.factors(self._now_s)
-        return {
-            name: self._fleet.factor(engine.index, self._now_s)
-            for name, engine in self._engines.items()
-        }
 
     def _ask(self, program: Program) -> None:
         gateway = self._rng.randrange(GATEWAYS // ZONES) * ZONES + program.zone
@@ -292,13 +217,9 @@
         parts = {turn.program.shared: SHARED_TOKENS, turn.program.name: turn.program.tokens}
         unread = sum(tokens for part, tokens in parts.items() if part not in engine.kept)
         engine.kept |= set(parts)
-        factor = self._fleet.factor(engine.index, self._now_s)
-        lasts_s = factor * (TURN_SECONDS + TURN_GROWTH_SECONDS * len(engine.running))
-        reads_s = factor * unread / READ_TOKENS_PER_SECOND
-        self._samples[turn.gateway].note(SERVICE, engine.name, lasts_s / TURN_EVENTS)
-        self._gateways[turn.gateway].note_stay(True, lasts_s + reads_s)
+        lasts_s = TURN_SECONDS + TURN_GROWTH_SECONDS * len(engine.running)
         starts = turn.starts
-        self._at(lasts_s + reads_s, lambda: self._end(engine, turn, starts))
+        self._at(lasts_s + unread / READ_TOKENS_PER_SECOND, lambda: self._end(engine, turn, starts))
 
     def _end(self, engine: Engine, turn: Turn, starts: int) -> None:
         if turn.starts != starts or turn not in engine.running:
@@ -320,4 +241,3 @@
             return
         self.outcome.programs += 1
         self.outcome.late += self._now_s > program.aim_s
-        self.outcome.seconds.append((self._now_s - program.begun_s) / program.idle_s)
--- a/yarrowwall/messages/replicated.py
+++ b/yarrowwall/messages/replicated.py
@@ -136,20 +136,6 @@
     view: GroupView
 
 
-@dataclass(frozen=True)
-class ToldPace:
-    """How long things of one kind took at a server, as a gateway saw since it told last.
-
-    :param kind: what is comparable: a route, or a service of streams.
-    :param log_s: sum of the logarithms of their seconds.
-    """
-
-    kind: str
-    server_id: str
-    count: int
-    log_s: float
-
-
 @message(107)
 class ReportLoad:
     """Take what a gateway has under way; return the sum of all others.
@@ -162,7 +148,6 @@
     servers: list[str]
     running: list[int]
     services: list[ServiceUnderWay]
-    paces: list[ToldPace]
 
 
 @message(108)
@@ -240,18 +225,12 @@
     :param running: requests of all other gateways by server; runs parallel to ``servers``.
     :param interval_s: seconds after which the gateway should report again.
     :param reporters: gateways that report, this one included.
-    :param has_factors: whether the factors are told this time.
-    :param uneven: servers that are faster or slower than usual.
-    :param factors: how many times as long as usual they take; runs parallel to ``uneven``.
     """
 
     servers: list[str]
     running: list[int]
     interval_s: float
     reporters: int
-    has_factors: bool
-    uneven: list[str]
-    factors: list[float]
 
 
 @message(117)
--- a/yarrowwall/relay/decisions.py
+++ b/yarrowwall/relay/decisions.py
@@ -51,7 +51,6 @@
     """An attempt was sent to a server.
 
     :param load: requests under way there, of all gateways as far as known.
-    :param factor: how many times as long as usual it takes, by all gateways' observations.
     :param rank: how urgent it is for the server, 0 is the most urgent.
     """
 
@@ -62,7 +61,6 @@
     cached_tokens: int
     candidates: int
     load: int
-    factor: float
     rank: int
     number: int
     resumed_after: str | None
--- a/yarrowwall/relay/gateway_service.py
+++ b/yarrowwall/relay/gateway_service.py
@@ -184,7 +184,6 @@
     def measure(self, metrics: MachineMetrics) -> None:
         """Set the metrics that are measured when they are asked for."""
         metrics.set_age(self.gateway.configuration_age_s)
-        metrics.set_paces(self._directory.factors(time.monotonic()), self._directory.rates.all())
         metrics.set_relayed(self._links.relayed, self._forwarder.forwarded)
         metrics.set_relay_refusals(self._links.refused, self._forwarder.refused)
         metrics.set_held(
--- a/yarrowwall/relay/load_reports.py
+++ b/yarrowwall/relay/load_reports.py
@@ -16,7 +16,7 @@
 
 from yarrowwall.capacity.programs import ProgramsUnderWay
 from yarrowwall.messages.capacity import AskRoom, ReturnRoom, RoomReply, ServiceUnderWay
-from yarrowwall.messages.replicated import LoadReply, Member, ReportLoad, TellLoad, ToldPace
+from yarrowwall.messages.replicated import LoadReply, Member, ReportLoad, TellLoad
 from yarrowwall.relay.loads import LoadQuestion, LoadSource, NothingAsked
 from yarrowwall.relay.servers import ServerDirectory
 from yarrowwall.replication.exceptions import LinkDownError
@@ -146,15 +146,7 @@
 
     def _report(self, running: dict[str, int]) -> ReportLoad:
         services = self._services()
-        return ReportLoad(
-            self._node_id, list(running), list(running.values()), services, self._paces()
-        )
-
-    def _paces(self) -> list[ToldPace]:
-        return [
-            ToldPace(key.kind, key.server_id, found.seen, found.log_s)
-            for key, found in self._directory.paces.take().items()
-        ]
+        return ReportLoad(self._node_id, list(running), list(running.values()), services)
 
     def _services(self) -> list[ServiceUnderWay]:
         return [ServiceUnderWay(*own) for own in self._programs.by_service(self._now())]
@@ -179,11 +171,7 @@
     def _take(self, reply: LoadReply) -> None:
         self.reporters = reply.reporters
         elsewhere = dict(zip(reply.servers, reply.running, strict=True))
-        now_s = self._now()
-        self._directory.take_loads(elsewhere, now_s)
-        if reply.has_factors:
-            factors = dict(zip(reply.uneven, reply.factors, strict=True))
-            self._directory.take_factors(factors, now_s)
+        self._directory.take_loads(elsewhere, self._now())
 
     def _board(self) -> Member | None:
         """Return the replica that takes the reports of all gateways."""
--- a/yarrowwall/relay/metrics.py
+++ b/yarrowwall/relay/metrics.py
@@ -68,10 +68,6 @@
 ROOM_WAITING = _Description("room_waiting_programs", "Refused programs that may return", "service")
 LENDING = _Description("quota_lending", "Whether this replica lends its part of limits")
 LENT = _Description("quota_lent", "Requests that count against this replica's part", "tenant")
-FACTOR = _Description(
-    "server_time_factor", "How many times as long as usual a server takes, if it differs", "server"
-)
-READING = _Description("prompt_tokens_read_per_second", "Reading speed of engines", "service")
 AGE = _Description("configuration_age_seconds", "Time since the newest proof of the configuration")
 GIVEN_UP = _Description("callers_given_up", "Callers that read or sent nothing for too long")
 HELD = _Description("held_bytes", "Bytes held for callers and servers", "of")
@@ -205,19 +201,10 @@
 
     def set_lent(self, lent: Mapping[str, int]) -> None:
         """Take in what counts against each tenant's part."""
-        self._set_all(LENT, lent)
-
-    def set_paces(self, factors: Mapping[str, float], rates: Mapping[str, float]) -> None:
-        """Take in the servers that differ from the usual, and the engines' reading speeds."""
-        self._set_all(FACTOR, factors)
-        self._set_all(READING, rates)
-
-    def _set_all(self, metric: _Description, values: Mapping[str, float]) -> None:
-        """Set all series of a metric; those that are not among the values go."""
-        for key in [key for key in self._gauges if key.metric is metric]:
+        for key in [key for key in self._gauges if key.metric is LENT]:
             del self._gauges[key]
-        for label, value in values.items():
-            self._set(metric, value, label)
+        for tenant, count in lent.items():
+            self._set(LENT, count, tenant)
 
     def _sent(self, event: decisions.AttemptSent) -> None:
         self._add(SENDS, event.service)
--- a/yarrowwall/relay/offer.py
+++ b/yarrowwall/relay/offer.py
@@ -146,8 +146,6 @@
         self._met_silence = False
         self.log = SendLog()
         self.current: OpenAnswer | None = None
-        #: Tokens that the server which got the attempt last is believed to read.
-        self.unread_tokens = 0
 
     @property
     def last_server(self) -> str:
@@ -244,15 +242,11 @@
                 choice.cached_tokens,
                 choice.candidates,
                 choice.load,
-                choice.factor,
                 rank,
                 self.log.offered,
                 last_event_id,
             )
         )
-        self.unread_tokens = (
-            sum(part.tokens for part in self._attempt.prompt) - choice.cached_tokens
-        )
         sent_at = self._parts.now()
         if self.log.offered == 1:
             self._parts.retries.earn(self._service)
--- a/yarrowwall/relay/servers.py
+++ b/yarrowwall/relay/servers.py
@@ -9,13 +9,11 @@
 from yarrowwall.core.hashing import fraction
 from yarrowwall.relay.lives import NewestLives
 from yarrowwall.relay.model import PromptPart, Server, ServerLife, Service
-from yarrowwall.relay.paces import PaceSamples
 from yarrowwall.relay.prefixes import PrefixBelief, SharedParts
-from yarrowwall.relay.reading import ReadingRates
 
-#: Reading a prompt holds up all other requests of the engine, so it is counted at so many times
-#: what it takes for a request alone.
-READING_FACTOR = 2.0
+#: Tokens of prompt that an engine reads in a second. Reading holds up all other requests
+#: of the engine, so this is half of what an engine reads for a request alone.
+PREFILL_TOKENS_PER_SECOND = 130_000.0
 #: Seconds that the way to another zone and back is held to cost.
 OTHER_ZONE_SECONDS = 0.004
 #: The same for the first turn of a program, whose prompts all go the same way later. It is
@@ -27,11 +25,9 @@
 #: Part of a server's places up to which no request waits, even if the loads that other
 #: gateways told are a little old.
 FREE_SHARE = 0.75
-#: Seconds that a request is held to keep its place before any was seen: a stream, and a lookup.
+#: Seconds that a request is held to keep its place: a stream, and a lookup.
 STREAM_SECONDS = 0.4
 LOOKUP_SECONDS = 0.04
-#: Weight of the newest observation of these: half lies on the last 70, some ten seconds.
-STAY_WEIGHT = 0.01
 #: Seconds after which what other gateways had under way is no longer believed.
 LOAD_MEMORY_SECONDS = 1.0
 #: Seconds a server is passed over after it failed, doubled up to the most.
@@ -64,8 +60,7 @@
 
     :param running: requests of this gateway under way there.
     :param elsewhere: requests of all other gateways, as they told last.
-    :param pace: seconds between events or for a lookup, as this gateway saw.
-    :param factor: how many times as long as usual it takes, by what all gateways saw.
+    :param pace: ratio of its speed to others'; seconds between events or for a lookup.
     :ivar life: the life that this is known of, and its text, which each choice looks up.
     """
 
@@ -75,7 +70,6 @@
     elsewhere: int = 0
     pace: float | None = None
     pace_at: float = 0.0
-    factor: float = 1.0
     heard_at: float = 0.0
     failures: int = 0
     suspended_until: float = 0.0
@@ -110,17 +104,13 @@
 
 @dataclass
 class Choice:
-    """Why a server was chosen, for the decision log.
-
-    :param factor: how many times as long as usual the server takes, as far as known.
-    """
+    """Why a server was chosen, for the decision log."""
 
     server: Server
     cost: float
     cached_tokens: int
     candidates: int
     load: int
-    factor: float
 
 
 @dataclass
@@ -138,13 +128,8 @@
     zone: str
     states: dict[str, ServerState] = field(default_factory=dict)
     on_removed: Callable[[ServerLife, ServerLife | None], None] = lambda life, successor: None
-    rates: ReadingRates = field(default_factory=ReadingRates)
-    paces: PaceSamples = field(default_factory=PaceSamples)
     _told_at: float = -LOAD_MEMORY_SECONDS
-    _paced_at: float = -PACE_MEMORY_SECONDS
     _shared: SharedParts = field(default_factory=SharedParts)
-    _stream_s: float = STREAM_SECONDS
-    _lookup_s: float = LOOKUP_SECONDS
     _newest: NewestLives = field(default_factory=NewestLives)
 
     def replace_all(
@@ -237,24 +222,16 @@
         lives = {state.life_text: state.server.server_id for state in states}
         wish = wish._replace(last_server=lives.get(wish.last_server, ""))
         reading = self._reading(states, wish)
-        token_s = READING_FACTOR / self.rates.tokens_per_s(service)
         costs = {
             state.server.server_id: self._cost(state, bool(wish.prompt), usual, now)
             + self._preference(state, wish)
-            + reading[state.server.server_id] * token_s * self._factor(state, now)
+            + reading[state.server.server_id] / PREFILL_TOKENS_PER_SECOND
             for state in states
         }
         best = min(states, key=lambda state: costs[state.server.server_id])
         server_id = best.server.server_id
         cached = wish.tokens - reading[server_id]
-        return Choice(
-            best.server,
-            costs[server_id],
-            cached,
-            len(states),
-            self.load(best, now),
-            self._factor(best, now),
-        )
+        return Choice(best.server, costs[server_id], cached, len(states), self.load(best, now))
 
     def _preference(self, state: ServerState, wish: Wish) -> float:
         """Return the seconds by which a server is less wanted, load and memory apart.
@@ -303,29 +280,17 @@
         """Return the seconds that a server's load and pace are expected to cost."""
         load = self.load(state, now)
         seconds = load * (STREAM_LOAD_SECONDS if is_stream else LOOKUP_LOAD_SECONDS)
-        held_s = self._stream_s if is_stream else self._lookup_s
-        factor = self._factor(state, now)
-        seconds += (factor - 1.0) * held_s
         ahead = load + 1 - FREE_SHARE * state.server.slots
         if ahead > 0:
-            seconds += ahead * held_s * factor / state.server.slots
-        if load + 1 >= state.server.slots:
-            seconds += held_s
+            held = STREAM_SECONDS if is_stream else LOOKUP_SECONDS
+            seconds += ahead * held / state.server.slots
         pace = _pace(state, now)
-        if pace is not None and not self._knows_paces(now):
+        if pace is not None:
             # Paces differ by load and luck; only a server far off the others is slow.
             excess = max(0.0, pace - SLOW_FACTOR * usual)
             seconds += excess * (EVENTS_PER_STREAM if is_stream else 1.0)
         return seconds
 
-    def _knows_paces(self, now: float) -> bool:
-        """Return whether all gateways' observations of the servers' speeds are known."""
-        return now - self._paced_at < PACE_MEMORY_SECONDS
-
-    def _factor(self, state: ServerState, now: float) -> float:
-        """Return how many times as long as usual a server takes, as far as known."""
-        return state.factor if self._knows_paces(now) else 1.0
-
     def load(self, state: ServerState, now: float) -> int:
         """Return the requests under way at a server, of all gateways as far as known."""
         is_known = now - self._told_at < LOAD_MEMORY_SECONDS
@@ -347,27 +312,6 @@
         for state in self.states.values():
             state.elsewhere = elsewhere.get(state.life_text, 0)
 
-    def take_factors(self, factors: Mapping[str, float], now: float) -> None:
-        """Take in how many times as long as usual servers take, by the text of their lives."""
-        self._paced_at = now
-        for state in self.states.values():
-            state.factor = factors.get(state.life_text, 1.0)
-
-    def factors(self, now: float) -> dict[str, float]:
-        """Return how many times as long as usual servers take, of those that differ."""
-        return {
-            server_id: state.factor
-            for server_id, state in self.states.items()
-            if self._factor(state, now) != 1.0
-        }
-
-    def note_stay(self, is_stream: bool, seconds: float) -> None:
-        """Take in how long a request kept its place at a server."""
-        if is_stream:
-            self._stream_s += STAY_WEIGHT * (seconds - self._stream_s)
-        else:
-            self._lookup_s += STAY_WEIGHT * (seconds - self._lookup_s)
-
     def state_of(self, life: ServerLife) -> ServerState | None:
         """Return what is known of a life; None once it is over."""
         state = self.states.get(life.server_id)
--- a/yarrowwall/relay/streams.py
+++ b/yarrowwall/relay/streams.py
@@ -106,14 +106,7 @@
         opened = self._offer.current
         if self.passed and opened is not None:
             gap = (now - self._last_event_at) / len(events)
-            server = opened.send.server
-            self._parts.directory.note_pace(server.life, gap, now)
-            self._parts.directory.paces.note(server.service, server.life.text, gap)
-        elif opened is not None:
-            unread = self._offer.unread_tokens
-            self._parts.directory.rates.note(
-                opened.send.server.service, unread, now - opened.sent_at
-            )
+            self._parts.directory.note_pace(opened.send.server.life, gap, now)
         self._last_event_at = now
         self._last_event_id = events[-1].event_id or self._last_event_id
         # A turn of a stateful route is stored whole; of others only the count is needed.
@@ -150,10 +143,6 @@
 
     def finish(self) -> None:
         """Leave the stream, which was read to its end."""
-        opened = self._offer.current
-        if opened is not None:
-            stay_s = self._parts.now() - opened.sent_at
-            self._parts.directory.note_stay(is_stream=True, seconds=stay_s)
         self._offer.release()
 
     def cancel(self) -> None:
--- a/yarrowwall/relay/whole.py
+++ b/yarrowwall/relay/whole.py
@@ -1,7 +1,5 @@
 """Relaying of answers that are passed on only once they are whole."""
 
-from http import HTTPStatus
-
 from yarrowwall.relay.exceptions import RelayError
 from yarrowwall.relay.memory_budget import MemoryExhaustedError
 from yarrowwall.relay.model import Answer, Route
@@ -32,12 +30,7 @@
         life = opened.send.server.life
         offer.release()
         now = parts.now()
-        seconds = now - opened.sent_at
-        parts.directory.note_pace(life, seconds, now)
-        if opened.answer.status < HTTPStatus.MULTIPLE_CHOICES:
-            # A server that fails at once is not fast.
-            parts.directory.paces.note(route.name, life.text, seconds)
-            parts.directory.note_stay(is_stream=False, seconds=seconds)
+        parts.directory.note_pace(life, now - opened.sent_at, now)
         if route.is_repeatable:
-            parts.latencies.note(route.name, seconds)
+            parts.latencies.note(route.name, now - opened.sent_at)
         return opened.answer, body
--- a/yarrowwall/replication/forwarding.py
+++ b/yarrowwall/replication/forwarding.py
@@ -5,6 +5,7 @@
 
 import eventlet
 
+from yarrowwall.messages.capacity import AskRoom
 from yarrowwall.messages.codec import decode, encode
 from yarrowwall.messages.exceptions import MessageError
 from yarrowwall.messages.quotas import TakeQuota
@@ -31,6 +32,7 @@
 #: What gateways ask replicas.
 FORWARDED = (
     AskNeighbours,
+    AskRoom,
     AskStatus,
     InstallView,
     ReadChain,
--- a/yarrowwall/replication/service.py
+++ b/yarrowwall/replication/service.py
@@ -52,7 +52,6 @@
 )
 from yarrowwall.replication.load_board import LoadBoard
 from yarrowwall.replication.neighbours import NeighbourBoard
-from yarrowwall.replication.pace_board import PaceBoard, read_paces
 from yarrowwall.replication.peers import ReplicaPeers
 from yarrowwall.replication.planner import target_size
 from yarrowwall.replication.replica import RecordReplica, Request
@@ -120,7 +119,6 @@
             target_size(settings.machines_lost_at_once),
         )
         self._loads = LoadBoard()
-        self._paces = PaceBoard()
         self._rooms = RoomBoard()
         self._neighbours = NeighbourBoard()
         self._retirements: dict[str, StoredObject] = {}
@@ -226,19 +224,9 @@
 
     def _exchange_loads(self, report: ReportLoad) -> LoadReply:
         self._take_loads(report)
-        now_s = time.monotonic()
-        self._paces.take(read_paces(report.paces), now_s)
         others = self._loads.others(report.node_id)
-        factors = self._paces.news_for(report.node_id, now_s)
-        return LoadReply(
-            list(others),
-            list(others.values()),
-            self._loads.interval_s,
-            self._loads.reporters,
-            factors is not None,
-            list(factors or ()),
-            list((factors or {}).values()),
-        )
+        interval_s, reporters = self._loads.interval_s, self._loads.reporters
+        return LoadReply(list(others), list(others.values()), interval_s, reporters)
 
     def _take_loads(self, report: ReportLoad | TellLoad) -> None:
         running = dict(zip(report.servers, report.running, strict=True))
