Relay: the bodies of requests are read in a module of their own

Cause: the gateway's module read bodies beside admitting and answering requests, and built the refusal for want of memory in two places.

Change: relay/bodies.py reads a body and says by typed errors what came of it (BodyTooLargeError, MemoryExhaustedError, BodyLateError, CallerGoneError); the gateway turns them into answers, and _no_memory is the one refusal for want of memory.

--- /dev/null
+++ b/yarrowwall/relay/bodies.py
@@ -0,0 +1,82 @@
+"""Reads the bodies of callers' requests, each held in the memory's budget as it comes."""
+
+from typing import Any
+
+import eventlet
+
+from yarrowwall.relay.exceptions import CallerGoneError, InvalidAttemptError
+from yarrowwall.relay.memory_budget import MemoryBudget, MemoryExhaustedError, MemoryHold
+
+#: Bytes of a body that are read at once.
+_PIECE_BYTES = 8 * 1024
+_TOO_LARGE = 413
+
+
+class BodyTooLargeError(InvalidAttemptError):
+    """A body has more bytes than callers may send."""
+
+    def __init__(self, limit: int) -> None:
+        super().__init__(f"the body exceeds {limit} bytes", _TOO_LARGE)
+
+
+class BodyLateError(CallerGoneError):
+    """A body did not arrive in time."""
+
+
+class RequestBody:
+    """The body of one request, not read yet.
+
+    :param environ: the request's WSGI environment.
+    :param hold: what is held for the request.
+    :param limit: the most bytes that a body may have.
+    """
+
+    def __init__(
+        self, environ: dict[str, Any], memory: MemoryBudget, hold: MemoryHold, limit: int
+    ) -> None:
+        self._source = environ["wsgi.input"]
+        length = environ.get("CONTENT_LENGTH")
+        self._announced = int(length) if length is not None else None
+        self._memory = memory
+        self._hold = hold
+        self._limit = limit
+
+    def read(self, timeout: float) -> bytes:
+        """Return the whole body.
+
+        :param timeout: seconds for all of it, however slowly the caller sends.
+        :raises BodyTooLargeError: if it is.
+        :raises MemoryExhaustedError: if there is no room for it; its rest is not read.
+        :raises BodyLateError: if it is not whole in time.
+        :raises CallerGoneError: if it ends early.
+        """
+        announced = self._announced or 0
+        if announced > self._limit:
+            raise BodyTooLargeError(self._limit)
+        if not self._memory.may_begin(announced):
+            raise MemoryExhaustedError("too much is held for other requests")
+        body = self._read_in_time(timeout)
+        if len(body) < announced:
+            raise CallerGoneError("the body ended early")
+        if len(body) > self._limit:
+            raise BodyTooLargeError(self._limit)
+        return body
+
+    def _read_in_time(self, timeout: float) -> bytes:
+        size = self._announced if self._announced is not None else self._limit + 1
+        try:
+            with eventlet.Timeout(timeout, TimeoutError):
+                return self._read_pieces(size)
+        except TimeoutError as error:
+            raise BodyLateError("the body did not arrive in time") from error
+        except (OSError, ValueError) as error:
+            raise CallerGoneError("the body did not arrive") from error
+
+    def _read_pieces(self, size: int) -> bytes:
+        """Return so many bytes of the body, or all if there are less; each is held as it comes."""
+        pieces = []
+        while size > 0 and (piece := self._source.read(min(size, _PIECE_BYTES))):
+            self._hold.grow(len(piece))
+            pieces.append(piece)
+            size -= len(piece)
+        return b"".join(pieces)
--- a/yarrowwall/relay/gateway.py
+++ b/yarrowwall/relay/gateway.py
@@ -6,11 +6,11 @@
 from http import HTTPStatus
 from typing import Any
 
-import eventlet
 from eventlet.event import Event
 
 from yarrowwall.relay import decisions
 from yarrowwall.relay.admission import Admission
+from yarrowwall.relay.bodies import BodyLateError, RequestBody
 from yarrowwall.relay.caller_watch import CallerWatch
 from yarrowwall.relay.exceptions import (
     CallerGoneError,
@@ -60,8 +60,6 @@
 #: platform's store. The reading takes 0.02 s if the store answers at once; beyond this the
 #: store is slow or away, and callers are better told to come back.
 START_HOLD_SECONDS = 0.4
-#: Bytes of a body that are read at once.
-_PIECE_BYTES = 8 * 1024
 _TEXT = ("Content-Type", "text/plain")
 
 
@@ -273,46 +271,19 @@
         :raises RefusedError: if there is no room for it.
         """
         limit = self._gateway._limits.current.body_bytes
-        length = self._environ.get("CONTENT_LENGTH")
-        announced = int(length) if length is not None else 0
-        if announced > limit:
-            raise InvalidAttemptError(f"the body exceeds {limit} bytes", _TOO_LARGE)
-        if not self._parts.memory.may_begin(announced):
-            raise self._no_room("too much is held for other requests")
+        body = RequestBody(self._environ, self._parts.memory, self._hold, limit)
         try:
-            with eventlet.Timeout(max(end - self._parts.now(), 0.0), TimeoutError):
-                body = self._read_pieces(announced if length is not None else limit + 1)
+            return body.read(max(end - self._parts.now(), 0.0))
         except MemoryExhaustedError as error:
-            raise self._no_room(str(error)) from error
-        except TimeoutError as error:
+            # The rest of it is not read.
+            close_after_answer(self._environ)
+            raise _no_memory(error) from error
+        except BodyLateError:
             seconds = self._parts.now() - self._arrived_at
             self._parts.decisions.write(
                 decisions.CallerGivenUp(self._attempt_id, seconds, self._hold.size)
             )
-            raise CallerGoneError("the body did not arrive in time") from error
-        except (OSError, ValueError) as error:
-            raise CallerGoneError("the body did not arrive") from error
-        if length is not None and len(body) < announced:
-            raise CallerGoneError("the body ended early")
-        if len(body) > limit:
-            raise InvalidAttemptError(f"the body exceeds {limit} bytes", _TOO_LARGE)
-        return body
-
-    def _read_pieces(self, size: int) -> bytes:
-        """Return so many bytes of the body, or all if there are less; each is held as it comes."""
-        source = self._environ["wsgi.input"]
-        pieces = []
-        while size > 0 and (piece := source.read(min(size, _PIECE_BYTES))):
-            self._hold.grow(len(piece))
-            pieces.append(piece)
-            size -= len(piece)
-        return b"".join(pieces)
-
-    def _no_room(self, reason: str) -> RefusedError:
-        """Return the refusal of a request for which there is no memory; it has not run."""
-        # The rest of its body is not read.
-        close_after_answer(self._environ)
-        return RefusedError(Refusal(_UNAVAILABLE, reason, RETRY_AFTER_SECONDS))
+            raise
 
     def _offer(
         self,
@@ -413,8 +384,7 @@
         try:
             self._hold.grow(max(0, len(grant.body) - len(attempt.body)))
         except MemoryExhaustedError as error:
-            refusal = Refusal(_UNAVAILABLE, str(error), RETRY_AFTER_SECONDS)
-            raise RefusedError(refusal) from error
+            raise _no_memory(error) from error
 
     def _begin_program(
         self, attempt: Attempt, route: Route, grant: TurnGrant, allowance: Allowance
@@ -496,6 +466,11 @@
         return body
 
 
+def _no_memory(error: MemoryExhaustedError) -> RefusedError:
+    """Return the refusal of a request for which there is no memory; it has not run."""
+    return RefusedError(Refusal(_UNAVAILABLE, str(error), RETRY_AFTER_SECONDS))
+
+
 def _finish_in_s(attempt: Attempt) -> float | None:
     """Return the seconds that an attempt's program had left when it arrived."""
     if attempt.program is None or attempt.program.finish_at is None:
