Hashing: one function tells a fraction by a digest

Cause: program % 1024 / 1024.0 stood in capacity/admission.py and in relay/program_rooms.py, without a name.

Change: hashing.fraction_of, with its steps as a named constant. The values are the same (100,000 drawn numbers of 63 bits compared, none differs).

Run: make lint clean; room and returns (18 passed), room_at_gateways (1 passed), none failed.

--- a/yarrowwall/capacity/admission.py
+++ b/yarrowwall/capacity/admission.py
@@ -10,6 +10,7 @@
 from yarrowwall.capacity.returns import Ahead, ReturnOrder, Standing
 from yarrowwall.capacity.room import Forecast, UnderWay, forecast, free_places
 from yarrowwall.capacity.shares import TenantShares
+from yarrowwall.core.hashing import fraction_of
 from yarrowwall.messages.capacity import AskRoom, RoomReply, Scarce
 
 #: Seconds from an admission until its first turn is in the sums that others are told.
@@ -124,8 +125,7 @@
 
         Those whose turn comes later than their callers would wait come one after another too.
         """
-        part = ask.program % 1024 / 1024.0
-        return ask.patience_s * (0.75 + 0.25 * part)
+        return ask.patience_s * (0.75 + 0.25 * fraction_of(ask.program))
 
     def _rate_per_s(self, ask: AskRoom, under_way: UnderWay, now_s: float) -> float:
         """Return how many programs are expected to be admitted in a second."""
--- a/yarrowwall/core/hashing.py
+++ b/yarrowwall/core/hashing.py
@@ -5,6 +5,9 @@
 
 import xxhash
 
+#: Steps of a fraction that is told by a number; of a second, each is a millisecond.
+_FRACTION_STEPS = 1024
+
 
 def score(key: str, candidate: str) -> int:
     """Return the rendezvous score of a candidate for a key."""
@@ -41,6 +44,11 @@
     return int(digest(*parts)[:16], 16) >> 1
 
 
+def fraction_of(number: int) -> float:
+    """Return a number in [0, 1) fixed by the low bits of a digest; spreads what it names."""
+    return number % _FRACTION_STEPS / _FRACTION_STEPS
+
+
 @dataclass(frozen=True)
 class PrefixBlock:
     """One block of a prompt, named by a hash of everything up to its end.
--- a/yarrowwall/relay/program_rooms.py
+++ b/yarrowwall/relay/program_rooms.py
@@ -6,7 +6,7 @@
 from yarrowwall.capacity.own_share import BELIEVED_SECONDS, OwnShare
 from yarrowwall.capacity.programs import ProgramsUnderWay
 from yarrowwall.capacity.room import ServiceRoom
-from yarrowwall.core.hashing import first_bits
+from yarrowwall.core.hashing import first_bits, fraction_of
 from yarrowwall.messages.capacity import AskRoom, ReturnRoom, RoomReply, Scarce
 from yarrowwall.relay import decisions
 from yarrowwall.relay.decisions import DecisionLog
@@ -120,8 +120,8 @@
             if state.server.service == ask.service
         )
         is_admitted = self._own.admits(room, own, self._reporter.reporters, self._now())
-        part = ask.program % 1024 / 1024.0
-        wait_s = min(ask.patience_s, OWN_WAIT_SECONDS) * (0.5 + 0.5 * part)
+        longest_s = min(ask.patience_s, OWN_WAIT_SECONDS)
+        wait_s = longest_s * (0.5 + 0.5 * fraction_of(ask.program))
         scarce = Scarce.NOTHING if is_admitted else Scarce.PLACES
         return RoomReply(is_admitted, wait_s, scarce, 0.0, 0, 0, "", 0.0)
 
