--- a/features/room.feature
+++ b/features/room.feature
@@ -87,3 +87,5 @@
     Then gateways that see the same sums admit at most one each beyond the room
     And a gateway that is told nothing keeps to 4 times its even part
     And a program counts between its turns for as long as it is likely to go on
+    And whatever turns begin and end, the kept sums are those of adding up anew
+    And beyond the most that are remembered, the one seen longest ago is forgotten
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
+from typing import Any
 
 from behave import given, then, when
 from behave.runner import Context
@@ -25,7 +26,14 @@
 )
 from yarrowwall.capacity.admission import ProgramAdmission
 from yarrowwall.capacity.own_share import BLIND_FACTOR, OwnShare
-from yarrowwall.capacity.programs import ProgramsUnderWay
+from yarrowwall.capacity.programs import (
+    FIRST_PAUSE_SECONDS,
+    LIKELY_FACTOR,
+    MOST_LIKELY_SECONDS,
+    MOST_PROGRAMS,
+    PAUSE_WEIGHT,
+    ProgramsUnderWay,
+)
 from yarrowwall.capacity.returns import GRACE_SECONDS
 from yarrowwall.capacity.room import PLACES_SHARE, ServiceRoom, UnderWay
 from yarrowwall.capacity.shares import TenantShares, water_level
@@ -387,6 +395,84 @@
     assert programs.by_service(NOW + 12.0) == []
 
 
+class _AddedUp:
+    """The programs of a gateway, added up anew for each question."""
+
+    def __init__(self) -> None:
+        self._known: dict[int, list[Any]] = {}
+        self._usual_s = FIRST_PAUSE_SECONDS
+
+    def begin_turn(self, program: int, service: str, tokens: int, now_s: float) -> None:
+        """Take in that a turn begins."""
+        known = self._known.pop(program, None)
+        if known is not None and not known[1]:
+            self._usual_s += PAUSE_WEIGHT * (now_s - known[3] - self._usual_s)
+        service, turns, longest, _ = known or [service, 0, 0, now_s]
+        self._known[program] = [service, turns + 1, max(longest, tokens), now_s]
+        if len(self._known) > MOST_PROGRAMS:
+            del self._known[next(iter(self._known))]
+
+    def end_turn(self, program: int, now_s: float) -> None:
+        """Take in that a turn is over."""
+        known = self._known.get(program)
+        if known is not None and known[1]:
+            self._known[program] = self._known.pop(program)
+            known[1] -= 1
+            known[3] = now_s
+
+    def by_service(self, now_s: float) -> dict[str, tuple[int, int]]:
+        """Return programs between two turns, and tokens, by service."""
+        since_s = now_s - min(LIKELY_FACTOR * self._usual_s, MOST_LIKELY_SECONDS)
+        found: dict[str, tuple[int, int]] = {}
+        for program, (service, turns, tokens, seen_s) in list(self._known.items()):
+            if turns or seen_s >= since_s:
+                between, held = found.get(service, (0, 0))
+                found[service] = (between + (not turns), held + tokens)
+            elif seen_s < now_s - MOST_LIKELY_SECONDS:
+                del self._known[program]
+        return found
+
+
+@then("whatever turns begin and end, the kept sums are those of adding up anew")
+def sums_alike(context: Context) -> None:
+    happenings = st.tuples(
+        st.sampled_from(["begin", "begin", "end", "end", "ask"]),
+        st.integers(0, 7),
+        st.integers(0, 4000),
+        st.sampled_from([0.0, 0.01, 0.1, 0.3, 0.5, 1.0, 2.0]),
+    )
+
+    @settings(max_examples=300, deadline=None)
+    @for_all(st.lists(happenings, max_size=120))
+    def check(course: list[tuple[str, int, int, float]]) -> None:
+        kept, anew = ProgramsUnderWay(), _AddedUp()
+        now_s = NOW
+        for what, program, tokens, pause_s in course:
+            now_s += pause_s
+            for programs in (kept, anew):
+                if what == "begin":
+                    programs.begin_turn(program, "abc"[program % 3], tokens, now_s)
+                elif what == "end":
+                    programs.end_turn(program, now_s)
+            if what == "ask":
+                told = {one.service: (one.between, one.tokens) for one in kept.by_service(now_s)}
+                assert told == anew.by_service(now_s)
+
+    check()
+
+
+@then("beyond the most that are remembered, the one seen longest ago is forgotten")
+def oldest_forgotten(context: Context) -> None:
+    kept, anew = ProgramsUnderWay(), _AddedUp()
+    for programs in (kept, anew):
+        for program in range(MOST_PROGRAMS + 100):
+            programs.begin_turn(program, "models", program, NOW + program * 1e-4)
+            if program % 3:
+                programs.end_turn(program, NOW + program * 1e-4)
+    told = [(one.service, one.between, one.tokens) for one in kept.by_service(NOW + 0.6)]
+    assert told == [(name, *sums) for name, sums in anew.by_service(NOW + 0.6).items()]
+
+
 # At gateways
 
 
