A protocol of the store's reads; steps about emptied storage machines shared

Cause: ContactStore had create, replace and set_status that nobody called, beside the same in store.py; two step files held the same functions about machines that are emptied.

Change: ReadableStore tells reads alone, and ObjectStore extends it with changes; retire and check_retired_within stand in support/platform_scripts.py. Scenarios and assertions as before.

--- a/features/steps/platform_replica_steps.py
+++ b/features/steps/platform_replica_steps.py
@@ -6,9 +6,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.support.platform_scripts import (
-    world,
-)
+from features.support.platform_scripts import check_retired_within, retire, world
 from features.support.processes import wait_until
 
 
@@ -68,21 +66,13 @@
 
 
 @when("storage machine {number:d} is to be emptied")
-def retire(context: Context, number: int) -> None:
-    context.retired = f"storage-{number}"
-    world(context).store.put("retirements", context.retired, {"period_s": 10})
+def retire_machine(context: Context, number: int) -> None:
+    retire(context, f"storage-{number}")
 
 
 @then("its retirement is complete within {limit:d} s and it is in no group")
 def retirement_complete(context: Context, limit: int) -> None:
-    started = time.monotonic()
-
-    def is_complete() -> bool:
-        item = world(context).store.get("retirements", context.retired)
-        return (item["status"] or {}).get("state") == "complete"
-
-    wait_until(is_complete, "the retirement is complete")
-    assert time.monotonic() - started < limit
+    check_retired_within(context, limit)
     view = world(context).store.get("yarrowwall-groups", "all")["spec"]["groups"][0]
     named = [member["node_id"] for member in [*view["members"], *view["joining"]]]
     assert context.retired not in named
--- a/features/steps/zone_group_steps.py
+++ b/features/steps/zone_group_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.support.platform_scripts import world
+from features.support.platform_scripts import check_retired_within, retire, world
 from features.support.platform_world import PlatformWorld
 from features.support.processes import wait_until
 from features.support.zone_groups_model import run_zone_group_schedules
@@ -328,21 +328,13 @@
 def retire_other(context: Context, zone: str) -> None:
     view = _views(context)[zone]
     others = [member for member in view.members if member.disk_id != context.new_disk]
-    context.retired = others[0].node_id
     context.retired_zone = zone
-    world(context).store.put("retirements", context.retired, {"period_s": 10})
+    retire(context, others[0].node_id)
 
 
 @then("its retirement is complete within {limit:d} s, and that group has the new disk alone")
 def retired_from_both(context: Context, limit: int) -> None:
-    started = time.monotonic()
-
-    def is_complete() -> bool:
-        item = world(context).store.get("retirements", context.retired)
-        return (item["status"] or {}).get("state") == "complete"
-
-    wait_until(is_complete, "the retirement is complete")
-    assert time.monotonic() - started < limit
+    check_retired_within(context, limit)
     assert _members(context, context.retired_zone) == {context.new_disk}
 
 
--- a/features/support/platform_scripts.py
+++ b/features/support/platform_scripts.py
@@ -15,6 +15,7 @@
 )
 from features.support.processes import wait_until
 
+RETIREMENTS = "retirements"
 RESET = struct.pack("ii", 1, 0)
 
 
@@ -38,6 +39,27 @@
     return bool(versions) and versions[-1] >= version and servers <= listed
 
 
+# Storage machines
+
+
+def retire(context: Context, machine: str) -> None:
+    """Ask a storage machine to be emptied."""
+    context.retired = machine
+    world(context).store.put(RETIREMENTS, machine, {"period_s": 10})
+
+
+def check_retired_within(context: Context, limit: float) -> None:
+    """Wait until the machine is emptied; fail if that takes longer than so many seconds."""
+    started = time.monotonic()
+
+    def is_complete() -> bool:
+        item = world(context).store.get(RETIREMENTS, context.retired)
+        return (item["status"] or {}).get("state") == "complete"
+
+    wait_until(is_complete, "the retirement is complete")
+    assert time.monotonic() - started < limit
+
+
 # Servers that misbehave
 
 
--- a/yarrowwall/readers/contact_store.py
+++ b/yarrowwall/readers/contact_store.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from typing import Any
 
 from eventlet.event import Event
 
@@ -12,8 +11,8 @@
     ConflictError,
     HistoryForgottenError,
     Listing,
-    ObjectStore,
     ObjectStoreError,
+    ReadableStore,
     StoredObject,
     StoreSilentError,
     WatchInterruptedError,
@@ -21,7 +20,7 @@
 
 
 class ContactStore:
-    """Reads and changes the store, and knows whether it answers.
+    """Reads the store, and knows whether it answers.
 
     :param direct: the store itself.
     :param now: the monotonic clock.
@@ -31,7 +30,7 @@
 
     def __init__(
         self,
-        direct: ObjectStore,
+        direct: ReadableStore,
         now: Callable[[], float],
         on_lost: Callable[[], None] = lambda: None,
         on_back: Callable[[], None] = lambda: None,
@@ -119,17 +118,3 @@
         """Return an object as it stands now; None if there is none."""
         with self._asking():
             return self._direct.get(kind, name, timeout_s)
-
-    def create(self, kind: str, name: str, spec: dict[str, Any]) -> StoredObject:
-        """Make an object."""
-        return self._direct.create(kind, name, spec)
-
-    def replace(
-        self, kind: str, name: str, spec: dict[str, Any], revision: int | None
-    ) -> StoredObject:
-        """Replace an object's content if it still has a revision."""
-        return self._direct.replace(kind, name, spec, revision)
-
-    def set_status(self, kind: str, name: str, status: dict[str, Any]) -> None:
-        """Replace an object's status."""
-        self._direct.set_status(kind, name, status)
--- a/yarrowwall/readers/prover.py
+++ b/yarrowwall/readers/prover.py
@@ -11,8 +11,8 @@
 from yarrowwall.relay.decisions import DecisionLog
 from yarrowwall.relay.object_store import (
     ObjectName,
-    ObjectStore,
     ObjectStoreError,
+    ReadableStore,
     WatchInterruptedError,
 )
 
@@ -47,7 +47,7 @@
 
     def __init__(
         self,
-        store: ObjectStore,
+        store: ReadableStore,
         target: ObjectName,
         log: DecisionLog,
         now: Callable[[], float],
--- a/yarrowwall/readers/reader.py
+++ b/yarrowwall/readers/reader.py
@@ -22,7 +22,7 @@
 from yarrowwall.readers.prover import ObjectProver
 from yarrowwall.readers.wire import ObjectEncoder
 from yarrowwall.relay.decisions import DecisionLog
-from yarrowwall.relay.object_store import Change, ObjectName, ObjectStore, StoredObject
+from yarrowwall.relay.object_store import Change, ObjectName, ReadableStore, StoredObject
 from yarrowwall.relay.watching import COALESCE_SECONDS, LONG_WATCH_SECONDS, KindFollower
 
 #: Seconds for which a question waits for the reader's own first list. A list takes 0.01 s if
@@ -71,7 +71,7 @@
 
     def __init__(
         self,
-        store: ObjectStore,
+        store: ReadableStore,
         kind: str,
         watch_s: float,
         pause_s: float,
@@ -241,7 +241,7 @@
 
     def __init__(
         self,
-        store: ObjectStore,
+        store: ReadableStore,
         prompt: ObjectName,
         log: DecisionLog,
         now: Callable[[], float],
--- a/yarrowwall/readers/store.py
+++ b/yarrowwall/readers/store.py
@@ -100,6 +100,7 @@
         now: Callable[[], float],
     ) -> None:
         self._node_id = node_id
+        self._store = direct
         self._direct = ContactStore(direct, now, on_back=self._note_back)
         self._own_reader = own_reader
         self._prompt_kinds = prompt_kinds
@@ -468,17 +469,17 @@
 
     def create(self, kind: str, name: str, spec: dict[str, Any]) -> StoredObject:
         """Make an object."""
-        return self._direct.create(kind, name, spec)
+        return self._store.create(kind, name, spec)
 
     def replace(
         self, kind: str, name: str, spec: dict[str, Any], revision: int | None
     ) -> StoredObject:
         """Replace an object's content if it still has a revision."""
-        return self._direct.replace(kind, name, spec, revision)
+        return self._store.replace(kind, name, spec, revision)
 
     def set_status(self, kind: str, name: str, status: dict[str, Any]) -> None:
         """Replace an object's status."""
-        self._direct.set_status(kind, name, status)
+        self._store.set_status(kind, name, status)
 
 
 def _is_out(reply: ObjectsReply | None) -> bool:
--- a/yarrowwall/relay/freshness_probe.py
+++ b/yarrowwall/relay/freshness_probe.py
@@ -11,8 +11,8 @@
 from yarrowwall.relay.freshness import Freshness
 from yarrowwall.relay.object_store import (
     ObjectName,
-    ObjectStore,
     ObjectStoreError,
+    ReadableStore,
     StoredObject,
     WatchInterruptedError,
 )
@@ -39,7 +39,7 @@
     def __init__(
         self,
         node_id: str,
-        store: ObjectStore,
+        store: ReadableStore,
         target: ObjectName,
         freshness: Freshness,
         take: Callable[[StoredObject], None],
--- a/yarrowwall/relay/object_store.py
+++ b/yarrowwall/relay/object_store.py
@@ -81,8 +81,8 @@
     proved_at_s: float | None = None
 
 
-class ObjectStore(Protocol):
-    """Reads, watches and changes objects by kind and name.
+class ReadableStore(Protocol):
+    """Reads and watches objects by kind and name.
 
     Every method raises :class:`ObjectStoreError` if the store gives no usable answer.
     """
@@ -122,6 +122,10 @@
         Whatever was acknowledged before the call was sent is in the answer.
         """
 
+
+class ObjectStore(ReadableStore, Protocol):
+    """Reads, watches and changes objects; its own methods raise the same."""
+
     def create(self, kind: str, name: str, spec: dict[str, Any]) -> StoredObject:
         """Make an object.
 
--- a/yarrowwall/relay/watching.py
+++ b/yarrowwall/relay/watching.py
@@ -12,8 +12,8 @@
 from yarrowwall.relay.object_store import (
     Change,
     HistoryForgottenError,
-    ObjectStore,
     ObjectStoreError,
+    ReadableStore,
     StoredObject,
     WatchInterruptedError,
 )
@@ -58,7 +58,7 @@
 
     def __init__(
         self,
-        store: ObjectStore,
+        store: ReadableStore,
         kind: str,
         on_list: Callable[[list[StoredObject]], None],
         on_change: Callable[[Change], None],
