A spent budget is told by one group, and by what is known of it

Cause: a program whose common part is spent asks all zones' groups, one after the other, and settles in all of them.

Change: a turn is told 402 as soon as what is unread cannot hold it: the judgement takes the tokens of the parts that were not asked instead of whether there are any.

A check changed: the scenario of the cut zone asserted that no turn of a small budget ever got 402 while one zone was unread.

--- /dev/null
+++ b/features/steps/spent_budget_steps.py
@@ -0,0 +1,147 @@
+"""Steps about programs that go on although their budgets are spent."""
+
+from collections import Counter
+from typing import Any
+
+import eventlet
+from behave import given, then, when
+from behave.runner import Context
+
+from yarrowwall.messages.replicated import StoredRecord
+from yarrowwall.relay.budget_requests import wanted_by
+from yarrowwall.relay.decisions import Decision
+from yarrowwall.relay.exceptions import StoreUncertainError
+from yarrowwall.relay.group_reach import GroupReach
+from yarrowwall.relay.model import ProgramContext
+from yarrowwall.relay.programs import BudgetExhaustedError
+from yarrowwall.relay.reservations import Reservations
+from yarrowwall.replication.exceptions import NoQuorumError
+from yarrowwall.replication.quorum_client import OwnerReading
+from yarrowwall.replication.rounds import Amount
+
+COMMON = 0
+ZONE_GROUPS = [3000, 3001, 3002, 3003]
+MOST_TOKENS = 136
+RETENTION_SECONDS = 60.0
+
+
+class _Groups:
+    """Groups of replicas that answer at once, and count what they are asked."""
+
+    def __init__(self) -> None:
+        self.asked: Counter[int] = Counter()
+        self.silent: set[int] = set()
+        self._records: dict[int, dict[str, Amount]] = {}
+
+    def reserve(self, group: int, record: StoredRecord, timeout: float) -> OwnerReading:
+        self.asked[group] += 1
+        self.write(group, record)
+        return self._reading(group)
+
+    def read_amounts(self, group: int, owner: str, timeout: float) -> OwnerReading:
+        self._must_answer(group)
+        return self._reading(group)
+
+    def write(self, group: int, record: StoredRecord) -> None:
+        self._must_answer(group)
+        self._records.setdefault(group, {})[record.key] = Amount(record.version, record.amount)
+
+    def _must_answer(self, group: int) -> None:
+        if group in self.silent:
+            raise NoQuorumError(f"group {group}: silent")
+
+    def _reading(self, group: int) -> OwnerReading:
+        return OwnerReading(dict(self._records[group]), "", True)
+
+
+class _Zones:
+    """Four zones with groups of their own, seen from the first one."""
+
+    parts = len(ZONE_GROUPS)
+    own = ZONE_GROUPS[0]
+    in_order = ZONE_GROUPS
+
+    @staticmethod
+    def is_zone_group(group: int) -> bool:
+        return group != COMMON
+
+
+class _Queues:
+    """Writes settlements at once."""
+
+    def __init__(self, groups: _Groups) -> None:
+        self._groups = groups
+
+    def add(self, group: int, record: StoredRecord) -> None:
+        if group not in self._groups.silent:
+            self._groups.write(group, record)
+
+
+class _Log:
+    def write(self, decision: Decision) -> None:
+        """Take in a decision."""
+
+
+@given("a program with {budget:d} tokens whose turns emit all that they may")
+def program_with(context: Context, budget: int) -> None:
+    context.budget = budget
+    context.groups = groups = _Groups()
+    log: Any = _Log()
+    zones: Any = _Zones()
+    client: Any = groups
+    queues: Any = _Queues(groups)
+    reach = GroupReach(lambda group: groups._must_answer(group), log, lambda: 0.0)
+    context.reservations = Reservations(client, zones, reach, queues, log)
+    context.turns = 0
+
+
+def _turn(context: Context) -> str:
+    """Run a turn and return what became of it."""
+    context.turns += 1
+    program = ProgramContext("looper", "", context.budget, MOST_TOKENS, None, None)
+    attempt = f"attempt-{context.turns:03}"
+    wanted = wanted_by("looper", program, attempt, RETENTION_SECONDS, COMMON)
+    try:
+        reserved = context.reservations.reserve(wanted, context.budget)
+    except BudgetExhaustedError:
+        return "spent"
+    except StoreUncertainError:
+        return "uncertain"
+    context.reservations.settle(reserved, reserved.granted, "i-1")
+    return "granted"
+
+
+@given("it has run until its budget was spent")
+def run_until_spent(context: Context) -> None:
+    while (end := _turn(context)) == "granted":
+        pass
+    assert end == "spent", end
+    context.groups.asked.clear()
+
+
+@when("it asks for {count:d} turns more")
+def ask_more(context: Context, count: int) -> None:
+    context.ends = [_turn(context) for _ in range(count)]
+
+
+@then("each is told that it is spent, by one question to its common group")
+def one_question(context: Context) -> None:
+    assert set(context.ends) == {"spent"}, context.ends
+    assert context.groups.asked == {COMMON: len(context.ends)}, context.groups.asked
+
+
+@when("the group of zone {zone:d} falls silent")
+def falls_silent(context: Context, zone: int) -> None:
+    context.groups.silent.add(ZONE_GROUPS[zone])
+    eventlet.sleep(0)
+
+
+@when("{count:d} turns have run")
+def turns_have_run(context: Context, count: int) -> None:
+    assert {_turn(context) for _ in range(count)} == {"granted"}
+
+
+@then("the next turn is told {end}")
+def next_is_told(context: Context, end: str) -> None:
+    found = _turn(context)
+    assert found == end, found
--- a/features/steps/zone_cut_steps.py
+++ b/features/steps/zone_cut_steps.py
@@ -1,5 +1,7 @@
 """Steps about budgets and turns in zones that are cut off."""
 
+from collections.abc import Iterable, Mapping
+
 from behave import given, then
 from behave.runner import Context
 from hypothesis import given as drawn
@@ -13,6 +15,7 @@
     PartReading,
     Verdict,
     divide,
+    is_spent,
     judge,
     pieces_of,
     spread,
@@ -26,6 +29,11 @@
 )
 
 
+def _settled(parts: Iterable[Mapping[str, Amount]]) -> int:
+    claims = [claim for held in parts for claim in held.values()]
+    return sum(claim.tokens for claim in claims if claim.version == ClaimState.SETTLED)
+
+
 @then("{count:d} random budgets are divided without a token lost or gained")
 def budgets_are_divided(context: Context, count: int) -> None:
     @derandomized(count)
@@ -55,10 +63,15 @@
             readings = {
                 group: PartReading(sizes[group], wanted, dict(held[group])) for group in order
             }
-            verdict = judge(readings, f"t{number:03}", wanted, len(order) == len(sizes))
+            unread = sum(size for group, size in sizes.items() if group not in asked)
+            verdict = judge(readings, f"t{number:03}", wanted, unread)
             used = sum(claim.tokens for claims in held.values() for claim in claims.values())
             if verdict is Verdict.EXHAUSTED:
                 assert used + wanted > budget
+            if is_spent(readings, wanted, unread):
+                settled = _settled(held.values())
+                assert settled + wanted > budget
+                assert verdict is Verdict.EXHAUSTED
             if verdict not in (Verdict.GRANTED, Verdict.SHORT):
                 continue
             pieces = pieces_of(readings, wanted)
--- a/features/zone_cuts.feature
+++ b/features/zone_cuts.feature
@@ -12,6 +12,25 @@
   Scenario: What turns spent and hand back makes up what they took
     Then 500 random pieces are spent and handed back without a token lost or gained
 
+  Scenario: A program that goes on although its budget is spent costs one question a turn
+    Given a program with 272 tokens whose turns emit all that they may
+    And it has run until its budget was spent
+    When it asks for 40 turns more
+    Then each is told that it is spent, by one question to its common group
+
+  Scenario: A silent zone is no reason to wait if its part could not hold the turn
+    Given a program with 272 tokens whose turns emit all that they may
+    When 1 turns have run
+    And the group of zone 2 falls silent
+    Then the next turn is told granted
+    And the next turn is told spent
+
+  Scenario: A silent zone whose part could hold the turn leaves it uncertain
+    Given a program with 2720 tokens whose turns emit all that they may
+    When the group of zone 3 falls silent
+    And 18 turns have run
+    Then the next turn is told uncertain
+
   Scenario Outline: Random schedules of cut zones, seeds from <first>
     Then 12 random zone schedules from seed <first> break no promise
 
--- a/yarrowwall/relay/budget_parts.py
+++ b/yarrowwall/relay/budget_parts.py
@@ -106,30 +106,44 @@
     UNCERTAIN = 4
 
 
-def judge(
-    readings: Mapping[int, PartReading], key: str, wanted: int, is_everyone_asked: bool
-) -> Verdict:
+def judge(readings: Mapping[int, PartReading], key: str, wanted: int, unread: int) -> Verdict:
     """Return what becomes of a turn.
 
     Turns that come at once may all claim what only one can have. The first one in order of keys
     goes on, the others give up.
 
     :param key: of the turn's own claims.
+    :param unread: tokens of the parts that could not be asked; they may all be free.
     """
     if not readings:
         return Verdict.UNCERTAIN
     taken = sum(pieces_of(readings, wanted).values())
     if taken >= wanted:
         return Verdict.GRANTED
-    if is_everyone_asked and _left(readings, in_front_of=key) < wanted:
+    if is_exhausted(readings, key, wanted, unread):
         return Verdict.EXHAUSTED
-    least = wanted if is_everyone_asked else max(1, -(-LEAST_SHARE_PERCENT * wanted // 100))
+    least = wanted if unread == 0 else max(1, -(-LEAST_SHARE_PERCENT * wanted // 100))
     if taken >= least:
         return Verdict.SHORT
     is_worth_waiting = sum(_free_later(reading, key) for reading in readings.values()) >= least
     return Verdict.CONTENDED if is_worth_waiting else Verdict.UNCERTAIN
 
 
+def is_exhausted(readings: Mapping[int, PartReading], key: str, wanted: int, unread: int) -> bool:
+    """Return whether a budget cannot hold a turn beside those in front, whatever is unread."""
+    return _left(readings, in_front_of=key) + unread < wanted
+
+
+def is_spent(readings: Mapping[int, PartReading], wanted: int, unread: int) -> bool:
+    """Return whether a budget will never hold such a turn again: what is settled stays so."""
+    left = unread
+    for reading in readings.values():
+        claims = reading.others.values()
+        left += reading.size
+        left -= sum([claim.tokens for claim in claims if claim.version == ClaimState.SETTLED])
+    return left < wanted
+
+
 def _free_later(reading: PartReading, key: str) -> int:
     """Return the tokens that a turn may take once those behind it have given up."""
     used = sum(
--- a/yarrowwall/relay/ledger.py
+++ b/yarrowwall/relay/ledger.py
@@ -6,13 +6,14 @@
 import eventlet
 
 from yarrowwall.relay import decisions
+from yarrowwall.relay.budget_requests import Reserved, wanted_by
 from yarrowwall.relay.decisions import DecisionLog
 from yarrowwall.relay.events import Event
 from yarrowwall.relay.exceptions import StoreUncertainError
 from yarrowwall.relay.group_reach import GroupReach
 from yarrowwall.relay.model import Attempt, ProgramContext, Route
 from yarrowwall.relay.programs import TurnGrant
-from yarrowwall.relay.reservations import Reservations, Reserved, wanted_by
+from yarrowwall.relay.reservations import Reservations
 from yarrowwall.relay.settlements import SettlementQueues
 from yarrowwall.relay.turn_store import Placed, TurnStore
 from yarrowwall.relay.turns import Turn, output_of, prompt_body
--- a/yarrowwall/relay/reservations.py
+++ b/yarrowwall/relay/reservations.py
@@ -11,28 +11,29 @@
 turn. What is missing is asked of the zones' groups, the own zone's first.
 """
 
-from collections.abc import Iterator
-from typing import NamedTuple
-
 import eventlet
 
 from yarrowwall.messages.replicated import StoredRecord
 from yarrowwall.relay import decisions
 from yarrowwall.relay.budget_parts import (
     ClaimState,
-    PartReading,
-    Parts,
     Verdict,
     divide,
     holds_beside_all,
     judge,
-    pieces_of,
     spread,
 )
+from yarrowwall.relay.budget_requests import (
+    TRACE_PREFIX,
+    BudgetRequest,
+    GroupHeld,
+    Reserved,
+    Wanted,
+    group_held,
+)
 from yarrowwall.relay.decisions import DecisionLog
 from yarrowwall.relay.exceptions import StoreUncertainError
 from yarrowwall.relay.group_reach import GroupReach
-from yarrowwall.relay.model import ProgramContext
 from yarrowwall.relay.programs import BudgetExhaustedError
 from yarrowwall.relay.settlements import SettlementQueues
 from yarrowwall.relay.zone_groups import ZoneGroups
@@ -56,145 +57,6 @@
 #: are renewed by its turns there and those in its zone are not, so this has to outlive programs.
 ZONE_RETENTION_SECONDS = 86400.0
 
-_BUDGET_PREFIX = "budget/"
-#: Begins the key of what tells the common group that a turn ran by a zone's part alone.
-_TRACE_PREFIX = "zone-turn/"
-
-
-class Wanted(NamedTuple):
-    """Tokens that a turn wants.
-
-    :param program_id: the program, as one of its tenant's.
-    :param program_name: the program as callers name it.
-    :param key: of the turn's records, the same in all groups.
-    :param common: the program's common group.
-    """
-
-    program_id: str
-    program_name: str
-    attempt_id: str
-    key: str
-    tokens: int
-    retention: float
-    common: int
-
-
-def wanted_by(
-    program_id: str, program: ProgramContext, attempt_id: str, retention: float, common: int
-) -> Wanted:
-    """Return what a turn of a program wants."""
-    key = f"{_BUDGET_PREFIX}{program_id}/{attempt_id}"
-    return Wanted(
-        program_id, program.program_id, attempt_id, key, program.most_tokens, retention, common
-    )
-
-
-class Reserved(NamedTuple):
-    """A granted reservation, and what it tells of its program.
-
-    :param pieces: tokens granted by each group.
-    :param granted: the sum of these; less than what was wanted if some group was out of reach.
-    :param last_server: where its turn before ran; empty if unknown.
-    :param is_first: whether the program surely emitted nothing, and nothing of it is under way.
-    """
-
-    wanted: Wanted
-    pieces: dict[int, int]
-    granted: int
-    last_server: str
-    is_first: bool
-
-    @property
-    def is_short(self) -> bool:
-        """Return whether the turn got less than the most that it may emit."""
-        return self.granted < self.wanted.tokens
-
-
-class _Held(NamedTuple):
-    """What a group told of a program beside one reservation.
-
-    :param amounts: by key, all that was met so far.
-    :param tokens: the sum of these.
-    """
-
-    amounts: dict[str, Amount]
-    note: str
-    tokens: int
-
-    @property
-    def is_settled(self) -> bool:
-        """Return whether no other turn is under way."""
-        return all(amount.version >= ClaimState.SETTLED for amount in self.amounts.values())
-
-    @property
-    def is_blank(self) -> bool:
-        """Return whether the program has emitted nothing, and nothing of it is under way."""
-        return self.tokens == 0 and not any(key.startswith(_TRACE_PREFIX) for key in self.amounts)
-
-
-def _held(amounts: dict[str, Amount], note: str) -> _Held:
-    return _Held(amounts, note, sum([amount.tokens for amount in amounts.values()]))
-
-
-class _Request:
-    """One turn's reservation on its way through the groups.
-
-    :param parts: the division of its program's budget.
-    """
-
-    def __init__(self, wanted: Wanted, parts: Parts) -> None:
-        self.wanted = wanted
-        self.common = wanted.common
-        self._parts = parts
-        self.held: dict[int, _Held] = {}
-        #: What the turn may take of each part that was asked.
-        self.pieces: dict[int, int] = {}
-        self.asked: dict[int, int] = {}
-        self.unreachable: list[int] = []
-        self.failure = ""
-
-    @property
-    def readings(self) -> dict[int, PartReading]:
-        """Return what is known of each part that was asked."""
-        return {
-            group: PartReading(self._size(group), self.asked[group], held.amounts)
-            for group, held in self.held.items()
-        }
-
-    def take(self, group: int, held: _Held) -> None:
-        """Take in what a group told."""
-        self.held[group] = held
-        self.pieces = pieces_of(self.readings, self.wanted.tokens)
-
-    def drop(self, group: int) -> None:
-        """Take nothing of a group that tells no more."""
-        del self.held[group]
-        self.pieces = pieces_of(self.readings, self.wanted.tokens)
-
-    @property
-    def missing(self) -> int:
-        """Return the tokens that the parts asked so far do not hold."""
-        return self.wanted.tokens - sum(self.pieces.values())
-
-    @property
-    def used(self) -> int:
-        """Return what other turns hold of the parts that were asked."""
-        return sum(held.tokens for held in self.held.values())
-
-    @property
-    def last_server(self) -> str:
-        """Return where the program's turn before ran."""
-        return next((held.note for held in self.held.values() if held.note), "")
-
-    @property
-    def is_first(self) -> bool:
-        """Return whether the program surely emitted nothing before."""
-        is_blank = all(held.is_blank for held in self.held.values())
-        return self.common in self.held and is_blank
-
-    def _size(self, group: int) -> int:
-        return self._parts.common if group == self.common else self._parts.of_zone
-
 
 class Reservations:
     """Grants tokens by what the record store holds."""
@@ -219,7 +81,8 @@
         :raises BudgetExhaustedError: if the budget does not hold it.
         :raises StoreUncertainError: if too few groups could be asked.
         """
-        request = _Request(wanted, divide(budget, self._zones.parts))
+        groups = [wanted.common, *self._zones.in_order]
+        request = BudgetRequest(wanted, divide(budget, self._zones.parts), groups)
         verdict = self._ask_groups(request)
         self._note_decided(request, budget, verdict)
         if verdict in (Verdict.GRANTED, Verdict.SHORT):
@@ -227,10 +90,18 @@
         for group in request.asked:
             self._queues.add(group, self._record(group, wanted, ClaimState.SETTLED, 0))
         if verdict is Verdict.EXHAUSTED:
+            self._mark_spent(request)
             raise BudgetExhaustedError(f"{request.used} of {budget} tokens are used")
         silent = ", ".join(str(group) for group in request.unreachable)
         raise StoreUncertainError(request.failure or f"out of reach: {silent or 'none'}")
 
+    def _mark_spent(self, request: BudgetRequest) -> None:
+        """Let the common group tell the program's next turns that none can ever fit."""
+        key = request.spent_mark
+        if key is not None:
+            wanted = request.wanted
+            self._queues.add(wanted.common, self._marker(wanted, key, ""))
+
     def settle(self, reserved: Reserved, tokens: int, server_id: str) -> None:
         """Replace a reservation by what was emitted, soon."""
         for group, record in self.settled(reserved, tokens, server_id):
@@ -270,7 +141,11 @@
 
     def _trace(self, wanted: Wanted, server_id: str) -> StoredRecord:
         """Return the record that tells the common group of a turn that ran without it."""
-        key = f"{_TRACE_PREFIX}{wanted.program_id}/{wanted.attempt_id}"
+        key = f"{TRACE_PREFIX}{wanted.program_id}/{wanted.attempt_id}"
+        return self._marker(wanted, key, server_id)
+
+    def _marker(self, wanted: Wanted, key: str, server_id: str) -> StoredRecord:
+        """Return a record of no tokens in a program's common group."""
         retention = self._retention(wanted.common, wanted.retention)
         owner = wanted.program_id
         return StoredRecord(key, ClaimState.SETTLED, owner, "", retention, 0, server_id.encode())
@@ -285,9 +160,9 @@
 
     # Asking
 
-    def _ask_groups(self, request: _Request) -> Verdict:
+    def _ask_groups(self, request: BudgetRequest) -> Verdict:
         """Claim tokens of one group after the other until the turn has what it wants."""
-        for group in self._in_order(request.common):
+        for group in request.groups:
             if self._reach.is_out(group) or not self._may_ask(request, group):
                 request.unreachable.append(group)
                 continue
@@ -298,26 +173,23 @@
                 continue
             if request.missing <= 0:
                 return Verdict.GRANTED
+            if request.is_exhausted:
+                return Verdict.EXHAUSTED
         return self._decide(request)
 
-    def _in_order(self, common: int) -> Iterator[int]:
-        """Return the groups to ask, as far as they are needed."""
-        yield common
-        yield from self._zones.in_order
-
-    def _may_ask(self, request: _Request, group: int) -> bool:
+    def _may_ask(self, request: BudgetRequest, group: int) -> bool:
         """Return whether a group may grant by what is known of the common one."""
         if group == request.common or request.common in request.held:
             return True
         return self._reach.silent_seconds(request.common) < ALONE_SECONDS
 
-    def _note_failed(self, request: _Request, group: int, error: NoQuorumError) -> None:
+    def _note_failed(self, request: BudgetRequest, group: int, error: NoQuorumError) -> None:
         request.unreachable.append(group)
         request.failure = str(error)
         if self._zones.parts:
             self._reach.note_failed(group)
 
-    def _claim(self, request: _Request, group: int) -> None:
+    def _claim(self, request: BudgetRequest, group: int) -> None:
         """Write what is still missing to a group; take in what else there is of the program.
 
         :raises NoQuorumError: if the group does not answer in time.
@@ -328,13 +200,13 @@
         request.asked[group] = missing
         record = self._record(group, wanted, ClaimState.RESERVED, missing)
         reading = self._client.reserve(group, record, timeout=self._wait_s(group, request))
-        held = _held(_others(reading, wanted), reading.note)
+        held = group_held(_others(reading, wanted), reading.note)
         if not (reading.is_sure and held.is_settled):
             held = self._look(request, group, held)
         self._reach.note_reached(group)
         request.take(group, held)
 
-    def _look(self, request: _Request, group: int, before: _Held) -> _Held:
+    def _look(self, request: BudgetRequest, group: int, before: GroupHeld) -> GroupHeld:
         """Return what a group holds of a program now.
 
         :raises NoQuorumError: if the group does not answer in time.
@@ -344,9 +216,9 @@
         reading = self._client.read_amounts(group, wanted.program_id, timeout=wait_s)
         # A reservation that was met while writing may not be complete yet.
         amounts = merged(before.amounts, _others(reading, wanted))
-        return _held(amounts, reading.note)
+        return group_held(amounts, reading.note)
 
-    def _decide(self, request: _Request) -> Verdict:
+    def _decide(self, request: BudgetRequest) -> Verdict:
         """Return what becomes of a turn that no group's part holds alone.
 
         Turns that come at once all see one another. If not all of them fit, those
@@ -359,18 +231,17 @@
             eventlet.sleep(CONTENTION_SECONDS)
             self._look_again(request)
             verdict = self._judge(request)
-        is_spent = not holds_beside_all(request.readings, request.wanted.tokens)
-        if verdict is Verdict.CONTENDED and is_spent and not request.unreachable:
+        is_full = not holds_beside_all(request.readings, request.wanted.tokens)
+        if verdict is Verdict.CONTENDED and is_full and not request.unreachable:
             return Verdict.EXHAUSTED
         return verdict
 
     @staticmethod
-    def _judge(request: _Request) -> Verdict:
+    def _judge(request: BudgetRequest) -> Verdict:
         wanted = request.wanted
-        is_everyone_asked = not request.unreachable
-        return judge(request.readings, wanted.key, wanted.tokens, is_everyone_asked)
+        return judge(request.readings, wanted.key, wanted.tokens, request.unread)
 
-    def _look_again(self, request: _Request) -> None:
+    def _look_again(self, request: BudgetRequest) -> None:
         """Look at all parts once more."""
         for group, held in list(request.held.items()):
             try:
@@ -379,7 +250,7 @@
                 request.drop(group)
                 self._note_failed(request, group, error)
 
-    def _wait_s(self, group: int, request: _Request) -> float:
+    def _wait_s(self, group: int, request: BudgetRequest) -> float:
         """Return the seconds that a turn waits for a group."""
         own = self._zones.own
         is_last_resort = own is None or (group == own and request.common not in request.held)
@@ -387,7 +258,7 @@
 
     # What follows
 
-    def _granted(self, request: _Request) -> Reserved:
+    def _granted(self, request: BudgetRequest) -> Reserved:
         """Note what a granted turn takes; hand back what it has claimed beyond that."""
         wanted = request.wanted
         pieces = {}
@@ -403,7 +274,7 @@
         granted = sum(pieces.values())
         return Reserved(wanted, pieces, granted, request.last_server, request.is_first)
 
-    def _note_decided(self, request: _Request, budget: int, verdict: Verdict) -> None:
+    def _note_decided(self, request: BudgetRequest, budget: int, verdict: Verdict) -> None:
         wanted = request.wanted
         is_granted = verdict in (Verdict.GRANTED, Verdict.SHORT)
         if is_granted or verdict is Verdict.EXHAUSTED:
