--- a/yarrowwall/relay/caller_watch.py
+++ b/yarrowwall/relay/caller_watch.py
@@ -2,9 +2,10 @@
 
 import socket
 from types import TracebackType
+from typing import Any
 
 import eventlet
-from eventlet.hubs import get_hub, trampoline
+from eventlet.hubs import get_hub
 
 from yarrowwall.relay.exceptions import CallerGoneError
 
@@ -12,6 +13,8 @@
 class CallerWatch:
     """Raises :class:`CallerGoneError` in the entering greenthread once the caller leaves.
 
+    It listens by the hub itself; a greenthread that waits is started and ended once a request.
+
     :param connection: the caller's socket; nothing else may read it meanwhile.
     """
 
@@ -19,19 +22,23 @@
         self._connection = connection
         self._is_active = False
         self._handler = eventlet.getcurrent()
-        self._watcher: eventlet.greenthread.GreenThread | None = None
+        self._listener: Any = None
 
     def start(self) -> None:
         """Begin to watch."""
         self._is_active = True
-        self._watcher = eventlet.spawn(self._watch)
+        hub = get_hub()
+        try:
+            fileno = self._connection.fileno()
+            self._listener = hub.add(hub.READ, fileno, self._look, self._note_closed, None)
+        except (OSError, ValueError):
+            # Its descriptor is closed already.
+            self._note_gone()
 
     def stop(self) -> None:
         """Cease to watch; afterwards nothing is raised any more."""
         self._is_active = False
-        if self._watcher is not None:
-            self._watcher.kill()
-            self._watcher = None
+        self._listen_no_more()
 
     def __enter__(self) -> "CallerWatch":
         self.start()
@@ -45,15 +52,31 @@
     ) -> None:
         self.stop()
 
-    def _watch(self) -> None:
+    def _listen_no_more(self) -> None:
+        listener, self._listener = self._listener, None
+        if listener is not None:
+            get_hub().remove(listener)
+
+    def _look(self, fileno: int) -> None:
+        """Take in that something came; called by the hub, also once after listening has ended."""
+        if self._listener is None:
+            return
+        self._listen_no_more()
         try:
-            trampoline(self._connection.fileno(), read=True)
             # Bytes here are the next request of a caller that pipelines; it is not gone.
             if self._peek():
                 return
         except OSError:
             # A reset; a closed descriptor means that the answer is over, and nobody watches.
             pass
+        self._note_gone()
+
+    def _note_closed(self, error: BaseException) -> None:
+        """Take in that the descriptor has become another connection's; called by the hub."""
+        self._listener = None
+        self._note_gone()
+
+    def _note_gone(self) -> None:
         if self._is_active:
             get_hub().schedule_call_global(0, self._raise_in_handler)
 
