--- a/yarrowwall/platform/callers.py
+++ b/yarrowwall/platform/callers.py
@@ -1,5 +1,6 @@
 """Requests of the platform's clients and the answers they get."""
 
+from functools import lru_cache
 from http.cookies import CookieError, SimpleCookie
 from typing import Any
 
@@ -9,6 +10,8 @@
 
 #: Seconds that a client without a deadline is held to wait.
 _DEFAULT_DEADLINE = 30.0
+#: Names of headers whose comparable spelling is remembered: those that clients really send.
+MOST_NAMES = 512
 #: Headers of one connection, those that the system sets itself, and callers' secrets.
 _DROPPED = {
     "connection",
@@ -85,10 +88,12 @@
 
 
 def _passed_on(headers: tuple[Header, ...], connection: str) -> list[Header]:
-    dropped = _DROPPED | {_canonical(name) for name in connection.split(",")}
+    also = {_canonical(name) for name in connection.split(",")} if connection else ()
+    dropped = _DROPPED.union(also) if also else _DROPPED
     return [(name, value) for name, value in headers if _canonical(name) not in dropped]
 
 
+@lru_cache(MOST_NAMES)
 def _canonical(name: str) -> str:
     """Return a header's name in the one spelling that it is compared in.
 
--- a/yarrowwall/relay/decisions.py
+++ b/yarrowwall/relay/decisions.py
@@ -7,8 +7,8 @@
 import time
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Any
+from functools import cache
+from typing import Any, get_args
 
 import msgspec
 from eventlet import patcher
@@ -22,13 +22,11 @@
 LINES_PER_SECOND = 200
 
 
-@dataclass(frozen=True)
-class Decision:
+class Decision(msgspec.Struct, frozen=True):
     """Base of the events; ``kind`` is the class's name."""
 
 
-@dataclass(frozen=True)
-class AttemptAdmitted(Decision):
+class AttemptAdmitted(Decision, frozen=True):
     """A caller's attempt was read and has a route.
 
     :param configuration_age: seconds since the configuration was proved to be the newest.
@@ -46,8 +44,7 @@
     finish_in: float | None
 
 
-@dataclass(frozen=True)
-class AttemptSent(Decision):
+class AttemptSent(Decision, frozen=True):
     """An attempt was sent to a server.
 
     :param load: requests under way there, of all gateways as far as known.
@@ -66,8 +63,7 @@
     resumed_after: str | None
 
 
-@dataclass(frozen=True)
-class SendFailed(Decision):
+class SendFailed(Decision, frozen=True):
     """A sending brought no answer that can be passed on."""
 
     attempt: str
@@ -76,8 +72,7 @@
     may_have_run: bool
 
 
-@dataclass(frozen=True)
-class AttemptAnswered(Decision):
+class AttemptAnswered(Decision, frozen=True):
     """A caller got a server's answer, whole.
 
     :param first_seconds: until its first event; None for an answer without events.
@@ -91,8 +86,7 @@
     first_seconds: float | None
 
 
-@dataclass(frozen=True)
-class AttemptRefused(Decision):
+class AttemptRefused(Decision, frozen=True):
     """A caller got an answer of the gateway's own."""
 
     attempt: str
@@ -101,8 +95,7 @@
     seconds: float
 
 
-@dataclass(frozen=True)
-class AnswerBrokenOff(Decision):
+class AnswerBrokenOff(Decision, frozen=True):
     """An answer was cut because it can not be completed."""
 
     attempt: str
@@ -110,16 +103,14 @@
     events: int
 
 
-@dataclass(frozen=True)
-class CallerLeft(Decision):
+class CallerLeft(Decision, frozen=True):
     """A caller closed its connection; its request was cancelled."""
 
     attempt: str
     seconds: float
 
 
-@dataclass(frozen=True)
-class CallerGivenUp(Decision):
+class CallerGivenUp(Decision, frozen=True):
     """A caller took nothing of its answer, or sent nothing of its request, for too long.
 
     :param seconds: since it was given something, or since its request began.
@@ -131,16 +122,14 @@
     held: int
 
 
-@dataclass(frozen=True)
-class InternalFault(Decision):
+class InternalFault(Decision, frozen=True):
     """A fault of the program itself ended a request."""
 
     attempt: str
     trace: str
 
 
-@dataclass(frozen=True)
-class BudgetDecided(Decision):
+class BudgetDecided(Decision, frozen=True):
     """Tokens were reserved for a turn, or not."""
 
     attempt: str
@@ -151,8 +140,7 @@
     granted: bool
 
 
-@dataclass(frozen=True)
-class BudgetSettled(Decision):
+class BudgetSettled(Decision, frozen=True):
     """A turn's reservation was replaced by what it emitted."""
 
     attempt: str
@@ -160,8 +148,7 @@
     tokens: int
 
 
-@dataclass(frozen=True)
-class PartsAsked(Decision):
+class PartsAsked(Decision, frozen=True):
     """A turn asked more than its program's common group for tokens, or could not ask that.
 
     :param verdict: what became of it.
@@ -179,8 +166,7 @@
     is_alone: bool
 
 
-@dataclass(frozen=True)
-class GroupReachChanged(Decision):
+class GroupReachChanged(Decision, frozen=True):
     """A group of replicas fell out of reach of this gateway, or is back.
 
     :param seconds: for how long it was out of reach.
@@ -191,24 +177,21 @@
     seconds: float
 
 
-@dataclass(frozen=True)
-class TurnKeptInZone(Decision):
+class TurnKeptInZone(Decision, frozen=True):
     """A turn was kept in the own zone's group, since its common group was out of reach."""
 
     attempt: str
     group: int
 
 
-@dataclass(frozen=True)
-class TurnCopied(Decision):
+class TurnCopied(Decision, frozen=True):
     """A turn that a zone's group kept was copied into its common group."""
 
     attempt: str
     group: int
 
 
-@dataclass(frozen=True)
-class ChainLookedUp(Decision):
+class ChainLookedUp(Decision, frozen=True):
     """The earlier turns of a conversation were looked for."""
 
     attempt: str
@@ -217,8 +200,7 @@
     turns: int
 
 
-@dataclass(frozen=True)
-class ConfigurationInForce(Decision):
+class ConfigurationInForce(Decision, frozen=True):
     """A newer configuration took effect."""
 
     version: int
@@ -226,8 +208,7 @@
     services: int
 
 
-@dataclass(frozen=True)
-class KeysChanged(Decision):
+class KeysChanged(Decision, frozen=True):
     """A configuration gave keys to a tenant or took some away; keys by fingerprint."""
 
     version: int
@@ -236,8 +217,7 @@
     removed: list[str]
 
 
-@dataclass(frozen=True)
-class ServerChanged(Decision):
+class ServerChanged(Decision, frozen=True):
     """A server was listed, started again, is leaving or is gone."""
 
     server: str
@@ -245,8 +225,7 @@
     change: str
 
 
-@dataclass(frozen=True)
-class EntryRefused(Decision):
+class EntryRefused(Decision, frozen=True):
     """An entry of the list of servers names no server to use.
 
     :param fault: an :class:`EntryFault`.
@@ -258,8 +237,7 @@
     detail: str
 
 
-@dataclass(frozen=True)
-class DependencyChanged(Decision):
+class DependencyChanged(Decision, frozen=True):
     """A dependency was lost or is back."""
 
     dependency: str
@@ -267,8 +245,7 @@
     reason: str
 
 
-@dataclass(frozen=True)
-class GroupChanged(Decision):
+class GroupChanged(Decision, frozen=True):
     """A replica group took a new epoch."""
 
     group: int
@@ -277,16 +254,14 @@
     joining: str
 
 
-@dataclass(frozen=True)
-class LendingChanged(Decision):
+class LendingChanged(Decision, frozen=True):
     """A replica lends its part of tenants' limits from now on, or no more."""
 
     epoch: int
     lends: bool
 
 
-@dataclass(frozen=True)
-class QuotaRefused(Decision):
+class QuotaRefused(Decision, frozen=True):
     """No replica had room in a tenant's limit.
 
     :param asked: replicas that were asked.
@@ -300,8 +275,7 @@
     retry_after: float
 
 
-@dataclass(frozen=True)
-class RoomDecided(Decision):
+class RoomDecided(Decision, frozen=True):
     """A new program came while half of the places or more were taken, and may begin or not.
 
     :param scarce: what was lacking.
@@ -329,8 +303,7 @@
     holder_share: float
 
 
-@dataclass(frozen=True)
-class ReplicaSynchronised(Decision):
+class ReplicaSynchronised(Decision, frozen=True):
     """A replica holds all that its group had completed."""
 
     group: int
@@ -338,8 +311,7 @@
     copied: int
 
 
-@dataclass(frozen=True)
-class ProcessChanged(Decision):
+class ProcessChanged(Decision, frozen=True):
     """The process started, stops, reloaded or stopped."""
 
     change: str
@@ -434,8 +406,20 @@
 
 
 def _fields(decision: Decision) -> dict[str, Any]:
-    # A frozen dataclass keeps its fields, and nothing else, in its dictionary.
-    return {
-        name: round(value, 5) if isinstance(value, float) else value
-        for name, value in vars(decision).items()
-    }
+    """Return the fields of a line; numbers with what is worth reading of their digits."""
+    values = msgspec.structs.asdict(decision)
+    for name in _numbers_of(type(decision)):
+        value = values[name]
+        if value is not None:
+            values[name] = round(value, 5)
+    return values
+
+
+@cache
+def _numbers_of(kind: type[Decision]) -> list[str]:
+    """Return the names of the fields that hold numbers with a fraction."""
+    return [field.name for field in msgspec.structs.fields(kind) if _is_number(field.type)]
+
+
+def _is_number(hint: Any) -> bool:
+    return hint is float or float in get_args(hint)
