Connections between machines stay registered with the hub

After each frame a channel tried to receive in vain, registered its descriptor, was woken, and removed it again: three calls of the kernel and some 40 of Python a message beside the one that brings it. A receiver now stays registered for as long as its connection lasts; should bytes come while its greenthread waits for something else, it is removed until that one is back.

--- a/yarrowwall/relay/sockets.py
+++ b/yarrowwall/relay/sockets.py
@@ -6,9 +6,11 @@
 
 import socket
 import time
+from typing import Any
 
+import greenlet
 from eventlet.green import socket as green_socket
-from eventlet.hubs import IOClosed, trampoline
+from eventlet.hubs import IOClosed, get_hub, trampoline
 
 from yarrowwall.relay.exceptions import ConnectError, ConnectTimeoutError
 
@@ -78,6 +80,66 @@
             raise ConnectionAbortedError("closed here") from error
 
 
+class Receiver:
+    """Receives from one connection for as long as that lasts.
+
+    It stays registered with the hub. :func:`receive` tries first, registers its descriptor and
+    removes it again, three calls of the kernel more for each piece, which is right where an answer
+    is often there already.
+
+    :param connection: nothing else may read it; it is closed after this.
+    """
+
+    def __init__(self, connection: socket.socket) -> None:
+        self._raw = connection.fd  # type: ignore[attr-defined]
+        self._listener: Any = None
+        self._waiting: greenlet.greenlet | None = None
+
+    def receive(self, size: int) -> bytes:
+        """Return the bytes that arrive next; empty at an orderly end.
+
+        :raises OSError: if the connection fails or is reset.
+        """
+        while True:
+            self._wait()
+            try:
+                return bytes(self._raw.recv(size))
+            except BlockingIOError:
+                continue
+
+    def close(self) -> None:
+        """Receive no more."""
+        listener, self._listener = self._listener, None
+        if listener is not None:
+            get_hub().remove(listener)
+
+    def _wait(self) -> None:
+        """Wait until something is there to receive."""
+        hub = get_hub()
+        if self._listener is None:
+            fileno = self._raw.fileno()
+            self._listener = hub.add(hub.READ, fileno, self._wake, self._fail, None)
+        self._waiting = greenlet.getcurrent()
+        try:
+            hub.switch()
+        finally:
+            self._waiting = None
+
+    def _wake(self, fileno: int) -> None:
+        """Take in that there is something; called by the hub."""
+        if self._waiting is not None:
+            self._waiting.switch()
+        else:
+            # The one who receives is at work and waits for something else.
+            self.close()
+
+    def _fail(self, error: BaseException) -> None:
+        """Take in that the descriptor has become another connection's; called by the hub."""
+        self._listener = None
+        if self._waiting is not None:
+            self._waiting.throw(error)
+
+
 def send_all(connection: socket.socket, data: bytes, timeout: float) -> None:
     """Send bytes; ``sendall`` would allow the time anew for each piece that the peer takes.
 
--- a/yarrowwall/replication/rpc.py
+++ b/yarrowwall/replication/rpc.py
@@ -16,7 +16,7 @@
 from yarrowwall.messages.codec import decode, encode
 from yarrowwall.messages.exceptions import MessageError
 from yarrowwall.relay.exceptions import ConnectError
-from yarrowwall.relay.sockets import open_socket, receive, set_silence_limits
+from yarrowwall.relay.sockets import Receiver, open_socket, set_silence_limits
 from yarrowwall.replication.exceptions import LinkDownError
 
 #: Longest frame that is read; longer ones close the connection.
@@ -119,9 +119,10 @@
 
     def _read(self) -> None:
         buffer = bytearray()
+        receiver = Receiver(self._connection)
         try:
             while self.is_open:
-                data = receive(self._connection, _READ_BYTES, None)
+                data = receiver.receive(_READ_BYTES)
                 if not data:
                     break
                 buffer += data
@@ -129,6 +130,7 @@
         except (OSError, MessageError):
             pass
         self.close()
+        receiver.close()
         self._connection.close()
 
     def _take_frames(self, buffer: bytearray) -> None:
