An only server that is late is waited for

Cause: an answer later than usual (2.5 times the usual, 0.1 s at least; 0.8 s of silence while that is not known) was given up so that the request could be repeated elsewhere, also where no server was left to repeat it at. Its caller got 502 "no answer in time" after 0.1 s of its 3 s, for an answer that was under way. That scenario takes 200 answers from an only server that shares the test's process with 500 streams, and each has to be 200.

The change: an answer is given up for being late only if another server could take the request; otherwise it is waited for until the request's time is over.

platform.feature, "An only server that is late is waited for": 400 ms after 20 prompt answers, and 1500 ms at the first request.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -62,6 +62,17 @@
     Then the answer is 504 without Retry-After
     And it came within 650 ms
 
+  Scenario Outline: An only server that is late is waited for
+    Given a route "lookup" of type "idempotent" whose only server takes <late> ms after <prompt> prompt answers
+    When <count> clients send nothing on "lookup"
+    Then every answer is 200
+    And the server of "lookup" got <count> requests
+
+    Examples:
+      | prompt | late | count |
+      | 20     | 400  | 21    |
+      | 0      | 1500 | 1     |
+
   Scenario: A client that leaves cancels its request
     Given a route "slow" of type "mutating" with a time of 3000 ms and a server that takes 2 s
     When a client sends "payload" on "slow" and leaves after 200 ms
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -107,6 +107,19 @@
     connection.close()
 
 
+@given(
+    'a route "{route}" of type "{kind}" whose only server takes {late:d} ms '
+    "after {prompt:d} prompt answers"
+)
+def late_route(context: Context, route: str, kind: str, late: int, prompt: int) -> None:
+    def answer_late(call: QuietHandler, arrival: Arrival) -> bool:
+        if len(arrivals(context, route)) > prompt:
+            time.sleep(late / 1000.0)
+        return False
+
+    add(context, route, kind, answer_late)
+
+
 @when('{count:d} clients send nothing on "{route}"')
 def send_gets(context: Context, count: int, route: str) -> None:
     context.answers = [world(context).ask(route) for _ in range(count)]
@@ -172,6 +185,11 @@
     assert [answer.status for answer in context.answers] == [200] * len(context.answers)
 
 
+@then('the server of "{route}" got {count:d} requests')
+def server_got(context: Context, route: str, count: int) -> None:
+    assert len(arrivals(context, route)) == count, arrivals(context, route)
+
+
 @then("every answer belongs to its request")
 def every_own(context: Context) -> None:
     for answer in context.answers:
--- a/yarrowwall/relay/offer.py
+++ b/yarrowwall/relay/offer.py
@@ -322,15 +322,24 @@
 
         :param since: when the wait began.
         """
-        if not self._may_repeat:
-            return self.remaining() > 0
         now = self._parts.now()
+        if not self._may_repeat or not self._has_other_server(now):
+            return self.remaining() > 0
         limit_s = self._usual_limit_s()
         if limit_s is not None:
             return now - since < limit_s or not self._parts.retries.take(self._service)
         is_heard = now - self._parts.directory.last_heard(life) < SILENCE_SECONDS
         return is_heard and now - since < LONGEST_SILENCE_SECONDS
 
+    def _has_other_server(self, now: float) -> bool:
+        """Return whether a server that did not get the attempt yet could take it.
+
+        Without one, giving up an answer that is late ends the request with 502 after 0.1 s, with
+        seconds left in which the only server might still answer.
+        """
+        directory = self._parts.directory
+        return bool(directory.candidates(self._service, self.log.tried, now))
+
     def note_failure(self, server: Server, error: RelayError) -> None:
         """Note that a sending failed, and pass the server over unless the time was just over."""
         if not isinstance(error, AnswerTimeoutError) or self.remaining() > 0:
