--- a/yarrowwall/relay/offer.py
+++ b/yarrowwall/relay/offer.py
@@ -322,14 +322,20 @@
 
         :param since: when the wait began.
         """
-        now = self._parts.now()
-        if not self._may_repeat or not self._has_other_server(now):
+        if not self._may_repeat:
             return self.remaining() > 0
+        now = self._parts.now()
         limit_s = self._usual_limit_s()
-        if limit_s is not None:
-            return now - since < limit_s or not self._parts.retries.take(self._service)
-        is_heard = now - self._parts.directory.last_heard(life) < SILENCE_SECONDS
-        return is_heard and now - since < LONGEST_SILENCE_SECONDS
+        if limit_s is None:
+            is_heard = now - self._parts.directory.last_heard(life) < SILENCE_SECONDS
+            is_late = not is_heard or now - since >= LONGEST_SILENCE_SECONDS
+        else:
+            is_late = now - since >= limit_s
+        if not is_late:
+            return True
+        if not self._has_other_server(now):
+            return self.remaining() > 0
+        return limit_s is not None and not self._parts.retries.take(self._service)
 
     def _has_other_server(self, now: float) -> bool:
         """Return whether a server that did not get the attempt yet could take it.
