Readers are asked through neighbours

Cause: a gateway that reaches neither the readers of the platform's store nor the store goes on with turns through a neighbour, but its questions for the configuration and the proof of its age went directly only.

The change: once no reader is relied on and none has answered for 1 s, questions go through neighbours (ListObjects and WatchObjects in Forward). Neighbours that are of no use are passed over as for replicas, and never asked in spite of it. The age counts from before the first neighbour is asked, so what is late or comes twice makes a proof older, never newer (docs/design/0013, PROOFS). Besides, a reader that is asked in place of a lost one is first asked without a wait: of several that were lost each next one took 1.5 s to be found, now 0.5 s.

Tried and mended on the way: a look that was answered after a reader had been found opened the detour for good; neighbours were asked at a start.

--- a/features/support/following_model.py
+++ b/features/support/following_model.py
@@ -105,18 +105,18 @@
             self._host.proved.append(Proved(now_s(), at_s))
 
 
-class _Links:
+class Links:
     """Links of one process to the other machines."""
 
     def __init__(self, world: "FollowingWorld", host: Host) -> None:
         self._world = world
         self._host = host
 
-    def get(self, address: str) -> "_Link":
-        return _Link(self._world, self._host, self._world.hosts[address])
+    def get(self, address: str) -> "PeerLink":
+        return PeerLink(self._world, self._host, self._world.hosts[address])
 
 
-class _Link:
+class PeerLink:
     def __init__(self, world: "FollowingWorld", asker: Host, reader: Host) -> None:
         self._world = world
         self._asker = asker
@@ -133,8 +133,9 @@
         self, request: Any, complete: Callable[[object | None], None], life: int, asking: int
     ) -> None:
         if (self._asker.node_id, self._reader.node_id) in self._world.cuts:
-            eventlet.sleep(DARK_S)
-            complete(None)
+            if not self._world.cuts_are_silent:
+                eventlet.sleep(DARK_S)
+                complete(None)
             return
         eventlet.sleep(WAY_S)
         if not self._reader.is_up:
@@ -170,6 +171,8 @@
         self.store = StoreStandIn()
         self.hosts: dict[str, Host] = {}
         self.cuts: set[tuple[str, str]] = set()
+        #: Whether what is sent over a cut is lost; else connecting to the machine fails.
+        self.cuts_are_silent = False
         self.waiting: list[tuple[Host, int, Callable[[object | None], None]]] = []
         self.acknowledged: list[Seen] = []
         self._version = 0
@@ -216,7 +219,7 @@
         direct = self._client(host)
         is_reader = host in self.readers
         host.reader = self._make_reader(host) if is_reader else None
-        with patch.object(reader_store, "LinkTable", lambda now: _Links(self, host)):
+        with patch.object(reader_store, "LinkTable", lambda now: Links(self, host)):
             store = ReaderStore(
                 host.node_id,
                 host.zone,
@@ -226,6 +229,7 @@
                 host.lines,  # type: ignore[arg-type]
                 now_s,
             )
+        self._connect(host, store)
         store.start()
         if is_reader:
             self._follow(host, store, GROUPS, LONG_WATCH_SECONDS)
@@ -235,6 +239,9 @@
         else:
             self._start_gateway(host, store)
 
+    def _connect(self, host: Host, store: ReaderStore) -> None:
+        """Give a machine's store further ways; here there are none."""
+
     def _make_reader(self, host: Host) -> ObjectReader:
         log: Any = host.lines
         return ObjectReader(self._client(host), CONFIG, log, now_s)
--- /dev/null
+++ b/yarrowwall/readers/detour.py
@@ -0,0 +1,185 @@
+"""Questions to readers that go through a neighbour while none answers this machine directly."""
+
+from collections import Counter
+from collections.abc import Callable
+from enum import StrEnum
+from typing import Protocol
+
+from yarrowwall.backoff import doubled_s
+from yarrowwall.messages.objects import ListObjects, ObjectsReply, ObjectsStatus, WatchObjects
+from yarrowwall.messages.replicated import Member
+from yarrowwall.readers.order import ReaderOrder
+from yarrowwall.relay import decisions
+from yarrowwall.relay.decisions import DecisionLog
+from yarrowwall.replication.exceptions import LinkDownError, NoNeighbourError
+
+#: Seconds without an answer of any reader, and without one that is relied on, after which
+#: neighbours are asked. A reader that hears nothing from the store says so every 0.5 s, so in an
+#: outage of the store nobody asks neighbours; and the next reader answers within 0.2 s if only the
+#: first one is lost. A cut is found after 1.5 s, so the proof is 1.8 s old by the first answer:
+#: before the 2.8 s at which callers are no longer refused by it.
+UNHEARD_SECONDS = 1.0
+UNRELIED_SECONDS = 0.2
+#: Seconds between two tries while no neighbour brings an answer, doubled up to the most.
+LOOK_AGAIN_SECONDS = 0.5
+MOST_LOOK_AGAIN_SECONDS = 2.0
+#: Seconds between two questions for a kind by which the age of the configuration is known, and
+#: for any other. They don't wait at the reader, so they keep no place at a neighbour: what a
+#: reader knows is proved 0.9 s ago at most, so a gateway's proof is 1.2 s old at most, below the
+#: 1.3 s from which it would ask the store itself. Four kinds make 6.4 questions a second.
+PROMPT_PAUSE_SECONDS = 0.3
+PAUSE_SECONDS = 1.0
+
+#: The ways to readers in the log.
+_DIRECT = "readers/direct"
+_RELAYED = "readers/relayed"
+
+
+class Passage(Protocol):
+    """Sends requests through neighbours."""
+
+    def call(self, address: str, message: object) -> object:
+        """Return a machine's reply.
+
+        :raises LinkDownError: if the machine does not answer its neighbours either.
+        :raises NoNeighbourError: if no neighbour passes the request on.
+        """
+
+
+class DetourOutcome(StrEnum):
+    """What became of a question that was to go through a neighbour."""
+
+    ANSWERED = "answered"
+    #: The reader hears nothing from the store itself.
+    OUT_OF_CONTACT = "out_of_contact"
+    #: The reader does not answer the neighbour either.
+    NO_ANSWER = "no_answer"
+    #: No neighbour passed the question on.
+    NO_NEIGHBOUR = "no_neighbour"
+
+
+class ReaderDetour:
+    """Asks readers through neighbours, and knows whether that is of use now.
+
+    :param direct: the readers and what became of direct questions to them.
+    :param now: the monotonic clock.
+    :ivar is_open: whether the last question that went this way was answered, and no reader
+        has answered directly since.
+    :ivar outcomes: how many questions had which outcome.
+    """
+
+    def __init__(self, direct: ReaderOrder, log: DecisionLog, now: Callable[[], float]) -> None:
+        self._direct = direct
+        self._order = direct.beside()
+        self._log = log
+        self._now = now
+        self._passage: Passage | None = None
+        self._heard_s: float | None = None
+        self._unrelied_s = now()
+        self._is_relied = False
+        self._look_again_s = 0.0
+        self._failed_looks = 0
+        self._down: set[str] = set()
+        self.is_open = False
+        self.outcomes: Counter[str] = Counter()
+
+    def use(self, passage: Passage) -> None:
+        """Take what sends requests through neighbours; without it there is no detour."""
+        self._passage = passage
+
+    # When it is of use
+
+    def note_heard(self) -> None:
+        """Note that a reader answered directly, whatever it said."""
+        self._heard_s = self._now()
+
+    def note_unrelied(self) -> None:
+        """Note that no reader is relied on from now on."""
+        self._is_relied = False
+        self._unrelied_s = self._now()
+
+    def note_relied(self) -> None:
+        """Note that a reader is relied on: all questions go directly."""
+        self._is_relied = True
+        self.is_open = False
+        self._failed_looks = 0
+        self._look_again_s = 0.0
+        self._note(_DIRECT, is_up=True)
+        self._note(_RELAYED, is_up=True)
+
+    def is_due(self) -> bool:
+        """Return whether to look for a neighbour that reaches a reader.
+
+        Not before a reader has answered once: at a start all readers may be starting too.
+        """
+        if self._passage is None or self._heard_s is None or self._is_relied or self.is_open:
+            return False
+        unheard_s = max(self._heard_s + UNHEARD_SECONDS, self._unrelied_s + UNRELIED_SECONDS)
+        return self._now() >= max(unheard_s, self._look_again_s)
+
+    # Questions
+
+    def look(self, question: WatchObjects) -> None:
+        """Find out whether a reader can be asked this way."""
+        # Nobody else looks meanwhile, and an answer takes 0.7 s at most.
+        pause_s = doubled_s(LOOK_AGAIN_SECONDS, MOST_LOOK_AGAIN_SECONDS, self._failed_looks)
+        self._failed_looks += 1
+        self._look_again_s = self._now() + pause_s
+        self.ask(question)
+
+    def ask(self, question: ListObjects | WatchObjects) -> ObjectsReply | None:
+        """Return a reader's answer; None if it is of no use, and the detour is closed then."""
+        if self._passage is None:
+            return None
+        reader = next(iter(self._order.candidates(self._now())), None)
+        if reader is None:
+            self._close(DetourOutcome.NO_ANSWER, "all readers are passed over")
+            return None
+        try:
+            reply = self._passage.call(reader.address, question)
+        except LinkDownError:
+            self._order.note_silent(reader.node_id, self._now())
+            self._close(DetourOutcome.NO_ANSWER, f"{reader.node_id} answers no neighbour")
+            return None
+        except NoNeighbourError as error:
+            self._close(DetourOutcome.NO_NEIGHBOUR, f"no neighbour passes it on: {error}")
+            return None
+        return self._judge(reader, reply)
+
+    def _judge(self, reader: Member, reply: object) -> ObjectsReply | None:
+        self._direct.note_answered_elsewhere(reader.node_id, self._now())
+        if not isinstance(reply, ObjectsReply):
+            self._order.note_silent(reader.node_id, self._now())
+            self._close(DetourOutcome.NO_ANSWER, f"{reader.node_id} told {reply!r:.100}")
+            return None
+        if reply.status is ObjectsStatus.OUT_OF_CONTACT:
+            self._order.note_out_of_contact(reader.node_id, self._now())
+            reason = f"{reader.node_id} hears nothing from the store"
+            self._close(DetourOutcome.OUT_OF_CONTACT, reason)
+            return None
+        self._order.note_answered(reader.node_id)
+        self._open(reader)
+        return reply
+
+    def _open(self, reader: Member) -> None:
+        self.outcomes[DetourOutcome.ANSWERED.value] += 1
+        self._failed_looks = 0
+        # A reader may have answered directly while this answer was on its way.
+        if self.is_open or self._is_relied:
+            return
+        self.is_open = True
+        self._note(_DIRECT, is_up=False, reason=f"{reader.node_id} answers through neighbours")
+        self._note(_RELAYED, is_up=True)
+
+    def _close(self, outcome: DetourOutcome, reason: str) -> None:
+        self.outcomes[outcome.value] += 1
+        if self.is_open:
+            self.is_open = False
+            self._note(_RELAYED, is_up=False, reason=reason)
+
+    def _note(self, dependency: str, is_up: bool, reason: str = "") -> None:
+        """Write a line if a way was lost or is back."""
+        if is_up != (dependency in self._down):
+            return
+        self._down ^= {dependency}
+        self._log.write(decisions.DependencyChanged(dependency, is_up, reason))
--- a/yarrowwall/readers/order.py
+++ b/yarrowwall/readers/order.py
@@ -33,6 +33,12 @@
         self._failures: dict[str, int] = {}
         self._passed_over_until: dict[str, float] = {}
 
+    def beside(self) -> "ReaderOrder":
+        """Return an order of the same readers with failures of its own: those on another way."""
+        other = ReaderOrder(self._node_id, self._zone)
+        other._readers = self._readers
+        return other
+
     @property
     def is_known(self) -> bool:
         """Return whether any reader is known."""
@@ -40,7 +46,9 @@
 
     def replace_all(self, readers: Iterable[Member]) -> None:
         """Take in all machines that may be readers."""
-        self._readers = {reader.node_id: reader for reader in readers}
+        found = {reader.node_id: reader for reader in readers}
+        self._readers.clear()
+        self._readers.update(found)
 
     def put(self, reader: Member) -> None:
         """Take in a machine that may be a reader."""
@@ -50,6 +58,10 @@
         """Take in that a machine is no reader any more."""
         self._readers.pop(node_id, None)
 
+    def has_reader_at(self, address: str) -> bool:
+        """Return whether a machine that may be a reader is at an address."""
+        return any(reader.address == address for reader in self._readers.values())
+
     def candidates(self, now_s: float) -> list[Member]:
         """Return the readers to ask, the best first."""
         by_zone: dict[str, list[Member]] = {}
@@ -74,6 +86,12 @@
         pause_s = doubled_s(PASS_OVER_SECONDS, MOST_PASS_OVER_SECONDS, failures)
         self._passed_over_until[node_id] = now_s + pause_s
 
+    def note_answered_elsewhere(self, node_id: str, now_s: float) -> None:
+        """Note that a reader answers on another way: only the path is lost, and may be back."""
+        self._failures.pop(node_id, None)
+        until_s = self._passed_over_until.get(node_id, 0.0)
+        self._passed_over_until[node_id] = min(until_s, now_s + PASS_OVER_SECONDS)
+
     def note_out_of_contact(self, node_id: str, now_s: float) -> None:
         """Pass over a reader that gets no answers from the store."""
         self._passed_over_until[node_id] = now_s + OUT_OF_CONTACT_SECONDS
--- a/yarrowwall/readers/store.py
+++ b/yarrowwall/readers/store.py
@@ -20,6 +20,7 @@
 )
 from yarrowwall.messages.replicated import Member
 from yarrowwall.readers.contact_store import ContactStore
+from yarrowwall.readers.detour import PAUSE_SECONDS, PROMPT_PAUSE_SECONDS, ReaderDetour
 from yarrowwall.readers.order import ReaderOrder
 from yarrowwall.readers.reader import FIRST_LIST_SECONDS, ObjectReader
 from yarrowwall.readers.wire import changes, stored
@@ -82,11 +83,14 @@
 class ReaderStore:
     """Reads through a reader, changes directly.
 
+    Readers are asked directly; through neighbours while none answers; then the store itself.
+
     :param direct: the store itself.
     :param own_reader: the reader of this process, if it has one.
     :param prompt_kinds: kinds whose questions wait only shortly, so that a reader that has
         fallen silent is found by them; readers are looked for with the first.
     :param now: the monotonic clock.
+    :ivar detour: the way through neighbours.
     """
 
     def __init__(
@@ -110,6 +114,8 @@
         self._started_at = now()
         self._links = LinkTable(now)
         self._order = ReaderOrder(node_id, zone)
+        self.detour = ReaderDetour(self._order, log, now)
+        self._relayed_at: dict[str, float] = {}
         self._proven: set[str] = set()
         self._looking: set[str] = set()
         self._doubt = Event()
@@ -168,9 +174,20 @@
             sent_at_s = self._now()
             reply = self._ask(reader, ListObjects(kind, known), FIRST_ANSWER_SECONDS)
             if reply is not None and reply.status is ObjectsStatus.OK:
-                items = [stored(item) for item in reply.objects]
-                return Listing(items, reply.revision, _proved_at_s(reply, items, sent_at_s))
-        return None
+                return _listing(reply, sent_at_s)
+        return self._list_through_neighbours(kind, known)
+
+    def _list_through_neighbours(self, kind: str, known: int) -> Listing | None:
+        """Return what a reader out of reach listed; None if none is of use now."""
+        if not self.detour.is_open:
+            return None
+        # Counted from before the first neighbour is asked: however long the answer takes, the
+        # question arrived later.
+        sent_at_s = self._now()
+        reply = self.detour.ask(ListObjects(kind, known))
+        if reply is None or reply.status is not ObjectsStatus.OK:
+            return None
+        return _listing(reply, sent_at_s)
 
     def watch(self, kind: str, revision: int, wait_s: float) -> Changes:
         """Wait for changes after a revision; none if nothing happened for a while."""
@@ -223,7 +240,27 @@
             if found is not None:
                 self._answered_at = self._now()
                 return self._noted(kind, found)
-        return None
+        return self._watch_through_neighbours(kind, revision)
+
+    def _watch_through_neighbours(self, kind: str, revision: int) -> Changes | None:
+        """Return the changes that a reader out of reach told; None if none is of use now."""
+        if self.detour.is_open:
+            self._pause_detour(kind)
+        if not self.detour.is_open:
+            return None
+        sent_at_s = self._relayed_at[kind] = self._now()
+        reply = self.detour.ask(WatchObjects(kind, revision, 0.0))
+        if reply is None:
+            return None
+        self._answered_at = self._now()
+        return self._noted(kind, _changes(reply, sent_at_s, "through a neighbour"))
+
+    def _pause_detour(self, kind: str) -> None:
+        """Wait until a kind may be asked for again; until a reader is found at the longest."""
+        pause_s = PROMPT_PAUSE_SECONDS if kind in self._prompt_kinds else PAUSE_SECONDS
+        left_s = self._relayed_at.get(kind, float("-inf")) + pause_s - self._now()
+        if left_s > 0.0:
+            self._found.wait(left_s)
 
     def _finds_reader(self) -> bool:
         """Wait for a reader until the store itself is due; return whether one was found."""
@@ -231,7 +268,12 @@
         if left_s <= 0.0:
             return False
         self._found.wait(left_s)
-        return bool(self._proven_readers())
+        return self._has_way
+
+    @property
+    def _has_way(self) -> bool:
+        """Return whether a reader can be asked, on whichever way."""
+        return bool(self._proven_readers()) or self.detour.is_open
 
     @contextlib.contextmanager
     def _asking_directly(self) -> Iterator[None]:
@@ -274,11 +316,7 @@
             return None
         self._note_proven(reader)
         self._told.add(kind)
-        if reply.status is ObjectsStatus.FORGOTTEN:
-            raise HistoryForgottenError(f"reader {reader.node_id}")
-        found = changes(reply.objects)
-        items = [change.item for change in found]
-        return Changes(found, reply.revision, _proved_at_s(reply, items, sent_at_s))
+        return _changes(reply, sent_at_s, f"reader {reader.node_id}")
 
     # Finding readers
 
@@ -294,6 +332,15 @@
             for reader in self._unproven_readers():
                 self._looking.add(reader.node_id)
                 eventlet.spawn_n(self._prove, reader)
+            if self.detour.is_due():
+                eventlet.spawn_n(self._look_through_neighbours)
+
+    def _look_through_neighbours(self) -> None:
+        """Find out whether a neighbour reaches a reader; whoever waits is told."""
+        kind = self._look_kind
+        self.detour.look(WatchObjects(kind, self._revisions.get(kind, 0), 0.0, is_look=True))
+        if self.detour.is_open:
+            self._note_back()
 
     def _note_doubt(self) -> None:
         """Look for readers at once: one was left, or others are known now."""
@@ -336,8 +383,7 @@
 
     def wait_for_contact(self, seconds: float) -> None:
         """Pause; until a reader or the store answers again at the longest."""
-        is_found = bool(self._proven_readers())
-        self._found.wait(min(seconds, FOUND_SECONDS) if is_found else seconds)
+        self._found.wait(min(seconds, FOUND_SECONDS) if self._has_way else seconds)
 
     def _note_back(self) -> None:
         found, self._found = self._found, Event()
@@ -366,6 +412,7 @@
         if not isinstance(reply, ObjectsReply):
             self._note_silent(reader)
             return None
+        self.detour.note_heard()
         if reply.status is ObjectsStatus.OUT_OF_CONTACT:
             self._note_out_of_contact(reader)
         return reply
@@ -390,6 +437,7 @@
         self._order.note_answered(reader.node_id)
         if reader.node_id not in self._proven:
             self._proven.add(reader.node_id)
+            self.detour.note_relied()
             self._log.write(decisions.DependencyChanged(f"reader/{reader.node_id}", True, ""))
             self._return_to_first()
             self._note_back()
@@ -408,8 +456,11 @@
         if reader.node_id in self._proven:
             self._proven.remove(reader.node_id)
             self._log.write(decisions.DependencyChanged(f"reader/{reader.node_id}", False, reason))
+            # The next one is asked first for what it knows by now: its answer proves more than a
+            # change that it waits for, and if it is lost as well that shows after 0.5 s, not 1.5.
+            self._told.clear()
             if not self._proven:
-                self._told.clear()
+                self.detour.note_unrelied()
         for arrived, asked in list(self._pending.items()):
             if asked == reader.node_id and not arrived.ready():
                 arrived.send(None)
@@ -423,6 +474,10 @@
 
     # Which machines are readers
 
+    def has_reader_at(self, address: str) -> bool:
+        """Return whether a machine that may be a reader is at an address."""
+        return self._order.has_reader_at(address)
+
     def _readers_listed(self, items: Sequence[StoredObject]) -> None:
         registered = [read_registration(item) for item in items]
         self._order.replace_all(member for member in registered if member is not None)
@@ -487,6 +542,24 @@
     return reply is not None and reply.status is ObjectsStatus.OUT_OF_CONTACT
 
 
+def _listing(reply: ObjectsReply, sent_at_s: float) -> Listing:
+    """Return the list that a reader told."""
+    items = [stored(item) for item in reply.objects]
+    return Listing(items, reply.revision, _proved_at_s(reply, items, sent_at_s))
+
+
+def _changes(reply: ObjectsReply, sent_at_s: float, way: str) -> Changes:
+    """Return the changes that a reader told.
+
+    :raises HistoryForgottenError: if it does not know them any more.
+    """
+    if reply.status is ObjectsStatus.FORGOTTEN:
+        raise HistoryForgottenError(way)
+    found = changes(reply.objects)
+    items = [change.item for change in found]
+    return Changes(found, reply.revision, _proved_at_s(reply, items, sent_at_s))
+
+
 def _proved_at_s(
     reply: ObjectsReply, items: Sequence[StoredObject], sent_at_s: float
 ) -> float | None:
--- a/yarrowwall/relay/gateway_service.py
+++ b/yarrowwall/relay/gateway_service.py
@@ -12,6 +12,7 @@
 from yarrowwall.messages.relaying import Neighbour
 from yarrowwall.messages.replicated import GroupView
 from yarrowwall.quotas.borrowing import QuotaBorrower
+from yarrowwall.readers.store import ReaderStore
 from yarrowwall.relay import decisions
 from yarrowwall.relay.decisions import DecisionLog
 from yarrowwall.relay.freshness import Freshness
@@ -23,7 +24,7 @@
 from yarrowwall.relay.memory_budget import MemoryBounds, MemoryBudget
 from yarrowwall.relay.metrics import MachineMetrics
 from yarrowwall.relay.model import Configuration
-from yarrowwall.relay.object_store import Change, ObjectName, ObjectStore, StoredObject
+from yarrowwall.relay.object_store import Change, ObjectName, StoredObject
 from yarrowwall.relay.offer import RelayParts
 from yarrowwall.relay.pool import ConnectionPool
 from yarrowwall.relay.program_rooms import ProgramRooms
@@ -36,6 +37,7 @@
 from yarrowwall.replication.forwarding import Forwarder
 from yarrowwall.replication.group_views import GroupViews
 from yarrowwall.replication.neighbour_finder import NeighbourFinder
+from yarrowwall.replication.passage import NeighbourPassage
 from yarrowwall.replication.quorum_client import QuorumClient
 from yarrowwall.replication.relayed_links import RelayedLinkTable
 from yarrowwall.replication.rpc import serve_requests
@@ -59,7 +61,7 @@
         settings: MachineSettings,
         own: GatewaySettings,
         adapter: "Adapter",
-        store: ObjectStore,
+        store: ReaderStore,
         listeners: EarlyListeners,
         log: DecisionLog,
     ) -> None:
@@ -81,11 +83,13 @@
             time.monotonic,
             memory=self._memory,
         )
+        self._store = store
         self._views = GroupViews(self._note_view)
         links = self._links = RelayedLinkTable(settings.node_id, log, time.monotonic)
         own_address = Neighbour(settings.node_id, settings.zone, settings.peer_address)
         self._finder = NeighbourFinder(own_address, self._views, links)
-        self._forwarder = Forwarder(links, self._views.has_replica_at)
+        self._forwarder = Forwarder(links, self._is_passed_on_to)
+        store.detour.use(NeighbourPassage(links, time.monotonic))
         client = QuorumClient(settings.zone, self._views, links, time.monotonic)
         programs = ProgramsUnderWay()
         self._ledger = ReplicatedLedger(settings.zone, self._views, client, log, time.monotonic)
@@ -170,6 +174,10 @@
         eventlet.spawn_n(serve_requests, peers, self._forwarder.handle)
         self._finder.start()
 
+    def _is_passed_on_to(self, address: str) -> bool:
+        """Return whether requests of neighbours are passed on to an address."""
+        return self._views.has_replica_at(address) or self._store.has_reader_at(address)
+
     def stop(self) -> None:
         """Take no new connections, finish what runs, return."""
         begun = time.monotonic()
@@ -186,6 +194,7 @@
         metrics.set_age(self.gateway.configuration_age_s)
         metrics.set_relayed(self._links.relayed, self._forwarder.forwarded)
         metrics.set_relay_refusals(self._links.refused, self._forwarder.refused)
+        metrics.set_reader_detours(self._store.detour.outcomes)
         metrics.set_held(
             {
                 "all": self._memory.held,
--- a/yarrowwall/relay/metrics.py
+++ b/yarrowwall/relay/metrics.py
@@ -86,6 +86,9 @@
 FORWARDED = _Description("forwarded_requests", "Requests passed on for a gateway", "gateway")
 RELAY_REFUSALS = _Description("relay_refusals", "Refusals of neighbours", "status")
 FORWARD_REFUSALS = _Description("forward_refusals", "Requests not passed on", "status")
+READER_DETOURS = _Description(
+    "reader_questions_relayed", "Questions to readers of the store through neighbours", "outcome"
+)
 SECONDS = _Description("attempt_seconds", "Time from an attempt's arrival to the end of its answer")
 
 
@@ -190,6 +193,10 @@
         self._set_counts(RELAY_REFUSALS, met)
         self._set_counts(FORWARD_REFUSALS, given)
 
+    def set_reader_detours(self, outcomes: Mapping[str, int]) -> None:
+        """Take in what became of questions to readers that went through neighbours."""
+        self._set_counts(READER_DETOURS, outcomes)
+
     def _set_counts(self, metric: _Description, counts: Mapping[str, int]) -> None:
         for label, count in counts.items():
             self._counts[_Key(metric, label)] = count
--- a/yarrowwall/replication/exceptions.py
+++ b/yarrowwall/replication/exceptions.py
@@ -11,5 +11,9 @@
     """A replica cannot be reached now."""
 
 
+class NoNeighbourError(ReplicationError):
+    """No neighbour could pass a request on now."""
+
+
 class NoQuorumError(ReplicationError):
     """Too few replicas answered in time; a write may or may not be complete."""
--- a/yarrowwall/replication/forwarding.py
+++ b/yarrowwall/replication/forwarding.py
@@ -8,6 +8,7 @@
 from yarrowwall.messages.capacity import AskRoom
 from yarrowwall.messages.codec import decode, encode
 from yarrowwall.messages.exceptions import MessageError
+from yarrowwall.messages.objects import ListObjects, WatchObjects
 from yarrowwall.messages.quotas import TakeQuota
 from yarrowwall.messages.relaying import AskNeighbours, Forward, Forwarded, ForwardStatus
 from yarrowwall.messages.replicated import (
@@ -29,17 +30,19 @@
 MOST_BYTES = 4 * 1024 * 1024
 #: Seconds after which a reply is waited for no more: an operation of the asker lasts as long.
 WAIT_SECONDS = 0.6
-#: What gateways ask replicas.
+#: What gateways ask replicas, and the readers of the platform's store beside them.
 FORWARDED = (
     AskNeighbours,
     AskRoom,
     AskStatus,
     InstallView,
+    ListObjects,
     ReadChain,
     ReadOwner,
     ReportLoad,
     ReserveRecord,
     TakeQuota,
+    WatchObjects,
     WriteRecords,
 )
 
@@ -49,7 +52,7 @@
 class Forwarder:
     """Passes requests on.
 
-    :param is_replica: returns whether an address is one of a replica.
+    :param is_replica: returns whether an address is one of a replica or a reader.
     :ivar forwarded: requests that were passed on, by the gateway that asked.
     :ivar refused: those that were not, by status.
     """
--- a/yarrowwall/replication/paths.py
+++ b/yarrowwall/replication/paths.py
@@ -172,13 +172,18 @@
         If all are passed over, one is asked all the same: it costs a message, and the direct way
         is lost.
         """
+        found = self.useful_neighbour(now_s, tried)
+        if found is not None or tried or not self._neighbours:
+            return found
+        return min(self._neighbours, key=lambda one: self._passed_over_until[one.node_id])
+
+    def useful_neighbour(self, now_s: float, tried: Collection[str]) -> Neighbour | None:
+        """Return the neighbour to ask next that is not passed over; None if there is none."""
         for neighbour in self._neighbours:
             node_id = neighbour.node_id
             if node_id not in tried and self._passed_over_until.get(node_id, 0.0) <= now_s:
                 return neighbour
-        if tried or not self._neighbours:
-            return None
-        return min(self._neighbours, key=lambda one: self._passed_over_until[one.node_id])
+        return None
 
     def note_forwarded(self, node_id: str, now_s: float) -> None:
         """Note that a neighbour forwarded a request and brought its reply."""
