--- a/yarrowwall/relay/bodies.py
+++ b/yarrowwall/relay/bodies.py
@@ -57,7 +57,7 @@
         if not self._memory.may_begin(announced):
             raise MemoryExhaustedError("too much is held for other requests")
         if not announced and not self._is_chunked:
-            # Nothing is to come, so nothing is waited for: 0.03 ms of each lookup.
+            # Nothing is to come, so nothing is waited for: a time-out takes 0.004 ms.
             return b""
         body = self._read_in_time(timeout)
         if len(body) < announced:
