The tests' proxy resets nothing by itself

Cause: each of the proxy's two threads changed the time-out of the socket that the other one received from, around each sending. A time-out is the socket's, so a receive that had begun without one found nothing and failed; the proxy took that for the end and reset both connections. The product did nothing wrong; all worlds with a proxy had this.

The change: sockets block, and what arrives is waited for with poll.

--- a/features/silent_connections.feature
+++ b/features/silent_connections.feature
@@ -30,6 +30,11 @@
     Then every answer is 200
     And all came within 2.5 s
 
+  Scenario: The proxy of these scenarios resets nothing by itself
+    Given a server behind a proxy that answers in two pieces
+    When 4 clients send 3000 requests each over one connection
+    Then every request is answered
+
   Scenario: A connection that is closed here leaves no listener under its number
     Given a link to a replica that never answers
     When the link is closed
--- a/features/soak/proxy.py
+++ b/features/soak/proxy.py
@@ -1,6 +1,7 @@
 """A TCP proxy on loopback that can fall silent, refuse or slow its connections."""
 
 import contextlib
+import select
 import socket
 import struct
 import threading
@@ -79,6 +80,9 @@
             return
         for one in (conn, upstream):
             one.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            # Two threads use each socket, and a time-out is the socket's: were it changed around
+            # each sending, the other's receiving would fail now and then.
+            one.settimeout(None)
         back = threading.Thread(target=self._pump, args=(upstream, conn, number), daemon=True)
         back.start()
         self._pump(conn, upstream, number)
@@ -93,17 +97,19 @@
         return self._is_open and self.mode is not Mode.REFUSE
 
     def _pump(self, source: socket.socket, sink: socket.socket, number: int) -> None:
-        source.settimeout(_LOOK_S)
+        arrivals = select.poll()
         while True:
             if not self._wait_for_passage():
                 _reset(source)
                 _reset(sink)
                 return
             try:
+                arrivals.register(source, select.POLLIN)
+                if not arrivals.poll(_LOOK_S * 1000.0):
+                    continue
                 data = source.recv(_CHUNK_BYTES)
-            except TimeoutError:
-                continue
-            except OSError:
+            except (OSError, ValueError):
+                # The other direction ended the connection.
                 _reset(sink)
                 return
             if number <= self._silent_up_to and data:
@@ -123,9 +129,7 @@
     """Send bytes, or the end if there are none; return whether that went."""
     try:
         if data:
-            sink.settimeout(None)
             sink.sendall(data)
-            sink.settimeout(_LOOK_S)
         else:
             sink.shutdown(socket.SHUT_WR)
     except OSError:
--- a/features/steps/silent_steps.py
+++ b/features/steps/silent_steps.py
@@ -1,7 +1,9 @@
 """Steps about connections that say nothing more although nobody reset them."""
 
+import socket
 import time
 from concurrent.futures import ThreadPoolExecutor
+from threading import Thread
 
 import eventlet
 from behave import given, then, when
@@ -149,3 +151,66 @@
 @then("eventlet's hub listens no more to its connection")
 def listens_no_more(context: Context) -> None:
     assert context.number not in eventlet.hubs.get_hub().listeners["read"]
+
+
+# The proxy itself
+
+_PIECE = b"piece"
+
+
+@given("a server behind a proxy that answers in two pieces")
+def server_in_pieces(context: Context) -> None:
+    listener = socket.create_server(("127.0.0.1", 0), backlog=8)
+    context.add_cleanup(listener.close)
+
+    def answer(connection: socket.socket) -> None:
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with connection:
+            while connection.recv(1):
+                connection.sendall(_PIECE)
+                connection.sendall(_PIECE)
+
+    def accept() -> None:
+        while True:
+            try:
+                connection, _ = listener.accept()
+            except OSError:
+                return
+            Thread(target=answer, args=(connection,), daemon=True).start()
+
+    Thread(target=accept, daemon=True).start()
+    context.proxy = Proxy(lambda: f"127.0.0.1:{listener.getsockname()[1]}")
+    context.add_cleanup(context.proxy.close)
+
+
+def _count_answered(address: str, count: int) -> int:
+    """Send requests one behind the other; return how many were answered before a failure."""
+    host, _, port = address.partition(":")
+    with socket.create_connection((host, int(port)), timeout=10.0) as connection:
+        for number in range(count):
+            try:
+                connection.sendall(b"?")
+                left = 2 * len(_PIECE)
+                while left:
+                    data = connection.recv(left)
+                    if not data:
+                        return number
+                    left -= len(data)
+            except OSError:
+                return number
+    return count
+
+
+@when("{clients:d} clients send {count:d} requests each over one connection")
+def send_over_one(context: Context, clients: int, count: int) -> None:
+    with ThreadPoolExecutor(clients) as pool:
+        sending = [
+            pool.submit(_count_answered, context.proxy.address, count) for _ in range(clients)
+        ]
+    context.answered = [one.result() for one in sending]
+    context.expected = [count] * clients
+
+
+@then("every request is answered")
+def all_answered(context: Context) -> None:
+    assert context.answered == context.expected, context.answered
