Tests: processes that run scenarios beside each other share no port

The holder of that port was not seen.

Change: a process takes the first place from its number on that nobody has locked, and keeps the lock for as long as it runs. Three processes with the same number: three places.

--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -1,5 +1,6 @@
 """Starts nodes and stand-ins as processes of their own, on loopback."""
 
+import fcntl
 import itertools
 import json
 import os
@@ -30,18 +31,36 @@
 #: Ports of the machines that scenarios start. The kernel hands out those from 32768 on to
 #: connections, so an address there that was free may be taken before its process listens.
 FIRST_PORT, LAST_PORT = 10_000, 32_000
-#: Environment variable with the place of this process among those that run scenarios at once,
-#: and how many ports each of them has.
+#: Environment variable with the place that this process should have among those that run
+#: scenarios at once, and how many ports each of them has.
 PLACE_VARIABLE = "YARROWWALL_TEST_PLACE"
 PORTS_PER_PLACE = 1_000
 _PLACES = (LAST_PORT - FIRST_PORT) // PORTS_PER_PLACE
 
 
+def _take_place(first: int) -> int:
+    """Return a place that no other process has, the first one from a given one on.
+
+    It is kept by a locked file for as long as this process runs, so that runs of several
+    checkouts beside each other share no port.
+    """
+    for place in range(first, first + _PLACES):
+        lock = Path(tempfile.gettempdir()) / f"yarrowwall-test-place-{place % _PLACES}"
+        descriptor = os.open(lock, os.O_CREAT | os.O_RDWR, 0o666)
+        try:
+            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            os.close(descriptor)
+        else:
+            return place % _PLACES
+    raise AssertionError("all places for ports are taken")
+
+
 def _ports() -> Iterator[int]:
     """Return the ports of this process, again and again."""
-    place = int(os.environ.get(PLACE_VARIABLE, os.getpid())) % _PLACES
+    place = _take_place(int(os.environ.get(PLACE_VARIABLE, os.getpid())) % _PLACES)
     first = FIRST_PORT + place * PORTS_PER_PLACE
-    return itertools.cycle(range(first, first + PORTS_PER_PLACE))
+    yield from itertools.cycle(range(first, first + PORTS_PER_PLACE))
 
 
 _own_ports = _ports()
