The order of zones' groups is made only when they are asked

Cause: a turn with a budget listed and sorted all groups before it asked the first one, though most end at the common group; the list served to sum the parts that were not read, which their count gives as well. Three places built it by themselves.

Change: ZoneGroups.beside yields the common group first; BudgetRequest takes the number of zones. The steps about spent budgets use the real ZoneGroups instead of a copy of them. No change of what is asked or decided; the cost was not measured by itself.

--- a/features/steps/spent_budget_steps.py
+++ b/features/steps/spent_budget_steps.py
@@ -3,11 +3,10 @@
 from collections import Counter
 from typing import Any
 
-import eventlet
 from behave import given, then, when
 from behave.runner import Context
 
-from yarrowwall.messages.replicated import StoredRecord
+from yarrowwall.messages.replicated import GroupView, Member, StoredRecord
 from yarrowwall.relay.budget_requests import wanted_by
 from yarrowwall.relay.decisions import Decision
 from yarrowwall.relay.exceptions import StoreUncertainError
@@ -15,7 +14,9 @@
 from yarrowwall.relay.model import ProgramContext
 from yarrowwall.relay.programs import BudgetExhaustedError
 from yarrowwall.relay.reservations import Reservations
+from yarrowwall.relay.zone_groups import ZoneGroups
 from yarrowwall.replication.exceptions import NoQuorumError
+from yarrowwall.replication.group_views import GroupViews
 from yarrowwall.replication.quorum_client import OwnerReading
 from yarrowwall.replication.rounds import Amount
 
@@ -39,14 +40,14 @@
         return self._reading(group)
 
     def read_amounts(self, group: int, owner: str, timeout: float) -> OwnerReading:
-        self._must_answer(group)
+        self.must_answer(group)
         return self._reading(group)
 
     def write(self, group: int, record: StoredRecord) -> None:
-        self._must_answer(group)
+        self.must_answer(group)
         self._records.setdefault(group, {})[record.key] = Amount(record.version, record.amount)
 
-    def _must_answer(self, group: int) -> None:
+    def must_answer(self, group: int) -> None:
         if group in self.silent:
             raise NoQuorumError(f"group {group}: silent")
 
@@ -54,16 +55,13 @@
         return OwnerReading(dict(self._records[group]), "", True)
 
 
-class _Zones:
-    """Four zones with groups of their own, seen from the first one."""
-
-    parts = len(ZONE_GROUPS)
-    own = ZONE_GROUPS[0]
-    in_order = ZONE_GROUPS
-
-    @staticmethod
-    def is_zone_group(group: int) -> bool:
-        return group != COMMON
+def _zones() -> ZoneGroups:
+    """Return four zones with groups of their own, seen from the first one."""
+    views = GroupViews()
+    for place, group in enumerate([COMMON, *ZONE_GROUPS]):
+        zone = f"zone-{place}"
+        views.take(GroupView(group, 1, [Member(f"storage-{place}", zone, "", zone)], []))
+    return ZoneGroups("zone-1", views)
 
 
 class _Queues:
@@ -87,11 +85,10 @@
     context.budget = budget
     context.groups = groups = _Groups()
     log: Any = _Log()
-    zones: Any = _Zones()
     client: Any = groups
     queues: Any = _Queues(groups)
-    reach = GroupReach(lambda group: groups._must_answer(group), log, lambda: 0.0)
-    context.reservations = Reservations(client, zones, reach, queues, log)
+    reach = GroupReach(groups.must_answer, log, lambda: 0.0)
+    context.reservations = Reservations(client, _zones(), reach, queues, log)
     context.turns = 0
 
 
@@ -133,7 +130,6 @@
 @when("the group of zone {zone:d} falls silent")
 def falls_silent(context: Context, zone: int) -> None:
     context.groups.silent.add(ZONE_GROUPS[zone])
-    eventlet.sleep(0)
 
 
 @when("{count:d} turns have run")
--- a/yarrowwall/relay/budget_requests.py
+++ b/yarrowwall/relay/budget_requests.py
@@ -1,6 +1,5 @@
 """What a turn wants of its program's budget, and what the groups tell of it. No I/O."""
 
-from collections.abc import Sequence
 from typing import NamedTuple
 
 from yarrowwall.relay.budget_parts import (
@@ -103,13 +102,13 @@
     """One turn's reservation on its way through the groups.
 
     :param parts: the division of its program's budget.
-    :param groups: all groups that hold a part, in the order in which they are asked.
+    :param zones: how many zones' groups may be asked beside the common one.
     """
 
-    def __init__(self, wanted: Wanted, parts: Parts, groups: Sequence[int]) -> None:
+    def __init__(self, wanted: Wanted, parts: Parts, zones: int) -> None:
         self.wanted = wanted
         self.common = wanted.common
-        self.groups = groups
+        self._zones = zones
         self._parts = parts
         self.held: dict[int, GroupHeld] = {}
         #: What the turn may take of each part that was asked.
@@ -129,7 +128,9 @@
     @property
     def unread(self) -> int:
         """Return the tokens of the parts of which nothing is known."""
-        return sum([self._size(group) for group in self.groups if group not in self.held])
+        is_common_read = self.common in self.held
+        zones_unread = self._zones - (len(self.held) - is_common_read)
+        return zones_unread * self._parts.of_zone + (0 if is_common_read else self._parts.common)
 
     @property
     def is_exhausted(self) -> bool:
--- a/yarrowwall/relay/reservations.py
+++ b/yarrowwall/relay/reservations.py
@@ -81,8 +81,7 @@
         :raises BudgetExhaustedError: if the budget does not hold it.
         :raises StoreUncertainError: if too few groups could be asked.
         """
-        groups = [wanted.common, *self._zones.in_order]
-        request = BudgetRequest(wanted, divide(budget, self._zones.parts), groups)
+        request = BudgetRequest(wanted, divide(budget, self._zones.parts), self._zones.count)
         verdict = self._ask_groups(request)
         self._note_decided(request, budget, verdict)
         if verdict in (Verdict.GRANTED, Verdict.SHORT):
@@ -162,7 +161,7 @@
 
     def _ask_groups(self, request: BudgetRequest) -> Verdict:
         """Claim tokens of one group after the other until the turn has what it wants."""
-        for group in request.groups:
+        for group in self._zones.beside(request.common):
             if self._reach.is_out(group) or not self._may_ask(request, group):
                 request.unreachable.append(group)
                 continue
--- a/yarrowwall/relay/turn_store.py
+++ b/yarrowwall/relay/turn_store.py
@@ -123,7 +123,7 @@
         common = self._group_of(key)
         unasked = []
         reason = ""
-        for group in [common, *self._zones.in_order]:
+        for group in self._zones.beside(common):
             try:
                 turns = self._look(group, key)
             except NoQuorumError as error:
--- a/yarrowwall/relay/zone_groups.py
+++ b/yarrowwall/relay/zone_groups.py
@@ -1,5 +1,7 @@
 """The groups of replicas that stand in one zone each, as a gateway of a zone uses them."""
 
+from collections.abc import Iterator
+
 from yarrowwall.replication.group_views import GroupViews
 from yarrowwall.replication.views import is_zone_group
 
@@ -24,11 +26,25 @@
         """Return the own zone's group; None if it has none."""
         return self._views.zone_group(self._zone)
 
+    @property
+    def count(self) -> int:
+        """Return how many zones have a group of their own."""
+        return len(self._views.zone_groups())
+
+    def beside(self, common: int) -> Iterator[int]:
+        """Return a common group and then all zones', the own one first, as far as they are asked.
+
+        Most requests end at the common group and need no order of the others.
+        """
+        yield common
+        yield from self.in_order
+
     @property
     def in_order(self) -> list[int]:
         """Return all zones' groups, the own one first."""
+        own = self.own
         groups = self._views.zone_groups()
-        return sorted(groups.values(), key=lambda group: (group != self.own, group))
+        return sorted(groups.values(), key=lambda group: (group != own, group))
 
     @property
     def keeps_turns(self) -> bool:
