One place says which replicas keep what gateways tell of themselves

Cause: load reports and the finder of neighbours had the number of that group and the order of its members each.

Change: GroupViews.board. Whom either asks, and when it passes one over, is as before.

--- a/yarrowwall/relay/load_reports.py
+++ b/yarrowwall/relay/load_reports.py
@@ -37,8 +37,6 @@
 #: Seconds between looks for something to report while nothing is under way. Each is a
 #: wake-up of a process that has nothing else to do.
 IDLE_SECONDS = 0.2
-#: The group whose replicas take reports.
-BOARD_GROUP = 0
 
 
 class _Exchange(LoadQuestion):
@@ -175,12 +173,8 @@
 
     def _board(self) -> Member | None:
         """Return the replica that takes the reports of all gateways."""
-        view = self._views.get(BOARD_GROUP)
-        members = sorted(view.members, key=lambda member: member.disk_id) if view else []
         now_s = self._now()
-        answering = [
-            member
-            for member in members
-            if self._passed_over_until.get(member.disk_id, 0.0) <= now_s
-        ]
-        return answering[0] if answering else None
+        for member in self._views.board():
+            if self._passed_over_until.get(member.disk_id, 0.0) <= now_s:
+                return member
+        return None
--- a/yarrowwall/replication/group_views.py
+++ b/yarrowwall/replication/group_views.py
@@ -4,9 +4,12 @@
 
 import xxhash
 
-from yarrowwall.messages.replicated import GroupView
+from yarrowwall.messages.replicated import GroupView, Member
 from yarrowwall.replication.views import all_members, bears_losses, is_zone_group, zone_of
 
+#: The group whose replicas keep what gateways tell of themselves: loads, rooms, neighbours.
+BOARD_GROUP = 0
+
 
 class GroupViews:
     """The newest known view of each group.
@@ -42,6 +45,14 @@
         """Return a group's newest view."""
         return self._views.get(group)
 
+    def board(self) -> list[Member]:
+        """Return the replicas that keep what gateways tell of themselves, the first to ask first.
+
+        All gateways ask in the same order, so that one replica knows all.
+        """
+        view = self._views.get(BOARD_GROUP)
+        return sorted(view.members, key=lambda member: member.disk_id) if view else []
+
     def has_replica_at(self, address: str) -> bool:
         """Return whether a member of a group is at an address."""
         views = self._views.values()
--- a/yarrowwall/replication/neighbour_finder.py
+++ b/yarrowwall/replication/neighbour_finder.py
@@ -14,8 +14,6 @@
 #: The same until neighbours are known.
 FIRST_SECONDS = 0.5
 ANSWER_SECONDS = 0.3
-#: The group whose replicas know the gateways.
-BOARD_GROUP = 0
 
 
 class NeighbourFinder:
@@ -42,11 +40,10 @@
 
     def _ask(self) -> bool:
         """Ask once; return whether there was an answer."""
-        view = self._views.get(BOARD_GROUP)
-        if view is None:
+        members = self._views.board()
+        if not members:
             return False
-        # All ask the same replica, so that it knows all; the next one if it doesn't answer.
-        members = sorted(view.members, key=lambda member: member.disk_id)
+        # The next one if it does not answer.
         member = members[self._board % len(members)]
         try:
             reply = self._links.get(member.address).call(AskNeighbours(self._own), ANSWER_SECONDS)
