--- a/yarrowwall/replication/passage.py
+++ b/yarrowwall/replication/passage.py
@@ -8,7 +8,11 @@
 from yarrowwall.messages.relaying import Forwarded, ForwardStatus, Neighbour
 from yarrowwall.replication.exceptions import LinkDownError, NoNeighbourError
 from yarrowwall.replication.paths import FORWARD_LATE_SECONDS
-from yarrowwall.replication.relayed_links import MOST_NEIGHBOURS, RelayedLinkTable
+from yarrowwall.replication.relayed_links import (
+    MOST_NEIGHBOURS,
+    RelayedLinkTable,
+    is_unanswered,
+)
 
 #: Seconds for a reply. A neighbour says after 0.6 s that it got none, so one that has said
 #: nothing by then is lost itself.
@@ -121,7 +125,7 @@
             self._links.refused[reply.status.value] += 1
             self._refused_until[neighbour.node_id] = self._now() + REFUSED_SECONDS
         else:
-            passing.is_lost = _is_lost(reply)
+            passing.is_lost = is_unanswered(reply)
             passing.found = self._links.read(neighbour, reply)
         passing.tell()
 
@@ -138,8 +142,3 @@
             if is_late:
                 self._links.paths.note_useless(sent.neighbour.node_id, now_s)
         passing.open.clear()
-
-
-def _is_lost(reply: object | None) -> bool:
-    """Return whether a neighbour reaches others, and not the machine that was asked."""
-    return isinstance(reply, Forwarded) and reply.status is ForwardStatus.NO_ANSWER
--- a/yarrowwall/replication/relayed_links.py
+++ b/yarrowwall/replication/relayed_links.py
@@ -209,8 +209,7 @@
         if asked.forward is None or asked.tried[-1] is not neighbour:
             return
         asked.forward = None
-        is_alike = isinstance(reply, Forwarded) and reply.status is ForwardStatus.NO_ANSWER
-        asked.is_hopeless = is_alike
+        asked.is_hopeless = is_unanswered(reply)
         found = self._table.read(neighbour, reply)
         if found is not None:
             self._complete(number, found)
@@ -340,6 +339,11 @@
         self._log.write(decisions.DependencyChanged("replicas/direct", not self._was_cut, reason))
 
 
+def is_unanswered(reply: object | None) -> bool:
+    """Return whether a neighbour said that the machine does not answer it either."""
+    return isinstance(reply, Forwarded) and reply.status is ForwardStatus.NO_ANSWER
+
+
 def _decoded(body: bytes) -> object | None:
     """Return a message that a neighbour brought; None if it cannot be read."""
     try:
