--- a/features/support/detour_model.py
+++ b/features/support/detour_model.py
@@ -24,7 +24,7 @@
 from features.support.virtual_time import now_s, run_virtually
 from yarrowwall.messages.objects import ObjectsReply
 from yarrowwall.messages.relaying import Neighbour
-from yarrowwall.readers import store as reader_store
+from yarrowwall.readers import replies
 from yarrowwall.readers.store import ReaderStore
 from yarrowwall.replication.forwarding import Forwarder
 from yarrowwall.replication.passage import NeighbourPassage
@@ -420,7 +420,7 @@
 
 MUTANTS: dict[str, Callable[[], AbstractContextManager[Any]]] = {
     "the asker counts from the reply": lambda: patch.object(
-        reader_store, "proved_at_s", _counted_from_reply
+        replies, "proved_at_s", _counted_from_reply
     ),
     "a neighbour brings an earlier answer again": lambda: patch.object(
         Forwarder, "handle", _brought_again
--- a/features/support/freshness_model.py
+++ b/features/support/freshness_model.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from yarrowwall.messages.objects import ObjectsReply, ObjectsStatus
-from yarrowwall.readers import store as reader_store
+from yarrowwall.readers import replies
 from yarrowwall.readers.proof import StateProof
 from yarrowwall.relay.freshness import Freshness
 
@@ -101,7 +101,7 @@
 
 
 def _proved_at_s(reply: ObjectsReply, sent_at_s: float, heard_at_s: float) -> float | None:
-    return reader_store.proved_at_s(reply, sent_at_s)
+    return replies.proved_at_s(reply, sent_at_s)
 
 
 # Mutants
@@ -118,7 +118,7 @@
 
 
 def _counted_from_hearing(reply: ObjectsReply, sent_at_s: float, heard_at_s: float) -> float | None:
-    return reader_store.proved_at_s(reply, heard_at_s)
+    return replies.proved_at_s(reply, heard_at_s)
 
 
 #: What a mutant replaces in this module.
--- a/yarrowwall/readers/store.py
+++ b/yarrowwall/readers/store.py
@@ -21,9 +21,10 @@
 from yarrowwall.messages.replicated import Member
 from yarrowwall.readers.contact_store import ContactStore
 from yarrowwall.readers.detour import PAUSE_SECONDS, PROMPT_PAUSE_SECONDS, ReaderDetour
+from yarrowwall.readers.direct_watches import DirectWatches
 from yarrowwall.readers.order import ReaderOrder
 from yarrowwall.readers.reader import FIRST_LIST_SECONDS, ObjectReader
-from yarrowwall.readers.wire import changes, stored
+from yarrowwall.readers.replies import is_out_of_contact, told_changes, told_listing
 from yarrowwall.relay import decisions
 from yarrowwall.relay.decisions import DecisionLog
 from yarrowwall.relay.object_store import (
@@ -120,7 +121,7 @@
         self._looking: set[str] = set()
         self._doubt = Event()
         self._found = Event()
-        self._direct_watches: dict[Event, None] = {}
+        self._direct_watches = DirectWatches(self._direct)
         self._pending: dict[Event, str] = {}
         self._revisions: dict[str, int] = {}
         self._told: set[str] = set()
@@ -174,7 +175,7 @@
             sent_at_s = self._now()
             reply = self._ask(reader, ListObjects(kind, known), FIRST_ANSWER_SECONDS)
             if reply is not None and reply.status is ObjectsStatus.OK:
-                return _listing(reply, sent_at_s)
+                return told_listing(reply, sent_at_s)
         return self._list_through_neighbours(kind, known)
 
     def _list_through_neighbours(self, kind: str, known: int) -> Listing | None:
@@ -187,7 +188,7 @@
         reply = self.detour.ask(ListObjects(kind, known))
         if reply is None or reply.status is not ObjectsStatus.OK:
             return None
-        return _listing(reply, sent_at_s)
+        return told_listing(reply, sent_at_s)
 
     def watch(self, kind: str, revision: int, wait_s: float) -> Changes:
         """Wait for changes after a revision; none if nothing happened for a while."""
@@ -200,39 +201,9 @@
             if not self._finds_reader():
                 break
         with self._asking_directly():
-            found = self._watch_directly(kind, revision, min(wait_s, DIRECT_WAIT_SECONDS))
+            found = self._direct_watches.watch(kind, revision, min(wait_s, DIRECT_WAIT_SECONDS))
         return self._noted(kind, found)
 
-    def _watch_directly(self, kind: str, revision: int, wait_s: float) -> Changes:
-        """Watch at the store itself, until a reader is found at the longest.
-
-        A watch whose connection is still coming up (0.4 s in a silent outage) cannot be
-        interrupted; it is left.
-
-        :raises WatchInterruptedError: if a reader is found.
-        """
-        ended = Event()
-
-        def ask() -> None:
-            try:
-                found = self._direct.watch(kind, revision, wait_s)
-            except Exception as error:
-                # Also an answer that cannot be read: whoever waits has to hear of it.
-                if not ended.ready():
-                    ended.send_exception(error)
-                return
-            if not ended.ready():
-                ended.send(found)
-
-        self._direct_watches[ended] = None
-        asking = eventlet.spawn(ask)
-        try:
-            found: Changes = ended.wait()
-            return found
-        finally:
-            del self._direct_watches[ended]
-            asking.kill()
-
     def _watch_at_readers(self, kind: str, revision: int, wait_s: float) -> Changes | None:
         """Return the changes that a reader told; None if none is of use now."""
         for reader in self._proven_readers():
@@ -253,7 +224,7 @@
         if reply is None:
             return None
         self._answered_at = self._now()
-        return self._noted(kind, _changes(reply, sent_at_s, "through a neighbour"))
+        return self._noted(kind, told_changes(reply, sent_at_s, "through a neighbour"))
 
     def _pause_detour(self, kind: str) -> None:
         """Wait until a kind may be asked for again; until a reader is found at the longest."""
@@ -316,7 +287,7 @@
             return None
         self._note_proven(reader)
         self._told.add(kind)
-        return _changes(reply, sent_at_s, f"reader {reader.node_id}")
+        return told_changes(reply, sent_at_s, f"reader {reader.node_id}")
 
     # Finding readers
 
@@ -362,13 +333,13 @@
         try:
             reply = self._look_at(reader, 0.0)
             # One that is found to be out of contact is asked to tell of its end by itself.
-            while _is_out(reply) and not self._proven:
+            while is_out_of_contact(reply) and not self._proven:
                 reply = self._look_at(reader, KEPT_SECONDS)
         except WatchInterruptedError:
             return
         finally:
             self._looking.discard(reader.node_id)
-        if reply is not None and not _is_out(reply):
+        if reply is not None and not is_out_of_contact(reply):
             self._note_proven(reader)
 
     def _look_at(self, reader: Member, wait_s: float) -> ObjectsReply | None:
@@ -388,9 +359,7 @@
     def _note_back(self) -> None:
         found, self._found = self._found, Event()
         found.send()
-        for watching in list(self._direct_watches):
-            if not watching.ready():
-                watching.send_exception(WatchInterruptedError("a reader was found"))
+        self._direct_watches.interrupt("a reader was found")
 
     # Questions to readers
 
@@ -535,42 +504,3 @@
     def set_status(self, kind: str, name: str, status: dict[str, Any]) -> None:
         """Replace an object's status."""
         self._store.set_status(kind, name, status)
-
-
-def _is_out(reply: ObjectsReply | None) -> bool:
-    """Return whether a reader said that it hears nothing from the store."""
-    return reply is not None and reply.status is ObjectsStatus.OUT_OF_CONTACT
-
-
-def _listing(reply: ObjectsReply, sent_at_s: float) -> Listing:
-    """Return the list that a reader told."""
-    items = [stored(item) for item in reply.objects]
-    return Listing(items, reply.revision, _proved_at_s(reply, items, sent_at_s))
-
-
-def _changes(reply: ObjectsReply, sent_at_s: float, way: str) -> Changes:
-    """Return the changes that a reader told.
-
-    :raises HistoryForgottenError: if it does not know them any more.
-    """
-    if reply.status is ObjectsStatus.FORGOTTEN:
-        raise HistoryForgottenError(way)
-    found = changes(reply.objects)
-    items = [change.item for change in found]
-    return Changes(found, reply.revision, _proved_at_s(reply, items, sent_at_s))
-
-
-def _proved_at_s(
-    reply: ObjectsReply, items: Sequence[StoredObject], sent_at_s: float
-) -> float | None:
-    """Return the moment for which a reader vouches; None if not all it told could be read."""
-    is_whole = all(item.is_readable for item in items)
-    return proved_at_s(reply, sent_at_s) if is_whole else None
-
-
-def proved_at_s(reply: ObjectsReply, sent_at_s: float) -> float | None:
-    """Return the moment of this machine's clock for which a reader vouches.
-
-    The reader counts it from the question's arrival, which was never before its sending.
-    """
-    return sent_at_s + reply.proved_after_s if reply.proved_after_s is not None else None
