--- a/features/steps/slow_reader_steps.py
+++ b/features/steps/slow_reader_steps.py
@@ -18,7 +18,13 @@
 from hypothesis import strategies as st
 
 from features.support.platform_scripts import add, world
-from features.support.platform_world import HOST, Arrival, QuietHandler, own_headers
+from features.support.platform_world import (
+    HOST,
+    Arrival,
+    QuietHandler,
+    begin_stream,
+    send_chunk,
+)
 from features.support.processes import wait_until
 from features.support.schedules import derandomized
 from yarrowwall.relay.connection import ServerConnection
@@ -183,18 +189,7 @@
 
 
 def _chunk(call: QuietHandler, number: int, size: int) -> None:
-    data = b"id: %d\ndata: %s\n\n" % (number, b"x" * size)
-    call.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
-    call.wfile.flush()
-
-
-def _begin_stream(call: QuietHandler, arrival: Arrival) -> None:
-    call.send_response(200)
-    for name, value in own_headers(arrival).items():
-        call.send_header(name, value)
-    call.send_header("Content-Type", "text/event-stream")
-    call.send_header("Transfer-Encoding", "chunked")
-    call.end_headers()
+    send_chunk(call, b"id: %d\ndata: %s\n\n" % (number, b"x" * size))
 
 
 @given('a stream route "{route}" whose server sends events of {size:d} KB for {seconds:d} s')
@@ -202,7 +197,7 @@
     context.run_ended_at = []
 
     def run(call: QuietHandler, arrival: Arrival) -> bool:
-        _begin_stream(call, arrival)
+        begin_stream(call, arrival)
         end = time.monotonic() + seconds
         number = 0
         try:
@@ -220,7 +215,7 @@
 @given('a stream route "{route}" whose server sends {count:d} events of {size:d} KB')
 def long_stream(context: Context, route: str, count: int, size: int) -> None:
     def run(call: QuietHandler, arrival: Arrival) -> bool:
-        _begin_stream(call, arrival)
+        begin_stream(call, arrival)
         for number in range(1, count + 1):
             _chunk(call, number, size * KILOBYTE)
         call.wfile.write(b"0\r\n\r\n")
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -374,20 +374,29 @@
     return b"id: %d\ndata: piece-%d\n\n" % (number, number)
 
 
-def stream(
-    call: QuietHandler, arrival: Arrival, events: range, pause: float = 0.0, is_whole: bool = True
-) -> bool:
-    """Answer with a stream of events, cut off behind them if it is not whole."""
+def begin_stream(call: QuietHandler, arrival: Arrival) -> None:
+    """Send the head of a stream's answer."""
     call.send_response(200)
     for name, value in own_headers(arrival).items():
         call.send_header(name, value)
     call.send_header("Content-Type", "text/event-stream")
     call.send_header("Transfer-Encoding", "chunked")
     call.end_headers()
+
+
+def send_chunk(call: QuietHandler, data: bytes) -> None:
+    """Send one piece of a stream's answer."""
+    call.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
+    call.wfile.flush()
+
+
+def stream(
+    call: QuietHandler, arrival: Arrival, events: range, pause: float = 0.0, is_whole: bool = True
+) -> bool:
+    """Answer with a stream of events, cut off behind them if it is not whole."""
+    begin_stream(call, arrival)
     for number in events:
-        data = event(number)
-        call.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
-        call.wfile.flush()
+        send_chunk(call, event(number))
         time.sleep(pause)
     if is_whole:
         call.wfile.write(b"0\r\n\r\n")
