--- a/yarrowwall/core/quorum.py
+++ b/yarrowwall/core/quorum.py
@@ -16,11 +16,6 @@
     return size // 2 + 1
 
 
-def read_quorum(size: int) -> int:
-    """Return how many of ``size`` replicas share one with every majority."""
-    return size - majority(size) + 1
-
-
 def has_quorum(groups: Sequence[Collection[str]], acknowledged: Collection[str]) -> bool:
     """Return whether the acknowledging replicas form a majority of every group.
 
