One reading of servers' paces

Cause: the room of a service judged by itself, twice, which paces are fresh enough, and made their median beside the directory's.

Change: believed_pace and usual_pace serve both. No change of behaviour.

--- a/yarrowwall/relay/servers.py
+++ b/yarrowwall/relay/servers.py
@@ -217,7 +217,7 @@
         states = self.candidates(service, tried, now)
         if not states:
             return None
-        usual = self._usual_pace(states, now)
+        usual = usual_pace(states, now)
         # A server that started again holds nothing of the turn before.
         lives = {state.life_text: state.server.server_id for state in states}
         wish = wish._replace(last_server=lives.get(wish.last_server, ""))
@@ -272,10 +272,6 @@
             found[home.server.server_id] -= own
         return found
 
-    def _usual_pace(self, states: Sequence[ServerState], now: float) -> float:
-        paces = [pace for state in states if (pace := _pace(state, now)) is not None]
-        return median(paces) if paces else 0.0
-
     def _cost(self, state: ServerState, is_stream: bool, usual: float, now: float) -> float:
         """Return the seconds that a server's load and pace are expected to cost."""
         load = self.load(state, now)
@@ -284,7 +280,7 @@
         if ahead > 0:
             held = STREAM_SECONDS if is_stream else LOOKUP_SECONDS
             seconds += ahead * held / state.server.slots
-        pace = _pace(state, now)
+        pace = believed_pace(state, now)
         if pace is not None:
             # Paces differ by load and luck; only a server far off the others is slow.
             excess = max(0.0, pace - SLOW_FACTOR * usual)
@@ -344,7 +340,7 @@
         state = self.state_of(life)
         if state is None:
             return
-        known = _pace(state, now)
+        known = believed_pace(state, now)
         state.pace = seconds if known is None else known + PACE_WEIGHT * (seconds - known)
         state.pace_at = now
         state.failures = 0
@@ -370,11 +366,17 @@
     return service.engine.cache_tokens if service is not None and service.engine else 0
 
 
-def _pace(state: ServerState, now: float) -> float | None:
+def believed_pace(state: ServerState, now: float) -> float | None:
     """Return the observed pace if it is fresh enough to be believed."""
     return state.pace if now - state.pace_at < PACE_MEMORY_SECONDS else None
 
 
+def usual_pace(states: Iterable[ServerState], now: float) -> float:
+    """Return the median of the paces that are believed; 0 if there is none."""
+    paces = [pace for state in states if (pace := believed_pace(state, now)) is not None]
+    return median(paces) if paces else 0.0
+
+
 def _may_still_serve(state: ServerState, now: float) -> bool:
     """Return whether a leaving server may serve for want of any other."""
     since = state.vanished_at if state.vanished_at is not None else state.draining_at
--- a/yarrowwall/relay/service_room.py
+++ b/yarrowwall/relay/service_room.py
@@ -1,10 +1,14 @@
 """The room of a service, measured from what a gateway knows of its servers. No I/O."""
 
-from statistics import median
-
 from yarrowwall.capacity.room import ServiceRoom
 from yarrowwall.relay.model import Service
-from yarrowwall.relay.servers import PACE_MEMORY_SECONDS, SLOW_FACTOR, ServerDirectory, ServerState
+from yarrowwall.relay.servers import (
+    SLOW_FACTOR,
+    ServerDirectory,
+    ServerState,
+    believed_pace,
+    usual_pace,
+)
 
 
 def measure(directory: ServerDirectory, service: Service, now_s: float) -> ServiceRoom:
@@ -28,16 +32,11 @@
 
 def _places(states: list[ServerState], now_s: float) -> float:
     """Return the places of servers; one that is slow counts for as much less."""
-    paces = [
-        state.pace
-        for state in states
-        if state.pace is not None and now_s - state.pace_at < PACE_MEMORY_SECONDS
-    ]
-    usual = median(paces) if paces else 0.0
+    usual = usual_pace(states, now_s)
     found = 0.0
     for state in states:
-        is_believed = now_s - state.pace_at < PACE_MEMORY_SECONDS
-        is_slow = state.pace is not None and is_believed and state.pace > SLOW_FACTOR * usual
-        factor = usual / state.pace if is_slow and state.pace else 1.0
+        pace = believed_pace(state, now_s)
+        is_slow = pace is not None and pace > SLOW_FACTOR * usual
+        factor = usual / pace if is_slow and pace else 1.0
         found += state.server.slots * factor
     return found
