Logs and a command that tell why conversations reach no server

The logs could not tell a lost record from one that could not be read and from a refusal though it was there: a turn refused before its chain was looked up left no trace of what it went on from, and a refusal for want of room did not say what the program was expected to keep, on which the room depends.

- AttemptAdmitted has the turn that an attempt goes on from.
- RoomDecided has the tokens that the program is expected to keep and those that the engines hold.
- yarrowwall conversations LOGS: programs that went on from a turn and reached no server, by what refused them.

No rule changes.

--- a/features/start_and_retries.feature
+++ b/features/start_and_retries.feature
@@ -90,6 +90,23 @@
       | stream     | was refused with 401           | key unknown                                 |
       | stream     | was refused with 503 for age   | refused for the configuration's age         |
 
+  Scenario Outline: A conversation that reached no server is told by what refused it
+    Given the log of a turn that goes on from an earlier one and <end>
+    Then the conversations name its program with "<cause>"
+
+    Examples:
+      | end                                       | cause                                               |
+      | whose turn before is unknown              | the turn before is unknown                          |
+      | whose turns before could not be read      | the turns before could not be read                  |
+      | whose group is out of reach               | the turns before could not be read                  |
+      | for which there is no room                | refused for want of room, its turns were read       |
+      | which no server took                      | refused for another reason, its turns were read     |
+
+  Scenario: A conversation that reached a server in a later try is not told as unserved
+    Given the log of a turn that goes on from an earlier one and for which there is no room
+    And it was sent in its second try
+    Then the conversations name no program
+
   Scenario: Programs that were late are told by what they spent their time on
     Given the log of a program of 2 s whose turns waited 1.5 s for their first events
     Then the late programs name it with 0.4 s, most of it spent on "waits for first events"
--- a/features/steps/start_steps.py
+++ b/features/steps/start_steps.py
@@ -10,12 +10,15 @@
 
 from behave import given, then, when
 from behave.runner import Context
+from click import Command
 from click.testing import CliRunner
 
 from features.support.platform_scripts import add, arrivals, full, silent, world
 from features.support.platform_world import Arrival, QuietHandler
 from features.support.processes import free_addresses, wait_until
 from yarrowwall.addresses import split_address
+from yarrowwall.capacity.program_rooms import NO_ROOM
+from yarrowwall.cli.conversations import conversations
 from yarrowwall.cli.failures import failures
 from yarrowwall.machine.listeners import EarlyListeners
 from yarrowwall.platform.store import PlatformStore
@@ -308,21 +311,63 @@
         context.log.append(line(2.0, "AttemptAnswered", attempt="a1", status=200))
 
 
-def found_failures(context: Context, *options: str) -> list[dict[str, object]]:
+def printed_rows(context: Context, command: Command, *options: str) -> list[dict[str, object]]:
+    """Return what a command prints of the scenario's log."""
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "edge-0.log"
         path.write_text("".join(json.dumps(one) + "\n" for one in context.log))
-        result = CliRunner().invoke(failures, [str(path), "--output", "json", *options])
+        result = CliRunner().invoke(command, [str(path), "--output", "json", *options])
     assert result.exit_code == 0, result.output
     return [json.loads(row) for row in result.output.splitlines()]
 
 
+def found_failures(context: Context, *options: str) -> list[dict[str, object]]:
+    return printed_rows(context, failures, *options)
+
+
 @then('the failures name it with cause "{cause}"')
 def named(context: Context, cause: str) -> None:
     (found,) = found_failures(context)
     assert (found["program_id"], found["cause"]) == ("p1", cause), found
 
 
+_CONVERSATION_ENDS = {
+    "whose turn before is unknown": ("unknown", 404, "no turn t0"),
+    "whose turns before could not be read": ("uncertain", 503, "group 0: 1 of 2 answered"),
+    "whose group is out of reach": (None, 503, "group 0 is out of reach"),
+    "for which there is no room": ("fetched", 503, f"{NO_ROOM}: places, 3 of 9 waiting go before"),
+    "which no server took": ("cached", 503, "server answered 503, not run"),
+}
+
+
+@given("the log of a turn that goes on from an earlier one and {end}")
+def conversation_log(context: Context, end: str) -> None:
+    outcome, status, reason = _CONVERSATION_ENDS[end]
+    admitted = {"attempt": "a1", "program": "p1", "route": "r", "previous": "t0"}
+    context.log = [line(1.0, "AttemptAdmitted", **admitted)]
+    if outcome is not None:
+        context.log.append(line(1.1, "ChainLookedUp", attempt="a1", previous="t0", outcome=outcome))
+    context.log.append(line(1.2, "AttemptRefused", attempt="a1", status=status, reason=reason))
+
+
+@given("it was sent in its second try")
+def sent_later(context: Context) -> None:
+    admitted = {"attempt": "a2", "program": "p1", "route": "r", "previous": "t0"}
+    context.log.append(line(2.0, "AttemptAdmitted", **admitted))
+    context.log.append(line(2.1, "AttemptSent", attempt="a2", server="i-1"))
+
+
+@then('the conversations name its program with "{cause}"')
+def conversation_named(context: Context, cause: str) -> None:
+    (found,) = printed_rows(context, conversations)
+    assert (found["program_id"], found["refused"]) == ("p1", {cause: 1}), found
+
+
+@then("the conversations name no program")
+def no_conversation_named(context: Context) -> None:
+    assert printed_rows(context, conversations) == []
+
+
 @given("the log of a program of 2 s whose turns waited 1.5 s for their first events")
 def late_log(context: Context) -> None:
     context.log = []
--- a/yarrowwall/capacity/program_rooms.py
+++ b/yarrowwall/capacity/program_rooms.py
@@ -135,6 +135,8 @@
                 reply.ahead,
                 reply.holder,
                 reply.holder_share,
+                ask.tokens,
+                ask.memory_tokens,
             )
         )
 
--- a/yarrowwall/cli/main.py
+++ b/yarrowwall/cli/main.py
@@ -5,6 +5,7 @@
 
 import click
 
+from yarrowwall.cli.conversations import conversations
 from yarrowwall.cli.demo import demo
 from yarrowwall.cli.experiment import experiment
 from yarrowwall.cli.explain import explain
@@ -37,6 +38,7 @@
     explain,
     failures,
     stale,
+    conversations,
 )
 for command in COMMANDS:
     main.add_command(command)
--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -31,6 +31,7 @@
 
     :param configuration_age: seconds since the configuration was proved to be the newest.
     :param finish_in: seconds left to its program; None if untold.
+    :param previous: the turn that it goes on from; empty for none.
     """
 
     attempt: str
@@ -42,6 +43,7 @@
     tenant: str
     configuration_age: float
     finish_in: float | None
+    previous: str
 
 
 class AttemptSent(Decision, frozen=True):
@@ -284,6 +286,8 @@
     :param waiting: programs that were refused and may come back.
     :param ahead: those of them that go before this one.
     :param holder: the tenant with most programs admitted in the last seconds.
+    :param tokens: of the engines' memory that the program is expected to keep.
+    :param memory_tokens: that the engines hold.
     """
 
     attempt: str
@@ -301,6 +305,8 @@
     ahead: int
     holder: str
     holder_share: float
+    tokens: int
+    memory_tokens: int
 
 
 class ReplicaSynchronised(Decision, frozen=True):
--- a/yarrowwall/gateway/exchange.py
+++ b/yarrowwall/gateway/exchange.py
@@ -120,6 +120,7 @@
                 attempt.tenant,
                 self._gateway.configuration_age_s,
                 _finish_in_s(attempt),
+                (attempt.program.previous_turn or "") if attempt.program else "",
             )
         )
 
