Room is the same for programs of all sizes

Cause: how many places of a service may be taken was 0.8 or 1.25 of them by whether its memory is ample for programs of the size of the one that asks. A conversation comes with its history, so it was held to 0.8 while the others kept more than that taken: at 42.1 s there was room for 24 programs without a history and for -3 with one, by the same sums. Not a matter of conversations alone: programs without a turn before them, but with long first prompts, were refused in the same way, and so is any longer kind of programs beside a shorter one.

Why this fix works: what is usual among the programs that ask decides whether memory is ample, so all of them are held to the same places. The memory that a single program is expected to keep counts as before against what is left of it.

--- a/yarrowwall/policy/program_admission.py
+++ b/yarrowwall/policy/program_admission.py
@@ -30,12 +30,36 @@
 #: refusal; before, programs are held to end once in the time that they have.
 RATE_SECONDS = 1.0
 LEAST_RATE_PER_S = 2.0
-#: Weight of the newest program in the mean time that programs have, and what is held to be usual
-#: before the first.
-FINISH_WEIGHT = 0.02
+#: Least weight of the newest program in what is usual of programs.
+USUAL_WEIGHT = 0.02
+#: What is held to be the usual time that programs have, before the first.
 FIRST_FINISH_SECONDS = 4.0
 
 
+class _UsualProgram:
+    """What is usual among the programs that ask for room.
+
+    :ivar finish_in_s: seconds that they have when they come.
+    :ivar tokens: of the engines' memory that they are expected to keep.
+    """
+
+    def __init__(self) -> None:
+        self.finish_in_s = FIRST_FINISH_SECONDS
+        self.tokens = 0.0
+        self._programs = 0
+
+    def note_size(self, tokens: int) -> None:
+        """Take in what a program is expected to keep, once a program."""
+        self._programs += 1
+        weight = max(1.0 / self._programs, USUAL_WEIGHT)
+        self.tokens += weight * (tokens - self.tokens)
+
+    def note_time(self, finish_in_s: float) -> None:
+        """Take in the time that a program has; 0 if untold."""
+        if finish_in_s > 0.0:
+            self.finish_in_s += USUAL_WEIGHT * (finish_in_s - self.finish_in_s)
+
+
 class ProgramAdmission:
     """Decides which programs may begin at a service."""
 
@@ -45,7 +69,7 @@
         self._admitted: OrderedDict[int, float] = OrderedDict()
         self._overtaking = 0
         self._contended_since_s: float | None = None
-        self._finish_in_s = FIRST_FINISH_SECONDS
+        self._usual = _UsualProgram()
 
     def decide(self, ask: AskRoom, under_way: UnderWay, now_s: float) -> RoomReply:
         """Return whether a program may begin, or when it should come back.
@@ -55,8 +79,10 @@
         self._forget_past(now_s)
         if ask.program in self._admitted:
             return self._reply(True, 0.0, Forecast(0.0, Scarce.NOTHING), 0)
-        self._note_time(ask.finish_in_s)
+        self._usual.note_time(ask.finish_in_s)
         room = self._forecast(ask, under_way, now_s)
+        if not self._returns.is_waited_for(ask.program):
+            self._usual.note_size(ask.tokens)
         over = self._shares.tenants_over(self._returns.by_tenant)
         standing = self._returns.standing(ask.program, ask.tenant in over, now_s)
         due_by_s = now_s + SOON_SECONDS
@@ -77,7 +103,9 @@
 
     def _forecast(self, ask: AskRoom, under_way: UnderWay, now_s: float) -> Forecast:
         begun = self._shares.since(now_s - ask.age_s - VISIBLE_SECONDS)
-        free = free_places(ask.places, ask.taken, ask.memory_tokens, ask.tokens)
+        # The places are shared, so a program's own size must not decide how many may be taken.
+        usual_tokens = round(self._usual.tokens) or ask.tokens
+        free = free_places(ask.places, ask.taken, ask.memory_tokens, usual_tokens)
         return forecast(free, ask.memory_tokens, under_way, begun, ask.tokens)
 
     def _needed(self, ask: AskRoom, standing: Standing, ahead: Ahead) -> float:
@@ -124,13 +152,9 @@
         if since_s is not None and now_s - since_s >= RATE_SECONDS:
             rate_per_s = self._shares.since(now_s - RATE_SECONDS) / RATE_SECONDS
         else:
-            rate_per_s = (ask.taken + under_way.between) / self._finish_in_s
+            rate_per_s = (ask.taken + under_way.between) / self._usual.finish_in_s
         return max(rate_per_s, LEAST_RATE_PER_S)
 
-    def _note_time(self, finish_in_s: float) -> None:
-        if finish_in_s > 0.0:
-            self._finish_in_s += FINISH_WEIGHT * (finish_in_s - self._finish_in_s)
-
     def _forget_past(self, now_s: float) -> None:
         self._shares.forget_past(now_s)
         self._returns.forget_past(now_s)
--- a/yarrowwall/policy/room.py
+++ b/yarrowwall/policy/room.py
@@ -28,7 +28,7 @@
     :param places: of sound servers.
     :param taken: requests under way there.
     :param memory_tokens: that their engines hold.
-    :param tokens: that one program is expected to keep; 0 if untold.
+    :param tokens: that programs are usually expected to keep; 0 if untold.
     """
     is_ample = tokens > 0 and memory_tokens >= AMPLE_FACTOR * places * tokens
     return (AMPLE_PLACES_SHARE if is_ample else PLACES_SHARE) * places - taken
