A conversation that goes on is not refused as a new program

Cause: who asks for room was decided by the budget alone. A program that has spent nothing yet is new, also if its first turn goes on from an answered one of another program, as after a stop or a loss of power. Such programs waited among new ones, and once they could not be in time any more, behind all of them.

Why this fix works: the record store's leave says whether the turn goes on from an answered one. Its gateway then lets it in until twice the places are taken. The tenant's limit is not asked for a whole new program either; each request needs its credit as before.

A property over places, load and memory holds the order of refusals.

--- a/features/room.feature
+++ b/features/room.feature
@@ -95,6 +95,10 @@
     And of two tenants the one with twice the agreed rate is over its share at twice as many
     And all of a capacity is shared out, and nobody goes without while another has more
 
+  # Guards against conversations that reach no server while new programs do.
+  Scenario: New programs are refused long before a conversation that goes on
+    Then whatever is taken, a conversation is refused only where no new program is let in
+
   Scenario: Where no replica answers, gateways keep to their own parts
     Then gateways that see the same sums admit at most one each beyond the room
     And a gateway that is told nothing keeps to 4 times its even part
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -260,6 +260,25 @@
     assert admission.decide(large, UnderWay(), NOW + 20.0).is_admitted
 
 
+@then("whatever is taken, a conversation is refused only where no new program is let in")
+def conversations_first(context: Context) -> None:
+    @settings(max_examples=500, deadline=None)
+    @for_all(st.integers(0, 300), st.integers(1, 100), st.integers(0, 100), st.booleans())
+    def check(taken: int, places: int, unsound: int, is_ample: bool) -> None:
+        memory_tokens = 1_000_000 if is_ample else 20_000
+        listed = places + unsound
+        room = ServiceRoom(taken, places, taken, listed, memory_tokens, 0.0)
+        ask = dataclasses.replace(
+            question(1, taken=taken, places=places), memory_tokens=memory_tokens
+        )
+        is_let_in = room.is_open or ProgramAdmission().decide(ask, UnderWay(), NOW).is_admitted
+        alone = OwnShare().admits(room, 0, 8, NOW)
+        assert room.holds_conversations or not (is_let_in or alone), room
+        assert room.holds_conversations == (room.is_open or taken < 2 * places), room
+
+    check()
+
+
 @then("of those who come back when they were told, the first refused goes first")
 def first_goes_first(context: Context) -> None:
     @settings(max_examples=200, deadline=None)
--- a/features/steps/start_steps.py
+++ b/features/steps/start_steps.py
@@ -335,7 +335,11 @@
     "whose turn before is unknown": ("unknown", 404, "no turn t0"),
     "whose turns before could not be read": ("uncertain", 503, "group 0: 1 of 2 answered"),
     "whose group is out of reach": (None, 503, "group 0 is out of reach"),
-    "for which there is no room": ("fetched", 503, f"{NO_ROOM}: places, 3 of 9 waiting go before"),
+    "for which there is no room": (
+        "fetched",
+        503,
+        f"{NO_ROOM} a new program: places, 3 of 9 waiting go before",
+    ),
     "which no server took": ("cached", 503, "server answered 503, not run"),
 }
 
--- a/yarrowwall/budgets/ledger.py
+++ b/yarrowwall/budgets/ledger.py
@@ -202,10 +202,12 @@
         reserved: Reserved | None,
         tokens_per_event: int,
     ) -> None:
+        program = attempt.program
+        is_continued = route.is_stateful and program is not None and bool(program.previous_turn)
         if reserved is not None:
-            super().__init__(body, reserved.last_server, reserved.is_first)
+            super().__init__(body, reserved.last_server, reserved.is_first, is_continued)
         else:
-            super().__init__(body)
+            super().__init__(body, is_continued=is_continued)
         self._ledger = ledger
         self._attempt = attempt
         self._route = route
--- a/yarrowwall/capacity/program_rooms.py
+++ b/yarrowwall/capacity/program_rooms.py
@@ -19,7 +19,7 @@
 from yarrowwall.refusals import unavailable
 
 #: How a refusal for want of room begins.
-NO_ROOM = "no room for a new program"
+NO_ROOM = "no room for"
 
 
 class ProgramRooms(RoomSource):
@@ -62,11 +62,25 @@
             reply = self._decide_alone(ask, room)
         self._note_decided(new.attempt, ask, reply)
         if not reply.is_admitted:
-            reason = (
-                f"{NO_ROOM}: {reply.scarce}, {reply.ahead} of {reply.waiting} waiting go before"
-            )
+            ahead = f"{reply.ahead} of {reply.waiting} waiting go before"
+            reason = f"{NO_ROOM} a new program: {reply.scarce}, {ahead}"
             raise unavailable(reason, reply.retry_after_s)
 
+    def continue_conversation(self, attempt: Attempt, service: Service) -> None:
+        """Ask whether a program may begin that goes on from an answered turn.
+
+        It was accepted with that turn, so new programs yield to it: they are refused long before.
+
+        :raises RefusedError: if the servers are filled far beyond their places.
+        """
+        now_s = self._now()
+        room = measure(self._directory, service, now_s)
+        if room.age_s > BELIEVED_SECONDS or room.holds_conversations:
+            return
+        patience_s = caller_patience_s(attempt.deadline - now_s)
+        reason = f"{NO_ROOM} a conversation: {room.taken} of {room.places} places are taken"
+        raise unavailable(reason, after_unknown_room_s(patience_s, _program_key(attempt)))
+
     def did_not_begin(self, new: NewProgram) -> None:
         """Give back the room of a program that its tenant's limit refused."""
         attempt = new.attempt
--- a/yarrowwall/gateway/turn.py
+++ b/yarrowwall/gateway/turn.py
@@ -130,16 +130,24 @@
     def _begin_program(self, grant: TurnGrant, allowance: Allowance) -> None:
         """Ask whether a turn's program is welcome, if it is the first one.
 
-        There is to be room for it at the servers and in its tenant's limit.
+        There is to be room for it at the servers and in its tenant's limit. A conversation that
+        goes on was welcome before, whatever program it goes on under: it needs neither anew.
 
         :raises RefusedError: if it is not.
         """
         if self._attempt.program is None:
             return
-        if grant.is_first:
+        if grant.is_first and grant.is_continued:
+            self._continue_conversation()
+        elif grant.is_first:
             self._ask_for_room(allowance)
         self._parts.program_sizes.note_turn(self._route.name, grant.is_first)
 
+    def _continue_conversation(self) -> None:
+        service = self._service
+        if service is not None and service.engine is not None:
+            self._parts.rooms.continue_conversation(self._attempt, service)
+
     def _ask_for_room(self, allowance: Allowance) -> None:
         sizes, service = self._parts.program_sizes, self._service
         if service is None or service.engine is None:
--- a/yarrowwall/ports/programs.py
+++ b/yarrowwall/ports/programs.py
@@ -17,12 +17,20 @@
     :param body: what the server is to get.
     :param last_server: where the program's turn before ran; empty if unknown.
     :param is_first: whether no turn of the program has emitted anything before.
+    :param is_continued: whether it goes on from an answered turn, perhaps of another program.
     """
 
-    def __init__(self, body: bytes, last_server: str = "", is_first: bool = False) -> None:
+    def __init__(
+        self,
+        body: bytes,
+        last_server: str = "",
+        is_first: bool = False,
+        is_continued: bool = False,
+    ) -> None:
         self.body = body
         self.last_server = last_server
         self.is_first = is_first
+        self.is_continued = is_continued
 
     def cover(self, passed: list[Event]) -> None:
         """Refuse events beyond what was granted, before they are passed on.
--- a/yarrowwall/ports/rooms.py
+++ b/yarrowwall/ports/rooms.py
@@ -1,4 +1,4 @@
-"""Room for new programs, as a gateway asks for it."""
+"""Room for programs, as a gateway asks for it."""
 
 from abc import ABC, abstractmethod
 from collections.abc import Iterator
@@ -29,6 +29,13 @@
         :raises RefusedError: if there is no room for it.
         """
 
+    @abstractmethod
+    def continue_conversation(self, attempt: Attempt, service: Service) -> None:
+        """Ask whether a program may begin that goes on from an answered turn.
+
+        :raises RefusedError: if the servers are filled far beyond their places.
+        """
+
     @abstractmethod
     def did_not_begin(self, new: NewProgram) -> None:
         """Note that a program for which there was room was refused for another reason."""
