Released messages may get further fields, and releases still understand each other

Machines of two releases run side by side during an upgrade, and a body that ends before a field it should have was malformed, which closes the connection with all that is under way on it.

A field that added_field declares stands behind all others. Earlier releases read the fields that they know and pass over what follows; a body that ends before the added fields has their defaults, and one that ends anywhere else is malformed as before. The other messages and their schemas stay byte for byte.

--- a/yarrowwall/messages/capacity.py
+++ b/yarrowwall/messages/capacity.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from yarrowwall.messages.registry import message
+from yarrowwall.messages.registry import added_field, message
 
 
 class Scarce(StrEnum):
@@ -44,6 +44,7 @@
     :param memory_tokens: that their engines hold.
     :param finish_in_s: seconds left to the program; 0 if untold.
     :param patience_s: the longest that the caller would wait before it comes back.
+    :param is_continued: whether the program goes on from an answered turn.
     """
 
     service: str
@@ -57,6 +58,7 @@
     memory_tokens: int
     finish_in_s: float
     patience_s: float
+    is_continued: bool = added_field(False)
 
 
 @message(145)
--- a/yarrowwall/messages/codec.py
+++ b/yarrowwall/messages/codec.py
@@ -3,6 +3,10 @@
 The schemas are read from the committed ``schemas`` folder; they are made from
 the dataclasses by :mod:`yarrowwall.messages.generate`.
 
+Releases run side by side during an upgrade. A released message changes only by fields that
+:func:`yarrowwall.messages.registry.added_field` declares, behind all others: earlier releases pass
+over them, and a body that ends before them has their defaults.
+
 A class is known once its module is imported; a program imports those whose messages it
 sends or takes, and :mod:`yarrowwall.messages.all_messages` imports every one.
 """
@@ -22,12 +26,14 @@
 import fastavro
 
 from yarrowwall.messages.exceptions import MalformedMessageError, UnknownMessageError
-from yarrowwall.messages.registry import CLASSES_BY_CODE, CODES_BY_CLASS
+from yarrowwall.messages.registry import CLASSES_BY_CODE, CODES_BY_CLASS, added_defaults
 
 SCHEMA_FOLDER = Path(__file__).parent / "schemas"
 
 _TYPE_CODE = struct.Struct(">H")
 _Converter = Callable[[Any], Any]
+#: What reading a body that does not follow its schema raises.
+_MALFORMED = (ValueError, EOFError, IndexError, KeyError, StopIteration, MemoryError)
 
 
 def schema_path(code: int) -> Path:
@@ -41,6 +47,29 @@
     return fastavro.parse_schema(json.loads(schema_path(code).read_text()))
 
 
+@cache
+def _schema_before_additions(code: int) -> Any:
+    """Parse the schema of a type code as it was released first."""
+    schema = json.loads(schema_path(code).read_text())
+    added = added_defaults(CLASSES_BY_CODE[code])
+    schema["fields"] = [field for field in schema["fields"] if field["name"] not in added]
+    return fastavro.parse_schema(schema)
+
+
+def _read_fields(code: int, cls: type, body: bytes) -> dict[str, Any]:
+    """Return the Avro record of a body, which may come from a release without the added fields."""
+    try:
+        fields = fastavro.schemaless_reader(io.BytesIO(body), _schema(code), None)
+    except _MALFORMED:
+        added = added_defaults(cls)
+        if not added:
+            raise
+        earlier = _schema_before_additions(code)
+        fields = fastavro.schemaless_reader(io.BytesIO(body), earlier, None)
+        fields = {**typing.cast(dict[str, Any], fields), **added}
+    return typing.cast(dict[str, Any], fields)
+
+
 def _field_converters(cls: type, leaf: Callable[[Any], _Converter | None]) -> dict[str, _Converter]:
     """Return converters for those fields whose Avro value is not their Python value.
 
@@ -135,9 +164,6 @@
     if cls is None:
         raise UnknownMessageError(f"type code {code}")
     try:
-        fields = fastavro.schemaless_reader(
-            io.BytesIO(data[_TYPE_CODE.size :]), _schema(code), None
-        )
-        return _build(cls, typing.cast(dict[str, Any], fields))
-    except (ValueError, EOFError, IndexError, KeyError, StopIteration, MemoryError) as error:
+        return _build(cls, _read_fields(code, cls, data[_TYPE_CODE.size :]))
+    except _MALFORMED as error:
         raise MalformedMessageError(f"{cls.__name__}: {error!r}") from error
--- a/yarrowwall/messages/registry.py
+++ b/yarrowwall/messages/registry.py
@@ -1,8 +1,8 @@
 """Registry of message classes by their numeric type code."""
 
+import dataclasses
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import TypeVar, dataclass_transform
+from typing import Any, TypeVar, dataclass_transform
 
 _Message = TypeVar("_Message")
 
@@ -12,7 +12,26 @@
 CODES_BY_CLASS: dict[type, int] = {}
 
 
-@dataclass_transform(frozen_default=True)
+_ADDED = "added"
+
+
+def added_field(default: Any) -> Any:
+    """Declare a field that was added to a message after its release.
+
+    It stands behind all fields that were released. Earlier releases pass over it, and a message of
+    theirs has the default.
+    """
+    return dataclasses.field(default=default, metadata={_ADDED: True})
+
+
+def added_defaults(cls: type) -> dict[str, Any]:
+    """Return the defaults of a message's fields that were added after its release."""
+    return {
+        field.name: field.default for field in dataclasses.fields(cls) if _ADDED in field.metadata
+    }
+
+
+@dataclass_transform(frozen_default=True, field_specifiers=(added_field,))
 def message(code: int) -> Callable[[type[_Message]], type[_Message]]:
     """Declare a class as a frozen dataclass that travels between nodes.
 
@@ -24,7 +43,7 @@
     def register(cls: type[_Message]) -> type[_Message]:
         if code in CLASSES_BY_CODE:
             raise ValueError(f"message code {code} is taken by {CLASSES_BY_CODE[code].__name__}")
-        decorated = dataclass(frozen=True)(cls)
+        decorated = dataclasses.dataclass(frozen=True)(cls)
         CLASSES_BY_CODE[code] = decorated
         CODES_BY_CLASS[decorated] = code
         return decorated
