One huge program, or one gateway, decides no more how many places may be taken

Change: places and memory are the mean of what gateways told lately; the usual size is taken from admitted programs, each once, and one counts for four times the usual at most. What a program is expected to keep grows with its first turn's own part, not with the history that it brings.

Tests: two more steps of "Decisions keep to the room, the order and the shares".

--- a/features/room.feature
+++ b/features/room.feature
@@ -88,6 +88,8 @@
     And where memory is ample a few more turns are under way than there are places
     And of those who come back when they were told, the first refused goes first
     And a program that cannot be in time any more is overtaken, but not without end
+    And what one gateway believes of the servers decides little of how many places may be taken
+    And a single huge program changes little of what is usual
     And all that is kept for callers that do not return is given to others
     And callers that are refused together are told to come back one after another
     And an admitted program whose first turn is sent once more takes no second place
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -279,6 +279,33 @@
     check()
 
 
+@then("what one gateway believes of the servers decides little of how many places may be taken")
+def one_view(context: Context) -> None:
+    admission = ProgramAdmission()
+    for number in range(20):
+        assert admission.decide(question(number, taken=70), UnderWay(), NOW + number).is_admitted
+    # One gateway takes half of the servers for slow.
+    low = question(20, taken=70, places=50)
+    assert admission.decide(low, UnderWay(), NOW + 19.5).is_admitted
+    # What was believed long ago counts no more.
+    assert not admission.decide(
+        dataclasses.replace(low, program=21), UnderWay(), NOW + 30.0
+    ).is_admitted
+
+
+@then("a single huge program changes little of what is usual")
+def huge_program(context: Context) -> None:
+    admission = ProgramAdmission()
+    usual = dataclasses.replace(question(0, taken=90), memory_tokens=50_000)
+    for program in range(200):
+        ask = dataclasses.replace(usual, program=program)
+        assert admission.decide(ask, UnderWay(), NOW + program).is_admitted
+    huge = dataclasses.replace(usual, program=200, tokens=30_000)
+    assert admission.decide(huge, UnderWay(), NOW + 200.0).is_admitted
+    again = dataclasses.replace(usual, program=201)
+    assert admission.decide(again, UnderWay(), NOW + 201.0).is_admitted
+
+
 @then("of those who come back when they were told, the first refused goes first")
 def first_goes_first(context: Context) -> None:
     @settings(max_examples=200, deadline=None)
--- a/yarrowwall/capacity/program_rooms.py
+++ b/yarrowwall/capacity/program_rooms.py
@@ -104,8 +104,8 @@
         attempt = new.attempt
         limit, program = attempt.limit, attempt.program
         finish_at = program.finish_at if program is not None else None
-        # A program's prompt grows by about its first one with each turn.
-        tokens = round(_own_tokens(attempt) * (1.0 + new.turns) / 2.0)
+        # A program's prompt grows by about what its first turn brings with each further one.
+        tokens = round(_own_tokens(attempt) + _new_tokens(attempt) * (new.turns - 1.0) / 2.0)
         return AskRoom(
             new.service.name,
             attempt.tenant,
@@ -161,6 +161,11 @@
     return first_bits(attempt.tenant, name)
 
 
+def _new_tokens(attempt: Attempt) -> int:
+    """Return the tokens that a turn adds to the prompts before it."""
+    return attempt.prompt[-1].tokens if attempt.prompt else 0
+
+
 def _own_tokens(attempt: Attempt) -> int:
     """Return the tokens of a prompt that engines keep for its program alone.
 
--- a/yarrowwall/messages/capacity.py
+++ b/yarrowwall/messages/capacity.py
@@ -58,7 +58,7 @@
     memory_tokens: int
     finish_in_s: float
     patience_s: float
-    is_continued: bool = added_field(False)
+    is_continued: bool = added_field(default=False)
 
 
 @message(145)
--- a/yarrowwall/messages/registry.py
+++ b/yarrowwall/messages/registry.py
@@ -15,7 +15,7 @@
 _ADDED = "added"
 
 
-def added_field(default: Any) -> Any:
+def added_field(*, default: Any) -> Any:
     """Declare a field that was added to a message after its release.
 
     It stands behind all fields that were released. Earlier releases pass over it, and a message of
--- a/yarrowwall/policy/program_admission.py
+++ b/yarrowwall/policy/program_admission.py
@@ -12,6 +12,7 @@
 from yarrowwall.policy.returns import Ahead, ReturnOrder, Standing
 from yarrowwall.policy.room import Forecast, UnderWay, forecast, free_places
 from yarrowwall.policy.tenant_shares import TenantShares
+from yarrowwall.policy.usual_program import BelievedServers, UsualProgram
 
 #: Seconds from an admission until its first turn is in the sums that others are told.
 VISIBLE_SECONDS = 0.1
@@ -30,34 +31,6 @@
 #: refusal; before, programs are held to end once in the time that they have.
 RATE_SECONDS = 1.0
 LEAST_RATE_PER_S = 2.0
-#: Least weight of the newest program in what is usual of programs.
-USUAL_WEIGHT = 0.02
-#: What is held to be the usual time that programs have, before the first.
-FIRST_FINISH_SECONDS = 4.0
-
-
-class _UsualProgram:
-    """What is usual among the programs that ask for room.
-
-    :ivar finish_in_s: seconds that they have when they come.
-    :ivar tokens: of the engines' memory that they are expected to keep.
-    """
-
-    def __init__(self) -> None:
-        self.finish_in_s = FIRST_FINISH_SECONDS
-        self.tokens = 0.0
-        self._programs = 0
-
-    def note_size(self, tokens: int) -> None:
-        """Take in what a program is expected to keep, once a program."""
-        self._programs += 1
-        weight = max(1.0 / self._programs, USUAL_WEIGHT)
-        self.tokens += weight * (tokens - self.tokens)
-
-    def note_time(self, finish_in_s: float) -> None:
-        """Take in the time that a program has; 0 if untold."""
-        if finish_in_s > 0.0:
-            self.finish_in_s += USUAL_WEIGHT * (finish_in_s - self.finish_in_s)
 
 
 class ProgramAdmission:
@@ -69,7 +42,8 @@
         self._admitted: OrderedDict[int, float] = OrderedDict()
         self._overtaking = 0
         self._contended_since_s: float | None = None
-        self._usual = _UsualProgram()
+        self._usual = UsualProgram()
+        self._servers = BelievedServers()
 
     def decide(self, ask: AskRoom, under_way: UnderWay, now_s: float) -> RoomReply:
         """Return whether a program may begin, or when it should come back.
@@ -79,10 +53,9 @@
         self._forget_past(now_s)
         if ask.program in self._admitted:
             return self._reply(True, 0.0, Forecast(0.0, Scarce.NOTHING), 0)
-        self._usual.note_time(ask.finish_in_s)
+        self._usual.note_asked(ask.finish_in_s)
+        self._servers.note_asked(ask, now_s)
         room = self._forecast(ask, under_way, now_s)
-        if not self._returns.is_waited_for(ask.program):
-            self._usual.note_size(ask.tokens)
         over = self._shares.tenants_over(self._returns.by_tenant)
         standing = self._returns.standing(ask.program, ask.tenant in over, now_s)
         due_by_s = now_s + SOON_SECONDS
@@ -103,10 +76,11 @@
 
     def _forecast(self, ask: AskRoom, under_way: UnderWay, now_s: float) -> Forecast:
         begun = self._shares.since(now_s - ask.age_s - VISIBLE_SECONDS)
-        # The places are shared, so a program's own size must not decide how many may be taken.
+        servers = self._servers
         usual_tokens = round(self._usual.tokens) or ask.tokens
-        free = free_places(ask.places, ask.taken, ask.memory_tokens, usual_tokens)
-        return forecast(free, ask.memory_tokens, under_way, begun, ask.tokens)
+        memory_tokens = round(servers.memory_tokens)
+        free = free_places(servers.places, ask.taken, memory_tokens, usual_tokens)
+        return forecast(free, memory_tokens, under_way, begun, ask.tokens)
 
     def _needed(self, ask: AskRoom, standing: Standing, ahead: Ahead) -> float:
         """Return how many programs there must be room for, so that this one may begin."""
@@ -127,6 +101,7 @@
 
     def _admit(self, ask: AskRoom, now_s: float) -> None:
         self._returns.remove(ask.program)
+        self._usual.note_admitted(ask.tokens)
         self._shares.note_admitted(ask.tenant, ask.weight, now_s)
         self._admitted[ask.program] = now_s
         if len(self._admitted) > MOST_ADMITTED:
--- a/yarrowwall/policy/returns.py
+++ b/yarrowwall/policy/returns.py
@@ -71,10 +71,6 @@
         """Return how many programs are waited for."""
         return len(self._waiting)
 
-    def is_waited_for(self, program: int) -> bool:
-        """Return whether a program was refused and may come back."""
-        return program in self._waiting
-
     def forget_past(self, now_s: float) -> None:
         """Wait no more for programs that should have come back long ago."""
         past = [
