Conversations that go on ask for room in front of new programs

Cause: the ceiling was each gateway's own, by sums that do not tell yet of what comes at once; it looked at no memory and bypassed the order, the shares and the count of admissions.

Change: such a program asks the replica like a new one and goes before all of them, in the order of first refusals, never overtaken for being late. The places that are kept for conversations that are due are kept from late programs as well. The question tells it in a further field, which earlier replicas pass over.

Tests: conversations find room before new programs (burst of 7 times), conversations alone are held to the room, a property on the order.

--- a/features/room.feature
+++ b/features/room.feature
@@ -56,6 +56,22 @@
   Scenario: A larger program is held to the same places as all others
     Then a program that keeps more memory than most may take as many places as they
 
+  # Guards against conversations that reach no server while new programs do.
+  Scenario: Conversations that go on find room before new programs
+    Given a day with a burst of 7 times and a quarter of the engines slow
+    And 2 in 10 programs go on from a conversation
+    When a replica admits programs by room
+    Then at least 980 in 1000 programs of the burst that go on from a conversation are served
+    And at least 980 in 1000 programs that begin three seconds after the burst are in time
+
+  # Guards against conversations that are let in whatever is taken: all programs were late for long.
+  Scenario: Conversations are held to the room as well
+    Given a day with a burst of 4 times, a tenant of 24 times and a quarter of the engines slow
+    And 10 in 10 programs go on from a conversation
+    When a replica admits programs by room
+    Then at least 980 in 1000 programs that begin three seconds after the burst are in time
+    And engines read fewer than 12 million tokens
+
   Scenario Outline: Sums that are <age> ms old
     Given a day with a burst of 4 times, a tenant of 24 times and a quarter of the engines slow
     And sums of what is under way that are up to <age> ms old
@@ -88,6 +104,7 @@
     And where memory is ample a few more turns are under way than there are places
     And of those who come back when they were told, the first refused goes first
     And a program that cannot be in time any more is overtaken, but not without end
+    And a conversation that goes on is let in before all new programs, however late it is
     And what one gateway believes of the servers decides little of how many places may be taken
     And a single huge program changes little of what is usual
     And all that is kept for callers that do not return is given to others
@@ -97,10 +114,6 @@
     And of two tenants the one with twice the agreed rate is over its share at twice as many
     And all of a capacity is shared out, and nobody goes without while another has more
 
-  # Guards against conversations that reach no server while new programs do.
-  Scenario: New programs are refused long before a conversation that goes on
-    Then whatever is taken, a conversation is refused only where no new program is let in
-
   Scenario: Where no replica answers, gateways keep to their own parts
     Then gateways that see the same sums admit at most one each beyond the room
     And a gateway that is told nothing keeps to 4 times its even part
--- a/features/room_at_gateways.feature
+++ b/features/room_at_gateways.feature
@@ -14,9 +14,9 @@
 
   # Guards against conversations that reach no server: their new program was refused like one
   # that has no history, for as long as others filled the servers.
-  Scenario: A conversation that goes on under a new program is not refused for want of room
+  Scenario: A conversation that goes on under a new program goes before new ones
     Given a stateful stream route "talk" whose server pauses 600 ms between events
     And a conversation with one turn on "talk"
     When 16 new programs come at two gateways, one each 120 ms, while the conversation goes on
     Then the others got 503 with Retry-After and reached no server
-    And the conversation got whole answers at both gateways
+    And the conversation got whole answers at both gateways, and no new program went before it
--- a/features/support/room_model.py
+++ b/features/support/room_model.py
@@ -52,12 +52,14 @@
     :param hot: times its usual that the first tenant sends in that time.
     :param age_s: how old the sums of what is under way are at most.
     :param slow_share: part of the engines that are four times slower in seconds 5 to 10.
+    :param continued_share: part of the programs that go on from an answered turn.
     """
 
     burst: float = 1.0
     hot: float = 1.0
     slow_share: float = 0.0
     burst_of_long: bool = False
+    continued_share: float = 0.0
     gateways: int = 78
     memory_tokens: int = MEMORY_TOKENS
     age_s: float = 0.0
@@ -83,6 +85,7 @@
     attempts: int = 0
     refusals: int = 0
     is_begun: bool = False
+    is_continued: bool = False
     engine: "Engine | None" = None
     ended_s: float | None = None
     is_lost: bool = False
@@ -184,6 +187,7 @@
         self._day = day
         self._way = way
         self._rng = random.Random(seed)
+        self._continued_rng = random.Random(f"{seed}/continued")
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._count = itertools.count()
         self._now_s = 0.0
@@ -235,6 +239,8 @@
         needs_s = turns * (turn_s + TOOL_SECONDS + pause_s + 0.025)
         number = next(self._count)
         program = Program(number, f"t{tenant}", is_long, at_s, turns, own, needs_s)
+        # Drawn apart, so that days without conversations stay as they are.
+        program.is_continued = self._continued_rng.random() < self._day.continued_share
         self.programs.append(program)
         self._at(at_s, lambda: self._ask(program))
 
@@ -277,6 +283,7 @@
             self._day.memory_tokens * ENGINES,
             program.aim_s - self._now_s,
             DEADLINE_SECONDS / 3.0,
+            program.is_continued,
         )
 
     def _under_way(self) -> UnderWay:
--- a/yarrowwall/capacity/program_rooms.py
+++ b/yarrowwall/capacity/program_rooms.py
@@ -62,25 +62,11 @@
             reply = self._decide_alone(ask, room)
         self._note_decided(new.attempt, ask, reply)
         if not reply.is_admitted:
+            begun = "a conversation" if new.is_continued else "a new program"
             ahead = f"{reply.ahead} of {reply.waiting} waiting go before"
-            reason = f"{NO_ROOM} a new program: {reply.scarce}, {ahead}"
+            reason = f"{NO_ROOM} {begun}: {reply.scarce}, {ahead}"
             raise unavailable(reason, reply.retry_after_s)
 
-    def continue_conversation(self, attempt: Attempt, service: Service) -> None:
-        """Ask whether a program may begin that goes on from an answered turn.
-
-        It was accepted with that turn, so new programs yield to it: they are refused long before.
-
-        :raises RefusedError: if the servers are filled far beyond their places.
-        """
-        now_s = self._now()
-        room = measure(self._directory, service, now_s)
-        if room.age_s > BELIEVED_SECONDS or room.holds_conversations:
-            return
-        patience_s = caller_patience_s(attempt.deadline - now_s)
-        reason = f"{NO_ROOM} a conversation: {room.taken} of {room.places} places are taken"
-        raise unavailable(reason, after_unknown_room_s(patience_s, _program_key(attempt)))
-
     def did_not_begin(self, new: NewProgram) -> None:
         """Give back the room of a program that its tenant's limit refused."""
         attempt = new.attempt
@@ -118,6 +104,7 @@
             room.memory_tokens,
             finish_at - now_s if finish_at is not None else 0.0,
             caller_patience_s(attempt.deadline - now_s),
+            new.is_continued,
         )
 
     def _decide_alone(self, ask: AskRoom, room: ServiceRoom) -> RoomReply:
@@ -126,7 +113,8 @@
             for state in self._directory.states.values()
             if state.server.service == ask.service
         )
-        is_admitted = self._own.admits(room, own, self._reporter.reporters, self._now())
+        reporters = self._reporter.reporters
+        is_admitted = self._own.admits(room, own, reporters, self._now(), ask.is_continued)
         wait_s = after_unknown_room_s(ask.patience_s, ask.program)
         scarce = Scarce.NOTHING if is_admitted else Scarce.PLACES
         return RoomReply(is_admitted, wait_s, scarce, 0.0, 0, 0, "", 0.0)
@@ -151,6 +139,7 @@
                 reply.holder_share,
                 ask.tokens,
                 ask.memory_tokens,
+                ask.is_continued,
             )
         )
 
--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -288,6 +288,7 @@
     :param holder: the tenant with most programs admitted in the last seconds.
     :param tokens: of the engines' memory that the program is expected to keep.
     :param memory_tokens: that the engines hold.
+    :param is_continued: whether the program goes on from an answered turn.
     """
 
     attempt: str
@@ -307,6 +308,7 @@
     holder_share: float
     tokens: int
     memory_tokens: int
+    is_continued: bool
 
 
 class ReplicaSynchronised(Decision, frozen=True):
--- a/yarrowwall/gateway/turn.py
+++ b/yarrowwall/gateway/turn.py
@@ -130,31 +130,24 @@
     def _begin_program(self, grant: TurnGrant, allowance: Allowance) -> None:
         """Ask whether a turn's program is welcome, if it is the first one.
 
-        There is to be room for it at the servers and in its tenant's limit. A conversation that
-        goes on was welcome before, whatever program it goes on under: it needs neither anew.
+        There is to be room for it at the servers and in its tenant's limit.
 
         :raises RefusedError: if it is not.
         """
         if self._attempt.program is None:
             return
-        if grant.is_first and grant.is_continued:
-            self._continue_conversation()
-        elif grant.is_first:
-            self._ask_for_room(allowance)
+        if grant.is_first:
+            self._ask_for_room(grant, allowance)
         self._parts.program_sizes.note_turn(self._route.name, grant.is_first)
 
-    def _continue_conversation(self) -> None:
-        service = self._service
-        if service is not None and service.engine is not None:
-            self._parts.rooms.continue_conversation(self._attempt, service)
-
-    def _ask_for_room(self, allowance: Allowance) -> None:
+    def _ask_for_room(self, grant: TurnGrant, allowance: Allowance) -> None:
         sizes, service = self._parts.program_sizes, self._service
         if service is None or service.engine is None:
             allowance.begin_program(sizes.expected(self._route.name))
             return
         # A lender counts each program that it welcomes, so the servers' room goes first.
-        new = NewProgram(self._attempt, service, sizes.expected_turns(self._route.name))
+        turns = sizes.expected_turns(self._route.name)
+        new = NewProgram(self._attempt, service, turns, grant.is_continued)
         self._parts.rooms.begin_program(new)
         try:
             allowance.begin_program(sizes.expected(self._route.name))
--- a/yarrowwall/policy/own_share.py
+++ b/yarrowwall/policy/own_share.py
@@ -1,6 +1,6 @@
 """What one gateway admits by itself, where no replica decides for all of them. No I/O."""
 
-from yarrowwall.policy.room import ServiceRoom, free_places
+from yarrowwall.policy.room import AMPLE_PLACES_SHARE, ServiceRoom, free_places
 
 #: Seconds after which the sums of other gateways are no longer believed.
 BELIEVED_SECONDS = 1.0
@@ -22,11 +22,14 @@
         self._told_at_s = 0.0
         self._admitted = 0
 
-    def admits(self, room: ServiceRoom, own: int, reporters: int, now_s: float) -> bool:
+    def admits(
+        self, room: ServiceRoom, own: int, reporters: int, now_s: float, is_continued: bool = False
+    ) -> bool:
         """Return whether a program may begin, and count it if so.
 
         :param own: requests that this gateway has under way there.
         :param reporters: gateways that share the room; 0 if untold.
+        :param is_continued: whether it goes on from an answered turn; it may take more places.
         """
         if not reporters:
             return True
@@ -39,6 +42,8 @@
         if told_at_s > self._told_at_s:
             self._told_at_s, self._admitted = told_at_s, 0
         free = free_places(room.places, room.taken)
+        if is_continued:
+            free = AMPLE_PLACES_SHARE * room.places - room.taken
         if free < 1.0 or self._admitted + 1 > max(1.0, free / reporters):
             return False
         self._admitted += 1
--- a/yarrowwall/policy/program_admission.py
+++ b/yarrowwall/policy/program_admission.py
@@ -1,4 +1,4 @@
-"""Admission of new programs at one service, over all gateways, while it is nearly full. No I/O.
+"""Admission of programs at one service, over all gateways, while it is nearly full. No I/O.
 
 A replica decides, since gateways that decide alone admit the same free place hundreds of times.
 Its memory is a hint like the loads: a replica that takes over knows the sums within a report, and
@@ -57,7 +57,8 @@
         self._servers.note_asked(ask, now_s)
         room = self._forecast(ask, under_way, now_s)
         over = self._shares.tenants_over(self._returns.by_tenant)
-        standing = self._returns.standing(ask.program, ask.tenant in over, now_s)
+        is_over, is_new = ask.tenant in over, not ask.is_continued
+        standing = self._returns.standing(ask.program, is_new, is_over, now_s)
         due_by_s = now_s + SOON_SECONDS
         ahead = self._returns.ahead(ask.program, standing, over, due_by_s, now_s)
         if room.programs >= self._needed(ask, standing, ahead):
@@ -85,10 +86,12 @@
     def _needed(self, ask: AskRoom, standing: Standing, ahead: Ahead) -> float:
         """Return how many programs there must be room for, so that this one may begin."""
         needed = 1.0 + ahead.due
+        if not standing.is_new:
+            return needed
         if standing.is_over:
             return needed + KEPT_SHARE * ask.places
         if standing.is_late and self._overtaking >= LATE_EVERY:
-            return 1.0
+            return 1.0 + ahead.due_continued
         if ahead.is_late_due and not standing.is_late and self._overtaking >= LATE_EVERY:
             needed += 1.0
         return needed
@@ -96,7 +99,7 @@
     def _count_overtaking(self, standing: Standing, ahead: Ahead) -> None:
         if standing.is_late:
             self._overtaking = 0
-        elif ahead.is_late_due:
+        elif standing.is_new and ahead.is_late_due:
             self._overtaking += 1
 
     def _admit(self, ask: AskRoom, now_s: float) -> None:
@@ -111,14 +114,16 @@
         """Note a refusal; return the seconds until it should be the program's turn."""
         if self._contended_since_s is None:
             self._contended_since_s = now_s
-        late_from_s = self._returns.late_from_s(ask.program, ask.finish_in_s, now_s)
+        is_new = not ask.is_continued
+        late_from_s = self._returns.late_from_s(ask.program, is_new, ask.finish_in_s, now_s)
         rate_per_s = self._rate_per_s(ask, under_way, now_s)
         wait_s = (ahead.all + 1) / rate_per_s
         if now_s + wait_s >= late_from_s:
             # It will be late and go behind all that are in time.
             wait_s = (len(self._returns) + 1) / rate_per_s
         wait_s = after_turn_s(wait_s, ask.patience_s, ask.program)
-        self._returns.note_refused(ask.program, ask.tenant, late_from_s, now_s + wait_s)
+        due_s = now_s + wait_s
+        self._returns.note_refused(ask.program, ask.tenant, is_new, late_from_s, due_s)
         return wait_s
 
     def _rate_per_s(self, ask: AskRoom, under_way: UnderWay, now_s: float) -> float:
--- a/yarrowwall/policy/returns.py
+++ b/yarrowwall/policy/returns.py
@@ -1,9 +1,10 @@
 """The programs that were refused and may come back, and the order in which they do. No I/O.
 
-Whoever was refused first goes first, among those that can still be in time. A program that cannot
-goes behind them, for it would make one more late, but not for ever: see
-:data:`yarrowwall.policy.program_admission.LATE_EVERY`. Tenants with more than their share go
-behind all.
+Programs that go on from an answered turn go before new ones, in the order in which they were
+refused first. Among new ones whoever was refused first goes first, among those that can still be in
+time. A program that cannot goes behind them, for it would make one more late, but not for ever: see
+:data:`yarrowwall.policy.program_admission.LATE_EVERY`. Tenants with more than their share go behind
+the others.
 """
 
 from collections import Counter
@@ -26,8 +27,14 @@
 
 
 class Standing(NamedTuple):
-    """A program's place in the order; the least goes first."""
+    """A program's place in the order; the least goes first.
 
+    :param is_new: whether it goes on from no answered turn.
+    :param is_over: whether its tenant has more than its share.
+    :param is_late: whether it is new and can no longer be in time.
+    """
+
+    is_new: bool
     is_over: bool
     is_late: bool
     number: int
@@ -41,6 +48,7 @@
     """
 
     tenant: str
+    is_new: bool
     number: int
     late_from_s: float
     due_s: float
@@ -50,12 +58,14 @@
     """The programs that go before one.
 
     :param due: those of them that should be back by now, or are any moment.
+    :param due_continued: those of these that go on from an answered turn.
     :param is_late_due: whether one that can no longer be in time, of a tenant within its share, is
         due, before it or behind.
     """
 
     all: int
     due: int
+    due_continued: int
     is_late_due: bool
 
 
@@ -90,19 +100,22 @@
         if not self.by_tenant[known.tenant]:
             del self.by_tenant[known.tenant]
 
-    def standing(self, program: int, is_over: bool, now_s: float) -> Standing:
-        """Return the place of a program, which may be a new one."""
+    def standing(self, program: int, is_new: bool, is_over: bool, now_s: float) -> Standing:
+        """Return the place of a program, which may not have been refused before."""
         known = self._waiting.get(program)
         if known is None:
-            return Standing(is_over, False, self._next_number)
-        return Standing(is_over, now_s >= known.late_from_s, known.number)
+            return Standing(is_new, is_over, False, self._next_number)
+        return Standing(is_new, is_over, now_s >= known.late_from_s, known.number)
 
-    def late_from_s(self, program: int, finish_in_s: float, now_s: float) -> float:
-        """Return when a program is held to be late; infinite if its time is untold."""
+    def late_from_s(self, program: int, is_new: bool, finish_in_s: float, now_s: float) -> float:
+        """Return when a program is held to be late.
+
+        Infinite if its time is untold, or if it goes on from an answered turn.
+        """
         known = self._waiting.get(program)
         if known is not None:
             return known.late_from_s
-        if finish_in_s <= 0.0:
+        if finish_in_s <= 0.0 or not is_new:
             return float("inf")
         return now_s + min((1.0 - IN_TIME_SHARE) * finish_in_s, MOST_AHEAD_SECONDS)
 
@@ -115,7 +128,7 @@
 
         :param over: tenants with more than their share.
         """
-        count = due = 0
+        count = due = due_continued = 0
         is_late_due = False
         for name, known in self._waiting.items():
             if name == program:
@@ -124,7 +137,9 @@
             is_late = now_s >= known.late_from_s
             is_over = known.tenant in over
             is_late_due = is_late_due or (is_due and is_late and not is_over)
-            if is_over != standing.is_over:
+            if known.is_new != standing.is_new:
+                goes_before = standing.is_new
+            elif is_over != standing.is_over:
                 goes_before = standing.is_over
             elif is_late != standing.is_late:
                 goes_before = standing.is_late
@@ -133,9 +148,12 @@
             if goes_before:
                 count += 1
                 due += is_due
-        return Ahead(count, due, is_late_due)
+                due_continued += is_due and not known.is_new
+        return Ahead(count, due, due_continued, is_late_due)
 
-    def note_refused(self, program: int, tenant: str, late_from_s: float, due_s: float) -> None:
+    def note_refused(
+        self, program: int, tenant: str, is_new: bool, late_from_s: float, due_s: float
+    ) -> None:
         """Take in that a program was told to come back at a time."""
         known = self._waiting.get(program)
         if known is not None:
@@ -143,6 +161,6 @@
             return
         if len(self._waiting) >= MOST_WAITING:
             return
-        self._waiting[program] = _Waiting(tenant, self._next_number, late_from_s, due_s)
+        self._waiting[program] = _Waiting(tenant, is_new, self._next_number, late_from_s, due_s)
         self._next_number += 1
         self.by_tenant[tenant] += 1
--- a/yarrowwall/policy/room.py
+++ b/yarrowwall/policy/room.py
@@ -13,9 +13,6 @@
 AMPLE_PLACES_SHARE = 1.25
 #: Times the memory that a program in each place keeps, from which memory is ample.
 AMPLE_FACTOR = 4.0
-#: Times the places that may be taken before a conversation that goes on is refused. It is well
-#: above what new programs may take, so they are refused first, and about as much as servers queue.
-CONVERSATION_PLACES_SHARE = 2.0
 #: Part of all places that must be taken before a program is refused: under half of them some
 #: server is free, whatever the forecast says.
 REFUSE_FROM_SHARE = 0.5
@@ -60,11 +57,6 @@
         """Return whether so much is free that no program may be refused."""
         return self.listed_taken < REFUSE_FROM_SHARE * self.listed_places
 
-    @property
-    def holds_conversations(self) -> bool:
-        """Return whether a program that goes on from an answered turn may begin."""
-        return self.is_open or self.taken < CONVERSATION_PLACES_SHARE * self.places
-
 
 class UnderWay(NamedTuple):
     """What all gateways told of their programs at a service.
--- a/yarrowwall/ports/rooms.py
+++ b/yarrowwall/ports/rooms.py
@@ -12,11 +12,13 @@
     """A program whose first turn has come.
 
     :param turns: that it is expected to have.
+    :param is_continued: whether it goes on from an answered turn, perhaps of another program.
     """
 
     attempt: Attempt
     service: Service
     turns: float
+    is_continued: bool
 
 
 class RoomSource(ABC):
@@ -29,13 +31,6 @@
         :raises RefusedError: if there is no room for it.
         """
 
-    @abstractmethod
-    def continue_conversation(self, attempt: Attempt, service: Service) -> None:
-        """Ask whether a program may begin that goes on from an answered turn.
-
-        :raises RefusedError: if the servers are filled far beyond their places.
-        """
-
     @abstractmethod
     def did_not_begin(self, new: NewProgram) -> None:
         """Note that a program for which there was room was refused for another reason."""
