--- a/yarrowwall/cli/conversations.py
+++ b/yarrowwall/cli/conversations.py
@@ -30,6 +30,7 @@
 class UnservedProgram(NamedTuple):
     """A program that went on from a turn and reached no server.
 
+    :param tenant: whose it is; empty if untold.
     :param begun_s: when its first attempt came.
     :param ended_s: when its last one was refused.
     :param refused: its refused attempts, by why.
@@ -37,6 +38,7 @@
     """
 
     program_id: str
+    tenant: str
     begun_s: float
     ended_s: float
     refused: Counter[Refused]
@@ -53,6 +55,7 @@
 
     def __init__(self, line: dict[str, Any]) -> None:
         self.program_id: str = line["program"]
+        self.tenant: str = line.get("tenant", "")
         self.begun_s: float = line["time"]
         self.ended_s: float = line["time"]
         self.is_read = False
@@ -71,6 +74,11 @@
                 self.ended_s, self.status = line["time"], line["status"]
                 self.reason = line["reason"]
 
+    @property
+    def program(self) -> tuple[str, str]:
+        """Return its program, whose id is one of its tenant's."""
+        return self.tenant, self.program_id
+
     @property
     def refused(self) -> Refused:
         """Return why it was refused."""
@@ -93,18 +101,19 @@
             turns[attempt_id] = _Turn(line)
         elif attempt_id in turns:
             turns[attempt_id].take(line)
-    served = {turn.program_id for turn in turns.values() if turn.is_sent}
-    by_program: dict[str, list[_Turn]] = {}
+    served = {turn.program for turn in turns.values() if turn.is_sent}
+    by_program: dict[tuple[str, str], list[_Turn]] = {}
     for turn in turns.values():
-        if turn.program_id not in served and turn.status:
-            by_program.setdefault(turn.program_id, []).append(turn)
-    found = [_unserved(program_id, own) for program_id, own in by_program.items()]
+        if turn.program not in served and turn.status:
+            by_program.setdefault(turn.program, []).append(turn)
+    found = [_unserved(own) for own in by_program.values()]
     return sorted(found, key=lambda program: -program.tries)
 
 
-def _unserved(program_id: str, turns: list[_Turn]) -> UnservedProgram:
+def _unserved(turns: list[_Turn]) -> UnservedProgram:
     return UnservedProgram(
-        program_id,
+        turns[0].program_id,
+        turns[0].tenant,
         min(turn.begun_s for turn in turns),
         max(turn.ended_s for turn in turns),
         Counter(turn.refused for turn in turns),
