Links and listeners between machines have the log

Nothing is logged yet and nothing behaves differently. A connection between machines has no way to say why it ended or what it did not understand: the log and the peer's address are handed down to its channel. Scenarios that make links or listeners pass a log; none asserts anything else than before.

--- a/features/steps/reach_steps.py
+++ b/features/steps/reach_steps.py
@@ -122,7 +122,7 @@
         self.requests = 0
         listener = eventlet.listen(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{listener.getsockname()[1]}"
-        eventlet.spawn_n(serve_requests, listener, self._handle)
+        eventlet.spawn_n(serve_requests, listener, self._handle, DecisionLog("storage-0"))
 
     def _handle(self, request: object, reply) -> None:
         self.requests += 1
--- a/features/steps/record_steps.py
+++ b/features/steps/record_steps.py
@@ -11,6 +11,7 @@
 
 from features.support.record_model import member, run_record_schedules
 from features.support.record_mutants import MUTANTS
+from yarrowwall.decisions import DecisionLog
 from yarrowwall.messages.replicated import (
     AskStatus,
     GroupView,
@@ -256,7 +257,7 @@
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         context.port = probe.getsockname()[1]
-    context.link = Link(f"127.0.0.1:{context.port}", time.monotonic)
+    context.link = Link(f"127.0.0.1:{context.port}", DecisionLog("edge-0"), time.monotonic)
 
 
 @when("requests go over the link every {pause:f} s for {seconds:f} s")
@@ -275,7 +276,8 @@
 def replica_listens(context: Context) -> None:
     listener = eventlet.listen(("127.0.0.1", context.port))
     status = StatusReply("a", "a1", 1, True, 1)
-    serving = eventlet.spawn(serve_requests, listener, lambda request, reply: reply(status))
+    log = DecisionLog("a")
+    serving = eventlet.spawn(serve_requests, listener, lambda request, reply: reply(status), log)
     context.add_cleanup(listener.close)
     context.add_cleanup(serving.kill)
 
--- a/features/steps/silent_steps.py
+++ b/features/steps/silent_steps.py
@@ -12,6 +12,7 @@
 from features.soak.proxy import Mode, Proxy
 from features.support.platform_scripts import world
 from features.support.processes import wait_until
+from yarrowwall.decisions import DecisionLog
 from yarrowwall.messages.replicated import AskStatus, StatusReply
 from yarrowwall.replication.exceptions import LinkDownError
 from yarrowwall.replication.rpc import Link, serve_requests
@@ -31,7 +32,7 @@
     def handle(request: object, reply) -> None:
         eventlet.spawn_after(context.delay_s, reply, ANSWER)
 
-    eventlet.spawn_n(serve_requests, listener, handle)
+    eventlet.spawn_n(serve_requests, listener, handle, DecisionLog("storage-0"))
     port = listener.getsockname()[1]
 
     def target() -> str:
@@ -39,7 +40,7 @@
         return f"127.0.0.1:{port}"
 
     context.proxy = Proxy(target)
-    context.link = Link(context.proxy.address, time.monotonic)
+    context.link = Link(context.proxy.address, DecisionLog("edge-0"), time.monotonic)
     assert is_answered(context)
 
 
@@ -134,8 +135,11 @@
 @given("a link to a replica that never answers")
 def link_to_silent(context: Context) -> None:
     listener = eventlet.listen(("127.0.0.1", 0))
-    eventlet.spawn_n(serve_requests, listener, lambda request, reply: None)
-    context.link = Link(f"127.0.0.1:{listener.getsockname()[1]}", time.monotonic)
+    eventlet.spawn_n(
+        serve_requests, listener, lambda request, reply: None, DecisionLog("storage-0")
+    )
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+    context.link = Link(address, DecisionLog("edge-0"), time.monotonic)
     context.link.post(AskStatus(0), lambda reply: None)
     eventlet.sleep(0.1)
     context.number = context.link._channel._connection.fileno()
--- a/features/steps/zone_group_steps.py
+++ b/features/steps/zone_group_steps.py
@@ -10,6 +10,7 @@
 from features.support.processes import wait_until
 from features.support.zone_groups_model import run_zone_group_schedules
 from features.support.zone_groups_mutants import MUTANTS
+from yarrowwall.decisions import DecisionLog
 from yarrowwall.messages.replicated import GroupView, Member, StoredRecord
 from yarrowwall.ports.object_store import StoredObject
 from yarrowwall.replication.documents import read_groups
@@ -222,7 +223,9 @@
     views = GroupViews()
     for view in _views(context).values():
         views.take(view)
-    return QuorumClient("zone-b", views, LinkTable(time.monotonic), time.monotonic)
+    return QuorumClient(
+        "zone-b", views, LinkTable(DecisionLog("edge-0"), time.monotonic), time.monotonic
+    )
 
 
 def _until_done(operation, what: str) -> object:
--- a/features/support/following_model.py
+++ b/features/support/following_model.py
@@ -229,7 +229,7 @@
         direct = self._client(host)
         is_reader = host in self.readers
         host.reader = self._make_reader(host) if is_reader else None
-        with patch.object(reader_store, "LinkTable", lambda now: Links(self, host)):
+        with patch.object(reader_store, "LinkTable", lambda log, now: Links(self, host)):
             store = ReaderStore(
                 host.node_id,
                 host.zone,
--- a/yarrowwall/machine/gateway_role.py
+++ b/yarrowwall/machine/gateway_role.py
@@ -139,7 +139,7 @@
         except OSError as error:
             self._log.write(decisions.DependencyChanged("peer port", False, str(error)))
             return
-        eventlet.spawn_n(serve_requests, peers, self._forwarder.handle)
+        eventlet.spawn_n(serve_requests, peers, self._forwarder.handle, self._log)
         self._finder.start()
 
     def _is_passed_on_to(self, address: str) -> bool:
--- a/yarrowwall/machine/replica_role.py
+++ b/yarrowwall/machine/replica_role.py
@@ -75,7 +75,7 @@
         folder = Path(own.data_folder)
         self._disk = ReplicaDisk(settings.node_id, folder, quotas, log)
         zone_disk = RecordDisk(settings.node_id, folder / ZONE_FOLDER, log)
-        self._links = LinkTable(time.monotonic)
+        self._links = LinkTable(log, time.monotonic)
         self._peers = ReplicaPeers(settings.node_id, settings.zone, self._links, time.monotonic)
         self._lending = QuotaLending(self._disk, self._peers, log)
         self._common = KeptReplica(
@@ -133,7 +133,7 @@
     def start(self) -> None:
         """Begin to serve."""
         listener = green(self._listeners.take(self._settings.peer_address))
-        eventlet.spawn_n(serve_requests, listener, self._requests.handle)
+        eventlet.spawn_n(serve_requests, listener, self._requests.handle, self._log)
         for follower in self._followers:
             follower.start()
         self._peers.start()
--- a/yarrowwall/replication/relayed_links.py
+++ b/yarrowwall/replication/relayed_links.py
@@ -78,8 +78,14 @@
 class RelayedLink(Link):
     """Requests to one replica, directly or through a neighbour."""
 
-    def __init__(self, address: str, now: Callable[[], float], table: "RelayedLinkTable") -> None:
-        super().__init__(address, now)
+    def __init__(
+        self,
+        address: str,
+        log: DecisionLog,
+        now: Callable[[], float],
+        table: "RelayedLinkTable",
+    ) -> None:
+        super().__init__(address, log, now)
         self._table = table
         self._paths = table.paths
         self._asked: dict[int, _Asked] = {}
@@ -267,11 +273,10 @@
     """
 
     def __init__(self, node_id: str, log: DecisionLog, now: Callable[[], float]) -> None:
-        super().__init__(now)
+        super().__init__(log, now)
         self.paths = Paths()
         self._node_id = node_id
-        self._log = log
-        self._neighbours = LinkTable(now)
+        self._neighbours = LinkTable(log, now)
         self._was_cut = False
         #: Requests that went through each neighbour, and those that one refused.
         self.relayed: Counter[str] = Counter()
@@ -286,7 +291,7 @@
         """Return the link to a replica."""
         link = self._links.get(address)
         if not isinstance(link, RelayedLink):
-            link = self._links[address] = RelayedLink(address, self._now, self)
+            link = self._links[address] = RelayedLink(address, self._log, self._now, self)
         return link
 
     def neighbour_link(self, neighbour: Neighbour) -> Link:
--- a/yarrowwall/replication/rpc.py
+++ b/yarrowwall/replication/rpc.py
@@ -13,6 +13,7 @@
 import eventlet
 from eventlet.event import Event
 
+from yarrowwall.decisions import DecisionLog
 from yarrowwall.exceptions import ConnectError
 from yarrowwall.messages.codec import decode, encode
 from yarrowwall.messages.exceptions import MessageError
@@ -42,6 +43,7 @@
 class FrameChannel:
     """One connection that carries frames both ways.
 
+    :param peer: the address at its other end.
     :param receive: called with number and message of each frame.
     :param closed: called once the connection is over.
     """
@@ -49,10 +51,14 @@
     def __init__(
         self,
         connection: socket.socket,
+        peer: str,
         receive: Callable[[int, object], None],
         closed: Callable[[], None],
+        log: DecisionLog,
     ) -> None:
         self._connection = connection
+        self._peer = peer
+        self._log = log
         self._receive = receive
         self._closed = closed
         self._outgoing: deque[bytes] = deque()
@@ -164,8 +170,9 @@
     :param now: the monotonic clock.
     """
 
-    def __init__(self, address: str, now: Callable[[], float]) -> None:
+    def __init__(self, address: str, log: DecisionLog, now: Callable[[], float]) -> None:
         self.address = address
+        self._log = log
         self._now = now
         self._channel: FrameChannel | None = None
         self._is_opening = False
@@ -239,7 +246,9 @@
         if connection is None:
             self._fail_all()
             return
-        self._channel = FrameChannel(connection, self._receive, self._fail_all)
+        self._channel = FrameChannel(
+            connection, self.address, self._receive, self._fail_all, self._log
+        )
         queued, self._queued = self._queued, {}
         for number, message in queued.items():
             self._channel.send(number, message)
@@ -276,9 +285,13 @@
 
 
 class LinkTable:
-    """Links by address."""
+    """Links by address.
 
-    def __init__(self, now: Callable[[], float]) -> None:
+    :param now: the monotonic clock.
+    """
+
+    def __init__(self, log: DecisionLog, now: Callable[[], float]) -> None:
+        self._log = log
         self._now = now
         self._links: dict[str, Link] = {}
 
@@ -286,7 +299,7 @@
         """Return the link to an address."""
         link = self._links.get(address)
         if link is None:
-            link = self._links[address] = Link(address, self._now)
+            link = self._links[address] = Link(address, self._log, self._now)
         return link
 
 
@@ -294,19 +307,21 @@
 RequestHandler = Callable[[object, Callable[[object], None]], None]
 
 
-def serve_requests(listener: socket.socket, handle: RequestHandler) -> None:
+def serve_requests(listener: socket.socket, handle: RequestHandler, log: DecisionLog) -> None:
     """Accept connections and hand over their requests until the listener is closed."""
     while True:
         try:
-            connection, _ = listener.accept()
+            connection, (host, port) = listener.accept()
         except OSError:
             return
         set_silence_limits(connection)
-        _serve_connection(connection, handle)
+        _serve_connection(connection, f"{host}:{port}", handle, log)
 
 
-def _serve_connection(connection: socket.socket, handle: RequestHandler) -> None:
+def _serve_connection(
+    connection: socket.socket, peer: str, handle: RequestHandler, log: DecisionLog
+) -> None:
     def receive(number: int, message: object) -> None:
         handle(message, lambda reply: channel.send(number, reply))
 
-    channel = FrameChannel(connection, receive, lambda: None)
+    channel = FrameChannel(connection, peer, receive, lambda: None, log)
--- a/yarrowwall/watching/store.py
+++ b/yarrowwall/watching/store.py
@@ -111,7 +111,7 @@
         self._log = log
         self._now = now
         self._started_at = now()
-        self._links = LinkTable(now)
+        self._links = LinkTable(log, now)
         self._order = ReaderOrder(node_id, zone)
         self.detour = ReaderDetour(self._order, log, now)
         self._relayed_at: dict[str, float] = {}
