A message of a later release costs only itself

What callers would see: in a rolling upgrade after this release, a machine that gets one message of a type that it does not have closes the connection, silently, and every request under way on it ends without an answer: turns refused with 503 "group N: ...", again and again as long as the later release sends such messages.

Cause: FrameChannel._read swallowed MessageError, so an unknown type code ended the connection as a broken frame does.

Why this fix works: the frame's length is known, so the one message is left out and the next one read. It is told as MessageDropped, one line a second at most (the rest is counted by LinesLeftOut and by yarrowwall_messages_dropped_total). Its sender gets no answer, as from a machine that is slow; a link that gets such an answer has heard from its peer, so the connection is not given up as silent. Nothing changes on the wire.

--- /dev/null
+++ b/features/mixed_releases.feature
@@ -0,0 +1,30 @@
+Feature: A message that a machine cannot read costs no more than it has to
+  Machines are replaced one by one, so some run a later release than others and may send messages
+  that these do not know. Such a message is dropped and told; the connection goes on.
+
+  Scenario: A request of a later release among known ones
+    Given a replica that logs what it cannot read
+    When a peer sends it a known request, one of a later release and a known one
+    Then both known requests are answered on that connection
+    And its log has 1 line "MessageDropped" with "type code 65000" of that peer
+
+  Scenario: A later release that asks again and again fills no log
+    Given a replica that logs what it cannot read
+    When a peer sends it 300 requests of a later release within 2.5 s
+    Then its log has a line "MessageDropped" for each second at most
+    And with those left out 300 messages were counted
+    And a known request is answered on that connection
+
+  Scenario: An answer of a later release among known ones
+    Given a link to a replica of a later release
+    When two requests are under way and another one's answer is of a later release
+    Then both requests are answered
+    And the other one has no answer in time
+    And the link has had 1 connection
+    And the link's log has 1 line "MessageDropped" with "type code 65000"
+
+  Scenario: Answers of a later release are no silence
+    Given a link to a replica of a later release
+    When all answers are of a later release for 2.5 s
+    Then no request was answered
+    And the link has had 1 connection
--- /dev/null
+++ b/features/steps/mixed_release_steps.py
@@ -0,0 +1,279 @@
+"""Steps about messages between machines that one of them cannot read."""
+
+import contextlib
+import json
+import os
+import socket
+import struct
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import eventlet
+from behave import given, then, when
+from behave.runner import Context
+from eventlet.green import socket as green_socket
+
+from yarrowwall.decisions import Decision, DecisionLog
+from yarrowwall.messages.codec import encode
+from yarrowwall.messages.replicated import AskStatus, StatusReply
+from yarrowwall.replication.exceptions import LinkDownError
+from yarrowwall.replication.rpc import Link, serve_requests
+
+ANSWER = StatusReply("storage-0", "disk", 1, True, 1)
+#: What a later release may send: a type code that no message has yet, and some body.
+LATER = struct.pack(">H", 65000) + b"later"
+HEADER = struct.Struct(">II")
+#: Time-out of a request, and the time that the machines of a scenario get to act.
+TIMEOUT_S = 0.15
+MOST_S = 2.0
+
+
+class _Lines:
+    """A log and the lines that it wrote.
+
+    :ivar counted: every decision, written or not.
+    """
+
+    def __init__(self, context: Context) -> None:
+        descriptor, name = tempfile.mkstemp()
+        context.add_cleanup(os.close, descriptor)
+        self._path = Path(name)
+        context.add_cleanup(self._path.unlink)
+        self.counted: list[Decision] = []
+        self.log = DecisionLog("storage-0", self.counted.append, descriptor)
+
+    def of(self, kind: str) -> list[dict[str, Any]]:
+        """Return the lines of a kind."""
+        lines = [json.loads(line) for line in self._path.read_text().splitlines()]
+        return [line for line in lines if line["kind"] == kind]
+
+
+class _Peer:
+    """A connection that sends what it is told to."""
+
+    def __init__(self, context: Context, address: tuple[str, int]) -> None:
+        self._socket = green_socket.create_connection(address, MOST_S)
+        context.add_cleanup(self._socket.close)
+        self.address = "{}:{}".format(*self._socket.getsockname())
+
+    def send(self, number: int, body: bytes, length: int | None = None) -> None:
+        """Send a frame, with the wrong length if one is given."""
+        size = len(body) if length is None else length
+        self._socket.sendall(HEADER.pack(size, number) + body)
+
+    def answered(self, count: int) -> list[int]:
+        """Return the numbers of the next frames that come."""
+        numbers = []
+        for _ in range(count):
+            length, number = HEADER.unpack(self._read(HEADER.size))
+            assert self._read(length) == encode(ANSWER)
+            numbers.append(number)
+        return numbers
+
+    def _read(self, size: int) -> bytes:
+        data = b""
+        while len(data) < size:
+            piece = self._socket.recv(size - len(data))
+            assert piece, "the connection was closed"
+            data += piece
+        return data
+
+
+def _until(is_so: Callable[[], object], limit_s: float = MOST_S) -> None:
+    end = time.monotonic() + limit_s
+    while not is_so():
+        assert time.monotonic() < end, "not within the time"
+        eventlet.sleep(0.01)
+
+
+def _assert_line(lines: _Lines, count: int, kind: str, reason: str) -> list[str]:
+    """Return the peers of a kind's lines."""
+    _until(lambda: len(lines.of(kind)) >= count)
+    found = lines.of(kind)
+    assert len(found) == count, found
+    assert all(reason in line["reason"] for line in found), found
+    return [line["peer"] for line in found]
+
+
+# A replica that is asked
+
+
+@given("a replica that logs what it cannot read")
+def logging_replica(context: Context) -> None:
+    context.lines = _Lines(context)
+    listener = eventlet.listen(("127.0.0.1", 0))
+    context.address = listener.getsockname()
+    serving = eventlet.spawn(
+        serve_requests, listener, lambda request, reply: reply(ANSWER), context.lines.log
+    )
+    context.add_cleanup(listener.close)
+    context.add_cleanup(serving.kill)
+
+
+@when("a peer sends it a known request, one of a later release and a known one")
+def later_among_known(context: Context) -> None:
+    context.peer = _Peer(context, context.address)
+    context.peer.send(1, encode(AskStatus(0)))
+    context.peer.send(2, LATER)
+    context.peer.send(3, encode(AskStatus(0)))
+
+
+@then("both known requests are answered on that connection")
+def both_known_answered(context: Context) -> None:
+    assert context.peer.answered(2) == [1, 3]
+
+
+@then('its log has {count:d} line "{kind}" with "{reason}" of that peer')
+def replica_line(context: Context, count: int, kind: str, reason: str) -> None:
+    assert _assert_line(context.lines, count, kind, reason) == [context.peer.address] * count
+
+
+@when("a peer sends it {count:d} requests of a later release within {seconds:f} s")
+def many_later(context: Context, count: int, seconds: float) -> None:
+    context.peer = _Peer(context, context.address)
+    for number in range(1, count + 1):
+        context.peer.send(number, LATER)
+        eventlet.sleep(seconds / count)
+    _until(lambda: len(context.lines.counted) == count)
+
+
+@then('its log has a line "{kind}" for each second at most')
+def line_a_second(context: Context, kind: str) -> None:
+    seconds = [int(line["time"]) for line in context.lines.of(kind)]
+    assert 2 <= len(seconds) == len(set(seconds)), seconds
+
+
+@then("with those left out {count:d} messages were counted")
+def all_counted(context: Context, count: int) -> None:
+    # What was left out is told with the first line of a later second.
+    eventlet.sleep(1.0)
+    context.peer.send(count + 1, LATER)
+    _until(lambda: len(context.lines.counted) == count + 1)
+    written = len(context.lines.of("MessageDropped")) - 1
+    left_out = sum(line["count"] for line in context.lines.of("LinesLeftOut"))
+    assert written + left_out == count, (written, left_out)
+
+
+@then("a known request is answered on that connection")
+def known_answered(context: Context) -> None:
+    context.peer.send(7, encode(AskStatus(0)))
+    assert context.peer.answered(1) == [7]
+
+
+# A link to a replica of a later release
+
+
+class _LaterReplica:
+    """Answers the frames of a link with bytes that a scenario chooses.
+
+    :ivar body_of: returns the answer to a group's question; None for none yet.
+    """
+
+    def __init__(self, context: Context) -> None:
+        self.connections = 0
+        self.body_of: Callable[[int], bytes | None] = lambda group: encode(ANSWER)
+        self._open: list[socket.socket] = []
+        self._waiting: list[tuple[socket.socket, int]] = []
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.address = "{}:{}".format(*listener.getsockname())
+        accepting = eventlet.spawn(self._accept, listener)
+        context.add_cleanup(listener.close)
+        context.add_cleanup(accepting.kill)
+
+    def answer_waiting(self) -> None:
+        """Answer what had no answer yet."""
+        waiting, self._waiting = self._waiting, []
+        for connection, number in waiting:
+            self._answer(connection, number, encode(ANSWER))
+
+    def _accept(self, listener: socket.socket) -> None:
+        while True:
+            connection, _ = listener.accept()
+            self.connections += 1
+            eventlet.spawn_n(self._serve, connection)
+
+    def _serve(self, connection: socket.socket) -> None:
+        stream = connection.makefile("rb")
+        while len(header := stream.read(HEADER.size)) == HEADER.size:
+            length, number = HEADER.unpack(header)
+            request = stream.read(length)
+            group = next(group for group in GROUPS if request == encode(AskStatus(group)))
+            body = self.body_of(group)
+            if body is None:
+                self._waiting.append((connection, number))
+            else:
+                self._answer(connection, number, body)
+        stream.close()
+        connection.close()
+
+    @staticmethod
+    def _answer(connection: socket.socket, number: int, body: bytes) -> None:
+        with contextlib.suppress(OSError):
+            connection.sendall(HEADER.pack(len(body), number) + body)
+
+
+#: Groups that are asked about: by two requests that stay under way, and by another one.
+GROUPS = FIRST, SECOND, OTHER = (0, 1, 2)
+
+
+@given("a link to a replica of a later release")
+def link_to_later(context: Context) -> None:
+    context.lines = _Lines(context)
+    context.replica = _LaterReplica(context)
+    context.link = Link(context.replica.address, context.lines.log, time.monotonic)
+    context.add_cleanup(context.link.close)
+    assert context.link.call(AskStatus(FIRST), TIMEOUT_S) == ANSWER
+
+
+@when("two requests are under way and another one's answer is of a later release")
+def under_way_beside(context: Context) -> None:
+    context.replica.body_of = lambda group: LATER if group == OTHER else None
+    context.replies = {}
+    for group in GROUPS:
+        context.link.post(
+            AskStatus(group), lambda reply, group=group: context.replies.update({group: reply})
+        )
+    eventlet.sleep(TIMEOUT_S)
+
+
+@then("both requests are answered")
+def both_answered(context: Context) -> None:
+    context.replica.answer_waiting()
+    _until(lambda: FIRST in context.replies and SECOND in context.replies)
+    assert context.replies[FIRST] == context.replies[SECOND] == ANSWER, context.replies
+
+
+@then("the other one has no answer in time")
+def other_unanswered(context: Context) -> None:
+    eventlet.sleep(TIMEOUT_S)
+    assert OTHER not in context.replies
+
+
+@then("the link has had {count:d} connection")
+def had_connections(context: Context, count: int) -> None:
+    assert context.replica.connections == count, context.replica.connections
+
+
+@then('the link\'s log has {count:d} line "{kind}" with "{reason}"')
+def link_line(context: Context, count: int, kind: str, reason: str) -> None:
+    peers = _assert_line(context.lines, count, kind, reason)
+    assert peers == [context.replica.address] * count, peers
+
+
+@when("all answers are of a later release for {seconds:f} s")
+def all_later(context: Context, seconds: float) -> None:
+    context.replica.body_of = lambda group: LATER
+    context.answered = 0
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        with contextlib.suppress(LinkDownError):
+            context.link.call(AskStatus(FIRST), TIMEOUT_S)
+            context.answered += 1
+
+
+@then("no request was answered")
+def none_answered(context: Context) -> None:
+    assert context.answered == 0
--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -8,7 +8,7 @@
 from collections import Counter
 from collections.abc import Callable
 from functools import cache
-from typing import Any, get_args
+from typing import Any, ClassVar, get_args
 
 import msgspec
 from eventlet import patcher
@@ -18,12 +18,17 @@
 
 _ENCODER = msgspec.json.Encoder(enc_hook=str)
 
-#: Lines of one kind written in a second before lines are left out.
+#: Lines of one kind written in a second before lines are left out, unless the kind has its own.
 LINES_PER_SECOND = 200
 
 
 class Decision(msgspec.Struct, frozen=True):
-    """Base of the events; ``kind`` is the class's name."""
+    """Base of the events; ``kind`` is the class's name.
+
+    :cvar lines_per_second: lines of this kind that are written in a second.
+    """
+
+    lines_per_second: ClassVar[int] = LINES_PER_SECOND
 
 
 class AttemptAdmitted(Decision, frozen=True):
@@ -309,6 +314,19 @@
     memory_tokens: int
 
 
+class MessageDropped(Decision, frozen=True):
+    """A message of another machine is of a type that this release does not have.
+
+    :param peer: the address that it came from.
+    """
+
+    # A later release may send such messages all the time.
+    lines_per_second: ClassVar[int] = 1
+
+    peer: str
+    reason: str
+
+
 class ReplicaSynchronised(Decision, frozen=True):
     """A replica holds all that its group had completed."""
 
@@ -394,7 +412,7 @@
         if int(now) != self._second:
             self._begin_second(int(now))
         self._written[kind] += 1
-        if self._written[kind] > LINES_PER_SECOND:
+        if self._written[kind] > decision.lines_per_second:
             self._left_out[kind] += 1
             return
         self._write_line(now, kind, _fields(decision))
--- a/yarrowwall/metrics.py
+++ b/yarrowwall/metrics.py
@@ -50,6 +50,9 @@
 ZONE_KEPT = _Description("zone_turns_kept", "Turns kept in the own zone's group")
 COPIED = _Description("zone_turns_copied", "Turns copied from zones' groups to common ones")
 REACH = _Description("group_reached", "Whether a group of replicas answers", "group")
+MESSAGES_DROPPED = _Description(
+    "messages_dropped", "Messages of other machines of a type that this release does not have"
+)
 CHAINS = _Description("chain_lookups", "Lookups of earlier turns", "outcome")
 SYNCHRONISATIONS = _Description("synchronisations", "Copies of a group that a replica finished")
 DEPENDENCY = _Description("dependency_up", "Whether a dependency answers", "dependency")
@@ -123,6 +126,7 @@
                 REACH, event.is_reached, event.group
             ),
             decisions.ChainLookedUp: lambda event: self._add(CHAINS, event.outcome),
+            decisions.MessageDropped: lambda event: self._add(MESSAGES_DROPPED),
             decisions.ReplicaSynchronised: lambda event: self._add(SYNCHRONISATIONS),
             decisions.DependencyChanged: lambda event: self._set(
                 DEPENDENCY, event.is_up, event.dependency
--- a/yarrowwall/replication/rpc.py
+++ b/yarrowwall/replication/rpc.py
@@ -13,10 +13,11 @@
 import eventlet
 from eventlet.event import Event
 
+from yarrowwall import decisions
 from yarrowwall.decisions import DecisionLog
 from yarrowwall.exceptions import ConnectError
 from yarrowwall.messages.codec import decode, encode
-from yarrowwall.messages.exceptions import MessageError
+from yarrowwall.messages.exceptions import MessageError, UnknownMessageError
 from yarrowwall.replication.exceptions import LinkDownError
 from yarrowwall.sockets import Receiver, open_socket, set_silence_limits
 
@@ -44,7 +45,8 @@
     """One connection that carries frames both ways.
 
     :param peer: the address at its other end.
-    :param receive: called with number and message of each frame.
+    :param receive: called with number and message of each frame; with None for a message that
+        this release does not have.
     :param closed: called once the connection is over.
     """
 
@@ -52,7 +54,7 @@
         self,
         connection: socket.socket,
         peer: str,
-        receive: Callable[[int, object], None],
+        receive: Callable[[int, object | None], None],
         closed: Callable[[], None],
         log: DecisionLog,
     ) -> None:
@@ -150,9 +152,17 @@
                 break
             body = bytes(buffer[start + _HEADER.size : end])
             start = end
-            self._receive(number, decode(body))
+            self._receive(number, self._decoded(body))
         del buffer[:start]
 
+    def _decoded(self, body: bytes) -> object | None:
+        """Return a frame's message; None if only a later release has it."""
+        try:
+            return decode(body)
+        except UnknownMessageError as error:
+            self._log.write(decisions.MessageDropped(self._peer, str(error)))
+            return None
+
 
 class _Posted(NamedTuple):
     """A request that waits for its reply.
@@ -265,8 +275,10 @@
             self._down_until = self._now() + DOWN_SECONDS
             return None
 
-    def _receive(self, number: int, message: object) -> None:
+    def _receive(self, number: int, message: object | None) -> None:
         self._silent_since = None
+        if message is None:
+            return
         posted = self._waiting.pop(number, None)
         if posted is not None:
             posted.completion(message)
@@ -321,7 +333,8 @@
 def _serve_connection(
     connection: socket.socket, peer: str, handle: RequestHandler, log: DecisionLog
 ) -> None:
-    def receive(number: int, message: object) -> None:
-        handle(message, lambda reply: channel.send(number, reply))
+    def receive(number: int, message: object | None) -> None:
+        if message is not None:
+            handle(message, lambda reply: channel.send(number, reply))
 
     channel = FrameChannel(connection, peer, receive, lambda: None, log)
