A connection closed for what is no message is told, with the reason

What callers saw: a frame that was too long or not readable closed the connection between two machines, and every request under way on it ended without an answer, with no line in any log. Nobody could tell it from a machine that died.

Cause: FrameChannel._read passed over MessageError, and over OSError, which also stood for too long a frame.

Why this fix works: what is no message is a FrameError now, told as PeerConnectionClosed with peer and reason and counted. An OSError is left to mean that the peer is gone, of which those who wait are told. A connection whose reading ends for any other cause is closed as well, rather than left open and deaf.

--- a/features/mixed_releases.feature
+++ b/features/mixed_releases.feature
@@ -1,6 +1,7 @@
 Feature: A message that a machine cannot read costs no more than it has to
   Machines are replaced one by one, so some run a later release than others and may send messages
-  that these do not know. Such a message is dropped and told; the connection goes on.
+  that these do not know. Such a message is dropped and told; the connection goes on. What breaks
+  the framing or a known message's schema ends its connection, and the log says why.
 
   Scenario: A request of a later release among known ones
     Given a replica that logs what it cannot read
@@ -15,6 +16,20 @@
     And with those left out 300 messages were counted
     And a known request is answered on that connection
 
+  Scenario Outline: What is no message closes its connection: <what>
+    Given a replica that logs what it cannot read
+    And another peer that is connected
+    When a peer sends it <what>
+    Then its connection is closed
+    And its log has 1 line "PeerConnectionClosed" with "<reason>" of that peer
+    And the other peer's known request is answered on its connection
+
+    Examples:
+      | what                         | reason                 |
+      | a frame of 64 MB and a byte  | a frame of 67108865    |
+      | a known message cut short    | AskStatus              |
+      | a frame without a type code  | shorter than a type    |
+
   Scenario: An answer of a later release among known ones
     Given a link to a replica of a later release
     When two requests are under way and another one's answer is of a later release
@@ -28,3 +43,10 @@
     When all answers are of a later release for 2.5 s
     Then no request was answered
     And the link has had 1 connection
+
+  Scenario: An answer that cannot be read ends its connection
+    Given a link to a replica of a later release
+    When two requests are under way and another one's answer is cut short
+    Then all three end without an answer within 0.3 s
+    And the link's log has 1 line "PeerConnectionClosed" with "StatusReply"
+    And a new request is answered
--- a/features/steps/mixed_release_steps.py
+++ b/features/steps/mixed_release_steps.py
@@ -73,6 +73,15 @@
             numbers.append(number)
         return numbers
 
+    def is_closed(self) -> bool:
+        """Return whether the connection ends without another byte."""
+        try:
+            return not self._socket.recv(1)
+        except ConnectionResetError:
+            return True
+        except TimeoutError:
+            return False
+
     def _read(self, size: int) -> bytes:
         data = b""
         while len(data) < size:
@@ -113,6 +122,13 @@
     context.add_cleanup(serving.kill)
 
 
+@given("another peer that is connected")
+def other_peer(context: Context) -> None:
+    context.other = _Peer(context, context.address)
+    context.other.send(1, encode(AskStatus(0)))
+    assert context.other.answered(1) == [1]
+
+
 @when("a peer sends it a known request, one of a later release and a known one")
 def later_among_known(context: Context) -> None:
     context.peer = _Peer(context, context.address)
@@ -163,6 +179,30 @@
     assert context.peer.answered(1) == [7]
 
 
+@when("a peer sends it {what}")
+def sends_no_message(context: Context, what: str) -> None:
+    context.peer = _Peer(context, context.address)
+    if what == "a frame of 64 MB and a byte":
+        context.peer.send(1, b"", 64 * 1024 * 1024 + 1)
+    elif what == "a known message cut short":
+        context.peer.send(1, encode(AskStatus(0))[:2])
+    elif what == "a frame without a type code":
+        context.peer.send(1, b"")
+    else:
+        raise AssertionError(what)
+
+
+@then("its connection is closed")
+def peer_closed(context: Context) -> None:
+    assert context.peer.is_closed()
+
+
+@then("the other peer's known request is answered on its connection")
+def other_answered(context: Context) -> None:
+    context.other.send(2, encode(AskStatus(0)))
+    assert context.other.answered(1) == [2]
+
+
 # A link to a replica of a later release
 
 
@@ -228,9 +268,10 @@
     assert context.link.call(AskStatus(FIRST), TIMEOUT_S) == ANSWER
 
 
-@when("two requests are under way and another one's answer is of a later release")
-def under_way_beside(context: Context) -> None:
-    context.replica.body_of = lambda group: LATER if group == OTHER else None
+@when("two requests are under way and another one's answer is {what}")
+def under_way_beside(context: Context, what: str) -> None:
+    other = {"of a later release": LATER, "cut short": encode(ANSWER)[:4]}[what]
+    context.replica.body_of = lambda group: other if group == OTHER else None
     context.replies = {}
     for group in GROUPS:
         context.link.post(
@@ -277,3 +318,16 @@
 @then("no request was answered")
 def none_answered(context: Context) -> None:
     assert context.answered == 0
+
+
+@then("all three end without an answer within {seconds:f} s")
+def all_end(context: Context, seconds: float) -> None:
+    _until(lambda: len(context.replies) == len(GROUPS), seconds)
+    assert set(context.replies.values()) == {None}, context.replies
+
+
+@then("a new request is answered")
+def new_answered(context: Context) -> None:
+    context.replica.body_of = lambda group: encode(ANSWER)
+    assert context.link.call(AskStatus(FIRST), 2 * TIMEOUT_S) == ANSWER
+    assert context.replica.connections == 2
--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -327,6 +327,16 @@
     reason: str
 
 
+class PeerConnectionClosed(Decision, frozen=True):
+    """Another machine sent what is no message, so its connection was closed.
+
+    :param peer: the address that it came from.
+    """
+
+    peer: str
+    reason: str
+
+
 class ReplicaSynchronised(Decision, frozen=True):
     """A replica holds all that its group had completed."""
 
--- a/yarrowwall/metrics.py
+++ b/yarrowwall/metrics.py
@@ -53,6 +53,9 @@
 MESSAGES_DROPPED = _Description(
     "messages_dropped", "Messages of other machines of a type that this release does not have"
 )
+CONNECTIONS_CLOSED = _Description(
+    "peer_connections_closed", "Connections closed for what is no message"
+)
 CHAINS = _Description("chain_lookups", "Lookups of earlier turns", "outcome")
 SYNCHRONISATIONS = _Description("synchronisations", "Copies of a group that a replica finished")
 DEPENDENCY = _Description("dependency_up", "Whether a dependency answers", "dependency")
@@ -127,6 +130,7 @@
             ),
             decisions.ChainLookedUp: lambda event: self._add(CHAINS, event.outcome),
             decisions.MessageDropped: lambda event: self._add(MESSAGES_DROPPED),
+            decisions.PeerConnectionClosed: lambda event: self._add(CONNECTIONS_CLOSED),
             decisions.ReplicaSynchronised: lambda event: self._add(SYNCHRONISATIONS),
             decisions.DependencyChanged: lambda event: self._set(
                 DEPENDENCY, event.is_up, event.dependency
--- a/yarrowwall/replication/exceptions.py
+++ b/yarrowwall/replication/exceptions.py
@@ -7,6 +7,10 @@
     """Base of the errors of this layer."""
 
 
+class FrameError(ReplicationError):
+    """A peer sent what is no message."""
+
+
 class LinkDownError(ReplicationError):
     """A replica cannot be reached now."""
 
--- a/yarrowwall/replication/rpc.py
+++ b/yarrowwall/replication/rpc.py
@@ -17,8 +17,8 @@
 from yarrowwall.decisions import DecisionLog
 from yarrowwall.exceptions import ConnectError
 from yarrowwall.messages.codec import decode, encode
-from yarrowwall.messages.exceptions import MessageError, UnknownMessageError
-from yarrowwall.replication.exceptions import LinkDownError
+from yarrowwall.messages.exceptions import MalformedMessageError, UnknownMessageError
+from yarrowwall.replication.exceptions import FrameError, LinkDownError
 from yarrowwall.sockets import Receiver, open_socket, set_silence_limits
 
 #: Longest frame that is read; longer ones close the connection.
@@ -135,18 +135,22 @@
                     break
                 buffer += data
                 self._take_frames(buffer)
-        except (OSError, MessageError):
+        except FrameError as error:
+            self._log.write(decisions.PeerConnectionClosed(self._peer, str(error)))
+        except OSError:
+            # The peer is gone or reset it: who waits for an answer is told by ``closed``.
             pass
-        self.close()
-        receiver.close()
-        self._connection.close()
+        finally:
+            self.close()
+            receiver.close()
+            self._connection.close()
 
     def _take_frames(self, buffer: bytearray) -> None:
         start = 0
         while len(buffer) - start >= _HEADER.size:
             length, number = _HEADER.unpack_from(buffer, start)
             if length > MOST_FRAME_BYTES:
-                raise OSError(f"a frame of {length} bytes")
+                raise FrameError(f"a frame of {length} bytes")
             end = start + _HEADER.size + length
             if len(buffer) < end:
                 break
@@ -156,12 +160,17 @@
         del buffer[:start]
 
     def _decoded(self, body: bytes) -> object | None:
-        """Return a frame's message; None if only a later release has it."""
+        """Return a frame's message; None if only a later release has it.
+
+        :raises FrameError: if it is no message.
+        """
         try:
             return decode(body)
         except UnknownMessageError as error:
             self._log.write(decisions.MessageDropped(self._peer, str(error)))
             return None
+        except MalformedMessageError as error:
+            raise FrameError(str(error)) from error
 
 
 class _Posted(NamedTuple):
