A fault in handling a message of another machine is told, and its connection does not stay deaf

What callers saw: a fault of the program in handling a message ended the greenthread that reads its connection. The connection stayed open and nobody read it: every request on it was late until the other side gave it up as silent after a second. A trace went to standard error, without time, node or kind.

Why this fix works: the fault is an InternalFault line, as at callers' requests, with an empty attempt. The connection is closed, so the other side opens a new one at once.

--- a/features/mixed_releases.feature
+++ b/features/mixed_releases.feature
@@ -30,6 +30,14 @@
       | a known message cut short    | AskStatus              |
       | a frame without a type code  | shorter than a type    |
 
+  Scenario: A fault of the program in answering a request is told
+    Given a replica that logs what it cannot read
+    And another peer that is connected
+    When it fails on a peer's request
+    Then its connection is closed
+    And its log has 1 line "InternalFault" whose trace has "KeyError"
+    And the other peer's known request is answered on its connection
+
   Scenario: An answer of a later release among known ones
     Given a link to a replica of a later release
     When two requests are under way and another one's answer is of a later release
--- a/features/steps/mixed_release_steps.py
+++ b/features/steps/mixed_release_steps.py
@@ -26,6 +26,10 @@
 #: What a later release may send: a type code that no message has yet, and some body.
 LATER = struct.pack(">H", 65000) + b"later"
 HEADER = struct.Struct(">II")
+#: Groups that are asked about: by two requests that stay under way, and by another one.
+GROUPS = FIRST, SECOND, OTHER = (0, 1, 2)
+#: The group at whose question the replica fails.
+FAILING = 9
 #: Time-out of a request, and the time that the machines of a scenario get to act.
 TIMEOUT_S = 0.15
 MOST_S = 2.0
@@ -110,14 +114,18 @@
 # A replica that is asked
 
 
+def _answer(request: object, reply: Callable[[object], None]) -> None:
+    if request == AskStatus(FAILING):
+        raise KeyError(FAILING)
+    reply(ANSWER)
+
+
 @given("a replica that logs what it cannot read")
 def logging_replica(context: Context) -> None:
     context.lines = _Lines(context)
     listener = eventlet.listen(("127.0.0.1", 0))
     context.address = listener.getsockname()
-    serving = eventlet.spawn(
-        serve_requests, listener, lambda request, reply: reply(ANSWER), context.lines.log
-    )
+    serving = eventlet.spawn(serve_requests, listener, _answer, context.lines.log)
     context.add_cleanup(listener.close)
     context.add_cleanup(serving.kill)
 
@@ -192,6 +200,19 @@
         raise AssertionError(what)
 
 
+@when("it fails on a peer's request")
+def sends_failing(context: Context) -> None:
+    context.peer = _Peer(context, context.address)
+    context.peer.send(1, encode(AskStatus(FAILING)))
+
+
+@then('its log has 1 line "InternalFault" whose trace has "{text}"')
+def fault_line(context: Context, text: str) -> None:
+    _until(lambda: context.lines.of("InternalFault"))
+    (line,) = context.lines.of("InternalFault")
+    assert text in line["trace"], line
+
+
 @then("its connection is closed")
 def peer_closed(context: Context) -> None:
     assert context.peer.is_closed()
@@ -255,10 +276,6 @@
             connection.sendall(HEADER.pack(len(body), number) + body)
 
 
-#: Groups that are asked about: by two requests that stay under way, and by another one.
-GROUPS = FIRST, SECOND, OTHER = (0, 1, 2)
-
-
 @given("a link to a replica of a later release")
 def link_to_later(context: Context) -> None:
     context.lines = _Lines(context)
--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -130,7 +130,10 @@
 
 
 class InternalFault(Decision, frozen=True):
-    """A fault of the program itself ended a request."""
+    """A fault of the program itself ended a request.
+
+    :param attempt: the caller's; empty if it was another machine's request or answer.
+    """
 
     attempt: str
     trace: str
--- a/yarrowwall/replication/rpc.py
+++ b/yarrowwall/replication/rpc.py
@@ -6,6 +6,7 @@
 import contextlib
 import socket
 import struct
+import traceback
 from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
@@ -140,6 +141,9 @@
         except OSError:
             # The peer is gone or reset it: who waits for an answer is told by ``closed``.
             pass
+        except Exception:
+            # A fault in a handler: its machine goes on, and so do its other connections.
+            self._log.write(decisions.InternalFault("", traceback.format_exc()))
         finally:
             self.close()
             receiver.close()
