What neighbours pass on and cannot be read is told

What callers would see: a gateway that is cut off goes through a neighbour; a request or answer that could not be read there was passed over without a word. The request was refused or had no answer, and no log said that its type or its bytes were the reason.

Cause: forwarding.py and relayed_links.py caught MessageError and went on.

Why this fix works: both read through RelayedLinkTable.decoded, which tells it as MessageDropped with the name of the neighbour. What a neighbour answers stays as it was (refused; no answer), and so does the wire.

--- a/features/mixed_releases.feature
+++ b/features/mixed_releases.feature
@@ -38,6 +38,28 @@
     And its log has 1 line "InternalFault" whose trace has "KeyError"
     And the other peer's known request is answered on its connection
 
+  Scenario Outline: A neighbour is asked to pass on what it cannot read: <what>
+    Given a neighbour that logs what it cannot read
+    When gateway "edge-9" asks it to pass on <what>
+    Then it refuses that
+    And its log has 1 line "MessageDropped" with "<reason>" from "edge-9"
+
+    Examples:
+      | what                         | reason          |
+      | a request of a later release | type code 65000 |
+      | a request cut short          | AskStatus       |
+
+  Scenario Outline: A neighbour brings an answer that cannot be read: <what>
+    Given a gateway that goes through neighbour "edge-9" and logs what it cannot read
+    When the neighbour brings <what>
+    Then the request has no answer from it
+    And its log has 1 line "MessageDropped" with "<reason>" from "edge-9"
+
+    Examples:
+      | what                         | reason          |
+      | an answer of a later release | type code 65000 |
+      | an answer cut short          | StatusReply     |
+
   Scenario: An answer of a later release among known ones
     Given a link to a replica of a later release
     When two requests are under way and another one's answer is of a later release
--- a/features/steps/mixed_release_steps.py
+++ b/features/steps/mixed_release_steps.py
@@ -18,8 +18,11 @@
 
 from yarrowwall.decisions import Decision, DecisionLog
 from yarrowwall.messages.codec import encode
+from yarrowwall.messages.relaying import Forward, Forwarded, ForwardStatus, Neighbour
 from yarrowwall.messages.replicated import AskStatus, StatusReply
 from yarrowwall.replication.exceptions import LinkDownError
+from yarrowwall.replication.forwarding import Forwarder
+from yarrowwall.replication.relayed_links import RelayedLinkTable
 from yarrowwall.replication.rpc import Link, serve_requests
 
 ANSWER = StatusReply("storage-0", "disk", 1, True, 1)
@@ -224,6 +227,54 @@
     assert context.other.answered(1) == [2]
 
 
+# Neighbours
+
+
+def _relayed_links(context: Context) -> RelayedLinkTable:
+    context.lines = _Lines(context)
+    return RelayedLinkTable("edge-1", context.lines.log, time.monotonic)
+
+
+@given("a neighbour that logs what it cannot read")
+def logging_neighbour(context: Context) -> None:
+    context.forwarder = Forwarder(_relayed_links(context), lambda address: True)
+
+
+@when('gateway "{name}" asks it to pass on {what}')
+def asks_to_pass_on(context: Context, name: str, what: str) -> None:
+    body = {"a request of a later release": LATER, "a request cut short": encode(AskStatus(0))[:2]}
+    context.replies = []
+    context.forwarder.handle(Forward(name, "127.0.0.1:9", body[what]), context.replies.append)
+
+
+@then("it refuses that")
+def refuses(context: Context) -> None:
+    assert context.replies == [Forwarded(ForwardStatus.REFUSED, b"")], context.replies
+
+
+@given('a gateway that goes through neighbour "{name}" and logs what it cannot read')
+def gateway_with_neighbour(context: Context, name: str) -> None:
+    context.links = _relayed_links(context)
+    context.neighbour = Neighbour(name, "zone-a", "127.0.0.1:9")
+
+
+@when("the neighbour brings {what}")
+def neighbour_brings(context: Context, what: str) -> None:
+    body = {"an answer of a later release": LATER, "an answer cut short": encode(ANSWER)[:4]}
+    brought = Forwarded(ForwardStatus.OK, body[what])
+    context.read = context.links.read(context.neighbour, brought)
+
+
+@then("the request has no answer from it")
+def nothing_brought(context: Context) -> None:
+    assert context.read is None
+
+
+@then('its log has {count:d} line "{kind}" with "{reason}" from "{name}"')
+def neighbour_line(context: Context, count: int, kind: str, reason: str, name: str) -> None:
+    assert _assert_line(context.lines, count, kind, reason) == [name] * count
+
+
 # A link to a replica of a later release
 
 
--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -318,9 +318,11 @@
 
 
 class MessageDropped(Decision, frozen=True):
-    """A message of another machine is of a type that this release does not have.
+    """A message of another machine was not understood; its connection goes on.
 
-    :param peer: the address that it came from.
+    This release does not have its type, or a neighbour passed on what is no message.
+
+    :param peer: the address that it came from; the neighbour's name if one passed it on.
     """
 
     # A later release may send such messages all the time.
--- a/yarrowwall/metrics.py
+++ b/yarrowwall/metrics.py
@@ -51,7 +51,7 @@
 COPIED = _Description("zone_turns_copied", "Turns copied from zones' groups to common ones")
 REACH = _Description("group_reached", "Whether a group of replicas answers", "group")
 MESSAGES_DROPPED = _Description(
-    "messages_dropped", "Messages of other machines of a type that this release does not have"
+    "messages_dropped", "Messages of other machines that were not understood"
 )
 CONNECTIONS_CLOSED = _Description(
     "peer_connections_closed", "Connections closed for what is no message"
--- a/yarrowwall/replication/forwarding.py
+++ b/yarrowwall/replication/forwarding.py
@@ -6,8 +6,7 @@
 import eventlet
 
 from yarrowwall.messages.capacity import AskRoom
-from yarrowwall.messages.codec import decode, encode
-from yarrowwall.messages.exceptions import MessageError
+from yarrowwall.messages.codec import encode
 from yarrowwall.messages.objects import ListObjects, WatchObjects
 from yarrowwall.messages.quotas import TakeQuota
 from yarrowwall.messages.relaying import AskNeighbours, Forward, Forwarded, ForwardStatus
@@ -74,7 +73,7 @@
         """Take a request of another gateway."""
         if not isinstance(request, Forward):
             return
-        message = _message(request)
+        message = self._message(request)
         refusal = self._refusal(request, message)
         if refusal is not None:
             self.refused[refusal.value] += 1
@@ -83,6 +82,11 @@
         self.forwarded[request.node_id] += 1
         _Passed(self, request, message, reply)
 
+    def _message(self, request: Forward) -> object | None:
+        """Return the request inside; None if it is none that a gateway sends to a replica."""
+        message = self._links.decoded(request.node_id, request.request)
+        return message if isinstance(message, FORWARDED) else None
+
     def _refusal(self, request: Forward, message: object | None) -> ForwardStatus | None:
         if message is None or not self._is_replica(request.address):
             return ForwardStatus.REFUSED
@@ -143,12 +147,3 @@
         reply, self._reply = self._reply, None
         self._forwarder.note_ended(self._size)
         reply(forwarded)
-
-
-def _message(request: Forward) -> object | None:
-    """Return the request inside; None if it is none that a gateway sends to a replica."""
-    try:
-        message = decode(request.request)
-    except MessageError:
-        return None
-    return message if isinstance(message, FORWARDED) else None
--- a/yarrowwall/replication/relayed_links.py
+++ b/yarrowwall/replication/relayed_links.py
@@ -314,7 +314,7 @@
             return None
         if reply.status is ForwardStatus.OK:
             self.paths.note_forwarded(neighbour.node_id, now_s)
-            return _decoded(reply.reply)
+            return self.decoded(neighbour.node_id, reply.reply)
         self.refused[reply.status.value] += 1
         if reply.status is ForwardStatus.BUSY:
             self.paths.note_busy(neighbour.node_id, now_s)
@@ -322,6 +322,14 @@
             self.paths.note_useless(neighbour.node_id, now_s)
         return None
 
+    def decoded(self, node_id: str, body: bytes) -> object | None:
+        """Return a message that another gateway passed on; None if it cannot be read."""
+        try:
+            return decode(body)
+        except MessageError as error:
+            self._log.write(decisions.MessageDropped(node_id, str(error)))
+            return None
+
     def probe(self) -> None:
         """Find out whether replicas that were out of reach answer again."""
         now_s = self._now()
@@ -347,11 +355,3 @@
 def is_unanswered(reply: object | None) -> bool:
     """Return whether a neighbour said that the machine does not answer it either."""
     return isinstance(reply, Forwarded) and reply.status is ForwardStatus.NO_ANSWER
-
-
-def _decoded(body: bytes) -> object | None:
-    """Return a message that a neighbour brought; None if it cannot be read."""
-    try:
-        return decode(body)
-    except MessageError:
-        return None
