--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -8,7 +8,7 @@
 from collections import Counter
 from collections.abc import Callable
 from functools import cache
-from typing import Any, get_args
+from typing import Any, ClassVar, get_args
 
 import msgspec
 from eventlet import patcher
@@ -18,12 +18,17 @@
 
 _ENCODER = msgspec.json.Encoder(enc_hook=str)
 
-#: Lines of one kind written in a second before lines are left out.
+#: Lines of one kind written in a second before lines are left out, unless the kind has its own.
 LINES_PER_SECOND = 200
 
 
 class Decision(msgspec.Struct, frozen=True):
-    """Base of the events; ``kind`` is the class's name."""
+    """Base of the events; ``kind`` is the class's name.
+
+    :cvar lines_per_second: lines of this kind that are written in a second.
+    """
+
+    lines_per_second: ClassVar[int] = LINES_PER_SECOND
 
 
 class AttemptAdmitted(Decision, frozen=True):
@@ -125,7 +130,10 @@
 
 
 class InternalFault(Decision, frozen=True):
-    """A fault of the program itself ended a request."""
+    """A fault of the program itself ended a request.
+
+    :param attempt: the caller's; empty if it was another machine's request or answer.
+    """
 
     attempt: str
     trace: str
@@ -311,6 +319,31 @@
     is_continued: bool
 
 
+class MessageDropped(Decision, frozen=True):
+    """A message of another machine was not understood; its connection goes on.
+
+    This release does not have its type, or a neighbour passed on what is no message.
+
+    :param peer: the address that it came from; the neighbour's name if one passed it on.
+    """
+
+    # A later release may send such messages all the time.
+    lines_per_second: ClassVar[int] = 1
+
+    peer: str
+    reason: str
+
+
+class PeerConnectionClosed(Decision, frozen=True):
+    """Another machine sent what is no message, so its connection was closed.
+
+    :param peer: the address that it came from.
+    """
+
+    peer: str
+    reason: str
+
+
 class ReplicaSynchronised(Decision, frozen=True):
     """A replica holds all that its group had completed."""
 
@@ -396,7 +429,7 @@
         if int(now) != self._second:
             self._begin_second(int(now))
         self._written[kind] += 1
-        if self._written[kind] > LINES_PER_SECOND:
+        if self._written[kind] > decision.lines_per_second:
             self._left_out[kind] += 1
             return
         self._write_line(now, kind, _fields(decision))
--- a/yarrowwall/replication/relayed_links.py
+++ b/yarrowwall/replication/relayed_links.py
@@ -78,8 +78,14 @@
 class RelayedLink(Link):
     """Requests to one replica, directly or through a neighbour."""
 
-    def __init__(self, address: str, now: Callable[[], float], table: "RelayedLinkTable") -> None:
-        super().__init__(address, now)
+    def __init__(
+        self,
+        address: str,
+        log: DecisionLog,
+        now: Callable[[], float],
+        table: "RelayedLinkTable",
+    ) -> None:
+        super().__init__(address, log, now)
         self._table = table
         self._paths = table.paths
         self._asked: dict[int, _Asked] = {}
@@ -267,11 +273,10 @@
     """
 
     def __init__(self, node_id: str, log: DecisionLog, now: Callable[[], float]) -> None:
-        super().__init__(now)
+        super().__init__(log, now)
         self.paths = Paths()
         self._node_id = node_id
-        self._log = log
-        self._neighbours = LinkTable(now)
+        self._neighbours = LinkTable(log, now)
         self._was_cut = False
         #: Requests that went through each neighbour, and those that one refused.
         self.relayed: Counter[str] = Counter()
@@ -286,7 +291,7 @@
         """Return the link to a replica."""
         link = self._links.get(address)
         if not isinstance(link, RelayedLink):
-            link = self._links[address] = RelayedLink(address, self._now, self)
+            link = self._links[address] = RelayedLink(address, self._log, self._now, self)
         return link
 
     def neighbour_link(self, neighbour: Neighbour) -> Link:
@@ -309,7 +314,7 @@
             return None
         if reply.status is ForwardStatus.OK:
             self.paths.note_forwarded(neighbour.node_id, now_s)
-            return _decoded(reply.reply)
+            return self.decoded(neighbour.node_id, reply.reply)
         self.refused[reply.status.value] += 1
         if reply.status is ForwardStatus.BUSY:
             self.paths.note_busy(neighbour.node_id, now_s)
@@ -317,6 +322,14 @@
             self.paths.note_useless(neighbour.node_id, now_s)
         return None
 
+    def decoded(self, node_id: str, body: bytes) -> object | None:
+        """Return a message that another gateway passed on; None if it cannot be read."""
+        try:
+            return decode(body)
+        except MessageError as error:
+            self._log.write(decisions.MessageDropped(node_id, str(error)))
+            return None
+
     def probe(self) -> None:
         """Find out whether replicas that were out of reach answer again."""
         now_s = self._now()
@@ -342,11 +355,3 @@
 def is_unanswered(reply: object | None) -> bool:
     """Return whether a neighbour said that the machine does not answer it either."""
     return isinstance(reply, Forwarded) and reply.status is ForwardStatus.NO_ANSWER
-
-
-def _decoded(body: bytes) -> object | None:
-    """Return a message that a neighbour brought; None if it cannot be read."""
-    try:
-        return decode(body)
-    except MessageError:
-        return None
--- a/yarrowwall/replication/rpc.py
+++ b/yarrowwall/replication/rpc.py
@@ -6,6 +6,7 @@
 import contextlib
 import socket
 import struct
+import traceback
 from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
@@ -13,10 +14,12 @@
 import eventlet
 from eventlet.event import Event
 
+from yarrowwall import decisions
+from yarrowwall.decisions import DecisionLog
 from yarrowwall.exceptions import ConnectError
 from yarrowwall.messages.codec import decode, encode
-from yarrowwall.messages.exceptions import MessageError
-from yarrowwall.replication.exceptions import LinkDownError
+from yarrowwall.messages.exceptions import MalformedMessageError, UnknownMessageError
+from yarrowwall.replication.exceptions import FrameError, LinkDownError
 from yarrowwall.sockets import Receiver, open_socket, set_silence_limits
 
 #: Longest frame that is read; longer ones close the connection.
@@ -42,17 +45,23 @@
 class FrameChannel:
     """One connection that carries frames both ways.
 
-    :param receive: called with number and message of each frame.
+    :param peer: the address at its other end.
+    :param receive: called with number and message of each frame; with None for a message that
+        this release does not have.
     :param closed: called once the connection is over.
     """
 
     def __init__(
         self,
         connection: socket.socket,
-        receive: Callable[[int, object], None],
+        peer: str,
+        receive: Callable[[int, object | None], None],
         closed: Callable[[], None],
+        log: DecisionLog,
     ) -> None:
         self._connection = connection
+        self._peer = peer
+        self._log = log
         self._receive = receive
         self._closed = closed
         self._outgoing: deque[bytes] = deque()
@@ -127,26 +136,46 @@
                     break
                 buffer += data
                 self._take_frames(buffer)
-        except (OSError, MessageError):
+        except FrameError as error:
+            self._log.write(decisions.PeerConnectionClosed(self._peer, str(error)))
+        except OSError:
+            # The peer is gone or reset it: who waits for an answer is told by ``closed``.
             pass
-        self.close()
-        receiver.close()
-        self._connection.close()
+        except Exception:
+            # A fault in a handler: its machine goes on, and so do its other connections.
+            self._log.write(decisions.InternalFault("", traceback.format_exc()))
+        finally:
+            self.close()
+            receiver.close()
+            self._connection.close()
 
     def _take_frames(self, buffer: bytearray) -> None:
         start = 0
         while len(buffer) - start >= _HEADER.size:
             length, number = _HEADER.unpack_from(buffer, start)
             if length > MOST_FRAME_BYTES:
-                raise OSError(f"a frame of {length} bytes")
+                raise FrameError(f"a frame of {length} bytes")
             end = start + _HEADER.size + length
             if len(buffer) < end:
                 break
             body = bytes(buffer[start + _HEADER.size : end])
             start = end
-            self._receive(number, decode(body))
+            self._receive(number, self._decoded(body))
         del buffer[:start]
 
+    def _decoded(self, body: bytes) -> object | None:
+        """Return a frame's message; None if only a later release has it.
+
+        :raises FrameError: if it is no message.
+        """
+        try:
+            return decode(body)
+        except UnknownMessageError as error:
+            self._log.write(decisions.MessageDropped(self._peer, str(error)))
+            return None
+        except MalformedMessageError as error:
+            raise FrameError(str(error)) from error
+
 
 class _Posted(NamedTuple):
     """A request that waits for its reply.
@@ -164,8 +193,9 @@
     :param now: the monotonic clock.
     """
 
-    def __init__(self, address: str, now: Callable[[], float]) -> None:
+    def __init__(self, address: str, log: DecisionLog, now: Callable[[], float]) -> None:
         self.address = address
+        self._log = log
         self._now = now
         self._channel: FrameChannel | None = None
         self._is_opening = False
@@ -239,7 +269,9 @@
         if connection is None:
             self._fail_all()
             return
-        self._channel = FrameChannel(connection, self._receive, self._fail_all)
+        self._channel = FrameChannel(
+            connection, self.address, self._receive, self._fail_all, self._log
+        )
         queued, self._queued = self._queued, {}
         for number, message in queued.items():
             self._channel.send(number, message)
@@ -256,8 +288,10 @@
             self._down_until = self._now() + DOWN_SECONDS
             return None
 
-    def _receive(self, number: int, message: object) -> None:
+    def _receive(self, number: int, message: object | None) -> None:
         self._silent_since = None
+        if message is None:
+            return
         posted = self._waiting.pop(number, None)
         if posted is not None:
             posted.completion(message)
@@ -276,9 +310,13 @@
 
 
 class LinkTable:
-    """Links by address."""
+    """Links by address.
+
+    :param now: the monotonic clock.
+    """
 
-    def __init__(self, now: Callable[[], float]) -> None:
+    def __init__(self, log: DecisionLog, now: Callable[[], float]) -> None:
+        self._log = log
         self._now = now
         self._links: dict[str, Link] = {}
 
@@ -286,7 +324,7 @@
         """Return the link to an address."""
         link = self._links.get(address)
         if link is None:
-            link = self._links[address] = Link(address, self._now)
+            link = self._links[address] = Link(address, self._log, self._now)
         return link
 
 
@@ -294,19 +332,22 @@
 RequestHandler = Callable[[object, Callable[[object], None]], None]
 
 
-def serve_requests(listener: socket.socket, handle: RequestHandler) -> None:
+def serve_requests(listener: socket.socket, handle: RequestHandler, log: DecisionLog) -> None:
     """Accept connections and hand over their requests until the listener is closed."""
     while True:
         try:
-            connection, _ = listener.accept()
+            connection, (host, port) = listener.accept()
         except OSError:
             return
         set_silence_limits(connection)
-        _serve_connection(connection, handle)
+        _serve_connection(connection, f"{host}:{port}", handle, log)
 
 
-def _serve_connection(connection: socket.socket, handle: RequestHandler) -> None:
-    def receive(number: int, message: object) -> None:
-        handle(message, lambda reply: channel.send(number, reply))
+def _serve_connection(
+    connection: socket.socket, peer: str, handle: RequestHandler, log: DecisionLog
+) -> None:
+    def receive(number: int, message: object | None) -> None:
+        if message is not None:
+            handle(message, lambda reply: channel.send(number, reply))
 
-    channel = FrameChannel(connection, receive, lambda: None)
+    channel = FrameChannel(connection, peer, receive, lambda: None, log)
