The soak keeps connections, and its faults come in series and overlap

Why: callers keep a connection until its process is gone, and signals, restarts and changes of the configuration come in rows and beside one another. The soak sent each attempt over a connection of its own and struck one fault at a time.

- A client keeps a connection to each gateway until it is closed or asked to be.
An answer of another attempt, and bytes while none waits, are MIXED.
- Three strands strike at once.
They take turns at each machine and server, and a disk is lost only once the one before is copied; the time that it has counts while nothing else is struck.
- Rows of SIGTERM, SIGHUP and configurations, first alone, then beside all else.
- A request that its gateway had taken and that planned work alone cut is LOST; a machine that ended by itself is ENDED, one that SIGTERM does not end in 10 s is DRAIN.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -1,8 +1,9 @@
-@real_processes
 Feature: A randomized soak keeps the promises, and its checks see broken ones
-  Real processes, loopback proxies, signals, clocks that are off, torn and lost disks;
-  more seeds are played by hand: python -m features.soak --seeds 1-20
+  Real processes, loopback proxies, signals, clocks that are off, torn and lost disks, several
+  faults at once; more seeds are played by hand:
+  python -m features.soak --seeds 1-20
 
+  @real_processes
   Scenario Outline: Seed <seed> breaks no promise
     Then <seconds> s of the soak with seed <seed> break no promise
 
@@ -16,14 +17,43 @@
     Then the record shows only "<promise>"
 
     Examples:
-      | broken                                 | promise |
-      | ran twice                              | TWICE   |
-      | was refused and ran                    | REFUSED |
-      | was told that its budget is spent, ran | REFUSED |
-      | ran with another body                  | UNASKED |
-      | nobody sent                            | UNASKED |
-      | emitted more than the budget           | BUDGET  |
-
-  Scenario: The soak's checks are content with sound attempts
-    Given a soak's record with an attempt that "was answered"
+      | broken                                        | promise |
+      | ran twice                                     | TWICE   |
+      | was refused and ran                           | REFUSED |
+      | was told that its budget is spent, ran        | REFUSED |
+      | ran with another body                         | UNASKED |
+      | nobody sent                                   | UNASKED |
+      | emitted more than the budget                  | BUDGET  |
+      | was at a server when a planned stop cut it    | LOST    |
+      | was held when a planned stop cut it           | LOST    |
+      | was half answered when a planned stop cut it  | LOST    |
+      | was cut by a planned stop long after a fault  | LOST    |
+      | goes on and got 404                           | LOST    |
+      | goes on and got 410                           | LOST    |
+      | got the answer of another                     | MIXED   |
+      | was sent behind bytes that nobody waited for  | MIXED   |
+
+  Scenario Outline: The soak's checks are content with an attempt that <sound>
+    Given a soak's record with an attempt that "<sound>"
     Then the record shows nothing
+
+    Examples:
+      | sound                                         |
+      | was answered                                  |
+      | was cut by a planned stop beside a fault      |
+      | was cut by a planned stop soon after a fault  |
+      | was broken off by its server in a planned stop |
+      | met a planned stop unread                     |
+      | was sent over a connection that was closed    |
+
+  Scenario: Clients keep their connections until a gateway ends them
+    When a soak's client sends 3 attempts to a gateway that keeps connections
+    Then they came over 1 connection
+    When a soak's client sends 3 attempts to a gateway that closes connections
+    Then they came over 3 connections
+
+  @real_processes
+  Scenario: A machine that ends by itself is seen
+    Given a soak's machines
+    When a gateway ends by itself
+    Then the record shows only "ENDED"
--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -7,7 +7,7 @@
 
 import click
 
-from features.soak.run import play
+from features.soak.run import STRANDS, play
 
 
 @click.command()
@@ -15,16 +15,26 @@
 @click.option("--seeds", help="Many, as FIRST-LAST.")
 @click.option("--seconds", "seconds_s", default=20.0, show_default=True, help="Time of faults.")
 @click.option("--clients", default=6, show_default=True)
+@click.option("--gateways", default=2, show_default=True)
+@click.option("--replicas", default=3, show_default=True)
+@click.option("--strands", default=STRANDS, show_default=True, help="Faults at once.")
 @click.option("--keep", type=click.Path(path_type=Path), help="Folder for logs of failed seeds.")
 def main(
-    seed: int | None, seeds: str | None, seconds_s: float, clients: int, keep: Path | None
+    seed: int | None,
+    seeds: str | None,
+    seconds_s: float,
+    clients: int,
+    gateways: int,
+    replicas: int,
+    strands: int,
+    keep: Path | None,
 ) -> None:
     """Play seeds; exit 1 if one of them broke a promise."""
     first, _, last = (seeds or str(1 if seed is None else seed)).partition("-")
     failed = 0
     for number in range(int(first), int(last or first) + 1):
         began = time.monotonic()
-        result = play(number, seconds_s, clients, keep)
+        result = play(number, seconds_s, clients, keep, gateways, replicas, strands)
         failed += bool(result.violations)
         line = {"seed": number, "played_s": round(time.monotonic() - began, 1)}
         click.echo(json.dumps({**line, **result._asdict()}))
--- /dev/null
+++ b/features/soak/client.py
@@ -0,0 +1,95 @@
+"""A client of the gateways, which keeps its connections open."""
+
+import http.client
+import select
+import time
+from typing import Self
+
+from features.soak.promises import DEADLINE_S, Ended, Record, Sent
+from features.soak.world import SoakWorld
+from features.support.platform_world import HOST
+
+_TIMEOUT_S = 5.0
+#: Pause behind a connection that ended without an answer.
+_PAUSE_S = 0.05
+
+
+class Client:
+    """Sends one attempt at a time, over a connection kept to each gateway; a context manager.
+
+    A connection is kept until the gateway ends it or asks for its end.
+    """
+
+    def __init__(self, world: SoakWorld, record: Record) -> None:
+        self._world = world
+        self._record = record
+        self._kept: dict[str, http.client.HTTPConnection] = {}
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        for conn in self._kept.values():
+            conn.close()
+
+    def send(
+        self, gateway: str, route: str, attempt: str, body: bytes, headers: dict[str, str]
+    ) -> Ended:
+        """Send an attempt and return how it ended."""
+        conn = self._connection(gateway)
+        sent = {
+            "Host": HOST,
+            "X-Attempt-Id": attempt,
+            "X-Deadline-Ms": str(round(DEADLINE_S * 1000.0)),
+            **headers,
+        }
+        try:
+            conn.request("POST", f"/{route}/x", body, sent)
+            self._record.sent(attempt, Sent(gateway, time.monotonic()))
+            end = self._read(conn, attempt)
+        except (OSError, http.client.HTTPException):
+            end = Ended(0, False, b"", time.monotonic())
+        if not end.is_whole:
+            conn.close()
+        self._record.ended(attempt, end)
+        if end.status == 0:
+            time.sleep(_PAUSE_S)
+        return end
+
+    def _connection(self, gateway: str) -> http.client.HTTPConnection:
+        if gateway not in self._kept:
+            host, _, port = self._world.addresses[gateway]["http"].partition(":")
+            self._kept[gateway] = http.client.HTTPConnection(host, int(port), timeout=_TIMEOUT_S)
+        conn = self._kept[gateway]
+        if conn.sock is not None:
+            self._look_at_idle(gateway, conn)
+        return conn
+
+    def _look_at_idle(self, gateway: str, conn: http.client.HTTPConnection) -> None:
+        """Close a connection that its gateway has ended; nothing else may have come on it."""
+        arrivals = select.poll()
+        arrivals.register(conn.sock, select.POLLIN)
+        if not arrivals.poll(0):
+            return
+        try:
+            data = conn.sock.recv(1024)
+        except OSError:
+            data = b""
+        if data:
+            self._record.violated(f"MIXED: {gateway} sent {data!r} while no request was waiting")
+        conn.close()
+
+    def _read(self, conn: http.client.HTTPConnection, attempt: str) -> Ended:
+        response = conn.getresponse()
+        if response.headers.get("X-Attempt-Id", attempt) != attempt:
+            named = response.headers["X-Attempt-Id"]
+            self._record.violated(f"MIXED: {attempt} got the answer of {named}")
+        body = bytearray()
+        try:
+            while data := response.read1(65536):
+                body += data
+        except (OSError, http.client.HTTPException, ValueError):
+            return Ended(response.status, False, bytes(body), time.monotonic())
+        is_whole = response.length in (None, 0)
+        response.close()
+        return Ended(response.status, is_whole, bytes(body), time.monotonic())
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -1,21 +1,27 @@
 """Random faults: signals, cuts, a store that misbehaves, disks lost and torn."""
 
 import random
-import shutil
 import signal
 import socket
+import subprocess
 import time
-from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
+from features.soak.claims import Claims
+from features.soak.disks import Disks
+from features.soak.promises import Record
 from features.soak.proxy import Mode
 from features.soak.world import SoakWorld
 from features.support.platform_world import Server
 
-#: Seconds that a wiped replica has to be in its group again.
-_REJOIN_S = 25.0
-_LOOK_S = 0.1
+#: Seconds that a gateway has to end behind SIGTERM.
+_STOP_S = 10.0
+#: Seconds behind SIGHUP for which requests may still suffer from it, the configuration's bound.
+_SIGNALLED_S = 3.0
+#: The most signals or configurations in a row.
+_ROW = 6
+_WIPED = "replica wiped"
 _SLOW_CALLERS = 20
 _SLOW_HEAD = (
     b"POST /records/x HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: slow-%d\r\n"
@@ -33,26 +39,39 @@
 
 
 class Faults:
-    """Strikes again and again, one fault at a time, and heals what it did.
+    """The kinds of faults; each heals what it did. Several strands may have one each.
 
-    :param seed: fixes the kinds, their order, their length and what they strike.
+    :param rng: fixes their length and, by what is free, what they strike.
+    :ivar planned: what operators do, by name.
+    :ivar unplanned: all else, by name.
     """
 
-    def __init__(self, world: SoakWorld, seed: int) -> None:
+    def __init__(
+        self, world: SoakWorld, record: Record, claims: Claims, disks: Disks, rng: random.Random
+    ) -> None:
         self._world = world
-        self._rng = random.Random(f"{seed}/faults")
-        self.struck: Counter[str] = Counter()
-        self._kinds: dict[str, Callable[[], None]] = {
-            "gateway killed": lambda: self._killed(self._rng.choice(world.gateways)),
-            "replica killed": lambda: self._killed(self._rng.choice(world.replicas)),
-            "replica killed, log torn": self._torn,
-            "replica wiped": self._wiped,
-            "all replicas killed": self._all_replicas_killed,
-            "all machines killed": self._all_killed,
-            "gateway frozen": lambda: self._frozen(self._rng.choice(world.gateways)),
-            "replica frozen": lambda: self._frozen(self._rng.choice(world.replicas)),
+        self._record = record
+        self._disruptions = record.disruptions
+        self._claims = claims
+        self._disks = disks
+        self._rng = rng
+        self.planned: dict[str, Callable[[], None]] = {
             "gateway stopped": self._stopped,
+            "gateways stopped in turn": self._stopped_in_turn,
             "settings signalled": self._signalled,
+            "settings signalled in a row": self._signalled_in_a_row,
+            "configuration": lambda: world.publish() and None,
+            "configurations in a row": self._configured_in_a_row,
+        }
+        self.unplanned: dict[str, Callable[[], None]] = {
+            "gateway killed": lambda: self._killed(world.gateways),
+            "replica killed": lambda: self._killed(world.replicas),
+            "replica killed, log torn": self._torn,
+            _WIPED: self._wiped,
+            "all replicas killed": lambda: self._all_killed(world.replicas),
+            "all machines killed": lambda: self._all_killed(world.machines),
+            "gateway frozen": lambda: self._frozen(world.gateways),
+            "replica frozen": lambda: self._frozen(world.replicas),
             "store down": self._store_down,
             "store forgets": world.store.forget_history,
             "store drops one machine": lambda: self._cut_from_store(Mode.SILENT),
@@ -65,84 +84,115 @@
             "an earlier life told late": self._told_late,
             "entries of another writer": self._spoiled,
             "callers that send slowly": self._slow_callers,
-            "configuration": lambda: world.publish() and None,
         }
 
-    def strike_until(self, end: float) -> None:
-        """Strike until a moment of the monotonic clock; everything is healed then."""
-        while time.monotonic() < end:
-            name = self._rng.choice(sorted(self._kinds))
-            self.struck[name] += 1
-            self._kinds[name]()
-            time.sleep(self._rng.uniform(0.05, 0.8))
+    def strike(self, name: str) -> None:
+        """Strike with one kind."""
+        if name in self.planned:
+            self.planned[name]()
+        elif name == _WIPED:
+            # It waits for the disk lost before, and is a fault only from then on.
+            self._wiped()
+        else:
+            with self._disruptions.unplanned(name):
+                self.unplanned[name]()
 
     def _pause(self, most_s: float = 1.5) -> None:
         time.sleep(self._rng.uniform(0.1, most_s))
 
+    # Planned work
+
+    def _stopped(self) -> None:
+        with self._claims.one_of(self._world.gateways, self._rng) as name:
+            if name is not None:
+                self._stop(name)
+
+    def _stopped_in_turn(self) -> None:
+        """Stop one gateway behind the other; signals and changes may come meanwhile."""
+        for gateway in self._rng.sample(self._world.gateways, len(self._world.gateways)):
+            with self._claims.one_of([gateway], self._rng) as name:
+                if name is not None:
+                    self._stop(name)
+
+    def _stop(self, name: str) -> None:
+        with self._disruptions.planned(name):
+            process = self._world.kill(name, signal.SIGTERM)
+            try:
+                process.wait(timeout=_STOP_S)
+            except subprocess.TimeoutExpired:
+                self._record.violated(f"DRAIN: {name} runs on {_STOP_S} s after SIGTERM")
+                self._world.kill(name)
+            self._world.restart(name)
+
+    def _signalled(self) -> None:
+        self._signal(self._rng.choice(self._world.gateways), 1)
+
+    def _signalled_in_a_row(self) -> None:
+        self._signal(self._rng.choice(self._world.gateways), self._rng.randrange(2, _ROW))
+
+    def _signal(self, name: str, count: int) -> None:
+        """Signal a gateway that has started, whatever else is done to it meanwhile."""
+        with self._disruptions.planned(name, _SIGNALLED_S):
+            for _ in range(count):
+                process = self._world.processes[name]
+                if self._world.has_started(name):
+                    process.send_signal(signal.SIGHUP)
+                time.sleep(self._rng.uniform(0.0, 0.2))
+
+    def _configured_in_a_row(self) -> None:
+        for _ in range(self._rng.randrange(2, _ROW)):
+            self._world.publish()
+            time.sleep(self._rng.uniform(0.0, 0.2))
+
     # Machines
 
-    def _killed(self, name: str) -> None:
-        self._world.kill(name)
-        self._pause(1.0)
-        self._world.restart(name)
+    def _killed(self, names: list[str]) -> None:
+        with self._claims.one_of(names, self._rng) as name:
+            if name is None:
+                return
+            self._world.kill(name)
+            self._pause(1.0)
+            self._world.restart(name)
 
     def _torn(self) -> None:
         """Leave half a frame behind the log, as a loss of power does."""
-        name = self._rng.choice(self._world.replicas)
-        self._world.kill(name)
-        segments = sorted(self._world.disk(name).rglob("*.segment"))
-        if segments:
-            with segments[-1].open("ab") as file:
-                file.write(self._rng.randbytes(self._rng.randrange(1, 40)))
-        self._world.restart(name)
-
-    def _wiped(self) -> None:
-        name = self._rng.choice(self._world.replicas)
-        before = self._synchronisations(name)
-        self._world.kill(name)
-        shutil.rmtree(self._world.disk(name), ignore_errors=True)
-        self._world.restart(name)
-        # One disk may be lost at a time: the next loss waits for the copy.
-        end = time.monotonic() + _REJOIN_S
-        while self._synchronisations(name) == before or self._is_changing():
-            if time.monotonic() > end:
-                raise AssertionError(f"{name} was wiped and is not in its group again")
-            time.sleep(_LOOK_S)
-
-    def _synchronisations(self, name: str) -> int:
-        return sum(line["kind"] == "ReplicaSynchronised" for line in self._world.log(name))
-
-    def _is_changing(self) -> bool:
-        groups = self._world.store.get("yarrowwall-groups", "all")
-        return groups is None or any(view["joining"] for view in groups["spec"]["groups"])
-
-    def _all_replicas_killed(self) -> None:
-        self._all(self._world.replicas)
-
-    def _all_killed(self) -> None:
-        self._all([*self._world.replicas, *self._world.gateways])
-
-    def _all(self, names: list[str]) -> None:
-        for name in names:
-            self._world.processes[name].send_signal(signal.SIGKILL)
-        for name in names:
-            self._world.processes[name].wait()
-        self._pause(0.6)
-        for name in names:
+        with self._claims.one_of(self._world.replicas, self._rng) as name:
+            if name is None:
+                return
+            self._world.kill(name)
+            segments = sorted(self._world.disk(name).rglob("*.segment"))
+            if segments:
+                with segments[-1].open("ab") as file:
+                    file.write(self._rng.randbytes(self._rng.randrange(1, 40)))
             self._world.restart(name)
 
-    def _frozen(self, name: str) -> None:
-        self._world.kill(name, signal.SIGSTOP)
-        self._pause(3.0)
-        self._world.kill(name, signal.SIGCONT)
-
-    def _stopped(self) -> None:
-        name = self._rng.choice(self._world.gateways)
-        self._world.kill(name, signal.SIGTERM).wait(timeout=10.0)
-        self._world.restart(name)
-
-    def _signalled(self) -> None:
-        self._world.kill(self._rng.choice(self._world.gateways), signal.SIGHUP)
+    def _wiped(self) -> None:
+        with self._disks.lock, self._disruptions.unplanned(_WIPED) as fault:
+            with self._claims.one_of(self._world.replicas, self._rng) as name:
+                if name is None:
+                    return
+                before = self._disks.copies(name)
+                self._world.kill(name)
+                self._disks.lose(name)
+                self._world.restart(name)
+            self._disks.wait_copied(name, before, fault)
+
+    def _all_killed(self, names: list[str]) -> None:
+        with self._claims.all_of(names) as is_held:
+            if not is_held:
+                return
+            self._world.kill_all(names)
+            self._pause(0.6)
+            for name in names:
+                self._world.restart(name)
+
+    def _frozen(self, names: list[str]) -> None:
+        with self._claims.one_of(names, self._rng) as name:
+            if name is None:
+                return
+            self._world.kill(name, signal.SIGSTOP)
+            self._pause(3.0)
+            self._world.kill(name, signal.SIGCONT)
 
     # What stands between
 
@@ -156,45 +206,52 @@
         self._through(self._world.store_proxies[name], mode)
 
     def _server(self, mode: Mode) -> None:
-        server_id = self._rng.choice(sorted(self._world.server_proxies))
-        self._through(self._world.server_proxies[server_id], mode)
+        with self._claims.one_of(sorted(self._world.server_proxies), self._rng) as server_id:
+            if server_id is not None:
+                self._through(self._world.server_proxies[server_id], mode)
 
     # Servers and callers
 
-    def _pick_server(self) -> tuple[Server, str]:
+    def _service_of(self, server_id: str) -> tuple[Server, str]:
         """Return a server and its service."""
-        server = self._world.servers[self._rng.choice(sorted(self._world.servers))]
-        return server, self._world.service_of[server.server_id]
+        return self._world.servers[server_id], self._world.service_of[server_id]
 
     def _reborn(self) -> None:
         """Let a server start again at once under its id; connections to it end."""
-        server, service = self._pick_server()
-        proxy = self._world.server_proxies[server.server_id]
-        proxy.mode = Mode.REFUSE
-        time.sleep(self._rng.uniform(0.0, 0.2))
-        proxy.mode = Mode.PASS
-        self._world.list_reborn(server, service, int(time.time() * 1000))
+        with self._claims.one_of(sorted(self._world.servers), self._rng) as server_id:
+            if server_id is None:
+                return
+            proxy = self._world.server_proxies[server_id]
+            proxy.mode = Mode.REFUSE
+            time.sleep(self._rng.uniform(0.0, 0.2))
+            proxy.mode = Mode.PASS
+            self._world.list_reborn(*self._service_of(server_id), int(time.time() * 1000))
 
     def _told_late(self) -> None:
         """Tell of an earlier incarnation of a server, as a list that is old does."""
-        server, service = self._pick_server()
-        newest = server.born_ms or int(time.time() * 1000)
-        self._world.list_reborn(server, service, newest)
-        self._world.list_reborn(server, service, newest - 60_000)
-        self._pause()
-        self._world.list_reborn(server, service, newest)
+        with self._claims.one_of(sorted(self._world.servers), self._rng) as server_id:
+            if server_id is None:
+                return
+            server, service = self._service_of(server_id)
+            newest = server.born_ms or int(time.time() * 1000)
+            self._world.list_reborn(server, service, newest)
+            self._world.list_reborn(server, service, newest - 60_000)
+            self._pause()
+            self._world.list_reborn(server, service, newest)
 
     def _spoiled(self) -> None:
         """Let another writer spoil entries, one of them a server's own for a while."""
-        server, service = self._pick_server()
         store = self._world.store
-        for number, spec in enumerate(_SPOILED):
-            store.put("servers", f"x-{number}", spec)
-        store.put("servers", server.server_id, self._rng.choice(_SPOILED))
-        self._pause()
-        self._world.list_again(server, service)
-        for number in range(len(_SPOILED)):
-            store.remove("servers", f"x-{number}")
+        with self._claims.one_of(sorted(self._world.servers), self._rng) as server_id:
+            if server_id is None:
+                return
+            for number, spec in enumerate(_SPOILED):
+                store.put("servers", f"x-{number}", spec)
+            store.put("servers", server_id, self._rng.choice(_SPOILED))
+            self._pause()
+            self._world.list_again(*self._service_of(server_id))
+            for number in range(len(_SPOILED)):
+                store.remove("servers", f"x-{number}")
 
     def _slow_callers(self) -> None:
         """Let callers begin bodies that they do not end."""
--- a/features/soak/promises.py
+++ b/features/soak/promises.py
@@ -2,14 +2,23 @@
 
 import threading
 from collections import Counter, defaultdict
+from collections.abc import Iterable
 from typing import NamedTuple
 
+from features.soak.disruptions import Disruptions
+
 #: Tokens that one event counts for, as the stand-ins' configuration says.
 EVENT_TOKENS = 10
 #: The most tokens of one turn.
 TURN_TOKENS = 50
 #: Statuses that promise that the attempt never runs.
 NOT_RUN = (402, 408, 421, 429, 503)
+#: Statuses that say that the turn before is not known.
+TURN_UNKNOWN = (404, 410)
+#: Seconds that each attempt has.
+DEADLINE_S = 3.0
+#: Seconds behind its last byte within which a request that no server got may be dropped.
+LOSS_SLACK_S = 0.2
 
 
 def events_of(attempt: str) -> int:
@@ -17,27 +26,44 @@
     return 1 + sum(attempt.encode()) % (TURN_TOKENS // EVENT_TOKENS)
 
 
+class Sent(NamedTuple):
+    """A request that was sent whole.
+
+    :param at: moment of the monotonic clock.
+    """
+
+    gateway: str
+    at: float
+
+
 class Ended(NamedTuple):
     """How an attempt ended for its client.
 
     :param status: 0 if the connection ended without an answer.
     :param body: the body as far as it came.
+    :param at: moment of the monotonic clock.
     """
 
     status: int
     is_whole: bool
     body: bytes
+    at: float = 0.0
 
 
 class Record:
     """Collects what was seen; thread-safe."""
 
     def __init__(self) -> None:
+        self.disruptions = Disruptions()
         self._lock = threading.Lock()
         self._expected: dict[str, bytes] = {}
         self._programs: dict[str, str] = {}
         self._budgets: dict[str, int] = {}
+        self._sent: dict[str, Sent] = {}
         self._ended: dict[str, Ended] = {}
+        self._read: set[str] = set()
+        self._reached: set[str] = set()
+        self._broken_off: set[str] = set()
         self._arrived: dict[str, list[bytes]] = defaultdict(list)
         self._violations: list[str] = []
 
@@ -52,18 +78,39 @@
             self._expected[attempt] = expected
             self._programs[attempt] = program
 
+    def sent(self, attempt: str, sent: Sent) -> None:
+        """Note that an attempt was sent whole."""
+        with self._lock:
+            self._sent[attempt] = sent
+
+    def read(self, attempts: Iterable[str]) -> None:
+        """Note attempts that gateways read whole."""
+        with self._lock:
+            self._read.update(attempts)
+
+    def reached(self, attempt: str) -> None:
+        """Note that a server got an attempt, whether or not it turns it away."""
+        with self._lock:
+            self._reached.add(attempt)
+
     def arrived(self, attempt: str, body: bytes) -> None:
         """Note that a server began to work on an attempt."""
         with self._lock:
+            self._reached.add(attempt)
             self._arrived[attempt].append(body)
 
+    def broke_off(self, attempt: str) -> None:
+        """Note that a server broke off its answer to an attempt."""
+        with self._lock:
+            self._broken_off.add(attempt)
+
     def ended(self, attempt: str, end: Ended) -> None:
         """Note how an attempt ended for its client."""
         with self._lock:
             self._ended[attempt] = end
 
     def violated(self, text: str) -> None:
-        """Note a broken promise that a client saw at once."""
+        """Note a broken promise that was seen at once."""
         with self._lock:
             self._violations.append(text)
 
@@ -85,6 +132,7 @@
             for attempt, bodies in self._arrived.items():
                 found += self._of_arrivals(attempt, bodies)
             found += self._of_budgets()
+            found += self._of_planned_work()
             return found
 
     def _of_arrivals(self, attempt: str, bodies: list[bytes]) -> list[str]:
@@ -111,3 +159,18 @@
             for program, budget in self._budgets.items()
             if spent[program] > budget + TURN_TOKENS
         ]
+
+    def _of_planned_work(self) -> list[str]:
+        return [
+            f"LOST: {attempt} was cut by planned work on {sent.gateway}"
+            for attempt, sent in self._sent.items()
+            if attempt in self._ended and self._is_cut(attempt, sent, self._ended[attempt])
+        ]
+
+    def _is_cut(self, attempt: str, sent: Sent, end: Ended) -> bool:
+        """Return whether planned work alone ended a request that its gateway had read."""
+        if end.is_whole or attempt in self._broken_off or end.at - sent.at >= DEADLINE_S:
+            return False
+        is_held = attempt in self._read and end.at - sent.at > LOSS_SLACK_S
+        was_taken = end.status != 0 or attempt in self._reached or is_held
+        return was_taken and self.disruptions.is_planned_alone(sent.gateway, sent.at, end.at)
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -4,13 +4,17 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from features.soak.faults import Faults
+from features.soak.disks import Disks
 from features.soak.promises import Record
+from features.soak.strands import Strands
 from features.soak.workload import Workload
 from features.soak.world import SoakWorld
 
 #: Seconds after the last fault within which every gateway serves again.
 RECOVER_S = 12.0
+#: Seconds of planned work alone, before all kinds of faults.
+PLANNED_S = 5.0
+STRANDS = 3
 _QUIET_S = 1.5
 _LOOK_S = 0.2
 
@@ -29,20 +33,34 @@
     faults: dict[str, int]
 
 
-def play(seed: int, seconds_s: float, clients: int, keep: Path | None = None) -> Result:
+def play(
+    seed: int,
+    seconds_s: float,
+    clients: int,
+    keep: Path | None = None,
+    gateways: int = 2,
+    replicas: int = 3,
+    strands: int = STRANDS,
+) -> Result:
     """Play one seed.
 
+    :param seconds_s: time of faults of all kinds.
     :param keep: where logs go if a promise was broken.
+    :param strands: how many faults there are at most at once.
     """
     record = Record()
-    with SoakWorld(record, seed) as world:
-        faults = Faults(world, seed)
+    with SoakWorld(record, seed, gateways, replicas) as world:
+        disks = Disks(world, record.disruptions)
+        faults = Strands(world, record, disks, seed, strands)
         with Workload(world, record, seed, clients):
             try:
+                faults.work_until(time.monotonic() + PLANNED_S)
                 faults.strike_until(time.monotonic() + seconds_s)
                 _recovered(record)
             except (AssertionError, TimeoutError) as error:
                 record.violated(f"RECOVER: {error}")
+        world.look_at_ends()
+        record.read(world.read_attempts())
         violations = record.violations()
         if violations and keep is not None:
             world.keep_logs(keep / f"seed-{seed}")
--- /dev/null
+++ b/features/soak/turns.py
@@ -0,0 +1,72 @@
+"""Turns of programs, as clients send them and judge their answers."""
+
+import time
+from typing import NamedTuple
+
+from features.soak.client import Client
+from features.soak.promises import TURN_TOKENS, TURN_UNKNOWN, Record, events_of
+from features.soak.world import CHAT
+from features.support.platform_world import event
+
+
+class Turn(NamedTuple):
+    """A turn that was answered whole.
+
+    :param at: when, on the monotonic clock.
+    """
+
+    attempt: str
+    chain: bytes
+    at: float = 0.0
+
+
+#: What a program's first turn goes on from.
+NO_TURN = Turn("", b"")
+
+
+class Program(NamedTuple):
+    """A program of turns.
+
+    :param finish_at: when it should be over, on the monotonic clock.
+    :param own_tokens: of its prompt that no other program shares.
+    """
+
+    name: str
+    budget: int
+    finish_at: float
+    own_tokens: int = 100
+
+
+def send_turn(
+    client: Client, record: Record, gateway: str, program: Program, attempt: str, before: Turn
+) -> tuple[Turn | None, int]:
+    """Send a turn; return it if it was answered whole, and the status."""
+    body = f"input of {attempt}".encode()
+    expected = before.chain + body
+    record.begin(attempt, expected, program.name)
+    end = client.send(gateway, CHAT, attempt, body, _headers(program, expected, before))
+    if end.status in TURN_UNKNOWN and before.attempt:
+        record.violated(f"LOST: {before.attempt} is unknown to {attempt}, {end.status}")
+    if end.status != 200 or not end.is_whole:
+        return None, end.status
+    count = events_of(attempt)
+    if end.body != b"".join(event(number) for number in range(1, count + 1)):
+        record.violated(f"ORDER: {attempt} got {end.body!r}")
+    output = b"".join(b"piece-%d\n" % number for number in range(1, count + 1))
+    return Turn(attempt, expected + output, end.at), end.status
+
+
+def _headers(program: Program, expected: bytes, before: Turn) -> dict[str, str]:
+    finish_ms = max(round((program.finish_at - time.monotonic()) * 1000.0), 1)
+    own_tokens = program.own_tokens + len(expected)
+    headers = {
+        "X-Program-Id": program.name,
+        "X-Session-Id": program.name,
+        "X-Finish-Ms": str(finish_ms),
+        "X-Token-Budget": str(program.budget),
+        "X-Token-Count": f"{program.own_tokens},{TURN_TOKENS}",
+        "X-Prompt-Prefix": f"5eed:1000,{program.name}:{own_tokens}",
+    }
+    if before.attempt:
+        headers["X-Previous-Turn"] = before.attempt
+    return headers
--- a/features/soak/world.py
+++ b/features/soak/world.py
@@ -1,10 +1,13 @@
 """Machines as processes, each behind a proxy to the store, and servers behind proxies."""
 
+import json
 import random
+import signal
 import subprocess
 import sys
 import threading
 import time
+from collections import defaultdict
 from pathlib import Path
 from typing import Self
 
@@ -42,6 +45,9 @@
         self._rng = random.Random(f"{seed}/servers")
         self._rng_lock = threading.Lock()
         self._clock_rng = random.Random(f"{seed}/clocks")
+        self._publish_lock = threading.Lock()
+        #: Where the log of each machine's present process begins.
+        self._log_from: defaultdict[str, int] = defaultdict(int)
         self.store_proxies: dict[str, Proxy] = {}
         self.server_proxies: dict[str, Proxy] = {}
         super().__init__(gateways, replicas)
@@ -78,6 +84,11 @@
             self.server_proxies[server_id] = Proxy(lambda: address)
         return self.server_proxies[server_id].address
 
+    def publish(self) -> int:
+        """Write the configuration; return its version."""
+        with self._publish_lock:
+            return super().publish()
+
     def command(self, name: str) -> list[str]:
         """Return the command of a machine; its time of day is up to 2 s off."""
         off_s = self._clock_rng.uniform(-2.0, 2.0)
@@ -94,6 +105,8 @@
             return True
         events = range(1, events_of(arrival.attempt_id) + 1)
         is_whole = self._chance() >= _BROKEN_OFF
+        if not is_whole:
+            self._record.broke_off(arrival.attempt_id)
         return stream(call, arrival, events, pause=0.01, is_whole=is_whole)
 
     def _look_up(self, call: QuietHandler, arrival: Arrival) -> bool:
@@ -101,12 +114,14 @@
             return True
         time.sleep(0.02)
         if self._chance() < _ANSWER_LOST:
+            self._record.broke_off(arrival.attempt_id)
             call.close_connection = True
             return True
         call.answer(200, arrival.attempt_id.encode(), own_headers(arrival))
         return True
 
     def _turns_away(self, call: QuietHandler, arrival: Arrival) -> bool:
+        self._record.reached(arrival.attempt_id)
         if self._chance() < _TURNED_AWAY:
             call.answer(503, b"", {"X-Not-Executed": "1", "X-Attempt-Id": arrival.attempt_id})
             return True
@@ -115,11 +130,58 @@
 
     # Machines
 
+    @property
+    def machines(self) -> list[str]:
+        """Return the names of all machines."""
+        return [*self.replicas, *self.gateways]
+
+    def kill(self, name: str, number: int = signal.SIGKILL) -> subprocess.Popen:
+        """Send a signal to a machine's process, which is to be there still."""
+        self._look_at_end(name)
+        return super().kill(name, number)
+
+    def kill_all(self, names: list[str]) -> None:
+        """Kill machines at the same moment."""
+        for name in names:
+            self._look_at_end(name)
+            self.processes[name].send_signal(signal.SIGKILL)
+        for name in names:
+            self.processes[name].wait()
+
+    def look_at_ends(self) -> None:
+        """Note machines that ended by themselves, when all of them should run."""
+        for name in self.machines:
+            self._look_at_end(name)
+
+    def _look_at_end(self, name: str) -> None:
+        code = self.processes[name].poll()
+        if code is not None:
+            self._record.violated(f"ENDED: {name} ended by itself, exit code {code}")
+
+    def read_attempts(self) -> set[str]:
+        """Return the attempts that gateways logged as read whole."""
+        found = set()
+        for name in self.gateways:
+            for line in self._log_path(name).read_text(errors="replace").splitlines():
+                if line.startswith("{") and '"AttemptAdmitted"' in line:
+                    found.add(json.loads(line)["attempt"])
+        return found
+
     def restart(self, name: str) -> subprocess.Popen:
         """Start a machine's process again, not for the first time."""
+        self._log_from[name] = self._log_path(name).stat().st_size
         self.start_machine(name, is_gateway=name in self.gateways)
         return self.processes[name]
 
+    def has_started(self, name: str) -> bool:
+        """Return whether a machine's process told that it has started."""
+        with self._log_path(name).open("rb") as log:
+            log.seek(self._log_from[name])
+            return b'"change":"started"' in log.read()
+
+    def _log_path(self, name: str) -> Path:
+        return self.folder / f"{name}.log"
+
     def disk(self, name: str) -> Path:
         """Return the data folder of a replica."""
         return self.folder / name
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,19 +1,27 @@
 """Steps about the randomized soak and its own checks."""
 
 import tempfile
+import time
+from collections.abc import Callable
 from pathlib import Path
+from types import SimpleNamespace
 
-from behave import given, then
+from behave import given, then, when
 from behave.runner import Context
 
-from features.soak.promises import Ended, Record
+from features.soak.client import Client
+from features.soak.disruptions import CONTACT_S
+from features.soak.promises import LOSS_SLACK_S, Ended, Record, Sent
 from features.soak.run import play
-from features.support.platform_world import event
+from features.soak.turns import Program, Turn, send_turn
+from features.soak.world import LOOKUP, SoakWorld
+from features.support.platform_world import QuietHandler, address_of, event, serve
 
 CLIENTS = 4
 #: Where the logs of a seed that broke a promise go.
 KEPT_LOGS = Path(tempfile.gettempdir()) / "yarrowwall-soak"
 BUDGET = 20
+GATEWAY = "edge-0"
 
 
 @then("{seconds:d} s of the soak with seed {seed:d} break no promise")
@@ -33,6 +41,91 @@
     record.ended("a", Ended(status, True, b""))
 
 
+def cut(record: Record, status: int = 0, lasted_s: float = 0.1, after_s: float = 0.0) -> None:
+    """Let planned work on its gateway cut an attempt.
+
+    :param after_s: seconds after now when it was sent.
+    """
+    with record.disruptions.planned(GATEWAY, after_s):
+        sent_at = time.monotonic() + after_s
+        record.sent("a", Sent(GATEWAY, sent_at))
+        record.ended("a", Ended(status, False, b"", sent_at + lasted_s))
+
+
+def cut_while_held(record: Record) -> None:
+    record.read(["a"])
+    cut(record, lasted_s=2 * LOSS_SLACK_S)
+
+
+def cut_at_server(record: Record) -> None:
+    record.arrived("a", b"body")
+    cut(record)
+
+
+def cut_beside_fault(record: Record) -> None:
+    with record.disruptions.unplanned("server cut"):
+        cut_at_server(record)
+
+
+def cut_after_fault(record: Record, after_s: float) -> None:
+    with record.disruptions.unplanned("server cut"):
+        record.arrived("a", b"body")
+    cut(record, after_s=after_s)
+
+
+def cut_by_server(record: Record) -> None:
+    record.broke_off("a")
+    cut_at_server(record)
+
+
+class AnsweringClient(Client):
+    """A client whose attempts all get one status."""
+
+    def __init__(self, status: int) -> None:
+        self._status = status
+
+    def send(self, *asked: object) -> Ended:
+        return Ended(self._status, True, b"")
+
+
+def go_on(record: Record, status: int) -> None:
+    program = Program("p", BUDGET, time.monotonic())
+    send_turn(AnsweringClient(status), record, GATEWAY, program, "a", Turn("t", b"body"))
+
+
+def send_to(record: Record, answer: Callable[[QuietHandler], None], attempts: int) -> None:
+    """Send attempts to a gateway with a script, over connections that a client keeps."""
+
+    class Handler(QuietHandler):
+        def do_POST(self) -> None:
+            self.body()
+            answer(self)
+
+    gateway = serve(Handler)
+    try:
+        world = SimpleNamespace(addresses={GATEWAY: {"http": address_of(gateway)}})
+        with Client(world, record) as client:
+            for _ in range(attempts):
+                client.send(GATEWAY, LOOKUP, "a", b"body", {})
+                # What comes behind an answer is to be there when the next attempt is sent.
+                time.sleep(0.1)
+    finally:
+        gateway.shutdown()
+        gateway.server_close()
+
+
+def answer_surplus(call: QuietHandler) -> None:
+    call.answer(200, b"record")
+    if not hasattr(call.server, "has_answered"):
+        call.server.has_answered = True
+        call.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+
+def answer_and_end(call: QuietHandler) -> None:
+    call.answer(200, b"record")
+    call.close_connection = True
+
+
 BROKEN = {
     "was answered": answered,
     "ran twice": lambda record: [answered(record), answered(record)],
@@ -41,6 +134,27 @@
     "ran with another body": lambda record: record.arrived("a", b"other"),
     "nobody sent": lambda record: record.arrived("b", b"body"),
     "emitted more than the budget": lambda record: answered(record, events=8),
+    "was at a server when a planned stop cut it": cut_at_server,
+    "was held when a planned stop cut it": cut_while_held,
+    "was half answered when a planned stop cut it": lambda record: cut(record, 200),
+    "goes on and got 404": lambda record: go_on(record, 404),
+    "goes on and got 410": lambda record: go_on(record, 410),
+    "got the answer of another": lambda record: send_to(
+        record, lambda call: call.answer(200, b"record", {"X-Attempt-Id": "b"}), 1
+    ),
+    "was sent behind bytes that nobody waited for": lambda record: send_to(
+        record, answer_surplus, 2
+    ),
+    "was cut by a planned stop beside a fault": cut_beside_fault,
+    "was cut by a planned stop soon after a fault": lambda record: cut_after_fault(
+        record, CONTACT_S / 2.0
+    ),
+    "was cut by a planned stop long after a fault": lambda record: cut_after_fault(
+        record, CONTACT_S * 2.0
+    ),
+    "was broken off by its server in a planned stop": cut_by_server,
+    "met a planned stop unread": cut,
+    "was sent over a connection that was closed": lambda record: send_to(record, answer_and_end, 2),
 }
 
 
@@ -61,3 +175,36 @@
 @then("the record shows nothing")
 def shows_nothing(context: Context) -> None:
     assert context.record.violations() == []
+
+
+@when("a soak's client sends {count:d} attempts to a gateway that {way} connections")
+def client_sends(context: Context, count: int, way: str) -> None:
+    context.callers = set()
+
+    def answer(call: QuietHandler) -> None:
+        context.callers.add(call.client_address)
+        call.answer(200, b"record", {"Connection": "close"} if way == "closes" else {})
+
+    send_to(Record(), answer, count)
+
+
+@then("they came over {count:d} connection")
+@then("they came over {count:d} connections")
+def came_over(context: Context, count: int) -> None:
+    assert len(context.callers) == count, context.callers
+
+
+@given("a soak's machines")
+def machines(context: Context) -> None:
+    context.record = Record()
+    context.world = SoakWorld(context.record, 1)
+    context.add_cleanup(context.world.__exit__)
+    context.world.__enter__()
+
+
+@when("a gateway ends by itself")
+def ends_alone(context: Context) -> None:
+    process = context.world.processes[GATEWAY]
+    process.kill()
+    process.wait()
+    context.world.look_at_ends()
