The soak ends with all machines at once, and conversations go on behind it

Two final faults a seed: all machines are killed, and all are killed while one disk is lost. New programs then go on at every gateway from turns that were answered before, the latest ones among them, with prompts many times those of the others. Each is to reach a server within 12 s, else "LOST: TURN reached no server in N tries"; 404 and 410 are LOST at once. Behind the second fault, new programs of one long turn press for 1.6 times the servers' places.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -1,6 +1,6 @@
 Feature: A randomized soak keeps the promises, and its checks see broken ones
   Real processes, loopback proxies, signals, clocks that are off, torn and lost disks, several
-  faults at once; more seeds are played by hand:
+  faults at once, and in the end all machines at once; more seeds are played by hand:
   python -m features.soak --seeds 1-20
 
   @real_processes
@@ -28,6 +28,7 @@
       | was held when a planned stop cut it           | LOST    |
       | was half answered when a planned stop cut it  | LOST    |
       | was cut by a planned stop long after a fault  | LOST    |
+      | goes on and reached no server                 | LOST    |
       | goes on and got 404                           | LOST    |
       | goes on and got 410                           | LOST    |
       | got the answer of another                     | MIXED   |
@@ -44,6 +45,7 @@
       | was cut by a planned stop soon after a fault  |
       | was broken off by its server in a planned stop |
       | met a planned stop unread                     |
+      | went on and reached a server                  |
       | was sent over a connection that was closed    |
 
   Scenario: Clients keep their connections until a gateway ends them
--- /dev/null
+++ b/features/soak/crowd.py
@@ -0,0 +1,77 @@
+"""New programs without a history that press for the servers' places."""
+
+import random
+import threading
+import time
+from typing import Self
+
+from features.soak.client import Client
+from features.soak.promises import Record
+from features.soak.turns import NO_TURN, Program, send_turn
+from features.soak.workload import FINISH_S
+from features.soak.world import LONG, SoakWorld
+
+#: Programs at once, in parts of the servers' places: more than they may hold of new programs.
+_PRESSURE = 1.6
+#: Part of the places from which servers count as nearly full.
+_FULL_SHARE = 0.8
+_TRIES = 6
+_BUDGET = 400
+_LOOK_S = 0.05
+
+
+class Crowd:
+    """Programs of one long turn each, in threads, until it is left.
+
+    :ivar most_taken: the most places that were seen taken.
+    """
+
+    def __init__(self, world: SoakWorld, record: Record, name: str) -> None:
+        self._world = world
+        self._record = record
+        self._is_over = threading.Event()
+        self.most_taken = 0
+        self._threads = [
+            threading.Thread(target=self._run, args=(f"{LONG}{name}-{number}",))
+            for number in range(round(_PRESSURE * world.places))
+        ]
+        self._threads.append(threading.Thread(target=self._watch))
+
+    def __enter__(self) -> Self:
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self._is_over.set()
+        for thread in self._threads:
+            thread.join()
+
+    def wait_full(self, end: float) -> None:
+        """Wait until the servers are nearly full, or for a moment of the monotonic clock."""
+        while time.monotonic() < end and self._world.taken < _FULL_SHARE * self._world.places:
+            self._is_over.wait(_LOOK_S)
+
+    def _watch(self) -> None:
+        while not self._is_over.wait(_LOOK_S):
+            self.most_taken = max(self.most_taken, self._world.taken)
+
+    def _run(self, name: str) -> None:
+        rng = random.Random(name)
+        done = 0
+        with Client(self._world, self._record) as client:
+            while not self._is_over.is_set():
+                done += 1
+                self._program(rng, client, f"{name}-{done}")
+
+    def _program(self, rng: random.Random, client: Client, name: str) -> None:
+        program = Program(name, _BUDGET, time.monotonic() + FINISH_S)
+        self._record.begin_program(name, _BUDGET)
+        for number in range(_TRIES):
+            if self._is_over.is_set():
+                return
+            gateway, attempt = rng.choice(self._world.gateways), f"{name}-{number}"
+            found, _ = send_turn(client, self._record, gateway, program, attempt, NO_TURN)
+            if found is not None:
+                return
+            self._is_over.wait(rng.uniform(0.1, 0.4))
--- a/features/soak/promises.py
+++ b/features/soak/promises.py
@@ -65,6 +65,7 @@
         self._reached: set[str] = set()
         self._broken_off: set[str] = set()
         self._arrived: dict[str, list[bytes]] = defaultdict(list)
+        self._went_on: list[tuple[str, str, list[str]]] = []
         self._violations: list[str] = []
 
     def begin_program(self, program: str, budget: int) -> None:
@@ -104,6 +105,11 @@
         with self._lock:
             self._broken_off.add(attempt)
 
+    def went_on(self, turn: str, gateway: str, attempts: list[str]) -> None:
+        """Note the attempts with which a program went on from an answered turn, all at once."""
+        with self._lock:
+            self._went_on.append((turn, gateway, attempts))
+
     def ended(self, attempt: str, end: Ended) -> None:
         """Note how an attempt ended for its client."""
         with self._lock:
@@ -114,6 +120,11 @@
         with self._lock:
             self._violations.append(text)
 
+    def has_reached(self, attempts: Iterable[str]) -> bool:
+        """Return whether a server got one of some attempts."""
+        with self._lock:
+            return not self._reached.isdisjoint(attempts)
+
     @property
     def served(self) -> int:
         """Return how many attempts were answered whole with a success."""
@@ -133,6 +144,7 @@
                 found += self._of_arrivals(attempt, bodies)
             found += self._of_budgets()
             found += self._of_planned_work()
+            found += self._of_conversations()
             return found
 
     def _of_arrivals(self, attempt: str, bodies: list[bytes]) -> list[str]:
@@ -174,3 +186,10 @@
         is_held = attempt in self._read and end.at - sent.at > LOSS_SLACK_S
         was_taken = end.status != 0 or attempt in self._reached or is_held
         return was_taken and self.disruptions.is_planned_alone(sent.gateway, sent.at, end.at)
+
+    def _of_conversations(self) -> list[str]:
+        return [
+            f"LOST: {turn} reached no server in {len(attempts)} tries at {gateway}"
+            for turn, gateway, attempts in self._went_on
+            if self._reached.isdisjoint(attempts)
+        ]
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -2,16 +2,16 @@
 
 import time
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from features.soak.disks import Disks
+from features.soak.final import Final, FinalFaults, Outcome
 from features.soak.promises import Record
+from features.soak.returns import RECOVER_S
 from features.soak.strands import Strands
 from features.soak.workload import Workload
 from features.soak.world import SoakWorld
 
-#: Seconds after the last fault within which every gateway serves again.
-RECOVER_S = 12.0
 #: Seconds of planned work alone, before all kinds of faults.
 PLANNED_S = 5.0
 STRANDS = 3
@@ -25,12 +25,14 @@
     :param served: attempts that were answered whole.
     :param outcomes: attempts by status; 0 is a connection that ended without an answer.
     :param faults: how often each kind struck.
+    :param finals: what followed each final fault.
     """
 
     violations: list[str]
     served: int
     outcomes: dict[int, int]
     faults: dict[str, int]
+    finals: list[dict[str, Any]]
 
 
 def play(
@@ -49,14 +51,19 @@
     :param strands: how many faults there are at most at once.
     """
     record = Record()
+    finals: list[Outcome] = []
     with SoakWorld(record, seed, gateways, replicas) as world:
         disks = Disks(world, record.disruptions)
         faults = Strands(world, record, disks, seed, strands)
-        with Workload(world, record, seed, clients):
+        with Workload(world, record, seed, clients) as workload:
+            final = FinalFaults(world, record, disks, workload.answered, seed)
             try:
                 faults.work_until(time.monotonic() + PLANNED_S)
                 faults.strike_until(time.monotonic() + seconds_s)
                 _recovered(record)
+                for number, kind in enumerate(_finals(seed)):
+                    finals.append(final.strike(kind, is_full=number > 0))
+                    _recovered(record)
             except (AssertionError, TimeoutError) as error:
                 record.violated(f"RECOVER: {error}")
         world.look_at_ends()
@@ -64,7 +71,14 @@
         violations = record.violations()
         if violations and keep is not None:
             world.keep_logs(keep / f"seed-{seed}")
-    return Result(violations, record.served, dict(record.outcomes()), dict(faults.struck))
+    told = [one._asdict() | {"returned": one.returned._asdict()} for one in finals]
+    return Result(violations, record.served, dict(record.outcomes()), dict(faults.struck), told)
+
+
+def _finals(seed: int) -> list[Final]:
+    """Return the final faults of a seed: each kind once, every other seed the other way round."""
+    kinds = list(Final)
+    return kinds if seed % 2 else kinds[::-1]
 
 
 def _recovered(record: Record) -> None:
--- a/features/soak/turns.py
+++ b/features/soak/turns.py
@@ -1,5 +1,6 @@
 """Turns of programs, as clients send them and judge their answers."""
 
+import threading
 import time
 from typing import NamedTuple
 
@@ -37,6 +38,24 @@
     own_tokens: int = 100
 
 
+class AnsweredTurns:
+    """The turns that were answered whole; thread-safe."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._turns: list[Turn] = []
+
+    def add(self, turn: Turn) -> None:
+        """Take in a turn."""
+        with self._lock:
+            self._turns.append(turn)
+
+    def since(self, at: float) -> list[Turn]:
+        """Return the turns from a moment of the monotonic clock on, the oldest first."""
+        with self._lock:
+            return sorted((turn for turn in self._turns if turn.at >= at), key=lambda one: one.at)
+
+
 def send_turn(
     client: Client, record: Record, gateway: str, program: Program, attempt: str, before: Turn
 ) -> tuple[Turn | None, int]:
--- a/features/soak/workload.py
+++ b/features/soak/workload.py
@@ -7,7 +7,7 @@
 
 from features.soak.client import Client
 from features.soak.promises import Record
-from features.soak.turns import NO_TURN, Program, send_turn
+from features.soak.turns import NO_TURN, AnsweredTurns, Program, send_turn
 from features.soak.world import LOOKUP, SoakWorld
 
 #: Seconds in which a program should be over.
@@ -18,11 +18,13 @@
     """Clients in threads, until it is left.
 
     :param seed: fixes what each client does, not when.
+    :ivar answered: the turns that were answered whole.
     """
 
     def __init__(self, world: SoakWorld, record: Record, seed: int, clients: int) -> None:
         self._world = world
         self._record = record
+        self.answered = AnsweredTurns()
         self._is_over = threading.Event()
         self._threads = [
             threading.Thread(target=self._run, args=(random.Random(f"{seed}/{number}"), number))
@@ -74,6 +76,7 @@
                     return
                 if found is not None:
                     turn = found
+                    self.answered.add(turn)
                     break
                 failures += 1
                 self._is_over.wait(rng.uniform(0.1, 0.4))
--- a/features/soak/world.py
+++ b/features/soak/world.py
@@ -23,12 +23,19 @@
 
 CHAT = "chat"
 LOOKUP = "records"
+#: Places of a server and seconds that turns are kept, as the stand-ins' configuration says.
+SLOTS = 16
+RETAIN_S = 60.0
 _LOOKUP_SERVERS = 2
 _CHAT_SERVERS = 3
 #: Parts of the requests that servers turn away, lose the answer of, or break off.
 _TURNED_AWAY = 0.03
 _ANSWER_LOST = 0.02
 _BROKEN_OFF = 0.02
+_PAUSE_S = 0.01
+#: How ids of attempts begin that hold a place for long, and the pause behind each of their events.
+LONG = "long-"
+_LONG_PAUSE_S = 0.5
 #: Starts a machine whose time of day is off by the seconds in the first argument.
 _START = (
     "import runpy, sys, time; off = float(sys.argv.pop(1)); real = time.time;"
@@ -46,6 +53,8 @@
         self._rng_lock = threading.Lock()
         self._clock_rng = random.Random(f"{seed}/clocks")
         self._publish_lock = threading.Lock()
+        #: Turns that servers work on.
+        self.taken = 0
         #: Where the log of each machine's present process begins.
         self._log_from: defaultdict[str, int] = defaultdict(int)
         self.store_proxies: dict[str, Proxy] = {}
@@ -107,7 +116,21 @@
         is_whole = self._chance() >= _BROKEN_OFF
         if not is_whole:
             self._record.broke_off(arrival.attempt_id)
-        return stream(call, arrival, events, pause=0.01, is_whole=is_whole)
+        pause_s = _LONG_PAUSE_S if arrival.attempt_id.startswith(LONG) else _PAUSE_S
+        self._count(1)
+        try:
+            return stream(call, arrival, events, pause=pause_s, is_whole=is_whole)
+        finally:
+            self._count(-1)
+
+    def _count(self, change: int) -> None:
+        with self._rng_lock:
+            self.taken += change
+
+    @property
+    def places(self) -> int:
+        """Return how many turns the servers work on at once."""
+        return _CHAT_SERVERS * SLOTS
 
     def _look_up(self, call: QuietHandler, arrival: Arrival) -> bool:
         if self._turns_away(call, arrival):
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -28,6 +28,7 @@
 def soak_holds(context: Context, seconds: int, seed: int) -> None:
     result = play(seed, float(seconds), CLIENTS, keep=KEPT_LOGS)
     assert not result.violations, result
+    assert all(final["returned"]["programs"] for final in result.finals), result
 
 
 def answered(record: Record, events: int = 1) -> None:
@@ -78,6 +79,15 @@
     cut_at_server(record)
 
 
+def went_on(record: Record) -> None:
+    record.went_on("t", GATEWAY, ["a"])
+
+
+def went_on_and_reached(record: Record) -> None:
+    record.arrived("a", b"body")
+    went_on(record)
+
+
 class AnsweringClient(Client):
     """A client whose attempts all get one status."""
 
@@ -137,6 +147,7 @@
     "was at a server when a planned stop cut it": cut_at_server,
     "was held when a planned stop cut it": cut_while_held,
     "was half answered when a planned stop cut it": lambda record: cut(record, 200),
+    "goes on and reached no server": went_on,
     "goes on and got 404": lambda record: go_on(record, 404),
     "goes on and got 410": lambda record: go_on(record, 410),
     "got the answer of another": lambda record: send_to(
@@ -154,6 +165,7 @@
     ),
     "was broken off by its server in a planned stop": cut_by_server,
     "met a planned stop unread": cut,
+    "went on and reached a server": went_on_and_reached,
     "was sent over a connection that was closed": lambda record: send_to(record, answer_and_end, 2),
 }
 
