The soak's proxies wake when there is something to do

Why: each direction of each connection looked at its mode every 20 ms.

A change of the mode now wakes all directions at once; else they look every 100 ms.

--- a/features/soak/proxy.py
+++ b/features/soak/proxy.py
@@ -12,6 +12,9 @@
 
 _CHUNK_BYTES = 65536
 _LOOK_S = 0.02
+#: Milliseconds for which a direction without bytes waits, if nothing wakes it before. A connection
+#: that its other direction has reset ends only behind that.
+_IDLE_MS = 100
 _SLOW_S = 0.15
 _RESET = struct.pack("ii", 1, 0)
 
@@ -34,11 +37,14 @@
     """
 
     def __init__(self, target: Callable[[], str]) -> None:
-        self.mode = Mode.PASS
+        self._mode = Mode.PASS
+        #: Has a byte to read while bytes do not just pass, which wakes all directions.
+        self._woken, self._waker = socket.socketpair()
         self._accepted = 0
         self._silent_up_to = 0
         self._target = target
         self._is_open = True
+        self._mode_lock = threading.Lock()
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=128)
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
@@ -49,10 +55,25 @@
     def __exit__(self, *error: object) -> None:
         self.close()
 
+    @property
+    def mode(self) -> Mode:
+        """What is done with connections."""
+        return self._mode
+
+    @mode.setter
+    def mode(self, mode: Mode) -> None:
+        with self._mode_lock:
+            was_passing, self._mode = self._mode is Mode.PASS, mode
+            if was_passing and mode is not Mode.PASS:
+                self._waker.send(b"!")
+            elif not was_passing and mode is Mode.PASS:
+                self._woken.recv(1)
+
     def close(self) -> None:
         """End the proxy and its connections."""
         self._is_open = False
         self._listener.close()
+        self._waker.close()
 
     def silence_open(self) -> None:
         """Let connections that are open now say nothing more, for good; new ones pass."""
@@ -97,15 +118,13 @@
         return self._is_open and self.mode is not Mode.REFUSE
 
     def _pump(self, source: socket.socket, sink: socket.socket, number: int) -> None:
-        arrivals = select.poll()
         while True:
             if not self._wait_for_passage():
                 _reset(source)
                 _reset(sink)
                 return
             try:
-                arrivals.register(source, select.POLLIN)
-                if not arrivals.poll(_LOOK_S * 1000.0):
+                if not self._has_arrived(source):
                     continue
                 data = source.recv(_CHUNK_BYTES)
             except (OSError, ValueError):
@@ -124,6 +143,16 @@
             if not data:
                 return
 
+    def _has_arrived(self, source: socket.socket) -> bool:
+        """Wait until there is something to read, or the mode may have changed."""
+        arrivals = select.poll()
+        arrivals.register(source, select.POLLIN)
+        is_passing = self._mode is Mode.PASS
+        if is_passing:
+            arrivals.register(self._woken, select.POLLIN)
+        found = arrivals.poll(_IDLE_MS if is_passing else _LOOK_S * 1000.0)
+        return any(descriptor != self._woken.fileno() for descriptor, _ in found)
+
 
 def _pass_on(data: bytes, sink: socket.socket) -> bool:
     """Send bytes, or the end if there are none; return whether that went."""
