The soak tells how late its own threads came

Why: stand-ins that answer late on a busy machine look like a store that is slow. A finding is read beside that figure; no check depends on it.

--- /dev/null
+++ b/features/soak/lateness.py
@@ -0,0 +1,34 @@
+"""How late the threads of the stand-ins come: on a busy machine they answer late."""
+
+import threading
+import time
+from typing import Self
+
+_STEP_S = 0.05
+
+
+class Lateness:
+    """Measures from when it is entered until it is left.
+
+    :ivar most_s: by how much a thread that sleeps came late at most.
+    """
+
+    def __init__(self) -> None:
+        self.most_s = 0.0
+        self._is_over = threading.Event()
+        self._thread = threading.Thread(target=self._run)
+
+    def __enter__(self) -> Self:
+        self._thread.start()
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self._is_over.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        due = time.monotonic() + _STEP_S
+        while not self._is_over.wait(max(due - time.monotonic(), 0.0)):
+            now = time.monotonic()
+            self.most_s = max(self.most_s, now - due)
+            due = now + _STEP_S
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -6,6 +6,7 @@
 
 from features.soak.disks import Disks
 from features.soak.final import Final, FinalFaults, Outcome
+from features.soak.lateness import Lateness
 from features.soak.promises import Record
 from features.soak.returns import RECOVER_S
 from features.soak.strands import Strands
@@ -26,6 +27,7 @@
     :param outcomes: attempts by status; 0 is a connection that ended without an answer.
     :param faults: how often each kind struck.
     :param finals: what followed each final fault.
+    :param late_s: by how much a thread of the stand-ins came late at most.
     """
 
     violations: list[str]
@@ -33,6 +35,7 @@
     outcomes: dict[int, int]
     faults: dict[str, int]
     finals: list[dict[str, Any]]
+    late_s: float
 
 
 def play(
@@ -52,7 +55,7 @@
     """
     record = Record()
     finals: list[Outcome] = []
-    with SoakWorld(record, seed, gateways, replicas) as world:
+    with Lateness() as lateness, SoakWorld(record, seed, gateways, replicas) as world:
         disks = Disks(world, record.disruptions)
         faults = Strands(world, record, disks, seed, strands)
         with Workload(world, record, seed, clients) as workload:
@@ -72,7 +75,14 @@
         if violations and keep is not None:
             world.keep_logs(keep / f"seed-{seed}")
     told = [one._asdict() | {"returned": one.returned._asdict()} for one in finals]
-    return Result(violations, record.served, dict(record.outcomes()), dict(faults.struck), told)
+    return Result(
+        violations,
+        record.served,
+        dict(record.outcomes()),
+        dict(faults.struck),
+        told,
+        round(lateness.most_s, 2),
+    )
 
 
 def _finals(seed: int) -> list[Final]:
