Tests, failing: SIGHUP ends a gateway that has just begun to listen

A machine listens before it imports most of itself, and takes signals only once it has; until then SIGHUP has its default effect.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -59,3 +59,10 @@
     Given a soak's machines
     When a gateway ends by itself
     Then the record shows only "ENDED"
+
+  # Guards against machines that a signal ends while they start: callers wait at them already.
+  @real_processes
+  Scenario: A gateway that is signalled to read its settings as soon as it listens runs on
+    Given a soak's machines
+    When a gateway starts again and gets SIGHUP as soon as it listens
+    Then the record shows nothing
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,5 +1,7 @@
 """Steps about the randomized soak and its own checks."""
 
+import signal
+import socket
 import tempfile
 import time
 from collections.abc import Callable
@@ -16,6 +18,7 @@
 from features.soak.turns import Program, Turn, send_turn
 from features.soak.world import LOOKUP, SoakWorld
 from features.support.platform_world import QuietHandler, address_of, event, serve
+from features.support.processes import wait_until
 
 CLIENTS = 4
 #: Where the logs of a seed that broke a promise go.
@@ -220,3 +223,27 @@
     process.kill()
     process.wait()
     context.world.look_at_ends()
+
+
+@when("a gateway starts again and gets SIGHUP as soon as it listens")
+def signalled_at_start(context: Context) -> None:
+    world = context.world
+    world.kill(GATEWAY)
+    world.restart(GATEWAY)
+    wait_until(lambda: listens(world.addresses[GATEWAY]["http"]), f"{GATEWAY} listens")
+    world.kill(GATEWAY, signal.SIGHUP)
+    wait_until(lambda: has_ended_or_started(world), f"{GATEWAY} has started")
+    world.look_at_ends()
+
+
+def listens(address: str) -> bool:
+    host, _, port = address.partition(":")
+    try:
+        socket.create_connection((host, int(port)), timeout=1.0).close()
+    except OSError:
+        return False
+    return True
+
+
+def has_ended_or_started(world: SoakWorld) -> bool:
+    return world.processes[GATEWAY].poll() is not None or world.has_started(GATEWAY)
