SIGHUP ends no machine that starts

Cause: a machine listens before it imports most of itself, and took SIGHUP only after that. Until then the signal has its default effect, which ends the process.

Why this fix works: the signal is ignored from the first line on, until the machine takes it.

--- a/yarrowwall/machine/process.py
+++ b/yarrowwall/machine/process.py
@@ -147,7 +147,8 @@
             self._log.write(decisions.ProcessChanged("settings reloaded", ""))
 
     def _watch_settings(self) -> None:
-        modified = self._modified_at()
+        # The first look reads the file in any case: it may have changed while the machine started.
+        modified = None
         while True:
             eventlet.sleep(SETTINGS_SECONDS)
             found = self._modified_at()
--- a/yarrowwall/platform/__main__.py
+++ b/yarrowwall/platform/__main__.py
@@ -4,6 +4,7 @@
 """
 
 import os
+import signal
 import sys
 from pathlib import Path
 
@@ -19,6 +20,9 @@
 
     :returns: the process's exit code.
     """
+    # Until the machine takes it, its default effect would end the process. What changed in the
+    # settings file by then is found by the first look at it.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     path = Path(os.environ.get(names.SETTINGS_VARIABLE, ""))
     try:
         settings = load_machine_settings(path)
