A retirement that waits for a substitute says so

What operators saw: since a retirement keeps the copies that bear a loss, one without a substitute stays `running`, and no line says why or what would let it go on.

Change: the machine that is to be emptied logs ProcessChanged "retirement waits" with the group, the copies that would be left, those needed, and that one more storage machine lets it go on. Once for each state: a look that finds the same again writes nothing, and a retirement that is withdrawn and written anew is told anew. Whether it waits is pure (planner. held_retirement): the group is settled, is not about to change, and without the members that are to be emptied fewer copies are there than next_view keeps. It goes on as before once a machine registers.

Tests: group_notices.feature drives the coordinator with a store and machines that stand in.

--- /dev/null
+++ b/features/support/coordinated_group.py
@@ -0,0 +1,92 @@
+"""One storage machine's coordinator, with a store and other machines that stand in."""
+
+import os
+import time
+from typing import Any
+
+from features.support.record_model import member
+from yarrowwall.decisions import Decision, DecisionLog
+from yarrowwall.messages.replicated import GroupView, StatusReply
+from yarrowwall.ports.object_store import StoredObject
+from yarrowwall.replication.coordinator import Coordinator, OwnReplicas
+from yarrowwall.replication.documents import GROUPS_NAME, groups_spec, read_groups
+from yarrowwall.replication.peers import ReplicaPeers
+from yarrowwall.replication.planner import target_size
+from yarrowwall.replication.replica import RecordReplica
+from yarrowwall.replication.rpc import LinkTable
+from yarrowwall.replication.views import all_members
+
+OWN = "a"
+
+
+class GroupsStore:
+    """Holds the groups' object, as the platform's store does."""
+
+    def __init__(self, views: list[GroupView]) -> None:
+        self.item = StoredObject(GROUPS_NAME, 1, groups_spec(views), {})
+
+    def replace(
+        self, kind: str, name: str, spec: dict[str, Any], revision: int | None
+    ) -> StoredObject:
+        """Replace the object."""
+        assert revision == self.item.revision
+        self.item = StoredObject(name, self.item.revision + 1, spec, {})
+        return self.item
+
+    def get(self, kind: str, name: str, timeout_s: float) -> StoredObject | None:
+        """Return the object."""
+        return self.item
+
+
+class HeardPeers(ReplicaPeers):
+    """Machines that answer at once; a disk has copied as soon as it joins."""
+
+    def __init__(self, store: GroupsStore, links: LinkTable) -> None:
+        super().__init__(OWN, f"zone-{OWN}", links, time.monotonic)
+        self._store = store
+
+    def register(self, disk_id: str) -> None:
+        """Take in a machine that registers with a disk."""
+        self.take(disk_id[0], member(disk_id), None)
+
+    def hear(self) -> None:
+        """Take in an answer of each machine."""
+        for known in self.registered.values():
+            self._heard(known, time.monotonic(), self.status(known.disk_id))
+
+    def status(self, disk_id: str) -> StatusReply:
+        """Return the state of a disk that holds all that its group had completed."""
+        view = self._store_view()
+        is_member = disk_id in [known.disk_id for known in all_members(view)]
+        epoch = view.epoch if is_member else 0
+        return StatusReply(disk_id[0], disk_id, epoch, is_member, epoch)
+
+    def _store_view(self) -> GroupView:
+        views = read_groups(self._store.item)
+        assert views
+        return views[0]
+
+
+class CoordinatedGroup:
+    """A group as the storage machine ``a`` looks after it."""
+
+    def __init__(self, disks: list[str]) -> None:
+        self.noted: list[Decision] = []
+        log = DecisionLog(OWN, self.noted.append, os.open(os.devnull, os.O_WRONLY))
+        view = GroupView(0, 1, [member(disk_id) for disk_id in disks], [])
+        self.store = GroupsStore([view])
+        self.peers = HeardPeers(self.store, LinkTable(log, time.monotonic))
+        for disk_id in disks:
+            self.peers.register(disk_id)
+        own = OwnReplicas(f"zone-{OWN}", RecordReplica(OWN, f"{OWN}1"), RecordReplica(OWN, "z1"))
+        own.common.now_durable(own.common.take_view(view)[0])
+        self.coordinator = Coordinator(
+            OWN, self.store, own, self.peers, log, time.monotonic, False, target_size(1)
+        )
+        self.coordinator.take_groups(self.store.item)
+        self.coordinator.has_listed = True
+
+    def members(self) -> str:
+        """Return the group's disks; empty while it changes."""
+        view = self.coordinator.views()[0]
+        return "" if view.joining else ",".join(sorted(one.disk_id for one in view.members))
--- a/yarrowwall/replication/coordinator.py
+++ b/yarrowwall/replication/coordinator.py
@@ -25,12 +25,14 @@
     groups_spec,
     read_groups,
 )
+from yarrowwall.replication.group_notices import GroupNotices
 from yarrowwall.replication.peers import ReplicaPeers
 from yarrowwall.replication.planner import (
     ended_view,
     first_views,
     first_zone_views,
     has_readers,
+    held_retirement,
     next_view,
     revised_view,
     settled_view,
@@ -112,6 +114,7 @@
         self._own = own
         self._peers = peers
         self._log = log
+        self._notices = GroupNotices(node_id, log)
         self._now = now
         self._wants_first_views = wants_first_views
         self._size = size
@@ -217,7 +220,19 @@
             return settled
         if view.joining:
             return revised_view(view, registered)
-        return next_view(view, registered, known.alive, self.retiring, known.busy, self._size)
+        return self._settled_change(view, known, registered)
+
+    def _settled_change(
+        self, view: GroupView, known: _Known, registered: dict[str, Member]
+    ) -> GroupView | None:
+        """Return the view that begins a change; note a retirement that waits for a substitute."""
+        group = (view, registered, known.alive, self.retiring, known.busy, self._size)
+        changed = next_view(*group)
+        if self._node_id not in self.retiring:
+            self._notices.forget_held()
+        elif changed is None:
+            self._notices.note_held(held_retirement(*group))
+        return changed
 
     def _is_own_turn(self, proposal: _Proposal) -> bool:
         now = self._now()
--- a/yarrowwall/replication/planner.py
+++ b/yarrowwall/replication/planner.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Collection, Mapping, Sequence
+from typing import NamedTuple
 
 from yarrowwall.messages.replicated import GroupView, Member, StatusReply
 from yarrowwall.quorum import majority
@@ -20,6 +21,20 @@
 LEAST_ZONES = 2
 
 
+class HeldRetirement(NamedTuple):
+    """A retirement that waits, since its common group would be left with too few copies.
+
+    :param nodes: the group's machines that are to be emptied.
+    :param copies_left: copies that the group would have without them.
+    :param copies_needed: one more than disks may be lost at once.
+    """
+
+    group: int
+    nodes: frozenset[str]
+    copies_left: int
+    copies_needed: int
+
+
 def target_size(machines_lost_at_once: int) -> int:
     """Return how many replicas bear the loss of so many machines."""
     return 2 * max(1, machines_lost_at_once) + 1
@@ -80,11 +95,7 @@
     :param busy: disks that are members of any group.
     :param size: replicas wanted.
     """
-    holding = [
-        member
-        for member in view.members
-        if member.node_id in alive and not _has_other_disk(member, registered)
-    ]
+    holding = _holding(view, registered, alive)
     if len(holding) < read_quorum(view.group, len(view.members)):
         # Nobody could copy what is complete; and whoever sees so few may itself be the one
         # that is cut off. A majority would be too much to ask for: in a group of two, left by
@@ -114,6 +125,41 @@
     return GroupView(view.group, view.epoch + 1, view.members, joining)
 
 
+def held_retirement(
+    view: GroupView,
+    registered: dict[str, Member],
+    alive: Collection[str],
+    retiring: Collection[str],
+    busy: Collection[str],
+    size: int,
+) -> HeldRetirement | None:
+    """Return why members of a settled group that are to be emptied stay; None if that's not it.
+
+    The parameters are those of :func:`next_view`.
+    """
+    holding = _holding(view, registered, alive)
+    if len(holding) < read_quorum(view.group, len(view.members)):
+        return None
+    if next_view(view, registered, alive, retiring, busy, size) is not None:
+        return None
+    leaving = frozenset(member.node_id for member in holding if member.node_id in retiring)
+    left, needed = len(holding) - len(leaving), _fewest_copies(view.group, size)
+    if not leaving or left >= needed:
+        return None
+    return HeldRetirement(view.group, leaving, left, needed)
+
+
+def _holding(
+    view: GroupView, registered: dict[str, Member], alive: Collection[str]
+) -> list[Member]:
+    """Return the members that are there with their disks."""
+    return [
+        member
+        for member in view.members
+        if member.node_id in alive and not _has_other_disk(member, registered)
+    ]
+
+
 def _fewest_copies(group: int, size: int) -> int:
     """Return how many copies a retirement has to leave.
 
