A common group that has lost all copies of its records says so

Change: a storage machine that the group's newest view names logs GroupLost once in its life, and yarrowwall_group_lost{group} is 1. replication/losses.py decides it without I/O, and only if it is sure: every machine that the view names, those that join among them, is registered with another disk, and that disk has answered a question that was sent after the view was known. A machine has one disk at a time and gets none back, so that disk is newer than the view's. Then the store is asked once whether the view is still the newest. A silent machine and one that was removed prove nothing, and neither is a zone's group said to be lost.

Not said: a group whose copies were lost while a change with a disk that is still there had begun, though nothing may have been copied to that; its turns are refused as before.

No message, schema or object of the store changes.

--- a/features/group_notices.feature
+++ b/features/group_notices.feature
@@ -15,3 +15,51 @@
     When "a" is to be emptied and the groups are looked at for 1.0 s
     Then the group becomes "b1,c1" within 3 s
     And its log says nothing of a retirement that waits
+
+  Scenario Outline: All copies are lost only if every disk of the newest view is surely gone
+    Given a settled group of "<members>" that "<joining>" joins
+    Then with the disks "<found>" found it <has> lost all copies
+
+    Examples:
+      | members | joining | found | has     |
+      | a1      |         | a2    | has     |
+      | a1,b1   |         | a2,b2 | has     |
+      | a1      |         | a1    | has not |
+      | a1      |         |       | has not |
+      | a1,b1   |         | a2    | has not |
+      | a1,b1   |         | a2,b1 | has not |
+      | a1      | a1,b1   | a2    | has not |
+      | a1      | a1,b1   | a2,b1 | has not |
+      | a1      | a1,b1   | a2,b2 | has     |
+      |         |         | a2    | has not |
+
+  Scenario: A zone's group is never said to be lost
+    Given a settled group of "a1" that "" joins
+    Then a zone's group of the same disks has not lost all copies with the disk "a2"
+
+  Scenario: A storage machine says once that its group has lost all copies
+    Given a storage machine "a" that looks after a group of "a0" and "b1"
+    And all other machines are silent
+    When the groups are looked at for 0.6 s
+    Then its log does not say that a group has lost its records
+    When "b2" registers
+    And all other machines answer
+    And the groups are looked at for 0.8 s
+    Then its log says once that group 0 of "a,b" has lost its records
+    And the metric "yarrowwall_group_lost" of group 0 is 1
+
+  Scenario: A disk that is registered but silent is not lost
+    Given a storage machine "a" that looks after a group of "a0" and "b1"
+    And all other machines are silent
+    When "b2" registers
+    And the groups are looked at for 0.8 s
+    Then its log does not say that a group has lost its records
+
+  Scenario: Views that the store has replaced say nothing of lost copies
+    Given a storage machine "a" that looks after a group of "a0" and "b1"
+    And all other machines are silent
+    When the store has a newer view of "c1" that the machine has not heard of
+    And "b2" registers
+    And all other machines answer
+    Then the group becomes "c1" within 3 s
+    And its log does not say that a group has lost its records
--- a/features/support/coordinated_group.py
+++ b/features/support/coordinated_group.py
@@ -7,7 +7,7 @@
 from features.support.record_model import member
 from yarrowwall.decisions import Decision, DecisionLog
 from yarrowwall.messages.replicated import GroupView, StatusReply
-from yarrowwall.ports.object_store import StoredObject
+from yarrowwall.ports.object_store import ConflictError, StoredObject
 from yarrowwall.replication.coordinator import Coordinator, OwnReplicas
 from yarrowwall.replication.documents import GROUPS_NAME, groups_spec, read_groups
 from yarrowwall.replication.peers import ReplicaPeers
@@ -29,7 +29,8 @@
         self, kind: str, name: str, spec: dict[str, Any], revision: int | None
     ) -> StoredObject:
         """Replace the object."""
-        assert revision == self.item.revision
+        if revision != self.item.revision:
+            raise ConflictError(name)
         self.item = StoredObject(name, self.item.revision + 1, spec, {})
         return self.item
 
@@ -37,6 +38,10 @@
         """Return the object."""
         return self.item
 
+    def put(self, view: GroupView) -> None:
+        """Take a view that another machine proposed."""
+        self.item = StoredObject(GROUPS_NAME, self.item.revision + 1, groups_spec([view]), {})
+
 
 class HeardPeers(ReplicaPeers):
     """Machines that answer at once; a disk has copied as soon as it joins."""
@@ -44,6 +49,7 @@
     def __init__(self, store: GroupsStore, links: LinkTable) -> None:
         super().__init__(OWN, f"zone-{OWN}", links, time.monotonic)
         self._store = store
+        self.are_silent = False
 
     def register(self, disk_id: str) -> None:
         """Take in a machine that registers with a disk."""
@@ -51,7 +57,8 @@
 
     def hear(self) -> None:
         """Take in an answer of each machine."""
-        for known in self.registered.values():
+        others = [known for known in self.registered.values() if known.node_id != OWN]
+        for known in [] if self.are_silent else others:
             self._heard(known, time.monotonic(), self.status(known.disk_id))
 
     def status(self, disk_id: str) -> StatusReply:
@@ -68,7 +75,7 @@
 
 
 class CoordinatedGroup:
-    """A group as the storage machine ``a`` looks after it."""
+    """A group as the storage machine ``a``, whose disk is ``a1``, looks after it."""
 
     def __init__(self, disks: list[str]) -> None:
         self.noted: list[Decision] = []
@@ -76,9 +83,9 @@
         view = GroupView(0, 1, [member(disk_id) for disk_id in disks], [])
         self.store = GroupsStore([view])
         self.peers = HeardPeers(self.store, LinkTable(log, time.monotonic))
-        for disk_id in disks:
-            self.peers.register(disk_id)
         own = OwnReplicas(f"zone-{OWN}", RecordReplica(OWN, f"{OWN}1"), RecordReplica(OWN, "z1"))
+        for disk_id in [*disks, own.common.disk_id]:
+            self.peers.register(disk_id)
         own.common.now_durable(own.common.take_view(view)[0])
         self.coordinator = Coordinator(
             OWN, self.store, own, self.peers, log, time.monotonic, False, target_size(1)
--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -264,6 +264,17 @@
     joining: str
 
 
+class GroupLost(Decision, frozen=True):
+    """A common group has lost all copies of its records; nothing brings them back.
+
+    :param members: the machines whose disks held them.
+    """
+
+    group: int
+    epoch: int
+    members: str
+
+
 class LendingChanged(Decision, frozen=True):
     """A replica lends its part of tenants' limits from now on, or no more."""
 
--- a/yarrowwall/metrics.py
+++ b/yarrowwall/metrics.py
@@ -84,6 +84,7 @@
 VERSION = _Description("configuration_version", "Version in force")
 EPOCH = _Description("group_epoch", "Newest view of a group", "group")
 MEMBERS = _Description("group_members", "Replicas of a group's newest view", "group")
+LOST = _Description("group_lost", "1 if a group has lost all copies of its records", "group")
 ZONE_RECORDS = _Description(
     "zone_group_records", "Records that this machine holds for its zone's own group"
 )
@@ -142,6 +143,7 @@
             decisions.EntryRefused: lambda event: self._add(ENTRIES_REFUSED, event.fault),
             decisions.KeysChanged: self._keys_changed,
             decisions.GroupChanged: self._group_changed,
+            decisions.GroupLost: lambda event: self._set(LOST, 1, event.group),
         }
 
     def count(self, decision: Decision) -> None:
--- a/yarrowwall/replication/coordinator.py
+++ b/yarrowwall/replication/coordinator.py
@@ -26,6 +26,7 @@
     read_groups,
 )
 from yarrowwall.replication.group_notices import GroupNotices
+from yarrowwall.replication.losses import has_lost_all
 from yarrowwall.replication.peers import ReplicaPeers
 from yarrowwall.replication.planner import (
     ended_view,
@@ -49,6 +50,8 @@
 #: Seconds without a new machine after which a new system holds all to be there, within that
 #: patience: a zone none of whose machines were there in time never gets a group of its own.
 FIRST_START_STEADY_SECONDS = 1.0
+#: Seconds that the store has to tell which views are the newest.
+NEWEST_SECONDS = 0.5
 #: Seconds by which each machine waits for the one before it in the order.
 TURN_SECONDS = 1.0
 
@@ -123,6 +126,7 @@
         self._first_members: set[str] = set()
         self._first_members_at = now()
         self._groups: StoredObject | None = None
+        self._groups_known_at = now()
         self._views: list[GroupView] = []
         self.has_listed = False
         self.retiring: set[str] = set()
@@ -137,6 +141,7 @@
         is_newer = self._groups is None or self._groups.revision < item.revision
         if views is not None and is_newer:
             self._groups = item
+            self._groups_known_at = self._now()
             self._views = views
 
     def views(self) -> list[GroupView]:
@@ -160,6 +165,30 @@
             self._needed_since = None
         elif self._is_own_turn(proposed):
             self._propose(proposed.views)
+        self._note_losses()
+
+    def _note_losses(self) -> None:
+        """Log which groups of this machine have lost all copies of their records."""
+        disks = self._peers.disks_since(self._groups_known_at)
+        disks[self._node_id] = self._own.common.disk_id
+        lost = [
+            view
+            for view in self._views
+            if any(member.node_id == self._node_id for member in view.members)
+            and has_lost_all(view, disks)
+            and not self._notices.knows_lost(view.group)
+        ]
+        if lost and self._are_newest():
+            for view in lost:
+                self._notices.note_lost(view)
+
+    def _are_newest(self) -> bool:
+        """Ask the store whether the known views are the newest; take in newer ones."""
+        known = self._groups
+        item = self._store.get(GROUPS_KIND, GROUPS_NAME, NEWEST_SECONDS)
+        if item is not None:
+            self.take_groups(item)
+        return known is not None and item is not None and item.revision == known.revision
 
     def _first_views(self) -> _Proposal | None:
         if not self._wants_first_views:
--- a/yarrowwall/replication/group_notices.py
+++ b/yarrowwall/replication/group_notices.py
@@ -2,6 +2,7 @@
 
 from yarrowwall import decisions
 from yarrowwall.decisions import DecisionLog
+from yarrowwall.messages.replicated import GroupView
 from yarrowwall.replication.planner import HeldRetirement
 
 
@@ -15,6 +16,7 @@
         self._node_id = node_id
         self._log = log
         self._held: HeldRetirement | None = None
+        self._lost: set[int] = set()
 
     def note_held(self, found: HeldRetirement | None) -> None:
         """Log that the own machine's retirement waits, unless that was logged last."""
@@ -30,3 +32,15 @@
     def forget_held(self) -> None:
         """Note that the own machine is not to be emptied: the next retirement is logged anew."""
         self._held = None
+
+    def knows_lost(self, group: int) -> bool:
+        """Return whether it was logged that a group has lost all copies of its records."""
+        return group in self._lost
+
+    def note_lost(self, view: GroupView) -> None:
+        """Log that a group has lost all copies of its records, once in a process' life."""
+        if view.group in self._lost:
+            return
+        self._lost.add(view.group)
+        members = ",".join(member.node_id for member in view.members)
+        self._log.write(decisions.GroupLost(view.group, view.epoch, members))
--- a/yarrowwall/replication/peers.py
+++ b/yarrowwall/replication/peers.py
@@ -1,5 +1,6 @@
 """What a replica knows of the other machines with disks: registrations and who is alive."""
 
+import math
 from collections.abc import Callable, Mapping, Sequence
 
 import eventlet
@@ -106,6 +107,15 @@
         """Return what each disk's replica said last, and when it was asked."""
         return self._vouchers
 
+    def disks_since(self, since_s: float) -> dict[str, str]:
+        """Return the registered disks that answered a question sent since then, by node id."""
+        asked = {disk: voucher.asked_at_s for disk, voucher in self._vouchers.items()}
+        return {
+            node: member.disk_id
+            for node, member in self.registered.items()
+            if asked.get(member.disk_id, -math.inf) >= since_s
+        }
+
     def disks_of(self, zone: str) -> dict[str, Member]:
         """Return the machines of a zone with their disks for its group, by node id."""
         return {node: member for node, member in self.zone_disks.items() if member.zone == zone}
