--- a/yarrowwall/replication/coordinator.py
+++ b/yarrowwall/replication/coordinator.py
@@ -25,12 +25,15 @@
     groups_spec,
     read_groups,
 )
+from yarrowwall.replication.group_notices import GroupNotices
+from yarrowwall.replication.losses import has_lost_all
 from yarrowwall.replication.peers import ReplicaPeers
 from yarrowwall.replication.planner import (
     ended_view,
     first_views,
     first_zone_views,
     has_readers,
+    held_retirement,
     next_view,
     revised_view,
     settled_view,
@@ -47,6 +50,8 @@
 #: Seconds without a new machine after which a new system holds all to be there, within that
 #: patience: a zone none of whose machines were there in time never gets a group of its own.
 FIRST_START_STEADY_SECONDS = 1.0
+#: Seconds that the store has to tell which views are the newest.
+NEWEST_SECONDS = 0.5
 #: Seconds by which each machine waits for the one before it in the order.
 TURN_SECONDS = 1.0
 
@@ -112,6 +117,7 @@
         self._own = own
         self._peers = peers
         self._log = log
+        self._notices = GroupNotices(node_id, log)
         self._now = now
         self._wants_first_views = wants_first_views
         self._size = size
@@ -120,6 +126,7 @@
         self._first_members: set[str] = set()
         self._first_members_at = now()
         self._groups: StoredObject | None = None
+        self._groups_known_at = now()
         self._views: list[GroupView] = []
         self.has_listed = False
         self.retiring: set[str] = set()
@@ -134,6 +141,7 @@
         is_newer = self._groups is None or self._groups.revision < item.revision
         if views is not None and is_newer:
             self._groups = item
+            self._groups_known_at = self._now()
             self._views = views
 
     def views(self) -> list[GroupView]:
@@ -157,6 +165,30 @@
             self._needed_since = None
         elif self._is_own_turn(proposed):
             self._propose(proposed.views)
+        self._note_losses()
+
+    def _note_losses(self) -> None:
+        """Log which groups of this machine have lost all copies of their records."""
+        disks = self._peers.disks_since(self._groups_known_at)
+        disks[self._node_id] = self._own.common.disk_id
+        lost = [
+            view
+            for view in self._views
+            if any(member.node_id == self._node_id for member in view.members)
+            and has_lost_all(view, disks)
+            and not self._notices.knows_lost(view.group)
+        ]
+        if lost and self._are_newest():
+            for view in lost:
+                self._notices.note_lost(view)
+
+    def _are_newest(self) -> bool:
+        """Ask the store whether the known views are the newest; take in newer ones."""
+        known = self._groups
+        item = self._store.get(GROUPS_KIND, GROUPS_NAME, NEWEST_SECONDS)
+        if item is not None:
+            self.take_groups(item)
+        return known is not None and item is not None and item.revision == known.revision
 
     def _first_views(self) -> _Proposal | None:
         if not self._wants_first_views:
@@ -217,7 +249,19 @@
             return settled
         if view.joining:
             return revised_view(view, registered)
-        return next_view(view, registered, known.alive, self.retiring, known.busy, self._size)
+        return self._settled_change(view, known, registered)
+
+    def _settled_change(
+        self, view: GroupView, known: _Known, registered: dict[str, Member]
+    ) -> GroupView | None:
+        """Return the view that begins a change; note a retirement that waits for a substitute."""
+        group = (view, registered, known.alive, self.retiring, known.busy, self._size)
+        changed = next_view(*group)
+        if self._node_id not in self.retiring:
+            self._notices.forget_held()
+        elif changed is None:
+            self._notices.note_held(held_retirement(*group))
+        return changed
 
     def _is_own_turn(self, proposal: _Proposal) -> bool:
         now = self._now()
