Gateways refuse turns of lost records with that reason

What callers saw: turns of a group that had lost all copies were refused with "group 0: 1 of 1 answered", as if a quorum were missing that might come back.

Change: where every replica of a group's view answers that it has another disk, the gateway makes sure in the background, every 2 s at most: it asks each machine of the view for its state (the answer's node id tells whether the address still is that machine's) and the store for the newest view. If each machine has another disk and the view is the newest, it logs GroupLost, sets yarrowwall_group_lost, and refuses turns of the group at once with "group N has lost all copies of its records", as the reason of AttemptRefused, which explain shows. A newer view takes it back. Where zones have groups of their own, their parts of budgets are granted as in a cut from the common group.

All that is asked exists: AskStatus, the status other_disk, an object of the store. No message, schema or object changes.

--- a/features/group_notices.feature
+++ b/features/group_notices.feature
@@ -63,3 +63,19 @@
     And all other machines answer
     Then the group becomes "c1" within 3 s
     And its log does not say that a group has lost its records
+
+  Scenario Outline: A gateway says of a group that it has lost its records only if that is sure
+    Given a gateway whose group 0 is "a1" at a machine "<node>" with the disk "<disk>"
+    And zones' own groups "<zones>" that are out of reach
+    And the newest view of the store is of "<newest>"
+    When a turn of a <route> route is begun, and another one 0.6 s later
+    Then the other one <is> refused for lost records
+
+    Examples:
+      | node | disk | newest  | zones | route     | is     |
+      | a    | a2   | a1      | no    | stateful  | is     |
+      | a    | a2   | a1      | yes   | stateful  | is     |
+      | a    | a2   | a1      | yes   | stateless | is     |
+      | a    | a2   | c1      | no    | stateful  | is not |
+      | a    | a2   | unknown | no    | stateful  | is not |
+      | z    | z1   | a1      | no    | stateful  | is not |
--- a/yarrowwall/budgets/reservations.py
+++ b/yarrowwall/budgets/reservations.py
@@ -163,6 +163,7 @@
         for group in self._zones.beside(request.common):
             if self._reach.is_out(group) or not self._may_ask(request, group):
                 request.unreachable.append(group)
+                request.failure = request.failure or self._client.loss(group)
                 continue
             try:
                 self._claim(request, group)
--- a/yarrowwall/budgets/turn_store.py
+++ b/yarrowwall/budgets/turn_store.py
@@ -79,7 +79,8 @@
         """
         group = self._group_of(turn_key(attempt_id))
         if self._reach.is_out(group) and not self._can_fall_back:
-            raise StoreUncertainError(f"group {group} is out of reach, and the zone keeps no turns")
+            reason = f"group {group} is out of reach, and the zone keeps no turns"
+            raise StoreUncertainError(self._client.loss(group) or reason)
 
     @property
     def _can_fall_back(self) -> bool:
--- a/yarrowwall/machine/gateway_role.py
+++ b/yarrowwall/machine/gateway_role.py
@@ -31,6 +31,7 @@
 from yarrowwall.quotas.borrowing import QuotaBorrower
 from yarrowwall.replication.forwarding import Forwarder
 from yarrowwall.replication.group_views import GroupViews
+from yarrowwall.replication.loss_checks import LossChecks
 from yarrowwall.replication.neighbour_finder import NeighbourFinder
 from yarrowwall.replication.passage import NeighbourPassage
 from yarrowwall.replication.quorum_client import QuorumClient
@@ -77,6 +78,8 @@
         self._forwarder = Forwarder(links, self._is_passed_on_to)
         store.detour.use(NeighbourPassage(links, time.monotonic))
         client = QuorumClient(settings.zone, self._views, links, time.monotonic)
+        losses = LossChecks(self._views, links, store, log, time.monotonic)
+        client.has_lost, client.on_all_gone = losses.has_lost, losses.check
         programs = ProgramsUnderWay()
         self._ledger = ReplicatedLedger(settings.zone, self._views, client, log, time.monotonic)
         self._loads = LoadReporter(
--- a/yarrowwall/replication/losses.py
+++ b/yarrowwall/replication/losses.py
@@ -22,3 +22,8 @@
     return all(
         found.get(member.node_id, member.disk_id) != member.disk_id for member in all_members(view)
     )
+
+
+def loss_reason(group: int) -> str:
+    """Return what callers are told of a group that has lost all copies."""
+    return f"group {group} has lost all copies of its records"
--- a/yarrowwall/replication/quorum_client.py
+++ b/yarrowwall/replication/quorum_client.py
@@ -23,6 +23,7 @@
 )
 from yarrowwall.replication.exceptions import NoQuorumError
 from yarrowwall.replication.group_views import GroupViews
+from yarrowwall.replication.losses import loss_reason
 from yarrowwall.replication.rounds import Amount, Posted, Round
 from yarrowwall.replication.rpc import LinkTable
 from yarrowwall.replication.views import all_members, disk_ids, is_read, is_written
@@ -112,6 +113,10 @@
         self._failing_since: float | None = None
         self._usual_s = FIRST_USUAL_SECONDS
         self._asked_last_until: dict[str, float] = {}
+        #: Tells whether a group has surely lost all copies of its records.
+        self.has_lost: Callable[[int], bool] = lambda group: False
+        #: Called with a view instead of whose disks others replied, all of them.
+        self.on_all_gone: Callable[[GroupView], None] = lambda view: None
 
     @property
     def failing_seconds(self) -> float:
@@ -219,16 +224,28 @@
                 return found
             newer = self._views.get(operation.group) is not view or found.met_other_view
             if not newer or self._now() + RETRY_SECONDS >= end:
-                if self._failing_since is None:
-                    self._failing_since = self._now()
+                self._note_failed()
+                if len(found.gone) == len(members):
+                    self.on_all_gone(view)
                 answered = f"{found.answered} of {len(members)} answered"
                 raise NoQuorumError(f"group {operation.group}: {answered}")
             eventlet.sleep(RETRY_SECONDS)
 
+    def _note_failed(self) -> None:
+        if self._failing_since is None:
+            self._failing_since = self._now()
+
+    def loss(self, group: int) -> str:
+        """Return what callers are told of a group that has lost its records; else nothing."""
+        return loss_reason(group) if self.has_lost(group) else ""
+
     def _view(self, group: int) -> GroupView:
         view = self._views.get(group)
         if view is None:
             raise NoQuorumError(f"no view of group {group} is known")
+        if self.has_lost(group):
+            self._note_failed()
+            raise NoQuorumError(loss_reason(group))
         return view
 
     def _nearest(self, view: GroupView) -> list[Member]:
@@ -312,6 +329,8 @@
                 found.merge(reply.records)
             else:
                 found.merge_amounts(reply)
+        elif reply.status is ReplyStatus.OTHER_DISK:
+            found.gone.add(member.disk_id)
         elif reply.status is ReplyStatus.BEHIND:
             found.met_other_view = True
             self._links.get(member.address).post(InstallView(view), lambda reply: None)
--- a/yarrowwall/replication/rounds.py
+++ b/yarrowwall/replication/rounds.py
@@ -60,6 +60,7 @@
     """The replies to one request of several replicas.
 
     :param silent: disks of those that were asked and have not replied.
+    :param gone: disks in whose place another one replied.
     """
 
     acknowledged: set[str] = field(default_factory=set)
@@ -72,6 +73,7 @@
     met_other_view: bool = False
     is_complete: bool = False
     silent: set[str] = field(default_factory=set)
+    gone: set[str] = field(default_factory=set)
     posted: list[Posted] = field(default_factory=list)
     _wakeup: Event = field(default_factory=Event)
 
