What new programs are expected to keep is estimated as before

Where tenants keep the shared part apart that is less than before, and the constants of room were measured with the larger one. Only a program that goes on from a conversation brings a history, so only its estimate grows by what is new.

--- a/yarrowwall/capacity/program_rooms.py
+++ b/yarrowwall/capacity/program_rooms.py
@@ -90,8 +90,11 @@
         attempt = new.attempt
         limit, program = attempt.limit, attempt.program
         finish_at = program.finish_at if program is not None else None
-        # A program's prompt grows by about what its first turn brings with each further one.
-        tokens = round(_own_tokens(attempt) + _new_tokens(attempt) * (new.turns - 1.0) / 2.0)
+        # A program's prompt grows by about its first one with each turn, but for the history that a
+        # conversation brings with it.
+        first = _own_tokens(attempt)
+        growth = _new_tokens(attempt) if new.is_continued else first
+        tokens = round(first + growth * (new.turns - 1.0) / 2.0)
         return AskRoom(
             new.service.name,
             attempt.tenant,
