The soak waits for lost disks by the groups' views

Why: with more replicas than a group has members, a stand-by takes the place of a wiped one, which is never copied to itself, and one that is of no group needs no copy. The lost disk is to have left all views, which are to have as many members as before with none joining, and a copy is to have been made by any replica.

At most four gateways are stopped in turn, so that a strand ends in time with many.

--- a/features/soak/disks.py
+++ b/features/soak/disks.py
@@ -3,6 +3,7 @@
 import shutil
 import threading
 import time
+from typing import Any, NamedTuple
 
 from features.soak.disruptions import Disruptions
 from features.soak.world import SoakWorld
@@ -12,6 +13,20 @@
 _LOOK_S = 0.1
 
 
+class Loss(NamedTuple):
+    """A disk that was lost.
+
+    :param disks: by which the replica's groups knew it; none if it was of no group.
+    :param members: of all groups before.
+    :param copies: that had been made of disks before.
+    """
+
+    name: str
+    disks: set[str]
+    members: int
+    copies: int
+
+
 class Disks:
     """The replicas' disks.
 
@@ -23,28 +38,42 @@
         self._disruptions = disruptions
         self.lock = threading.Lock()
 
-    def lose(self, name: str) -> None:
+    def lose(self, name: str) -> Loss:
         """Lose the disk of a replica that is down."""
+        views = self._views()
+        known = [member for view in views for member in [*view["members"], *view["joining"]]]
+        disks = {member["disk_id"] for member in known if member["node_id"] == name}
+        members = sum(len(view["members"]) for view in views)
         shutil.rmtree(self._world.disk(name), ignore_errors=True)
+        return Loss(name, disks, members, self._copies())
 
-    def copies(self, name: str) -> int:
-        """Return how often a replica was copied to."""
-        return sum(line["kind"] == "ReplicaSynchronised" for line in self._world.log(name))
-
-    def wait_copied(self, name: str, before: int, fault: int) -> None:
-        """Wait until a replica is in its group again; raise AssertionError if it is not.
+    def wait_copied(self, loss: Loss, fault: int) -> None:
+        """Wait until other disks are in the place of a lost one; raise AssertionError if not.
 
-        :param before: how often it had been copied to before.
         :param fault: number of the loss; the time counts while no other fault goes on.
         """
         end = time.monotonic() + REJOIN_S
-        while self.copies(name) == before or self._is_changing():
+        while loss.disks and not self._is_copied(loss):
             if self._disruptions.is_disrupted_besides(fault):
                 end = time.monotonic() + REJOIN_S
             if time.monotonic() > end:
-                raise AssertionError(f"{name} was wiped and is not in its group again")
+                raise AssertionError(f"{loss.name} was wiped and its group is not whole again")
             time.sleep(_LOOK_S)
 
-    def _is_changing(self) -> bool:
+    def _is_copied(self, loss: Loss) -> bool:
+        views = self._views()
+        members = {member["disk_id"] for view in views for member in view["members"]}
+        is_whole = len(members) >= loss.members and not any(view["joining"] for view in views)
+        return is_whole and not members & loss.disks and self._copies() > loss.copies
+
+    def _views(self) -> list[dict[str, Any]]:
         groups = self._world.store.get("yarrowwall-groups", "all")
-        return groups is None or any(view["joining"] for view in groups["spec"]["groups"])
+        return groups["spec"]["groups"] if groups is not None else []
+
+    def _copies(self) -> int:
+        """Return how often replicas were copied to."""
+        return sum(
+            line["kind"] == "ReplicaSynchronised"
+            for name in self._world.replicas
+            for line in self._world.log(name)
+        )
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -21,6 +21,8 @@
 _SIGNALLED_S = 3.0
 #: The most signals or configurations in a row.
 _ROW = 6
+#: The most gateways that are stopped in turn.
+_IN_TURN = 4
 _WIPED = "replica wiped"
 _SLOW_CALLERS = 20
 _SLOW_HEAD = (
@@ -109,7 +111,8 @@
 
     def _stopped_in_turn(self) -> None:
         """Stop one gateway behind the other; signals and changes may come meanwhile."""
-        for gateway in self._rng.sample(self._world.gateways, len(self._world.gateways)):
+        count = min(_IN_TURN, len(self._world.gateways))
+        for gateway in self._rng.sample(self._world.gateways, count):
             with self._claims.one_of([gateway], self._rng) as name:
                 if name is not None:
                     self._stop(name)
@@ -171,11 +174,10 @@
             with self._claims.one_of(self._world.replicas, self._rng) as name:
                 if name is None:
                     return
-                before = self._disks.copies(name)
                 self._world.kill(name)
-                self._disks.lose(name)
+                loss = self._disks.lose(name)
                 self._world.restart(name)
-            self._disks.wait_copied(name, before, fault)
+            self._disks.wait_copied(loss, fault)
 
     def _all_killed(self, names: list[str]) -> None:
         with self._claims.all_of(names) as is_held:
--- a/features/soak/final.py
+++ b/features/soak/final.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from features.soak.crowd import Crowd
-from features.soak.disks import Disks
+from features.soak.disks import Disks, Loss
 from features.soak.promises import Record
 from features.soak.returns import Returned, Returns, kept_turns_from
 from features.soak.turns import AnsweredTurns, Turn
@@ -63,21 +63,21 @@
         :param is_full: whether new programs press for the servers' places meanwhile.
         """
         with self._record.disruptions.unplanned(kind) as fault:
-            lost = self._rng.choice(self._world.replicas) if kind is Final.ONE_DISK_LOST else ""
-            copies = self._disks.copies(lost) if lost else 0
             self._world.publish()
             self._world.kill_all(self._world.machines)
             turns = self._answered.since(kept_turns_from(time.monotonic()))
-            if lost:
-                self._disks.lose(lost)
+            loss = self._lose_disk() if kind is Final.ONE_DISK_LOST else None
             time.sleep(self._rng.uniform(0.0, _DOWN_S))
             for name in self._world.machines:
                 self._world.restart(name)
             outcome = self._go_on(kind, turns, is_full)
-            if lost:
-                self._disks.wait_copied(lost, copies, fault)
+            if loss is not None:
+                self._disks.wait_copied(loss, fault)
         return outcome
 
+    def _lose_disk(self) -> Loss:
+        return self._disks.lose(self._rng.choice(self._world.replicas))
+
     def _go_on(self, kind: Final, turns: list[Turn], is_full: bool) -> Outcome:
         back_at = time.monotonic()
         returns = Returns(self._world, self._record, back_at)
