The soak asks replicas whether they have copied

By the logs it had copied: it settled the change itself, which takes its own copy. All replicas were killed then, and the line that tells of the copy was not in its log; the check counted those lines.

Every member of every group is now to answer that it holds all that is complete, the lost disk is to have left all views, and those are to be as long as before. A strand that finds a lost disk not copied notes that, and the others and the final faults are still played.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -60,6 +60,14 @@
     When a gateway ends by itself
     Then the record shows only "ENDED"
 
+  @real_processes
+  Scenario: A lost disk that is not copied is seen
+    Given a soak's machines
+    When a replica loses its disk and starts again
+    Then its group is whole again
+    When a replica loses its disk and stays down
+    Then its group is not whole again
+
   # Guards against machines that a signal ends while they start: callers wait at them already.
   @real_processes
   Scenario: A gateway that is signalled to read its settings as soon as it listens runs on
--- a/features/soak/disks.py
+++ b/features/soak/disks.py
@@ -1,16 +1,24 @@
 """Disks that are lost, one at a time, and copied anew."""
 
 import shutil
+import socket
+import struct
 import threading
 import time
 from typing import Any, NamedTuple
 
 from features.soak.disruptions import Disruptions
 from features.soak.world import SoakWorld
+from yarrowwall.messages.codec import decode, encode
+from yarrowwall.messages.exceptions import MessageError
+from yarrowwall.messages.replicated import AskStatus, StatusReply
 
 #: Seconds that a wiped replica has to be in its group again.
 REJOIN_S = 25.0
 _LOOK_S = 0.1
+_ANSWER_S = 1.0
+#: Length and number of a message between machines, before it.
+_HEADER = struct.Struct(">II")
 
 
 class Loss(NamedTuple):
@@ -18,22 +26,24 @@
 
     :param disks: by which the replica's groups knew it; none if it was of no group.
     :param members: of all groups before.
-    :param copies: that had been made of disks before.
     """
 
     name: str
     disks: set[str]
     members: int
-    copies: int
 
 
 class Disks:
     """The replicas' disks.
 
+    :param rejoin_s: seconds that a wiped replica has to be in its group again.
     :ivar lock: held from the loss of a disk until it is copied: the next loss waits for that.
     """
 
-    def __init__(self, world: SoakWorld, disruptions: Disruptions) -> None:
+    def __init__(
+        self, world: SoakWorld, disruptions: Disruptions, rejoin_s: float = REJOIN_S
+    ) -> None:
+        self._rejoin_s = rejoin_s
         self._world = world
         self._disruptions = disruptions
         self.lock = threading.Lock()
@@ -45,35 +55,46 @@
         disks = {member["disk_id"] for member in known if member["node_id"] == name}
         members = sum(len(view["members"]) for view in views)
         shutil.rmtree(self._world.disk(name), ignore_errors=True)
-        return Loss(name, disks, members, self._copies())
+        return Loss(name, disks, members)
 
     def wait_copied(self, loss: Loss, fault: int) -> None:
         """Wait until other disks are in the place of a lost one; raise AssertionError if not.
 
         :param fault: number of the loss; the time counts while no other fault goes on.
         """
-        end = time.monotonic() + REJOIN_S
+        end = time.monotonic() + self._rejoin_s
         while loss.disks and not self._is_copied(loss):
             if self._disruptions.is_disrupted_besides(fault):
-                end = time.monotonic() + REJOIN_S
+                end = time.monotonic() + self._rejoin_s
             if time.monotonic() > end:
                 raise AssertionError(f"{loss.name} was wiped and its group is not whole again")
             time.sleep(_LOOK_S)
 
     def _is_copied(self, loss: Loss) -> bool:
+        """Return whether every group is whole without the disk, and all members have copied."""
         views = self._views()
-        members = {member["disk_id"] for view in views for member in view["members"]}
-        is_whole = len(members) >= loss.members and not any(view["joining"] for view in views)
-        return is_whole and not members & loss.disks and self._copies() > loss.copies
+        members = [(view["group"], member) for view in views for member in view["members"]]
+        is_settled = not any(view["joining"] for view in views)
+        is_left = all(member["disk_id"] not in loss.disks for _, member in members)
+        is_whole = is_settled and is_left and len(members) >= loss.members
+        return is_whole and all(_has_copied(group, member) for group, member in members)
 
     def _views(self) -> list[dict[str, Any]]:
         groups = self._world.store.get("yarrowwall-groups", "all")
         return groups["spec"]["groups"] if groups is not None else []
 
-    def _copies(self) -> int:
-        """Return how often replicas were copied to."""
-        return sum(
-            line["kind"] == "ReplicaSynchronised"
-            for name in self._world.replicas
-            for line in self._world.log(name)
-        )
+
+def _has_copied(group: int, member: dict[str, Any]) -> bool:
+    """Return whether a member of a group says that it holds all that is complete."""
+    host, _, port = member["address"].partition(":")
+    body = encode(AskStatus(group))
+    try:
+        with socket.create_connection((host, int(port)), timeout=_ANSWER_S) as conn:
+            conn.sendall(_HEADER.pack(len(body), 1) + body)
+            replies = conn.makefile("rb")
+            length, _ = _HEADER.unpack(replies.read(_HEADER.size))
+            reply = decode(replies.read(length))
+    except (OSError, struct.error, MessageError):
+        return False
+    is_same = isinstance(reply, StatusReply) and reply.disk_id == member["disk_id"]
+    return is_same and reply.is_reader
--- a/features/soak/strands.py
+++ b/features/soak/strands.py
@@ -23,6 +23,7 @@
     def __init__(
         self, world: SoakWorld, record: Record, disks: Disks, seed: int, count: int
     ) -> None:
+        self._record = record
         claims = Claims()
         self._rngs = [random.Random(f"{seed}/faults/{number}") for number in range(count)]
         self._faults = [Faults(world, record, claims, disks, rng) for rng in self._rngs]
@@ -48,6 +49,9 @@
         while time.monotonic() < end:
             name = rng.choice(names)
             struck[name] += 1
-            self._faults[number].strike(name)
+            try:
+                self._faults[number].strike(name)
+            except AssertionError as error:
+                self._record.violated(f"RECOVER: {error}")
             time.sleep(rng.uniform(0.05, 0.8))
         return struck
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -12,6 +12,7 @@
 from behave.runner import Context
 
 from features.soak.client import Client
+from features.soak.disks import Disks
 from features.soak.disruptions import CONTACT_S
 from features.soak.promises import LOSS_SLACK_S, Ended, Record, Sent
 from features.soak.run import play
@@ -25,6 +26,9 @@
 KEPT_LOGS = Path(tempfile.gettempdir()) / "yarrowwall-soak"
 BUDGET = 20
 GATEWAY = "edge-0"
+REPLICA = "storage-0"
+#: Seconds that a group has to be whole again: it takes about 2 s.
+GROUP_S = 10.0
 
 
 @then("{seconds:d} s of the soak with seed {seed:d} break no promise")
@@ -247,3 +251,28 @@
 
 def has_ended_or_started(world: SoakWorld) -> bool:
     return world.processes[GATEWAY].poll() is not None or world.has_started(GATEWAY)
+
+
+@when("a replica loses its disk and {then_does}")
+def loses_disk(context: Context, then_does: str) -> None:
+    world = context.world
+    disruptions = context.record.disruptions
+    context.disks = Disks(world, disruptions, GROUP_S)
+    world.kill(REPLICA)
+    context.loss = context.disks.lose(REPLICA)
+    if then_does == "starts again":
+        world.restart(REPLICA)
+
+
+@then("its group is whole again")
+def group_whole(context: Context) -> None:
+    context.disks.wait_copied(context.loss, fault=0)
+
+
+@then("its group is not whole again")
+def group_not_whole(context: Context) -> None:
+    try:
+        group_whole(context)
+    except AssertionError:
+        return
+    raise AssertionError("the lost disk was not seen")
