A released replica joins another group whatever their epochs

All machines were killed and a disk was lost; a replica that group 1 had just released at epoch 3 was taken in by group 3 at epoch 2. It passed the view over, the change never ended, and another group was left with two copies 25 s later (RECOVER). With more than one group a further loss could then cost records.

Cause: a replica took a view only if its epoch was above its own, whatever its group. Epochs of different groups tell nothing of each other. By reading: the mark of a copy in one group could count in another at the same epoch, and requests were told apart by epoch alone.

Why this fix works: a replica that its group has released takes the view of any group that names it. What it copied in one group counts in no other: going to another group takes back reader and mark, a mark of a copy is written for its own group only, requests of another group are answered BEHIND, and a change ends only with replicas that are in its epoch. Within a group nothing changes.

Left: a replica that has not heard of its release, asked about another group's change of the same epoch as its last copy, still looks copied; its status does not tell its group.

--- a/features/record_store.feature
+++ b/features/record_store.feature
@@ -51,6 +51,34 @@
     And with "c" to be emptied the group becomes "a1,b1,d1"
     And with "c" on a new disk the group becomes "a1,b1,c2"
 
+  # Guards against changes that never end: a replica that another group had released at a later epoch
+  # passed over the view that took it in, and the group was left with fewer copies.
+  Scenario Outline: A replica that its group has released joins another one at epoch <epoch>
+    Given a replica that had copied in group 1 and was released by it at epoch 5
+    When group 3 takes it in at epoch <epoch>
+    Then it has to copy before the change of group 3 ends
+    And a start from its log and one from its snapshot find the same
+    When it has copied and group 3's change is over
+    Then it is a reader of group 3
+
+    Examples:
+      | epoch |
+      | 2     |
+      | 4     |
+      | 5     |
+      | 6     |
+      | 8     |
+
+  Scenario: A copy that ends after its replica has gone to another group counts in neither
+    Given a replica that had copied in group 1 and was released by it at epoch 5
+    When group 3 takes it in while the mark of a copy in group 1 is under way
+    Then it has to copy before the change of group 3 ends
+
+  Scenario: A member passes over earlier views of other groups
+    Given a replica that had copied in group 1 and was released by it at epoch 5
+    When group 3 takes it in at epoch 4
+    Then views of group 1 at epochs 2 to 4 change nothing
+
   Scenario Outline: A retirement leaves a common group the copies that bear a loss
     Given a group of "<members>" whose wanted size is <size>, with "<free>" registered besides
     Then with "<retiring>" to be emptied and "<silent>" silent its next members are "<next>"
--- /dev/null
+++ b/features/steps/group_move_steps.py
@@ -0,0 +1,123 @@
+"""Steps about a replica that goes from one group to another."""
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features.support.record_model import member
+from yarrowwall.messages.replicated import GroupView, StatusReply
+from yarrowwall.replication.planner import settled_view
+from yarrowwall.replication.replica import RecordReplica
+
+OWN = "d1"
+OTHERS = ("a1", "b1", "c1")
+NEW_GROUP = 3
+
+
+def take(replica: RecordReplica, view: GroupView) -> None:
+    """Let a replica take a view and write it to its disk."""
+    for record in replica.take_view(view):
+        replica.now_durable(record)
+
+
+def copy(replica: RecordReplica, view: GroupView) -> None:
+    """Let a replica finish its copy in a view."""
+    mark = replica.synchronised(view)
+    assert mark is not None
+    replica.now_durable(mark)
+
+
+def joint_view(group: int, epoch: int) -> GroupView:
+    """Return the view in which a group takes the replica in."""
+    old = [member(disk) for disk in OTHERS]
+    return GroupView(group, epoch, old, [*old[:2], member(OWN)])
+
+
+def views_of_first_group() -> list[GroupView]:
+    """Return the views of the group that takes the replica in and releases it."""
+    joint = joint_view(1, 2)
+    with_own, without = joint.joining, joint.members
+    return [
+        joint,
+        GroupView(1, 3, with_own, []),
+        GroupView(1, 4, with_own, without),
+        GroupView(1, 5, without, []),
+    ]
+
+
+@given("a replica that had copied in group 1 and was released by it at epoch 5")
+def released_replica(context: Context) -> None:
+    context.replica = RecordReplica("d", OWN)
+    context.log = []
+    for view in views_of_first_group():
+        keep(context, context.replica.take_view(view))
+        if context.replica.needs_synchronisation:
+            keep(context, [context.replica.synchronised(view)])
+    assert context.replica.epoch == 5 and not context.replica.is_reader
+
+
+def keep(context: Context, records: list) -> None:
+    """Write log records to the replica's disk."""
+    for record in records:
+        context.log.append(record)
+        context.replica.now_durable(record)
+
+
+@when("group 3 takes it in at epoch {epoch:d}")
+def taken_in(context: Context, epoch: int) -> None:
+    context.view = joint_view(NEW_GROUP, epoch)
+    keep(context, context.replica.take_view(context.view))
+    assert context.replica.view == context.view, context.replica.view
+
+
+@when("group 3 takes it in while the mark of a copy in group 1 is under way")
+def taken_in_beside_copy(context: Context) -> None:
+    context.view = joint_view(NEW_GROUP, 5)
+    coming = context.replica.take_view(context.view)
+    assert coming
+    late = context.replica.synchronised(views_of_first_group()[-1])
+    keep(context, [*coming, *([late] if late is not None else [])])
+
+
+def change_ends(context: Context) -> bool:
+    """Return whether group 3's change would be ended now."""
+    epoch = context.view.epoch
+    statuses = {disk: StatusReply(disk[0], disk, epoch, True, epoch) for disk in OTHERS[:2]} | {
+        OWN: context.replica.status()
+    }
+    return settled_view(context.view, statuses) is not None
+
+
+@then("it has to copy before the change of group 3 ends")
+def has_to_copy(context: Context) -> None:
+    assert context.replica.needs_synchronisation
+    assert not context.replica.is_reader
+    assert not change_ends(context)
+
+
+@then("a start from its log and one from its snapshot find the same")
+def restored_alike(context: Context) -> None:
+    for log in (context.log, context.replica.snapshot()):
+        restored = RecordReplica("d", OWN)
+        restored.restore(log, 0.0)
+        assert restored.status() == context.replica.status(), restored.status()
+        assert restored.view == context.replica.view
+        assert restored.needs_synchronisation
+
+
+@when("it has copied and group 3's change is over")
+def change_over(context: Context) -> None:
+    copy(context.replica, context.view)
+    assert change_ends(context)
+    take(context.replica, GroupView(NEW_GROUP, context.view.epoch + 1, context.view.joining, []))
+
+
+@then("it is a reader of group 3")
+def reader_of_new_group(context: Context) -> None:
+    assert context.replica.view.group == NEW_GROUP and context.replica.is_reader
+
+
+@then("views of group 1 at epochs 2 to 4 change nothing")
+def earlier_views_passed_over(context: Context) -> None:
+    for view in views_of_first_group()[:3]:
+        assert context.replica.take_view(view) == [], view
+    assert context.replica.view == context.view
--- a/features/steps/record_steps.py
+++ b/features/steps/record_steps.py
@@ -78,7 +78,7 @@
     for disk in ("a1", "b1", "d1"):
         replica = context.replicas[disk]
         _take(replica, joint)
-        mark = replica.synchronised(joint.epoch)
+        mark = replica.synchronised(joint)
         assert mark is not None
         replica.now_durable(mark)
         _take(replica, context.new_view)
--- a/features/support/record_model.py
+++ b/features/support/record_model.py
@@ -256,7 +256,7 @@
             while not written:
                 yield
             readers.add(source.disk_id)
-        mark = replica.synchronised(view.epoch) if is_read(view, readers) else None
+        mark = replica.synchronised(view) if is_read(view, readers) else None
         if mark is not None and machine.replica is replica:
             machine.persist([mark], lambda: None)
 
--- a/features/support/record_mutants.py
+++ b/features/support/record_mutants.py
@@ -60,7 +60,7 @@
         record_model, "is_written", _any_acknowledgement
     ),
     "takes requests of any epoch": lambda: patch.object(
-        RecordReplica, "_refusal", lambda self, epoch, disk_id: None
+        RecordReplica, "_refusal", lambda self, group, epoch, disk_id: None
     ),
     "ends a change of the group without a copy": _CopyNothing,
     "acknowledges what is not on disk": lambda: patch.object(Machine, "persist", _persist_later),
--- a/yarrowwall/replication/planner.py
+++ b/yarrowwall/replication/planner.py
@@ -182,7 +182,8 @@
     copied = [
         disk
         for disk in disk_ids(view.joining)
-        if disk in statuses and statuses[disk].synchronised_epoch == view.epoch
+        if disk in statuses
+        and statuses[disk].epoch == statuses[disk].synchronised_epoch == view.epoch
     ]
     answering = [disk for disk in disk_ids(view.joining) if disk in statuses]
     if len(copied) < majority(len(view.joining)) or len(copied) < len(answering):
--- a/yarrowwall/replication/replica.py
+++ b/yarrowwall/replication/replica.py
@@ -124,13 +124,25 @@
         if isinstance(record, ViewKept):
             self._coming = None
 
+    def _follows_on(self, known: GroupView | None, view: GroupView) -> bool:
+        """Return whether a view is to be taken by a replica that knows another one."""
+        if known is None or view.epoch > known.epoch:
+            return True
+        # Epochs of different groups tell nothing of each other. A replica that its group has
+        # released belongs to whichever group names it next.
+        is_released = view.group != known.group and member_of(known, self.disk_id) is None
+        return is_released and member_of(view, self.disk_id) is not None
+
     def _take_view(self, view: GroupView) -> None:
-        if view.epoch <= self.epoch:
+        if not self._follows_on(self.view, view):
             return
-        follows = view.epoch == self.epoch + 1
+        if self.view is not None and view.group != self.view.group:
+            # What was copied in one group counts for nothing in another.
+            self.is_reader, self.synchronised_epoch = False, 0
+        is_first, follows = self.view is None, view.epoch == self.epoch + 1
         self.view = view
         is_member = self.disk_id in disk_ids(view.members)
-        if view.epoch == FIRST_EPOCH:
+        if view.epoch == FIRST_EPOCH and is_first:
             self.is_reader = is_member
         elif view.joining:
             # A change begins: whoever counted before it still does, unless it missed
@@ -183,12 +195,15 @@
         self._not_durable |= {(record.key, record.version) for record in news}
         return [record for record in records if (record.key, record.version) in self._not_durable]
 
-    def synchronised(self, epoch: int) -> LogRecord | None:
+    def synchronised(self, view: GroupView) -> LogRecord | None:
         """Return the mark of a finished copy; None if the view has changed meanwhile."""
-        if self.view is None or self.view.epoch != epoch:
+        if self.view is None or (self.view.group, self.view.epoch) != (view.group, view.epoch):
+            return None
+        if self._coming is not None and self._coming.group != view.group:
+            # The mark would be on disk behind the view of another group, and count there.
             return None
         is_reader = self.is_reader if self.view.joining else True
-        return SynchronisationKept(epoch, is_reader)
+        return SynchronisationKept(view.epoch, is_reader)
 
     # Requests
 
@@ -198,7 +213,7 @@
             return Outcome(self.status())
         if isinstance(request, InstallView):
             return self._install(request.view)
-        refused = self._refusal(request.epoch, request.disk_id)
+        refused = self._refusal(request.group, request.epoch, request.disk_id)
         if refused is not None:
             return Outcome(self._refuse(request, refused))
         if isinstance(request, WriteRecords):
@@ -221,7 +236,8 @@
         )
 
     def _install(self, view: GroupView) -> Outcome:
-        if view.epoch <= self._newest_epoch:
+        known = self.view if self._coming is None else self._coming
+        if not (self._follows_on(known, view) and self._follows_on(self.view, view)):
             return Outcome(self.status())
         self._coming = view
         return Outcome(self.status(), [ViewKept(view)])
@@ -230,9 +246,12 @@
         """Take a view heard of elsewhere; return what must go to disk."""
         return self._install(view).persist
 
-    def _refusal(self, epoch: int, disk_id: str) -> ReplyStatus | None:
+    def _refusal(self, group: int, epoch: int, disk_id: str) -> ReplyStatus | None:
         if disk_id != self.disk_id:
             return ReplyStatus.OTHER_DISK
+        if self.view is not None and group != self.view.group:
+            # Whoever asks tells its view, and this replica judges it.
+            return ReplyStatus.BEHIND
         if epoch < self._newest_epoch:
             return ReplyStatus.STALE
         if epoch > self.epoch:
--- a/yarrowwall/replication/synchroniser.py
+++ b/yarrowwall/replication/synchroniser.py
@@ -120,7 +120,7 @@
         return bool(written.wait())
 
     def _finish(self, view: GroupView, copied: int) -> bool:
-        mark = self._replica.synchronised(view.epoch)
+        mark = self._replica.synchronised(view)
         if mark is None:
             return False
         written = eventlet.event.Event()
