A silent machine that is to be emptied stays while its group needs it

What operators would have seen: a retirement without a substitute that waits goes on at once if its machine is silent for 1.6 s, as after a loss of power: the group becomes the other copy alone, and the next lost disk ends every turn of the group.

Cause: next_view kept members that are to be emptied only if they are there, and silent ones only if they are not to be emptied, so one that is both was dropped.

Change: a silent one that is to be emptied stays as well, after those that are there, as long as the group would hold fewer copies than it needs. It may come back with its disk like any silent member. Zones' groups are emptied as before.

--- a/features/record_store.feature
+++ b/features/record_store.feature
@@ -64,6 +64,8 @@
       | a1,b1,c1 | 3    |      | b,c      |        | a1,b1    |
       | a1,b1,c1 | 3    |      | c        | b      | a1,b1,c1 |
       | a1,b1,c1 | 5    |      | c        |        | a1,b1,c1 |
+      | a1,b1    | 3    |      | b        | b      | a1,b1    |
+      | a1,b1,c1 | 3    |      | c        | c      | a1,b1    |
 
   Scenario: A group of two takes a lost disk back as an empty one
     Given a group of "a1" and "b1" with nobody registered besides
--- a/yarrowwall/replication/planner.py
+++ b/yarrowwall/replication/planner.py
@@ -108,18 +108,17 @@
         best = _best_candidate(free, joining)
         free.remove(best)
         joining.append(best)
-    # Without a substitute, a member that is to be emptied stays as long as the group needs it.
-    emptied = [member for member in holding if member.node_id in retiring]
-    joining += emptied[: max(0, _fewest_copies(view.group, size) - len(joining))]
-    # So does a silent one: it may come back with its disk.
     silent = [
         member
         for member in view.members
-        if member.node_id not in alive
-        and member.node_id not in retiring
-        and not _has_other_disk(member, registered)
+        if member.node_id not in alive and not _has_other_disk(member, registered)
     ]
-    joining += silent[: max(0, len(view.members) - len(joining))]
+    # Without a substitute, a member that is to be emptied stays as long as the group needs it,
+    # and a silent one does, for it may come back with its disk.
+    emptied = [member for member in [*holding, *silent] if member.node_id in retiring]
+    joining += emptied[: max(0, _fewest_copies(view.group, size) - len(joining))]
+    waited_for = [member for member in silent if member.node_id not in retiring]
+    joining += waited_for[: max(0, len(view.members) - len(joining))]
     if not joining or set(disk_ids(joining)) == set(disk_ids(view.members)):
         return None
     return GroupView(view.group, view.epoch + 1, view.members, joining)
