--- a/features/record_store.feature
+++ b/features/record_store.feature
@@ -8,6 +8,18 @@
   Scenario: Requests that arrive twice, directly and through a neighbour, however late
     Then 600 random record schedules with doubled requests keep them as well
 
+  Scenario: Retirements in series, beside lost disks
+    Then 400 random record schedules with retirements keep them as well
+
+  Scenario Outline: The schedules with retirements catch a record store that "<mutant>"
+    Given the record store's mutant "<mutant>"
+    Then some of 400 random record schedules with retirements break a promise
+
+    Examples:
+      | mutant                                            |
+      | empties a machine whatever copies are left        |
+      | removes a machine before its copies are elsewhere |
+
   Scenario Outline: The schedules catch a record store that "<mutant>"
     Given the record store's mutant "<mutant>"
     Then some of 600 random record schedules break a promise
@@ -92,6 +104,8 @@
       | a1,b1,c1 | 3    |      | b,c      |        | a1,b1    |
       | a1,b1,c1 | 3    |      | c        | b      | a1,b1,c1 |
       | a1,b1,c1 | 5    |      | c        |        | a1,b1,c1 |
+      | a1,b1    | 3    |      | b        | b      | a1,b1    |
+      | a1,b1,c1 | 3    |      | c        | c      | a1,b1    |
 
   Scenario: A group of two takes a lost disk back as an empty one
     Given a group of "a1" and "b1" with nobody registered besides
