The soak sees surplus bytes that come in one piece with an answer

Cause: a client looked for surplus bytes at its socket. What came in one piece with the answer was in the response's read buffer, and was dropped with it: the check missed some broken answers, and the scenario passed only if the pieces came apart.

Change: a whole answer's buffer is looked at before it is closed. Answers in chunks close theirs by themselves, so there only the socket is looked at, as before. The check is stricter; no test changed.

--- a/features/soak/client.py
+++ b/features/soak/client.py
@@ -46,7 +46,7 @@
         try:
             conn.request("POST", f"/{route}/x", body, sent)
             self._record.sent(attempt, Sent(gateway, time.monotonic()))
-            end = self._read(conn, attempt)
+            end = self._read(gateway, conn, attempt)
         except (OSError, http.client.HTTPException):
             end = Ended(0, False, b"", time.monotonic())
         if not end.is_whole:
@@ -76,10 +76,13 @@
         except OSError:
             data = b""
         if data:
-            self._record.violated(f"MIXED: {gateway} sent {data!r} while no request was waiting")
+            self._note_surplus(gateway, data)
         conn.close()
 
-    def _read(self, conn: http.client.HTTPConnection, attempt: str) -> Ended:
+    def _note_surplus(self, gateway: str, data: bytes) -> None:
+        self._record.violated(f"MIXED: {gateway} sent {data!r} while no request was waiting")
+
+    def _read(self, gateway: str, conn: http.client.HTTPConnection, attempt: str) -> Ended:
         response = conn.getresponse()
         if response.headers.get("X-Attempt-Id", attempt) != attempt:
             named = response.headers["X-Attempt-Id"]
@@ -91,5 +94,12 @@
         except (OSError, http.client.HTTPException, ValueError):
             return Ended(response.status, False, bytes(body), time.monotonic())
         is_whole = response.length in (None, 0)
+        if is_whole and conn.sock is not None and not response.isclosed():
+            # What came in one piece with the answer is in the response's buffer, not at the socket.
+            conn.sock.setblocking(False)
+            surplus = response.fp.peek()
+            conn.sock.settimeout(_TIMEOUT_S)
+            if surplus:
+                self._note_surplus(gateway, surplus)
         response.close()
         return Ended(response.status, is_whole, bytes(body), time.monotonic())
