--- a/features/soak/crowd.py
+++ b/features/soak/crowd.py
@@ -3,10 +3,10 @@
 import random
 import threading
 import time
-from typing import Self
 
 from features.soak.client import Client
 from features.soak.promises import Record
+from features.soak.threads import ThreadGroup
 from features.soak.turns import NO_TURN, Program, send_turn
 from features.soak.workload import FINISH_S
 from features.soak.world import LONG, SoakWorld
@@ -20,16 +20,16 @@
 _LOOK_S = 0.05
 
 
-class Crowd:
+class Crowd(ThreadGroup):
     """Programs of one long turn each, in threads, until it is left.
 
     :ivar most_taken: the most places that were seen taken.
     """
 
     def __init__(self, world: SoakWorld, record: Record, name: str) -> None:
+        super().__init__()
         self._world = world
         self._record = record
-        self._is_over = threading.Event()
         self.most_taken = 0
         self._threads = [
             threading.Thread(target=self._run, args=(f"{LONG}{name}-{number}",))
@@ -37,16 +37,6 @@
         ]
         self._threads.append(threading.Thread(target=self._watch))
 
-    def __enter__(self) -> Self:
-        for thread in self._threads:
-            thread.start()
-        return self
-
-    def __exit__(self, *error: object) -> None:
-        self._is_over.set()
-        for thread in self._threads:
-            thread.join()
-
     def wait_full(self, end: float) -> None:
         """Wait until the servers are nearly full, or for a moment of the monotonic clock."""
         while time.monotonic() < end and self._world.taken < _FULL_SHARE * self._world.places:
--- a/features/soak/workload.py
+++ b/features/soak/workload.py
@@ -3,10 +3,10 @@
 import random
 import threading
 import time
-from typing import Self
 
 from features.soak.client import Client
 from features.soak.promises import Record
+from features.soak.threads import ThreadGroup
 from features.soak.turns import NO_TURN, AnsweredTurns, Program, send_turn
 from features.soak.world import LOOKUP, SoakWorld
 
@@ -14,7 +14,7 @@
 FINISH_S = 4.0
 
 
-class Workload:
+class Workload(ThreadGroup):
     """Clients in threads, until it is left.
 
     :param seed: fixes what each client does, not when.
@@ -22,25 +22,15 @@
     """
 
     def __init__(self, world: SoakWorld, record: Record, seed: int, clients: int) -> None:
+        super().__init__()
         self._world = world
         self._record = record
         self.answered = AnsweredTurns()
-        self._is_over = threading.Event()
         self._threads = [
             threading.Thread(target=self._run, args=(random.Random(f"{seed}/{number}"), number))
             for number in range(clients)
         ]
 
-    def __enter__(self) -> Self:
-        for thread in self._threads:
-            thread.start()
-        return self
-
-    def __exit__(self, *error: object) -> None:
-        self._is_over.set()
-        for thread in self._threads:
-            thread.join()
-
     def _run(self, rng: random.Random, number: int) -> None:
         done = 0
         with Client(self._world, self._record) as client:
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -263,13 +263,19 @@
     assert taken == {20_000: 79, 50_000: 124}, taken
 
 
-@then("a program that keeps more memory than most may take as many places as they")
-def same_places(context: Context) -> None:
+def admission_of(usual: AskRoom, programs: int) -> ProgramAdmission:
+    """Return an admission that let programs in, one a second, all of which asked alike."""
     admission = ProgramAdmission()
-    usual = dataclasses.replace(question(0, taken=90), memory_tokens=50_000)
-    for program in range(20):
+    for program in range(programs):
         ask = dataclasses.replace(usual, program=program)
         assert admission.decide(ask, UnderWay(), NOW + program).is_admitted
+    return admission
+
+
+@then("a program that keeps more memory than most may take as many places as they")
+def same_places(context: Context) -> None:
+    usual = dataclasses.replace(question(0, taken=90), memory_tokens=50_000)
+    admission = admission_of(usual, 20)
     large = dataclasses.replace(usual, program=20, tokens=1000)
     assert admission.decide(large, UnderWay(), NOW + 20.0).is_admitted
 
@@ -309,9 +315,7 @@
 
 @then("what one gateway believes of the servers decides little of how many places may be taken")
 def one_view(context: Context) -> None:
-    admission = ProgramAdmission()
-    for number in range(20):
-        assert admission.decide(question(number, taken=70), UnderWay(), NOW + number).is_admitted
+    admission = admission_of(question(0, taken=70), 20)
     # One gateway takes half of the servers for slow.
     low = question(20, taken=70, places=50)
     assert admission.decide(low, UnderWay(), NOW + 19.5).is_admitted
@@ -323,11 +327,8 @@
 
 @then("a single huge program changes little of what is usual")
 def huge_program(context: Context) -> None:
-    admission = ProgramAdmission()
     usual = dataclasses.replace(question(0, taken=90), memory_tokens=50_000)
-    for program in range(200):
-        ask = dataclasses.replace(usual, program=program)
-        assert admission.decide(ask, UnderWay(), NOW + program).is_admitted
+    admission = admission_of(usual, 200)
     huge = dataclasses.replace(usual, program=200, tokens=30_000)
     assert admission.decide(huge, UnderWay(), NOW + 200.0).is_admitted
     again = dataclasses.replace(usual, program=201)
--- a/yarrowwall/policy/own_share.py
+++ b/yarrowwall/policy/own_share.py
@@ -1,6 +1,6 @@
 """What one gateway admits by itself, where no replica decides for all of them. No I/O."""
 
-from yarrowwall.policy.room import AMPLE_PLACES_SHARE, ServiceRoom, free_places
+from yarrowwall.policy.room import AMPLE_PLACES_SHARE, PLACES_SHARE, ServiceRoom, free_places
 
 #: Seconds after which the sums of other gateways are no longer believed.
 BELIEVED_SECONDS = 1.0
@@ -41,9 +41,8 @@
         told_at_s = now_s - room.age_s
         if told_at_s > self._told_at_s:
             self._told_at_s, self._admitted = told_at_s, 0
-        free = free_places(room.places, room.taken)
-        if is_continued:
-            free = AMPLE_PLACES_SHARE * room.places - room.taken
+        share = AMPLE_PLACES_SHARE if is_continued else PLACES_SHARE
+        free = share * room.places - room.taken
         if free < 1.0 or self._admitted + 1 > max(1.0, free / reporters):
             return False
         self._admitted += 1
--- a/yarrowwall/replication/group_notices.py
+++ b/yarrowwall/replication/group_notices.py
@@ -38,9 +38,7 @@
         return group in self._lost
 
     def note_lost(self, view: GroupView) -> None:
-        """Log that a group has lost all copies of its records, once in a process' life."""
-        if view.group in self._lost:
-            return
+        """Log that a group has lost all copies of its records; see :meth:`knows_lost`."""
         self._lost.add(view.group)
         members = ",".join(member.node_id for member in view.members)
         self._log.write(decisions.GroupLost(view.group, view.epoch, members))
