A group of replicas is in reach only if it can be written

Callers saw: turns that were granted less than their most, and then cut, one after the other.

Cause: the question whether a group is back was a read.

Now the question is complete only if the replies make a quorum of readers and one of writers. The scenario's check did not exist before; what stood in its place passed with one replica of two.

--- a/features/quorum.feature
+++ b/features/quorum.feature
@@ -50,3 +50,10 @@
     And the connection to the replica of the own zone fails twice
     When a record is written within 5000 ms
     Then it took less than 2500 ms
+
+  # Guards against a group that counts as back in reach while it can't take a write.
+  Scenario: A group that can be read and not written fails a check
+    Given a zone group of 2 replicas that both have to take a write
+    And the last replica is silent
+    Then its check fails within 200 ms
+    And it can be read
--- a/features/steps/quorum_steps.py
+++ b/features/steps/quorum_steps.py
@@ -228,3 +228,17 @@
 @then("it took less than {limit:d} ms")
 def took_less(context: Context, limit: int) -> None:
     assert context.took_s * 1000.0 < limit, context.took_s
+
+
+@then("its check fails within {limit:d} ms")
+def check_fails(context: Context, limit: int) -> None:
+    try:
+        context.client.check(context.view.group, limit / 1000.0)
+    except NoQuorumError:
+        return
+    raise AssertionError("the check passed")
+
+
+@then("it can be read")
+def can_be_read(context: Context) -> None:
+    context.client.read_amounts(context.view.group, "")
--- a/yarrowwall/budgets/ledger.py
+++ b/yarrowwall/budgets/ledger.py
@@ -115,12 +115,12 @@
                 eventlet.spawn_n(self._reach.check, group)
 
     def _ask(self, group: int) -> None:
-        """Ask a group for any answer of a quorum.
+        """Ask whether a group can be read and written.
 
-        :raises NoQuorumError: if there is none.
+        :raises NoQuorumError: if it can not.
         """
         wait_s = PROBE_WAIT_SECONDS if self._zones.parts else OPERATION_SECONDS
-        self._client.read_amounts(group, "", timeout=wait_s)
+        self._client.check(group, wait_s)
 
     def group_of(self, key: str) -> int:
         """Return the common group that keeps a key.
--- a/yarrowwall/replication/operations.py
+++ b/yarrowwall/replication/operations.py
@@ -28,6 +28,10 @@
 
 WRITERS = Quorum(is_written, lambda view, found: is_written(view, found.acknowledged))
 READERS = Quorum(is_read, lambda view, found: is_read(view, found.readers))
+READERS_AND_WRITERS = Quorum(
+    lambda view, disks: is_written(view, disks) and is_read(view, disks),
+    lambda view, found: WRITERS.is_found(view, found) and READERS.is_found(view, found),
+)
 #: For operations that are complete by what was found, whoever has replied.
 NOBODY = Quorum(lambda view, disks: False, lambda view, found: False)
 
--- a/yarrowwall/replication/quorum_client.py
+++ b/yarrowwall/replication/quorum_client.py
@@ -26,6 +26,7 @@
 from yarrowwall.replication.operations import (
     NOBODY,
     READERS,
+    READERS_AND_WRITERS,
     WRITERS,
     Operation,
     is_behind,
@@ -130,6 +131,19 @@
         found = self._operate(operation, timeout)
         return OwnerReading(found.amounts, found.note, is_sure=True)
 
+    def check(self, group: int, timeout: float) -> None:
+        """Find out whether a group can be read and written now.
+
+        :raises NoQuorumError: if the quorum for either does not answer in time.
+        """
+        operation = Operation(
+            group,
+            "",
+            READERS_AND_WRITERS,
+            lambda view, member: ReadOwner(group, view.epoch, member.disk_id, ""),
+        )
+        self._operate(operation, timeout)
+
     def reserve(
         self, group: int, record: StoredRecord, timeout: float = OPERATION_SECONDS
     ) -> OwnerReading:
