One line for each caller's connection that ends before its answer

What callers saw: streams that ended without their end; the gateways' logs told nothing of several of the ways in which that can happen.

Before: a write that was reset, a caller that left while bytes waited for it, an answer without a head, a process that ended while requests ran, a head that was late or malformed, and an OSError out of the exchange itself had no line.

Change: ConnectionEnded with a reason (gateway/endings.py), written by Exchange.close(), which the WSGI server calls behind its last write; the writer notes what ended a write. AnswerBrokenOff, CallerLeft, CallerGivenUp and InternalFault stay the only line of their ends; a late body has one line instead of two. `yarrowwall failures` knows the new ends, the metric is yarrowwall_connections_ended_total{reason}. A request counts as under way until Exchange.close(), so that a stop can tell which ones it ends; before, until its generator had ended. How answers are made or cut is as before.

--- /dev/null
+++ b/features/connection_ends.feature
@@ -0,0 +1,42 @@
+Feature: Each connection that ends before its answer is told by one line
+  A caller that sees its connection end finds in the gateway's log why.
+
+  # Guards against streams that end without any line that tells why.
+  @platform_world
+  Scenario Outline: A caller that <what> is told as <reason>
+    Given a stream route "chat" whose server sends events of 64 KB for 20 s
+    And a route "quiet" of type "mutating" with a time of 20000 ms and a server that takes 5 s
+    When a caller of "<route>" <what>
+    Then the gateway tells once that its connection ended, as <reason>
+
+    Examples:
+      | route | what                                 | reason             |
+      | quiet | resets its connection while it waits | CallerLeft         |
+      | chat  | resets its connection unread         | write_failed       |
+      | chat  | ends its sending side unread         | left_while_writing |
+      | chat  | never reads                          | CallerGivenUp      |
+
+  # Guards against a stop that ends requests without a line for each.
+  @platform_world
+  Scenario: Requests that the end of the process ends are told one by one
+    Given a route "slow" of type "mutating" with a time of 20000 ms and a server that takes 15 s
+    When gateway 0 gets SIGTERM while 3 callers wait on "slow"
+    Then the gateway tells 3 times that a connection ended, as process_ended
+
+  # Guards against heads that end their connection without a line.
+  @platform_world
+  Scenario Outline: A head that <what> is told as <reason>
+    Given a route "records" of type "mutating" with a server
+    When a caller sends the head of a request that <what>
+    Then the gateway tells once that its connection ended, as <reason>
+
+    Examples:
+      | what            | reason       |
+      | stops midway    | head_late    |
+      | is no HTTP      | head_refused |
+
+  @platform_world
+  Scenario: A connection that ends between requests is not told
+    Given a route "records" of type "mutating" with a server
+    When a caller of "records" is answered and leaves
+    Then the gateway tells of no connection that ended
--- a/features/start_and_retries.feature
+++ b/features/start_and_retries.feature
@@ -89,6 +89,8 @@
       | stream     | was refused with 429           | refused by its tenant's limit               |
       | stream     | was refused with 401           | key unknown                                 |
       | stream     | was refused with 503 for age   | refused for the configuration's age         |
+      | stream     | lost its connection by left_while_writing | caller left                      |
+      | stream     | lost its connection by process_ended      | connection ended before its answer |
 
   Scenario Outline: A conversation that reached no server is told by what refused it
     Given the log of a turn that goes on from an earlier one and <end>
--- a/features/steps/start_steps.py
+++ b/features/steps/start_steps.py
@@ -302,6 +302,9 @@
         reason = "the configuration was last proved 5.01 s ago" if "for age" in end else "r"
         refused = {"attempt": "a1", "status": status, "reason": reason}
         context.log.append(line(2.0, "AttemptRefused", **refused))
+    elif end.startswith("lost its connection by"):
+        reason = end.rpartition(" ")[2]
+        context.log.append(line(2.0, "ConnectionEnded", attempt="a1", reason=reason))
     elif end == "was answered at last":
         context.log.append(line(2.0, "AttemptRefused", attempt="a1", status=503, reason="r"))
         again = {"attempt": "a2", "program": "p1", "route": "r", "route_kind": kind}
--- a/yarrowwall/cli/failures.py
+++ b/yarrowwall/cli/failures.py
@@ -12,9 +12,18 @@
 
 from yarrowwall.capacity.program_rooms import NO_ROOM
 from yarrowwall.cli.explain import read_lines
+from yarrowwall.gateway.endings import EndReason
 from yarrowwall.policy.freshness import TOO_OLD
 
-_ENDS = {"AttemptAnswered", "AttemptRefused", "AnswerBrokenOff", "CallerLeft"}
+_ENDS = {
+    "AttemptAnswered",
+    "AttemptRefused",
+    "AnswerBrokenOff",
+    "CallerLeft",
+    "CallerGivenUp",
+    "ConnectionEnded",
+    "InternalFault",
+}
 
 
 class Cause(StrEnum):
@@ -41,6 +50,12 @@
     TIMED_OUT = "no answer in time, request may be repeated"
     #: The gateway broke a stream off.
     BROKEN_OFF = "answer broken off"
+    #: The connection ended before the answer did, without a fault of its caller.
+    CONNECTION_ENDED = "connection ended before its answer"
+    #: A fault of the program.
+    FAULT = "fault of the program"
+    #: The caller took or sent nothing for too long.
+    CALLER_GIVEN_UP = "caller given up"
     #: The caller left.
     CALLER_LEFT = "caller left"
 
@@ -56,6 +71,15 @@
 
 #: Causes of a gateway's own answers that are told by their status alone.
 _REFUSALS = {401: Cause.KEY_UNKNOWN, 429: Cause.LIMIT}
+#: Causes that are told by the kind of the last line alone.
+_CAUSES = {
+    "AnswerBrokenOff": Cause.BROKEN_OFF,
+    "CallerLeft": Cause.CALLER_LEFT,
+    "CallerGivenUp": Cause.CALLER_GIVEN_UP,
+    "InternalFault": Cause.FAULT,
+}
+#: Reasons of ``ConnectionEnded`` that lie with the caller or its way here.
+_LEFT = {EndReason.LEFT_WHILE_WRITING, EndReason.WRITE_FAILED}
 
 
 class Attempt(NamedTuple):
@@ -135,10 +159,11 @@
     if not attempt.end:
         return Cause.DIED_REPEATABLE if is_repeatable else Cause.DIED_UNREPEATABLE
     kind, status = attempt.end["kind"], attempt.end.get("status", 0)
-    if kind == "AnswerBrokenOff":
-        return Cause.BROKEN_OFF
-    if kind == "CallerLeft":
-        return Cause.CALLER_LEFT
+    if kind in _CAUSES:
+        return _CAUSES[kind]
+    if kind == "ConnectionEnded":
+        has_left = attempt.end.get("reason") in _LEFT
+        return Cause.CALLER_LEFT if has_left else Cause.CONNECTION_ENDED
     if kind == "AttemptAnswered":
         return None
     if status in _REFUSALS:
--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -129,6 +129,23 @@
     held: int
 
 
+class ConnectionEnded(Decision, frozen=True):
+    """A caller's connection ended before its answer, for a reason that no other line tells.
+
+    :param attempt: empty if the request's head was not read.
+    :param reason: an :class:`EndReason`.
+    :param seconds: since the request began.
+    :param events: events of a stream that were passed on.
+    :param detail: the error behind it; empty for none.
+    """
+
+    attempt: str
+    reason: str
+    seconds: float
+    events: int
+    detail: str
+
+
 class InternalFault(Decision, frozen=True):
     """A fault of the program itself ended a request.
 
--- a/yarrowwall/gateway/exchange.py
+++ b/yarrowwall/gateway/exchange.py
@@ -1,9 +1,11 @@
 """One request of a caller: admitted, read, and answered whole or as a stream."""
 
 import traceback
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Generator, Iterator
 from typing import Any
 
+import eventlet
+
 from yarrowwall import decisions
 from yarrowwall.dispatch.sender import AttemptSender, Sending
 from yarrowwall.dispatch.whole import relay_whole
@@ -21,7 +23,7 @@
 
 
 class Exchange:
-    """One request of a caller and its answer."""
+    """One request of a caller and its answer, whose body the WSGI server iterates over."""
 
     def __init__(
         self, gateway: GatewayState, environ: dict[str, Any], start_response: Callable[..., Any]
@@ -35,30 +37,52 @@
         self._response = Response(
             gateway.parts, environ, start_response, lambda: gateway.sends_callers_away
         )
+        self._body = self._run()
+        gateway.under_way.add(self)
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Return the body of the answer."""
+        return self._body
+
+    def close(self) -> None:
+        """Take in that the answer was written, or ends early; cancels whatever runs then.
+
+        The WSGI server calls this once, behind the last write.
+        """
+        held = self._hold.size
+        try:
+            self._body.close()
+        finally:
+            self._gateway.under_way.discard(self)
+            self._response.note_ended(held)
+
+    def note_process_ended(self) -> None:
+        """Log that the end of the process ends the request."""
+        self._response.note_process_ended()
 
-    def run(self) -> Iterator[bytes]:
+    def _run(self) -> Generator[bytes, None, None]:
         """Return the body of the answer; cancels whatever runs if it is closed early."""
-        self._gateway.running += 1
+        response = self._response
         watch = CallerWatch(self._environ["eventlet.input"].get_socket())
         try:
             yield from self._answer(watch)
+            response.is_complete = True
         except CallerGoneError:
-            response = self._response
-            self._log.write(decisions.CallerLeft(response.attempt_id, response.lasted_s))
+            if not response.is_end_told:
+                response.is_end_told = True
+                self._log.write(decisions.CallerLeft(response.attempt_id, response.lasted_s))
             raise AnswerCutError from None
-        except GeneratorExit:
-            self._response.note_ended_early(self._hold)
-            raise
-        except (AnswerCutError, OSError):
+        except AnswerCutError:
+            response.is_end_told = True
             raise
-        except Exception:
+        except (Exception, eventlet.Timeout):
+            response.is_end_told = True
             trace = traceback.format_exc()
-            self._log.write(decisions.InternalFault(self._response.attempt_id, trace))
+            self._log.write(decisions.InternalFault(response.attempt_id, trace))
             raise
         finally:
             watch.stop()
             self._hold.close()
-            self._gateway.running -= 1
 
     def _answer(self, watch: CallerWatch) -> Iterator[bytes]:
         try:
@@ -102,6 +126,7 @@
             raise unavailable(str(error), SHORTAGE_SECONDS) from error
         except BodyLateError:
             response = self._response
+            response.is_end_told = True
             self._log.write(
                 decisions.CallerGivenUp(response.attempt_id, response.lasted_s, self._hold.size)
             )
--- a/yarrowwall/gateway/gateway.py
+++ b/yarrowwall/gateway/gateway.py
@@ -14,4 +14,4 @@
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
         """Answer one request."""
-        return Exchange(self, environ, start_response).run()
+        return Exchange(self, environ, start_response)
--- a/yarrowwall/gateway/http_server.py
+++ b/yarrowwall/gateway/http_server.py
@@ -2,11 +2,16 @@
 
 import io
 import socket
+import time
 from collections.abc import Callable, Iterable
 from typing import Any
 
 import eventlet.wsgi
 
+from yarrowwall import decisions
+from yarrowwall.decisions import DecisionLog
+from yarrowwall.exceptions import CallerGoneError
+from yarrowwall.gateway.endings import Ending, EndReason
 from yarrowwall.model import CallerLimits
 from yarrowwall.sockets import send_some
 
@@ -27,10 +32,14 @@
 
 
 class _CallerWriter(io.RawIOBase):
-    """Writes answers to a caller; the time-out counts anew whenever it takes something."""
+    """Writes answers to a caller; the time-out counts anew whenever it takes something.
+
+    :ivar failure: what ended a write; None as long as all were whole.
+    """
 
     def __init__(self, connection: socket.socket) -> None:
         self._connection = connection
+        self.failure: Ending | None = None
 
     def writable(self) -> bool:
         """Return that this may be written to."""
@@ -38,9 +47,19 @@
 
     def write(self, data: Any) -> int:
         """Send all of some bytes."""
-        rest = memoryview(data)
-        while rest:
-            rest = rest[send_some(self._connection, rest) :]
+        try:
+            rest = memoryview(data)
+            while rest:
+                rest = rest[send_some(self._connection, rest) :]
+        except TimeoutError:
+            self.failure = Ending(EndReason.NOT_TAKEN)
+            raise
+        except OSError as error:
+            self.failure = Ending(EndReason.WRITE_FAILED, str(error))
+            raise
+        except CallerGoneError:
+            self.failure = Ending(EndReason.LEFT_WHILE_WRITING)
+            raise
         return len(data)
 
     def writelines(self, lines: Iterable[Any]) -> None:
@@ -55,27 +74,45 @@
         self.current = CallerLimits()
 
 
-def _protocol_class(limits: ServerLimits) -> type:
+def _protocol_class(limits: ServerLimits, log: DecisionLog) -> type:
     """Return the handler class of a server whose limits are ``limits``."""
 
     class GatewayProtocol(eventlet.wsgi.HttpProtocol):
         """A connection whose waits are bounded by the configuration in force."""
 
         wfile: Any
+        #: When the head that is being read began; None while none is.
+        _head_since: float | None = None
 
         def setup(self) -> None:
             super().setup()
             self.wfile.close()
             self.wfile = _CallerWriter(self.connection)
 
+        def handle_one_request(self) -> None:
+            try:
+                super().handle_one_request()
+            except TimeoutError:
+                self._note_head_ended(EndReason.HEAD_LATE)
+                raise
+            self._note_head_ended(EndReason.HEAD_REFUSED)
+
+        def _note_head_ended(self, reason: EndReason) -> None:
+            if self._head_since is not None:
+                lasted_s = time.monotonic() - self._head_since
+                self._head_since = None
+                log.write(decisions.ConnectionEnded("", reason, lasted_s, 0, ""))
+
         def _read_request_line(self) -> bytes:
             self.connection.settimeout(limits.current.idle_seconds)
-            line = super()._read_request_line()
+            line: bytes = super()._read_request_line()
+            self._head_since = time.monotonic() if line else None
             self.connection.settimeout(limits.current.header_seconds)
             return line
 
         def get_environ(self) -> dict[str, Any]:
-            environ = super().get_environ()
+            environ: dict[str, Any] = super().get_environ()
+            self._head_since = None
             environ[PROTOCOL_KEY] = self
             self.connection.settimeout(WRITE_SECONDS)
             return environ
@@ -93,14 +130,25 @@
     environ[PROTOCOL_KEY].connection.settimeout(STREAM_WRITE_SECONDS)
 
 
-def serve(listener: socket.socket, application: Callable[..., Any], limits: ServerLimits) -> None:
+def write_failure(environ: dict[str, Any]) -> Ending | None:
+    """Return what ended the writing of an answer; None if all of it was taken."""
+    failure: Ending | None = environ[PROTOCOL_KEY].wfile.failure
+    return failure
+
+
+def serve(
+    listener: socket.socket,
+    application: Callable[..., Any],
+    limits: ServerLimits,
+    log: DecisionLog,
+) -> None:
     """Serve an application until the listener is closed."""
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
     eventlet.wsgi.server(
         listener,
         application,
-        protocol=_protocol_class(limits),
+        protocol=_protocol_class(limits, log),
         log_output=False,
         debug=False,
         max_size=_MOST_CONNECTIONS,
--- a/yarrowwall/gateway/response.py
+++ b/yarrowwall/gateway/response.py
@@ -5,14 +5,14 @@
 from typing import Any
 
 from yarrowwall import decisions
+from yarrowwall.gateway.endings import Ending, EndReason
 from yarrowwall.gateway.http_server import (
-    STREAM_WRITE_SECONDS,
     close_after_answer,
     expect_stream_read,
+    write_failure,
 )
 from yarrowwall.gateway.parts import GatewayParts
 from yarrowwall.model import Answer
-from yarrowwall.policy.memory_budget import MemoryHold
 from yarrowwall.refusals import Refusal
 
 _TEXT = ("Content-Type", "text/plain")
@@ -23,6 +23,8 @@
 
     :param sends_away: whether the caller had better come back through another gateway.
     :ivar attempt_id: empty until the request's head is read.
+    :ivar is_complete: whether all of the answer was handed over to be written.
+    :ivar is_end_told: whether a line tells why the answer has no end.
     """
 
     def __init__(
@@ -39,10 +41,14 @@
         self._start_response = start_response
         self._sends_away = sends_away
         self._first_s: float | None = None
-        #: When the caller was last given something to read; None while nothing waits for it.
-        self._given_at: float | None = None
+        self._has_begun = False
+        self._events = 0
         self.arrived_at = self._now()
+        #: When the caller was last given something to read.
+        self._given_at = self.arrived_at
         self.attempt_id = ""
+        self.is_complete = False
+        self.is_end_told = False
 
     @property
     def lasted_s(self) -> float:
@@ -74,9 +80,10 @@
         self._start(HTTPStatus.OK, self._callers.answer_headers(answer))
         expect_stream_read(self._environ)
 
-    def note_given(self) -> None:
-        """Note that the caller is given something to read."""
+    def note_given(self, events: int) -> None:
+        """Note that the caller is given events to read."""
         self._given_at = self._now()
+        self._events += events
 
     def note_answered(self, status: int, server: str, events: int) -> None:
         """Note that a server's answer was passed on whole."""
@@ -86,15 +93,47 @@
             )
         )
 
-    def note_ended_early(self, hold: MemoryHold) -> None:
-        """Note it if the answer ends since the caller took nothing of it for too long."""
-        waited_s = self._now() - (self._given_at or self._now())
-        if waited_s >= STREAM_WRITE_SECONDS:
-            self._log.write(decisions.CallerGivenUp(self.attempt_id, waited_s, hold.size))
+    def note_ended(self, held: int) -> None:
+        """Log why the answer was not written to its end, unless it was or a line tells it.
+
+        :param held: bytes that were held for the caller.
+        """
+        ending = self._ending()
+        if ending is None or self.is_end_told:
+            return
+        self.is_end_told = True
+        if ending.reason is EndReason.NOT_TAKEN:
+            waited_s = self._now() - self._given_at
+            self._log.write(decisions.CallerGivenUp(self.attempt_id, waited_s, held))
+        else:
+            self._note_connection_ended(ending)
+
+    def note_process_ended(self) -> None:
+        """Log that the end of the process ends the answer."""
+        self.is_end_told = True
+        self._note_connection_ended(Ending(EndReason.PROCESS_ENDED))
+
+    def _note_connection_ended(self, ending: Ending) -> None:
+        self._log.write(
+            decisions.ConnectionEnded(
+                self.attempt_id, ending.reason, self.lasted_s, self._events, ending.detail
+            )
+        )
+
+    def _ending(self) -> Ending | None:
+        """Return why the answer was not written to its end; None if it was."""
+        failure = write_failure(self._environ)
+        if failure is not None:
+            return failure
+        if not self._has_begun:
+            return Ending(EndReason.NOT_BEGUN)
+        return None if self.is_complete else Ending(EndReason.UNKNOWN)
 
     def _start(self, status: int, headers: list[tuple[str, str]]) -> None:
         if self._sends_away():
             close_after_answer(self._environ)
+        self._has_begun = True
+        self._given_at = self._now()
         self._start_response(f"{status} {_phrase(status)}", headers)
 
 
--- a/yarrowwall/gateway/state.py
+++ b/yarrowwall/gateway/state.py
@@ -1,5 +1,7 @@
 """A gateway's state: the configuration in force, whether callers are welcome, its stop."""
 
+from typing import Protocol
+
 from eventlet.event import Event
 
 from yarrowwall import decisions
@@ -17,17 +19,24 @@
 START_HOLD_SECONDS = 0.4
 
 
+class UnderWay(Protocol):
+    """A request under way."""
+
+    def note_process_ended(self) -> None:
+        """Log that the end of the process ends the request."""
+
+
 class GatewayState:
     """What a gateway knows, and whether it takes requests.
 
-    :ivar running: requests under way.
+    :ivar under_way: requests whose answers are not written to their end.
     """
 
     def __init__(self, parts: GatewayParts) -> None:
         self.parts = parts
         self._now = parts.dispatch.now
         self.admission = Admission(parts.freshness, self._now)
-        self.running = 0
+        self.under_way: set[UnderWay] = set()
         self._stops_at: float | None = None
         self._refuses_from = 0.0
         self._holds_until = self._now() + START_HOLD_SECONDS
@@ -87,6 +96,16 @@
         self._stops_at = stops_at
         self._refuses_from = now + STOP_WELCOME_SECONDS
 
+    @property
+    def running(self) -> int:
+        """Return how many requests are under way."""
+        return len(self.under_way)
+
+    def note_process_ended(self) -> None:
+        """Log which requests the end of the process ends."""
+        for request in self.under_way:
+            request.note_process_ended()
+
     def has_time_for(self, now: float, end: float) -> bool:
         """Return whether a request that may last until ``end`` is still taken."""
         is_welcome = self._stops_at is None or now < self._refuses_from
--- a/yarrowwall/gateway/turn.py
+++ b/yarrowwall/gateway/turn.py
@@ -88,7 +88,7 @@
                 grant.cover(relay.passed)
                 if len(events) == len(relay.passed):
                     self._response.begin_stream(opened.answer)
-                self._response.note_given()
+                self._response.note_given(len(events))
                 yield b"".join(event.raw for event in events)
             grant.complete(relay.passed, sender.last_server)
             relay.finish()
--- a/yarrowwall/machine/gateway_role.py
+++ b/yarrowwall/machine/gateway_role.py
@@ -126,7 +126,7 @@
         if self._settings.takes_forwarded:
             self._start_forwarding()
         callers = green(self._listeners.take(self._own.http_address))
-        eventlet.spawn_n(serve, callers, self.gateway, self._limits)
+        eventlet.spawn_n(serve, callers, self.gateway, self._limits, self._log)
         eventlet.spawn_n(
             eventlet.wsgi.server,
             green(self._listeners.take(self._own.readiness_address)),
@@ -159,6 +159,7 @@
             if time.monotonic() > begun + LEAST_STOP_SECONDS and not is_busy:
                 return
             eventlet.sleep(0.05)
+        self.gateway.note_process_ended()
 
     def measure(self, metrics: MachineMetrics) -> None:
         """Set the metrics that are measured when they are asked for."""
--- a/yarrowwall/metrics.py
+++ b/yarrowwall/metrics.py
@@ -76,6 +76,9 @@
 LENT = _Description("quota_lent", "Requests that count against this replica's part", "tenant")
 AGE = _Description("configuration_age_seconds", "Time since the newest proof of the configuration")
 GIVEN_UP = _Description("callers_given_up", "Callers that read or sent nothing for too long")
+CONNECTIONS_ENDED = _Description(
+    "connections_ended", "Callers' connections that ended before their answers", "reason"
+)
 HELD = _Description("held_bytes", "Bytes held for callers and servers", "of")
 ENTRIES_REFUSED = _Description(
     "server_entries_refused", "Entries of servers that name none to use", "fault"
@@ -122,6 +125,7 @@
             decisions.AnswerBrokenOff: lambda event: self._add(BROKEN),
             decisions.CallerLeft: lambda event: self._add(LEFT),
             decisions.CallerGivenUp: lambda event: self._add(GIVEN_UP),
+            decisions.ConnectionEnded: lambda event: self._add(CONNECTIONS_ENDED, event.reason),
             decisions.BudgetDecided: lambda event: self._add(BUDGETS, event.granted),
             decisions.PartsAsked: self._parts_asked,
             decisions.TurnKeptInZone: lambda event: self._add(ZONE_KEPT),
