A listener goes on accepting when one connection can't be accepted

A replica in the same state is reached by no machine any more, without a line.

Cause: eventlet's server takes any failed accept for its end (EMFILE, ECONNABORTED, ...), closes its listener and shuts idle connections; serve_requests returned on any OSError.

Change: SteadyListener (yarrowwall/listening.py) tries again after 0.05 s, and tells AcceptFailed. Only an accept on a closed listener ends a server. Gateways use it for callers, readiness and neighbours, replicas for their peers. The metrics' port has still eventlet's own.

--- a/features/connection_ends.feature
+++ b/features/connection_ends.feature
@@ -40,3 +40,20 @@
     Given a route "records" of type "mutating" with a server
     When a caller of "records" is answered and leaves
     Then the gateway tells of no connection that ended
+
+  # Guards against a gateway that takes no connection any more, and closes idle ones, once one
+  # could not be accepted for want of descriptors.
+  @platform_world
+  Scenario: A gateway that is out of descriptors for a while goes on taking connections
+    Given a route "records" of type "mutating" with a server
+    And a caller of "records" that was answered and keeps its connection
+    When gateway 0 may open no descriptor while 5 callers connect
+    Then the caller that kept its connection is answered 200 on it
+    And another caller of "records" is answered 200 within 2 s
+    And the gateway told of connections that it could not accept
+
+  # Guards against a replica that no machine reaches any more once it was out of descriptors.
+  @platform_world
+  Scenario: A replica that is out of descriptors for a while goes on taking connections
+    When replica 0 may open no descriptor while 5 machines connect
+    Then replica 0 takes connections and closes one that sends no message
--- a/features/steps/connection_end_steps.py
+++ b/features/steps/connection_end_steps.py
@@ -1,16 +1,18 @@
 """Steps about connections of callers that end before their answers."""
 
+import resource
 import signal
 import socket
 import struct
 import time
 
-from behave import then, when
+from behave import given, then, when
 from behave.runner import Context
 
 from features.support.platform_scripts import arrivals, world
 from features.support.platform_world import HOST
 from features.support.processes import wait_until
+from yarrowwall.addresses import split_address
 
 #: Lets a close reset the connection.
 RESET = struct.pack("ii", 1, 0)
@@ -129,3 +131,57 @@
 def told_nothing(context: Context) -> None:
     time.sleep(SETTLE_SECONDS)
     assert not told(context), told(context)
+
+
+# Connections that can't be accepted
+
+
+@given('a caller of "{route}" that was answered and keeps its connection')
+def keeps_connection(context: Context, route: str) -> None:
+    context.kept, context.kept_route = world(context).connect(), route
+    assert world(context).ask(route, b"x", connection=context.kept).status == 200
+
+
+def without_descriptors(context: Context, name: str, key: str, count: int) -> None:
+    """Let callers connect to a machine that may open no descriptor meanwhile."""
+    pid = world(context).processes[name].pid
+    soft, hard = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (0, hard))
+    try:
+        address = split_address(world(context).addresses[name][key])
+        callers = [socket.create_connection(address, timeout=5.0) for _ in range(count)]
+        time.sleep(SETTLE_SECONDS)
+    finally:
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (soft, hard))
+    for caller in callers:
+        caller.close()
+
+
+@when("gateway {number:d} may open no descriptor while {count:d} callers connect")
+def gateway_without_descriptors(context: Context, number: int, count: int) -> None:
+    without_descriptors(context, f"edge-{number}", "http", count)
+
+
+@then("the caller that kept its connection is answered 200 on it")
+def kept_answered(context: Context) -> None:
+    answer = world(context).ask(context.kept_route, b"x", connection=context.kept)
+    assert answer.status == 200, answer
+    context.kept.close()
+
+
+@then("the gateway told of connections that it could not accept")
+def told_of_accepts(context: Context) -> None:
+    assert any(line["kind"] == "AcceptFailed" for line in world(context).log("edge-0"))
+
+
+@when("replica {number:d} may open no descriptor while {count:d} machines connect")
+def replica_without_descriptors(context: Context, number: int, count: int) -> None:
+    without_descriptors(context, f"storage-{number}", "peer", count)
+
+
+@then("replica {number:d} takes connections and closes one that sends no message")
+def replica_takes(context: Context, number: int) -> None:
+    address = split_address(world(context).addresses[f"storage-{number}"]["peer"])
+    with socket.create_connection(address, timeout=5.0) as connection:
+        connection.sendall(b"\xff" * 64)
+        assert not connection.recv(1)
--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -362,6 +362,19 @@
     reason: str
 
 
+class AcceptFailed(Decision, frozen=True):
+    """A connection could not be accepted; those that wait are tried again.
+
+    :param address: that is listened on.
+    """
+
+    # A process without descriptors fails many times a second.
+    lines_per_second: ClassVar[int] = 1
+
+    address: str
+    reason: str
+
+
 class PeerConnectionClosed(Decision, frozen=True):
     """Another machine sent what is no message, so its connection was closed.
 
--- a/yarrowwall/machine/gateway_role.py
+++ b/yarrowwall/machine/gateway_role.py
@@ -17,6 +17,7 @@
 from yarrowwall.gateway.gateway import Gateway
 from yarrowwall.gateway.http_server import ServerLimits, serve
 from yarrowwall.gateway.parts import GatewayParts
+from yarrowwall.listening import SteadyListener
 from yarrowwall.machine.gateway_followers import GatewayFollowers
 from yarrowwall.machine.listeners import EarlyListeners
 from yarrowwall.machine.settings import GatewaySettings, MachineSettings
@@ -37,7 +38,6 @@
 from yarrowwall.replication.quorum_client import QuorumClient
 from yarrowwall.replication.relayed_links import RelayedLinkTable
 from yarrowwall.replication.rpc import serve_requests
-from yarrowwall.sockets import green
 from yarrowwall.watching.store import ReaderStore
 
 #: Seconds between rounds of housekeeping.
@@ -125,11 +125,11 @@
         self._loads.start()
         if self._settings.takes_forwarded:
             self._start_forwarding()
-        callers = green(self._listeners.take(self._own.http_address))
+        callers = SteadyListener(self._listeners.take(self._own.http_address), self._log)
         eventlet.spawn_n(serve, callers, self.gateway, self._limits, self._log)
         eventlet.spawn_n(
             eventlet.wsgi.server,
-            green(self._listeners.take(self._own.readiness_address)),
+            SteadyListener(self._listeners.take(self._own.readiness_address), self._log),
             self._answer_readiness,
             log_output=False,
         )
@@ -138,10 +138,11 @@
     def _start_forwarding(self) -> None:
         """Forward for neighbours, and learn of them; callers are served without it as well."""
         try:
-            peers = green(self._listeners.take(self._settings.peer_address))
+            plain = self._listeners.take(self._settings.peer_address)
         except OSError as error:
             self._log.write(decisions.DependencyChanged("peer port", False, str(error)))
             return
+        peers = SteadyListener(plain, self._log)
         eventlet.spawn_n(serve_requests, peers, self._forwarder.handle, self._log)
         self._finder.start()
 
--- a/yarrowwall/machine/replica_role.py
+++ b/yarrowwall/machine/replica_role.py
@@ -6,6 +6,7 @@
 import eventlet
 
 from yarrowwall.decisions import DecisionLog
+from yarrowwall.listening import SteadyListener
 from yarrowwall.machine.listeners import EarlyListeners
 from yarrowwall.machine.registration import Registration
 from yarrowwall.machine.replica_requests import KeptReplica, ReplicaRequests
@@ -37,7 +38,6 @@
 from yarrowwall.replication.rpc import LinkTable, serve_requests
 from yarrowwall.replication.synchroniser import Synchroniser
 from yarrowwall.replication.views import all_members, disk_ids, is_zone_group, zone_of
-from yarrowwall.sockets import green
 from yarrowwall.watching.follower import LONG_WATCH_SECONDS, KindFollower
 from yarrowwall.watching.reader import ObjectReader
 
@@ -132,7 +132,7 @@
 
     def start(self) -> None:
         """Begin to serve."""
-        listener = green(self._listeners.take(self._settings.peer_address))
+        listener = SteadyListener(self._listeners.take(self._settings.peer_address), self._log)
         eventlet.spawn_n(serve_requests, listener, self._requests.handle, self._log)
         for follower in self._followers:
             follower.start()
--- a/yarrowwall/sockets.py
+++ b/yarrowwall/sockets.py
@@ -22,11 +22,6 @@
 PROBE_COUNT = 2
 
 
-def green(plain: socket.socket) -> socket.socket:
-    """Return a socket of eventlet's in place of one that was opened before eventlet."""
-    return green_socket.socket(plain)
-
-
 def set_silence_limits(connection: socket.socket) -> None:
     """Let a connection send at once and find out when its peer has gone dark."""
     for option, value in (
