--- a/features/connection_ends.feature
+++ b/features/connection_ends.feature
@@ -57,3 +57,11 @@
   Scenario: A replica that is out of descriptors for a while goes on taking connections
     When replica 0 may open no descriptor while 5 machines connect
     Then replica 0 takes connections and closes one that sends no message
+
+  # Guards against a process that ends while the last bytes of an answer are still to be written.
+  Scenario: A request is under way until the last bytes of its answer are written
+    Given a gateway without a configuration and a caller's request
+    When the WSGI server has taken all of its answer
+    Then it is under way
+    When the WSGI server has written the last bytes
+    Then it is not under way
--- a/features/steps/connection_end_steps.py
+++ b/features/steps/connection_end_steps.py
@@ -1,18 +1,27 @@
 """Steps about connections of callers that end before their answers."""
 
+import os
 import resource
 import signal
 import socket
 import struct
 import time
+from types import SimpleNamespace
 
 from behave import given, then, when
 from behave.runner import Context
+from eventlet.green import socket as green_socket
 
 from features.support.platform_scripts import arrivals, world
 from features.support.platform_world import HOST
 from features.support.processes import wait_until
 from yarrowwall.addresses import split_address
+from yarrowwall.decisions import DecisionLog
+from yarrowwall.gateway.gateway import Gateway
+from yarrowwall.gateway.http_server import PROTOCOL_KEY, ServerLimits
+from yarrowwall.platform.callers import PlatformCallers
+from yarrowwall.policy.freshness import Freshness
+from yarrowwall.policy.memory_budget import MemoryBounds, MemoryBudget
 
 #: Lets a close reset the connection.
 RESET = struct.pack("ii", 1, 0)
@@ -185,3 +194,54 @@
     with socket.create_connection(address, timeout=5.0) as connection:
         connection.sendall(b"\xff" * 64)
         assert not connection.recv(1)
+
+
+# Requests under way
+
+
+@given("a gateway without a configuration and a caller's request")
+def bare_gateway(context: Context) -> None:
+    log = DecisionLog("edge-0", descriptor=os.open(os.devnull, os.O_WRONLY))
+    memory = MemoryBudget(MemoryBounds(1_000, 1_000, 1_000))
+    dispatch = SimpleNamespace(memory=memory, decisions=log, now=time.monotonic)
+    parts = SimpleNamespace(
+        dispatch=dispatch,
+        callers=PlatformCallers(),
+        programs=SimpleNamespace(is_reachable=True, unreachable_s=0.0),
+        freshness=Freshness(5.0, 3.0),
+        limits=ServerLimits(),
+    )
+    context.gateway = Gateway(parts)
+    context.gateway.note_informed()
+    caller, _ = green_socket.socketpair()
+    context.environ = {
+        "REQUEST_METHOD": "GET",
+        "RAW_PATH_INFO": "/records/x",
+        "PATH_INFO": "/records/x",
+        "HTTP_HOST": HOST,
+        "HTTP_X_ATTEMPT_ID": "attempt-1",
+        "headers_raw": (("Host", HOST), ("X-Attempt-Id", "attempt-1")),
+        "eventlet.input": SimpleNamespace(get_socket=lambda: caller),
+        PROTOCOL_KEY: SimpleNamespace(wfile=SimpleNamespace(failure=None), close_connection=0),
+    }
+
+
+@when("the WSGI server has taken all of its answer")
+def answer_taken(context: Context) -> None:
+    context.body = context.gateway(context.environ, lambda status, headers: None)
+    assert b"".join(context.body)
+
+
+@then("it is under way")
+def under_way(context: Context) -> None:
+    assert context.gateway.running == 1
+
+
+@when("the WSGI server has written the last bytes")
+def answer_written(context: Context) -> None:
+    context.body.close()
+
+
+@then("it is not under way")
+def not_under_way(context: Context) -> None:
+    assert context.gateway.running == 0
