A caller that ended its sending side gets no 500

What callers saw: shutdown(SHUT_WR) behind a request brought "500 Internal Server Error" after 0.7 ms.

Cause: the end of a caller's bytes counts as leaving, and its request is cancelled by an error that eventlet answers with a 500 of its own if no head was written.

Decision (docs/DECISIONS.md): it stays a leave, since a half close can't be told from a close before something is written, and work for callers that left is to end within 0.5 s. The connection ends without an answer. CallerLeft tells how it was noticed: "half or full close", or the error of a reset.

The scenario failed before: ASSERT FAILED: b'HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain ... and passes now.

--- a/features/connection_ends.feature
+++ b/features/connection_ends.feature
@@ -65,3 +65,11 @@
     Then it is under way
     When the WSGI server has written the last bytes
     Then it is not under way
+
+  # Guards against a 500 for a caller that ended its sending side, which counts as leaving.
+  @platform_world
+  Scenario: A caller that ends its sending side gets no answer
+    Given a route "quiet" of type "mutating" with a time of 20000 ms and a server that takes 5 s
+    When a caller of "quiet" ends its sending side while it waits
+    Then its connection ends within 1000 ms without a byte
+    And the gateway tells once that its connection ended, as CallerLeft
--- a/features/steps/connection_end_steps.py
+++ b/features/steps/connection_end_steps.py
@@ -245,3 +245,20 @@
 @then("it is not under way")
 def not_under_way(context: Context) -> None:
     assert context.gateway.running == 0
+
+
+# Answers
+
+
+@when('a caller of "{route}" ends its sending side while it waits')
+def half_closes_waiting(context: Context, route: str) -> None:
+    context.caller = begin(context, route)
+    wait_until(lambda: bool(arrivals(context, route)), "the request runs")
+    context.caller.shutdown(socket.SHUT_WR)
+
+
+@then("its connection ends within {limit:d} ms without a byte")
+def ends_silently(context: Context, limit: int) -> None:
+    context.caller.settimeout(limit / 1000.0)
+    found = context.caller.recv(1024)
+    assert not found, found
--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -111,10 +111,15 @@
 
 
 class CallerLeft(Decision, frozen=True):
-    """A caller closed its connection; its request was cancelled."""
+    """A caller closed its connection; its request was cancelled.
+
+    :param how: what was noticed. A caller that only ended its sending side can't be told
+        from one that closed its connection.
+    """
 
     attempt: str
     seconds: float
+    how: str
 
 
 class CallerGivenUp(Decision, frozen=True):
--- a/yarrowwall/gateway/caller_watch.py
+++ b/yarrowwall/gateway/caller_watch.py
@@ -23,6 +23,7 @@
         self._is_active = False
         self._handler = eventlet.getcurrent()
         self._listener: Any = None
+        self._reason = ""
 
     def start(self) -> None:
         """Begin to watch."""
@@ -32,8 +33,7 @@
             fileno = self._connection.fileno()
             self._listener = hub.add(hub.READ, fileno, self._look, self._note_closed, None)
         except (OSError, ValueError):
-            # Its descriptor is closed already.
-            self._note_gone()
+            self._note_gone("its descriptor was closed before")
 
     def stop(self) -> None:
         """Cease to watch; afterwards nothing is raised any more."""
@@ -66,18 +66,20 @@
             # Bytes here are the next request of a caller that pipelines; it is not gone.
             if self._peek():
                 return
-        except OSError:
-            # A reset; a closed descriptor means that the answer is over, and nobody watches.
-            pass
-        self._note_gone()
+        except OSError as error:
+            # A closed descriptor means that the answer is over, and nobody watches.
+            self._note_gone(str(error))
+            return
+        self._note_gone("half or full close")
 
     def _note_closed(self, error: BaseException) -> None:
         """Take in that the descriptor has become another connection's; called by the hub."""
         self._listener = None
-        self._note_gone()
+        self._note_gone("its descriptor is another connection's")
 
-    def _note_gone(self) -> None:
+    def _note_gone(self, reason: str) -> None:
         if self._is_active:
+            self._reason = reason
             get_hub().schedule_call_global(0, self._raise_in_handler)
 
     def _peek(self) -> bytes:
@@ -87,4 +89,4 @@
     def _raise_in_handler(self) -> None:
         if self._is_active:
             self._is_active = False
-            self._handler.throw(CallerGoneError("the caller closed its connection"))
+            self._handler.throw(CallerGoneError(self._reason))
--- a/yarrowwall/gateway/exchange.py
+++ b/yarrowwall/gateway/exchange.py
@@ -12,7 +12,7 @@
 from yarrowwall.exceptions import CallerGoneError, InvalidAttemptError
 from yarrowwall.gateway.bodies import BodyLateError, RequestBody
 from yarrowwall.gateway.caller_watch import CallerWatch
-from yarrowwall.gateway.http_server import close_after_answer
+from yarrowwall.gateway.http_server import close_after_answer, end_connection
 from yarrowwall.gateway.response import Response
 from yarrowwall.gateway.state import GatewayState
 from yarrowwall.gateway.turn import AnswerCutError, Turn
@@ -67,11 +67,9 @@
         try:
             yield from self._answer(watch)
             response.is_complete = True
-        except CallerGoneError:
-            if not response.is_end_told:
-                response.is_end_told = True
-                self._log.write(decisions.CallerLeft(response.attempt_id, response.lasted_s))
-            raise AnswerCutError from None
+        except CallerGoneError as error:
+            self._note_left(str(error))
+            end_connection()
         except AnswerCutError:
             response.is_end_told = True
             raise
@@ -84,6 +82,13 @@
             watch.stop()
             self._hold.close()
 
+    def _note_left(self, reason: str) -> None:
+        response = self._response
+        if not response.is_end_told:
+            response.is_end_told = True
+            left = decisions.CallerLeft(response.attempt_id, response.lasted_s, reason)
+            self._log.write(left)
+
     def _answer(self, watch: CallerWatch) -> Iterator[bytes]:
         try:
             attempt = self._parts.callers.read_attempt(self._environ, self._response.arrived_at)
--- a/yarrowwall/gateway/http_server.py
+++ b/yarrowwall/gateway/http_server.py
@@ -125,6 +125,14 @@
     environ[PROTOCOL_KEY].close_connection = 1
 
 
+def end_connection() -> None:
+    """Let the connection end behind what was written, without an end of the answer.
+
+    The WSGI server would begin an answer of its own, if none was begun.
+    """
+    eventlet.wsgi.WSGI_LOCAL.already_handled = True
+
+
 def expect_stream_read(environ: dict[str, Any]) -> None:
     """Give the caller up soon if it takes nothing of a stream."""
     environ[PROTOCOL_KEY].connection.settimeout(STREAM_WRITE_SECONDS)
