A server's failure that breaks off on a stream's route is a 502

What callers saw: "500 Internal Server Error", and an InternalFault in the gateway's log, where a server answered a turn with a failure and ended its connection within that answer's body.

Cause: Turn._pass_on_failure let the error of the connection through, which nobody above converts. A whole answer that breaks off gets 502 (dispatch/whole.py); here the same now, with SendFailed, so the server is passed over.

--- a/features/connection_ends.feature
+++ b/features/connection_ends.feature
@@ -73,3 +73,11 @@
     When a caller of "quiet" ends its sending side while it waits
     Then its connection ends within 1000 ms without a byte
     And the gateway tells once that its connection ended, as CallerLeft
+
+  # Guards against a 500 and a fault of the program for a server's failure that breaks off.
+  @platform_world
+  Scenario: A failure that a server breaks off on a stream's route is answered 502
+    Given a stream route "chat" whose server answers 500 and breaks off
+    When a caller of "chat" waits for its answer
+    Then the answer is 502 without Retry-After
+    And the gateway tells of no fault of its own
--- a/features/steps/connection_end_steps.py
+++ b/features/steps/connection_end_steps.py
@@ -12,8 +12,8 @@
 from behave.runner import Context
 from eventlet.green import socket as green_socket
 
-from features.support.platform_scripts import arrivals, world
-from features.support.platform_world import HOST
+from features.support.platform_scripts import add, arrivals, silent, world
+from features.support.platform_world import HOST, Arrival, QuietHandler, own_headers
 from features.support.processes import wait_until
 from yarrowwall.addresses import split_address
 from yarrowwall.decisions import DecisionLog
@@ -262,3 +262,26 @@
     context.caller.settimeout(limit / 1000.0)
     found = context.caller.recv(1024)
     assert not found, found
+
+
+@given('a stream route "{route}" whose server answers 500 and breaks off')
+def failure_breaks_off(context: Context, route: str) -> None:
+    def script(call: QuietHandler, arrival: Arrival) -> bool:
+        call.send_response(500)
+        for name, value in {**own_headers(arrival), "Content-Length": "100"}.items():
+            call.send_header(name, value)
+        call.end_headers()
+        call.wfile.write(b"only this")
+        return silent(call, arrival)
+
+    add(context, route, "streaming", script)
+
+
+@when('a caller of "{route}" waits for its answer')
+def waits_for_answer(context: Context, route: str) -> None:
+    context.answers = [world(context).ask(route, b"x")]
+
+
+@then("the gateway tells of no fault of its own")
+def no_fault(context: Context) -> None:
+    assert "InternalFault" not in [line["kind"] for line in world(context).log("edge-0")]
--- a/yarrowwall/gateway/turn.py
+++ b/yarrowwall/gateway/turn.py
@@ -7,7 +7,12 @@
 from yarrowwall import decisions
 from yarrowwall.dispatch.sender import AttemptSender, Sending
 from yarrowwall.dispatch.streams import StreamBrokenError, StreamRelay
-from yarrowwall.exceptions import BudgetExhaustedError, StoreUncertainError, TurnUnknownError
+from yarrowwall.exceptions import (
+    BudgetExhaustedError,
+    RelayError,
+    StoreUncertainError,
+    TurnUnknownError,
+)
 from yarrowwall.gateway.response import Response
 from yarrowwall.gateway.state import GatewayState
 from yarrowwall.model import Answer, Attempt, Route
@@ -156,7 +161,17 @@
             raise
 
     def _pass_on_failure(self, answer: Answer, sender: AttemptSender) -> bytes:
+        """Begin a server's answer that is no stream; return its body.
+
+        :raises RefusedError: if it breaks off.
+        """
         opened = sender.current
-        body = opened.connection.read_all(sender.left_s()) if opened is not None else b""
+        try:
+            body = opened.connection.read_all(sender.left_s()) if opened is not None else b""
+        except RelayError as error:
+            sender.abandon()
+            if opened is not None:
+                sender.note_failure(opened.send.server, error)
+            raise sender.refused(str(error)) from error
         sender.release()
         return self._response.pass_on(answer, body, sender.log.tried[-1])
