A stream of no events is passed on

What callers saw: "500 Internal Server Error" where a server had ended its stream whole, with 200 and no event; the log said AttemptAnswered 200.

Cause: the head was begun with the first events, so without any the WSGI server found an answer without a head.

Change: it is begun behind the stream's end if there were none.

--- a/features/connection_ends.feature
+++ b/features/connection_ends.feature
@@ -81,3 +81,11 @@
     When a caller of "chat" waits for its answer
     Then the answer is 502 without Retry-After
     And the gateway tells of no fault of its own
+
+  # Guards against a 500 for a stream that a server ended whole, and that counted as answered.
+  @platform_world
+  Scenario: A stream of no events is passed on whole
+    Given a stream route "chat" whose server sends 0 events
+    When a caller of "chat" waits for its answer
+    Then the answer is 200 with the server's seal
+    And its body is whole and empty
--- a/features/steps/connection_end_steps.py
+++ b/features/steps/connection_end_steps.py
@@ -282,6 +282,12 @@
     context.answers = [world(context).ask(route, b"x")]
 
 
+@then("its body is whole and empty")
+def empty_body(context: Context) -> None:
+    (answer,) = context.answers
+    assert answer.is_whole and not answer.body, answer
+
+
 @then("the gateway tells of no fault of its own")
 def no_fault(context: Context) -> None:
     assert "InternalFault" not in [line["kind"] for line in world(context).log("edge-0")]
--- a/yarrowwall/gateway/turn.py
+++ b/yarrowwall/gateway/turn.py
@@ -97,6 +97,8 @@
                 yield b"".join(event.raw for event in events)
             grant.complete(relay.passed, sender.last_server)
             relay.finish()
+            if not relay.passed:
+                self._response.begin_stream(opened.answer)
             self._response.note_answered(HTTPStatus.OK, sender.log.tried[-1], len(relay.passed))
         except (StreamBrokenError, StoreUncertainError) as error:
             self._parts.dispatch.decisions.write(
