A request under way gets the longest of its route's times

Change: RequestTime (policy/request_time.py) holds the end; sender, stream and turn ask it when they wait. A configuration that comes into force tells it to the requests under way: the time of the route that they have by it can only lengthen theirs. A time that is lowered meanwhile ends nothing early, as before. Servers are told the time left at the sending, so one that ends by X-Deadline-Ms itself still ends by the first time.

--- a/yarrowwall/dispatch/sender.py
+++ b/yarrowwall/dispatch/sender.py
@@ -27,6 +27,7 @@
     Server,
 )
 from yarrowwall.policy.memory_budget import MemoryHold
+from yarrowwall.policy.request_time import RequestTime
 from yarrowwall.policy.sending import SendRules
 from yarrowwall.policy.server_choice import Choice, PlacementRequest
 from yarrowwall.policy.servers import ServerState
@@ -43,7 +44,7 @@
     """What is to be sent for an attempt.
 
     :param service: the service that the route chose.
-    :param end: when the attempt's time is over, by its caller or its route.
+    :param time: how long the attempt may take.
     :param body: what servers get as the body.
     :param allowance: the credits for its sendings.
     :param hold: what is held for the caller.
@@ -53,7 +54,7 @@
     attempt: Attempt
     route: Route
     service: str
-    end: float
+    time: RequestTime
     body: bytes
     allowance: Allowance
     hold: MemoryHold
@@ -88,7 +89,7 @@
         self.rules = SendRules(
             sending.route,
             sending.service,
-            sending.end,
+            sending.time,
             parts.directory,
             parts.latencies,
             parts.retries,
--- a/yarrowwall/gateway/exchange.py
+++ b/yarrowwall/gateway/exchange.py
@@ -14,10 +14,12 @@
 from yarrowwall.gateway.caller_watch import CallerWatch
 from yarrowwall.gateway.http_server import close_after_answer, end_connection
 from yarrowwall.gateway.response import Response
+from yarrowwall.gateway.routing import RouteTable
 from yarrowwall.gateway.state import GatewayState
 from yarrowwall.gateway.turn import AnswerCutError, Turn
 from yarrowwall.model import Attempt, RequestKind, Route
 from yarrowwall.policy.memory_budget import MemoryExhaustedError
+from yarrowwall.policy.request_time import RequestTime
 from yarrowwall.policy.retry_after import SHORTAGE_SECONDS
 from yarrowwall.refusals import Refusal, RefusedError, unavailable
 
@@ -37,6 +39,8 @@
         self._response = Response(
             gateway.parts, environ, start_response, lambda: gateway.sends_callers_away
         )
+        self._attempt: Attempt | None = None
+        self._time: RequestTime | None = None
         self._body = self._run()
         gateway.under_way.add(self)
 
@@ -56,6 +60,14 @@
             self._gateway.under_way.discard(self)
             self._response.note_ended(held)
 
+    def note_in_force(self, table: RouteTable) -> None:
+        """Take in the routes that are in force from now on."""
+        if self._attempt is None or self._time is None:
+            return
+        route = table.match(self._attempt.host, self._attempt.path)
+        if route is not None:
+            self._time.note_route_s(route.timeout_s)
+
     def note_process_ended(self) -> None:
         """Log that the end of the process ends the request."""
         self._response.note_process_ended()
@@ -95,8 +107,9 @@
             self._response.attempt_id = attempt.attempt_id
             self._gateway.wait_until_informed()
             route = self._gateway.admission.match(attempt)
-            end = min(attempt.deadline, attempt.arrived_at + route.timeout_s)
-            attempt.body = self._read_body(end)
+            time = RequestTime(attempt.arrived_at, attempt.deadline, route.timeout_s)
+            self._attempt, self._time = attempt, time
+            attempt.body = self._read_body(time.end)
         except InvalidAttemptError as error:
             yield self._response.refuse(Refusal(error.status, str(error)))
             return
@@ -104,14 +117,14 @@
             yield self._response.refuse(error.refusal)
             return
         watch.start()
-        self._note_admitted(attempt, route, end)
+        self._note_admitted(attempt, route, time.end)
         try:
-            if not self._gateway.has_time_for(self._now(), end):
+            if not self._gateway.has_time_for(self._now(), time.end):
                 raise unavailable("stopping", SHORTAGE_SECONDS)
             if route.kind is RequestKind.STREAM:
-                yield from self._stream(attempt, route, end)
+                yield from self._stream(attempt, route, time)
             else:
-                yield self._whole(attempt, route, end)
+                yield self._whole(attempt, route, time)
         except RefusedError as error:
             yield self._response.refuse(error.refusal)
 
@@ -154,22 +167,22 @@
             )
         )
 
-    def _whole(self, attempt: Attempt, route: Route, end: float) -> bytes:
+    def _whole(self, attempt: Attempt, route: Route, time: RequestTime) -> bytes:
         if attempt.program is not None:
             self._parts.program_sizes.note_lookup()
         allowance = self._parts.quotas.allowance(attempt)
         allowance.begin()
         try:
             service = self._gateway.admission.service_for(route)
-            sending = Sending(attempt, route, service, end, attempt.body, allowance, self._hold)
+            sending = Sending(attempt, route, service, time, attempt.body, allowance, self._hold)
             sender = AttemptSender(self._parts.dispatch, sending)
             answer, body = relay_whole(self._parts.dispatch, route, sender)
             return self._response.pass_on(answer, body, sender.log.tried[-1])
         finally:
             allowance.close()
 
-    def _stream(self, attempt: Attempt, route: Route, end: float) -> Iterator[bytes]:
-        turn = Turn(self._gateway, attempt, route, end, self._hold, self._response)
+    def _stream(self, attempt: Attempt, route: Route, time: RequestTime) -> Iterator[bytes]:
+        turn = Turn(self._gateway, attempt, route, time, self._hold, self._response)
         loads = self._parts.dispatch.loads.ask()
         allowance = self._parts.quotas.allowance(attempt)
         allowance.begin()
--- a/yarrowwall/gateway/state.py
+++ b/yarrowwall/gateway/state.py
@@ -22,6 +22,9 @@
 class UnderWay(Protocol):
     """A request under way."""
 
+    def note_in_force(self, table: RouteTable) -> None:
+        """Take in the routes that are in force from now on."""
+
     def note_process_ended(self) -> None:
         """Log that the end of the process ends the request."""
 
@@ -117,6 +120,8 @@
             return False
         before = self.table.configuration if self.table is not None else None
         self.admission.table = RouteTable(configuration)
+        for request in self.under_way:
+            request.note_in_force(self.admission.table)
         self.parts.limits.current = configuration.limits
         log = self.parts.dispatch.decisions
         log.write(
--- a/yarrowwall/gateway/turn.py
+++ b/yarrowwall/gateway/turn.py
@@ -17,6 +17,7 @@
 from yarrowwall.gateway.state import GatewayState
 from yarrowwall.model import Answer, Attempt, Route
 from yarrowwall.policy.memory_budget import MemoryExhaustedError, MemoryHold
+from yarrowwall.policy.request_time import RequestTime
 from yarrowwall.policy.retry_after import SHORTAGE_SECONDS, after_outage_s
 from yarrowwall.ports.programs import TurnGrant
 from yarrowwall.ports.quotas import Allowance
@@ -31,7 +32,7 @@
 class Turn:
     """One attempt at a turn.
 
-    :param end: when the attempt's time is over, by its caller or its route.
+    :param time: how long the attempt may take.
     :param hold: what is held for the caller.
     """
 
@@ -40,7 +41,7 @@
         gateway: GatewayState,
         attempt: Attempt,
         route: Route,
-        end: float,
+        time: RequestTime,
         hold: MemoryHold,
         response: Response,
     ) -> None:
@@ -48,7 +49,7 @@
         self._parts = gateway.parts
         self._attempt = attempt
         self._route = route
-        self._end = end
+        self._time = time
         self._hold = hold
         self._response = response
         self._service = gateway.admission.main_service(route)
@@ -62,7 +63,7 @@
         tokens_per_event = engine.tokens_per_event if engine is not None else 1
         programs = self._parts.programs
         try:
-            return programs.open_turn(self._attempt, self._route, tokens_per_event, self._end)
+            return programs.open_turn(self._attempt, self._route, tokens_per_event, self._time.end)
         except BudgetExhaustedError as error:
             refusal = Refusal(HTTPStatus.PAYMENT_REQUIRED, str(error))
             raise RefusedError(refusal) from error
@@ -116,7 +117,7 @@
             self._attempt,
             self._route,
             service,
-            self._end,
+            self._time,
             grant.body,
             allowance,
             self._hold,
--- a/yarrowwall/policy/sending.py
+++ b/yarrowwall/policy/sending.py
@@ -9,6 +9,7 @@
 
 from yarrowwall.model import Incarnation, RequestKind, Route
 from yarrowwall.policy.latency import LatencyEstimator, RetryBudget
+from yarrowwall.policy.request_time import RequestTime
 from yarrowwall.policy.retry_after import SHORTAGE_SECONDS
 from yarrowwall.policy.servers import ServerDirectory
 from yarrowwall.refusals import Refusal
@@ -46,7 +47,7 @@
     """The rules for the sendings of one attempt.
 
     :param service: whose servers may take it.
-    :param end: when the attempt's time is over, by its caller or its route.
+    :param time: how long the attempt may take.
     :ivar log: what became of it up to now; whoever sends it keeps this.
     """
 
@@ -54,14 +55,14 @@
         self,
         route: Route,
         service: str,
-        end: float,
+        time: RequestTime,
         directory: ServerDirectory,
         latencies: LatencyEstimator,
         retries: RetryBudget,
     ) -> None:
         self._route = route
         self._service = service
-        self._end = end
+        self._time = time
         self._directory = directory
         self._latencies = latencies
         self._retries = retries
@@ -69,7 +70,7 @@
 
     def left_s(self, now: float) -> float:
         """Return the seconds left to the attempt."""
-        return self._end - now
+        return self._time.end - now
 
     def may_send(self, now: float) -> bool:
         """Return whether one more server may get the attempt, if it may be sent again at all."""
