A request whose head was cut is not passed on

Cause: the library's parser takes the end of a connection for the end of a head, and eventlet goes on with it.

Change: a head counts as read only if its last line is the empty one; else the connection ends, told as ConnectionEnded head_refused.

Both scenarios failed before: ASSERT FAILED: ['CallerLeft'] (a head that ends in a field) ASSERT FAILED, AttemptSent "attempt":"cut" (the servers of "records" got nothing) and pass now.

--- a/features/connection_ends.feature
+++ b/features/connection_ends.feature
@@ -34,6 +34,7 @@
       | what            | reason       |
       | stops midway    | head_late    |
       | is no HTTP      | head_refused |
+      | ends in a field | head_refused |
 
   @platform_world
   Scenario: A connection that ends between requests is not told
@@ -89,3 +90,10 @@
     When a caller of "chat" waits for its answer
     Then the answer is 200 with the server's seal
     And its body is whole and empty
+
+  # Guards against a request that runs though its caller left within its head.
+  @platform_world
+  Scenario: A request whose head was cut reaches no server
+    Given a route "records" of type "mutating" with a server
+    When a caller sends the head of a request that ends in a field
+    Then the servers of "records" got nothing
--- a/features/steps/connection_end_steps.py
+++ b/features/steps/connection_end_steps.py
@@ -112,6 +112,15 @@
     connect(context).sendall(b"\x16\x03\x01 this is no request\r\n\r\n")
 
 
+@when("a caller sends the head of a request that ends in a field")
+def head_cut(context: Context) -> None:
+    connection = connect(context)
+    head = f"POST /records/x HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: cut\r\nX-Deadline-Ms: 30"
+    connection.sendall(head.encode())
+    connection.shutdown(socket.SHUT_WR)
+    assert not connection.recv(1024)
+
+
 @when('a caller of "{route}" is answered and leaves')
 def answered_and_leaves(context: Context, route: str) -> None:
     assert world(context).ask(route, b"x").status == 200
--- a/yarrowwall/gateway/endings.py
+++ b/yarrowwall/gateway/endings.py
@@ -9,7 +9,7 @@
 
     #: The head did not arrive in time.
     HEAD_LATE = "head_late"
-    #: The head is malformed or too long.
+    #: The head is malformed or too long, or ended early.
     HEAD_REFUSED = "head_refused"
     #: The caller took nothing of its answer for too long.
     NOT_TAKEN = "not_taken"
--- a/yarrowwall/gateway/http_server.py
+++ b/yarrowwall/gateway/http_server.py
@@ -29,6 +29,7 @@
 #: which counts as the machine's memory; 64 KB are 5 ms at 100 Mbit/s.
 SEND_BUFFER_BYTES = 64 * 1024
 _MOST_CONNECTIONS = 3000
+_EMPTY_LINES = (b"\r\n", b"\n")
 
 
 class _CallerWriter(io.RawIOBase):
@@ -67,6 +68,22 @@
         self.write(b"".join(lines))
 
 
+class _HeadReader:
+    """Reads the lines of a head.
+
+    :ivar last: the line that was read last.
+    """
+
+    def __init__(self, source: Any) -> None:
+        self._source = source
+        self.last = b""
+
+    def readline(self, size: int = -1) -> bytes:
+        """Return the next line; without its end if the connection ended within it."""
+        self.last = self._source.readline(size)
+        return self.last
+
+
 class ServerLimits:
     """Limits that every connection looks up anew for each request."""
 
@@ -80,7 +97,9 @@
     class GatewayProtocol(eventlet.wsgi.HttpProtocol):
         """A connection whose waits are bounded by the configuration in force."""
 
+        rfile: Any
         wfile: Any
+        close_connection: bool | int
         #: When the head that is being read began; None while none is.
         _head_since: float | None = None
 
@@ -97,6 +116,16 @@
                 raise
             self._note_head_ended(EndReason.HEAD_REFUSED)
 
+        def parse_request(self) -> bool:
+            self.rfile = reader = _HeadReader(self.rfile)
+            if not super().parse_request():
+                return False
+            # The library takes the end of a connection for the end of a head.
+            is_whole = reader.last in _EMPTY_LINES
+            if not is_whole:
+                self.close_connection = True
+            return is_whole
+
         def _note_head_ended(self, reason: EndReason) -> None:
             if self._head_since is not None:
                 lasted_s = time.monotonic() - self._head_since
