A caller's bytes that came in time are read though the process was held up

Cause: eventlet's hub fires the timers that are due before it looks for bytes, if the hold-up was in a callback for another connection. The time-out closed the connection with the request in the kernel's buffer.

Change: the connection's reader looks once more behind a time-out, and goes on if bytes are there. The time of a whole body is an error of its own, so that a look can't take it for a wait's.

--- a/features/connection_ends.feature
+++ b/features/connection_ends.feature
@@ -97,3 +97,14 @@
     Given a route "records" of type "mutating" with a server
     When a caller sends the head of a request that ends in a field
     Then the servers of "records" got nothing
+
+  # Guards against time-outs that end a request whose bytes are there, since the process was late.
+  Scenario Outline: Bytes that came in time are read though the process runs again only later
+    Given a server of callers whose idle connections and heads have 500 ms
+    When <what> comes after 400 ms and the process runs again 300 ms later
+    Then the caller is answered
+
+    Examples:
+      | what                          |
+      | a request                     |
+      | the second half of a head     |
--- a/features/steps/connection_end_steps.py
+++ b/features/steps/connection_end_steps.py
@@ -6,10 +6,15 @@
 import socket
 import struct
 import time
+from collections.abc import Callable
+from dataclasses import replace
 from types import SimpleNamespace
+from typing import Any
 
+import eventlet
 from behave import given, then, when
 from behave.runner import Context
+from eventlet import patcher
 from eventlet.green import socket as green_socket
 
 from features.support.platform_scripts import add, arrivals, silent, world
@@ -18,7 +23,7 @@
 from yarrowwall.addresses import split_address
 from yarrowwall.decisions import DecisionLog
 from yarrowwall.gateway.gateway import Gateway
-from yarrowwall.gateway.http_server import PROTOCOL_KEY, ServerLimits
+from yarrowwall.gateway.http_server import PROTOCOL_KEY, ServerLimits, serve
 from yarrowwall.platform.callers import PlatformCallers
 from yarrowwall.policy.freshness import Freshness
 from yarrowwall.policy.memory_budget import MemoryBounds, MemoryBudget
@@ -300,3 +305,48 @@
 @then("the gateway tells of no fault of its own")
 def no_fault(context: Context) -> None:
     assert "InternalFault" not in [line["kind"] for line in world(context).log("edge-0")]
+
+
+# A process that runs late
+
+
+@given("a server of callers whose idle connections and heads have {limit:d} ms")
+def short_limits(context: Context, limit: int) -> None:
+    def answer(environ: dict[str, Any], start_response: Callable[..., Any]) -> list[bytes]:
+        start_response("200 OK", [("Content-Length", "0")])
+        return [b""]
+
+    limits = ServerLimits()
+    limits.current = replace(
+        limits.current, idle_seconds=limit / 1000.0, header_seconds=limit / 1000.0
+    )
+    log = DecisionLog("edge-0", descriptor=os.open(os.devnull, os.O_WRONLY))
+    listener = eventlet.listen(("127.0.0.1", 0))
+    context.server = eventlet.spawn(serve, listener, answer, limits, log)
+    context.server_address = listener.getsockname()
+
+
+@when("{what} comes after {pause:d} ms and the process runs again {late:d} ms later")
+def comes_while_late(context: Context, what: str, pause: int, late: int) -> None:
+    request = f"GET /x HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode()
+    half = len(request) // 2 if what == "the second half of a head" else 0
+    context.caller = green_socket.create_connection(context.server_address)
+    context.caller.sendall(request[:half])
+    near, far = green_socket.socketpair()
+
+    def hold_up() -> None:
+        near.recv(1)
+        context.caller.sendall(request[half:])
+        patcher.original("time").sleep(late / 1000.0)
+
+    eventlet.spawn(hold_up)
+    eventlet.sleep(pause / 1000.0)
+    far.send(b"x")
+
+
+@then("the caller is answered")
+def caller_answered(context: Context) -> None:
+    context.caller.settimeout(2.0)
+    found = context.caller.recv(100)
+    context.server.kill()
+    assert found.startswith(b"HTTP/1.1 200 "), found
--- a/yarrowwall/gateway/bodies.py
+++ b/yarrowwall/gateway/bodies.py
@@ -69,7 +69,7 @@
     def _read_in_time(self, timeout: float) -> bytes:
         size = self._announced if self._announced is not None else self._limit + 1
         try:
-            with eventlet.Timeout(timeout, TimeoutError):
+            with eventlet.Timeout(timeout, BodyLateError("the body did not arrive in time")):
                 return self._read_pieces(size)
         except TimeoutError as error:
             raise BodyLateError("the body did not arrive in time") from error
--- a/yarrowwall/gateway/http_server.py
+++ b/yarrowwall/gateway/http_server.py
@@ -13,7 +13,7 @@
 from yarrowwall.exceptions import CallerGoneError
 from yarrowwall.gateway.endings import Ending, EndReason
 from yarrowwall.model import CallerLimits
-from yarrowwall.sockets import send_some
+from yarrowwall.sockets import is_quiet, receive, send_some
 
 #: Key of the environment under which the application finds the connection's handler.
 PROTOCOL_KEY = "yarrowwall.connection"
@@ -68,6 +68,43 @@
         self.write(b"".join(lines))
 
 
+class _CallerReader(io.RawIOBase):
+    """Reads requests; a time-out counts only if nothing is there to read.
+
+    A process that was held up finds a time-out and bytes that came in time at once, and eventlet's
+    hub may tell of the time-out first.
+    """
+
+    def __init__(self, connection: socket.socket) -> None:
+        self._connection = connection
+
+    def readable(self) -> bool:
+        """Return that this may be read."""
+        return True
+
+    def readinto(self, buffer: Any) -> int:
+        """Take in the bytes that arrive next; none at the end of the connection.
+
+        :raises TimeoutError: if none arrive in time.
+        """
+        try:
+            data = self._receive(len(buffer))
+        except ConnectionError:
+            # A reset ends a request as an orderly end does.
+            data = b""
+        buffer[: len(data)] = data
+        return len(data)
+
+    def _receive(self, size: int) -> bytes:
+        timeout = self._connection.gettimeout()
+        try:
+            return receive(self._connection, size, timeout)
+        except TimeoutError:
+            if is_quiet(self._connection):
+                raise
+        return receive(self._connection, size, timeout)
+
+
 class _HeadReader:
     """Reads the lines of a head.
 
@@ -105,6 +142,8 @@
 
         def setup(self) -> None:
             super().setup()
+            self.rfile.close()
+            self.rfile = io.BufferedReader(_CallerReader(self.connection))
             self.wfile.close()
             self.wfile = _CallerWriter(self.connection)
 
