--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -80,7 +80,9 @@
 
 
 class AttemptAnswered(Decision, frozen=True):
-    """A caller got a server's answer, whole.
+    """A server's answer was handed over whole, to be written to its caller.
+
+    A line behind it, ``ConnectionEnded`` or ``CallerGivenUp``, tells if the caller did not take it.
 
     :param first_seconds: until its first event; None for an answer without events.
     """
