The metrics' listener goes on accepting as well

Change: it is a SteadyListener, opened as the others are.

The scenario failed before: urllib.error.URLError: <urlopen error [Errno 111] Connection refused>, and passes now.

--- a/features/connection_ends.feature
+++ b/features/connection_ends.feature
@@ -108,3 +108,9 @@
       | what                          |
       | a request                     |
       | the second half of a head     |
+
+  # Guards against a machine whose metrics can't be read any more once it was out of descriptors.
+  @platform_world
+  Scenario: The metrics of a machine that was out of descriptors for a while can be read
+    When gateway 0 may open no descriptor while 5 callers connect for its metrics
+    Then the metrics of gateway 0 can be read
--- a/features/steps/connection_end_steps.py
+++ b/features/steps/connection_end_steps.py
@@ -10,6 +10,7 @@
 from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any
+from urllib.request import urlopen
 
 import eventlet
 from behave import given, then, when
@@ -185,6 +186,18 @@
     without_descriptors(context, f"edge-{number}", "http", count)
 
 
+@when("gateway {number:d} may open no descriptor while {count:d} callers connect for its metrics")
+def metrics_without_descriptors(context: Context, number: int, count: int) -> None:
+    without_descriptors(context, f"edge-{number}", "metrics", count)
+
+
+@then("the metrics of gateway {number:d} can be read")
+def metrics_read(context: Context, number: int) -> None:
+    address = world(context).addresses[f"edge-{number}"]["metrics"]
+    with urlopen(f"http://{address}/metrics", timeout=5.0) as answer:
+        assert b"yarrowwall_configuration_version" in answer.read()
+
+
 @then("the caller that kept its connection is answered 200 on it")
 def kept_answered(context: Context) -> None:
     answer = world(context).ask(context.kept_route, b"x", connection=context.kept)
--- a/yarrowwall/machine/process.py
+++ b/yarrowwall/machine/process.py
@@ -11,6 +11,7 @@
 from yarrowwall import decisions
 from yarrowwall.decisions import DecisionLog
 from yarrowwall.exceptions import SettingsError
+from yarrowwall.listening import SteadyListener
 from yarrowwall.machine.gateway_role import GatewayService
 from yarrowwall.machine.listeners import EarlyListeners
 from yarrowwall.machine.replica_role import ReplicaService
@@ -54,6 +55,7 @@
     ) -> None:
         self._settings = settings
         self._path = path
+        self._listeners = listeners
         self._metrics = MachineMetrics()
         self._log = DecisionLog(settings.node_id, count=self._metrics.count)
         self._stopped = Event()
@@ -113,13 +115,13 @@
         for part in self._parts:
             part.start()
         eventlet.spawn_n(self._watch_settings)
-        eventlet.spawn_n(
-            serve_metrics,
-            self._settings.metrics_address,
-            self._render_metrics,
-        )
+        eventlet.spawn_n(self._serve_metrics)
         self._log.write(decisions.ProcessChanged("started", self._settings.zone))
 
+    def _serve_metrics(self) -> None:
+        plain = self._listeners.take(self._settings.metrics_address)
+        serve_metrics(SteadyListener(plain, self._log), self._render_metrics)
+
     def _render_metrics(self) -> bytes:
         for part in self._parts:
             part.measure(self._metrics)
--- a/yarrowwall/metrics.py
+++ b/yarrowwall/metrics.py
@@ -9,12 +9,11 @@
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-import eventlet
 import eventlet.wsgi
 
 from yarrowwall import decisions
-from yarrowwall.addresses import split_address
 from yarrowwall.decisions import Decision
+from yarrowwall.listening import SteadyListener
 
 if TYPE_CHECKING:
     from prometheus_client.metrics_core import Metric
@@ -275,8 +274,8 @@
     yield from metrics.values()
 
 
-def serve_metrics(address: str, render: Callable[[], bytes]) -> None:
-    """Tell the metrics on an address until the process ends."""
+def serve_metrics(listener: SteadyListener, render: Callable[[], bytes]) -> None:
+    """Tell the metrics on a listening socket until the process ends."""
 
     def answer(environ: dict[str, Any], start_response: Callable[..., Any]) -> Iterable[bytes]:
         if environ["PATH_INFO"] != _METRICS_PATH:
@@ -290,4 +289,4 @@
         start_response("200 OK", headers)
         return [body]
 
-    eventlet.wsgi.server(eventlet.listen(split_address(address)), answer, log_output=False)
+    eventlet.wsgi.server(listener, answer, log_output=False)
