--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -80,7 +80,9 @@
 
 
 class AttemptAnswered(Decision, frozen=True):
-    """A caller got a server's answer, whole.
+    """A server's answer was handed over whole, to be written to its caller.
+
+    A line behind it, ``ConnectionEnded`` or ``CallerGivenUp``, tells if the caller did not take it.
 
     :param first_seconds: until its first event; None for an answer without events.
     """
@@ -111,10 +113,15 @@
 
 
 class CallerLeft(Decision, frozen=True):
-    """A caller closed its connection; its request was cancelled."""
+    """A caller closed its connection; its request was cancelled.
+
+    :param how: what was noticed. A caller that only ended its sending side can't be told
+        from one that closed its connection.
+    """
 
     attempt: str
     seconds: float
+    how: str
 
 
 class CallerGivenUp(Decision, frozen=True):
@@ -129,6 +136,23 @@
     held: int
 
 
+class ConnectionEnded(Decision, frozen=True):
+    """A caller's connection ended before its answer, for a reason that no other line tells.
+
+    :param attempt: empty if the request's head was not read.
+    :param reason: an :class:`EndReason`.
+    :param seconds: since the request began.
+    :param events: events of a stream that were passed on.
+    :param detail: the error behind it; empty for none.
+    """
+
+    attempt: str
+    reason: str
+    seconds: float
+    events: int
+    detail: str
+
+
 class InternalFault(Decision, frozen=True):
     """A fault of the program itself ended a request.
 
@@ -345,6 +369,19 @@
     reason: str
 
 
+class AcceptFailed(Decision, frozen=True):
+    """A connection could not be accepted; those that wait are tried again.
+
+    :param address: that is listened on.
+    """
+
+    # A process without descriptors fails many times a second.
+    lines_per_second: ClassVar[int] = 1
+
+    address: str
+    reason: str
+
+
 class PeerConnectionClosed(Decision, frozen=True):
     """Another machine sent what is no message, so its connection was closed.
 
--- a/yarrowwall/gateway/turn.py
+++ b/yarrowwall/gateway/turn.py
@@ -7,11 +7,17 @@
 from yarrowwall import decisions
 from yarrowwall.dispatch.sender import AttemptSender, Sending
 from yarrowwall.dispatch.streams import StreamBrokenError, StreamRelay
-from yarrowwall.exceptions import BudgetExhaustedError, StoreUncertainError, TurnUnknownError
+from yarrowwall.exceptions import (
+    BudgetExhaustedError,
+    RelayError,
+    StoreUncertainError,
+    TurnUnknownError,
+)
 from yarrowwall.gateway.response import Response
 from yarrowwall.gateway.state import GatewayState
 from yarrowwall.model import Answer, Attempt, Route
 from yarrowwall.policy.memory_budget import MemoryExhaustedError, MemoryHold
+from yarrowwall.policy.request_time import RequestTime
 from yarrowwall.policy.retry_after import SHORTAGE_SECONDS, after_outage_s
 from yarrowwall.ports.programs import TurnGrant
 from yarrowwall.ports.quotas import Allowance
@@ -26,7 +32,7 @@
 class Turn:
     """One attempt at a turn.
 
-    :param end: when the attempt's time is over, by its caller or its route.
+    :param time: how long the attempt may take.
     :param hold: what is held for the caller.
     """
 
@@ -35,7 +41,7 @@
         gateway: GatewayState,
         attempt: Attempt,
         route: Route,
-        end: float,
+        time: RequestTime,
         hold: MemoryHold,
         response: Response,
     ) -> None:
@@ -43,7 +49,7 @@
         self._parts = gateway.parts
         self._attempt = attempt
         self._route = route
-        self._end = end
+        self._time = time
         self._hold = hold
         self._response = response
         self._service = gateway.admission.main_service(route)
@@ -57,7 +63,7 @@
         tokens_per_event = engine.tokens_per_event if engine is not None else 1
         programs = self._parts.programs
         try:
-            return programs.open_turn(self._attempt, self._route, tokens_per_event, self._end)
+            return programs.open_turn(self._attempt, self._route, tokens_per_event, self._time.end)
         except BudgetExhaustedError as error:
             refusal = Refusal(HTTPStatus.PAYMENT_REQUIRED, str(error))
             raise RefusedError(refusal) from error
@@ -88,10 +94,12 @@
                 grant.cover(relay.passed)
                 if len(events) == len(relay.passed):
                     self._response.begin_stream(opened.answer)
-                self._response.note_given()
+                self._response.note_given(len(events))
                 yield b"".join(event.raw for event in events)
             grant.complete(relay.passed, sender.last_server)
             relay.finish()
+            if not relay.passed:
+                self._response.begin_stream(opened.answer)
             self._response.note_answered(HTTPStatus.OK, sender.log.tried[-1], len(relay.passed))
         except (StreamBrokenError, StoreUncertainError) as error:
             self._parts.dispatch.decisions.write(
@@ -109,7 +117,7 @@
             self._attempt,
             self._route,
             service,
-            self._end,
+            self._time,
             grant.body,
             allowance,
             self._hold,
@@ -156,7 +164,17 @@
             raise
 
     def _pass_on_failure(self, answer: Answer, sender: AttemptSender) -> bytes:
+        """Begin a server's answer that is no stream; return its body.
+
+        :raises RefusedError: if it breaks off.
+        """
         opened = sender.current
-        body = opened.connection.read_all(sender.left_s()) if opened is not None else b""
+        try:
+            body = opened.connection.read_all(sender.left_s()) if opened is not None else b""
+        except RelayError as error:
+            sender.abandon()
+            if opened is not None:
+                sender.note_failure(opened.send.server, error)
+            raise sender.refused(str(error)) from error
         sender.release()
         return self._response.pass_on(answer, body, sender.log.tried[-1])
--- a/yarrowwall/metrics.py
+++ b/yarrowwall/metrics.py
@@ -9,12 +9,11 @@
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-import eventlet
 import eventlet.wsgi
 
 from yarrowwall import decisions
-from yarrowwall.addresses import split_address
 from yarrowwall.decisions import Decision
+from yarrowwall.listening import SteadyListener
 
 if TYPE_CHECKING:
     from prometheus_client.metrics_core import Metric
@@ -76,6 +75,9 @@
 LENT = _Description("quota_lent", "Requests that count against this replica's part", "tenant")
 AGE = _Description("configuration_age_seconds", "Time since the newest proof of the configuration")
 GIVEN_UP = _Description("callers_given_up", "Callers that read or sent nothing for too long")
+CONNECTIONS_ENDED = _Description(
+    "connections_ended", "Callers' connections that ended before their answers", "reason"
+)
 HELD = _Description("held_bytes", "Bytes held for callers and servers", "of")
 ENTRIES_REFUSED = _Description(
     "server_entries_refused", "Entries of servers that name none to use", "fault"
@@ -122,6 +124,7 @@
             decisions.AnswerBrokenOff: lambda event: self._add(BROKEN),
             decisions.CallerLeft: lambda event: self._add(LEFT),
             decisions.CallerGivenUp: lambda event: self._add(GIVEN_UP),
+            decisions.ConnectionEnded: lambda event: self._add(CONNECTIONS_ENDED, event.reason),
             decisions.BudgetDecided: lambda event: self._add(BUDGETS, event.granted),
             decisions.PartsAsked: self._parts_asked,
             decisions.TurnKeptInZone: lambda event: self._add(ZONE_KEPT),
@@ -271,8 +274,8 @@
     yield from metrics.values()
 
 
-def serve_metrics(address: str, render: Callable[[], bytes]) -> None:
-    """Tell the metrics on an address until the process ends."""
+def serve_metrics(listener: SteadyListener, render: Callable[[], bytes]) -> None:
+    """Tell the metrics on a listening socket until the process ends."""
 
     def answer(environ: dict[str, Any], start_response: Callable[..., Any]) -> Iterable[bytes]:
         if environ["PATH_INFO"] != _METRICS_PATH:
@@ -286,4 +289,4 @@
         start_response("200 OK", headers)
         return [body]
 
-    eventlet.wsgi.server(eventlet.listen(split_address(address)), answer, log_output=False)
+    eventlet.wsgi.server(listener, answer, log_output=False)
