The end of an answer has its request's time to be stored

What callers saw: the connection of a stream that its server had ended was closed without an end, although the request had seconds left.

Cause: a verdict of a moment was made final. `TurnStore.keep` did not ask a common group that was marked out of reach, gave up when the zone's own group failed, and ended as soon as connections to replicas did, whatever time the request had left; and it waited no longer than 2 s.

Now the groups that may keep a turn are asked in turn, those in reach first, each with twice the time of the try before, until one takes it or the request's time is over. An end that is not stored is still not passed on. A write whose answer was lost may have arrived; the same record written twice is the same. A cut names what each group said last, and an end that waited 0.25 s or more is told (`TurnKeptLate`, `yarrowwall_turns_kept_late_total`). The server is left before the turn is stored, since it has done its part.

Why it works: the caller sees a pause for as long as no quorum is there, and the end as soon as one is; with no quorum until the request's end it is cut then, as before, with the reason.

The stand-in of the mutant "takes a turn for kept that waits to be copied" takes the new arguments; it stores nothing, as before, and is still caught.

--- a/features/environment.py
+++ b/features/environment.py
@@ -7,7 +7,7 @@
 from features.support.platform_world import PlatformWorld
 from features.support.processes import System
 from features.support.proxied_world import ProxiedWorld
-from features.support.zoned_world import ZonedWorld
+from features.support.zoned_world import TwoLossesWorld, ZonedWorld
 
 
 def before_feature(context: Context, feature: Feature) -> None:
@@ -36,6 +36,8 @@
         context.platform = CutWorld()
     if "zoned_world" in scenario.effective_tags:
         context.platform = ZonedWorld()
+    if "two_losses_world" in scenario.effective_tags:
+        context.platform = TwoLossesWorld()
     if context.platform is not None:
         context.by_route = {}
         context.platform.wait_ready()
--- a/features/run.py
+++ b/features/run.py
@@ -37,6 +37,7 @@
     "cut_world",
     "real_processes",
     "zoned_world",
+    "two_losses_world",
 }
 SHARED_TAG = "shared_system"
 #: Jobs at once that start machines, each some five processes that mostly wait, and jobs that
--- /dev/null
+++ b/features/steps/turn_end_steps.py
@@ -0,0 +1,158 @@
+"""Steps about ends of streams that wait until their turns are stored."""
+
+import signal
+import time
+from dataclasses import replace
+
+from behave import then, when
+from behave.runner import Context
+
+from features.support.platform_scripts import world
+from features.support.platform_world import HOST, Answer, read_rest
+from features.support.processes import wait_until
+
+ANSWERED = 200
+REFUSED = 503
+#: Events of a stream, and bytes of the first one's beginning.
+EVENTS = 4
+_BEGINNING = 8
+
+
+def storage_machines(context: Context) -> list[str]:
+    """Return the names of the storage machines that run."""
+    return [
+        name
+        for name, process in sorted(world(context).processes.items())
+        if name.startswith("storage") and process.poll() is None
+    ]
+
+
+def turn_headers(program: str, previous: str = "") -> dict[str, str]:
+    """Return the headers of a program's turn."""
+    headers = {
+        "X_Program_Id": program,
+        "X_Session_Id": program,
+        "X_Token_Budget": "10000",
+        "X_Token_Count": "100,40",
+    }
+    return headers | ({"X_Previous_Turn": previous} if previous else {})
+
+
+@when('a turn of "{route}" with {time_ms:d} ms is under way at gateway {gateway:d}')
+def begin_turn(context: Context, route: str, time_ms: int, gateway: int) -> None:
+    for known in world(context).routes:
+        known["timeout_ms"] = max(known["timeout_ms"], time_ms)
+    version = world(context).publish()
+    wait_until(lambda: in_force(context, gateway) >= version, "the route has its time")
+    # The first operation opens the connections to the replicas.
+    wait_until(
+        lambda: is_answered(context, route, gateway, "before"), "the record store takes turns"
+    )
+    context.route = route
+    context.connection = world(context).connect(gateway)
+    headers = {
+        "Host": HOST,
+        "X-Attempt-Id": world(context).next_attempt(),
+        "X-Deadline-Ms": str(time_ms),
+        **{name.replace("_", "-"): value for name, value in turn_headers("under-way").items()},
+    }
+    context.turn = headers["X-Attempt-Id"]
+    context.begun_at = time.monotonic()
+    context.connection.request("POST", f"/{route}/x?q=1", b"question", headers)
+    context.response = context.connection.getresponse()
+    context.beginning = context.response.read(_BEGINNING)
+    assert context.response.status == ANSWERED
+
+
+def in_force(context: Context, gateway: int) -> int:
+    """Return the version of the configuration at a gateway."""
+    lines = world(context).log(f"edge-{gateway}")
+    return max(line["version"] for line in lines if line["kind"] == "ConfigurationInForce")
+
+
+def is_answered(context: Context, route: str, gateway: int, program: str) -> bool:
+    answer = world(context).ask(route, b"question", gateway, **turn_headers(program))
+    return answer.status == ANSWERED and answer.is_whole
+
+
+@when("the storage machines fall silent")
+def fall_silent(context: Context) -> None:
+    context.silent_at = time.monotonic()
+    context.silent = storage_machines(context)
+    for name in context.silent:
+        world(context).kill(name, signal.SIGSTOP)
+
+
+@when('another turn of "{route}" at gateway {gateway:d} is refused')
+def another_is_refused(context: Context, route: str, gateway: int) -> None:
+    answer = world(context).ask(route, b"question", gateway, **turn_headers("another"))
+    assert answer.status == REFUSED, answer
+
+
+@when("the storage machines go on {seconds:f} s after they fell silent")
+def go_on(context: Context, seconds: float) -> None:
+    time.sleep(max(0.0, context.silent_at + seconds - time.monotonic()))
+    for name in context.silent:
+        world(context).kill(name, signal.SIGCONT)
+
+
+@when("storage machine {number:d} is killed")
+def kill_storage(context: Context, number: int) -> None:
+    world(context).kill(f"storage-{number}")
+
+
+@when("storage machines {one:d} and {other:d} start again {seconds:f} s later")
+def start_storage(context: Context, one: int, other: int, seconds: float) -> None:
+    time.sleep(seconds)
+    for number in (one, other):
+        world(context).start_machine(f"storage-{number}", is_gateway=False)
+
+
+def rest_of_stream(context: Context) -> Answer:
+    """Return the stream that is under way, read to its end."""
+    answer = read_rest(context.response, context.begun_at)
+    context.connection.close()
+    return replace(answer, body=context.beginning + answer.body)
+
+
+@then("the stream ends whole")
+def ends_whole(context: Context) -> None:
+    answer = rest_of_stream(context)
+    assert answer.is_whole, answer
+    assert answer.body.count(b"data:") == EVENTS, answer
+
+
+@then("the stream is cut within {least:f} to {most:f} s")
+def is_cut(context: Context, least: float, most: float) -> None:
+    answer = rest_of_stream(context)
+    assert not answer.is_whole, answer
+    assert answer.body.count(b"data:") == EVENTS, answer
+    assert least <= answer.seconds <= most, answer
+
+
+@then("a turn goes on from it at gateway {gateway:d}")
+def goes_on(context: Context, gateway: int) -> None:
+    headers = turn_headers("under-way", context.turn)
+
+    def has_gone_on() -> bool:
+        answer = world(context).ask(context.route, b"more", gateway, **headers)
+        assert answer.status in (ANSWERED, REFUSED), answer
+        return answer.status == ANSWERED and answer.is_whole
+
+    wait_until(has_gone_on, "the next turn goes on")
+
+
+@then("gateway {gateway:d} has told that the turn was kept late")
+def told_late(context: Context, gateway: int) -> None:
+    lines = world(context).log(f"edge-{gateway}")
+    found = [line for line in lines if line["kind"] == "TurnKeptLate"]
+    found = [line for line in found if line["attempt"] == context.turn]
+    assert len(found) == 1 and found[0]["tries"] > 1 and found[0]["seconds"] > 0.25, lines
+
+
+@then("gateway {gateway:d} has told which group did not take the turn")
+def told_group(context: Context, gateway: int) -> None:
+    lines = world(context).log(f"edge-{gateway}")
+    cut = [line for line in lines if line["kind"] == "AnswerBrokenOff"]
+    assert [line["attempt"] for line in cut] == [context.turn], cut
+    assert "group 0" in cut[0]["reason"] and "answered" in cut[0]["reason"], cut
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -422,10 +422,13 @@
 class PlatformWorld:
     """Stand-ins and machines.
 
+    :cvar machines_lost_at_once: what the deployment has to bear; None for the usual.
     :param gateways: how many machines take clients.
     :param zones: over which machines of each kind are spread in turn.
     """
 
+    machines_lost_at_once: int | None = None
+
     def __init__(
         self, gateways: int = 2, replicas: int = 3, zones: Sequence[str] = ("zone-a",)
     ) -> None:
@@ -562,6 +565,7 @@
 
     def _settings(self, name: str, is_gateway: bool, is_first: bool) -> str:
         own = self.addresses[name]
+        losses = self.machines_lost_at_once
         port = {key: address.rpartition(":")[2] for key, address in own.items()}
         lines = [
             f'node_id = "{name}"',
@@ -572,6 +576,7 @@
             f'platform_address = "{self.store_address(name)}"',
             f"is_first_start = {str(is_first).lower()}",
             *([f"memory_mb = {self.memory_mb}"] if self.memory_mb is not None else []),
+            *([f"machines_lost_at_once = {losses}"] if losses is not None else []),
             "[bounds]",
             "stop = 6.0",
             "revocation_ms = 5000",
@@ -680,7 +685,11 @@
 
 def read_answer(connection: http.client.HTTPConnection, started: float) -> Answer:
     """Return the answer that comes on a connection, whole or not."""
-    response = connection.getresponse()
+    return read_rest(connection.getresponse(), started)
+
+
+def read_rest(response: http.client.HTTPResponse, started: float) -> Answer:
+    """Return an answer of which a part may have been read, with the rest as its body."""
     body = bytearray()
     is_whole = True
     try:
--- a/features/support/zone_mutants.py
+++ b/features/support/zone_mutants.py
@@ -9,7 +9,6 @@
 from yarrowwall.budgets.ledger import LedgerGrant
 from yarrowwall.budgets.reservations import Reservations
 from yarrowwall.budgets.turn_store import TurnStore, _Found
-from yarrowwall.budgets.turns import Turn
 from yarrowwall.messages.replicated import StoredRecord
 from yarrowwall.policy import budget_parts
 from yarrowwall.policy.budget_parts import ClaimState, PartReading, Parts, Verdict
@@ -73,11 +72,8 @@
     return found._replace(unasked=[])
 
 
-def _kept_in_memory(
-    self: TurnStore, turn: Turn, record: StoredRecord, retention: float, settled: list
-) -> None:
-    self._cache.put(turn)
-    self._copies.add([turn], retention, is_needed=False)
+def _kept_in_memory(self: TurnStore, keeping: Any, own: int, wait_s: float) -> None:
+    self._copies.add([keeping.turn], keeping.retention, is_needed=False)
 
 
 def _one_disk_of_the_zone(view: Any, disks: Any) -> bool:
--- a/features/support/zoned_world.py
+++ b/features/support/zoned_world.py
@@ -96,3 +96,9 @@
         super().stop()
         for proxy in self._proxies.values():
             proxy.close()
+
+
+class TwoLossesWorld(ZonedWorld):
+    """Zones that keep no turns: two machines may be lost, and each zone has but two."""
+
+    machines_lost_at_once = 2
--- a/yarrowwall/budgets/ledger.py
+++ b/yarrowwall/budgets/ledger.py
@@ -64,7 +64,9 @@
         self._reach.on_out = self._check_others
         self._queues = SettlementQueues(client, self._reach)
         self._reservations = Reservations(client, self._zones, self._reach, self._queues, log)
-        self._turns = TurnStore(client, self.group_of, self._zones, self._reach, self._queues, log)
+        self._turns = TurnStore(
+            client, self.group_of, self._zones, self._reach, self._queues, log, now
+        )
 
     @property
     def has_unsettled(self) -> bool:
@@ -149,7 +151,7 @@
         reserved = None
         if program is not None and program.budget is not None:
             reserved = self._reserve(attempt, program, program.budget, route)
-        return LedgerGrant(self, attempt, route, body, reserved, tokens_per_event)
+        return LedgerGrant(self, attempt, route, body, reserved, tokens_per_event, end)
 
     def _prompt(self, attempt: Attempt, program: ProgramContext, route: Route) -> bytes:
         """Return what the server is to get: all earlier turns and the new input."""
@@ -178,20 +180,30 @@
         self._log.write(decisions.BudgetSettled(wanted.attempt_id, wanted.program_id, tokens))
 
     def keep_turn(
-        self, turn: Turn, route: Route, reserved: Reserved | None, tokens: int, server_id: str
+        self,
+        turn: Turn,
+        route: Route,
+        reserved: Reserved | None,
+        tokens: int,
+        server_id: str,
+        end: float,
     ) -> None:
         """Store a turn and the settlement of its reservation, if it has one.
 
+        :param end: when the request's time is over, on the monotonic clock.
         :raises StoreUncertainError: if no quorum took it in time.
         """
         settled: list[Placed] = []
         if reserved is not None:
             settled = self._reservations.settled(reserved, tokens, server_id)
-        self._turns.keep(turn, route.retention_s, settled)
+        self._turns.keep(turn, route.retention_s, settled, end)
 
 
 class LedgerGrant(TurnGrant):
-    """The leave to run one turn, with what is to be stored behind it."""
+    """The leave to run one turn, with what is to be stored behind it.
+
+    :param end: when the request's time is over, on the monotonic clock.
+    """
 
     def __init__(
         self,
@@ -201,6 +213,7 @@
         body: bytes,
         reserved: Reserved | None,
         tokens_per_event: int,
+        end: float,
     ) -> None:
         program = attempt.program
         is_continued = route.is_stateful and program is not None and bool(program.previous_turn)
@@ -213,6 +226,7 @@
         self._route = route
         self._reserved = reserved
         self._tokens_per_event = tokens_per_event
+        self._end = end
         self._is_settled = False
 
     def cover(self, passed: list[Event]) -> None:
@@ -242,7 +256,8 @@
             self._attempt.body,
             output_of(passed),
         )
-        self._ledger.keep_turn(turn, self._route, self._reserved, self._tokens(passed), server_id)
+        tokens = self._tokens(passed)
+        self._ledger.keep_turn(turn, self._route, self._reserved, tokens, server_id, self._end)
         self._is_settled = True
 
     def close(self, passed: list[Event], server_id: str) -> None:
--- a/yarrowwall/budgets/turn_store.py
+++ b/yarrowwall/budgets/turn_store.py
@@ -7,8 +7,11 @@
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from typing import NamedTuple
 
+import eventlet
+
 from yarrowwall import decisions
 from yarrowwall.budgets.group_reach import GroupReach
 from yarrowwall.budgets.settlements import SettlementQueues
@@ -21,11 +24,16 @@
 from yarrowwall.replication.exceptions import NoQuorumError
 from yarrowwall.replication.quorum_client import OPERATION_SECONDS, QuorumClient
 
-#: Seconds that the end of an answer waits for its turn to be stored.
-KEEP_SECONDS = 2.0
-#: Seconds of these that the common group has if the own zone's group can keep the turn. An
-#: answer takes milliseconds, and callers wait for the end of each turn.
-KEEP_COMMON_SECONDS = 0.3
+#: Seconds that each group has at first to take a turn if the own zone's group may keep it too; else
+#: the common one has as long as any operation. Twice as many at each further try. An answer takes
+#: milliseconds, and callers wait for the end of each turn.
+KEEP_FIRST_SECONDS = 0.3
+#: Seconds between two tries: replicas whose connections end fail at once.
+KEEP_AGAIN_SECONDS = 0.1
+#: Seconds of a request's time that are left for the end of its answer to reach the caller.
+END_MARGIN_SECONDS = 0.03
+#: Seconds that an end waited for its turn to be stored, from which on this is told.
+KEPT_LATE_SECONDS = 0.25
 #: Seconds that a turn looks for earlier ones in a group if another one may have them.
 LOOK_SECONDS = 0.25
 #: Seconds that the members in reach have if their group as a whole is known to be out of it:
@@ -48,10 +56,33 @@
     reason: str = ""
 
 
+@dataclass
+class _Keeping:
+    """A turn that is to be stored.
+
+    :param begun: when that began, on the monotonic clock.
+    :param failures: why a group did not take it the last time, by group.
+    """
+
+    turn: Turn
+    record: StoredRecord
+    retention: float
+    settled: list[Placed]
+    begun: float
+    tries: int = 0
+    failures: dict[int, str] = field(default_factory=dict)
+
+    def failure(self, now: float) -> str:
+        """Return why the turn was not stored."""
+        reasons = "; ".join(self.failures.values())
+        return f"turn not kept in {now - self.begun:.2f} s, {self.tries} tries: {reasons}"
+
+
 class TurnStore:
     """Finds and keeps turns.
 
     :param group_of: returns the common group of a key; raises StoreUncertainError if there is none.
+    :param now: the monotonic clock.
     """
 
     def __init__(
@@ -62,7 +93,9 @@
         reach: GroupReach,
         queues: SettlementQueues,
         log: DecisionLog,
+        now: Callable[[], float],
     ) -> None:
+        self._now = now
         self._client = client
         self._group_of = group_of
         self._zones = zones
@@ -164,51 +197,76 @@
 
     # Keeping
 
-    def keep(self, turn: Turn, retention: float, settled: list[Placed]) -> None:
-        """Store a turn.
+    def keep(self, turn: Turn, retention: float, settled: list[Placed], end: float) -> None:
+        """Store a turn; ask its groups again until one takes it.
+
+        Its answer has begun, so a group that is out of reach or late is no reason to give up
+        while the request has time left. What is written twice is the same record.
 
         :param settled: the settlement of its reservation, stored with it where it can be.
+        :param end: when the request's time is over, on the monotonic clock.
 
         :raises StoreUncertainError: if no quorum took it in time.
         """
-        record = turn_record(turn, retention)
-        group = self._group_of(record.key)
-        can_fall_back = self._can_fall_back
-        if not self._reach.is_out(group):
-            try:
-                self._write(group, record, settled, is_last=not can_fall_back)
-            except NoQuorumError as error:
-                if self._zones.parts:
-                    self._reach.note_failed(group)
-                if not can_fall_back:
-                    raise StoreUncertainError(str(error)) from error
-            else:
-                self._cache.put(turn)
-                return
-        self._keep_in_zone(turn, record, retention, settled)
+        keeping = _Keeping(turn, turn_record(turn, retention), retention, settled, self._now())
+        until = end - END_MARGIN_SECONDS
+        wait_s = KEEP_FIRST_SECONDS if self._zones.keeps_turns else OPERATION_SECONDS
+        while True:
+            for group in self._places(keeping):
+                if self._is_kept(keeping, group, wait_s):
+                    self._note_kept(keeping, group)
+                    return
+            eventlet.sleep(KEEP_AGAIN_SECONDS)
+            wait_s = min(2.0 * wait_s, until - self._now())
+            if wait_s <= 0.0:
+                raise StoreUncertainError(keeping.failure(self._now()))
 
-    def _keep_in_zone(
-        self, turn: Turn, record: StoredRecord, retention: float, settled: list[Placed]
-    ) -> None:
+    def _places(self, keeping: _Keeping) -> list[int]:
+        """Return the groups that may keep a turn, those first that are in reach."""
+        found = [self._group_of(keeping.record.key)]
         own = self._zones.own
-        if own is None or not self._can_fall_back:
-            raise StoreUncertainError("neither the turn's group nor the zone's can keep it")
+        if own is not None and self._zones.keeps_turns:
+            found.append(own)
+        return sorted(found, key=self._reach.is_out)
+
+    def _is_kept(self, keeping: _Keeping, group: int, wait_s: float) -> bool:
+        """Return whether a group takes a turn within so many seconds."""
+        keeping.tries += 1
         try:
-            self._write(own, record, settled, is_last=True)
+            if group == self._zones.own:
+                self._keep_in_zone(keeping, group, wait_s)
+            else:
+                self._write(keeping, group, wait_s)
         except NoQuorumError as error:
-            self._reach.note_failed(own)
-            raise StoreUncertainError(str(error)) from error
-        self._log.write(decisions.TurnKeptInZone(turn.attempt_id, own))
-        self._cache.put(turn)
-        self._copies.add([turn], retention, is_needed=False)
-
-    def _write(
-        self, group: int, record: StoredRecord, settled: list[Placed], is_last: bool
-    ) -> None:
-        """Write a turn to a group, with the settlements that belong there."""
-        beside = [other for at, other in settled if at == group]
-        timeout = KEEP_SECONDS if is_last else KEEP_COMMON_SECONDS
-        self._client.write(group, [record, *beside], timeout=timeout)
-        for at, other in settled:
+            keeping.failures[group] = str(error)
+            if self._zones.parts:
+                self._reach.note_failed(group)
+            return False
+        return True
+
+    def _keep_in_zone(self, keeping: _Keeping, own: int, wait_s: float) -> None:
+        """Store a turn in the own zone's group, to be copied to its common group later.
+
+        :raises NoQuorumError: if the zone's group does not take it in time.
+        """
+        self._write(keeping, own, wait_s)
+        self._log.write(decisions.TurnKeptInZone(keeping.turn.attempt_id, own))
+        self._copies.add([keeping.turn], keeping.retention, is_needed=False)
+
+    def _write(self, keeping: _Keeping, group: int, wait_s: float) -> None:
+        """Write a turn to a group, with the settlements that belong there.
+
+        :raises NoQuorumError: if the group does not take it in time.
+        """
+        beside = [other for at, other in keeping.settled if at == group]
+        self._client.write(group, [keeping.record, *beside], timeout=wait_s)
+        for at, other in keeping.settled:
             if at != group:
                 self._queues.add(at, other)
+
+    def _note_kept(self, keeping: _Keeping, group: int) -> None:
+        self._cache.put(keeping.turn)
+        seconds = self._now() - keeping.begun
+        if seconds >= KEPT_LATE_SECONDS:
+            attempt_id = keeping.turn.attempt_id
+            self._log.write(decisions.TurnKeptLate(attempt_id, group, seconds, keeping.tries))
--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -194,6 +194,20 @@
     group: int
 
 
+class TurnKeptLate(Decision, frozen=True):
+    """The end of an answer had to wait until its turn was stored.
+
+    :param group: that took it.
+    :param seconds: how long the end waited.
+    :param tries: writes to any group.
+    """
+
+    attempt: str
+    group: int
+    seconds: float
+    tries: int
+
+
 class TurnCopied(Decision, frozen=True):
     """A turn that a zone's group kept was copied into its common group."""
 
--- a/yarrowwall/gateway/turn.py
+++ b/yarrowwall/gateway/turn.py
@@ -90,8 +90,9 @@
                     self._response.begin_stream(opened.answer)
                 self._response.note_given()
                 yield b"".join(event.raw for event in events)
-            grant.complete(relay.passed, sender.last_server)
+            # Its server has done its part, however long the store takes.
             relay.finish()
+            grant.complete(relay.passed, sender.last_server)
             self._response.note_answered(HTTPStatus.OK, sender.log.tried[-1], len(relay.passed))
         except (StreamBrokenError, StoreUncertainError) as error:
             self._parts.dispatch.decisions.write(
--- a/yarrowwall/metrics.py
+++ b/yarrowwall/metrics.py
@@ -48,6 +48,7 @@
 ZONE_TURNS = _Description("zone_turns", "Turns served by the own zone's part of a budget alone")
 ZONE_TOKENS = _Description("zone_tokens", "Tokens reserved of zones' parts of budgets")
 ZONE_KEPT = _Description("zone_turns_kept", "Turns kept in the own zone's group")
+KEPT_LATE = _Description("turns_kept_late", "Answers whose end waited until a turn was stored")
 COPIED = _Description("zone_turns_copied", "Turns copied from zones' groups to common ones")
 REACH = _Description("group_reached", "Whether a group of replicas answers", "group")
 MESSAGES_DROPPED = _Description(
@@ -125,6 +126,7 @@
             decisions.BudgetDecided: lambda event: self._add(BUDGETS, event.granted),
             decisions.PartsAsked: self._parts_asked,
             decisions.TurnKeptInZone: lambda event: self._add(ZONE_KEPT),
+            decisions.TurnKeptLate: lambda event: self._add(KEPT_LATE),
             decisions.TurnCopied: lambda event: self._add(COPIED),
             decisions.GroupReachChanged: lambda event: self._set(
                 REACH, event.is_reached, event.group
--- a/yarrowwall/ports/programs.py
+++ b/yarrowwall/ports/programs.py
@@ -41,8 +41,11 @@
     def complete(self, passed: list[Event], server_id: str) -> None:
         """Store what must last before the end of the answer is passed on.
 
+        It may take as long as the request has time left, for an answer that has begun can only be
+        completed or cut.
+
         :param server_id: the incarnation of the server where the turn ran, as its text.
-        :raises StoreUncertainError: if that cannot be done.
+        :raises StoreUncertainError: if that cannot be done in that time.
         """
 
     def close(self, passed: list[Event], server_id: str) -> None:
@@ -65,6 +68,7 @@
     ) -> TurnGrant:
         """Return the leave to run a turn.
 
+        :param end: when the request's time is over, on the monotonic clock.
         :raises BudgetExhaustedError: if the budget does not hold it.
         :raises TurnUnknownError: if the turn it goes on from is surely unknown.
         :raises StoreUncertainError: if the store cannot tell now.
