A soak of planned work alone in which the configuration's content changes

The soak's "configuration" wrote the same content under a higher version, and none of its runs had streams of seconds under way at many gateways.

An answer that a gateway read and that ends early is a cut, unless its server broke off, or its deadline or the longest time of its route in force since it was asked was reached.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -1,7 +1,7 @@
 Feature: A randomized soak keeps the promises, and its checks see broken ones
   Real processes, loopback proxies, signals, clocks that are off, torn and lost disks, several
   faults at once, and in the end all machines at once; more seeds are played by hand:
-  python -m features.soak --seeds 1-20
+  python -m features.soak --seeds 1-20 and python -m features.soak --planned --seeds 1-50 --gateways 8
 
   @real_processes
   Scenario Outline: Seed <seed> breaks no promise
@@ -74,3 +74,33 @@
     Given a soak's machines
     When a gateway starts again and gets SIGHUP as soon as it listens
     Then the record shows nothing
+
+  # Guards against streams that a gateway ends without their end while operators change things.
+  @real_processes
+  Scenario: Planned work alone cuts no stream
+    Then 10 s of planned work at 8 gateways with seed 1 cut nothing
+
+  Scenario Outline: The soak of planned work sees an attempt that <broken>
+    Given a record of planned work with an attempt that "<broken>"
+    Then it is a cut
+
+    Examples:
+      | broken                                       |
+      | was cut within its stream                    |
+      | was cut at its server without an answer      |
+      | was held and dropped                         |
+      | was cut by a time that was raised meanwhile  |
+      | was cut by a time that was lowered meanwhile |
+
+  Scenario Outline: The soak of planned work is content with an attempt that <sound>
+    Given a record of planned work with an attempt that "<sound>"
+    Then it is no cut
+
+    Examples:
+      | sound                                           |
+      | was answered                                    |
+      | was refused                                     |
+      | was cut at its deadline                         |
+      | was cut at its route's time                     |
+      | was broken off by its server                    |
+      | was sent over a connection that was just closed |
--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -7,7 +7,8 @@
 
 import click
 
-from features.soak.run import STRANDS, play
+from features.soak.planned.run import PlannedResult, play_planned
+from features.soak.run import STRANDS, Result, play
 
 
 @click.command()
@@ -18,6 +19,7 @@
 @click.option("--gateways", default=2, show_default=True)
 @click.option("--replicas", default=3, show_default=True)
 @click.option("--strands", default=STRANDS, show_default=True, help="Faults at once.")
+@click.option("--planned", "is_planned", is_flag=True, help="Planned work alone, in three zones.")
 @click.option("--keep", type=click.Path(path_type=Path), help="Folder for logs of failed seeds.")
 def main(
     seed: int | None,
@@ -27,14 +29,22 @@
     gateways: int,
     replicas: int,
     strands: int,
+    is_planned: bool,
     keep: Path | None,
 ) -> None:
-    """Play seeds; exit 1 if one of them broke a promise."""
+    """Play seeds; exit 1 if one of them broke a promise.
+
+    Planned work alone has storage machines of its own number, and a strand for each kind of work.
+    """
     first, _, last = (seeds or str(1 if seed is None else seed)).partition("-")
     failed = 0
     for number in range(int(first), int(last or first) + 1):
         began = time.monotonic()
-        result = play(number, seconds_s, clients, keep, gateways, replicas, strands)
+        result: Result | PlannedResult
+        if is_planned:
+            result = play_planned(number, seconds_s, clients, gateways, keep)
+        else:
+            result = play(number, seconds_s, clients, keep, gateways, replicas, strands)
         failed += bool(result.violations)
         line = {"seed": number, "played_s": round(time.monotonic() - began, 1)}
         click.echo(json.dumps({**line, **result._asdict()}))
--- /dev/null
+++ b/features/soak/planned/__init__.py
@@ -0,0 +1,1 @@
+"""Planned work alone, beside streams under way: nothing may be cut."""
--- /dev/null
+++ b/features/soak/planned/clients.py
@@ -0,0 +1,130 @@
+"""Clients of many gateways: conversations, streams and lookups over connections that they keep."""
+
+import http.client
+import random
+import threading
+import time
+
+from features.soak.client import Client
+from features.soak.planned.content import CHAT, CLIENT_KEYS, FLOW, LOOKUP, TALK
+from features.soak.planned.cuts import DEADLINE_S, Asked
+from features.soak.planned.world import PlannedWorld
+from features.soak.promises import Ended, Record, events_of
+from features.soak.threads import ThreadGroup
+from features.soak.turns import NO_TURN, Program, send_turn
+from features.support.platform_world import event
+
+#: Seconds in which a program should be over.
+FINISH_S = 12.0
+#: Gateways that one client uses.
+_GATEWAYS_OF_EACH = 4
+_PARTS = {"program": 0.6, "stream": 0.2, "lookup": 0.15, "spare lookup": 0.05}
+
+
+class KeyedClient(Client):
+    """A client with a tenant's key.
+
+    :param turns_route: to which turns go.
+    :param asked: takes in each attempt.
+    """
+
+    def __init__(
+        self,
+        world: PlannedWorld,
+        record: Record,
+        key: str,
+        turns_route: str,
+        asked: dict[str, Asked],
+    ) -> None:
+        super().__init__(world, record)
+        self._key = key
+        self._turns_route = turns_route
+        self._asked = asked
+
+    def send(
+        self, gateway: str, route: str, attempt: str, body: bytes, headers: dict[str, str]
+    ) -> Ended:
+        """Send an attempt and return how it ended."""
+        used = self._turns_route if route == CHAT else route
+        self._asked[attempt] = Asked(used, time.monotonic())
+        own = {"X-Key": self._key, "X-Deadline-Ms": str(round(DEADLINE_S * 1000.0))}
+        return super().send(gateway, used, attempt, body, {**headers, **own})
+
+
+class Clients(ThreadGroup):
+    """Clients in threads, until it is left.
+
+    :param seed: fixes what each client does, not when.
+    :ivar asked: all attempts.
+    """
+
+    def __init__(self, world: PlannedWorld, record: Record, seed: int, clients: int) -> None:
+        super().__init__()
+        self._world = world
+        self._record = record
+        self.asked: dict[str, Asked] = {}
+        self._threads = [
+            threading.Thread(target=self._run, args=(random.Random(f"{seed}/{number}"), number))
+            for number in range(clients)
+        ]
+
+    def _run(self, rng: random.Random, number: int) -> None:
+        try:
+            self._ask(rng, number)
+        except Exception as error:
+            # Without its requests the run would show less than it claims.
+            self._record.violated(f"HARNESS: client {number} ended: {error!r}")
+
+    def _ask(self, rng: random.Random, number: int) -> None:
+        world = self._world
+        gateways = rng.sample(world.gateways, min(_GATEWAYS_OF_EACH, len(world.gateways)))
+        key, route = rng.choice(CLIENT_KEYS), rng.choice((CHAT, TALK))
+        done = 0
+        with KeyedClient(world, self._record, key, route, self.asked) as client:
+            while not self._is_over.is_set():
+                done += 1
+                name = f"c{number}-{done}"
+                kind = rng.choices(list(_PARTS), list(_PARTS.values()))[0]
+                if kind == "program":
+                    self._program(rng, client, gateways, name)
+                elif kind == "stream":
+                    self._stream(rng, client, gateways, name)
+                else:
+                    spare = world.content.spare_routes if kind == "spare lookup" else []
+                    self._look_up(client, rng.choice(gateways), rng.choice(spare or [LOOKUP]), name)
+                self._is_over.wait(rng.choice((0.05, 0.3, 0.8)))
+
+    def _look_up(self, client: Client, gateway: str, route: str, name: str) -> None:
+        body = f"lookup {name}".encode()
+        self._record.begin(name, body)
+        end = client.send(gateway, route, name, body, {})
+        if end.status == http.client.OK and end.is_whole and end.body != name.encode():
+            self._record.violated(f"MIXED: {name} got {end.body!r}")
+
+    def _stream(self, rng: random.Random, client: Client, gateways: list[str], name: str) -> None:
+        body = f"stream {name}".encode()
+        self._record.begin(name, body)
+        end = client.send(rng.choice(gateways), FLOW, name, body, {"X-Token-Count": "100,50"})
+        events = b"".join(event(number) for number in range(1, events_of(name) + 1))
+        if end.status == http.client.OK and end.is_whole and end.body != events:
+            self._record.violated(f"ORDER: {name} got {end.body!r}")
+
+    def _program(self, rng: random.Random, client: Client, gateways: list[str], name: str) -> None:
+        budget = rng.choice((60, 150, 400))
+        program = Program(name, budget, time.monotonic() + FINISH_S)
+        self._record.begin_program(name, budget)
+        turn, failures = NO_TURN, 0
+        for step in range(rng.randrange(2, 8)):
+            while not self._is_over.is_set() and failures < 4:
+                attempt = f"{name}-{step}-{failures}"
+                found, status = send_turn(
+                    client, self._record, rng.choice(gateways), program, attempt, turn
+                )
+                if status == http.client.PAYMENT_REQUIRED:
+                    return
+                if found is not None:
+                    turn = found
+                    break
+                failures += 1
+                self._is_over.wait(rng.uniform(0.1, 0.4))
+            self._is_over.wait(rng.uniform(0.01, 0.3))
--- /dev/null
+++ b/features/soak/planned/run.py
@@ -0,0 +1,114 @@
+"""One seed of planned work alone, from the start of the machines to the verdict."""
+
+import re
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from features.soak.lateness import Lateness
+from features.soak.planned.clients import Clients
+from features.soak.planned.cuts import Cut, find_cuts
+from features.soak.planned.work import PlannedWork
+from features.soak.planned.world import PlannedWorld
+from features.soak.promises import Record
+
+#: Seconds before the work begins and for what is under way when it ends.
+_CALM_S = 2.0
+_ENDS_S = 1.0
+#: Lines that tell what became of requests.
+_KINDS = (
+    "AttemptAdmitted",
+    "AttemptRefused",
+    "AnswerBrokenOff",
+    "CallerLeft",
+    "CallerGivenUp",
+    "InternalFault",
+    "SendFailed",
+    "GroupReachChanged",
+)
+_NUMBERS = re.compile(r"[0-9]+(\.[0-9]+)?")
+
+
+class PlannedResult(NamedTuple):
+    """What a seed showed.
+
+    :param served: attempts that were answered whole.
+    :param outcomes: attempts by status; 0 is a connection that ended without an answer.
+    :param refused: refusals by status and reason, without their figures.
+    :param broken_off: answers that gateways broke off, by reason, without figures.
+    :param cuts: requests that were cut, each with what its gateway logged of it.
+    :param out_of_reach: how often gateways found a group out of reach, by group.
+    :param done: how often each kind of work was done.
+    :param late_s: by how much a thread of the stand-ins came late at most.
+    """
+
+    violations: list[str]
+    served: int
+    outcomes: dict[int, int]
+    refused: dict[str, int]
+    broken_off: dict[str, int]
+    cuts: list[dict[str, Any]]
+    out_of_reach: dict[int, int]
+    done: dict[str, int]
+    late_s: float
+
+
+def play_planned(
+    seed: int, seconds_s: float, clients: int, gateways: int, keep: Path | None = None
+) -> PlannedResult:
+    """Play one seed.
+
+    :param seconds_s: time of planned work.
+    :param keep: where logs go if a promise was broken.
+    """
+    record = Record()
+    with Lateness() as lateness, PlannedWorld(record, seed, gateways) as world:
+        with Clients(world, record, seed, clients) as load:
+            time.sleep(_CALM_S)
+            with PlannedWork(world, record, seed) as work:
+                time.sleep(seconds_s)
+            time.sleep(_ENDS_S)
+        world.look_at_ends()
+        lines = world.gateway_lines(_KINDS)
+        record.read(line["attempt"] for line in lines if line["kind"] == "AttemptAdmitted")
+        cuts = find_cuts(record.attempted(), world.timeouts, load.asked)
+        violations = [*record.violations(), *(cut.text for cut in cuts)]
+        if violations and keep is not None:
+            world.keep_logs(keep / f"planned-{seed}")
+    return PlannedResult(
+        violations,
+        record.served,
+        dict(record.outcomes()),
+        _by_reason(lines, "AttemptRefused"),
+        _by_reason(lines, "AnswerBrokenOff"),
+        [_told(cut, lines) for cut in cuts],
+        _out_of_reach(lines),
+        dict(work.done),
+        round(lateness.most_s, 2),
+    )
+
+
+def _told(cut: Cut, lines: list[dict[str, Any]]) -> dict[str, Any]:
+    """Return a cut with what its gateway logged of the request."""
+    logged = [line for line in lines if line.get("attempt") == cut.attempt]
+    return {**cut._asdict(), "lines": logged}
+
+
+def _out_of_reach(lines: list[dict[str, Any]]) -> dict[int, int]:
+    return dict(
+        Counter(
+            line["group"]
+            for line in lines
+            if line["kind"] == "GroupReachChanged" and not line["is_reached"]
+        )
+    )
+
+
+def _by_reason(lines: list[dict[str, Any]], kind: str) -> dict[str, int]:
+    reasons = (
+        f"{line.get('status', '')} {_NUMBERS.sub('#', line['reason'])}".strip()
+        for line in lines
+        if line["kind"] == kind
+    )
+    return dict(Counter(reasons).most_common())
--- /dev/null
+++ b/features/soak/planned/work.py
@@ -0,0 +1,146 @@
+"""Planned work: what operators do to machines and to the configuration."""
+
+import os
+import random
+import shutil
+import signal
+import subprocess
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+
+from features.soak.claims import Claims
+from features.soak.planned.world import STOP_S, PlannedWorld
+from features.soak.promises import Record
+from features.soak.threads import ThreadGroup
+
+#: Seconds in which a gateway that was started is ready, and in which a storage machine is emptied.
+_READY_S = 20.0
+_EMPTIED_S = 60.0
+#: Seconds that a gateway may need beyond its bound until its process is gone.
+_SLACK_S = 1.0
+#: Gateways for each strand that stops them, and the most of these strands.
+_GATEWAYS_A_STRAND = 8
+_MOST_STOPPED = 4
+_LOOK_S = 0.1
+#: The most changes or signals in a row.
+_ROW = 6
+#: A storage machine's successor stands in its zone; its number tells which.
+_NEXT_NUMBER = 9
+#: Seconds of rest behind each piece of work, by strand.
+_RESTS_S = {"content": (0.05, 1.0), "stop": (0.1, 1.0), "signal": (0.2, 1.5), "storage": (0.5, 2.0)}
+_PERIOD_S = 10
+#: Kinds of work beside changes of the configuration.
+STOPPED, SIGNALLED, TOUCHED = "gateway stopped", "settings signalled", "settings touched"
+ADDED, REMOVED = "storage machine added", "storage machine removed"
+
+
+class PlannedWork(ThreadGroup):
+    """Strands of planned work at once, each one piece at a time, until it is left.
+
+    :param seed: fixes the kinds and their order in each strand, not when.
+    :ivar done: how often each kind was done.
+    """
+
+    def __init__(self, world: PlannedWorld, record: Record, seed: int) -> None:
+        super().__init__()
+        self._world = world
+        self._record = record
+        self._claims = Claims()
+        self._lock = threading.Lock()
+        self.done: Counter[str] = Counter()
+        stops = min(max(len(world.gateways) // _GATEWAYS_A_STRAND, 1), _MOST_STOPPED)
+        strands: list[tuple[str, Callable[[random.Random], None]]] = [
+            ("content", self._change),
+            ("signal", self._signal_one),
+            ("storage", self._replace_storage),
+            *([("stop", self._stop_one)] * stops),
+        ]
+        self._threads = [
+            threading.Thread(target=self._run, args=(name, work, f"{seed}/{name}/{number}"))
+            for number, (name, work) in enumerate(strands)
+        ]
+
+    def _run(self, name: str, work: Callable[[random.Random], None], seed: str) -> None:
+        rng = random.Random(seed)
+        try:
+            while not self._is_over.is_set():
+                work(rng)
+                self._is_over.wait(rng.uniform(*_RESTS_S[name]))
+        except Exception as error:
+            # Without its work the run would show less than it claims.
+            self._record.violated(f"HARNESS: the strand {name!r} ended: {error!r}")
+
+    def _count(self, kind: str) -> None:
+        with self._lock:
+            self.done[kind] += 1
+
+    def _change(self, rng: random.Random) -> None:
+        """Change the configuration once, or a few times in a row."""
+        for _ in range(rng.choice((1, 1, 2, _ROW))):
+            kind = rng.choice(list(self._world.content.changes))
+            with self._world.changed() as content:
+                content.change(kind)
+            self._count(kind)
+            time.sleep(rng.choice((0.0, 0.05)))
+
+    def _stop_one(self, rng: random.Random) -> None:
+        with self._claims.one_of(self._world.gateways, rng) as name:
+            if name is None:
+                return
+            process = self._world.kill(name, signal.SIGTERM)
+            self._count(STOPPED)
+            try:
+                process.wait(timeout=STOP_S + _SLACK_S)
+            except subprocess.TimeoutExpired:
+                self._record.violated(f"DRAIN: {name} runs on {STOP_S} s after SIGTERM")
+                self._world.kill(name)
+            if process.returncode:
+                self._record.violated(f"ENDED: {name} ended with {process.returncode}")
+            self._world.start_machine(name, is_gateway=True)
+            self._wait(lambda: self._world.is_ready(name), _READY_S, f"{name} is ready")
+
+    def _signal_one(self, rng: random.Random) -> None:
+        """Touch a gateway's settings or signal it, a few times in a row."""
+        with self._claims.one_of(self._world.gateways, rng) as name:
+            for _ in range(rng.randrange(1, _ROW)):
+                if name is not None and rng.random() < 0.5:
+                    os.utime(self._world.folder / f"{name}.toml")
+                    self._count(TOUCHED)
+                elif name is not None:
+                    self._world.kill(name, signal.SIGHUP)
+                    self._count(SIGNALLED)
+                time.sleep(rng.uniform(0.0, 0.2))
+
+    def _replace_storage(self, rng: random.Random) -> None:
+        """Add a storage machine, and have one of its zone emptied and removed."""
+        world = self._world
+        old = rng.choice(world.replicas)
+        new = f"storage-{int(old.rpartition('-')[2]) + _NEXT_NUMBER}"
+        world.start_machine(new, is_gateway=False, is_first=True)
+        world.replicas.append(new)
+        self._count(ADDED)
+        world.store.put("retirements", old, {"period_s": _PERIOD_S})
+        self._wait(lambda: self._is_emptied(old), _EMPTIED_S, f"{old} is emptied")
+        if not self._is_emptied(old):
+            return
+        world.replicas.remove(old)
+        world.kill(old)
+        shutil.rmtree(world.folder / old, ignore_errors=True)
+        self._count(REMOVED)
+
+    def _is_emptied(self, name: str) -> bool:
+        item = self._world.store.get("retirements", name)
+        return item is not None and (item["status"] or {}).get("state") == "complete"
+
+    def _wait(self, condition: Callable[[], bool], limit_s: float, what: str) -> None:
+        """Wait for a condition; note what took too long, but for the end of the work."""
+        end = time.monotonic() + limit_s
+        while not condition():
+            if self._is_over.is_set():
+                return
+            if time.monotonic() > end:
+                self._record.violated(f"RECOVER: it took over {limit_s} s until {what}")
+                return
+            time.sleep(_LOOK_S)
--- /dev/null
+++ b/features/soak/planned/world.py
@@ -0,0 +1,158 @@
+"""Three zones of machines as processes, and engines whose streams last seconds."""
+
+import random
+import shutil
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any, Self
+
+from features.soak.planned.content import ENGINES, LOOKUP, Content
+from features.soak.planned.store import StoreProcess
+from features.soak.promises import Record, events_of
+from features.support.platform_world import (
+    Arrival,
+    PlatformWorld,
+    QuietHandler,
+    begin_stream,
+    event,
+    own_headers,
+    send_chunk,
+)
+from features.support.zoned_world import ZONES
+
+STORAGE_MACHINES = 8
+#: Seconds that a machine has to end behind SIGTERM.
+STOP_S = 8.0
+_ENGINES_OF_EACH = 4
+_LOOKUP_SERVERS = 2
+#: Parts of the requests that servers turn away or break off.
+_TURNED_AWAY = 0.02
+_BROKEN_OFF = 0.01
+#: How long streams last, in seconds.
+SHORTEST_S, LONGEST_S = 0.3, 3.5
+_LOOKUP_S = 0.02
+
+
+def lasts_s(attempt: str) -> float:
+    """Return how long the servers work on a stream; fixed by its attempt id."""
+    return random.Random(attempt).uniform(SHORTEST_S, LONGEST_S)
+
+
+class PlannedWorld(PlatformWorld):
+    """Stand-ins and machines; a context manager that ends them all.
+
+    :ivar timeouts: the routes' times by the moment of the monotonic clock when they were written.
+    """
+
+    stop_s = STOP_S
+    machines_lost_at_once = 2
+
+    def __init__(self, record: Record, seed: int, gateways: int) -> None:
+        self._record = record
+        self._rng = random.Random(f"{seed}/servers")
+        self._rng_lock = threading.Lock()
+        self._publish_lock = threading.Lock()
+        self.content = Content(random.Random(f"{seed}/content"))
+        self.timeouts: list[tuple[float, dict[str, float]]] = []
+        self.gateways = [f"edge-{number}" for number in range(gateways)]
+        self.replicas = [f"storage-{number}" for number in range(STORAGE_MACHINES)]
+        super().__init__(gateways, STORAGE_MACHINES, ZONES)
+
+    def __enter__(self) -> Self:
+        for service in ENGINES:
+            for _ in range(_ENGINES_OF_EACH):
+                self.add_server(service, self._run_stream)
+        for _ in range(_LOOKUP_SERVERS):
+            self.add_server(LOOKUP, self._look_up)
+        self.wait_ready()
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self.stop()
+
+    def make_store(self) -> StoreProcess:
+        """Return the platform's store."""
+        return StoreProcess(STORAGE_MACHINES)
+
+    def store_address(self, name: str) -> str:
+        """Return the address under which a machine reaches the store."""
+        return self.store.address
+
+    def publish(self) -> int:
+        """Write the configuration; return its version."""
+        with self.changed():
+            pass
+        return self.version
+
+    @contextmanager
+    def changed(self) -> Iterator[Content]:
+        """Write the configuration when the context is left, as it was changed there."""
+        with self._publish_lock:
+            yield self.content
+            self.version += 3
+            self.timeouts.append((time.monotonic(), self.content.timeouts_s))
+            self.store.put("config", "main", {"version": self.version, **self.content.spec})
+
+    # Servers
+
+    def _chance(self) -> float:
+        with self._rng_lock:
+            return self._rng.random()
+
+    def _run_stream(self, call: QuietHandler, arrival: Arrival) -> bool:
+        if self._turns_away(call, arrival):
+            return True
+        attempt = arrival.attempt_id
+        count = events_of(attempt)
+        broken_at = int(self._chance() * count) if self._chance() < _BROKEN_OFF else None
+        if broken_at is not None:
+            self._record.broke_off(attempt)
+        try:
+            begin_stream(call, arrival)
+            for number in range(1, count + 1):
+                if number - 1 == broken_at:
+                    call.close_connection = True
+                    return True
+                send_chunk(call, event(number))
+                time.sleep(lasts_s(attempt) / count)
+            call.wfile.write(b"0\r\n\r\n")
+        except OSError:
+            # The gateway cancelled it; what its caller saw is judged, not what a server saw.
+            call.close_connection = True
+        return True
+
+    def _look_up(self, call: QuietHandler, arrival: Arrival) -> bool:
+        if not self._turns_away(call, arrival):
+            time.sleep(_LOOKUP_S)
+            call.answer(200, arrival.attempt_id.encode(), own_headers(arrival))
+        return True
+
+    def _turns_away(self, call: QuietHandler, arrival: Arrival) -> bool:
+        self._record.reached(arrival.attempt_id)
+        if self._chance() < _TURNED_AWAY:
+            call.answer(503, b"", {"X-Not-Executed": "1", "X-Attempt-Id": arrival.attempt_id})
+            return True
+        self._record.arrived(arrival.attempt_id, arrival.body)
+        return False
+
+    # Machines
+
+    def look_at_ends(self) -> None:
+        """Note machines that ended by themselves, when all of them should run."""
+        for name in [*self.replicas, *self.gateways]:
+            code = self.processes[name].poll()
+            if code is not None:
+                self._record.violated(f"ENDED: {name} ended by itself, exit code {code}")
+
+    def keep_logs(self, folder: Path) -> None:
+        """Copy the logs of all machines."""
+        folder.mkdir(parents=True, exist_ok=True)
+        for path in self.folder.glob("*.log"):
+            shutil.copy(path, folder)
+
+    def gateway_lines(self, kinds: tuple[str, ...]) -> list[dict[str, Any]]:
+        """Return the lines of some kinds that gateways have logged."""
+        return [line for name in self.gateways for line in self.log(name) if line["kind"] in kinds]
--- a/features/soak/promises.py
+++ b/features/soak/promises.py
@@ -50,6 +50,21 @@
     at: float = 0.0
 
 
+class Attempted(NamedTuple):
+    """An attempt that was sent whole and has ended.
+
+    :param was_taken: whether the gateway has surely read it: it reached a server, its answer
+        began, or the gateway held it for longer than it may and then drop it.
+    :param was_broken_off: whether a server broke off its answer.
+    """
+
+    attempt: str
+    sent: Sent
+    end: Ended
+    was_taken: bool
+    was_broken_off: bool
+
+
 class Record:
     """Collects what was seen; thread-safe."""
 
@@ -131,6 +146,21 @@
         with self._lock:
             return sum(end.status == 200 and end.is_whole for end in self._ended.values())
 
+    def attempted(self) -> list[Attempted]:
+        """Return the attempts that were sent whole and have ended."""
+        with self._lock:
+            return [
+                Attempted(
+                    attempt,
+                    sent,
+                    self._ended[attempt],
+                    self._was_taken(attempt, sent, self._ended[attempt]),
+                    attempt in self._broken_off,
+                )
+                for attempt, sent in self._sent.items()
+                if attempt in self._ended
+            ]
+
     def outcomes(self) -> Counter[int]:
         """Return how many attempts ended with each status."""
         with self._lock:
@@ -183,10 +213,13 @@
         """Return whether planned work alone ended a request that its gateway had read."""
         if end.is_whole or attempt in self._broken_off or end.at - sent.at >= DEADLINE_S:
             return False
-        is_held = attempt in self._read and end.at - sent.at > LOSS_SLACK_S
-        was_taken = end.status != 0 or attempt in self._reached or is_held
+        was_taken = self._was_taken(attempt, sent, end)
         return was_taken and self.disruptions.is_planned_alone(sent.gateway, sent.at, end.at)
 
+    def _was_taken(self, attempt: str, sent: Sent, end: Ended) -> bool:
+        is_held = attempt in self._read and end.at - sent.at > LOSS_SLACK_S
+        return end.status != 0 or attempt in self._reached or is_held
+
     def _of_conversations(self) -> list[str]:
         return [
             f"LOST: {turn} reached no server in {len(attempts)} tries at {gateway}"
--- /dev/null
+++ b/features/steps/planned_soak_steps.py
@@ -0,0 +1,97 @@
+"""Steps about the soak of planned work alone and its check."""
+
+import random
+import tempfile
+from collections.abc import Callable
+from pathlib import Path
+
+from behave import given, then
+from behave.runner import Context
+
+from features.soak.planned.content import CHAT, USUAL_TIMEOUT_MS, Content
+from features.soak.planned.cuts import DEADLINE_S, Asked, Timeouts, find_cuts
+from features.soak.planned.run import play_planned
+from features.soak.planned.work import ADDED, SIGNALLED, STOPPED
+from features.soak.promises import LOSS_SLACK_S, Ended, Record, Sent
+
+GATEWAY = "edge-0"
+KEPT_LOGS = Path(tempfile.gettempdir()) / "yarrowwall-soak"
+KINDS_OF_CHANGES = Content(random.Random()).changes.keys()
+#: When the attempt is sent, and the times of its route.
+SENT_AT = 100.0
+USUAL_S = USUAL_TIMEOUT_MS / 1000.0
+SHORTER_S = USUAL_S / 2.0
+ALWAYS_USUAL: Timeouts = [(0.0, {CHAT: USUAL_S})]
+RAISED: Timeouts = [(0.0, {CHAT: SHORTER_S}), (SENT_AT + 1.0, {CHAT: USUAL_S})]
+LOWERED: Timeouts = [(0.0, {CHAT: USUAL_S}), (SENT_AT + 1.0, {CHAT: SHORTER_S})]
+ALWAYS_SHORTER: Timeouts = [(0.0, {CHAT: USUAL_S}), (SENT_AT - 1.0, {CHAT: SHORTER_S})]
+
+
+@then("{seconds:d} s of planned work at {gateways:d} gateways with seed {seed:d} cut nothing")
+def planned_work_cuts_nothing(context: Context, seconds: int, gateways: int, seed: int) -> None:
+    result = play_planned(seed, float(seconds), 4 * gateways, gateways, keep=KEPT_LOGS)
+    assert not result.violations, result
+    assert result.served, result
+    assert {STOPPED, SIGNALLED, ADDED} <= result.done.keys(), result.done
+    assert not result.done.keys().isdisjoint(KINDS_OF_CHANGES), result.done
+
+
+def ended(
+    lasted_s: float, status: int = 200, is_whole: bool = False, is_at_server: bool = True
+) -> Callable[[Record], None]:
+    """Return what lets an attempt end after some seconds."""
+
+    def note(record: Record) -> None:
+        if is_at_server:
+            record.reached("a")
+        record.sent("a", Sent(GATEWAY, SENT_AT))
+        record.ended("a", Ended(status, is_whole, b"", SENT_AT + lasted_s))
+
+    return note
+
+
+def held_and_dropped(record: Record) -> None:
+    record.read(["a"])
+    ended(2 * LOSS_SLACK_S, status=0, is_at_server=False)(record)
+
+
+def broken_off(record: Record) -> None:
+    record.broke_off("a")
+    ended(1.0)(record)
+
+
+ENDS: dict[str, tuple[Timeouts, Callable[[Record], None]]] = {
+    "was cut within its stream": (ALWAYS_USUAL, ended(1.0)),
+    "was cut at its server without an answer": (ALWAYS_USUAL, ended(1.0, status=0)),
+    "was held and dropped": (ALWAYS_USUAL, held_and_dropped),
+    "was cut by a time that was raised meanwhile": (RAISED, ended(SHORTER_S + 0.1)),
+    "was cut by a time that was lowered meanwhile": (LOWERED, ended(SHORTER_S + 0.1)),
+    "was answered": (ALWAYS_USUAL, ended(1.0, is_whole=True)),
+    "was refused": (ALWAYS_USUAL, ended(1.0, status=503, is_whole=True, is_at_server=False)),
+    "was cut at its deadline": (ALWAYS_USUAL, ended(DEADLINE_S)),
+    "was cut at its route's time": (ALWAYS_SHORTER, ended(SHORTER_S)),
+    "was broken off by its server": (ALWAYS_USUAL, broken_off),
+    "was sent over a connection that was just closed": (
+        ALWAYS_USUAL,
+        ended(0.1, status=0, is_at_server=False),
+    ),
+}
+
+
+@given('a record of planned work with an attempt that "{ends}"')
+def record_of_planned_work(context: Context, ends: str) -> None:
+    record = Record()
+    record.begin("a", b"body")
+    timeouts, note = ENDS[ends]
+    note(record)
+    context.cuts = find_cuts(record.attempted(), timeouts, {"a": Asked(CHAT, SENT_AT)})
+
+
+@then("it is a cut")
+def is_cut(context: Context) -> None:
+    assert [cut.attempt for cut in context.cuts] == ["a"], context.cuts
+
+
+@then("it is no cut")
+def is_no_cut(context: Context) -> None:
+    assert context.cuts == []
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -69,6 +69,11 @@
 
     request_queue_size = 128
 
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Print a fault; a peer that is gone is none, since tests end many."""
+        if not isinstance(sys.exception(), ConnectionError):
+            super().handle_error(request, client_address)
+
 
 def serve(handler: type[BaseHTTPRequestHandler], address: str = "127.0.0.1:0") -> Any:
     """Serve a handler class from a thread of its own."""
@@ -426,6 +431,11 @@
     :param zones: over which machines of each kind are spread in turn.
     """
 
+    #: Seconds that a machine has to end behind SIGTERM.
+    stop_s = 6.0
+    #: Storage machines that may be lost at once; None for the usual.
+    machines_lost_at_once: int | None = None
+
     def __init__(
         self, gateways: int = 2, replicas: int = 3, zones: Sequence[str] = ("zone-a",)
     ) -> None:
@@ -562,6 +572,7 @@
 
     def _settings(self, name: str, is_gateway: bool, is_first: bool) -> str:
         own = self.addresses[name]
+        lost = self.machines_lost_at_once
         port = {key: address.rpartition(":")[2] for key, address in own.items()}
         lines = [
             f'node_id = "{name}"',
@@ -572,8 +583,9 @@
             f'platform_address = "{self.store_address(name)}"',
             f"is_first_start = {str(is_first).lower()}",
             *([f"memory_mb = {self.memory_mb}"] if self.memory_mb is not None else []),
+            *([f"machines_lost_at_once = {lost}"] if lost is not None else []),
             "[bounds]",
-            "stop = 6.0",
+            f"stop = {self.stop_s}",
             "revocation_ms = 5000",
             "configuration_ms = 3000",
             "quota_window_s = 5",
--- a/features/support/zoned_world.py
+++ b/features/support/zoned_world.py
@@ -22,6 +22,10 @@
     They are made of whoever has registered by then, and on a busy machine some start late.
     """
 
+    def __init__(self, machines: int = STORAGE_MACHINES) -> None:
+        super().__init__()
+        self._machines = machines
+
     def _write(
         self, method: str, names: list[str], body: dict[str, Any]
     ) -> tuple[int, dict[str, Any]]:
@@ -32,7 +36,7 @@
                 if is_zone_group(view["group"])
                 for member in view["members"]
             ]
-            if len(members) < STORAGE_MACHINES:
+            if len(members) < self._machines:
                 return BUSY, {}
         return super()._write(method, names, body)
 
