A gateway forgets replicas that were removed from their groups

Callers saw: gateways that were not ready and closed connections behind their answers, again and again, after a storage machine had been emptied and removed.

Cause: what is known of the path to a replica outlived the replica. A removed machine answers nothing; its last questions count as lost, it is probed each 0.25 s for 30 s, and at a gateway with little traffic nobody else has answered since the newest probe, so it held itself to be cut off.

Now a later view lets a gateway forget replicas that are in no group, and what is late of them afterwards tells nothing. The scenario's gateway counts as cut off without it.

--- a/features/reach.feature
+++ b/features/reach.feature
@@ -70,6 +70,13 @@
     When 2 of 5 replicas refuse connections for 2.0 s, and the others answer
     Then it is never held to be cut off
 
+  # Guards against gateways that left for a removed machine, which never answers, and came back, 20
+  # times in 13 s each, not ready and sending their callers away meanwhile.
+  Scenario: A removed replica, which answers nothing more, makes no gateway leave
+    Given a gateway that has asked 3 replicas, of which one does not answer
+    When that one is removed from its group and all else is quiet
+    Then the gateway is not cut off, also once its last question is late
+
   Scenario: A path that comes and goes is not taken back
     Given a gateway that is cut off
     When a replica answers and is lost again by turns, 0.3 s apart, for 3.0 s
--- a/features/steps/reach_steps.py
+++ b/features/steps/reach_steps.py
@@ -342,3 +342,32 @@
 def served(context: Context, seconds: float) -> None:
     assert context.paths.is_served(context.now_s + seconds - 0.01)
     assert not context.paths.is_served(context.now_s + seconds + 0.01)
+
+
+@given("a gateway that has asked {count:d} replicas, of which one does not answer")
+def asked_with_one_silent(context: Context, count: int) -> None:
+    context.paths = Paths()
+    context.replicas = [f"replica-{number}" for number in range(count)]
+    for address in context.replicas:
+        context.paths.note_asked(address, 10.0)
+    for address in context.replicas[1:]:
+        context.paths.note_answered(address, 10.01)
+    _lose(context.paths, context.replicas[0], 10.0)
+    # The others are not asked for a while, as at a gateway with little traffic.
+    context.paths.note_asked(context.replicas[0], 12.0)
+    _lose(context.paths, context.replicas[0], 12.0)
+    assert context.paths.is_cut
+
+
+@when("that one is removed from its group and all else is quiet")
+def one_removed(context: Context) -> None:
+    context.paths.note_asked(context.replicas[0], 13.0)
+    context.paths.forget_removed(lambda address: address in context.replicas[1:])
+
+
+@then("the gateway is not cut off, also once its last question is late")
+def not_cut_off(context: Context) -> None:
+    assert not context.paths.is_cut
+    _lose(context.paths, context.replicas[0], 13.0)
+    assert not context.paths.is_cut
+    assert not list(context.paths.out_of_reach())
--- a/yarrowwall/machine/gateway_role.py
+++ b/yarrowwall/machine/gateway_role.py
@@ -215,3 +215,4 @@
         members = ",".join(member.node_id for member in view.members)
         joining = ",".join(member.node_id for member in view.joining)
         self._log.write(decisions.GroupChanged(view.group, view.epoch, members, joining))
+        self._links.paths.forget_removed(self._views.has_replica_at)
--- a/yarrowwall/replication/paths.py
+++ b/yarrowwall/replication/paths.py
@@ -1,6 +1,6 @@
 """Which way a gateway's requests take to the replicas: its own, or through a neighbour. No I/O."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 from yarrowwall.backoff import doubled_s
 from yarrowwall.messages.relaying import Neighbour
@@ -61,6 +61,8 @@
         self._late_sent_s = float("-inf")
         self._served_s = float("-inf")
         self._replicas: dict[str, _Replica] = {}
+        #: Those that were removed and not asked since.
+        self._removed: set[str] = set()
         self._neighbours: list[Neighbour] = []
         self._failures: dict[str, int] = {}
         self._passed_over_until: dict[str, float] = {}
@@ -69,6 +71,7 @@
 
     def note_asked(self, address: str, now_s: float) -> None:
         """Note that a replica is asked."""
+        self._removed.discard(address)
         self._replica(address).asked_s = now_s
 
     def _replica(self, address: str) -> _Replica:
@@ -84,6 +87,16 @@
                 del self._replicas[address]
         self._judge()
 
+    def forget_removed(self, is_member: Callable[[str], bool]) -> None:
+        """Forget replicas that were removed: their silence tells nothing of a path.
+
+        :param is_member: tells whether a replica at an address is in a group.
+        """
+        for address in [one for one in self._replicas if not is_member(one)]:
+            del self._replicas[address]
+            self._removed.add(address)
+        self._judge()
+
     def note_answered(self, address: str, now_s: float) -> None:
         """Note that a replica answered directly."""
         replica = self._replica(address)
@@ -109,12 +122,15 @@
     def note_late(self, address: str, sent_s: float, now_s: float) -> None:
         """Note that a replica did not answer directly in time, or no connection came up.
 
+        One that was removed meanwhile stays forgotten.
         A connection may be refused at once, before anyone else could have answered; answers of the
         time that a late one takes count then. Without this, two dead machines of eight made each
         gateway leave and come back, 470 times in two seconds at 56 gateways.
 
         :param sent_s: when it was asked.
         """
+        if address in self._removed:
+            return
         replica = self._replica(address)
         if sent_s <= replica.answered_s:
             return
