A turn that was granted less than its most asks for the rest

What callers saw: a stream was cut in its midst, with seconds left, since a group of replicas had been out of reach for a moment when the turn began.

Cause: a turn that was granted less than the most that it may emit, because some group could not be asked, was cut at the first event beyond that. The groups were not asked again.

Now the turn claims what is missing before it passes such an event on, again once more groups are in reach (else once a second, for a claim that is given up leaves a record), until its request's time is over. The caller sees a pause.

Why no budget is exceeded: a further claim has a key of its own and goes the way of another turn's claim: it is granted by the same reading after the same write, beside all claims of the turn itself. A 402 counts a turn's claims together at the least that they come to, so that a claim which is still to be lowered and a further one do not count twice.

--- a/features/steps/turn_end_steps.py
+++ b/features/steps/turn_end_steps.py
@@ -13,8 +13,11 @@
 
 ANSWERED = 200
 REFUSED = 503
+EXHAUSTED = 402
 #: Events of a stream, and bytes of the first one's beginning.
 EVENTS = 4
+EVENT_TOKENS = 10
+BUDGET = 10_000
 _BEGINNING = 8
 
 
@@ -27,12 +30,12 @@
     ]
 
 
-def turn_headers(program: str, previous: str = "") -> dict[str, str]:
+def turn_headers(program: str, previous: str = "", budget: int = BUDGET) -> dict[str, str]:
     """Return the headers of a program's turn."""
     headers = {
         "X_Program_Id": program,
         "X_Session_Id": program,
-        "X_Token_Budget": "10000",
+        "X_Token_Budget": str(budget),
         "X_Token_Count": "100,40",
     }
     return headers | ({"X_Previous_Turn": previous} if previous else {})
@@ -40,21 +43,29 @@
 
 @when('a turn of "{route}" with {time_ms:d} ms is under way at gateway {gateway:d}')
 def begin_turn(context: Context, route: str, time_ms: int, gateway: int) -> None:
+    begin_turn_of(context, route, time_ms, BUDGET, gateway)
+
+
+@when(
+    'a turn of "{route}" with {time_ms:d} ms and {budget:d} tokens is under way at gateway'
+    " {gateway:d}"
+)
+def begin_turn_of(context: Context, route: str, time_ms: int, budget: int, gateway: int) -> None:
+    context.budget = budget
+    context.given_tokens = 0
     for known in world(context).routes:
         known["timeout_ms"] = max(known["timeout_ms"], time_ms)
     version = world(context).publish()
     wait_until(lambda: in_force(context, gateway) >= version, "the route has its time")
-    # The first operation opens the connections to the replicas.
-    wait_until(
-        lambda: is_answered(context, route, gateway, "before"), "the record store takes turns"
-    )
+    turns_are_answered(context, route, gateway)
     context.route = route
     context.connection = world(context).connect(gateway)
+    own_headers = turn_headers("under-way", budget=budget)
     headers = {
         "Host": HOST,
         "X-Attempt-Id": world(context).next_attempt(),
         "X-Deadline-Ms": str(time_ms),
-        **{name.replace("_", "-"): value for name, value in turn_headers("under-way").items()},
+        **{name.replace("_", "-"): value for name, value in own_headers.items()},
     }
     context.turn = headers["X-Attempt-Id"]
     context.begun_at = time.monotonic()
@@ -64,6 +75,14 @@
     assert context.response.status == ANSWERED
 
 
+@when('turns of "{route}" are answered at gateway {gateway:d}')
+def turns_are_answered(context: Context, route: str, gateway: int) -> None:
+    # The first operation opens the connections to the replicas.
+    wait_until(
+        lambda: is_answered(context, route, gateway, "before"), "the record store takes turns"
+    )
+
+
 def in_force(context: Context, gateway: int) -> int:
     """Return the version of the configuration at a gateway."""
     lines = world(context).log(f"edge-{gateway}")
@@ -112,7 +131,20 @@
     """Return the stream that is under way, read to its end."""
     answer = read_rest(context.response, context.begun_at)
     context.connection.close()
-    return replace(answer, body=context.beginning + answer.body)
+    answer = replace(answer, body=context.beginning + answer.body)
+    note_given(context, answer)
+    return answer
+
+
+def note_given(context: Context, answer: Answer) -> None:
+    """Count the tokens that the program got."""
+    context.given_tokens += answer.body.count(b"data:") * EVENT_TOKENS
+
+
+@when("zone 0 is no longer cut off {seconds:f} s later")
+def heal_later(context: Context, seconds: float) -> None:
+    time.sleep(seconds)
+    world(context).set_cut(is_cut=False)
 
 
 @then("the stream ends whole")
@@ -132,16 +164,32 @@
 
 @then("a turn goes on from it at gateway {gateway:d}")
 def goes_on(context: Context, gateway: int) -> None:
-    headers = turn_headers("under-way", context.turn)
+    headers = turn_headers("under-way", context.turn, context.budget)
 
     def has_gone_on() -> bool:
         answer = world(context).ask(context.route, b"more", gateway, **headers)
+        note_given(context, answer)
         assert answer.status in (ANSWERED, REFUSED), answer
         return answer.status == ANSWERED and answer.is_whole
 
     wait_until(has_gone_on, "the next turn goes on")
 
 
+@then("the program's turns get no more than its budget until they are told so")
+def spends_all(context: Context) -> None:
+    headers = turn_headers("under-way", context.turn, context.budget)
+
+    def is_spent() -> bool:
+        answer = world(context).ask(context.route, b"more", 1, **headers)
+        note_given(context, answer)
+        assert context.given_tokens <= context.budget, context.given_tokens
+        return answer.status == EXHAUSTED
+
+    wait_until(is_spent, "the budget is spent")
+    most_tokens = EVENTS * EVENT_TOKENS
+    assert context.given_tokens > context.budget - most_tokens, context.given_tokens
+
+
 @then("gateway {gateway:d} has told that the turn was kept late")
 def told_late(context: Context, gateway: int) -> None:
     lines = world(context).log(f"edge-{gateway}")
--- a/features/support/zone_mutants.py
+++ b/features/support/zone_mutants.py
@@ -6,7 +6,9 @@
 from unittest.mock import patch
 
 from yarrowwall.budgets import budget_requests, reservations
-from yarrowwall.budgets.ledger import LedgerGrant
+from yarrowwall.budgets.budget_requests import Reserved
+from yarrowwall.budgets.held_tokens import HeldTokens
+from yarrowwall.budgets.ledger import LedgerGrant, ReplicatedLedger
 from yarrowwall.budgets.reservations import Reservations
 from yarrowwall.budgets.turn_store import TurnStore, _Found
 from yarrowwall.messages.replicated import StoredRecord
@@ -72,6 +74,13 @@
     return found._replace(unasked=[])
 
 
+def _more_without_a_claim(
+    self: ReplicatedLedger, held: HeldTokens, budget: int, end: float
+) -> None:
+    lacked = held.next_lacked()
+    held.add(Reserved(lacked, {lacked.common: lacked.tokens}, lacked.tokens, "", False))
+
+
 def _kept_in_memory(self: TurnStore, keeping: Any, own: int, wait_s: float) -> None:
     self._copies.add([keeping.turn], keeping.retention, is_needed=False)
 
@@ -99,6 +108,9 @@
     "passes on more than was granted": lambda: patch.object(
         LedgerGrant, "cover", lambda self, passed: None
     ),
+    "goes on beyond a short grant without a claim": lambda: patch.object(
+        ReplicatedLedger, "reserve_more", _more_without_a_claim
+    ),
     "says 402 although a zone was not asked": lambda: patch.object(
         reservations, "judge", _everyone_was_asked
     ),
--- a/features/turn_ends.feature
+++ b/features/turn_ends.feature
@@ -38,6 +38,19 @@
     Then the stream ends whole
     And a turn goes on from it at gateway 0
 
+  # Guards against a stream cut midway for want of tokens that could be asked for again.
+  @zoned_world
+  Scenario: A stream that was granted less than its most goes on once the groups can be asked
+    Given a stateful stream route "chat" whose server pauses 250 ms between events
+    And each zone has a group of its own
+    When turns of "chat" are answered at gateway 0
+    And zone 0 is cut off from the others
+    And a turn of "chat" with 5000 ms and 120 tokens is under way at gateway 0
+    And zone 0 is no longer cut off 1.5 s later
+    Then the stream ends whole
+    And a turn goes on from it at gateway 2
+    And the program's turns get no more than its budget until they are told so
+
   # Guards against an end that is passed on although no quorum has taken its turn.
   @platform_world
   Scenario: A stream whose turn no quorum takes in its request's time is cut, and tells why
--- a/features/zone_cuts.feature
+++ b/features/zone_cuts.feature
@@ -53,6 +53,7 @@
       | grants a piece twice while its turn runs       |
       | records less than a turn may take              |
       | passes on more than was granted                |
+      | goes on beyond a short grant without a claim   |
       | says 402 although a zone was not asked         |
       | says 404 without asking the zones              |
       | says 404 although a group was not asked        |
--- a/yarrowwall/budgets/budget_requests.py
+++ b/yarrowwall/budgets/budget_requests.py
@@ -9,6 +9,7 @@
     Parts,
     is_exhausted,
     is_spent,
+    more_key,
     pieces_of,
 )
 from yarrowwall.replication.rounds import Amount
@@ -50,6 +51,15 @@
     )
 
 
+def lacked_by(wanted: Wanted, granted: int, number: int) -> Wanted:
+    """Return what a turn still wants that was granted some tokens of its most.
+
+    It is a claim beside its first one, as another turn's would be. Claims that were given up are
+    settled, so each further try has a number of its own.
+    """
+    return wanted._replace(key=more_key(wanted.key, number), tokens=wanted.tokens - granted)
+
+
 class Reserved(NamedTuple):
     """A granted reservation, and what it tells of its program.
 
--- a/yarrowwall/budgets/ledger.py
+++ b/yarrowwall/budgets/ledger.py
@@ -8,14 +8,15 @@
 from yarrowwall import decisions
 from yarrowwall.budgets.budget_requests import Reserved, wanted_by
 from yarrowwall.budgets.group_reach import GroupReach
+from yarrowwall.budgets.held_tokens import HeldTokens
 from yarrowwall.budgets.reservations import Reservations
 from yarrowwall.budgets.settlements import SettlementQueues
-from yarrowwall.budgets.turn_store import Placed, TurnStore
+from yarrowwall.budgets.turn_store import END_MARGIN_SECONDS, Placed, TurnStore
 from yarrowwall.budgets.turns import Turn, output_of, prompt_body
 from yarrowwall.budgets.zone_groups import ZoneGroups
 from yarrowwall.decisions import DecisionLog
 from yarrowwall.event_stream import Event
-from yarrowwall.exceptions import StoreUncertainError
+from yarrowwall.exceptions import BudgetExhaustedError, StoreUncertainError
 from yarrowwall.model import Attempt, ProgramContext, Route
 from yarrowwall.ports.programs import TurnGrant
 from yarrowwall.replication.exceptions import NoQuorumError
@@ -31,6 +32,10 @@
 #: The same while some operations fail, for readiness hangs on the answer. Groups that turns reach
 #: are not asked, so a gateway beside a cut asks hardly anything.
 FAILING_PROOF_SECONDS = 1.0
+#: Seconds before a turn that was granted less than its most asks the same groups again.
+MORE_AGAIN_SECONDS = 1.0
+#: Seconds between its looks whether more groups are in reach.
+MORE_LOOK_SECONDS = 0.05
 #: Seconds that the question whether a group answers may take, if turns fall back on others.
 PROBE_WAIT_SECONDS = 0.3
 
@@ -59,6 +64,7 @@
         self._views = views
         self._client = client
         self._log = log
+        self._now = now
         self._zones = ZoneGroups(zone, views)
         self._reach = GroupReach(self._ask, log, now)
         self._reach.on_out = self._check_others
@@ -173,29 +179,66 @@
         wanted = wanted_by(program_id, program, attempt.attempt_id, route.retention_s, common)
         return self._reservations.reserve(wanted, budget)
 
-    def settle(self, reserved: Reserved, tokens: int, server_id: str) -> None:
-        """Replace a reservation by what was emitted, soon."""
-        self._reservations.settle(reserved, tokens, server_id)
-        wanted = reserved.wanted
+    def reserve_more(self, held: HeldTokens, budget: int, end: float) -> None:
+        """Reserve what a turn lacks; ask again once more groups are in reach.
+
+        :param end: when the request's time is over, on the monotonic clock.
+        :raises StoreUncertainError: if none grants any in that time, or the budget is used up.
+        """
+        until = end - END_MARGIN_SECONDS
+        while True:
+            in_reach = self._in_reach(held.wanted.common)
+            try:
+                held.add(self._reservations.reserve(held.next_lacked(), budget))
+                return
+            except (BudgetExhaustedError, StoreUncertainError) as error:
+                reason = f"{held.granted} tokens were granted; {error}"
+                if isinstance(error, BudgetExhaustedError) or not self._is_worth_asking(
+                    held, in_reach, until
+                ):
+                    raise StoreUncertainError(reason) from error
+
+    def _is_worth_asking(self, held: HeldTokens, asked: set[int], until: float) -> bool:
+        """Wait until a turn may ask again; return False once its time is over.
+
+        Each claim that is given up leaves a record, so it asks only if that may help.
+        """
+        again_at = self._now() + MORE_AGAIN_SECONDS
+        while self._now() < until:
+            if self._now() >= again_at or self._in_reach(held.wanted.common) - asked:
+                return True
+            eventlet.sleep(MORE_LOOK_SECONDS)
+        return False
+
+    def _in_reach(self, common: int) -> set[int]:
+        """Return the groups that a turn may ask now."""
+        groups = self._zones.beside(common)
+        return {group for group in groups if not self._reach.is_out(group)}
+
+    def settle(self, held: HeldTokens, tokens: int, server_id: str) -> None:
+        """Replace a turn's reservations by what was emitted, soon."""
+        for reserved, spent in held.spread(tokens):
+            self._reservations.settle(reserved, spent, server_id)
+        wanted = held.wanted
         self._log.write(decisions.BudgetSettled(wanted.attempt_id, wanted.program_id, tokens))
 
     def keep_turn(
         self,
         turn: Turn,
         route: Route,
-        reserved: Reserved | None,
+        held: HeldTokens | None,
         tokens: int,
         server_id: str,
         end: float,
     ) -> None:
-        """Store a turn and the settlement of its reservation, if it has one.
+        """Store a turn and the settlement of its reservations, if it has any.
 
         :param end: when the request's time is over, on the monotonic clock.
         :raises StoreUncertainError: if no quorum took it in time.
         """
         settled: list[Placed] = []
-        if reserved is not None:
-            settled = self._reservations.settled(reserved, tokens, server_id)
+        for reserved, spent in held.spread(tokens) if held is not None else ():
+            settled += self._reservations.settled(reserved, spent, server_id)
         self._turns.keep(turn, route.retention_s, settled, end)
 
 
@@ -224,22 +267,23 @@
         self._ledger = ledger
         self._attempt = attempt
         self._route = route
-        self._reserved = reserved
+        self._held = HeldTokens(reserved) if reserved is not None else None
         self._tokens_per_event = tokens_per_event
         self._end = end
         self._is_settled = False
 
     def cover(self, passed: list[Event]) -> None:
-        """Refuse events beyond what was granted, before they are passed on.
+        """Reserve what events take beyond what was granted, before they are passed on.
 
-        :raises StoreUncertainError: if less than the turn's most was granted, and they exceed it.
+        :raises StoreUncertainError: if less than the turn's most was granted, they exceed it, and
+            no group grants more while the request has time left.
         """
-        reserved = self._reserved
-        if reserved is None or not reserved.is_short:
+        held, program = self._held, self._attempt.program
+        if held is None or program is None or program.budget is None:
             return
         tokens = len(passed) * self._tokens_per_event
-        if tokens > reserved.granted:
-            raise StoreUncertainError(f"{tokens} tokens, {reserved.granted} were granted")
+        while held.is_short and tokens > held.granted:
+            self._ledger.reserve_more(held, program.budget, self._end)
 
     def complete(self, passed: list[Event], server_id: str) -> None:
         """Store the turn before the end of the answer is passed on.
@@ -257,21 +301,21 @@
             output_of(passed),
         )
         tokens = self._tokens(passed)
-        self._ledger.keep_turn(turn, self._route, self._reserved, tokens, server_id, self._end)
+        self._ledger.keep_turn(turn, self._route, self._held, tokens, server_id, self._end)
         self._is_settled = True
 
     def close(self, passed: list[Event], server_id: str) -> None:
         """Settle the turn, however it ended."""
-        if self._reserved is not None and not self._is_settled:
+        if self._held is not None and not self._is_settled:
             self._is_settled = True
-            self._ledger.settle(self._reserved, self._tokens(passed), server_id)
+            self._ledger.settle(self._held, self._tokens(passed), server_id)
 
     def _tokens(self, passed: list[Event]) -> int:
         """Return the tokens that callers got."""
         tokens = len(passed) * self._tokens_per_event
-        reserved = self._reserved
-        if reserved is not None and reserved.is_short:
+        held = self._held
+        if held is not None and held.is_short:
             # What was beyond the grant was not passed on.
-            most = reserved.granted - reserved.granted % self._tokens_per_event
+            most = held.granted - held.granted % self._tokens_per_event
             return min(tokens, most)
         return tokens
--- a/yarrowwall/policy/budget_parts.py
+++ b/yarrowwall/policy/budget_parts.py
@@ -5,7 +5,8 @@
 never exceeds the budget, whoever reaches whom.
 """
 
-from collections.abc import Mapping, Sequence
+from collections import Counter
+from collections.abc import Mapping
 from enum import IntEnum
 from typing import NamedTuple, Protocol
 
@@ -17,6 +18,9 @@
 #: lost for the length of a cut.
 LEAST_SHARE_PERCENT = 20
 
+#: Begins the key of what a turn that was granted less than its most claims once more.
+_MORE_PREFIX = "budget-more/"
+
 
 class Parts(NamedTuple):
     """The division of one budget.
@@ -37,6 +41,21 @@
     return Parts(budget - zones * of_zone, of_zone)
 
 
+def more_key(key: str, number: int) -> str:
+    """Return the key of a further claim of a turn that was granted less than it wants.
+
+    It comes before the keys of all first claims, so turns that are under way go first.
+    """
+    return f"{_MORE_PREFIX}{number}/{key}"
+
+
+def turn_of(key: str) -> str:
+    """Return the key of a turn's first claim, given that of any."""
+    if not key.startswith(_MORE_PREFIX):
+        return key
+    return key.removeprefix(_MORE_PREFIX).partition("/")[2]
+
+
 class ClaimState(IntEnum):
     """How sure a claim is; these are versions of its record, so a later one replaces it."""
 
@@ -157,31 +176,26 @@
 
 
 def _left(readings: Mapping[int, PartReading], in_front_of: str | None = None) -> int:
-    """Return what all parts hold beside others.
+    """Return what all parts hold beside others, each counted with the least that it may get.
+
+    While a turn is undecided it has claimed all that it wants where it asked first, and the rest
+    elsewhere, and parts are looked at one after the other. So what is sure in one part may be
+    a piece of what is still claimed in another, and so may what it claimed once more.
 
     :param in_front_of: leave out undecided turns behind this one in order.
     """
     left = 0
-    claims: dict[str, list[Claim]] = {}
+    sure: Counter[str] = Counter()
+    undecided: dict[str, int] = {}
     for reading in readings.values():
         left += reading.size
         for key, claim in reading.others.items():
-            claims.setdefault(key, []).append(claim)
-    for key, held in claims.items():
-        left -= _least(held, in_front_of is None or key < in_front_of)
-    return left
-
-
-def _least(claims: Sequence[Claim], counts_undecided: bool) -> int:
-    """Return the least that a turn's claims in all parts come to.
-
-    While it is undecided it has claimed all that it wants where it asked first, and the rest
-    elsewhere, and parts are looked at one after the other. So what is sure in one part may be
-    a piece of what is still claimed in another.
-    """
-    sure = sum(claim.tokens for claim in claims if claim.version > ClaimState.RESERVED)
-    undecided = [claim.tokens for claim in claims if claim.version == ClaimState.RESERVED]
-    return max([sure, *undecided]) if counts_undecided else sure
+            turn = turn_of(key)
+            if claim.version > ClaimState.RESERVED:
+                sure[turn] += claim.tokens
+            elif in_front_of is None or key < in_front_of:
+                undecided[turn] = max(undecided.get(turn, 0), claim.tokens)
+    return left - sum(max(sure[turn], undecided.get(turn, 0)) for turn in sure.keys() | undecided)
 
 
 def spread(pieces: Mapping[int, int], tokens: int) -> dict[int, int]:
