A time-out counts only once what has arrived is read

Callers saw: turns that were refused, or granted too little and then cut, since operations of the record store timed out in a process that did not run while the replies came in.

Cause: eventlet's hub tells of time-outs before it looks at sockets. A process that was held up (a busy machine, a large configuration, a collection of garbage) finds both at once, and took its own standstill for the silence of replicas and servers.

Now a wait that is over looks once more at what is there: rounds and calls among machines let the hub read first, and reads and writes of sockets are tried once more. What the callers' reader did by itself goes.

The scenarios failed before: LinkDownError, "group 0: 0 of 1 answered", TimeoutError.

--- a/features/silent_connections.feature
+++ b/features/silent_connections.feature
@@ -39,3 +39,16 @@
     Given a link to a replica that never answers
     When the link is closed
     Then eventlet's hub listens no more to its connection
+
+  # Guards against groups that count as out of reach, and turns that are refused or cut for it, since
+  # a time-out is told before a reply that came in time, once a process that was held up goes on.
+  Scenario Outline: <what> counts that came in time though the process goes on only after the time-out
+    Given a replica in a thread of its own that answers after 100 ms
+    When the process is held up for 500 ms behind a question with 300 ms
+    Then <what> is there
+
+    Examples:
+      | what                       |
+      | a reply                    |
+      | the reply of a quorum      |
+      | a piece of an answer       |
--- a/yarrowwall/gateway/http_server.py
+++ b/yarrowwall/gateway/http_server.py
@@ -13,7 +13,7 @@
 from yarrowwall.exceptions import CallerGoneError
 from yarrowwall.gateway.endings import Ending, EndReason
 from yarrowwall.model import CallerLimits
-from yarrowwall.sockets import is_quiet, receive, send_some
+from yarrowwall.sockets import receive, send_some
 
 #: Key of the environment under which the application finds the connection's handler.
 PROTOCOL_KEY = "yarrowwall.connection"
@@ -69,11 +69,7 @@
 
 
 class _CallerReader(io.RawIOBase):
-    """Reads requests; a time-out counts only if nothing is there to read.
-
-    A process that was held up finds a time-out and bytes that came in time at once, and eventlet's
-    hub may tell of the time-out first.
-    """
+    """Reads requests; a time-out counts only if nothing is there to read."""
 
     def __init__(self, connection: socket.socket) -> None:
         self._connection = connection
@@ -88,22 +84,13 @@
         :raises TimeoutError: if none arrive in time.
         """
         try:
-            data = self._receive(len(buffer))
+            data = receive(self._connection, len(buffer), self._connection.gettimeout())
         except ConnectionError:
             # A reset ends a request as an orderly end does.
             data = b""
         buffer[: len(data)] = data
         return len(data)
 
-    def _receive(self, size: int) -> bytes:
-        timeout = self._connection.gettimeout()
-        try:
-            return receive(self._connection, size, timeout)
-        except TimeoutError:
-            if is_quiet(self._connection):
-                raise
-        return receive(self._connection, size, timeout)
-
 
 class _HeadReader:
     """Reads the lines of a head.
--- a/yarrowwall/replication/rounds.py
+++ b/yarrowwall/replication/rounds.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple, Protocol, TypeVar
 
+import eventlet
 from eventlet.event import Event
 
 from yarrowwall.messages.replicated import KeysReply, StoredRecord
@@ -90,6 +91,9 @@
             return
         self._wakeup = Event()
         self._wakeup.wait(timeout_s)
+        if not self._is_over:
+            # Lets replies be read that came while the process was held up.
+            eventlet.sleep(0)
 
     def wake(self) -> None:
         """End the wait if there is nothing more to wait for."""
--- a/yarrowwall/replication/rpc.py
+++ b/yarrowwall/replication/rpc.py
@@ -234,6 +234,10 @@
         arrived = Event()
         number = self.post(message, lambda reply: None if arrived.ready() else arrived.send(reply))
         reply = arrived.wait(timeout)
+        if reply is None:
+            # Lets a reply be read that came while the process was held up.
+            eventlet.sleep(0)
+            reply = arrived.wait() if arrived.ready() else None
         self.forget(number, is_late=reply is None)
         if reply is None:
             raise LinkDownError(self.address)
--- a/yarrowwall/sockets.py
+++ b/yarrowwall/sockets.py
@@ -60,18 +60,25 @@
 def receive(connection: socket.socket, size: int, timeout: float | None) -> bytes:
     """Return the bytes that arrive next; empty at an orderly end.
 
+    A time-out counts only if nothing is there: a process that was held up finds it and bytes that
+    came in time at once.
+
     :param timeout: seconds to wait; None without a bound.
     :raises TimeoutError: if nothing arrives in time.
     :raises OSError: if the connection fails, is reset or is closed here meanwhile.
     """
     raw = connection.fd  # type: ignore[attr-defined]  # the non-blocking socket below
+    is_over = False
     while True:
         try:
             return raw.recv(size)
         except BlockingIOError:
-            pass
+            if is_over:
+                raise TimeoutError(f"nothing arrived in {timeout} s") from None
         try:
             trampoline(raw, read=True, timeout=timeout, timeout_exc=TimeoutError)
+        except TimeoutError:
+            is_over = True
         except IOClosed as error:
             raise ConnectionAbortedError("closed here") from error
 
@@ -80,20 +87,25 @@
     """Send bytes within the connection's time-out; return how many were taken.
 
     The library's own ``send`` keeps the error of its time-out in a frame that the error leads back
-    to, so all that was under way stays in memory until the garbage collector comes by.
+    to, so all that was under way stays in memory until the garbage collector comes by. A time-out
+    counts only if nothing can be sent now, as in :func:`receive`.
 
     :raises TimeoutError: if the peer takes nothing in time.
     :raises OSError: if the connection fails, is reset or is closed here meanwhile.
     """
     raw = connection.fd  # type: ignore[attr-defined]  # the non-blocking socket below
+    is_over = False
     while True:
         try:
             return int(raw.send(data))
         except BlockingIOError:
-            pass
+            if is_over:
+                raise TimeoutError("the peer took nothing in time") from None
         timeout = connection.gettimeout()
         try:
             trampoline(raw, write=True, timeout=timeout, timeout_exc=TimeoutError)
+        except TimeoutError:
+            is_over = True
         except IOClosed as error:
             raise ConnectionResetError(errno.ECONNRESET, "closed here") from error
 
