A turn whose caller leaves while it asks for tokens hands them back

Cause: a claim was handed back only once it was decided. CallerGoneError is raised in the waiting greenthread and went past that, so the claim stayed reserved and counted in full. A turn that asks for more tokens midway does so while its stream is silent, which is when clients give up.

Evidence: the new scenario, before the change: When the caller of a turn leaves while it waits for its common group ... passed And 2 turns have run ... failed with one claim left, a budget of two turns held one.

Now whatever ends the question lets go of all that was claimed. A settlement replaces a claim whichever of them arrives first, so a claim that is still on its way changes nothing.

--- a/features/steps/spent_budget_steps.py
+++ b/features/steps/spent_budget_steps.py
@@ -11,7 +11,7 @@
 from yarrowwall.budgets.reservations import Reservations
 from yarrowwall.budgets.zone_groups import ZoneGroups
 from yarrowwall.decisions import Decision
-from yarrowwall.exceptions import BudgetExhaustedError, StoreUncertainError
+from yarrowwall.exceptions import BudgetExhaustedError, CallerGoneError, StoreUncertainError
 from yarrowwall.messages.replicated import GroupView, Member, StoredRecord
 from yarrowwall.model import ProgramContext
 from yarrowwall.replication.exceptions import NoQuorumError
@@ -26,11 +26,15 @@
 
 
 class _Groups:
-    """Groups of replicas that answer at once, and count what they are asked."""
+    """Groups of replicas that answer at once, and count what they are asked.
+
+    :ivar leaves_at: the group that a turn has claimed tokens of when its caller leaves.
+    """
 
     def __init__(self) -> None:
         self.asked: Counter[int] = Counter()
         self.silent: set[int] = set()
+        self.leaves_at: int | None = None
         self._records: dict[int, dict[str, Amount]] = {}
 
     def loss(self, group: int) -> str:
@@ -40,6 +44,8 @@
     def reserve(self, group: int, record: StoredRecord, timeout: float) -> OwnerReading:
         self.asked[group] += 1
         self.write(group, record)
+        if group == self.leaves_at:
+            raise CallerGoneError("half or full close")
         return self._reading(group)
 
     def read_amounts(self, group: int, owner: str, timeout: float) -> OwnerReading:
@@ -144,3 +150,14 @@
 def next_is_told(context: Context, end: str) -> None:
     found = _turn(context)
     assert found == end, found
+
+
+@when("the caller of a turn leaves while it waits for its common group")
+def leaves_within_claim(context: Context) -> None:
+    context.groups.leaves_at = COMMON
+    try:
+        _turn(context)
+    except CallerGoneError:
+        context.groups.leaves_at = None
+        return
+    raise AssertionError("the turn was decided")
--- a/features/zone_cuts.feature
+++ b/features/zone_cuts.feature
@@ -31,6 +31,13 @@
     And 18 turns have run
     Then the next turn is told uncertain
 
+  # Guards against tokens that stay claimed for a turn whose caller left while they were asked for.
+  Scenario: A turn whose caller leaves while it asks for tokens hands them back
+    Given a program with 272 tokens whose turns emit all that they may
+    When the caller of a turn leaves while it waits for its common group
+    And 2 turns have run
+    Then the next turn is told spent
+
   Scenario Outline: Random schedules of cut zones, seeds from <first>
     Then 12 random zone schedules from seed <first> break no promise
 
--- a/yarrowwall/budgets/reservations.py
+++ b/yarrowwall/budgets/reservations.py
@@ -81,18 +81,27 @@
         :raises StoreUncertainError: if too few groups could be asked.
         """
         request = BudgetRequest(wanted, divide(budget, self._zones.parts), self._zones.count)
-        verdict = self._ask_groups(request)
+        try:
+            verdict = self._ask_groups(request)
+        except BaseException:
+            # The caller has left; a claim that nobody settles would count in full.
+            self._hand_back(request)
+            raise
         self._note_decided(request, budget, verdict)
         if verdict in (Verdict.GRANTED, Verdict.SHORT):
             return self._granted(request)
-        for group in request.asked:
-            self._queues.add(group, self._record(group, wanted, ClaimState.SETTLED, 0))
+        self._hand_back(request)
         if verdict is Verdict.EXHAUSTED:
             self._mark_spent(request)
             raise BudgetExhaustedError(f"{request.used} of {budget} tokens are used")
         silent = ", ".join(str(group) for group in request.unreachable)
         raise StoreUncertainError(request.failure or f"out of reach: {silent or 'none'}")
 
+    def _hand_back(self, request: BudgetRequest) -> None:
+        """Let go of all that a turn has claimed and was not granted."""
+        for group in request.asked:
+            self._queues.add(group, self._record(group, request.wanted, ClaimState.SETTLED, 0))
+
     def _mark_spent(self, request: BudgetRequest) -> None:
         """Let the common group tell the program's next turns that none can ever fit."""
         key = request.spent_mark
