The end of a stream is stored in the time that its request has now

What callers saw: a stream whose route's time was raised while it ran was closed without its end at the time of its admission, if the record store was late for its turn (or for further tokens).

Cause: the leave to run a turn took the moment at which the request's time was over when it began; the time itself grows with the configurations that come into force (RequestTime).

Now the record store asks for the end whenever it decides whether to go on.

--- a/features/steps/gateway_loss_steps.py
+++ b/features/steps/gateway_loss_steps.py
@@ -84,9 +84,10 @@
 def _refusal(context: Context, attempt_id: str, route: Route) -> str:
     program = ProgramContext("program", 1000, 100, None, None)
     end = time.time() + 5.0
+    until = time.monotonic() + 5.0
     attempt = Attempt(attempt_id, "POST", "/talk/x", "host", [], b"", time.time(), end, program)
     try:
-        context.ledger.open_turn(attempt, route, 1, time.monotonic() + 5.0)
+        context.ledger.open_turn(attempt, route, 1, lambda: until)
     except StoreUncertainError as error:
         return str(error)
     raise AssertionError("the turn was granted")
--- a/features/steps/turn_end_steps.py
+++ b/features/steps/turn_end_steps.py
@@ -46,6 +46,11 @@
     begin_turn_of(context, route, time_ms, BUDGET, gateway)
 
 
+@when("its caller waits for {caller_ms:d} ms")
+def caller_waits(context: Context, caller_ms: int) -> None:
+    context.caller_ms = caller_ms
+
+
 @when(
     'a turn of "{route}" with {time_ms:d} ms and {budget:d} tokens is under way at gateway'
     " {gateway:d}"
@@ -64,7 +69,7 @@
     headers = {
         "Host": HOST,
         "X-Attempt-Id": world(context).next_attempt(),
-        "X-Deadline-Ms": str(time_ms),
+        "X-Deadline-Ms": str(context.caller_ms if "caller_ms" in context else time_ms),
         **{name.replace("_", "-"): value for name, value in own_headers.items()},
     }
     context.turn = headers["X-Attempt-Id"]
@@ -94,6 +99,14 @@
     return answer.status == ANSWERED and answer.is_whole
 
 
+@when('the time of "{route}" is raised to {time_ms:d} ms at gateway {gateway:d}')
+def raise_time(context: Context, route: str, time_ms: int, gateway: int) -> None:
+    (found,) = [one for one in world(context).routes if one["name"] == route]
+    found["timeout_ms"] = time_ms
+    version = world(context).publish()
+    wait_until(lambda: in_force(context, gateway) >= version, "the route has its time")
+
+
 @when("the storage machines fall silent")
 def fall_silent(context: Context) -> None:
     context.silent_at = time.monotonic()
--- a/features/support/zone_model.py
+++ b/features/support/zone_model.py
@@ -447,7 +447,9 @@
         begun_at = now_s()
         attempt = _attempt(program, turn.attempt_id, previous)
         try:
-            grant = gateway.ledger.open_turn(attempt, ROUTE, TOKENS_PER_EVENT, begun_at + 5.0)
+            grant = gateway.ledger.open_turn(
+                attempt, ROUTE, TOKENS_PER_EVENT, lambda: begun_at + 5.0
+            )
         except BudgetExhaustedError:
             self.counts["402"] += 1
             self._check_exhausted(program, turn, begun_at)
@@ -532,8 +534,9 @@
     ) -> None:
         unbounded = Program(f"later-{program.program_id}", 10**6)
         attempt = _attempt(unbounded, f"check-{attempt_id}", attempt_id)
+        end_s = now_s() + 5.0
         try:
-            grant = gateway.ledger.open_turn(attempt, ROUTE, TOKENS_PER_EVENT, now_s() + 5.0)
+            grant = gateway.ledger.open_turn(attempt, ROUTE, TOKENS_PER_EVENT, lambda: end_s)
         except (TurnUnknownError, StoreUncertainError) as error:
             self._violated(f"{attempt_id} is not found at the end: {error!r}")
             return
--- a/features/turn_ends.feature
+++ b/features/turn_ends.feature
@@ -38,6 +38,19 @@
     Then the stream ends whole
     And a turn goes on from it at gateway 0
 
+  # Guards against a stream cut at the time of its admission although it was given more meanwhile.
+  @platform_world
+  Scenario: A time that was raised while a stream ran counts while its turn is being stored
+    Given a stateful stream route "chat" whose server pauses 250 ms between events
+    When its caller waits for 9000 ms
+    And a turn of "chat" with 3000 ms is under way at gateway 1
+    And storage machine 1 is killed
+    And storage machine 2 is killed
+    And the time of "chat" is raised to 9000 ms at gateway 1
+    And storage machines 1 and 2 start again 3.5 s later
+    Then the stream ends whole
+    And a turn goes on from it at gateway 0
+
   # Guards against a stream cut midway for want of tokens that could be asked for again.
   @zoned_world
   Scenario: A stream that was granted less than its most goes on once the groups can be asked
--- a/yarrowwall/budgets/ledger.py
+++ b/yarrowwall/budgets/ledger.py
@@ -141,7 +141,7 @@
         return group
 
     def open_turn(
-        self, attempt: Attempt, route: Route, tokens_per_event: int, end: float
+        self, attempt: Attempt, route: Route, tokens_per_event: int, end: Callable[[], float]
     ) -> TurnGrant:
         """Return the leave to run a turn.
 
@@ -179,13 +179,12 @@
         wanted = wanted_by(program_id, program, attempt.attempt_id, route.retention_s, common)
         return self._reservations.reserve(wanted, budget)
 
-    def reserve_more(self, held: HeldTokens, budget: int, end: float) -> None:
+    def reserve_more(self, held: HeldTokens, budget: int, end: Callable[[], float]) -> None:
         """Reserve what a turn lacks; ask again once more groups are in reach.
 
-        :param end: when the request's time is over, on the monotonic clock.
+        :param end: tells when the request's time is over, on the monotonic clock.
         :raises StoreUncertainError: if none grants any in that time, or the budget is used up.
         """
-        until = end - END_MARGIN_SECONDS
         while True:
             in_reach = self._in_reach(held.wanted.common)
             try:
@@ -194,17 +193,17 @@
             except (BudgetExhaustedError, StoreUncertainError) as error:
                 reason = f"{held.granted} tokens were granted; {error}"
                 if isinstance(error, BudgetExhaustedError) or not self._is_worth_asking(
-                    held, in_reach, until
+                    held, in_reach, end
                 ):
                     raise StoreUncertainError(reason) from error
 
-    def _is_worth_asking(self, held: HeldTokens, asked: set[int], until: float) -> bool:
+    def _is_worth_asking(self, held: HeldTokens, asked: set[int], end: Callable[[], float]) -> bool:
         """Wait until a turn may ask again; return False once its time is over.
 
         Each claim that is given up leaves a record, so it asks only if that may help.
         """
         again_at = self._now() + MORE_AGAIN_SECONDS
-        while self._now() < until:
+        while self._now() < end() - END_MARGIN_SECONDS:
             if self._now() >= again_at or self._in_reach(held.wanted.common) - asked:
                 return True
             eventlet.sleep(MORE_LOOK_SECONDS)
@@ -229,11 +228,11 @@
         held: HeldTokens | None,
         tokens: int,
         server_id: str,
-        end: float,
+        end: Callable[[], float],
     ) -> None:
         """Store a turn and the settlement of its reservations, if it has any.
 
-        :param end: when the request's time is over, on the monotonic clock.
+        :param end: tells when the request's time is over, on the monotonic clock.
         :raises StoreUncertainError: if no quorum took it in time.
         """
         settled: list[Placed] = []
@@ -245,7 +244,7 @@
 class LedgerGrant(TurnGrant):
     """The leave to run one turn, with what is to be stored behind it.
 
-    :param end: when the request's time is over, on the monotonic clock.
+    :param end: tells when the request's time is over, on the monotonic clock.
     """
 
     def __init__(
@@ -256,7 +255,7 @@
         body: bytes,
         reserved: Reserved | None,
         tokens_per_event: int,
-        end: float,
+        end: Callable[[], float],
     ) -> None:
         program = attempt.program
         is_continued = route.is_stateful and program is not None and bool(program.previous_turn)
--- a/yarrowwall/budgets/turn_store.py
+++ b/yarrowwall/budgets/turn_store.py
@@ -197,19 +197,20 @@
 
     # Keeping
 
-    def keep(self, turn: Turn, retention: float, settled: list[Placed], end: float) -> None:
+    def keep(
+        self, turn: Turn, retention: float, settled: list[Placed], end: Callable[[], float]
+    ) -> None:
         """Store a turn; ask its groups again until one takes it.
 
         Its answer has begun, so a group that is out of reach or late is no reason to give up
         while the request has time left. What is written twice is the same record.
 
         :param settled: the settlement of its reservation, stored with it where it can be.
-        :param end: when the request's time is over, on the monotonic clock.
+        :param end: tells when the request's time is over, on the monotonic clock.
 
         :raises StoreUncertainError: if no quorum took it in time.
         """
         keeping = _Keeping(turn, turn_record(turn, retention), retention, settled, self._now())
-        until = end - END_MARGIN_SECONDS
         wait_s = KEEP_FIRST_SECONDS if self._zones.keeps_turns else OPERATION_SECONDS
         while True:
             for group in self._places(keeping):
@@ -217,7 +218,7 @@
                     self._note_kept(keeping, group)
                     return
             eventlet.sleep(KEEP_AGAIN_SECONDS)
-            wait_s = min(2.0 * wait_s, until - self._now())
+            wait_s = min(2.0 * wait_s, end() - END_MARGIN_SECONDS - self._now())
             if wait_s <= 0.0:
                 raise StoreUncertainError(keeping.failure(self._now()))
 
--- a/yarrowwall/gateway/turn.py
+++ b/yarrowwall/gateway/turn.py
@@ -63,7 +63,9 @@
         tokens_per_event = engine.tokens_per_event if engine is not None else 1
         programs = self._parts.programs
         try:
-            return programs.open_turn(self._attempt, self._route, tokens_per_event, self._time.end)
+            return programs.open_turn(
+                self._attempt, self._route, tokens_per_event, lambda: self._time.end
+            )
         except BudgetExhaustedError as error:
             refusal = Refusal(HTTPStatus.PAYMENT_REQUIRED, str(error))
             raise RefusedError(refusal) from error
--- a/yarrowwall/ports/programs.py
+++ b/yarrowwall/ports/programs.py
@@ -5,6 +5,7 @@
 input and events are stored before the end of its answer is passed on.
 """
 
+from collections.abc import Callable
 from typing import Protocol
 
 from yarrowwall.event_stream import Event
@@ -64,11 +65,12 @@
         """Return for how many seconds no turn could be granted; 0 if the last one could."""
 
     def open_turn(
-        self, attempt: Attempt, route: Route, tokens_per_event: int, end: float
+        self, attempt: Attempt, route: Route, tokens_per_event: int, end: Callable[[], float]
     ) -> TurnGrant:
         """Return the leave to run a turn.
 
-        :param end: when the request's time is over, on the monotonic clock.
+        :param end: tells when the request's time is over, on the monotonic clock; it may come to
+            have more.
         :raises BudgetExhaustedError: if the budget does not hold it.
         :raises TurnUnknownError: if the turn it goes on from is surely unknown.
         :raises StoreUncertainError: if the store cannot tell now.
