A turn whose caller leaves before it is sent hands its tokens back

What callers saw: a program whose client gave a turn up in the moment between its reservation and its sending was told 402 too early, for as long as the records of its budget last.

Cause: a granted turn is settled by what runs it; it waited for the servers' loads (0.02 s at most) before that, and a caller that left meanwhile ended the exchange with the reservation still open.

Evidence: found by reading; the new scenario before the change: Then its tokens are handed back ... failed Expected 'close' to be called once. Called 0 times.

Now the wait is a part of the run, which settles the turn however it ends.

--- a/features/steps/spent_budget_steps.py
+++ b/features/steps/spent_budget_steps.py
@@ -3,6 +3,7 @@
 import time
 from collections import Counter
 from typing import Any
+from unittest.mock import Mock
 
 import eventlet
 from behave import given, then, when
@@ -16,8 +17,11 @@
 from yarrowwall.decisions import Decision
 from yarrowwall.event_stream import Event
 from yarrowwall.exceptions import BudgetExhaustedError, CallerGoneError, StoreUncertainError
+from yarrowwall.gateway.exchange import Exchange
 from yarrowwall.messages.replicated import GroupView, Member, StoredRecord
 from yarrowwall.model import Attempt, ProgramContext, RequestKind, Route
+from yarrowwall.policy.request_time import RequestTime
+from yarrowwall.ports.programs import TurnGrant
 from yarrowwall.replication.exceptions import NoQuorumError
 from yarrowwall.replication.group_views import GroupViews
 from yarrowwall.replication.quorum_client import OwnerReading
@@ -215,3 +219,26 @@
     context.end_s = time.monotonic() + limit_s
     context.grant.cover([Event(b"", str(number)) for number in range(MOST_TOKENS)])
     assert COMMON not in context.groups.fails_once
+
+
+@when("the caller of a turn that was granted leaves before it is sent")
+def leaves_before_sending(context: Context) -> None:
+    now_s = time.monotonic()
+    program = ProgramContext("looper", context.budget, MOST_TOKENS, None, None)
+    attempt = Attempt("granted", "POST", "/x", "host", [], b"", now_s, now_s + 9.0, program)
+    context.grant = Mock(spec=TurnGrant, body=b"", last_server="", is_first=False)
+    gateway = Mock()
+    gateway.under_way = set()
+    gateway.parts.programs.open_turn.return_value = context.grant
+    gateway.parts.dispatch.loads.ask.return_value.wait.side_effect = CallerGoneError("left")
+    exchange = Exchange(gateway, {"eventlet.input": Mock()}, Mock())
+    try:
+        list(exchange._stream(attempt, ROUTE, RequestTime(now_s, now_s + 9.0, 5.0)))
+    except CallerGoneError:
+        return
+    raise AssertionError("the turn went on")
+
+
+@then("its tokens are handed back")
+def handed_back(context: Context) -> None:
+    context.grant.close.assert_called_once_with([], "")
--- a/features/zone_cuts.feature
+++ b/features/zone_cuts.feature
@@ -38,6 +38,12 @@
     And 2 turns have run
     Then the next turn is told spent
 
+  # Guards against tokens that stay claimed for a turn whose caller left once they were granted.
+  Scenario: A turn whose caller leaves before it is sent hands its tokens back
+    Given a program with 272 tokens whose turns emit all that they may
+    When the caller of a turn that was granted leaves before it is sent
+    Then its tokens are handed back
+
   # Guards against a stream cut although the group that failed its further claim was back at once.
   Scenario: A turn that needs more tokens asks a group again that failed under its claim
     Given a program with 272 tokens whose turns emit all that they may
--- a/yarrowwall/gateway/exchange.py
+++ b/yarrowwall/gateway/exchange.py
@@ -188,8 +188,7 @@
         allowance.begin()
         try:
             grant = turn.open()
-            loads.wait()
-            yield from turn.run(grant, allowance)
+            yield from turn.run(grant, allowance, loads)
         finally:
             allowance.close()
 
--- a/yarrowwall/gateway/turn.py
+++ b/yarrowwall/gateway/turn.py
@@ -19,6 +19,7 @@
 from yarrowwall.policy.memory_budget import MemoryExhaustedError, MemoryHold
 from yarrowwall.policy.request_time import RequestTime
 from yarrowwall.policy.retry_after import SHORTAGE_SECONDS, after_outage_s
+from yarrowwall.ports.loads import LoadQuestion
 from yarrowwall.ports.programs import TurnGrant
 from yarrowwall.ports.quotas import Allowance
 from yarrowwall.ports.rooms import NewProgram
@@ -75,9 +76,10 @@
             after_s = after_outage_s(programs.unreachable_s, self._attempt.attempt_id)
             raise unavailable(str(error), after_s) from error
 
-    def run(self, grant: TurnGrant, allowance: Allowance) -> Iterator[bytes]:
+    def run(self, grant: TurnGrant, allowance: Allowance, loads: LoadQuestion) -> Iterator[bytes]:
         """Return the stream.
 
+        :param loads: waited for before a server is chosen.
         :raises RefusedError: if no server runs the turn.
         :raises AnswerCutError: if it breaks off once its beginning was passed on.
         """
@@ -85,6 +87,7 @@
         relay = StreamRelay(self._parts.dispatch, self._attempt, self._route, sender)
         under_way = ExitStack()
         try:
+            loads.wait()
             self._hold_turns_before(grant)
             self._begin_program(grant, allowance)
             under_way.enter_context(self._parts.rooms.turn(self._attempt, self._service))
