The end of a stream is held no longer than its request's time

What callers saw: the connection of a stream whose turn could not be stored was closed up to 0.6 s behind its route's time.

Cause: the time left bounded the wait for the first group of a round. The zone's group behind it was waited for as long again, and the first round was not bounded.

Now each wait is bounded by what is left when it begins, but for 0.1 s, since an answer takes milliseconds.

--- /dev/null
+++ b/features/steps/turn_keep_steps.py
@@ -0,0 +1,75 @@
+"""Steps about how long a turn's groups are asked to take it."""
+
+from typing import Any
+
+from behave import given, then, when
+from behave.runner import Context
+
+from yarrowwall.budgets.group_reach import GroupReach
+from yarrowwall.budgets.turn_store import TurnStore
+from yarrowwall.budgets.turns import Turn
+from yarrowwall.budgets.zone_groups import ZoneGroups
+from yarrowwall.decisions import Decision
+from yarrowwall.exceptions import StoreUncertainError
+from yarrowwall.messages.replicated import GroupView, Member, StoredRecord
+from yarrowwall.replication.exceptions import NoQuorumError
+from yarrowwall.replication.group_views import GroupViews
+
+COMMON, OWN = 0, 3000
+ZONE = "zone-a"
+
+
+class _Silent:
+    """Groups that say nothing, on a clock that each wait for them moves."""
+
+    def __init__(self) -> None:
+        self.now_s = 100.0
+
+    def write(self, group: int, records: list[StoredRecord], timeout: float) -> None:
+        self.now_s += timeout
+        raise NoQuorumError(f"group {group}: silent")
+
+
+class _Log:
+    def write(self, decision: Decision) -> None:
+        """Take in a decision."""
+
+
+def _probe(group: int) -> None:
+    raise NoQuorumError("silent")
+
+
+@given("a common group and a zone's group that are silent")
+def silent_groups(context: Context) -> None:
+    views = GroupViews()
+    for group in (COMMON, OWN):
+        found = [Member(f"s{n}", f"d{n}", f"a{n}", ZONE) for n in range(3)]
+        views.take(GroupView(group, 1, found, []))
+    context.client = _Silent()
+    client: Any = context.client
+    log: Any = _Log()
+    queues: Any = None
+    zones = ZoneGroups(ZONE, views)
+    assert zones.keeps_turns
+
+    def now() -> float:
+        return context.client.now_s
+
+    context.reach = GroupReach(_probe, log, now)
+    context.turns = TurnStore(client, lambda key: COMMON, zones, context.reach, queues, log, now)
+
+
+@when("a turn is to be stored that has {left_s:f} s left")
+def store_turn(context: Context, left_s: float) -> None:
+    context.end_s = context.client.now_s + left_s
+    try:
+        context.turns.keep(Turn("t", "", b"", b""), 60.0, [], lambda: context.end_s)
+    except StoreUncertainError:
+        return
+    raise AssertionError("the turn is stored")
+
+
+@then("it is given up no later than {most_s:f} s behind that time")
+def given_up(context: Context, most_s: float) -> None:
+    late_s = context.client.now_s - context.end_s
+    assert late_s <= most_s, late_s
--- a/features/turn_ends.feature
+++ b/features/turn_ends.feature
@@ -51,6 +51,18 @@
     Then the stream ends whole
     And a turn goes on from it at gateway 0
 
+  # Guards against an answer that is held for long behind its route's time.
+  Scenario Outline: The groups of a turn are waited for within the time of its request
+    Given a common group and a zone's group that are silent
+    When a turn is to be stored that has <left> s left
+    Then it is given up no later than 0.2 s behind that time
+
+    Examples:
+      | left |
+      | 0.01 |
+      | 1.0  |
+      | 3.8  |
+
   # Guards against a stream cut midway for want of tokens that could be asked for again.
   @zoned_world
   Scenario: A stream that was granted less than its most goes on once the groups can be asked
--- a/yarrowwall/budgets/turn_store.py
+++ b/yarrowwall/budgets/turn_store.py
@@ -30,6 +30,9 @@
 KEEP_FIRST_SECONDS = 0.3
 #: Seconds between two tries: replicas whose connections end fail at once.
 KEEP_AGAIN_SECONDS = 0.1
+#: Seconds that a group has at least, also behind the request's time: most take a turn in a few
+#: milliseconds.
+KEEP_LEAST_SECONDS = 0.1
 #: Seconds of a request's time that are left for the end of its answer to reach the caller.
 END_MARGIN_SECONDS = 0.03
 #: Seconds that an end waited for its turn to be stored, from which on this is told.
@@ -214,13 +217,14 @@
         wait_s = KEEP_FIRST_SECONDS if self._zones.keeps_turns else OPERATION_SECONDS
         while True:
             for group in self._places(keeping):
-                if self._is_kept(keeping, group, wait_s):
+                left_s = end() - END_MARGIN_SECONDS - self._now()
+                if left_s <= 0.0 and keeping.tries:
+                    raise StoreUncertainError(keeping.failure(self._now()))
+                if self._is_kept(keeping, group, min(wait_s, max(left_s, KEEP_LEAST_SECONDS))):
                     self._note_kept(keeping, group)
                     return
             eventlet.sleep(KEEP_AGAIN_SECONDS)
-            wait_s = min(2.0 * wait_s, end() - END_MARGIN_SECONDS - self._now())
-            if wait_s <= 0.0:
-                raise StoreUncertainError(keeping.failure(self._now()))
+            wait_s *= 2.0
 
     def _places(self, keeping: _Keeping) -> list[int]:
         """Return the groups that may keep a turn, those first that are in reach."""
