A group that a turn could hardly wait for does not count as out of reach

What callers saw: other turns at the same gateway were refused or granted less than their most for moments, since one turn with hardly any time left got no answer of a sound group.

Cause: each try that failed marked its group, however little time it had; the last one of a turn had what was left of its request's time, down to a millisecond.

Evidence, the new scenario before the change, with 0.01 s left: Then its common group counts as in reach ... failed

Now a try marks its group only if it waited as long as the first one of any turn does.

--- a/features/steps/turn_keep_steps.py
+++ b/features/steps/turn_keep_steps.py
@@ -69,6 +69,11 @@
     raise AssertionError("the turn is stored")
 
 
+@then("its common group counts as {reach}")
+def counts_as(context: Context, reach: str) -> None:
+    assert context.reach.is_out(COMMON) is (reach == "out of reach")
+
+
 @then("it is given up no later than {most_s:f} s behind that time")
 def given_up(context: Context, most_s: float) -> None:
     late_s = context.client.now_s - context.end_s
--- a/features/turn_ends.feature
+++ b/features/turn_ends.feature
@@ -63,6 +63,17 @@
       | 1.0  |
       | 3.8  |
 
+  # Guards against turns refused or granted less since another one had hardly any time left.
+  Scenario Outline: A group that a turn could wait for only <short> counts as <reach>
+    Given a common group and a zone's group that are silent
+    When a turn is to be stored that has <left> s left
+    Then its common group counts as <reach>
+
+    Examples:
+      | short       | left | reach        |
+      | for moments | 0.01 | in reach     |
+      | as usual    | 2.0  | out of reach |
+
   # Guards against a stream cut midway for want of tokens that could be asked for again.
   @zoned_world
   Scenario: A stream that was granted less than its most goes on once the groups can be asked
--- a/yarrowwall/budgets/turn_store.py
+++ b/yarrowwall/budgets/turn_store.py
@@ -244,7 +244,8 @@
                 self._write(keeping, group, wait_s)
         except NoQuorumError as error:
             keeping.failures[group] = str(error)
-            if self._zones.parts:
+            # A group that had less time than others get may be in reach all the same.
+            if self._zones.parts and wait_s >= KEEP_FIRST_SECONDS:
                 self._reach.note_failed(group)
             return False
         return True
