A turn that lacks tokens gets what its next events take, and waits a moment before it begins short

Callers saw: streams that were begun and cut midway, though the budget held what they emitted.

Cause: a turn that was granted less than its most asked for all that it might still emit, and was cut if the budget did not hold that. A claim of its own that it had given up, and that was not settled yet, counted against the next one. And it began with a part of its tokens while a group that had been out of reach for milliseconds, or a storage machine that starts again, was about to be back.

Now it claims what the events at hand take if the rest is not to be had, passes over its own claims that were given up, and waits up to 0.5 s for groups that are out of reach for less than 2 s before it begins short.

--- a/features/steps/spent_budget_steps.py
+++ b/features/steps/spent_budget_steps.py
@@ -20,6 +20,7 @@
 from yarrowwall.gateway.exchange import Exchange
 from yarrowwall.messages.replicated import GroupView, Member, StoredRecord
 from yarrowwall.model import Attempt, ProgramContext, RequestKind, Route
+from yarrowwall.policy.budget_parts import divide
 from yarrowwall.policy.request_time import RequestTime
 from yarrowwall.ports.programs import TurnGrant
 from yarrowwall.replication.exceptions import NoQuorumError
@@ -32,6 +33,8 @@
 OWN_ZONE = "zone-1"
 MOST_TOKENS = 136
 RETENTION_SECONDS = 60.0
+#: Seconds in which a settlement is written for certain.
+SETTLED_SECONDS = 0.2
 ROUTE = Route(
     "talk", "host", "/talk/", RequestKind.STREAM, (), 5.0, 2, 1, False, 60.0, False, False
 )
@@ -202,6 +205,8 @@
     context.ledger = ReplicatedLedger(OWN_ZONE, _views(), groups, log, time.monotonic)
     # A zone's part alone is granted only a while after the common group was heard.
     _open_turn(context, "before").close([], "i-1")
+    # Until its settlement is written.
+    eventlet.sleep(SETTLED_SECONDS)
     groups.silent = {COMMON, *ZONE_GROUPS[1:]}
     context.grant = _open_turn(context, "short")
 
@@ -242,3 +247,56 @@
 @then("its tokens are handed back")
 def handed_back(context: Context) -> None:
     context.grant.close.assert_called_once_with([], "")
+
+
+@given(
+    "another turn holds {tokens:d} tokens of the common part and the parts of zones that are"
+    " {others}"
+)
+def another_holds(context: Context, tokens: int, others: str) -> None:
+    groups = context.groups
+    groups.silent.clear()
+    part = divide(context.budget, len(ZONE_GROUPS)).of_zone
+    for group, held in {COMMON: tokens, **dict.fromkeys(ZONE_GROUPS[1:], part)}.items():
+        key = "budget/looper/other"
+        groups.keep(group, StoredRecord(key, 1, "looper", "", RETENTION_SECONDS, held, b""))
+    groups.silent = {COMMON, *(ZONE_GROUPS[1:] if others == "silent" else [])}
+    context.held_by_other = tokens + part * len(ZONE_GROUPS[1:])
+
+
+@when("its common group is back")
+def common_back(context: Context) -> None:
+    context.groups.silent.discard(COMMON)
+
+
+@then("the turn gets {tokens:d} tokens within {limit_s:f} s, some at a time")
+def gets_some_at_a_time(context: Context, tokens: int, limit_s: float) -> None:
+    context.end_s = time.monotonic() + limit_s
+    for count in range(1, tokens + 1):
+        context.grant.cover([Event(b"", str(number)) for number in range(count)])
+
+
+@then("no more than {budget:d} tokens are granted to both")
+def granted_at_most(context: Context, budget: int) -> None:
+    held = context.grant._held.granted + context.held_by_other
+    assert held <= budget, held
+
+
+@given("1 turn has run")
+def one_has_run(context: Context) -> None:
+    turns_have_run(context, 1)
+
+
+@when("the group of zone {zone:d} falls silent for {length:d} ms")
+def falls_silent_for(context: Context, zone: int, length: int) -> None:
+    group = ZONE_GROUPS[zone]
+    context.groups.silent.add(group)
+    eventlet.spawn_after(length / 1000.0, context.groups.silent.discard, group)
+
+
+@then("the next turn is granted all that it may emit")
+def granted_in_full(context: Context) -> None:
+    program = ProgramContext("looper", context.budget, MOST_TOKENS, None, None)
+    wanted = wanted_by("looper", program, "in-full", RETENTION_SECONDS, COMMON)
+    reserved = context.reservations.reserve(wanted, context.budget)
+    assert reserved.granted == MOST_TOKENS, reserved
--- a/features/support/zone_mutants.py
+++ b/features/support/zone_mutants.py
@@ -76,10 +76,10 @@
 
 
 def _more_without_a_claim(
-    self: ReplicatedLedger, held: HeldTokens, budget: int, end: float
+    self: ReplicatedLedger, held: HeldTokens, budget: int, needed: int, end: Any
 ) -> None:
-    lacked = held.next_lacked()
-    held.add(Reserved(lacked, {lacked.common: lacked.tokens}, lacked.tokens, "", False))
+    claim = held.next_claim(held.lacked)
+    held.add(Reserved(claim, {claim.common: claim.tokens}, claim.tokens, "", False))
 
 
 def _kept_in_memory(self: TurnStore, keeping: Any, own: int, wait_s: float) -> None:
--- a/features/zone_cuts.feature
+++ b/features/zone_cuts.feature
@@ -51,6 +51,29 @@
     When its common group is back but does not answer its next claim
     Then the turn gets all that it may emit within 0.8 s
 
+  # Guards against a stream cut since it asked for all that it might emit, where the budget held
+  # what it did emit.
+  Scenario Outline: A turn whose rest is not to be had gets what its next events take: others are <others>
+    Given a program with 272 tokens whose turns emit all that they may
+    And one of its turns was granted the part of its zone alone
+    And another turn holds 120 tokens of the common part and the parts of zones that are <others>
+    When its common group is back
+    Then the turn gets 50 tokens within 3.0 s, some at a time
+    And no more than 272 tokens are granted to both
+
+    Examples:
+      | others     |
+      | spent      |
+      | silent     |
+
+  # Guards against turns that begin with a part of their tokens, and may be cut for it, while the
+  # group that they lack starts again.
+  Scenario: A turn waits a moment for a group that it lacks tokens of
+    Given a program with 272 tokens whose turns emit all that they may
+    And 1 turn has run
+    When the group of zone 1 falls silent for 300 ms
+    Then the next turn is granted all that it may emit
+
   Scenario Outline: Random schedules of cut zones, seeds from <first>
     Then 12 random zone schedules from seed <first> break no promise
 
--- a/yarrowwall/budgets/budget_requests.py
+++ b/yarrowwall/budgets/budget_requests.py
@@ -1,5 +1,6 @@
 """What a turn wants of its program's budget, and what the groups tell of it. No I/O."""
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from yarrowwall.model import ProgramContext
@@ -30,6 +31,7 @@
     :param program_name: the program as callers name it.
     :param key: of the turn's records, the same in all groups.
     :param common: the program's common group.
+    :param given_up: keys of claims of the same turn that were not granted, and are settled soon.
     """
 
     program_id: str
@@ -39,6 +41,7 @@
     tokens: int
     retention: float
     common: int
+    given_up: frozenset[str] = frozenset()
 
 
 def wanted_by(
@@ -51,13 +54,14 @@
     )
 
 
-def lacked_by(wanted: Wanted, granted: int, number: int) -> Wanted:
-    """Return what a turn still wants that was granted some tokens of its most.
+def further_claim(wanted: Wanted, tokens: int, number: int, given_up: Iterable[str]) -> Wanted:
+    """Return what a turn wants beside its first claim, as another turn would.
 
-    It is a claim beside its first one, as another turn's would be. Claims that were given up are
-    settled, so each further try has a number of its own.
+    :param number: of the claim: those that were given up are settled, so each has a key of its own.
+    :param given_up: keys of those.
     """
-    return wanted._replace(key=more_key(wanted.key, number), tokens=wanted.tokens - granted)
+    key = more_key(wanted.key, number)
+    return wanted._replace(key=key, tokens=tokens, given_up=frozenset(given_up))
 
 
 class Reserved(NamedTuple):
--- a/yarrowwall/budgets/group_reach.py
+++ b/yarrowwall/budgets/group_reach.py
@@ -43,6 +43,10 @@
         """Return whether a group was out of reach when it was asked last."""
         return group in self._out_since
 
+    def out_seconds(self, group: int) -> float:
+        """Return for how many seconds a group has been out of reach; 0 if it is not."""
+        return self._now() - self._out_since.get(group, self._now())
+
     def silent_seconds(self, group: int) -> float:
         """Return the seconds since a quorum of a group was known to answer; endless if never."""
         return self._now() - self._reached_at.get(group, -math.inf)
--- a/yarrowwall/budgets/held_tokens.py
+++ b/yarrowwall/budgets/held_tokens.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from yarrowwall.budgets.budget_requests import Reserved, Wanted, lacked_by
+from yarrowwall.budgets.budget_requests import Reserved, Wanted, further_claim
 
 
 class HeldTokens:
@@ -13,7 +13,10 @@
 
     def __init__(self, first: Reserved) -> None:
         self._reserved = [first]
-        self._asked = 0
+        #: Keys of further claims that were not granted.
+        self._given_up: set[str] = set()
+        #: Whether the budget was found not to hold all that the turn lacks.
+        self.is_rest_refused = False
 
     @property
     def wanted(self) -> Wanted:
@@ -30,13 +33,21 @@
         """Return whether the turn holds less than the most that it may emit."""
         return self.granted < self.wanted.tokens
 
-    def next_lacked(self) -> Wanted:
-        """Return a new claim of what the turn lacks."""
-        self._asked += 1
-        return lacked_by(self.wanted, self.granted, self._asked)
+    @property
+    def lacked(self) -> int:
+        """Return the tokens that the turn may emit and does not hold."""
+        return self.wanted.tokens - self.granted
+
+    def next_claim(self, tokens: int) -> Wanted:
+        """Return a new claim of some of what the turn lacks."""
+        number = len(self._given_up) + len(self._reserved)
+        claim = further_claim(self.wanted, tokens, number, self._given_up)
+        self._given_up.add(claim.key)
+        return claim
 
     def add(self, reserved: Reserved) -> None:
         """Take in one more reservation."""
+        self._given_up.discard(reserved.wanted.key)
         self._reserved.append(reserved)
 
     def spread(self, tokens: int) -> Iterator[tuple[Reserved, int]]:
--- a/yarrowwall/budgets/ledger.py
+++ b/yarrowwall/budgets/ledger.py
@@ -179,16 +179,19 @@
         wanted = wanted_by(program_id, program, attempt.attempt_id, route.retention_s, common)
         return self._reservations.reserve(wanted, budget)
 
-    def reserve_more(self, held: HeldTokens, budget: int, end: Callable[[], float]) -> None:
+    def reserve_more(
+        self, held: HeldTokens, budget: int, needed: int, end: Callable[[], float]
+    ) -> None:
         """Reserve what a turn lacks; ask again once more groups are in reach.
 
+        :param needed: tokens that it needs at once.
         :param end: tells when the request's time is over, on the monotonic clock.
         :raises StoreUncertainError: if none grants any in that time, or the budget is used up.
         """
         while True:
             in_reach = self._in_reach(held.wanted.common)
             try:
-                held.add(self._reservations.reserve(held.next_lacked(), budget))
+                held.add(self._reserve_rest(held, budget, needed))
                 return
             except (BudgetExhaustedError, StoreUncertainError) as error:
                 reason = f"{held.granted} tokens were granted; {error}"
@@ -197,6 +200,22 @@
                 ):
                     raise StoreUncertainError(reason) from error
 
+    def _reserve_rest(self, held: HeldTokens, budget: int, needed: int) -> Reserved:
+        """Reserve all that a turn lacks, or what it needs at once if no more is to be had.
+
+        :raises BudgetExhaustedError: if the budget does not hold that either.
+        :raises StoreUncertainError: if too few groups could be asked.
+        """
+        if not held.is_rest_refused:
+            try:
+                return self._reservations.reserve(held.next_claim(held.lacked), budget)
+            except BudgetExhaustedError:
+                held.is_rest_refused = True
+            except StoreUncertainError:
+                # The groups in reach may hold what it needs at once all the same.
+                pass
+        return self._reservations.reserve(held.next_claim(needed), budget)
+
     def _is_worth_asking(self, held: HeldTokens, asked: set[int], end: Callable[[], float]) -> bool:
         """Wait until a turn may ask again; return False once its time is over.
 
@@ -284,7 +303,8 @@
             return
         tokens = len(passed) * self._tokens_per_event
         while held.is_short and tokens > held.granted:
-            self._ledger.reserve_more(held, program.budget, self._end)
+            needed = min(tokens, held.wanted.tokens) - held.granted
+            self._ledger.reserve_more(held, program.budget, needed, self._end)
 
     def complete(self, passed: list[Event], server_id: str) -> None:
         """Store the turn before the end of the answer is passed on.
--- a/yarrowwall/budgets/reservations.py
+++ b/yarrowwall/budgets/reservations.py
@@ -47,6 +47,12 @@
 #: milliseconds, and a silent member is passed over within 0.08 s. The last resort, which is the own
 #: zone's group if the common one is out of reach, has as long as any operation.
 FALL_BACK_SECONDS = 0.25
+#: Looks whether groups are back that a turn lacks tokens of, and seconds between. A process that
+#: starts again takes a second, and most groups are back sooner.
+BACK_LOOKS = 10
+BACK_LOOK_SECONDS = 0.05
+#: Seconds out of reach after which a group is not waited for.
+MOMENT_SECONDS = 2.0
 #: Seconds without the common group in which a zone grants from its part alone. What a program
 #: spent before must not be forgotten in the common group while it lives on in its zone, so
 #: records there are kept that much longer, and programs that pause before and after the cut
@@ -83,6 +89,8 @@
         request = BudgetRequest(wanted, divide(budget, self._zones.parts), self._zones.count)
         try:
             verdict = self._ask_groups(request)
+            if verdict is Verdict.SHORT:
+                verdict = self._ask_those_back(request)
         except BaseException:
             # The caller has left; a claim that nobody settles would count in full.
             self._hand_back(request)
@@ -185,6 +193,33 @@
                 return Verdict.EXHAUSTED
         return self._decide(request)
 
+    def _ask_those_back(self, request: BudgetRequest) -> Verdict:
+        """Ask groups that are back after a moment, before a turn begins with less than it wants."""
+        verdict = Verdict.SHORT
+        for _ in range(BACK_LOOKS):
+            awaited = [group for group in request.unreachable if self._is_out_lately(group)]
+            if not awaited or verdict is not Verdict.SHORT:
+                break
+            eventlet.sleep(BACK_LOOK_SECONDS)
+            back = [group for group in awaited if not self._reach.is_out(group)]
+            for group in back:
+                self._ask_again(request, group)
+            if back:
+                verdict = Verdict.GRANTED if request.missing <= 0 else self._decide(request)
+        return verdict
+
+    def _is_out_lately(self, group: int) -> bool:
+        return self._reach.out_seconds(group) < MOMENT_SECONDS
+
+    def _ask_again(self, request: BudgetRequest, group: int) -> None:
+        request.unreachable.remove(group)
+        if request.missing <= 0:
+            return
+        try:
+            self._claim(request, group)
+        except NoQuorumError as error:
+            self._note_failed(request, group, error)
+
     def _may_ask(self, request: BudgetRequest, group: int) -> bool:
         """Return whether a group may grant by what is known of the common one."""
         if group == request.common or request.common in request.held:
@@ -313,5 +348,6 @@
 
 
 def _others(reading: OwnerReading, wanted: Wanted) -> dict[str, Amount]:
-    own = wanted.key
-    return {key: amount for key, amount in reading.amounts.items() if key != own}
+    """Return what counts beside a claim."""
+    own = {wanted.key, *wanted.given_up}
+    return {key: amount for key, amount in reading.amounts.items() if key not in own}
