The soak of planned work restarts storage machines too

Zones' groups of two or three take no write while one of their machines restarts, so turns then get fewer tokens than they may emit.

--- a/features/soak/planned/work.py
+++ b/features/soak/planned/work.py
@@ -34,6 +34,7 @@
 #: Kinds of work beside changes of the configuration.
 STOPPED, SIGNALLED, TOUCHED = "gateway stopped", "settings signalled", "settings touched"
 ADDED, REMOVED = "storage machine added", "storage machine removed"
+RESTARTED = "storage machine restarted"
 
 
 class PlannedWork(ThreadGroup):
@@ -54,7 +55,7 @@
         strands: list[tuple[str, Callable[[random.Random], None]]] = [
             ("content", self._change),
             ("signal", self._signal_one),
-            ("storage", self._replace_storage),
+            ("storage", self._work_on_storage),
             *([("stop", self._stop_one)] * stops),
         ]
         self._threads = [
@@ -113,6 +114,21 @@
                     self._count(SIGNALLED)
                 time.sleep(rng.uniform(0.0, 0.2))
 
+    def _work_on_storage(self, rng: random.Random) -> None:
+        rng.choice((self._restart_storage, self._replace_storage))(rng)
+
+    def _restart_storage(self, rng: random.Random) -> None:
+        """Stop a storage machine and start it again with its disk."""
+        world = self._world
+        name = rng.choice(world.replicas)
+        process = world.kill(name, signal.SIGTERM)
+        self._count(RESTARTED)
+        self._wait(lambda: process.poll() is not None, STOP_S + _SLACK_S, f"{name} has ended")
+        process.kill()
+        process.wait()
+        world.start_machine(name, is_gateway=False)
+        self._wait(lambda: world.listens(name), _READY_S, f"{name} listens")
+
     def _replace_storage(self, rng: random.Random) -> None:
         """Add a storage machine, and have one of its zone emptied and removed."""
         world = self._world
--- a/features/soak/planned/world.py
+++ b/features/soak/planned/world.py
@@ -2,6 +2,7 @@
 
 import random
 import shutil
+import socket
 import threading
 import time
 from collections.abc import Iterator
@@ -147,6 +148,15 @@
             if code is not None:
                 self._record.violated(f"ENDED: {name} ended by itself, exit code {code}")
 
+    def listens(self, name: str) -> bool:
+        """Return whether other machines can connect to a machine."""
+        host, _, port = self.addresses[name]["peer"].partition(":")
+        try:
+            socket.create_connection((host, int(port)), timeout=1.0).close()
+        except OSError:
+            return False
+        return True
+
     def keep_logs(self, folder: Path) -> None:
         """Copy the logs of all machines."""
         folder.mkdir(parents=True, exist_ok=True)
