--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -427,13 +427,13 @@
 class PlatformWorld:
     """Stand-ins and machines.
 
+    :cvar machines_lost_at_once: what the deployment has to bear; None for the usual.
     :param gateways: how many machines take clients.
     :param zones: over which machines of each kind are spread in turn.
     """
 
     #: Seconds that a machine has to end behind SIGTERM.
     stop_s = 6.0
-    #: Storage machines that may be lost at once; None for the usual.
     machines_lost_at_once: int | None = None
 
     def __init__(
@@ -572,7 +572,7 @@
 
     def _settings(self, name: str, is_gateway: bool, is_first: bool) -> str:
         own = self.addresses[name]
-        lost = self.machines_lost_at_once
+        losses = self.machines_lost_at_once
         port = {key: address.rpartition(":")[2] for key, address in own.items()}
         lines = [
             f'node_id = "{name}"',
@@ -583,7 +583,7 @@
             f'platform_address = "{self.store_address(name)}"',
             f"is_first_start = {str(is_first).lower()}",
             *([f"memory_mb = {self.memory_mb}"] if self.memory_mb is not None else []),
-            *([f"machines_lost_at_once = {lost}"] if lost is not None else []),
+            *([f"machines_lost_at_once = {losses}"] if losses is not None else []),
             "[bounds]",
             f"stop = {self.stop_s}",
             "revocation_ms = 5000",
@@ -692,7 +692,11 @@
 
 def read_answer(connection: http.client.HTTPConnection, started: float) -> Answer:
     """Return the answer that comes on a connection, whole or not."""
-    response = connection.getresponse()
+    return read_rest(connection.getresponse(), started)
+
+
+def read_rest(response: http.client.HTTPResponse, started: float) -> Answer:
+    """Return an answer of which a part may have been read, with the rest as its body."""
     body = bytearray()
     is_whole = True
     try:
--- a/features/support/zone_mutants.py
+++ b/features/support/zone_mutants.py
@@ -6,22 +6,24 @@
 from unittest.mock import patch
 
 from yarrowwall.budgets import budget_requests, reservations
-from yarrowwall.budgets.ledger import LedgerGrant
+from yarrowwall.budgets.budget_requests import Reserved
+from yarrowwall.budgets.held_tokens import HeldTokens
+from yarrowwall.budgets.ledger import LedgerGrant, ReplicatedLedger
 from yarrowwall.budgets.reservations import Reservations
 from yarrowwall.budgets.turn_store import TurnStore, _Found
-from yarrowwall.budgets.turns import Turn
 from yarrowwall.messages.replicated import StoredRecord
 from yarrowwall.policy import budget_parts
 from yarrowwall.policy.budget_parts import ClaimState, PartReading, Parts, Verdict
 from yarrowwall.replication import quorum_client
 from yarrowwall.replication.exceptions import NoQuorumError
+from yarrowwall.replication.operations import Quorum
 from yarrowwall.replication.views import is_zone_group
 
 _divide = budget_parts.divide
 _judge = budget_parts.judge
 _record = Reservations._record
 _look_everywhere = TurnStore._look_everywhere
-_WRITERS = quorum_client._WRITERS
+_WRITERS = quorum_client.WRITERS
 
 
 def _hands_all_back(pieces: Mapping[int, int], tokens: int) -> dict[int, int]:
@@ -73,11 +75,15 @@
     return found._replace(unasked=[])
 
 
-def _kept_in_memory(
-    self: TurnStore, turn: Turn, record: StoredRecord, retention: float, settled: list
+def _more_without_a_claim(
+    self: ReplicatedLedger, held: HeldTokens, budget: int, end: float
 ) -> None:
-    self._cache.put(turn)
-    self._copies.add([turn], retention, is_needed=False)
+    lacked = held.next_lacked()
+    held.add(Reserved(lacked, {lacked.common: lacked.tokens}, lacked.tokens, "", False))
+
+
+def _kept_in_memory(self: TurnStore, keeping: Any, own: int, wait_s: float) -> None:
+    self._copies.add([keeping.turn], keeping.retention, is_needed=False)
 
 
 def _one_disk_of_the_zone(view: Any, disks: Any) -> bool:
@@ -103,6 +109,9 @@
     "passes on more than was granted": lambda: patch.object(
         LedgerGrant, "cover", lambda self, passed: None
     ),
+    "goes on beyond a short grant without a claim": lambda: patch.object(
+        ReplicatedLedger, "reserve_more", _more_without_a_claim
+    ),
     "says 402 although a zone was not asked": lambda: patch.object(
         reservations, "judge", _everyone_was_asked
     ),
@@ -119,6 +128,11 @@
         budget_requests.GroupHeld, "is_blank", property(lambda self: self.tokens == 0)
     ),
     "takes one disk of the zone for enough": lambda: patch.object(
-        quorum_client, "_WRITERS", _WRITERS._replace(is_made_by=_one_disk_of_the_zone)
+        quorum_client,
+        "WRITERS",
+        Quorum(
+            _one_disk_of_the_zone,
+            lambda view, found: _one_disk_of_the_zone(view, found.acknowledged),
+        ),
     ),
 }
