--- /dev/null
+++ b/features/steps/connection_end_steps.py
@@ -0,0 +1,365 @@
+"""Steps about connections of callers that end before their answers."""
+
+import os
+import resource
+import signal
+import socket
+import struct
+import time
+from collections.abc import Callable
+from dataclasses import replace
+from types import SimpleNamespace
+from typing import Any
+from urllib.request import urlopen
+
+import eventlet
+from behave import given, then, when
+from behave.runner import Context
+from eventlet import patcher
+from eventlet.green import socket as green_socket
+
+from features.support.platform_scripts import add, arrivals, silent, world
+from features.support.platform_world import HOST, Arrival, QuietHandler, own_headers
+from features.support.processes import wait_until
+from yarrowwall.addresses import split_address
+from yarrowwall.decisions import DecisionLog
+from yarrowwall.gateway.gateway import Gateway
+from yarrowwall.gateway.http_server import PROTOCOL_KEY, ServerLimits, serve
+from yarrowwall.platform.callers import PlatformCallers
+from yarrowwall.policy.freshness import Freshness
+from yarrowwall.policy.memory_budget import MemoryBounds, MemoryBudget
+
+#: Lets a close reset the connection.
+RESET = struct.pack("ii", 1, 0)
+#: Bytes that a caller's own kernel takes: next to none, so that the rest stays at the gateway.
+BUFFER_BYTES = 16 * 1024
+#: Lines that tell why a caller got no whole answer.
+ENDS = ("AnswerBrokenOff", "CallerLeft", "CallerGivenUp", "ConnectionEnded", "InternalFault")
+#: Seconds in which a second line for the same end would have come.
+SETTLE_SECONDS = 0.3
+
+
+def connect(context: Context) -> socket.socket:
+    host, _, port = world(context).addresses["edge-0"]["http"].partition(":")
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+    connection.settimeout(10.0)
+    connection.connect((host, int(port)))
+    context.add_cleanup(connection.close)
+    return connection
+
+
+def begin(context: Context, route: str, deadline_ms: int = 20_000) -> socket.socket:
+    """Return a connection over which a whole request was sent."""
+    connection = connect(context)
+    head = (
+        f"POST /{route}/x HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 0\r\n"
+        f"X-Attempt-Id: {world(context).next_attempt()}\r\nX-Deadline-Ms: {deadline_ms}\r\n\r\n"
+    )
+    connection.sendall(head.encode())
+    return connection
+
+
+def reset(connection: socket.socket) -> None:
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    connection.close()
+
+
+def told(context: Context) -> list[str]:
+    """Return what the gateway tells of connections that ended, by kind or reason."""
+    lines = world(context).log("edge-0")
+    return [line.get("reason", line["kind"]) for line in lines if line["kind"] in ENDS]
+
+
+@when('a caller of "{route}" resets its connection unread')
+def resets_unread(context: Context, route: str) -> None:
+    connection = begin(context, route)
+    assert connection.recv(1)
+    time.sleep(0.5)
+    reset(connection)
+
+
+@when('a caller of "{route}" resets its connection while it waits')
+def resets_waiting(context: Context, route: str) -> None:
+    connection = begin(context, route)
+    wait_until(lambda: bool(arrivals(context, route)), "the request runs")
+    reset(connection)
+
+
+@when('a caller of "{route}" ends its sending side unread')
+def half_closes_unread(context: Context, route: str) -> None:
+    connection = begin(context, route)
+    assert connection.recv(1)
+    time.sleep(0.5)
+    connection.shutdown(socket.SHUT_WR)
+
+
+@when('a caller of "{route}" never reads')
+def never_reads(context: Context, route: str) -> None:
+    begin(context, route)
+
+
+@when('gateway {number:d} gets SIGTERM while {count:d} callers wait on "{route}"')
+def stop_while_many_wait(context: Context, number: int, count: int, route: str) -> None:
+    for _ in range(count):
+        begin(context, route)
+    wait_until(lambda: len(arrivals(context, route)) == count, "the requests run")
+    process = world(context).kill(f"edge-{number}", signal.SIGTERM)
+    assert process.wait(timeout=15.0) == 0
+
+
+@when("a caller sends the head of a request that stops midway")
+def head_stops(context: Context) -> None:
+    connect(context).sendall(b"GET /records/x HTTP/1.1\r\nHost: desk")
+
+
+@when("a caller sends the head of a request that is no HTTP")
+def head_no_http(context: Context) -> None:
+    connect(context).sendall(b"\x16\x03\x01 this is no request\r\n\r\n")
+
+
+@when("a caller sends the head of a request that ends in a field")
+def head_cut(context: Context) -> None:
+    connection = connect(context)
+    head = f"POST /records/x HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: cut\r\nX-Deadline-Ms: 30"
+    connection.sendall(head.encode())
+    connection.shutdown(socket.SHUT_WR)
+    assert not connection.recv(1024)
+
+
+@when('a caller of "{route}" is answered and leaves')
+def answered_and_leaves(context: Context, route: str) -> None:
+    assert world(context).ask(route, b"x").status == 200
+    connection = world(context).connect()
+    assert world(context).ask(route, b"x", connection=connection).status == 200
+    connection.close()
+
+
+@then("the gateway tells once that its connection ended, as {reason}")
+def told_once(context: Context, reason: str) -> None:
+    wait_told(context, [reason])
+
+
+@then("the gateway tells {count:d} times that a connection ended, as {reason}")
+def told_times(context: Context, count: int, reason: str) -> None:
+    wait_told(context, [reason] * count)
+
+
+def wait_told(context: Context, expected: list[str]) -> None:
+    wait_until(lambda: len(told(context)) >= len(expected), f"{expected} is told")
+    time.sleep(SETTLE_SECONDS)
+    assert told(context) == expected, told(context)
+
+
+@then("the gateway tells of no connection that ended")
+def told_nothing(context: Context) -> None:
+    time.sleep(SETTLE_SECONDS)
+    assert not told(context), told(context)
+
+
+# Connections that can't be accepted
+
+
+@given('a caller of "{route}" that was answered and keeps its connection')
+def keeps_connection(context: Context, route: str) -> None:
+    context.kept, context.kept_route = world(context).connect(), route
+    assert world(context).ask(route, b"x", connection=context.kept).status == 200
+
+
+def without_descriptors(context: Context, name: str, key: str, count: int) -> None:
+    """Let callers connect to a machine that may open no descriptor meanwhile."""
+    pid = world(context).processes[name].pid
+    soft, hard = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (0, hard))
+    try:
+        address = split_address(world(context).addresses[name][key])
+        callers = [socket.create_connection(address, timeout=5.0) for _ in range(count)]
+        time.sleep(SETTLE_SECONDS)
+    finally:
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (soft, hard))
+    for caller in callers:
+        caller.close()
+
+
+@when("gateway {number:d} may open no descriptor while {count:d} callers connect")
+def gateway_without_descriptors(context: Context, number: int, count: int) -> None:
+    without_descriptors(context, f"edge-{number}", "http", count)
+
+
+@when("gateway {number:d} may open no descriptor while {count:d} callers connect for its metrics")
+def metrics_without_descriptors(context: Context, number: int, count: int) -> None:
+    without_descriptors(context, f"edge-{number}", "metrics", count)
+
+
+@then("the metrics of gateway {number:d} can be read")
+def metrics_read(context: Context, number: int) -> None:
+    address = world(context).addresses[f"edge-{number}"]["metrics"]
+    with urlopen(f"http://{address}/metrics", timeout=5.0) as answer:
+        assert b"yarrowwall_configuration_version" in answer.read()
+
+
+@then("the caller that kept its connection is answered 200 on it")
+def kept_answered(context: Context) -> None:
+    answer = world(context).ask(context.kept_route, b"x", connection=context.kept)
+    assert answer.status == 200, answer
+    context.kept.close()
+
+
+@then("the gateway told of connections that it could not accept")
+def told_of_accepts(context: Context) -> None:
+    assert any(line["kind"] == "AcceptFailed" for line in world(context).log("edge-0"))
+
+
+@when("replica {number:d} may open no descriptor while {count:d} machines connect")
+def replica_without_descriptors(context: Context, number: int, count: int) -> None:
+    without_descriptors(context, f"storage-{number}", "peer", count)
+
+
+@then("replica {number:d} takes connections and closes one that sends no message")
+def replica_takes(context: Context, number: int) -> None:
+    address = split_address(world(context).addresses[f"storage-{number}"]["peer"])
+    with socket.create_connection(address, timeout=5.0) as connection:
+        connection.sendall(b"\xff" * 64)
+        assert not connection.recv(1)
+
+
+# Requests under way
+
+
+@given("a gateway without a configuration and a caller's request")
+def bare_gateway(context: Context) -> None:
+    log = DecisionLog("edge-0", descriptor=os.open(os.devnull, os.O_WRONLY))
+    memory = MemoryBudget(MemoryBounds(1_000, 1_000, 1_000))
+    dispatch = SimpleNamespace(memory=memory, decisions=log, now=time.monotonic)
+    parts = SimpleNamespace(
+        dispatch=dispatch,
+        callers=PlatformCallers(),
+        programs=SimpleNamespace(is_reachable=True, unreachable_s=0.0),
+        freshness=Freshness(5.0, 3.0),
+        limits=ServerLimits(),
+    )
+    context.gateway = Gateway(parts)
+    context.gateway.note_informed()
+    caller, _ = green_socket.socketpair()
+    context.environ = {
+        "REQUEST_METHOD": "GET",
+        "RAW_PATH_INFO": "/records/x",
+        "PATH_INFO": "/records/x",
+        "HTTP_HOST": HOST,
+        "HTTP_X_ATTEMPT_ID": "attempt-1",
+        "headers_raw": (("Host", HOST), ("X-Attempt-Id", "attempt-1")),
+        "eventlet.input": SimpleNamespace(get_socket=lambda: caller),
+        PROTOCOL_KEY: SimpleNamespace(wfile=SimpleNamespace(failure=None), close_connection=0),
+    }
+
+
+@when("the WSGI server has taken all of its answer")
+def answer_taken(context: Context) -> None:
+    context.body = context.gateway(context.environ, lambda status, headers: None)
+    assert b"".join(context.body)
+
+
+@then("it is under way")
+def under_way(context: Context) -> None:
+    assert context.gateway.running == 1
+
+
+@when("the WSGI server has written the last bytes")
+def answer_written(context: Context) -> None:
+    context.body.close()
+
+
+@then("it is not under way")
+def not_under_way(context: Context) -> None:
+    assert context.gateway.running == 0
+
+
+# Answers
+
+
+@when('a caller of "{route}" ends its sending side while it waits')
+def half_closes_waiting(context: Context, route: str) -> None:
+    context.caller = begin(context, route)
+    wait_until(lambda: bool(arrivals(context, route)), "the request runs")
+    context.caller.shutdown(socket.SHUT_WR)
+
+
+@then("its connection ends within {limit:d} ms without a byte")
+def ends_silently(context: Context, limit: int) -> None:
+    context.caller.settimeout(limit / 1000.0)
+    found = context.caller.recv(1024)
+    assert not found, found
+
+
+@given('a stream route "{route}" whose server answers 500 and breaks off')
+def failure_breaks_off(context: Context, route: str) -> None:
+    def script(call: QuietHandler, arrival: Arrival) -> bool:
+        call.send_response(500)
+        for name, value in {**own_headers(arrival), "Content-Length": "100"}.items():
+            call.send_header(name, value)
+        call.end_headers()
+        call.wfile.write(b"only this")
+        return silent(call, arrival)
+
+    add(context, route, "streaming", script)
+
+
+@when('a caller of "{route}" waits for its answer')
+def waits_for_answer(context: Context, route: str) -> None:
+    context.answers = [world(context).ask(route, b"x")]
+
+
+@then("its body is whole and empty")
+def empty_body(context: Context) -> None:
+    (answer,) = context.answers
+    assert answer.is_whole and not answer.body, answer
+
+
+@then("the gateway tells of no fault of its own")
+def no_fault(context: Context) -> None:
+    assert "InternalFault" not in [line["kind"] for line in world(context).log("edge-0")]
+
+
+# A process that runs late
+
+
+@given("a server of callers whose idle connections and heads have {limit:d} ms")
+def short_limits(context: Context, limit: int) -> None:
+    def answer(environ: dict[str, Any], start_response: Callable[..., Any]) -> list[bytes]:
+        start_response("200 OK", [("Content-Length", "0")])
+        return [b""]
+
+    limits = ServerLimits()
+    limits.current = replace(
+        limits.current, idle_seconds=limit / 1000.0, header_seconds=limit / 1000.0
+    )
+    log = DecisionLog("edge-0", descriptor=os.open(os.devnull, os.O_WRONLY))
+    listener = eventlet.listen(("127.0.0.1", 0))
+    context.server = eventlet.spawn(serve, listener, answer, limits, log)
+    context.server_address = listener.getsockname()
+
+
+@when("{what} comes after {pause:d} ms and the process runs again {late:d} ms later")
+def comes_while_late(context: Context, what: str, pause: int, late: int) -> None:
+    request = f"GET /x HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode()
+    half = len(request) // 2 if what == "the second half of a head" else 0
+    context.caller = green_socket.create_connection(context.server_address)
+    context.caller.sendall(request[:half])
+    near, far = green_socket.socketpair()
+
+    def hold_up() -> None:
+        near.recv(1)
+        context.caller.sendall(request[half:])
+        patcher.original("time").sleep(late / 1000.0)
+
+    eventlet.spawn(hold_up)
+    eventlet.sleep(pause / 1000.0)
+    far.send(b"x")
+
+
+@then("the caller is answered")
+def caller_answered(context: Context) -> None:
+    context.caller.settimeout(2.0)
+    found = context.caller.recv(100)
+    context.server.kill()
+    assert found.startswith(b"HTTP/1.1 200 "), found
--- a/yarrowwall/gateway/exchange.py
+++ b/yarrowwall/gateway/exchange.py
@@ -1,27 +1,31 @@
 """One request of a caller: admitted, read, and answered whole or as a stream."""
 
 import traceback
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Generator, Iterator
 from typing import Any
 
+import eventlet
+
 from yarrowwall import decisions
 from yarrowwall.dispatch.sender import AttemptSender, Sending
 from yarrowwall.dispatch.whole import relay_whole
 from yarrowwall.exceptions import CallerGoneError, InvalidAttemptError
 from yarrowwall.gateway.bodies import BodyLateError, RequestBody
 from yarrowwall.gateway.caller_watch import CallerWatch
-from yarrowwall.gateway.http_server import close_after_answer
+from yarrowwall.gateway.http_server import close_after_answer, end_connection
 from yarrowwall.gateway.response import Response
+from yarrowwall.gateway.routing import RouteTable
 from yarrowwall.gateway.state import GatewayState
 from yarrowwall.gateway.turn import AnswerCutError, Turn
 from yarrowwall.model import Attempt, RequestKind, Route
 from yarrowwall.policy.memory_budget import MemoryExhaustedError
+from yarrowwall.policy.request_time import RequestTime
 from yarrowwall.policy.retry_after import SHORTAGE_SECONDS
 from yarrowwall.refusals import Refusal, RefusedError, unavailable
 
 
 class Exchange:
-    """One request of a caller and its answer."""
+    """One request of a caller and its answer, whose body the WSGI server iterates over."""
 
     def __init__(
         self, gateway: GatewayState, environ: dict[str, Any], start_response: Callable[..., Any]
@@ -35,30 +39,67 @@
         self._response = Response(
             gateway.parts, environ, start_response, lambda: gateway.sends_callers_away
         )
+        self._attempt: Attempt | None = None
+        self._time: RequestTime | None = None
+        self._body = self._run()
+        gateway.under_way.add(self)
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Return the body of the answer."""
+        return self._body
+
+    def close(self) -> None:
+        """Take in that the answer was written, or ends early; cancels whatever runs then.
+
+        The WSGI server calls this once, behind the last write.
+        """
+        held = self._hold.size
+        try:
+            self._body.close()
+        finally:
+            self._gateway.under_way.discard(self)
+            self._response.note_ended(held)
 
-    def run(self) -> Iterator[bytes]:
+    def note_in_force(self, table: RouteTable) -> None:
+        """Take in the routes that are in force from now on."""
+        if self._attempt is None or self._time is None:
+            return
+        route = table.match(self._attempt.host, self._attempt.path)
+        if route is not None:
+            self._time.note_route_s(route.timeout_s)
+
+    def note_process_ended(self) -> None:
+        """Log that the end of the process ends the request."""
+        self._response.note_process_ended()
+
+    def _run(self) -> Generator[bytes, None, None]:
         """Return the body of the answer; cancels whatever runs if it is closed early."""
-        self._gateway.running += 1
+        response = self._response
         watch = CallerWatch(self._environ["eventlet.input"].get_socket())
         try:
             yield from self._answer(watch)
-        except CallerGoneError:
-            response = self._response
-            self._log.write(decisions.CallerLeft(response.attempt_id, response.lasted_s))
-            raise AnswerCutError from None
-        except GeneratorExit:
-            self._response.note_ended_early(self._hold)
-            raise
-        except (AnswerCutError, OSError):
+            response.is_complete = True
+        except CallerGoneError as error:
+            self._note_left(str(error))
+            end_connection()
+        except AnswerCutError:
+            response.is_end_told = True
             raise
-        except Exception:
+        except (Exception, eventlet.Timeout):
+            response.is_end_told = True
             trace = traceback.format_exc()
-            self._log.write(decisions.InternalFault(self._response.attempt_id, trace))
+            self._log.write(decisions.InternalFault(response.attempt_id, trace))
             raise
         finally:
             watch.stop()
             self._hold.close()
-            self._gateway.running -= 1
+
+    def _note_left(self, reason: str) -> None:
+        response = self._response
+        if not response.is_end_told:
+            response.is_end_told = True
+            left = decisions.CallerLeft(response.attempt_id, response.lasted_s, reason)
+            self._log.write(left)
 
     def _answer(self, watch: CallerWatch) -> Iterator[bytes]:
         try:
@@ -66,8 +107,9 @@
             self._response.attempt_id = attempt.attempt_id
             self._gateway.wait_until_informed()
             route = self._gateway.admission.match(attempt)
-            end = min(attempt.deadline, attempt.arrived_at + route.timeout_s)
-            attempt.body = self._read_body(end)
+            time = RequestTime(attempt.arrived_at, attempt.deadline, route.timeout_s)
+            self._attempt, self._time = attempt, time
+            attempt.body = self._read_body(time.end)
         except InvalidAttemptError as error:
             yield self._response.refuse(Refusal(error.status, str(error)))
             return
@@ -75,14 +117,14 @@
             yield self._response.refuse(error.refusal)
             return
         watch.start()
-        self._note_admitted(attempt, route, end)
+        self._note_admitted(attempt, route, time.end)
         try:
-            if not self._gateway.has_time_for(self._now(), end):
+            if not self._gateway.has_time_for(self._now(), time.end):
                 raise unavailable("stopping", SHORTAGE_SECONDS)
             if route.kind is RequestKind.STREAM:
-                yield from self._stream(attempt, route, end)
+                yield from self._stream(attempt, route, time)
             else:
-                yield self._whole(attempt, route, end)
+                yield self._whole(attempt, route, time)
         except RefusedError as error:
             yield self._response.refuse(error.refusal)
 
@@ -102,6 +144,7 @@
             raise unavailable(str(error), SHORTAGE_SECONDS) from error
         except BodyLateError:
             response = self._response
+            response.is_end_told = True
             self._log.write(
                 decisions.CallerGivenUp(response.attempt_id, response.lasted_s, self._hold.size)
             )
@@ -124,22 +167,22 @@
             )
         )
 
-    def _whole(self, attempt: Attempt, route: Route, end: float) -> bytes:
+    def _whole(self, attempt: Attempt, route: Route, time: RequestTime) -> bytes:
         if attempt.program is not None:
             self._parts.program_sizes.note_lookup()
         allowance = self._parts.quotas.allowance(attempt)
         allowance.begin()
         try:
             service = self._gateway.admission.service_for(route)
-            sending = Sending(attempt, route, service, end, attempt.body, allowance, self._hold)
+            sending = Sending(attempt, route, service, time, attempt.body, allowance, self._hold)
             sender = AttemptSender(self._parts.dispatch, sending)
             answer, body = relay_whole(self._parts.dispatch, route, sender)
             return self._response.pass_on(answer, body, sender.log.tried[-1])
         finally:
             allowance.close()
 
-    def _stream(self, attempt: Attempt, route: Route, end: float) -> Iterator[bytes]:
-        turn = Turn(self._gateway, attempt, route, end, self._hold, self._response)
+    def _stream(self, attempt: Attempt, route: Route, time: RequestTime) -> Iterator[bytes]:
+        turn = Turn(self._gateway, attempt, route, time, self._hold, self._response)
         loads = self._parts.dispatch.loads.ask()
         allowance = self._parts.quotas.allowance(attempt)
         allowance.begin()
--- a/yarrowwall/gateway/http_server.py
+++ b/yarrowwall/gateway/http_server.py
@@ -2,13 +2,18 @@
 
 import io
 import socket
+import time
 from collections.abc import Callable, Iterable
 from typing import Any
 
 import eventlet.wsgi
 
+from yarrowwall import decisions
+from yarrowwall.decisions import DecisionLog
+from yarrowwall.exceptions import CallerGoneError
+from yarrowwall.gateway.endings import Ending, EndReason
 from yarrowwall.model import CallerLimits
-from yarrowwall.sockets import send_some
+from yarrowwall.sockets import is_quiet, receive, send_some
 
 #: Key of the environment under which the application finds the connection's handler.
 PROTOCOL_KEY = "yarrowwall.connection"
@@ -24,13 +29,18 @@
 #: which counts as the machine's memory; 64 KB are 5 ms at 100 Mbit/s.
 SEND_BUFFER_BYTES = 64 * 1024
 _MOST_CONNECTIONS = 3000
+_EMPTY_LINES = (b"\r\n", b"\n")
 
 
 class _CallerWriter(io.RawIOBase):
-    """Writes answers to a caller; the time-out counts anew whenever it takes something."""
+    """Writes answers to a caller; the time-out counts anew whenever it takes something.
+
+    :ivar failure: what ended a write; None as long as all were whole.
+    """
 
     def __init__(self, connection: socket.socket) -> None:
         self._connection = connection
+        self.failure: Ending | None = None
 
     def writable(self) -> bool:
         """Return that this may be written to."""
@@ -38,9 +48,19 @@
 
     def write(self, data: Any) -> int:
         """Send all of some bytes."""
-        rest = memoryview(data)
-        while rest:
-            rest = rest[send_some(self._connection, rest) :]
+        try:
+            rest = memoryview(data)
+            while rest:
+                rest = rest[send_some(self._connection, rest) :]
+        except TimeoutError:
+            self.failure = Ending(EndReason.NOT_TAKEN)
+            raise
+        except OSError as error:
+            self.failure = Ending(EndReason.WRITE_FAILED, str(error))
+            raise
+        except CallerGoneError:
+            self.failure = Ending(EndReason.LEFT_WHILE_WRITING)
+            raise
         return len(data)
 
     def writelines(self, lines: Iterable[Any]) -> None:
@@ -48,6 +68,59 @@
         self.write(b"".join(lines))
 
 
+class _CallerReader(io.RawIOBase):
+    """Reads requests; a time-out counts only if nothing is there to read.
+
+    A process that was held up finds a time-out and bytes that came in time at once, and eventlet's
+    hub may tell of the time-out first.
+    """
+
+    def __init__(self, connection: socket.socket) -> None:
+        self._connection = connection
+
+    def readable(self) -> bool:
+        """Return that this may be read."""
+        return True
+
+    def readinto(self, buffer: Any) -> int:
+        """Take in the bytes that arrive next; none at the end of the connection.
+
+        :raises TimeoutError: if none arrive in time.
+        """
+        try:
+            data = self._receive(len(buffer))
+        except ConnectionError:
+            # A reset ends a request as an orderly end does.
+            data = b""
+        buffer[: len(data)] = data
+        return len(data)
+
+    def _receive(self, size: int) -> bytes:
+        timeout = self._connection.gettimeout()
+        try:
+            return receive(self._connection, size, timeout)
+        except TimeoutError:
+            if is_quiet(self._connection):
+                raise
+        return receive(self._connection, size, timeout)
+
+
+class _HeadReader:
+    """Reads the lines of a head.
+
+    :ivar last: the line that was read last.
+    """
+
+    def __init__(self, source: Any) -> None:
+        self._source = source
+        self.last = b""
+
+    def readline(self, size: int = -1) -> bytes:
+        """Return the next line; without its end if the connection ended within it."""
+        self.last = self._source.readline(size)
+        return self.last
+
+
 class ServerLimits:
     """Limits that every connection looks up anew for each request."""
 
@@ -55,27 +128,59 @@
         self.current = CallerLimits()
 
 
-def _protocol_class(limits: ServerLimits) -> type:
+def _protocol_class(limits: ServerLimits, log: DecisionLog) -> type:
     """Return the handler class of a server whose limits are ``limits``."""
 
     class GatewayProtocol(eventlet.wsgi.HttpProtocol):
         """A connection whose waits are bounded by the configuration in force."""
 
+        rfile: Any
         wfile: Any
+        close_connection: bool | int
+        #: When the head that is being read began; None while none is.
+        _head_since: float | None = None
 
         def setup(self) -> None:
             super().setup()
+            self.rfile.close()
+            self.rfile = io.BufferedReader(_CallerReader(self.connection))
             self.wfile.close()
             self.wfile = _CallerWriter(self.connection)
 
+        def handle_one_request(self) -> None:
+            try:
+                super().handle_one_request()
+            except TimeoutError:
+                self._note_head_ended(EndReason.HEAD_LATE)
+                raise
+            self._note_head_ended(EndReason.HEAD_REFUSED)
+
+        def parse_request(self) -> bool:
+            self.rfile = reader = _HeadReader(self.rfile)
+            if not super().parse_request():
+                return False
+            # The library takes the end of a connection for the end of a head.
+            is_whole = reader.last in _EMPTY_LINES
+            if not is_whole:
+                self.close_connection = True
+            return is_whole
+
+        def _note_head_ended(self, reason: EndReason) -> None:
+            if self._head_since is not None:
+                lasted_s = time.monotonic() - self._head_since
+                self._head_since = None
+                log.write(decisions.ConnectionEnded("", reason, lasted_s, 0, ""))
+
         def _read_request_line(self) -> bytes:
             self.connection.settimeout(limits.current.idle_seconds)
-            line = super()._read_request_line()
+            line: bytes = super()._read_request_line()
+            self._head_since = time.monotonic() if line else None
             self.connection.settimeout(limits.current.header_seconds)
             return line
 
         def get_environ(self) -> dict[str, Any]:
-            environ = super().get_environ()
+            environ: dict[str, Any] = super().get_environ()
+            self._head_since = None
             environ[PROTOCOL_KEY] = self
             self.connection.settimeout(WRITE_SECONDS)
             return environ
@@ -88,19 +193,38 @@
     environ[PROTOCOL_KEY].close_connection = 1
 
 
+def end_connection() -> None:
+    """Let the connection end behind what was written, without an end of the answer.
+
+    The WSGI server would begin an answer of its own, if none was begun.
+    """
+    eventlet.wsgi.WSGI_LOCAL.already_handled = True
+
+
 def expect_stream_read(environ: dict[str, Any]) -> None:
     """Give the caller up soon if it takes nothing of a stream."""
     environ[PROTOCOL_KEY].connection.settimeout(STREAM_WRITE_SECONDS)
 
 
-def serve(listener: socket.socket, application: Callable[..., Any], limits: ServerLimits) -> None:
+def write_failure(environ: dict[str, Any]) -> Ending | None:
+    """Return what ended the writing of an answer; None if all of it was taken."""
+    failure: Ending | None = environ[PROTOCOL_KEY].wfile.failure
+    return failure
+
+
+def serve(
+    listener: socket.socket,
+    application: Callable[..., Any],
+    limits: ServerLimits,
+    log: DecisionLog,
+) -> None:
     """Serve an application until the listener is closed."""
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
     eventlet.wsgi.server(
         listener,
         application,
-        protocol=_protocol_class(limits),
+        protocol=_protocol_class(limits, log),
         log_output=False,
         debug=False,
         max_size=_MOST_CONNECTIONS,
