--- a/yarrowwall/budgets/turn_store.py
+++ b/yarrowwall/budgets/turn_store.py
@@ -30,6 +30,9 @@
 KEEP_FIRST_SECONDS = 0.3
 #: Seconds between two tries: replicas whose connections end fail at once.
 KEEP_AGAIN_SECONDS = 0.1
+#: Seconds that a group has at least, also behind the request's time: most take a turn in a few
+#: milliseconds.
+KEEP_LEAST_SECONDS = 0.1
 #: Seconds of a request's time that are left for the end of its answer to reach the caller.
 END_MARGIN_SECONDS = 0.03
 #: Seconds that an end waited for its turn to be stored, from which on this is told.
@@ -197,29 +200,31 @@
 
     # Keeping
 
-    def keep(self, turn: Turn, retention: float, settled: list[Placed], end: float) -> None:
+    def keep(
+        self, turn: Turn, retention: float, settled: list[Placed], end: Callable[[], float]
+    ) -> None:
         """Store a turn; ask its groups again until one takes it.
 
         Its answer has begun, so a group that is out of reach or late is no reason to give up
         while the request has time left. What is written twice is the same record.
 
         :param settled: the settlement of its reservation, stored with it where it can be.
-        :param end: when the request's time is over, on the monotonic clock.
+        :param end: tells when the request's time is over, on the monotonic clock.
 
         :raises StoreUncertainError: if no quorum took it in time.
         """
         keeping = _Keeping(turn, turn_record(turn, retention), retention, settled, self._now())
-        until = end - END_MARGIN_SECONDS
         wait_s = KEEP_FIRST_SECONDS if self._zones.keeps_turns else OPERATION_SECONDS
         while True:
             for group in self._places(keeping):
-                if self._is_kept(keeping, group, wait_s):
+                left_s = end() - END_MARGIN_SECONDS - self._now()
+                if left_s <= 0.0 and keeping.tries:
+                    raise StoreUncertainError(keeping.failure(self._now()))
+                if self._is_kept(keeping, group, min(wait_s, max(left_s, KEEP_LEAST_SECONDS))):
                     self._note_kept(keeping, group)
                     return
             eventlet.sleep(KEEP_AGAIN_SECONDS)
-            wait_s = min(2.0 * wait_s, until - self._now())
-            if wait_s <= 0.0:
-                raise StoreUncertainError(keeping.failure(self._now()))
+            wait_s *= 2.0
 
     def _places(self, keeping: _Keeping) -> list[int]:
         """Return the groups that may keep a turn, those first that are in reach."""
@@ -239,7 +244,8 @@
                 self._write(keeping, group, wait_s)
         except NoQuorumError as error:
             keeping.failures[group] = str(error)
-            if self._zones.parts:
+            # A group that had less time than others get may be in reach all the same.
+            if self._zones.parts and wait_s >= KEEP_FIRST_SECONDS:
                 self._reach.note_failed(group)
             return False
         return True
--- a/yarrowwall/sockets.py
+++ b/yarrowwall/sockets.py
@@ -60,18 +60,25 @@
 def receive(connection: socket.socket, size: int, timeout: float | None) -> bytes:
     """Return the bytes that arrive next; empty at an orderly end.
 
+    A time-out counts only if nothing is there: a process that was held up finds it and bytes that
+    came in time at once.
+
     :param timeout: seconds to wait; None without a bound.
     :raises TimeoutError: if nothing arrives in time.
     :raises OSError: if the connection fails, is reset or is closed here meanwhile.
     """
     raw = connection.fd  # type: ignore[attr-defined]  # the non-blocking socket below
+    is_over = False
     while True:
         try:
             return raw.recv(size)
         except BlockingIOError:
-            pass
+            if is_over:
+                raise TimeoutError(f"nothing arrived in {timeout} s") from None
         try:
             trampoline(raw, read=True, timeout=timeout, timeout_exc=TimeoutError)
+        except TimeoutError:
+            is_over = True
         except IOClosed as error:
             raise ConnectionAbortedError("closed here") from error
 
@@ -93,6 +100,7 @@
             pass
         timeout = connection.gettimeout()
         try:
+            # No further try behind the time-out: the kernel takes a little of a peer that is slow.
             trampoline(raw, write=True, timeout=timeout, timeout_exc=TimeoutError)
         except IOClosed as error:
             raise ConnectionResetError(errno.ECONNRESET, "closed here") from error
