A server that comes with a second list is told of, also as the first of all

What operators saw: no line tells that a gateway lists a server, if its first list of servers was empty and the server came with a later whole list in place of a change.

Cause: which list is the first was judged by an empty directory.

Evidence: turn_ends.feature on real processes, seen once: "gave up waiting: edge-2 knows" after 60 s. That gateway had started 0.1 s before the server was written, was ready, and had the configuration behind it in force; two others wrote ServerChanged. That its reader had forgotten what came before, so that it listed anew, is inferred and has no line. The new scenario before the change: Then "good" was told of as listed, once ... failed ASSERT FAILED: [] After: server_entries.feature, 31 passed.

--- a/features/server_entries.feature
+++ b/features/server_entries.feature
@@ -36,6 +36,12 @@
       | no content             | all of it | null            | unreadable    |
       | a list as its content  | all of it | [1, 2]          | unreadable    |
 
+  # Guards against a server of which no line tells that it was listed.
+  Scenario: A server is told of that comes with a later list, also as the first of all
+    Given a list of servers that is empty
+    When a list comes that has "good"
+    Then "good" was told of as listed, once
+
   Scenario: A server of a service that no configuration has waits for one that does
     Given a list of servers that has "good" and "early", the latter of a service to come
     Then "early" was told of once as "unknown_service"
--- a/features/steps/server_entry_steps.py
+++ b/features/steps/server_entry_steps.py
@@ -86,6 +86,22 @@
         context.servers.take_change(Change(item(other, spec_at(11)), False))
 
 
+@given("a list of servers that is empty")
+def empty_list(context: Context) -> None:
+    _begin(context)
+
+
+@when('a list comes that has "{name}"')
+def list_comes(context: Context, name: str) -> None:
+    context.servers.take_list([item(name, spec_at(11))])
+
+
+@then('"{name}" was told of as listed, once')
+def told_as_listed(context: Context, name: str) -> None:
+    told = [line for line in context.noted if isinstance(line, decisions.ServerChanged)]
+    assert told == [decisions.ServerChanged(name, "records", "listed")], told
+
+
 @when('the entry of "{name}" is written with {field} as {value}')
 def entry_written(context: Context, name: str, field: str, value: str) -> None:
     spec: Any = spec_at(12)
--- a/yarrowwall/dispatch/server_list.py
+++ b/yarrowwall/dispatch/server_list.py
@@ -53,6 +53,7 @@
         self._log = log
         self._now = now
         self._faults: set[_Told] = set()
+        self._has_listed = False
 
     def take_list(self, items: list[StoredObject]) -> None:
         """Take in the whole list."""
@@ -63,8 +64,9 @@
             if name and count > 1:
                 self._note_fault(name, EntryFault.DOUBLED_ID, f"{count} entries")
         # The first list is no news, and a start has other things to do than to write lines.
-        for server in servers if known else ():
+        for server in servers if self._has_listed else ():
             self._tell(server, known.get(server.server_id), is_change=False)
+        self._has_listed = True
         for server in servers:
             self._look_at_service(server)
         self._look_at_addresses(servers)
