--- a/yarrowwall/budgets/reservations.py
+++ b/yarrowwall/budgets/reservations.py
@@ -11,6 +11,8 @@
 turn. What is missing is asked of the zones' groups, the own zone's first.
 """
 
+from collections.abc import Sequence
+
 import eventlet
 
 from yarrowwall import decisions
@@ -49,10 +51,10 @@
 FALL_BACK_SECONDS = 0.25
 #: Looks whether groups are back that a turn lacks tokens of, and seconds between. A process that
 #: starts again takes a second, and most groups are back sooner.
-BACK_LOOKS = 10
-BACK_LOOK_SECONDS = 0.05
+RECOVERY_LOOKS = 10
+RECOVERY_LOOK_SECONDS = 0.05
 #: Seconds out of reach after which a group is not waited for.
-MOMENT_SECONDS = 2.0
+BRIEF_OUTAGE_SECONDS = 2.0
 #: Seconds without the common group in which a zone grants from its part alone. What a program
 #: spent before must not be forgotten in the common group while it lives on in its zone, so
 #: records there are kept that much longer, and programs that pause before and after the cut
@@ -90,7 +92,7 @@
         try:
             verdict = self._ask_groups(request)
             if verdict is Verdict.SHORT:
-                verdict = self._ask_those_back(request)
+                verdict = self._ask_recovered(request)
         except BaseException:
             # The caller has left; a claim that nobody settles would count in full.
             self._hand_back(request)
@@ -102,8 +104,7 @@
         if verdict is Verdict.EXHAUSTED:
             self._mark_spent(request)
             raise BudgetExhaustedError(f"{request.used} of {budget} tokens are used")
-        silent = ", ".join(str(group) for group in request.unreachable)
-        raise StoreUncertainError(request.failure or f"out of reach: {silent or 'none'}")
+        raise StoreUncertainError(request.failure or _uncertainty(request.unreachable))
 
     def _hand_back(self, request: BudgetRequest) -> None:
         """Let go of all that a turn has claimed and was not granted."""
@@ -193,14 +194,14 @@
                 return Verdict.EXHAUSTED
         return self._decide(request)
 
-    def _ask_those_back(self, request: BudgetRequest) -> Verdict:
+    def _ask_recovered(self, request: BudgetRequest) -> Verdict:
         """Ask groups that are back after a moment, before a turn begins with less than it wants."""
         verdict = Verdict.SHORT
-        for _ in range(BACK_LOOKS):
-            awaited = [group for group in request.unreachable if self._is_out_lately(group)]
+        for _ in range(RECOVERY_LOOKS):
+            awaited = [group for group in request.unreachable if self._is_brief_outage(group)]
             if not awaited or verdict is not Verdict.SHORT:
                 break
-            eventlet.sleep(BACK_LOOK_SECONDS)
+            eventlet.sleep(RECOVERY_LOOK_SECONDS)
             back = [group for group in awaited if not self._reach.is_out(group)]
             for group in back:
                 self._ask_again(request, group)
@@ -208,8 +209,8 @@
                 verdict = Verdict.GRANTED if request.missing <= 0 else self._decide(request)
         return verdict
 
-    def _is_out_lately(self, group: int) -> bool:
-        return self._reach.out_seconds(group) < MOMENT_SECONDS
+    def _is_brief_outage(self, group: int) -> bool:
+        return self._reach.out_seconds(group) < BRIEF_OUTAGE_SECONDS
 
     def _ask_again(self, request: BudgetRequest, group: int) -> None:
         request.unreachable.remove(group)
@@ -347,6 +348,13 @@
             )
 
 
+def _uncertainty(unreachable: Sequence[int]) -> str:
+    """Return why a turn was neither granted nor refused for good."""
+    if not unreachable:
+        return "turns of the program that came at once are undecided"
+    return f"out of reach: {', '.join(str(group) for group in unreachable)}"
+
+
 def _others(reading: OwnerReading, wanted: Wanted) -> dict[str, Amount]:
     """Return what counts beside a claim."""
     own = {wanted.key, *wanted.given_up}
--- a/yarrowwall/replication/quorum_client.py
+++ b/yarrowwall/replication/quorum_client.py
@@ -287,7 +287,7 @@
         """Send a request to members; what they reply goes into a round."""
         found.silent |= {member.disk_id for member in members}
         for member in members:
-            self._post(member, view, operation, found, is_again=False)
+            self._post(member, view, operation, found, is_told=False)
 
     def _post(
         self,
@@ -295,25 +295,25 @@
         view: GroupView,
         operation: Operation,
         found: Round,
-        is_again: bool,
+        is_told: bool,
     ) -> None:
         """Send a request to a member, again if it did not know the view or was not reached.
 
-        :param is_again: whether it has been told of the view for this.
+        :param is_told: whether it was told of the view before.
         """
 
         def take(reply: object | None) -> None:
-            if is_behind(reply) and not is_again:
+            if is_behind(reply) and not is_told:
                 found.met_other_view = True
                 link.post(InstallView(view), lambda reply: ask_again(is_told=True))
                 return
             if reply is None:
-                eventlet.spawn_after(UNREACHED_RETRY_SECONDS, ask_again, is_told=is_again)
+                eventlet.spawn_after(UNREACHED_RETRY_SECONDS, ask_again, is_told=is_told)
             self._take(reply, member, view, operation, found)
 
         def ask_again(is_told: bool) -> None:
             if not found.is_closed:
-                self._post(member, view, operation, found, is_again=is_told)
+                self._post(member, view, operation, found, is_told=is_told)
 
         link = self._links.get(member.address)
         number = link.post(operation.request(view, member), take)
