The soak of planned work counts a raised time from when it is in force at the gateway

A gateway can't go by what it has not heard, and configurations have 3 s to be in force. A version counts now once the gateway has put it in force, 3 s after it was written at the latest, and not if the gateway had gone on to a later one by then. What the check sees is as strict otherwise; scenarios show both.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -91,6 +91,7 @@
       | was held and dropped                         |
       | was cut by a time that was raised meanwhile  |
       | was cut by a time that was lowered meanwhile |
+      | was cut by a time that was to be raised before |
 
   Scenario Outline: The soak of planned work is content with an attempt that <sound>
     Given a record of planned work with an attempt that "<sound>"
@@ -102,5 +103,7 @@
       | was refused                                     |
       | was cut at its deadline                         |
       | was cut at its route's time                     |
+      | was cut before its gateway knew that its time was raised |
+      | was cut at a gateway that passed over the version with more |
       | was broken off by its server                    |
       | was sent over a connection that was just closed |
--- a/features/soak/planned/cuts.py
+++ b/features/soak/planned/cuts.py
@@ -1,16 +1,29 @@
 """Which requests were cut although nothing but planned work was done."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from features.soak.promises import Attempted
 
 #: Seconds that each attempt has.
 DEADLINE_S = 4.0
-#: The routes' times in seconds, by the moment of the monotonic clock when they were written.
+#: Seconds in which a configuration has to be in force everywhere.
+CONFIGURATION_S = 3.0
+#: The routes' times in seconds, by the moment of the monotonic clock from which on they count.
 Timeouts = list[tuple[float, dict[str, float]]]
 
 
+class Written(NamedTuple):
+    """The routes' times as they were written.
+
+    :param at: when, on the monotonic clock.
+    """
+
+    version: int
+    at: float
+    times_s: dict[str, float]
+
+
 class Asked(NamedTuple):
     """An attempt.
 
@@ -46,25 +59,49 @@
 
 
 def find_cuts(
-    attempts: Iterable[Attempted], timeouts: Timeouts, asked: dict[str, Asked]
+    attempts: Iterable[Attempted],
+    timeouts_at: Callable[[str], Timeouts],
+    asked: dict[str, Asked],
 ) -> list[Cut]:
-    """Return the requests that were cut before their time was over."""
+    """Return the requests that were cut before their time was over.
+
+    :param timeouts_at: returns the routes' times as they count at a gateway.
+    """
     found = []
     for attempted in attempts:
         if attempted.end.is_whole or attempted.was_broken_off or not attempted.was_taken:
             continue
         route, begun_at = asked[attempted.attempt]
         end = attempted.end
-        time_s = min(DEADLINE_S, longest_s(timeouts, route, begun_at, end.at))
+        gateway = attempted.sent.gateway
+        time_s = min(DEADLINE_S, longest_s(timeouts_at(gateway), route, begun_at, end.at))
         lasted_s = end.at - begun_at
         if lasted_s < time_s:
-            gateway = attempted.sent.gateway
             found.append(
                 Cut(attempted.attempt, gateway, route, end.status, lasted_s, time_s, end.at)
             )
     return found
 
 
+def timeouts_in_force(written: Sequence[Written], in_force: Mapping[int, float]) -> Timeouts:
+    """Return the routes' times by when they count at a gateway.
+
+    They do once it has put them in force, and ``CONFIGURATION_S`` after they were written at the
+    latest, unless it has gone on to a later version by then.
+
+    :param in_force: when it put versions in force, on the monotonic clock.
+    """
+    found = []
+    for version, at, times_s in written:
+        latest = at + CONFIGURATION_S
+        is_passed_over = version not in in_force and any(
+            later > version and since <= latest for later, since in in_force.items()
+        )
+        if not is_passed_over:
+            found.append((min(in_force.get(version, latest), latest), times_s))
+    return found
+
+
 def longest_s(timeouts: Timeouts, route: str, begin: float, end: float) -> float:
     """Return the longest time of a route that was in force in a span; endless for other routes."""
     longest, before = 0.0, 0.0
--- a/features/soak/planned/run.py
+++ b/features/soak/planned/run.py
@@ -3,6 +3,7 @@
 import re
 import time
 from collections import Counter
+from functools import cache
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -72,7 +73,7 @@
         world.look_at_ends()
         lines = world.gateway_lines(_KINDS)
         record.read(line["attempt"] for line in lines if line["kind"] == "AttemptAdmitted")
-        cuts = find_cuts(record.attempted(), world.timeouts, load.asked)
+        cuts = find_cuts(record.attempted(), cache(world.timeouts_at), load.asked)
         violations = [*record.violations(), *(cut.text for cut in cuts)]
         if violations and keep is not None:
             world.keep_logs(keep / f"planned-{seed}")
--- a/features/soak/planned/world.py
+++ b/features/soak/planned/world.py
@@ -11,6 +11,7 @@
 from typing import Any, Self
 
 from features.soak.planned.content import ENGINES, LOOKUP, Content
+from features.soak.planned.cuts import Timeouts, Written, timeouts_in_force
 from features.soak.planned.store import StoreProcess
 from features.soak.promises import Record, events_of
 from features.support.platform_world import (
@@ -45,7 +46,7 @@
 class PlannedWorld(PlatformWorld):
     """Stand-ins and machines; a context manager that ends them all.
 
-    :ivar timeouts: the routes' times by the moment of the monotonic clock when they were written.
+    :ivar written: the routes' times of each version.
     """
 
     stop_s = STOP_S
@@ -57,7 +58,7 @@
         self._rng_lock = threading.Lock()
         self._publish_lock = threading.Lock()
         self.content = Content(random.Random(f"{seed}/content"))
-        self.timeouts: list[tuple[float, dict[str, float]]] = []
+        self.written: list[Written] = []
         self.gateways = [f"edge-{number}" for number in range(gateways)]
         self.replicas = [f"storage-{number}" for number in range(STORAGE_MACHINES)]
         super().__init__(gateways, STORAGE_MACHINES, ZONES)
@@ -94,7 +95,7 @@
         with self._publish_lock:
             yield self.content
             self.version += 3
-            self.timeouts.append((time.monotonic(), self.content.timeouts_s))
+            self.written.append(Written(self.version, time.monotonic(), self.content.timeouts_s))
             self.store.put("config", "main", {"version": self.version, **self.content.spec})
 
     # Servers
@@ -163,6 +164,16 @@
         for path in self.folder.glob("*.log"):
             shutil.copy(path, folder)
 
+    def timeouts_at(self, gateway: str) -> Timeouts:
+        """Return the routes' times as they count at a gateway."""
+        # Machines of these worlds have the time of day of this process.
+        ahead_s = time.time() - time.monotonic()
+        in_force: dict[int, float] = {}
+        for line in self.log(gateway):
+            if line["kind"] == "ConfigurationInForce":
+                in_force.setdefault(line["version"], line["time"] - ahead_s)
+        return timeouts_in_force(self.written, in_force)
+
     def gateway_lines(self, kinds: tuple[str, ...]) -> list[dict[str, Any]]:
         """Return the lines of some kinds that gateways have logged."""
         return [line for name in self.gateways for line in self.log(name) if line["kind"] in kinds]
--- a/features/steps/planned_soak_steps.py
+++ b/features/steps/planned_soak_steps.py
@@ -9,7 +9,15 @@
 from behave.runner import Context
 
 from features.soak.planned.content import CHAT, USUAL_TIMEOUT_MS, Content
-from features.soak.planned.cuts import DEADLINE_S, Asked, Timeouts, find_cuts
+from features.soak.planned.cuts import (
+    CONFIGURATION_S,
+    DEADLINE_S,
+    Asked,
+    Timeouts,
+    Written,
+    find_cuts,
+    timeouts_in_force,
+)
 from features.soak.planned.run import play_planned
 from features.soak.planned.work import ADDED, RESTARTED, SIGNALLED, STOPPED
 from features.soak.promises import LOSS_SLACK_S, Ended, Record, Sent
@@ -24,6 +32,12 @@
 ALWAYS_USUAL: Timeouts = [(0.0, {CHAT: USUAL_S})]
 RAISED: Timeouts = [(0.0, {CHAT: SHORTER_S}), (SENT_AT + 1.0, {CHAT: USUAL_S})]
 LOWERED: Timeouts = [(0.0, {CHAT: USUAL_S}), (SENT_AT + 1.0, {CHAT: SHORTER_S})]
+#: A longer time that was written before the shorter one was over.
+WRITTEN = [Written(1, 0.0, {CHAT: SHORTER_S}), Written(2, SENT_AT + 1.0, {CHAT: USUAL_S})]
+NOT_IN_FORCE = timeouts_in_force(WRITTEN, {1: 1.0, 2: SENT_AT + SHORTER_S + 0.2})
+PASSED_OVER = timeouts_in_force([*WRITTEN, WRITTEN[0]._replace(version=3)], {1: 1.0, 3: SENT_AT})
+EARLY = WRITTEN[1]._replace(at=SENT_AT - CONFIGURATION_S)
+NEVER_IN_FORCE = timeouts_in_force([WRITTEN[0], EARLY], {1: 1.0})
 ALWAYS_SHORTER: Timeouts = [(0.0, {CHAT: USUAL_S}), (SENT_AT - 1.0, {CHAT: SHORTER_S})]
 
 
@@ -67,6 +81,15 @@
     "was held and dropped": (ALWAYS_USUAL, held_and_dropped),
     "was cut by a time that was raised meanwhile": (RAISED, ended(SHORTER_S + 0.1)),
     "was cut by a time that was lowered meanwhile": (LOWERED, ended(SHORTER_S + 0.1)),
+    "was cut by a time that was to be raised before": (NEVER_IN_FORCE, ended(SHORTER_S + 0.1)),
+    "was cut before its gateway knew that its time was raised": (
+        NOT_IN_FORCE,
+        ended(SHORTER_S + 0.1),
+    ),
+    "was cut at a gateway that passed over the version with more": (
+        PASSED_OVER,
+        ended(SHORTER_S + 0.1),
+    ),
     "was answered": (ALWAYS_USUAL, ended(1.0, is_whole=True)),
     "was refused": (ALWAYS_USUAL, ended(1.0, status=503, is_whole=True, is_at_server=False)),
     "was cut at its deadline": (ALWAYS_USUAL, ended(DEADLINE_S)),
@@ -85,7 +108,9 @@
     record.begin("a", b"body")
     timeouts, note = ENDS[ends]
     note(record)
-    context.cuts = find_cuts(record.attempted(), timeouts, {"a": Asked(CHAT, SENT_AT)})
+    context.cuts = find_cuts(
+        record.attempted(), lambda gateway: timeouts, {"a": Asked(CHAT, SENT_AT)}
+    )
 
 
 @then("it is a cut")
