Log the software version of servers and the attempt that a caller resumes

The log joined with the operators' log by hand was the only way to tell a stream of two versions. AttemptSent and ServerChanged now name the server's version, AttemptAdmitted the attempt that Resumes names. A server's version is read from its entry; nothing is decided by it yet.

--- a/features/steps/server_entry_steps.py
+++ b/features/steps/server_entry_steps.py
@@ -99,7 +99,7 @@
 @then('"{name}" was logged once as listed')
 def logged_as_listed(context: Context, name: str) -> None:
     logged = [line for line in context.noted if isinstance(line, decisions.ServerChanged)]
-    assert logged == [decisions.ServerChanged(name, "records", "listed")], logged
+    assert logged == [decisions.ServerChanged(name, "records", "listed", "v1")], logged
 
 
 @when('the entry of "{name}" is written with {field} as {value}')
--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -38,6 +38,8 @@
     :param configuration_age: seconds since the configuration was last verified to be the newest.
     :param finish_in: seconds until its program's deadline; None if not given.
     :param previous: the turn that it continues from; empty for none.
+    :param resumes: the attempt that brought the first event of a stream that its caller resumes;
+        empty for none.
     """
 
     attempt: str
@@ -50,11 +52,13 @@
     configuration_age: float
     finish_in: float | None
     previous: str
+    resumes: str
 
 
 class AttemptSent(Decision, frozen=True):
     """An attempt was sent to a server.
 
+    :param version: version of the server's software; empty if not stated.
     :param load: requests of all gateways in progress there, by the last report.
     :param rank: priority at the server, where 0 is the most urgent.
     """
@@ -62,6 +66,7 @@
     attempt: str
     server: str
     service: str
+    version: str
     cost: float
     cached_tokens: int
     candidates: int
@@ -273,6 +278,7 @@
     server: str
     service: str
     change: str
+    version: str = ""
 
 
 class EntryRefused(Decision, frozen=True):
--- a/yarrowwall/dispatch/sender.py
+++ b/yarrowwall/dispatch/sender.py
@@ -253,6 +253,7 @@
                 self._attempt.attempt_id,
                 send.server.server_id,
                 send.server.service,
+                send.server.version,
                 choice.cost,
                 choice.cached_tokens,
                 choice.candidates,
--- a/yarrowwall/dispatch/server_list.py
+++ b/yarrowwall/dispatch/server_list.py
@@ -110,7 +110,8 @@
             return
         else:
             change = "draining" if server.is_draining else "listed"
-        self._log.write(decisions.ServerChanged(server.server_id, server.service, change))
+        logged = decisions.ServerChanged(server.server_id, server.service, change, server.version)
+        self._log.write(logged)
 
     def _check_service(self, server: Server) -> None:
         """Log a service that the configuration does not have; it gets no requests until it does."""
--- a/yarrowwall/gateway/exchange.py
+++ b/yarrowwall/gateway/exchange.py
@@ -170,6 +170,7 @@
                 self._gateway.configuration_age_s,
                 _finish_in_s(attempt),
                 (attempt.program.previous_turn or "") if attempt.program else "",
+                attempt.resumed_attempt or "",
             )
         )
 
--- a/yarrowwall/model.py
+++ b/yarrowwall/model.py
@@ -154,6 +154,7 @@
     """A server in the platform's list.
 
     :param start_ms: Unix time of its start; None if unknown.
+    :param version: version of its software; empty if its entry states none.
     """
 
     server_id: str
@@ -163,6 +164,7 @@
     slots: int
     is_draining: bool
     start_ms: int | None = None
+    version: str = ""
 
     @cached_property
     def incarnation(self) -> Incarnation:
@@ -207,6 +209,8 @@
     :param deadline: when the caller stops waiting.
     :param affinity: key by which a sticky route chooses a server.
     :param last_event_id: the last event that the caller has, if it resumes a stream.
+    :param resumed_attempt: id of the attempt that brought the stream's first event, if the caller
+        resumes a stream.
     :param api_key: the caller's secret, which is neither logged nor sent to servers.
     :param tenant: name of the tenant that the key belongs to; empty if no key is needed.
     :param priority: rank of the request by tenant and route, 0 is the most urgent.
@@ -225,6 +229,7 @@
     prompt: tuple[PromptPart, ...] = ()
     affinity: str | None = None
     last_event_id: str | None = None
+    resumed_attempt: str | None = None
     api_key: str | None = field(default=None, repr=False)
     tenant: str = ""
     priority: int = 0
--- a/yarrowwall/platform/callers.py
+++ b/yarrowwall/platform/callers.py
@@ -71,6 +71,7 @@
             prompt=_prompt(values.get(names.PROMPT_PREFIX.lower(), "")),
             affinity=_affinity(values.get("cookie", "")),
             last_event_id=values.get(names.LAST_EVENT_ID.lower()),
+            resumed_attempt=values.get(names.RESUMES.lower(), "").strip() or None,
             api_key=_unique_value(lowered, names.API_KEY.lower()),
         )
 
--- a/yarrowwall/platform/server_entries.py
+++ b/yarrowwall/platform/server_entries.py
@@ -9,7 +9,7 @@
 _STATES = ("ready", "draining")
 #: Fields that servers write and the gateway does not use; a wrong type shows that the entry was
 #: written by another program.
-_UNUSED_FIELDS = (("version", str), ("cold_left_ms", int), ("seq", int))
+_UNUSED_FIELDS = (("cold_left_ms", int), ("seq", int))
 #: Maximum plausible number of slots of a server; real servers have some dozens.
 MAX_SLOTS = 100_000
 #: Maximum seconds by which a server's clock may be ahead of this machine's. Differences of some
@@ -40,6 +40,7 @@
         _slots(spec),
         state == "draining",
         _start_ms(spec, unix_s),
+        _field(spec, "version", str) if "version" in spec else "",
     )
 
 
