--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -335,6 +335,7 @@
     :param script: called for each request with the handler and the arrival; returns whether it
         sent an answer.
     :param start_ms: Unix time of its start, as listed; None to list none.
+    :param version: version of its software, as listed; None to list none.
     """
 
     server_id: str
@@ -342,6 +343,7 @@
     arrivals: list[Arrival] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
     start_ms: int | None = None
+    version: str | None = None
 
     def start(self) -> str:
         """Start serving; return the address."""
@@ -503,10 +505,13 @@
         return self.version
 
     def add_server(
-        self, service: str, script: Callable[[QuietHandler, Arrival], bool] | None = None
+        self,
+        service: str,
+        script: Callable[[QuietHandler, Arrival], bool] | None = None,
+        version: str | None = None,
     ) -> Server:
         """Start a server and list it."""
-        server = Server(f"i-{len(self.servers)}")
+        server = Server(f"i-{len(self.servers)}", version=version)
         self.service_of[server.server_id] = service
         if script is not None:
             server.script = script
@@ -523,6 +528,8 @@
         spec = {"service": service, "address": listed, "zone": "zone-a", "slots": 16}
         if server.start_ms is not None:
             spec["born"] = server.start_ms
+        if server.version is not None:
+            spec["version"] = server.version
         self.store.put("servers", server.server_id, {**spec, "state": state, "seq": 1})
 
     def list_again(self, server: Server, service: str) -> None:
