A resumed stream goes on only at the software version that began it

Callers got streams whose events came from servers of two versions. A gateway resumed a broken stream at any server of its service, and a caller's next try was sent to any server, since no record told which version began the stream.

A server's service and version now make its software id. The claim that a turn writes to the replicas anyway ends with the id that is expected to run it; if other software is chosen, a further record is written before the request is sent. A resumption reads the program's claims with its own reservation, finds the attempt that Resumes names, and is sent to servers of that software only. A stream without a budget gets a record of its own. If nothing is recorded, the stream goes on only if no other software ran lately; else it gets a 503 without Retry-After. Within one answer the software of the first event holds, and the server that broke off may be asked again, since it may be the last one.

--- a/yarrowwall/budgets/budget_requests.py
+++ b/yarrowwall/budgets/budget_requests.py
@@ -1,8 +1,9 @@
 """A turn's claim on its program's budget, and the state of the groups it is made in. No I/O."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
+from yarrowwall.budgets.stream_keys import claim_key
 from yarrowwall.model import ProgramContext
 from yarrowwall.policy.budget_parts import (
     BudgetParts,
@@ -15,7 +16,6 @@
 )
 from yarrowwall.replication.rounds import Amount
 
-_BUDGET_PREFIX = "budget/"
 #: Key prefix of the records in the common group of turns that ran from a zone's part alone.
 ZONE_TURN_PREFIX = "zone-turn/"
 #: Key prefix of the records in the common group of programs whose parts together hold no further
@@ -48,10 +48,18 @@
 
 
 def claim_for(
-    program_id: str, program: ProgramContext, attempt_id: str, retention_s: float, common_group: int
+    program_id: str,
+    program: ProgramContext,
+    attempt_id: str,
+    retention_s: float,
+    common_group: int,
+    software: str = "",
 ) -> TokenClaim:
-    """Return the claim of a turn on its program's budget."""
-    key = f"{_BUDGET_PREFIX}{program_id}/{attempt_id}"
+    """Return the claim of a turn on its program's budget.
+
+    :param software: The software that is expected to run a turn that may be resumed.
+    """
+    key = claim_key(program_id, attempt_id, software)
     return TokenClaim(
         program_id,
         program.program_id,
@@ -82,6 +90,8 @@
     :param granted: Their sum; less than the claim if some group was unreachable.
     :param last_server: The server of the program's previous turn; empty if unknown.
     :param is_first: Whether the program certainly has emitted nothing and runs no other turn.
+    :param claimed_groups: Groups that have, or may have, a record of the claim.
+    :param others_by_group: Other claims of the program, by key, in each group that answered.
     """
 
     claim: TokenClaim
@@ -89,6 +99,8 @@
     granted: int
     last_server: str
     is_first: bool
+    claimed_groups: Sequence[int]
+    others_by_group: Mapping[int, Mapping[str, Amount]]
 
     @property
     def is_short(self) -> bool:
--- a/yarrowwall/budgets/ledger.py
+++ b/yarrowwall/budgets/ledger.py
@@ -10,6 +10,7 @@
 from yarrowwall.budgets.group_reachability import GroupReachability
 from yarrowwall.budgets.reservations import Reservations
 from yarrowwall.budgets.settlements import SettlementQueues
+from yarrowwall.budgets.stream_records import StreamRecord, StreamRecords, stream_retention_s
 from yarrowwall.budgets.turn_reservations import TurnReservations
 from yarrowwall.budgets.turn_store import END_MARGIN_SECONDS, PlacedRecord, TurnStore
 from yarrowwall.budgets.turns import Turn, output_of, prompt_body
@@ -18,7 +19,7 @@
 from yarrowwall.event_stream import Event
 from yarrowwall.exceptions import BudgetExhaustedError, StoreUncertainError
 from yarrowwall.model import Attempt, ProgramContext, Route
-from yarrowwall.ports.programs import TurnGrant
+from yarrowwall.ports.programs import NO_EXPECTED_SOFTWARE, ExpectedSoftware, TurnGrant
 from yarrowwall.replication.exceptions import NoQuorumError
 from yarrowwall.replication.group_views import GroupViews
 from yarrowwall.replication.quorum_client import OPERATION_SECONDS, QuorumClient
@@ -72,6 +73,7 @@
         self._reservations = Reservations(
             client, self._zones, self._reachability, self._queues, log
         )
+        self._streams = StreamRecords(client, self._zones, self._reachability, log)
         self._turns = TurnStore(
             client, self.group_of, self._zones, self._reachability, self._queues, log, now
         )
@@ -143,12 +145,18 @@
         return group
 
     def open_turn(
-        self, attempt: Attempt, route: Route, tokens_per_event: int, deadline: Callable[[], float]
+        self,
+        attempt: Attempt,
+        route: Route,
+        tokens_per_event: int,
+        deadline: Callable[[], float],
+        software: ExpectedSoftware = NO_EXPECTED_SOFTWARE,
     ) -> TurnGrant:
         """Return the grant to run a turn.
 
         :raises BudgetExhaustedError: If too few tokens of the budget are left.
         :raises TurnUnknownError: If the previous turn certainly does not exist.
+        :raises StreamUnknownError: If no record tells which software began a resumed stream.
         :raises StoreUncertainError: If the store cannot decide now.
         """
         body = attempt.body
@@ -156,10 +164,59 @@
         if route.is_stateful and program is not None:
             self._turns.check_storable(_tenant_scoped(attempt.tenant, attempt.attempt_id))
             body = self._prompt_body(attempt, program, route)
+        likely = software.likely if route.is_resumable else ""
         reservation = None
         if program is not None and program.budget is not None:
-            reservation = self._reserve(attempt, program, program.budget, route)
-        return LedgerGrant(self, attempt, route, body, reservation, tokens_per_event, deadline)
+            reservation = self._reserve(attempt, program, program.budget, route, likely)
+        grant = LedgerGrant(self, attempt, route, body, reservation, tokens_per_event, deadline)
+        if route.is_resumable:
+            try:
+                self._set_software(grant, attempt, reservation, software)
+            except BaseException:
+                grant.close([], "")
+                raise
+        return grant
+
+    def _set_software(
+        self,
+        grant: "LedgerGrant",
+        attempt: Attempt,
+        reservation: Reservation | None,
+        expected: ExpectedSoftware,
+    ) -> None:
+        """Set the software that must run a resumed stream, or the record of one that begins.
+
+        :raises StreamUnknownError: If no record tells which software began a resumed stream.
+        :raises StoreUncertainError: If too few groups answered to determine that.
+        """
+        if attempt.is_resumption:
+            if reservation is not None:
+                owner = reservation.claim.program_id
+            else:
+                owner = self._stream_owner(attempt, attempt.resumed_attempt or "")
+            known = reservation.others_by_group if reservation is not None else {}
+            common_group = self.group_of(owner)
+            grant.software = self._streams.origin(attempt, owner, common_group, known, expected)
+            return
+        if reservation is not None:
+            owner, groups = reservation.claim.program_id, reservation.claimed_groups
+            grant.expected_software = expected.likely
+        else:
+            owner = self._stream_owner(attempt, attempt.attempt_id)
+            groups = [self.group_of(owner)]
+        grant.stream_record = StreamRecord(
+            self._streams,
+            owner,
+            attempt.attempt_id,
+            groups,
+            grant.expected_software,
+            stream_retention_s(attempt),
+        )
+
+    @staticmethod
+    def _stream_owner(attempt: Attempt, attempt_id: str) -> str:
+        """Return the owner of the records of a stream without a budget."""
+        return f"stream/{_tenant_scoped(attempt.tenant, attempt_id)}"
 
     def _prompt_body(self, attempt: Attempt, program: ProgramContext, route: Route) -> bytes:
         """Return the request body for the server: all earlier turns and the new input."""
@@ -170,16 +227,27 @@
         return prompt_body(turns, attempt.body)
 
     def _reserve(
-        self, attempt: Attempt, program: ProgramContext, budget: int, route: Route
+        self,
+        attempt: Attempt,
+        program: ProgramContext,
+        budget: int,
+        route: Route,
+        software: str,
     ) -> Reservation:
         """Reserve the most tokens that a turn may emit.
 
+        :param software: The software that is expected to run the turn; empty for none.
         :raises BudgetExhaustedError: If too few tokens of the budget are left.
         :raises StoreUncertainError: If too few groups could be asked.
         """
         program_id = _tenant_scoped(attempt.tenant, program.program_id)
         common_group = self.group_of(program_id)
-        claim = claim_for(program_id, program, attempt.attempt_id, route.retention_s, common_group)
+        retention_s = route.retention_s
+        if software:
+            retention_s = max(retention_s, stream_retention_s(attempt))
+        claim = claim_for(
+            program_id, program, attempt.attempt_id, retention_s, common_group, software
+        )
         return self._reservations.reserve(claim, budget)
 
     def reserve_more(
@@ -311,6 +379,15 @@
         self._tokens_per_event = tokens_per_event
         self._deadline = deadline
         self._is_settled = False
+        self.stream_record: StreamRecord | None = None
+
+    def record_software(self, software: str) -> None:
+        """Record the software that will run the turn, before it is sent there.
+
+        :raises StoreUncertainError: If the record may name another one.
+        """
+        if self.stream_record is not None:
+            self.stream_record.ensure(software)
 
     def ensure_granted(self, events: list[Event]) -> None:
         """Reserve the tokens that events need beyond the grant, before they are relayed.
--- a/yarrowwall/budgets/reservations.py
+++ b/yarrowwall/budgets/reservations.py
@@ -320,7 +320,15 @@
         for group in request.claimed.keys() - request.states.keys():
             self._queues.add(group, self._record(group, claim, ClaimState.SETTLED, 0))
         granted = sum(tokens_by_group.values())
-        return Reservation(claim, tokens_by_group, granted, request.last_server, request.is_first)
+        return Reservation(
+            claim,
+            tokens_by_group,
+            granted,
+            request.last_server,
+            request.is_first,
+            list(request.claimed),
+            {group: state.amounts for group, state in request.states.items()},
+        )
 
     def _note_decided(self, request: BudgetRequest, budget: int, verdict: Verdict) -> None:
         claim = request.claim
--- /dev/null
+++ b/yarrowwall/budgets/stream_keys.py
@@ -0,0 +1,49 @@
+"""Keys of records that tell which software began a stream. No I/O.
+
+The key of a turn's claim on its program's budget ends with the software that is expected to run
+the turn, so any gateway that reads the program's claims knows it. Before other software runs the
+turn, a further record is written; of several, the one with the highest number holds.
+"""
+
+from collections.abc import Iterable
+
+from yarrowwall.model import SOFTWARE_ID_LENGTH
+
+_CLAIM_PREFIX = "budget/"
+_CHANGE_PREFIX = "stream/"
+_SEPARATOR = "@"
+
+
+def claim_key(owner: str, attempt_id: str, software: str) -> str:
+    """Return the key of a turn's claim.
+
+    :param software: software that is expected to run the turn; empty for none.
+    """
+    key = f"{_CLAIM_PREFIX}{owner}/{attempt_id}"
+    return f"{key}{_SEPARATOR}{software}" if software else key
+
+
+def change_key(owner: str, attempt_id: str, number: int, software: str) -> str:
+    """Return the key of a record that other software runs a stream.
+
+    :param number: 1 for the first such record of the stream, 2 for the second.
+    """
+    return f"{_CHANGE_PREFIX}{owner}/{attempt_id}/{number}{_SEPARATOR}{software}"
+
+
+def recorded_software(keys: Iterable[str], owner: str, attempt_id: str) -> str | None:
+    """Return the software that keys of an owner's records tell for an attempt, or None."""
+    claim = f"{_CLAIM_PREFIX}{owner}/{attempt_id}{_SEPARATOR}"
+    change = f"{_CHANGE_PREFIX}{owner}/{attempt_id}/"
+    newest, found = -1, None
+    for key in keys:
+        if key.startswith(claim):
+            number, software = "0", key[len(claim) :]
+        elif key.startswith(change):
+            number, _, software = key[len(change) :].partition(_SEPARATOR)
+        else:
+            continue
+        # The ids of attempts are callers' text, which may contain the separator.
+        if len(software) == SOFTWARE_ID_LENGTH and number.isdecimal() and int(number) > newest:
+            newest, found = int(number), software
+    return found
--- /dev/null
+++ b/yarrowwall/budgets/stream_records.py
@@ -0,0 +1,172 @@
+"""Records of the software that runs a stream, by which any gateway resumes it at that software."""
+
+from collections.abc import Iterable, Mapping, Sequence
+
+from yarrowwall import decisions
+from yarrowwall.budgets.group_reachability import GroupReachability
+from yarrowwall.budgets.stream_keys import change_key, recorded_software
+from yarrowwall.budgets.zone_groups import ZoneGroups
+from yarrowwall.decisions import DecisionLog, StreamOrigin
+from yarrowwall.exceptions import StoreUncertainError, StreamUnknownError
+from yarrowwall.messages.replicated import StoredRecord
+from yarrowwall.model import Attempt
+from yarrowwall.policy.budget_parts import ClaimState
+from yarrowwall.ports.programs import ExpectedSoftware
+from yarrowwall.replication.exceptions import NoQuorumError
+from yarrowwall.replication.quorum_client import QuorumClient
+
+#: Timeout in seconds of one read or write. An answer takes milliseconds, and a caller waits.
+TIMEOUT_SECONDS = 0.25
+#: The longest that a record is kept for a caller that states a longer deadline, in seconds.
+MAX_RETENTION_SECONDS = 3600.0
+
+
+def stream_retention_s(attempt: Attempt) -> float:
+    """Return the seconds for which a stream's caller may resume it: until its deadline."""
+    return min(max(attempt.deadline - attempt.arrived_at, 0.0), MAX_RETENTION_SECONDS)
+
+
+class StreamRecords:
+    """Writes and reads the records of streams."""
+
+    def __init__(
+        self,
+        client: QuorumClient,
+        zones: ZoneGroups,
+        reachability: GroupReachability,
+        log: DecisionLog,
+    ) -> None:
+        self._client = client
+        self._zones = zones
+        self._reachability = reachability
+        self._log = log
+
+    def write(self, groups: Iterable[int], record: StoredRecord) -> None:
+        """Write a record to each of the groups.
+
+        :raises NoQuorumError: if one of them does not answer in time.
+        """
+        for group in groups:
+            if self._reachability.is_unreachable(group):
+                raise NoQuorumError(f"group {group} is out of reach")
+            self._client.write(group, [record], timeout=TIMEOUT_SECONDS)
+
+    def origin(
+        self,
+        attempt: Attempt,
+        owner: str,
+        common_group: int,
+        known: Mapping[int, Iterable[str]],
+        expected: ExpectedSoftware,
+    ) -> str:
+        """Return the software that began the stream that an attempt resumes.
+
+        :param owner: the owner of the stream's records.
+        :param known: keys of the owner's records in the groups that were read already.
+        :param expected: what the gateway knows, used if nothing is recorded.
+        :raises StreamUnknownError: if nothing is recorded and several could have begun it.
+        :raises StoreUncertainError: if not all groups that may have a record answered.
+        """
+        software, unanswered = self._find(attempt.resumed_attempt, owner, common_group, known)
+        if software is None and unanswered:
+            self._log_origin(attempt, StreamOrigin.UNCERTAIN, "")
+            groups = ", ".join(str(group) for group in unanswered)
+            raise StoreUncertainError(f"out of reach: {groups}")
+        if software is not None:
+            self._log_origin(attempt, StreamOrigin.RECORDED, software)
+            return software
+        if expected.sole is None:
+            self._log_origin(attempt, StreamOrigin.UNKNOWN, "")
+            raise StreamUnknownError("no record tells the software version of the stream")
+        self._log_origin(attempt, StreamOrigin.SOLE, expected.sole)
+        return expected.sole
+
+    def _find(
+        self,
+        attempt_id: str | None,
+        owner: str,
+        common_group: int,
+        known: Mapping[int, Iterable[str]],
+    ) -> tuple[str | None, list[int]]:
+        """Return the recorded software, or None and the groups that did not answer."""
+        unanswered: list[int] = []
+        if attempt_id is None:
+            return None, unanswered
+        for group in self._zones.common_first(common_group):
+            keys = known.get(group)
+            if keys is None:
+                keys = self._read(group, owner)
+            if keys is None:
+                unanswered.append(group)
+                continue
+            software = recorded_software(keys, owner, attempt_id)
+            if software is not None:
+                return software, unanswered
+        return None, unanswered
+
+    def _read(self, group: int, owner: str) -> Iterable[str] | None:
+        """Return the keys of an owner's records in a group; None without its answer."""
+        if self._reachability.is_unreachable(group):
+            return None
+        try:
+            return self._client.read_amounts(group, owner, timeout=TIMEOUT_SECONDS).amounts
+        except NoQuorumError:
+            # The attempt is refused as uncertain, which is logged.
+            return None
+
+    def _log_origin(self, attempt: Attempt, origin: StreamOrigin, software: str) -> None:
+        self._log.write(
+            decisions.StreamOriginFound(
+                attempt.attempt_id, attempt.resumed_attempt or "", origin.value, software
+            )
+        )
+
+
+class StreamRecord:
+    """The software recorded for one stream that a gateway begins.
+
+    :param owner: the owner of the stream's records.
+    :param attempt_id: the attempt that begins it.
+    :param groups: the groups that have, or may have, a record of the stream.
+    :param software: the software that is recorded already; empty for none.
+    :param retention_s: seconds for which records are kept.
+    """
+
+    def __init__(
+        self,
+        records: StreamRecords,
+        owner: str,
+        attempt_id: str,
+        groups: Sequence[int],
+        software: str,
+        retention_s: float,
+    ) -> None:
+        self._records = records
+        self._owner = owner
+        self._attempt_id = attempt_id
+        self._groups = groups
+        self._retention_s = retention_s
+        self._number = 0
+        #: What the newest record may name: several after a write without an answer.
+        self._possible = {software} if software else set()
+
+    def ensure(self, software: str) -> None:
+        """Ensure that the newest record, if there is any, names the software.
+
+        A stream without any record can be run, but not resumed by its caller.
+
+        :raises StoreUncertainError: if it may name another one.
+        """
+        if self._possible == {software}:
+            return
+        self._number += 1
+        key = change_key(self._owner, self._attempt_id, self._number, software)
+        record = StoredRecord(key, ClaimState.SETTLED, self._owner, "", self._retention_s, 0, b"")
+        try:
+            self._records.write(self._groups, record)
+        except NoQuorumError as error:
+            self._possible.add(software)
+            if len(self._possible) > 1:
+                raise StoreUncertainError(f"software not recorded: {error}") from error
+            return
+        self._possible = {software}
--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -7,6 +7,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from enum import StrEnum
 from functools import cache
 from typing import Any, ClassVar, get_args
 
@@ -255,6 +256,32 @@
     turns: int
 
 
+class StreamOrigin(StrEnum):
+    """How the software that began a resumed stream was determined."""
+
+    RECORDED = "recorded"
+    #: Nothing is recorded, and no other software has run lately.
+    SOLE = "sole"
+    #: Nothing is recorded, and several could have begun it.
+    UNKNOWN = "unknown"
+    #: Not every group that may have a record answered.
+    UNCERTAIN = "uncertain"
+
+
+class StreamOriginFound(Decision, frozen=True):
+    """The software that began a stream was looked up, since its caller resumes it.
+
+    :param resumes: the attempt that brought its first event; empty if the caller names none.
+    :param origin: a :class:`StreamOrigin`.
+    :param software: its software id; empty if unknown.
+    """
+
+    attempt: str
+    resumes: str
+    origin: str
+    software: str
+
+
 class ConfigurationInForce(Decision, frozen=True):
     """A newer configuration came into force."""
 
--- a/yarrowwall/dispatch/sender.py
+++ b/yarrowwall/dispatch/sender.py
@@ -4,6 +4,7 @@
 long to wait for an answer is decided in :mod:`yarrowwall.policy.sending`.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
 
@@ -15,6 +16,7 @@
     ConnectError,
     MalformedAnswerError,
     RelayError,
+    StoreUncertainError,
 )
 from yarrowwall.model import (
     Answer,
@@ -49,6 +51,10 @@
     :param allowance: permits of the tenant's rate limit; each send uses one.
     :param request_memory: counts the bytes that are buffered for the request.
     :param last_server: incarnation that ran the program's previous turn; empty if unknown.
+    :param software: the only software that may run it, if it continues a stream; None for any.
+    :param expected_software: software that it is recorded to run at; empty for none.
+    :param record_software: records the software that will run it before it is sent there; raises
+        StoreUncertainError if it cannot.
     """
 
     attempt: Attempt
@@ -59,6 +65,9 @@
     allowance: Allowance
     request_memory: RequestMemory
     last_server: str = ""
+    software: str | None = None
+    expected_software: str = ""
+    record_software: Callable[[str], None] = lambda software: None
 
 
 @dataclass
@@ -93,6 +102,7 @@
             components.directory,
             components.latencies,
             components.retries,
+            plan.software,
         )
         self.history = self.rules.history
         self.current: OpenAnswer | None = None
@@ -140,6 +150,7 @@
             choice = self._choose()
             if choice is None:
                 break
+            self._record_software(choice.server)
             try:
                 opened = self._send(choice, last_event_id)
             except RefusedError as refused:
@@ -164,12 +175,38 @@
             return self.refused(refused.refusal.reason)
         return refused
 
+    def _record_software(self, server: Server) -> None:
+        """Record the software that will run the attempt.
+
+        :raises RefusedError: if it cannot be recorded.
+        """
+        try:
+            self._plan.record_software(server.software_id)
+        except StoreUncertainError as error:
+            raise self.refused(str(error)) from error
+
+    def pin_software(self) -> None:
+        """Let only the software of the current answer continue the attempt."""
+        if self.current is not None:
+            self.rules.software = self.current.send.server.software_id
+
+    def allow_again(self, server: Server) -> None:
+        """Let a server that was tried be chosen again."""
+        if server.server_id in self.history.tried:
+            self.history.tried.remove(server.server_id)
+
     def _choose(self) -> Choice | None:
         attempt, plan = self._attempt, self._plan
         affinity = (attempt.affinity or "") if plan.route.is_sticky else ""
         if attempt.program is not None and (attempt.prompt or not affinity):
             affinity = attempt.program.program_id
-        request = PlacementRequest(attempt.prompt, affinity, plan.last_server)
+        request = PlacementRequest(
+            attempt.prompt,
+            affinity,
+            plan.last_server,
+            plan.expected_software,
+            self.rules.software,
+        )
         now = self._components.now()
         return self._components.chooser.choose(plan.service, self.history.tried, now, request)
 
--- a/yarrowwall/dispatch/streams.py
+++ b/yarrowwall/dispatch/streams.py
@@ -21,8 +21,8 @@
     """Relays one stream from servers to its caller.
 
     Only complete events are relayed. While the caller does not read, nothing more is read from the
-    server, so that only the kernel's buffers fill up. If the route allows it, another server may
-    resume the stream; the caller sees a single response.
+    server, so that only the kernel's buffers fill up. If the route allows it, another server of the
+    same software may resume the stream; the caller sees a single response.
 
     :ivar relayed: events that were relayed; without their bytes if the route is not stateful.
     """
@@ -113,7 +113,9 @@
     def _note_events(self, events: list[Event]) -> None:
         now = self._components.now()
         opened = self._sender.current
-        if self.relayed and opened is not None:
+        if not self.relayed:
+            self._sender.pin_software()
+        elif opened is not None:
             gap = (now - self._last_event_at) / len(events)
             self._components.directory.note_service_time(opened.send.server.incarnation, gap, now)
         self._last_event_at = now
@@ -132,6 +134,9 @@
         self._sender.cancel_answer()
         if opened is not None:
             self._sender.note_failure(opened.send.server, error)
+            if self.relayed:
+                # It may be the last server of its version, and only the connection broken.
+                self._sender.allow_again(opened.send.server)
         if not self._sender.rules.may_resume(self._components.now()):
             self._fail(error)
         try:
--- a/yarrowwall/exceptions.py
+++ b/yarrowwall/exceptions.py
@@ -97,6 +97,10 @@
     """A quorum of replicas does not know the turn that a request continues."""
 
 
+class StreamUnknownError(RelayError):
+    """No record tells which software began the stream that a caller resumes."""
+
+
 class StoreUncertainError(RelayError):
     """Too few replicas answered to determine whether a record exists."""
 
--- a/yarrowwall/gateway/turn.py
+++ b/yarrowwall/gateway/turn.py
@@ -11,6 +11,7 @@
     BudgetExhaustedError,
     RelayError,
     StoreUncertainError,
+    StreamUnknownError,
     TurnUnknownError,
 )
 from yarrowwall.gateway.response import Response
@@ -19,9 +20,10 @@
 from yarrowwall.policy.memory_budget import MemoryExhaustedError, RequestMemory
 from yarrowwall.policy.request_time import RequestTime
 from yarrowwall.policy.retry_after import SHORTAGE_SECONDS, after_outage_s
+from yarrowwall.policy.server_choice import PlacementRequest
 from yarrowwall.ports.admission import NewProgram
 from yarrowwall.ports.loads import PendingLoads
-from yarrowwall.ports.programs import TurnGrant
+from yarrowwall.ports.programs import NO_EXPECTED_SOFTWARE, ExpectedSoftware, TurnGrant
 from yarrowwall.ports.quotas import Allowance
 from yarrowwall.refusals import Refusal, RefusedError, unavailable
 
@@ -54,6 +56,8 @@
         self._request_memory = request_memory
         self._response = response
         self._service = gateway.router.main_service(route)
+        #: Name of the service that runs the turn, chosen once it is granted.
+        self._chosen_service = ""
 
     def open(self) -> TurnGrant:
         """Return the record store's grant to run the turn.
@@ -64,17 +68,64 @@
         tokens_per_event = engine.tokens_per_event if engine is not None else 1
         programs = self._components.programs
         try:
-            return programs.open_turn(
-                self._attempt, self._route, tokens_per_event, lambda: self._time.end
+            grant = programs.open_turn(
+                self._attempt,
+                self._route,
+                tokens_per_event,
+                lambda: self._time.end,
+                self._expected_software(),
             )
         except BudgetExhaustedError as error:
             refusal = Refusal(HTTPStatus.PAYMENT_REQUIRED, str(error))
             raise RefusedError(refusal) from error
         except TurnUnknownError as error:
             raise RefusedError(Refusal(HTTPStatus.NOT_FOUND, str(error))) from error
+        except StreamUnknownError as error:
+            # No later try would know more, so there is no time to come back at.
+            raise RefusedError(Refusal(HTTPStatus.SERVICE_UNAVAILABLE, str(error))) from error
         except StoreUncertainError as error:
             after_s = after_outage_s(programs.unreachable_s, self._attempt.attempt_id)
             raise unavailable(str(error), after_s) from error
+        try:
+            self._chosen_service = self._choose_service(grant)
+        except RefusedError:
+            grant.close([], "")
+            raise
+        return grant
+
+    def _expected_software(self) -> ExpectedSoftware:
+        """Return what is known of the software that will run the turn, if it may be resumed."""
+        if not self._route.is_resumable or self._service is None:
+            return NO_EXPECTED_SOFTWARE
+        directory, name = self._components.dispatch.directory, self._service.name
+        now = self._components.dispatch.now()
+        if self._attempt.is_resumption:
+            return ExpectedSoftware(sole=directory.sole_software(name, now))
+        software = directory.software(name)
+        if len(software) == 1:
+            return ExpectedSoftware(next(iter(software)))
+        return ExpectedSoftware(self._likely_software(name, now))
+
+    def _likely_software(self, service: str, now: float) -> str:
+        """Return the software of the server that would be chosen now; empty without servers."""
+        program = self._attempt.program
+        affinity = program.program_id if program is not None else self._attempt.affinity or ""
+        request = PlacementRequest(self._attempt.prompt, affinity, "")
+        choice = self._components.dispatch.chooser.choose(service, (), now, request)
+        return choice.server.software_id if choice is not None else ""
+
+    def _choose_service(self, grant: TurnGrant) -> str:
+        """Return the name of the service that runs the turn.
+
+        :raises RefusedError: if the turn resumes a stream and no server runs its software.
+        """
+        if grant.software is None:
+            return self._gateway.router.service_for(self._route)
+        directory, now = self._components.dispatch.directory, self._components.dispatch.now()
+        for share in self._route.shares:
+            if directory.candidates(share.service, (), now, grant.software):
+                return share.service
+        raise unavailable("no server runs the software version of the stream", SHORTAGE_SECONDS)
 
     def run(self, grant: TurnGrant, allowance: Allowance, loads: PendingLoads) -> Iterator[bytes]:
         """Return the body of the streamed response.
@@ -123,7 +174,8 @@
             grant.close(relay.relayed, sender.last_server)
 
     def _sender(self, grant: TurnGrant, allowance: Allowance) -> AttemptSender:
-        service = self._gateway.router.service_for(self._route)
+        service = self._chosen_service
+        has_choice = len(self._components.dispatch.directory.software(service)) > 1
         plan = SendPlan(
             self._attempt,
             self._route,
@@ -133,6 +185,9 @@
             allowance,
             self._request_memory,
             grant.last_server,
+            grant.software,
+            grant.expected_software if has_choice else "",
+            grant.record_software,
         )
         return AttemptSender(self._components.dispatch, plan)
 
--- a/yarrowwall/metrics.py
+++ b/yarrowwall/metrics.py
@@ -59,6 +59,9 @@
     "peer_connections_closed", "Connections closed for what is no message"
 )
 CHAIN_LOOKUPS = _Description("chain_lookups", "Lookups of earlier turns", "outcome")
+STREAM_ORIGINS = _Description(
+    "stream_origins", "Lookups of the software that began a resumed stream", "origin"
+)
 SYNCHRONISATIONS = _Description("synchronisations", "Copies of a group that a replica finished")
 DEPENDENCY = _Description("dependency_up", "Whether a dependency answers", "dependency")
 QUOTA_REFUSALS = _Description(
@@ -151,6 +154,7 @@
                 GROUP_REACHED, event.is_reached, event.group
             ),
             decisions.ChainLookedUp: lambda event: self._add(CHAIN_LOOKUPS, event.outcome),
+            decisions.StreamOriginFound: lambda event: self._add(STREAM_ORIGINS, event.origin),
             decisions.MessageDropped: lambda event: self._add(MESSAGES_DROPPED),
             decisions.PeerConnectionClosed: lambda event: self._add(CONNECTIONS_CLOSED),
             decisions.ReplicaSynchronised: lambda event: self._add(SYNCHRONISATIONS),
--- a/yarrowwall/model.py
+++ b/yarrowwall/model.py
@@ -8,8 +8,12 @@
 from functools import cached_property
 from typing import NamedTuple
 
+from yarrowwall.hashing import digest
 from yarrowwall.messages.quotas import TenantLimit
 
+#: Length of a software id in characters.
+SOFTWARE_ID_LENGTH = 8
+
 #: Name and value of a header, as sent.
 Header = tuple[str, str]
 
@@ -176,6 +180,11 @@
         """Return the incarnation's text form."""
         return self.incarnation.text
 
+    @cached_property
+    def software_id(self) -> str:
+        """Return a digest of the service and its version: equal ids can continue a stream."""
+        return digest(self.service, self.version)[:SOFTWARE_ID_LENGTH]
+
 
 @dataclass(frozen=True)
 class PromptPart:
@@ -235,6 +244,11 @@
     priority: int = 0
     limit: TenantLimit | None = None
 
+    @property
+    def is_resumption(self) -> bool:
+        """Return whether the caller resumes a stream that an earlier attempt began."""
+        return bool(self.resumed_attempt or self.last_event_id)
+
     @property
     def path(self) -> str:
         """Return the target without its query."""
--- a/yarrowwall/policy/sending.py
+++ b/yarrowwall/policy/sending.py
@@ -48,6 +48,7 @@
 
     :param service: name of the service whose servers may take it.
     :param time: deadline of the attempt.
+    :param software: the only software that may take it; None for any.
     :ivar history: its sends so far; the sender updates it.
     """
 
@@ -59,6 +60,7 @@
         directory: ServerDirectory,
         latencies: LatencyEstimator,
         retries: RetryBudget,
+        software: str | None = None,
     ) -> None:
         self._route = route
         self._service = service
@@ -66,6 +68,7 @@
         self._directory = directory
         self._latencies = latencies
         self._retries = retries
+        self.software = software
         self.history = SendHistory()
 
     def left_s(self, now: float) -> float:
@@ -118,7 +121,8 @@
             is_late = now - since >= late_after_s
         if not is_late:
             return True
-        if not self._directory.candidates(self._service, self.history.tried, now):
+        tried = self.history.tried
+        if not self._directory.candidates(self._service, tried, now, self.software):
             return has_time
         return late_after_s is not None and not self._retries.try_withdraw(self._service)
 
--- a/yarrowwall/policy/server_choice.py
+++ b/yarrowwall/policy/server_choice.py
@@ -44,6 +44,8 @@
 #: must be prefilled where it is not cached.
 LOOKUP_TIEBREAK_SECONDS = 0.004
 STREAM_TIEBREAK_SECONDS = 0.03
+#: Assumed cost of recording that a stream runs at other software than was expected, in seconds.
+SOFTWARE_CHANGE_SECONDS = 0.004
 #: Maximum number of tokens that the server of the previous turn is assumed to prefill.
 NEW_TOKENS = 1000
 #: Minimum number of parts of a prompt for its first part to be shared among programs.
@@ -56,11 +58,15 @@
     :param affinity: hash key, equal for all requests that should reach the same server.
     :param last_server: incarnation of the server that ran the program's previous turn, as
         :attr:`Incarnation.text`; empty if unknown.
+    :param expected_software: software that the request is recorded to run at; empty for none.
+    :param software: the only software that may take it; None for any.
     """
 
     prompt: Sequence[PromptPart]
     affinity: str
     last_server: str
+    expected_software: str = ""
+    software: str | None = None
 
     @property
     def tokens(self) -> int:
@@ -94,7 +100,7 @@
         request: PlacementRequest,
     ) -> Choice | None:
         """Return the server with the lowest expected time; None without candidates."""
-        states = self._directory.candidates(service, tried, now)
+        states = self._directory.candidates(service, tried, now, request.software)
         if not states:
             return None
         median_s = median_service_time_s(states, now)
@@ -108,6 +114,10 @@
             + prefill[state.server.server_id] / PREFILL_TOKENS_PER_SECOND
             for state in states
         }
+        if request.expected_software:
+            for state in states:
+                if state.server.software_id != request.expected_software:
+                    costs[state.server.server_id] += SOFTWARE_CHANGE_SECONDS
         best = min(states, key=lambda state: costs[state.server.server_id])
         server_id = best.server.server_id
         cached = request.tokens - prefill[server_id]
--- a/yarrowwall/policy/servers.py
+++ b/yarrowwall/policy/servers.py
@@ -5,13 +5,14 @@
 """
 
 from collections.abc import Callable, Collection, Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from statistics import median
 
 from yarrowwall.backoff import exponential_backoff_s
 from yarrowwall.model import Incarnation, Server, Service
 from yarrowwall.policy.incarnations import NewestIncarnations
 from yarrowwall.policy.prefix_cache import PrefixCacheEstimate
+from yarrowwall.policy.software_history import SoftwareHistory
 
 #: Seconds after which the loads reported by other gateways are ignored.
 LOAD_EXPIRY_SECONDS = 1.0
@@ -84,6 +85,9 @@
     )
     _loads_at: float = -LOAD_EXPIRY_SECONDS
     _newest: NewestIncarnations = field(default_factory=NewestIncarnations)
+    _history: SoftwareHistory = field(default_factory=SoftwareHistory)
+    #: Software ids of the known servers by service; dropped when the list changes.
+    _software: dict[str, frozenset[str]] = field(default_factory=dict)
 
     def replace_all(
         self, servers: Iterable[Server], services: dict[str, Service], now: float
@@ -102,9 +106,16 @@
         if not self._newest.note(server.incarnation):
             return
         state = self.states.get(server.server_id)
+        if state is not None:
+            self._history.note(state.server, now)
         if state is not None and state.incarnation != server.incarnation:
             self._end_incarnation(state, server.incarnation)
             state = None
+        if state is not None and not server.version:
+            # One run of a server has one version, even if a later entry does not state it.
+            server = replace(server, version=state.server.version)
+        self._history.note(server, now)
+        self._software.clear()
         if state is None:
             state = ServerState(server, PrefixCacheEstimate(_cache_tokens(server, services)))
             self.states[server.server_id] = state
@@ -118,6 +129,7 @@
     def _end_incarnation(self, state: ServerState, successor: Incarnation | None) -> None:
         """Drop the state of an incarnation that has ended, including its request counts."""
         del self.states[state.server.server_id]
+        self._software.clear()
         self.on_removed(state.incarnation, successor)
 
     def update_services(self, services: dict[str, Service]) -> None:
@@ -138,6 +150,7 @@
             return
         if incarnation.start_ms is None or not incarnation.is_before(state.incarnation):
             state.vanished_at = now
+            self._history.note(state.server, now)
 
     def forget_vanished(self, now: float) -> None:
         """Drop servers that are no longer listed and run no request of this gateway."""
@@ -148,23 +161,45 @@
             if is_expired and not state.running:
                 self._end_incarnation(state, None)
 
-    def candidates(self, service: str, tried: Collection[str], now: float) -> list[ServerState]:
+    def candidates(
+        self, service: str, tried: Collection[str], now: float, software: str | None = None
+    ) -> list[ServerState]:
         """Return the servers that may take a request.
 
         Healthy servers, if there are any; else suspended ones, then those that are draining or no
         longer listed.
+
+        :param software: the only software that may take it; None for any.
         """
         known = [
             state
             for state in self.states.values()
             if state.server.service == service and state.server.server_id not in tried
         ]
+        if software is not None:
+            known = [state for state in known if state.server.software_id == software]
         listed = [state for state in known if state.vanished_at is None]
         staying = [state for state in listed if state.draining_at is None]
         healthy = [state for state in staying if state.suspended_until <= now]
         leaving = [state for state in known if _is_within_grace(state, now)]
         return healthy or staying or leaving
 
+    def software(self, service: str) -> frozenset[str]:
+        """Return the software ids of the known servers of a service."""
+        found = self._software.get(service)
+        if found is None:
+            servers = self._servers_of(service)
+            found = frozenset(server.software_id for server in servers)
+            self._software[service] = found
+        return found
+
+    def sole_software(self, service: str, now: float) -> str | None:
+        """Return the only software that servers of a service have run lately, or None."""
+        return self._history.sole(service, self._servers_of(service), now)
+
+    def _servers_of(self, service: str) -> list[Server]:
+        return [state.server for state in self.states.values() if state.server.service == service]
+
     def load(self, state: ServerState, now: float) -> int:
         """Return the requests in progress at a server, of all gateways by the last report."""
         is_known = now - self._loads_at < LOAD_EXPIRY_SECONDS
--- a/yarrowwall/ports/programs.py
+++ b/yarrowwall/ports/programs.py
@@ -6,12 +6,26 @@
 """
 
 from collections.abc import Callable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from yarrowwall.event_stream import Event
 from yarrowwall.model import Attempt, Route
 
 
+class ExpectedSoftware(NamedTuple):
+    """What a gateway knows of the software that will run a stream, by its software id.
+
+    :param likely: The software that probably runs it; empty if unknown.
+    :param sole: The only software that could have begun it; None if there are several.
+    """
+
+    likely: str = ""
+    sole: str | None = None
+
+
+NO_EXPECTED_SOFTWARE = ExpectedSoftware()
+
+
 class TurnGrant:
     """A grant to run one turn. This base class is for turns without any stored state.
 
@@ -19,6 +33,8 @@
     :param last_server: The server of the program's previous turn; empty if unknown.
     :param is_first: Whether no earlier turn of the program has emitted anything.
     :param is_continued: Whether it continues an answered turn, possibly of another program.
+    :ivar software: The only software that may run it, if it resumes a stream; None for any.
+    :ivar expected_software: The software that it is recorded to run at; empty for none.
     """
 
     def __init__(
@@ -32,6 +48,14 @@
         self.last_server = last_server
         self.is_first = is_first
         self.is_continued = is_continued
+        self.software: str | None = None
+        self.expected_software = ""
+
+    def record_software(self, software: str) -> None:
+        """Record the software that will run the turn, before it is sent there.
+
+        :raises StoreUncertainError: If the record may name another one.
+        """
 
     def ensure_granted(self, events: list[Event]) -> None:
         """Ensure that events are within the granted tokens, before they are relayed.
@@ -66,7 +90,12 @@
         """Return the seconds for which no turn could be granted; 0 if the last one could."""
 
     def open_turn(
-        self, attempt: Attempt, route: Route, tokens_per_event: int, deadline: Callable[[], float]
+        self,
+        attempt: Attempt,
+        route: Route,
+        tokens_per_event: int,
+        deadline: Callable[[], float],
+        software: ExpectedSoftware = NO_EXPECTED_SOFTWARE,
     ) -> TurnGrant:
         """Return the grant to run a turn.
 
@@ -74,5 +103,6 @@
             be extended later.
         :raises BudgetExhaustedError: If too few tokens of the budget are left.
         :raises TurnUnknownError: If the previous turn certainly does not exist.
+        :raises StreamUnknownError: If no record tells which software began a resumed stream.
         :raises StoreUncertainError: If the store cannot decide now.
         """
