Tests: resumed streams over versions that leave, are full, have one server left or are forgotten

Second resumptions, streams without a budget, the last server of a version, a version that has gone, streams of which nothing is recorded (two versions; none stated), records that cannot be read, servers that reject often, and entries that drain, lapse and come back.

--- a/features/steps/stream_version_steps.py
+++ b/features/steps/stream_version_steps.py
@@ -1,9 +1,13 @@
 """Steps about streams of servers of several software versions."""
 
+import time
+from collections.abc import Callable
+
 from behave import given, then, when
 from behave.runner import Context
 
 from features.support.platform_scripts import publish, world
+from features.support.processes import wait_until
 from features.support.versioned_streams import (
     CUT_AFTER,
     ROUTE,
@@ -12,6 +16,8 @@
     VersionedServers,
     in_parallel,
 )
+from yarrowwall.machine.gateway_role import HOUSEKEEPING_SECONDS
+from yarrowwall.policy.servers import VANISHED_SECONDS
 
 
 @given('a resumable route with {first:d} servers of "{old}" and {second:d} of "{new}"')
@@ -29,6 +35,26 @@
     publish(context)
 
 
+@given("a resumable route with {count:d} servers without a version")
+def no_versions(context: Context, count: int) -> None:
+    context.scripts = VersionedServers()
+    context.client = ResumingClient(world(context))
+    world(context).add_route(ROUTE, "streaming", resumable=True, attempts=3)
+    for _ in range(count):
+        world(context).add_server(ROUTE, context.scripts.script("none"))
+    publish(context)
+
+
+@given("clients whose streams have no budget")
+def no_budget(context: Context) -> None:
+    context.client = ResumingClient(world(context), has_budget=False)
+
+
+@given("servers reject {share:f} of the requests")
+def full_servers(context: Context, share: float) -> None:
+    context.scripts.full_share = share
+
+
 @given("servers break off {share:f} of the streams midway")
 def breaking_servers(context: Context, share: float) -> None:
     context.scripts.break_share = share
@@ -55,29 +81,91 @@
     )
 
 
+@when('the servers of "{version}" have gone')
+def version_gone(context: Context, version: str) -> None:
+    for server in context.by_version[version]:
+        server.listener.shutdown()
+        server.listener.server_close()
+        world(context).store.remove("servers", server.server_id)
+    for gateway in ("edge-0", "edge-1"):
+        wait_until(
+            lambda gateway=gateway: _gone(context, gateway) >= len(context.by_version[version]),
+            f"{gateway} knows",
+        )
+    # A server that is no longer listed may serve for a short time if no other can.
+    time.sleep(VANISHED_SECONDS + HOUSEKEEPING_SECONDS)
+
+
+def _gone(context: Context, gateway: str) -> int:
+    lines = world(context).log(gateway)
+    return sum(line["kind"] == "ServerChanged" and line["change"] == "gone" for line in lines)
+
+
+@when('a server of "{version}" drains and the entry of another lapses and comes back')
+def drain_and_lapse(context: Context, version: str) -> None:
+    draining, lapsed = context.by_version[version][:2]
+    world(context).drain(draining, ROUTE)
+    world(context).store.remove("servers", lapsed.server_id)
+    wait_until(lambda: _gone(context, "edge-0") and _gone(context, "edge-1"), "the gateways know")
+    world(context).list_again(lapsed, ROUTE)
+
+
+@when("{count:d} replicas are killed")
+def kill_replicas(context: Context, count: int) -> None:
+    context.killed = [f"storage-{number}" for number in range(count)]
+    for name in context.killed:
+        world(context).kill(name)
+
+
+@when("the replicas are started again")
+def restart_replicas(context: Context) -> None:
+    for name in context.killed:
+        world(context).start_machine(name, is_gateway=False)
+    world(context).wait_ready()
+
+
 @when("gateway {gateway:d} is killed")
 def kill_gateway(context: Context, gateway: int) -> None:
     world(context).kill(f"edge-{gateway}")
 
 
-@when("each is resumed at the other gateway")
-def resume_elsewhere(context: Context) -> None:
+def resume_all(
+    context: Context, gateway: Callable[[int], int], cut_after: int | None = None
+) -> None:
+    """Resume each stream that has begun, with attempts whose ids are new."""
+    context.rounds = getattr(context, "rounds", 0) + 1
+    context.resumed = [stream for stream in context.streams if stream.events]
+
     def resume(number: int) -> ClientStream:
-        stream = context.streams[number]
-        context.client.resume(stream, f"r-{number}", (number + 1) % 2)
+        stream = context.resumed[number]
+        name = f"r{context.rounds}-{stream.attempt_id}"
+        context.client.resume(stream, name, gateway(number), cut_after)
         return stream
 
-    in_parallel(len(context.streams), resume)
+    in_parallel(len(context.resumed), resume)
+
+
+@when("each is resumed at the other gateway")
+@when("each that began is resumed at the other gateway")
+def resume_elsewhere(context: Context) -> None:
+    resume_all(context, lambda number: (number + 1) % 2)
+
+
+@when("each is resumed at the other gateway and cut again")
+def resume_and_cut(context: Context) -> None:
+    resume_all(context, lambda number: (number + 1) % 2, 2 * CUT_AFTER)
 
 
 @when("each is resumed at gateway {gateway:d}")
 def resume_at(context: Context, gateway: int) -> None:
-    def resume(number: int) -> ClientStream:
-        stream = context.streams[number]
-        context.client.resume(stream, f"r-{number}", gateway)
-        return stream
+    resume_all(context, lambda number: gateway)
 
-    in_parallel(len(context.streams), resume)
+
+@when("each is resumed under a name that no gateway knows")
+def resume_unknown(context: Context) -> None:
+    for stream in context.streams:
+        stream.attempt_id = f"other-{stream.attempt_id}"
+    resume_all(context, lambda number: (number + 1) % 2)
 
 
 @then("no stream holds events of two versions")
@@ -97,3 +185,46 @@
 def both_began(context: Context) -> None:
     began = {stream.events[0].version for stream in context.streams if stream.events}
     assert began == set(context.by_version), began
+
+
+@then('the streams of "{version}" are whole')
+def version_whole(context: Context, version: str) -> None:
+    streams = [stream for stream in context.streams if stream.versions == {version}]
+    assert streams
+    assert all(stream.is_whole for stream in streams), streams
+
+
+@then('the streams of "{version}" got 503 with Retry-After within 500 ms and ran nowhere')
+def version_refused(context: Context, version: str) -> None:
+    streams = [stream for stream in context.streams if stream.versions == {version}]
+    assert streams
+    check_refused(context, streams, has_retry_after=True, limit_s=0.5)
+
+
+@then("each got 503 without Retry-After within 500 ms and ran nowhere")
+def unknown_refused(context: Context) -> None:
+    check_refused(context, context.streams, has_retry_after=False, limit_s=0.5)
+
+
+@then("each got 503 with Retry-After and ran nowhere")
+def uncertain_refused(context: Context) -> None:
+    check_refused(context, context.streams, has_retry_after=True, limit_s=4.0)
+
+
+def check_refused(
+    context: Context, streams: list[ClientStream], has_retry_after: bool, limit_s: float
+) -> None:
+    """Check that the last resumption of each stream was refused and reached no server."""
+    for stream in streams:
+        assert stream.statuses[-1] == 503, stream
+        assert (stream.retry_after is not None) == has_retry_after, stream
+        assert stream.last_seconds < limit_s, stream
+        assert f"r{context.rounds}-{stream.attempt_id}" not in context.scripts.ran, stream
+
+
+@then("the share of resumed streams that went on is at least half of that of new ones")
+def resumed_share(context: Context) -> None:
+    began = len(context.resumed) / len(context.streams)
+    went_on = sum(stream.statuses[-1] == 200 for stream in context.resumed) / len(context.resumed)
+    assert len(context.resumed) >= 12
+    assert went_on >= began / 2.0, (went_on, began)
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -31,3 +31,87 @@
     Then no stream holds events of two versions
     And 24 streams are whole
     And both versions began streams
+
+  # Guards against a second resumption that looks for the version of the attempt before it.
+  Scenario: A stream that its client resumes twice goes on at its version
+    Given a resumable route with 3 servers of "v1" and 3 of "v2"
+    When 24 streams are begun at both gateways and cut by their clients
+    And each is resumed at the other gateway and cut again
+    And each is resumed at the other gateway
+    Then no stream holds events of two versions
+    And 24 streams are whole
+    And both versions began streams
+
+  # Guards against streams without a budget, of which no reservation tells the version.
+  Scenario: A stream without a budget goes on at its version
+    Given a resumable route with 3 servers of "v1" and 3 of "v2"
+    And clients whose streams have no budget
+    When 24 streams are begun at both gateways and cut by their clients
+    And each is resumed at the other gateway
+    Then no stream holds events of two versions
+    And 24 streams are whole
+    And both versions began streams
+
+  # Guards against streams that are refused although a server of their version serves.
+  Scenario: Streams go on at the last server of their version
+    Given a resumable route with 1 servers of "v1" and 3 of "v2"
+    And servers break off 0.5 of the streams midway
+    When 48 streams are begun at both gateways
+    Then no stream holds events of two versions
+    And 48 streams are whole
+    And both versions began streams
+
+  # Guards against streams that go on at another version when the servers of theirs have gone.
+  Scenario: A stream whose version has gone is refused at once
+    Given a resumable route with 2 servers of "v1" and 2 of "v2"
+    When 16 streams are begun at both gateways and cut by their clients
+    And the servers of "v1" have gone
+    And each is resumed at the other gateway
+    Then no stream holds events of two versions
+    And the streams of "v2" are whole
+    And the streams of "v1" got 503 with Retry-After within 500 ms and ran nowhere
+
+  # Guards against streams that go on at a guessed version, and callers told to return in vain.
+  Scenario: A stream that no record tells of is refused at once
+    Given a resumable route with 2 servers of "v1" and 2 of "v2"
+    When 8 streams are begun at both gateways and cut by their clients
+    And each is resumed under a name that no gateway knows
+    Then each got 503 without Retry-After within 500 ms and ran nowhere
+
+  # Guards against streams that are refused though all servers are alike.
+  Scenario: A stream that no record tells of goes on where servers state no version
+    Given a resumable route with 3 servers without a version
+    When 8 streams are begun at both gateways and cut by their clients
+    And each is resumed under a name that no gateway knows
+    Then 8 streams are whole
+
+  # Guards against streams that go on at any version while the records can't be read.
+  Scenario: A stream is refused while the record of its version cannot be read
+    Given a resumable route with 3 servers of "v1" and 3 of "v2"
+    When 12 streams are begun at both gateways and cut by their clients
+    And 2 replicas are killed
+    And each is resumed at the other gateway
+    Then no stream holds events of two versions
+    And each got 503 with Retry-After and ran nowhere
+    When the replicas are started again
+    And each is resumed at the other gateway
+    Then no stream holds events of two versions
+    And 12 streams are whole
+
+  # Guards against resumed streams that are refused far more often than new ones (rule LOST).
+  Scenario: Resumed streams go on as often as new ones while servers are often full
+    Given a resumable route with 2 servers of "v1" and 6 of "v2"
+    And servers reject 0.3 of the requests
+    When 60 streams are begun at both gateways and cut by their clients
+    And each that began is resumed at the other gateway
+    Then no stream holds events of two versions
+    And the share of resumed streams that went on is at least half of that of new ones
+
+  # Guards against streams that go on at a server whose entry says that it is draining or came back.
+  Scenario: Streams go on at their version while servers of it drain and come back
+    Given a resumable route with 3 servers of "v1" and 3 of "v2"
+    When 24 streams are begun at both gateways and cut by their clients
+    And a server of "v1" drains and the entry of another lapses and comes back
+    And each is resumed at the other gateway
+    Then no stream holds events of two versions
+    And 24 streams are whole
--- a/features/support/versioned_streams.py
+++ b/features/support/versioned_streams.py
@@ -46,11 +46,15 @@
 
     :param attempt_id: id of the attempt that brought the first event.
     :param statuses: status of each attempt; 0 if its connection ended without an answer.
+    :param retry_after: the header of the last answer.
+    :param last_seconds: how long the last attempt took.
     """
 
     attempt_id: str
     events: list[ReadEvent] = field(default_factory=list)
     statuses: list[int] = field(default_factory=list)
+    retry_after: str | None = None
+    last_seconds: float = 0.0
 
     @property
     def versions(self) -> set[str]:
@@ -72,16 +76,24 @@
     """Scripts of servers that stream events naming their version.
 
     :ivar break_share: share of the runs from the first event that break off midway.
+    :ivar full_share: share of the requests that are rejected as not run.
+    :ivar ran: attempts that ran, with the version.
     """
 
     def __init__(self, seed: int = 1) -> None:
         self.break_share = 0.0
+        self.full_share = 0.0
+        self.ran: dict[str, str] = {}
         self._rng = random.Random(seed)
 
     def script(self, version: str) -> Callable[[QuietHandler, Arrival], bool]:
         """Return the script of a server of a version."""
 
         def run(call: QuietHandler, arrival: Arrival) -> bool:
+            if self._rng.random() < self.full_share:
+                call.answer(503, b"", {"X-Not-Executed": "1", "X-Attempt-Id": arrival.attempt_id})
+                return True
+            self.ran[arrival.attempt_id] = version
             first = int(arrival.headers.get("Last-Event-Id", "0")) + 1
             breaks = first == 1 and self._rng.random() < self.break_share
             begin_stream(call, arrival)
@@ -103,12 +115,12 @@
 class ResumingClient:
     """A client that begins streams and resumes them, at any gateway.
 
-    :param program: whether its requests are turns of programs with a budget.
+    :param has_budget: whether its requests are turns of programs with a budget.
     """
 
-    def __init__(self, world: PlatformWorld, program: bool = True) -> None:
+    def __init__(self, world: PlatformWorld, has_budget: bool = True) -> None:
         self._world = world
-        self._program = program
+        self._has_budget = has_budget
 
     def begin(self, name: str, gateway: int, cut_after: int | None = None) -> ClientStream:
         """Begin a stream; its connection is cut after some events if a number is given."""
@@ -117,33 +129,45 @@
         return stream
 
     def resume(
-        self,
-        stream: ClientStream,
-        name: str,
-        gateway: int,
-        cut_after: int | None = None,
+        self, stream: ClientStream, name: str, gateway: int, cut_after: int | None = None
     ) -> int:
         """Resume a stream with a further attempt; return the status."""
         return self._attempt(stream, name, gateway, cut_after)
 
+    def connect(self, gateway: int) -> http.client.HTTPConnection:
+        """Return a connection to a gateway."""
+        return self._world.connect(gateway)
+
+    def release(
+        self, gateway: int, connection: http.client.HTTPConnection, is_reusable: bool
+    ) -> None:
+        """End the use of a connection."""
+        connection.close()
+
     def _attempt(self, stream: ClientStream, name: str, gateway: int, cut_after: int | None) -> int:
-        connection = self._world.connect(gateway)
+        connection = self.connect(gateway)
         connection.timeout = _TIMEOUT_S
+        is_reusable = False
+        started = time.monotonic()
         try:
             connection.request("POST", f"/{ROUTE}/x", b"question", self._headers(stream, name))
             response = connection.getresponse()
             stream.statuses.append(response.status)
+            stream.retry_after = response.headers.get("Retry-After")
             if response.status == 200:
-                _read_events(response, stream, cut_after)
-        except (OSError, http.client.HTTPException):
+                is_reusable = _read_events(response, stream, cut_after)
+            else:
+                response.read()
+        except (OSError, ValueError, http.client.HTTPException):
             stream.statuses.append(0)
         finally:
-            connection.close()
+            self.release(gateway, connection, is_reusable)
+        stream.last_seconds = time.monotonic() - started
         return stream.statuses[-1]
 
     def _headers(self, stream: ClientStream, name: str) -> dict[str, str]:
         headers = {"Host": HOST, "X-Attempt-Id": name, "X-Deadline-Ms": "4000"}
-        if self._program:
+        if self._has_budget:
             headers |= {
                 "X-Program-Id": f"program-{stream.attempt_id}",
                 "X-Session-Id": f"program-{stream.attempt_id}",
@@ -159,8 +183,8 @@
 
 def _read_events(
     response: http.client.HTTPResponse, stream: ClientStream, cut_after: int | None
-) -> None:
-    """Add the complete events of a response to a stream."""
+) -> bool:
+    """Add the complete events of a response to a stream; return whether it was read whole."""
     number, version = 0, ""
     while line := response.readline():
         if line.startswith(b"id: "):
@@ -170,7 +194,8 @@
         elif line == b"\n":
             stream.events.append(ReadEvent(number, version))
             if cut_after is not None and len(stream.events) >= cut_after:
-                return
+                return False
+    return response.isclosed()
 
 
 def in_parallel(count: int, run: Callable[[int], ClientStream]) -> list[ClientStream]:
