--- a/features/soak/disruptions.py
+++ b/features/soak/disruptions.py
@@ -69,6 +69,20 @@
                 span.end == math.inf for key, span in self._unplanned.items() if key != number
             )
 
+    def is_quiet(self, gateway: str, begin: float, end: float) -> bool:
+        """Return whether a period had no fault, and no planned operation on a gateway.
+
+        The ``SETTLE_S`` before the period count as well.
+        """
+        begin -= SETTLE_S
+        with self._lock:
+            return not any(
+                span.overlaps(begin, end) for span in self._unplanned.values()
+            ) and not any(
+                span.subject == gateway and span.overlaps(begin, end)
+                for span in self._planned.values()
+            )
+
     def has_only_planned_work(self, gateway: str, begin: float, end: float) -> bool:
         """Return whether a period had planned operations on a gateway and no unplanned fault.
 
--- a/features/soak/fault_workers.py
+++ b/features/soak/fault_workers.py
@@ -31,6 +31,10 @@
         ]
         self.injected: Counter[str] = Counter()
 
+    def replace_servers_until(self, end: float) -> None:
+        """Only replace servers by others of any version until a time of the monotonic clock."""
+        self._run(sorted(self._faults[0].releases), end)
+
     def do_planned_work_until(self, end: float) -> None:
         """Inject planned operations only until a time of the monotonic clock."""
         self._run(sorted(self._faults[0].planned), end)
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -6,6 +6,7 @@
 import subprocess
 import time
 from collections.abc import Callable
+from contextlib import AbstractContextManager
 from typing import Any
 
 from features.soak.disks import Disks
@@ -24,6 +25,10 @@
 _MAX_REPEATS = 6
 #: Maximum number of gateways that are stopped one after the other.
 _MAX_GATEWAYS_IN_TURN = 4
+#: Upper bound (exclusive) of the servers that are replaced one after the other.
+_MAX_SERVERS_IN_TURN = 4
+#: Longest time in seconds until the entry of a crashed server lapses.
+_LAPSE_S = 1.0
 _REPLICA_WIPED = "replica wiped"
 _SLOW_CALLERS = 20
 _SLOW_HEAD = (
@@ -45,7 +50,8 @@
     """Injects faults and heals them; each fault worker has its own injector.
 
     :param rng: determines their duration and, among the unlocked ones, their targets.
-    :ivar planned: operations of operators, by name.
+    :ivar releases: operations on servers of several versions, by name.
+    :ivar planned: operations of operators, by name; these among them.
     :ivar unplanned: all other faults, by name.
     """
 
@@ -63,7 +69,12 @@
         self._resource_locks = resource_locks
         self._disks = disks
         self._rng = rng
+        self.releases: dict[str, Callable[[], None]] = {
+            "server replaced": self._replace_server,
+            "servers replaced in turn": self._replace_servers_in_turn,
+        }
         self.planned: dict[str, Callable[[], None]] = {
+            **self.releases,
             "gateway stopped": self._stop_gateway,
             "gateways stopped in turn": self._stop_gateways_in_turn,
             "settings signalled": self._signal_gateway,
@@ -90,6 +101,8 @@
             "server slow": lambda: self._disturb_server(Mode.SLOW),
             "server starts again": self._restart_server,
             "an earlier life told late": self._list_old_incarnation,
+            "server crashes": self._crash_server,
+            "version left out": self._leave_out_version,
             "entries of another writer": self._write_invalid_entries,
             "callers that send slowly": self._send_slow_bodies,
         }
@@ -153,6 +166,19 @@
             self._world.publish()
             time.sleep(self._rng.uniform(0.0, 0.2))
 
+    def _replace_server(self) -> None:
+        with self._lock_advice_server() as server_id:
+            if server_id is not None:
+                self._world.replace_server(server_id, self._rng)
+
+    def _replace_servers_in_turn(self) -> None:
+        """Replace servers one after the other, as a release does."""
+        for _ in range(self._rng.randrange(2, _MAX_SERVERS_IN_TURN)):
+            self._replace_server()
+
+    def _lock_advice_server(self) -> AbstractContextManager[str | None]:
+        return self._resource_locks.lock_any(self._world.advice_servers, self._rng)
+
     # Machines
 
     def _kill_one(self, names: list[str]) -> None:
@@ -237,6 +263,16 @@
             proxy.mode = Mode.PASS
             self._world.list_restarted(*self._service_of(server_id), int(time.time() * 1000))
 
+    def _crash_server(self) -> None:
+        with self._lock_advice_server() as server_id:
+            if server_id is not None:
+                self._world.crash_server(server_id, self._rng, _LAPSE_S)
+
+    def _leave_out_version(self) -> None:
+        with self._lock_advice_server() as server_id:
+            if server_id is not None:
+                self._world.list_without_version(server_id, self._rng.uniform(0.1, _LAPSE_S))
+
     def _list_old_incarnation(self) -> None:
         """List an earlier incarnation of a server for a while, as an outdated list does."""
         with self._resource_locks.lock_any(sorted(self._world.servers), self._rng) as server_id:
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -9,10 +9,14 @@
 from features.soak.fault_workers import FaultWorkers
 from features.soak.final import FinalFault, FinalFaultInjector, FinalFaultResult
 from features.soak.promises import Record
+from features.soak.streams import StreamClients
 from features.soak.thread_delay import ThreadDelay
 from features.soak.workload import Workload
 from features.soak.world import SoakWorld
 
+#: Seconds in which servers are replaced and nothing else happens, so that the shares of streams
+#: that begin and that go on are judged.
+RELEASE_S = 4.0
 #: Seconds of planned operations only, before faults of all kinds are injected.
 PLANNED_S = 5.0
 #: Default number of concurrent faults.
@@ -28,6 +32,7 @@
     :param outcomes: number of attempts by status; 0 if the connection ended without a response.
     :param faults: number of injected faults by kind.
     :param finals: result of each final fault.
+    :param streams: number of attempts to begin and to resume streams.
     :param late_s: largest scheduling delay of a thread in this process, which also runs the
         test servers.
     """
@@ -37,6 +42,7 @@
     outcomes: dict[int, int]
     faults: dict[str, int]
     finals: list[dict[str, Any]]
+    streams: dict[str, int]
     late_s: float
 
 
@@ -60,9 +66,11 @@
     with ThreadDelay() as thread_delay, SoakWorld(record, seed, gateways, replicas) as world:
         disks = Disks(world, record.disruptions)
         faults = FaultWorkers(world, record, disks, seed, strands)
-        with Workload(world, record, seed, clients) as workload:
+        streams = StreamClients(world, record, seed, clients)
+        with streams, Workload(world, record, seed, clients) as workload:
             final = FinalFaultInjector(world, record, disks, workload.answered, seed)
             try:
+                faults.replace_servers_until(time.monotonic() + RELEASE_S)
                 faults.do_planned_work_until(time.monotonic() + PLANNED_S)
                 faults.inject_until(time.monotonic() + seconds_s)
                 _wait_recovered(record)
@@ -73,6 +81,7 @@
                 record.note_violation(f"RECOVER: {error}")
         world.check_all_running()
         record.note_admitted(world.admitted_attempts())
+        stream_counts = streams.streams.check_shares()
         violations = record.violations()
         if violations and keep is not None:
             world.keep_logs(keep / f"seed-{seed}")
@@ -83,6 +92,7 @@
         dict(record.outcomes()),
         dict(faults.injected),
         final_results,
+        stream_counts,
         round(thread_delay.max_delay_s, 2),
     )
 
--- a/features/soak/world.py
+++ b/features/soak/world.py
@@ -12,14 +12,17 @@
 from typing import Self
 
 from features.soak.promises import Record, events_of
-from features.soak.proxy import Proxy
+from features.soak.proxy import Mode, Proxy
 from features.support.platform_world import (
     Arrival,
     PlatformWorld,
     QuietHandler,
+    Server,
     own_headers,
     stream,
 )
+from features.support.versioned_streams import ROUTE as ADVICE
+from features.support.versioned_streams import VersionedServers
 
 CHAT = "chat"
 LOOKUP = "records"
@@ -28,10 +31,16 @@
 RETAIN_S = 60.0
 _LOOKUP_SERVERS = 2
 _CHAT_SERVERS = 3
+#: Versions of the servers of resumable streams at the start, and those of servers added later.
+_FIRST_VERSIONS = ("v1", "v1", "v2", "v2")
+_VERSIONS = ("v1", "v2", "v3")
+#: Seconds for which a server serves after it says that it is draining.
+_DRAIN_S = 2.2
 #: Shares of the requests that servers reject, drop the response of, or abort.
 _REJECTED_SHARE = 0.03
 _LOST_ANSWER_SHARE = 0.02
 _BROKEN_OFF_SHARE = 0.02
+_BROKEN_ADVICE_SHARE = 0.1
 _EVENT_PAUSE_S = 0.01
 #: Prefix of the ids of attempts that occupy a slot for long, and the pause after each event.
 LONG_PREFIX = "long-"
@@ -59,6 +68,10 @@
         self._log_offsets: defaultdict[str, int] = defaultdict(int)
         self.store_proxies: dict[str, Proxy] = {}
         self.server_proxies: dict[str, Proxy] = {}
+        self._ended_proxies: list[Proxy] = []
+        self._advice = VersionedServers(seed)
+        self._advice.break_share = _BROKEN_ADVICE_SHARE
+        self._advice.full_share = _REJECTED_SHARE
         super().__init__(gateways, replicas)
         self.gateways = [f"edge-{number}" for number in range(gateways)]
         self.replicas = [f"storage-{number}" for number in range(replicas)]
@@ -70,13 +83,17 @@
             self.add_server(CHAT, self._chat)
         for _ in range(_LOOKUP_SERVERS):
             self.add_server(LOOKUP, self._look_up)
+        self.add_route(ADVICE, "streaming", resumable=True, attempts=2)
+        for version in _FIRST_VERSIONS:
+            self.add_server(ADVICE, self._advice.script(version), version)
         self.publish()
         self.wait_ready()
         return self
 
     def __exit__(self, *error: object) -> None:
         self.stop()
-        for proxy in [*self.store_proxies.values(), *self.server_proxies.values()]:
+        proxies = [*self.store_proxies.values(), *self.server_proxies.values()]
+        for proxy in [*proxies, *self._ended_proxies]:
             proxy.close()
 
     # Proxies
@@ -153,6 +170,66 @@
         self._record.note_started(arrival.attempt_id, arrival.body)
         return False
 
+    # Servers of several versions
+
+    @property
+    def advice_servers(self) -> list[str]:
+        """Return the ids of the servers of resumable streams."""
+        servers = list(self.service_of.items())
+        return sorted(server_id for server_id, service in servers if service == ADVICE)
+
+    def serving(self, version: str) -> int:
+        """Return the number of servers of a version that serve and are not draining."""
+        servers = [self.servers.get(server_id) for server_id in self.advice_servers]
+        return sum(
+            server is not None and server.version == version and not server.is_draining
+            for server in servers
+        )
+
+    def replace_server(self, server_id: str, rng: random.Random) -> None:
+        """Start a server of any version, and let another one drain and end."""
+        version = rng.choice(_VERSIONS)
+        self.add_server(ADVICE, self._advice.script(version), version)
+        self.drain_and_end(self.servers[server_id])
+
+    def drain_and_end(self, server: Server) -> None:
+        """Let a server of resumable streams drain and end."""
+        server.is_draining = True
+        self.drain(server, ADVICE)
+        time.sleep(_DRAIN_S)
+        self.end_server(server)
+        self.store.remove("servers", server.server_id)
+
+    def end_server(self, server: Server) -> None:
+        """End a server of resumable streams; its connections are reset."""
+        del self.servers[server.server_id], self.service_of[server.server_id]
+        proxy = self.server_proxies.pop(server.server_id)
+        proxy.mode = Mode.REFUSE
+        self._ended_proxies.append(proxy)
+        server.listener.shutdown()
+        server.listener.server_close()
+
+    def crash_server(self, server_id: str, rng: random.Random, lapse_s: float) -> None:
+        """End a server without notice; its entry lapses later, and one of its version starts."""
+        server = self.servers[server_id]
+        self.end_server(server)
+        time.sleep(rng.uniform(0.0, lapse_s))
+        version = server.version or _VERSIONS[0]
+        self.add_server(ADVICE, self._advice.script(version), version)
+        time.sleep(rng.uniform(0.0, lapse_s))
+        self.store.remove("servers", server_id)
+
+    def list_without_version(self, server_id: str, seconds_s: float) -> None:
+        """Write a server's entry without its version for a while."""
+        server = self.servers[server_id]
+        version, server.version = server.version, None
+        try:
+            self.list_again(server, ADVICE)
+            time.sleep(seconds_s)
+        finally:
+            server.version = version
+            self.list_again(server, ADVICE)
+
     # Machines
 
     @property
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -344,6 +344,7 @@
     cancelled: list[str] = field(default_factory=list)
     start_ms: int | None = None
     version: str | None = None
+    is_draining: bool = False
 
     def start(self) -> str:
         """Start serving; return the address."""
@@ -451,6 +452,7 @@
         self.store = self.make_store()
         self.servers: dict[str, Server] = {}
         self.service_of: dict[str, str] = {}
+        self._server_count = 0
         self.routes: list[dict[str, Any]] = []
         #: The tenants of the configuration; None if it has none.
         self.tenants: list[dict[str, Any]] | None = None
@@ -511,7 +513,8 @@
         version: str | None = None,
     ) -> Server:
         """Start a server and list it."""
-        server = Server(f"i-{len(self.servers)}", version=version)
+        self._server_count += 1
+        server = Server(f"i-{self._server_count - 1}", version=version)
         self.service_of[server.server_id] = service
         if script is not None:
             server.script = script
--- a/features/support/versioned_streams.py
+++ b/features/support/versioned_streams.py
@@ -3,8 +3,10 @@
 Each event names the version of its server, so a stream that was joined from two versions shows.
 """
 
+import contextlib
 import http.client
 import random
+import socket
 import time
 import zlib
 from collections.abc import Callable
@@ -104,7 +106,9 @@
                 call.wfile.write(b"8\r\nid: 9\nd")
                 call.wfile.flush()
                 call.close_connection = True
-                call.connection.shutdown(2)
+                with contextlib.suppress(OSError):
+                    # The gateway may have closed the connection already.
+                    call.connection.shutdown(socket.SHUT_RDWR)
             else:
                 call.wfile.write(b"0\r\n\r\n")
             return True
--- a/yarrowwall/policy/servers.py
+++ b/yarrowwall/policy/servers.py
@@ -178,12 +178,18 @@
         ]
         if software is not None:
             known = [state for state in known if state.server.software_id == software]
+            if any(not state.server.version for state in known) and self._states_version(service):
+                # Servers that state no version may differ, unless no server states any.
+                known = []
         listed = [state for state in known if state.vanished_at is None]
         staying = [state for state in listed if state.draining_at is None]
         healthy = [state for state in staying if state.suspended_until <= now]
         leaving = [state for state in known if _is_within_grace(state, now)]
         return healthy or staying or leaving
 
+    def _states_version(self, service: str) -> bool:
+        return any(server.version for server in self._servers_of(service))
+
     def software(self, service: str) -> frozenset[str]:
         """Return the software ids of the known servers of a service."""
         found = self._software.get(service)
