A stream without a budget runs while no group of replicas is known

Its record was looked up in a group, so a gateway that knew none refused a stream that needs no replicas. It runs unrecorded now; its caller can't resume it. Found by reading; stream_records.feature, the scenario of that name, fails on the commit before with StoreUncertainError.

--- a/features/steps/stream_record_steps.py
+++ b/features/steps/stream_record_steps.py
@@ -1,14 +1,22 @@
 """Steps about the records of streams and what a gateway knows of servers' software."""
 
+import time
+
 from behave import given, then, when
 from behave.runner import Context
 
-from features.support.stream_model import run_stream_schedules
+from features.support.stream_model import ROUTE, SOFTWARE, run_stream_schedules
 from features.support.stream_mutants import MUTANTS
+from yarrowwall.budgets.ledger import ReplicatedLedger
 from yarrowwall.budgets.stream_keys import recorded_software
 from yarrowwall.budgets.stream_records import stream_retention_s
+from yarrowwall.decisions import DecisionLog
 from yarrowwall.model import Attempt, Server
 from yarrowwall.policy.servers import ServerDirectory
+from yarrowwall.ports.programs import ExpectedSoftware
+from yarrowwall.replication.group_views import GroupViews
+from yarrowwall.replication.quorum_client import QuorumClient
+from yarrowwall.replication.rpc import LinkTable
 
 SERVICE = "models"
 COUNT = 3
@@ -55,6 +63,22 @@
     assert stream_retention_s(attempt) == kept
 
 
+@given("a gateway that knows no group of replicas")
+def no_groups(context: Context) -> None:
+    views, log = GroupViews(), DecisionLog("edge-0")
+    client = QuorumClient("a", views, LinkTable(log, time.monotonic), time.monotonic)
+    context.ledger = ReplicatedLedger("a", views, client, log, time.monotonic)
+
+
+@then("a stream without a budget may run there")
+def may_run(context: Context) -> None:
+    attempt = Attempt("a", "POST", "/", "host", [], b"", 0.0, 5.0)
+    expected = ExpectedSoftware(SOFTWARE[0])
+    grant = context.ledger.open_turn(attempt, ROUTE, 1, lambda: 5.0, expected)
+    grant.record_software(SOFTWARE[0])
+    grant.close([], "")
+
+
 # What a gateway knows of servers' software
 
 
--- a/features/stream_records.feature
+++ b/features/stream_records.feature
@@ -69,6 +69,11 @@
       | v1    | 61      | a server of another service came   | known |
       | v1    | 61      | the servers turn to "v2"           | none  |
 
+  # Guards against streams without a budget that are refused though they need no replicas.
+  Scenario: A stream without a budget runs while no replicas are known
+    Given a gateway that knows no group of replicas
+    Then a stream without a budget may run there
+
   # Guards against an entry that is written again without its version, and goes for another one.
   Scenario: A server keeps its version while it runs, and has none of its own after it started again
     Given a gateway that has listed servers of "v1" for 1 s
--- a/yarrowwall/budgets/ledger.py
+++ b/yarrowwall/budgets/ledger.py
@@ -203,7 +203,11 @@
             grant.expected_software = expected.likely
         else:
             owner = self._stream_owner(attempt, attempt.attempt_id)
-            groups = [self.group_of(owner)]
+            group = self._views.group_of(owner)
+            if group is None:
+                # Without a budget, a stream needs no replicas; its caller cannot resume it.
+                return
+            groups = [group]
         grant.stream_record = StreamRecord(
             self._streams,
             owner,
