A stream whose caller names no attempt goes on where its whole program began alike

The stream is one of the program's, so if all records of the program in all groups tell one software, it began there.

--- a/features/steps/stream_record_steps.py
+++ b/features/steps/stream_record_steps.py
@@ -8,7 +8,7 @@
 from features.support.stream_model import ROUTE, SOFTWARE, run_stream_schedules
 from features.support.stream_mutants import MUTANTS
 from yarrowwall.budgets.ledger import ReplicatedLedger
-from yarrowwall.budgets.stream_keys import recorded_software
+from yarrowwall.budgets.stream_keys import common_software, recorded_software
 from yarrowwall.budgets.stream_records import stream_retention_s
 from yarrowwall.decisions import DecisionLog
 from yarrowwall.model import Attempt, Server
@@ -57,6 +57,12 @@
     assert found == (None if software == "none" else software), found
 
 
+@then('the software that began all of its streams is "{software}"')
+def began_alike(context: Context, software: str) -> None:
+    found = common_software(context.keys, "p")
+    assert found == (None if software == "none" else software), found
+
+
 @then("a stream with {left:d} s to its deadline is recorded for {kept:d} s")
 def retention(context: Context, left: int, kept: int) -> None:
     attempt = Attempt("a", "POST", "/", "host", [], b"", 7.0, 7.0 + left)
--- a/features/steps/stream_version_steps.py
+++ b/features/steps/stream_version_steps.py
@@ -50,6 +50,11 @@
     context.client = ResumingClient(world(context), has_budget=False)
 
 
+@given("clients that name no attempt when they resume a stream")
+def names_none(context: Context) -> None:
+    context.client = ResumingClient(world(context), names_attempt=False)
+
+
 @given("servers reject {share:f} of the requests")
 def full_servers(context: Context, share: float) -> None:
     context.scripts.full_share = share
--- a/features/stream_records.feature
+++ b/features/stream_records.feature
@@ -42,6 +42,23 @@
       | budget/p/ab@11111111                                           | a          | none     |
       | budget-more/1/budget/p/a@11111111                              | a          | none     |
       | stream/p/a/x@22222222                                          | a          | none     |
+      | budget/p/a@resumes-                                            | a          | none     |
+
+  # Guards against callers that name no attempt, whose streams are refused or go on at any version.
+  Scenario Outline: A stream whose caller names no attempt goes on if all of its program began alike
+    Given a program's records "<keys>"
+    Then the software that began all of its streams is "<software>"
+
+    Examples:
+      | keys                                                           | software |
+      | budget/p/a@11111111                                            | 11111111 |
+      | budget/p/a@11111111,budget/p/b@11111111                        | 11111111 |
+      | budget/p/a@11111111,budget/p/b@resumes-                        | 11111111 |
+      | budget/p/a@11111111,budget/p/b@22222222                        | none     |
+      | budget/p/a@11111111,stream/p/a/1@22222222                      | none     |
+      | budget/p/a@11111111,budget/p/b                                 | none     |
+      | budget/p/b@resumes-                                            | none     |
+      | zone-turn/p/a                                                  | none     |
 
   # Guards against records that expire while their caller may still resume the stream.
   Scenario Outline: A stream's record is kept until its caller's deadline
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -78,6 +78,16 @@
     And each is resumed under a name that no gateway knows
     Then each got 503 without Retry-After within 500 ms and ran nowhere
 
+  # Guards against resumptions that are refused only because they name no attempt.
+  Scenario: A stream whose caller names no attempt goes on at its version
+    Given a resumable route with 3 servers of "v1" and 3 of "v2"
+    And clients that name no attempt when they resume a stream
+    When 24 streams are begun at both gateways and cut by their clients
+    And each is resumed at the other gateway
+    Then no stream holds events of two versions
+    And 24 streams are whole
+    And both versions began streams
+
   # Guards against streams that are refused though all servers are alike.
   Scenario: A stream that no record tells of goes on where servers state no version
     Given a resumable route with 3 servers without a version
--- a/features/support/versioned_streams.py
+++ b/features/support/versioned_streams.py
@@ -120,11 +120,15 @@
     """A client that begins streams and resumes them, at any gateway.
 
     :param has_budget: whether its requests are turns of programs with a budget.
+    :param names_attempt: whether it names the attempt that brought the first event.
     """
 
-    def __init__(self, world: PlatformWorld, has_budget: bool = True) -> None:
+    def __init__(
+        self, world: PlatformWorld, has_budget: bool = True, names_attempt: bool = True
+    ) -> None:
         self._world = world
         self._has_budget = has_budget
+        self._names_attempt = names_attempt
 
     def begin(self, name: str, gateway: int, cut_after: int | None = None) -> ClientStream:
         """Begin a stream; its connection is cut after some events if a number is given."""
@@ -181,7 +185,8 @@
             }
         if stream.events:
             headers["Last-Event-Id"] = str(stream.events[-1].number)
-            headers["Resumes"] = stream.attempt_id
+            if self._names_attempt:
+                headers["Resumes"] = stream.attempt_id
         return headers
 
 
--- a/yarrowwall/budgets/ledger.py
+++ b/yarrowwall/budgets/ledger.py
@@ -10,6 +10,7 @@
 from yarrowwall.budgets.group_reachability import GroupReachability
 from yarrowwall.budgets.reservations import Reservations
 from yarrowwall.budgets.settlements import SettlementQueues
+from yarrowwall.budgets.stream_keys import RESUMPTION
 from yarrowwall.budgets.stream_records import StreamRecord, StreamRecords, stream_retention_s
 from yarrowwall.budgets.turn_reservations import TurnReservations
 from yarrowwall.budgets.turn_store import END_MARGIN_SECONDS, PlacedRecord, TurnStore
@@ -164,7 +165,9 @@
         if route.is_stateful and program is not None:
             self._turns.check_storable(_tenant_scoped(attempt.tenant, attempt.attempt_id))
             body = self._prompt_body(attempt, program, route)
-        likely = software.likely if route.is_resumable else ""
+        likely = ""
+        if route.is_resumable:
+            likely = RESUMPTION if attempt.is_resumption else software.likely
         reservation = None
         if program is not None and program.budget is not None:
             reservation = self._reserve(attempt, program, program.budget, route, likely)
--- a/yarrowwall/budgets/stream_keys.py
+++ b/yarrowwall/budgets/stream_keys.py
@@ -9,6 +9,9 @@
 
 from yarrowwall.model import SOFTWARE_ID_LENGTH
 
+#: Stands for the software in the claim of a turn that resumes a stream, and so begins none.
+RESUMPTION = "resumes-"
+
 _CLAIM_PREFIX = "budget/"
 _CHANGE_PREFIX = "stream/"
 _SEPARATOR = "@"
@@ -17,7 +20,7 @@
 def claim_key(owner: str, attempt_id: str, software: str) -> str:
     """Return the key of a turn's claim.
 
-    :param software: software that is expected to run the turn; empty for none.
+    :param software: software that is expected to run the turn, or ``RESUMPTION``; empty for none.
     """
     key = f"{_CLAIM_PREFIX}{owner}/{attempt_id}"
     return f"{key}{_SEPARATOR}{software}" if software else key
@@ -44,6 +47,25 @@
         else:
             continue
         # The ids of attempts are callers' text, which may contain the separator.
-        if len(software) == SOFTWARE_ID_LENGTH and number.isdecimal() and int(number) > newest:
+        if _is_software(software) and number.isdecimal() and int(number) > newest:
             newest, found = int(number), software
     return found
+
+
+def common_software(keys: Iterable[str], owner: str) -> str | None:
+    """Return the software that began every stream of an owner, or None.
+
+    None as well if there is no record, or a claim tells nothing.
+    """
+    prefixes = (f"{_CLAIM_PREFIX}{owner}/", f"{_CHANGE_PREFIX}{owner}/")
+    found = {
+        key.rpartition(_SEPARATOR)[2]
+        for key in keys
+        if key.startswith(prefixes) and not key.endswith(f"{_SEPARATOR}{RESUMPTION}")
+    }
+    software = found.pop() if len(found) == 1 else ""
+    return software if _is_software(software) else None
+
+
+def _is_software(text: str) -> bool:
+    return len(text) == SOFTWARE_ID_LENGTH and text != RESUMPTION
--- a/yarrowwall/budgets/stream_records.py
+++ b/yarrowwall/budgets/stream_records.py
@@ -4,7 +4,7 @@
 
 from yarrowwall import decisions
 from yarrowwall.budgets.group_reachability import GroupReachability
-from yarrowwall.budgets.stream_keys import change_key, recorded_software
+from yarrowwall.budgets.stream_keys import change_key, common_software, recorded_software
 from yarrowwall.budgets.zone_groups import ZoneGroups
 from yarrowwall.decisions import DecisionLog, StreamOrigin
 from yarrowwall.exceptions import StoreUncertainError, StreamUnknownError
@@ -88,10 +88,13 @@
         common_group: int,
         known: Mapping[int, Iterable[str]],
     ) -> tuple[str | None, list[int]]:
-        """Return the recorded software, or None and the groups that did not answer."""
+        """Return the recorded software, or None and the groups that did not answer.
+
+        :param attempt_id: the attempt that brought the first event; if the caller names none, it is
+            one of the owner's.
+        """
         unanswered: list[int] = []
-        if attempt_id is None:
-            return None, unanswered
+        all_keys: list[str] = []
         for group in self._zones.common_first(common_group):
             keys = known.get(group)
             if keys is None:
@@ -99,9 +102,14 @@
             if keys is None:
                 unanswered.append(group)
                 continue
+            if attempt_id is None:
+                all_keys += keys
+                continue
             software = recorded_software(keys, owner, attempt_id)
             if software is not None:
                 return software, unanswered
+        if attempt_id is None and not unanswered:
+            return common_software(all_keys, owner), unanswered
         return None, unanswered
 
     def _read(self, group: int, owner: str) -> Iterable[str] | None:
