--- a/features/support/zone_mutants.py
+++ b/features/support/zone_mutants.py
@@ -79,7 +79,8 @@
     self: ReplicatedLedger, held: TurnReservations, budget: int, needed: int, end: Any
 ) -> None:
     claim = held.next_claim(held.missing_tokens)
-    held.add(Reservation(claim, {claim.common_group: claim.tokens}, claim.tokens, "", False))
+    tokens = {claim.common_group: claim.tokens}
+    held.add(Reservation(claim, tokens, claim.tokens, "", False, [], {}))
 
 
 def _store_in_memory(self: TurnStore, pending: Any, own: int, timeout_s: float) -> None:
