--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -515,11 +515,12 @@
         """Start a server and list it."""
         self._server_count += 1
         server = Server(f"i-{self._server_count - 1}", version=version)
-        self.service_of[server.server_id] = service
         if script is not None:
             server.script = script
+        address = server.start()
+        self.service_of[server.server_id] = service
         self.servers[server.server_id] = server
-        self._list(server, service, server.start(), "ready")
+        self._list(server, service, address, "ready")
         return server
 
     def listed_address(self, server_id: str, address: str) -> str:
