The affinity of a request is computed in one place

The expectation of a stream's software computed the hash key of a request anew, with small differences from the sender's: a route's stickiness was not asked, and a cookie of a request without a prompt was passed over. Both call placement_affinity now, so the expectation follows the choice that it expects. The turn reads the clock only where it is used, and the comment of the software history no longer claims more than its 60 s.

--- a/yarrowwall/dispatch/sender.py
+++ b/yarrowwall/dispatch/sender.py
@@ -31,7 +31,7 @@
 from yarrowwall.policy.memory_budget import RequestMemory
 from yarrowwall.policy.request_time import RequestTime
 from yarrowwall.policy.sending import SendRules
-from yarrowwall.policy.server_choice import Choice, PlacementRequest
+from yarrowwall.policy.server_choice import Choice, PlacementRequest, placement_affinity
 from yarrowwall.policy.servers import ServerState
 from yarrowwall.policy.urgency import turn_rank
 from yarrowwall.ports.quotas import Allowance
@@ -197,12 +197,9 @@
 
     def _choose(self) -> Choice | None:
         attempt, plan = self._attempt, self._plan
-        affinity = (attempt.affinity or "") if plan.route.is_sticky else ""
-        if attempt.program is not None and (attempt.prompt or not affinity):
-            affinity = attempt.program.program_id
         request = PlacementRequest(
             attempt.prompt,
-            affinity,
+            placement_affinity(attempt, plan.route),
             plan.last_server,
             plan.expected_software,
             self.rules.software,
--- a/yarrowwall/gateway/turn.py
+++ b/yarrowwall/gateway/turn.py
@@ -20,7 +20,7 @@
 from yarrowwall.policy.memory_budget import MemoryExhaustedError, RequestMemory
 from yarrowwall.policy.request_time import RequestTime
 from yarrowwall.policy.retry_after import SHORTAGE_SECONDS, after_outage_s
-from yarrowwall.policy.server_choice import PlacementRequest
+from yarrowwall.policy.server_choice import PlacementRequest, placement_affinity
 from yarrowwall.ports.admission import NewProgram
 from yarrowwall.ports.loads import PendingLoads
 from yarrowwall.ports.programs import NO_EXPECTED_SOFTWARE, ExpectedSoftware, TurnGrant
@@ -97,21 +97,21 @@
         """Return what is known of the software that will run the turn, if it may be resumed."""
         if not self._route.is_resumable or self._service is None:
             return NO_EXPECTED_SOFTWARE
-        directory, name = self._components.dispatch.directory, self._service.name
-        now = self._components.dispatch.now()
+        dispatch, service = self._components.dispatch, self._service.name
         if self._attempt.is_resumption:
-            return ExpectedSoftware(sole=directory.sole_software(name, now))
-        software = directory.software(name)
+            sole = dispatch.directory.sole_software(service, dispatch.now())
+            return ExpectedSoftware(sole=sole)
+        software = dispatch.directory.software(service)
         if len(software) == 1:
             return ExpectedSoftware(next(iter(software)))
-        return ExpectedSoftware(self._likely_software(name, now))
+        return ExpectedSoftware(self._likely_software(service))
 
-    def _likely_software(self, service: str, now: float) -> str:
+    def _likely_software(self, service: str) -> str:
         """Return the software of the server that would be chosen now; empty without servers."""
-        program = self._attempt.program
-        affinity = program.program_id if program is not None else self._attempt.affinity or ""
+        affinity = placement_affinity(self._attempt, self._route)
         request = PlacementRequest(self._attempt.prompt, affinity, "")
-        choice = self._components.dispatch.chooser.choose(service, (), now, request)
+        dispatch = self._components.dispatch
+        choice = dispatch.chooser.choose(service, (), dispatch.now(), request)
         return choice.server.software_id if choice is not None else ""
 
     def _choose_service(self, grant: TurnGrant) -> str:
--- a/yarrowwall/policy/server_choice.py
+++ b/yarrowwall/policy/server_choice.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from yarrowwall.hashing import fraction
-from yarrowwall.model import PromptPart, Server
+from yarrowwall.model import Attempt, PromptPart, Route, Server
 from yarrowwall.policy.prefix_cache import SharedPrefixes
 from yarrowwall.policy.servers import (
     SLOW_FACTOR,
@@ -52,6 +52,14 @@
 MIN_SHARED_PARTS = 2
 
 
+def placement_affinity(attempt: Attempt, route: Route) -> str:
+    """Return the hash key of a request; requests of one program have the same."""
+    affinity = (attempt.affinity or "") if route.is_sticky else ""
+    if attempt.program is not None and (attempt.prompt or not affinity):
+        return attempt.program.program_id
+    return affinity
+
+
 class PlacementRequest(NamedTuple):
     """The properties of a request that matter for the choice of a server.
 
--- a/yarrowwall/policy/software_history.py
+++ b/yarrowwall/policy/software_history.py
@@ -5,8 +5,8 @@
 
 from yarrowwall.model import Server
 
-#: Seconds for which software is remembered after its last server was listed: longer than callers
-#: wait for a stream, so that it includes the software of every stream that may still be resumed.
+#: Seconds for which software is remembered after its last server was listed. It includes the
+#: software of every stream that may still be resumed by a caller whose deadline is no longer.
 MEMORY_SECONDS = 60.0
 
 
