Stream records find and begin themselves; the ledger calls them

No change of behaviour: stream_records.feature passes with its mutants, the one that resumes at any software patches the method's new place.

--- a/features/support/stream_mutants.py
+++ b/features/support/stream_mutants.py
@@ -6,7 +6,6 @@
 from unittest.mock import patch
 
 from yarrowwall.budgets import stream_keys, stream_records
-from yarrowwall.budgets.ledger import ReplicatedLedger
 from yarrowwall.budgets.stream_records import StreamRecord, StreamRecords
 from yarrowwall.exceptions import StoreUncertainError
 from yarrowwall.messages.replicated import StoredRecord
@@ -59,13 +58,13 @@
     )
 
 
-def _go_on_anywhere(self: ReplicatedLedger, grant: Any, attempt: Any, *others: Any) -> None:
-    grant.software = "aaaaaaaa"
+def _go_on_anywhere(self: StreamRecords, *asked: Any) -> str:
+    return "aaaaaaaa"
 
 
 MUTANTS: dict[str, Callable[[], AbstractContextManager[Any]]] = {
     "resumes at any software": lambda: patch.object(
-        ReplicatedLedger, "_set_software", _go_on_anywhere
+        StreamRecords, "resumed_software", _go_on_anywhere
     ),
     "records no change of the software": lambda: patch.object(
         StreamRecord, "ensure", _ignore_change
--- a/yarrowwall/budgets/ledger.py
+++ b/yarrowwall/budgets/ledger.py
@@ -14,7 +14,7 @@
 from yarrowwall.budgets.stream_records import StreamRecord, StreamRecords, stream_retention_s
 from yarrowwall.budgets.turn_reservations import TurnReservations
 from yarrowwall.budgets.turn_store import END_MARGIN_SECONDS, PlacedRecord, TurnStore
-from yarrowwall.budgets.turns import Turn, output_of, prompt_body
+from yarrowwall.budgets.turns import Turn, output_of, prompt_body, tenant_scoped
 from yarrowwall.budgets.zone_groups import ZoneGroups
 from yarrowwall.decisions import DecisionLog
 from yarrowwall.event_stream import Event
@@ -42,12 +42,6 @@
 PROBE_TIMEOUT_SECONDS = 0.3
 
 
-def _tenant_scoped(tenant: str, name: str) -> str:
-    """Return a name chosen by callers, qualified by its tenant."""
-    # The length prefix marks the end of the tenant, so no caller can forge another tenant's name.
-    return f"{len(tenant)}:{tenant}:{name}" if tenant and name else name
-
-
 class ReplicatedLedger:
     """Grants turns based on the budgets and turns in the record store.
 
@@ -74,7 +68,7 @@
         self._reservations = Reservations(
             client, self._zones, self._reachability, self._queues, log
         )
-        self._streams = StreamRecords(client, self._zones, self._reachability, log)
+        self._streams = StreamRecords(client, views, self._zones, self._reachability, log)
         self._turns = TurnStore(
             client, self.group_of, self._zones, self._reachability, self._queues, log, now
         )
@@ -163,7 +157,7 @@
         body = attempt.body
         program = attempt.program
         if route.is_stateful and program is not None:
-            self._turns.check_storable(_tenant_scoped(attempt.tenant, attempt.attempt_id))
+            self._turns.check_storable(tenant_scoped(attempt.tenant, attempt.attempt_id))
             body = self._prompt_body(attempt, program, route)
         likely = ""
         if route.is_resumable:
@@ -172,64 +166,22 @@
         if program is not None and program.budget is not None:
             reservation = self._reserve(attempt, program, program.budget, route, likely)
         grant = LedgerGrant(self, attempt, route, body, reservation, tokens_per_event, deadline)
-        if route.is_resumable:
+        if route.is_resumable and attempt.is_resumption:
             try:
-                self._set_software(grant, attempt, reservation, software)
+                grant.software = self._streams.resumed_software(attempt, reservation, software)
             except BaseException:
                 grant.close([], "")
                 raise
+        elif route.is_resumable:
+            grant.stream_record = self._streams.begin(attempt, reservation, likely)
+            grant.expected_software = likely if reservation is not None else ""
         return grant
 
-    def _set_software(
-        self,
-        grant: "LedgerGrant",
-        attempt: Attempt,
-        reservation: Reservation | None,
-        expected: ExpectedSoftware,
-    ) -> None:
-        """Set the software that must run a resumed stream, or the record of one that begins.
-
-        :raises StreamUnknownError: If no record tells which software began a resumed stream.
-        :raises StoreUncertainError: If too few groups answered to determine that.
-        """
-        if attempt.is_resumption:
-            if reservation is not None:
-                owner = reservation.claim.program_id
-            else:
-                owner = self._stream_owner(attempt, attempt.resumed_attempt or "")
-            known = reservation.others_by_group if reservation is not None else {}
-            common_group = self.group_of(owner)
-            grant.software = self._streams.origin(attempt, owner, common_group, known, expected)
-            return
-        if reservation is not None:
-            owner, groups = reservation.claim.program_id, reservation.claimed_groups
-            grant.expected_software = expected.likely
-        else:
-            owner = self._stream_owner(attempt, attempt.attempt_id)
-            group = self._views.group_of(owner)
-            if group is None:
-                # Without a budget, a stream needs no replicas; its caller cannot resume it.
-                return
-            groups = [group]
-        grant.stream_record = StreamRecord(
-            self._streams,
-            owner,
-            attempt.attempt_id,
-            groups,
-            grant.expected_software,
-            stream_retention_s(attempt),
-        )
-
-    @staticmethod
-    def _stream_owner(attempt: Attempt, attempt_id: str) -> str:
-        """Return the owner of the records of a stream without a budget."""
-        return f"stream/{_tenant_scoped(attempt.tenant, attempt_id)}"
-
     def _prompt_body(self, attempt: Attempt, program: ProgramContext, route: Route) -> bytes:
         """Return the request body for the server: all earlier turns and the new input."""
         if not program.previous_turn:
             return attempt.body
-        previous = _tenant_scoped(attempt.tenant, program.previous_turn)
+        previous = tenant_scoped(attempt.tenant, program.previous_turn)
         turns = self._turns.chain(attempt.attempt_id, previous, route.retention_s)
         return prompt_body(turns, attempt.body)
 
@@ -247,7 +199,7 @@
         :raises BudgetExhaustedError: If too few tokens of the budget are left.
         :raises StoreUncertainError: If too few groups could be asked.
         """
-        program_id = _tenant_scoped(attempt.tenant, program.program_id)
+        program_id = tenant_scoped(attempt.tenant, program.program_id)
         common_group = self.group_of(program_id)
         retention_s = route.retention_s
         if software:
@@ -420,8 +372,8 @@
             return
         tenant = self._attempt.tenant
         turn = Turn(
-            _tenant_scoped(tenant, self._attempt.attempt_id),
-            _tenant_scoped(tenant, program.previous_turn or ""),
+            tenant_scoped(tenant, self._attempt.attempt_id),
+            tenant_scoped(tenant, program.previous_turn or ""),
             self._attempt.body,
             output_of(events),
         )
--- a/yarrowwall/budgets/stream_keys.py
+++ b/yarrowwall/budgets/stream_keys.py
@@ -17,6 +17,11 @@
 _SEPARATOR = "@"
 
 
+def stream_owner(attempt_id: str) -> str:
+    """Return the owner of the records of a stream without a budget."""
+    return f"stream/{attempt_id}"
+
+
 def claim_key(owner: str, attempt_id: str, software: str) -> str:
     """Return the key of a turn's claim.
 
--- a/yarrowwall/budgets/stream_records.py
+++ b/yarrowwall/budgets/stream_records.py
@@ -3,8 +3,15 @@
 from collections.abc import Iterable, Mapping, Sequence
 
 from yarrowwall import decisions
+from yarrowwall.budgets.budget_requests import Reservation
 from yarrowwall.budgets.group_reachability import GroupReachability
-from yarrowwall.budgets.stream_keys import change_key, common_software, recorded_software
+from yarrowwall.budgets.stream_keys import (
+    change_key,
+    common_software,
+    recorded_software,
+    stream_owner,
+)
+from yarrowwall.budgets.turns import tenant_scoped
 from yarrowwall.budgets.zone_groups import ZoneGroups
 from yarrowwall.decisions import DecisionLog, StreamOrigin
 from yarrowwall.exceptions import StoreUncertainError, StreamUnknownError
@@ -13,6 +20,7 @@
 from yarrowwall.policy.budget_parts import ClaimState
 from yarrowwall.ports.programs import ExpectedSoftware
 from yarrowwall.replication.exceptions import NoQuorumError
+from yarrowwall.replication.group_views import GroupViews
 from yarrowwall.replication.quorum_client import QuorumClient
 
 #: Timeout in seconds of one read or write. An answer takes milliseconds, and a caller waits.
@@ -27,16 +35,18 @@
 
 
 class StreamRecords:
-    """Writes and reads the records of streams."""
+    """Writes and reads the records of streams: at begin, and when a caller resumes one."""
 
     def __init__(
         self,
         client: QuorumClient,
+        views: GroupViews,
         zones: ZoneGroups,
         reachability: GroupReachability,
         log: DecisionLog,
     ) -> None:
         self._client = client
+        self._views = views
         self._zones = zones
         self._reachability = reachability
         self._log = log
@@ -51,22 +61,43 @@
                 raise NoQuorumError(f"group {group} is out of reach")
             self._client.write(group, [record], timeout=TIMEOUT_SECONDS)
 
-    def origin(
-        self,
-        attempt: Attempt,
-        owner: str,
-        common_group: int,
-        known: Mapping[int, Iterable[str]],
-        expected: ExpectedSoftware,
+    def begin(
+        self, attempt: Attempt, reservation: Reservation | None, likely: str
+    ) -> "StreamRecord | None":
+        """Return the record of a stream that begins.
+
+        None without a budget and a known group: such a stream needs no replicas, but its caller
+        cannot resume it.
+
+        :param likely: the software that the reservation names.
+        """
+        retention_s = stream_retention_s(attempt)
+        if reservation is not None:
+            owner, groups = reservation.claim.program_id, reservation.claimed_groups
+            return StreamRecord(self, owner, attempt.attempt_id, groups, likely, retention_s)
+        owner = stream_owner(tenant_scoped(attempt.tenant, attempt.attempt_id))
+        group = self._views.group_of(owner)
+        if group is None:
+            return None
+        return StreamRecord(self, owner, attempt.attempt_id, [group], "", retention_s)
+
+    def resumed_software(
+        self, attempt: Attempt, reservation: Reservation | None, expected: ExpectedSoftware
     ) -> str:
         """Return the software that began the stream that an attempt resumes.
 
-        :param owner: the owner of the stream's records.
-        :param known: keys of the owner's records in the groups that were read already.
         :param expected: what the gateway knows, used if nothing is recorded.
         :raises StreamUnknownError: if nothing is recorded and several could have begun it.
         :raises StoreUncertainError: if not all groups that may have a record answered.
         """
+        if reservation is not None:
+            owner, known = reservation.claim.program_id, reservation.others_by_group
+        else:
+            resumed = tenant_scoped(attempt.tenant, attempt.resumed_attempt or "")
+            owner, known = stream_owner(resumed), {}
+        common_group = self._views.group_of(owner)
+        if common_group is None:
+            raise StoreUncertainError("no replica group is known")
         software, unanswered = self._find(attempt.resumed_attempt, owner, common_group, known)
         if software is None and unanswered:
             self._log_origin(attempt, StreamOrigin.UNCERTAIN, "")
@@ -90,6 +121,7 @@
     ) -> tuple[str | None, list[int]]:
         """Return the recorded software, or None and the groups that did not answer.
 
+        :param known: keys of the owner's records in the groups that were read already.
         :param attempt_id: the attempt that brought the first event; if the caller names none, it is
             one of the owner's.
         """
--- a/yarrowwall/budgets/turns.py
+++ b/yarrowwall/budgets/turns.py
@@ -36,6 +36,12 @@
         return _LENGTH.pack(len(self.body)) + self.body + self.output
 
 
+def tenant_scoped(tenant: str, name: str) -> str:
+    """Return a name chosen by callers, qualified by its tenant."""
+    # The length prefix marks the end of the tenant, so no caller can forge another tenant's name.
+    return f"{len(tenant)}:{tenant}:{name}" if tenant and name else name
+
+
 def turn_key(attempt_id: str) -> str:
     """Return the record key of a turn, or an empty text for an empty id."""
     return _KEY_PREFIX + attempt_id if attempt_id else ""
