A stream that runs unrecorded is logged

A stream without a budget runs on if its record cannot be written, and the error was dropped without a line, so that a later refusal of its resumption could not be explained. StreamUnrecorded tells the attempt and the reason. The group of a record is asked through the ledger's group_of, as for turns, in place of a check of its own with the same error.

--- a/yarrowwall/budgets/ledger.py
+++ b/yarrowwall/budgets/ledger.py
@@ -68,7 +68,7 @@
         self._reservations = Reservations(
             client, self._zones, self._reachability, self._queues, log
         )
-        self._streams = StreamRecords(client, views, self._zones, self._reachability, log)
+        self._streams = StreamRecords(client, self.group_of, self._zones, self._reachability, log)
         self._turns = TurnStore(
             client, self.group_of, self._zones, self._reachability, self._queues, log, now
         )
--- a/yarrowwall/budgets/stream_records.py
+++ b/yarrowwall/budgets/stream_records.py
@@ -1,6 +1,6 @@
 """Records of the software that runs a stream, by which any gateway resumes it at that software."""
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from yarrowwall import decisions
 from yarrowwall.budgets.budget_requests import Reservation
@@ -20,7 +20,6 @@
 from yarrowwall.policy.budget_parts import ClaimState
 from yarrowwall.ports.programs import ExpectedSoftware
 from yarrowwall.replication.exceptions import NoQuorumError
-from yarrowwall.replication.group_views import GroupViews
 from yarrowwall.replication.quorum_client import QuorumClient
 
 #: Timeout in seconds of one read or write. An answer takes milliseconds, and a caller waits.
@@ -35,18 +34,21 @@
 
 
 class StreamRecords:
-    """Writes and reads the records of streams: at begin, and when a caller resumes one."""
+    """Writes the record of each stream that begins, and reads it when a caller resumes the stream.
+
+    :param group_of: returns the common group of an owner; raises StoreUncertainError without one.
+    """
 
     def __init__(
         self,
         client: QuorumClient,
-        views: GroupViews,
+        group_of: Callable[[str], int],
         zones: ZoneGroups,
         reachability: GroupReachability,
         log: DecisionLog,
     ) -> None:
         self._client = client
-        self._views = views
+        self._group_of = group_of
         self._zones = zones
         self._reachability = reachability
         self._log = log
@@ -76,8 +78,10 @@
             owner, groups = reservation.claim.program_id, reservation.claimed_groups
             return StreamRecord(self, owner, attempt.attempt_id, groups, likely, retention_s)
         owner = stream_owner(tenant_scoped(attempt.tenant, attempt.attempt_id))
-        group = self._views.group_of(owner)
-        if group is None:
+        try:
+            group = self._group_of(owner)
+        except StoreUncertainError as error:
+            self.log_unrecorded(attempt.attempt_id, error)
             return None
         return StreamRecord(self, owner, attempt.attempt_id, [group], "", retention_s)
 
@@ -95,10 +99,9 @@
         else:
             resumed = tenant_scoped(attempt.tenant, attempt.resumed_attempt or "")
             owner, known = stream_owner(resumed), {}
-        common_group = self._views.group_of(owner)
-        if common_group is None:
-            raise StoreUncertainError("no replica group is known")
-        software, unanswered = self._find(attempt.resumed_attempt, owner, common_group, known)
+        software, unanswered = self._find(
+            attempt.resumed_attempt, owner, self._group_of(owner), known
+        )
         if software is None and unanswered:
             self._log_origin(attempt, StreamOrigin.UNCERTAIN, "")
             groups = ", ".join(str(group) for group in unanswered)
@@ -154,6 +157,10 @@
             # The attempt is refused as uncertain, which is logged.
             return None
 
+    def log_unrecorded(self, attempt_id: str, error: Exception) -> None:
+        """Log that a stream runs unrecorded, so that its caller cannot resume it."""
+        self._log.write(decisions.StreamUnrecorded(attempt_id, str(error)))
+
     def _log_origin(self, attempt: Attempt, origin: StreamOrigin, software: str) -> None:
         self._log.write(
             decisions.StreamOriginFound(
@@ -208,5 +215,6 @@
             self._possible.add(software)
             if len(self._possible) > 1:
                 raise StoreUncertainError(f"software not recorded: {error}") from error
+            self._records.log_unrecorded(self._attempt_id, error)
             return
         self._possible = {software}
--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -282,6 +282,13 @@
     software: str
 
 
+class StreamUnrecorded(Decision, frozen=True):
+    """A stream runs without a record of its software, so its caller cannot resume it."""
+
+    attempt: str
+    reason: str
+
+
 class ConfigurationInForce(Decision, frozen=True):
     """A newer configuration came into force."""
 
