Test support: stream scripts, refusals and schedules use what was there

The scripts of servers with versions wrote the streaming and the break within an event again, and a full server's answer: stream() takes what makes an event, and platform_scripts.full answers, also for the soak's rejections. Schedules of streams are run by run_zone_schedules with their own world. Steps that begin streams or add the route share a function; the soak's clients close their connections also when they fail. Assertions and bounds are as they were.

--- a/features/soak/streams.py
+++ b/features/soak/streams.py
@@ -1,5 +1,6 @@
 """Clients that resume streams of servers of several software versions."""
 
+import contextlib
 import http.client
 import random
 import threading
@@ -144,13 +145,13 @@
 
     def _run(self, rng: random.Random, number: int) -> None:
         # One client in four sends streams without a budget.
-        client = _PersistentClient(self._world, has_budget=number % 4 != 3)
+        has_budget = number % 4 != 3
         done = 0
-        while not self._is_over.is_set():
-            done += 1
-            self._run_stream(client, rng, f"stream-{number}-{done}")
-            self._is_over.wait(rng.uniform(0.0, _MAX_PAUSE_S))
-        client.close()
+        with contextlib.closing(_PersistentClient(self._world, has_budget)) as client:
+            while not self._is_over.is_set():
+                done += 1
+                self._run_stream(client, rng, f"stream-{number}-{done}")
+                self._is_over.wait(rng.uniform(0.0, _MAX_PAUSE_S))
 
     def _run_stream(self, client: _PersistentClient, rng: random.Random, name: str) -> None:
         gateway = rng.randrange(len(self._world.gateways))
--- a/features/soak/world.py
+++ b/features/soak/world.py
@@ -13,6 +13,7 @@
 
 from features.soak.promises import Record, events_of
 from features.soak.proxy import Mode, Proxy
+from features.support.platform_scripts import full
 from features.support.platform_world import (
     Arrival,
     PlatformWorld,
@@ -165,8 +166,7 @@
     def _rejects(self, call: QuietHandler, arrival: Arrival) -> bool:
         self._record.note_reached(arrival.attempt_id)
         if self._chance() < _REJECTED_SHARE:
-            call.answer(503, b"", {"X-Not-Executed": "1", "X-Attempt-Id": arrival.attempt_id})
-            return True
+            return full(call, arrival)
         self._record.note_started(arrival.attempt_id, arrival.body)
         return False
 
--- a/features/steps/stream_version_steps.py
+++ b/features/steps/stream_version_steps.py
@@ -20,11 +20,15 @@
 from yarrowwall.policy.servers import VANISHED_SECONDS
 
 
-@given('a resumable route with {first:d} servers of "{old}" and {second:d} of "{new}"')
-def two_versions(context: Context, first: int, old: str, second: int, new: str) -> None:
+def add_resumable_route(context: Context) -> None:
     context.scripts = VersionedServers()
     context.client = ResumingClient(world(context))
     world(context).add_route(ROUTE, "streaming", resumable=True, attempts=3)
+
+
+@given('a resumable route with {first:d} servers of "{old}" and {second:d} of "{new}"')
+def two_versions(context: Context, first: int, old: str, second: int, new: str) -> None:
+    add_resumable_route(context)
     context.by_version = {
         version: [
             world(context).add_server(ROUTE, context.scripts.script(version), version)
@@ -37,9 +41,7 @@
 
 @given("a resumable route with {count:d} servers without a version")
 def no_versions(context: Context, count: int) -> None:
-    context.scripts = VersionedServers()
-    context.client = ResumingClient(world(context))
-    world(context).add_route(ROUTE, "streaming", resumable=True, attempts=3)
+    add_resumable_route(context)
     for _ in range(count):
         world(context).add_server(ROUTE, context.scripts.script("none"))
     publish(context)
@@ -65,25 +67,28 @@
     context.scripts.break_share = share
 
 
-@when("{count:d} streams are begun at both gateways")
-def begin_whole(context: Context, count: int) -> None:
+def begin_all(
+    context: Context, count: int, gateway: Callable[[int], int], cut_after: int | None = None
+) -> None:
+    """Begin streams, each at the gateway that a function of its number names."""
     context.streams = in_parallel(
-        count, lambda number: context.client.begin(f"s-{number}", number % 2)
+        count, lambda number: context.client.begin(f"s-{number}", gateway(number), cut_after)
     )
 
 
+@when("{count:d} streams are begun at both gateways")
+def begin_whole(context: Context, count: int) -> None:
+    begin_all(context, count, lambda number: number % 2)
+
+
 @when("{count:d} streams are begun at both gateways and cut by their clients")
 def begin_and_cut(context: Context, count: int) -> None:
-    context.streams = in_parallel(
-        count, lambda number: context.client.begin(f"s-{number}", number % 2, CUT_AFTER)
-    )
+    begin_all(context, count, lambda number: number % 2, CUT_AFTER)
 
 
 @when("{count:d} streams are begun at gateway {gateway:d} and cut by their clients")
 def begin_at(context: Context, count: int, gateway: int) -> None:
-    context.streams = in_parallel(
-        count, lambda number: context.client.begin(f"s-{number}", gateway, CUT_AFTER)
-    )
+    begin_all(context, count, lambda number: gateway, CUT_AFTER)
 
 
 @when('the servers of "{version}" have gone')
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -4,6 +4,7 @@
 inspect which requests arrived where. The names are the platform's.
 """
 
+import contextlib
 import http.client
 import json
 import os
@@ -400,19 +401,26 @@
 
 
 def stream(
-    call: QuietHandler, arrival: Arrival, events: range, pause: float = 0.0, is_whole: bool = True
+    call: QuietHandler,
+    arrival: Arrival,
+    events: range,
+    pause: float = 0.0,
+    is_whole: bool = True,
+    make_event: Callable[[int], bytes] = event,
 ) -> bool:
     """Answer with a stream of events, which breaks off within an event if it is not whole."""
     begin_stream(call, arrival)
     for number in events:
-        send_chunk(call, event(number))
+        send_chunk(call, make_event(number))
         time.sleep(pause)
     if is_whole:
         call.wfile.write(b"0\r\n\r\n")
     else:
         call.wfile.write(b"3f\r\nid: 99\nda")
         call.wfile.flush()
-        call.connection.shutdown(socket.SHUT_RDWR)
+        with contextlib.suppress(OSError):
+            # The gateway may have closed the connection already.
+            call.connection.shutdown(socket.SHUT_RDWR)
         call.close_connection = True
     return True
 
--- a/features/support/stream_model.py
+++ b/features/support/stream_model.py
@@ -10,7 +10,7 @@
 
 import eventlet
 
-from features.support.virtual_time import now_s, run_virtually
+from features.support.virtual_time import now_s
 from features.support.zone_model import (
     ACTIVE_S,
     MAX_TOKENS,
@@ -18,6 +18,7 @@
     ZONES,
     Gateway,
     ZoneWorld,
+    run_zone_schedules,
 )
 from yarrowwall.event_stream import Event
 from yarrowwall.exceptions import BudgetExhaustedError, StoreUncertainError, StreamUnknownError
@@ -188,14 +189,4 @@
 
     :raises AssertionError: with the seed, if an invariant was violated.
     """
-    counts: Counter[str] = Counter()
-    for seed in range(first, first + count):
-        counts += run_virtually(lambda seed=seed: _run_schedule(seed))
-    return counts
-
-
-def _run_schedule(seed: int) -> Counter[str]:
-    world = StreamWorld(seed)
-    world.run()
-    assert not world.violations, f"seed {seed}: {world.violations[:3]}"
-    return world.counts
+    return run_zone_schedules(count, first, StreamWorld)
--- a/features/support/versioned_streams.py
+++ b/features/support/versioned_streams.py
@@ -3,10 +3,8 @@
 Each event names the version of its server, so a stream that was joined from two versions shows.
 """
 
-import contextlib
 import http.client
 import random
-import socket
 import time
 import zlib
 from collections.abc import Callable
@@ -14,13 +12,13 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from features.support.platform_scripts import full
 from features.support.platform_world import (
     HOST,
     Arrival,
     PlatformWorld,
     QuietHandler,
-    begin_stream,
-    send_chunk,
+    stream,
 )
 
 ROUTE = "advice"
@@ -93,25 +91,15 @@
 
         def run(call: QuietHandler, arrival: Arrival) -> bool:
             if self._rng.random() < self.full_share:
-                call.answer(503, b"", {"X-Not-Executed": "1", "X-Attempt-Id": arrival.attempt_id})
-                return True
+                return full(call, arrival)
             self.ran[arrival.attempt_id] = version
             first = int(arrival.headers.get("Last-Event-Id", "0")) + 1
-            breaks = first == 1 and self._rng.random() < self.break_share
-            begin_stream(call, arrival)
-            for number in range(first, (BREAK_AFTER if breaks else EVENTS) + 1):
-                send_chunk(call, b"id: %d\ndata: %s\n\n" % (number, version.encode()))
-                time.sleep(PAUSE_S)
-            if breaks:
-                call.wfile.write(b"8\r\nid: 9\nd")
-                call.wfile.flush()
-                call.close_connection = True
-                with contextlib.suppress(OSError):
-                    # The gateway may have closed the connection already.
-                    call.connection.shutdown(socket.SHUT_RDWR)
-            else:
-                call.wfile.write(b"0\r\n\r\n")
-            return True
+            is_whole = first > 1 or self._rng.random() >= self.break_share
+            events = range(first, (EVENTS if is_whole else BREAK_AFTER) + 1)
+            return stream(call, arrival, events, PAUSE_S, is_whole, make_event)
+
+        def make_event(number: int) -> bytes:
+            return b"id: %d\ndata: %s\n\n" % (number, version.encode())
 
         return run
 
--- a/features/support/zone_model.py
+++ b/features/support/zone_model.py
@@ -558,19 +558,21 @@
     return Attempt(attempt_id, "POST", "/talk/x", "host", [], body, now_s(), now_s() + 5.0, context)
 
 
-def run_zone_schedules(count: int, first: int = 0) -> Counter[str]:
+def run_zone_schedules(
+    count: int, first: int = 0, make_world: Callable[[int], ZoneWorld] = ZoneWorld
+) -> Counter[str]:
     """Run schedules and return the counts of their events.
 
+    :param make_world: returns the world of a seed.
     :raises AssertionError: With the seed, if an invariant was violated.
     """
     counts: Counter[str] = Counter()
     for seed in range(first, first + count):
-        counts += run_virtually(lambda seed=seed: _run_schedule(seed))
+        counts += run_virtually(lambda seed=seed: _run_schedule(make_world(seed), seed))
     return counts
 
 
-def _run_schedule(seed: int) -> Counter[str]:
-    world = ZoneWorld(seed)
+def _run_schedule(world: ZoneWorld, seed: int) -> Counter[str]:
     world.run()
     assert not world.violations, f"seed {seed}: {world.violations[:3]}"
     return world.counts
