The scenario of killed replicas waits until they serve again

It waits until each gateway serves a new stream; that all resumed streams then go on at their version is checked as before.

--- a/features/steps/stream_version_steps.py
+++ b/features/steps/stream_version_steps.py
@@ -131,7 +131,12 @@
 def restart_replicas(context: Context) -> None:
     for name in context.killed:
         world(context).start_machine(name, is_gateway=False)
-    world(context).wait_ready()
+    for gateway in (0, 1):
+        name = f"after the start at {gateway}"
+        wait_until(
+            lambda name=name, gateway=gateway: context.client.begin(name, gateway).is_whole,
+            f"gateway {gateway} serves new streams",
+        )
 
 
 @when("gateway {gateway:d} is killed")
