Failing tests: a request that ends one server after another

The stand-in servers end their listener and all connections at once, without a notice; another one starts under a new id, and the entry lapses later. Callers retry as the platform's clients do, at any of three gateways.

--- a/features/environment.py
+++ b/features/environment.py
@@ -34,6 +34,8 @@
         context.platform = ProxiedWorld()
     if "cut_world" in scenario.effective_tags:
         context.platform = CutWorld()
+    if "server_ends_world" in scenario.effective_tags:
+        context.platform = PlatformWorld(gateways=3)
     if "zoned_world" in scenario.effective_tags:
         context.platform = ZonedWorld()
     if "two_losses_world" in scenario.effective_tags:
--- a/features/run.py
+++ b/features/run.py
@@ -38,6 +38,7 @@
     "proxied_world",
     "cut_world",
     "real_processes",
+    "server_ends_world",
     "zoned_world",
     "two_losses_world",
 }
--- /dev/null
+++ b/features/steps/server_end_steps.py
@@ -0,0 +1,133 @@
+"""Steps about requests under which servers end."""
+
+import random
+import threading
+import time
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features.support.fatal_requests import (
+    FATAL,
+    KINDS,
+    MAX_ENDED,
+    CrashingServers,
+    RetryingCaller,
+    every,
+    run_calls,
+)
+from features.support.platform_scripts import publish, world
+
+ROUTE = "desk"
+#: Seconds in which the requests of a step begin.
+SPREAD_S = 4.0
+#: Seconds within which a request is refused that no server may run any more.
+REFUSAL_S = 0.5
+
+
+@given("{count:d} servers of a route for each {kind}")
+def servers(context: Context, count: int, kind: str) -> None:
+    context.kind = KINDS[kind]
+    world(context).add_route(ROUTE, context.kind.route_type, **context.kind.fields)
+    context.servers = CrashingServers(world(context), ROUTE, context.kind)
+    context.servers.start(count)
+    publish(context)
+    context.caller = RetryingCaller(world(context), ROUTE, context.kind, [0, 1, 2])
+    context.stop = threading.Event()
+    context.add_cleanup(context.stop.set)
+
+
+@given("a server ends by itself every {seconds:f} s")
+def one_ends(context: Context, seconds: float) -> None:
+    rng = random.Random(1)
+    every(seconds, lambda: context.servers.end(rng.choice(context.servers.live)), context.stop)
+
+
+@given("all servers end at once every {seconds:f} s")
+def all_end(context: Context, seconds: float) -> None:
+    def end_all() -> None:
+        for server in context.servers.live:
+            context.servers.end(server)
+
+    every(seconds, end_all, context.stop)
+
+
+@given("servers reset {share:f} of the connections while they answer")
+def resets(context: Context, share: float) -> None:
+    context.servers.reset_share = share
+
+
+@when("{fatal:d} fatal requests arrive among {others:d} others")
+def fatal_among_others(context: Context, fatal: int, others: int) -> None:
+    bodies = [b"plain-%d" % number for number in range(others)]
+    # Fatal requests arrive in the midst of the others, evenly.
+    step = others // (fatal + 1) if fatal else 0
+    for number in range(fatal):
+        bodies.insert((number + 1) * step + number, FATAL + b"%d" % number)
+    calls = run_calls(context.caller, bodies, SPREAD_S)
+    context.stop.set()
+    context.servers.wait_replaced()
+    context.fatal = [call for call in calls if call.body.startswith(FATAL)]
+    context.others = [call for call in calls if not call.body.startswith(FATAL)]
+    sends = [len(context.servers.requests.sends(call.body)) for call in context.fatal]
+    served = sum(call.is_served for call in context.others)
+    print(
+        f"{context.servers.ended} servers ended, sends of the fatal requests {sends}, "
+        f"{sum(context.servers.requests.late_sends.values())} sends after {MAX_ENDED} had ended, "
+        f"{served} of {len(context.others)} others served"
+    )
+
+
+@when("{fatal:d} fatal requests arrive among {others:d} others and a gateway is killed")
+def fatal_and_kill(context: Context, fatal: int, others: int) -> None:
+    def kill() -> None:
+        time.sleep(SPREAD_S / 2.0)
+        world(context).kill("edge-2")
+
+    killer = threading.Thread(target=kill, daemon=True)
+    killer.start()
+    fatal_among_others(context, fatal, others)
+    killer.join()
+
+
+@then("no request was sent to a server after three servers had ended under it")
+def bounded(context: Context) -> None:
+    late = context.servers.requests.late_sends
+    assert not late, late
+
+
+@then("each fatal request ended at most three servers")
+def fatal_ends(context: Context) -> None:
+    ended = [context.servers.requests.ended(call.body) for call in context.fatal]
+    assert all(count <= MAX_ENDED for count in ended), ended
+    assert any(ended)
+
+
+@then("each fatal request is refused at once and its caller is told why")
+def told_why(context: Context) -> None:
+    for call in context.fatal:
+        assert not call.is_served, call
+        if context.servers.requests.ended(call.body) < MAX_ENDED:
+            # Its caller may not try often enough to end three servers.
+            continue
+        assert call.statuses[-1] == 503, call
+        assert call.retry_after[-1] is None, call
+        assert call.seconds[-1] < REFUSAL_S, call
+        assert b"servers ended" in call.bodies[-1], call
+
+
+@then("at least {count:d} of the others are served")
+def others_served(context: Context, count: int) -> None:
+    lost = [call for call in context.others if not call.is_served]
+    assert len(context.others) - len(lost) >= count, lost[:5]
+
+
+@then("each other request under which fewer than three servers ended was sent as often as before")
+def innocent_not_refused(context: Context) -> None:
+    refused = [
+        call
+        for call in context.others
+        if context.servers.requests.ended(call.body) < MAX_ENDED
+        and any(b"servers ended" in body for body in call.bodies)
+    ]
+    assert not refused, refused[:3]
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -346,6 +346,8 @@
     start_ms: int | None = None
     version: str | None = None
     is_draining: bool = False
+    has_ended: bool = False
+    connections: set[socket.socket] = field(default_factory=set)
 
     def start(self) -> str:
         """Start serving; return the address."""
@@ -354,6 +356,14 @@
         class Handler(QuietHandler):
             """Answers one request."""
 
+            def setup(self) -> None:
+                super().setup()
+                server.connections.add(self.connection)
+
+            def finish(self) -> None:
+                server.connections.discard(self.connection)
+                super().finish()
+
             def _run(self) -> None:
                 server.handle(self)
 
@@ -362,6 +372,15 @@
         self.listener = serve(Handler)
         return address_of(self.listener)
 
+    def crash(self) -> None:
+        """Stop listening and end all connections at once, as when the process ends."""
+        self.has_ended = True
+        self.listener.socket.shutdown(socket.SHUT_RDWR)
+        for connection in list(self.connections):
+            with contextlib.suppress(OSError):
+                # It may have been closed just now.
+                connection.shutdown(socket.SHUT_RDWR)
+
     def handle(self, call: QuietHandler) -> None:
         """Answer one request by the script, or else with the standard headers and a body."""
         headers = dict(call.headers.items())
