SendFailed says whether the server has ended

A server that ends closes its connections, and so does one that lives and drops one request; the log said the same of both. When a connection breaks within an answer, the gateway now connects to the server once more: refused means ended. Nothing is decided by it yet.

--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -78,12 +78,16 @@
 
 
 class SendFailed(Decision, frozen=True):
-    """A send to a server produced no answer that can be forwarded."""
+    """A send to a server produced no answer that can be forwarded.
+
+    :param has_ended: whether the server is known to have ended, so that it refuses connections.
+    """
 
     attempt: str
     server: str
     reason: str
     may_have_run: bool
+    has_ended: bool
 
 
 class AttemptAnswered(Decision, frozen=True):
--- a/yarrowwall/dispatch/components.py
+++ b/yarrowwall/dispatch/components.py
@@ -5,6 +5,7 @@
 
 from yarrowwall.decisions import DecisionLog
 from yarrowwall.dispatch.pool import ConnectionPool
+from yarrowwall.dispatch.server_ends import ServerEndDetector
 from yarrowwall.policy.latency import LatencyEstimator, RetryBudget
 from yarrowwall.policy.memory_budget import MemoryBudget
 from yarrowwall.policy.server_choice import ServerChooser
@@ -18,6 +19,7 @@
     """Components that all attempts of a gateway share.
 
     :param now: the monotonic clock.
+    :ivar server_ends: finds out whether a server has ended.
     :ivar chooser: chooses servers from the directory.
     """
 
@@ -30,8 +32,10 @@
     now: Callable[[], float]
     latencies: LatencyEstimator = field(default_factory=LatencyEstimator)
     retries: RetryBudget = field(default_factory=RetryBudget)
+    server_ends: ServerEndDetector = field(init=False)
     chooser: ServerChooser = field(init=False)
 
     def __post_init__(self) -> None:
-        """Create the chooser."""
+        """Create the components that need others."""
+        self.server_ends = ServerEndDetector(self.directory, self.now)
         self.chooser = ServerChooser(self.directory)
--- a/yarrowwall/dispatch/sender.py
+++ b/yarrowwall/dispatch/sender.py
@@ -305,11 +305,16 @@
         if isinstance(error, AnswerTimeoutError):
             self._saw_timeout = True
             self._components.pool.close_idle(server.incarnation)
-        self._log_send_failed(server, str(error), self.history.may_have_run)
+        has_ended = self._components.server_ends.has_ended(server, error)
+        self._log_send_failed(server, str(error), self.history.may_have_run, has_ended)
 
-    def _log_send_failed(self, server: Server, reason: str, may_have_run: bool) -> None:
+    def _log_send_failed(
+        self, server: Server, reason: str, may_have_run: bool, has_ended: bool = False
+    ) -> None:
         self._components.decisions.write(
-            decisions.SendFailed(self._attempt.attempt_id, server.server_id, reason, may_have_run)
+            decisions.SendFailed(
+                self._attempt.attempt_id, server.server_id, reason, may_have_run, has_ended
+            )
         )
 
     def _handle_not_run(self, opened: OpenAnswer) -> None:
--- a/yarrowwall/exceptions.py
+++ b/yarrowwall/exceptions.py
@@ -34,6 +34,10 @@
     """A connection could not be opened in time; the server or its machine may be unreachable."""
 
 
+class ConnectRefusedError(ConnectError):
+    """A connection was refused: nothing listens at the address."""
+
+
 class ConnectionBrokenError(RelayError):
     """A connection ended or failed before the answer was complete; the request may have run."""
 
--- a/yarrowwall/sockets.py
+++ b/yarrowwall/sockets.py
@@ -13,7 +13,7 @@
 from eventlet.green import socket as green_socket
 from eventlet.hubs import IOClosed, get_hub, trampoline
 
-from yarrowwall.exceptions import ConnectError, ConnectTimeoutError
+from yarrowwall.exceptions import ConnectError, ConnectRefusedError, ConnectTimeoutError
 
 #: Milliseconds that sent bytes may stay unacknowledged; an unreachable peer sends no reset.
 USER_TIMEOUT_MS = 2500
@@ -52,6 +52,9 @@
     except TimeoutError as error:
         connection.close()
         raise ConnectTimeoutError(f"{address}: {error}") from error
+    except ConnectionRefusedError as error:
+        connection.close()
+        raise ConnectRefusedError(f"{address}: {error}") from error
     except (OSError, ValueError) as error:
         connection.close()
         raise ConnectError(f"{address}: {error}") from error
