A request under which three servers ended is sent to no server again

Callers saw: a request that ends the server that runs it was sent on, up to 18 times over its caller's tries and a turn's starts, and ended a server each time.

Cause: each layer bounds its own repeats (attempts of one attempt, tries of a caller, starts of a turn), a try has a new id at any gateway, and what one gateway sees of ended servers reaches no other. Class: a bound per layer where the layers multiply.

Change: a gateway whose connection breaks and whose server then refuses connections reports the request to the replicas of the first group, which tell all gateways at once, before the request is sent again or its caller is told. The request is identified by what all of its tries share (tenant, target, program, session, previous turn, prompt, body). Once a server has ended under it, each further send is reserved at the replicas, so that ended servers and sends whose outcome is unknown never exceed three, and it goes to a server without another such request if there is one. After three ends: 503 without Retry-After and with the reason, before anything is reserved for it.

A connection that breaks at a server that lives, is silent or cut off counts as no end.

The check of all servers ending at once now compares a refusal with the gateways' own sends: a server may end with a request that it has received and not begun, which a gateway cannot tell.

--- a/features/server_ends.feature
+++ b/features/server_ends.feature
@@ -18,6 +18,14 @@
       | turn              | 196    |
       | resumable turn    | 196    |
 
+  # Guards against ends of servers that only a gateway knew which is gone (rule BUDGET).
+  Scenario: A fatal resumable turn ends at most three servers while a gateway is killed
+    Given 6 servers of a route for each resumable turn
+    When 4 fatal requests arrive among 200 others and a gateway is killed
+    Then no request was sent to a server after three servers had ended under it
+    And each fatal request ended at most three servers
+    And at least 196 of the others are served
+
   # Guards against requests that are refused only because servers crash while they run.
   Scenario: Requests go on while one server after another ends by itself
     Given 6 servers of a route for each resumable turn
@@ -26,13 +34,21 @@
     Then at least 300 of the others are served
     And each other request under which fewer than three servers ended was sent as often as before
 
+  # Guards against requests that are refused because all servers crash at once, again and again.
+  Scenario: Requests under one or two ends go on while all servers end at once
+    Given 6 servers of a route for each resumable turn
+    And all servers end at once every 0.6 s
+    When 0 fatal requests arrive among 300 others
+    Then no request was sent to a server after three servers had ended under it
+    And each request that is refused for ended servers was sent to three that ended
+
   # Guards against reset connections that are counted as ends of servers.
   Scenario Outline: Requests go on while servers reset connections and live
     Given 6 servers of a route for each <kind>
     And servers reset 0.3 of the connections while they answer
     When 0 fatal requests arrive among 300 others
     Then each other request under which fewer than three servers ended was sent as often as before
-    And at least 299 of the others are served
+    And each of the others is served or was sent as often as its callers' tries allow
 
     Examples:
       | kind              |
--- a/features/steps/server_end_steps.py
+++ b/features/steps/server_end_steps.py
@@ -11,6 +11,8 @@
     FATAL,
     KINDS,
     MAX_ENDED,
+    TRIES,
+    TURN_STARTS,
     CrashingServers,
     RetryingCaller,
     every,
@@ -21,6 +23,8 @@
 ROUTE = "desk"
 #: Seconds in which the requests of a step begin.
 SPREAD_S = 4.0
+#: What the refusal of a request says before the ended servers.
+REFUSAL = "servers ended while they ran this request: "
 #: Seconds within which a request is refused that no server may run any more.
 REFUSAL_S = 0.5
 
@@ -122,6 +126,50 @@
     assert len(context.others) - len(lost) >= count, lost[:5]
 
 
+@then("each of the others is served or was sent as often as its callers' tries allow")
+def served_or_exhausted(context: Context) -> None:
+    limit = TRIES * int(context.kind.fields["attempts"])
+    if context.kind.is_turn:
+        limit *= TURN_STARTS
+    requests = context.servers.requests
+    lost = [
+        call
+        for call in context.others
+        if not call.is_served and len(requests.sends(call.body)) < limit
+    ]
+    assert not lost, lost[:3]
+
+
+@then("each request that is refused for ended servers was sent to three that ended")
+def refused_rightly(context: Context) -> None:
+    sent = sent_to(context)
+    refused = 0
+    for call in [*context.fatal, *context.others]:
+        named = {name for body in call.bodies for name in ended_servers(body)}
+        refused += bool(named)
+        for server_id in named:
+            assert world(context).servers[server_id].has_ended, (server_id, call)
+            assert (call.body.decode(), server_id) in sent, (server_id, call)
+        assert not named or len(named) >= MAX_ENDED, call
+    print(f"{refused} requests were refused for ended servers")
+
+
+def sent_to(context: Context) -> set[tuple[str, str]]:
+    """Return each pair of a request and a server that some gateway sent it to."""
+    return {
+        (line["attempt"].rsplit("-", 2)[0], line["server"])
+        for gateway in range(3)
+        for line in world(context).log(f"edge-{gateway}")
+        if line["kind"] == "AttemptSent"
+    }
+
+
+def ended_servers(body: bytes) -> list[str]:
+    """Return the ids of the ended servers that a refusal names."""
+    _, separator, names = body.decode(errors="replace").partition(REFUSAL)
+    return names.strip().split(", ") if separator else []
+
+
 @then("each other request under which fewer than three servers ended was sent as often as before")
 def innocent_not_refused(context: Context) -> None:
     refused = [
--- /dev/null
+++ b/features/steps/suspect_steps.py
@@ -0,0 +1,186 @@
+"""Steps about requests under which servers ended, without machines."""
+
+import itertools
+from dataclasses import replace
+
+import eventlet
+from behave import given, then, when
+from behave.runner import Context
+
+from yarrowwall.messages.suspects import (
+    FollowSuspects,
+    PendingSend,
+    ReserveSend,
+    Suspect,
+    Suspects,
+)
+from yarrowwall.model import Attempt, ProgramContext, PromptPart
+from yarrowwall.policy.crash_suspects import MAX_ENDED_SERVERS, CrashSuspects, UnresolvedSends
+from yarrowwall.policy.request_identity import request_identity
+from yarrowwall.suspects.board import COLLECT_SECONDS, SuspectBoard
+
+REQUEST = "request-1"
+RETENTION_S = 60.0
+PROGRAM = ProgramContext("program", 1000, 100, "turn-1", 9.0, "session")
+ATTEMPT = Attempt(
+    "attempt-1", "POST", "/desk/x", "desk", [], b"question", 1.0, 4.0, PROGRAM,
+    (PromptPart("ab", 80),), None, None, None, "key", "tenant",
+)  # fmt: skip
+CHANGES = {
+    "attempt id": {"attempt_id": "attempt-2"},
+    "time left": {"arrived_at": 2.0, "deadline": 3.0},
+    "last event": {"last_event_id": "3"},
+    "resumed attempt": {"resumed_attempt": "attempt-1"},
+    "API key": {"api_key": "other"},
+    "body": {"body": b"other"},
+    "target": {"target": "/desk/y"},
+    "method": {"method": "PUT"},
+    "host": {"host": "other"},
+    "tenant": {"tenant": "other"},
+    "program": {"program": replace(PROGRAM, program_id="other")},
+    "session": {"program": replace(PROGRAM, session_id="other")},
+    "previous turn": {"program": replace(PROGRAM, previous_turn="turn-2")},
+    "prompt": {"prompt": (PromptPart("cd", 80),)},
+}
+
+
+class FakeReplier:
+    """Collects what a replica sends to one gateway."""
+
+    def __init__(self) -> None:
+        self.replies: list[object] = []
+        self.notices: list[object] = []
+
+    def __call__(self, reply: object) -> None:
+        """Collect a reply."""
+        self.replies.append(reply)
+
+    def notify(self, message: object) -> bool:
+        """Collect a notice."""
+        self.notices.append(message)
+        return True
+
+
+@then('a try that differs in its "{field}" {verdict} the same request')
+def same_request(context: Context, field: str, verdict: str) -> None:
+    other = replace(ATTEMPT, **CHANGES[field])
+    assert (request_identity(other) == request_identity(ATTEMPT)) == (verdict == "is")
+
+
+def suspect(servers: list[str], left_s: float = RETENTION_S) -> Suspect:
+    return Suspect(REQUEST, servers, left_s)
+
+
+@when("reports of {count:d} ends under one request arrive in every order, some of them twice")
+def all_orders(context: Context, count: int) -> None:
+    reports = [suspect([f"i-{number}"], 10.0 + number) for number in range(count)]
+    context.tables = []
+    for order in itertools.permutations(reports):
+        table = CrashSuspects()
+        for report in [*order, order[0], order[-1]]:
+            table.merge([report], 0.0)
+        context.tables.append(table)
+    context.longest_s = 10.0 + count - 1
+
+
+@then("each order leaves {count:d} ended servers")
+def count_left(context: Context, count: int) -> None:
+    assert all(len(table.ended(REQUEST, 1.0)) == count for table in context.tables)
+
+
+@then("none is left once the longest retention is over")
+def none_left(context: Context) -> None:
+    for table in context.tables:
+        assert table.ended(REQUEST, context.longest_s - 0.1)
+        assert not table.ended(REQUEST, context.longest_s)
+        assert not table.all(context.longest_s)
+
+
+@given("a request under which {count:d} servers have ended")
+def some_ended(context: Context, count: int) -> None:
+    context.known = suspect([f"i-{number}" for number in range(count)])
+    context.replicas = [CrashSuspects() for _ in range(3)]
+    for replica in context.replicas:
+        replica.merge([context.known], 0.0)
+
+
+def reserve(context: Context, send_id: str, replicas: list[CrashSuspects]) -> set[str]:
+    """Reserve a send at replicas; return the other sends in progress."""
+    request = ReserveSend(REQUEST, PendingSend(send_id, f"server-of-{send_id}"))
+    replies = [replica.reserve(request, 1.0) for replica in replicas]
+    return {send.send_id for reply in replies for send in reply.pending}
+
+
+def may_send(context: Context, pending: set[str]) -> bool:
+    return len(context.known.ended) + len(pending) < MAX_ENDED_SERVERS
+
+
+@when("2 gateways reserve a send at the same moment")
+def reserve_both(context: Context) -> None:
+    # The reservations reach the replicas in different orders.
+    first, second, third = context.replicas
+    context.seen = {"a": reserve(context, "a", [first]), "b": reserve(context, "b", [third])}
+    context.seen["b"] |= reserve(context, "b", [second, first])
+    context.seen["a"] |= reserve(context, "a", [second, third])
+
+
+@then("at most one of them may send")
+def at_most_one(context: Context) -> None:
+    assert sum(may_send(context, pending) for pending in context.seen.values()) <= 1
+
+
+@then("one may send once the other's outcome is known")
+def one_after(context: Context) -> None:
+    for replica in context.replicas:
+        replica.release(REQUEST, "a")
+    assert may_send(context, reserve(context, "b", context.replicas))
+
+
+@when('another suspect is sent to server "{server}"')
+def other_suspect(context: Context, server: str) -> None:
+    replica = context.replicas[0]
+    replica.merge([Suspect("request-2", ["i-0"], RETENTION_S)], 0.0)
+    replica.reserve(ReserveSend("request-2", PendingSend("c", server)), 1.0)
+
+
+@then('a reservation of the request names "{server}" as occupied')
+def occupied(context: Context, server: str) -> None:
+    request = ReserveSend(REQUEST, PendingSend("a", "i-1"))
+    assert context.replicas[0].reserve(request, 1.0).occupied == [server]
+
+
+@when("a send is unresolved and its server ends {seconds:f} s later")
+def unresolved(context: Context, seconds: float) -> None:
+    sends = UnresolvedSends()
+    sends.note(REQUEST, "i-1", 1.0)
+    sends.note("request-2", "i-2", 1.0)
+    context.found = sends.take("i-1", 1.0 + seconds)
+
+
+@then("the end counts under the request")
+def counts(context: Context) -> None:
+    assert context.found == [REQUEST]
+
+
+@then("the end does not count under the request")
+def does_not_count(context: Context) -> None:
+    assert context.found == []
+
+
+@when("a replica starts again and a gateway that knows of them follows it")
+def replica_restarts(context: Context) -> None:
+    context.board = SuspectBoard(lambda: 1.0)
+    context.other, knowing = FakeReplier(), FakeReplier()
+    context.board.handle(FollowSuspects("edge-0", []), context.other)
+    context.board.handle(FollowSuspects("edge-1", [context.known]), knowing)
+    eventlet.sleep(2.0 * COLLECT_SECONDS)
+
+
+@then("the replica knows of {count:d} ended servers and has told the other gateways")
+def replica_knows(context: Context, count: int) -> None:
+    third = FakeReplier()
+    context.board.handle(FollowSuspects("edge-2", []), third)
+    for message in (*third.replies, *context.other.notices):
+        assert isinstance(message, Suspects)
+        assert [len(one.ended) for one in message.suspects] == [count]
+    assert context.other.notices
--- /dev/null
+++ b/features/suspects.feature
@@ -0,0 +1,57 @@
+Feature: What is known of requests under which servers ended
+
+  # Guards against tries of one request that are taken for several requests, and the reverse.
+  Scenario Outline: A try <same> the same request if it differs in its <field>
+    Then a try that differs in its "<field>" <same> the same request
+
+    Examples:
+      | same   | field           |
+      | is     | attempt id      |
+      | is     | time left       |
+      | is     | last event      |
+      | is     | resumed attempt |
+      | is     | API key         |
+      | is not | body            |
+      | is not | target          |
+      | is not | method          |
+      | is not | host            |
+      | is not | tenant          |
+      | is not | program         |
+      | is not | session         |
+      | is not | previous turn   |
+      | is not | prompt          |
+
+  # Guards against ends that are lost or counted twice when reports arrive in another order.
+  Scenario: Reports count once in any order
+    When reports of 5 ends under one request arrive in every order, some of them twice
+    Then each order leaves 5 ended servers
+    And none is left once the longest retention is over
+
+  # Guards against a fourth server that ends under tries which overlap (rule BUDGET).
+  Scenario: Tries that overlap leave at most three servers that may have ended
+    Given a request under which 2 servers have ended
+    When 2 gateways reserve a send at the same moment
+    Then at most one of them may send
+    And one may send once the other's outcome is known
+
+  # Guards against requests that run together again and again on the servers that one of them ends.
+  Scenario: A reservation names the servers that run other suspects
+    Given a request under which 1 servers have ended
+    When another suspect is sent to server "i-9"
+    Then a reservation of the request names "i-9" as occupied
+
+  # Guards against ends that come a moment after the connection broke or its caller left.
+  Scenario Outline: An end <seconds> s after an unresolved send <counts> under its request
+    When a send is unresolved and its server ends <seconds> s later
+    Then the end <counts> under the request
+
+    Examples:
+      | seconds | counts         |
+      | 0.1     | counts         |
+      | 0.6     | does not count |
+
+  # Guards against replicas that forget ends when they start again.
+  Scenario: A replica that started again learns the suspects from a gateway that follows it
+    Given a request under which 2 servers have ended
+    When a replica starts again and a gateway that knows of them follows it
+    Then the replica knows of 2 ended servers and has told the other gateways
--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -90,6 +90,22 @@
     has_ended: bool
 
 
+class ServerEndedUnderRequest(Decision, frozen=True):
+    """A server ended while it ran a request, which was reported to the replicas.
+
+    :param attempt: the attempt; empty if it was noticed after the attempt's end.
+    :param request: identity of the request, equal for all of its attempts.
+    :param ended: number of servers that ended under the request so far.
+    :param replicas: number of replicas that confirmed the report.
+    """
+
+    attempt: str
+    request: str
+    server: str
+    ended: int
+    replicas: int
+
+
 class AttemptAnswered(Decision, frozen=True):
     """A server's complete answer was handed over to be written to its caller.
 
--- a/yarrowwall/dispatch/components.py
+++ b/yarrowwall/dispatch/components.py
@@ -12,12 +12,14 @@
 from yarrowwall.policy.servers import ServerDirectory
 from yarrowwall.ports.loads import LoadSource
 from yarrowwall.ports.platform import ServerProtocol
+from yarrowwall.ports.suspects import SuspectControl
 
 
 @dataclass
 class DispatchComponents:
     """Components that all attempts of a gateway share.
 
+    :param suspects: bounds the servers that end under one request.
     :param now: the monotonic clock.
     :ivar server_ends: finds out whether a server has ended.
     :ivar chooser: chooses servers from the directory.
@@ -29,6 +31,7 @@
     loads: LoadSource
     memory: MemoryBudget
     decisions: DecisionLog
+    suspects: SuspectControl
     now: Callable[[], float]
     latencies: LatencyEstimator = field(default_factory=LatencyEstimator)
     retries: RetryBudget = field(default_factory=RetryBudget)
--- a/yarrowwall/dispatch/sender.py
+++ b/yarrowwall/dispatch/sender.py
@@ -4,7 +4,7 @@
 long to wait for an answer is decided in :mod:`yarrowwall.policy.sending`.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from http import HTTPStatus
 
@@ -35,6 +35,7 @@
 from yarrowwall.policy.servers import ServerState
 from yarrowwall.policy.urgency import turn_rank
 from yarrowwall.ports.quotas import Allowance
+from yarrowwall.ports.suspects import SuspectRefusedError, SuspectSend
 from yarrowwall.refusals import RefusedError
 
 #: Maximum number of responses to other requests that are skipped on a connection.
@@ -95,6 +96,9 @@
         self._occupied_server: ServerState | None = None
         #: Whether a server timed out; then every kept connection may be dead.
         self._saw_timeout = False
+        #: The server of a send whose outcome is not known yet, and its reservation if it has one.
+        self._unsettled_server: Server | None = None
+        self._suspect_send: SuspectSend | None = None
         self.rules = SendRules(
             plan.route,
             plan.service,
@@ -150,6 +154,7 @@
             choice = self._choose()
             if choice is None:
                 break
+            choice = self._reserve_send(choice)
             self._record_software(choice.server)
             try:
                 opened = self._send(choice, last_event_id)
@@ -168,6 +173,44 @@
             self._handle_not_run(opened)
         raise self.refused(reason)
 
+    def _reserve_send(self, choice: Choice) -> Choice:
+        """Reserve a send if servers ended under the request; return the server to send it to.
+
+        Such a request goes to a server that runs no other one of these, if there is any.
+
+        :raises RefusedError: if the request may be sent to no server.
+        """
+        self._release_send(is_resolved=False)
+        try:
+            send = self._components.suspects.reserve(self._attempt, choice.server)
+        except SuspectRefusedError as error:
+            refusal = self.rules.final_refusal(
+                str(error), self._components.now(), error.retry_after_s
+            )
+            raise RefusedError(refusal) from error
+        self._suspect_send = send
+        if send is None or choice.server.incarnation_text not in send.occupied:
+            return choice
+        apart = self._choose(send.occupied)
+        if apart is None:
+            return choice
+        send.move(apart.server)
+        return apart
+
+    def _release_send(self, is_resolved: bool) -> None:
+        """End the reservation of the last send, if it has one."""
+        if self._suspect_send is not None:
+            self._suspect_send.release(is_resolved)
+            self._suspect_send = None
+
+    def close(self) -> None:
+        """Cancel what is left of the attempt."""
+        self.cancel_answer()
+        if self._unsettled_server is not None:
+            server, self._unsettled_server = self._unsettled_server, None
+            self._components.suspects.note_unresolved(self._attempt, self._plan.route, server)
+        self._release_send(is_resolved=False)
+
     def _limit_refusal(self, refused: RefusedError) -> RefusedError:
         """Return the final refusal of an attempt that got no permit for a (further) send."""
         if self.history.may_have_run:
@@ -195,7 +238,11 @@
         if server.server_id in self.history.tried:
             self.history.tried.remove(server.server_id)
 
-    def _choose(self) -> Choice | None:
+    def _choose(self, excluded: Collection[str] = ()) -> Choice | None:
+        """Return the server to send to; None without any.
+
+        :param excluded: incarnations, as text, that are not chosen.
+        """
         attempt, plan = self._attempt, self._plan
         request = PlacementRequest(
             attempt.prompt,
@@ -205,7 +252,9 @@
             self.rules.software,
         )
         now = self._components.now()
-        return self._components.chooser.choose(plan.service, self.history.tried, now, request)
+        excluded_ids = [text.partition(" ")[0] for text in excluded]
+        tried = [*self.history.tried, *excluded_ids] if excluded else self.history.tried
+        return self._components.chooser.choose(plan.service, tried, now, request)
 
     def _send(self, choice: Choice, last_event_id: str | None) -> OpenAnswer:
         server = choice.server
@@ -244,6 +293,7 @@
     def _exchange(self, connection: ServerConnection, send: Send) -> Answer:
         may_have_run_before = self.history.may_have_run
         self.history.may_have_run = True
+        self._unsettled_server = send.server
         connection.send(self._components.protocol.request_bytes(self._attempt, send), self.left_s())
         for _ in range(MAX_FOREIGN_ANSWERS):
             head = self._wait_for_head(connection, send.server.incarnation)
@@ -306,8 +356,22 @@
             self._saw_timeout = True
             self._components.pool.close_idle(server.incarnation)
         has_ended = self._components.server_ends.has_ended(server, error)
+        self._settle_failure(server, has_ended)
         self._log_send_failed(server, str(error), self.history.may_have_run, has_ended)
 
+    def _settle_failure(self, server: Server, has_ended: bool) -> None:
+        """Report the end of a server under the attempt, before the attempt is sent again.
+
+        Other requests that it may have run are reported too.
+        """
+        was_sent, self._unsettled_server = self._unsettled_server is not None, None
+        suspects, route = self._components.suspects, self._plan.route
+        if has_ended:
+            suspects.report_ended(server, self._attempt if was_sent else None, route)
+        elif was_sent:
+            suspects.note_unresolved(self._attempt, route, server)
+        self._release_send(is_resolved=has_ended or not was_sent)
+
     def _log_send_failed(
         self, server: Server, reason: str, may_have_run: bool, has_ended: bool = False
     ) -> None:
@@ -329,6 +393,8 @@
             opened.connection.read_all(self.left_s())
         except RelayError:
             # The answer is known; only the connection can't be reused.
+            self._unsettled_server = None
+            self._release_send(is_resolved=True)
             self.cancel_answer()
             return
         self.finish_answer()
@@ -338,6 +404,8 @@
         if self.current is None:
             return
         opened, self.current = self.current, None
+        self._unsettled_server = None
+        self._release_send(is_resolved=True)
         self._free_slot()
         opened.connection.finish_response()
         self._components.pool.release(opened.send.server, opened.connection)
--- a/yarrowwall/dispatch/streams.py
+++ b/yarrowwall/dispatch/streams.py
@@ -158,7 +158,3 @@
     def finish(self) -> None:
         """Finish the stream, which was read to its end."""
         self._sender.finish_answer()
-
-    def cancel(self) -> None:
-        """Cancel the stream at its server."""
-        self._sender.cancel_answer()
--- a/yarrowwall/gateway/exchange.py
+++ b/yarrowwall/gateway/exchange.py
@@ -1,7 +1,9 @@
 """Processing of one caller's request: routing, body, and a buffered or streamed response."""
 
+import contextlib
 import traceback
 from collections.abc import Callable, Generator, Iterator
+from http import HTTPStatus
 from typing import Any
 
 import eventlet
@@ -21,6 +23,7 @@
 from yarrowwall.policy.memory_budget import MemoryExhaustedError
 from yarrowwall.policy.request_time import RequestTime
 from yarrowwall.policy.retry_after import SHORTAGE_SECONDS
+from yarrowwall.ports.suspects import SuspectRefusedError
 from yarrowwall.refusals import Refusal, RefusedError, unavailable
 
 
@@ -123,6 +126,7 @@
         try:
             if not self._gateway.has_time_for(self._now(), time.end):
                 raise unavailable("stopping", SHORTAGE_SECONDS)
+            self._check_suspect(attempt)
             if route.kind is RequestKind.STREAM:
                 yield from self._relay_stream(attempt, route, time)
             else:
@@ -174,6 +178,17 @@
             )
         )
 
+    def _check_suspect(self, attempt: Attempt) -> None:
+        """Check that the attempt may be sent, before anything is reserved for it.
+
+        :raises RefusedError: if too many servers ended under the request.
+        """
+        try:
+            self._components.dispatch.suspects.check(attempt)
+        except SuspectRefusedError as error:
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+            raise RefusedError(Refusal(status, str(error), error.retry_after_s)) from error
+
     def _relay_buffered(self, attempt: Attempt, route: Route, time: RequestTime) -> bytes:
         if attempt.program is not None:
             self._components.program_sizes.note_lookup()
@@ -184,9 +199,9 @@
             plan = SendPlan(
                 attempt, route, service, time, attempt.body, allowance, self._request_memory
             )
-            sender = AttemptSender(self._components.dispatch, plan)
-            answer, body = relay_buffered(self._components.dispatch, route, sender)
-            return self._response.start_buffered(answer, body, sender.history.tried[-1])
+            with contextlib.closing(AttemptSender(self._components.dispatch, plan)) as sender:
+                answer, body = relay_buffered(self._components.dispatch, route, sender)
+                return self._response.start_buffered(answer, body, sender.history.tried[-1])
         finally:
             allowance.close()
 
--- a/yarrowwall/gateway/turn.py
+++ b/yarrowwall/gateway/turn.py
@@ -170,7 +170,7 @@
             raise AnswerAbortedError from None
         finally:
             exit_stack.close()
-            relay.cancel()
+            sender.close()
             grant.close(relay.relayed, sender.last_server)
 
     def _sender(self, grant: TurnGrant, allowance: Allowance) -> AttemptSender:
--- a/yarrowwall/machine/gateway_role.py
+++ b/yarrowwall/machine/gateway_role.py
@@ -38,6 +38,7 @@
 from yarrowwall.replication.quorum_client import QuorumClient
 from yarrowwall.replication.relayed_links import RelayedLinkTable
 from yarrowwall.replication.rpc import serve_requests
+from yarrowwall.suspects.client import SuspectClient
 from yarrowwall.watching.store_client import StoreClient
 
 #: Seconds between rounds of housekeeping.
@@ -89,6 +90,7 @@
         self._quotas = PermitClient(settings.zone, self._views, links, log, time.monotonic)
         bounds = settings.bounds
         self._freshness = Freshness(bounds.revocation_s, bounds.configuration_s)
+        self._suspects = SuspectClient(settings.node_id, self._views, links, log, time.monotonic)
         dispatch = DispatchComponents(
             self._directory,
             self._pool,
@@ -96,6 +98,7 @@
             self._loads,
             self._memory,
             log,
+            self._suspects,
             time.monotonic,
         )
         self.gateway = Gateway(
@@ -123,6 +126,7 @@
         """Start following the store and accepting connections."""
         self._followers.start()
         self._loads.start()
+        self._suspects.start()
         if self._settings.accepts_forwarded_requests:
             self._start_forwarding()
         callers = ResilientListener(self._listeners.take(self._own.http_address), self._log)
--- a/yarrowwall/machine/replica_requests.py
+++ b/yarrowwall/machine/replica_requests.py
@@ -21,12 +21,20 @@
     StatusReply,
     TellLoad,
 )
+from yarrowwall.messages.suspects import (
+    FollowSuspects,
+    ReleaseSend,
+    ReportSuspects,
+    ReserveSend,
+)
 from yarrowwall.quotas.permit_service import PermitService
 from yarrowwall.replication.disk import RecordDisk
 from yarrowwall.replication.neighbours import NeighbourRegistry
 from yarrowwall.replication.replica import Request
+from yarrowwall.replication.rpc import Replier
 from yarrowwall.replication.synchroniser import Synchroniser
 from yarrowwall.replication.views import is_zone_group
+from yarrowwall.suspects.board import SuspectBoard
 from yarrowwall.watching.reader import StoreReader
 
 Reply = Callable[[object], None]
@@ -56,8 +64,9 @@
         self._loads = LoadBoard()
         self._admission = AdmissionBoard()
         self._neighbours = NeighbourRegistry()
+        self._suspects = SuspectBoard(time.monotonic)
 
-    def handle(self, request: object, reply: Reply) -> None:
+    def handle(self, request: object, reply: Replier) -> None:
         """Answer a request; the reply may follow later, or not at all."""
         match request:
             case ReportLoad():
@@ -77,6 +86,8 @@
                 reply(NeighboursReply(neighbours))
             case ListObjects() | WatchObjects():
                 self._reader.ask(request, reply)
+            case FollowSuspects() | ReportSuspects() | ReserveSend() | ReleaseSend():
+                self._suspects.handle(request, reply)
             case AskStatuses():
                 reply(StatusesReply(self._status(self._common), self._status(self._zone)))
             case _:
--- a/yarrowwall/messages/all_messages.py
+++ b/yarrowwall/messages/all_messages.py
@@ -9,4 +9,5 @@
 import yarrowwall.messages.records
 import yarrowwall.messages.relaying
 import yarrowwall.messages.replicated
-import yarrowwall.messages.requests  # noqa: F401
+import yarrowwall.messages.requests
+import yarrowwall.messages.suspects  # noqa: F401
--- a/yarrowwall/model.py
+++ b/yarrowwall/model.py
@@ -202,6 +202,7 @@
     :param max_tokens: maximum number of tokens that this turn may emit.
     :param previous_turn: attempt id of the turn that this one continues.
     :param finish_at: when the whole program should be finished; None if not given.
+    :param session_id: the line of turns that it belongs to; empty if not given.
     """
 
     program_id: str
@@ -209,6 +210,7 @@
     max_tokens: int
     previous_turn: str | None
     finish_at: float | None
+    session_id: str = ""
 
 
 @dataclass
--- a/yarrowwall/platform/callers.py
+++ b/yarrowwall/platform/callers.py
@@ -135,6 +135,7 @@
             int(max_tokens) if max_tokens else 0,
             values.get(names.PREVIOUS_TURN.lower()) or None,
             now + float(finish_ms) / 1000.0 if finish_ms is not None else None,
+            values.get(names.SESSION.lower(), ""),
         )
     except ValueError as error:
         raise InvalidAttemptError("token counts and times must be numbers") from error
--- /dev/null
+++ b/yarrowwall/ports/suspects.py
@@ -0,0 +1,66 @@
+"""Control of requests under which servers ended, as the sender of attempts uses it."""
+
+from abc import ABC, abstractmethod
+
+from yarrowwall.exceptions import RelayError
+from yarrowwall.model import Attempt, Route, Server
+
+
+class SuspectRefusedError(RelayError):
+    """A request may be sent to no server, since too many have ended under it.
+
+    :param retry_after_s: seconds after which this may have changed; None if it will not.
+    """
+
+    def __init__(self, reason: str, retry_after_s: float | None) -> None:
+        super().__init__(reason)
+        self.retry_after_s = retry_after_s
+
+
+class SuspectSend(ABC):
+    """A reserved send of a suspect; it counts as a possible end of its server until released.
+
+    :ivar occupied: incarnations, as text, of servers that run other suspects.
+    """
+
+    occupied: frozenset[str] = frozenset()
+
+    @abstractmethod
+    def move(self, server: Server) -> None:
+        """Note that it goes to another server."""
+
+    @abstractmethod
+    def release(self, is_resolved: bool) -> None:
+        """End the reservation.
+
+        :param is_resolved: whether it is known if the server ended under it.
+        """
+
+
+class SuspectControl(ABC):
+    """Bounds the servers that end under one request over all of its tries, at all gateways."""
+
+    @abstractmethod
+    def check(self, attempt: Attempt) -> None:
+        """Check whether an attempt may be sent at all.
+
+        :raises SuspectRefusedError: if it may not.
+        """
+
+    @abstractmethod
+    def reserve(self, attempt: Attempt, server: Server) -> SuspectSend | None:
+        """Reserve a send; return None if no server has ended under the request.
+
+        :raises SuspectRefusedError: if the request may not be sent.
+        """
+
+    @abstractmethod
+    def note_unresolved(self, attempt: Attempt, route: Route, server: Server) -> None:
+        """Note that a send ended without an answer, while its server may live or not."""
+
+    @abstractmethod
+    def report_ended(self, server: Server, attempt: Attempt | None, route: Route) -> None:
+        """Report that a server has ended, and wait until other gateways have been told.
+
+        :param attempt: the attempt that it ran; None if it ran none of this caller's.
+        """
--- a/yarrowwall/replication/forwarding.py
+++ b/yarrowwall/replication/forwarding.py
@@ -22,6 +22,7 @@
     ReserveRecord,
     WriteRecords,
 )
+from yarrowwall.messages.suspects import FollowSuspects, ReportSuspects, ReserveSend
 from yarrowwall.replication.relayed_links import RelayedLinkTable
 from yarrowwall.replication.rpc import Completion
 
@@ -38,12 +39,15 @@
     AskNeighbours,
     AskRoom,
     AskStatus,
+    FollowSuspects,
     InstallView,
     ListObjects,
     ReadChain,
     ReadOwner,
     ReportLoad,
+    ReportSuspects,
     ReserveRecord,
+    ReserveSend,
     TakeQuota,
     WatchObjects,
     WriteRecords,
--- a/yarrowwall/replication/rpc.py
+++ b/yarrowwall/replication/rpc.py
@@ -192,6 +192,8 @@
     """Sends requests to one node over a connection that is opened when needed.
 
     :param now: the monotonic clock.
+    :ivar on_notice: called with each message of the node that is no reply.
+    :ivar on_opened: called when a connection was opened.
     """
 
     def __init__(self, address: str, log: DecisionLog, now: Callable[[], float]) -> None:
@@ -205,6 +207,8 @@
         self._waiting: dict[int, _Posted] = {}
         self._queued: dict[int, object] = {}
         self._silent_since: float | None = None
+        self.on_notice: Callable[[object], None] = lambda message: None
+        self.on_opened: Callable[[], None] = lambda: None
 
     def post(self, message: object, completion: Completion) -> int:
         """Send a request; ``completion`` is called with its reply, or None if none will come.
@@ -280,6 +284,7 @@
         queued, self._queued = self._queued, {}
         for number, message in queued.items():
             self._channel.send(number, message)
+        self.on_opened()
 
     def _connect(self) -> socket.socket | None:
         """Return a new connection; None if the node is down or the last attempt just failed."""
@@ -297,6 +302,9 @@
         self._silent_since = None
         if message is None:
             return
+        if number == NO_REPLY:
+            self.on_notice(message)
+            return
         posted = self._waiting.pop(number, None)
         if posted is not None:
             posted.completion(message)
@@ -333,8 +341,29 @@
         return link
 
 
+class Replier:
+    """Sends the reply to one request, and notices over the same connection.
+
+    :param number: the request's number.
+    """
+
+    def __init__(self, channel: FrameChannel, number: int) -> None:
+        self._channel = channel
+        self._number = number
+
+    def __call__(self, reply: object) -> None:
+        """Send the reply."""
+        self._channel.send(self._number, reply)
+
+    def notify(self, message: object) -> bool:
+        """Send a message that is no reply; return False if the connection has ended."""
+        if self._channel.is_open:
+            self._channel.send(NO_REPLY, message)
+        return self._channel.is_open
+
+
 #: Called with a request and a function that sends its reply.
-RequestHandler = Callable[[object, Callable[[object], None]], None]
+RequestHandler = Callable[[object, Replier], None]
 
 
 def serve_requests(listener: socket.socket, handle: RequestHandler, log: DecisionLog) -> None:
@@ -353,6 +382,6 @@
 ) -> None:
     def receive(number: int, message: object | None) -> None:
         if message is not None:
-            handle(message, lambda reply: channel.send(number, reply))
+            handle(message, Replier(channel, number))
 
     channel = FrameChannel(connection, peer, receive, lambda: None, log)
--- /dev/null
+++ b/yarrowwall/suspects/client.py
@@ -0,0 +1,272 @@
+"""The suspects as one gateway knows them, and its reports of further ones."""
+
+import itertools
+from collections.abc import Callable, Iterable
+
+import eventlet
+from eventlet.event import Event
+
+from yarrowwall import decisions
+from yarrowwall.decisions import DecisionLog
+from yarrowwall.hashing import fraction
+from yarrowwall.messages.suspects import (
+    FollowSuspects,
+    PendingSend,
+    ReleaseSend,
+    ReportSuspects,
+    ReserveSend,
+    ReserveSendReply,
+    Suspect,
+    Suspects,
+)
+from yarrowwall.model import Attempt, Route, Server
+from yarrowwall.policy.crash_suspects import MAX_ENDED_SERVERS, CrashSuspects, UnresolvedSends
+from yarrowwall.policy.request_identity import request_identity
+from yarrowwall.policy.retry_after import SHORTAGE_SECONDS
+from yarrowwall.ports.suspects import SuspectControl, SuspectRefusedError, SuspectSend
+from yarrowwall.replication.group_views import GroupViews
+from yarrowwall.replication.relayed_links import RelayedLink, RelayedLinkTable
+from yarrowwall.replication.rpc import Completion
+
+#: Seconds between two requests to follow a replica, for the case that it has started again.
+FOLLOW_INTERVAL_SECONDS = 5.0
+#: The same until a replica is known, and while this gateway reaches replicas only through
+#: neighbours, which pass no notices on.
+FIRST_FOLLOW_INTERVAL_SECONDS = 0.05
+RELAYED_FOLLOW_INTERVAL_SECONDS = 0.5
+#: Seconds after the start in which a request waits for the first list of suspects, and the longest
+#: wait of one.
+START_SECONDS = 1.0
+START_WAIT_SECONDS = 0.1
+#: Seconds that a caller waits for the replicas' replies. An answer takes a round trip.
+REPLY_TIMEOUT_SECONDS = 0.06
+RELAYED_REPLY_TIMEOUT_SECONDS = 0.3
+#: Least seconds for which a suspect is kept: longer than a caller repeats a turn.
+MIN_RETENTION_SECONDS = 60.0
+#: Seconds after which the reservation of a send is released whose outcome nobody will tell.
+UNRESOLVED_SECONDS = 1.0
+
+
+class SuspectClient(SuspectControl):
+    """Knows the suspects of all gateways through the replicas.
+
+    :param node_id: this gateway.
+    :param links: links to the replicas. Only direct connections are used unless this gateway is cut
+        off: replicas of earlier releases do not reply, which says nothing about the path to them.
+    :param now: the monotonic clock.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        views: GroupViews,
+        links: RelayedLinkTable,
+        log: DecisionLog,
+        now: Callable[[], float],
+    ) -> None:
+        self._node_id = node_id
+        self._views = views
+        self._links = links
+        self._log = log
+        self._now = now
+        self._suspects = CrashSuspects()
+        self._unresolved = UnresolvedSends()
+        # Ids of earlier runs of this gateway's process must not be used again.
+        self._send_prefix = f"{node_id}-{now():.6f}"
+        self._send_numbers = itertools.count(1)
+        self._started_at = now()
+        self._first_list = Event()
+
+    # Following
+
+    def start(self) -> None:
+        """Start following the replicas."""
+        eventlet.spawn_n(self._run)
+
+    def _run(self) -> None:
+        spread = 0.75 + 0.5 * fraction("suspects", self._node_id)
+        while True:
+            links = self._replica_links()
+            for link in links:
+                link.on_notice = self._note_message
+                link.on_opened = lambda link=link: self._follow(link)
+                self._follow(link)
+            eventlet.sleep(self._follow_interval_s(links) * spread)
+
+    def _follow_interval_s(self, links: list[RelayedLink]) -> float:
+        if not links:
+            return FIRST_FOLLOW_INTERVAL_SECONDS
+        is_relayed = self._links.is_cut_off
+        return RELAYED_FOLLOW_INTERVAL_SECONDS if is_relayed else FOLLOW_INTERVAL_SECONDS
+
+    def _follow(self, link: RelayedLink) -> None:
+        request = FollowSuspects(self._node_id, self._suspects.all(self._now()))
+        forget = self._post(link, request, self._note_message)
+        eventlet.spawn_after(FOLLOW_INTERVAL_SECONDS, forget)
+
+    def _post(
+        self, link: RelayedLink, message: object, completion: Completion
+    ) -> Callable[[], None]:
+        """Send a request to a replica; return a function that stops waiting for the reply."""
+        if self._links.is_cut_off:
+            relayed = link.post(message, completion)
+            return lambda: link.forget(relayed)
+        number = link.post_directly(message, completion)
+        return lambda: link.forget_direct(number)
+
+    def _replica_links(self) -> list[RelayedLink]:
+        return [self._links.get(member.address) for member in self._views.report_replicas()]
+
+    def _note_message(self, message: object | None) -> None:
+        if isinstance(message, Suspects):
+            self._suspects.merge(message.suspects, self._now())
+            if not self._first_list.ready():
+                self._first_list.send()
+
+    # Sending
+
+    def check(self, attempt: Attempt) -> None:
+        """Check whether an attempt may be sent at all."""
+        is_start = self._now() - self._started_at < START_SECONDS
+        if is_start and not self._first_list.ready():
+            self._first_list.wait(START_WAIT_SECONDS)
+        if self._suspects:
+            self._check_ended(self._suspects.ended(request_identity(attempt), self._now()))
+
+    @staticmethod
+    def _check_ended(ended: Iterable[str]) -> None:
+        servers = sorted(ended)
+        if len(servers) >= MAX_ENDED_SERVERS:
+            reason = f"{len(servers)} servers ended while they ran this request"
+            raise SuspectRefusedError(f"{reason}: {', '.join(servers)}", None)
+
+    def reserve(self, attempt: Attempt, server: Server) -> SuspectSend | None:
+        """Reserve a send; return None if no server has ended under the request."""
+        if not self._suspects:
+            return None
+        request = request_identity(attempt)
+        ended = self._suspects.ended(request, self._now())
+        if not ended:
+            return None
+        self._check_ended(ended)
+        send = _ReservedSend(self, request, f"{self._send_prefix}-{next(self._send_numbers)}")
+        try:
+            pending = send.reserve(server)
+            ended = self._suspects.ended(request, self._now())
+            self._check_ended(ended)
+            if len(ended) + pending >= MAX_ENDED_SERVERS:
+                reason = f"{len(ended)} servers ended while they ran this request, {pending} run it"
+                raise SuspectRefusedError(reason, SHORTAGE_SECONDS)
+        except SuspectRefusedError:
+            send.release(is_resolved=True)
+            raise
+        return send
+
+    def note_unresolved(self, attempt: Attempt, route: Route, server: Server) -> None:
+        """Note that a send ended without an answer, while its server may live or not."""
+        request = request_identity(attempt)
+        self._unresolved.note(request, server.incarnation_text, self._now())
+
+    def report_ended(self, server: Server, attempt: Attempt | None, route: Route) -> None:
+        """Report that a server has ended, and wait until other gateways have been told."""
+        requests = set(self._unresolved.take(server.incarnation_text, self._now()))
+        if attempt is not None:
+            requests.add(request_identity(attempt))
+        if not requests:
+            return
+        left_s = max(route.retention_s, MIN_RETENTION_SECONDS)
+        suspects = [
+            Suspect(request, [server.incarnation_text], left_s) for request in sorted(requests)
+        ]
+        self._suspects.merge(suspects, self._now())
+        replies = self.ask_all(ReportSuspects(suspects))
+        for suspect in suspects:
+            count = len(self._suspects.ended(suspect.request, self._now()))
+            self._log.write(
+                decisions.ServerEndedUnderRequest(
+                    attempt.attempt_id if attempt is not None else "",
+                    suspect.request,
+                    server.server_id,
+                    count,
+                    len(replies),
+                )
+            )
+
+    # Replicas
+
+    def merge_ended(self, request: str, ended: list[str]) -> None:
+        """Add ended servers that a replica knows of."""
+        if ended:
+            suspect = Suspect(request, ended, MIN_RETENTION_SECONDS)
+            self._suspects.merge([suspect], self._now())
+
+    def ask_all(self, message: object) -> list[object]:
+        """Send a request to all replicas; return the replies that come in time."""
+        links = self._replica_links()
+        replies: list[object] = []
+        done = Event()
+        left = len(links)
+
+        def note(reply: object | None) -> None:
+            nonlocal left
+            left -= 1
+            if reply is not None:
+                replies.append(reply)
+            if left == 0 and not done.ready():
+                done.send()
+
+        forgets = [self._post(link, message, note) for link in links]
+        if links:
+            is_relayed = self._links.is_cut_off
+            done.wait(RELAYED_REPLY_TIMEOUT_SECONDS if is_relayed else REPLY_TIMEOUT_SECONDS)
+        for forget in forgets:
+            forget()
+        return list(replies)
+
+    def post_all(self, message: object) -> None:
+        """Send a message without a reply to all replicas."""
+        for link in self._replica_links():
+            link.send_one_way(message)
+
+
+class _ReservedSend(SuspectSend):
+    """A send that the replicas know of.
+
+    :param request: identity of the request.
+    """
+
+    def __init__(self, client: SuspectClient, request: str, send_id: str) -> None:
+        self._client = client
+        self._request = request
+        self._send_id = send_id
+        self._is_released = False
+
+    def reserve(self, server: Server) -> int:
+        """Reserve it at all replicas; return the number of other sends in progress."""
+        message = ReserveSend(self._request, PendingSend(self._send_id, server.incarnation_text))
+        pending: set[str] = set()
+        occupied: set[str] = set()
+        for reply in self._client.ask_all(message):
+            if isinstance(reply, ReserveSendReply):
+                self._client.merge_ended(self._request, reply.ended)
+                pending |= {
+                    send.send_id for send in reply.pending if send.server not in reply.ended
+                }
+                occupied |= set(reply.occupied)
+        self.occupied = frozenset(occupied)
+        return len(pending)
+
+    def move(self, server: Server) -> None:
+        """Note that it goes to another server."""
+        self.reserve(server)
+
+    def release(self, is_resolved: bool) -> None:
+        """End the reservation; an unresolved one counts for a while."""
+        if self._is_released:
+            return
+        self._is_released = True
+        message = ReleaseSend(self._request, self._send_id)
+        if is_resolved:
+            self._client.post_all(message)
+        else:
+            eventlet.spawn_after(UNRESOLVED_SECONDS, self._client.post_all, message)
