Ended servers of requests outlive a loss of power of all machines

They are also written to the first group of the record store, beside the report that tells other gateways; a gateway that starts reads those of the last minutes.

The identity leaves out the parts of the prompt: nothing needs them, and two tries of one request need not name the same.

A stand-in server that crashed left a thread that spun; it ends now.

--- a/features/server_ends.feature
+++ b/features/server_ends.feature
@@ -26,6 +26,15 @@
     And each fatal request ended at most three servers
     And at least 196 of the others are served
 
+  # Guards against ends of servers that are forgotten when all machines lose power (rule BUDGET).
+  Scenario: What ended servers is still known after all machines were killed
+    Given 6 servers of a route for each repeatable lookup
+    When 4 fatal requests arrive among 40 others
+    And all machines are killed and started again
+    And the fatal requests are tried again at every gateway
+    Then no request was sent to a server after three servers had ended under it
+    And each fatal request is refused at once and its caller is told why
+
   # Guards against requests that are refused only because servers crash while they run.
   Scenario: Requests go on while one server after another ends by itself
     Given 6 servers of a route for each resumable turn
--- a/features/steps/server_end_steps.py
+++ b/features/steps/server_end_steps.py
@@ -94,6 +94,23 @@
     killer.join()
 
 
+@when("all machines are killed and started again")
+def kill_all(context: Context) -> None:
+    names = list(world(context).processes)
+    for name in names:
+        world(context).kill(name)
+    for name in names:
+        world(context).start_machine(name, is_gateway=name.startswith("edge"))
+    world(context).wait_ready()
+
+
+@when("the fatal requests are tried again at every gateway")
+def try_again(context: Context) -> None:
+    for gateway in range(3):
+        caller = RetryingCaller(world(context), ROUTE, context.kind, [gateway])
+        context.fatal = [caller.run(call.body) for call in context.fatal]
+
+
 @then("no request was sent to a server after three servers had ended under it")
 def bounded(context: Context) -> None:
     late = context.servers.requests.late_sends
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -376,6 +376,7 @@
         """Stop listening and end all connections at once, as when the process ends."""
         self.has_ended = True
         self.listener.socket.shutdown(socket.SHUT_RDWR)
+        threading.Thread(target=self.listener.shutdown, daemon=True).start()
         for connection in list(self.connections):
             with contextlib.suppress(OSError):
                 # It may have been closed just now.
--- a/features/suspects.feature
+++ b/features/suspects.feature
@@ -11,6 +11,7 @@
       | is     | last event      |
       | is     | resumed attempt |
       | is     | API key         |
+      | is     | prompt          |
       | is not | body            |
       | is not | target          |
       | is not | method          |
@@ -19,7 +20,6 @@
       | is not | program         |
       | is not | session         |
       | is not | previous turn   |
-      | is not | prompt          |
 
   # Guards against ends that are lost or counted twice when reports arrive in another order.
   Scenario: Reports count once in any order
--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -97,6 +97,7 @@
     :param request: identity of the request, equal for all of its attempts.
     :param ended: number of servers that ended under the request so far.
     :param replicas: number of replicas that confirmed the report.
+    :param is_recorded: whether it is on a quorum of disks.
     """
 
     attempt: str
@@ -104,6 +105,7 @@
     server: str
     ended: int
     replicas: int
+    is_recorded: bool
 
 
 class AttemptAnswered(Decision, frozen=True):
--- a/yarrowwall/dispatch/sender.py
+++ b/yarrowwall/dispatch/sender.py
@@ -208,7 +208,7 @@
         self.cancel_answer()
         if self._unsettled_server is not None:
             server, self._unsettled_server = self._unsettled_server, None
-            self._components.suspects.note_unresolved(self._attempt, self._plan.route, server)
+            self._components.suspects.note_unresolved(self._attempt, server)
         self._release_send(is_resolved=False)
 
     def _limit_refusal(self, refused: RefusedError) -> RefusedError:
@@ -365,11 +365,11 @@
         Other requests that it may have run are reported too.
         """
         was_sent, self._unsettled_server = self._unsettled_server is not None, None
-        suspects, route = self._components.suspects, self._plan.route
+        suspects = self._components.suspects
         if has_ended:
-            suspects.report_ended(server, self._attempt if was_sent else None, route)
+            suspects.report_ended(server, self._attempt if was_sent else None)
         elif was_sent:
-            suspects.note_unresolved(self._attempt, route, server)
+            suspects.note_unresolved(self._attempt, server)
         self._release_send(is_resolved=has_ended or not was_sent)
 
     def _log_send_failed(
--- a/yarrowwall/machine/gateway_role.py
+++ b/yarrowwall/machine/gateway_role.py
@@ -39,6 +39,7 @@
 from yarrowwall.replication.relayed_links import RelayedLinkTable
 from yarrowwall.replication.rpc import serve_requests
 from yarrowwall.suspects.client import SuspectClient
+from yarrowwall.suspects.records import SuspectRecords
 from yarrowwall.watching.store_client import StoreClient
 
 #: Seconds between rounds of housekeeping.
@@ -90,7 +91,14 @@
         self._quotas = PermitClient(settings.zone, self._views, links, log, time.monotonic)
         bounds = settings.bounds
         self._freshness = Freshness(bounds.revocation_s, bounds.configuration_s)
-        self._suspects = SuspectClient(settings.node_id, self._views, links, log, time.monotonic)
+        self._suspects = SuspectClient(
+            settings.node_id,
+            self._views,
+            links,
+            SuspectRecords(client, time.time),
+            log,
+            time.monotonic,
+        )
         dispatch = DispatchComponents(
             self._directory,
             self._pool,
--- a/yarrowwall/policy/request_identity.py
+++ b/yarrowwall/policy/request_identity.py
@@ -25,7 +25,6 @@
         program.session_id if program is not None else "",
         (program.previous_turn or "") if program is not None else "",
         attempt.affinity or "",
-        *(part.part_id for part in attempt.prompt),
     ]
     hasher = hashlib.blake2b(digest_size=IDENTITY_BYTES)
     for encoded in (*(part.encode(errors="surrogateescape") for part in parts), attempt.body):
--- a/yarrowwall/ports/suspects.py
+++ b/yarrowwall/ports/suspects.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 
 from yarrowwall.exceptions import RelayError
-from yarrowwall.model import Attempt, Route, Server
+from yarrowwall.model import Attempt, Server
 
 
 class SuspectRefusedError(RelayError):
@@ -55,11 +55,11 @@
         """
 
     @abstractmethod
-    def note_unresolved(self, attempt: Attempt, route: Route, server: Server) -> None:
+    def note_unresolved(self, attempt: Attempt, server: Server) -> None:
         """Note that a send ended without an answer, while its server may live or not."""
 
     @abstractmethod
-    def report_ended(self, server: Server, attempt: Attempt | None, route: Route) -> None:
+    def report_ended(self, server: Server, attempt: Attempt | None) -> None:
         """Report that a server has ended, and wait until other gateways have been told.
 
         :param attempt: the attempt that it ran; None if it ran none of this caller's.
--- a/yarrowwall/suspects/client.py
+++ b/yarrowwall/suspects/client.py
@@ -1,5 +1,6 @@
 """The suspects as one gateway knows them, and its reports of further ones."""
 
+import contextlib
 import itertools
 from collections.abc import Callable, Iterable
 
@@ -19,14 +20,16 @@
     Suspect,
     Suspects,
 )
-from yarrowwall.model import Attempt, Route, Server
+from yarrowwall.model import Attempt, Server
 from yarrowwall.policy.crash_suspects import MAX_ENDED_SERVERS, CrashSuspects, UnresolvedSends
 from yarrowwall.policy.request_identity import request_identity
 from yarrowwall.policy.retry_after import SHORTAGE_SECONDS
 from yarrowwall.ports.suspects import SuspectControl, SuspectRefusedError, SuspectSend
+from yarrowwall.replication.exceptions import NoQuorumError
 from yarrowwall.replication.group_views import GroupViews
 from yarrowwall.replication.relayed_links import RelayedLink, RelayedLinkTable
 from yarrowwall.replication.rpc import Completion
+from yarrowwall.suspects.records import SuspectRecords
 
 #: Seconds between two requests to follow a replica, for the case that it has started again.
 FOLLOW_INTERVAL_SECONDS = 5.0
@@ -34,15 +37,16 @@
 #: neighbours, which pass no notices on.
 FIRST_FOLLOW_INTERVAL_SECONDS = 0.05
 RELAYED_FOLLOW_INTERVAL_SECONDS = 0.5
-#: Seconds after the start in which a request waits for the first list of suspects, and the longest
-#: wait of one.
+#: Seconds between two tries of a gateway that starts to read the records.
+READ_INTERVAL_SECONDS = 0.1
+#: Seconds after the start in which a request waits for the records, and the longest wait of one.
 START_SECONDS = 1.0
 START_WAIT_SECONDS = 0.1
 #: Seconds that a caller waits for the replicas' replies. An answer takes a round trip.
 REPLY_TIMEOUT_SECONDS = 0.06
 RELAYED_REPLY_TIMEOUT_SECONDS = 0.3
-#: Least seconds for which a suspect is kept: longer than a caller repeats a turn.
-MIN_RETENTION_SECONDS = 60.0
+#: Seconds for which a suspect is kept: longer than a caller repeats a turn.
+RETENTION_SECONDS = 120.0
 #: Seconds after which the reservation of a send is released whose outcome nobody will tell.
 UNRESOLVED_SECONDS = 1.0
 
@@ -61,12 +65,14 @@
         node_id: str,
         views: GroupViews,
         links: RelayedLinkTable,
+        records: SuspectRecords,
         log: DecisionLog,
         now: Callable[[], float],
     ) -> None:
         self._node_id = node_id
         self._views = views
         self._links = links
+        self._records = records
         self._log = log
         self._now = now
         self._suspects = CrashSuspects()
@@ -75,13 +81,23 @@
         self._send_prefix = f"{node_id}-{now():.6f}"
         self._send_numbers = itertools.count(1)
         self._started_at = now()
-        self._first_list = Event()
+        self._has_read = Event()
 
     # Following
 
     def start(self) -> None:
-        """Start following the replicas."""
+        """Start following the replicas, and read what was recorded earlier."""
         eventlet.spawn_n(self._run)
+        eventlet.spawn_n(self._read_records)
+
+    def _read_records(self) -> None:
+        while True:
+            with contextlib.suppress(NoQuorumError):
+                # The group may be starting too.
+                self._suspects.merge(self._records.read(RETENTION_SECONDS), self._now())
+                self._has_read.send()
+                return
+            eventlet.sleep(READ_INTERVAL_SECONDS)
 
     def _run(self) -> None:
         spread = 0.75 + 0.5 * fraction("suspects", self._node_id)
@@ -120,16 +136,14 @@
     def _note_message(self, message: object | None) -> None:
         if isinstance(message, Suspects):
             self._suspects.merge(message.suspects, self._now())
-            if not self._first_list.ready():
-                self._first_list.send()
 
     # Sending
 
     def check(self, attempt: Attempt) -> None:
         """Check whether an attempt may be sent at all."""
         is_start = self._now() - self._started_at < START_SECONDS
-        if is_start and not self._first_list.ready():
-            self._first_list.wait(START_WAIT_SECONDS)
+        if is_start and not self._has_read.ready():
+            self._has_read.wait(START_WAIT_SECONDS)
         if self._suspects:
             self._check_ended(self._suspects.ended(request_identity(attempt), self._now()))
 
@@ -162,24 +176,26 @@
             raise
         return send
 
-    def note_unresolved(self, attempt: Attempt, route: Route, server: Server) -> None:
+    def note_unresolved(self, attempt: Attempt, server: Server) -> None:
         """Note that a send ended without an answer, while its server may live or not."""
         request = request_identity(attempt)
         self._unresolved.note(request, server.incarnation_text, self._now())
 
-    def report_ended(self, server: Server, attempt: Attempt | None, route: Route) -> None:
+    def report_ended(self, server: Server, attempt: Attempt | None) -> None:
         """Report that a server has ended, and wait until other gateways have been told."""
         requests = set(self._unresolved.take(server.incarnation_text, self._now()))
         if attempt is not None:
             requests.add(request_identity(attempt))
         if not requests:
             return
-        left_s = max(route.retention_s, MIN_RETENTION_SECONDS)
         suspects = [
-            Suspect(request, [server.incarnation_text], left_s) for request in sorted(requests)
+            Suspect(request, [server.incarnation_text], RETENTION_SECONDS)
+            for request in sorted(requests)
         ]
         self._suspects.merge(suspects, self._now())
+        recording = eventlet.spawn(self._record, suspects)
         replies = self.ask_all(ReportSuspects(suspects))
+        is_recorded = recording.wait()
         for suspect in suspects:
             count = len(self._suspects.ended(suspect.request, self._now()))
             self._log.write(
@@ -189,15 +205,25 @@
                     server.server_id,
                     count,
                     len(replies),
+                    is_recorded,
                 )
             )
 
+    def _record(self, suspects: list[Suspect]) -> bool:
+        """Write suspects to the record store; return whether a quorum has them."""
+        try:
+            self._records.write(suspects)
+        except NoQuorumError:
+            # The caller logs it; the boards may have them all the same.
+            return False
+        return True
+
     # Replicas
 
     def merge_ended(self, request: str, ended: list[str]) -> None:
         """Add ended servers that a replica knows of."""
         if ended:
-            suspect = Suspect(request, ended, MIN_RETENTION_SECONDS)
+            suspect = Suspect(request, ended, RETENTION_SECONDS)
             self._suspects.merge([suspect], self._now())
 
     def ask_all(self, message: object) -> list[object]:
