Jobs of both kinds share five workers; long features begin first

Workers now take jobs of either kind, at most three with machines; following.feature and promises.feature begin first, three scenarios a batch.

--- a/features/following.feature
+++ b/features/following.feature
@@ -1,3 +1,4 @@
+@long
 Feature: Machines follow the store through outages and other failures
   Guards against a gateway that runs a request by a configuration which another gateway replaced
   2.4 s earlier. The store had been down for 8 s, half of the gateways had been killed and had
@@ -13,7 +14,7 @@
   Scenario: Requests that were lost in an outage do not affect watches that began after it
     Then in 20 pairs of silent outages no gateway leaves a reader later than 1.0 s after recovery
 
-  @long
+  @own_process
   Scenario: Whatever failures overlap, a configuration is in force within its bound
     Then in 40 schedules of each failure every gateway has each version in force within 2.0 s
 
--- a/features/promises.feature
+++ b/features/promises.feature
@@ -1,3 +1,4 @@
+@long
 Feature: Promises hold under all faults, on a virtual clock
   Every run has kills, freezes, zone partitions, message faults, platform outages,
   lost answers, engine crashes, leaving engines, planned stops and replaced
--- a/features/run.py
+++ b/features/run.py
@@ -2,9 +2,9 @@
 
 Scenarios run in several processes, a few of one feature in each: a process of its own for each
 would spend more time on imports than most scenarios take. The scenarios of a feature that share a
-running system run in one process, those tagged ``own_process`` or ``long`` in one each. Few of
-those that start machines run concurrently, since they measure time; those that only compute run at
-the same time as these. Long ones begin first.
+running system run in one process, those tagged ``own_process`` in one each. Few of those that start
+machines run concurrently, since they measure time; those that only compute run at the same time.
+Those tagged ``long`` begin first.
 
 Scenarios named in KNOWN-RED.txt (``scenario name | cause | issue``) are run
 and printed; their failures do not count. One that passes counts as
@@ -18,8 +18,8 @@
 import tempfile
 import threading
 import time
+from collections import defaultdict, deque
 from collections.abc import Iterable, Iterator
-from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import NamedTuple
 
@@ -43,17 +43,19 @@
     "two_losses_world",
 }
 SHARED_TAG = "shared_system"
-#: Tags of scenarios that run in a process of their own: those that fail beside others, and those
-#: that take much longer than others.
+#: Tag of scenarios that run in a process of their own, since they fail beside others or take
+#: minutes.
 OWN_PROCESS_TAG = "own_process"
+#: Tag of scenarios that take much longer than others: they begin first, in smaller batches.
 LONG_TAG = "long"
 #: Most scenarios of one job.
 MACHINE_BATCH = 4
 COMPUTING_BATCH = 12
-#: Maximum numbers of concurrent jobs that start machines (each some five processes that mostly
-#: wait) and of those that only compute.
-MACHINE_JOBS = max(1, (os.cpu_count() or 1) * 3 // 5)
-COMPUTING_JOBS = max(1, (os.cpu_count() or 1) // 2)
+LONG_BATCH = 3
+#: Maximum number of concurrent jobs, and of those that start machines: each some five processes
+#: that mostly wait, and measures time.
+CONCURRENT_JOBS = os.cpu_count() or 1
+MACHINE_JOBS = max(1, CONCURRENT_JOBS * 3 // 5)
 #: Seconds after which a job counts as hung.
 JOB_SECONDS = 1200.0
 #: Number of slowest jobs whose durations are printed.
@@ -123,14 +125,17 @@
 
 def _batches(feature: Feature, scenarios: list[Scenario]) -> Iterator[list[Scenario]]:
     """Yield a feature's scenarios in batches that each run in one process."""
-    shared: dict[bool, list[Scenario]] = {True: [], False: []}
+    shared: dict[int, list[Scenario]] = defaultdict(list)
     for scenario in scenarios:
-        if {OWN_PROCESS_TAG, LONG_TAG} & {*scenario.effective_tags, *feature.tags}:
+        if OWN_PROCESS_TAG in scenario.effective_tags:
             yield [scenario]
+        elif LONG_TAG in scenario.effective_tags:
+            shared[LONG_BATCH].append(scenario)
+        elif _starts_machines(feature, scenario):
+            shared[MACHINE_BATCH].append(scenario)
         else:
-            shared[_starts_machines(feature, scenario)].append(scenario)
-    for starts_machines, found in shared.items():
-        size = MACHINE_BATCH if starts_machines else COMPUTING_BATCH
+            shared[COMPUTING_BATCH].append(scenario)
+    for size, found in shared.items():
         yield from (found[start : start + size] for start in range(0, len(found), size))
 
 
@@ -183,23 +188,62 @@
     }
 
 
+class JobQueue:
+    """Hands out jobs so that only a few that start machines run at once; thread-safe.
+
+    :param jobs: those of each kind are handed out in their order.
+    """
+
+    def __init__(self, jobs: Iterable[Job]) -> None:
+        self._changed = threading.Condition()
+        self._machines: deque[Job] = deque()
+        self._computing: deque[Job] = deque()
+        self._running_machines = 0
+        for job in jobs:
+            (self._machines if job.starts_machines else self._computing).append(job)
+
+    def take(self) -> Job | None:
+        """Return the next job, waiting until one may run; None if none is left."""
+        with self._changed:
+            while self._machines and not self._may_start_machines and not self._computing:
+                self._changed.wait()
+            if self._machines and self._may_start_machines:
+                self._running_machines += 1
+                return self._machines.popleft()
+            return self._computing.popleft() if self._computing else None
+
+    @property
+    def _may_start_machines(self) -> bool:
+        return self._running_machines < MACHINE_JOBS
+
+    def note_done(self, job: Job) -> None:
+        """Note that a job has ended."""
+        with self._changed:
+            self._running_machines -= job.starts_machines
+            self._changed.notify_all()
+
+
 def run_jobs(jobs: list[Job]) -> list[Outcome]:
     """Run all jobs."""
     outcomes: list[Outcome] = []
     lock = threading.Lock()
-
-    def run(job: Job) -> None:
-        outcome = run_job(job)
-        with lock:
-            outcomes.append(outcome)
-            _print_outcome(outcome)
-
-    with (
-        ThreadPoolExecutor(MACHINE_JOBS) as machines,
-        ThreadPoolExecutor(COMPUTING_JOBS) as computing,
-    ):
-        for job in jobs:
-            (machines if job.starts_machines else computing).submit(run, job)
+    queue = JobQueue(jobs)
+
+    def work() -> None:
+        while (job := queue.take()) is not None:
+            try:
+                outcome = run_job(job)
+            finally:
+                queue.note_done(job)
+            with lock:
+                outcomes.append(outcome)
+                _print_outcome(outcome)
+
+    workers = [threading.Thread(target=work) for _ in range(CONCURRENT_JOBS)]
+    for worker in workers:
+        worker.start()
+    for worker in workers:
+        worker.join()
     return outcomes
 
 
