The soak has requests that end their servers, beside servers that end by themselves

A third group of clients sends turns to a route of its own, eight in a hundred of them fatal, and retries as the platform's clients do, at any gateway; servers also end by themselves, in a row and all at once, overlapping with all other faults. Promises: no request is sent after three servers ended under it, and a request is refused for ended servers only if three ended that it was sent to.

--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -103,6 +103,9 @@
             "an earlier life told late": self._list_old_incarnation,
             "server crashes": self._crash_server,
             "version left out": self._leave_out_version,
+            "server ends": lambda: self._end_servers(1),
+            "servers end in a row": self._end_servers_repeatedly,
+            "all servers end": lambda: self._end_servers(len(world.fatal_servers.live)),
             "entries of another writer": self._write_invalid_entries,
             "callers that send slowly": self._send_slow_bodies,
         }
@@ -254,7 +257,7 @@
 
     def _restart_server(self) -> None:
         """Restart a server immediately under its id; connections to it are reset."""
-        with self._resource_locks.lock_any(sorted(self._world.servers), self._rng) as server_id:
+        with self._resource_locks.lock_any(self._world.proxied_servers, self._rng) as server_id:
             if server_id is None:
                 return
             proxy = self._world.server_proxies[server_id]
@@ -268,6 +271,17 @@
             if server_id is not None:
                 self._world.crash_server(server_id, self._rng, _LAPSE_S)
 
+    def _end_servers(self, count: int) -> None:
+        """End servers that run fatal requests and others, at the same moment."""
+        live = self._world.fatal_servers.live
+        for server in self._rng.sample(live, min(count, len(live))):
+            self._world.fatal_servers.end(server)
+
+    def _end_servers_repeatedly(self) -> None:
+        for _ in range(self._rng.randrange(2, _MAX_REPEATS)):
+            self._end_servers(1)
+            self._pause(0.4)
+
     def _leave_out_version(self) -> None:
         with self._lock_advice_server() as server_id:
             if server_id is not None:
@@ -275,7 +289,7 @@
 
     def _list_old_incarnation(self) -> None:
         """List an earlier incarnation of a server for a while, as an outdated list does."""
-        with self._resource_locks.lock_any(sorted(self._world.servers), self._rng) as server_id:
+        with self._resource_locks.lock_any(self._world.proxied_servers, self._rng) as server_id:
             if server_id is None:
                 return
             server, service = self._service_of(server_id)
@@ -288,7 +302,7 @@
     def _write_invalid_entries(self) -> None:
         """Write invalid entries, one of them for a while in place of a server's own entry."""
         store = self._world.store
-        with self._resource_locks.lock_any(sorted(self._world.servers), self._rng) as server_id:
+        with self._resource_locks.lock_any(self._world.proxied_servers, self._rng) as server_id:
             if server_id is None:
                 return
             for number, spec in enumerate(_INVALID_ENTRIES):
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -6,6 +6,7 @@
 
 from features.soak.continuations import RECOVER_S
 from features.soak.disks import Disks
+from features.soak.fatal import FatalClients
 from features.soak.fault_workers import FaultWorkers
 from features.soak.final import FinalFault, FinalFaultInjector, FinalFaultResult
 from features.soak.promises import Record
@@ -33,6 +34,7 @@
     :param faults: number of injected faults by kind.
     :param finals: result of each final fault.
     :param streams: number of attempts to begin and to resume streams.
+    :param fatal: what became of requests that end servers, and of those beside them.
     :param late_s: largest scheduling delay of a thread in this process, which also runs the
         test servers.
     """
@@ -43,6 +45,7 @@
     faults: dict[str, int]
     finals: list[dict[str, Any]]
     streams: dict[str, int]
+    fatal: dict[str, int]
     late_s: float
 
 
@@ -67,7 +70,8 @@
         disks = Disks(world, record.disruptions)
         faults = FaultWorkers(world, record, disks, seed, strands)
         streams = StreamClients(world, record, seed, clients)
-        with streams, Workload(world, record, seed, clients) as workload:
+        fatal = FatalClients(world, record, seed, clients)
+        with fatal, streams, Workload(world, record, seed, clients) as workload:
             final = FinalFaultInjector(world, record, disks, workload.answered, seed)
             try:
                 faults.replace_servers_until(time.monotonic() + RELEASE_S)
@@ -82,6 +86,7 @@
         world.check_all_running()
         record.note_admitted(world.admitted_attempts())
         stream_counts = streams.streams.check_shares()
+        fatal_counts = fatal.check()
         violations = record.violations()
         if violations and keep is not None:
             world.keep_logs(keep / f"seed-{seed}")
@@ -93,6 +98,7 @@
         dict(faults.injected),
         final_results,
         stream_counts,
+        fatal_counts._asdict(),
         round(thread_delay.max_delay_s, 2),
     )
 
--- a/features/soak/world.py
+++ b/features/soak/world.py
@@ -13,6 +13,7 @@
 
 from features.soak.promises import Record, events_of
 from features.soak.proxy import Mode, Proxy
+from features.support.fatal_requests import KINDS, CrashingServers
 from features.support.platform_scripts import full
 from features.support.platform_world import (
     Arrival,
@@ -27,10 +28,13 @@
 
 CHAT = "chat"
 LOOKUP = "records"
+FATAL_ROUTE = "fatal"
+FATAL_KIND = KINDS["resumable turn"]
 #: Slots of a server and retention of turns in seconds, as in the test configuration.
 SLOTS = 16
 RETAIN_S = 60.0
 _LOOKUP_SERVERS = 2
+_FATAL_SERVERS = 6
 _CHAT_SERVERS = 3
 #: Versions of the servers of resumable streams at the start, and those of servers added later.
 _FIRST_VERSIONS = ("v1", "v1", "v2", "v2")
@@ -73,6 +77,7 @@
         self._advice = VersionedServers(seed)
         self._advice.break_share = _BROKEN_ADVICE_SHARE
         self._advice.full_share = _REJECTED_SHARE
+        self.fatal_servers = CrashingServers(self, FATAL_ROUTE, FATAL_KIND, seed)
         super().__init__(gateways, replicas)
         self.gateways = [f"edge-{number}" for number in range(gateways)]
         self.replicas = [f"storage-{number}" for number in range(replicas)]
@@ -87,6 +92,8 @@
         self.add_route(ADVICE, "streaming", resumable=True, attempts=2)
         for version in _FIRST_VERSIONS:
             self.add_server(ADVICE, self._advice.script(version), version)
+        self.add_route(FATAL_ROUTE, FATAL_KIND.route_type, **FATAL_KIND.fields)
+        self.fatal_servers.start(_FATAL_SERVERS)
         self.publish()
         self.wait_ready()
         return self
@@ -107,6 +114,9 @@
 
     def listed_address(self, server_id: str, address: str) -> str:
         """Return the address that is listed for a server, that of its proxy."""
+        if self.service_of[server_id] == FATAL_ROUTE:
+            # A proxy would accept connections after the end of its server.
+            return address
         if server_id not in self.server_proxies:
             self.server_proxies[server_id] = Proxy(lambda: address)
         return self.server_proxies[server_id].address
@@ -186,6 +196,11 @@
             for server in servers
         )
 
+    @property
+    def proxied_servers(self) -> list[str]:
+        """Return the ids of the servers that are reached through proxies."""
+        return sorted(set(self.servers) & set(self.server_proxies))
+
     def replace_server(self, server_id: str, rng: random.Random) -> None:
         """Start a server of any version, and let another one drain and end."""
         version = rng.choice(_VERSIONS)
--- a/features/steps/server_end_steps.py
+++ b/features/steps/server_end_steps.py
@@ -16,6 +16,7 @@
     CrashingServers,
     RetryingCaller,
     every,
+    refused_for,
     run_calls,
 )
 from features.support.platform_scripts import publish, world
@@ -23,8 +24,6 @@
 ROUTE = "desk"
 #: Seconds in which the requests of a step begin.
 SPREAD_S = 4.0
-#: What the refusal of a request says before the ended servers.
-REFUSAL = "servers ended while they ran this request: "
 #: Seconds within which a request is refused that no server may run any more.
 REFUSAL_S = 0.5
 
@@ -162,7 +161,7 @@
     sent = sent_to(context)
     refused = 0
     for call in [*context.fatal, *context.others]:
-        named = {name for body in call.bodies for name in ended_servers(body)}
+        named = refused_for(call)
         refused += bool(named)
         for server_id in named:
             assert world(context).servers[server_id].has_ended, (server_id, call)
@@ -181,12 +180,6 @@
     }
 
 
-def ended_servers(body: bytes) -> list[str]:
-    """Return the ids of the ended servers that a refusal names."""
-    _, separator, names = body.decode(errors="replace").partition(REFUSAL)
-    return names.strip().split(", ") if separator else []
-
-
 @then("each other request under which fewer than three servers ended was sent as often as before")
 def innocent_not_refused(context: Context) -> None:
     refused = [
--- a/features/support/fatal_requests.py
+++ b/features/support/fatal_requests.py
@@ -48,6 +48,8 @@
 #: Pause before a turn is sent again from its start, in seconds.
 MIN_TURN_PAUSE_S = 0.1
 MAX_TURN_PAUSE_S = 0.4
+#: What the refusal of a request says before the ended servers.
+REFUSAL = "servers ended while they ran this request: "
 _DEADLINE_S = 3.0
 _NOT_RUN = (408, 421, 429, 503)
 _RESET = struct.pack("ii", 1, 0)
@@ -268,6 +270,16 @@
     is_served: bool = False
 
 
+def refused_for(call: Call) -> set[str]:
+    """Return the ids of the ended servers that refusals of a request name; empty if none did."""
+    found: set[str] = set()
+    for body in call.bodies:
+        _, separator, names = body.decode(errors="replace").partition(REFUSAL)
+        if separator:
+            found.update(name.partition(" ")[0] for name in names.strip().split(", "))
+    return found
+
+
 class RetryingCaller:
     """Sends requests with the retries that the platform's clients make.
 
@@ -293,6 +305,16 @@
                 break
         return call
 
+    def connect(self, gateway: int, is_retry: bool) -> http.client.HTTPConnection:
+        """Return a connection to a gateway."""
+        return self._world.connect(gateway)
+
+    def release(
+        self, gateway: int, connection: http.client.HTTPConnection, is_reusable: bool
+    ) -> None:
+        """End the use of a connection."""
+        connection.close()
+
     def _run_tries(self, call: Call, start: int, rng: random.Random) -> None:
         end = time.monotonic() + _DEADLINE_S
         resumed = ""
@@ -309,9 +331,9 @@
         return self._kind.route_type != "mutating" or status in _NOT_RUN
 
     def _try(self, call: Call, attempt: str, resumed: str, gateway: int) -> int:
-        connection = self._world.connect(gateway)
+        connection = self.connect(gateway, is_retry=bool(call.statuses))
         started = time.monotonic()
-        status, body, retry_after = 0, b"", None
+        status, body, retry_after, is_reusable = 0, b"", None, False
         try:
             connection.request(
                 "POST", f"/{self._route}/x", call.body, self._headers(call, attempt, resumed)
@@ -320,12 +342,13 @@
             retry_after = response.headers.get("Retry-After")
             body, is_whole = self._read(response, call)
             status = response.status if is_whole else 0
+            is_reusable = is_whole and not response.will_close
             call.is_served = response.status == 200 and is_whole
         except (OSError, ValueError, http.client.HTTPException):
             # The connection ended, as it may when servers or gateways do.
             status = 0
         finally:
-            connection.close()
+            self.release(gateway, connection, is_reusable)
         call.statuses.append(status)
         call.seconds.append(time.monotonic() - started)
         call.bodies.append(body)
