A reservation of a send lasts no longer than the send may

A replica that missed the release of a reserved send, since the connection was down, counted the send as a possible end for two minutes, and a request under which one server had ended could be refused for that. Reservations carry the time left to their attempt. A write of ended servers to the record store holds the caller for 0.1 s at most instead of 0.25 s, and a send that was reserved and not sent is released at once.

--- a/features/steps/suspect_steps.py
+++ b/features/steps/suspect_steps.py
@@ -106,7 +106,7 @@
 
 def reserve(context: Context, send_id: str, replicas: list[CrashSuspects]) -> set[str]:
     """Reserve a send at replicas; return the other sends in progress."""
-    request = ReserveSend(REQUEST, PendingSend(send_id, f"server-of-{send_id}"))
+    request = ReserveSend(REQUEST, PendingSend(send_id, f"server-of-{send_id}", 5.0))
     replies = [replica.reserve(request, 1.0) for replica in replicas]
     return {send.send_id for reply in replies for send in reply.pending}
 
@@ -136,16 +136,25 @@
     assert may_send(context, reserve(context, "b", context.replicas))
 
 
+@then("a send whose outcome nobody tells counts for as long as it may last")
+def lost_release(context: Context) -> None:
+    replica = context.replicas[0]
+    replica.reserve(ReserveSend(REQUEST, PendingSend("lost", "i-8", 5.0)), 1.0)
+    request = ReserveSend(REQUEST, PendingSend("next", "i-9", 5.0))
+    assert "lost" in {send.send_id for send in replica.reserve(request, 5.9).pending}
+    assert "lost" not in {send.send_id for send in replica.reserve(request, 6.0).pending}
+
+
 @when('another suspect is sent to server "{server}"')
 def other_suspect(context: Context, server: str) -> None:
     replica = context.replicas[0]
     replica.merge([Suspect("request-2", ["i-0"], RETENTION_S)], 0.0)
-    replica.reserve(ReserveSend("request-2", PendingSend("c", server)), 1.0)
+    replica.reserve(ReserveSend("request-2", PendingSend("c", server, 5.0)), 1.0)
 
 
 @then('a reservation of the request names "{server}" as occupied')
 def occupied(context: Context, server: str) -> None:
-    request = ReserveSend(REQUEST, PendingSend("a", "i-1"))
+    request = ReserveSend(REQUEST, PendingSend("a", "i-1", 5.0))
     assert context.replicas[0].reserve(request, 1.0).occupied == [server]
 
 
--- a/yarrowwall/dispatch/sender.py
+++ b/yarrowwall/dispatch/sender.py
@@ -180,9 +180,8 @@
 
         :raises RefusedError: if the request may be sent to no server.
         """
-        self._release_send(is_resolved=False)
         try:
-            send = self._components.suspects.reserve(self._attempt, choice.server)
+            send = self._components.suspects.reserve(self._attempt, choice.server, self.left_s())
         except SuspectRefusedError as error:
             refusal = self.rules.final_refusal(
                 str(error), self._components.now(), error.retry_after_s
@@ -206,10 +205,10 @@
     def close(self) -> None:
         """Cancel what is left of the attempt."""
         self.cancel_answer()
-        if self._unsettled_server is not None:
-            server, self._unsettled_server = self._unsettled_server, None
+        server, self._unsettled_server = self._unsettled_server, None
+        if server is not None:
             self._components.suspects.note_unresolved(self._attempt, server)
-        self._release_send(is_resolved=False)
+        self._release_send(is_resolved=server is None)
 
     def _limit_refusal(self, refused: RefusedError) -> RefusedError:
         """Return the final refusal of an attempt that got no permit for a (further) send."""
--- a/yarrowwall/messages/suspects.py
+++ b/yarrowwall/messages/suspects.py
@@ -25,10 +25,12 @@
 
     :param send_id: unique id of the send.
     :param server: text of the server's incarnation.
+    :param left_s: seconds after which it has ended in any case.
     """
 
     send_id: str
     server: str
+    left_s: float
 
 
 @message(147)
--- a/yarrowwall/policy/crash_suspects.py
+++ b/yarrowwall/policy/crash_suspects.py
@@ -22,14 +22,22 @@
     """One suspect.
 
     :ivar pending: its sends whose outcome is unknown, by id.
+    :ivar pending_until: when each of them has ended in any case.
     """
 
-    __slots__ = ("ended", "expires_at", "pending")
+    __slots__ = ("ended", "expires_at", "pending", "pending_until")
 
     def __init__(self) -> None:
         self.ended: set[str] = set()
         self.expires_at = 0.0
         self.pending: dict[str, PendingSend] = {}
+        self.pending_until: dict[str, float] = {}
+
+    def pending_sends(self, now_s: float) -> list[PendingSend]:
+        """Return the sends whose outcome is unknown."""
+        return [
+            send for send_id, send in self.pending.items() if self.pending_until[send_id] > now_s
+        ]
 
 
 class CrashSuspects:
@@ -85,13 +93,15 @@
         if entry is None:
             # This process lost its suspects; the gateway that asks knows better.
             return ReserveSendReply([], [], [])
-        others = [send for send in entry.pending.values() if send.send_id != request.send.send_id]
-        entry.pending[request.send.send_id] = request.send
+        send_id = request.send.send_id
+        others = [send for send in entry.pending_sends(now_s) if send.send_id != send_id]
+        entry.pending[send_id] = request.send
+        entry.pending_until[send_id] = now_s + min(request.send.left_s, MAX_RETENTION_SECONDS)
         occupied = {
             send.server
             for other in self._entries.values()
             if other is not entry
-            for send in other.pending.values()
+            for send in other.pending_sends(now_s)
         }
         return ReserveSendReply(sorted(entry.ended), others, sorted(occupied))
 
@@ -100,6 +110,7 @@
         entry = self._entries.get(request)
         if entry is not None:
             entry.pending.pop(send_id, None)
+            entry.pending_until.pop(send_id, None)
 
     def _drop_expired(self, now_s: float) -> None:
         if now_s - self._dropped_at < DROP_INTERVAL_SECONDS:
--- a/yarrowwall/policy/request_identity.py
+++ b/yarrowwall/policy/request_identity.py
@@ -27,7 +27,7 @@
         attempt.affinity or "",
     ]
     hasher = hashlib.blake2b(digest_size=IDENTITY_BYTES)
-    for encoded in (*(part.encode(errors="surrogateescape") for part in parts), attempt.body):
+    for encoded in (*(part.encode(errors="surrogatepass") for part in parts), attempt.body):
         hasher.update(len(encoded).to_bytes(8, "big"))
         hasher.update(encoded)
     return hasher.hexdigest()
--- a/yarrowwall/ports/suspects.py
+++ b/yarrowwall/ports/suspects.py
@@ -48,9 +48,10 @@
         """
 
     @abstractmethod
-    def reserve(self, attempt: Attempt, server: Server) -> SuspectSend | None:
+    def reserve(self, attempt: Attempt, server: Server, left_s: float) -> SuspectSend | None:
         """Reserve a send; return None if no server has ended under the request.
 
+        :param left_s: seconds left to the attempt.
         :raises SuspectRefusedError: if the request may not be sent.
         """
 
--- a/yarrowwall/suspects/client.py
+++ b/yarrowwall/suspects/client.py
@@ -154,7 +154,7 @@
             reason = f"{len(servers)} servers ended while they ran this request"
             raise SuspectRefusedError(f"{reason}: {', '.join(servers)}", None)
 
-    def reserve(self, attempt: Attempt, server: Server) -> SuspectSend | None:
+    def reserve(self, attempt: Attempt, server: Server, left_s: float) -> SuspectSend | None:
         """Reserve a send; return None if no server has ended under the request."""
         if not self._suspects:
             return None
@@ -163,7 +163,8 @@
         if not ended:
             return None
         self._check_ended(ended)
-        send = _ReservedSend(self, request, f"{self._send_prefix}-{next(self._send_numbers)}")
+        send_id = f"{self._send_prefix}-{next(self._send_numbers)}"
+        send = _ReservedSend(self, request, send_id, left_s + UNRESOLVED_SECONDS)
         try:
             pending = send.reserve(server)
             ended = self._suspects.ended(request, self._now())
@@ -259,24 +260,27 @@
     """A send that the replicas know of.
 
     :param request: identity of the request.
+    :param left_s: seconds after which it has ended in any case.
     """
 
-    def __init__(self, client: SuspectClient, request: str, send_id: str) -> None:
+    def __init__(self, client: SuspectClient, request: str, send_id: str, left_s: float) -> None:
         self._client = client
         self._request = request
         self._send_id = send_id
+        self._left_s = left_s
         self._is_released = False
 
     def reserve(self, server: Server) -> int:
         """Reserve it at all replicas; return the number of other sends in progress."""
-        message = ReserveSend(self._request, PendingSend(self._send_id, server.incarnation_text))
+        send = PendingSend(self._send_id, server.incarnation_text, self._left_s)
+        message = ReserveSend(self._request, send)
         pending: set[str] = set()
         occupied: set[str] = set()
         for reply in self._client.ask_all(message):
             if isinstance(reply, ReserveSendReply):
                 self._client.merge_ended(self._request, reply.ended)
                 pending |= {
-                    send.send_id for send in reply.pending if send.server not in reply.ended
+                    other.send_id for other in reply.pending if other.server not in reply.ended
                 }
                 occupied |= set(reply.occupied)
         self.occupied = frozenset(occupied)
--- a/yarrowwall/suspects/records.py
+++ b/yarrowwall/suspects/records.py
@@ -10,8 +10,9 @@
 from yarrowwall.replication.group_views import REPORT_GROUP
 from yarrowwall.replication.quorum_client import QuorumClient
 
-#: Timeout in seconds of one read or write.
-TIMEOUT_SECONDS = 0.25
+#: Timeouts in seconds. A caller waits for a write.
+READ_TIMEOUT_SECONDS = 0.25
+WRITE_TIMEOUT_SECONDS = 0.1
 #: Seconds of the wall clock whose suspects have one owner, so that old ones can be dropped. Those
 #: of the current and the previous period are read.
 PERIOD_SECONDS = 240
@@ -41,7 +42,7 @@
             for suspect in suspects
             for server in suspect.ended
         ]
-        self._client.write(REPORT_GROUP, records, timeout=TIMEOUT_SECONDS)
+        self._client.write(REPORT_GROUP, records, timeout=WRITE_TIMEOUT_SECONDS)
 
     def read(self, left_s: float) -> list[Suspect]:
         """Return the suspects of the last minutes.
@@ -52,7 +53,7 @@
         found: list[Suspect] = []
         for periods_ago in (0, 1):
             owner = self._owner(periods_ago)
-            reading = self._client.read_amounts(REPORT_GROUP, owner, timeout=TIMEOUT_SECONDS)
+            reading = self._client.read_amounts(REPORT_GROUP, owner, timeout=READ_TIMEOUT_SECONDS)
             for key in reading.amounts:
                 request, _, server = key.removeprefix(f"{owner}/").partition("/")
                 found.append(Suspect(request, [server], left_s))
