--- a/yarrowwall/metrics.py
+++ b/yarrowwall/metrics.py
@@ -35,6 +35,9 @@
 REFUSALS = _Description("refusals", "Answers of the gateway's own", "status")
 SENDS = _Description("sends", "Sendings to servers", "service")
 FAILED_SENDS = _Description("failed_sends", "Sendings without an answer to pass on", "may_have_run")
+SERVER_ENDS = _Description(
+    "servers_ended_under_requests", "Ends of servers, counted for each request that they ran"
+)
 CACHED_TOKENS = _Description(
     "cached_prompt_tokens", "Prompt tokens believed to be in the chosen server's memory"
 )
@@ -141,6 +144,7 @@
             decisions.AttemptRefused: lambda event: self._add(REFUSALS, event.status),
             decisions.AttemptSent: self._sent,
             decisions.SendFailed: lambda event: self._add(FAILED_SENDS, event.may_have_run),
+            decisions.ServerEndedUnderRequest: lambda event: self._add(SERVER_ENDS),
             decisions.AnswerBrokenOff: lambda event: self._add(BROKEN_ANSWERS),
             decisions.CallerLeft: lambda event: self._add(CALLERS_LEFT),
             decisions.CallerGivenUp: lambda event: self._add(CALLERS_GIVEN_UP),
