A gateway that is cut off asks for ended servers before it sends

While it counts as cut off it asks a replica through a neighbour before each request, as its turns do anyway.

The stand-in of a partition lost only the frames that a gateway sent; notices of replicas still arrived.

--- a/features/reach.feature
+++ b/features/reach.feature
@@ -35,6 +35,19 @@
     And 12 turns of at most 40 tokens of a program with 200 tokens come at once at two gateways
     Then at most 200 tokens were given out
 
+  # Guards against ends of servers that a gateway which is cut off neither reports nor hears of.
+  @cut_world
+  Scenario: Ended servers are counted over a gateway that is cut off and the others
+    Given a stream route "talk" whose server sends 4 events
+    And the gateways know their neighbours
+    And 6 servers of a route for each repeatable lookup
+    When gateway 0 is cut off from all replicas
+    And 10 turns of "talk" come at gateway 0 within 1.0 s
+    And a fatal request arrives at gateway 0 and then at gateway 1
+    And another fatal request arrives at gateway 1 and then at gateway 0
+    Then no request was sent to a server after three servers had ended under it
+    And each fatal request is refused at once and its caller is told why
+
   Scenario: Many gateways that go through one neighbour stay within its bounds
     Given a neighbour whose replica answers after 50 ms
     When 30 gateways ask it for 20 requests of 1 KB each at once
--- a/features/steps/server_end_steps.py
+++ b/features/steps/server_end_steps.py
@@ -93,6 +93,15 @@
     killer.join()
 
 
+@when("a fatal request arrives at gateway {first:d} and then at gateway {second:d}")
+@when("another fatal request arrives at gateway {first:d} and then at gateway {second:d}")
+def fatal_in_turn(context: Context, first: int, second: int) -> None:
+    body = FATAL + b"%d-%d" % (first, second)
+    for gateway in (first, second):
+        call = RetryingCaller(world(context), ROUTE, context.kind, [gateway]).run(body)
+    context.fatal = [*getattr(context, "fatal", []), call]
+
+
 @when("all machines are killed and started again")
 def kill_all(context: Context) -> None:
     names = list(world(context).processes)
--- a/features/support/cut_machine.py
+++ b/features/support/cut_machine.py
@@ -1,4 +1,4 @@
-"""Runs a machine that can be partitioned: frames to the addresses in a file are lost.
+"""Runs a machine that can be partitioned: frames to and from the addresses in a file are lost.
 
 This replaces the command ``python3 -m yarrowwall.platform``. The file is next to the settings, with
 the suffix ``.cut``.
@@ -31,6 +31,7 @@
 
     open_socket = rpc.open_socket
     send = rpc.FrameChannel.send
+    handle_frames = rpc.FrameChannel._handle_frames
 
     def open_or_time_out(address: str, timeout: float) -> Any:
         if _is_cut(address):
@@ -38,16 +39,27 @@
             raise ConnectTimeoutError(address)
         return open_socket(address, timeout)
 
-    def send_or_lose(self: Any, number: int, message: object) -> None:
+    def is_peer_cut(channel: Any) -> bool:
         try:
-            host, port = self._connection.getpeername()
+            host, port = channel._connection.getpeername()
         except OSError:
-            return
-        if not _is_cut(f"{host}:{port}"):
+            # The connection has ended.
+            return True
+        return _is_cut(f"{host}:{port}")
+
+    def send_or_lose(self: Any, number: int, message: object) -> None:
+        if not is_peer_cut(self):
             send(self, number, message)
 
+    def handle_or_lose(self: Any, buffer: bytearray) -> None:
+        if is_peer_cut(self):
+            buffer.clear()
+        else:
+            handle_frames(self, buffer)
+
     rpc.open_socket = open_or_time_out
     rpc.FrameChannel.send = send_or_lose  # type: ignore[method-assign]
+    rpc.FrameChannel._handle_frames = handle_or_lose  # type: ignore[method-assign]
 
 
 if __name__ == "__main__":
--- a/yarrowwall/suspects/client.py
+++ b/yarrowwall/suspects/client.py
@@ -25,7 +25,7 @@
 from yarrowwall.policy.request_identity import request_identity
 from yarrowwall.policy.retry_after import SHORTAGE_SECONDS
 from yarrowwall.ports.suspects import SuspectControl, SuspectRefusedError, SuspectSend
-from yarrowwall.replication.exceptions import NoQuorumError
+from yarrowwall.replication.exceptions import LinkDownError, NoQuorumError
 from yarrowwall.replication.group_views import GroupViews
 from yarrowwall.replication.relayed_links import RelayedLink, RelayedLinkTable
 from yarrowwall.replication.rpc import Completion
@@ -144,9 +144,22 @@
         is_start = self._now() - self._started_at < START_SECONDS
         if is_start and not self._has_read.ready():
             self._has_read.wait(START_WAIT_SECONDS)
+        if self._links.is_cut_off:
+            self._refresh()
         if self._suspects:
             self._check_ended(self._suspects.ended(request_identity(attempt), self._now()))
 
+    def _refresh(self) -> None:
+        """Ask a replica for all suspects, since notices do not reach this gateway."""
+        request = FollowSuspects(self._node_id, self._suspects.all(self._now()))
+        for link in self._replica_links():
+            try:
+                self._note_message(link.call(request, RELAYED_REPLY_TIMEOUT_SECONDS))
+            except LinkDownError:
+                # The next replica may be within a neighbour's reach.
+                continue
+            return
+
     @staticmethod
     def _check_ended(ended: Iterable[str]) -> None:
         servers = sorted(ended)
