The outcomes of an attempt's sends have a module; a check goes on without its caller

What became of an attempt's sends, and their reservations, was spread over the sender; SendOutcomes follows it. Three faults found while reading:

- A check whether a server ended ran in the greenthread of one caller; if that caller left within its 15 ms, the others were told that the server lives.
It has a greenthread of its own, and reports the sends that nobody waits for.
- A request under which servers ended could be moved from a server that runs another such request to one that had just failed.
- While no replica answered at all, every gateway counts as cut off, and each request would have waited up to 0.9 s for ended servers.
A gateway asks only while a neighbour reaches the replicas, once, for 0.2 s at most.

server_ends.feature, suspects.feature and the scenario of the cut gateway pass.

--- a/yarrowwall/dispatch/components.py
+++ b/yarrowwall/dispatch/components.py
@@ -40,5 +40,7 @@
 
     def __post_init__(self) -> None:
         """Create the components that need others."""
-        self.server_ends = ServerEndDetector(self.directory, self.now)
+        self.server_ends = ServerEndDetector(
+            self.directory, lambda server: self.suspects.report_ended(server, None), self.now
+        )
         self.chooser = ServerChooser(self.directory)
--- a/yarrowwall/dispatch/sender.py
+++ b/yarrowwall/dispatch/sender.py
@@ -11,6 +11,7 @@
 from yarrowwall import decisions
 from yarrowwall.dispatch.components import DispatchComponents
 from yarrowwall.dispatch.connection import ServerConnection
+from yarrowwall.dispatch.send_outcomes import SendOutcomes
 from yarrowwall.exceptions import (
     AnswerTimeoutError,
     ConnectError,
@@ -35,7 +36,7 @@
 from yarrowwall.policy.servers import ServerState
 from yarrowwall.policy.urgency import turn_rank
 from yarrowwall.ports.quotas import Allowance
-from yarrowwall.ports.suspects import SuspectRefusedError, SuspectSend
+from yarrowwall.ports.suspects import SuspectRefusedError
 from yarrowwall.refusals import RefusedError
 
 #: Maximum number of responses to other requests that are skipped on a connection.
@@ -96,9 +97,13 @@
         self._occupied_server: ServerState | None = None
         #: Whether a server timed out; then every kept connection may be dead.
         self._saw_timeout = False
-        #: The server of a send whose outcome is not known yet, and its reservation if it has one.
-        self._unsettled_server: Server | None = None
-        self._suspect_send: SuspectSend | None = None
+        self._outcomes = SendOutcomes(
+            plan.attempt,
+            components.directory,
+            components.server_ends,
+            components.suspects,
+            components.now,
+        )
         self.rules = SendRules(
             plan.route,
             plan.service,
@@ -176,39 +181,20 @@
     def _reserve_send(self, choice: Choice) -> Choice:
         """Reserve a send if servers ended under the request; return the server to send it to.
 
-        Such a request goes to a server that runs no other one of these, if there is any.
-
         :raises RefusedError: if the request may be sent to no server.
         """
         try:
-            send = self._components.suspects.reserve(self._attempt, choice.server, self.left_s())
+            return self._outcomes.reserve(choice, self._choose, self.left_s())
         except SuspectRefusedError as error:
             refusal = self.rules.final_refusal(
                 str(error), self._components.now(), error.retry_after_s
             )
             raise RefusedError(refusal) from error
-        self._suspect_send = send
-        if send is None or choice.server.incarnation_text not in send.occupied:
-            return choice
-        apart = self._choose(send.occupied)
-        if apart is None:
-            return choice
-        send.move(apart.server)
-        return apart
-
-    def _release_send(self, is_resolved: bool) -> None:
-        """End the reservation of the last send, if it has one."""
-        if self._suspect_send is not None:
-            self._suspect_send.release(is_resolved)
-            self._suspect_send = None
 
     def close(self) -> None:
         """Cancel what is left of the attempt."""
         self.cancel_answer()
-        server, self._unsettled_server = self._unsettled_server, None
-        if server is not None:
-            self._components.suspects.note_unresolved(self._attempt, server)
-        self._release_send(is_resolved=server is None)
+        self._outcomes.close()
 
     def _limit_refusal(self, refused: RefusedError) -> RefusedError:
         """Return the final refusal of an attempt that got no permit for a (further) send."""
@@ -292,7 +278,7 @@
     def _exchange(self, connection: ServerConnection, send: Send) -> Answer:
         may_have_run_before = self.history.may_have_run
         self.history.may_have_run = True
-        self._unsettled_server = send.server
+        self._outcomes.note_sent(send.server)
         connection.send(self._components.protocol.request_bytes(self._attempt, send), self.left_s())
         for _ in range(MAX_FOREIGN_ANSWERS):
             head = self._wait_for_head(connection, send.server.incarnation)
@@ -354,23 +340,9 @@
         if isinstance(error, AnswerTimeoutError):
             self._saw_timeout = True
             self._components.pool.close_idle(server.incarnation)
-        has_ended = self._components.server_ends.has_ended(server, error)
-        self._settle_failure(server, has_ended)
+        has_ended = self._outcomes.note_failed(server, error)
         self._log_send_failed(server, str(error), self.history.may_have_run, has_ended)
 
-    def _settle_failure(self, server: Server, has_ended: bool) -> None:
-        """Report the end of a server under the attempt, before the attempt is sent again.
-
-        Other requests that it may have run are reported too.
-        """
-        was_sent, self._unsettled_server = self._unsettled_server is not None, None
-        suspects = self._components.suspects
-        if has_ended:
-            suspects.report_ended(server, self._attempt if was_sent else None)
-        elif was_sent:
-            suspects.note_unresolved(self._attempt, server)
-        self._release_send(is_resolved=has_ended or not was_sent)
-
     def _log_send_failed(
         self, server: Server, reason: str, may_have_run: bool, has_ended: bool = False
     ) -> None:
@@ -392,8 +364,7 @@
             opened.connection.read_all(self.left_s())
         except RelayError:
             # The answer is known; only the connection can't be reused.
-            self._unsettled_server = None
-            self._release_send(is_resolved=True)
+            self._outcomes.note_answered()
             self.cancel_answer()
             return
         self.finish_answer()
@@ -403,8 +374,7 @@
         if self.current is None:
             return
         opened, self.current = self.current, None
-        self._unsettled_server = None
-        self._release_send(is_resolved=True)
+        self._outcomes.note_answered()
         self._free_slot()
         opened.connection.finish_response()
         self._components.pool.release(opened.send.server, opened.connection)
--- a/yarrowwall/dispatch/server_ends.py
+++ b/yarrowwall/dispatch/server_ends.py
@@ -32,11 +32,18 @@
     """Checks whether incarnations of servers have ended.
 
     :param directory: the known servers; a later incarnation of a server shows that one has ended.
+    :param on_ended: called with a server that was found to have ended.
     :param now: the monotonic clock.
     """
 
-    def __init__(self, directory: ServerDirectory, now: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        directory: ServerDirectory,
+        on_ended: Callable[[Server], None],
+        now: Callable[[], float],
+    ) -> None:
         self._directory = directory
+        self._on_ended = on_ended
         self._now = now
         self._ended_at: dict[Incarnation, float] = {}
         self._checks: dict[Incarnation, Event] = {}
@@ -44,7 +51,7 @@
     def has_ended(self, server: Server, error: RelayError) -> bool:
         """Return whether a server is known to have ended, given the error of a send to it.
 
-        Concurrent calls for one incarnation share a check.
+        Concurrent calls for one incarnation share a check, which goes on if a caller leaves.
         """
         if isinstance(error, ConnectRefusedError) or self._has_successor(server.incarnation):
             self._note_ended(server.incarnation)
@@ -52,10 +59,11 @@
             return True
         if not isinstance(error, ConnectionBrokenError):
             return False
-        running = self._checks.get(server.incarnation)
-        if running is not None:
-            return bool(running.wait())
-        return self._check(server)
+        check = self._checks.get(server.incarnation)
+        if check is None:
+            check = self._checks[server.incarnation] = Event()
+            eventlet.spawn_n(self._check, server, check)
+        return bool(check.wait())
 
     def _has_successor(self, incarnation: Incarnation) -> bool:
         state = self._directory.states.get(incarnation.server_id)
@@ -66,17 +74,13 @@
         """Return the time before which ends are forgotten."""
         return self._now() - REMEMBERED_SECONDS
 
-    def _check(self, server: Server) -> bool:
-        done = self._checks[server.incarnation] = Event()
-        has_ended = False
-        try:
-            has_ended = _refuses_connections(server.address)
-            if has_ended:
-                self._note_ended(server.incarnation)
-        finally:
-            del self._checks[server.incarnation]
-            done.send(has_ended)
-        return has_ended
+    def _check(self, server: Server, check: Event) -> None:
+        has_ended = _refuses_connections(server.address)
+        del self._checks[server.incarnation]
+        check.send(has_ended)
+        if has_ended:
+            self._note_ended(server.incarnation)
+            self._on_ended(server)
 
     def _note_ended(self, incarnation: Incarnation) -> None:
         # Entries are ordered by time, so that expired ones come first.
--- a/yarrowwall/policy/servers.py
+++ b/yarrowwall/policy/servers.py
@@ -277,6 +277,11 @@
         state.failures += 1
         state.suspended_until = now + pause
 
+    def is_suspended(self, incarnation: Incarnation, now: float) -> bool:
+        """Return whether a server is avoided after a failure, or has ended."""
+        state = self.state_of(incarnation)
+        return state is None or state.suspended_until > now
+
     def note_full(self, incarnation: Incarnation, now: float) -> None:
         """Suspend a server for a short time after it answered that it is full."""
         state = self.state_of(incarnation)
--- a/yarrowwall/suspects/client.py
+++ b/yarrowwall/suspects/client.py
@@ -44,7 +44,7 @@
 START_WAIT_SECONDS = 0.1
 #: Seconds that a caller waits for the replicas' replies. An answer takes a round trip.
 REPLY_TIMEOUT_SECONDS = 0.06
-RELAYED_REPLY_TIMEOUT_SECONDS = 0.3
+RELAYED_REPLY_TIMEOUT_SECONDS = 0.2
 #: Seconds for which a suspect is kept: longer than a caller repeats a turn.
 RETENTION_SECONDS = 120.0
 #: Seconds after which the reservation of a send is released whose outcome nobody will tell.
@@ -112,8 +112,7 @@
     def _follow_interval_s(self, links: list[RelayedLink]) -> float:
         if not links:
             return FIRST_FOLLOW_INTERVAL_SECONDS
-        is_relayed = self._links.is_cut_off
-        return RELAYED_FOLLOW_INTERVAL_SECONDS if is_relayed else FOLLOW_INTERVAL_SECONDS
+        return RELAYED_FOLLOW_INTERVAL_SECONDS if self._is_relayed else FOLLOW_INTERVAL_SECONDS
 
     def _follow(self, link: RelayedLink) -> None:
         request = FollowSuspects(self._node_id, self._suspects.all(self._now()))
@@ -124,7 +123,7 @@
         self, link: RelayedLink, message: object, completion: Completion
     ) -> Callable[[], None]:
         """Send a request to a replica; return a function that stops waiting for the reply."""
-        if self._links.is_cut_off:
+        if self._is_relayed:
             relayed = link.post(message, completion)
             return lambda: link.forget(relayed)
         number = link.post_directly(message, completion)
@@ -144,7 +143,7 @@
         is_start = self._now() - self._started_at < START_SECONDS
         if is_start and not self._has_read.ready():
             self._has_read.wait(START_WAIT_SECONDS)
-        if self._links.is_cut_off:
+        if self._is_relayed:
             self._refresh()
         if self._suspects:
             self._check_ended(self._suspects.ended(request_identity(attempt), self._now()))
@@ -152,13 +151,15 @@
     def _refresh(self) -> None:
         """Ask a replica for all suspects, since notices do not reach this gateway."""
         request = FollowSuspects(self._node_id, self._suspects.all(self._now()))
-        for link in self._replica_links():
-            try:
+        for link in self._replica_links()[:1]:
+            # Without a reply the attempt goes on with what this gateway knows.
+            with contextlib.suppress(LinkDownError):
                 self._note_message(link.call(request, RELAYED_REPLY_TIMEOUT_SECONDS))
-            except LinkDownError:
-                # The next replica may be within a neighbour's reach.
-                continue
-            return
+
+    @property
+    def _is_relayed(self) -> bool:
+        """Return whether this gateway reaches replicas only through neighbours."""
+        return self._links.paths.has_working_neighbour(self._now())
 
     @staticmethod
     def _check_ended(ended: Iterable[str]) -> None:
@@ -257,8 +258,7 @@
 
         forgets = [self._post(link, message, note) for link in links]
         if links:
-            is_relayed = self._links.is_cut_off
-            done.wait(RELAYED_REPLY_TIMEOUT_SECONDS if is_relayed else REPLY_TIMEOUT_SECONDS)
+            done.wait(RELAYED_REPLY_TIMEOUT_SECONDS if self._is_relayed else REPLY_TIMEOUT_SECONDS)
         for forget in forgets:
             forget()
         return list(replies)
