--- a/features/soak/fatal.py
+++ b/features/soak/fatal.py
@@ -6,6 +6,7 @@
 import threading
 from typing import NamedTuple
 
+from features.soak.kept_connections import KeptConnections
 from features.soak.promises import Record
 from features.soak.threads import ThreadGroup
 from features.soak.world import FATAL_KIND, FATAL_ROUTE, SoakWorld
@@ -39,35 +40,18 @@
 
 
 class _PersistentCaller(RetryingCaller):
-    """A caller that keeps a connection per gateway until it ends; each retry opens a new one."""
+    """A caller that keeps its connections; each retry opens a new one."""
 
     def __init__(self, world: SoakWorld) -> None:
         gateways = list(range(len(world.gateways)))
         super().__init__(world, FATAL_ROUTE, FATAL_KIND, gateways)
-        self._idle: dict[int, http.client.HTTPConnection] = {}
+        self._connections = KeptConnections(world.connect)
+        self.release = self._connections.release
+        self.close = self._connections.close
 
     def connect(self, gateway: int, is_retry: bool) -> http.client.HTTPConnection:
-        """Return the idle connection to a gateway, or a new one."""
-        idle = self._idle.pop(gateway, None)
-        if idle is not None and idle.sock is not None and not is_retry:
-            return idle
-        if idle is not None:
-            idle.close()
-        return super().connect(gateway, is_retry)
-
-    def release(
-        self, gateway: int, connection: http.client.HTTPConnection, is_reusable: bool
-    ) -> None:
-        """Keep a connection that can be reused."""
-        if is_reusable:
-            self._idle[gateway] = connection
-        else:
-            connection.close()
-
-    def close(self) -> None:
-        """Close all connections."""
-        for connection in self._idle.values():
-            connection.close()
+        """Return the kept connection to a gateway, or a new one."""
+        return self._connections.take(gateway, must_be_new=is_retry)
 
 
 class FatalClients(ThreadGroup):
--- a/features/soak/streams.py
+++ b/features/soak/streams.py
@@ -1,12 +1,12 @@
 """Clients that resume streams of servers of several software versions."""
 
 import contextlib
-import http.client
 import random
 import threading
 import time
 from typing import NamedTuple
 
+from features.soak.kept_connections import KeptConnections
 from features.soak.promises import Record
 from features.soak.threads import ThreadGroup
 from features.soak.world import SoakWorld
@@ -20,30 +20,14 @@
 
 
 class _PersistentClient(ResumingClient):
-    """A client that reuses a connection per gateway until it ends."""
+    """A client that keeps its connections."""
 
     def __init__(self, world: SoakWorld, has_budget: bool) -> None:
         super().__init__(world, has_budget)
-        self._idle: dict[int, http.client.HTTPConnection] = {}
-
-    def connect(self, gateway: int) -> http.client.HTTPConnection:
-        """Return the idle connection to a gateway, or a new one."""
-        idle = self._idle.pop(gateway, None)
-        return idle if idle is not None and idle.sock is not None else super().connect(gateway)
-
-    def release(
-        self, gateway: int, connection: http.client.HTTPConnection, is_reusable: bool
-    ) -> None:
-        """Keep a connection that can be reused."""
-        if is_reusable:
-            self._idle[gateway] = connection
-        else:
-            connection.close()
-
-    def close(self) -> None:
-        """Close all connections."""
-        for connection in self._idle.values():
-            connection.close()
+        self._connections = KeptConnections(world.connect)
+        self.connect = self._connections.take
+        self.release = self._connections.release
+        self.close = self._connections.close
 
 
 class StreamAttempt(NamedTuple):
