--- a/features/run.py
+++ b/features/run.py
@@ -54,8 +54,8 @@
 LONG_BATCH = 3
 #: Maximum number of concurrent jobs, and of those that start machines: each some five processes
 #: that mostly wait, and measures time.
-CONCURRENT_JOBS = os.cpu_count() or 1
-MACHINE_JOBS = max(1, CONCURRENT_JOBS * 3 // 5)
+CONCURRENT_JOBS = max(1, (os.cpu_count() or 1) - 1)
+MACHINE_JOBS = max(1, CONCURRENT_JOBS // 2)
 #: Seconds after which a job counts as hung.
 JOB_SECONDS = 1200.0
 #: Number of slowest jobs whose durations are printed.
