--- a/features/steps/suspect_steps.py
+++ b/features/steps/suspect_steps.py
@@ -136,7 +136,7 @@
     assert may_send(context, reserve(context, "b", context.replicas))
 
 
-@then("a send whose outcome nobody tells counts for as long as it may last")
+@then("a send that is never released counts for as long as it may last")
 def lost_release(context: Context) -> None:
     replica = context.replicas[0]
     replica.reserve(ReserveSend(REQUEST, PendingSend("lost", "i-8", 5.0)), 1.0)
--- a/features/suspects.feature
+++ b/features/suspects.feature
@@ -33,7 +33,7 @@
     When 2 gateways reserve a send at the same moment
     Then at most one of them may send
     And one may send once the other's outcome is known
-    And a send whose outcome nobody tells counts for as long as it may last
+    And a send that is never released counts for as long as it may last
 
   # Guards against requests that run together again and again on the servers that one of them ends.
   Scenario: A reservation names the servers that run other suspects
--- a/yarrowwall/messages/suspects.py
+++ b/yarrowwall/messages/suspects.py
@@ -25,7 +25,7 @@
 
     :param send_id: unique id of the send.
     :param server: text of the server's incarnation.
-    :param left_s: seconds after which it has ended in any case.
+    :param left_s: seconds until its attempt's time is over.
     """
 
     send_id: str
--- a/yarrowwall/policy/crash_suspects.py
+++ b/yarrowwall/policy/crash_suspects.py
@@ -22,7 +22,7 @@
     """One suspect.
 
     :ivar pending: its sends whose outcome is unknown, by id.
-    :ivar pending_until: when each of them has ended in any case.
+    :ivar pending_until: when the time of each of them is over.
     """
 
     __slots__ = ("ended", "expires_at", "pending", "pending_until")
--- a/yarrowwall/suspects/client.py
+++ b/yarrowwall/suspects/client.py
@@ -47,7 +47,7 @@
 RELAYED_REPLY_TIMEOUT_SECONDS = 0.2
 #: Seconds for which a suspect is kept: longer than a caller repeats a turn.
 RETENTION_SECONDS = 120.0
-#: Seconds after which the reservation of a send is released whose outcome nobody will tell.
+#: Seconds after which the reservation of a send is released whose outcome stays unknown.
 UNRESOLVED_SECONDS = 1.0
 
 
@@ -273,7 +273,7 @@
     """A send that the replicas know of.
 
     :param request: identity of the request.
-    :param left_s: seconds after which it has ended in any case.
+    :param left_s: seconds until its attempt's time is over.
     """
 
     def __init__(self, client: SuspectClient, request: str, send_id: str, left_s: float) -> None:
