What a short grant covers of a batch of events is relayed before more is asked for

A turn that was granted less than its most, and whose events came in one batch beyond that, relayed nothing: its caller got a 500 though three of four events were granted. The events that fit the grant are relayed first, so the answer begins and is broken off behind them if no more is granted.

--- a/yarrowwall/budgets/ledger.py
+++ b/yarrowwall/budgets/ledger.py
@@ -362,6 +362,13 @@
             needed = min(tokens, turn_reservations.first_claim.tokens) - turn_reservations.granted
             self._ledger.reserve_more(turn_reservations, program.budget, needed, self._deadline)
 
+    def granted_events(self) -> int | None:
+        """Return how many events of the answer are granted already; None if all may be."""
+        turn_reservations = self._turn_reservations
+        if turn_reservations is None or not turn_reservations.is_short:
+            return None
+        return turn_reservations.granted // self._tokens_per_event
+
     def complete(self, events: list[Event], server_id: str) -> None:
         """Store the turn before the end of the answer is relayed.
 
--- a/yarrowwall/gateway/turn.py
+++ b/yarrowwall/gateway/turn.py
@@ -7,6 +7,7 @@
 from yarrowwall import decisions
 from yarrowwall.dispatch.sender import AttemptSender, SendPlan
 from yarrowwall.dispatch.streams import StreamBrokenError, StreamRelay
+from yarrowwall.event_stream import Event
 from yarrowwall.exceptions import (
     BudgetExhaustedError,
     RelayError,
@@ -149,11 +150,15 @@
                 yield self._relay_failure(opened.answer, sender)
                 return
             for events in relay.events():
-                grant.ensure_granted(relay.relayed)
-                if len(events) == len(relay.relayed):
-                    self._response.start_stream(opened.answer)
-                self._response.note_output(len(events))
-                yield b"".join(event.raw for event in events)
+                is_first = len(events) == len(relay.relayed)
+                granted = _granted_part(grant, relay.relayed, events)
+                if granted:
+                    # What is granted is relayed before more is asked for, which may be refused.
+                    yield self._relay_events(opened.answer, granted, is_first)
+                rest = events[len(granted) :]
+                if rest:
+                    grant.ensure_granted(relay.relayed)
+                    yield self._relay_events(opened.answer, rest, is_first and not granted)
             # The server is done; its slot is freed before the store is written, which may take
             # long.
             relay.finish()
@@ -173,6 +178,13 @@
             sender.close()
             grant.close(relay.relayed, sender.last_server)
 
+    def _relay_events(self, answer: Answer, events: list[Event], is_first: bool) -> bytes:
+        """Return the bytes of events for the caller; the first ones start the response."""
+        if is_first:
+            self._response.start_stream(answer)
+        self._response.note_output(len(events))
+        return b"".join(event.raw for event in events)
+
     def _sender(self, grant: TurnGrant, allowance: Allowance) -> AttemptSender:
         service = self._chosen_service
         expected = grant.expected_software
@@ -247,3 +259,14 @@
             raise sender.refused(str(error)) from error
         sender.finish_answer()
         return self._response.start_buffered(answer, body, sender.history.tried[-1])
+
+
+def _granted_part(grant: TurnGrant, relayed: list[Event], events: list[Event]) -> list[Event]:
+    """Return the first ones of new events that are granted already.
+
+    :param relayed: all events of the answer, the new ones included.
+    """
+    granted = grant.granted_events()
+    if granted is None:
+        return events
+    return events[: max(0, granted - (len(relayed) - len(events)))]
--- a/yarrowwall/ports/programs.py
+++ b/yarrowwall/ports/programs.py
@@ -64,6 +64,10 @@
         :raises StoreUncertainError: If they exceed the grant and no more is granted in time.
         """
 
+    def granted_events(self) -> int | None:
+        """Return how many events of the answer are granted already; None if all may be."""
+        return None
+
     def complete(self, events: list[Event], server_id: str) -> None:
         """Store the turn durably before the end of the answer is relayed.
 
