The tokens of a short grant are computed from the events that it covers

LedgerGrant derived the events that a short grant covers twice, once for the relay and once for the settlement; _tokens() uses granted_events(). No change of behaviour: turn_ends.feature passes.

--- a/yarrowwall/budgets/ledger.py
+++ b/yarrowwall/budgets/ledger.py
@@ -399,9 +399,6 @@
     def _tokens(self, events: list[Event]) -> int:
         """Return the tokens that were relayed to the caller."""
         tokens = len(events) * self._tokens_per_event
-        turn_reservations = self._turn_reservations
-        if turn_reservations is not None and turn_reservations.is_short:
-            # Events beyond the grant were not relayed.
-            most = turn_reservations.granted - turn_reservations.granted % self._tokens_per_event
-            return min(tokens, most)
-        return tokens
+        granted = self.granted_events()
+        # Events beyond the grant were not relayed.
+        return tokens if granted is None else min(tokens, granted * self._tokens_per_event)
