A request that may not be sent for ended servers is refused as one without a permit

The suspects raised an error of their own, which the exchange and the sender each turned into a refusal, with a parameter of SendRules.final_refusal made for it. The limits of tenants already do this: the port raises RefusedError, and the sender makes it 502 or 504 if the attempt may have run. Suspects use the same, so that error, a method and the parameter go. Answers are the same.

--- a/yarrowwall/dispatch/send_outcomes.py
+++ b/yarrowwall/dispatch/send_outcomes.py
@@ -45,7 +45,7 @@
 
         :param choose: returns a choice among the servers other than some incarnations.
         :param left_s: seconds left to the attempt.
-        :raises SuspectRefusedError: if the request may not be sent.
+        :raises RefusedError: if the request may not be sent.
         """
         reservation = self._suspects.reserve(self._attempt, choice.server, left_s)
         self._reservation = reservation
--- a/yarrowwall/dispatch/sender.py
+++ b/yarrowwall/dispatch/sender.py
@@ -36,7 +36,6 @@
 from yarrowwall.policy.servers import ServerState
 from yarrowwall.policy.urgency import turn_rank
 from yarrowwall.ports.quotas import Allowance
-from yarrowwall.ports.suspects import SuspectRefusedError
 from yarrowwall.refusals import RefusedError
 
 #: Maximum number of responses to other requests that are skipped on a connection.
@@ -164,7 +163,7 @@
             try:
                 opened = self._send(choice, last_event_id)
             except RefusedError as refused:
-                raise self._limit_refusal(refused) from refused
+                raise self._unsent_refusal(refused) from refused
             except RelayError as error:
                 reason = str(error)
                 self.note_failure(choice.server, error)
@@ -185,21 +184,18 @@
         """
         try:
             return self._outcomes.reserve(choice, self._choose, self.left_s())
-        except SuspectRefusedError as error:
-            refusal = self.rules.final_refusal(
-                str(error), self._components.now(), error.retry_after_s
-            )
-            raise RefusedError(refusal) from error
+        except RefusedError as refused:
+            raise self._unsent_refusal(refused) from refused
 
     def close(self) -> None:
         """Cancel what is left of the attempt."""
         self.cancel_answer()
         self._outcomes.close()
 
-    def _limit_refusal(self, refused: RefusedError) -> RefusedError:
-        """Return the final refusal of an attempt that got no permit for a (further) send."""
+    def _unsent_refusal(self, refused: RefusedError) -> RefusedError:
+        """Return the final refusal of an attempt that may not be sent (once more)."""
         if self.history.may_have_run:
-            # A refusal by the limit would claim that the request has not run.
+            # The refusal of the send would claim that the request has not run.
             return self.refused(refused.refusal.reason)
         return refused
 
--- a/yarrowwall/gateway/exchange.py
+++ b/yarrowwall/gateway/exchange.py
@@ -3,7 +3,6 @@
 import contextlib
 import traceback
 from collections.abc import Callable, Generator, Iterator
-from http import HTTPStatus
 from typing import Any
 
 import eventlet
@@ -23,7 +22,6 @@
 from yarrowwall.policy.memory_budget import MemoryExhaustedError
 from yarrowwall.policy.request_time import RequestTime
 from yarrowwall.policy.retry_after import SHORTAGE_SECONDS
-from yarrowwall.ports.suspects import SuspectRefusedError
 from yarrowwall.refusals import Refusal, RefusedError, unavailable
 
 
@@ -126,7 +124,7 @@
         try:
             if not self._gateway.has_time_for(self._now(), time.end):
                 raise unavailable("stopping", SHORTAGE_SECONDS)
-            self._check_suspect(attempt)
+            self._components.dispatch.suspects.check(attempt)
             if route.kind is RequestKind.STREAM:
                 yield from self._relay_stream(attempt, route, time)
             else:
@@ -178,17 +176,6 @@
             )
         )
 
-    def _check_suspect(self, attempt: Attempt) -> None:
-        """Check that the attempt may be sent, before anything is reserved for it.
-
-        :raises RefusedError: if too many servers ended under the request.
-        """
-        try:
-            self._components.dispatch.suspects.check(attempt)
-        except SuspectRefusedError as error:
-            status = HTTPStatus.SERVICE_UNAVAILABLE
-            raise RefusedError(Refusal(status, str(error), error.retry_after_s)) from error
-
     def _relay_buffered(self, attempt: Attempt, route: Route, time: RequestTime) -> bytes:
         if attempt.program is not None:
             self._components.program_sizes.note_lookup()
--- a/yarrowwall/policy/sending.py
+++ b/yarrowwall/policy/sending.py
@@ -132,16 +132,10 @@
             return None
         return self._latencies.late_after_s(self._route.name)
 
-    def final_refusal(
-        self, reason: str, now: float, retry_after_s: float | None = SHORTAGE_SECONDS
-    ) -> Refusal:
-        """Return the refusal for an attempt that no server answered.
-
-        :param retry_after_s: seconds after which its caller should retry if it has not run; None
-            if it should not.
-        """
+    def final_refusal(self, reason: str, now: float) -> Refusal:
+        """Return the refusal for an attempt that no server answered."""
         if not self.history.may_have_run:
-            return Refusal(HTTPStatus.SERVICE_UNAVAILABLE, reason, retry_after_s)
+            return Refusal(HTTPStatus.SERVICE_UNAVAILABLE, reason, SHORTAGE_SECONDS)
         if self.left_s(now) <= MIN_LEFT_SECONDS:
             return Refusal(HTTPStatus.GATEWAY_TIMEOUT, reason)
         return Refusal(HTTPStatus.BAD_GATEWAY, reason)
--- a/yarrowwall/ports/suspects.py
+++ b/yarrowwall/ports/suspects.py
@@ -2,21 +2,9 @@
 
 from abc import ABC, abstractmethod
 
-from yarrowwall.exceptions import RelayError
 from yarrowwall.model import Attempt, Server
 
 
-class SuspectRefusedError(RelayError):
-    """A request may be sent to no server, since too many have ended under it.
-
-    :param retry_after_s: seconds after which this may have changed; None if it will not.
-    """
-
-    def __init__(self, reason: str, retry_after_s: float | None) -> None:
-        super().__init__(reason)
-        self.retry_after_s = retry_after_s
-
-
 class SuspectSend(ABC):
     """A reserved send of a suspect; it counts as a possible end of its server until released.
 
@@ -44,7 +32,7 @@
     def check(self, attempt: Attempt) -> None:
         """Check whether an attempt may be sent at all.
 
-        :raises SuspectRefusedError: if it may not.
+        :raises RefusedError: if it may not.
         """
 
     @abstractmethod
@@ -52,7 +40,7 @@
         """Reserve a send; return None if no server has ended under the request.
 
         :param left_s: seconds left to the attempt.
-        :raises SuspectRefusedError: if the request may not be sent.
+        :raises RefusedError: if the request may not be sent.
         """
 
     @abstractmethod
--- a/yarrowwall/suspects/client.py
+++ b/yarrowwall/suspects/client.py
@@ -3,6 +3,7 @@
 import contextlib
 import itertools
 from collections.abc import Callable, Iterable
+from http import HTTPStatus
 
 import eventlet
 from eventlet.event import Event
@@ -24,7 +25,8 @@
 from yarrowwall.policy.crash_suspects import MAX_ENDED_SERVERS, CrashSuspects, UnresolvedSends
 from yarrowwall.policy.request_identity import request_identity
 from yarrowwall.policy.retry_after import SHORTAGE_SECONDS
-from yarrowwall.ports.suspects import SuspectControl, SuspectRefusedError, SuspectSend
+from yarrowwall.ports.suspects import SuspectControl, SuspectSend
+from yarrowwall.refusals import Refusal, RefusedError, unavailable
 from yarrowwall.replication.exceptions import LinkDownError, NoQuorumError
 from yarrowwall.replication.group_views import GroupViews
 from yarrowwall.replication.relayed_links import RelayedLink, RelayedLinkTable
@@ -166,7 +168,9 @@
         servers = sorted(ended)
         if len(servers) >= MAX_ENDED_SERVERS:
             reason = f"{len(servers)} servers ended while they ran this request"
-            raise SuspectRefusedError(f"{reason}: {', '.join(servers)}", None)
+            # No later try would be sent, so there is no time to come back at.
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+            raise RefusedError(Refusal(status, f"{reason}: {', '.join(servers)}"))
 
     def reserve(self, attempt: Attempt, server: Server, left_s: float) -> SuspectSend | None:
         """Reserve a send; return None if no server has ended under the request."""
@@ -185,8 +189,8 @@
             self._check_ended(ended)
             if len(ended) + pending >= MAX_ENDED_SERVERS:
                 reason = f"{len(ended)} servers ended while they ran this request, {pending} run it"
-                raise SuspectRefusedError(reason, SHORTAGE_SECONDS)
-        except SuspectRefusedError:
+                raise unavailable(reason, SHORTAGE_SECONDS)
+        except RefusedError:
             send.release(is_resolved=True)
             raise
         return send
