--- a/review/standins.py
+++ b/review/standins.py
@@ -2,7 +2,7 @@
 
 Standard library only. The platform's store, servers and clients follow PROTOCOL.md; the machines
 run the command of the deploy file with the settings that its template gives for a small deployment
-(three zones with a storage machine each, one of which may be lost).
+(a zone for each storage machine, one of which may be lost).
 """
 
 import contextlib
@@ -116,10 +116,6 @@
             known = self._objects.get((kind, name))
             return self._change(kind, name, spec, known["status"] if known else None)
 
-    def remove(self, kind, name):
-        with self._lock:
-            self._remove(kind, name)
-
     def get(self, kind, name):
         with self._lock:
             return self._objects.get((kind, name))
@@ -208,127 +204,11 @@
         return 200, self._change(kind, name, body["spec"], known["status"])
 
 
-class StoreProxy:
-    """Stands between one machine and the store; open connections can be made to go silent.
-
-    A silent connection stays open: what is sent on it is taken and goes nowhere. New connections
-    work.
-    """
-
-    def __init__(self, target):
-        self._target = target
-        self._lock = threading.Lock()
-        self._connections = []
-        self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def silence_quiet(self, seconds):
-        """Silence the connections without a byte for some seconds; return their last requests."""
-        since = time.monotonic() - seconds
-        with self._lock:
-            found = [one for one in self._connections if one.is_open and one.moved_at < since]
-            for one in found:
-                one.is_silent = True
-        return [one.last_request for one in found]
-
-    def stop(self):
-        self._listener.close()
-
-    def _accept(self):
-        while True:
-            try:
-                client, _ = self._listener.accept()
-            except OSError:
-                return
-            host, _, port = self._target.partition(":")
-            server = socket.create_connection((host, int(port)))
-            for one in (client, server):
-                one.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            connection = _ProxiedConnection(client, server)
-            with self._lock:
-                self._connections.append(connection)
-            connection.start()
-
-
-class _ProxiedConnection:
-    """One connection through a proxy."""
-
-    def __init__(self, client, server):
-        self._client, self._server = client, server
-        self.is_open, self.is_silent = True, False
-        self.moved_at = time.monotonic()
-        self.last_request = ""
-
-    def start(self):
-        for source, sink in ((self._client, self._server), (self._server, self._client)):
-            threading.Thread(target=self._pump, args=(source, sink), daemon=True).start()
-
-    def _pump(self, source, sink):
-        try:
-            while data := source.recv(65536):
-                if source is self._client:
-                    self.last_request = data.partition(b"\r\n")[0].decode("latin-1")
-                self.moved_at = time.monotonic()
-                if not self.is_silent:
-                    sink.sendall(data)
-        except OSError:
-            pass
-        self.is_open = False
-        for one in (source, sink):
-            with contextlib.suppress(OSError):
-                one.shutdown(socket.SHUT_RDWR)
-
-
 def model_event(attempt_id, number):
     """Return one event of a run."""
     return b"id: %d\ndata: %s-%d\n\n" % (number, attempt_id.encode(), number)
 
 
-class RecordServer:
-    """A sound server of a plain service, which notes what it runs and when.
-
-    :param work_s: seconds that a request takes.
-    """
-
-    def __init__(self, server_id, record, work_s=0.02):
-        self.server_id = server_id
-        #: When each request arrived, on the monotonic clock.
-        self.arrivals = []
-        self._record, self._work_s = record, work_s
-        server = self
-
-        class Call(Handler):
-            def run(self):
-                server._handle(self)
-
-            do_GET = do_POST = run
-
-        self._server, self.address = serve(Call)
-
-    def stop(self):
-        self._server.shutdown()
-        self._server.server_close()
-
-    def _handle(self, call):
-        body = call.body()
-        if call.path == "/healthz":
-            call.answer(200, b"", {"X-Instance-Id": self.server_id})
-            return
-        attempt_id = call.headers.get("X-Attempt-Id")
-        if attempt_id is None:
-            call.answer(400, b"", {"X-Not-Executed": "1"})
-            return
-        if call.headers.get("X-Expect-Instance", self.server_id) != self.server_id:
-            call.answer(421, b"", {"X-Attempt-Id": attempt_id, "X-Not-Executed": "1"})
-            return
-        self.arrivals.append((time.monotonic(), attempt_id))
-        self._record.write(f"run {attempt_id} at {self.server_id}: {call.command} {call.path}")
-        time.sleep(self._work_s)
-        seal = {"X-Attempt-Id": attempt_id, "X-Server-Seal": f"seal.{attempt_id}"}
-        call.answer(200, b"record of " + attempt_id.encode() + b" " + body, seal)
-
-
 class ModelServer:
     """A sound server of a model service: it streams as many tokens as a request allows."""
 
@@ -415,8 +295,6 @@
     def __init__(self, store_address, record):
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self._store_address, self._record = store_address, record
-        #: Proxies to the store, by machine; others reach it directly.
-        self.store_proxies = {}
         self._ports, self._zones, self._processes = {}, {}, {}
 
     def add(self, name, zone, is_gateway):
@@ -458,7 +336,7 @@
             f"first_peer_port = {ports['peer']}",
             f"last_peer_port = {ports['peer']}",
             f"metrics_port = {ports['metrics']}",
-            f'platform_address = "{self._address_of_store(name)}"',
+            f'platform_address = "{self._store_address}"',
             f"is_first_start = {str(is_first).lower()}",
             "memory_mb = 260",
             "machines_lost_at_once = 1",
@@ -476,10 +354,6 @@
             lines += ["[replica]", f'data_folder = "{self.folder / name}-data"']
         return "\n".join(lines) + "\n"
 
-    def _address_of_store(self, name):
-        proxy = self.store_proxies.get(name)
-        return proxy.address if proxy is not None else self._store_address
-
     def port(self, name, kind):
         return self._ports[name][kind]
 
