--- a/review/2/case.py
+++ b/review/2/case.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent))
+sys.path.insert(0, str(HERE.parent / "1"))
 
 from standins import TROUBLE, CannotRun, World, model_route, play, run_all, wait_until
 
