--- a/features/steps/group_move_steps.py
+++ b/features/steps/group_move_steps.py
@@ -4,6 +4,7 @@
 from behave.runner import Context
 
 from features.support.record_model import member
+from yarrowwall.clocks import Clock
 from yarrowwall.messages.replicated import GroupView, StatusReply
 from yarrowwall.replication.planner import settled_view
 from yarrowwall.replication.replica import RecordReplica
@@ -96,9 +97,9 @@
 
 @then("restoring its log and restoring its snapshot give the same state")
 def restored_alike(context: Context) -> None:
-    for log in (context.log, context.replica.snapshot()):
+    for log in (context.log, context.replica.snapshot(0.0)):
         restored = RecordReplica("d", OWN)
-        restored.restore(log, 0.0)
+        restored.restore(log, Clock(0.0, 0.0))
         assert restored.status() == context.replica.status(), restored.status()
         assert restored.view == context.replica.view
         assert restored.needs_synchronisation
--- a/features/steps/turn_keep_steps.py
+++ b/features/steps/turn_keep_steps.py
@@ -6,6 +6,7 @@
 from behave.runner import Context
 
 from yarrowwall.budgets.group_reachability import GroupReachability
+from yarrowwall.budgets.turn_cache import TurnCache
 from yarrowwall.budgets.turn_store import TurnStore
 from yarrowwall.budgets.turns import Turn
 from yarrowwall.budgets.zone_groups import ZoneGroups
@@ -56,14 +57,17 @@
         return context.client.now_s
 
     context.reach = GroupReachability(_probe, log, now)
-    context.turns = TurnStore(client, lambda key: COMMON, zones, context.reach, queues, log, now)
+    copier: Any = None
+    context.turns = TurnStore(
+        client, TurnCache(), copier, lambda key: COMMON, zones, context.reach, queues, log, now
+    )
 
 
 @when("a turn is to be stored that has {left_s:f} s left")
 def store_turn(context: Context, left_s: float) -> None:
     context.end_s = context.client.now_s + left_s
     try:
-        context.turns.store(Turn("t", "", b"", b""), 60.0, [], lambda: context.end_s)
+        context.turns.store(Turn("t", "", "t", b"", b""), [], 60.0, [], lambda: context.end_s)
     except StoreUncertainError:
         return
     raise AssertionError("the turn is stored")
--- a/features/steps/zone_group_steps.py
+++ b/features/steps/zone_group_steps.py
@@ -152,7 +152,7 @@
     context.replica.counts_for_reads = True
     context.replica.table.put([_record()], 0.0)
     assert ended_view(alone, context.replica, {"a"}) is None
-    context.replica.table.expire(1e6)
+    context.replica.table.drop(context.replica.table.overdue(1e6), 1e6)
     assert ended_view(alone, context.replica, {"a"}) == GroupView(GROUP, 4, [], [])
 
 
--- a/features/support/record_model.py
+++ b/features/support/record_model.py
@@ -12,6 +12,7 @@
 from itertools import combinations
 from typing import NamedTuple
 
+from yarrowwall.clocks import Clock
 from yarrowwall.messages.replicated import (
     FetchRecords,
     GroupView,
@@ -83,7 +84,7 @@
         """Restart with the state that is on disk."""
         self.waiting.clear()
         replica = RecordReplica(self.replica.node_id, self.replica.disk_id)
-        replica.restore(self.disk, 0.0)
+        replica.restore(self.disk, Clock(0.0, 0.0))
         self.replica = replica
 
 
@@ -263,8 +264,10 @@
             if machine.replica is not replica:
                 return
             written: list[bool] = []
+            left_s = dict(zip(listed.keys, listed.left_s, strict=True))
             machine.persist(
-                replica.store_copied(fetched.records, 0.0), lambda w=written: w.append(True)
+                replica.store_copied(fetched.records, left_s, 0.0),
+                lambda w=written: w.append(True),
             )
             while not written:
                 yield
--- a/features/support/zone_model.py
+++ b/features/support/zone_model.py
@@ -18,15 +18,17 @@
 from features.support.virtual_time import now_s, run_virtually
 from yarrowwall import decisions
 from yarrowwall.budgets.ledger import ReplicatedLedger
+from yarrowwall.clocks import Clock
 from yarrowwall.event_stream import Event
 from yarrowwall.exceptions import BudgetExhaustedError, StoreUncertainError, TurnUnknownError
-from yarrowwall.messages.replicated import GroupView, InstallView, Member
+from yarrowwall.messages.replicated import GroupView, InstallView, Member, RecordsKept
 from yarrowwall.model import Attempt, ProgramContext, RequestKind, Route
 from yarrowwall.replication import planner
 from yarrowwall.replication.exceptions import LinkDownError
+from yarrowwall.replication.expiry import EXPIRY_SECONDS, RecordExpiry
 from yarrowwall.replication.group_views import GroupViews
 from yarrowwall.replication.quorum_client import QuorumClient
-from yarrowwall.replication.replica import RecordReplica
+from yarrowwall.replication.replica import RecordReplica, with_time
 from yarrowwall.replication.synchroniser import Synchroniser
 from yarrowwall.replication.views import all_members, disk_ids, is_zone_group, zone_of
 
@@ -65,7 +67,7 @@
         if self.is_lost:
             return
         for record in records:
-            self.log.append(record)
+            self.log.append(with_time(record, Clock(now_s(), now_s())))
             self.replica.mark_durable(record)
         done()
 
@@ -78,6 +80,9 @@
         self.node_id = node_id
         self.zone = zone
         self.disks_lost = 0
+        #: Whether it neither gets nor answers requests.
+        self.is_down = False
+        self.views = GroupViews()
         self.disks: dict[bool, ModelDisk] = {}
         self.synchronisers: dict[bool, Synchroniser] = {}
         for of_zone in (False, True):
@@ -92,6 +97,17 @@
         decision_log: Any = self.world
         self.synchronisers[of_zone] = Synchroniser(disk, links, decision_log, now_s)  # type: ignore[arg-type]
         self.synchronisers[of_zone].start()
+        client = QuorumClient(self.zone, self.views, links, now_s)
+        expiry = RecordExpiry(replica, client, self.views, decision_log, now_s)
+        eventlet.spawn_n(self._expire, disk, expiry)
+
+    def _expire(self, disk: ModelDisk, expiry: RecordExpiry) -> None:
+        """Drop expired records until the process ends."""
+        eventlet.sleep(self.world.random.uniform(0.0, EXPIRY_SECONDS))
+        while not disk.is_lost:
+            eventlet.sleep(EXPIRY_SECONDS)
+            if not self.is_down:
+                expiry.expire()
 
     def member(self, of_zone: bool) -> Member:
         """Return the machine as a member of a group."""
@@ -103,7 +119,7 @@
         for of_zone, disk in list(self.disks.items()):
             disk.is_lost = True
             replica = RecordReplica(self.node_id, disk.replica.disk_id)
-            replica.restore(disk.log, now_s())
+            replica.restore(disk.log, Clock(now_s(), now_s()))
             self._begin(of_zone, replica, disk.log)
 
     def lose_disk(self) -> None:
@@ -113,6 +129,16 @@
             disk.is_lost = True
             self._begin(of_zone, RecordReplica(self.node_id, self._disk_id(of_zone)), [])
 
+    def forget(self, key: str) -> None:
+        """Restart its replicas without a record, as if its write had not arrived."""
+        for disk in self.disks.values():
+            disk.log[:] = [
+                record
+                for record in disk.log
+                if not isinstance(record, RecordsKept) or record.records[0].key != key
+            ]
+        self.lose_power()
+
     def handle(self, request: Any, reply: Callable[[object], None]) -> None:
         """Answer a request once its records are on disk."""
         group = request.view.group if isinstance(request, InstallView) else request.group
@@ -125,6 +151,7 @@
 
     def take_view(self, view: GroupView) -> None:
         """Install a view from the platform's store."""
+        self.views.update(view)
         disk = self.disks[is_zone_group(view.group)]
         known = disk.replica.view
         if disk.replica.disk_id in disk_ids(all_members(view)) or (
@@ -147,6 +174,7 @@
 
     def post(self, message: object, completion: Callable[[object | None], None]) -> int:
         """Send a request."""
+        self._world.note_posted(message)
         self._number += 1
         self._waiting[self._number] = completion
         eventlet.spawn_after(self._latency_s(), self._arrive, self._number, message)
@@ -157,7 +185,11 @@
 
     def _arrive(self, number: int, message: object) -> None:
         machine = self._world.machines[self._node_id]
-        if self._links.is_dead or not self._world.is_delivered(self._links.zone, machine.zone):
+        if (
+            machine.is_down
+            or self._links.is_dead
+            or not self._world.is_delivered(self._links.zone, machine.zone)
+        ):
             return
         machine.handle(message, lambda reply: self._answer(number, machine.zone, reply))
 
@@ -276,8 +308,19 @@
     """One random schedule.
 
     :param seed: Determines every random choice.
+    :cvar active_s: Seconds with programs and faults.
+    :cvar recovery_s: Seconds without faults after them.
+    :cvar change_interval_s: Seconds between two checks of the groups.
+    :cvar machines_per_zone: A zone with one machine has no group of its own.
+    :cvar loss: Share of the messages that are lost while there are faults.
     """
 
+    machines_per_zone = MACHINES_PER_ZONE
+    loss = LOSS
+    active_s = ACTIVE_S
+    recovery_s = RECOVERY_S
+    change_interval_s = 0.2
+
     def __init__(self, seed: int) -> None:
         self.random = random.Random(seed)
         self.counts: Counter[str] = Counter()
@@ -285,7 +328,7 @@
         self.store_in_cut = self.random.random() < 0.5
         self.machines: dict[str, Machine] = {}
         for zone in ZONES:
-            for number in range(MACHINES_PER_ZONE):
+            for number in range(self.machines_per_zone):
                 self.machines[f"{zone}{number}"] = Machine(self, f"{zone}{number}", zone)
         self.views: dict[int, GroupView] = {}
         common = [machine.member(False) for machine in self.machines.values()]
@@ -301,6 +344,9 @@
         self._attempts = 0
         self.violations: list[str] = []
 
+    def note_posted(self, message: object) -> None:
+        """Do nothing with a request that a process sends to a machine."""
+
     def write(self, decision: decisions.Decision) -> None:
         """Count logged decisions."""
         name = type(decision).__name__
@@ -313,7 +359,7 @@
 
     def is_delivered(self, source: str, target: str) -> bool:
         """Return whether a message from one zone to another is delivered now."""
-        is_lost = now_s() < ACTIVE_S and self.random.random() < LOSS
+        is_lost = now_s() < self.active_s and self.random.random() < self.loss
         return (source, target) not in self.cuts and not is_lost
 
     def reaches_store(self, zone: str) -> bool:
@@ -331,7 +377,7 @@
 
     def _publish_views(self) -> None:
         for machine in self.machines.values():
-            if self.reaches_store(machine.zone):
+            if self.reaches_store(machine.zone) and not machine.is_down:
                 for view in self.views.values():
                     machine.take_view(view)
 
@@ -340,7 +386,9 @@
         reached = {
             name: machine
             for name, machine in self.machines.items()
-            if self.reaches_store(machine.zone) and all(cut[0] != machine.zone for cut in self.cuts)
+            if not machine.is_down
+            and self.reaches_store(machine.zone)
+            and all(cut[0] != machine.zone for cut in self.cuts)
         }
         for group, view in list(self.views.items()):
             of_zone = is_zone_group(group)
@@ -390,20 +438,19 @@
             eventlet.spawn_n(self._run_programs)
         eventlet.spawn_n(self._change)
         eventlet.spawn_n(self._cut_zones)
-        while now_s() < ACTIVE_S:
-            eventlet.sleep(self.random.expovariate(1.5))
+        while now_s() < self.active_s:
             self._inject_fault()
         self.cuts.clear()
-        eventlet.sleep(RECOVERY_S)
+        eventlet.sleep(self.recovery_s)
         self._check_conversations()
 
     def _change(self) -> None:
         while True:
-            eventlet.sleep(0.2)
+            eventlet.sleep(self.change_interval_s)
             self.change_groups()
 
     def _cut_zones(self) -> None:
-        while now_s() < ACTIVE_S:
+        while now_s() < self.active_s:
             eventlet.sleep(self.random.uniform(0.5, 3.0))
             self.cut(self.random.choice(ZONES))
             if self.random.random() < 0.2:
@@ -412,6 +459,7 @@
             self.cuts.clear()
 
     def _inject_fault(self) -> None:
+        eventlet.sleep(self.random.expovariate(1.5))
         chance = self.random.random()
         if chance < 0.2:
             self.machines[self.random.choice(sorted(self.machines))].lose_power()
@@ -424,11 +472,11 @@
 
     def _run_programs(self) -> None:
         """Run one program after another."""
-        while now_s() < ACTIVE_S:
+        while now_s() < self.active_s:
             program = Program(f"p{len(self.programs)}", self.random.choice(BUDGETS))
             self.programs.append(program)
             end_s = now_s() + self.random.uniform(1.0, PROGRAM_S)
-            while now_s() < min(end_s, ACTIVE_S):
+            while now_s() < min(end_s, self.active_s):
                 self._begin_turns(program)
                 eventlet.sleep(self.random.expovariate(2.5))
 
@@ -494,7 +542,7 @@
 
     def _await_record(self, gateway: Gateway, turn: Turn) -> None:
         """Note when all queued records of a turn are written."""
-        while not gateway.is_dead and now_s() < ACTIVE_S + RECOVERY_S:
+        while not gateway.is_dead and now_s() < self.active_s + self.recovery_s:
             if not gateway.ledger.has_unsettled:
                 turn.recorded_at = now_s()
                 return
--- a/features/support/zone_mutants.py
+++ b/features/support/zone_mutants.py
@@ -7,10 +7,11 @@
 
 from yarrowwall.budgets import budget_requests, reservations
 from yarrowwall.budgets.budget_requests import Reservation
+from yarrowwall.budgets.chain_lookup import ChainLookup, FoundTurns
 from yarrowwall.budgets.ledger import LedgerGrant, ReplicatedLedger
 from yarrowwall.budgets.reservations import Reservations
 from yarrowwall.budgets.turn_reservations import TurnReservations
-from yarrowwall.budgets.turn_store import TurnStore, _ChainLookup
+from yarrowwall.budgets.turn_store import TurnStore
 from yarrowwall.messages.replicated import StoredRecord
 from yarrowwall.policy import budget_parts
 from yarrowwall.policy.budget_parts import BudgetParts, ClaimState, PartReading, Verdict
@@ -22,7 +23,7 @@
 _divide = budget_parts.divide_budget
 _judge = budget_parts.decide_grant
 _record = Reservations._record
-_find_turns = TurnStore._find_turns
+_find_turns = ChainLookup._find_turns
 _WRITE_QUORUM = quorum_client.WRITE_QUORUM
 
 
@@ -62,16 +63,20 @@
     return _judge(readings, key, wanted, 0)
 
 
-def _ask_common_group_only(self: TurnStore, key: str, retention_s: float) -> _ChainLookup:
+def _ask_common_group_only(
+    self: ChainLookup, key: str, stop: list[str], retention_s: float
+) -> FoundTurns:
     group = self._group_of(key)
     try:
-        return _ChainLookup(self._read_from(group, key), [])
+        return FoundTurns(self._read_from(group, key, stop), [])
     except NoQuorumError as error:
-        return _ChainLookup([], [group], str(error))
+        return FoundTurns([], [group], str(error))
 
 
-def _treat_silence_as_missing(self: TurnStore, key: str, retention_s: float) -> _ChainLookup:
-    found = _find_turns(self, key, retention_s)
+def _treat_silence_as_missing(
+    self: ChainLookup, key: str, stop: list[str], retention_s: float
+) -> FoundTurns:
+    found = _find_turns(self, key, stop, retention_s)
     return found._replace(unanswered=[])
 
 
@@ -119,10 +124,10 @@
         reservations, "decide_grant", _treat_all_as_asked
     ),
     "answers 404 without asking the zones": lambda: patch.object(
-        TurnStore, "_find_turns", _ask_common_group_only
+        ChainLookup, "_find_turns", _ask_common_group_only
     ),
     "answers 404 although a group was not asked": lambda: patch.object(
-        TurnStore, "_find_turns", _treat_silence_as_missing
+        ChainLookup, "_find_turns", _treat_silence_as_missing
     ),
     "treats a turn as stored that waits to be copied": lambda: patch.object(
         TurnStore, "_store_in_zone", _store_in_memory
--- a/yarrowwall/budgets/ledger.py
+++ b/yarrowwall/budgets/ledger.py
@@ -1,17 +1,20 @@
 """Grants turns to a gateway's requests from the replicated record store."""
 
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import eventlet
 
 from yarrowwall import decisions
 from yarrowwall.budgets.budget_requests import Reservation, claim_for
+from yarrowwall.budgets.chain_lookup import ChainLookup, ChainQuery
 from yarrowwall.budgets.group_reachability import GroupReachability
 from yarrowwall.budgets.reservations import Reservations
 from yarrowwall.budgets.settlements import SettlementQueues
 from yarrowwall.budgets.stream_keys import RESUMPTION
 from yarrowwall.budgets.stream_records import StreamRecord, StreamRecords, stream_retention_s
+from yarrowwall.budgets.turn_cache import TurnCache
+from yarrowwall.budgets.turn_copier import TurnCopier
 from yarrowwall.budgets.turn_reservations import TurnReservations
 from yarrowwall.budgets.turn_store import END_MARGIN_SECONDS, PlacedRecord, TurnStore
 from yarrowwall.budgets.turns import Turn, output_of, prompt_body, tenant_scoped
@@ -69,8 +72,21 @@
             client, self._zones, self._reachability, self._queues, log
         )
         self._streams = StreamRecords(client, self.group_of, self._zones, self._reachability, log)
+        cache = TurnCache()
+        copier = TurnCopier(client, self.group_of, self._reachability, log)
+        self._chains = ChainLookup(
+            client, cache, copier, self.group_of, self._zones, self._reachability, log, now
+        )
         self._turns = TurnStore(
-            client, self.group_of, self._zones, self._reachability, self._queues, log, now
+            client,
+            cache,
+            copier,
+            self.group_of,
+            self._zones,
+            self._reachability,
+            self._queues,
+            log,
+            now,
         )
 
     @property
@@ -154,18 +170,18 @@
         :raises StreamUnknownError: If no record tells which software began a resumed stream.
         :raises StoreUncertainError: If the store cannot decide now.
         """
-        body = attempt.body
+        chain: Sequence[Turn] = ()
         program = attempt.program
         if route.is_stateful and program is not None:
             self._turns.check_storable(tenant_scoped(attempt.tenant, attempt.attempt_id))
-            body = self._prompt_body(attempt, program, route)
+            chain = self._chain(attempt, program, route, deadline())
         likely = ""
         if route.is_resumable:
             likely = RESUMPTION if attempt.is_resumption else software.likely
         reservation = None
         if program is not None and program.budget is not None:
             reservation = self._reserve(attempt, program, program.budget, route, likely)
-        grant = LedgerGrant(self, attempt, route, body, reservation, tokens_per_event, deadline)
+        grant = LedgerGrant(self, attempt, route, chain, reservation, tokens_per_event, deadline)
         if route.is_resumable and attempt.is_resumption:
             try:
                 grant.software = self._streams.resumed_software(attempt, reservation, software)
@@ -177,13 +193,20 @@
             grant.expected_software = likely if reservation is not None else ""
         return grant
 
-    def _prompt_body(self, attempt: Attempt, program: ProgramContext, route: Route) -> bytes:
-        """Return the request body for the server: all earlier turns and the new input."""
+    def _chain(
+        self, attempt: Attempt, program: ProgramContext, route: Route, end: float
+    ) -> list[Turn]:
+        """Return the earlier turns that a turn goes on from, oldest first."""
         if not program.previous_turn:
-            return attempt.body
-        previous = tenant_scoped(attempt.tenant, program.previous_turn)
-        turns = self._turns.chain(attempt.attempt_id, previous, route.retention_s)
-        return prompt_body(turns, attempt.body)
+            return []
+        query = ChainQuery(
+            attempt.attempt_id,
+            tenant_scoped(attempt.tenant, program.previous_turn),
+            tenant_scoped(attempt.tenant, f"{program.program_id}/{program.session_id}"),
+            route.retention_s,
+            end,
+        )
+        return self._chains.chain(query)
 
     def _reserve(
         self,
@@ -288,6 +311,7 @@
     def store_turn(
         self,
         turn: Turn,
+        chain: Sequence[Turn],
         route: Route,
         turn_reservations: TurnReservations | None,
         tokens: int,
@@ -296,6 +320,7 @@
     ) -> None:
         """Store a turn and the settlement of its reservations, if it has any.
 
+        :param chain: The earlier turns, oldest first.
         :param deadline: Returns the monotonic time at which the request's time is over.
         :raises StoreUncertainError: If no quorum stored it in time.
         """
@@ -306,12 +331,13 @@
             settlement_records += self._reservations.settlement_records(
                 reservation, spent, server_id
             )
-        self._turns.store(turn, route.retention_s, settlement_records, deadline)
+        self._turns.store(turn, chain, route.retention_s, settlement_records, deadline)
 
 
 class LedgerGrant(TurnGrant):
     """A grant to run one turn, which stores and settles the turn afterwards.
 
+    :param chain: The earlier turns, oldest first.
     :param deadline: Returns the monotonic time at which the request's time is over.
     """
 
@@ -320,13 +346,12 @@
         ledger: ReplicatedLedger,
         attempt: Attempt,
         route: Route,
-        body: bytes,
+        chain: Sequence[Turn],
         reservation: Reservation | None,
         tokens_per_event: int,
         deadline: Callable[[], float],
     ) -> None:
-        program = attempt.program
-        is_continued = route.is_stateful and program is not None and bool(program.previous_turn)
+        body, is_continued = prompt_body(chain, attempt.body), bool(chain)
         if reservation is not None:
             super().__init__(body, reservation.last_server, reservation.is_first, is_continued)
         else:
@@ -334,6 +359,7 @@
         self._ledger = ledger
         self._attempt = attempt
         self._route = route
+        self._chain = chain
         self._turn_reservations = TurnReservations(reservation) if reservation is not None else None
         self._tokens_per_event = tokens_per_event
         self._deadline = deadline
@@ -378,15 +404,22 @@
         if not self._route.is_stateful or program is None:
             return
         tenant = self._attempt.tenant
+        attempt_id = tenant_scoped(tenant, self._attempt.attempt_id)
         turn = Turn(
-            tenant_scoped(tenant, self._attempt.attempt_id),
+            attempt_id,
             tenant_scoped(tenant, program.previous_turn or ""),
+            self._chain[0].attempt_id if self._chain else attempt_id,
             self._attempt.body,
             output_of(events),
         )
-        tokens = self._tokens(events)
         self._ledger.store_turn(
-            turn, self._route, self._turn_reservations, tokens, server_id, self._deadline
+            turn,
+            self._chain,
+            self._route,
+            self._turn_reservations,
+            self._tokens(events),
+            server_id,
+            self._deadline,
         )
         self._is_settled = True
 
--- a/yarrowwall/budgets/turn_copier.py
+++ b/yarrowwall/budgets/turn_copier.py
@@ -34,11 +34,6 @@
     turn: Turn
     retention_s: float
 
-    @property
-    def size(self) -> int:
-        """Return the size of the turn in bytes."""
-        return len(self.turn.body) + len(self.turn.output)
-
 
 class TurnCopier:
     """A queue of turns to be copied, starting with those that callers need.
@@ -62,8 +57,9 @@
         self._is_running = False
 
     def add(self, turns: list[Turn], retention_s: float, is_urgent: bool) -> None:
-        """Queue turns.
+        """Queue the turns of a chain.
 
+        :param turns: The turns; newest first if urgent, else oldest first.
         :param retention_s: Seconds for which the copies are kept.
         :param is_urgent: Whether a caller is continuing from them; such turns are copied first.
         """
@@ -76,13 +72,13 @@
     def _put(self, queued: _QueuedTurn, is_urgent: bool) -> None:
         key = queued.turn.attempt_id
         if key not in self._queue:
-            self._queued_bytes += queued.size
+            self._queued_bytes += queued.turn.size
         self._queue[key] = queued
         if is_urgent:
             self._queue.move_to_end(key, last=False)
         while self._queued_bytes > MAX_QUEUED_BYTES:
             _, dropped = self._queue.popitem()
-            self._queued_bytes -= dropped.size
+            self._queued_bytes -= dropped.turn.size
 
     def _run(self) -> None:
         while self._queue:
@@ -91,13 +87,19 @@
         self._is_running = False
 
     def _copy_next(self) -> bool:
-        """Copy the first turn whose group is reachable; return whether one was copied."""
+        """Copy the first turn whose group is reachable; return whether one was copied.
+
+        A turn is copied after all earlier ones of its chain, so that it has its chain where it is.
+        """
+        waiting_chains: set[str] = set()
         for key, queued in self._queue.items():
             try:
                 group = self._group_of(turn_key(key))
             except StoreUncertainError:
                 return False
-            if not self._reachability.is_unreachable(group):
+            if self._reachability.is_unreachable(group):
+                waiting_chains.add(queued.turn.first)
+            elif queued.turn.first not in waiting_chains:
                 return self._copy(group, key, queued)
         return False
 
@@ -110,5 +112,5 @@
         self._log.write(decisions.TurnCopied(key, group))
         # It may have been dropped during the write.
         if self._queue.pop(key, None) is not None:
-            self._queued_bytes -= queued.size
+            self._queued_bytes -= queued.turn.size
         return True
--- a/yarrowwall/budgets/turn_store.py
+++ b/yarrowwall/budgets/turn_store.py
@@ -1,25 +1,29 @@
-"""Storage and lookup of conversation turns in the record store.
+"""Storage of conversation turns in the record store.
 
 A turn is stored in its common group. While that is unreachable, the turn is stored in the group of
 the gateway's zone, provided that this group survives the required number of lost disks, and is
 copied to its common group later. A turn never changes, so any copy of it is valid, and a turn is
 missing only if the common group and all zone groups say so.
+
+A turn that is in the common groups, or in a zone's group, has its whole chain there. If the gateway
+does not know that the chain is kept until the turn is stored, it stores the chain again.
 """
 
-from collections.abc import Callable
+from collections import defaultdict
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
-from typing import NamedTuple
 
 import eventlet
 
 from yarrowwall import decisions
 from yarrowwall.budgets.group_reachability import GroupReachability
 from yarrowwall.budgets.settlements import SettlementQueues
+from yarrowwall.budgets.turn_cache import TurnCache
 from yarrowwall.budgets.turn_copier import TurnCopier
-from yarrowwall.budgets.turns import Turn, TurnCache, read_turn, turn_key, turn_record
+from yarrowwall.budgets.turns import Turn, turn_key, turn_record
 from yarrowwall.budgets.zone_groups import ZoneGroups
 from yarrowwall.decisions import DecisionLog
-from yarrowwall.exceptions import StoreUncertainError, TurnUnknownError
+from yarrowwall.exceptions import StoreUncertainError
 from yarrowwall.messages.replicated import StoredRecord
 from yarrowwall.replication.exceptions import NoQuorumError
 from yarrowwall.replication.quorum_client import OPERATION_SECONDS, QuorumClient
@@ -37,39 +41,25 @@
 END_MARGIN_SECONDS = 0.03
 #: Seconds after which storing a turn is logged as late.
 LATE_STORE_SECONDS = 0.25
-#: Timeout in seconds of looking up earlier turns in a group if other groups may have them too.
-LOOKUP_TIMEOUT_SECONDS = 0.25
-#: The same for a group that is unreachable as a whole. A member that still answers may hold the
-#: chain, and is in the gateway's zone, so its answer takes little time.
-UNREACHABLE_LOOKUP_TIMEOUT_SECONDS = 0.03
+#: Most bytes of turns in one write.
+MAX_WRITE_BYTES = 4 * 1024 * 1024
 
 #: A group and a record to write to it.
 PlacedRecord = tuple[int, StoredRecord]
 
 
-class _ChainLookup(NamedTuple):
-    """The result of looking up a turn and the earlier ones.
-
-    :param turns: The turns that were found, newest first.
-    :param unanswered: Groups that could not answer.
-    :param reason: Why the last of these could not.
-    """
-
-    turns: list[Turn]
-    unanswered: list[int]
-    reason: str = ""
-
-
 @dataclass
 class _PendingTurn:
     """A turn to be stored.
 
+    :param chain: The earlier turns, oldest first.
     :param settlement_records: Settlements of its reservations, with their groups.
     :param started_s: Monotonic time of the first write.
     :param failures: Why the last write to a group failed, by group.
     """
 
     turn: Turn
+    chain: Sequence[Turn]
     record: StoredRecord
     retention_s: float
     settlement_records: list[PlacedRecord]
@@ -84,8 +74,9 @@
 
 
 class TurnStore:
-    """Looks up and stores turns.
+    """Stores turns.
 
+    :param cache: The gateway's turns.
     :param group_of: Returns the common group of a key; raises StoreUncertainError if there is none.
     :param now: Returns the monotonic time in seconds.
     """
@@ -93,6 +84,8 @@
     def __init__(
         self,
         client: QuorumClient,
+        cache: TurnCache,
+        copier: TurnCopier,
         group_of: Callable[[str], int],
         zones: ZoneGroups,
         reachability: GroupReachability,
@@ -107,8 +100,8 @@
         self._reachability = reachability
         self._queues = queues
         self._log = log
-        self._cache = TurnCache()
-        self._copier = TurnCopier(client, group_of, reachability, log)
+        self._cache = cache
+        self._copier = copier
 
     def check_storable(self, attempt_id: str) -> None:
         """Check that a turn can probably be stored when it ends.
@@ -129,91 +122,12 @@
             and not self._reachability.is_unreachable(own)
         )
 
-    # Chains
-
-    def chain(self, attempt_id: str, previous: str, retention_s: float) -> list[Turn]:
-        """Return the turns up to ``previous``, oldest first.
-
-        :param retention_s: Seconds for which copies of turns found in zone groups are kept.
-        :raises TurnUnknownError: If ``previous`` certainly does not exist.
-        :raises StoreUncertainError: If that cannot be decided, or an earlier turn is missing.
-        """
-        turns, missing = self._cache.chain(previous)
-        fetched_count = 0
-        while missing:
-            more = self._fetch(attempt_id, missing, retention_s, is_first=not turns)
-            fetched_count += len(more)
-            turns += more
-            missing = turns[-1].previous
-        outcome = "fetched" if fetched_count else "cached"
-        self._log.write(decisions.ChainLookedUp(attempt_id, previous, outcome, len(turns)))
-        return turns[::-1]
-
-    def _fetch(
-        self, attempt_id: str, missing: str, retention_s: float, is_first: bool
-    ) -> list[Turn]:
-        """Return a turn and the earlier ones that the same group has, newest first."""
-        found = self._find_turns(turn_key(missing), retention_s)
-        if found.turns:
-            return found.turns
-        if found.unanswered:
-            self._log.write(decisions.ChainLookedUp(attempt_id, missing, "uncertain", 0))
-            raise StoreUncertainError(found.reason)
-        self._log.write(decisions.ChainLookedUp(attempt_id, missing, "unknown", 0))
-        if is_first:
-            raise TurnUnknownError(f"no turn {missing}")
-        raise StoreUncertainError(f"turn {missing} of the chain is missing")
-
-    def _find_turns(self, key: str, retention_s: float) -> _ChainLookup:
-        """Look for a turn in its common group, then in the groups of all zones."""
-        common_group = self._group_of(key)
-        unanswered = []
-        reason = ""
-        for group in self._zones.common_first(common_group):
-            try:
-                turns = self._read_from(group, key)
-            except NoQuorumError as error:
-                unanswered.append(group)
-                reason = str(error)
-                continue
-            if turns and group != common_group:
-                self._copier.add(turns, retention_s, is_urgent=True)
-            if turns:
-                return _ChainLookup(turns, unanswered)
-        return _ChainLookup([], unanswered, reason)
-
-    def _read_from(self, group: int, key: str) -> list[Turn]:
-        """Return a turn and the earlier ones that a group has, newest first.
-
-        :raises NoQuorumError: If the group cannot answer.
-        """
-        is_unreachable = self._reachability.is_unreachable(group)
-        try:
-            records = self._client.read_chain(
-                group, key, [], timeout=self._lookup_timeout_s(is_unreachable)
-            )
-        except NoQuorumError:
-            if self._zones.part_count and not is_unreachable:
-                self._reachability.note_failed(group)
-            raise
-        found = []
-        while (record := records.get(key)) is not None:
-            turn = read_turn(record.key, record.link, record.value)
-            self._cache.put(turn)
-            found.append(turn)
-            key = record.link
-        return found
-
-    def _lookup_timeout_s(self, is_unreachable: bool) -> float:
-        if not self._zones.part_count:
-            return OPERATION_SECONDS
-        return UNREACHABLE_LOOKUP_TIMEOUT_SECONDS if is_unreachable else LOOKUP_TIMEOUT_SECONDS
-
     # Storing
 
     def store(
         self,
         turn: Turn,
+        chain: Sequence[Turn],
         retention_s: float,
         settlement_records: list[PlacedRecord],
         deadline: Callable[[], float],
@@ -223,6 +137,7 @@
         The answer has already begun, so writes are retried until the request's deadline. Repeated
         writes are idempotent.
 
+        :param chain: The earlier turns, oldest first.
         :param settlement_records: Settlements of its reservations, written with it if they belong
             to the same group.
         :param deadline: Returns the monotonic time at which the request's time is over.
@@ -230,7 +145,12 @@
         :raises StoreUncertainError: If no quorum stored it in time.
         """
         pending = _PendingTurn(
-            turn, turn_record(turn, retention_s), retention_s, settlement_records, self._now()
+            turn,
+            chain,
+            turn_record(turn, retention_s),
+            retention_s,
+            settlement_records,
+            self._now(),
         )
         timeout_s = FIRST_STORE_TIMEOUT_SECONDS if self._zones.stores_turns else OPERATION_SECONDS
         while True:
@@ -277,13 +197,14 @@
         """
         self._write(pending, own, timeout_s)
         self._log.write(decisions.TurnKeptInZone(pending.turn.attempt_id, own))
-        self._copier.add([pending.turn], pending.retention_s, is_urgent=False)
+        self._copier.add([*pending.chain, pending.turn], pending.retention_s, is_urgent=False)
 
     def _write(self, pending: _PendingTurn, group: int, timeout_s: float) -> None:
         """Write a turn to a group with the settlements for that group, and queue the others.
 
         :raises NoQuorumError: If the group does not store it in time.
         """
+        self._ensure_chain_kept(pending, group, timeout_s)
         settlements = [
             settlement for target, settlement in pending.settlement_records if target == group
         ]
@@ -292,9 +213,47 @@
             if target != group:
                 self._queues.add(target, settlement)
 
+    def _ensure_chain_kept(self, pending: _PendingTurn, group: int, timeout_s: float) -> None:
+        """Store the earlier turns again unless they are kept until the turn itself is stored.
+
+        :param group: The group that the turn is written to.
+        :raises NoQuorumError: If a group does not store them in time.
+        """
+        previous, in_zone = pending.turn.previous, group == self._zones.own_group
+        if not previous or self._cache.is_kept(previous, self._now() + timeout_s, in_zone):
+            return
+        started_s = self._now()
+        records: dict[int, list[StoredRecord]] = defaultdict(list)
+        for turn in pending.chain:
+            target = group if in_zone else self._group_of(turn_key(turn.attempt_id))
+            records[target].append(turn_record(turn, pending.retention_s))
+        for target, of_target in records.items():
+            for batch in _batches(of_target):
+                self._client.write(target, batch, timeout=timeout_s)
+        for turn in pending.chain:
+            self._cache.put(turn)
+        self._cache.note_kept(previous, started_s + pending.retention_s, in_zone)
+        turns = len(pending.chain)
+        self._log.write(decisions.ChainStoredAgain(pending.turn.attempt_id, group, turns))
+
     def _note_stored(self, pending: _PendingTurn, group: int) -> None:
+        attempt_id, in_zone = pending.turn.attempt_id, group == self._zones.own_group
         self._cache.put(pending.turn)
+        self._cache.note_kept(attempt_id, pending.started_s + pending.retention_s, in_zone)
         seconds = self._now() - pending.started_s
         if seconds >= LATE_STORE_SECONDS:
-            attempt_id = pending.turn.attempt_id
             self._log.write(decisions.TurnKeptLate(attempt_id, group, seconds, pending.tries))
+
+
+def _batches(records: Sequence[StoredRecord]) -> Iterator[list[StoredRecord]]:
+    """Divide records into writes of a limited size."""
+    batch: list[StoredRecord] = []
+    size = 0
+    for record in records:
+        if batch and size + len(record.value) > MAX_WRITE_BYTES:
+            yield batch
+            batch, size = [], 0
+        batch.append(record)
+        size += len(record.value)
+    if batch:
+        yield batch
--- a/yarrowwall/budgets/turns.py
+++ b/yarrowwall/budgets/turns.py
@@ -1,20 +1,17 @@
-"""Turns of conversations: their records, a cache of them, and prompts built from them."""
+"""Turns of conversations: their records, and prompts built from them."""
 
 import struct
-from collections import OrderedDict
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from yarrowwall.event_stream import Event
 from yarrowwall.messages.replicated import StoredRecord
 
-#: Most bytes of turns that a gateway caches in memory.
-CACHE_BYTES = 24 * 1024 * 1024
-
 _LENGTH = struct.Struct(">I")
 _KEY_PREFIX = "turn/"
-#: Version of every turn's record, since a turn never changes.
-_VERSION = 1
+#: Version of every turn's record, since a turn never changes. Earlier releases stored version 1,
+#: which has no owner.
+_VERSION = 2
 
 
 @dataclass(frozen=True)
@@ -22,15 +19,22 @@
     """One finished turn.
 
     :param previous: Attempt id of the turn that it continues; empty for none.
+    :param first: Attempt id of the first turn of its chain; empty if its record does not tell it.
     :param body: The request body from the caller.
     :param output: The data of each event, each followed by a line feed.
     """
 
     attempt_id: str
     previous: str
+    first: str
     body: bytes
     output: bytes
 
+    @property
+    def size(self) -> int:
+        """Return the size of the turn in bytes."""
+        return len(self.body) + len(self.output)
+
     def value(self) -> bytes:
         """Return the body and the output, encoded as the value of a record."""
         return _LENGTH.pack(len(self.body)) + self.body + self.output
@@ -48,23 +52,25 @@
 
 
 def turn_record(turn: Turn, retention_s: float) -> StoredRecord:
-    """Return the record of a turn.
+    """Return the record of a turn, whose owner is the first turn of its chain.
 
-    :param retention_s: Seconds for which the record is kept.
+    :param retention_s: Seconds for which the record and its chain are kept.
     """
-    key, link = turn_key(turn.attempt_id), turn_key(turn.previous)
-    return StoredRecord(key, _VERSION, "", link, retention_s, 0, turn.value())
+    key, link, owner = turn_key(turn.attempt_id), turn_key(turn.previous), turn_key(turn.first)
+    return StoredRecord(key, _VERSION, owner, link, retention_s, 0, turn.value())
 
 
-def read_turn(key: str, link: str, value: bytes) -> Turn:
+def read_turn(record: StoredRecord) -> Turn:
     """Return the turn encoded in a record."""
-    (length,) = _LENGTH.unpack_from(value)
+    (length,) = _LENGTH.unpack_from(record.value)
     start = _LENGTH.size
+    first = record.owner or ("" if record.link else record.key)
     return Turn(
-        key.removeprefix(_KEY_PREFIX),
-        link.removeprefix(_KEY_PREFIX),
-        value[start : start + length],
-        value[start + length :],
+        record.key.removeprefix(_KEY_PREFIX),
+        record.link.removeprefix(_KEY_PREFIX),
+        first.removeprefix(_KEY_PREFIX),
+        record.value[start : start + length],
+        record.value[start + length :],
     )
 
 
@@ -76,39 +82,3 @@
 def prompt_body(turns: Sequence[Turn], body: bytes) -> bytes:
     """Return the request body for a server: all earlier turns, then the new input."""
     return b"".join([part for turn in turns for part in (turn.body, turn.output)] + [body])
-
-
-class TurnCache:
-    """An LRU cache of turns. A turn never changes, so cached copies never become stale."""
-
-    def __init__(self, max_bytes: int = CACHE_BYTES) -> None:
-        self._max_bytes = max_bytes
-        self._bytes = 0
-        self._turns: OrderedDict[str, Turn] = OrderedDict()
-
-    def put(self, turn: Turn) -> None:
-        """Add a turn as the most recently used."""
-        if turn.attempt_id in self._turns:
-            self._turns.move_to_end(turn.attempt_id)
-            return
-        self._turns[turn.attempt_id] = turn
-        self._bytes += len(turn.body) + len(turn.output)
-        while self._bytes > self._max_bytes:
-            _, oldest = self._turns.popitem(last=False)
-            self._bytes -= len(oldest.body) + len(oldest.output)
-
-    def chain(self, attempt_id: str) -> tuple[list[Turn], str]:
-        """Return the cached turns up to one, newest first.
-
-        :returns: The turns, and the attempt id of the first one that is not cached; empty if the
-            whole chain is cached.
-        """
-        found = []
-        while attempt_id:
-            turn = self._turns.get(attempt_id)
-            if turn is None:
-                break
-            self._turns.move_to_end(attempt_id)
-            found.append(turn)
-            attempt_id = turn.previous
-        return found, attempt_id
--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -278,6 +278,24 @@
     turns: int
 
 
+class ChainStoredAgain(Decision, frozen=True):
+    """Earlier turns were stored again with a new one, since it was not known who keeps them."""
+
+    attempt: str
+    group: int
+    turns: int
+
+
+class ChainUnconfirmed(Decision, frozen=True):
+    """It could not be confirmed that a write quorum keeps the turn that another one continues.
+
+    The turn's chain is stored again with the new turn.
+    """
+
+    attempt: str
+    reason: str
+
+
 class StreamOrigin(StrEnum):
     """How the software that began a resumed stream was determined."""
 
@@ -481,6 +499,30 @@
     copied: int
 
 
+class RecordsDropped(Decision, frozen=True):
+    """A replica dropped records whose lifetime is over at every replica.
+
+    :param kept: number of records that it still has.
+    """
+
+    group: int
+    dropped: int
+    kept: int
+
+
+class ExpiryUnconfirmed(Decision, frozen=True):
+    """A replica keeps records beyond their lifetime, since a group did not confirm its end.
+
+    Only the first one of a series of failures is logged for each group.
+
+    :param owners: number of owners whose records are kept.
+    """
+
+    group: int
+    owners: int
+    reason: str
+
+
 class ProcessChanged(Decision, frozen=True):
     """The process started, is stopping, reloaded its settings or stopped."""
 
--- a/yarrowwall/machine/replica_requests.py
+++ b/yarrowwall/machine/replica_requests.py
@@ -105,7 +105,7 @@
         """Pass a request to the replica of its group; reply once its records are on disk."""
         group = request.view.group if isinstance(request, InstallView) else request.group
         replica = self.replica_of(group)
-        outcome = replica.disk.replica.handle(request, time.time())
+        outcome = replica.disk.replica.handle(request, time.monotonic())
         if not outcome.persist:
             reply(outcome.reply)
             return
--- a/yarrowwall/machine/replica_role.py
+++ b/yarrowwall/machine/replica_role.py
@@ -32,8 +32,11 @@
     read_registration,
     read_zone_registration,
 )
+from yarrowwall.replication.expiry import RecordExpiry
+from yarrowwall.replication.group_views import GroupViews
 from yarrowwall.replication.peers import ReplicaPeers
 from yarrowwall.replication.planner import target_size
+from yarrowwall.replication.quorum_client import QuorumClient
 from yarrowwall.replication.replica import RecordReplica
 from yarrowwall.replication.rpc import LinkTable, serve_requests
 from yarrowwall.replication.synchroniser import Synchroniser
@@ -41,9 +44,9 @@
 from yarrowwall.watching.follower import LONG_WATCH_SECONDS, KindFollower
 from yarrowwall.watching.reader import StoreReader
 
-#: Seconds between rounds of maintenance, and between two removals of expired records.
+#: Seconds between rounds of maintenance, and between two checks for what can be cleaned up.
 MAINTENANCE_SECONDS = 0.3
-EXPIRY_SECONDS = 5.0
+CLEANUP_SECONDS = 5.0
 #: Seconds between checks whether the zone group's replica needs a copy. A new view triggers a check
 #: at once, and longer intervals save wake-ups of a replica that rarely needs one.
 ZONE_CHECK_SECONDS = 1.0
@@ -79,11 +82,17 @@
         self._peers = ReplicaPeers(settings.node_id, settings.zone, self._links, time.monotonic)
         self._permits = PermitService(self._disk, self._peers, log)
         self._common = LocalReplica(
-            self._disk, Synchroniser(self._disk, self._links, log, time.time)
+            self._disk, Synchroniser(self._disk, self._links, log, time.monotonic)
         )
         self._zone = LocalReplica(
-            zone_disk, Synchroniser(zone_disk, self._links, log, time.time, ZONE_CHECK_SECONDS)
+            zone_disk, Synchroniser(zone_disk, self._links, log, time.monotonic, ZONE_CHECK_SECONDS)
         )
+        self._views = GroupViews()
+        client = QuorumClient(settings.zone, self._views, self._links, time.monotonic)
+        self._expiries = [
+            RecordExpiry(disk.replica, client, self._views, log, time.monotonic)
+            for disk in (self._disk, zone_disk)
+        ]
         self._coordinator = Coordinator(
             settings.node_id,
             store,
@@ -139,6 +148,8 @@
         self._peers.start()
         for replica in (self._common, self._zone):
             replica.synchroniser.start()
+        for expiry in self._expiries:
+            expiry.start()
         self._coordinator.start()
         eventlet.spawn_n(self._registration.register)
         eventlet.spawn_n(self._run_maintenance)
@@ -150,21 +161,22 @@
         """Set the metrics that are computed on each scrape."""
         metrics.set_issued_permits(self._disk.issuer.issued_by_tenant(time.monotonic()))
         metrics.set_zone_records(len(self._zone.disk.replica.table))
+        table = self._disk.replica.table
+        metrics.set_common_records(len(table), table.owner_count)
 
     # Maintenance
 
     def _run_maintenance(self) -> None:
-        next_expiry = time.monotonic() + EXPIRY_SECONDS
+        next_cleanup = time.monotonic() + CLEANUP_SECONDS
         while True:
             eventlet.sleep(MAINTENANCE_SECONDS)
             self._registration.report_retirement(self._coordinator.views())
             self._reader.stop_idle_kinds()
             self._permits.record_begun()
-            if time.monotonic() > next_expiry:
-                next_expiry = time.monotonic() + EXPIRY_SECONDS
+            if time.monotonic() > next_cleanup:
+                next_cleanup = time.monotonic() + CLEANUP_SECONDS
                 self._permits.drop_expired()
                 for replica in (self._common, self._zone):
-                    replica.disk.replica.table.expire(time.time())
                     replica.disk.compact_if_long()
 
     # Updates from the store
@@ -181,6 +193,7 @@
     def _update_groups(self, item: StoredObject) -> None:
         self._coordinator.update_groups(item)
         for view in self._coordinator.views():
+            self._views.update(view)
             replica = self._requests.replica_of(view.group)
             if _is_affected(view, replica.disk.replica):
                 views = replica.disk.replica.install_view(view)
--- a/yarrowwall/messages/replicated.py
+++ b/yarrowwall/messages/replicated.py
@@ -9,7 +9,7 @@
 from enum import StrEnum
 
 from yarrowwall.messages.capacity import ServiceUnderWay
-from yarrowwall.messages.registry import message
+from yarrowwall.messages.registry import added_field, message
 
 
 class ReplyStatus(StrEnum):
@@ -58,10 +58,10 @@
 class StoredRecord:
     """A record of the store.
 
-    :param owner: the program whose records include this one; empty for none.
+    :param owner: the program whose records include this one, or the key of the first turn of its
+        chain; empty for a turn that an earlier release stored.
     :param link: key of the record that this one continues; empty for none.
-    :param retention: seconds for which the record, those it continues from and the other records
-        of its owner are kept after it was stored.
+    :param retention: seconds for which all records of its owner are kept after it was stored.
     """
 
     key: str
@@ -202,6 +202,8 @@
     :param is_reader: whether the replica counts for a read quorum.
     :param note: value, as text, of the owner's newest record that has one; empty for none.
     :param view: the replica's view if the sender's epoch is older.
+    :param left_s: for how many seconds each record is kept, in the answer to :class:`ListKeys`;
+        empty in other answers and from earlier releases.
     """
 
     status: ReplyStatus
@@ -211,6 +213,7 @@
     amounts: list[int]
     note: str
     view: GroupView | None
+    left_s: list[float] = added_field(default=())
 
 
 @message(112)
@@ -262,9 +265,17 @@
 
 @message(120)
 class RecordsKept:
-    """Log record: records that the replica stored."""
+    """Log record: records that the replica stored.
+
+    :param wall_s: time of day when it was written; 0 in logs of earlier releases.
+    :param steady_s: monotonic time when it was written.
+    :param left_s: for how many seconds each record was still kept then; empty if it was new.
+    """
 
     records: list[StoredRecord]
+    wall_s: float = added_field(default=0.0)
+    steady_s: float = added_field(default=0.0)
+    left_s: list[float] = added_field(default=())
 
 
 @message(121)
@@ -283,3 +294,32 @@
 
     epoch: int
     is_reader: bool
+
+
+@message(125)
+class ReadLifetimes:
+    """Request for how long the records of owners, and single records, are kept."""
+
+    group: int
+    epoch: int
+    disk_id: str
+    owners: list[str]
+    keys: list[str]
+
+
+@message(126)
+class LifetimesReply:
+    """Answer to :class:`ReadLifetimes`.
+
+    :param is_reader: whether the replica counts for a read quorum.
+    :param owners_left_s: for how many seconds the records of each owner are kept; 0 if the replica
+        has none.
+    :param keys_left_s: the same for each single record.
+    :param view: the replica's view if the sender's epoch is older.
+    """
+
+    status: ReplyStatus
+    is_reader: bool
+    owners_left_s: list[float]
+    keys_left_s: list[float]
+    view: GroupView | None
--- a/yarrowwall/metrics.py
+++ b/yarrowwall/metrics.py
@@ -107,6 +107,21 @@
 ZONE_RECORDS = _Description(
     "zone_group_records", "Records that this machine holds for its zone's own group"
 )
+COMMON_RECORDS = _Description(
+    "common_group_records", "Records that this machine holds for a common group"
+)
+RECORD_OWNERS = _Description(
+    "common_group_owners", "Programs and chains of turns whose records it holds for that group"
+)
+RECORDS_DROPPED = _Description(
+    "records_dropped", "Records dropped because no replica keeps them any longer", "group"
+)
+EXPIRY_UNCONFIRMED = _Description(
+    "expiry_unconfirmed", "Series of failures to confirm that records are over", "group"
+)
+CHAINS_STORED_AGAIN = _Description(
+    "chains_stored_again", "Turns that were stored with their whole chain"
+)
 DROPPED_LINES = _Description("log_lines_dropped", "Log lines not written")
 RELAYED_REQUESTS = _Description(
     "relayed_requests", "Requests sent through a neighbour", "neighbour"
@@ -159,6 +174,11 @@
             ),
             decisions.ChainLookedUp: lambda event: self._add(CHAIN_LOOKUPS, event.outcome),
             decisions.StreamOriginFound: lambda event: self._add(STREAM_ORIGINS, event.origin),
+            decisions.RecordsDropped: lambda event: self._add(
+                RECORDS_DROPPED, event.group, event.dropped
+            ),
+            decisions.ExpiryUnconfirmed: lambda event: self._add(EXPIRY_UNCONFIRMED, event.group),
+            decisions.ChainStoredAgain: lambda event: self._add(CHAINS_STORED_AGAIN),
             decisions.MessageDropped: lambda event: self._add(MESSAGES_DROPPED),
             decisions.PeerConnectionClosed: lambda event: self._add(CONNECTIONS_CLOSED),
             decisions.ReplicaSynchronised: lambda event: self._add(SYNCHRONISATIONS),
@@ -220,6 +240,11 @@
         """Set the number of records stored for the zone's own group."""
         self._set(ZONE_RECORDS, count)
 
+    def set_common_records(self, count: int, owners: int) -> None:
+        """Set the numbers of records and of their owners stored for a common group."""
+        self._set(COMMON_RECORDS, count)
+        self._set(RECORD_OWNERS, owners)
+
     def set_age(self, age_s: float) -> None:
         """Set the seconds since the configuration was last verified to be the newest."""
         self._set(CONFIGURATION_AGE, age_s)
--- a/yarrowwall/replication/disk.py
+++ b/yarrowwall/replication/disk.py
@@ -7,7 +7,7 @@
 from yarrowwall.clocks import Clock, read_clock
 from yarrowwall.decisions import DecisionLog
 from yarrowwall.messages.quotas import LendingBegun, QuotaLent
-from yarrowwall.replication.replica import LogRecord, RecordReplica
+from yarrowwall.replication.replica import LogRecord, RecordReplica, with_time
 from yarrowwall.storage import identity
 from yarrowwall.storage.exceptions import CorruptSegmentError
 from yarrowwall.storage.journal_writer import JournalWriter
@@ -50,9 +50,7 @@
         self._store = SegmentStore(self._folder / _LOG_FOLDER, SEGMENT_BYTES)
         replica = RecordReplica(node_id, disk_id)
         clock = read_clock()
-        replica.restore(
-            self._restore_other_records(disk_id, self._log_records(), clock), clock.wall_s
-        )
+        replica.restore(self._restore_other_records(disk_id, self._log_records(), clock), clock)
         self.replica = replica
         if self._store.segment_count() > MAX_SEGMENTS:
             self._store.compact(self._snapshot())
@@ -78,7 +76,8 @@
 
     def _snapshot(self) -> list[DiskRecord]:
         """Return log records that restore the whole state."""
-        return list(self.replica.snapshot())
+        clock = read_clock()
+        return [with_time(record, clock) for record in self.replica.snapshot(clock.steady_s)]
 
     def _note_write_error(self, error: Exception) -> bool:
         self._log.write(decisions.DependencyChanged("disk", False, str(error)))
@@ -114,6 +113,8 @@
                 self.replica.mark_failed(record)
             on_failed()
 
+        if isinstance(record, LogRecord):
+            record = with_time(record, read_clock())
         self._writer.write(record, note_durable, note_failed)
 
     def _mark_durable(self, record: DiskRecord) -> None:
--- a/yarrowwall/replication/operations.py
+++ b/yarrowwall/replication/operations.py
@@ -1,11 +1,12 @@
 """Operations on a group's replicas: the requests and the replies that complete them. No I/O."""
 
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import NamedTuple
 
 from yarrowwall.messages.replicated import (
     GroupView,
     KeysReply,
+    LifetimesReply,
     Member,
     RecordsReply,
     ReplyStatus,
@@ -44,6 +45,25 @@
 NO_QUORUM = Quorum(lambda view, disks: False, lambda view, found: False)
 
 
+#: For a single key of :class:`ReadLifetimes`: complete once a write quorum keeps it.
+KEPT_BY_WRITE_QUORUM = Quorum(
+    has_write_quorum, lambda view, found: kept_by_write_quorum_s(view, found.keys_left_s) > 0.0
+)
+
+
+def kept_by_write_quorum_s(view: GroupView, left_s: Mapping[str, Sequence[float]]) -> float:
+    """Return for how many seconds a write quorum keeps a record; 0 if it is on no write quorum.
+
+    :param left_s: by disk, for how many seconds it is kept there, in a list of one.
+    """
+    disks: list[str] = []
+    for disk, (seconds,) in sorted(left_s.items(), key=lambda item: -item[1][0]):
+        disks.append(disk)
+        if has_write_quorum(view, disks):
+            return seconds
+    return 0.0
+
+
 class Operation(NamedTuple):
     """A request to the replicas of a group and the condition that completes it.
 
@@ -74,7 +94,8 @@
 
 def is_behind(reply: object | None) -> bool:
     """Return whether a replica replied that it does not know the request's view."""
-    return isinstance(reply, RecordsReply | KeysReply) and reply.status is ReplyStatus.BEHIND
+    replies = RecordsReply | KeysReply | LifetimesReply
+    return isinstance(reply, replies) and reply.status is ReplyStatus.BEHIND
 
 
 def reaches_root(records: dict[str, StoredRecord], key: str, stop: set[str]) -> bool:
--- a/yarrowwall/replication/quorum_client.py
+++ b/yarrowwall/replication/quorum_client.py
@@ -11,8 +11,10 @@
     GroupView,
     InstallView,
     KeysReply,
+    LifetimesReply,
     Member,
     ReadChain,
+    ReadLifetimes,
     ReadOwner,
     RecordsReply,
     ReplyStatus,
@@ -24,12 +26,14 @@
 from yarrowwall.replication.group_views import GroupViews
 from yarrowwall.replication.losses import loss_reason
 from yarrowwall.replication.operations import (
+    KEPT_BY_WRITE_QUORUM,
     NO_QUORUM,
     READ_QUORUM,
     READ_WRITE_QUORUM,
     WRITE_QUORUM,
     Operation,
     is_behind,
+    kept_by_write_quorum_s,
     needed_members,
     reaches_root,
 )
@@ -190,6 +194,43 @@
             return self._ask_nearest(chain).records
         return self._run(chain._replace(quorum=READ_QUORUM), timeout).records
 
+    def owners_left_s(
+        self, group: int, owners: list[str], timeout: float = OPERATION_SECONDS
+    ) -> list[float]:
+        """Return for how many seconds the group keeps the records of each owner.
+
+        Every write that is complete by now is taken into account.
+
+        :raises NoQuorumError: if the quorum does not answer in time.
+        """
+        operation = Operation(
+            group,
+            "",
+            READ_QUORUM,
+            lambda view, member: ReadLifetimes(group, view.epoch, member.disk_id, owners, []),
+        )
+        found = self._run(operation, timeout)
+        return [max(left_s) for left_s in zip(*found.owners_left_s.values(), strict=True)]
+
+    def kept_s(self, group: int, key: str, timeout: float = OPERATION_SECONDS) -> float:
+        """Return for how many seconds a write quorum keeps a record.
+
+        No replica drops a record in that time. The result is 0 if the write of the record was not
+        complete, or if too few replicas answer.
+
+        :raises NoQuorumError: if the group is unknown, or has lost its records.
+        """
+        operation = Operation(
+            group,
+            key,
+            KEPT_BY_WRITE_QUORUM,
+            lambda view, member: ReadLifetimes(group, view.epoch, member.disk_id, [], [key]),
+        )
+        view = self._view(group)
+        members = self._ordered_members(view, key)
+        found = self._run_round(view, members, operation, self._now() + timeout)
+        return kept_by_write_quorum_s(view, found.keys_left_s)
+
     def _ask_nearest(self, operation: Operation) -> Round:
         """Run an operation on the nearest replica alone.
 
@@ -341,7 +382,7 @@
         else:
             found.unreached.discard(member.disk_id)
             found.answered += 1
-        if isinstance(reply, RecordsReply | KeysReply):
+        if isinstance(reply, RecordsReply | KeysReply | LifetimesReply):
             self._merge_reply(member, reply, found)
         found.is_complete = operation.is_complete(view, found)
         found.wake()
@@ -351,13 +392,17 @@
         for disk_id in disks:
             self._deprioritised_until[disk_id] = until
 
-    def _merge_reply(self, member: Member, reply: RecordsReply | KeysReply, found: Round) -> None:
+    def _merge_reply(
+        self, member: Member, reply: RecordsReply | KeysReply | LifetimesReply, found: Round
+    ) -> None:
         if reply.status is ReplyStatus.OK:
             found.acknowledged.add(member.disk_id)
             if reply.is_reader:
                 found.read_responders.add(member.disk_id)
             if isinstance(reply, RecordsReply):
                 found.merge(reply.records)
+            elif isinstance(reply, LifetimesReply):
+                found.merge_lifetimes(member.disk_id, reply)
             else:
                 found.merge_amounts(reply)
         elif reply.status is ReplyStatus.OTHER_DISK:
--- a/yarrowwall/replication/replica.py
+++ b/yarrowwall/replication/replica.py
@@ -5,17 +5,20 @@
 epoch that the group has left.
 """
 
-from collections.abc import Iterable
-from dataclasses import dataclass, field
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field, replace
 
+from yarrowwall.clocks import Clock
 from yarrowwall.messages.replicated import (
     AskStatus,
     FetchRecords,
     GroupView,
     InstallView,
     KeysReply,
+    LifetimesReply,
     ListKeys,
     ReadChain,
+    ReadLifetimes,
     ReadOwner,
     RecordsKept,
     RecordsReply,
@@ -27,7 +30,7 @@
     ViewKept,
     WriteRecords,
 )
-from yarrowwall.replication.table import RecordTable
+from yarrowwall.replication.table import NO_LIFETIMES, RecordTable, owner_of
 from yarrowwall.replication.views import disk_ids, member_of
 
 LogRecord = RecordsKept | ViewKept | SynchronisationKept
@@ -36,12 +39,14 @@
     | ReserveRecord
     | ReadOwner
     | ReadChain
+    | ReadLifetimes
     | ListKeys
     | FetchRecords
     | AskStatus
     | InstallView
 )
-Reply = RecordsReply | KeysReply | StatusReply
+Reply = RecordsReply | KeysReply | LifetimesReply | StatusReply
+
 
 #: Epoch of a group's first view. No record was written before it.
 FIRST_EPOCH = 1
@@ -49,6 +54,13 @@
 _RECORDS_PER_FRAME = 128
 
 
+def with_time(record: LogRecord, clock: Clock) -> LogRecord:
+    """Return a log record with the time at which it is written, if it holds records."""
+    if not isinstance(record, RecordsKept):
+        return record
+    return replace(record, wall_s=clock.wall_s, steady_s=clock.steady_s)
+
+
 @dataclass(frozen=True)
 class Outcome:
     """The result of a request.
@@ -96,17 +108,29 @@
 
     # Log records
 
-    def restore(self, records: Iterable[LogRecord], now: float) -> None:
-        """Apply the log records that were read from disk."""
+    def restore(self, records: Iterable[LogRecord], clock: Clock) -> None:
+        """Apply the log records that were read from disk.
+
+        Records are kept for as long as if the process had not ended. In logs of earlier releases,
+        which do not tell when a record was written, a whole retention begins anew.
+
+        :param clock: the machine's clocks now.
+        """
         for record in records:
             if isinstance(record, RecordsKept):
-                self.table.put(record.records, now)
+                self._restore_records(record, clock)
             elif isinstance(record, ViewKept):
                 self._apply_view(record.view)
             else:
                 self._apply_synchronisation(record)
 
-    def snapshot(self) -> list[LogRecord]:
+    def _restore_records(self, kept: RecordsKept, clock: Clock) -> None:
+        age_s = clock.age_s(kept.wall_s, kept.steady_s) if kept.wall_s else 0.0
+        keys = [record.key for record in kept.records]
+        left_s = dict(zip(keys, kept.left_s, strict=bool(kept.left_s)))
+        self.table.put(kept.records, clock.steady_s - age_s, left_s)
+
+    def snapshot(self, now: float) -> list[LogRecord]:
         """Return log records that restore this state."""
         found: list[LogRecord] = []
         if self.view is not None:
@@ -114,7 +138,9 @@
         found.append(SynchronisationKept(self.synchronised_epoch, self.counts_for_reads))
         records = self.table.all()
         for start in range(0, len(records), _RECORDS_PER_FRAME):
-            found.append(RecordsKept(records[start : start + _RECORDS_PER_FRAME]))
+            frame = records[start : start + _RECORDS_PER_FRAME]
+            left_s = [self.table.left_s(owner_of(record), now) for record in frame]
+            found.append(RecordsKept(frame, left_s=left_s))
         return found
 
     def mark_durable(self, record: LogRecord) -> None:
@@ -188,18 +214,33 @@
                 found.append(key)
         return found
 
-    def store_copied(self, records: list[StoredRecord], now: float) -> list[LogRecord]:
-        """Store copied records; return the log records to write."""
-        to_keep = self._store_records(records, now)
+    def store_copied(
+        self, records: list[StoredRecord], left_s: Mapping[str, float], now: float
+    ) -> list[LogRecord]:
+        """Store copied records; return the log records to write.
+
+        :param left_s: for how many seconds the other replica keeps them, by key. Without it, a
+            whole retention begins anew.
+        """
+        to_keep = self._store_records(records, now, left_s)
         return [RecordsKept(to_keep)] if to_keep else []
 
-    def _store_records(self, records: list[StoredRecord], now: float) -> list[StoredRecord]:
+    def extend_lifetimes(self, left_s: Mapping[str, float], now: float) -> None:
+        """Keep records for as long at least as another replica does, by key."""
+        for key, seconds in left_s.items():
+            record = self.table.get(key)
+            if record is not None:
+                self.table.extend(owner_of(record), now + seconds)
+
+    def _store_records(
+        self, records: list[StoredRecord], now: float, left_s: Mapping[str, float] = NO_LIFETIMES
+    ) -> list[StoredRecord]:
         """Store records; return those of them that are not on disk yet.
 
         A known record may still be waiting for its write, or the write may have failed; it is
         then written again.
         """
-        newer = self.table.put(records, now)
+        newer = self.table.put(records, now, left_s)
         self._pending_writes |= {(record.key, record.version) for record in newer}
         return [
             record for record in records if (record.key, record.version) in self._pending_writes
@@ -231,7 +272,9 @@
         if isinstance(request, ReserveRecord):
             return self._reserve(request.record, now)
         if isinstance(request, ListKeys):
-            return Outcome(self._keys_reply(self.table.all()))
+            return Outcome(self._list_reply(now))
+        if isinstance(request, ReadLifetimes):
+            return Outcome(self._lifetimes_reply(request, now))
         if isinstance(request, ReadOwner):
             return Outcome(self._owner_reply(request.owner))
         if isinstance(request, ReadChain):
@@ -270,6 +313,8 @@
 
     def _refuse(self, request: Request, status: ReplyStatus) -> Reply:
         view = self.view if status is ReplyStatus.STALE else None
+        if isinstance(request, ReadLifetimes):
+            return LifetimesReply(status, False, [], [], view)
         if isinstance(request, ListKeys | ReadOwner | ReserveRecord):
             return KeysReply(status, False, [], [], [], "", view)
         return RecordsReply(status, False, [], view)
@@ -287,6 +332,20 @@
     def _owner_reply(self, owner: str) -> KeysReply:
         return self._keys_reply(self.table.of_owner(owner), self.table.newest_note(owner))
 
+    def _list_reply(self, now: float) -> KeysReply:
+        records = self.table.all()
+        left_s = [self.table.left_s(owner_of(record), now) for record in records]
+        return replace(self._keys_reply(records), left_s=left_s)
+
+    def _lifetimes_reply(self, request: ReadLifetimes, now: float) -> LifetimesReply:
+        return LifetimesReply(
+            ReplyStatus.OK,
+            self.counts_for_reads,
+            [self.table.left_s(owner, now) for owner in request.owners],
+            [self.table.key_left_s(key, now) for key in request.keys],
+            None,
+        )
+
     def _records_reply(self, records: list[StoredRecord]) -> RecordsReply:
         return RecordsReply(ReplyStatus.OK, self.counts_for_reads, records, None)
 
--- a/yarrowwall/replication/rounds.py
+++ b/yarrowwall/replication/rounds.py
@@ -7,7 +7,7 @@
 import eventlet
 from eventlet.event import Event
 
-from yarrowwall.messages.replicated import KeysReply, StoredRecord
+from yarrowwall.messages.replicated import KeysReply, LifetimesReply, StoredRecord
 from yarrowwall.replication.rpc import Link
 
 
@@ -65,6 +65,8 @@
     :param read_responders: those of them that count for a read quorum.
     :param records: the newest version of each record in the replies.
     :param amounts: the newest version of each amount in the replies.
+    :param owners_left_s: for how many seconds the requested owners' records are kept, by disk.
+    :param keys_left_s: the same for the requested keys.
     :param note: the owner's note from the last reply that has one.
     :param is_read_quorum: whether the replies contain every complete record.
     :param answered: number of replies, including refusals.
@@ -82,6 +84,8 @@
     read_responders: set[str] = field(default_factory=set)
     records: dict[str, StoredRecord] = field(default_factory=dict)
     amounts: dict[str, Amount] = field(default_factory=dict)
+    owners_left_s: dict[str, list[float]] = field(default_factory=dict)
+    keys_left_s: dict[str, list[float]] = field(default_factory=dict)
     note: str = ""
     is_read_quorum: bool = False
     answered: int = 0
@@ -131,6 +135,11 @@
         for record in records:
             _keep_newest(self.records, record.key, record)
 
+    def merge_lifetimes(self, disk_id: str, reply: LifetimesReply) -> None:
+        """Add the lifetimes that a replica reported."""
+        self.owners_left_s[disk_id] = reply.owners_left_s
+        self.keys_left_s[disk_id] = reply.keys_left_s
+
     def merge_amounts(self, reply: KeysReply) -> None:
         """Merge a reply's amounts and note; the higher version of a key wins."""
         self.note = reply.note or self.note
--- a/yarrowwall/replication/synchroniser.py
+++ b/yarrowwall/replication/synchroniser.py
@@ -1,6 +1,6 @@
 """Copies a group's complete records to a replica that joins or has missed a change."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import eventlet
 
@@ -104,6 +104,8 @@
                 return None
             if not listed.is_reader:
                 return None
+            # An earlier release does not tell for how long it keeps its records.
+            left_s = dict(zip(listed.keys, listed.left_s, strict=bool(listed.left_s)))
             missing = self._replica.missing(listed.keys, listed.versions)
             for start in range(0, len(missing), PAGE_RECORDS):
                 keys = missing[start : start + PAGE_RECORDS]
@@ -111,17 +113,18 @@
                 fetched = link.call(request, REPLY_TIMEOUT_SECONDS)
                 if not isinstance(fetched, RecordsReply) or fetched.status is not ReplyStatus.OK:
                     return None
-                if not self._persist(fetched):
+                if not self._persist(fetched, left_s):
                     return None
         except LinkDownError:
             return None
+        self._replica.extend_lifetimes(left_s, self._now())
         return len(missing)
 
-    def _persist(self, fetched: RecordsReply) -> bool:
+    def _persist(self, fetched: RecordsReply, left_s: Mapping[str, float]) -> bool:
         """Write copied records to disk; return whether that succeeded."""
         written = eventlet.event.Event()
         self._disk.persist(
-            self._replica.store_copied(fetched.records, self._now()),
+            self._replica.store_copied(fetched.records, left_s, self._now()),
             lambda: written.send(True),
             lambda: written.send(False),
         )
--- a/yarrowwall/replication/table.py
+++ b/yarrowwall/replication/table.py
@@ -1,26 +1,47 @@
-"""The records of one replica, with their indexes and expiry. No I/O."""
+"""The records of one replica, with their indexes and lifetimes. No I/O.
 
-from collections import defaultdict
-from collections.abc import Iterable
+All records of an owner are kept for the same time, so a write extends the lifetime of any number of
+earlier records at once. A turn's owner is the first turn of its chain.
+"""
+
+from collections.abc import Iterable, Mapping
+from types import MappingProxyType
 
 from yarrowwall.messages.replicated import StoredRecord
 
-#: Seconds that a record is kept beyond its retention, to allow for clock differences.
-CLOCK_MARGIN_SECONDS = 30.0
+#: Seconds that a record is kept beyond its retention. Callers count it from the end of the answer,
+#: and a turn that begins within it may last longer than it.
+RETENTION_MARGIN_SECONDS = 30.0
+NO_LIFETIMES: Mapping[str, float] = MappingProxyType({})
+
+
+def owner_of(record: StoredRecord) -> str:
+    """Return the owner of a record; one without an owner belongs to itself.
+
+    Earlier releases stored turns without one. The first turn of a chain belongs to itself in
+    either case.
+    """
+    return record.owner or record.key
 
 
 class RecordTable:
-    """Records by key; the higher version of a key wins."""
+    """Records by key; the higher version of a key wins. Times are of the monotonic clock."""
 
     def __init__(self) -> None:
         self._records: dict[str, StoredRecord] = {}
-        self._expires: dict[str, float] = {}
         #: Keys of each owner's records, ordered by when their newest version was stored.
-        self._by_owner: dict[str, dict[str, None]] = defaultdict(dict)
+        self._by_owner: dict[str, dict[str, None]] = {}
+        #: Until when each owner's records are kept.
+        self._kept_until: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self._records)
 
+    @property
+    def owner_count(self) -> int:
+        """Return the number of owners that have records."""
+        return len(self._by_owner)
+
     def get(self, key: str) -> StoredRecord | None:
         """Return a record; None if it is unknown."""
         return self._records.get(key)
@@ -34,26 +55,45 @@
         held = self._records.get(record.key)
         return held is None or held.version < record.version
 
-    def put(self, records: Iterable[StoredRecord], now: float) -> list[StoredRecord]:
-        """Store records; return those that were unknown or newer than the stored ones."""
-        newer = [record for record in records if self.is_newer(record)]
-        for record in newer:
-            self._records[record.key] = record
-            if record.owner:
-                self._by_owner[record.owner].pop(record.key, None)
-                self._by_owner[record.owner][record.key] = None
-            self._extend_expiry(record, now)
+    def put(
+        self,
+        records: Iterable[StoredRecord],
+        now: float,
+        left_s: Mapping[str, float] = NO_LIFETIMES,
+    ) -> list[StoredRecord]:
+        """Store records and extend the lifetimes of their owners.
+
+        :param left_s: for how many seconds copied records are kept, by key; others are kept for
+            their retention and the margin.
+        :returns: those that were unknown or newer than the stored ones. Others extend lifetimes
+            too, so a record is kept once it is written again.
+        """
+        newer = []
+        for record in records:
+            if self.is_newer(record):
+                self._store(record)
+                newer.append(record)
+            seconds = left_s.get(record.key, record.retention + RETENTION_MARGIN_SECONDS)
+            self.extend(owner_of(self._records[record.key]), now + seconds)
         return newer
 
-    def _extend_expiry(self, record: StoredRecord, now: float) -> None:
-        """Extend the expiry of a record, its owner's records and the records it links to."""
-        until = now + record.retention + CLOCK_MARGIN_SECONDS
-        for key in self._by_owner[record.owner] if record.owner else ():
-            self._expires[key] = max(until, self._expires.get(key, 0.0))
-        found: StoredRecord | None = record
-        while found is not None:
-            self._expires[found.key] = max(until, self._expires.get(found.key, 0.0))
-            found = self._records.get(found.link) if found.link else None
+    def _store(self, record: StoredRecord) -> None:
+        owner, earlier = owner_of(record), self._records.get(record.key)
+        if earlier is not None and owner_of(earlier) != owner:
+            self._forget_key(earlier)
+        self._records[record.key] = record
+        keys = self._by_owner.setdefault(owner, {})
+        keys.pop(record.key, None)
+        keys[record.key] = None
+
+    def _forget_key(self, record: StoredRecord) -> None:
+        """Remove a record from its owner's keys, and the owner if that was its last one."""
+        owner = owner_of(record)
+        keys = self._by_owner[owner]
+        del keys[record.key]
+        if not keys:
+            del self._by_owner[owner]
+            del self._kept_until[owner]
 
     def of_owner(self, owner: str) -> list[StoredRecord]:
         """Return all records of an owner."""
@@ -79,15 +119,40 @@
             key = record.link
         return found
 
-    def expire(self, now: float) -> int:
-        """Drop expired records; return their number."""
-        expired = [key for key, until in self._expires.items() if until < now]
-        for key in expired:
-            record = self._records.pop(key)
-            del self._expires[key]
-            keys = self._by_owner.get(record.owner)
-            if keys is not None:
-                keys.pop(key, None)
-                if not keys:
-                    del self._by_owner[record.owner]
-        return len(expired)
+    # Lifetimes
+
+    def left_s(self, owner: str, now: float) -> float:
+        """Return for how many seconds an owner's records are kept; 0 for an unknown owner."""
+        return max(0.0, self._kept_until.get(owner, now) - now)
+
+    def key_left_s(self, key: str, now: float) -> float:
+        """Return for how many seconds a record is kept; 0 if it is unknown."""
+        record = self._records.get(key)
+        return self.left_s(owner_of(record), now) if record is not None else 0.0
+
+    def extend(self, owner: str, until: float) -> None:
+        """Keep an owner's records until a time at least; do nothing for an unknown owner."""
+        if owner in self._by_owner:
+            self._kept_until[owner] = max(until, self._kept_until.get(owner, until))
+
+    def is_chain(self, owner: str) -> bool:
+        """Return whether an owner's records are linked, so that other groups may have some too."""
+        record = self._records[next(iter(self._by_owner[owner]))]
+        return bool(record.link) or record.key == owner
+
+    def overdue(self, now: float) -> list[str]:
+        """Return the owners whose lifetime is over."""
+        return [owner for owner, until in self._kept_until.items() if until < now]
+
+    def drop(self, owners: Iterable[str], now: float) -> int:
+        """Drop the records of those owners whose lifetime is over; return the records' number."""
+        dropped = 0
+        for owner in owners:
+            if self._kept_until.get(owner, now) >= now:
+                continue
+            del self._kept_until[owner]
+            keys = self._by_owner.pop(owner)
+            for key in keys:
+                del self._records[key]
+            dropped += len(keys)
+        return dropped
