Spendings that a replica missed: a regression test of their lifetime

Ten programs spend 900 tokens through zone a while b0 is down for 2.6 s, 100 through zone c 46 s later; 50 s after that every gateway must refuse them.

--- a/features/retention.feature
+++ b/features/retention.feature
@@ -38,6 +38,14 @@
       | b0   | 20.0    |
       | c0   | 90.0    |
 
+  # Guards against BUDGET: a program's first spendings expired on one replica and not on another, and
+  # it was granted more than its budget.
+  Scenario: Spendings that a replica missed while it was down count for as long as the others
+    Given 1 storage machines in each of three zones
+    When 10 programs spend 900 of 1000 tokens through zone "a" while "b0" is down for 2.6 s
+    And 46 s later 100 tokens through zone "c"
+    Then 50 s later every gateway refuses them a turn of 100 tokens
+
   Scenario: A branch that goes on long after the others keeps the turns that it shares with them
     Given 2 storage machines in each of three zones
     When two branches go on from a line of 4 turns, and one of them for 300 s
--- a/features/steps/retention_steps.py
+++ b/features/steps/retention_steps.py
@@ -17,7 +17,7 @@
 from features.support.virtual_time import run_virtually
 from features.support.zone_model import ZONES, Gateway
 from yarrowwall.budgets.turns import Turn, turn_key
-from yarrowwall.exceptions import StoreUncertainError
+from yarrowwall.exceptions import BudgetExhaustedError, StoreUncertainError
 from yarrowwall.messages.replicated import StoredRecord
 
 #: A step of a plot, which acts on the world and the line of the scenario.
@@ -160,6 +160,63 @@
     _play(context, lambda world, line: world.check_goes_on(line))
 
 
+# Budgets
+
+
+@when(
+    '{count:d} programs spend 900 of 1000 tokens through zone "{zone}" '
+    'while "{name}" is down for {seconds:f} s'
+)
+def spend(context: Context, count: int, zone: str, name: str, seconds: float) -> None:
+    context.programs = [f"program-{number}" for number in range(count)]
+
+    def act(world: LineWorld, line: Line) -> None:
+        stop_machine(world.machines[name], seconds)
+        for _ in range(9):
+            for program in context.programs:
+                eventlet.spawn_n(_spend, world, program, zone)
+            eventlet.sleep(0.29)
+
+    context.acts.append(act)
+
+
+@when('{seconds:d} s later 100 tokens through zone "{zone}"')
+def spend_later(context: Context, seconds: int, zone: str) -> None:
+    def act(world: LineWorld, line: Line) -> None:
+        eventlet.sleep(seconds)
+        for program in context.programs:
+            _spend(world, program, zone)
+
+    context.acts.append(act)
+
+
+def _spend(world: LineWorld, program: str, zone: str) -> None:
+    world.turn(world.line(program), zone, budget=1000, tokens=100)
+
+
+@then("{seconds:d} s later every gateway refuses them a turn of 100 tokens")
+def refuses(context: Context, seconds: int) -> None:
+    def act(world: LineWorld, line: Line) -> None:
+        eventlet.sleep(seconds)
+        granted = [
+            (program, zone)
+            for program in context.programs
+            for zone in ZONES
+            if _is_granted(world, program, zone)
+        ]
+        assert not granted, f"granted beyond the budget: {granted}"
+
+    _play(context, act)
+
+
+def _is_granted(world: LineWorld, program: str, zone: str) -> bool:
+    try:
+        _spend(world, program, zone)
+    except BudgetExhaustedError:
+        return False
+    return True
+
+
 # Faults
 
 
