A turn whose caller resumes its stream runs again from its start, and is stored whole

Cause: a turn was taken to be the answer of one attempt. A resumption asked its server for the rest, and the rest was stored as the whole (LedgerGrant.complete).

Change: StreamRelay runs a resumed turn of a stateful route from its start, at the software that began it, and relays what the caller lacks (dispatch/caller_position.py). All events are stored, those that were relayed are settled. If the stream lacks the caller's last event it is refused with 502 and stored nowhere.

--- a/features/support/retention_lines.py
+++ b/features/support/retention_lines.py
@@ -97,7 +97,7 @@
                 for number in range(tokens // TOKENS_PER_EVENT)
             ]
             eventlet.sleep(0.2)
-            grant.complete(events, "server")
+            grant.complete([], events, "server")
         finally:
             grant.close(events, "server")
         line.turns.append(attempt_id)
--- a/features/support/zone_model.py
+++ b/features/support/zone_model.py
@@ -530,7 +530,7 @@
                 turn.relayed += TOKENS_PER_EVENT
                 if program.relayed > program.budget:
                     self._note_violation(f"{program.relayed} of {program.budget} tokens relayed")
-            grant.complete(events, "server")
+            grant.complete([], events, "server")
             if not gateway.is_dead:
                 output = b"".join(event.data + b"\n" for event in events)
                 program.conversations[turn.attempt_id] = prompt + output
--- a/yarrowwall/budgets/ledger.py
+++ b/yarrowwall/budgets/ledger.py
@@ -395,8 +395,8 @@
             return None
         return turn_reservations.granted // self._tokens_per_event
 
-    def complete(self, events: list[Event], server_id: str) -> None:
-        """Store the turn before the end of the answer is relayed.
+    def complete(self, repeated: list[Event], relayed: list[Event], server_id: str) -> None:
+        """Store the turn with all of its events before the end of the answer is relayed.
 
         :raises StoreUncertainError: If no quorum stored it in time.
         """
@@ -410,14 +410,14 @@
             tenant_scoped(tenant, program.previous_turn or ""),
             self._chain[0].attempt_id if self._chain else attempt_id,
             self._attempt.body,
-            output_of(events),
+            output_of([*repeated, *relayed]),
         )
         self._ledger.store_turn(
             turn,
             self._chain,
             self._route,
             self._turn_reservations,
-            self._tokens(events),
+            self._tokens(relayed),
             server_id,
             self._deadline,
         )
--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -296,6 +296,18 @@
     reason: str
 
 
+class EventsRepeated(Decision, frozen=True):
+    """A turn whose caller resumed its stream was run again from its start, to be stored whole.
+
+    :param events: number of events that the caller had already, which were not relayed.
+    :param after: the last event that the caller had.
+    """
+
+    attempt: str
+    events: int
+    after: str
+
+
 class StreamOrigin(StrEnum):
     """How the software that began a resumed stream was determined."""
 
--- a/yarrowwall/dispatch/streams.py
+++ b/yarrowwall/dispatch/streams.py
@@ -4,10 +4,16 @@
 from http import HTTPStatus
 from typing import NoReturn
 
+from yarrowwall.dispatch.caller_position import CallerPosition
 from yarrowwall.dispatch.components import DispatchComponents
 from yarrowwall.dispatch.sender import AttemptSender, OpenAnswer
 from yarrowwall.event_stream import Event, EventSplitter
-from yarrowwall.exceptions import AnswerTimeoutError, ConnectionBrokenError, RelayError
+from yarrowwall.exceptions import (
+    AnswerTimeoutError,
+    ConnectionBrokenError,
+    RelayError,
+    StreamPositionError,
+)
 from yarrowwall.model import Attempt, Route
 from yarrowwall.policy.memory_budget import MemoryExhaustedError
 from yarrowwall.refusals import RefusedError
@@ -24,6 +30,11 @@
     server, so that only the kernel's buffers fill up. If the route allows it, another server of the
     same software may resume the stream; the caller sees a single response.
 
+    A turn that will be stored needs every event, so if its caller resumes the stream, it is run
+    again from its start, and the events that the caller has are not relayed. Whoever continues a
+    stream has only the request, so the first events are the same in each run.
+
+    :ivar repeated: events that the caller had before, if the route is stateful.
     :ivar relayed: events that were relayed; without their bytes if the route is not stateful.
     """
 
@@ -35,8 +46,13 @@
         self._route = route
         self._sender = sender
         self._splitter = EventSplitter()
-        self._last_event_id = attempt.last_event_id
+        #: The event after which the next server continues the stream.
+        self._last_event_id = None if route.is_stateful else attempt.last_event_id
+        self._caller_position = CallerPosition(
+            (attempt.last_event_id or "") if route.is_stateful else ""
+        )
         self._last_event_at = 0.0
+        self.repeated: list[Event] = []
         self.relayed: list[Event] = []
 
     def open(self) -> OpenAnswer:
@@ -65,16 +81,24 @@
         while True:
             try:
                 events = self._read()
-            except MemoryExhaustedError as error:
+                if events is None:
+                    self._caller_position.check_reached()
+                    return
+                repeated, events = self._caller_position.split(events)
+            except (MemoryExhaustedError, StreamPositionError) as error:
                 self._sender.cancel_answer()
                 self._fail(error)
             except RelayError as error:
                 self._resume_elsewhere(error)
                 continue
-            if events is None:
-                return
+            if repeated:
+                self._note_events(repeated)
+                self.repeated += repeated
             if events:
                 self._note_events(events)
+                # Turns of stateful routes are stored in full; for others their number suffices.
+                kept = self._route.is_stateful
+                self.relayed += events if kept else [Event(b"", one.event_id) for one in events]
                 yield events
                 if not self._route.is_stateful:
                     self._sender.release_answer_memory(sum(len(event.raw) for event in events))
@@ -113,16 +137,17 @@
     def _note_events(self, events: list[Event]) -> None:
         now = self._components.now()
         opened = self._sender.current
-        if not self.relayed:
+        if not self._has_events:
             self._sender.pin_software()
         elif opened is not None:
             gap = (now - self._last_event_at) / len(events)
             self._components.directory.note_service_time(opened.send.server.incarnation, gap, now)
         self._last_event_at = now
         self._last_event_id = events[-1].event_id or self._last_event_id
-        # Turns of stateful routes are stored in full; for others the number of events suffices.
-        kept = self._route.is_stateful
-        self.relayed += events if kept else [Event(b"", event.event_id) for event in events]
+
+    @property
+    def _has_events(self) -> bool:
+        return bool(self.repeated or self.relayed)
 
     def _resume_elsewhere(self, error: RelayError) -> None:
         """Resume the stream at another server.
@@ -134,7 +159,7 @@
         self._sender.cancel_answer()
         if opened is not None:
             self._sender.note_failure(opened.send.server, error)
-            if self.relayed:
+            if self._has_events:
                 # It may be the last server of its version, and only the connection broken.
                 self._sender.allow_again(opened.send.server)
         if not self._sender.rules.may_resume(self._components.now()):
--- a/yarrowwall/exceptions.py
+++ b/yarrowwall/exceptions.py
@@ -50,6 +50,10 @@
     """A server sent bytes that do not answer this request; the request may have run."""
 
 
+class StreamPositionError(RelayError):
+    """A stream lacks the event after which its caller resumes it; the request has run."""
+
+
 class InvalidAttemptError(RelayError):
     """A caller's request is malformed.
 
--- a/yarrowwall/gateway/turn.py
+++ b/yarrowwall/gateway/turn.py
@@ -162,7 +162,8 @@
             # The server is done; its slot is freed before the store is written, which may take
             # long.
             relay.finish()
-            grant.complete(relay.relayed, sender.last_server)
+            self._note_repeated(relay)
+            grant.complete(relay.repeated, relay.relayed, sender.last_server)
             if not relay.relayed:
                 self._response.start_stream(opened.answer)
             self._response.note_answered(
@@ -178,6 +179,15 @@
             sender.close()
             grant.close(relay.relayed, sender.last_server)
 
+    def _note_repeated(self, relay: StreamRelay) -> None:
+        if relay.repeated:
+            attempt = self._attempt
+            self._components.dispatch.decisions.write(
+                decisions.EventsRepeated(
+                    attempt.attempt_id, len(relay.repeated), attempt.last_event_id or ""
+                )
+            )
+
     def _relay_events(self, answer: Answer, events: list[Event], is_first: bool) -> bytes:
         """Return the bytes of events for the caller; the first ones start the response."""
         if is_first:
--- a/yarrowwall/metrics.py
+++ b/yarrowwall/metrics.py
@@ -122,6 +122,9 @@
 CHAINS_STORED_AGAIN = _Description(
     "chains_stored_again", "Turns that were stored with their whole chain"
 )
+EVENTS_REPEATED = _Description(
+    "events_repeated", "Events of resumed turns that their callers had already"
+)
 DROPPED_LINES = _Description("log_lines_dropped", "Log lines not written")
 RELAYED_REQUESTS = _Description(
     "relayed_requests", "Requests sent through a neighbour", "neighbour"
@@ -174,6 +177,7 @@
             ),
             decisions.ChainLookedUp: lambda event: self._add(CHAIN_LOOKUPS, event.outcome),
             decisions.StreamOriginFound: lambda event: self._add(STREAM_ORIGINS, event.origin),
+            decisions.EventsRepeated: lambda event: self._add(EVENTS_REPEATED, amount=event.events),
             decisions.RecordsDropped: lambda event: self._add(
                 RECORDS_DROPPED, event.group, event.dropped
             ),
--- a/yarrowwall/ports/programs.py
+++ b/yarrowwall/ports/programs.py
@@ -68,12 +68,14 @@
         """Return how many events of the answer are granted already; None if all may be."""
         return None
 
-    def complete(self, events: list[Event], server_id: str) -> None:
+    def complete(self, repeated: list[Event], relayed: list[Event], server_id: str) -> None:
         """Store the turn durably before the end of the answer is relayed.
 
         This may take until the request's deadline, since an answer that has begun can only be
         completed or aborted.
 
+        :param repeated: The first events, which the caller got from earlier attempts.
+        :param relayed: The events that this attempt relayed, which alone count as its tokens.
         :param server_id: The incarnation of the server where the turn ran, as text.
         :raises StoreUncertainError: If the turn cannot be stored in that time.
         """
