--- a/features/resumed_turns.feature
+++ b/features/resumed_turns.feature
@@ -28,6 +28,12 @@
     When the stream of a turn is cut after 4 events, at gateways 0,1 in turn
     Then the next turns run with every event, at both gateways
 
+  Scenario: A stream is whole that its server broke off and its gateway resumed
+    Given a stateful and resumable route with 3 servers
+    And each run breaks off after 2 events the first time
+    When a turn runs in one attempt
+    Then the next turns run with every event, at both gateways
+
   Scenario: A stream is resumed twice at once
     Given a stateful and resumable route with 3 servers
     When the stream of a turn is cut after 3 events and resumed at both gateways at once
--- a/features/steps/resumed_turn_steps.py
+++ b/features/steps/resumed_turn_steps.py
@@ -61,6 +61,14 @@
     pass
 
 
+@when("a turn runs in one attempt")
+def one_attempt(context: Context) -> None:
+    stream = context.conversation.begin()
+    context.streams = [stream]
+    context.conversation.attempt(stream, 0)
+    assert stream.is_whole, stream
+
+
 @when("the stream of a turn is cut after {cuts} events, at gateways {gateways} in turn")
 def cut_in_turn(context: Context, cuts: str, gateways: str) -> None:
     stream = context.conversation.begin()
