An unnamed resumption goes by the newest record of each of its program's streams

Seen once, beside five busy processes: "A stream whose caller names no attempt goes on at its version" failed, two of 24 streams were refused with 503 "no record tells the software version of the stream".

Cause, from the logs of the failed run and the code: the claim of a turn names the software that is expected; if another one is chosen before the sending, a change is recorded, and of both the newest holds (recorded_software). For callers that name no attempt, common_software took both records for two streams of two versions. Under load the choice changes more often between the reservation and the sending. A named resumption was never refused by it.

Change: the newest record of each attempt counts. A change is recorded before the request is sent, and if its write has no answer the request is not run, so the newest record is right or its attempt began no stream.

Rows that told two streams apart are unchanged.

--- a/features/stream_records.feature
+++ b/features/stream_records.feature
@@ -55,7 +55,11 @@
       | budget/p/a@11111111,budget/p/b@11111111                        | 11111111 |
       | budget/p/a@11111111,budget/p/b@resumes-                        | 11111111 |
       | budget/p/a@11111111,budget/p/b@22222222                        | none     |
-      | budget/p/a@11111111,stream/p/a/1@22222222                      | none     |
+      | budget/p/a@11111111,stream/p/a/1@22222222                      | 22222222 |
+      | budget/p/a@11111111,stream/p/a/1@22222222,budget/p/b@22222222  | 22222222 |
+      | budget/p/a@11111111,stream/p/a/1@22222222,budget/p/b@11111111  | none     |
+      | stream/p/a/1@22222222,stream/p/a/2@11111111                    | 11111111 |
+      | stream/p/a/1@22222222,stream/p/b/1@11111111                    | none     |
       | budget/p/a@11111111,budget/p/b                                 | none     |
       | budget/p/b@resumes-                                            | none     |
       | zone-turn/p/a                                                  | none     |
--- a/yarrowwall/budgets/stream_keys.py
+++ b/yarrowwall/budgets/stream_keys.py
@@ -5,7 +5,7 @@
 turn, a further record is written; of several, the one with the highest number holds.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from yarrowwall.model import SOFTWARE_ID_LENGTH
 
@@ -57,19 +57,25 @@
     return found
 
 
-def common_software(keys: Iterable[str], owner: str) -> str | None:
+def common_software(keys: Collection[str], owner: str) -> str | None:
     """Return the software that began every stream of an owner, or None.
 
     None as well if there is no record, or a claim tells nothing.
     """
-    prefixes = (f"{_CLAIM_PREFIX}{owner}/", f"{_CHANGE_PREFIX}{owner}/")
-    found = {
-        key.rpartition(_SEPARATOR)[2]
-        for key in keys
-        if key.startswith(prefixes) and not key.endswith(f"{_SEPARATOR}{RESUMPTION}")
-    }
-    software = found.pop() if len(found) == 1 else ""
-    return software if _is_software(software) else None
+    attempts = {_attempt_of(key, owner) for key in keys} - {None}
+    found = {recorded_software(keys, owner, attempt) for attempt in attempts if attempt}
+    return found.pop() if len(found) == 1 else None
+
+
+def _attempt_of(key: str, owner: str) -> str | None:
+    """Return the attempt whose stream a key tells of; None for other keys."""
+    claim, change = f"{_CLAIM_PREFIX}{owner}/", f"{_CHANGE_PREFIX}{owner}/"
+    name, separator, software = key.rpartition(_SEPARATOR)
+    if key.startswith(claim) and software != RESUMPTION:
+        return (name if separator and _is_software(software) else key)[len(claim) :]
+    if key.startswith(change) and separator:
+        return name[len(change) :].rpartition("/")[0]
+    return None
 
 
 def _is_software(text: str) -> bool:
