--- a/features/record_store.feature
+++ b/features/record_store.feature
@@ -32,6 +32,19 @@
       | ends a change of the group without a copy   |
       | acknowledges what is not on disk            |
 
+  # Guards against LOST and RECOVER: after a change of the group and a compaction of the logs, a
+  # restart of all replicas left the group without any that counted for reads, for good.
+  Scenario: A replica's log and its snapshot restore the state that was
+    Then 300 random walks of a replica are restored, also from snapshots of earlier releases
+
+  Scenario: A group has a read quorum again after compactions and restarts at any moment
+    Then 100 random record schedules with compactions keep them as well, and end with a read quorum
+
+  Scenario: The schedules with compactions catch a snapshot without the mark of a copy
+    Given the record store's mutant "loses in a snapshot that the replica had copied"
+    Then some of 20 random record schedules with compactions break a promise
+    And some of 20 random walks of a replica are not restored
+
   Scenario: A write of an older epoch is refused once the group has changed
     Given a group of "a1", "b1" and "c1" whose third replica is replaced by "d1"
     When a write that began before the change reaches "c1" and "b1"
--- a/features/steps/record_steps.py
+++ b/features/steps/record_steps.py
@@ -11,6 +11,7 @@
 
 from features.support.record_model import member, run_record_schedules
 from features.support.record_mutants import MUTANTS
+from features.support.replica_states import check_walks
 from yarrowwall.decisions import DecisionLog
 from yarrowwall.messages.replicated import (
     AskStatus,
@@ -73,6 +74,39 @@
     raise AssertionError("the mutant was not caught")
 
 
+@then("{count:d} random walks of a replica are restored, also from snapshots of earlier releases")
+def walks_are_restored(context: Context, count: int) -> None:
+    counted = check_walks(count)
+    assert counted > 10 * count, f"only {counted} states counted for reads"
+
+
+@then("some of {count:d} random walks of a replica are not restored")
+def walks_are_not_restored(context: Context, count: int) -> None:
+    try:
+        check_walks(count)
+    except AssertionError:
+        return
+    raise AssertionError("the mutant was not caught")
+
+
+@then(
+    "{count:d} random record schedules with compactions keep them as well, "
+    "and end with a read quorum"
+)
+def compacting_schedules_hold(context: Context, count: int) -> None:
+    granted = run_record_schedules(count, with_compaction=True).granted
+    assert granted > count / 3, f"only {granted} reservations were granted"
+
+
+@then("some of {count:d} random record schedules with compactions break a promise")
+def compacting_schedules_break(context: Context, count: int) -> None:
+    try:
+        run_record_schedules(count, with_compaction=True)
+    except AssertionError:
+        return
+    raise AssertionError("the mutant was not caught")
+
+
 def _views() -> tuple[GroupView, GroupView, GroupView]:
     old = [member("a1"), member("b1"), member("c1")]
     new = [member("a1"), member("b1"), member("d1")]
--- a/features/support/record_model.py
+++ b/features/support/record_model.py
@@ -41,6 +41,8 @@
 BUDGET = 2
 PROGRAM = "program"
 MAX_STEPS = 250
+#: Steps without faults at the end of a schedule with compaction.
+RECOVERY_STEPS = 200
 #: Limit of the steps between the grant of a turn and its settlement.
 MAX_TURN_STEPS = 40
 #: Least copies with which the loss of one is survived.
@@ -80,6 +82,10 @@
             self.replica.mark_durable(record)
             done()
 
+    def compact(self) -> None:
+        """Replace the log by a snapshot; records that wait follow it."""
+        self.disk = list(self.replica.snapshot(0.0))
+
     def lose_power(self) -> None:
         """Restart with the state that is on disk."""
         self.waiting.clear()
@@ -133,9 +139,17 @@
         moment, as if they were sent directly and through a neighbour.
     :param with_retirements: whether machines are retired, removed with their disks, and return
         with empty ones.
+    :param with_compaction: whether logs are compacted, and all machines restart at once.
     """
 
-    def __init__(self, seed: int, duplicates: bool = False, with_retirements: bool = False) -> None:
+    def __init__(
+        self,
+        seed: int,
+        duplicates: bool = False,
+        with_retirements: bool = False,
+        with_compaction: bool = False,
+    ) -> None:
+        self._with_compaction = with_compaction
         self._duplicates = duplicates
         self._with_retirements = with_retirements
         self.random = random.Random(seed)
@@ -387,6 +401,8 @@
             if self.calls:
                 self._deliver()
             self.machines[self.random.choice(names)].sync()
+        if self._with_compaction:
+            self._compact_or_restart(names)
         if chance < 0.3:
             pass
         elif chance < 0.7:
@@ -412,6 +428,38 @@
         for machine in self.machines.values():
             machine.replica.validate_state()
 
+    def _compact_or_restart(self, names: list[str]) -> None:
+        chance = self.random.random()
+        if chance < 0.2:
+            self.machines[self.random.choice(names)].compact()
+        elif chance < 0.23:
+            for machine in self.machines.values():
+                machine.lose_power()
+
+    def recover(self) -> None:
+        """Let what is under way end, without faults.
+
+        :raises AssertionError: if the group has no read quorum then.
+        """
+        for _ in range(RECOVERY_STEPS):
+            for name, machine in self.machines.items():
+                self.deliver_view(machine)
+                self.tasks.append(self.synchronisation(name))
+            for _ in range(8):
+                if self.calls:
+                    self._deliver()
+            for machine in self.machines.values():
+                machine.sync()
+            self.tasks = [task for task in self.tasks if next(task, "over") != "over"]
+            self.change_group()
+        responders = [
+            known.disk_id
+            for known in self.view.members
+            if self.machines[known.node_id].replica.disk_id == known.disk_id
+            and self.machines[known.node_id].replica.counts_for_reads
+        ]
+        assert has_read_quorum(self.view, responders), f"{responders} of {self.view}"
+
     def check(self) -> None:
         """Raise AssertionError if the granted tokens exceed the budget."""
         assert sum(self.granted.values()) <= BUDGET, f"granted {self.granted} of {BUDGET}"
@@ -455,7 +503,10 @@
 
 
 def run_record_schedules(
-    count: int, duplicates: bool = False, with_retirements: bool = False
+    count: int,
+    duplicates: bool = False,
+    with_retirements: bool = False,
+    with_compaction: bool = False,
 ) -> Totals:
     """Run schedules; return their totals.
 
@@ -463,14 +514,16 @@
     """
     granted = retired = 0
     for seed in range(count):
-        schedule = RecordSchedule(seed, duplicates, with_retirements)
-        for _ in range(MAX_STEPS):
+        schedule = RecordSchedule(seed, duplicates, with_retirements, with_compaction)
+        for step in range(MAX_STEPS):
             schedule.step()
             try:
                 schedule.check()
                 schedule.check_records()
                 if with_retirements:
                     schedule.check_copies()
+                if with_compaction and step == MAX_STEPS - 1:
+                    schedule.recover()
             except AssertionError as error:
                 raise AssertionError(f"seed {seed}: {error}") from error
         granted += len(schedule.granted)
--- a/features/support/record_mutants.py
+++ b/features/support/record_mutants.py
@@ -5,10 +5,12 @@
 
 from features.support import record_model
 from features.support.record_model import Machine, RecordSchedule
-from yarrowwall.messages.replicated import GroupView
+from yarrowwall.messages.replicated import GroupView, SynchronisationKept
 from yarrowwall.replication import planner
 from yarrowwall.replication.replica import RecordReplica
 
+_snapshot = RecordReplica.snapshot
+
 
 def _grant_always(others: dict) -> bool:
     return True
@@ -38,6 +40,30 @@
     return all(known.node_id != name for known in self.view.joining or self.view.members)
 
 
+def _snapshot_without_state(self: RecordReplica, now: float) -> list:
+    """Write what earlier releases wrote, which they could not read after a change of the group."""
+    marks = SynchronisationKept(self.synchronised_epoch, self.counts_for_reads)
+    found = [one for one in _snapshot(self, now) if not isinstance(one, SynchronisationKept)]
+    return [*found[:1], marks, *found[1:]] if self.view is not None else [marks, *found]
+
+
+class _WithoutMark:
+    """Loses in a snapshot whether the replica counts, as earlier releases did."""
+
+    def __init__(self) -> None:
+        self._patches = ExitStack()
+
+    def start(self) -> None:
+        """Apply the mutant."""
+        enter = self._patches.enter_context
+        enter(patch.object(RecordReplica, "snapshot", _snapshot_without_state))
+        enter(patch.object(RecordReplica, "_is_valid_mark", lambda self, epoch: False))
+
+    def stop(self) -> None:
+        """Remove the mutant."""
+        self._patches.close()
+
+
 class _WithoutCopying:
     """Removes both of the two steps that protect the copy.
 
@@ -71,6 +97,7 @@
         RecordReplica, "_refusal", lambda self, group, epoch, disk_id: None
     ),
     "ends a change of the group without a copy": _WithoutCopying,
+    "loses in a snapshot that the replica had copied": _WithoutMark,
     "retires a machine however few copies remain": lambda: patch.object(
         planner, "_min_copies", lambda group, size: 0
     ),
--- a/yarrowwall/messages/replicated.py
+++ b/yarrowwall/messages/replicated.py
@@ -290,10 +290,13 @@
     """Log record: the replica has all records that were complete before an epoch.
 
     :param is_reader: whether it counts for a read quorum from then on.
+    :param view_epoch: in a snapshot, the epoch of the view in which that is so; 0 elsewhere and in
+        snapshots of earlier releases.
     """
 
     epoch: int
     is_reader: bool
+    view_epoch: int = added_field(default=0)
 
 
 @message(125)
--- a/yarrowwall/replication/replica.py
+++ b/yarrowwall/replication/replica.py
@@ -134,8 +134,12 @@
         """Return log records that restore this state."""
         found: list[LogRecord] = []
         if self.view is not None:
+            # Earlier releases need the mark before the view that ended its change.
+            found.append(SynchronisationKept(self.synchronised_epoch, False))
             found.append(ViewKept(self.view))
-        found.append(SynchronisationKept(self.synchronised_epoch, self.counts_for_reads))
+        found.append(
+            SynchronisationKept(self.synchronised_epoch, self.counts_for_reads, self.epoch)
+        )
         records = self.table.all()
         for start in range(0, len(records), _RECORDS_PER_FRAME):
             frame = records[start : start + _RECORDS_PER_FRAME]
@@ -187,11 +191,25 @@
 
     def _apply_synchronisation(self, record: SynchronisationKept) -> None:
         self.synchronised_epoch = max(self.synchronised_epoch, record.epoch)
-        # The mark from a settled view is still valid in the view that begins the next change, but
-        # not in later ones.
-        is_changing = self.view is not None and bool(self.view.joining)
-        if record.epoch == self.epoch or (is_changing and record.epoch + 1 == self.epoch):
+        if record.view_epoch:
+            if record.view_epoch == self.epoch:
+                self.counts_for_reads = record.is_reader
+        elif record.epoch == self.epoch:
             self.counts_for_reads = record.is_reader
+        elif record.is_reader and self._is_valid_mark(record.epoch):
+            self.counts_for_reads = True
+
+    def _is_valid_mark(self, epoch: int) -> bool:
+        """Return whether a replica that counted in an earlier epoch counts in the current view.
+
+        Its mark follows the view in the log if it was written late, and in snapshots of earlier
+        releases, also for a group in its first change. The mark from a change is valid in the view
+        that ends it, and like that view's own in the one that begins the next change.
+        """
+        if self.view is None or member_of(self.view, self.disk_id) is None:
+            return False
+        epochs_since = self.epoch - epoch
+        return epochs_since <= (2 if self.view.joining else 1)
 
     # Synchronisation
 
