The soak resumes stateful streams and checks the history that servers get

A server's events depend on the whole body, so a wrong history shows in the next answer too; each body that a server gets is compared.

The first play of the new clients told 404s: http.client's readline takes a chunked response that breaks off for one that has ended, so the client went on from attempts without an end; it reads with read1 now, as the soak's other client does.

--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -5,6 +5,7 @@
 from typing import Any, NamedTuple
 
 from features.soak.continuations import RECOVER_S
+from features.soak.conversations import ConversationClients
 from features.soak.disks import Disks
 from features.soak.fatal import FatalClients
 from features.soak.fault_workers import FaultWorkers
@@ -34,6 +35,8 @@
     :param faults: number of injected faults by kind.
     :param finals: result of each final fault.
     :param streams: number of attempts to begin and to resume streams.
+    :param conversations: number of attempts to begin and to resume stateful streams, and of turns
+        that became whole.
     :param fatal: what became of requests that end servers, and of those beside them.
     :param late_s: largest scheduling delay of a thread in this process, which also runs the
         test servers.
@@ -45,6 +48,7 @@
     faults: dict[str, int]
     finals: list[dict[str, Any]]
     streams: dict[str, int]
+    conversations: dict[str, int]
     fatal: dict[str, int]
     late_s: float
 
@@ -71,7 +75,8 @@
         faults = FaultWorkers(world, record, disks, seed, strands)
         streams = StreamClients(world, record, seed, clients)
         fatal = FatalClients(world, record, seed, clients)
-        with fatal, streams, Workload(world, record, seed, clients) as workload:
+        conversations = ConversationClients(world, record, seed, clients)
+        with fatal, streams, conversations, Workload(world, record, seed, clients) as workload:
             final = FinalFaultInjector(world, record, disks, workload.answered, seed)
             try:
                 faults.replace_servers_until(time.monotonic() + RELEASE_S)
@@ -98,6 +103,7 @@
         dict(faults.injected),
         final_results,
         stream_counts,
+        conversations.counts(),
         fatal_counts._asdict(),
         round(thread_delay.max_delay_s, 2),
     )
--- a/features/soak/world.py
+++ b/features/soak/world.py
@@ -13,6 +13,8 @@
 
 from features.soak.promises import Record, events_of
 from features.soak.proxy import Mode, Proxy
+from features.support.conversations import ROUTE as CONVERSATION
+from features.support.conversations import ConversationServers
 from features.support.fatal_requests import KINDS, CrashingServers
 from features.support.platform_scripts import full
 from features.support.platform_world import (
@@ -74,6 +76,8 @@
         self.store_proxies: dict[str, Proxy] = {}
         self.server_proxies: dict[str, Proxy] = {}
         self._ended_proxies: list[Proxy] = []
+        self.conversations = ConversationServers(seed)
+        self.conversations.break_share = _BROKEN_ADVICE_SHARE
         self._advice = VersionedServers(seed)
         self._advice.break_share = _BROKEN_ADVICE_SHARE
         self._advice.full_share = _REJECTED_SHARE
@@ -92,6 +96,9 @@
         self.add_route(ADVICE, "streaming", resumable=True, attempts=2)
         for version in _FIRST_VERSIONS:
             self.add_server(ADVICE, self._advice.script(version), version)
+        self.add_route(CONVERSATION, "streaming", stateful=True, resumable=True, attempts=3)
+        for _ in range(_CHAT_SERVERS):
+            self.add_server(CONVERSATION, self.conversations.run)
         self.add_route(FATAL_ROUTE, FATAL_KIND.route_type, **FATAL_KIND.fields)
         self.fatal_servers.start(_FATAL_SERVERS)
         self.publish()
--- a/features/support/conversations.py
+++ b/features/support/conversations.py
@@ -5,6 +5,7 @@
 """
 
 import http.client
+import random
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -36,9 +37,14 @@
     :ivar runs: last event id that each run was sent with, by attempt.
     :ivar break_after: number of events after which a run breaks off, the first time of a body.
     :ivar shifts_ids: whether a run for another attempt numbers its events otherwise.
+    :ivar break_share: share of the runs that break off midway.
+    :ivar check: called with each attempt and the body that a server got for it.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, seed: int = 1) -> None:
+        self.break_share = 0.0
+        self.check: Callable[[str, bytes], None] = lambda attempt_id, body: None
+        self._rng = random.Random(f"{seed}/conversations")
         self.bodies: dict[str, bytes] = {}
         self.runs: dict[str, list[str | None]] = {}
         self.break_after: int | None = None
@@ -51,6 +57,7 @@
         body = arrival.body
         after = arrival.headers.get("Last-Event-Id")
         self.bodies[arrival.attempt_id] = body
+        self.check(arrival.attempt_id, body)
         self.runs.setdefault(arrival.attempt_id, []).append(after)
         shift = 100 if self.shifts_ids and body in self._seen else 0
         self._seen.add(body)
@@ -60,8 +67,11 @@
             return b"id: %d\ndata: %s\n\n" % (number + shift, data[number - 1].encode())
 
         first = int(after or 0) + 1
-        breaks_off = self.break_after is not None and body not in self._broken
-        last = min(first - 1 + (self.break_after or 0), EVENTS) if breaks_off else EVENTS
+        break_after = self.break_after if body not in self._broken else None
+        if self._rng.random() < self.break_share:
+            break_after = self._rng.randrange(EVENTS)
+        breaks_off = break_after is not None
+        last = EVENTS if break_after is None else min(first - 1 + break_after, EVENTS)
         self._broken.add(body)
         return stream(call, arrival, range(first, last + 1), PAUSE_S, not breaks_off, make_event)
 
@@ -72,6 +82,7 @@
 
     :param attempt_ids: the attempts, oldest first.
     :param statuses: status of each attempt; 0 if its connection ended without an answer.
+    :param is_ended: whether the last attempt brought the end of the answer.
     """
 
     name: str
@@ -81,6 +92,7 @@
     last_id: str = ""
     attempt_ids: list[str] = field(default_factory=list)
     statuses: list[int] = field(default_factory=list)
+    is_ended: bool = False
 
     @property
     def is_whole(self) -> bool:
@@ -120,42 +132,58 @@
         """
         attempt_id = f"{stream.name}a{len(stream.attempt_ids)}"
         stream.attempt_ids.append(attempt_id)
-        connection = self.world.connect(gateway)
+        stream.is_ended = False
+        connection = self.connect(gateway)
         connection.timeout = _TIMEOUT_S
+        is_reusable = False
         try:
             headers = self._headers(stream, attempt_id)
             connection.request("POST", f"/{ROUTE}/x", stream.input, headers)
             response = connection.getresponse()
             stream.statuses.append(response.status)
             if response.status == 200:
-                self._read(response, stream, cut_after, at_events)
+                is_reusable = stream.is_ended = self._read(response, stream, cut_after, at_events)
             else:
                 response.read()
         except (OSError, ValueError, http.client.HTTPException):
             stream.statuses.append(0)
         finally:
-            connection.close()
+            self.release(gateway, connection, is_reusable)
         return stream.statuses[-1]
 
+    def connect(self, gateway: int) -> http.client.HTTPConnection:
+        """Return a connection to a gateway."""
+        return self.world.connect(gateway)
+
+    def release(
+        self, gateway: int, connection: http.client.HTTPConnection, is_reusable: bool
+    ) -> None:
+        """End the use of a connection."""
+        connection.close()
+
     @staticmethod
     def _read(
         response: http.client.HTTPResponse,
         stream: Stream,
         cut_after: int | None,
         at_events: Callable[[Stream], None],
-    ) -> None:
-        event_id = data = ""
-        while line := response.readline():
-            if line.startswith(b"id: "):
-                event_id = line[4:].decode().strip()
-            elif line.startswith(b"data: "):
-                data = line[6:].decode().strip()
-            elif line == b"\n":
-                stream.data.append(data)
-                stream.last_id = event_id
+    ) -> bool:
+        """Read a response; return whether it was read to its end.
+
+        :raises http.client.IncompleteRead: if it breaks off.
+        """
+        buffer = b""
+        # ``readline`` takes a response that breaks off for one that has ended.
+        while data := response.read1(65536):
+            *events, buffer = (buffer + data).split(b"\n\n")
+            for event in events:
+                fields = dict(line.split(b": ", 1) for line in event.split(b"\n"))
+                stream.data.append(fields[b"data"].decode())
+                stream.last_id = fields[b"id"].decode()
                 at_events(stream)
                 if cut_after is not None and len(stream.data) >= cut_after:
-                    return
+                    return False
+        return True
 
     def _headers(self, stream: Stream, attempt_id: str) -> dict[str, str]:
         headers = {
