A turn that an earlier release stores keeps the turns before it, as far as a replica has them

Upgrades, found by reading the change: gateways of the earlier release store turns without owners, and replicas of this one no longer followed their links, so a line that such a gateway serves for longer than a retention would have lost its first turns on upgraded replicas, where the earlier ones kept what they had. Links of ownerless turns are followed again.

A group that doesn't answer is asked once in each check of expired records, not once for each thousand owners: with replicas of the earlier release, which don't know the question, a check would have taken minutes.

Test: a replica with three ownerless turns stored 20 s apart keeps all for 90 s after the last; without the change it keeps the first for 50 s.

--- a/features/retention.feature
+++ b/features/retention.feature
@@ -94,6 +94,11 @@
     And it goes on for 3 turns with pauses of 46 s
     Then 4 s later it goes on at new gateways of every zone
 
+  # Guards against lines that are lost in an upgrade, while gateways of the earlier release store turns.
+  Scenario: A turn that an earlier release stores keeps the turns before it
+    Given a replica with the turns "t1,t2,t3", stored without owners 20 s apart
+    Then it keeps "t1,t2,t3" until 90 s after the last of them
+
   Scenario Outline: Random schedules of lines over several retentions, seeds from <first>
     Then 4 random retention schedules from seed <first> keep every promise
 
--- a/features/steps/retention_steps.py
+++ b/features/steps/retention_steps.py
@@ -19,6 +19,7 @@
 from yarrowwall.budgets.turns import Turn, turn_key
 from yarrowwall.exceptions import BudgetExhaustedError, StoreUncertainError
 from yarrowwall.messages.replicated import StoredRecord
+from yarrowwall.replication.table import RecordTable
 
 #: A step of a plot, which acts on the world and the line of the scenario.
 Act = Callable[[LineWorld, Line], None]
@@ -141,6 +142,22 @@
     return patch("yarrowwall.budgets.turn_store.turn_record", record)
 
 
+@given('a replica with the turns "{names}", stored without owners {interval:d} s apart')
+def stored_without_owners(context: Context, names: str, interval: int) -> None:
+    context.records = RecordTable()
+    link = ""
+    for number, name in enumerate(names.split(",")):
+        context.last_s = 1.0 * number * interval
+        context.records.put([StoredRecord(name, 1, "", link, 60.0, 0, b"")], context.last_s)
+        link = name
+
+
+@then('it keeps "{names}" until {seconds:d} s after the last of them')
+def keeps_until(context: Context, names: str, seconds: int) -> None:
+    left_s = [context.records.key_left_s(name, context.last_s) for name in names.split(",")]
+    assert left_s == [seconds] * len(left_s), left_s
+
+
 @when("it goes on for {count:d} turns with pauses of {pause:d} s")
 def goes_on_with_pauses(context: Context, count: int, pause: int) -> None:
     context.acts.append(lambda world, line: world.run_turns(line, count, pause))
--- a/yarrowwall/replication/expiry.py
+++ b/yarrowwall/replication/expiry.py
@@ -47,6 +47,8 @@
         self._now = now
         #: Groups that did not answer the last question.
         self._unanswered: set[int] = set()
+        #: Those of them that were asked in the current check, and are not asked again in it.
+        self._asked_in_vain: set[int] = set()
 
     def start(self) -> None:
         """Start checking in the background."""
@@ -63,6 +65,7 @@
         overdue = table.overdue(self._now())
         if not overdue:
             return
+        self._asked_in_vain.clear()
         dropped = 0
         chains = [owner for owner in overdue if table.is_chain(owner)]
         others = [owner for owner in overdue if not table.is_chain(owner)]
@@ -102,9 +105,12 @@
 
     def _extend_from(self, group: int, owners: list[str]) -> bool:
         """Extend lifetimes to those in a group; return whether it answered."""
+        if group in self._asked_in_vain:
+            return False
         try:
             left_s = self._client.owners_left_s(group, owners)
         except NoQuorumError as error:
+            self._asked_in_vain.add(group)
             if group not in self._unanswered:
                 self._unanswered.add(group)
                 self._log.write(decisions.ExpiryUnconfirmed(self._group, len(owners), str(error)))
--- a/yarrowwall/replication/table.py
+++ b/yarrowwall/replication/table.py
@@ -75,8 +75,18 @@
                 newer.append(record)
             seconds = left_s.get(record.key, record.retention + RETENTION_MARGIN_SECONDS)
             self.extend(owner_of(self._records[record.key]), now + seconds)
+            if not record.owner:
+                self._extend_links(record, now + seconds)
         return newer
 
+    def _extend_links(self, record: StoredRecord, until: float) -> None:
+        """Extend the lifetimes of the turns before one that an earlier release stored."""
+        found: StoredRecord | None = record
+        while found is not None and found.link:
+            found = self._records.get(found.link)
+            if found is not None:
+                self.extend(owner_of(found), until)
+
     def _store(self, record: StoredRecord) -> None:
         owner, earlier = owner_of(record), self._records.get(record.key)
         if earlier is not None and owner_of(earlier) != owner:
