A send under a lost gateway counts as a possible end of a server

Cause: a gateway that is lost, by a kill or a loss of power of all machines, reports no end; its reservation of a second send is only in the memory of replicas, and a first send is reserved nowhere.

The claim of a turn on its program's budget is on disk before its first send. Its record now holds the identity of the request until it is settled, and a gateway that reserves a send of a suspect counts other open claims of the same request like sends whose outcome is unknown, after it has waited up to 0.15 s for them to be settled. Records of earlier releases name no request and count as before; their replicas pass the identity on as the program's note, which names no server.

--- a/features/server_ends.feature
+++ b/features/server_ends.feature
@@ -26,6 +26,19 @@
     And each fatal request ended at most three servers
     And at least 196 of the others are served
 
+  # Guards against the end of a server that only a gateway saw which is gone (rule BUDGET).
+  Scenario Outline: A fatal <kind> ends at most three servers if its gateway is lost under its <send> send
+    Given 6 servers of a route for each <kind>
+    When a fatal request arrives and its gateway is lost under its <send> send
+    Then no request was sent to a server after three servers had ended under it
+    And each fatal request ended at most three servers
+
+    Examples:
+      | kind           | send   |
+      | turn           | first  |
+      | resumable turn | first  |
+      | resumable turn | second |
+
   # Guards against ends of servers that are forgotten when all machines lose power (rule BUDGET).
   Scenario: What ended servers is still known after all machines were killed
     Given 6 servers of a route for each repeatable lookup
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -8,6 +8,7 @@
 from behave.runner import Context
 
 from features.support.placement_model import PlacementModel
+from yarrowwall.budgets.open_tries import open_claim_value
 from yarrowwall.capacity.load_board import LoadBoard
 from yarrowwall.capacity.load_reports import LoadReporter
 from yarrowwall.messages.replicated import (
@@ -180,7 +181,7 @@
     context.records = RecordTable()
     for number, note in enumerate((first, second, "")):
         # A reservation has no note; its settlement adds one.
-        for version, value in ((0, b""), (1, note.encode())):
+        for version, value in ((0, open_claim_value("request")), (1, note.encode())):
             key = f"budget/{program}/{number}"
             record = StoredRecord(key, version, program, "", 60.0, 10, value)
             context.records.put([record], NOW)
--- a/features/steps/server_end_steps.py
+++ b/features/steps/server_end_steps.py
@@ -1,6 +1,7 @@
 """Steps about requests under which servers end."""
 
 import random
+import signal
 import threading
 import time
 
@@ -26,6 +27,7 @@
 SPREAD_S = 4.0
 #: Seconds within which a request is refused that no server may run any more.
 REFUSAL_S = 0.5
+POLL_S = 0.001
 
 
 @given("{count:d} servers of a route for each {kind}")
@@ -93,6 +95,28 @@
     killer.join()
 
 
+@when("a fatal request arrives and its gateway is lost under its {send} send")
+def lose_under_send(context: Context, send: str) -> None:
+    body, number = FATAL + b"lost", ("first", "second").index(send)
+    requests = context.servers.requests
+
+    def lose() -> None:
+        while len(requests.sends(body)) <= number:
+            time.sleep(POLL_S)
+        # The frozen gateway keeps its connections, so that the server ends under the request.
+        world(context).kill("edge-0", signal.SIGSTOP)
+        while requests.ended(body) <= number:
+            time.sleep(POLL_S)
+        world(context).kill("edge-0")
+
+    loser = threading.Thread(target=lose, daemon=True)
+    loser.start()
+    first = RetryingCaller(world(context), ROUTE, context.kind, [0])
+    others = RetryingCaller(world(context), ROUTE, context.kind, [1, 2])
+    context.fatal = [first.run(body, range(1)), others.run(body, range(1, TURN_STARTS))]
+    loser.join()
+
+
 @when("a fatal request arrives at gateway {first:d} and then at gateway {second:d}")
 @when("another fatal request arrives at gateway {first:d} and then at gateway {second:d}")
 def fatal_in_turn(context: Context, first: int, second: int) -> None:
--- a/features/steps/suspect_steps.py
+++ b/features/steps/suspect_steps.py
@@ -7,6 +7,10 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from yarrowwall.budgets.budget_requests import Reservation, TokenClaim
+from yarrowwall.budgets.open_tries import OpenTries, open_claim_value
+from yarrowwall.budgets.stream_keys import claim_key
+from yarrowwall.messages.replicated import StoredRecord
 from yarrowwall.messages.suspects import (
     FollowSuspects,
     PendingSend,
@@ -15,8 +19,12 @@
     Suspects,
 )
 from yarrowwall.model import Attempt, ProgramContext, PromptPart
+from yarrowwall.policy.budget_parts import ClaimState
 from yarrowwall.policy.crash_suspects import MAX_ENDED_SERVERS, CrashSuspects, UnresolvedSends
 from yarrowwall.policy.request_identity import request_identity
+from yarrowwall.replication.quorum_client import OwnerReading
+from yarrowwall.replication.rounds import Amount
+from yarrowwall.replication.table import RecordTable
 from yarrowwall.suspects.board import COLLECT_SECONDS, SuspectBoard
 
 REQUEST = "request-1"
@@ -44,6 +52,25 @@
 }
 
 
+class FakeClient:
+    """Reads the records of one table."""
+
+    def __init__(self, table: RecordTable) -> None:
+        self._table = table
+
+    def read_amounts(self, group: int, owner: str, timeout: float) -> OwnerReading:
+        """Return the amounts of an owner's records."""
+        records = self._table.of_owner(owner)
+        amounts = {record.key: Amount(record.version, record.amount) for record in records}
+        return OwnerReading(amounts, "", is_complete=True)
+
+    def read_chain(
+        self, group: int, key: str, known: list[str], timeout: float
+    ) -> dict[str, StoredRecord]:
+        """Return a record by key."""
+        return {record.key: record for record in self._table.chain(key, known)}
+
+
 class FakeReplier:
     """Collects what a replica sends to one gateway."""
 
@@ -193,3 +220,35 @@
         assert isinstance(message, Suspects)
         assert [len(one.ended) for one in message.suspects] == [count]
     assert context.other.notices
+
+
+def put_claim(context: Context, state: ClaimState, value: bytes) -> None:
+    """Store the claim of an earlier try, whose route is resumable."""
+    key = claim_key("program", "earlier", "software")
+    record = StoredRecord(key, state, "program", "", RETENTION_S, 100, value)
+    context.claims.put([record], 0.0)
+
+
+@given("an open claim of {request} beside a new try")
+def open_claim(context: Context, request: str) -> None:
+    context.claims = RecordTable()
+    identity = REQUEST if request == "the same request" else "request-2"
+    put_claim(context, ClaimState.RESERVED, open_claim_value(identity))
+    key = claim_key("program", "new", "software")
+    claim = TokenClaim("program", "program", "new", key, 100, RETENTION_S, 0, REQUEST)
+    client = FakeClient(context.claims)
+    others = client.read_amounts(0, "program", 1.0).amounts
+    reservation = Reservation(claim, {0: 100}, 100, "", False, [0], {0: others})
+    context.open_tries = OpenTries(client, reservation)
+
+
+@then("it {counts} as a try that may still run")
+def counts_as_open(context: Context, counts: str) -> None:
+    expected = {"earlier"} if counts == "counts" else set()
+    assert context.open_tries.attempts() == expected, context.open_tries.attempts()
+
+
+@then("it does not count once it is settled")
+def settled(context: Context) -> None:
+    put_claim(context, ClaimState.SETTLED, b"i-1")
+    assert context.open_tries.attempts() == set()
--- a/features/support/fatal_requests.py
+++ b/features/support/fatal_requests.py
@@ -11,7 +11,7 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -292,11 +292,14 @@
         self._kind = kind
         self.gateways = gateways
 
-    def run(self, body: bytes) -> Call:
-        """Send one request until it is served or no try is left."""
+    def run(self, body: bytes, starts: Sequence[int] = range(TURN_STARTS)) -> Call:
+        """Send one request until it is served or no try is left.
+
+        :param starts: numbers of the starts of a turn; other requests have only the first of them.
+        """
         rng = random.Random(body)
         call = Call(body)
-        for start in range(TURN_STARTS if self._kind.is_turn else 1):
+        for start in starts if self._kind.is_turn else starts[:1]:
             if start:
                 time.sleep(rng.uniform(MIN_TURN_PAUSE_S, MAX_TURN_PAUSE_S))
                 call.events = 0
--- a/features/suspects.feature
+++ b/features/suspects.feature
@@ -51,6 +51,18 @@
       | 0.1     | counts         |
       | 0.6     | does not count |
 
+  # Guards against parallel turns of a program that are taken for tries of one request, and against
+  # tries that are counted although they have ended.
+  Scenario Outline: An open claim of <request> <counts> as a try that may still run
+    Given an open claim of <request> beside a new try
+    Then it <counts> as a try that may still run
+    And it does not count once it is settled
+
+    Examples:
+      | request                      | counts         |
+      | the same request             | counts         |
+      | another turn of its program  | does not count |
+
   # Guards against replicas that forget ends when they start again.
   Scenario: A replica that started again learns the suspects from a gateway that follows it
     Given a request under which 2 servers have ended
--- a/yarrowwall/budgets/budget_requests.py
+++ b/yarrowwall/budgets/budget_requests.py
@@ -34,6 +34,7 @@
     :param tokens: The most tokens that the turn may emit.
     :param retention_s: Seconds for which the route keeps records.
     :param common_group: The program's common group.
+    :param request: Identity of the request that the turn answers, equal for all tries of it.
     :param withdrawn_keys: Keys of the turn's claims that were not granted and are being settled.
     """
 
@@ -44,6 +45,7 @@
     tokens: int
     retention_s: float
     common_group: int
+    request: str = ""
     withdrawn_keys: frozenset[str] = frozenset()
 
 
@@ -54,10 +56,12 @@
     retention_s: float,
     common_group: int,
     software: str = "",
+    request: str = "",
 ) -> TokenClaim:
     """Return the claim of a turn on its program's budget.
 
     :param software: The software that is expected to run a turn that may be resumed.
+    :param request: Identity of the request that the turn answers.
     """
     key = claim_key(program_id, attempt_id, software)
     return TokenClaim(
@@ -68,6 +72,7 @@
         program.max_tokens,
         retention_s,
         common_group,
+        request,
     )
 
 
--- a/yarrowwall/budgets/ledger.py
+++ b/yarrowwall/budgets/ledger.py
@@ -9,6 +9,7 @@
 from yarrowwall.budgets.budget_requests import Reservation, claim_for
 from yarrowwall.budgets.chain_lookup import ChainLookup, ChainQuery
 from yarrowwall.budgets.group_reachability import GroupReachability
+from yarrowwall.budgets.open_tries import OpenTries
 from yarrowwall.budgets.reservations import Reservations
 from yarrowwall.budgets.settlements import SettlementQueues
 from yarrowwall.budgets.stream_keys import RESUMPTION
@@ -23,6 +24,7 @@
 from yarrowwall.event_stream import Event
 from yarrowwall.exceptions import BudgetExhaustedError, StoreUncertainError
 from yarrowwall.model import Attempt, ProgramContext, Route
+from yarrowwall.policy.request_identity import request_identity
 from yarrowwall.ports.programs import NO_EXPECTED_SOFTWARE, ExpectedSoftware, TurnGrant
 from yarrowwall.replication.exceptions import NoQuorumError
 from yarrowwall.replication.group_views import GroupViews
@@ -182,6 +184,8 @@
         if program is not None and program.budget is not None:
             reservation = self._reserve(attempt, program, program.budget, route, likely)
         grant = LedgerGrant(self, attempt, route, chain, reservation, tokens_per_event, deadline)
+        if reservation is not None:
+            grant.open_tries = OpenTries(self._client, reservation).attempts
         if route.is_resumable and attempt.is_resumption:
             try:
                 grant.software = self._streams.resumed_software(attempt, reservation, software)
@@ -228,7 +232,13 @@
         if software:
             retention_s = max(retention_s, stream_retention_s(attempt))
         claim = claim_for(
-            program_id, program, attempt.attempt_id, retention_s, common_group, software
+            program_id,
+            program,
+            attempt.attempt_id,
+            retention_s,
+            common_group,
+            software,
+            request_identity(attempt),
         )
         return self._reservations.reserve(claim, budget)
 
--- a/yarrowwall/budgets/reservations.py
+++ b/yarrowwall/budgets/reservations.py
@@ -25,6 +25,7 @@
     group_state,
 )
 from yarrowwall.budgets.group_reachability import GroupReachability
+from yarrowwall.budgets.open_tries import open_claim_value
 from yarrowwall.budgets.settlements import SettlementQueues
 from yarrowwall.budgets.zone_groups import ZoneGroups
 from yarrowwall.decisions import DecisionLog
@@ -155,7 +156,9 @@
         """
         retention_s = self._retention_s(group, claim.retention_s)
         owner = claim.program_id
-        return StoredRecord(claim.key, state, owner, "", retention_s, amount, server_id.encode())
+        is_open = state is not ClaimState.SETTLED
+        value = open_claim_value(claim.request) if is_open else server_id.encode()
+        return StoredRecord(claim.key, state, owner, "", retention_s, amount, value)
 
     def _zone_turn_record(self, claim: TokenClaim, server_id: str) -> StoredRecord:
         """Return the record for the common group of a turn that used no tokens of it."""
--- a/yarrowwall/budgets/stream_keys.py
+++ b/yarrowwall/budgets/stream_keys.py
@@ -31,6 +31,16 @@
     return f"{key}{_SEPARATOR}{software}" if software else key
 
 
+def claimed_attempt(key: str, owner: str) -> str | None:
+    """Return the attempt whose first claim has a key; None for other keys."""
+    prefix = f"{_CLAIM_PREFIX}{owner}/"
+    if not key.startswith(prefix):
+        return None
+    name, _, software = key.rpartition(_SEPARATOR)
+    is_named = _is_software(software) or software == RESUMPTION
+    return (name if is_named else key).removeprefix(prefix)
+
+
 def change_key(owner: str, attempt_id: str, number: int, software: str) -> str:
     """Return the key of a record that other software runs a stream.
 
@@ -69,13 +79,13 @@
 
 def _attempt_of(key: str, owner: str) -> str | None:
     """Return the attempt whose stream a key tells of; None for other keys."""
-    claim, change = f"{_CLAIM_PREFIX}{owner}/", f"{_CHANGE_PREFIX}{owner}/"
     name, separator, software = key.rpartition(_SEPARATOR)
-    if key.startswith(claim) and software != RESUMPTION:
-        return (name if separator and _is_software(software) else key)[len(claim) :]
+    if software == RESUMPTION:
+        return None
+    change = f"{_CHANGE_PREFIX}{owner}/"
     if key.startswith(change) and separator:
         return name[len(change) :].rpartition("/")[0]
-    return None
+    return claimed_attempt(key, owner)
 
 
 def _is_software(text: str) -> bool:
--- a/yarrowwall/dispatch/send_outcomes.py
+++ b/yarrowwall/dispatch/send_outcomes.py
@@ -16,6 +16,7 @@
 class SendOutcomes:
     """The sends of one attempt.
 
+    :param open_tries: returns the ids of the request's other attempts that may still run.
     :param now: the monotonic clock.
     """
 
@@ -25,12 +26,14 @@
         directory: ServerDirectory,
         server_ends: ServerEndDetector,
         suspects: SuspectControl,
+        open_tries: Callable[[], Collection[str]],
         now: Callable[[], float],
     ) -> None:
         self._attempt = attempt
         self._directory = directory
         self._server_ends = server_ends
         self._suspects = suspects
+        self._open_tries = open_tries
         self._now = now
         #: The server of a send whose outcome is not known yet, and its reservation if it has one.
         self._unsettled_server: Server | None = None
@@ -47,7 +50,7 @@
         :param left_s: seconds left to the attempt.
         :raises RefusedError: if the request may not be sent.
         """
-        reservation = self._suspects.reserve(self._attempt, choice.server, left_s)
+        reservation = self._suspects.reserve(self._attempt, choice.server, left_s, self._open_tries)
         self._reservation = reservation
         if reservation is None or choice.server.incarnation_text not in reservation.occupied:
             return choice
--- a/yarrowwall/dispatch/sender.py
+++ b/yarrowwall/dispatch/sender.py
@@ -56,6 +56,7 @@
     :param expected_software: software that it is recorded to run at; empty for none.
     :param record_software: records the software that will run it before it is sent there; raises
         StoreUncertainError if it cannot.
+    :param open_tries: returns the ids of the request's other attempts that may still run.
     """
 
     attempt: Attempt
@@ -69,6 +70,7 @@
     software: str | None = None
     expected_software: str = ""
     record_software: Callable[[str], None] = lambda software: None
+    open_tries: Callable[[], Collection[str]] = tuple
 
 
 @dataclass
@@ -101,6 +103,7 @@
             components.directory,
             components.server_ends,
             components.suspects,
+            plan.open_tries,
             components.now,
         )
         self.rules = SendRules(
--- a/yarrowwall/gateway/turn.py
+++ b/yarrowwall/gateway/turn.py
@@ -213,6 +213,7 @@
             grant.software,
             expected,
             grant.record_software,
+            grant.open_tries,
         )
         return AttemptSender(self._components.dispatch, plan)
 
--- a/yarrowwall/messages/replicated.py
+++ b/yarrowwall/messages/replicated.py
@@ -54,6 +54,10 @@
     joining: list[Member]
 
 
+#: Begins the values of records that are no notes of their owners.
+NO_NOTE = b"\0"
+
+
 @dataclass(frozen=True)
 class StoredRecord:
     """A record of the store.
@@ -62,6 +66,8 @@
         chain; empty for a turn that an earlier release stored.
     :param link: key of the record that this one continues; empty for none.
     :param retention: seconds for which all records of its owner are kept after it was stored.
+    :param value: content of the record. That of an owner's newest record is the owner's note,
+        unless it begins with ``NO_NOTE``.
     """
 
     key: str
--- a/yarrowwall/ports/programs.py
+++ b/yarrowwall/ports/programs.py
@@ -5,7 +5,7 @@
 input and events are stored before the end of its answer is relayed.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import NamedTuple, Protocol
 
 from yarrowwall.event_stream import Event
@@ -35,6 +35,8 @@
     :param is_continued: Whether it continues an answered turn, possibly of another program.
     :ivar software: The only software that may run it, if it resumes a stream; None for any.
     :ivar expected_software: The software that it is recorded to run at; empty for none.
+    :ivar open_tries: Returns the ids of the same turn's other attempts that are not known to have
+        ended.
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         self.is_continued = is_continued
         self.software: str | None = None
         self.expected_software = ""
+        self.open_tries: Callable[[], Collection[str]] = tuple
 
     def record_software(self, software: str) -> None:
         """Record the software that will run the turn, before it is sent there.
--- a/yarrowwall/ports/suspects.py
+++ b/yarrowwall/ports/suspects.py
@@ -1,6 +1,7 @@
 """Control of requests under which servers ended, as the sender of attempts uses it."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable, Collection
 
 from yarrowwall.model import Attempt, Server
 
@@ -36,10 +37,18 @@
         """
 
     @abstractmethod
-    def reserve(self, attempt: Attempt, server: Server, left_s: float) -> SuspectSend | None:
+    def reserve(
+        self,
+        attempt: Attempt,
+        server: Server,
+        left_s: float,
+        open_tries: Callable[[], Collection[str]],
+    ) -> SuspectSend | None:
         """Reserve a send; return None if no server has ended under the request.
 
         :param left_s: seconds left to the attempt.
+        :param open_tries: returns the ids of the request's other attempts that may still run; a
+            server may have ended under each.
         :raises RefusedError: if the request may not be sent.
         """
 
--- a/yarrowwall/replication/table.py
+++ b/yarrowwall/replication/table.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable, Mapping
 from types import MappingProxyType
 
-from yarrowwall.messages.replicated import StoredRecord
+from yarrowwall.messages.replicated import NO_NOTE, StoredRecord
 
 #: Seconds that a record is kept beyond its retention. Callers count it from the end of the answer,
 #: and a turn that begins within it may last longer than it.
@@ -112,8 +112,9 @@
     def newest_note(self, owner: str) -> str:
         """Return the value, as text, of an owner's newest record that has one; else empty."""
         for key in reversed(self._by_owner.get(owner, {})):
-            if self._records[key].value:
-                return self._records[key].value.decode(errors="replace")
+            value = self._records[key].value
+            if value and not value.startswith(NO_NOTE):
+                return value.decode(errors="replace")
         return ""
 
     def chain(self, key: str, known: Iterable[str]) -> list[StoredRecord]:
--- a/yarrowwall/suspects/client.py
+++ b/yarrowwall/suspects/client.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import itertools
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from http import HTTPStatus
 
 import eventlet
@@ -41,9 +41,8 @@
 RELAYED_FOLLOW_INTERVAL_SECONDS = 0.5
 #: Seconds between two tries of a gateway that starts to read the records.
 READ_INTERVAL_SECONDS = 0.1
-#: Seconds after the start in which a request waits for the records, and the longest wait of one.
-START_SECONDS = 1.0
-START_WAIT_SECONDS = 0.1
+#: Seconds after the start in which requests wait for the records.
+START_SECONDS = 2.0
 #: Seconds that a caller waits for the replicas' replies. An answer takes a round trip.
 REPLY_TIMEOUT_SECONDS = 0.06
 RELAYED_REPLY_TIMEOUT_SECONDS = 0.2
@@ -51,6 +50,11 @@
 RETENTION_SECONDS = 120.0
 #: Seconds after which the reservation of a send is released whose outcome stays unknown.
 UNRESOLVED_SECONDS = 1.0
+#: Checks whether other tries of a request are settled, and seconds between them.
+SETTLEMENT_CHECKS = 4
+SETTLEMENT_INTERVAL_SECONDS = 0.05
+#: Precedes the attempt's id in the id of a send.
+_ATTEMPT_SEPARATOR = "/"
 
 
 class SuspectClient(SuspectControl):
@@ -142,9 +146,9 @@
 
     def check(self, attempt: Attempt) -> None:
         """Check whether an attempt may be sent at all."""
-        is_start = self._now() - self._started_at < START_SECONDS
-        if is_start and not self._has_read.ready():
-            self._has_read.wait(START_WAIT_SECONDS)
+        left_s = self._started_at + START_SECONDS - self._now()
+        if left_s > 0.0 and not self._has_read.ready():
+            self._has_read.wait(left_s)
         if self._is_relayed:
             self._refresh()
         if self._suspects:
@@ -172,7 +176,13 @@
             status = HTTPStatus.SERVICE_UNAVAILABLE
             raise RefusedError(Refusal(status, f"{reason}: {', '.join(servers)}"))
 
-    def reserve(self, attempt: Attempt, server: Server, left_s: float) -> SuspectSend | None:
+    def reserve(
+        self,
+        attempt: Attempt,
+        server: Server,
+        left_s: float,
+        open_tries: Callable[[], Collection[str]],
+    ) -> SuspectSend | None:
         """Reserve a send; return None if no server has ended under the request."""
         if not self._suspects:
             return None
@@ -181,20 +191,41 @@
         if not ended:
             return None
         self._check_ended(ended)
-        send_id = f"{self._send_prefix}-{next(self._send_numbers)}"
+        number = next(self._send_numbers)
+        send_id = f"{self._send_prefix}-{number}{_ATTEMPT_SEPARATOR}{attempt.attempt_id}"
         send = _ReservedSend(self, request, send_id, left_s + UNRESOLVED_SECONDS)
         try:
-            pending = send.reserve(server)
-            ended = self._suspects.ended(request, self._now())
-            self._check_ended(ended)
-            if len(ended) + pending >= MAX_ENDED_SERVERS:
-                reason = f"{len(ended)} servers ended while they ran this request, {pending} run it"
-                raise unavailable(reason, SHORTAGE_SECONDS)
-        except RefusedError:
+            self._check_pending(request, send.reserve(server), open_tries)
+        except BaseException:
             send.release(is_resolved=True)
             raise
         return send
 
+    def _check_pending(
+        self, request: str, pending: Collection[str], open_tries: Callable[[], Collection[str]]
+    ) -> None:
+        """Check that one more send leaves at most the allowed number of ended servers.
+
+        A try that has just ended is settled a moment later.
+
+        :param pending: ids of the request's other sends whose outcome is unknown.
+        :raises RefusedError: if it might leave more.
+        """
+        attempts = {send_id.partition(_ATTEMPT_SEPARATOR)[2] for send_id in pending}
+        unresolved = len(pending)
+        for check in range(SETTLEMENT_CHECKS):
+            if check:
+                eventlet.sleep(SETTLEMENT_INTERVAL_SECONDS)
+            ended = self._suspects.ended(request, self._now())
+            self._check_ended(ended)
+            if len(ended) + len(pending) >= MAX_ENDED_SERVERS:
+                break
+            unresolved = len(pending) + len(set(open_tries()) - attempts)
+            if len(ended) + unresolved < MAX_ENDED_SERVERS:
+                return
+        reason = f"{len(ended)} servers ended while they ran this request, {unresolved} may run it"
+        raise unavailable(reason, SHORTAGE_SECONDS)
+
     def note_unresolved(self, attempt: Attempt, server: Server) -> None:
         """Note that a send ended without an answer, while its server may live or not."""
         request = request_identity(attempt)
@@ -287,8 +318,8 @@
         self._left_s = left_s
         self._is_released = False
 
-    def reserve(self, server: Server) -> int:
-        """Reserve it at all replicas; return the number of other sends in progress."""
+    def reserve(self, server: Server) -> set[str]:
+        """Reserve it at all replicas; return the ids of other sends in progress."""
         send = PendingSend(self._send_id, server.incarnation_text, self._left_s)
         message = ReserveSend(self._request, send)
         pending: set[str] = set()
@@ -301,7 +332,7 @@
                 }
                 occupied |= set(reply.occupied)
         self.occupied = frozenset(occupied)
-        return len(pending)
+        return pending
 
     def move(self, server: Server) -> None:
         """Note that it goes to another server."""
