Test: a request whose last try ran as the third server ended is refused at the next one

A caller of lookups tries twice. If its first try meets two ends and a server that refuses its connection (attempts 3), the third end comes in its second try, which gets 502 since it may have run (design 0017), and no try is left that could be refused. It now sends one more request and asks for the refusal there: 503 at both tries, at once, without Retry-After, with the reason; nothing is passed over.

--- a/features/steps/server_end_steps.py
+++ b/features/steps/server_end_steps.py
@@ -14,6 +14,7 @@
     MAX_ENDED,
     TRIES,
     TURN_STARTS,
+    Call,
     CrashingServers,
     RetryingCaller,
     every,
@@ -163,12 +164,22 @@
         if context.servers.requests.ended(call.body) < MAX_ENDED:
             # Its caller may not try often enough to end three servers.
             continue
+        if call.statuses[-1] == 502 and has_run_last(context, call):
+            # The last try ran when the third server ended; the next one is refused.
+            call = context.caller.run(call.body, range(TURN_STARTS, TURN_STARTS + 1))
+            assert set(call.statuses) == {503}, call
         assert call.statuses[-1] == 503, call
         assert call.retry_after[-1] is None, call
         assert call.seconds[-1] < REFUSAL_S, call
         assert b"servers ended" in call.bodies[-1], call
 
 
+def has_run_last(context: Context, call: Call) -> bool:
+    """Return whether the last try of a request was sent before the third server ended."""
+    last_send = context.servers.requests.sends(call.body)[-1]
+    return last_send.ended_before == MAX_ENDED - 1
+
+
 @then("at least {count:d} of the others are served")
 def others_served(context: Context, count: int) -> None:
     lost = [call for call in context.others if not call.is_served]
