Ledger: the grant in a module of its own, one object for what reaches the groups of records

ChainLookup, TurnStore, TurnCopier and StreamRecords took the same five collaborators one by one; they take RecordGroups. A check of expired records asks once for each owner whether it is a chain.

--- a/features/steps/turn_keep_steps.py
+++ b/features/steps/turn_keep_steps.py
@@ -6,6 +6,7 @@
 from behave.runner import Context
 
 from yarrowwall.budgets.group_reachability import GroupReachability
+from yarrowwall.budgets.record_groups import RecordGroups
 from yarrowwall.budgets.turn_cache import TurnCache
 from yarrowwall.budgets.turn_store import TurnStore
 from yarrowwall.budgets.turns import Turn
@@ -58,9 +59,8 @@
 
     context.reach = GroupReachability(_probe, log, now)
     copier: Any = None
-    context.turns = TurnStore(
-        client, TurnCache(), copier, lambda key: COMMON, zones, context.reach, queues, log, now
-    )
+    groups = RecordGroups(client, lambda key: COMMON, zones, context.reach, log)
+    context.turns = TurnStore(groups, TurnCache(), copier, queues, now)
 
 
 @when("a turn is to be stored that has {left_s:f} s left")
--- a/features/support/resumed_turns_mutants.py
+++ b/features/support/resumed_turns_mutants.py
@@ -5,7 +5,7 @@
 from typing import Any
 from unittest.mock import patch
 
-from yarrowwall.budgets.ledger import LedgerGrant
+from yarrowwall.budgets.ledger_grant import LedgerGrant
 from yarrowwall.dispatch.caller_position import CallerPosition
 from yarrowwall.dispatch.streams import StreamRelay
 from yarrowwall.event_stream import Event
--- a/features/support/zone_mutants.py
+++ b/features/support/zone_mutants.py
@@ -8,7 +8,8 @@
 from yarrowwall.budgets import budget_requests, reservations
 from yarrowwall.budgets.budget_requests import Reservation
 from yarrowwall.budgets.chain_lookup import ChainLookup, FoundTurns
-from yarrowwall.budgets.ledger import LedgerGrant, ReplicatedLedger
+from yarrowwall.budgets.ledger import ReplicatedLedger
+from yarrowwall.budgets.ledger_grant import LedgerGrant
 from yarrowwall.budgets.reservations import Reservations
 from yarrowwall.budgets.turn_reservations import TurnReservations
 from yarrowwall.budgets.turn_store import TurnStore
--- a/yarrowwall/budgets/chain_lookup.py
+++ b/yarrowwall/budgets/chain_lookup.py
@@ -11,15 +11,13 @@
 import eventlet
 
 from yarrowwall import decisions
-from yarrowwall.budgets.group_reachability import GroupReachability
+from yarrowwall.budgets.record_groups import RecordGroups
 from yarrowwall.budgets.turn_cache import TurnCache
 from yarrowwall.budgets.turn_copier import TurnCopier
 from yarrowwall.budgets.turns import Turn, read_turn, turn_key
-from yarrowwall.budgets.zone_groups import ZoneGroups
-from yarrowwall.decisions import DecisionLog
 from yarrowwall.exceptions import StoreUncertainError, TurnUnknownError
 from yarrowwall.replication.exceptions import NoQuorumError
-from yarrowwall.replication.quorum_client import OPERATION_SECONDS, QuorumClient
+from yarrowwall.replication.quorum_client import OPERATION_SECONDS
 
 #: Timeout in seconds of looking up earlier turns in a group if other groups may have them too.
 LOOKUP_TIMEOUT_SECONDS = 0.25
@@ -61,28 +59,23 @@
     """Looks up the earlier turns of conversations.
 
     :param cache: The gateway's turns.
-    :param group_of: Returns the common group of a key; raises StoreUncertainError if there is none.
     :param now: Returns the monotonic time in seconds.
     """
 
     def __init__(
         self,
-        client: QuorumClient,
+        groups: RecordGroups,
         cache: TurnCache,
         copier: TurnCopier,
-        group_of: Callable[[str], int],
-        zones: ZoneGroups,
-        reachability: GroupReachability,
-        log: DecisionLog,
         now: Callable[[], float],
     ) -> None:
-        self._client = client
+        self._client = groups.client
+        self._group_of = groups.group_of
+        self._zones = groups.zones
+        self._reachability = groups.reachability
+        self._log = groups.log
         self._cache = cache
         self._copier = copier
-        self._group_of = group_of
-        self._zones = zones
-        self._reachability = reachability
-        self._log = log
         self._now = now
 
     def chain(self, query: ChainQuery) -> list[Turn]:
--- a/yarrowwall/budgets/ledger.py
+++ b/yarrowwall/budgets/ledger.py
@@ -9,19 +9,20 @@
 from yarrowwall.budgets.budget_requests import Reservation, claim_for
 from yarrowwall.budgets.chain_lookup import ChainLookup, ChainQuery
 from yarrowwall.budgets.group_reachability import GroupReachability
+from yarrowwall.budgets.ledger_grant import LedgerGrant
 from yarrowwall.budgets.open_tries import OpenTries
+from yarrowwall.budgets.record_groups import RecordGroups
 from yarrowwall.budgets.reservations import Reservations
 from yarrowwall.budgets.settlements import SettlementQueues
 from yarrowwall.budgets.stream_keys import RESUMPTION
-from yarrowwall.budgets.stream_records import StreamRecord, StreamRecords, stream_retention_s
+from yarrowwall.budgets.stream_records import StreamRecords, stream_retention_s
 from yarrowwall.budgets.turn_cache import TurnCache
 from yarrowwall.budgets.turn_copier import TurnCopier
 from yarrowwall.budgets.turn_reservations import TurnReservations
 from yarrowwall.budgets.turn_store import END_MARGIN_SECONDS, PlacedRecord, TurnStore
-from yarrowwall.budgets.turns import Turn, output_of, prompt_body, tenant_scoped
+from yarrowwall.budgets.turns import Turn, tenant_scoped
 from yarrowwall.budgets.zone_groups import ZoneGroups
 from yarrowwall.decisions import DecisionLog
-from yarrowwall.event_stream import Event
 from yarrowwall.exceptions import BudgetExhaustedError, StoreUncertainError
 from yarrowwall.model import Attempt, ProgramContext, Route
 from yarrowwall.policy.request_identity import request_identity
@@ -73,23 +74,11 @@
         self._reservations = Reservations(
             client, self._zones, self._reachability, self._queues, log
         )
-        self._streams = StreamRecords(client, self.group_of, self._zones, self._reachability, log)
-        cache = TurnCache()
-        copier = TurnCopier(client, self.group_of, self._reachability, log)
-        self._chains = ChainLookup(
-            client, cache, copier, self.group_of, self._zones, self._reachability, log, now
-        )
-        self._turns = TurnStore(
-            client,
-            cache,
-            copier,
-            self.group_of,
-            self._zones,
-            self._reachability,
-            self._queues,
-            log,
-            now,
-        )
+        groups = RecordGroups(client, self.group_of, self._zones, self._reachability, log)
+        self._streams = StreamRecords(groups)
+        cache, copier = TurnCache(), TurnCopier(groups)
+        self._chains = ChainLookup(groups, cache, copier, now)
+        self._turns = TurnStore(groups, cache, copier, self._queues, now)
 
     @property
     def has_unsettled(self) -> bool:
@@ -342,106 +331,3 @@
                 reservation, spent, server_id
             )
         self._turns.store(turn, chain, route.retention_s, settlement_records, deadline)
-
-
-class LedgerGrant(TurnGrant):
-    """A grant to run one turn, which stores and settles the turn afterwards.
-
-    :param chain: The earlier turns, oldest first.
-    :param deadline: Returns the monotonic time at which the request's time is over.
-    """
-
-    def __init__(
-        self,
-        ledger: ReplicatedLedger,
-        attempt: Attempt,
-        route: Route,
-        chain: Sequence[Turn],
-        reservation: Reservation | None,
-        tokens_per_event: int,
-        deadline: Callable[[], float],
-    ) -> None:
-        body, is_continued = prompt_body(chain, attempt.body), bool(chain)
-        if reservation is not None:
-            super().__init__(body, reservation.last_server, reservation.is_first, is_continued)
-        else:
-            super().__init__(body, is_continued=is_continued)
-        self._ledger = ledger
-        self._attempt = attempt
-        self._route = route
-        self._chain = chain
-        self._turn_reservations = TurnReservations(reservation) if reservation is not None else None
-        self._tokens_per_event = tokens_per_event
-        self._deadline = deadline
-        self._is_settled = False
-        self.stream_record: StreamRecord | None = None
-
-    def record_software(self, software: str) -> None:
-        """Record the software that will run the turn, before it is sent there.
-
-        :raises StoreUncertainError: If the record may name another one.
-        """
-        if self.stream_record is not None:
-            self.stream_record.ensure(software)
-
-    def ensure_granted(self, events: list[Event]) -> None:
-        """Reserve the tokens that events need beyond the grant, before they are relayed.
-
-        :raises StoreUncertainError: If the turn was granted less than it may emit, the events
-            exceed that, and no group grants more before the deadline.
-        """
-        turn_reservations, program = self._turn_reservations, self._attempt.program
-        if turn_reservations is None or program is None or program.budget is None:
-            return
-        tokens = len(events) * self._tokens_per_event
-        while turn_reservations.is_short and tokens > turn_reservations.granted:
-            needed = min(tokens, turn_reservations.first_claim.tokens) - turn_reservations.granted
-            self._ledger.reserve_more(turn_reservations, program.budget, needed, self._deadline)
-
-    def granted_events(self) -> int | None:
-        """Return how many events of the answer are granted already; None if all may be."""
-        turn_reservations = self._turn_reservations
-        if turn_reservations is None or not turn_reservations.is_short:
-            return None
-        return turn_reservations.granted // self._tokens_per_event
-
-    def complete(self, repeated: list[Event], relayed: list[Event], server_id: str) -> None:
-        """Store the turn with all of its events before the end of the answer is relayed.
-
-        :raises StoreUncertainError: If no quorum stored it in time.
-        """
-        program = self._attempt.program
-        if not self._route.is_stateful or program is None:
-            return
-        tenant = self._attempt.tenant
-        attempt_id = tenant_scoped(tenant, self._attempt.attempt_id)
-        turn = Turn(
-            attempt_id,
-            tenant_scoped(tenant, program.previous_turn or ""),
-            self._chain[0].attempt_id if self._chain else attempt_id,
-            self._attempt.body,
-            output_of([*repeated, *relayed]),
-        )
-        self._ledger.store_turn(
-            turn,
-            self._chain,
-            self._route,
-            self._turn_reservations,
-            self._tokens(relayed),
-            server_id,
-            self._deadline,
-        )
-        self._is_settled = True
-
-    def close(self, events: list[Event], server_id: str) -> None:
-        """Settle the turn, unless that is done already."""
-        if self._turn_reservations is not None and not self._is_settled:
-            self._is_settled = True
-            self._ledger.settle(self._turn_reservations, self._tokens(events), server_id)
-
-    def _tokens(self, events: list[Event]) -> int:
-        """Return the tokens that were relayed to the caller."""
-        tokens = len(events) * self._tokens_per_event
-        granted = self.granted_events()
-        # Events beyond the grant were not relayed.
-        return tokens if granted is None else min(tokens, granted * self._tokens_per_event)
--- a/yarrowwall/budgets/stream_records.py
+++ b/yarrowwall/budgets/stream_records.py
@@ -1,10 +1,10 @@
 """Records of the software that runs a stream, by which any gateway resumes it at that software."""
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from yarrowwall import decisions
 from yarrowwall.budgets.budget_requests import Reservation
-from yarrowwall.budgets.group_reachability import GroupReachability
+from yarrowwall.budgets.record_groups import RecordGroups
 from yarrowwall.budgets.stream_keys import (
     change_key,
     common_software,
@@ -12,15 +12,13 @@
     stream_owner,
 )
 from yarrowwall.budgets.turns import tenant_scoped
-from yarrowwall.budgets.zone_groups import ZoneGroups
-from yarrowwall.decisions import DecisionLog, StreamOrigin
+from yarrowwall.decisions import StreamOrigin
 from yarrowwall.exceptions import StoreUncertainError, StreamUnknownError
 from yarrowwall.messages.replicated import StoredRecord
 from yarrowwall.model import Attempt
 from yarrowwall.policy.budget_parts import ClaimState
 from yarrowwall.ports.programs import ExpectedSoftware
 from yarrowwall.replication.exceptions import NoQuorumError
-from yarrowwall.replication.quorum_client import QuorumClient
 
 #: Timeout in seconds of one read or write. An answer takes milliseconds, and a caller waits.
 TIMEOUT_SECONDS = 0.25
@@ -34,24 +32,14 @@
 
 
 class StreamRecords:
-    """Writes the record of each stream that begins, and reads it when a caller resumes the stream.
-
-    :param group_of: returns the common group of an owner; raises StoreUncertainError without one.
-    """
-
-    def __init__(
-        self,
-        client: QuorumClient,
-        group_of: Callable[[str], int],
-        zones: ZoneGroups,
-        reachability: GroupReachability,
-        log: DecisionLog,
-    ) -> None:
-        self._client = client
-        self._group_of = group_of
-        self._zones = zones
-        self._reachability = reachability
-        self._log = log
+    """Writes a record of each stream that begins, and reads it when its caller resumes it."""
+
+    def __init__(self, groups: RecordGroups) -> None:
+        self._client = groups.client
+        self._group_of = groups.group_of
+        self._zones = groups.zones
+        self._reachability = groups.reachability
+        self._log = groups.log
 
     def write(self, groups: Iterable[int], record: StoredRecord) -> None:
         """Write a record to each of the groups.
--- a/yarrowwall/budgets/turn_copier.py
+++ b/yarrowwall/budgets/turn_copier.py
@@ -5,18 +5,15 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable
 from typing import NamedTuple
 
 import eventlet
 
 from yarrowwall import decisions
-from yarrowwall.budgets.group_reachability import GroupReachability
+from yarrowwall.budgets.record_groups import RecordGroups
 from yarrowwall.budgets.turns import Turn, turn_key, turn_record
-from yarrowwall.decisions import DecisionLog
 from yarrowwall.exceptions import StoreUncertainError
 from yarrowwall.replication.exceptions import NoQuorumError
-from yarrowwall.replication.quorum_client import QuorumClient
 
 #: Seconds between two copies. This limits each gateway to 20 copies a second, so that replicas of a
 #: zone whose partition has healed stay available for running turns.
@@ -36,22 +33,13 @@
 
 
 class TurnCopier:
-    """A queue of turns to be copied, starting with those that callers need.
-
-    :param group_of: Returns the common group of a key; raises StoreUncertainError if there is none.
-    """
-
-    def __init__(
-        self,
-        client: QuorumClient,
-        group_of: Callable[[str], int],
-        reachability: GroupReachability,
-        log: DecisionLog,
-    ) -> None:
-        self._client = client
-        self._group_of = group_of
-        self._reachability = reachability
-        self._log = log
+    """A queue of turns to be copied, starting with those that callers need."""
+
+    def __init__(self, groups: RecordGroups) -> None:
+        self._client = groups.client
+        self._group_of = groups.group_of
+        self._reachability = groups.reachability
+        self._log = groups.log
         self._queue: OrderedDict[str, _QueuedTurn] = OrderedDict()
         self._queued_bytes = 0
         self._is_running = False
--- a/yarrowwall/budgets/turn_store.py
+++ b/yarrowwall/budgets/turn_store.py
@@ -16,17 +16,15 @@
 import eventlet
 
 from yarrowwall import decisions
-from yarrowwall.budgets.group_reachability import GroupReachability
+from yarrowwall.budgets.record_groups import RecordGroups
 from yarrowwall.budgets.settlements import SettlementQueues
 from yarrowwall.budgets.turn_cache import TurnCache
 from yarrowwall.budgets.turn_copier import TurnCopier
 from yarrowwall.budgets.turns import Turn, turn_key, turn_record
-from yarrowwall.budgets.zone_groups import ZoneGroups
-from yarrowwall.decisions import DecisionLog
 from yarrowwall.exceptions import StoreUncertainError
 from yarrowwall.messages.replicated import StoredRecord
 from yarrowwall.replication.exceptions import NoQuorumError
-from yarrowwall.replication.quorum_client import OPERATION_SECONDS, QuorumClient
+from yarrowwall.replication.quorum_client import OPERATION_SECONDS
 
 #: Timeout in seconds of the first write to each group if the zone's group may store the turn too.
 #: Otherwise the common group has as long as any operation. The timeout doubles with each round. An
@@ -77,31 +75,26 @@
     """Stores turns.
 
     :param cache: The gateway's turns.
-    :param group_of: Returns the common group of a key; raises StoreUncertainError if there is none.
     :param now: Returns the monotonic time in seconds.
     """
 
     def __init__(
         self,
-        client: QuorumClient,
+        groups: RecordGroups,
         cache: TurnCache,
         copier: TurnCopier,
-        group_of: Callable[[str], int],
-        zones: ZoneGroups,
-        reachability: GroupReachability,
         queues: SettlementQueues,
-        log: DecisionLog,
         now: Callable[[], float],
     ) -> None:
-        self._now = now
-        self._client = client
-        self._group_of = group_of
-        self._zones = zones
-        self._reachability = reachability
-        self._queues = queues
-        self._log = log
+        self._client = groups.client
+        self._group_of = groups.group_of
+        self._zones = groups.zones
+        self._reachability = groups.reachability
+        self._log = groups.log
         self._cache = cache
         self._copier = copier
+        self._queues = queues
+        self._now = now
 
     def check_storable(self, attempt_id: str) -> None:
         """Check that a turn can probably be stored when it ends.
--- a/yarrowwall/replication/expiry.py
+++ b/yarrowwall/replication/expiry.py
@@ -67,8 +67,10 @@
             return
         self._asked_in_vain.clear()
         dropped = 0
-        chains = [owner for owner in overdue if table.is_chain(owner)]
-        others = [owner for owner in overdue if not table.is_chain(owner)]
+        chains: list[str] = []
+        others: list[str] = []
+        for owner in overdue:
+            (chains if table.is_chain(owner) else others).append(owner)
         for owners, groups in ((chains, self._chain_groups()), (others, self._own_group())):
             for start in range(0, len(owners), BATCH_OWNERS):
                 dropped += self._expire_batch(owners[start : start + BATCH_OWNERS], groups)
