Claims that cannot be read again count as open

Cause: the gateway read the open claim again before its third send, the replicas had just started and gave no answer within 0.1 s on a busy machine, and claims without an answer were taken for settled. "An open claim of ... counts as a try that may still run while its group does not answer" failed before.

--- a/features/steps/suspect_steps.py
+++ b/features/steps/suspect_steps.py
@@ -22,6 +22,7 @@
 from yarrowwall.policy.budget_parts import ClaimState
 from yarrowwall.policy.crash_suspects import MAX_ENDED_SERVERS, CrashSuspects, UnresolvedSends
 from yarrowwall.policy.request_identity import request_identity
+from yarrowwall.replication.exceptions import NoQuorumError
 from yarrowwall.replication.quorum_client import OwnerReading
 from yarrowwall.replication.rounds import Amount
 from yarrowwall.replication.table import RecordTable
@@ -53,13 +54,16 @@
 
 
 class FakeClient:
-    """Reads the records of one table."""
+    """Reads the records of one table, or gets no answer."""
 
     def __init__(self, table: RecordTable) -> None:
         self._table = table
+        self.is_answered = True
 
     def read_amounts(self, group: int, owner: str, timeout: float) -> OwnerReading:
         """Return the amounts of an owner's records."""
+        if not self.is_answered:
+            raise NoQuorumError(f"group {group} does not answer")
         records = self._table.of_owner(owner)
         amounts = {record.key: Amount(record.version, record.amount) for record in records}
         return OwnerReading(amounts, "", is_complete=True)
@@ -239,7 +243,7 @@
     client = FakeClient(context.claims)
     others = client.read_amounts(0, "program", 1.0).amounts
     reservation = Reservation(claim, {0: 100}, 100, "", False, [0], {0: others})
-    context.open_tries = OpenTries(client, reservation)
+    context.client, context.open_tries = client, OpenTries(client, reservation)
 
 
 @then("it {counts} as a try that may still run")
@@ -248,6 +252,13 @@
     assert context.open_tries.attempts() == expected, context.open_tries.attempts()
 
 
+@then("it {counts} as a try that may still run while its group does not answer")
+def counts_unanswered(context: Context, counts: str) -> None:
+    context.client.is_answered = False
+    counts_as_open(context, counts)
+    context.client.is_answered = True
+
+
 @then("it does not count once it is settled")
 def settled(context: Context) -> None:
     put_claim(context, ClaimState.SETTLED, b"i-1")
--- a/features/suspects.feature
+++ b/features/suspects.feature
@@ -55,7 +55,9 @@
   # tries that are counted although they have ended.
   Scenario Outline: An open claim of <request> <counts> as a try that may still run
     Given an open claim of <request> beside a new try
-    Then it <counts> as a try that may still run
+    Then it counts as a try that may still run while its group does not answer
+    And it <counts> as a try that may still run
+    And it <counts> as a try that may still run while its group does not answer
     And it does not count once it is settled
 
     Examples:
