A gateway that follows replicas through a neighbour keeps its own connection as follower

Callers saw: nothing of their own; a gateway that was cut off for a moment heard of no ended servers for up to 6 s after that, and let a request that ends servers run on a fourth one. Followers are kept by connection now. "A gateway that followed through a neighbour too is told over its own connection" failed before.

--- a/features/steps/suspect_steps.py
+++ b/features/steps/suspect_steps.py
@@ -14,6 +14,7 @@
 from yarrowwall.messages.suspects import (
     FollowSuspects,
     PendingSend,
+    ReportSuspects,
     ReserveSend,
     Suspect,
     Suspects,
@@ -86,6 +87,11 @@
         """Collect a reply."""
         self.replies.append(reply)
 
+    @property
+    def connection(self) -> object:
+        """Return the connection, of which each replier here has its own."""
+        return self
+
     def notify(self, message: object) -> bool:
         """Collect a notice."""
         self.notices.append(message)
@@ -207,6 +213,23 @@
     assert context.found == []
 
 
+@when("a gateway follows a replica directly and then through a neighbour, and an end is reported")
+def follows_twice(context: Context) -> None:
+    board = SuspectBoard(lambda: 1.0)
+    context.followers = [FakeReplier(), FakeReplier()]
+    for replier in context.followers:
+        board.handle(FollowSuspects("edge-0", []), replier)
+    board.handle(ReportSuspects([context.known]), FakeReplier())
+    eventlet.sleep(2.0 * COLLECT_SECONDS)
+
+
+@then("both connections are told of {count:d} ended servers")
+def both_told(context: Context, count: int) -> None:
+    for replier in context.followers:
+        (notice,) = replier.notices
+        assert [len(one.ended) for one in notice.suspects] == [count], notice
+
+
 @when("a replica starts again and a gateway that knows of them follows it")
 def replica_restarts(context: Context) -> None:
     context.board = SuspectBoard(lambda: 1.0)
--- a/features/suspects.feature
+++ b/features/suspects.feature
@@ -65,6 +65,12 @@
       | the same request             | counts         |
       | another turn of its program  | does not count |
 
+  # Guards against a gateway that hears of no ends after it followed a replica through a neighbour.
+  Scenario: A gateway that followed through a neighbour too is told over its own connection
+    Given a request under which 1 servers have ended
+    When a gateway follows a replica directly and then through a neighbour, and an end is reported
+    Then both connections are told of 1 ended servers
+
   # Guards against replicas that forget ends when they start again.
   Scenario: A replica that started again learns the suspects from a gateway that follows it
     Given a request under which 2 servers have ended
--- a/yarrowwall/replication/rpc.py
+++ b/yarrowwall/replication/rpc.py
@@ -351,6 +351,11 @@
         self._channel = channel
         self._number = number
 
+    @property
+    def connection(self) -> object:
+        """Return what is the same for all requests of one connection."""
+        return self._channel
+
     def __call__(self, reply: object) -> None:
         """Send the reply."""
         self._channel.send(self._number, reply)
--- a/yarrowwall/suspects/board.py
+++ b/yarrowwall/suspects/board.py
@@ -31,7 +31,8 @@
     def __init__(self, now: Callable[[], float]) -> None:
         self._now = now
         self._suspects = CrashSuspects()
-        self._followers: dict[str, Replier] = {}
+        #: By connection: a gateway that is cut off follows through others' connections as well.
+        self._followers: dict[object, Replier] = {}
         self._new: dict[str, Suspect] = {}
         self._reporters: list[Replier] = []
         self._is_collecting = False
@@ -41,7 +42,7 @@
         now_s = self._now()
         match request:
             case FollowSuspects():
-                self._followers[request.gateway] = reply
+                self._followers[reply.connection] = reply
                 self._add(request.known, now_s)
                 reply(Suspects(self._suspects.all(now_s)))
             case ReportSuspects():
@@ -70,8 +71,8 @@
         reporters, self._reporters = self._reporters, []
         if new:
             message = Suspects(list(new.values()))
-            for gateway, follower in list(self._followers.items()):
+            for connection, follower in list(self._followers.items()):
                 if not follower.notify(message):
-                    del self._followers[gateway]
+                    del self._followers[connection]
         for reporter in reporters:
             reporter(Suspects([]))
