--- a/features/steps/spent_budget_steps.py
+++ b/features/steps/spent_budget_steps.py
@@ -234,6 +234,7 @@
     attempt = Attempt("granted", "POST", "/x", "host", [], b"", now_s, now_s + 9.0, program)
     context.grant = Mock(
         spec=TurnGrant,
+        open_tries=tuple,
         body=b"",
         last_server="",
         is_first=False,
