Callers' requests are read by one strict parser

Cause: eventlet.wsgi on http.server takes the first of two lengths, any coding, signed numbers, folded lines and control bytes, and max_header_bytes was applied nowhere.

Now httptools (llhttp), which reads servers' answers already, reads requests, with checks of what it takes beyond RFC 9112 or what the gateway does not serve (gateway/request_parser.py). caller_connection.py reads heads and bodies within the configured limits and writes answers in order; http_server.py accepts. eventlet.wsgi is gone from the callers' port.

--- a/features/connection_ends.feature
+++ b/features/connection_ends.feature
@@ -62,9 +62,9 @@
   # Guards against a process that ends before the last bytes of a response are written.
   Scenario: A request is active until the last bytes of its response are written
     Given a gateway without a configuration and a caller's request
-    When the WSGI server has read the whole response
+    When the HTTP server has read the whole response
     Then the request is active
-    When the WSGI server has written the last bytes
+    When the HTTP server has written the last bytes
     Then the request is not active
 
   # Guards against a 500 for a caller that half-closed its connection, which counts as leaving.
--- a/features/steps/connection_end_steps.py
+++ b/features/steps/connection_end_steps.py
@@ -6,10 +6,8 @@
 import socket
 import struct
 import time
-from collections.abc import Callable
 from dataclasses import replace
 from types import SimpleNamespace
-from typing import Any
 from urllib.request import urlopen
 
 import eventlet
@@ -23,8 +21,14 @@
 from features.support.processes import wait_until
 from yarrowwall.addresses import split_address
 from yarrowwall.decisions import DecisionLog
+from yarrowwall.gateway.caller_connection import (
+    CallerConnection,
+    CallerRequest,
+    CurrentCallerLimits,
+)
 from yarrowwall.gateway.gateway import Gateway
-from yarrowwall.gateway.http_server import PROTOCOL_KEY, CurrentCallerLimits, serve
+from yarrowwall.gateway.http_server import serve
+from yarrowwall.model import RequestHead
 from yarrowwall.platform.callers import PlatformCallers
 from yarrowwall.policy.freshness import Freshness
 from yarrowwall.policy.memory_budget import MemoryBounds, MemoryBudget
@@ -240,22 +244,17 @@
     )
     context.gateway = Gateway(components)
     context.gateway.note_initial_load()
-    caller, _ = green_socket.socketpair()
-    context.environ = {
-        "REQUEST_METHOD": "GET",
-        "RAW_PATH_INFO": "/records/x",
-        "PATH_INFO": "/records/x",
-        "HTTP_HOST": HOST,
-        "HTTP_X_ATTEMPT_ID": "attempt-1",
-        "headers_raw": (("Host", HOST), ("X-Attempt-Id", "attempt-1")),
-        "eventlet.input": SimpleNamespace(get_socket=lambda: caller),
-        PROTOCOL_KEY: SimpleNamespace(wfile=SimpleNamespace(failure=None), close_connection=0),
-    }
-
-
-@when("the WSGI server has read the whole response")
+    near, context.caller = green_socket.socketpair()
+    headers = (("Host", HOST), ("X-Attempt-Id", "attempt-1"))
+    head = RequestHead("GET", "/records/x", "1.1", headers, None, False, True)
+    connection = CallerConnection(near, CurrentCallerLimits(), log)
+    connection.parser.feed(f"GET /records/x HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode())
+    context.request = CallerRequest(connection, head)
+
+
+@when("the HTTP server has read the whole response")
 def response_read(context: Context) -> None:
-    context.body = context.gateway(context.environ, lambda status, headers: None)
+    context.body = context.gateway(context.request)
     assert b"".join(context.body)
 
 
@@ -264,7 +263,7 @@
     assert context.gateway.active_count == 1
 
 
-@when("the WSGI server has written the last bytes")
+@when("the HTTP server has written the last bytes")
 def response_written(context: Context) -> None:
     context.body.close()
 
@@ -325,8 +324,8 @@
 
 @given("a server for callers that times out idle connections and heads after {limit:d} ms")
 def server_with_timeouts(context: Context, limit: int) -> None:
-    def answer(environ: dict[str, Any], start_response: Callable[..., Any]) -> list[bytes]:
-        start_response("200 OK", [("Content-Length", "0")])
+    def answer(request: CallerRequest) -> list[bytes]:
+        request.start_response(200, [("Content-Length", "0")])
         return [b""]
 
     limits = CurrentCallerLimits()
--- a/features/steps/spent_budget_steps.py
+++ b/features/steps/spent_budget_steps.py
@@ -17,6 +17,7 @@
 from yarrowwall.decisions import Decision
 from yarrowwall.event_stream import Event
 from yarrowwall.exceptions import BudgetExhaustedError, CallerDisconnectedError, StoreUncertainError
+from yarrowwall.gateway.caller_connection import CallerRequest
 from yarrowwall.gateway.exchange import Exchange
 from yarrowwall.messages.replicated import GroupView, Member, StoredRecord
 from yarrowwall.model import Attempt, ProgramContext, RequestKind, Route
@@ -247,7 +248,7 @@
     gateway.components.dispatch.loads.request_loads.return_value.wait.side_effect = (
         CallerDisconnectedError("left")
     )
-    exchange = Exchange(gateway, {"eventlet.input": Mock()}, Mock())
+    exchange = Exchange(gateway, Mock(spec=CallerRequest))
     try:
         list(exchange._relay_stream(attempt, ROUTE, RequestTime(now_s, now_s + 9.0, 5.0)))
     except CallerDisconnectedError:
--- /dev/null
+++ b/yarrowwall/gateway/caller_connection.py
@@ -0,0 +1,338 @@
+"""Connections of callers: requests are read and answered one after the other."""
+
+import socket
+import time
+from collections.abc import Callable, Iterable, Sequence
+from email.utils import formatdate
+from http import HTTPStatus
+
+import eventlet
+
+from yarrowwall import decisions
+from yarrowwall.decisions import DecisionLog
+from yarrowwall.exceptions import CallerDisconnectedError
+from yarrowwall.gateway.connection_ends import ConnectionEnd, ConnectionEndReason
+from yarrowwall.gateway.request_parser import MalformedRequestError, RequestParser
+from yarrowwall.model import CallerLimits, Header, RequestHead
+from yarrowwall.sockets import receive, send_some
+
+#: Write timeout for buffered responses: a caller that reads nothing for so long is disconnected.
+WRITE_TIMEOUT_SECONDS = 10.0
+#: Seconds after which some servers, as they document, cut off a response that is not read.
+SERVER_WRITE_TIMEOUT_SECONDS = 4.0
+#: Write timeout for streams, half of the servers' limit: what the caller does not read stays
+#: unread at the server, and a stream that the server cuts off looks like a failed server.
+STREAM_WRITE_TIMEOUT_SECONDS = 0.5 * SERVER_WRITE_TIMEOUT_SECONDS
+#: Seconds for which a connection that is closed before its request was read takes further bytes.
+#: Closing it at once would reset it, and the caller might lose the response.
+LINGER_SECONDS = 1.0
+#: Bytes that are read at a time.
+_READ_BYTES = 8 * 1024
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class BodyTimeoutError(CallerDisconnectedError):
+    """A body did not arrive in time."""
+
+
+class CurrentCallerLimits:
+    """Holds the current limits, which connections read again for each request."""
+
+    def __init__(self) -> None:
+        self.current = CallerLimits()
+
+
+class CallerRequest:
+    """One request, whose body is read on demand, and its response.
+
+    :param head: the head of the request.
+    :ivar failure: why writing the response failed; None if no write failed.
+    """
+
+    def __init__(self, connection: "CallerConnection", head: RequestHead) -> None:
+        self._connection = connection
+        self.head = head
+        self.failure: ConnectionEnd | None = None
+        self._response_head: bytes | None = None
+        self._is_head_sent = False
+        self._is_chunked = False
+        self._is_bodyless = False
+        self._is_continue_due = head.version != "1.0" and any(
+            value.lower() == "100-continue" for value in head.values("expect")
+        )
+
+    @property
+    def socket(self) -> socket.socket:
+        """Return the caller's socket."""
+        return self._connection.socket
+
+    @property
+    def has_started_response(self) -> bool:
+        """Return whether the head of the response was written."""
+        return self._is_head_sent
+
+    # The request
+
+    def read_body_piece(self, end_s: float) -> bytes:
+        """Return the next bytes of the body; empty at its end.
+
+        :param end_s: when the body must have arrived, on the monotonic clock.
+        :raises MalformedRequestError: if its framing is invalid.
+        :raises BodyTimeoutError: if nothing arrives in time.
+        :raises CallerDisconnectedError: if the connection fails or ends before the body does.
+        """
+        while (piece := self._connection.parser.body_piece()) is None:
+            try:
+                if self._is_continue_due:
+                    self._is_continue_due = False
+                    self._write(_CONTINUE)
+                data = self._connection.receive(end_s)
+            except TimeoutError as error:
+                raise BodyTimeoutError("the body did not arrive in time") from error
+            except OSError as error:
+                raise CallerDisconnectedError("the body did not arrive") from error
+            if not data:
+                raise CallerDisconnectedError("the body ended early")
+            self._connection.parser.feed(data)
+        # A caller that has sent part of the body does not wait.
+        self._is_continue_due = False
+        return piece
+
+    def skip_rest(self, limits: CallerLimits) -> bool:
+        """Read and drop the rest of the body; return False if the connection cannot be kept."""
+        if self._is_continue_due:
+            # The caller may send the body or not.
+            return False
+        skipped, end_s = 0, time.monotonic() + limits.header_seconds
+        try:
+            while piece := self.read_body_piece(end_s):
+                skipped += len(piece)
+                if skipped > limits.body_bytes:
+                    return False
+        except (CallerDisconnectedError, MalformedRequestError):
+            # The response is complete; only the connection cannot be used further.
+            return False
+        return True
+
+    # The response
+
+    def close_after_answer(self) -> None:
+        """Send ``Connection: close`` with the response, and close the connection after it."""
+        self._connection.must_close = True
+
+    def set_stream_write_timeout(self) -> None:
+        """Set the write timeout for streams."""
+        self.socket.settimeout(STREAM_WRITE_TIMEOUT_SECONDS)
+
+    def start_response(self, status: int, headers: Sequence[Header]) -> None:
+        """Set the head of the response, which is written with its first bytes."""
+        self._is_bodyless = status in (204, 304) or self.head.method == "HEAD"
+        names = {name.lower() for name, _ in headers}
+        lines = [f"HTTP/1.1 {status} {_reason_phrase(status)}"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        if "date" not in names:
+            lines.append(f"Date: {formatdate(usegmt=True)}")
+        if "content-length" not in names and not self._is_bodyless:
+            self._is_chunked = self.head.version == "1.1"
+            if self._is_chunked:
+                lines.append("Transfer-Encoding: chunked")
+            else:
+                self._connection.must_close = True
+        if not self.head.keeps_alive:
+            self._connection.must_close = True
+        if self._connection.must_close:
+            lines.append("Connection: close")
+        elif self.head.version == "1.0":
+            lines.append("Connection: keep-alive")
+        self._response_head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+    def write(self, data: bytes) -> None:
+        """Write bytes of the response's body.
+
+        :raises CallerDisconnectedError: if the caller disconnects.
+        :raises OSError: if the connection fails.
+        """
+        if self._is_bodyless:
+            data = b""
+        if data and self._is_chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        if not self._is_head_sent:
+            self._is_head_sent = True
+            data = (self._response_head or b"") + data
+        if data:
+            self._write(data)
+
+    def finish_response(self) -> None:
+        """Write the end of the response."""
+        self.write(b"")
+        if self._is_chunked and not self._is_bodyless:
+            self._write(b"0\r\n\r\n")
+
+    def _write(self, data: bytes) -> None:
+        try:
+            rest = memoryview(data)
+            while rest:
+                rest = rest[send_some(self.socket, rest) :]
+        except TimeoutError:
+            self.failure = ConnectionEnd(ConnectionEndReason.NOT_TAKEN)
+            raise
+        except OSError as error:
+            self.failure = ConnectionEnd(ConnectionEndReason.WRITE_FAILED, str(error))
+            raise
+        except CallerDisconnectedError:
+            self.failure = ConnectionEnd(ConnectionEndReason.LEFT_WHILE_WRITING)
+            raise
+
+
+#: Returns the pieces of the response's body. It starts the response before the first one, and may
+#: have a ``close`` method, which is called after the last one is written.
+Application = Callable[[CallerRequest], Iterable[bytes]]
+
+
+class ResponseAbortedError(Exception):
+    """Ends the connection after what was written, without completing the response."""
+
+
+class CallerConnection:
+    """One connection of a caller.
+
+    :ivar must_close: whether the connection is closed after the current response.
+    """
+
+    def __init__(
+        self, connection: socket.socket, limits: CurrentCallerLimits, log: DecisionLog
+    ) -> None:
+        self.socket = connection
+        self.parser = RequestParser(limits.current.header_bytes)
+        self.must_close = False
+        self._limits = limits
+        self._log = log
+        #: Whether the caller may still send what belongs to a request that was answered.
+        self._must_linger = False
+
+    def serve(self, application: Application) -> None:
+        """Answer requests until the connection ends, and close it."""
+        try:
+            while not self.must_close:
+                head = self._read_head()
+                if head is None:
+                    break
+                self._answer(application, CallerRequest(self, head))
+        except (OSError, CallerDisconnectedError):
+            # Logged by the request that was being answered, or the caller left between requests.
+            pass
+        finally:
+            self._close()
+
+    def receive(self, end_s: float) -> bytes:
+        """Return the next bytes; empty at an orderly close or a reset.
+
+        :param end_s: when to give up, on the monotonic clock.
+        :raises TimeoutError: if nothing arrives in time.
+        """
+        try:
+            return receive(self.socket, _READ_BYTES, max(end_s - time.monotonic(), 0.0))
+        except ConnectionError:
+            # A reset ends the request like an orderly close.
+            return b""
+
+    def _read_head(self) -> RequestHead | None:
+        """Return the head of the next request; None if there is none."""
+        limits = self._limits.current
+        self.parser.max_head_bytes = limits.header_bytes
+        if self.parser.is_idle:
+            try:
+                data = self.receive(time.monotonic() + limits.idle_seconds)
+            except TimeoutError:
+                return None
+            if not data:
+                return None
+            self.parser.feed(data)
+        started_s = time.monotonic()
+        try:
+            while (head := self.parser.head()) is None:
+                data = self.receive(started_s + limits.header_seconds)
+                if not data:
+                    if not self.parser.is_idle:
+                        self._log_refused(ConnectionEndReason.HEAD_REFUSED, started_s)
+                    return None
+                self.parser.feed(data)
+        except TimeoutError:
+            self._log_refused(ConnectionEndReason.HEAD_LATE, started_s)
+            return None
+        except MalformedRequestError as error:
+            self._log_refused(ConnectionEndReason.HEAD_REFUSED, started_s, str(error))
+            self._refuse(error)
+            return None
+        return head
+
+    def _log_refused(self, reason: ConnectionEndReason, started_s: float, detail: str = "") -> None:
+        elapsed_s = time.monotonic() - started_s
+        self._log.write(decisions.ConnectionEnded("", reason, elapsed_s, 0, detail))
+
+    def _refuse(self, error: MalformedRequestError) -> None:
+        """Answer a request whose head is refused, whatever its method."""
+        self.must_close = self._must_linger = True
+        self.socket.settimeout(WRITE_TIMEOUT_SECONDS)
+        head = RequestHead("", "", "1.1", (), None, is_chunked=False, keeps_alive=False)
+        body = f"{error}\n".encode()
+        refusal = CallerRequest(self, head)
+        refusal.start_response(
+            error.status,
+            [("Content-Type", "text/plain"), ("Content-Length", str(len(body)))],
+        )
+        refusal.write(body)
+
+    def _answer(self, application: Application, request: CallerRequest) -> None:
+        """Answer one request."""
+        self.socket.settimeout(WRITE_TIMEOUT_SECONDS)
+        body = application(request)
+        try:
+            for data in body:
+                if data:
+                    request.write(data)
+            request.finish_response()
+        except ResponseAbortedError:
+            self.must_close = True
+        except (Exception, eventlet.Timeout):
+            # The application has logged the cause.
+            self.must_close = True
+            if request.failure is None and not request.has_started_response:
+                request.start_response(HTTPStatus.INTERNAL_SERVER_ERROR, [("Content-Length", "0")])
+                request.write(b"")
+        finally:
+            close = getattr(body, "close", None)
+            if close is not None:
+                close()
+        if request.failure is None:
+            self._go_on(request)
+
+    def _go_on(self, request: CallerRequest) -> None:
+        """Skip the rest of a request, so that the next one can be read."""
+        if self.parser.finish_request():
+            return
+        if self.must_close or not request.skip_rest(self._limits.current):
+            self.must_close = self._must_linger = True
+            return
+        self.parser.finish_request()
+
+    def _close(self) -> None:
+        """Close the connection, so that the caller gets what was written."""
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+            end_s = time.monotonic() + LINGER_SECONDS
+            while self._must_linger and self.receive(end_s):
+                pass
+        except OSError:
+            # The connection has failed already, or the caller still sends.
+            pass
+        finally:
+            self.socket.close()
+
+
+def _reason_phrase(status: int) -> str:
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        # A server may use a non-standard status code.
+        return "Unknown"
--- a/yarrowwall/gateway/components.py
+++ b/yarrowwall/gateway/components.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from yarrowwall.dispatch.components import DispatchComponents
-from yarrowwall.gateway.http_server import CurrentCallerLimits
+from yarrowwall.gateway.caller_connection import CurrentCallerLimits
 from yarrowwall.policy.freshness import Freshness
 from yarrowwall.policy.program_sizes import ProgramSizes
 from yarrowwall.ports.admission import AdmissionControl
--- a/yarrowwall/gateway/exchange.py
+++ b/yarrowwall/gateway/exchange.py
@@ -2,8 +2,7 @@
 
 import contextlib
 import traceback
-from collections.abc import Callable, Generator, Iterator
-from typing import Any
+from collections.abc import Generator, Iterator
 
 import eventlet
 
@@ -11,9 +10,13 @@
 from yarrowwall.dispatch.buffered import relay_buffered
 from yarrowwall.dispatch.sender import AttemptSender, SendPlan
 from yarrowwall.exceptions import CallerDisconnectedError, InvalidAttemptError
-from yarrowwall.gateway.bodies import BodyTimeoutError, RequestBody
+from yarrowwall.gateway.bodies import RequestBody
+from yarrowwall.gateway.caller_connection import (
+    BodyTimeoutError,
+    CallerRequest,
+    ResponseAbortedError,
+)
 from yarrowwall.gateway.caller_watch import CallerWatch
-from yarrowwall.gateway.http_server import close_after_answer, end_connection
 from yarrowwall.gateway.response import Response
 from yarrowwall.gateway.routing import RouteTable
 from yarrowwall.gateway.state import GatewayState
@@ -26,19 +29,17 @@
 
 
 class Exchange:
-    """One request and its response, whose body the WSGI server iterates over."""
+    """One request and its response, whose body the HTTP server iterates over."""
 
-    def __init__(
-        self, gateway: GatewayState, environ: dict[str, Any], start_response: Callable[..., Any]
-    ) -> None:
+    def __init__(self, gateway: GatewayState, request: CallerRequest) -> None:
         self._gateway = gateway
         self._components = gateway.components
         self._log = gateway.components.dispatch.decisions
         self._now = gateway.components.dispatch.now
-        self._environ = environ
+        self._request = request
         self._request_memory = gateway.components.dispatch.memory.open_request()
         self._response = Response(
-            gateway.components, environ, start_response, lambda: gateway.should_close_connections
+            gateway.components, request, lambda: gateway.should_close_connections
         )
         self._attempt: Attempt | None = None
         self._time: RequestTime | None = None
@@ -52,7 +53,7 @@
     def close(self) -> None:
         """End the request: cancel work that still runs, and log a response that ended early.
 
-        The WSGI server calls this once, after the last write.
+        The HTTP server calls this once, after the last write.
         """
         buffered_bytes = self._request_memory.size
         try:
@@ -76,13 +77,13 @@
     def _run(self) -> Generator[bytes, None, None]:
         """Return the body of the response; closing it early cancels the request."""
         response = self._response
-        watch = CallerWatch(self._environ["eventlet.input"].get_socket())
+        watch = CallerWatch(self._request.socket)
         try:
             yield from self._answer(watch)
             response.is_complete = True
         except CallerDisconnectedError as error:
             self._log_disconnect(str(error))
-            end_connection()
+            raise ResponseAbortedError from None
         except AnswerAbortedError:
             response.is_end_logged = True
             raise
@@ -105,7 +106,7 @@
     def _answer(self, watch: CallerWatch) -> Iterator[bytes]:
         try:
             attempt = self._components.callers.read_attempt(
-                self._environ, self._response.arrived_at
+                self._request.head, self._response.arrived_at
             )
             self._response.attempt_id = attempt.attempt_id
             self._gateway.wait_for_initial_load()
@@ -140,13 +141,13 @@
         """
         limit = self._components.limits.current.body_bytes
         body = RequestBody(
-            self._environ, self._components.dispatch.memory, self._request_memory, limit
+            self._request, self._components.dispatch.memory, self._request_memory, limit
         )
         try:
-            return body.read(max(end - self._now(), 0.0))
+            return body.read(end)
         except MemoryExhaustedError as error:
             # The rest of the body stays unread, so the connection cannot be kept.
-            close_after_answer(self._environ)
+            self._request.close_after_answer()
             raise unavailable(str(error), SHORTAGE_SECONDS) from error
         except BodyTimeoutError:
             response = self._response
--- a/yarrowwall/gateway/gateway.py
+++ b/yarrowwall/gateway/gateway.py
@@ -1,8 +1,8 @@
-"""The WSGI application that answers callers."""
+"""The application that answers callers."""
 
-from collections.abc import Callable, Iterable
-from typing import Any
+from collections.abc import Iterable
 
+from yarrowwall.gateway.caller_connection import CallerRequest
 from yarrowwall.gateway.exchange import Exchange
 from yarrowwall.gateway.state import GatewayState
 
@@ -10,8 +10,6 @@
 class Gateway(GatewayState):
     """Relays callers' attempts to servers."""
 
-    def __call__(
-        self, environ: dict[str, Any], start_response: Callable[..., Any]
-    ) -> Iterable[bytes]:
+    def __call__(self, request: CallerRequest) -> Iterable[bytes]:
         """Answer one request."""
-        return Exchange(self, environ, start_response)
+        return Exchange(self, request)
--- a/yarrowwall/gateway/response.py
+++ b/yarrowwall/gateway/response.py
@@ -2,16 +2,11 @@
 
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import Any
 
 from yarrowwall import decisions
+from yarrowwall.gateway.caller_connection import CallerRequest
 from yarrowwall.gateway.components import GatewayComponents
 from yarrowwall.gateway.connection_ends import ConnectionEnd, ConnectionEndReason
-from yarrowwall.gateway.http_server import (
-    close_after_answer,
-    set_stream_write_timeout,
-    write_failure,
-)
 from yarrowwall.model import Answer
 from yarrowwall.refusals import Refusal
 
@@ -24,22 +19,20 @@
     :param should_close: returns whether to close the connection after the response, so that
         the caller reconnects to another gateway.
     :ivar attempt_id: empty until the request's head is read.
-    :ivar is_complete: whether the whole response was handed to the WSGI server.
+    :ivar is_complete: whether the whole response was handed to the HTTP server.
     :ivar is_end_logged: whether a log line says why the response is incomplete.
     """
 
     def __init__(
         self,
         components: GatewayComponents,
-        environ: dict[str, Any],
-        start_response: Callable[..., Any],
+        request: CallerRequest,
         should_close: Callable[[], bool],
     ) -> None:
         self._callers = components.callers
         self._log = components.dispatch.decisions
         self._now = components.dispatch.now
-        self._environ = environ
-        self._start_response = start_response
+        self._request = request
         self._should_close = should_close
         self._first_event_s: float | None = None
         self._has_started = False
@@ -66,7 +59,7 @@
         body = (refusal.reason + "\n").encode()
         headers = self._callers.refusal_headers(self.attempt_id, refusal)
         if refusal.status in (HTTPStatus.BAD_REQUEST, HTTPStatus.REQUEST_ENTITY_TOO_LARGE):
-            close_after_answer(self._environ)
+            self._request.close_after_answer()
         self._start(refusal.status, [*headers, _PLAIN_TEXT, ("Content-Length", str(len(body)))])
         return body
 
@@ -81,7 +74,7 @@
         """Start a streamed response; called once its first event or its end has arrived."""
         self._first_event_s = self.elapsed_s
         self._start(HTTPStatus.OK, self._callers.answer_headers(answer))
-        set_stream_write_timeout(self._environ)
+        self._request.set_stream_write_timeout()
 
     def note_output(self, events: int) -> None:
         """Note that events are handed over to be written."""
@@ -129,24 +122,15 @@
 
     def _connection_end(self) -> ConnectionEnd | None:
         """Return why the response is incomplete; None if it is complete."""
-        failure = write_failure(self._environ)
-        if failure is not None:
-            return failure
+        if self._request.failure is not None:
+            return self._request.failure
         if not self._has_started:
             return ConnectionEnd(ConnectionEndReason.NOT_BEGUN)
         return None if self.is_complete else ConnectionEnd(ConnectionEndReason.UNKNOWN)
 
     def _start(self, status: int, headers: list[tuple[str, str]]) -> None:
         if self._should_close():
-            close_after_answer(self._environ)
+            self._request.close_after_answer()
         self._has_started = True
         self._last_output_at = self._now()
-        self._start_response(f"{status} {_reason_phrase(status)}", headers)
-
-
-def _reason_phrase(status: int) -> str:
-    try:
-        return HTTPStatus(status).phrase
-    except ValueError:
-        # A server may use a non-standard status code.
-        return "Unknown"
+        self._request.start_response(status, headers)
--- a/yarrowwall/gateway/turn.py
+++ b/yarrowwall/gateway/turn.py
@@ -30,7 +30,7 @@
 
 
 class AnswerAbortedError(Exception):
-    """Makes the WSGI server close the connection without completing the response."""
+    """Makes the HTTP server close the connection without completing the response."""
 
 
 class Turn:
--- a/yarrowwall/machine/gateway_role.py
+++ b/yarrowwall/machine/gateway_role.py
@@ -14,9 +14,10 @@
 from yarrowwall.decisions import DecisionLog
 from yarrowwall.dispatch.components import DispatchComponents
 from yarrowwall.dispatch.pool import ConnectionPool
+from yarrowwall.gateway.caller_connection import CurrentCallerLimits
 from yarrowwall.gateway.components import GatewayComponents
 from yarrowwall.gateway.gateway import Gateway
-from yarrowwall.gateway.http_server import CurrentCallerLimits, serve
+from yarrowwall.gateway.http_server import serve
 from yarrowwall.listening import ResilientListener
 from yarrowwall.machine.gateway_followers import GatewayFollowers
 from yarrowwall.machine.listeners import EarlyListeners
--- a/yarrowwall/model.py
+++ b/yarrowwall/model.py
@@ -253,8 +253,12 @@
 
     @property
     def path(self) -> str:
-        """Return the target without its query."""
-        return self.target.partition("?")[0]
+        """Return the path of the target, as it was sent."""
+        target = self.target.partition("?")[0]
+        if target.startswith("/"):
+            return target
+        _, has_authority, rest = target.partition("://")
+        return f"/{rest.partition('/')[2]}" if has_authority else target
 
 
 @dataclass(frozen=True)
@@ -273,6 +277,33 @@
     last_event_id: str | None
 
 
+class RequestHead(NamedTuple):
+    """The head of a caller's request.
+
+    :param target: the request target as it was sent.
+    :param headers: all headers as they were sent, in order.
+    :param content_length: the stated length of the body in bytes; None if it states none.
+    :param keeps_alive: whether the caller may send further requests over the connection.
+    """
+
+    method: str
+    target: str
+    version: str
+    headers: tuple[Header, ...]
+    content_length: int | None
+    is_chunked: bool
+    keeps_alive: bool
+
+    @property
+    def has_body(self) -> bool:
+        """Return whether body bytes may follow."""
+        return self.is_chunked or bool(self.content_length)
+
+    def values(self, name: str) -> list[str]:
+        """Return the values of all headers with a name, given in lower case."""
+        return [value for found, value in self.headers if found.lower() == name]
+
+
 @dataclass(frozen=True)
 class ResponseHead:
     """Status and headers of a response, as received."""
--- a/yarrowwall/platform/callers.py
+++ b/yarrowwall/platform/callers.py
@@ -2,10 +2,16 @@
 
 from functools import lru_cache
 from http.cookies import CookieError, SimpleCookie
-from typing import Any
 
 from yarrowwall.exceptions import InvalidAttemptError
-from yarrowwall.model import Answer, Attempt, Header, ProgramContext, PromptPart
+from yarrowwall.model import (
+    Answer,
+    Attempt,
+    Header,
+    ProgramContext,
+    PromptPart,
+    RequestHead,
+)
 from yarrowwall.platform import names
 from yarrowwall.refusals import Refusal
 
@@ -17,7 +23,6 @@
 _DROPPED_FROM_REQUESTS = {
     "connection",
     "keep-alive",
-    "proxy-connection",
     "te",
     "trailer",
     "transfer-encoding",
@@ -27,6 +32,8 @@
     "content-length",
     *(name.lower() for name in names.STRIPPED_HEADERS),
 }
+#: Begins the names of headers for the next proxy alone.
+_PROXY_PREFIX = "proxy-"
 _DROPPED_FROM_ANSWERS = {
     "connection",
     "keep-alive",
@@ -42,28 +49,24 @@
 class PlatformCallers:
     """Translates between the clients' requests and attempts."""
 
-    def read_attempt(self, environ: dict[str, Any], now: float) -> Attempt:
+    def read_attempt(self, head: RequestHead, now: float) -> Attempt:
         """Return the attempt of a request, without its body.
 
-        :param environ: the request's WSGI environment.
         :param now: when the request arrived, on the monotonic clock.
         :raises InvalidAttemptError: if the request is malformed.
         """
-        headers = environ["headers_raw"]
+        headers = head.headers
         lowered = [(name.lower(), value) for name, value in headers]
         values = dict(lowered)
         attempt_id = values.get(names.ATTEMPT_ID.lower(), "")
         if not attempt_id:
             raise InvalidAttemptError(f"{names.ATTEMPT_ID} is missing")
-        target = environ["RAW_PATH_INFO"]
-        if environ.get("QUERY_STRING") is not None:
-            target += "?" + environ["QUERY_STRING"]
         return Attempt(
             attempt_id=attempt_id,
-            method=environ["REQUEST_METHOD"],
-            target=target,
-            host=values.get("host", ""),
-            headers=_forwarded_headers(headers, values.get("connection", "")),
+            method=head.method,
+            target=head.target,
+            host=_authority(head.target) or values.get("host", ""),
+            headers=_forwarded_headers(headers, head.values("connection")),
             body=b"",
             arrived_at=now,
             deadline=now + _deadline(values.get(names.DEADLINE.lower())),
@@ -91,10 +94,26 @@
         return headers
 
 
-def _forwarded_headers(headers: tuple[Header, ...], connection: str) -> list[Header]:
-    hop_by_hop = {_canonical(name) for name in connection.split(",")} if connection else ()
-    dropped = _DROPPED_FROM_REQUESTS.union(hop_by_hop) if hop_by_hop else _DROPPED_FROM_REQUESTS
-    return [(name, value) for name, value in headers if _canonical(name) not in dropped]
+def _authority(target: str) -> str:
+    """Return the host and port of a target in absolute form, which counts in place of ``Host``."""
+    if target.startswith("/"):
+        return ""
+    return target.partition("://")[2].partition("/")[0].partition("?")[0]
+
+
+def _forwarded_headers(headers: tuple[Header, ...], connection: list[str]) -> list[Header]:
+    """Return the headers that are sent to servers.
+
+    :param connection: values of ``Connection``, which name headers of this connection alone.
+    """
+    hop_by_hop = {_canonical(name) for value in connection for name in value.split(",")}
+    dropped = _DROPPED_FROM_REQUESTS | hop_by_hop if hop_by_hop else _DROPPED_FROM_REQUESTS
+    return [(name, value) for name, value in headers if not _is_dropped(name, dropped)]
+
+
+def _is_dropped(name: str, dropped: set[str]) -> bool:
+    canonical = _canonical(name)
+    return canonical in dropped or canonical.startswith(_PROXY_PREFIX)
 
 
 @lru_cache(MAX_CACHED_NAMES)
--- a/yarrowwall/ports/platform.py
+++ b/yarrowwall/ports/platform.py
@@ -10,6 +10,7 @@
     Configuration,
     Header,
     Incarnation,
+    RequestHead,
     ResponseHead,
     Send,
     Server,
@@ -21,10 +22,9 @@
 class CallerProtocol(Protocol):
     """Translates between callers' requests and attempts."""
 
-    def read_attempt(self, environ: dict[str, Any], now: float) -> Attempt:
+    def read_attempt(self, head: RequestHead, now: float) -> Attempt:
         """Return the attempt of a request, without its body.
 
-        :param environ: the request's WSGI environment.
         :param now: when the request arrived, on the monotonic clock.
         :raises InvalidAttemptError: if the request is malformed.
         """
