Answers of servers whose end is uncertain are refused with 502

Callers saw: 500 for an answer with status 101 (the parser's HttpParserUpgrade was not caught), an informational answer in place of the answer itself, a body up to the end of the connection for a coding other than chunked, and any length of head was taken. Now informational answers are skipped; other codings, other versions, a status below 100 or 101, and a head over 64 KB end in 502, and the connection is not used again.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -45,3 +45,9 @@
     Given a gateway and a server that notes all bytes it gets
     When a request has headers of its connection and two Connection headers that name others
     Then the server gets none of them, and each of the other headers as it was sent
+
+  # Guards against answers that are read in two ways, and reach another caller in whole or in part.
+  @platform_world
+  Scenario: Each answer of a server is relayed whole or refused with 502
+    Given a gateway and a server that notes all bytes it gets
+    Then each of the listed answers reaches its caller as listed
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -5,6 +5,7 @@
 from hypothesis import given as for_all
 from hypothesis import settings
 
+from features.support.answer_cases import ANSWER_CASES
 from features.support.platform_scripts import publish, world
 from features.support.raw_exchange import RawClient, RawServer
 from features.support.request_cases import Case, Ran, cases, head
@@ -170,3 +171,25 @@
     lines = found.decode("latin-1").split("\r\n")
     assert not set(DROPPED_LINES) & set(lines), lines
     assert [line for line in lines if line in KEPT_LINES] == KEPT_LINES, lines
+
+
+# Answers
+
+
+@then("each of the listed answers reaches its caller as listed")
+def answers_hold(context: Context) -> None:
+    targets = [f"/records/answer-{number}" for number in range(len(ANSWER_CASES))]
+    context.server.answers = {
+        target: (case.sent, case.ends) for target, case in zip(targets, ANSWER_CASES, strict=True)
+    }
+    faults = []
+    for target, case in zip(targets, ANSWER_CASES, strict=True):
+        client = RawClient(world(context))
+        client.send([head(start=f"POST {target} HTTP/1.1"), PROBE], PAUSE_S)
+        client.statuses(2)
+        found = client.answers
+        client.close()
+        is_right = [status for status, _ in found] == [case.status, 200]
+        if not is_right or case.body not in (None, found[0][1]) or found[1][1] != b"/records/probe":
+            faults.append(f"{case.name}: {found}")
+    assert not faults, "\n".join([f"{len(faults)} answers:", *faults])
--- a/yarrowwall/dispatch/connection.py
+++ b/yarrowwall/dispatch/connection.py
@@ -9,6 +9,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from http import HTTPStatus
 
 import httptools
 
@@ -26,12 +27,19 @@
 #: Size of the kernel's receive buffer. By default it grows to 6 MB, which counts towards the
 #: machine's memory; 256 KB in 40 ms, a round trip between regions, allow 50 Mbit/s.
 _RECEIVE_BUFFER_BYTES = 256 * 1024
+#: Largest head of an answer, with the informational answers before it.
+MAX_HEAD_BYTES = 64 * 1024
+_VERSIONS = ("1.0", "1.1")
 
 
 class _Response:
-    """The part of a response that has arrived."""
+    """The part of a response that has arrived.
+
+    :ivar is_refused: whether its head leaves open where its body ends.
+    """
 
     def __init__(self) -> None:
+        self.is_refused = False
         self.headers: list[Header] = []
         self.head: ResponseHead | None = None
         self.chunks: deque[bytes] = deque()
@@ -47,10 +55,10 @@
         self._parser = httptools.HttpResponseParser(self)
 
     def feed(self, data: bytes) -> None:
-        """Parse bytes; invalid HTTP marks the connection as malformed."""
+        """Parse bytes; invalid HTTP, or another protocol, marks the connection as malformed."""
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.is_malformed = True
 
     def on_message_begin(self) -> None:
@@ -64,6 +72,13 @@
         response = self.responses[-1]
         status = self._parser.get_status_code()
         response.head = ResponseHead(status, tuple(response.headers))
+        is_known = self._parser.get_http_version() in _VERSIONS
+        response.is_refused = not is_known or not _is_framing_known(response.head)
+
+    def skip_informational(self) -> None:
+        """Drop informational answers, which precede the answer itself."""
+        while self.responses and _is_informational(self.responses[0]):
+            self.responses.popleft()
 
     def on_body(self, body: bytes) -> None:
         self.responses[-1].chunks.append(body)
@@ -72,6 +87,22 @@
         self.responses[-1].is_complete = True
 
 
+def _is_informational(response: _Response) -> bool:
+    head = response.head
+    return head is not None and head.status < HTTPStatus.OK and not response.is_refused
+
+
+def _is_framing_known(head: ResponseHead) -> bool:
+    """Return whether the end of an answer's body is certain.
+
+    The parser has checked lengths, and refuses one beside a transfer coding.
+    """
+    if head.status < HTTPStatus.CONTINUE or head.status == HTTPStatus.SWITCHING_PROTOCOLS:
+        return False
+    codings = [value for name, value in head.headers if name.lower() == "transfer-encoding"]
+    return not codings or [coding.strip().lower() for coding in codings] == ["chunked"]
+
+
 class ServerConnection:
     """A connection to one server.
 
@@ -116,11 +147,19 @@
         :raises ConnectionBrokenError: if the connection ends first.
         :raises MalformedAnswerError: if the bytes are not an HTTP response.
         """
-        responses = self._reader.responses
+        responses, received = self._reader.responses, 0
+        self._reader.skip_informational()
         while not responses or responses[0].head is None:
-            if not self._receive(timeout):
+            size = self._receive(timeout)
+            if not size:
                 raise ConnectionBrokenError("closed before the answer")
+            received += size
+            self._reader.skip_informational()
+            if received > MAX_HEAD_BYTES and (not responses or responses[0].head is None):
+                raise MalformedAnswerError(f"the head exceeds {MAX_HEAD_BYTES} bytes")
         head = responses[0].head
+        if responses[0].is_refused:
+            raise MalformedAnswerError("the end of the answer is uncertain")
         names = {name.lower(): value for name, value in head.headers}
         framed = "content-length" in names or "transfer-encoding" in names
         self._ends_with_connection = not framed and not responses[0].is_complete
@@ -167,8 +206,8 @@
         """Drop the current response, which was read to its end."""
         self._reader.responses.popleft()
 
-    def _receive(self, timeout: float) -> bool:
-        """Read and parse the next bytes; return False at the end of the connection."""
+    def _receive(self, timeout: float) -> int:
+        """Read and parse the next bytes; return their number, 0 at the end of the connection."""
         if self._reader.is_malformed:
             raise MalformedAnswerError("bytes that are no answer")
         try:
@@ -179,7 +218,7 @@
             raise ConnectionBrokenError(str(error)) from error
         if data:
             self._reader.feed(data)
-        return bool(data)
+        return len(data)
 
     @property
     def is_reusable(self) -> bool:
