Limits of requests hold from the next request on, also on open connections

The first version of the strict parser read max_header_bytes and header_timeout_ms as it began to wait for a request, so a change held from the one after on. They are read as its first byte comes. "A limit on max_header_bytes holds on open connections from the next request on" and "A head that comes byte by byte is ended after header_timeout_ms in all" failed before; the same for max_body_bytes.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -46,6 +46,27 @@
     When a request has headers of its connection and two Connection headers that name others
     Then the server gets none of them, and each of the other headers as it was sent
 
+  # Guards against limits that hold for connections opened later only, or not at all.
+  @platform_world
+  Scenario Outline: A limit on <limit> holds on open connections from the next request on
+    Given a gateway and a server that notes all bytes it gets
+    When a caller keeps a connection and "<limit>" becomes <value>
+    Then its next request with a <part> of <size> bytes is answered <status>
+    When another caller keeps a connection and "<limit>" becomes <raised>
+    Then its next request with a <part> of <size> bytes is answered 200
+
+    Examples:
+      | limit            | value | raised | part | size  | status |
+      | max_header_bytes | 2000  | 40000  | head | 3000  | 431    |
+      | max_body_bytes   | 100   | 1000   | body | 101   | 413    |
+
+  # Guards against heads that come byte by byte and hold a connection for as long as they like.
+  @platform_world
+  Scenario: A head that comes byte by byte is ended after header_timeout_ms in all
+    Given a gateway and a server that notes all bytes it gets
+    When a caller keeps a connection and "header_timeout_ms" becomes 400
+    Then a head that comes byte by byte, one each 50 ms, ends its connection within 1000 ms
+
   # Guards against answers that are read in two ways, and reach another caller in whole or in part.
   @platform_world
   Scenario: Each answer of a server is relayed whole or refused with 502
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -1,5 +1,7 @@
 """Steps about callers' requests as bytes."""
 
+import time
+
 from behave import given, then, when
 from behave.runner import Context
 from hypothesis import given as for_all
@@ -173,6 +175,38 @@
     assert [line for line in lines if line in KEPT_LINES] == KEPT_LINES, lines
 
 
+# Limits
+
+
+@when('a caller keeps a connection and "{limit}" becomes {value:d}')
+@when('another caller keeps a connection and "{limit}" becomes {value:d}')
+def limit_changes(context: Context, limit: str, value: int) -> None:
+    context.client = RawClient(world(context))
+    context.add_cleanup(context.client.close)
+    context.client.send([PROBE], PAUSE_S)
+    assert context.client.statuses(1) == [200]
+    world(context).limits[limit] = value
+    publish(context)
+
+
+@then("its next request with a {part} of {size:d} bytes is answered {status:d}")
+def limited(context: Context, part: str, size: int, status: int) -> None:
+    lines = ["A: " + "b" * size] if part == "head" else [f"Content-Length: {size}"]
+    context.client.send([head(*lines) + (b"a" * size if part == "body" else b"")], PAUSE_S)
+    assert context.client.statuses(2)[1:] == [status], context.client.answers
+
+
+@then(
+    "a head that comes byte by byte, one each {pause:d} ms, ends its connection within {limit:d} ms"
+)
+def slow_head(context: Context, pause: int, limit: int) -> None:
+    started_s = time.monotonic()
+    pieces = [PROBE[at : at + 1] for at in range(len(PROBE))]
+    context.client.send(pieces, pause / 1000.0)
+    assert context.client.is_closed
+    assert time.monotonic() - started_s < limit / 1000.0
+
+
 # Answers
 
 
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -482,6 +482,8 @@
         self.service_of: dict[str, str] = {}
         self._server_count = 0
         self.routes: list[dict[str, Any]] = []
+        #: The limits of the configuration for callers.
+        self.limits = {"idle_timeout_ms": 15000, "max_body_bytes": 65536, "header_timeout_ms": 3000}
         #: The tenants of the configuration; None if it has none.
         self.tenants: list[dict[str, Any]] | None = None
         self.version = 1
@@ -527,8 +529,7 @@
         engine = {"slots": 16, "kv_capacity": 500_000, "chunk_tokens": 10}
         names = {route["service"] for route in self.routes}
         services = [{"name": name, "max_conns": 100, "engine": engine} for name in sorted(names)]
-        limits = {"idle_timeout_ms": 15000, "max_body_bytes": 65536, "header_timeout_ms": 3000}
-        spec: dict[str, Any] = {"routes": self.routes, "services": services, "limits": limits}
+        spec: dict[str, Any] = {"routes": self.routes, "services": services, "limits": self.limits}
         if self.tenants is not None:
             spec["tenants"] = self.tenants
         self.store.put("config", "main", {"version": self.version, **spec})
--- a/features/support/raw_exchange.py
+++ b/features/support/raw_exchange.py
@@ -132,6 +132,8 @@
         for number, piece in enumerate(pieces):
             if number:
                 self._read(self._answers.complete + 1, pause_s)
+            if self.is_closed:
+                return
             try:
                 self._socket.sendall(piece)
             except ConnectionError:
--- a/yarrowwall/gateway/caller_connection.py
+++ b/yarrowwall/gateway/caller_connection.py
@@ -238,17 +238,18 @@
 
     def _read_head(self) -> RequestHead | None:
         """Return the head of the next request; None if there is none."""
-        limits = self._limits.current
-        self.parser.max_head_bytes = limits.header_bytes
+        data = b""
         if self.parser.is_idle:
             try:
-                data = self.receive(time.monotonic() + limits.idle_seconds)
+                data = self.receive(time.monotonic() + self._limits.current.idle_seconds)
             except TimeoutError:
                 return None
             if not data:
                 return None
-            self.parser.feed(data)
-        started_s = time.monotonic()
+        # The limits may have changed while the connection was idle.
+        limits, started_s = self._limits.current, time.monotonic()
+        self.parser.max_head_bytes = limits.header_bytes
+        self.parser.feed(data)
         try:
             while (head := self.parser.head()) is None:
                 data = self.receive(started_s + limits.header_seconds)
