--- a/yarrowwall/gateway/caller_connection.py
+++ b/yarrowwall/gateway/caller_connection.py
@@ -35,6 +35,10 @@
     """A body did not arrive in time."""
 
 
+class ResponseAbortedError(Exception):
+    """Ends the connection after what was written, without completing the response."""
+
+
 class CurrentCallerLimits:
     """Holds the current limits, which connections read again for each request."""
 
@@ -55,7 +59,7 @@
         self.failure: ConnectionEnd | None = None
         self._response_head: bytes | None = None
         self._is_head_sent = False
-        self._is_chunked = False
+        self._writes_chunks = False
         self._is_bodyless = False
         self._is_continue_due = head.version != "1.0" and any(
             value.lower() == "100-continue" for value in head.values("expect")
@@ -133,8 +137,8 @@
         if "date" not in names:
             lines.append(f"Date: {formatdate(usegmt=True)}")
         if "content-length" not in names and not self._is_bodyless:
-            self._is_chunked = self.head.version == "1.1"
-            if self._is_chunked:
+            self._writes_chunks = self.head.version == "1.1"
+            if self._writes_chunks:
                 lines.append("Transfer-Encoding: chunked")
             else:
                 self._connection.must_close = True
@@ -154,7 +158,7 @@
         """
         if self._is_bodyless:
             data = b""
-        if data and self._is_chunked:
+        if data and self._writes_chunks:
             data = b"%x\r\n%b\r\n" % (len(data), data)
         if not self._is_head_sent:
             self._is_head_sent = True
@@ -165,7 +169,7 @@
     def finish_response(self) -> None:
         """Write the end of the response."""
         self.write(b"")
-        if self._is_chunked and not self._is_bodyless:
+        if self._writes_chunks and not self._is_bodyless:
             self._write(b"0\r\n\r\n")
 
     def _write(self, data: bytes) -> None:
@@ -189,10 +193,6 @@
 Application = Callable[[CallerRequest], Iterable[bytes]]
 
 
-class ResponseAbortedError(Exception):
-    """Ends the connection after what was written, without completing the response."""
-
-
 class CallerConnection:
     """One connection of a caller.
 
@@ -306,9 +306,9 @@
             if close is not None:
                 close()
         if request.failure is None:
-            self._go_on(request)
+            self._skip_to_next(request)
 
-    def _go_on(self, request: CallerRequest) -> None:
+    def _skip_to_next(self, request: CallerRequest) -> None:
         """Skip the rest of a request, so that the next one can be read."""
         if self.parser.finish_request():
             return
--- a/yarrowwall/gateway/request_parser.py
+++ b/yarrowwall/gateway/request_parser.py
@@ -62,7 +62,6 @@
         """Parse bytes of the connection."""
         while data and self._error is None:
             data = self._feed(data)
-        self._check_unfinished_head(len(data))
 
     def _feed(self, data: bytes) -> bytes:
         """Parse bytes; return those that follow a request to upgrade, which is not answered."""
@@ -155,6 +154,7 @@
         try:
             request.head = self._checked_head(request)
         except MalformedRequestError as error:
+            # The parser would replace an exception of a callback by its own.
             request.error = error
 
     def on_body(self, data: bytes) -> None:
