--- a/features/support/request_fuzz.py
+++ b/features/support/request_fuzz.py
@@ -21,6 +21,7 @@
 _INNER = head(start=f"POST /records/{TOKEN.decode()}/inner HTTP/1.1", attempt="inner")
 _START = re.compile(rb"[\r\n]*([A-Z]+) +([^ \t\r\n\x00]+) +HTTP/(1\.[01])\r\n")
 _HEADER = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):([^\r\n\x00]*)\r\n")
+_HOST = re.compile(rb"%b(:[^:]*)?" % re.escape(HOST.encode()))
 _CHUNK = re.compile(rb"([0-9A-Fa-f]{1,16})(?:;[^\r\n]*)?\r\n")
 _MUTATED_LINES = (
     "Content-Length: 0", "Content-Length: 3", "Content-Length: 5", "Content-Length : 3",
@@ -67,11 +68,17 @@
         if at < 0:
             break
         target = start[2].decode("latin-1")
-        if (b"host", HOST.encode()) in headers and target.startswith("/records/"):
+        if _is_routed(headers) and target.startswith("/records/"):
             found.append(Ran(start[1].decode(), target, body))
     return tuple(found)
 
 
+def _is_routed(headers: list[tuple[bytes, bytes]]) -> bool:
+    """Return whether the host, without its port, has routes."""
+    hosts = [value for name, value in headers if name == b"host"]
+    return any(_HOST.fullmatch(host) for host in hosts)
+
+
 def _read_headers(data: bytes, at: int) -> tuple[list[tuple[bytes, bytes]], int]:
     """Return headers and the position after the empty line; -1 if they are invalid."""
     headers = []
