A replica drops followers whose connection has ended

Followers are kept by connection since, and one that ended was dropped only with the next notice: a gateway that reconnects again and again while no server ends left one entry each time. "A replica drops connections of followers that have ended": 20 were kept before, one now.

--- a/features/steps/suspect_steps.py
+++ b/features/steps/suspect_steps.py
@@ -82,6 +82,7 @@
     def __init__(self) -> None:
         self.replies: list[object] = []
         self.notices: list[object] = []
+        self.is_open = True
 
     def __call__(self, reply: object) -> None:
         """Collect a reply."""
@@ -230,6 +231,20 @@
         assert [len(one.ended) for one in notice.suspects] == [count], notice
 
 
+@when("a gateway follows a replica over {count:d} connections, one after the other")
+def follows_anew(context: Context, count: int) -> None:
+    context.board = SuspectBoard(lambda: 1.0)
+    for _ in range(count):
+        replier = FakeReplier()
+        context.board.handle(FollowSuspects("edge-0", []), replier)
+        replier.is_open = False
+
+
+@then("the replica keeps {count:d} connection")
+def connections_kept(context: Context, count: int) -> None:
+    assert len(context.board._followers) == count, context.board._followers
+
+
 @when("a replica starts again and a gateway that knows of them follows it")
 def replica_restarts(context: Context) -> None:
     context.board = SuspectBoard(lambda: 1.0)
--- a/features/suspects.feature
+++ b/features/suspects.feature
@@ -71,6 +71,11 @@
     When a gateway follows a replica directly and then through a neighbour, and an end is reported
     Then both connections are told of 1 ended servers
 
+  # Guards against connections that a replica keeps for ever.
+  Scenario: A replica drops connections of followers that have ended
+    When a gateway follows a replica over 20 connections, one after the other
+    Then the replica keeps 1 connection
+
   # Guards against replicas that forget ends when they start again.
   Scenario: A replica that started again learns the suspects from a gateway that follows it
     Given a request under which 2 servers have ended
--- a/yarrowwall/replication/rpc.py
+++ b/yarrowwall/replication/rpc.py
@@ -356,15 +356,20 @@
         """Return what is the same for all requests of one connection."""
         return self._channel
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether the connection has not ended."""
+        return self._channel.is_open
+
     def __call__(self, reply: object) -> None:
         """Send the reply."""
         self._channel.send(self._number, reply)
 
     def notify(self, message: object) -> bool:
         """Send a message that is no reply; return False if the connection has ended."""
-        if self._channel.is_open:
+        if self.is_open:
             self._channel.send(NO_REPLY, message)
-        return self._channel.is_open
+        return self.is_open
 
 
 #: Called with a request and a function that sends its reply.
--- a/yarrowwall/suspects/board.py
+++ b/yarrowwall/suspects/board.py
@@ -42,6 +42,7 @@
         now_s = self._now()
         match request:
             case FollowSuspects():
+                self._drop_closed()
                 self._followers[reply.connection] = reply
                 self._add(request.known, now_s)
                 reply(Suspects(self._suspects.all(now_s)))
@@ -54,6 +55,12 @@
             case ReleaseSend():
                 self._suspects.release(request.request, request.send_id)
 
+    def _drop_closed(self) -> None:
+        """Drop followers whose connection has ended."""
+        for connection, follower in list(self._followers.items()):
+            if not follower.is_open:
+                del self._followers[connection]
+
     def _add(self, suspects: list[Suspect], now_s: float) -> None:
         for suspect in self._suspects.merge(suspects, now_s):
             self._new[suspect.request] = suspect
