One rule for the codings and versions of requests and answers

The read of the whole change found the same rule twice: that Transfer-Encoding names chunked once and nothing else, and which HTTP versions are read, in request_parser.py and in dispatch/connection.py.

--- a/features/support/request_mutants.py
+++ b/features/support/request_mutants.py
@@ -78,7 +78,7 @@
 
 
 def _takes_any_version() -> AbstractContextManager[Any]:
-    return patch.object(request_parser, "_VERSIONS", ("0.9", "1.0", "1.1", "2.0"))
+    return patch.object(request_parser, "HTTP_VERSIONS", ("0.9", "1.0", "1.1", "2.0"))
 
 
 def _no_head_limit() -> AbstractContextManager[Any]:
--- a/yarrowwall/dispatch/connection.py
+++ b/yarrowwall/dispatch/connection.py
@@ -18,6 +18,7 @@
     ConnectionBrokenError,
     MalformedAnswerError,
 )
+from yarrowwall.http_framing import HTTP_VERSIONS, is_plain_chunked, transfer_codings
 from yarrowwall.model import Header, ResponseHead
 from yarrowwall.sockets import has_no_pending_input, open_socket, receive, send_all
 
@@ -29,7 +30,6 @@
 _RECEIVE_BUFFER_BYTES = 256 * 1024
 #: Largest head of an answer, with the informational answers before it.
 MAX_HEAD_BYTES = 64 * 1024
-_VERSIONS = ("1.0", "1.1")
 
 
 class _Response:
@@ -72,7 +72,7 @@
         response = self.responses[-1]
         status = self._parser.get_status_code()
         response.head = ResponseHead(status, tuple(response.headers))
-        is_known = self._parser.get_http_version() in _VERSIONS
+        is_known = self._parser.get_http_version() in HTTP_VERSIONS
         response.is_refused = not is_known or not _is_framing_known(response.head)
 
     def skip_informational(self) -> None:
@@ -99,8 +99,8 @@
     """
     if head.status < HTTPStatus.CONTINUE or head.status == HTTPStatus.SWITCHING_PROTOCOLS:
         return False
-    codings = [value for name, value in head.headers if name.lower() == "transfer-encoding"]
-    return not codings or [coding.strip().lower() for coding in codings] == ["chunked"]
+    codings = transfer_codings(head.headers)
+    return not codings or is_plain_chunked(codings)
 
 
 class ServerConnection:
--- a/yarrowwall/gateway/request_parser.py
+++ b/yarrowwall/gateway/request_parser.py
@@ -10,12 +10,12 @@
 import httptools
 
 from yarrowwall.exceptions import InvalidAttemptError
+from yarrowwall.http_framing import HTTP_VERSIONS, is_plain_chunked, transfer_codings
 from yarrowwall.model import Header, RequestHead
 
 #: Bytes of a request line beside its method and target, and of a header beside its name and value.
 _LINE_OVERHEAD_BYTES = 12
 _HEADER_OVERHEAD_BYTES = 4
-_VERSIONS = ("1.0", "1.1")
 
 
 class MalformedRequestError(InvalidAttemptError):
@@ -175,7 +175,7 @@
         if size > self.max_head_bytes:
             raise _too_long(self.max_head_bytes)
         version = self._parser.get_http_version()
-        if version not in _VERSIONS:
+        if version not in HTTP_VERSIONS:
             raise MalformedRequestError(
                 f"HTTP/{version} is not supported", HTTPStatus.HTTP_VERSION_NOT_SUPPORTED
             )
@@ -185,7 +185,7 @@
             version,
             tuple(request.headers),
             _content_length(request.headers),
-            any(name.lower() == "transfer-encoding" for name, _ in request.headers),
+            bool(transfer_codings(request.headers)),
             self._parser.should_keep_alive(),
         )
         _check_target(head)
@@ -234,8 +234,8 @@
     """Refuse bodies whose end depends on more than one header or on an unknown coding."""
     if not head.is_chunked:
         return
-    codings = head.values("transfer-encoding")
-    if [coding.strip().lower() for coding in codings] != ["chunked"]:
+    codings = transfer_codings(head.headers)
+    if not is_plain_chunked(codings):
         raise MalformedRequestError(
             f"Transfer-Encoding {', '.join(codings)} is not supported", HTTPStatus.NOT_IMPLEMENTED
         )
--- /dev/null
+++ b/yarrowwall/http_framing.py
@@ -0,0 +1,18 @@
+"""What requests and answers have in common in how their bodies end."""
+
+from collections.abc import Iterable
+
+from yarrowwall.model import Header
+
+#: HTTP versions that are read.
+HTTP_VERSIONS = ("1.0", "1.1")
+
+
+def transfer_codings(headers: Iterable[Header]) -> list[str]:
+    """Return the values of all ``Transfer-Encoding`` headers."""
+    return [value for name, value in headers if name.lower() == "transfer-encoding"]
+
+
+def is_plain_chunked(codings: Iterable[str]) -> bool:
+    """Return whether these values name ``chunked`` once and nothing else."""
+    return [coding.strip().lower() for coding in codings] == ["chunked"]
