--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -359,11 +359,13 @@
 
     # The operator
 
-    def configure(self, routes, services):
+    def configure(self, routes, services, tenants=None):
         self._version += 7
         limits = {"max_header_bytes": 16384, "max_body_bytes": 4194304}
         limits |= {"header_timeout_ms": 3000, "idle_timeout_ms": 15000}
         spec = {"version": self._version, "routes": routes, "services": services, "limits": limits}
+        if tenants is not None:
+            spec["tenants"] = tenants
         self.store.put("config", "main", spec)
 
     @staticmethod
@@ -378,8 +380,11 @@
         engine = {"slots": 16, "kv_capacity": 500_000, "chunk_tokens": CHUNK_TOKENS}
         return {"name": "llm", "max_conns": 180, "engine": engine}
 
-    def retire(self, machine, period_s=8, takes_back=False):
-        """Ask that a storage machine be emptied, and remove it with its disk once it is."""
+    def retire(self, machine, period_s=8, taken_back_after_s=None):
+        """Ask that a storage machine be emptied, and remove it with its disk once it is.
+
+        The request is taken back so many seconds after the machine is removed; never if None.
+        """
         self.record.note(f"the operator retires {machine}")
         self.store.put("retirements", machine, {"period_s": period_s}, None)
 
@@ -390,9 +395,11 @@
         self.wait(is_complete, 30.0, f"{machine} is emptied")
         self.kill(machine)
         shutil.rmtree(self.folder / machine, ignore_errors=True)
-        if takes_back:
-            self.store.remove("retirements", machine)
         self.record.note(f"{machine} is complete and removed with its disk")
+        if taken_back_after_s is not None:
+            time.sleep(taken_back_after_s)
+            self.store.remove("retirements", machine)
+            self.record.note(f"the request to retire {machine} is taken back")
 
     # Machines
 
@@ -472,7 +479,7 @@
     def connect(self, gateway, timeout=6.0):
         return http.client.HTTPConnection(self._machines[gateway][0], 8149, timeout=timeout)
 
-    def turn(self, gateway, program, body, previous="", connection=None, **more):
+    def turn(self, gateway, program, body, previous="", connection=None, path="/chat/x", **more):
         """Send a turn; return its attempt id, status, the data of its events, and wholeness."""
         attempt = self.next_attempt(program)
         headers = {"Host": HOST, "X-Attempt-Id": attempt, "X-Deadline-Ms": "3000"}
@@ -486,7 +493,7 @@
         self.record.note(f"client sends {attempt} to {gateway}, previous turn {previous or '-'}")
         status, data, is_whole = 0, [], False
         try:
-            own.request("POST", "/chat/x", body, headers)
+            own.request("POST", path, body, headers)
             response = own.getresponse()
             status = response.status
             text = b""
