--- a/review/6/case.py
+++ b/review/6/case.py
@@ -6,7 +6,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standins_2 import CannotRunError, Engine, World, run_case  # noqa: E402
+from standins_2 import CannotRunError, Engine, World, run_case
 
 FOLDER = Path(__file__).resolve().parent
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -11,7 +11,6 @@
 import re
 import shutil
 import signal
-import socket
 import subprocess
 import tempfile
 import threading
