--- a/yarrowwall/budgets/budget_requests.py
+++ b/yarrowwall/budgets/budget_requests.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
+from yarrowwall.budgets.record_names import RecordName
 from yarrowwall.budgets.stream_keys import claim_key
 from yarrowwall.model import ProgramContext
 from yarrowwall.policy.budget_parts import (
@@ -28,7 +29,7 @@
 class TokenClaim(NamedTuple):
     """The tokens that a turn claims.
 
-    :param program_id: The program's id, qualified by its tenant.
+    :param program_id: The program's name in the record store, which owns its records.
     :param program_name: The program's id as callers use it.
     :param key: Key of the turn's records, the same in all groups.
     :param tokens: The most tokens that the turn may emit.
@@ -38,7 +39,7 @@
     :param withdrawn_keys: Keys of the turn's claims that were not granted and are being settled.
     """
 
-    program_id: str
+    program_id: RecordName
     program_name: str
     attempt_id: str
     key: str
@@ -50,7 +51,7 @@
 
 
 def claim_for(
-    program_id: str,
+    program_id: RecordName,
     program: ProgramContext,
     attempt_id: str,
     retention_s: float,
--- a/yarrowwall/budgets/chain_lookup.py
+++ b/yarrowwall/budgets/chain_lookup.py
@@ -12,9 +12,10 @@
 
 from yarrowwall import decisions
 from yarrowwall.budgets.record_groups import RecordGroups
-from yarrowwall.budgets.turn_cache import TurnCache
+from yarrowwall.budgets.record_names import RecordName
+from yarrowwall.budgets.turn_cache import TurnCache, TurnLine
 from yarrowwall.budgets.turn_copier import TurnCopier
-from yarrowwall.budgets.turns import Turn, read_turn, turn_key
+from yarrowwall.budgets.turns import Turn, has_certain_owner, read_turn, turn_key
 from yarrowwall.exceptions import StoreUncertainError, TurnUnknownError
 from yarrowwall.replication.exceptions import NoQuorumError
 from yarrowwall.replication.quorum_client import OPERATION_SECONDS
@@ -43,14 +44,17 @@
     """A question for the turns that an attempt goes on from.
 
     :param previous: The newest of them.
+    :param ambiguous: The name under which an earlier release may have stored the newest turn, or
+        another tenant's one; None if there is no such name.
     :param line: The line of turns that the attempt belongs to.
     :param retention_s: Seconds for which copies of turns found in zone groups are kept.
     :param end: When the attempt's time is over, on the monotonic clock.
     """
 
     attempt_id: str
-    previous: str
-    line: str
+    previous: RecordName
+    ambiguous: RecordName | None
+    line: TurnLine
     retention_s: float
     end: float
 
@@ -102,10 +106,12 @@
         first = turns[-1].attempt_id
         return [replace(turn, first=first) if not turn.first else turn for turn in turns[::-1]]
 
-    def _fetch(self, query: ChainQuery, missing: str, known: str, is_first: bool) -> list[Turn]:
+    def _fetch(
+        self, query: ChainQuery, missing: RecordName, known: RecordName, is_first: bool
+    ) -> list[Turn]:
         """Return a turn and the earlier ones that the same group has, newest first.
 
-        :param known: A cached turn at which the chain may stop; empty for none.
+        :param known: A cached turn at which the chain may stop; ``NO_NAME`` for none.
         """
         stop = [turn_key(known)] if known and known != missing else []
         found = self._find_turns(turn_key(missing), stop, query.retention_s)
@@ -116,9 +122,29 @@
             raise StoreUncertainError(found.reason)
         self._log.write(decisions.ChainLookedUp(query.attempt_id, missing, "unknown", 0))
         if is_first:
+            self._check_ambiguous(query)
             raise TurnUnknownError(f"no turn {missing}")
         raise StoreUncertainError(f"turn {missing} of the chain is missing")
 
+    def _check_ambiguous(self, query: ChainQuery) -> None:
+        """Check that no record of an earlier release may be the previous turn.
+
+        :raises StoreUncertainError: If there is one, whose owner cannot be told.
+        """
+        if query.ambiguous is None:
+            return
+        key = turn_key(query.ambiguous)
+        for group in self._zones.common_first(self._group_of(key)):
+            try:
+                record = self._client.read_chain(
+                    group, key, [], timeout=LOOKUP_TIMEOUT_SECONDS
+                ).get(key)
+            except NoQuorumError as error:
+                raise StoreUncertainError(str(error)) from error
+            if record is not None and not has_certain_owner(record):
+                reason = f"the owner of turn {query.ambiguous} is not recorded"
+                raise StoreUncertainError(reason)
+
     def _find_turns(self, key: str, stop: list[str], retention_s: float) -> FoundTurns:
         """Look for a turn in its common group, then in the groups of all zones."""
         common_group = self._group_of(key)
--- a/yarrowwall/budgets/ledger.py
+++ b/yarrowwall/budgets/ledger.py
@@ -12,15 +12,16 @@
 from yarrowwall.budgets.ledger_grant import LedgerGrant
 from yarrowwall.budgets.open_tries import OpenTries
 from yarrowwall.budgets.record_groups import RecordGroups
+from yarrowwall.budgets.record_names import ambiguous_name, program_name, record_name
 from yarrowwall.budgets.reservations import Reservations
 from yarrowwall.budgets.settlements import SettlementQueues
 from yarrowwall.budgets.stream_keys import RESUMPTION
 from yarrowwall.budgets.stream_records import StreamRecords, stream_retention_s
-from yarrowwall.budgets.turn_cache import TurnCache
+from yarrowwall.budgets.turn_cache import TurnCache, TurnLine
 from yarrowwall.budgets.turn_copier import TurnCopier
 from yarrowwall.budgets.turn_reservations import TurnReservations
 from yarrowwall.budgets.turn_store import END_MARGIN_SECONDS, PlacedRecord, TurnStore
-from yarrowwall.budgets.turns import Turn, tenant_scoped
+from yarrowwall.budgets.turns import Turn
 from yarrowwall.budgets.zone_groups import ZoneGroups
 from yarrowwall.decisions import DecisionLog
 from yarrowwall.exceptions import BudgetExhaustedError, StoreUncertainError
@@ -164,7 +165,7 @@
         chain: Sequence[Turn] = ()
         program = attempt.program
         if route.is_stateful and program is not None:
-            self._turns.check_storable(tenant_scoped(attempt.tenant, attempt.attempt_id))
+            self._turns.check_storable(record_name(attempt.tenant, attempt.attempt_id))
             chain = self._chain(attempt, program, route, deadline())
         likely = ""
         if route.is_resumable:
@@ -194,8 +195,9 @@
             return []
         query = ChainQuery(
             attempt.attempt_id,
-            tenant_scoped(attempt.tenant, program.previous_turn),
-            tenant_scoped(attempt.tenant, f"{program.program_id}/{program.session_id}"),
+            record_name(attempt.tenant, program.previous_turn),
+            ambiguous_name(attempt.tenant, program.previous_turn),
+            TurnLine(program_name(attempt.tenant, program.program_id), program.session_id),
             route.retention_s,
             end,
         )
@@ -215,7 +217,7 @@
         :raises BudgetExhaustedError: If too few tokens of the budget are left.
         :raises StoreUncertainError: If too few groups could be asked.
         """
-        program_id = tenant_scoped(attempt.tenant, program.program_id)
+        program_id = program_name(attempt.tenant, program.program_id)
         common_group = self.group_of(program_id)
         retention_s = route.retention_s
         if software:
--- a/yarrowwall/budgets/ledger_grant.py
+++ b/yarrowwall/budgets/ledger_grant.py
@@ -4,9 +4,10 @@
 from typing import TYPE_CHECKING
 
 from yarrowwall.budgets.budget_requests import Reservation
+from yarrowwall.budgets.record_names import NO_NAME, record_name
 from yarrowwall.budgets.stream_records import StreamRecord
 from yarrowwall.budgets.turn_reservations import TurnReservations
-from yarrowwall.budgets.turns import Turn, output_of, prompt_body, tenant_scoped
+from yarrowwall.budgets.turns import Turn, output_of, prompt_body
 from yarrowwall.event_stream import Event
 from yarrowwall.model import Attempt, Route
 from yarrowwall.ports.programs import TurnGrant
@@ -85,10 +86,11 @@
         if not self._route.is_stateful or program is None:
             return
         tenant = self._attempt.tenant
-        attempt_id = tenant_scoped(tenant, self._attempt.attempt_id)
+        attempt_id = record_name(tenant, self._attempt.attempt_id)
+        previous = program.previous_turn
         turn = Turn(
             attempt_id,
-            tenant_scoped(tenant, program.previous_turn or ""),
+            record_name(tenant, previous) if previous else NO_NAME,
             self._chain[0].attempt_id if self._chain else attempt_id,
             self._attempt.body,
             output_of([*repeated, *relayed]),
--- a/yarrowwall/budgets/reservations.py
+++ b/yarrowwall/budgets/reservations.py
@@ -26,6 +26,7 @@
 )
 from yarrowwall.budgets.group_reachability import GroupReachability
 from yarrowwall.budgets.open_tries import open_claim_value
+from yarrowwall.budgets.record_names import joined
 from yarrowwall.budgets.settlements import SettlementQueues
 from yarrowwall.budgets.zone_groups import ZoneGroups
 from yarrowwall.decisions import DecisionLog
@@ -162,7 +163,7 @@
 
     def _zone_turn_record(self, claim: TokenClaim, server_id: str) -> StoredRecord:
         """Return the record for the common group of a turn that used no tokens of it."""
-        key = f"{ZONE_TURN_PREFIX}{claim.program_id}/{claim.attempt_id}"
+        key = ZONE_TURN_PREFIX + joined(claim.program_id, claim.attempt_id)
         return self._marker_record(claim, key, server_id)
 
     def _marker_record(self, claim: TokenClaim, key: str, server_id: str) -> StoredRecord:
--- a/yarrowwall/budgets/stream_records.py
+++ b/yarrowwall/budgets/stream_records.py
@@ -5,13 +5,13 @@
 from yarrowwall import decisions
 from yarrowwall.budgets.budget_requests import Reservation
 from yarrowwall.budgets.record_groups import RecordGroups
+from yarrowwall.budgets.record_names import RecordName, record_name
 from yarrowwall.budgets.stream_keys import (
     change_key,
     common_software,
     recorded_software,
     stream_owner,
 )
-from yarrowwall.budgets.turns import tenant_scoped
 from yarrowwall.decisions import StreamOrigin
 from yarrowwall.exceptions import StoreUncertainError, StreamUnknownError
 from yarrowwall.messages.replicated import StoredRecord
@@ -65,7 +65,7 @@
         if reservation is not None:
             owner, groups = reservation.claim.program_id, reservation.claimed_groups
             return StreamRecord(self, owner, attempt.attempt_id, groups, likely, retention_s)
-        owner = stream_owner(tenant_scoped(attempt.tenant, attempt.attempt_id))
+        owner = stream_owner(record_name(attempt.tenant, attempt.attempt_id))
         try:
             group = self._group_of(owner)
         except StoreUncertainError as error:
@@ -85,7 +85,7 @@
         if reservation is not None:
             owner, known = reservation.claim.program_id, reservation.others_by_group
         else:
-            resumed = tenant_scoped(attempt.tenant, attempt.resumed_attempt or "")
+            resumed = record_name(attempt.tenant, attempt.resumed_attempt or "")
             owner, known = stream_owner(resumed), {}
         software, unanswered = self._find(
             attempt.resumed_attempt, owner, self._group_of(owner), known
@@ -106,7 +106,7 @@
     def _find(
         self,
         attempt_id: str | None,
-        owner: str,
+        owner: RecordName,
         common_group: int,
         known: Mapping[int, Iterable[str]],
     ) -> tuple[str | None, list[int]]:
@@ -135,7 +135,7 @@
             return common_software(all_keys, owner), unanswered
         return None, unanswered
 
-    def _read(self, group: int, owner: str) -> Iterable[str] | None:
+    def _read(self, group: int, owner: RecordName) -> Iterable[str] | None:
         """Return the keys of an owner's records in a group; None without its answer."""
         if self._reachability.is_unreachable(group):
             return None
@@ -170,7 +170,7 @@
     def __init__(
         self,
         records: StreamRecords,
-        owner: str,
+        owner: RecordName,
         attempt_id: str,
         groups: Sequence[int],
         software: str,
--- a/yarrowwall/budgets/turn_cache.py
+++ b/yarrowwall/budgets/turn_cache.py
@@ -2,7 +2,9 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
+from typing import NamedTuple
 
+from yarrowwall.budgets.record_names import NO_NAME, RecordName
 from yarrowwall.budgets.turns import Turn
 
 #: Most bytes of turns that a gateway caches in memory.
@@ -11,6 +13,13 @@
 MAX_LINES = 10_000
 
 
+class TurnLine(NamedTuple):
+    """A line of turns that continue one another: a session of a program."""
+
+    program: RecordName
+    session_id: str
+
+
 @dataclass(slots=True)
 class _CachedTurn:
     """A turn, and until when replicas keep it with its chain, on the monotonic clock.
@@ -30,8 +39,8 @@
     def __init__(self, max_bytes: int = CACHE_BYTES) -> None:
         self._max_bytes = max_bytes
         self._bytes = 0
-        self._turns: OrderedDict[str, _CachedTurn] = OrderedDict()
-        self._newest_by_line: OrderedDict[str, str] = OrderedDict()
+        self._turns: OrderedDict[RecordName, _CachedTurn] = OrderedDict()
+        self._newest_by_line: OrderedDict[TurnLine, RecordName] = OrderedDict()
 
     def put(self, turn: Turn) -> None:
         """Add a turn as the most recently used."""
@@ -47,10 +56,10 @@
             _, oldest = self._turns.popitem(last=False)
             self._bytes -= oldest.turn.size
 
-    def chain(self, attempt_id: str) -> tuple[list[Turn], str]:
+    def chain(self, attempt_id: RecordName) -> tuple[list[Turn], RecordName]:
         """Return the cached turns up to one, newest first.
 
-        :returns: The turns, and the attempt id of the first one that is not cached; empty if the
+        :returns: The turns, and the name of the first one that is not cached; ``NO_NAME`` if the
             whole chain is cached.
         """
         found = []
@@ -63,21 +72,21 @@
             attempt_id = cached.turn.previous
         return found, attempt_id
 
-    def note_newest(self, line: str, attempt_id: str) -> None:
+    def note_newest(self, line: TurnLine, attempt_id: RecordName) -> None:
         """Note the newest turn of a line of turns."""
         self._newest_by_line[line] = attempt_id
         self._newest_by_line.move_to_end(line)
         if len(self._newest_by_line) > MAX_LINES:
             self._newest_by_line.popitem(last=False)
 
-    def newest(self, line: str) -> str:
-        """Return the newest cached turn of a line; empty if there is none."""
-        attempt_id = self._newest_by_line.get(line, "")
-        return attempt_id if attempt_id in self._turns else ""
+    def newest(self, line: TurnLine) -> RecordName:
+        """Return the newest cached turn of a line; ``NO_NAME`` if there is none."""
+        attempt_id = self._newest_by_line.get(line, NO_NAME)
+        return attempt_id if attempt_id in self._turns else NO_NAME
 
     # Until when turns are kept
 
-    def note_kept(self, attempt_id: str, until: float, in_zone: bool = False) -> None:
+    def note_kept(self, attempt_id: RecordName, until: float, in_zone: bool = False) -> None:
         """Note until when a turn is kept with its chain.
 
         :param in_zone: Whether the zone's own group keeps it, and not its common group.
@@ -90,7 +99,7 @@
         else:
             cached.kept_until = max(until, cached.kept_until)
 
-    def is_kept(self, attempt_id: str, until: float, in_zone: bool = False) -> bool:
+    def is_kept(self, attempt_id: RecordName, until: float, in_zone: bool = False) -> bool:
         """Return whether a turn is known to be kept with its chain until a time."""
         cached = self._turns.get(attempt_id)
         if cached is None:
--- a/yarrowwall/budgets/turn_copier.py
+++ b/yarrowwall/budgets/turn_copier.py
@@ -11,6 +11,7 @@
 
 from yarrowwall import decisions
 from yarrowwall.budgets.record_groups import RecordGroups
+from yarrowwall.budgets.record_names import RecordName
 from yarrowwall.budgets.turns import Turn, turn_key, turn_record
 from yarrowwall.exceptions import StoreUncertainError
 from yarrowwall.replication.exceptions import NoQuorumError
@@ -40,7 +41,7 @@
         self._group_of = groups.group_of
         self._reachability = groups.reachability
         self._log = groups.log
-        self._queue: OrderedDict[str, _QueuedTurn] = OrderedDict()
+        self._queue: OrderedDict[RecordName, _QueuedTurn] = OrderedDict()
         self._queued_bytes = 0
         self._is_running = False
 
@@ -79,7 +80,7 @@
 
         A turn is copied after all earlier ones of its chain, so that it has its chain where it is.
         """
-        waiting_chains: set[str] = set()
+        waiting_chains: set[RecordName] = set()
         for key, queued in self._queue.items():
             try:
                 group = self._group_of(turn_key(key))
@@ -91,7 +92,7 @@
                 return self._copy(group, key, queued)
         return False
 
-    def _copy(self, group: int, key: str, queued: _QueuedTurn) -> bool:
+    def _copy(self, group: int, key: RecordName, queued: _QueuedTurn) -> bool:
         try:
             self._client.write(group, [turn_record(queued.turn, queued.retention_s)])
         except NoQuorumError:
--- a/yarrowwall/budgets/turn_store.py
+++ b/yarrowwall/budgets/turn_store.py
@@ -17,6 +17,7 @@
 
 from yarrowwall import decisions
 from yarrowwall.budgets.record_groups import RecordGroups
+from yarrowwall.budgets.record_names import RecordName
 from yarrowwall.budgets.settlements import SettlementQueues
 from yarrowwall.budgets.turn_cache import TurnCache
 from yarrowwall.budgets.turn_copier import TurnCopier
@@ -96,7 +97,7 @@
         self._queues = queues
         self._now = now
 
-    def check_storable(self, attempt_id: str) -> None:
+    def check_storable(self, attempt_id: RecordName) -> None:
         """Check that a turn can probably be stored when it ends.
 
         :raises StoreUncertainError: If its group is unreachable and the zone cannot store turns.
--- a/yarrowwall/budgets/turns.py
+++ b/yarrowwall/budgets/turns.py
@@ -4,29 +4,31 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
+from yarrowwall.budgets.record_names import RecordName
 from yarrowwall.event_stream import Event
 from yarrowwall.messages.replicated import StoredRecord
 
 _LENGTH = struct.Struct(">I")
 _KEY_PREFIX = "turn/"
 #: Version of every turn's record, since a turn never changes. Earlier releases stored version 1,
-#: which has no owner.
-_VERSION = 2
+#: which has no owner, and version 2, whose key may be that of another tenant's turn.
+_VERSION = 3
 
 
 @dataclass(frozen=True)
 class Turn:
     """One finished turn.
 
-    :param previous: Attempt id of the turn that it continues; empty for none.
-    :param first: Attempt id of the first turn of its chain; empty if its record does not tell it.
+    :param attempt_id: Name of the attempt that it answers.
+    :param previous: Name of the turn that it continues; ``NO_NAME`` for none.
+    :param first: Name of the first turn of its chain; ``NO_NAME`` if its record does not tell it.
     :param body: The request body from the caller.
     :param output: The data of each event, each followed by a line feed.
     """
 
-    attempt_id: str
-    previous: str
-    first: str
+    attempt_id: RecordName
+    previous: RecordName
+    first: RecordName
     body: bytes
     output: bytes
 
@@ -40,15 +42,17 @@
         return _LENGTH.pack(len(self.body)) + self.body + self.output
 
 
-def tenant_scoped(tenant: str, name: str) -> str:
-    """Return a name chosen by callers, qualified by its tenant."""
-    # The length prefix marks the end of the tenant, so no caller can forge another tenant's name.
-    return f"{len(tenant)}:{tenant}:{name}" if tenant and name else name
+def turn_key(attempt_id: RecordName) -> str:
+    """Return the record key of a turn, or an empty text for no turn."""
+    return _KEY_PREFIX + attempt_id if attempt_id else ""
 
 
-def turn_key(attempt_id: str) -> str:
-    """Return the record key of a turn, or an empty text for an empty id."""
-    return _KEY_PREFIX + attempt_id if attempt_id else ""
+def has_certain_owner(record: StoredRecord) -> bool:
+    """Return whether a turn belongs to the tenant that its key tells.
+
+    Earlier releases gave some turns of callers without a tenant the key of a tenant's turn.
+    """
+    return record.version >= _VERSION
 
 
 def turn_record(turn: Turn, retention_s: float) -> StoredRecord:
@@ -66,14 +70,18 @@
     start = _LENGTH.size
     first = record.owner or ("" if record.link else record.key)
     return Turn(
-        record.key.removeprefix(_KEY_PREFIX),
-        record.link.removeprefix(_KEY_PREFIX),
-        first.removeprefix(_KEY_PREFIX),
+        _named(record.key),
+        _named(record.link),
+        _named(first),
         record.value[start : start + length],
         record.value[start + length :],
     )
 
 
+def _named(key: str) -> RecordName:
+    return RecordName(key.removeprefix(_KEY_PREFIX))
+
+
 def output_of(events: Iterable[Event]) -> bytes:
     """Return the output of a turn, given the events of its stream."""
     return b"".join(event.data + b"\n" for event in events)
--- a/yarrowwall/cli/failures.py
+++ b/yarrowwall/cli/failures.py
@@ -103,6 +103,11 @@
     tenant: str = ""
     finish_s: float | None = None
 
+    @property
+    def program(self) -> tuple[str, str]:
+        """Return its tenant and program; programs of two tenants may have the same id."""
+        return self.tenant, self.program_id
+
 
 class FailedProgram(NamedTuple):
     """A failed program, with the cause and the attempt that failed."""
@@ -191,18 +196,18 @@
     one that had finished, so it is not included.
     """
     # Attempts are ordered by time, so the last one of each program remains.
-    last_begun_s = {attempt.program_id: attempt.begun_s for attempt in attempts}
+    last_begun_s = {attempt.program: attempt.begun_s for attempt in attempts}
     severity = list(Cause)
-    failed: dict[str, FailedProgram] = {}
+    failed: dict[tuple[str, str], FailedProgram] = {}
     for attempt in attempts:
         cause = cause_of(attempt)
         if cause is None or attempt.ended_s is None:
             continue
-        if last_begun_s[attempt.program_id] > attempt.ended_s:
+        if last_begun_s[attempt.program] > attempt.ended_s:
             continue
-        known = failed.get(attempt.program_id)
+        known = failed.get(attempt.program)
         if known is None or severity.index(cause) < severity.index(known.cause):
-            failed[attempt.program_id] = FailedProgram(cause, attempt)
+            failed[attempt.program] = FailedProgram(cause, attempt)
     return sorted(failed.values(), key=lambda one: one.attempt.begun_s)
 
 
@@ -225,18 +230,18 @@
 
     Sub-agents run concurrently, so the times of one program may add up to more than its duration.
     """
-    by_program: dict[str, list[Attempt]] = defaultdict(list)
+    by_program: dict[tuple[str, str], list[Attempt]] = defaultdict(list)
     for attempt in attempts:
-        by_program[attempt.program_id].append(attempt)
+        by_program[attempt.program].append(attempt)
     found: list[LateProgram] = []
-    for program_id, own in by_program.items():
+    for (tenant, program_id), own in by_program.items():
         finish_s, last = own[0].finish_s, own[-1]
         if finish_s is None or last.ended_s is None or not _is_answered(last):
             continue
         if last.ended_s > finish_s:
             late_s = last.ended_s - finish_s
             begun_s = own[0].begun_s
-            found.append(LateProgram(program_id, last.tenant, begun_s, late_s, _spent_s(own)))
+            found.append(LateProgram(program_id, tenant, begun_s, late_s, _spent_s(own)))
     return sorted(found, key=lambda one: one.begun_s)
 
 
