Every read of an answer, a request and a frame has a bound in bytes and an end in time

Cause: times were given to reads and not to answers, and bytes were counted where they were kept as a body and nowhere else.

Change: dispatch/answer_bounds.py counts all bytes that arrive for an answer: 64 KB of a head, framing of that and eight bytes for each byte of body, 1 MB for an event, the memory budget for what is kept. A body ends by the request's time; a refusal's is drained for 0.02 s and 16 KB. The store's answers (16 MB, one end for the call), frames between machines (10 s), callers' requests and the readiness and metrics ports, which use the callers' code now in place of eventlet.wsgi, are bounded likewise. AnswerGivenUp and a counter tell the bound.

--- a/features/steps/server_life_steps.py
+++ b/features/steps/server_life_steps.py
@@ -319,7 +319,7 @@
     """Return a connection after one answered request."""
     connection.send(REQUEST, 1.0)
     connection.read_head(1.0)
-    connection.read_all(1.0)
+    connection.read_all(1.0, lambda size: None)
     connection.finish_response()
     connection.keep_alive = 60.0
     return connection
--- a/features/support/drawn_entries.py
+++ b/features/support/drawn_entries.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+from collections.abc import Callable
 from typing import Any, NamedTuple
 from unittest.mock import patch
 
@@ -180,9 +181,11 @@
         """Return the head of the answer."""
         return ResponseHead(200, ())
 
-    def read_all(self, timeout: float) -> bytes:
+    def read_all(self, timeout: float, count_bytes: Callable[[int], None]) -> bytes:
         """Return the body of the answer."""
-        return self.store.answer(self._target)
+        body = self.store.answer(self._target)
+        count_bytes(len(body))
+        return body
 
     def finish_response(self) -> None:
         """Do nothing."""
--- a/features/support/following_store.py
+++ b/features/support/following_store.py
@@ -6,6 +6,7 @@
 
 import json
 from collections import deque
+from collections.abc import Callable
 from enum import Enum
 from typing import Any, NamedTuple
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -247,9 +248,11 @@
         self._found: tuple[int, dict[str, Any]] = ready
         return ResponseHead(ready[0], ())
 
-    def read_all(self, timeout: float) -> bytes:
+    def read_all(self, timeout: float, count_bytes: Callable[[int], None]) -> bytes:
         """Return the body."""
-        return json.dumps(self._found[1]).encode()
+        body = json.dumps(self._found[1]).encode()
+        count_bytes(len(body))
+        return body
 
     def finish_response(self) -> None:
         """Finish reading the answer."""
--- a/features/support/resumed_turns_model.py
+++ b/features/support/resumed_turns_model.py
@@ -82,6 +82,10 @@
         )
         self._sends = 0
 
+    def left_s(self) -> float:
+        """Return the seconds left, which are enough."""
+        return 10.0
+
     def open(self, last_event_id: str | None = None) -> Any:
         """Return the answer of a server."""
         self._sends += 1
--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -90,6 +90,22 @@
     has_ended: bool
 
 
+class AnswerGivenUp(Decision, frozen=True):
+    """The rest of a server's answer was not read, since it exceeds a bound.
+
+    :param bound: an :class:`~yarrowwall.dispatch.answer_bounds.AnswerBound`.
+    :param received: bytes of the answer that arrived, framing included.
+    :param limit: bytes that are allowed; for memory, bytes kept for the request; 0 if its time was
+        over.
+    """
+
+    attempt: str
+    server: str
+    bound: str
+    received: int
+    limit: int
+
+
 class ServerEndedUnderRequest(Decision, frozen=True):
     """A server ended while it ran a request, which was reported to the replicas.
 
--- /dev/null
+++ b/yarrowwall/dispatch/answer_bounds.py
@@ -0,0 +1,93 @@
+"""Bounds on the bytes of one answer, whatever its sender does. No I/O."""
+
+from enum import StrEnum
+
+from yarrowwall.exceptions import AnswerTimeoutError, MalformedAnswerError
+
+#: Largest head of an answer, with the informational answers before it.
+MAX_HEAD_BYTES = 64 * 1024
+#: Bytes of framing, head included, that an answer may have for each byte of its body beyond those
+#: of a head: a chunk of one byte has five.
+FRAMING_BYTES_PER_BODY_BYTE = 8
+#: Largest event of a stream.
+MAX_EVENT_BYTES = 1024 * 1024
+#: Most bytes and seconds that are spent on the rest of an answer whose head says all, so that its
+#: connection can be reused.
+MAX_DRAINED_BYTES = 16 * 1024
+DRAIN_SECONDS = 0.02
+#: Largest answer to another request that is skipped on a connection.
+MAX_SKIPPED_BYTES = 4 * 1024 * 1024
+#: Seconds after its head in which an answer must be complete for its server not to count as failed,
+#: if the time of its request ends before it is. Callers choose that time.
+UNFINISHED_SECONDS = 1.0
+
+
+class AnswerBound(StrEnum):
+    """What is bounded."""
+
+    HEAD = "head"
+    FRAMING = "framing"
+    BODY = "body"
+    EVENT = "event"
+    #: What a gateway keeps for one request, for one server or for all; see the memory budget.
+    MEMORY = "memory"
+    TIME = "time"
+
+
+class AnswerBoundError(MalformedAnswerError):
+    """An answer exceeds a bound, so the rest of it is not read; the request may have run.
+
+    :param bound: what is exceeded.
+    :param received: bytes of the answer that arrived.
+    :param limit: bytes that are allowed.
+    """
+
+    def __init__(self, bound: AnswerBound, received: int, limit: int) -> None:
+        super().__init__(f"the {bound} of the answer exceeds {limit} bytes")
+        self.bound = bound
+        self.received = received
+        self.limit = limit
+
+
+class AnswerUnfinishedError(AnswerTimeoutError):
+    """An answer began in time and had not ended by then.
+
+    :param received: bytes of it that arrived.
+    :param seconds: seconds since its head.
+    """
+
+    def __init__(self, received: int, seconds: float) -> None:
+        super().__init__(f"no end of the answer in time, {received} bytes arrived")
+        self.received = received
+        self.seconds = seconds
+
+
+class AnswerSize:
+    """The bytes of one answer so far."""
+
+    def __init__(self) -> None:
+        self.received = 0
+        self.body = 0
+
+    def add(self, received: int, body: int) -> None:
+        """Count bytes.
+
+        :param received: all of them, framing included.
+        :param body: those that belong to the body.
+        """
+        self.received += received
+        self.body += body
+
+    def check(self, has_head: bool) -> None:
+        """Check the bytes outside of the body, which has bounds of its own where it is kept.
+
+        :raises AnswerBoundError: if there are too many.
+        """
+        framing = self.received - self.body
+        if not has_head:
+            if framing > MAX_HEAD_BYTES:
+                raise AnswerBoundError(AnswerBound.HEAD, self.received, MAX_HEAD_BYTES)
+            return
+        limit = MAX_HEAD_BYTES + FRAMING_BYTES_PER_BODY_BYTE * self.body
+        if framing > limit:
+            raise AnswerBoundError(AnswerBound.FRAMING, self.received, limit)
--- a/yarrowwall/dispatch/buffered.py
+++ b/yarrowwall/dispatch/buffered.py
@@ -19,6 +19,7 @@
         try:
             body = opened.connection.read_all(sender.left_s(), sender.hold_answer_memory)
         except MemoryExhaustedError as error:
+            sender.note_memory_exhausted(error)
             sender.cancel_answer()
             raise sender.refused(str(error)) from error
         except RelayError as error:
--- a/yarrowwall/dispatch/connection.py
+++ b/yarrowwall/dispatch/connection.py
@@ -7,12 +7,19 @@
 
 import contextlib
 import socket
+import time
 from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
 
 import httptools
 
+from yarrowwall.dispatch.answer_bounds import (
+    AnswerBound,
+    AnswerBoundError,
+    AnswerSize,
+    AnswerUnfinishedError,
+)
 from yarrowwall.exceptions import (
     AnswerTimeoutError,
     ConnectionBrokenError,
@@ -28,8 +35,6 @@
 #: Size of the kernel's receive buffer. By default it grows to 6 MB, which counts towards the
 #: machine's memory; 256 KB in 40 ms, a round trip between regions, allow 50 Mbit/s.
 _RECEIVE_BUFFER_BYTES = 256 * 1024
-#: Largest head of an answer, with the informational answers before it.
-MAX_HEAD_BYTES = 64 * 1024
 
 
 class _Response:
@@ -52,6 +57,7 @@
     def __init__(self) -> None:
         self.responses: deque[_Response] = deque()
         self.is_malformed = False
+        self.body_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
 
     def feed(self, data: bytes) -> None:
@@ -65,6 +71,9 @@
         self.responses.append(_Response())
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self.responses[-1].head is not None:
+            # A trailer, which is not passed on.
+            return
         header = (name.decode("latin-1"), value.decode("latin-1"))
         self.responses[-1].headers.append(header)
 
@@ -81,6 +90,7 @@
             self.responses.popleft()
 
     def on_body(self, body: bytes) -> None:
+        self.body_bytes += len(body)
         self.responses[-1].chunks.append(body)
 
     def on_message_complete(self) -> None:
@@ -116,6 +126,8 @@
         self.opened_unix_s = 0.0
         self.keep_alive: float | None = None
         self._reader = _ResponseReader()
+        self._size = AnswerSize()
+        self._head_at = 0.0
         self._ends_with_connection = False
         self._must_close = False
         self._socket = open_socket(address, timeout)
@@ -140,23 +152,26 @@
                 raise ConnectionBrokenError(f"while sending: {error}") from error
             self._must_close = True
 
+    @property
+    def received_bytes(self) -> int:
+        """Return the bytes of the current response that have arrived, framing included."""
+        return self._size.received
+
     def read_head(self, timeout: float) -> ResponseHead:
         """Return the head of the next response.
 
+        :param timeout: seconds for the whole head, however its bytes arrive.
         :raises AnswerTimeoutError: if it does not arrive in time.
         :raises ConnectionBrokenError: if the connection ends first.
         :raises MalformedAnswerError: if the bytes are not an HTTP response.
+        :raises AnswerBoundError: if the head is too long.
         """
-        responses, received = self._reader.responses, 0
+        responses, end_s = self._reader.responses, time.monotonic() + timeout
         self._reader.skip_informational()
         while not responses or responses[0].head is None:
-            size = self._receive(timeout)
-            if not size:
+            if not self._receive(end_s):
                 raise ConnectionBrokenError("closed before the answer")
-            received += size
-            self._reader.skip_informational()
-            if received > MAX_HEAD_BYTES and (not responses or responses[0].head is None):
-                raise MalformedAnswerError(f"the head exceeds {MAX_HEAD_BYTES} bytes")
+        self._head_at = time.monotonic()
         head = responses[0].head
         if responses[0].is_refused:
             raise MalformedAnswerError("the end of the answer is uncertain")
@@ -170,15 +185,17 @@
     def read_some(self, timeout: float) -> bytes:
         """Return the next bytes of the body; empty at its end.
 
+        :param timeout: seconds to wait for them, whatever else arrives.
         :raises AnswerTimeoutError: if none arrive in time.
         :raises ConnectionBrokenError: if the connection ends before the body does.
         :raises MalformedAnswerError: if the framing is broken.
+        :raises AnswerBoundError: if there is too much framing.
         """
-        response = self._reader.responses[0]
+        response, end_s = self._reader.responses[0], time.monotonic() + timeout
         while not response.chunks:
             if response.is_complete:
                 return b""
-            if not self._receive(timeout):
+            if not self._receive(end_s):
                 if not self._ends_with_connection:
                     raise ConnectionBrokenError("closed within the answer")
                 response.is_complete = True
@@ -186,40 +203,80 @@
         response.chunks.clear()
         return data
 
-    def read_all(
-        self, timeout: float, count_bytes: Callable[[int], None] = lambda size: None
-    ) -> bytes:
+    def read_all(self, timeout: float, count_bytes: Callable[[int], None]) -> bytes:
         """Return the rest of the body.
 
-        :param hold: called with the size of each piece that is buffered.
-        :raises AnswerTimeoutError: if a piece does not arrive in time.
+        :param timeout: seconds for all of it.
+        :param count_bytes: called with the size of each piece that is buffered; raises if there
+            are too many.
+        :raises AnswerUnfinishedError: if it does not end in time.
         :raises ConnectionBrokenError: if the connection ends before the body does.
         :raises MalformedAnswerError: if the framing is broken.
+        :raises AnswerBoundError: if there is too much framing.
         """
+        end_s = time.monotonic() + timeout
         pieces = []
-        while data := self.read_some(timeout):
+        while data := self._read_before(end_s):
             count_bytes(len(data))
             pieces.append(data)
         return b"".join(pieces)
 
+    def skip_body(self, timeout: float, max_bytes: int) -> None:
+        """Read and drop the rest of the body.
+
+        :param timeout: seconds for all of it.
+        :param max_bytes: bytes of it that are read at most.
+        :raises AnswerUnfinishedError: if it does not end in time.
+        :raises ConnectionBrokenError: if the connection ends before the body does.
+        :raises MalformedAnswerError: if the framing is broken.
+        :raises AnswerBoundError: if it is longer, or there is too much framing.
+        """
+        end_s, skipped = time.monotonic() + timeout, 0
+        while data := self._read_before(end_s):
+            skipped += len(data)
+            if skipped > max_bytes:
+                raise AnswerBoundError(AnswerBound.BODY, self._size.received, max_bytes)
+
+    def _read_before(self, end_s: float) -> bytes:
+        """Return the next bytes of a body that must end by a time; empty at its end."""
+        try:
+            return self.read_some(end_s - time.monotonic())
+        except AnswerTimeoutError as error:
+            seconds = time.monotonic() - self._head_at
+            raise AnswerUnfinishedError(self._size.received, seconds) from error
+
     def finish_response(self) -> None:
         """Drop the current response, which was read to its end."""
         self._reader.responses.popleft()
+        self._size = AnswerSize()
+
+    def _receive(self, end_s: float) -> int:
+        """Read and parse the next bytes; return their number, 0 at the end of the connection.
 
-    def _receive(self, timeout: float) -> int:
-        """Read and parse the next bytes; return their number, 0 at the end of the connection."""
+        :param end_s: when to give up, on the monotonic clock.
+        :raises AnswerTimeoutError: if none have arrived by then.
+        :raises AnswerBoundError: if too many have arrived outside of the body.
+        """
         if self._reader.is_malformed:
             raise MalformedAnswerError("bytes that are no answer")
         try:
-            data = receive(self._socket, _READ_BYTES, max(timeout, 0.001))
+            data = receive(self._socket, _READ_BYTES, max(end_s - time.monotonic(), 0.001))
         except TimeoutError as error:
             raise AnswerTimeoutError("no answer in time") from error
         except OSError as error:
             raise ConnectionBrokenError(str(error)) from error
         if data:
-            self._reader.feed(data)
+            self._feed(data)
         return len(data)
 
+    def _feed(self, data: bytes) -> None:
+        reader = self._reader
+        body_before = reader.body_bytes
+        reader.feed(data)
+        reader.skip_informational()
+        self._size.add(len(data), reader.body_bytes - body_before)
+        self._size.check(has_head=bool(reader.responses) and reader.responses[0].head is not None)
+
     @property
     def is_reusable(self) -> bool:
         """Return whether all responses were read, nothing follows and the server keeps it open."""
--- a/yarrowwall/dispatch/sender.py
+++ b/yarrowwall/dispatch/sender.py
@@ -9,6 +9,15 @@
 from http import HTTPStatus
 
 from yarrowwall import decisions
+from yarrowwall.dispatch.answer_bounds import (
+    DRAIN_SECONDS,
+    MAX_DRAINED_BYTES,
+    MAX_SKIPPED_BYTES,
+    UNFINISHED_SECONDS,
+    AnswerBound,
+    AnswerBoundError,
+    AnswerUnfinishedError,
+)
 from yarrowwall.dispatch.components import DispatchComponents
 from yarrowwall.dispatch.connection import ServerConnection
 from yarrowwall.dispatch.send_outcomes import SendOutcomes
@@ -29,7 +38,11 @@
     Send,
     Server,
 )
-from yarrowwall.policy.memory_budget import RequestMemory
+from yarrowwall.policy.memory_budget import (
+    MemoryExhaustedError,
+    RequestMemory,
+    RequestTooLargeError,
+)
 from yarrowwall.policy.request_time import RequestTime
 from yarrowwall.policy.sending import SendRules
 from yarrowwall.policy.server_choice import Choice, PlacementRequest, placement_affinity
@@ -284,7 +297,7 @@
             answer = self._components.protocol.read_answer(self._attempt, send, head)
             if answer.is_for_attempt:
                 break
-            connection.read_all(self.left_s())
+            connection.skip_body(self.left_s(), MAX_SKIPPED_BYTES)
             connection.finish_response()
         else:
             raise MalformedAnswerError("only answers to other requests")
@@ -334,7 +347,9 @@
 
     def note_failure(self, server: Server, error: RelayError) -> None:
         """Log a failed send, and note the server's failure unless the attempt's time was over."""
-        if not isinstance(error, AnswerTimeoutError) or self.left_s() > 0:
+        self._log_bound(server, error)
+        has_time = not isinstance(error, AnswerTimeoutError) or self.left_s() > 0
+        if has_time or self._is_endless(error):
             self._components.directory.note_failure(server.incarnation, self._components.now())
         if isinstance(error, AnswerTimeoutError):
             self._saw_timeout = True
@@ -351,6 +366,47 @@
             )
         )
 
+    def _is_endless(self, error: RelayError) -> bool:
+        """Return whether an answer went on for so long that its server counts as failed.
+
+        A stream may take as long as its caller waits.
+        """
+        if self._plan.route.kind is RequestKind.STREAM:
+            return False
+        return isinstance(error, AnswerUnfinishedError) and error.seconds >= UNFINISHED_SECONDS
+
+    def note_memory_exhausted(self, error: MemoryExhaustedError) -> None:
+        """Log that the current answer is given up for its size, before it is cancelled.
+
+        An answer that is too large by itself counts as a failure of its server.
+        """
+        if self.current is None:
+            return
+        server = self.current.send.server
+        is_too_large = isinstance(error, RequestTooLargeError)
+        if is_too_large:
+            self._components.directory.note_failure(server.incarnation, self._components.now())
+        received = self.current.connection.received_bytes
+        self._log_given_up(server, AnswerBound.MEMORY, received, self._plan.request_memory.size)
+        self._log_send_failed(server, str(error), self.history.may_have_run)
+
+    def _log_bound(self, server: Server, error: RelayError) -> None:
+        """Log that an answer was given up at a bound of its bytes or its time."""
+        if isinstance(error, AnswerBoundError):
+            bound, received, limit = error.bound, error.received, error.limit
+        elif isinstance(error, AnswerUnfinishedError):
+            bound, received, limit = AnswerBound.TIME, error.received, 0
+        else:
+            return
+        self._log_given_up(server, bound, received, limit)
+
+    def _log_given_up(self, server: Server, bound: AnswerBound, received: int, limit: int) -> None:
+        self._components.decisions.write(
+            decisions.AnswerGivenUp(
+                self._attempt.attempt_id, server.server_id, bound.value, received, limit
+            )
+        )
+
     def _handle_not_run(self, opened: OpenAnswer) -> None:
         server = opened.send.server
         self._log_send_failed(server, f"{opened.answer.status}", may_have_run=False)
@@ -360,9 +416,10 @@
         else:
             self._components.directory.note_full(server.incarnation, self._components.now())
         try:
-            opened.connection.read_all(self.left_s())
-        except RelayError:
+            opened.connection.skip_body(min(self.left_s(), DRAIN_SECONDS), MAX_DRAINED_BYTES)
+        except RelayError as error:
             # The answer is known; only the connection can't be reused.
+            self._log_bound(server, error)
             self._outcomes.note_answered()
             self.cancel_answer()
             return
--- a/yarrowwall/dispatch/streams.py
+++ b/yarrowwall/dispatch/streams.py
@@ -4,6 +4,12 @@
 from http import HTTPStatus
 from typing import NoReturn
 
+from yarrowwall.dispatch.answer_bounds import (
+    MAX_EVENT_BYTES,
+    AnswerBound,
+    AnswerBoundError,
+    AnswerUnfinishedError,
+)
 from yarrowwall.dispatch.caller_position import CallerPosition
 from yarrowwall.dispatch.components import DispatchComponents
 from yarrowwall.dispatch.sender import AttemptSender, OpenAnswer
@@ -18,6 +24,9 @@
 from yarrowwall.policy.memory_budget import MemoryExhaustedError
 from yarrowwall.refusals import RefusedError
 
+#: Stands for an event that was relayed and is not kept.
+_RELAYED = Event(b"", None)
+
 
 class StreamBrokenError(RelayError):
     """A stream whose first events were relayed cannot be completed."""
@@ -35,7 +44,7 @@
     stream has only the request, so the first events are the same in each run.
 
     :ivar repeated: events that the caller had before, if the route is stateful.
-    :ivar relayed: events that were relayed; without their bytes if the route is not stateful.
+    :ivar relayed: events that were relayed; placeholders if the route is not stateful.
     """
 
     def __init__(
@@ -52,6 +61,8 @@
             (attempt.last_event_id or "") if route.is_stateful else ""
         )
         self._last_event_at = 0.0
+        #: Whether the server was read after the request's time was over.
+        self._has_read_late = False
         self.repeated: list[Event] = []
         self.relayed: list[Event] = []
 
@@ -86,6 +97,8 @@
                     return
                 repeated, events = self._caller_position.split(events)
             except (MemoryExhaustedError, StreamPositionError) as error:
+                if isinstance(error, MemoryExhaustedError):
+                    self._sender.note_memory_exhausted(error)
                 self._sender.cancel_answer()
                 self._fail(error)
             except RelayError as error:
@@ -98,7 +111,7 @@
                 self._note_events(events)
                 # Turns of stateful routes are stored in full; for others their number suffices.
                 kept = self._route.is_stateful
-                self.relayed += events if kept else [Event(b"", one.event_id) for one in events]
+                self.relayed += events if kept else [_RELAYED] * len(events)
                 yield events
                 if not self._route.is_stateful:
                     self._sender.release_answer_memory(sum(len(event.raw) for event in events))
@@ -110,7 +123,11 @@
             raise ConnectionBrokenError("no server streams")
         data = self._receive(opened)
         if data:
-            return self._splitter.feed(data)
+            events = self._splitter.feed(data)
+            if len(self._splitter.rest) > MAX_EVENT_BYTES:
+                received = opened.connection.received_bytes
+                raise AnswerBoundError(AnswerBound.EVENT, received, MAX_EVENT_BYTES)
+            return events
         if self._splitter.rest:
             raise ConnectionBrokenError("the stream ended within an event")
         return None
@@ -121,19 +138,38 @@
         :raises AnswerTimeoutError: if none arrive by then.
         """
         rules, incarnation = self._sender.rules, opened.send.server.incarnation
+        self._check_time(opened)
         while True:
             try:
                 data = opened.connection.read_some(rules.next_check_s(self._components.now()))
-            except AnswerTimeoutError:
-                if not rules.should_keep_waiting(
-                    incarnation, self._last_event_at, self._components.now()
-                ):
-                    raise
-                continue
+            except AnswerTimeoutError as error:
+                now = self._components.now()
+                if rules.should_keep_waiting(incarnation, self._last_event_at, now):
+                    continue
+                if self._sender.left_s() <= 0.0:
+                    raise self._unfinished(opened) from error
+                raise
             self._components.directory.note_heard(incarnation, self._components.now())
             self._sender.hold_answer_memory(len(data))
             return data
 
+    def _check_time(self, opened: OpenAnswer) -> None:
+        """Check that the request has time left.
+
+        Events that arrived while the process was delayed are read once after the end.
+
+        :raises AnswerUnfinishedError: if a read began after the end already.
+        """
+        if self._sender.left_s() > 0.0:
+            return
+        if self._has_read_late:
+            raise self._unfinished(opened)
+        self._has_read_late = True
+
+    def _unfinished(self, opened: OpenAnswer) -> AnswerUnfinishedError:
+        seconds = self._components.now() - opened.sent_at
+        return AnswerUnfinishedError(opened.connection.received_bytes, seconds)
+
     def _note_events(self, events: list[Event]) -> None:
         now = self._components.now()
         opened = self._sender.current
--- a/yarrowwall/event_stream.py
+++ b/yarrowwall/event_stream.py
@@ -6,6 +6,8 @@
 _ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 _DATA = re.compile(rb"^data:[ ]?([^\r\n]*)", re.MULTILINE)
 _END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+#: Length of the longest end of an event.
+_MAX_END_BYTES = 4
 
 
 @dataclass(frozen=True)
@@ -41,7 +43,9 @@
         buffer = self._rest + data
         events = []
         start = 0
-        for end in _END.finditer(buffer):
+        # An end may have begun in the earlier bytes, which have been searched.
+        searched = max(0, len(self._rest) - _MAX_END_BYTES)
+        for end in _END.finditer(buffer, searched):
             raw = buffer[start : end.end()]
             start = end.end()
             found = _ID.search(raw)
--- a/yarrowwall/gateway/caller_connection.py
+++ b/yarrowwall/gateway/caller_connection.py
@@ -322,7 +322,7 @@
         try:
             self.socket.shutdown(socket.SHUT_WR)
             end_s = time.monotonic() + LINGER_SECONDS
-            while self._must_linger and self.receive(end_s):
+            while self._must_linger and self.receive(end_s) and time.monotonic() < end_s:
                 pass
         except OSError:
             # The connection has failed already, or the caller still sends.
--- a/yarrowwall/gateway/http_server.py
+++ b/yarrowwall/gateway/http_server.py
@@ -10,6 +10,7 @@
     CallerConnection,
     CurrentCallerLimits,
 )
+from yarrowwall.listening import ResilientListener
 
 #: Size of the kernel's send buffer per caller. By default it grows to 4 MB, which counts towards
 #: the machine's memory; 64 KB last for 5 ms at 100 Mbit/s.
@@ -18,7 +19,7 @@
 
 
 def serve(
-    listener: socket.socket,
+    listener: ResilientListener,
     application: Application,
     limits: CurrentCallerLimits,
     log: DecisionLog,
--- a/yarrowwall/gateway/request_parser.py
+++ b/yarrowwall/gateway/request_parser.py
@@ -18,6 +18,11 @@
 _HEADER_OVERHEAD_BYTES = 4
 
 
+#: Bytes of framing that a request may have for each byte of its body, beyond those of two heads: a
+#: chunk of one byte has five.
+_FRAMING_BYTES_PER_BODY_BYTE = 8
+
+
 class MalformedRequestError(InvalidAttemptError):
     """The bytes are no request that the gateway serves; the connection cannot be used further."""
 
@@ -35,6 +40,9 @@
         self.head: RequestHead | None = None
         self.error: MalformedRequestError | None = None
         self.pieces: deque[bytes] = deque()
+        self.body_bytes = 0
+        #: Bytes of the connection since its head began, until it was complete.
+        self.received_bytes = 0
         self.is_complete = False
 
 
@@ -76,6 +84,7 @@
             self._fail(f"not a valid request: {error}", HTTPStatus.BAD_REQUEST)
         else:
             self._check_unfinished_head(len(data))
+            self._check_framing(len(data))
         return b""
 
     def _check_unfinished_head(self, size: int) -> None:
@@ -88,6 +97,17 @@
         if self._unfinished_head_bytes > self.max_head_bytes:
             newest.error = _too_long(self.max_head_bytes)
 
+    def _check_framing(self, size: int) -> None:
+        """Refuse a body with too many bytes that are not its own, as extensions or trailers."""
+        newest = self._requests[-1] if self._requests else None
+        if newest is None or newest.is_complete:
+            return
+        newest.received_bytes += size
+        framing = newest.received_bytes - newest.body_bytes
+        limit = 2 * self.max_head_bytes + _FRAMING_BYTES_PER_BODY_BYTE * newest.body_bytes
+        if newest.head is not None and framing > limit:
+            self._fail(f"the framing of the body exceeds {limit} bytes", HTTPStatus.BAD_REQUEST)
+
     def _fail(self, reason: str, status: HTTPStatus) -> None:
         self._error = MalformedRequestError(reason, status)
 
@@ -159,7 +179,9 @@
 
     def on_body(self, data: bytes) -> None:
         """Take bytes of the body."""
-        self._requests[-1].pieces.append(data)
+        request = self._requests[-1]
+        request.pieces.append(data)
+        request.body_bytes += len(data)
 
     def on_message_complete(self) -> None:
         """Finish the request."""
--- a/yarrowwall/gateway/turn.py
+++ b/yarrowwall/gateway/turn.py
@@ -262,7 +262,13 @@
         """
         opened = sender.current
         try:
-            body = opened.connection.read_all(sender.left_s()) if opened is not None else b""
+            body = b""
+            if opened is not None:
+                body = opened.connection.read_all(sender.left_s(), sender.hold_answer_memory)
+        except MemoryExhaustedError as error:
+            sender.note_memory_exhausted(error)
+            sender.cancel_answer()
+            raise sender.refused(str(error)) from error
         except RelayError as error:
             sender.cancel_answer()
             if opened is not None:
--- a/yarrowwall/machine/gateway_role.py
+++ b/yarrowwall/machine/gateway_role.py
@@ -1,11 +1,9 @@
 """The gateway role of a machine: its components, listeners and shutdown."""
 
 import time
-from collections.abc import Callable, Iterable
-from typing import Any
+from http import HTTPStatus
 
 import eventlet
-import eventlet.wsgi
 
 from yarrowwall import decisions
 from yarrowwall.budgets.ledger import ReplicatedLedger
@@ -21,6 +19,7 @@
 from yarrowwall.listening import ResilientListener
 from yarrowwall.machine.gateway_followers import GatewayFollowers
 from yarrowwall.machine.listeners import EarlyListeners
+from yarrowwall.machine.probes import NOT_FOUND, ProbeAnswer, serve_probes
 from yarrowwall.machine.settings import GatewaySettings, MachineSettings
 from yarrowwall.messages.relaying import Neighbour
 from yarrowwall.messages.replicated import GroupView
@@ -140,12 +139,8 @@
             self._start_forwarding()
         callers = ResilientListener(self._listeners.take(self._own.http_address), self._log)
         eventlet.spawn_n(serve, callers, self.gateway, self._limits, self._log)
-        eventlet.spawn_n(
-            eventlet.wsgi.server,
-            ResilientListener(self._listeners.take(self._own.readiness_address), self._log),
-            self._answer_readiness,
-            log_output=False,
-        )
+        probes = ResilientListener(self._listeners.take(self._own.readiness_address), self._log)
+        eventlet.spawn_n(serve_probes, probes, self._answer_readiness, self._log)
         eventlet.spawn_n(self._run_maintenance)
 
     def _start_forwarding(self) -> None:
@@ -207,15 +202,10 @@
         )
         return is_able and not self.gateway.is_stopping
 
-    def _answer_readiness(
-        self, environ: dict[str, Any], start_response: Callable[..., Any]
-    ) -> Iterable[bytes]:
-        is_known = environ["PATH_INFO"] == self._adapter.readiness_path
-        status = "404 Not Found"
-        if is_known:
-            status = "200 OK" if self.is_ready else "503 Service Unavailable"
-        start_response(status, [("Content-Length", "0")])
-        return [b""]
+    def _answer_readiness(self, path: str) -> ProbeAnswer:
+        if path != self._adapter.readiness_path:
+            return NOT_FOUND
+        return ProbeAnswer(HTTPStatus.OK if self.is_ready else HTTPStatus.SERVICE_UNAVAILABLE)
 
     def _run_maintenance(self) -> None:
         while True:
--- a/yarrowwall/machine/process.py
+++ b/yarrowwall/machine/process.py
@@ -2,6 +2,7 @@
 
 import signal
 import time
+from http import HTTPStatus
 from pathlib import Path
 from typing import Protocol
 
@@ -14,9 +15,10 @@
 from yarrowwall.listening import ResilientListener
 from yarrowwall.machine.gateway_role import GatewayRole
 from yarrowwall.machine.listeners import EarlyListeners
+from yarrowwall.machine.probes import NOT_FOUND, ProbeAnswer, serve_probes
 from yarrowwall.machine.replica_role import ReplicaRole
 from yarrowwall.machine.settings import MachineSettings, load_machine_settings
-from yarrowwall.metrics import MachineMetrics, serve_metrics
+from yarrowwall.metrics import MachineMetrics
 from yarrowwall.ports.object_store import ObjectName
 from yarrowwall.ports.platform import Adapter
 from yarrowwall.watching.reader import StoreReader
@@ -24,6 +26,8 @@
 
 #: Seconds between checks of the settings file, which may change without a signal.
 SETTINGS_CHECK_SECONDS = 2.0
+_METRICS_PATH = "/metrics"
+_METRICS_TYPE = "text/plain; version=0.0.4"
 
 
 class Role(Protocol):
@@ -118,7 +122,12 @@
 
     def _serve_metrics(self) -> None:
         listener = self._listeners.take(self._settings.metrics_address)
-        serve_metrics(ResilientListener(listener, self._log), self._render_metrics)
+        serve_probes(ResilientListener(listener, self._log), self._answer_metrics, self._log)
+
+    def _answer_metrics(self, path: str) -> ProbeAnswer:
+        if path != _METRICS_PATH:
+            return NOT_FOUND
+        return ProbeAnswer(HTTPStatus.OK, self._render_metrics(), _METRICS_TYPE)
 
     def _render_metrics(self) -> bytes:
         for role in self._roles:
--- a/yarrowwall/metrics.py
+++ b/yarrowwall/metrics.py
@@ -6,20 +6,16 @@
 
 from bisect import bisect_left
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-import eventlet.wsgi
-
 from yarrowwall import decisions
 from yarrowwall.decisions import Decision
-from yarrowwall.listening import ResilientListener
 
 if TYPE_CHECKING:
     from prometheus_client.metrics_core import Metric
 
 _LATENCY_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 3.0, 5.0, 10.0)
-_METRICS_PATH = "/metrics"
 _PREFIX = "yarrowwall_"
 
 
@@ -35,6 +31,9 @@
 REFUSALS = _Description("refusals", "Answers of the gateway's own", "status")
 SENDS = _Description("sends", "Sendings to servers", "service")
 FAILED_SENDS = _Description("failed_sends", "Sendings without an answer to pass on", "may_have_run")
+ANSWERS_GIVEN_UP = _Description(
+    "answers_given_up", "Answers whose rest was not read, by the bound they exceed", "bound"
+)
 SERVER_ENDS = _Description(
     "servers_ended_under_requests", "Ends of servers, counted for each request that they ran"
 )
@@ -162,6 +161,7 @@
             decisions.AttemptRefused: lambda event: self._add(REFUSALS, event.status),
             decisions.AttemptSent: self._sent,
             decisions.SendFailed: lambda event: self._add(FAILED_SENDS, event.may_have_run),
+            decisions.AnswerGivenUp: lambda event: self._add(ANSWERS_GIVEN_UP, event.bound),
             decisions.ServerEndedUnderRequest: lambda event: self._add(SERVER_ENDS),
             decisions.AnswerBrokenOff: lambda event: self._add(BROKEN_ANSWERS),
             decisions.CallerLeft: lambda event: self._add(CALLERS_LEFT),
@@ -329,21 +329,3 @@
             metrics[metric] = family(_PREFIX + metric.name, metric.text, labels=labels)
         metrics[metric].add_metric([label] if labels else [], value)
     yield from metrics.values()
-
-
-def serve_metrics(listener: ResilientListener, render: Callable[[], bytes]) -> None:
-    """Serve the metrics on a listening socket until the process ends."""
-
-    def answer(environ: dict[str, Any], start_response: Callable[..., Any]) -> Iterable[bytes]:
-        if environ["PATH_INFO"] != _METRICS_PATH:
-            start_response("404 Not Found", [("Content-Length", "0")])
-            return [b""]
-        body = render()
-        headers = [
-            ("Content-Type", "text/plain; version=0.0.4"),
-            ("Content-Length", str(len(body))),
-        ]
-        start_response("200 OK", headers)
-        return [body]
-
-    eventlet.wsgi.server(listener, answer, log_output=False)
--- a/yarrowwall/platform/store.py
+++ b/yarrowwall/platform/store.py
@@ -10,6 +10,7 @@
 
 import eventlet
 
+from yarrowwall.dispatch.answer_bounds import AnswerBound, AnswerBoundError
 from yarrowwall.dispatch.connection import ServerConnection
 from yarrowwall.exceptions import AnswerTimeoutError, ConnectTimeoutError, RelayError
 from yarrowwall.platform.objects import read_json, read_object
@@ -34,6 +35,8 @@
 #: Default timeout of a call, in seconds.
 _ANSWER_SECONDS = 2.0
 
+#: Largest answer of the store; objects have at most a megabyte, and lists come in pages.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 _WATCH_CHANNEL = "watch "
 _JSON = "application/json"
 
@@ -181,9 +184,10 @@
                 connection = ServerConnection(self._address, min(_CONNECT_SECONDS, timeout))
             if channel.startswith(_WATCH_CHANNEL):
                 self._watching[channel] = _OpenConnection(connection, opened_at_s)
+            end_s = self._now() + timeout
             connection.send(self._request(method, path, body), timeout)
-            head = connection.read_head(timeout)
-            data = connection.read_all(timeout)
+            head = connection.read_head(end_s - self._now())
+            data = connection.read_all(end_s - self._now(), _AnswerLimit().add)
             connection.finish_response()
         except RelayError as error:
             if connection is not None:
@@ -209,6 +213,22 @@
         return ("\r\n".join(lines) + "\r\n\r\n").encode() + data
 
 
+class _AnswerLimit:
+    """Counts the bytes of one answer."""
+
+    def __init__(self) -> None:
+        self._size = 0
+
+    def add(self, size: int) -> None:
+        """Count bytes.
+
+        :raises AnswerBoundError: if there are too many.
+        """
+        self._size += size
+        if self._size > MAX_ANSWER_BYTES:
+            raise AnswerBoundError(AnswerBound.BODY, self._size, MAX_ANSWER_BYTES)
+
+
 def _document(method: str, path: str, status: int, data: bytes) -> dict[str, Any]:
     if status == HTTPStatus.GONE or (status == HTTPStatus.NOT_FOUND and method == "GET"):
         return {}
--- a/yarrowwall/policy/memory_budget.py
+++ b/yarrowwall/policy/memory_budget.py
@@ -30,6 +30,10 @@
     """The limit of the bytes buffered for one caller, one server or all requests is reached."""
 
 
+class RequestTooLargeError(MemoryExhaustedError):
+    """The limit of the bytes buffered for one caller is reached."""
+
+
 class MemoryBounds(NamedTuple):
     """Limits of the buffered bytes.
 
@@ -132,7 +136,7 @@
         """
         budget = self._budget
         if self.size + size > budget.bounds.caller:
-            raise MemoryExhaustedError("too much is held for one caller")
+            raise RequestTooLargeError("too much is held for one caller")
         if server and budget.held_for_server(server) + size > budget.bounds.server:
             raise MemoryExhaustedError("too much is held for one server")
         if budget.held + size > budget.bounds.total:
--- a/yarrowwall/replication/rpc.py
+++ b/yarrowwall/replication/rpc.py
@@ -32,6 +32,8 @@
 SILENT_SECONDS = 1.0
 #: Seconds after a failed connection attempt during which requests fail at once.
 RECONNECT_DELAY_SECONDS = 0.1
+#: Seconds in which a frame must be complete once its first byte has arrived.
+FRAME_SECONDS = 10.0
 _READ_BYTES = 256 * 1024
 #: Number of frames that get no reply. Requests are numbered from 1 to the maximum, then from 1.
 NO_REPLY = 0
@@ -67,6 +69,8 @@
         self._outgoing: deque[bytes] = deque()
         self._wakeup = Event()
         self._is_writing = False
+        #: Gives the connection up, unless the frame that has begun to arrive is complete by then.
+        self._frame_timer: eventlet.greenthread.GreenThread | None = None
         self.is_open = True
         connection.settimeout(None)
         eventlet.spawn_n(self._read)
@@ -136,7 +140,10 @@
                 if not data:
                     break
                 buffer += data
-                self._handle_frames(buffer)
+                if self._handle_frames(buffer):
+                    self._cancel_frame_timer()
+                if buffer and self._frame_timer is None:
+                    self._frame_timer = eventlet.spawn_after(FRAME_SECONDS, self._give_frame_up)
         except FrameError as error:
             self._log.write(decisions.PeerConnectionClosed(self._peer, str(error)))
         except OSError:
@@ -146,11 +153,24 @@
             # A fault in a handler ends this connection only, not the process or other connections.
             self._log.write(decisions.InternalFault("", traceback.format_exc()))
         finally:
+            self._cancel_frame_timer()
             self.close()
             receiver.close()
             self._connection.close()
 
-    def _handle_frames(self, buffer: bytearray) -> None:
+    def _give_frame_up(self) -> None:
+        reason = f"a frame was not complete within {FRAME_SECONDS} s"
+        self._log.write(decisions.PeerConnectionClosed(self._peer, reason))
+        self._frame_timer = None
+        self.close()
+
+    def _cancel_frame_timer(self) -> None:
+        timer, self._frame_timer = self._frame_timer, None
+        if timer is not None:
+            timer.cancel()
+
+    def _handle_frames(self, buffer: bytearray) -> bool:
+        """Handle the complete frames and remove them; return whether there was one."""
         start = 0
         while len(buffer) - start >= _HEADER.size:
             length, number = _HEADER.unpack_from(buffer, start)
@@ -163,6 +183,7 @@
             start = end
             self._receive(number, self._decoded(body))
         del buffer[:start]
+        return start > 0
 
     def _decoded(self, body: bytes) -> object | None:
         """Return a frame's message; None if this release does not know its type.
