--- /dev/null
+++ b/features/groups_of_any_size.feature
@@ -0,0 +1,41 @@
+Feature: A group of any size proves what is absent, and waits for no machine that is gone
+
+  # Guards against RECOVER: after a retirement and a planned replacement, the removed machine stayed a
+  # member, and the loss of one disk ended the service of turns for good.
+  Scenario: No order of removals, losses, additions and retirements leaves a group that never serves
+    Then no order of up to 5 events leaves a group of three without service
+    But some do with a planner that "waits for silent members for good"
+
+  Scenario Outline: A member that has been silent for long is dropped once enough others hold all
+    Given a group of "<members>" whose target size is <size>, with "<free>" registered in addition
+    Then with "<silent>" silent for long its next members are "<next>"
+
+    Examples:
+      | members        | size | free | silent | next        |
+      | a1,b1,c1       | 3    |      | c      | a1,b1       |
+      | a1,b1,c1       | 3    | d1   | c      | a1,b1,d1    |
+      | a1,b1          | 3    |      | b      | a1,b1       |
+      | a1,b1,c1       | 3    |      | b,c    | a1,b1,c1    |
+      | a1,b1,c1,d1    | 3    |      | c,d    | a1,b1       |
+      | a1,b1,c1,d1,e1 | 5    |      | d,e    | a1,b1,c1    |
+      | a1,b1,c1,d1,e1 | 5    |      | c,d,e  | a1,b1,c1,d1,e1 |
+
+  # Guards against members that are dropped since the machine that proposes it was delayed itself.
+  Scenario: A machine that was delayed counts nobody as absent before it has asked for long
+    Given a machine that asks two others, one of which answers
+    When 3.5 s pass
+    Then nobody is absent
+    When 1.5 s pass
+    Then the other one is absent
+    When the machine is delayed by 20 s
+    Then nobody is absent
+    When 4.5 s pass
+    Then the other one is absent
+
+  # Guards against a group that waits for good without a word.
+  Scenario: A group that waits for silent members says so once, and when it ends
+    Given a group of three of which one member is there with its disk
+    When it has waited for 6 s
+    Then it is logged once that it waits for "b,c"
+    When one more member is there
+    Then it is logged that the wait is over
--- /dev/null
+++ b/features/steps/group_size_steps.py
@@ -0,0 +1,172 @@
+"""Steps about groups of any size: proofs of absence, and machines that are gone."""
+
+import contextlib
+from typing import Any
+from unittest.mock import patch
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features.support.group_search import MAX_EVENTS, stuck_groups
+from features.support.record_model import member
+from yarrowwall.decisions import Decision
+from yarrowwall.messages.replicated import GroupView, Member, StatusReply
+from yarrowwall.replication.group_notices import GroupNotices
+from yarrowwall.replication.peers import HEARTBEAT_SECONDS, ReplicaPeers
+from yarrowwall.replication.planner import missing_members, next_view
+from yarrowwall.replication.views import disk_ids
+
+
+@then("no order of up to {count:d} events leaves a group of three without service")
+def no_stuck_group(context: Context, count: int) -> None:
+    assert count == MAX_EVENTS
+    found = stuck_groups(forgets_absent=True)
+    assert not found, "\n".join(found[:20])
+
+
+@then('some do with a planner that "waits for silent members for good"')
+def some_stuck_groups(context: Context) -> None:
+    found = stuck_groups(forgets_absent=False)
+    assert any("taken away" in order and "loses its disk" in order for order in found), found
+
+
+@then('with "{silent}" silent for long its next members are "{members}"')
+def absent_member(context: Context, silent: str, members: str) -> None:
+    gone = set(silent.split(","))
+    alive = set(context.registered) - gone
+    busy = set(disk_ids(context.view.members))
+    found = next_view(context.view, context.registered, alive, set(), busy, context.size, gone)
+    disks = disk_ids(found.joining if found is not None else context.view.members)
+    assert ",".join(sorted(disks)) == members, disks
+
+
+# Peers
+
+
+class _Clock:
+    def __init__(self) -> None:
+        self.now_s = 100.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+class _Link:
+    """A link to a machine that answers at once, or never."""
+
+    def __init__(self, reply: StatusReply | None) -> None:
+        self._reply = reply
+
+    def post(self, message: object, completion: Any) -> int:
+        if self._reply is not None:
+            completion(self._reply)
+        return 1
+
+    def forget(self, number: int, is_late: bool = False) -> None:
+        """Do nothing."""
+
+
+class _Links:
+    def get(self, address: str) -> _Link:
+        reply = StatusReply("b", "b1", 1, True, 1) if address == member("b1").address else None
+        return _Link(reply)
+
+
+class _StopError(Exception):
+    """Ends the loop of a machine that asks others."""
+
+
+@given("a machine that asks two others, one of which answers")
+def asking_machine(context: Context) -> None:
+    context.clock = _Clock()
+    links: Any = _Links()
+    context.peers = ReplicaPeers("a", "zone-a", links, context.clock)
+    for disk in ("a1", "b1", "c1"):
+        one = member(disk)
+        context.peers.note_registration(one.node_id, one, None)
+
+
+def ask(context: Context, pauses_s: list[float]) -> None:
+    """Let the machine ask the others, with pauses that end after the last one."""
+    left = list(pauses_s)
+
+    def sleep(seconds: float) -> None:
+        if not left:
+            raise _StopError
+        context.clock.now_s += left.pop(0)
+
+    with (
+        patch("yarrowwall.replication.peers.eventlet.sleep", sleep),
+        patch("yarrowwall.replication.peers.eventlet.spawn_after", lambda *_, **__: None),
+        contextlib.suppress(_StopError),
+    ):
+        context.peers._run()
+
+
+@when("{seconds:f} s pass")
+def time_passes(context: Context, seconds: float) -> None:
+    rounds = round(seconds / HEARTBEAT_SECONDS)
+    ask(context, [seconds / rounds] * rounds)
+
+
+@when("the machine is delayed by {seconds:d} s")
+def machine_is_delayed(context: Context, seconds: int) -> None:
+    ask(context, [float(seconds)])
+
+
+@then("nobody is absent")
+def nobody_absent(context: Context) -> None:
+    assert context.peers.absent() == set(), context.peers.absent()
+
+
+@then("the other one is absent")
+def other_absent(context: Context) -> None:
+    assert context.peers.absent() == {"c"}, context.peers.absent()
+
+
+# Groups that wait
+
+
+class _Log:
+    def __init__(self) -> None:
+        self.found: list[Any] = []
+
+    def write(self, decision: Decision) -> None:
+        self.found.append(decision)
+
+
+@given("a group of three of which one member is there with its disk")
+def waiting_group(context: Context) -> None:
+    context.lines = _Log()
+    log: Any = context.lines
+    context.notices = GroupNotices("a", log)
+    members: list[Member] = [member(disk) for disk in ("a1", "b1", "c1")]
+    context.view = GroupView(0, 3, members, [])
+    context.registered = {one.node_id: one for one in members}
+
+
+def note(context: Context, alive: str, now_s: float) -> None:
+    missing = missing_members(context.view, context.registered, set(alive))
+    context.notices.note_missing(context.view, missing, now_s)
+
+
+@when("it has waited for {seconds:d} s")
+def has_waited(context: Context, seconds: int) -> None:
+    for tenth in range(10 * seconds + 20):
+        note(context, "a", 50.0 + tenth / 10)
+
+
+@then('it is logged once that it waits for "{names}"')
+def wait_logged(context: Context, names: str) -> None:
+    (line,) = context.lines.found
+    assert line.missing == names and 5.0 <= line.waited < 5.2, line
+
+
+@when("one more member is there")
+def one_more(context: Context) -> None:
+    note(context, "ab", 60.0)
+
+
+@then("it is logged that the wait is over")
+def wait_over(context: Context) -> None:
+    assert context.lines.found[-1].missing == "" and len(context.lines.found) == 2
--- /dev/null
+++ b/features/support/group_search.py
@@ -0,0 +1,147 @@
+"""Exhaustive searches over small groups: quorums of successive views, and losses of machines."""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from yarrowwall.messages.replicated import GroupView, Member
+from yarrowwall.replication.planner import next_view, target_size
+from yarrowwall.replication.views import (
+    disk_ids,
+    has_read_quorum,
+    has_write_quorum,
+    read_quorum,
+    write_quorum,
+)
+
+#: Machines of a planner's search: those of the first group, and more that are added.
+FIRST_MACHINES, MAX_MACHINES = 3, 5
+MAX_EVENTS = 5
+#: Changes that a group may need to settle after an event.
+_MAX_CHANGES = 12
+
+
+def member(number: int, life: int = 0) -> Member:
+    """Return a machine with its disk.
+
+    :param life: number of disks that it had before.
+    """
+    return Member(f"m{number}", f"m{number}-{life}", f"a{number}", f"zone-{number % 3}")
+
+
+class World(NamedTuple):
+    """A settled group and its machines.
+
+    :param lives: number of disks that each present machine had before.
+    :param removed: machines that were taken away with their disks.
+    :param copies: disks of the group that hold every complete write.
+    """
+
+    view: GroupView
+    lives: tuple[tuple[int, int], ...]
+    removed: frozenset[int]
+    retiring: frozenset[int]
+    copies: frozenset[str]
+
+    @property
+    def registered(self) -> dict[str, Member]:
+        """Return the newest registration of each machine, present or not."""
+        return {member(n, life).node_id: member(n, life) for n, life in self.lives}
+
+    @property
+    def alive(self) -> set[str]:
+        """Return the node ids of the machines that are there."""
+        return {f"m{number}" for number, _ in self.lives if number not in self.removed}
+
+
+def _first() -> World:
+    own = [member(number) for number in range(FIRST_MACHINES)]
+    lives = tuple((number, 0) for number in range(FIRST_MACHINES))
+    return World(
+        GroupView(0, 1, own, []), lives, frozenset(), frozenset(), frozenset(disk_ids(own))
+    )
+
+
+def settle(world: World, forgets_absent: bool) -> World | None:
+    """Return the world once the group needs no change; None if it never settles.
+
+    :param forgets_absent: whether the planner is told which machines have been silent for long.
+    """
+    for _ in range(_MAX_CHANGES):
+        alive = world.alive
+        retiring = {f"m{number}" for number in world.retiring}
+        busy = disk_ids(world.view.members)
+        absent = {f"m{n}" for n in world.removed} if forgets_absent else set()
+        size = target_size(1)
+        changed = next_view(world.view, world.registered, alive, retiring, busy, size, absent)
+        if changed is None:
+            return world
+        usable = [m.disk_id for m in world.view.members if m.disk_id in world.copies]
+        if len(usable) < read_quorum(0, len(world.view.members)):
+            return None
+        present = {one.disk_id for one in world.registered.values() if one.node_id in alive}
+        copies = frozenset(disk for disk in disk_ids(changed.joining) if disk in present)
+        after = GroupView(0, changed.epoch + 1, changed.joining, [])
+        world = world._replace(view=after, copies=copies)
+    return None
+
+
+def _events(world: World) -> Iterator[tuple[str, World]]:
+    """Yield what may happen to a settled group within the tolerance of one loss."""
+    numbers = [number for number, _ in world.lives]
+    members = {int(m.node_id[1:]) for m in world.view.members} - world.removed
+    if len(numbers) < MAX_MACHINES:
+        added = len(numbers)
+        yield f"m{added} is added", world._replace(lives=(*world.lives, (added, 0)))
+    for number, life in world.lives:
+        if number in world.removed or number in world.retiring:
+            continue
+        if number not in members:
+            continue
+        lives = tuple((n, k + 1 if n == number else k) for n, k in world.lives)
+        lost = world.copies - {f"m{number}-{life}"}
+        yield f"m{number} loses its disk", world._replace(lives=lives, copies=lost)
+        retiring = world.retiring | {number}
+        yield f"m{number} is retired", world._replace(retiring=retiring)
+        # A planned replacement: its successor belongs to the group before the machine goes.
+        if len(members) > write_quorum(0, len(world.view.members)):
+            removed = world.removed | {number}
+            yield f"m{number} is taken away", world._replace(removed=removed, copies=lost)
+    for number in world.retiring:
+        if number not in members and number not in world.removed:
+            gone = world.removed | {number}
+            yield f"m{number} is gone", world._replace(removed=gone)
+            back = world.retiring - {number}
+            yield (
+                f"m{number}'s retirement is taken back as it goes",
+                world._replace(removed=gone, retiring=back),
+            )
+
+
+def can_serve(world: World) -> bool:
+    """Return whether the group's members that are there suffice for reads and writes."""
+    alive = world.alive
+    there = [m.disk_id for m in world.view.members if m.node_id in alive]
+    held = [disk for disk in there if disk in world.copies]
+    return has_write_quorum(world.view, there) and has_read_quorum(world.view, held)
+
+
+def stuck_groups(forgets_absent: bool) -> list[str]:
+    """Return the shortest orders of events after which a group never serves again."""
+    found: list[str] = []
+    seen: set[tuple[object, ...]] = set()
+    front: list[tuple[World, tuple[str, ...]]] = [(_first(), ())]
+    for _ in range(MAX_EVENTS):
+        reached: list[tuple[World, tuple[str, ...]]] = []
+        for world, path in front:
+            for name, changed in _events(world):
+                settled = settle(changed, forgets_absent)
+                order = (*path, name)
+                if settled is None or not can_serve(settled):
+                    found.append(", ".join(order))
+                    continue
+                key = (tuple(disk_ids(settled.view.members)), *settled[1:])
+                if key not in seen:
+                    seen.add(key)
+                    reached.append((settled, order))
+        front = reached
+    return found
--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -412,6 +412,19 @@
     joining: str
 
 
+class GroupWaits(Decision, frozen=True):
+    """A group cannot serve or change until members come back that are silent.
+
+    :param missing: node ids of those members; empty once the group needs none of them.
+    :param waited: seconds for which it has waited.
+    """
+
+    group: int
+    epoch: int
+    missing: str
+    waited: float
+
+
 class GroupLost(Decision, frozen=True):
     """A common group has permanently lost all copies of its records.
 
--- a/yarrowwall/metrics.py
+++ b/yarrowwall/metrics.py
@@ -103,6 +103,9 @@
 GROUP_EPOCH = _Description("group_epoch", "Newest view of a group", "group")
 GROUP_MEMBERS = _Description("group_members", "Replicas of a group's newest view", "group")
 GROUP_LOST = _Description("group_lost", "1 if a group has lost all copies of its records", "group")
+GROUP_WAITS = _Description(
+    "group_waits", "1 while a group waits for members that have been silent for long", "group"
+)
 ZONE_RECORDS = _Description(
     "zone_group_records", "Records that this machine holds for its zone's own group"
 )
@@ -199,6 +202,9 @@
             decisions.KeysChanged: self._keys_changed,
             decisions.GroupChanged: self._group_changed,
             decisions.GroupLost: lambda event: self._set(GROUP_LOST, 1, event.group),
+            decisions.GroupWaits: lambda event: self._set(
+                GROUP_WAITS, int(bool(event.missing)), event.group
+            ),
         }
 
     def count(self, decision: Decision) -> None:
--- a/yarrowwall/replication/coordinator.py
+++ b/yarrowwall/replication/coordinator.py
@@ -34,6 +34,7 @@
     first_views,
     first_zone_views,
     is_ready_to_change,
+    missing_members,
     next_view,
     revised_view,
     settled_view,
@@ -85,11 +86,13 @@
     :param alive: node ids of the machines that answered recently.
     :param statuses: the newest status of each disk whose machine is alive.
     :param busy: disks that are members of any group.
+    :param absent: node ids of the machines that have not answered for long.
     """
 
     alive: set[str]
     statuses: dict[str, StatusReply]
     busy: set[str]
+    absent: set[str]
 
 
 class Coordinator:
@@ -232,7 +235,8 @@
     def _cluster_state(self, views: list[GroupView]) -> _ClusterState:
         own = (self._own.common.status(), self._own.zone.status())
         busy = {disk for view in views for disk in disk_ids(all_members(view))}
-        return _ClusterState(self._peers.alive(), self._peers.statuses(own), busy)
+        peers = self._peers
+        return _ClusterState(peers.alive(), peers.statuses(own), busy, peers.absent())
 
     def _next_view(self, view: GroupView, state: _ClusterState) -> GroupView | None:
         if not is_zone_group(view.group):
@@ -249,6 +253,9 @@
 
         :param registered: the machines with their disks for this kind of group, by node id.
         """
+        self._notices.note_missing(
+            view, missing_members(view, registered, state.alive), self._now()
+        )
         settled = settled_view(view, state.statuses) if view.joining else None
         if settled is not None or not is_ready_to_change(view, state.statuses):
             return settled
@@ -261,11 +268,11 @@
     ) -> GroupView | None:
         """Return the view that begins a change; log a retirement that lacks a replacement."""
         group = (view, registered, state.alive, self.retiring, state.busy, self._size)
-        changed = next_view(*group)
+        changed = next_view(*group, state.absent)
         if self._node_id not in self.retiring:
             self._notices.clear_blocked()
         elif changed is None:
-            self._notices.note_blocked(blocked_retirement(*group))
+            self._notices.note_blocked(blocked_retirement(*group, state.absent))
         return changed
 
     def _may_propose(self, proposal: _Proposal) -> bool:
--- a/yarrowwall/replication/peers.py
+++ b/yarrowwall/replication/peers.py
@@ -23,6 +23,11 @@
 START_SECONDS = 2.0
 #: Seconds of silence after which a machine counts as down.
 DOWN_SECONDS = 1.6
+#: Seconds of silence after which it counts as absent: it may have been taken away.
+ABSENT_SECONDS = 4.0
+#: Seconds between two rounds of requests after which this process has been delayed itself, so that
+#: silence before does not count.
+_DELAYED_SECONDS = 2.0 * HEARTBEAT_SECONDS
 
 
 class ReplicaPeers:
@@ -50,14 +55,18 @@
         self._statuses: dict[str, StatusReply] = {}
         self._answered_at: dict[str, float] = {}
         self._confirmations: dict[str, ViewConfirmation] = {}
+        self._asking_since = now()
 
     def start(self) -> None:
         """Start asking in the background."""
         eventlet.spawn_n(self._run)
 
     def _run(self) -> None:
-        begun_at = self._now()
+        begun_at = asked_at = self._now()
         while True:
+            if self._now() - asked_at > _DELAYED_SECONDS:
+                self._asking_since = self._now()
+            asked_at = self._now()
             for member in list(self.registered.values()):
                 if member.node_id != self._node_id:
                     self._ask(member)
@@ -108,6 +117,18 @@
         answered = {node for node, answered_at in self._answered_at.items() if answered_at >= since}
         return answered | {self._node_id}
 
+    def absent(self) -> set[str]:
+        """Return the node ids of registered machines that have not answered for long."""
+        now = self._now()
+        if now - self._asking_since < ABSENT_SECONDS:
+            return set()
+        return {
+            node
+            for node in self.registered
+            if node != self._node_id
+            and now - self._answered_at.get(node, self._asking_since) >= ABSENT_SECONDS
+        }
+
     def confirmations(self) -> Mapping[str, ViewConfirmation]:
         """Return the newest confirmation of each replica by disk."""
         return self._confirmations
--- a/yarrowwall/replication/planner.py
+++ b/yarrowwall/replication/planner.py
@@ -92,6 +92,7 @@
     retiring: Collection[str],
     busy: Collection[str],
     size: int,
+    absent: Collection[str] = (),
 ) -> GroupView | None:
     """Return the view that begins a change of a settled group.
 
@@ -102,6 +103,8 @@
     :param retiring: node ids of machines that are being retired.
     :param busy: disks that are members of any group.
     :param size: target number of replicas.
+    :param absent: node ids of machines that have been silent for so long that they may have been
+        taken away.
     """
     intact = _intact_members(view, registered, alive)
     if len(intact) < read_quorum(view.group, len(view.members)):
@@ -116,16 +119,19 @@
         best = _best_candidate(free, joining)
         free.remove(best)
         joining.append(best)
-    silent = [
-        member
-        for member in view.members
-        if member.node_id not in alive and not _has_other_disk(member, registered)
-    ]
+    silent = _silent_members(view, registered, alive)
     # Without a replacement, a retiring member stays as long as the group needs its copy. A silent
-    # member stays too, since it may come back with its disk.
+    # member stays too, since it may come back with its disk, but not for good: nothing tells a
+    # machine that was taken away from one that is down, and while the group counts it, the loss of
+    # one more disk would leave less than a read quorum. If it comes back, it joins again.
     retiring_members = [member for member in [*intact, *silent] if member.node_id in retiring]
     joining += retiring_members[: max(0, _min_copies(view.group, size) - len(joining))]
-    awaited = [member for member in silent if member.node_id not in retiring]
+    is_safe_without = not is_zone_group(view.group) and len(joining) >= majority(size)
+    awaited = [
+        member
+        for member in silent
+        if member.node_id not in retiring and not (is_safe_without and member.node_id in absent)
+    ]
     joining += awaited[: max(0, len(view.members) - len(joining))]
     if not joining or set(disk_ids(joining)) == set(disk_ids(view.members)):
         return None
@@ -139,6 +145,7 @@
     retiring: Collection[str],
     busy: Collection[str],
     size: int,
+    absent: Collection[str] = (),
 ) -> BlockedRetirement | None:
     """Return the retirement of a settled group that is blocked by too few copies; None if none is.
 
@@ -147,7 +154,7 @@
     intact = _intact_members(view, registered, alive)
     if len(intact) < read_quorum(view.group, len(view.members)):
         return None
-    if next_view(view, registered, alive, retiring, busy, size) is not None:
+    if next_view(view, registered, alive, retiring, busy, size, absent) is not None:
         return None
     leaving = frozenset(member.node_id for member in intact if member.node_id in retiring)
     left, needed = len(intact) - len(leaving), _min_copies(view.group, size)
@@ -156,6 +163,20 @@
     return BlockedRetirement(view.group, leaving, left, needed)
 
 
+def missing_members(
+    view: GroupView, registered: dict[str, Member], alive: Collection[str]
+) -> list[Member]:
+    """Return the members that a settled group waits for; none while it can change without them.
+
+    They are silent, and fewer than a read quorum of members are alive with their disks, so nobody
+    knows whether those hold every complete write.
+    """
+    intact = _intact_members(view, registered, alive)
+    if view.joining or len(intact) >= read_quorum(view.group, len(view.members)):
+        return []
+    return _silent_members(view, registered, alive)
+
+
 def _intact_members(
     view: GroupView, registered: dict[str, Member], alive: Collection[str]
 ) -> list[Member]:
@@ -167,6 +188,17 @@
     ]
 
 
+def _silent_members(
+    view: GroupView, registered: dict[str, Member], alive: Collection[str]
+) -> list[Member]:
+    """Return the members that are silent and may still have their disks."""
+    return [
+        member
+        for member in view.members
+        if member.node_id not in alive and not _has_other_disk(member, registered)
+    ]
+
+
 def _min_copies(group: int, size: int) -> int:
     """Return how many copies must remain after a retirement.
 
