--- a/features/groups_of_any_size.feature
+++ b/features/groups_of_any_size.feature
@@ -1,5 +1,22 @@
 Feature: A group of any size proves what is absent, and waits for no machine that is gone
 
+  # Guards against LOST: a replica that was not told of a change answered "no such turn" alone, since
+  # two read quorums of a group with an even number of members need not meet.
+  Scenario: Whoever proves that a record is absent has heard of every view in which it may be
+    Then over each change of a group of 1 to 7 "read and write quorums" prove an absence
+    But "read quorums" do not for groups of 2, 4 and 6
+
+  # Guards against the same in the client of the record store.
+  Scenario: A turn is not unknown while a member in the reader's own view alone answers
+    Given a group of 2 replicas, one of them in the own zone
+    And the last replica is silent
+    When a chain is read within 200 ms, it fails without a quorum
+    And the presence of an owner's records is read within 200 ms, it fails without a quorum
+
+  Scenario: A turn is unknown if the whole group of two says so
+    Given a group of 2 replicas, one of them in the own zone
+    Then a chain that is read has no record
+
   # Guards against RECOVER: after a retirement and a planned replacement, the removed machine stayed a
   # member, and the loss of one disk ended the service of turns for good.
   Scenario: No order of removals, losses, additions and retirements leaves a group that never serves
--- a/features/steps/group_size_steps.py
+++ b/features/steps/group_size_steps.py
@@ -7,16 +7,56 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.support.group_search import MAX_EVENTS, stuck_groups
+from features.support.group_search import MAX_EVENTS, QUORUMS, stuck_groups, unproved_absences
 from features.support.record_model import member
 from yarrowwall.decisions import Decision
 from yarrowwall.messages.replicated import GroupView, Member, StatusReply
+from yarrowwall.replication.exceptions import NoQuorumError
 from yarrowwall.replication.group_notices import GroupNotices
 from yarrowwall.replication.peers import HEARTBEAT_SECONDS, ReplicaPeers
 from yarrowwall.replication.planner import missing_members, next_view
 from yarrowwall.replication.views import disk_ids
 
 
+@then('over each change of a group of 1 to 7 "{quorums}" prove an absence')
+def absences_are_proved(context: Context, quorums: str) -> None:
+    assert not unproved_absences(QUORUMS[quorums])
+
+
+@then('"{quorums}" do not for groups of 2, 4 and 6')
+def absences_are_not_proved(context: Context, quorums: str) -> None:
+    found = unproved_absences(QUORUMS[quorums])
+    before = {name.partition(" ")[0] for name in found if "before" in name}
+    assert before == {"2", "4", "6"}, found
+
+
+@when("a chain is read within {timeout_ms:d} ms, it fails without a quorum")
+def chain_is_uncertain(context: Context, timeout_ms: int) -> None:
+    try:
+        found = context.client.read_chain(0, "turn/x", [], timeout=timeout_ms / 1000)
+    except NoQuorumError:
+        return
+    raise AssertionError(found)
+
+
+@when(
+    "the presence of an owner's records is read within {timeout_ms:d} ms, it fails without a quorum"
+)
+def presence_is_uncertain(context: Context, timeout_ms: int) -> None:
+    try:
+        found = context.client.read_amounts(
+            0, "stream/x", timeout=timeout_ms / 1000, proves_absence=True
+        )
+    except NoQuorumError:
+        return
+    raise AssertionError(found)
+
+
+@then("a chain that is read has no record")
+def chain_is_unknown(context: Context) -> None:
+    assert context.client.read_chain(0, "turn/x", [], timeout=1.0) == {}
+
+
 @then("no order of up to {count:d} events leaves a group of three without service")
 def no_stuck_group(context: Context, count: int) -> None:
     assert count == MAX_EVENTS
--- a/features/support/group_search.py
+++ b/features/support/group_search.py
@@ -1,11 +1,14 @@
 """Exhaustive searches over small groups: quorums of successive views, and losses of machines."""
 
 from collections.abc import Iterator
+from itertools import combinations
 from typing import NamedTuple
 
 from yarrowwall.messages.replicated import GroupView, Member
+from yarrowwall.replication.operations import READ_QUORUM, READ_WRITE_QUORUM, Quorum
 from yarrowwall.replication.planner import next_view, target_size
 from yarrowwall.replication.views import (
+    all_members,
     disk_ids,
     has_read_quorum,
     has_write_quorum,
@@ -13,6 +16,8 @@
     write_quorum,
 )
 
+#: Most members of a group whose successors are searched.
+MAX_MEMBERS = 7
 #: Machines of a planner's search: those of the first group, and more that are added.
 FIRST_MACHINES, MAX_MACHINES = 3, 5
 MAX_EVENTS = 5
@@ -28,6 +33,49 @@
     return Member(f"m{number}", f"m{number}-{life}", f"a{number}", f"zone-{number % 3}")
 
 
+def _subsets(disks: list[str]) -> Iterator[frozenset[str]]:
+    for size in range(len(disks) + 1):
+        for chosen in combinations(disks, size):
+            yield frozenset(chosen)
+
+
+def _successors(size: int) -> Iterator[list[Member]]:
+    """Yield the members after a change of one: it joins, leaves, or is replaced."""
+    own, other = [member(number) for number in range(size)], member(size)
+    yield [*own, other]
+    if size > 1:
+        yield own[1:]
+    yield [*own[1:], other]
+
+
+def unproved_absences(quorum: Quorum) -> list[str]:
+    """Return the changes over which a reader of an older view may miss a complete write.
+
+    A change ends once the joining members have copied from a read quorum of the old ones, which
+    were told of it. A reader has replies from replicas of one view that reach a quorum.
+    """
+    found = []
+    for size in range(1, MAX_MEMBERS + 1):
+        own = [member(number) for number in range(size)]
+        for after in _successors(size):
+            name = f"{size} to {len(after)}"
+            settled, joint = GroupView(0, 1, own, []), GroupView(0, 2, own, after)
+            told = [s for s in _subsets(disk_ids(own)) if has_read_quorum(settled, s)]
+            before = [s for s in _subsets(disk_ids(own)) if quorum.is_reached_by_disks(settled, s)]
+            if any(one.isdisjoint(other) for one in before for other in told):
+                found.append(f"{name}, in the view before the change")
+            ended = GroupView(0, 3, after, [])
+            written = [s for s in _subsets(disk_ids(after)) if has_write_quorum(ended, s)]
+            disks = disk_ids(all_members(joint))
+            during = [s for s in _subsets(disks) if quorum.is_reached_by_disks(joint, s)]
+            if any(one.isdisjoint(other) for one in during for other in written):
+                found.append(f"{name}, in the view of the change")
+    return found
+
+
+QUORUMS = {"read quorums": READ_QUORUM, "read and write quorums": READ_WRITE_QUORUM}
+
+
 class World(NamedTuple):
     """A settled group and its machines.
 
--- a/yarrowwall/budgets/stream_records.py
+++ b/yarrowwall/budgets/stream_records.py
@@ -140,7 +140,9 @@
         if self._reachability.is_unreachable(group):
             return None
         try:
-            return self._client.read_amounts(group, owner, timeout=TIMEOUT_SECONDS).amounts
+            return self._client.read_amounts(
+                group, owner, timeout=TIMEOUT_SECONDS, proves_absence=True
+            ).amounts
         except NoQuorumError:
             # The attempt is refused as uncertain, which is logged.
             return None
--- a/yarrowwall/replication/quorum_client.py
+++ b/yarrowwall/replication/quorum_client.py
@@ -123,16 +123,22 @@
         self._run(operation, timeout)
 
     def read_amounts(
-        self, group: int, owner: str, timeout: float = OPERATION_SECONDS
+        self,
+        group: int,
+        owner: str,
+        timeout: float = OPERATION_SECONDS,
+        proves_absence: bool = False,
     ) -> OwnerReading:
         """Return the amounts of all complete records of an owner, and its newest note.
 
+        :param proves_absence: whether a record that is not among them must have no complete write,
+            as in :meth:`read_chain`; else a replica that was not told of a change may lack it.
         :raises NoQuorumError: if the quorum does not answer in time.
         """
         operation = Operation(
             group,
             owner,
-            READ_QUORUM,
+            READ_WRITE_QUORUM if proves_absence else READ_QUORUM,
             lambda view, member: ReadOwner(group, view.epoch, member.disk_id, owner),
         )
         found = self._run(operation, timeout)
@@ -176,7 +182,8 @@
         """Return by key a record and its predecessors that replicas have.
 
         The nearest replica is asked alone first. A record that is not among them has no complete
-        write.
+        write: besides a read quorum, as many replicas as a write needs are still in the view, and
+        whoever ends a change has told a read quorum of it, so no later view is in use.
 
         :param known: keys at which the chain may stop.
         :raises NoQuorumError: if the quorum does not answer in time.
@@ -192,7 +199,7 @@
         )
         with contextlib.suppress(NoQuorumError):
             return self._ask_nearest(chain).records
-        return self._run(chain._replace(quorum=READ_QUORUM), timeout).records
+        return self._run(chain._replace(quorum=READ_WRITE_QUORUM), timeout).records
 
     def owners_left_s(
         self, group: int, owners: list[str], timeout: float = OPERATION_SECONDS
