A greenthread that always finds bytes gives others a turn

What callers saw: while a server sent a stream faster than its gateway read, no other request at that gateway went on.

Cause: eventlet switches only where a read must wait. sockets.receive returns at once if bytes are there, so the greenthread of a stream that is sent fast and read fast by its caller ran until the stream's time was over. Ruled out: load.

Change: after 5 ms in which no greenthread had to wait, receive lets others run. It reads for callers, servers and the store; links between machines wait for each read already.

--- a/features/steps/unbounded_answer_steps.py
+++ b/features/steps/unbounded_answer_steps.py
@@ -54,13 +54,16 @@
     def __init__(self, context: Context) -> None:
         self._context = context
         self.statuses: list[int] = []
+        self.longest_s = 0.0
         self._is_over = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
 
     def _run(self) -> None:
         while not self._is_over.wait(0.05):
+            began = time.monotonic()
             self.statuses.append(world(self._context).ask(HEALTHY, b"x").status)
+            self.longest_s = max(self.longest_s, time.monotonic() - began)
 
     def stop(self) -> list[int]:
         """Stop sending; return the statuses of the answers."""
@@ -262,6 +265,29 @@
     wait_until(lambda: not context.refusing.open_since, "its connections are closed")
 
 
+# Streams beside other requests
+
+
+@given("a healthy route, and a stream route whose server sends {what} without an end")
+def endless_stream(context: Context, what: str) -> None:
+    add_healthy(context)
+    add(context, "chat", "streaming", EndlessServer(ENDLESS[what], is_slow=False))
+    begin_watching(context)
+
+
+@when("{count:d} callers read that stream for {left_s:f} s")
+def read_streams(context: Context, count: int, left_s: float) -> None:
+    with ThreadPoolExecutor(count) as pool:
+        list(pool.map(lambda _: read_to_end(context, "chat", left_s), range(count)))
+
+
+@then("meanwhile every request on the healthy route was served within {limit_s:f} s")
+def others_not_delayed(context: Context, limit_s: float) -> None:
+    statuses = context.healthy.stop()
+    assert set(statuses) == {200}, statuses
+    assert context.healthy.longest_s < limit_s, context.healthy.longest_s
+
+
 # Callers and probes
 
 _CHUNKED_HEAD = (
--- a/features/unbounded_answers.feature
+++ b/features/unbounded_answers.feature
@@ -27,6 +27,20 @@
     When 8 requests come on "records"
     Then each is answered by the other server within 0.5 s
 
+  # Guards against requests that wait, or are never sent, while a server sends faster than the gateway
+  # reads: a greenthread that always finds bytes let no other one run.
+  @platform_world @own_process
+  Scenario Outline: A stream of <what> that never ends delays no other request
+    Given a healthy route, and a stream route whose server sends <what> without an end
+    When 2 callers read that stream for 1.5 s
+    Then meanwhile every request on the healthy route was served within 0.3 s
+
+    Examples:
+      | what        |
+      | blank lines |
+      | comments    |
+      | events      |
+
   # Guards against memory and time that a caller's request takes without an end.
   @platform_world @own_process
   Scenario Outline: A caller's request never ends: <what>, sent <speed>
--- a/yarrowwall/sockets.py
+++ b/yarrowwall/sockets.py
@@ -9,6 +9,7 @@
 import time
 from typing import Any
 
+import eventlet
 import greenlet
 from eventlet.green import socket as green_socket
 from eventlet.hubs import IOClosed, get_hub, trampoline
@@ -21,6 +22,28 @@
 #: probes that end the connection.
 KEEPALIVE_SECONDS = 1
 KEEPALIVE_COUNT = 2
+#: Seconds for which greenthreads may find bytes at each read before all others get a turn.
+TURN_SECONDS = 0.005
+
+
+class _Turns:
+    """Gives all greenthreads a turn while one reads from a peer that sends faster than it reads."""
+
+    def __init__(self) -> None:
+        self._waited_at = 0.0
+
+    def note_wait(self) -> None:
+        """Note that a greenthread has waited, so that others could run."""
+        self._waited_at = time.monotonic()
+
+    def yield_if_due(self) -> None:
+        """Let others run if no greenthread has waited for long."""
+        if time.monotonic() - self._waited_at > TURN_SECONDS:
+            eventlet.sleep(0)
+            self.note_wait()
+
+
+_TURNS = _Turns()
 
 
 def set_tcp_options(connection: socket.socket) -> None:
@@ -75,12 +98,16 @@
     is_over = False
     while True:
         try:
-            return raw.recv(size)
+            data: bytes = raw.recv(size)
         except BlockingIOError:
             if is_over:
                 raise TimeoutError(f"nothing arrived in {timeout} s") from None
+        else:
+            _TURNS.yield_if_due()
+            return data
         try:
             trampoline(raw, read=True, timeout=timeout, timeout_exc=TimeoutError)
+            _TURNS.note_wait()
         except TimeoutError:
             is_over = True
         except IOClosed as error:
