--- /dev/null
+++ b/features/soak/endless.py
@@ -0,0 +1,85 @@
+"""Clients of servers whose answers never end."""
+
+import contextlib
+import http.client
+import random
+import threading
+import time
+from collections import Counter
+
+from features.soak.promises import Record
+from features.soak.threads import ThreadGroup
+from features.soak.world import ENDLESS_KINDS, SoakWorld, endless_route
+from features.support.platform_world import HOST
+
+_LEFT_S = 1.5
+#: Seconds after its deadline in which a request must have its end, if nothing else is disrupted.
+_SLACK_S = 0.6
+_PAUSE_S = 0.3
+_TIMEOUT_S = 8.0
+
+
+class EndlessClients(ThreadGroup):
+    """Asks servers whose answers never end, one client for each kind of route.
+
+    :param seed: determines the requests of each client, but not their times.
+    """
+
+    def __init__(self, world: SoakWorld, record: Record, seed: int) -> None:
+        super().__init__()
+        self._world = world
+        self._record = record
+        self._lock = threading.Lock()
+        self._counts: Counter[str] = Counter()
+        self._threads = [
+            threading.Thread(target=self._run, args=(random.Random(f"{seed}/endless/{kind}"), kind))
+            for kind in ENDLESS_KINDS
+        ]
+
+    def counts(self) -> dict[str, int]:
+        """Return the number of requests by kind and status; 0 for none."""
+        with self._lock:
+            return dict(self._counts)
+
+    def _run(self, rng: random.Random, kind: str) -> None:
+        number = 0
+        while not self._is_over.wait(rng.uniform(0.0, _PAUSE_S)):
+            number += 1
+            gateway = rng.randrange(len(self._world.gateways))
+            began = time.monotonic()
+            status, is_whole = self._ask(gateway, kind, f"endless-{kind}-{number}")
+            self._check(gateway, kind, began, is_whole)
+            with self._lock:
+                self._counts[f"{kind} {status}"] += 1
+
+    def _ask(self, gateway: int, kind: str, attempt: str) -> tuple[int, bool]:
+        """Send a request and drop its answer; return its status, and whether it had an end."""
+        connection = self._world.connect(gateway)
+        connection.timeout = _TIMEOUT_S
+        headers = {
+            "Host": HOST,
+            "X-Attempt-Id": attempt,
+            "X-Deadline-Ms": str(round(_LEFT_S * 1000.0)),
+            "X-Token-Count": "10,10",
+        }
+        status = 0
+        with contextlib.closing(connection):
+            try:
+                connection.request("POST", f"/{endless_route(kind)}/x", b"x", headers)
+                response = connection.getresponse()
+                status = response.status
+                while response.read1(65536):
+                    pass
+            except (OSError, http.client.HTTPException, ValueError):
+                return status, False
+        return status, status == http.client.OK
+
+    def _check(self, gateway: int, kind: str, began: float, is_whole: bool) -> None:
+        ended, name = time.monotonic(), self._world.gateways[gateway]
+        if is_whole:
+            self._record.note_violation(f"MIXED: a {kind} answer without an end looked whole")
+        is_late = ended - began > _LEFT_S + _SLACK_S
+        if is_late and self._record.disruptions.is_quiet(name, began, ended):
+            self._record.note_violation(
+                f"CONFIG: {kind} at {name} ended after {ended - began:.2f} s"
+            )
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -7,9 +7,11 @@
 from features.soak.continuations import RECOVER_S
 from features.soak.conversations import ConversationClients
 from features.soak.disks import Disks
+from features.soak.endless import EndlessClients
 from features.soak.fatal import FatalClients
 from features.soak.fault_workers import FaultWorkers
 from features.soak.final import FinalFault, FinalFaultInjector, FinalFaultResult
+from features.soak.names import NameClients
 from features.soak.promises import Record
 from features.soak.streams import StreamClients
 from features.soak.thread_delay import ThreadDelay
@@ -38,6 +40,8 @@
     :param conversations: number of attempts to begin and to resume stateful streams, and of turns
         that became whole.
     :param fatal: what became of requests that end servers, and of those beside them.
+    :param names: a tenant's turns, and requests with names of another owner, by status.
+    :param endless: requests to servers whose answers never end, by kind and status.
     :param late_s: largest scheduling delay of a thread in this process, which also runs the
         test servers.
     """
@@ -50,6 +54,8 @@
     streams: dict[str, int]
     conversations: dict[str, int]
     fatal: dict[str, int]
+    names: dict[str, int]
+    endless: dict[str, int]
     late_s: float
 
 
@@ -76,7 +82,10 @@
         streams = StreamClients(world, record, seed, clients)
         fatal = FatalClients(world, record, seed, clients)
         conversations = ConversationClients(world, record, seed, clients)
-        with fatal, streams, conversations, Workload(world, record, seed, clients) as workload:
+        names = NameClients(world, record, seed, clients)
+        endless = EndlessClients(world, record, seed)
+        workload = Workload(world, record, seed, clients)
+        with fatal, streams, conversations, names, endless, workload:
             final = FinalFaultInjector(world, record, disks, workload.answered, seed)
             try:
                 faults.replace_servers_until(time.monotonic() + RELEASE_S)
@@ -105,6 +114,8 @@
         stream_counts,
         conversations.counts(),
         fatal_counts._asdict(),
+        names.counts(),
+        endless.counts(),
         round(thread_delay.max_delay_s, 2),
     )
 
--- a/features/soak/turns.py
+++ b/features/soak/turns.py
@@ -32,12 +32,18 @@
     :param budget: tokens that it may emit.
     :param finish_at: desired end on the monotonic clock.
     :param own_tokens: prompt tokens, without the history, that no other program shares.
+    :param route: the route of its turns.
+    :param key: the key of its tenant; empty for none.
+    :param shown: the id that it has for gateways, if that is not its name.
     """
 
     name: str
     budget: int
     finish_at: float
     own_tokens: int = 100
+    route: str = CHAT
+    key: str = ""
+    shown: str = ""
 
 
 class AnsweredTurns:
@@ -65,7 +71,9 @@
     body = f"input of {attempt}".encode()
     expected = previous.chain + body
     record.note_attempt(attempt, expected, program.name)
-    end = client.send(gateway, CHAT, attempt, body, _headers(program, expected, previous))
+    end = client.send(
+        gateway, program.route, attempt, body, turn_headers(program, expected, previous)
+    )
     if end.status in TURN_UNKNOWN and previous.attempt:
         record.note_violation(f"LOST: {previous.attempt} is unknown to {attempt}, {end.status}")
     if end.status != 200 or not end.is_whole:
@@ -77,17 +85,23 @@
     return Turn(attempt, expected + output, end.at), end.status
 
 
-def _headers(program: Program, expected: bytes, previous: Turn) -> dict[str, str]:
+def turn_headers(program: Program, expected: bytes, previous: Turn) -> dict[str, str]:
+    """Return the headers of a turn.
+
+    :param expected: the body that its server should get.
+    """
     finish_ms = max(round((program.finish_at - time.monotonic()) * 1000.0), 1)
     own_tokens = program.own_tokens + len(expected)
     headers = {
-        "X-Program-Id": program.name,
+        "X-Program-Id": program.shown or program.name,
         "X-Session-Id": program.name,
         "X-Finish-Ms": str(finish_ms),
         "X-Token-Budget": str(program.budget),
         "X-Token-Count": f"{program.own_tokens},{TURN_TOKENS}",
         "X-Prompt-Prefix": f"5eed:1000,{program.name}:{own_tokens}",
     }
+    if program.key:
+        headers["X-Key"] = program.key
     if previous.attempt:
         headers["X-Previous-Turn"] = previous.attempt
     return headers
--- a/features/soak/world.py
+++ b/features/soak/world.py
@@ -15,6 +15,7 @@
 from features.soak.proxy import Mode, Proxy
 from features.support.conversations import ROUTE as CONVERSATION
 from features.support.conversations import ConversationServers
+from features.support.endless_answers import ENDLESS, EndlessServer
 from features.support.fatal_requests import KINDS, CrashingServers
 from features.support.platform_scripts import full
 from features.support.platform_world import (
@@ -30,6 +31,10 @@
 
 CHAT = "chat"
 LOOKUP = "records"
+#: Route of turns that needs the key of the tenant; all others are public.
+KEYED, TENANT, KEY = "keyed", "alloy", "key-a"
+#: Kinds of the routes to servers whose answers never end.
+ENDLESS_KINDS = ("idempotent", "mutating", "streaming")
 FATAL_ROUTE = "fatal"
 FATAL_KIND = KINDS["resumable turn"]
 #: Slots of a server and retention of turns in seconds, as in the test configuration.
@@ -38,6 +43,7 @@
 _LOOKUP_SERVERS = 2
 _FATAL_SERVERS = 6
 _CHAT_SERVERS = 3
+_ENDLESS_SERVERS = 3
 #: Versions of the servers of resumable streams at the start, and those of servers added later.
 _FIRST_VERSIONS = ("v1", "v1", "v2", "v2")
 _VERSIONS = ("v1", "v2", "v3")
@@ -60,6 +66,11 @@
 )
 
 
+def endless_route(kind: str) -> str:
+    """Return the name of the route of a kind to servers whose answers never end."""
+    return f"endless-{kind}"
+
+
 class SoakWorld(PlatformWorld):
     """Test servers, store and machines; a context manager that stops them all."""
 
@@ -101,6 +112,11 @@
             self.add_server(CONVERSATION, self.conversations.run)
         self.add_route(FATAL_ROUTE, FATAL_KIND.route_type, **FATAL_KIND.fields)
         self.fatal_servers.start(_FATAL_SERVERS)
+        self._add_endless()
+        self.tenants = [{"name": TENANT, "api_keys": [KEY], "rate_per_s": 0, "burst": 0}]
+        for route in self.routes:
+            route["public"] = True
+        self.add_route(KEYED, "streaming", stateful=True, attempts=2, service=CHAT)
         self.publish()
         self.wait_ready()
         return self
@@ -111,6 +127,16 @@
         for proxy in [*proxies, *self._ended_proxies]:
             proxy.close()
 
+    def _add_endless(self) -> None:
+        """Add servers whose answers never end, of a few kinds that the seed determines."""
+        for kind in ENDLESS_KINDS:
+            route = endless_route(kind)
+            self.add_route(route, kind)
+            for what in self._rng.sample(sorted(ENDLESS), _ENDLESS_SERVERS):
+                # The soak's own process could not send fast for as long as a stream lasts.
+                is_slow = kind == "streaming" or self._rng.random() < 0.5
+                self.add_server(route, EndlessServer(ENDLESS[what], is_slow))
+
     # Proxies
 
     def store_address(self, name: str) -> str:
--- a/features/steps/record_name_steps.py
+++ b/features/steps/record_name_steps.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from features.steps.tenant_steps import tenant
+from features.support.chosen_names import spellings
 from features.support.name_mutants import MUTANTS
 from features.support.platform_scripts import add, arrivals, publish, world
 from features.support.platform_world import Answer, Arrival, stream
@@ -72,24 +73,6 @@
 _software = st.sampled_from(("", "12345678", stream_keys.RESUMPTION))
 
 
-def spellings(tenant_name: str, name: str) -> list[str]:
-    """Return texts by which another caller may try to name a tenant's turn or program."""
-    qualified = f"{len(tenant_name)}:{tenant_name}:{name}"
-    return [
-        name,
-        qualified,
-        f"0{qualified}",
-        f"0::{qualified}",
-        f"{tenant_name}:{name}",
-        f"{tenant_name}/{name}",
-        f"turn/{qualified}",
-        f"turn/{name}",
-        f"{len(tenant_name) - 1}:{tenant_name}:{name}",
-        f"{qualified}/",
-        f"/{qualified}",
-    ]
-
-
 # Real processes
 
 
