--- a/yarrowwall/dispatch/answer_bounds.py
+++ b/yarrowwall/dispatch/answer_bounds.py
@@ -91,3 +91,23 @@
         limit = MAX_HEAD_BYTES + FRAMING_BYTES_PER_BODY_BYTE * self.body
         if framing > limit:
             raise AnswerBoundError(AnswerBound.FRAMING, self.received, limit)
+
+
+class BodyLimit:
+    """Bounds the body of one answer.
+
+    :param max_bytes: bytes that it may have.
+    """
+
+    def __init__(self, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
+        self._size = 0
+
+    def add(self, size: int) -> None:
+        """Count bytes of the body.
+
+        :raises AnswerBoundError: if there are too many.
+        """
+        self._size += size
+        if self._size > self._max_bytes:
+            raise AnswerBoundError(AnswerBound.BODY, self._size, self._max_bytes)
--- a/yarrowwall/dispatch/connection.py
+++ b/yarrowwall/dispatch/connection.py
@@ -15,10 +15,9 @@
 import httptools
 
 from yarrowwall.dispatch.answer_bounds import (
-    AnswerBound,
-    AnswerBoundError,
     AnswerSize,
     AnswerUnfinishedError,
+    BodyLimit,
 )
 from yarrowwall.exceptions import (
     AnswerTimeoutError,
@@ -231,11 +230,9 @@
         :raises MalformedAnswerError: if the framing is broken.
         :raises AnswerBoundError: if it is longer, or there is too much framing.
         """
-        end_s, skipped = time.monotonic() + timeout, 0
+        end_s, limit = time.monotonic() + timeout, BodyLimit(max_bytes)
         while data := self._read_before(end_s):
-            skipped += len(data)
-            if skipped > max_bytes:
-                raise AnswerBoundError(AnswerBound.BODY, self._size.received, max_bytes)
+            limit.add(len(data))
 
     def _read_before(self, end_s: float) -> bytes:
         """Return the next bytes of a body that must end by a time; empty at its end."""
--- a/yarrowwall/dispatch/sender.py
+++ b/yarrowwall/dispatch/sender.py
@@ -375,10 +375,10 @@
             return False
         return isinstance(error, AnswerUnfinishedError) and error.seconds >= UNFINISHED_SECONDS
 
-    def note_memory_exhausted(self, error: MemoryExhaustedError) -> None:
-        """Log that the current answer is given up for its size, before it is cancelled.
+    def cancel_oversized(self, error: MemoryExhaustedError) -> None:
+        """Cancel the current answer for its size.
 
-        An answer that is too large by itself counts as a failure of its server.
+        One that is too large by itself counts as a failure of its server.
         """
         if self.current is None:
             return
@@ -389,6 +389,7 @@
         received = self.current.connection.received_bytes
         self._log_given_up(server, AnswerBound.MEMORY, received, self._plan.request_memory.size)
         self._log_send_failed(server, str(error), self.history.may_have_run)
+        self.cancel_answer()
 
     def _log_bound(self, server: Server, error: RelayError) -> None:
         """Log that an answer was given up at a bound of its bytes or its time."""
--- a/yarrowwall/dispatch/streams.py
+++ b/yarrowwall/dispatch/streams.py
@@ -96,9 +96,10 @@
                     self._caller_position.check_reached()
                     return
                 repeated, events = self._caller_position.split(events)
-            except (MemoryExhaustedError, StreamPositionError) as error:
-                if isinstance(error, MemoryExhaustedError):
-                    self._sender.note_memory_exhausted(error)
+            except MemoryExhaustedError as error:
+                self._sender.cancel_oversized(error)
+                self._fail(error)
+            except StreamPositionError as error:
                 self._sender.cancel_answer()
                 self._fail(error)
             except RelayError as error:
--- a/yarrowwall/gateway/turn.py
+++ b/yarrowwall/gateway/turn.py
@@ -266,8 +266,7 @@
             if opened is not None:
                 body = opened.connection.read_all(sender.left_s(), sender.hold_answer_memory)
         except MemoryExhaustedError as error:
-            sender.note_memory_exhausted(error)
-            sender.cancel_answer()
+            sender.cancel_oversized(error)
             raise sender.refused(str(error)) from error
         except RelayError as error:
             sender.cancel_answer()
--- a/yarrowwall/platform/store.py
+++ b/yarrowwall/platform/store.py
@@ -10,7 +10,7 @@
 
 import eventlet
 
-from yarrowwall.dispatch.answer_bounds import AnswerBound, AnswerBoundError
+from yarrowwall.dispatch.answer_bounds import BodyLimit
 from yarrowwall.dispatch.connection import ServerConnection
 from yarrowwall.exceptions import AnswerTimeoutError, ConnectTimeoutError, RelayError
 from yarrowwall.platform.objects import read_json, read_object
@@ -187,7 +187,7 @@
             end_s = self._now() + timeout
             connection.send(self._request(method, path, body), timeout)
             head = connection.read_head(end_s - self._now())
-            data = connection.read_all(end_s - self._now(), _AnswerLimit().add)
+            data = connection.read_all(end_s - self._now(), BodyLimit(MAX_ANSWER_BYTES).add)
             connection.finish_response()
         except RelayError as error:
             if connection is not None:
@@ -213,22 +213,6 @@
         return ("\r\n".join(lines) + "\r\n\r\n").encode() + data
 
 
-class _AnswerLimit:
-    """Counts the bytes of one answer."""
-
-    def __init__(self) -> None:
-        self._size = 0
-
-    def add(self, size: int) -> None:
-        """Count bytes.
-
-        :raises AnswerBoundError: if there are too many.
-        """
-        self._size += size
-        if self._size > MAX_ANSWER_BYTES:
-            raise AnswerBoundError(AnswerBound.BODY, self._size, MAX_ANSWER_BYTES)
-
-
 def _document(method: str, path: str, status: int, data: bytes) -> dict[str, Any]:
     if status == HTTPStatus.GONE or (status == HTTPStatus.NOT_FOUND and method == "GET"):
         return {}
