Explain shows the groups that waited for members while a request ran

It lists the waits that overlap the request's time, from their beginning (the line comes 5 s later and tells it) to their end.

Test: the scenario of a group that waits asks explain for requests before, during, at both ends and after the wait.

--- a/features/groups_of_any_size.feature
+++ b/features/groups_of_any_size.feature
@@ -85,3 +85,5 @@
     Then it is logged once that it waits for "b,c"
     When one more member is there
     Then it is logged that the wait is over
+    And explain shows the wait for a request from 50 s to 53 s and from 58 s to 60 s
+    But not for one from 40 s to 45 s or from 70 s to 71 s
--- a/features/steps/group_size_steps.py
+++ b/features/steps/group_size_steps.py
@@ -1,12 +1,16 @@
 """Steps about groups of any size: proofs of absence, and machines that are gone."""
 
 import contextlib
+import json
 import shutil
 import signal
+import tempfile
 import time
+from pathlib import Path
 from typing import Any
 from unittest.mock import patch
 
+import msgspec
 from behave import given, then, when
 from behave.runner import Context
 
@@ -20,6 +24,7 @@
 from features.support.platform_scripts import world
 from features.support.processes import wait_until
 from features.support.record_model import member
+from yarrowwall.cli.explain import find_trace
 from yarrowwall.decisions import Decision
 from yarrowwall.messages.replicated import GroupView, Member, StatusReply
 from yarrowwall.replication.exceptions import NoQuorumError
@@ -275,3 +280,40 @@
 @then("it is logged that the wait is over")
 def wait_over(context: Context) -> None:
     assert context.lines.found[-1].missing == "" and len(context.lines.found) == 2
+
+
+def explained_kinds(context: Context, begun_s: int, ended_s: int) -> list[str]:
+    """Return the kinds of the lines that explain shows for a request at another machine."""
+    request = [
+        {"time": float(at), "node": "edge", "kind": "AttemptAdmitted", "attempt": "t"}
+        for at in (begun_s, ended_s)
+    ]
+    # The wait began at 50 s, was logged at 55 s and ended at 60 s.
+    waits = [
+        {"time": at, "node": "a", "kind": type(line).__name__} | msgspec.structs.asdict(line)
+        for at, line in zip((55.0, 60.0), context.lines.found, strict=True)
+    ]
+    with tempfile.NamedTemporaryFile("w", suffix=".log") as log:
+        log.write("".join(json.dumps(line) + "\n" for line in [*request, *waits]))
+        log.flush()
+        found = find_trace("t", (Path(log.name),))
+    return [line["kind"] for line in found if line["kind"] == "GroupWaits"]
+
+
+@then(
+    "explain shows the wait for a request from {first:d} s to {first_end:d} s"
+    " and from {second:d} s to {second_end:d} s"
+)
+def wait_explained(
+    context: Context, first: int, first_end: int, second: int, second_end: int
+) -> None:
+    for begun_s, ended_s in ((first, first_end), (second, second_end)):
+        assert len(explained_kinds(context, begun_s, ended_s)) == 2, (begun_s, ended_s)
+
+
+@then("not for one from {first:d} s to {first_end:d} s or from {second:d} s to {second_end:d} s")
+def wait_not_explained(
+    context: Context, first: int, first_end: int, second: int, second_end: int
+) -> None:
+    for begun_s, ended_s in ((first, first_end), (second, second_end)):
+        assert not explained_kinds(context, begun_s, ended_s), (begun_s, ended_s)
--- a/yarrowwall/cli/explain.py
+++ b/yarrowwall/cli/explain.py
@@ -9,6 +9,8 @@
 
 import click
 
+from yarrowwall.decisions import GroupWaits
+
 EXIT_UNKNOWN = 1
 _GZIP_MAGIC = b"\x1f\x8b"
 _HIDDEN = ("time", "node", "kind")
@@ -21,6 +23,8 @@
 def explain(identifier: str, logs: tuple[Path, ...], output: str) -> None:
     """Show the log lines of a request or program, given its id, in order.
 
+    Lines about groups of replicas that waited for members meanwhile are among them.
+
     LOGS are files of decision lines of any number of processes, plain or gzipped; a prefix
     before a line's JSON is ignored. The exit code is 1 if no line contains the id.
     """
@@ -50,9 +54,37 @@
         node = line.get("node", "")
         latest[node] = max(line.get("time", 0.0), latest.get(node, 0.0))
         line["time"] = latest[node]
+    if trace:
+        begun_s = min(line["time"] for line in trace)
+        trace += _waits_during(lines, begun_s, max(latest.values()))
     return sorted(trace, key=lambda line: line["time"])
 
 
+def _waits_during(
+    lines: list[dict[str, Any]], begun_s: float, ended_s: float
+) -> list[dict[str, Any]]:
+    """Return the lines about groups that waited for members at some time of a period."""
+    waits: dict[tuple[str, int], dict[str, Any]] = {}
+    found = []
+    for line in sorted(
+        (line for line in lines if line["kind"] == GroupWaits.__name__),
+        key=lambda line: line["time"],
+    ):
+        place = line["node"], line["group"]
+        if line["missing"]:
+            waits[place] = line
+            continue
+        began = waits.pop(place, None)
+        if began is not None and line["time"] >= begun_s and _began_by(began, ended_s):
+            found += [began, line]
+    return found + [line for line in waits.values() if _began_by(line, ended_s)]
+
+
+def _began_by(wait: dict[str, Any], ended_s: float) -> bool:
+    """Return whether a wait, which is logged a while after it began, had begun by a time."""
+    return bool(wait["time"] - wait["waited"] <= ended_s)
+
+
 def read_lines(path: Path) -> Iterator[dict[str, Any]]:
     """Return the decision lines of a file; other lines are ignored."""
     data = path.read_bytes()
