Random schedules of replaced, removed and lost machines, with readers of older views

features/support/replacement_schedules.py adds them to the model of the replicas: machines that hand over and end for good or for a restart, losses right after that, silent machines that were only not heard, proofs of absence by views up to four changes old. No record may be lost, no complete one unknown, no group may end without all its members whole. A copy in the model asks the next source after a while, as the product does after a second.

Read quorums alone, ends without a handover and a planner that waits for silent members are each found there.

--- a/features/groups_of_any_size.feature
+++ b/features/groups_of_any_size.feature
@@ -87,3 +87,18 @@
     Then it is logged that the wait is over
     And explain shows the wait for a request from 50 s to 53 s and from 58 s to 60 s
     But not for one from 40 s to 45 s or from 70 s to 71 s
+
+  # Guards against LOST and RECOVER over replacements, removals and losses in any order, with readers
+  # of views that have been replaced.
+  Scenario: Random schedules of machines that are replaced, removed and lost, and of late readers
+    Then 100 random schedules of replacements lose no record, prove no false absence, end whole
+
+  Scenario Outline: The schedules of replacements catch a record store that "<mutant>"
+    Given the record store's mutant "<mutant>"
+    Then some of 100 random schedules of replacements break a promise
+
+    Examples:
+      | mutant                              |
+      | proves an absence by a read quorum  |
+      | ends without handing over           |
+      | waits for silent members for good   |
--- a/features/steps/group_size_steps.py
+++ b/features/steps/group_size_steps.py
@@ -24,6 +24,7 @@
 from features.support.platform_scripts import world
 from features.support.processes import wait_until
 from features.support.record_model import member
+from features.support.replacement_schedules import run_replacement_schedules
 from yarrowwall.cli.explain import find_trace
 from yarrowwall.decisions import Decision
 from yarrowwall.messages.replicated import GroupView, Member, StatusReply
@@ -46,6 +47,24 @@
     assert before == {"2", "4", "6"}, found
 
 
+@then(
+    "{count:d} random schedules of replacements lose no record, prove no false absence, end whole"
+)
+def replacements_hold(context: Context, count: int) -> None:
+    totals = run_replacement_schedules(count)
+    assert min(totals.handed_over, totals.lost) > count / 2, totals
+    assert min(totals.small_groups, totals.absences) > count and totals.taken_away, totals
+
+
+@then("some of {count:d} random schedules of replacements break a promise")
+def replacements_break(context: Context, count: int) -> None:
+    try:
+        run_replacement_schedules(count)
+    except AssertionError:
+        return
+    raise AssertionError("the mutant was not caught")
+
+
 @when("a chain is read within {timeout_ms:d} ms, it fails without a quorum")
 def chain_is_uncertain(context: Context, timeout_ms: int) -> None:
     try:
--- a/features/support/record_model.py
+++ b/features/support/record_model.py
@@ -140,8 +140,11 @@
     :param with_retirements: whether machines are retired, removed with their disks, and return
         with empty ones.
     :param with_compaction: whether logs are compacted, and all machines restart at once.
+    :cvar REPLY_STEPS: steps after which a replica that copies asks the next one; None for no bound.
     """
 
+    REPLY_STEPS: int | None = None
+
     def __init__(
         self,
         seed: int,
@@ -166,6 +169,8 @@
         #: Whether a disk was lost and the group has not had two copies again since.
         self._lacks_copies = False
         self.retiring: set[str] = set()
+        #: Machines whose processes are about to end.
+        self.leaving: set[str] = set()
         self.removed: set[str] = set()
         self.retired = 0
         self.reservations = 0
@@ -258,21 +263,20 @@
                 continue
             replies: list[object] = []
             self.send(source, InstallView(view), replies.append)
-            while not replies:
-                yield
+            yield from self._reply(replies)
+            if not replies:
+                continue
             replies.clear()
             self.send(source, ListKeys(view.group, view.epoch, source.disk_id), replies.append)
-            while not replies:
-                yield
-            listed = replies.pop()
+            yield from self._reply(replies)
+            listed = replies.pop() if replies else None
             if not isinstance(listed, KeysReply) or not listed.is_reader:
                 continue
             keys = replica.missing(listed.keys, listed.versions)
             fetch = FetchRecords(view.group, view.epoch, source.disk_id, keys)
             self.send(source, fetch, replies.append)
-            while not replies:
-                yield
-            fetched = replies.pop()
+            yield from self._reply(replies)
+            fetched = replies.pop() if replies else None
             if not isinstance(fetched, RecordsReply) or fetched.status is not ReplyStatus.OK:
                 continue
             if machine.replica is not replica:
@@ -290,14 +294,18 @@
         if mark is not None and machine.replica is replica:
             machine.persist([mark], lambda: None)
 
+    def _reply(self, replies: list[object]) -> Iterator[None]:
+        """Wait for a reply, for ``REPLY_STEPS`` at most if there is such a bound."""
+        steps = 0
+        while not replies and (self.REPLY_STEPS is None or steps < self.REPLY_STEPS):
+            steps += 1
+            yield
+
     # The group
 
     def change_group(self) -> None:
         """Begin or end a change as the coordinator does."""
-        registered = {
-            name: member(machine.replica.disk_id)
-            for name, machine in self.present_machines().items()
-        }
+        registered = self.registered()
         statuses = {
             machine.replica.disk_id: machine.replica.status()
             for machine in self.present_machines().values()
@@ -311,12 +319,22 @@
             self.view = planner.revised_view(self.view, registered) or self.view
             return
         busy = {known.disk_id for known in all_members(self.view)}
+        retiring = self.retiring | self.leaving
         found = planner.next_view(
-            self.view, registered, self.alive(), self.retiring, busy, self.size
+            self.view, registered, self.alive(), retiring, busy, self.size, self.absent()
         )
         if found is not None:
             self.view = found
 
+    def registered(self) -> dict[str, Member]:
+        """Return the machines' newest registrations."""
+        present = self.present_machines()
+        return {name: member(machine.replica.disk_id) for name, machine in present.items()}
+
+    def absent(self) -> set[str]:
+        """Return the machines that count as absent; none here, see ``replacement_schedules``."""
+        return set()
+
     def alive(self) -> set[str]:
         """Return the machines that answered the proposer of a change."""
         return set(self.present_machines()) - {self.random.choice(sorted(self.machines))}
--- a/features/support/record_mutants.py
+++ b/features/support/record_mutants.py
@@ -4,10 +4,12 @@
 from unittest.mock import patch
 
 from features.support import record_model
-from features.support.record_model import Machine, RecordSchedule
+from features.support.record_model import Machine, OwnerReplies, RecordSchedule
+from features.support.replacement_schedules import ReplacementSchedule
 from yarrowwall.messages.replicated import GroupView, SynchronisationKept
 from yarrowwall.replication import planner
 from yarrowwall.replication.replica import RecordReplica
+from yarrowwall.replication.views import has_read_quorum
 
 _snapshot = RecordReplica.snapshot
 
@@ -47,6 +49,10 @@
     return [*found[:1], marks, *found[1:]] if self.view is not None else [marks, *found]
 
 
+def _is_read(view: GroupView, replies: OwnerReplies) -> bool:
+    return has_read_quorum(view, replies.responders)
+
+
 class _WithoutMark:
     """Loses in a snapshot whether the replica counts, as earlier releases did."""
 
@@ -104,5 +110,14 @@
     "removes a machine before its copies are elsewhere": lambda: patch.object(
         RecordSchedule, "is_retired", _is_in_no_newest_view
     ),
+    "proves an absence by a read quorum": lambda: patch.object(
+        ReplacementSchedule, "is_proof", staticmethod(_is_read)
+    ),
+    "ends without handing over": lambda: patch.object(
+        ReplacementSchedule, "has_handed_over", lambda self, name: True
+    ),
+    "waits for silent members for good": lambda: patch.object(
+        ReplacementSchedule, "absent", lambda self: set()
+    ),
     "acknowledges what is not on disk": lambda: patch.object(Machine, "persist", _persist_later),
 }
