The soak stops replicas, alone and in turn, and allows for its own delay

No fault of the soak sent SIGTERM to a storage machine, which hands its copies over now. "replica stopped" and "replicas stopped in turn" do; a machine that still runs after 10 s is a violation, as for gateways.

--- a/features/soak/endless.py
+++ b/features/soak/endless.py
@@ -31,15 +31,23 @@
         self._record = record
         self._lock = threading.Lock()
         self._counts: Counter[str] = Counter()
+        self._late: list[tuple[str, float]] = []
         self._threads = [
             threading.Thread(target=self._run, args=(random.Random(f"{seed}/endless/{kind}"), kind))
             for kind in ENDLESS_KINDS
         ]
 
-    def counts(self) -> dict[str, int]:
-        """Return the number of requests by kind and status; 0 for none."""
-        with self._lock:
-            return dict(self._counts)
+    def check(self, delay_s: float) -> dict[str, int]:
+        """Record a violation for each request that ended late.
+
+        :param delay_s: longest time for which a thread of this process, and so a client or a
+            gateway beside it, was not scheduled.
+        :returns: the number of requests by kind and status; 0 for none.
+        """
+        for name, late_s in self._late:
+            if late_s > delay_s:
+                self._record.note_violation(f"CONFIG: {name} ended {late_s:.2f} s too late")
+        return dict(self._counts)
 
     def _run(self, rng: random.Random, kind: str) -> None:
         number = 0
@@ -78,8 +86,7 @@
         ended, name = time.monotonic(), self._world.gateways[gateway]
         if is_whole:
             self._record.note_violation(f"MIXED: a {kind} answer without an end looked whole")
-        is_late = ended - began > _LEFT_S + _SLACK_S
-        if is_late and self._record.disruptions.is_quiet(name, began, ended):
-            self._record.note_violation(
-                f"CONFIG: {kind} at {name} ended after {ended - began:.2f} s"
-            )
+        late_s = ended - began - _LEFT_S - _SLACK_S
+        if late_s > 0.0 and self._record.disruptions.is_quiet(name, began, ended):
+            with self._lock:
+                self._late.append((f"{kind} at {name}", late_s))
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -16,7 +16,7 @@
 from features.soak.world import SoakWorld
 from features.support.platform_world import Server
 
-#: Seconds that a gateway has to exit after SIGTERM.
+#: Seconds that a machine has to exit after SIGTERM.
 _STOP_S = 10.0
 #: Seconds after SIGHUP in which requests may still be affected: the time limit within which a
 #: configuration is applied.
@@ -86,6 +86,8 @@
             "gateway killed": lambda: self._kill_one(world.gateways),
             "replica killed": lambda: self._kill_one(world.replicas),
             "replica killed, log torn": self._tear_log,
+            "replica stopped": lambda: self._stop_replicas(1),
+            "replicas stopped in turn": lambda: self._stop_replicas(len(world.replicas)),
             _REPLICA_WIPED: self._wipe_disk,
             "all replicas killed": lambda: self._kill_all(world.replicas),
             "all machines killed": lambda: self._kill_all(world.machines),
@@ -141,14 +143,18 @@
 
     def _stop(self, name: str) -> None:
         with self._disruptions.planned(name):
-            process = self._world.kill(name, signal.SIGTERM)
-            try:
-                process.wait(timeout=_STOP_S)
-            except subprocess.TimeoutExpired:
-                self._record.note_violation(f"DRAIN: {name} still runs {_STOP_S} s after SIGTERM")
-                self._world.kill(name)
+            self._end(name)
             self._world.restart(name)
 
+    def _end(self, name: str) -> None:
+        """Send SIGTERM to a machine and wait for its end."""
+        process = self._world.kill(name, signal.SIGTERM)
+        try:
+            process.wait(timeout=_STOP_S)
+        except subprocess.TimeoutExpired:
+            self._record.note_violation(f"DRAIN: {name} still runs {_STOP_S} s after SIGTERM")
+            self._world.kill(name)
+
     def _signal_gateway(self) -> None:
         self._signal(self._rng.choice(self._world.gateways), 1)
 
@@ -192,6 +198,16 @@
             self._pause(1.0)
             self._world.restart(name)
 
+    def _stop_replicas(self, count: int) -> None:
+        """Stop replicas one after the other, each of which hands its copies over if it can."""
+        for _ in range(count):
+            with self._resource_locks.lock_any(self._world.replicas, self._rng) as name:
+                if name is None:
+                    return
+                self._end(name)
+                self._pause(0.4)
+                self._world.restart(name)
+
     def _tear_log(self) -> None:
         """Append half a frame to the log, as a power failure does."""
         with self._resource_locks.lock_any(self._world.replicas, self._rng) as name:
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -101,6 +101,7 @@
         record.note_admitted(world.admitted_attempts())
         stream_counts = streams.streams.check_shares()
         fatal_counts = fatal.check()
+        endless_counts = endless.check(thread_delay.max_delay_s)
         violations = record.violations()
         if violations and keep is not None:
             world.keep_logs(keep / f"seed-{seed}")
@@ -115,7 +116,7 @@
         conversations.counts(),
         fatal_counts._asdict(),
         names.counts(),
-        endless.counts(),
+        endless_counts,
         round(thread_delay.max_delay_s, 2),
     )
 
