A retiring machine that lost its disk is copied to while its group needs it

What callers would see: two retirements without a stand-by, the second of which waits since its group would keep one copy; the waiting machine loses its disk, and reports at once that its retirement is complete.

Cause: the planner treats a retiring machine's new disk like a free disk of any retiring machine, which never joins; and the report asks whether the machine's present disk is in a view, not whether a group still counts the machine.

Change: members that lost their disks and are being retired count among those that a group keeps for want of others, on their new disks. is_released, beside the planner, says when a retiring machine may go: once no view of a common group names it on any disk, unless the group has lost all copies. Zones' groups as before.

--- a/features/groups_of_any_size.feature
+++ b/features/groups_of_any_size.feature
@@ -23,6 +23,7 @@
     Then no order of up to 5 events leaves a group of three without service
     But some do with a planner that "waits for silent members for good"
     And some do with machines that "end without handing over"
+    And some do with a planner that "lets retiring machines go that lost their disks"
 
   # Guards against LOST and RECOVER: a machine was removed as planned, and the loss of one disk right
   # after it left a single copy that nobody could tell to be whole.
@@ -42,6 +43,38 @@
       | 0     |
       | 1     |
 
+  # Guards against LOST: a retiring machine that lost its disk reported that its retirement was
+  # complete, and its group kept one copy, which the next lost disk took.
+  @platform_world
+  Scenario: A retiring storage machine that loses its disk stays until its group can do without it
+    Given a stateful stream route "chat" whose server sends 2 events
+    When a conversation has two turns at gateway 0
+    And storage machine 1 is being retired
+    Then its retirement is complete within 10 s and it is in no group
+    When replica 1 is killed for good
+    And storage machine 2 is being retired
+    And replica 2 loses its disk and starts again
+    Then the group has its new disk within 10 s
+    And its retirement is not complete
+    When replica 0 loses its disk and starts again
+    Then the group has its new disk within 10 s
+    When its third turn comes at gateway 1
+    Then the server got all earlier inputs and outputs and the new input
+
+  Scenario Outline: A retiring machine may go once no group counts it, on whatever disk
+    Given a settled group of "<members>" that "<joining>" joins
+    Then a machine "c" with the disk "<disk>" that is being retired <may> go
+
+    Examples:
+      | members  | joining | disk | may     |
+      | a1,c1    |         | c1   | may not |
+      | a1,c1    |         | c2   | may not |
+      | a1,c1    | a1,b1   | c2   | may not |
+      | a1,b1    | a1,c2   | c2   | may not |
+      | a1,b1    |         | c2   | may     |
+      | c1       |         | c1   | may not |
+      | c1       |         | c2   | may     |
+
   # Guards against a system that cannot be restarted, or takes long to.
   @platform_world
   Scenario: Storage machines that end together, or alone in their group, keep it for their restart
--- a/features/steps/group_size_steps.py
+++ b/features/steps/group_size_steps.py
@@ -28,10 +28,11 @@
 from yarrowwall.cli.explain import find_trace
 from yarrowwall.decisions import Decision
 from yarrowwall.messages.replicated import GroupView, Member, StatusReply
+from yarrowwall.replication import planner
 from yarrowwall.replication.exceptions import NoQuorumError
 from yarrowwall.replication.group_notices import GroupNotices
 from yarrowwall.replication.peers import HEARTBEAT_SECONDS, ReplicaPeers
-from yarrowwall.replication.planner import missing_members, next_view
+from yarrowwall.replication.planner import is_released, missing_members, next_view
 from yarrowwall.replication.views import disk_ids
 
 
@@ -111,6 +112,20 @@
     assert found and all("right after" in order for order in found), found
 
 
+@then('some do with a planner that "lets retiring machines go that lost their disks"')
+def some_stuck_with_lost_copies(context: Context) -> None:
+    with patch.object(planner, "_new_disks", lambda view, registered, alive: []):
+        found = stuck_groups(SYSTEM)
+    assert found and all("loses its disk" in order for order in found), found
+
+
+@then('a machine "{node}" with the disk "{disk}" that is being retired {may} go')
+def retired_may_go(context: Context, node: str, disk: str, may: str) -> None:
+    own = member(disk)
+    assert own.node_id == node
+    assert is_released([context.view], own, "zone-disk") == (may == "may")
+
+
 @then('with "{silent}" silent for long its next members are "{members}"')
 def absent_member(context: Context, silent: str, members: str) -> None:
     gone = set(silent.split(","))
--- a/features/steps/platform_replica_steps.py
+++ b/features/steps/platform_replica_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.support.platform_scripts import check_retired_within, retire, world
+from features.support.platform_scripts import RETIREMENTS, check_retired_within, retire, world
 from features.support.processes import wait_until
 
 
@@ -78,6 +78,12 @@
     assert context.retired not in named
 
 
+@then("its retirement is not complete")
+def retirement_not_complete(context: Context) -> None:
+    status = world(context).store.get(RETIREMENTS, context.retired)["status"] or {}
+    assert status.get("state") != "complete", status
+
+
 @then("gateway {number:d} is not ready within {limit:d} s")
 def not_ready_soon(context: Context, number: int, limit: int) -> None:
     started = time.monotonic()
--- a/features/support/group_search.py
+++ b/features/support/group_search.py
@@ -6,7 +6,7 @@
 
 from yarrowwall.messages.replicated import GroupView, Member
 from yarrowwall.replication.operations import READ_QUORUM, READ_WRITE_QUORUM, Quorum
-from yarrowwall.replication.planner import next_view, target_size
+from yarrowwall.replication.planner import is_released, next_view, target_size
 from yarrowwall.replication.views import (
     all_members,
     disk_ids,
@@ -152,13 +152,13 @@
         added = len(numbers)
         yield f"m{added} is added", world._replace(lives=(*world.lives, (added, 0)))
     for number, life in world.lives:
-        if number in world.removed or number in world.retiring:
-            continue
-        if number not in members:
+        if number in world.removed or number not in members:
             continue
         lives = tuple((n, k + 1 if n == number else k) for n, k in world.lives)
         lost = world.copies - {f"m{number}-{life}"}
         yield f"m{number} loses its disk", world._replace(lives=lives, copies=lost)
+        if number in world.retiring:
+            continue
         retiring = world.retiring | {number}
         yield f"m{number} is retired", world._replace(retiring=retiring)
         # A planned replacement: its successor belongs to the group before the machine goes.
@@ -166,8 +166,9 @@
             removed = world.removed | {number}
             yield f"m{number} is taken away", world._replace(removed=removed, copies=lost)
             yield from _losses_after_end(world, number, system)
-    for number in world.retiring:
-        if number not in members and number not in world.removed:
+    lives_of = dict(world.lives)
+    for number in world.retiring - world.removed:
+        if is_released([world.view], member(number, lives_of[number]), ""):
             gone = world.removed | {number}
             yield f"m{number} is gone", world._replace(removed=gone)
             back = world.retiring - {number}
--- a/features/support/record_model.py
+++ b/features/support/record_model.py
@@ -380,7 +380,8 @@
 
     def is_retired(self, name: str) -> bool:
         """Return whether a retiring machine may be removed with its disk."""
-        return member_of(self.view, self.machines[name].replica.disk_id) is None
+        own = member(self.machines[name].replica.disk_id)
+        return planner.is_released([self.view], own, "")
 
     def remove_retired(self) -> None:
         """Remove machines whose retirement is complete."""
--- a/features/support/replacement_schedules.py
+++ b/features/support/replacement_schedules.py
@@ -16,6 +16,7 @@
     all_members,
     has_read_quorum,
     has_write_quorum,
+    member_of,
 )
 
 #: Steps for which a reader may use a view that has been replaced, and those of a lookup.
@@ -132,7 +133,7 @@
 
     def has_handed_over(self, name: str) -> bool:
         """Return whether a machine that ends is in no group any more."""
-        return self.is_retired(name)
+        return member_of(self.view, self.machines[name].replica.disk_id) is None
 
     def _replace_disk(self, name: str) -> None:
         self.last_disks[name] = self.machines[name].replica.disk_id
--- a/yarrowwall/machine/registration.py
+++ b/yarrowwall/machine/registration.py
@@ -16,7 +16,7 @@
 from yarrowwall.ports.platform import Documents
 from yarrowwall.replication.documents import REPLICAS_KIND, registration_spec
 from yarrowwall.replication.peers import ReplicaPeers
-from yarrowwall.replication.views import all_members, disk_ids
+from yarrowwall.replication.planner import is_released
 
 #: Seconds between two attempts to register.
 RETRY_SECONDS = 0.3
@@ -77,17 +77,14 @@
         return True
 
     def report_retirement(self, views: Sequence[GroupView]) -> None:
-        """If this machine is to be retired, report whether it is still a member of a group.
+        """If this machine is to be retired, report whether a group still needs it.
 
         :param views: the newest views of all groups.
         """
         item = self.retirements.get(self._own.node_id)
         if item is None:
             return
-        own = {self._own.disk_id, self._zone_disk_id}
-        is_complete = bool(views) and all(
-            own.isdisjoint(disk_ids(all_members(view))) for view in views
-        )
+        is_complete = is_released(views, self._own, self._zone_disk_id)
         status = self._documents.retirement_status(is_complete)
         if item.status == status:
             return
--- a/yarrowwall/replication/planner.py
+++ b/yarrowwall/replication/planner.py
@@ -6,9 +6,11 @@
 
 from yarrowwall.messages.replicated import GroupView, Member, StatusReply
 from yarrowwall.quorum import majority
+from yarrowwall.replication.losses import has_lost_all
 from yarrowwall.replication.replica import RecordReplica
 from yarrowwall.replication.views import (
     ZONE_GROUPS_FROM,
+    all_members,
     disk_ids,
     is_zone_group,
     member_of,
@@ -120,11 +122,13 @@
         free.remove(best)
         joining.append(best)
     silent = _silent_members(view, registered, alive)
-    # Without a replacement, a retiring member stays as long as the group needs its copy. A silent
-    # member stays too, since it may come back with its disk, but not for good: nothing tells a
-    # machine that was taken away from one that is down, and while the group counts it, the loss of
-    # one more disk would leave less than a read quorum. If it comes back, it joins again.
-    retiring_members = [member for member in [*intact, *silent] if member.node_id in retiring]
+    # Without a replacement, a retiring member stays as long as the group needs its copy, on its new
+    # disk if it lost the one that it had. A silent member stays too, since it may come back with
+    # its disk, but not for good: nothing tells a machine that was taken away from one that is down,
+    # and while the group counts it, the loss of one more disk would leave less than a read quorum.
+    # If it comes back, it joins again.
+    replaced = [one for one in _new_disks(view, registered, alive) if one.disk_id not in busy]
+    retiring_members = [one for one in [*intact, *replaced, *silent] if one.node_id in retiring]
     joining += retiring_members[: max(0, _min_copies(view.group, size) - len(joining))]
     is_safe_without = not is_zone_group(view.group) and len(joining) >= majority(size)
     awaited = [
@@ -163,6 +167,26 @@
     return BlockedRetirement(view.group, leaving, left, needed)
 
 
+def is_released(views: Sequence[GroupView], own: Member, zone_disk_id: str) -> bool:
+    """Return whether no group needs a retiring machine, so that it may be removed with its disks.
+
+    :param views: the newest views of all groups; none while they are unknown.
+    :param own: the machine with its disk for a common group.
+    :param zone_disk_id: its disk for its zone's own group.
+    """
+    return bool(views) and not any(_needs_machine(view, own, zone_disk_id) for view in views)
+
+
+def _needs_machine(view: GroupView, own: Member, zone_disk_id: str) -> bool:
+    members = all_members(view)
+    if is_zone_group(view.group):
+        return zone_disk_id in disk_ids(members)
+    if has_lost_all(view, {own.node_id: own.disk_id}):
+        return False
+    # Until the group has changed, it may need a new disk in place of one that the machine lost.
+    return any(member.node_id == own.node_id for member in members)
+
+
 def missing_members(
     view: GroupView, registered: dict[str, Member], alive: Collection[str]
 ) -> list[Member]:
@@ -199,6 +223,17 @@
     ]
 
 
+def _new_disks(
+    view: GroupView, registered: dict[str, Member], alive: Collection[str]
+) -> list[Member]:
+    """Return the machines that are alive and have other disks than the view names."""
+    return [
+        registered[member.node_id]
+        for member in view.members
+        if member.node_id in alive and _has_other_disk(member, registered)
+    ]
+
+
 def _min_copies(group: int, size: int) -> int:
     """Return how many copies must remain after a retirement.
 
