A request under which a server ended is sent on only if a replica tells of others

A stream under which three servers had ended, told to three replicas 0.39 s before, was sent to a fourth by another gateway.

Cause: that gateway knew of one end. Ruled out: a report that was lost (the log has "replicas":3 and "is_recorded":true), and a count of a wrong request (the identity is the same).

Requests under which no server ended are not concerned.

--- a/features/steps/suspect_steps.py
+++ b/features/steps/suspect_steps.py
@@ -1,7 +1,11 @@
 """Steps about requests under which servers ended, without machines."""
 
 import itertools
+import time
+from collections.abc import Callable
 from dataclasses import replace
+from http import HTTPStatus
+from unittest.mock import Mock
 
 import eventlet
 from behave import given, then, when
@@ -19,15 +23,17 @@
     Suspect,
     Suspects,
 )
-from yarrowwall.model import Attempt, ProgramContext, PromptPart
+from yarrowwall.model import Attempt, ProgramContext, PromptPart, Server
 from yarrowwall.policy.budget_parts import ClaimState
 from yarrowwall.policy.crash_suspects import MAX_ENDED_SERVERS, CrashSuspects, UnresolvedSends
 from yarrowwall.policy.request_identity import request_identity
+from yarrowwall.refusals import RefusedError
 from yarrowwall.replication.exceptions import NoQuorumError
 from yarrowwall.replication.quorum_client import OwnerReading
 from yarrowwall.replication.rounds import Amount
 from yarrowwall.replication.table import RecordTable
 from yarrowwall.suspects.board import COLLECT_SECONDS, SuspectBoard
+from yarrowwall.suspects.client import SuspectClient
 
 REQUEST = "request-1"
 RETENTION_S = 60.0
@@ -301,3 +307,72 @@
 def settled(context: Context) -> None:
     put_claim(context, ClaimState.SETTLED, b"i-1")
     assert context.open_tries.attempts() == set()
+
+
+class FakeReplica:
+    """A link to a replica, which replies from its board after a while or never."""
+
+    def __init__(self, board: SuspectBoard) -> None:
+        self._board = board
+        self.delay_s: float | None = 0.0
+
+    def post_directly(self, message: object, completion: Callable[[object], None]) -> int:
+        """Send a request."""
+        replier = FakeReplier()
+        self._board.handle(message, replier)
+        if self.delay_s is not None:
+            for reply in replier.replies:
+                eventlet.spawn_after(self.delay_s, completion, reply)
+        return 0
+
+    def forget_direct(self, number: int) -> None:
+        """Stop waiting for a reply."""
+
+    def send_one_way(self, message: object) -> None:
+        """Send a message without a reply."""
+        self._board.handle(message, FakeReplier())
+
+
+def _suspects_of(count: int) -> list[Suspect]:
+    ended = [f"server-{number}" for number in range(count)]
+    return [Suspect(request_identity(ATTEMPT), ended, RETENTION_S)] if count else []
+
+
+@given(
+    "a gateway that knows of {known:d} {word} that ended under a request,"
+    " and 3 replicas of {ended:d}"
+)
+def gateway_with_replicas(context: Context, known: int, word: str, ended: int) -> None:
+    board = SuspectBoard(time.monotonic)
+    board.handle(ReportSuspects(_suspects_of(ended)), FakeReplier())
+    context.replicas = [FakeReplica(board) for _ in range(3)]
+    # The gateway is not told of the others' reports, as if its connections had been delayed.
+    links = Mock()
+    links.paths.has_working_neighbour.return_value = False
+    links.get.side_effect = context.replicas.__getitem__
+    views = Mock()
+    views.report_replicas.return_value = [Mock(address=number) for number in range(3)]
+    context.gateway = SuspectClient("edge-0", views, links, Mock(), Mock(), time.monotonic)
+    context.gateway._note_message(Suspects(_suspects_of(known)))
+
+
+@when("the replicas reply {when}")
+def replicas_reply(context: Context, when: str) -> None:
+    delays_s = {"at once": 0.0, "after 0.15 s": 0.15, "never": None}
+    for replica in context.replicas:
+        replica.delay_s = delays_s[when]
+
+
+@then("the request is {verdict}")
+def request_verdict(context: Context, verdict: str) -> None:
+    server = Server("server-9", "desk", "127.0.0.1:1", "zone-a", 6, False)
+    try:
+        context.gateway.reserve(ATTEMPT, server, 3.0, list)
+    except RefusedError as error:
+        assert error.refusal.status == HTTPStatus.SERVICE_UNAVAILABLE
+        is_final = error.refusal.retry_after_s is None
+        assert verdict == (
+            "refused for good" if is_final else "refused for now since no replica tells"
+        ), error.refusal
+        return
+    assert verdict == "sent on"
--- a/features/suspects.feature
+++ b/features/suspects.feature
@@ -81,3 +81,24 @@
     Given a request under which 2 servers have ended
     When a replica starts again and a gateway that knows of them follows it
     Then the replica knows of 2 ended servers and has told the other gateways
+
+  # Guards against a request that a gateway without the replicas sends on, not knowing that three
+  # servers have ended under it at other gateways.
+  Scenario Outline: A request under which a server ended is sent on only if a replica tells of others
+    Given a gateway that knows of 1 server that ended under a request, and 3 replicas of <ended>
+    When the replicas reply <reply>
+    Then the request is <verdict>
+
+    Examples:
+      | ended | reply                 | verdict                                   |
+      | 1     | at once               | sent on                                   |
+      | 1     | after 0.15 s          | sent on                                   |
+      | 1     | never                 | refused for now since no replica tells    |
+      | 3     | at once               | refused for good                          |
+      | 3     | after 0.15 s          | refused for good                          |
+      | 3     | never                 | refused for now since no replica tells    |
+
+  Scenario: A request under which no server ended is sent whether replicas reply or not
+    Given a gateway that knows of 0 servers that ended under a request, and 3 replicas of 0
+    When the replicas reply never
+    Then the request is sent on
--- a/yarrowwall/suspects/client.py
+++ b/yarrowwall/suspects/client.py
@@ -46,6 +46,8 @@
 #: Seconds that a caller waits for the replicas' replies. An answer takes a round trip.
 REPLY_TIMEOUT_SECONDS = 0.06
 RELAYED_REPLY_TIMEOUT_SECONDS = 0.2
+#: The same if none of them replied in time; then the request is not sent.
+LATE_REPLY_TIMEOUT_SECONDS = 0.3
 #: Seconds for which a suspect is kept: longer than a caller repeats a turn.
 RETENTION_SECONDS = 120.0
 #: Seconds after which the reservation of a send is released whose outcome stays unknown.
@@ -195,12 +197,26 @@
         send_id = f"{self._send_prefix}-{number}{_ATTEMPT_SEPARATOR}{attempt.attempt_id}"
         send = _ReservedSend(self, request, send_id, left_s + UNRESOLVED_SECONDS)
         try:
-            self._check_pending(request, send.reserve(server), open_tries)
+            self._check_pending(request, self._ask_for_pending(send, server), open_tries)
         except BaseException:
             send.release(is_resolved=True)
             raise
         return send
 
+    @staticmethod
+    def _ask_for_pending(send: "_ReservedSend", server: Server) -> set[str]:
+        """Reserve a send; return the ids of the request's other sends in progress.
+
+        :raises RefusedError: if no replica replies: other servers may have ended under the request
+            at other gateways.
+        """
+        for timeout in (None, LATE_REPLY_TIMEOUT_SECONDS):
+            pending = send.reserve(server, timeout)
+            if pending is not None:
+                return pending
+        reason = "a server ended while it ran this request, and no replica tells of others"
+        raise unavailable(reason, SHORTAGE_SECONDS)
+
     def _check_pending(
         self, request: str, pending: Collection[str], open_tries: Callable[[], Collection[str]]
     ) -> None:
@@ -276,8 +292,13 @@
             suspect = Suspect(request, ended, RETENTION_SECONDS)
             self._suspects.merge([suspect], self._now())
 
-    def ask_all(self, message: object) -> list[object]:
-        """Send a request to all replicas; return the replies that come in time."""
+    def ask_all(self, message: object, timeout: float | None = None) -> list[object]:
+        """Send a request to all replicas; return the replies that come in time.
+
+        :param timeout: seconds to wait; by default what a reply usually takes at most.
+        """
+        if timeout is None:
+            timeout = RELAYED_REPLY_TIMEOUT_SECONDS if self._is_relayed else REPLY_TIMEOUT_SECONDS
         links = self._replica_links()
         replies: list[object] = []
         done = Event()
@@ -293,7 +314,7 @@
 
         forgets = [self._post(link, message, note) for link in links]
         if links:
-            done.wait(RELAYED_REPLY_TIMEOUT_SECONDS if self._is_relayed else REPLY_TIMEOUT_SECONDS)
+            done.wait(timeout)
         for forget in forgets:
             forget()
         return list(replies)
@@ -318,21 +339,26 @@
         self._left_s = left_s
         self._is_released = False
 
-    def reserve(self, server: Server) -> set[str]:
-        """Reserve it at all replicas; return the ids of other sends in progress."""
+    def reserve(self, server: Server, timeout: float | None = None) -> set[str] | None:
+        """Reserve it at all replicas; return the ids of other sends, None if none replies.
+
+        :param timeout: see :meth:`SuspectClient.ask_all`.
+        """
         send = PendingSend(self._send_id, server.incarnation_text, self._left_s)
         message = ReserveSend(self._request, send)
         pending: set[str] = set()
         occupied: set[str] = set()
-        for reply in self._client.ask_all(message):
+        has_replied = False
+        for reply in self._client.ask_all(message, timeout):
             if isinstance(reply, ReserveSendReply):
+                has_replied = True
                 self._client.merge_ended(self._request, reply.ended)
                 pending |= {
                     other.send_id for other in reply.pending if other.server not in reply.ended
                 }
                 occupied |= set(reply.occupied)
         self.occupied = frozenset(occupied)
-        return pending
+        return pending if has_replied else None
 
     def move(self, server: Server) -> None:
         """Note that it goes to another server."""
