A server that drains is known in time although quiet connections to the store fall silent

Cause: a reader's watch of the servers waits for up to 25 s at the store. The configuration's short watch, which is to tell that others may be lost, is on a connection of its own, which is not quiet and so does not fall silent. Ruled out: gateways' questions to the readers, which were answered.

Cost: at most 20 reading calls in 30 s for each zone's reader.

--- a/features/silent_connections.feature
+++ b/features/silent_connections.feature
@@ -21,6 +21,17 @@
     When the operators replace the key "key-a" of "alloy" by "key-b" without waiting
     Then within 4.5 s every gateway knows the newest configuration
 
+  # Guards against DRAIN: a drained server went on getting requests for up to 25 s, since the watches
+  # of servers were on connections that had fallen silent, and nothing else told that they were lost.
+  @proxied_world
+  Scenario: A drained server gets no request although quiet connections to the store fall silent
+    Given a route "lookup" of type "idempotent" with two servers
+    When connections to the store that were quiet for 3.0 s fall silent
+    And the first server of "lookup" drains, and 3.5 s pass
+    And 12 clients send nothing on "lookup" at once
+    Then every answer is 200
+    And the first server of "lookup" got none of them
+
   @proxied_world
   Scenario: Connections to servers
     Given a route "lookup" of type "idempotent" with two servers
--- a/features/soak/proxy.py
+++ b/features/soak/proxy.py
@@ -42,6 +42,9 @@
         self._woken, self._waker = socket.socketpair()
         self._accepted = 0
         self._last_silenced = 0
+        #: When each connection last passed bytes on, by its number, and those that are silenced.
+        self._passed_at: dict[int, float] = {}
+        self._silenced: set[int] = set()
         self._target = target
         self._is_open = True
         self._mode_lock = threading.Lock()
@@ -79,6 +82,11 @@
         """Discard all further bytes of the connections open now; new ones are not affected."""
         self._last_silenced = self._accepted
 
+    def silence_quiet(self, quiet_s: float) -> None:
+        """Discard all further bytes of the connections that have passed none for some seconds."""
+        before = time.monotonic() - quiet_s
+        self._silenced |= {number for number, at in self._passed_at.items() if at <= before}
+
     def _accept(self) -> None:
         while self._is_open:
             try:
@@ -131,9 +139,10 @@
                 # The other direction ended the connection.
                 _reset(sink)
                 return
-            if number <= self._last_silenced and data:
+            if data and (number <= self._last_silenced or number in self._silenced):
                 # Received, but discarded instead of forwarded.
                 continue
+            self._passed_at[number] = time.monotonic()
             if self.mode is Mode.SLOW:
                 time.sleep(_SLOW_S)
             if not self._wait_until_open() or not _pass_on(data, sink):
--- a/features/steps/silent_steps.py
+++ b/features/steps/silent_steps.py
@@ -21,6 +21,8 @@
 TIMEOUT_S = 0.15
 #: Longer than the timeout, shorter than the silence after which a connection is replaced.
 LATE_ANSWER_S = 0.3
+#: Seconds after which watches wait for changes to servers that were listed before.
+WATCH_BEGUN_S = 1.5
 
 
 @given("a link to a replica through a proxy")
@@ -89,6 +91,19 @@
         proxy.silence_open()
 
 
+@when("connections to the store that were quiet for {quiet_s:f} s fall silent")
+def quiet_silent(context: Context, quiet_s: float) -> None:
+    time.sleep(quiet_s + WATCH_BEGUN_S)
+    for proxy in world(context).store_proxies.values():
+        proxy.silence_quiet(quiet_s)
+
+
+@when('the first server of "{route}" drains, and {seconds:f} s pass')
+def drains_unnoticed(context: Context, route: str, seconds: float) -> None:
+    world(context).drain(context.by_route[route][0], route)
+    time.sleep(seconds)
+
+
 @when("all connections to servers fall silent")
 def servers_silent(context: Context) -> None:
     for proxy in world(context).server_proxies.values():
--- a/yarrowwall/machine/process.py
+++ b/yarrowwall/machine/process.py
@@ -92,6 +92,8 @@
             ObjectName(documents.configuration_kind, documents.configuration_name),
             self._log,
             time.monotonic,
+            # A draining server may get no request once its bound is over.
+            prompt_kinds=(documents.servers_kind,),
         )
 
     def _make_store(self, adapter: Adapter, reader: StoreReader | None) -> StoreClient:
--- a/yarrowwall/watching/reader.py
+++ b/yarrowwall/watching/reader.py
@@ -4,7 +4,7 @@
 (:mod:`yarrowwall.watching.reader_selection`), and a machine that is asked starts to follow.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any
 
 import eventlet
@@ -32,6 +32,10 @@
 #: answered; they return nothing until their waits are over. This short watch reveals within 3.5 s
 #: that the others, which wait for 25 s, may be lost too.
 SHORT_WATCH_SECONDS = 2.0
+#: The same for kinds whose changes are due within seconds. A connection that was quiet may deliver
+#: nothing more while the verified object's, which are not quiet, work: with the time that an answer
+#: may take after the wait, such a watch is noticed and begun anew within 3 s.
+PROMPT_WATCH_SECONDS = 1.5
 #: Seconds without a request after which a kind is no longer followed.
 IDLE_SECONDS = 8.0
 #: Maximum seconds before a failed read of the store is retried. An answer to any other request ends
@@ -237,6 +241,8 @@
         short waits. Its kind is followed as long as any other is: a lost watch returns nothing
         until its wait is over, so all watches restart if a short watch or a read fails.
     :param now: the monotonic clock.
+    :param prompt_kinds: kinds whose changes are due within seconds, whichever connections to the
+        store fall silent.
     """
 
     def __init__(
@@ -245,11 +251,13 @@
         verified_object: ObjectName,
         log: DecisionLog,
         now: Callable[[], float],
+        prompt_kinds: Collection[str] = (),
     ) -> None:
         self._store = MonitoredStore(store, now, self._note_lost)
         self._verified_object = verified_object
         self._log = log
         self._now = now
+        self._prompt_kinds = prompt_kinds
         self._kinds: dict[str, FollowedKind] = {}
 
     def ask(self, request: ListObjects | WatchObjects, reply: Reply) -> None:
@@ -266,7 +274,7 @@
             followed = FollowedKind(
                 self._store,
                 kind,
-                SHORT_WATCH_SECONDS if is_verified else LONG_WATCH_SECONDS,
+                self._watch_s(kind),
                 0.0 if is_verified else COALESCE_SECONDS,
                 self._log,
                 self._now,
@@ -276,6 +284,12 @@
             self._kinds[kind] = followed
         return followed
 
+    def _watch_s(self, kind: str) -> float:
+        """Return the longest wait of a kind's watches in seconds."""
+        if kind == self._verified_object.kind:
+            return SHORT_WATCH_SECONDS
+        return PROMPT_WATCH_SECONDS if kind in self._prompt_kinds else LONG_WATCH_SECONDS
+
     def _note_lost(self) -> None:
         for followed in self._kinds.values():
             followed.note_lost()
