A disk call that fails truncates nothing that was acknowledged

What callers would see: after the restart of a replica whose disk had refused a call, turns that it had acknowledged are gone, under the same disk id.

Cause: SegmentStore.append handled a failed open like a failed write and truncated the segment to the length of what had been open last: 0 after a start. Ruled out: the rest of a failed write, which is truncated rightly.

Change: a failed open or sync of the folder refuses the append and touches nothing; the length goes with the write. The same class: a failed close left a closed file in use, so every later write failed; refused compactions left their temporary files; folders were made without a sync of their parents.

--- a/yarrowwall/storage/identity.py
+++ b/yarrowwall/storage/identity.py
@@ -5,7 +5,7 @@
 from uuid import uuid4
 
 from yarrowwall.storage.exceptions import FolderNotInitialisedError, StorageError
-from yarrowwall.storage.folders import sync_folder
+from yarrowwall.storage.folders import make_folder, sync_folder
 
 _FILE_NAME = "replica-id"
 
@@ -22,7 +22,7 @@
         pass
     chosen = replica_id or uuid4().hex
     try:
-        folder.mkdir(parents=True, exist_ok=True)
+        make_folder(folder)
         _write_durably(folder, chosen + "\n")
     except OSError as error:
         raise StorageError(f"cannot initialise the data folder: {error}") from error
--- a/yarrowwall/storage/segments.py
+++ b/yarrowwall/storage/segments.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import struct
 from collections.abc import Iterable, Iterator
@@ -18,7 +19,7 @@
 
 from yarrowwall.messages.codec import decode, encode
 from yarrowwall.storage.exceptions import CorruptSegmentError, StorageError
-from yarrowwall.storage.folders import sync_folder
+from yarrowwall.storage.folders import make_folder, sync_folder
 
 if TYPE_CHECKING:
     # The record types of both kinds of replicas; a process imports only those that it stores.
@@ -62,12 +63,13 @@
         self._folder = folder
         self._segment_bytes = segment_bytes
         try:
-            folder.mkdir(parents=True, exist_ok=True)
+            make_folder(folder)
         except OSError as error:
             raise StorageError(f"cannot use the data folder: {error}") from error
+        for path in folder.glob(f"*{_TEMPORARY_SUFFIX}"):
+            self._remove_temporary(path)
         self._number = max((self._number_of(path) for path in self._paths()), default=0)
         self._file: BinaryIO | None = None
-        self._durable_bytes = 0
 
     def _paths(self) -> list[Path]:
         return sorted(self._folder.glob(f"*{_SUFFIX}"))
@@ -127,7 +129,10 @@
         """
         try:
             file = self._open_file()
-            self._durable_bytes = file.tell()
+        except OSError as error:
+            raise StorageError(f"cannot open the journal: {error}") from error
+        durable_bytes = file.tell()
+        try:
             file.write(_encode_frame(records))
             file.flush()
             os.fsync(file.fileno())
@@ -135,38 +140,42 @@
                 self._close_file()
                 self._number += 1
         except OSError as error:
-            self._discard_failed_write()
+            self._discard_failed_write(durable_bytes)
             raise StorageError(f"cannot write the journal: {error}") from error
 
-    def _discard_failed_write(self) -> None:
+    def _discard_failed_write(self, durable_bytes: int) -> None:
         """Truncate the rest of a failed write, so that later frames follow an intact one.
 
         If that fails too, a new segment is begun. Reading treats the damaged end of the earlier
         segment as a torn frame, since no frame follows it there.
+
+        :param durable_bytes: length of the open segment before the write.
         """
         path = self._path(self._number)
+        # An error of the same write is already reported.
+        with contextlib.suppress(OSError):
+            self._close_file()
         try:
-            if self._file is not None:
-                self._file.close()
-        except OSError:
-            pass
-        self._file = None
-        try:
-            os.truncate(path, self._durable_bytes)
+            os.truncate(path, durable_bytes)
         except OSError:
             self._number += 1
 
     def _open_file(self) -> BinaryIO:
         if self._file is None:
             self._number = max(self._number, 1)
-            self._file = self._path(self._number).open("ab")
-            sync_folder(self._folder)
+            file = self._path(self._number).open("ab")
+            try:
+                sync_folder(self._folder)
+            except OSError:
+                file.close()
+                raise
+            self._file = file
         return self._file
 
     def _close_file(self) -> None:
-        if self._file is not None:
-            self._file.close()
-            self._file = None
+        file, self._file = self._file, None
+        if file is not None:
+            file.close()
 
     def segment_count(self) -> int:
         """Return the number of segment files."""
@@ -181,11 +190,11 @@
         :raises StorageError: if the disk fails; the old segments stay then.
         """
         old = self._paths()
-        self._close_file()
         self._number = max(self._number, 1) + 1
         target = self._path(self._number)
         temporary = target.with_suffix(_TEMPORARY_SUFFIX)
         try:
+            self._close_file()
             with temporary.open("wb") as file:
                 for record in records:
                     file.write(_encode_frame([record]))
@@ -197,8 +206,15 @@
                 path.unlink()
             sync_folder(self._folder)
         except OSError as error:
+            self._remove_temporary(temporary)
             raise StorageError(f"cannot rewrite the journal: {error}") from error
 
+    def _remove_temporary(self, path: Path) -> None:
+        """Remove the file of a compaction that was not completed, if there is one."""
+        # What a faulty disk keeps of it is removed at the next start; it is never read.
+        with contextlib.suppress(OSError):
+            path.unlink(missing_ok=True)
+
     def close(self) -> None:
         """Close the open segment."""
         self._close_file()
