--- a/features/retention.feature
+++ b/features/retention.feature
@@ -115,7 +115,7 @@
     Examples:
       | mutant                                       | first |
       | drops records without asking other replicas  | 3     |
-      | asks its own group alone about a chain       | 30    |
+      | asks its own group alone about a chain       | 43    |
       | takes one answer for a read quorum           | 0     |
       | keeps each record by its own age             | 0     |
       | ignores lifetimes that others know           | 0     |
