A body that is sent faster than it is read ends with its time

Cause: a read that finds bytes returns them whatever its time is, since a delayed process is to read what had arrived. So no time ended a body whose sender is faster than its reader; the memory budget did, late on a busy machine.

Change: once the time of a body is over, 512 KB of it are read at most, as much as the kernel's buffer holds, then it is given up as unfinished.

--- a/features/steps/unbounded_answer_steps.py
+++ b/features/steps/unbounded_answer_steps.py
@@ -21,6 +21,8 @@
 from features.support.platform_scripts import add, publish, world
 from features.support.platform_world import HOST, Arrival
 from features.support.processes import wait_until
+from yarrowwall.dispatch.answer_bounds import AnswerUnfinishedError
+from yarrowwall.dispatch.connection import ServerConnection
 from yarrowwall.messages.codec import encode
 from yarrowwall.messages.replicated import AskStatus
 from yarrowwall.platform import store as platform_store
@@ -525,3 +527,63 @@
     except AssertionError:
         return
     raise AssertionError("the mutant was not detected")
+
+
+# Processes that read more slowly than they are sent
+
+
+class _Sender:
+    """A server that sends bytes to its one connection until that ends."""
+
+    def __init__(self, begin: bytes, repeated: bytes) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self._begin, self._repeated = begin, repeated
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def _run(self) -> None:
+        connection, _ = self._listener.accept()
+        with self._listener, connection, contextlib.suppress(OSError):
+            connection.recv(4096)
+            connection.sendall(self._begin)
+            while self._repeated:
+                connection.sendall(self._repeated)
+
+
+@given("a server that sends a {part} faster than it is read")
+def fast_sender(context: Context, part: str) -> None:
+    answer = ENDLESS[part]
+    context.sender = _Sender(answer.begin.replace(b"@", b""), answer.repeated)
+
+
+@given("a server that sends an answer of {size:d} bytes")
+def sender_of(context: Context, size: int) -> None:
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size
+    context.sender = _Sender(head + b"a" * size, b"")
+
+
+@when("a process that takes {ms:d} ms for each piece reads it for {seconds:f} s")
+def read_slowly(context: Context, ms: int, seconds: float) -> None:
+    # Sleeping as a busy process does, with no other greenthread running meanwhile.
+    pause = eventlet.patcher.original("time").sleep
+    connection = ServerConnection(context.sender.address, 1.0)
+    connection.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n", 1.0)
+    connection.read_head(1.0)
+    began = time.monotonic()
+    try:
+        context.read = connection.read_all(seconds, lambda size: pause(ms / 1000.0))
+    except AnswerUnfinishedError:
+        context.read = None
+    context.took_s = time.monotonic() - began
+    connection.close()
+
+
+@then("it is given up after {least_s:f} to {most_s:f} s")
+def given_up_in_time(context: Context, least_s: float, most_s: float) -> None:
+    assert context.read is None
+    assert least_s <= context.took_s <= most_s, context.took_s
+
+
+@then("it is read whole")
+def read_whole(context: Context) -> None:
+    assert context.read is not None and len(context.read) == 400_000
--- a/features/unbounded_answers.feature
+++ b/features/unbounded_answers.feature
@@ -105,6 +105,24 @@
     When slow frames come to it: 10 frames, each in two pieces 0.1 s apart
     Then all 10 are answered
 
+  # Guards against requests that outlive their deadline on a busy machine: a read that always finds
+  # bytes looked at no time, so only the bound in bytes ended it.
+  Scenario Outline: A <part> that comes faster than a busy process reads it ends with its time
+    Given a server that sends a <part> faster than it is read
+    When a process that takes 2 ms for each piece reads it for 0.5 s
+    Then it is given up after 0.5 to 1.1 s
+
+    Examples:
+      | part                              |
+      | body by length                    |
+      | body by chunks                    |
+      | body to the end of the connection |
+
+  Scenario: What had arrived in time is read by a process that was delayed
+    Given a server that sends an answer of 400000 bytes
+    When a process that takes 10 ms for each piece reads it for 0.2 s
+    Then it is read whole
+
   Scenario: What is kept of any bytes in any pieces is bounded
     Then for 300 random answers in random pieces a connection keeps no more than its bounds
 
--- a/yarrowwall/dispatch/answer_bounds.py
+++ b/yarrowwall/dispatch/answer_bounds.py
@@ -1,5 +1,6 @@
 """Bounds on the bytes of one answer, whatever its sender does. No I/O."""
 
+import math
 from enum import StrEnum
 
 from yarrowwall.exceptions import AnswerTimeoutError, MalformedAnswerError
@@ -15,6 +16,9 @@
 #: connection can be reused.
 MAX_DRAINED_BYTES = 16 * 1024
 DRAIN_SECONDS = 0.02
+#: Most bytes that are read of a body once its time is over. What had arrived by then is read
+#: although the process was delayed, and the kernel's buffer holds no more.
+MAX_LATE_BYTES = 512 * 1024
 #: Largest answer to another request that is skipped on a connection.
 MAX_SKIPPED_BYTES = 4 * 1024 * 1024
 #: Seconds after its head in which an answer must be complete for its server not to count as failed,
@@ -63,20 +67,32 @@
 
 
 class AnswerSize:
-    """The bytes of one answer so far."""
+    """The bytes of one answer so far.
+
+    :ivar end_s: when its body must have ended, on the monotonic clock.
+    """
 
     def __init__(self) -> None:
         self.received = 0
         self.body = 0
+        self.end_s = math.inf
+        self._late = 0
 
-    def add(self, received: int, body: int) -> None:
+    def add(self, received: int, body: int, read_at_s: float) -> None:
         """Count bytes.
 
         :param received: all of them, framing included.
         :param body: those that belong to the body.
+        :param read_at_s: when they were read.
         """
         self.received += received
         self.body += body
+        if read_at_s > self.end_s:
+            self._late += received
+
+    def is_over(self, now_s: float) -> bool:
+        """Return whether its time is over and what had arrived by then has been read."""
+        return now_s > self.end_s and self._late > MAX_LATE_BYTES
 
     def check(self, has_head: bool) -> None:
         """Check the bytes outside of the body, which has bounds of its own where it is kept.
--- a/yarrowwall/dispatch/connection.py
+++ b/yarrowwall/dispatch/connection.py
@@ -213,7 +213,7 @@
         :raises MalformedAnswerError: if the framing is broken.
         :raises AnswerBoundError: if there is too much framing.
         """
-        end_s = time.monotonic() + timeout
+        end_s = self._size.end_s = time.monotonic() + timeout
         pieces = []
         while data := self._read_before(end_s):
             count_bytes(len(data))
@@ -230,7 +230,8 @@
         :raises MalformedAnswerError: if the framing is broken.
         :raises AnswerBoundError: if it is longer, or there is too much framing.
         """
-        end_s, limit = time.monotonic() + timeout, BodyLimit(max_bytes)
+        end_s = self._size.end_s = time.monotonic() + timeout
+        limit = BodyLimit(max_bytes)
         while data := self._read_before(end_s):
             limit.add(len(data))
 
@@ -256,22 +257,25 @@
         """
         if self._reader.is_malformed:
             raise MalformedAnswerError("bytes that are no answer")
+        now_s = time.monotonic()
+        if self._size.is_over(now_s):
+            raise AnswerTimeoutError("no end of the answer in time")
         try:
-            data = receive(self._socket, _READ_BYTES, max(end_s - time.monotonic(), 0.001))
+            data = receive(self._socket, _READ_BYTES, max(end_s - now_s, 0.001))
         except TimeoutError as error:
             raise AnswerTimeoutError("no answer in time") from error
         except OSError as error:
             raise ConnectionBrokenError(str(error)) from error
         if data:
-            self._feed(data)
+            self._feed(data, now_s)
         return len(data)
 
-    def _feed(self, data: bytes) -> None:
+    def _feed(self, data: bytes, read_at_s: float) -> None:
         reader = self._reader
         body_before = reader.body_bytes
         reader.feed(data)
         reader.skip_informational()
-        self._size.add(len(data), reader.body_bytes - body_before)
+        self._size.add(len(data), reader.body_bytes - body_before, read_at_s)
         self._size.check(has_head=bool(reader.responses) and reader.responses[0].head is not None)
 
     @property
