--- a/yarrowwall/machine/process.py
+++ b/yarrowwall/machine/process.py
@@ -93,7 +93,7 @@
             self._log,
             time.monotonic,
             # A draining server may get no request once its bound is over.
-            prompt_kinds=(documents.servers_kind,),
+            urgent_kinds=(documents.servers_kind,),
         )
 
     def _make_store(self, adapter: Adapter, reader: StoreReader | None) -> StoreClient:
--- a/yarrowwall/watching/reader.py
+++ b/yarrowwall/watching/reader.py
@@ -35,7 +35,7 @@
 #: The same for kinds whose changes are due within seconds. A connection that was quiet may deliver
 #: nothing more while the verified object's, which are not quiet, work: with the time that an answer
 #: may take after the wait, such a watch is noticed and begun anew within 3 s.
-PROMPT_WATCH_SECONDS = 1.5
+URGENT_WATCH_SECONDS = 1.5
 #: Seconds without a request after which a kind is no longer followed.
 IDLE_SECONDS = 8.0
 #: Maximum seconds before a failed read of the store is retried. An answer to any other request ends
@@ -241,7 +241,7 @@
         short waits. Its kind is followed as long as any other is: a lost watch returns nothing
         until its wait is over, so all watches restart if a short watch or a read fails.
     :param now: the monotonic clock.
-    :param prompt_kinds: kinds whose changes are due within seconds, whichever connections to the
+    :param urgent_kinds: kinds whose changes are due within seconds, whichever connections to the
         store fall silent.
     """
 
@@ -251,13 +251,13 @@
         verified_object: ObjectName,
         log: DecisionLog,
         now: Callable[[], float],
-        prompt_kinds: Collection[str] = (),
+        urgent_kinds: Collection[str] = (),
     ) -> None:
         self._store = MonitoredStore(store, now, self._note_lost)
         self._verified_object = verified_object
         self._log = log
         self._now = now
-        self._prompt_kinds = prompt_kinds
+        self._urgent_kinds = urgent_kinds
         self._kinds: dict[str, FollowedKind] = {}
 
     def ask(self, request: ListObjects | WatchObjects, reply: Reply) -> None:
@@ -288,7 +288,7 @@
         """Return the longest wait of a kind's watches in seconds."""
         if kind == self._verified_object.kind:
             return SHORT_WATCH_SECONDS
-        return PROMPT_WATCH_SECONDS if kind in self._prompt_kinds else LONG_WATCH_SECONDS
+        return URGENT_WATCH_SECONDS if kind in self._urgent_kinds else LONG_WATCH_SECONDS
 
     def _note_lost(self) -> None:
         for followed in self._kinds.values():
