One copy of rules that the change wrote twice

- The share of framing that a message may have stood in answer_bounds and in the callers' parser; http_framing, which holds what requests and answers have in common, has it now.
- A reserved send asks the replicas twice by itself; the client had a static method that did it for it.
- Arguments of a blocked retirement were packed for a call that no longer shares them.
- Tests: one request to an answer without an end for the soak and the scenarios, one iteration over spellings.

--- a/features/soak/endless.py
+++ b/features/soak/endless.py
@@ -1,16 +1,15 @@
 """Clients of servers whose answers never end."""
 
-import contextlib
-import http.client
 import random
 import threading
 import time
 from collections import Counter
+from http import HTTPStatus
 
 from features.soak.promises import Record
 from features.soak.threads import ThreadGroup
 from features.soak.world import ENDLESS_KINDS, SoakWorld, endless_route
-from features.support.platform_world import HOST
+from features.support.endless_answers import request_to_end
 
 _LEFT_S = 1.5
 #: Seconds after its deadline in which a request must have its end, if nothing else is disrupted.
@@ -61,26 +60,11 @@
                 self._counts[f"{kind} {status}"] += 1
 
     def _ask(self, gateway: int, kind: str, attempt: str) -> tuple[int, bool]:
-        """Send a request and drop its answer; return its status, and whether it had an end."""
+        """Send a request and drop its answer; return its status, and whether it looked whole."""
         connection = self._world.connect(gateway)
         connection.timeout = _TIMEOUT_S
-        headers = {
-            "Host": HOST,
-            "X-Attempt-Id": attempt,
-            "X-Deadline-Ms": str(round(_LEFT_S * 1000.0)),
-            "X-Token-Count": "10,10",
-        }
-        status = 0
-        with contextlib.closing(connection):
-            try:
-                connection.request("POST", f"/{endless_route(kind)}/x", b"x", headers)
-                response = connection.getresponse()
-                status = response.status
-                while response.read1(65536):
-                    pass
-            except (OSError, http.client.HTTPException, ValueError):
-                return status, False
-        return status, status == http.client.OK
+        status, has_end = request_to_end(connection, endless_route(kind), attempt, _LEFT_S)
+        return status, has_end and status == HTTPStatus.OK
 
     def _check(self, gateway: int, kind: str, began: float, is_whole: bool) -> None:
         ended, name = time.monotonic(), self._world.gateways[gateway]
--- a/features/steps/record_name_steps.py
+++ b/features/steps/record_name_steps.py
@@ -126,15 +126,23 @@
     yield "key-o", KEYED
 
 
+def spelled_by_others(
+    context: Context, owner: str, chosen_id: str
+) -> Iterator[tuple[str, str, str]]:
+    """Yield the key and route of each such caller with each spelling of an owner's name."""
+    for key, route in others(context):
+        for name in spellings(owner, chosen_id):
+            yield key, route, name
+
+
 @then(
     'callers without a key and with key "key-o" get 404 for each spelling of "{owner}"\'s'
     ' turn "{attempt}"'
 )
 def spelled_turns(context: Context, owner: str, attempt: str) -> None:
-    for key, route in others(context):
-        for name in spellings(owner, attempt):
-            answer = turn(context, key, next_attempt(context), "own", name, route)
-            assert answer.status == 404, (key, name, answer)
+    for key, route, name in spelled_by_others(context, owner, attempt):
+        answer = turn(context, key, next_attempt(context), "own", name, route)
+        assert answer.status == 404, (key, name, answer)
 
 
 @then("no server got the turn's body again")
@@ -148,11 +156,10 @@
     ' "{owner}"\'s program "{program}"'
 )
 def spend_spelled(context: Context, owner: str, program: str) -> None:
-    for key, route in others(context):
-        for name in spellings(owner, program):
-            for expected in (200, 200, 200, 402):
-                answer = turn(context, key, next_attempt(context), name, route=route)
-                assert answer.status == expected, (key, name, answer)
+    for key, route, name in spelled_by_others(context, owner, program):
+        for expected in (200, 200, 200, 402):
+            answer = turn(context, key, next_attempt(context), name, route=route)
+            assert answer.status == expected, (key, name, answer)
 
 
 @then('a caller with key "{key}" has {statuses} for the rest of the budget of "{program}"')
--- a/features/steps/unbounded_answer_steps.py
+++ b/features/steps/unbounded_answer_steps.py
@@ -17,7 +17,7 @@
 
 from features.steps.mixed_release_steps import _Peer, logging_replica
 from features.support.answer_bounds_model import BOUND_MUTANTS, check_random_answers
-from features.support.endless_answers import ENDLESS, EndlessServer
+from features.support.endless_answers import ENDLESS, EndlessServer, request_to_end
 from features.support.platform_scripts import add, publish, world
 from features.support.platform_world import HOST, Arrival
 from features.support.processes import wait_until
@@ -122,20 +122,7 @@
     attempt = world(context).next_attempt()
     connection = world(context).connect()
     began = time.monotonic()
-    headers = {
-        "Host": HOST,
-        "X-Attempt-Id": attempt,
-        "X-Deadline-Ms": str(int(left_s * 1000)),
-        "X-Token-Count": "10,10",
-    }
-    status = 0
-    with contextlib.suppress(OSError, http.client.HTTPException, ValueError):
-        connection.request("POST", f"/{route}/x", b"x", headers)
-        response = connection.getresponse()
-        status = response.status
-        while response.read1(65536):
-            pass
-    connection.close()
+    status, _ = request_to_end(connection, route, attempt, left_s)
     return CallerEnd(attempt, status, time.monotonic() - began)
 
 
--- a/features/support/answer_bounds_model.py
+++ b/features/support/answer_bounds_model.py
@@ -10,7 +10,6 @@
 from yarrowwall.dispatch import connection as connection_module
 from yarrowwall.dispatch import streams
 from yarrowwall.dispatch.answer_bounds import (
-    FRAMING_BYTES_PER_BODY_BYTE,
     MAX_EVENT_BYTES,
     MAX_HEAD_BYTES,
     AnswerSize,
@@ -18,6 +17,7 @@
 from yarrowwall.dispatch.connection import ServerConnection, _ResponseReader
 from yarrowwall.event_stream import EventSplitter
 from yarrowwall.exceptions import AnswerTimeoutError, RelayError
+from yarrowwall.http_framing import FRAMING_BYTES_PER_BODY_BYTE
 
 #: Time limit of a read, on the stand-in's clock, and what each piece takes of it.
 READ_SECONDS = 3.0
--- a/features/support/endless_answers.py
+++ b/features/support/endless_answers.py
@@ -1,12 +1,13 @@
 """Servers whose answers never end, and what is seen of them."""
 
 import contextlib
+import http.client
 import threading
 import time
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
-from features.support.platform_world import Arrival, QuietHandler
+from features.support.platform_world import HOST, Arrival, QuietHandler
 
 #: Bytes and pause of a slow sender; a fast one sends as much as is read.
 SLOW_BYTES = 4096
@@ -113,3 +114,30 @@
             target.write(repeated)
             if self.is_slow:
                 time.sleep(SLOW_PAUSE_S)
+
+
+def request_to_end(
+    connection: http.client.HTTPConnection, route: str, attempt: str, left_s: float
+) -> tuple[int, bool]:
+    """Send a request, drop its answer and close the connection.
+
+    :param left_s: seconds until its deadline.
+    :returns: the answer's status, 0 for none, and whether it came to its end.
+    """
+    headers = {
+        "Host": HOST,
+        "X-Attempt-Id": attempt,
+        "X-Deadline-Ms": str(round(left_s * 1000.0)),
+        "X-Token-Count": "10,10",
+    }
+    status = 0
+    with contextlib.closing(connection):
+        try:
+            connection.request("POST", f"/{route}/x", b"x", headers)
+            response = connection.getresponse()
+            status = response.status
+            while response.read1(65536):
+                pass
+        except (OSError, http.client.HTTPException, ValueError):
+            return status, False
+    return status, True
--- a/yarrowwall/dispatch/answer_bounds.py
+++ b/yarrowwall/dispatch/answer_bounds.py
@@ -4,12 +4,10 @@
 from enum import StrEnum
 
 from yarrowwall.exceptions import AnswerTimeoutError, MalformedAnswerError
+from yarrowwall.http_framing import FRAMING_BYTES_PER_BODY_BYTE
 
 #: Largest head of an answer, with the informational answers before it.
 MAX_HEAD_BYTES = 64 * 1024
-#: Bytes of framing, head included, that an answer may have for each byte of its body beyond those
-#: of a head: a chunk of one byte has five.
-FRAMING_BYTES_PER_BODY_BYTE = 8
 #: Largest event of a stream.
 MAX_EVENT_BYTES = 1024 * 1024
 #: Most bytes and seconds that are spent on the rest of an answer whose head says all, so that its
--- a/yarrowwall/gateway/request_parser.py
+++ b/yarrowwall/gateway/request_parser.py
@@ -10,7 +10,12 @@
 import httptools
 
 from yarrowwall.exceptions import InvalidAttemptError
-from yarrowwall.http_framing import HTTP_VERSIONS, is_plain_chunked, transfer_codings
+from yarrowwall.http_framing import (
+    FRAMING_BYTES_PER_BODY_BYTE,
+    HTTP_VERSIONS,
+    is_plain_chunked,
+    transfer_codings,
+)
 from yarrowwall.model import Header, RequestHead
 
 #: Bytes of a request line beside its method and target, and of a header beside its name and value.
@@ -18,11 +23,6 @@
 _HEADER_OVERHEAD_BYTES = 4
 
 
-#: Bytes of framing that a request may have for each byte of its body, beyond those of two heads: a
-#: chunk of one byte has five.
-_FRAMING_BYTES_PER_BODY_BYTE = 8
-
-
 class MalformedRequestError(InvalidAttemptError):
     """The bytes are no request that the gateway serves; the connection cannot be used further."""
 
@@ -104,7 +104,7 @@
             return
         newest.received_bytes += size
         framing = newest.received_bytes - newest.body_bytes
-        limit = 2 * self.max_head_bytes + _FRAMING_BYTES_PER_BODY_BYTE * newest.body_bytes
+        limit = 2 * self.max_head_bytes + FRAMING_BYTES_PER_BODY_BYTE * newest.body_bytes
         if newest.head is not None and framing > limit:
             self._fail(f"the framing of the body exceeds {limit} bytes", HTTPStatus.BAD_REQUEST)
 
--- a/yarrowwall/http_framing.py
+++ b/yarrowwall/http_framing.py
@@ -6,6 +6,9 @@
 
 #: HTTP versions that are read.
 HTTP_VERSIONS = ("1.0", "1.1")
+#: Bytes of framing that a message may have for each byte of its body, beyond those of its heads: a
+#: chunk of one byte has five.
+FRAMING_BYTES_PER_BODY_BYTE = 8
 
 
 def transfer_codings(headers: Iterable[Header]) -> list[str]:
--- a/yarrowwall/replication/coordinator.py
+++ b/yarrowwall/replication/coordinator.py
@@ -295,8 +295,17 @@
         if self._node_id not in self.retiring:
             self._notices.clear_blocked()
         elif changed is None:
-            group = (view, registered, state.alive, self.retiring, state.busy, self._size)
-            self._notices.note_blocked(blocked_retirement(*group, state.absent))
+            self._notices.note_blocked(
+                blocked_retirement(
+                    view,
+                    registered,
+                    state.alive,
+                    self.retiring,
+                    state.busy,
+                    self._size,
+                    state.absent,
+                )
+            )
         return changed
 
     def _planned_view(
--- a/yarrowwall/replication/planner.py
+++ b/yarrowwall/replication/planner.py
@@ -205,22 +205,19 @@
     view: GroupView, registered: dict[str, Member], alive: Collection[str]
 ) -> list[Member]:
     """Return the members that are alive and still have their disks."""
-    return [
-        member
-        for member in view.members
-        if member.node_id in alive and not _has_other_disk(member, registered)
-    ]
+    return [one for one in _members_with_disks(view, registered) if one.node_id in alive]
 
 
 def _silent_members(
     view: GroupView, registered: dict[str, Member], alive: Collection[str]
 ) -> list[Member]:
     """Return the members that are silent and may still have their disks."""
-    return [
-        member
-        for member in view.members
-        if member.node_id not in alive and not _has_other_disk(member, registered)
-    ]
+    return [one for one in _members_with_disks(view, registered) if one.node_id not in alive]
+
+
+def _members_with_disks(view: GroupView, registered: dict[str, Member]) -> list[Member]:
+    """Return the members that are not known to have lost their disks."""
+    return [member for member in view.members if not _has_other_disk(member, registered)]
 
 
 def _new_disks(
--- a/yarrowwall/suspects/client.py
+++ b/yarrowwall/suspects/client.py
@@ -46,7 +46,7 @@
 #: Seconds that a caller waits for the replicas' replies. An answer takes a round trip.
 REPLY_TIMEOUT_SECONDS = 0.06
 RELAYED_REPLY_TIMEOUT_SECONDS = 0.2
-#: The same if none of them replied in time; then the request is not sent.
+#: The same for a second question, if none of them replied to the first one.
 LATE_REPLY_TIMEOUT_SECONDS = 0.3
 #: Seconds for which a suspect is kept: longer than a caller repeats a turn.
 RETENTION_SECONDS = 120.0
@@ -197,26 +197,12 @@
         send_id = f"{self._send_prefix}-{number}{_ATTEMPT_SEPARATOR}{attempt.attempt_id}"
         send = _ReservedSend(self, request, send_id, left_s + UNRESOLVED_SECONDS)
         try:
-            self._check_pending(request, self._ask_for_pending(send, server), open_tries)
+            self._check_pending(request, send.reserve_surely(server), open_tries)
         except BaseException:
             send.release(is_resolved=True)
             raise
         return send
 
-    @staticmethod
-    def _ask_for_pending(send: "_ReservedSend", server: Server) -> set[str]:
-        """Reserve a send; return the ids of the request's other sends in progress.
-
-        :raises RefusedError: if no replica replies: other servers may have ended under the request
-            at other gateways.
-        """
-        for timeout in (None, LATE_REPLY_TIMEOUT_SECONDS):
-            pending = send.reserve(server, timeout)
-            if pending is not None:
-                return pending
-        reason = "a server ended while it ran this request, and no replica tells of others"
-        raise unavailable(reason, SHORTAGE_SECONDS)
-
     def _check_pending(
         self, request: str, pending: Collection[str], open_tries: Callable[[], Collection[str]]
     ) -> None:
@@ -339,7 +325,20 @@
         self._left_s = left_s
         self._is_released = False
 
-    def reserve(self, server: Server, timeout: float | None = None) -> set[str] | None:
+    def reserve_surely(self, server: Server) -> set[str]:
+        """Reserve it at one replica at least; return the ids of the request's other sends.
+
+        :raises RefusedError: if no replica replies: other servers may have ended under the request
+            at other gateways.
+        """
+        for timeout in (None, LATE_REPLY_TIMEOUT_SECONDS):
+            pending = self._reserve(server, timeout)
+            if pending is not None:
+                return pending
+        reason = "a server ended while it ran this request, and no replica tells of others"
+        raise unavailable(reason, SHORTAGE_SECONDS)
+
+    def _reserve(self, server: Server, timeout: float | None = None) -> set[str] | None:
         """Reserve it at all replicas; return the ids of other sends, None if none replies.
 
         :param timeout: see :meth:`SuspectClient.ask_all`.
@@ -362,7 +361,7 @@
 
     def move(self, server: Server) -> None:
         """Note that it goes to another server."""
-        self.reserve(server)
+        self._reserve(server)
 
     def release(self, is_resolved: bool) -> None:
         """End the reservation; an unresolved one counts for a while."""
