Tests: crowds of clients that do not behave

A small gateway (64 MB, 400 descriptors of which the platform reserves 200) before crowds of 100 clients that send legal heads of many short lines, unfinished heads and bodies, pipelined requests, bodies of small chunks, or say nothing; storage machines before first turns with long names and large bodies; and single heads of exactly the limit. Checked: the process lives, its highest memory is at most the machine's, its descriptors are within theirs, an ordinary request is served afterwards. The bounds are the machine's own, no measured figures.

`alone` is a new tag of features/run.py: such scenarios run after all others, one at a time.

--- a/features/environment.py
+++ b/features/environment.py
@@ -3,6 +3,7 @@
 from behave.model import Feature, Scenario
 from behave.runner import Context
 
+from features.support.crowd_world import CrowdWorld
 from features.support.cut_world import CutWorld
 from features.support.platform_world import PlatformWorld
 from features.support.processes import System
@@ -34,6 +35,8 @@
         context.platform = ProxiedWorld()
     if "cut_world" in scenario.effective_tags:
         context.platform = CutWorld()
+    if "crowd_world" in scenario.effective_tags:
+        context.platform = CrowdWorld()
     if "server_ends_world" in scenario.effective_tags:
         context.platform = PlatformWorld(gateways=3)
     if "zoned_world" in scenario.effective_tags:
--- a/features/run.py
+++ b/features/run.py
@@ -4,7 +4,7 @@
 would spend more time on imports than most scenarios take. The scenarios of a feature that share a
 running system run in one process, those tagged ``own_process`` in one each. Few of those that start
 machines run concurrently, since they measure time; those that only compute run at the same time.
-Those tagged ``long`` begin first.
+Those tagged ``long`` begin first. Those tagged ``alone`` run after all others, one at a time.
 
 Scenarios named in KNOWN-RED.txt (``scenario name | command and seed | what was seen | issue``) are
 run and printed; their failures do not count. One that passes counts as failed, so that it is
@@ -37,6 +37,7 @@
     "own_system",
     "platform_world",
     "proxied_world",
+    "crowd_world",
     "cut_world",
     "real_processes",
     "server_ends_world",
@@ -49,6 +50,8 @@
 OWN_PROCESS_TAG = "own_process"
 #: Tag of scenarios that take much longer than others: they begin first, in smaller batches.
 LONG_TAG = "long"
+#: Tag of scenarios that measure memory or load their machines: nothing else runs beside them.
+ALONE_TAG = "alone"
 #: Most scenarios of one job.
 MACHINE_BATCH = 4
 COMPUTING_BATCH = 12
@@ -71,6 +74,7 @@
     :param names: the scenarios' names.
     :param starts_machines: whether its scenarios start processes and measure time.
     :param is_long: whether it takes much longer than others.
+    :param is_alone: whether nothing may run beside it.
     """
 
     number: int
@@ -78,6 +82,7 @@
     names: list[str]
     starts_machines: bool
     is_long: bool
+    is_alone: bool
 
 
 class Outcome(NamedTuple):
@@ -117,16 +122,17 @@
 
 def _job(path: str, scenarios: list[Scenario], starts_machines: bool) -> Job:
     is_long = any(LONG_TAG in scenario.effective_tags for scenario in scenarios)
+    is_alone = any(ALONE_TAG in scenario.effective_tags for scenario in scenarios)
     locations = [f"{path}:{scenario.line}" for scenario in scenarios]
     names = [scenario.name.strip() for scenario in scenarios]
-    return Job(0, locations, names, starts_machines, is_long)
+    return Job(0, locations, names, starts_machines, is_long, is_alone)
 
 
 def _batches(feature: Feature, scenarios: list[Scenario]) -> Iterator[list[Scenario]]:
     """Yield a feature's scenarios in batches that each run in one process."""
     shared: dict[int, list[Scenario]] = defaultdict(list)
     for scenario in scenarios:
-        if OWN_PROCESS_TAG in scenario.effective_tags:
+        if {OWN_PROCESS_TAG, ALONE_TAG} & set(scenario.effective_tags):
             yield [scenario]
         elif LONG_TAG in scenario.effective_tags:
             shared[LONG_BATCH].append(scenario)
@@ -223,7 +229,14 @@
 
 
 def run_jobs(jobs: list[Job]) -> list[Outcome]:
-    """Run all jobs."""
+    """Run all jobs, those that run alone after the others."""
+    beside = [job for job in jobs if not job.is_alone]
+    alone = [job for job in jobs if job.is_alone]
+    return _run_at_once(beside, CONCURRENT_JOBS) + _run_at_once(alone, 1)
+
+
+def _run_at_once(jobs: list[Job], count: int) -> list[Outcome]:
+    """Run jobs, at most so many at once."""
     outcomes: list[Outcome] = []
     lock = threading.Lock()
     queue = JobQueue(jobs)
@@ -238,7 +251,7 @@
                 outcomes.append(outcome)
                 _print_outcome(outcome)
 
-    workers = [threading.Thread(target=work) for _ in range(CONCURRENT_JOBS)]
+    workers = [threading.Thread(target=work) for _ in range(count)]
     for worker in workers:
         worker.start()
     for worker in workers:
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -461,6 +461,8 @@
 
     :cvar machines_lost_at_once: machine losses that the deployment must tolerate; None for the
         default.
+    :cvar memory_mb: memory in MB of machines that are started from now on; None for the default.
+    :cvar max_fds: descriptors of each machine; None for the default.
     :param gateways: number of gateways.
     :param replicas: number of storage machines.
     :param zones: zones that the machines of each kind are assigned to in turn.
@@ -469,6 +471,8 @@
     #: Seconds that a machine may take to end after SIGTERM.
     stop_s = 6.0
     machines_lost_at_once: int | None = None
+    memory_mb: int | None = None
+    max_fds: int | None = None
 
     def __init__(
         self, gateways: int = 2, replicas: int = 3, zones: Sequence[str] = ("zone-a",)
@@ -490,8 +494,6 @@
         self.processes: dict[str, subprocess.Popen] = {}
         self.addresses: dict[str, dict[str, str]] = {}
         self._attempts = 0
-        #: Memory in MB of machines that are started from now on; None for the default.
-        self.memory_mb: int | None = None
         for number in range(replicas):
             self.start_machine(f"storage-{number}", is_gateway=False, is_first=True)
         for number in range(gateways):
@@ -626,6 +628,7 @@
             f'platform_address = "{self.store_address(name)}"',
             f"is_first_start = {str(is_first).lower()}",
             *([f"memory_mb = {self.memory_mb}"] if self.memory_mb is not None else []),
+            *([f"max_fds = {self.max_fds}"] if self.max_fds is not None else []),
             *([f"machines_lost_at_once = {losses}"] if losses is not None else []),
             "[bounds]",
             f"stop = {self.stop_s}",
