A caller's head is kept as its bytes, and a connection has one parsed request

A legal head of lines without a space behind the colon got 431.

Causes, all in what the parser makes of the bytes: - each header line became two texts and a pair, a hundred bytes and more for a line of five, which lived as long as the request, and in copies for the server; - all that had arrived was parsed, so one read of 8 KB made hundreds of requests; - a body in small chunks became a list with an entry for each of them; - a head was measured as names and values and four bytes for each header, not as what was sent, so lines "ab:" counted a byte too much and others too little.

Change: `HeaderBlock` (model.py) holds headers in the form in which they are sent. Pairs are made where they are read, within one run between two turns of the event loop, and dropped there; a request to a server takes the block as it is. Answers' heads are kept in the same way.

The mutants of the parser are replaced one for one: "does not count the header fields" now lacks the check of a whole head's size, which those cases detect.

--- a/features/steps/connection_end_steps.py
+++ b/features/steps/connection_end_steps.py
@@ -28,7 +28,7 @@
 )
 from yarrowwall.gateway.gateway import Gateway
 from yarrowwall.gateway.http_server import serve
-from yarrowwall.model import RequestHead
+from yarrowwall.model import HeaderBlock, RequestHead
 from yarrowwall.platform.callers import PlatformCallers
 from yarrowwall.policy.freshness import Freshness
 from yarrowwall.policy.memory_budget import MemoryBounds, MemoryBudget
@@ -245,8 +245,17 @@
     context.gateway = Gateway(components)
     context.gateway.note_initial_load()
     near, context.caller = green_socket.socketpair()
-    headers = (("Host", HOST), ("X-Attempt-Id", "attempt-1"))
-    head = RequestHead("GET", "/records/x", "1.1", headers, None, False, True)
+    headers = HeaderBlock.encode([("Host", HOST), ("X-Attempt-Id", "attempt-1")])
+    head = RequestHead(
+        "GET",
+        "/records/x",
+        "1.1",
+        headers,
+        None,
+        is_chunked=False,
+        expects_continue=False,
+        keeps_alive=True,
+    )
     connection = CallerConnection(near, CurrentCallerLimits(), log)
     connection.parser.feed(f"GET /records/x HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode())
     context.request = CallerRequest(connection, head)
--- a/features/support/answer_bounds_model.py
+++ b/features/support/answer_bounds_model.py
@@ -79,7 +79,8 @@
 def _kept(connection: ServerConnection) -> int:
     """Return the bytes that the connection keeps outside of what it has passed on."""
     return sum(
-        sum(len(name) + len(value) for name, value in response.headers)
+        len(response.header_lines)
+        + (len(response.head.headers.lines) if response.head is not None else 0)
         + sum(len(chunk) for chunk in response.chunks)
         for response in connection._reader.responses
     )
@@ -183,7 +184,7 @@
 
 
 def _keep_trailers(self: _ResponseReader, name: bytes, value: bytes) -> None:
-    self.responses[-1].headers.append((name.decode("latin-1"), value.decode("latin-1")))
+    self.responses[-1].header_lines += b"%b: %b\r\n" % (name, value)
 
 
 def _no_check(self: AnswerSize, has_head: bool) -> None:
--- a/features/support/request_mutants.py
+++ b/features/support/request_mutants.py
@@ -10,7 +10,6 @@
 from features.support.request_cases import MAX_HEAD_BYTES, Case, Ran
 from yarrowwall.gateway import request_parser
 from yarrowwall.gateway.request_parser import MalformedRequestError, RequestParser
-from yarrowwall.model import Header
 
 #: Statuses that depend on the parser alone.
 _PARSED_STATUSES = {100, 200, 400, 431, 501, 505}
@@ -51,8 +50,7 @@
         if not piece:
             return b"".join(pieces)
     # What has arrived is read again with the rest.
-    for piece in reversed(pieces):
-        parser._requests[0].pieces.appendleft(piece)
+    parser._current.body[:0] = b"".join(pieces)
     return None
 
 
@@ -70,11 +68,7 @@
 
 def _without(name: str) -> Callable[[], AbstractContextManager[Any]]:
     """Return a mutant without one check of a head."""
-    return lambda: patch.object(request_parser, name, lambda head: None)
-
-
-def _first_length(headers: list[Header]) -> int | None:
-    return None
+    return lambda: patch.object(request_parser, name, lambda *arguments: None)
 
 
 def _takes_any_version() -> AbstractContextManager[Any]:
@@ -82,11 +76,11 @@
 
 
 def _no_head_limit() -> AbstractContextManager[Any]:
-    return patch.object(RequestParser, "_check_unfinished_head", lambda self, size: None)
+    return patch.object(RequestParser, "_check_unfinished_head", lambda self: None)
 
 
 def _counts_no_headers() -> AbstractContextManager[Any]:
-    return patch.object(request_parser, "_HEADER_OVERHEAD_BYTES", -1000)
+    return patch.object(RequestParser, "_check_head_size", lambda self: None)
 
 
 def _upgrades() -> AbstractContextManager[Any]:
--- a/features/support/resumed_turns_model.py
+++ b/features/support/resumed_turns_model.py
@@ -24,7 +24,7 @@
     TurnUnknownError,
 )
 from yarrowwall.hashing import digest
-from yarrowwall.model import Answer, Attempt, ProgramContext, RequestKind, Route
+from yarrowwall.model import Answer, Attempt, HeaderBlock, ProgramContext, RequestKind, Route
 from yarrowwall.ports.programs import ExpectedSoftware
 from yarrowwall.refusals import Refusal, RefusedError
 
@@ -196,7 +196,7 @@
             "POST",
             "/talk/x",
             "host",
-            [],
+            HeaderBlock(),
             turn.input,
             now_s(),
             now_s() + DEADLINE_S,
--- a/features/support/retention_model.py
+++ b/features/support/retention_model.py
@@ -30,7 +30,7 @@
 from yarrowwall.budgets.turns import turn_key
 from yarrowwall.exceptions import BudgetExhaustedError, StoreUncertainError, TurnUnknownError
 from yarrowwall.messages.replicated import GroupView
-from yarrowwall.model import Attempt, ProgramContext, RequestKind, Route
+from yarrowwall.model import Attempt, HeaderBlock, ProgramContext, RequestKind, Route
 from yarrowwall.replication.expiry import EXPIRY_SECONDS
 from yarrowwall.replication.table import RETENTION_MARGIN_SECONDS
 from yarrowwall.replication.views import is_zone_group, read_quorum
@@ -284,7 +284,15 @@
     )
     body = f"input of {attempt_id};".encode()
     return Attempt(
-        attempt_id, "POST", "/talk/x", "host", [], body, now_s(), now_s() + DEADLINE_S, context
+        attempt_id,
+        "POST",
+        "/talk/x",
+        "host",
+        HeaderBlock(),
+        body,
+        now_s(),
+        now_s() + DEADLINE_S,
+        context,
     )
 
 
--- a/features/support/zone_model.py
+++ b/features/support/zone_model.py
@@ -22,7 +22,7 @@
 from yarrowwall.event_stream import Event
 from yarrowwall.exceptions import BudgetExhaustedError, StoreUncertainError, TurnUnknownError
 from yarrowwall.messages.replicated import GroupView, InstallView, Member, RecordsKept
-from yarrowwall.model import Attempt, ProgramContext, RequestKind, Route
+from yarrowwall.model import Attempt, HeaderBlock, ProgramContext, RequestKind, Route
 from yarrowwall.replication import planner
 from yarrowwall.replication.exceptions import LinkDownError
 from yarrowwall.replication.expiry import EXPIRY_SECONDS, RecordExpiry
@@ -603,7 +603,9 @@
 def _attempt(program: Program, attempt_id: str, previous: str | None) -> Attempt:
     context = ProgramContext(program.program_id, program.budget, MAX_TOKENS, previous, None)
     body = f"input of {attempt_id};".encode()
-    return Attempt(attempt_id, "POST", "/talk/x", "host", [], body, now_s(), now_s() + 5.0, context)
+    return Attempt(
+        attempt_id, "POST", "/talk/x", "host", HeaderBlock(), body, now_s(), now_s() + 5.0, context
+    )
 
 
 def run_zone_schedules(
--- a/yarrowwall/dispatch/connection.py
+++ b/yarrowwall/dispatch/connection.py
@@ -25,7 +25,7 @@
     MalformedAnswerError,
 )
 from yarrowwall.http_framing import HTTP_VERSIONS, is_plain_chunked, transfer_codings
-from yarrowwall.model import Header, ResponseHead
+from yarrowwall.model import HeaderBlock, ResponseHead
 from yarrowwall.sockets import has_no_pending_input, open_socket, receive, send_all
 
 #: Bytes that are read at a time. A stream whose caller does not read keeps up to five copies of
@@ -44,7 +44,7 @@
 
     def __init__(self) -> None:
         self.is_refused = False
-        self.headers: list[Header] = []
+        self.header_lines = bytearray()
         self.head: ResponseHead | None = None
         self.chunks: deque[bytes] = deque()
         self.is_complete = False
@@ -73,13 +73,13 @@
         if self.responses[-1].head is not None:
             # A trailer, which is not passed on.
             return
-        header = (name.decode("latin-1"), value.decode("latin-1"))
-        self.responses[-1].headers.append(header)
+        self.responses[-1].header_lines += b"%b: %b\r\n" % (name, value)
 
     def on_headers_complete(self) -> None:
         response = self.responses[-1]
         status = self._parser.get_status_code()
-        response.head = ResponseHead(status, tuple(response.headers))
+        response.head = ResponseHead(status, HeaderBlock(bytes(response.header_lines)))
+        response.header_lines.clear()
         is_known = self._parser.get_http_version() in HTTP_VERSIONS
         response.is_refused = not is_known or not _is_framing_known(response.head)
 
@@ -108,7 +108,7 @@
     """
     if head.status < HTTPStatus.CONTINUE or head.status == HTTPStatus.SWITCHING_PROTOCOLS:
         return False
-    codings = transfer_codings(head.headers)
+    codings = transfer_codings(head.headers.decode())
     return not codings or is_plain_chunked(codings)
 
 
@@ -174,7 +174,7 @@
         head = responses[0].head
         if responses[0].is_refused:
             raise MalformedAnswerError("the end of the answer is uncertain")
-        names = {name.lower(): value for name, value in head.headers}
+        names = {name.lower(): value for name, value in head.headers.decode()}
         framed = "content-length" in names or "transfer-encoding" in names
         self._ends_with_connection = not framed and not responses[0].is_complete
         if "close" in names.get("connection", "").lower() or not framed:
--- a/yarrowwall/gateway/caller_connection.py
+++ b/yarrowwall/gateway/caller_connection.py
@@ -13,7 +13,7 @@
 from yarrowwall.exceptions import CallerDisconnectedError
 from yarrowwall.gateway.connection_ends import ConnectionEnd, ConnectionEndReason
 from yarrowwall.gateway.request_parser import MalformedRequestError, RequestParser
-from yarrowwall.model import CallerLimits, Header, RequestHead
+from yarrowwall.model import CallerLimits, Header, HeaderBlock, RequestHead
 from yarrowwall.sockets import receive, send_some
 
 #: Write timeout for buffered responses: a caller that reads nothing for so long is disconnected.
@@ -61,9 +61,7 @@
         self._is_head_sent = False
         self._writes_chunks = False
         self._is_bodyless = False
-        self._is_continue_due = head.version != "1.0" and any(
-            value.lower() == "100-continue" for value in head.values("expect")
-        )
+        self._is_continue_due = head.expects_continue
 
     @property
     def socket(self) -> socket.socket:
@@ -275,7 +273,16 @@
         """Answer a request whose head is refused, whatever its method."""
         self.must_close = self._must_linger = True
         self.socket.settimeout(WRITE_TIMEOUT_SECONDS)
-        head = RequestHead("", "", "1.1", (), None, is_chunked=False, keeps_alive=False)
+        head = RequestHead(
+            "",
+            "",
+            "1.1",
+            HeaderBlock(),
+            None,
+            is_chunked=False,
+            expects_continue=False,
+            keeps_alive=False,
+        )
         body = f"{error}\n".encode()
         refusal = CallerRequest(self, head)
         refusal.start_response(
--- a/yarrowwall/http_framing.py
+++ b/yarrowwall/http_framing.py
@@ -11,9 +11,14 @@
 FRAMING_BYTES_PER_BODY_BYTE = 8
 
 
+def header_values(headers: Iterable[Header], wanted: str) -> list[str]:
+    """Return the values of all headers with a name, given in lower case."""
+    return [value for name, value in headers if name.lower() == wanted]
+
+
 def transfer_codings(headers: Iterable[Header]) -> list[str]:
     """Return the values of all ``Transfer-Encoding`` headers."""
-    return [value for name, value in headers if name.lower() == "transfer-encoding"]
+    return header_values(headers, "transfer-encoding")
 
 
 def is_plain_chunked(codings: Iterable[str]) -> bool:
--- a/yarrowwall/model.py
+++ b/yarrowwall/model.py
@@ -3,6 +3,7 @@
 Times are seconds of the monotonic clock, durations are seconds.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
 from functools import cached_property
@@ -18,6 +19,32 @@
 Header = tuple[str, str]
 
 
+class HeaderBlock:
+    """The headers of a message in the form in which they are sent, one line each.
+
+    A short line takes a hundred bytes more as a pair of texts than as bytes, and a legal head has
+    thousands of them. So pairs are made where they are read, and dropped there.
+
+    :ivar lines: the lines in order, each with its end.
+    """
+
+    __slots__ = ("lines",)
+
+    def __init__(self, lines: bytes = b"") -> None:
+        self.lines = lines
+
+    @classmethod
+    def encode(cls, headers: Iterable[Header]) -> "HeaderBlock":
+        """Return the block of headers."""
+        return cls("".join([f"{name}: {value}\r\n" for name, value in headers]).encode("latin-1"))
+
+    def decode(self) -> list[Header]:
+        """Return the names and values in order."""
+        parts = [line.partition(": ") for line in self.lines.decode("latin-1").split("\r\n")]
+        # The last line's end is followed by nothing.
+        return [(name, value) for name, _, value in parts[:-1]]
+
+
 class RequestKind(StrEnum):
     """Whether a request may be repeated, and how it is answered."""
 
@@ -232,7 +259,7 @@
     method: str
     target: str
     host: str
-    headers: list[Header]
+    headers: HeaderBlock
     body: bytes
     arrived_at: float
     deadline: float
@@ -281,17 +308,20 @@
     """The head of a caller's request.
 
     :param target: the request target as it was sent.
-    :param headers: all headers as they were sent, in order.
+    :param headers: all headers in order.
     :param content_length: the stated length of the body in bytes; None if it states none.
+    :param expects_continue: whether the caller may wait for an informational answer before it
+        sends the body.
     :param keeps_alive: whether the caller may send further requests over the connection.
     """
 
     method: str
     target: str
     version: str
-    headers: tuple[Header, ...]
+    headers: HeaderBlock
     content_length: int | None
     is_chunked: bool
+    expects_continue: bool
     keeps_alive: bool
 
     @property
@@ -299,17 +329,13 @@
         """Return whether body bytes may follow."""
         return self.is_chunked or bool(self.content_length)
 
-    def values(self, name: str) -> list[str]:
-        """Return the values of all headers with a name, given in lower case."""
-        return [value for found, value in self.headers if found.lower() == name]
-
 
 @dataclass(frozen=True)
 class ResponseHead:
     """Status and headers of a response, as received."""
 
     status: int
-    headers: tuple[Header, ...]
+    headers: HeaderBlock
 
 
 @dataclass(frozen=True)
@@ -323,7 +349,7 @@
     """
 
     status: int
-    headers: list[Header]
+    headers: HeaderBlock
     was_not_run: bool
     is_for_attempt: bool
     is_signed: bool
--- a/yarrowwall/platform/callers.py
+++ b/yarrowwall/platform/callers.py
@@ -4,10 +4,12 @@
 from http.cookies import CookieError, SimpleCookie
 
 from yarrowwall.exceptions import InvalidAttemptError
+from yarrowwall.http_framing import header_values
 from yarrowwall.model import (
     Answer,
     Attempt,
     Header,
+    HeaderBlock,
     ProgramContext,
     PromptPart,
     RequestHead,
@@ -55,9 +57,8 @@
         :param now: when the request arrived, on the monotonic clock.
         :raises InvalidAttemptError: if the request is malformed.
         """
-        headers = head.headers
-        lowered = [(name.lower(), value) for name, value in headers]
-        values = dict(lowered)
+        headers = head.headers.decode()
+        values = {name.lower(): value for name, value in headers}
         attempt_id = values.get(names.ATTEMPT_ID.lower(), "")
         if not attempt_id:
             raise InvalidAttemptError(f"{names.ATTEMPT_ID} is missing")
@@ -66,7 +67,7 @@
             method=head.method,
             target=head.target,
             host=_authority(head.target) or values.get("host", ""),
-            headers=_forwarded_headers(headers, head.values("connection")),
+            headers=_forwarded_headers(headers),
             body=b"",
             arrived_at=now,
             deadline=now + _deadline(values.get(names.DEADLINE.lower())),
@@ -75,14 +76,14 @@
             affinity=_affinity(values.get("cookie", "")),
             last_event_id=values.get(names.LAST_EVENT_ID.lower()),
             resumed_attempt=values.get(names.RESUMES.lower(), "").strip() or None,
-            api_key=_unique_value(lowered, names.API_KEY.lower()),
+            api_key=_unique_value(headers, names.API_KEY.lower()),
         )
 
     def answer_headers(self, answer: Answer) -> list[Header]:
         """Return the headers of a server's answer that are passed to the client."""
         return [
             (name, value)
-            for name, value in answer.headers
+            for name, value in answer.headers.decode()
             if name.lower() not in _DROPPED_FROM_ANSWERS
         ]
 
@@ -101,14 +102,13 @@
     return target.partition("://")[2].partition("/")[0].partition("?")[0]
 
 
-def _forwarded_headers(headers: tuple[Header, ...], connection: list[str]) -> list[Header]:
-    """Return the headers that are sent to servers.
-
-    :param connection: values of ``Connection``, which name headers of this connection alone.
-    """
+def _forwarded_headers(headers: list[Header]) -> HeaderBlock:
+    """Return the headers that are sent to servers."""
+    # ``Connection`` names headers of this connection alone.
+    connection = header_values(headers, "connection")
     hop_by_hop = {_canonical(name) for value in connection for name in value.split(",")}
     dropped = _DROPPED_FROM_REQUESTS | hop_by_hop if hop_by_hop else _DROPPED_FROM_REQUESTS
-    return [(name, value) for name, value in headers if not _is_dropped(name, dropped)]
+    return HeaderBlock.encode([header for header in headers if not _is_dropped(header[0], dropped)])
 
 
 def _is_dropped(name: str, dropped: set[str]) -> bool:
@@ -127,7 +127,7 @@
 
 def _unique_value(headers: list[Header], wanted: str) -> str | None:
     """Return the value of a header; None if it is missing or has several different values."""
-    values = {value.strip() for name, value in headers if name == wanted}
+    values = {value.strip() for value in header_values(headers, wanted)}
     return values.pop() if len(values) == 1 else None
 
 
--- a/yarrowwall/platform/servers.py
+++ b/yarrowwall/platform/servers.py
@@ -13,9 +13,8 @@
 
     def request_bytes(self, attempt: Attempt, send: Send) -> bytes:
         """Return the bytes of a request to a server."""
-        lines = [f"{attempt.method} {attempt.target} HTTP/1.1", f"Host: {attempt.host}"]
-        lines += [f"{name}: {value}" for name, value in attempt.headers]
-        lines.append(f"{names.DEADLINE}: {max(1, int(send.remaining_s * 1000))}")
+        start = f"{attempt.method} {attempt.target} HTTP/1.1\r\nHost: {attempt.host}\r\n"
+        lines = [f"{names.DEADLINE}: {max(1, int(send.remaining_s * 1000))}"]
         lines.append(f"{names.EXPECT_INSTANCE}: {send.server.server_id}")
         if attempt.prompt:
             priority = min(max(send.priority, 0), _LOWEST_PRIORITY)
@@ -26,16 +25,17 @@
             lines.append(f"{names.LAST_EVENT_ID}: {send.last_event_id}")
         if send.body or attempt.method in ("POST", "PUT", "PATCH"):
             lines.append(f"Content-Length: {len(send.body)}")
-        return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + send.body
+        own = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+        return b"".join((start.encode("latin-1"), attempt.headers.lines, own, send.body))
 
     def read_answer(self, attempt: Attempt, send: Send, head: ResponseHead) -> Answer:
         """Return the interpretation of a response head."""
-        values = {name.lower(): value for name, value in head.headers}
+        values = {name.lower(): value for name, value in head.headers.decode()}
         echoed = values.get(names.ATTEMPT_ID.lower())
         is_misdirected = head.status == HTTPStatus.MISDIRECTED_REQUEST
         return Answer(
             status=head.status,
-            headers=list(head.headers),
+            headers=head.headers,
             was_not_run=is_misdirected or names.NOT_EXECUTED.lower() in values,
             is_for_attempt=echoed is None or echoed == attempt.attempt_id,
             is_signed=names.SEAL.lower() in values,
