Heads of very many lines are processed one in each turn of the event loop

Cause, as far as read: such a head costs milliseconds in one stretch, and all heads that arrived at once were processed between two turns of any other greenthread, so heartbeats, leases and watches waited too.

Change: a head of 1 KB and 100 lines or more waits for a turn of its own. Usual heads are told by their size alone. No time is claimed: how long ordinary requests take beside a crowd was not measured again, so this stays suspected.

--- a/yarrowwall/gateway/caller_connection.py
+++ b/yarrowwall/gateway/caller_connection.py
@@ -28,6 +28,9 @@
 LINGER_SECONDS = 1.0
 #: Bytes that are read at a time.
 _READ_BYTES = 8 * 1024
+#: Size and lines of a head from which on its processing is paced.
+COSTLY_HEAD_BYTES = 1024
+COSTLY_HEAD_LINES = 100
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -39,6 +42,30 @@
     """Ends the connection after what was written, without completing the response."""
 
 
+class HeadPacer:
+    """Spreads the processing of heads with very many lines over turns of the event loop.
+
+    Such a head takes some milliseconds. While a crowd sends them, all that arrived would be
+    processed between two turns of any other greenthread, and heartbeats would be late.
+    """
+
+    def __init__(self) -> None:
+        self._turn = eventlet.semaphore.Semaphore(1)
+
+    def wait_turn(self, head: RequestHead) -> None:
+        """Wait until no other such head is processed in this turn; return at once for others."""
+        if len(head.headers.lines) < COSTLY_HEAD_BYTES:
+            return
+        if head.headers.lines.count(b"\n") < COSTLY_HEAD_LINES:
+            return
+        with self._turn:
+            eventlet.sleep(0)
+
+
+#: Of all connections of the process: they share its event loop.
+_PACER = HeadPacer()
+
+
 class CurrentCallerLimits:
     """Holds the current limits, which connections read again for each request."""
 
@@ -263,6 +290,7 @@
             self._log_refused(ConnectionEndReason.HEAD_REFUSED, started_s, str(error))
             self._refuse(error)
             return None
+        _PACER.wait_turn(head)
         return head
 
     def _log_refused(self, reason: ConnectionEndReason, started_s: float, detail: str = "") -> None:
