Clients' connections and heads have a budget, and those that lose least end first

In client_crowds.feature 400 silent connections held 420 descriptors of 200; 100 clients that leave and come again held 217. While a crowd kept unfinished bodies, ordinary requests got 503 until long after it had left.

Change: `policy/connection_budget.py` counts each connection by what it keeps: its objects, an unfinished head, two copies of a head while its request is answered, the receive buffer if a caller sends on meanwhile. Bounds follow from `memory_mb` (a quarter of what an idle process leaves) and `max_fds` (new in the settings: 200 are the platform's, 64 our own, the rest halved between clients and servers). Where there is no room, that connection ends which loses least: one that has said nothing, then the unfinished request that is oldest (for memory: that keeps the most), then the one that rests longest. A request that has arrived completely is never ended; a new one for which nothing can end gets 503, not run, with Retry-After, or is closed unread. Unfinished bodies end in the same way, the largest first, before a smaller request is refused. Ports for probes have 16 connections of their own, so a crowd on the callers' port does not take a probe's place. The kernel's receive buffer is 32 KB for each client. `ClientTurnedAway` (5 lines a second) and yarrowwall_clients_turned_away_total tell it, yarrowwall_client_connections{state} how many there are.

Defaults: 1,916 connections with 4,096 descriptors; 12 MB (88 MB machine) to 55 MB (260 MB) for connections and heads, an ordinary request under way counting 38 KB.

slow_readers.feature had the check that beside 80 unfinished bodies any other caller is refused with 503. What is promised is the better: one with a body as large as theirs gets 503 with Retry-After at once, one with a smaller body is answered while the 80 are still there. Both are checked now.

--- a/features/slow_readers.feature
+++ b/features/slow_readers.feature
@@ -56,11 +56,12 @@
     Then it got all 40 events
 
   @platform_world
-  Scenario: While memory is nearly used up, new requests are refused
+  Scenario: While memory is nearly used up, large requests are refused
     Given a gateway whose machine has 16 MB
     And a route "orders" of type "mutating" with a server
     When 80 callers of "orders" send 50 KB of 60 KB and stop
-    Then another caller of "orders" is refused with 503 and Retry-After at once
+    Then another caller of "orders" that sends 60 KB is refused with 503 and Retry-After at once
+    And another caller of "orders" is answered 200 within 2 s
     When these callers leave
     Then another caller of "orders" is answered 200 within 2 s
 
--- a/features/steps/connection_end_steps.py
+++ b/features/steps/connection_end_steps.py
@@ -30,6 +30,7 @@
 from yarrowwall.gateway.http_server import serve
 from yarrowwall.model import HeaderBlock, RequestHead
 from yarrowwall.platform.callers import PlatformCallers
+from yarrowwall.policy.connection_budget import ConnectionBounds, ConnectionBudget
 from yarrowwall.policy.freshness import Freshness
 from yarrowwall.policy.memory_budget import MemoryBounds, MemoryBudget
 
@@ -256,7 +257,8 @@
         expects_continue=False,
         keeps_alive=True,
     )
-    connection = CallerConnection(near, CurrentCallerLimits(), log)
+    budget = ConnectionBudget(ConnectionBounds.of_probes())
+    connection = CallerConnection(near, CurrentCallerLimits(), budget, log)
     connection.parser.feed(f"GET /records/x HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode())
     context.request = CallerRequest(connection, head)
 
@@ -343,7 +345,8 @@
     )
     log = DecisionLog("edge-0", descriptor=os.open(os.devnull, os.O_WRONLY))
     listener = eventlet.listen(("127.0.0.1", 0))
-    context.server = eventlet.spawn(serve, listener, answer, limits, log)
+    budget = ConnectionBudget(ConnectionBounds.of_probes())
+    context.server = eventlet.spawn(serve, listener, answer, limits, budget, log)
     context.server_address = listener.getsockname()
 
 
--- a/features/steps/slow_reader_steps.py
+++ b/features/steps/slow_reader_steps.py
@@ -342,9 +342,11 @@
     time.sleep(0.5)
 
 
-@then('another caller of "{route}" is refused with 503 and Retry-After at once')
-def other_refused(context: Context, route: str) -> None:
-    answer = world(context).ask(route, b"payload")
+@then(
+    'another caller of "{route}" that sends {size:d} KB is refused with 503 and Retry-After at once'
+)
+def other_refused(context: Context, route: str, size: int) -> None:
+    answer = world(context).ask(route, b"x" * size * KILOBYTE)
     assert answer.status == 503, answer
     assert "Retry-After" in answer.headers, answer
     assert answer.seconds < 0.3, answer.seconds
--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -198,6 +198,24 @@
     detail: str
 
 
+class ClientTurnedAway(Decision, frozen=True):
+    """A client's connection was ended, or not accepted, since there is no room for it.
+
+    :param state: what the connection waited for, a
+        :class:`~yarrowwall.policy.connection_budget.ConnectionState`; ``NEW`` for one that was not
+        accepted.
+    :param kept: bytes that were kept for it.
+    :param connections: connections of clients that are left.
+    """
+
+    # A crowd of clients may be turned away in each second.
+    lines_per_second: ClassVar[int] = 5
+
+    state: str
+    kept: int
+    connections: int
+
+
 class InternalFault(Decision, frozen=True):
     """An unexpected exception ended a request.
 
--- a/yarrowwall/dispatch/pool.py
+++ b/yarrowwall/dispatch/pool.py
@@ -22,6 +22,7 @@
 CLOCK_MARGIN_SECONDS = 1.0
 #: Maximum number of idle connections that are kept for a server.
 MAX_IDLE = 8
+DEFAULT_MAX_CONNECTIONS = 2000
 
 
 class ConnectionPool:
@@ -32,11 +33,18 @@
 
     :param now: the monotonic clock.
     :param unix_s: returns the Unix time in seconds.
+    :param max_connections: connections from which on idle ones are closed for new ones.
     """
 
-    def __init__(self, now: Callable[[], float], unix_s: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        now: Callable[[], float],
+        unix_s: Callable[[], float],
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
+    ) -> None:
         self._now = now
         self._unix_s = unix_s
+        self._max_connections = max_connections
         self._in_use: dict[Incarnation, WeakSet[ServerConnection]] = defaultdict(WeakSet)
         self._idle: dict[Incarnation, list[ServerConnection]] = defaultdict(list)
 
@@ -61,11 +69,19 @@
         return None
 
     def _open(self, server: Server) -> ServerConnection:
+        self._close_surplus()
         opened_unix_s = self._unix_s()
         connection = ServerConnection(server.address, CONNECT_SECONDS)
         connection.opened_unix_s = opened_unix_s
         return connection
 
+    def _close_surplus(self) -> None:
+        """Close the idle connection that rests longest if there are too many connections."""
+        idle = [connections for connections in self._idle.values() if connections]
+        count = sum(map(len, idle)) + sum(map(len, self._in_use.values()))
+        if idle and count >= self._max_connections:
+            min(idle, key=lambda connections: connections[0].idle_since).pop(0).close()
+
     def _can_reuse(self, connection: ServerConnection) -> bool:
         kept = connection.keep_alive
         limit = DEFAULT_IDLE_SECONDS if kept is None else kept - IDLE_MARGIN_SECONDS
--- a/yarrowwall/gateway/bodies.py
+++ b/yarrowwall/gateway/bodies.py
@@ -4,7 +4,12 @@
 
 from yarrowwall.exceptions import InvalidAttemptError
 from yarrowwall.gateway.caller_connection import CallerRequest
-from yarrowwall.policy.memory_budget import MemoryBudget, MemoryExhaustedError, RequestMemory
+from yarrowwall.policy.memory_budget import (
+    MemoryBudget,
+    MemoryExhaustedError,
+    RequestMemory,
+    RequestTooLargeError,
+)
 
 
 class BodyTooLargeError(InvalidAttemptError):
@@ -48,13 +53,28 @@
         content_length = self._request.head.content_length or 0
         if content_length > self._limit:
             raise BodyTooLargeError(self._limit)
-        if not self._memory.accepts_request(content_length):
-            raise MemoryExhaustedError("too much is held for other requests")
-        pieces, size = [], 0
+        while not self._memory.accepts_request(content_length):
+            if not self._request.make_room(content_length):
+                raise MemoryExhaustedError("too much is held for other requests")
+        body = bytearray()
         while piece := self._request.read_body_piece(end_s):
-            size += len(piece)
-            if size > self._limit:
+            if len(body) + len(piece) > self._limit:
                 raise BodyTooLargeError(self._limit)
-            self._request_memory.grow(len(piece))
-            pieces.append(piece)
-        return b"".join(pieces)
+            self._grow(len(piece))
+            body += piece
+        return bytes(body)
+
+    def _grow(self, size: int) -> None:
+        """Count bytes of the body; callers with larger unfinished ones end first."""
+        memory = self._request_memory
+        while True:
+            try:
+                memory.grow(size)
+            except RequestTooLargeError:
+                raise
+            except MemoryExhaustedError:
+                if not self._request.make_room(memory.size + size):
+                    raise
+            else:
+                self._request.note_body(memory.size)
+                return
--- a/yarrowwall/gateway/caller_connection.py
+++ b/yarrowwall/gateway/caller_connection.py
@@ -1,5 +1,6 @@
 """Connections of callers: requests are read and answered one after the other."""
 
+import contextlib
 import socket
 import time
 from collections.abc import Callable, Iterable, Sequence
@@ -14,6 +15,7 @@
 from yarrowwall.gateway.connection_ends import ConnectionEnd, ConnectionEndReason
 from yarrowwall.gateway.request_parser import MalformedRequestError, RequestParser
 from yarrowwall.model import CallerLimits, Header, HeaderBlock, RequestHead
+from yarrowwall.policy.connection_budget import ConnectionBudget, ConnectionsExhaustedError
 from yarrowwall.sockets import receive, send_some
 
 #: Write timeout for buffered responses: a caller that reads nothing for so long is disconnected.
@@ -143,6 +145,40 @@
             return False
         return True
 
+    def begin_processing(self) -> None:
+        """Count the request in the budget of connections.
+
+        :raises ConnectionsExhaustedError: if there is no room for it.
+        """
+        size = len(self.head.headers.lines) + len(self.head.target)
+        self._connection.hold.process(size)
+
+    def note_body(self, size: int) -> None:
+        """Note the bytes of the body that have arrived."""
+        self._connection.hold.body_bytes = size
+
+    def note_complete(self) -> None:
+        """Note that the body has arrived, so that the connection is not ended for others.
+
+        :raises ConnectionsExhaustedError: if it was ended before.
+        """
+        self._connection.hold.answer()
+
+    def note_unread(self) -> None:
+        """Note that further bytes arrive before the response."""
+        self._connection.hold.note_unread()
+
+    def make_room(self, than: int) -> bool:
+        """End a caller's unfinished body that is larger; return whether there was one.
+
+        :param than: bytes that it must exceed.
+        """
+        is_ended = self._connection.end_largest_body(than)
+        if is_ended:
+            # Its greenthread gives its memory back.
+            eventlet.sleep(0)
+        return is_ended
+
     # The response
 
     def close_after_answer(self) -> None:
@@ -222,12 +258,20 @@
     """One connection of a caller.
 
     :ivar must_close: whether the connection is closed after the current response.
+    :ivar hold: what the connection counts for in the budget.
+    :raises ConnectionsExhaustedError: if there is no room for it.
     """
 
     def __init__(
-        self, connection: socket.socket, limits: CurrentCallerLimits, log: DecisionLog
+        self,
+        connection: socket.socket,
+        limits: CurrentCallerLimits,
+        budget: ConnectionBudget,
+        log: DecisionLog,
     ) -> None:
         self.socket = connection
+        self._budget = budget
+        self.hold = budget.open(self._end_for_room)
         self.parser = RequestParser(limits.current.header_bytes)
         self.must_close = False
         self._limits = limits
@@ -243,11 +287,27 @@
                 if head is None:
                     break
                 self._answer(application, CallerRequest(self, head))
-        except (OSError, CallerDisconnectedError):
+        except (OSError, CallerDisconnectedError, ConnectionsExhaustedError):
             # Logged by the request that was being answered, or the caller left between requests.
             pass
         finally:
             self._close()
+            self.hold.close()
+
+    def end_largest_body(self, than: int) -> bool:
+        """End the connection with the largest unfinished body; return whether there was one.
+
+        :param than: bytes that its body must exceed.
+        """
+        return self._budget.end_largest_body(than)
+
+    def _end_for_room(self) -> None:
+        """End the connection, so that its greenthread sees the end and closes it."""
+        state, kept = self.hold.state.name, self.hold.size + self.hold.body_bytes
+        self._log.write(decisions.ClientTurnedAway(state, kept, self._budget.count))
+        with contextlib.suppress(OSError):
+            # The caller may have closed it already.
+            self.socket.shutdown(socket.SHUT_RDWR)
 
     def receive(self, end_s: float) -> bytes:
         """Return the next bytes; empty at an orderly close or a reset.
@@ -277,6 +337,7 @@
         self.parser.feed(data)
         try:
             while (head := self.parser.head()) is None:
+                self.hold.read(self.parser.held_bytes)
                 data = self.receive(started_s + limits.header_seconds)
                 if not data:
                     if not self.parser.is_idle:
@@ -342,6 +403,7 @@
                 close()
         if request.failure is None:
             self._skip_to_next(request)
+            self.hold.rest()
 
     def _skip_to_next(self, request: CallerRequest) -> None:
         """Skip the rest of a request, so that the next one can be read."""
--- a/yarrowwall/gateway/caller_watch.py
+++ b/yarrowwall/gateway/caller_watch.py
@@ -1,6 +1,7 @@
 """Detects callers that close their connection while their request is processed."""
 
 import socket
+from collections.abc import Callable
 from types import TracebackType
 from typing import Any
 
@@ -16,10 +17,14 @@
     It registers a listener with eventlet's hub, which costs less than a greenthread per request.
 
     :param connection: the caller's socket; nothing else may read it while this is active.
+    :param on_input: called if the caller sends something instead.
     """
 
-    def __init__(self, connection: socket.socket) -> None:
+    def __init__(
+        self, connection: socket.socket, on_input: Callable[[], None] = lambda: None
+    ) -> None:
         self._connection = connection
+        self._on_input = on_input
         self._is_active = False
         self._handler = eventlet.getcurrent()
         self._listener: Any = None
@@ -70,6 +75,7 @@
         try:
             # Bytes are the next request of a caller that pipelines: it is still connected.
             if self._peek():
+                self._on_input()
                 return
         except OSError as error:
             # The connection was reset; or the descriptor was closed after the response, when
--- a/yarrowwall/gateway/exchange.py
+++ b/yarrowwall/gateway/exchange.py
@@ -22,6 +22,7 @@
 from yarrowwall.gateway.state import GatewayState
 from yarrowwall.gateway.turn import AnswerAbortedError, Turn
 from yarrowwall.model import Attempt, RequestKind, Route
+from yarrowwall.policy.connection_budget import ConnectionsExhaustedError
 from yarrowwall.policy.memory_budget import MemoryExhaustedError
 from yarrowwall.policy.request_time import RequestTime
 from yarrowwall.policy.retry_after import SHORTAGE_SECONDS
@@ -77,7 +78,7 @@
     def _run(self) -> Generator[bytes, None, None]:
         """Return the body of the response; closing it early cancels the request."""
         response = self._response
-        watch = CallerWatch(self._request.socket)
+        watch = CallerWatch(self._request.socket, self._request.note_unread)
         try:
             yield from self._answer(watch)
             response.is_complete = True
@@ -109,11 +110,19 @@
                 self._request.head, self._response.arrived_at
             )
             self._response.attempt_id = attempt.attempt_id
+            self._request.begin_processing()
             self._gateway.wait_for_initial_load()
             route = self._gateway.router.match(attempt)
             time = RequestTime(attempt.arrived_at, attempt.deadline, route.timeout_s)
             self._attempt, self._time = attempt, time
             attempt.body = self._read_body(time.end)
+            self._request.note_complete()
+        except ConnectionsExhaustedError as error:
+            # The rest of the request stays unread, so the connection cannot be kept.
+            self._request.close_after_answer()
+            refusal = unavailable(str(error), SHORTAGE_SECONDS).refusal
+            yield self._response.refuse(refusal)
+            return
         except InvalidAttemptError as error:
             yield self._response.refuse(Refusal(error.status, str(error)))
             return
--- a/yarrowwall/machine/gateway_role.py
+++ b/yarrowwall/machine/gateway_role.py
@@ -25,6 +25,12 @@
 from yarrowwall.messages.replicated import GroupView
 from yarrowwall.metrics import MachineMetrics
 from yarrowwall.policy.active_programs import ActivePrograms
+from yarrowwall.policy.connection_budget import (
+    ConnectionBounds,
+    ConnectionBudget,
+    ConnectionState,
+    connections_per_side,
+)
 from yarrowwall.policy.freshness import Freshness
 from yarrowwall.policy.memory_budget import MemoryBounds, MemoryBudget
 from yarrowwall.policy.servers import ServerDirectory
@@ -68,9 +74,13 @@
         self._listeners = listeners
         self._log = log
         self._directory = ServerDirectory(settings.zone)
-        self._pool = ConnectionPool(time.monotonic, time.time)
+        self._pool = ConnectionPool(
+            time.monotonic, time.time, connections_per_side(settings.max_fds)
+        )
         self._directory.on_removed = self._pool.end_incarnation
         self._limits = CurrentCallerLimits()
+        bounds_of_connections = ConnectionBounds.of_machine(settings.memory_mb, settings.max_fds)
+        self._connections = ConnectionBudget(bounds_of_connections)
         self._memory = MemoryBudget(MemoryBounds.of_machine(settings.memory_mb))
         self._store = store
         self._views = GroupViews(self._note_view)
@@ -138,7 +148,7 @@
         if self._settings.accepts_forwarded_requests:
             self._start_forwarding()
         callers = ResilientListener(self._listeners.take(self._own.http_address), self._log)
-        eventlet.spawn_n(serve, callers, self.gateway, self._limits, self._log)
+        eventlet.spawn_n(serve, callers, self.gateway, self._limits, self._connections, self._log)
         probes = ResilientListener(self._listeners.take(self._own.readiness_address), self._log)
         eventlet.spawn_n(serve_probes, probes, self._answer_readiness, self._log)
         eventlet.spawn_n(self._run_maintenance)
@@ -176,11 +186,15 @@
         metrics.set_relayed(self._links.relayed, self._forwarder.forwarded)
         metrics.set_relay_refusals(self._links.refused, self._forwarder.refused)
         metrics.set_relayed_reads(self._store.relayed_reads.outcomes)
+        metrics.set_connections(
+            {state.name: self._connections.count_in(state) for state in ConnectionState}
+        )
         metrics.set_held(
             {
                 "all": self._memory.held,
                 "peak": self._memory.peak,
                 "bound": self._memory.bounds.total,
+                "connections": self._connections.memory,
                 "server_with_most": self._memory.largest_server_bytes,
             }
         )
--- a/yarrowwall/machine/probes.py
+++ b/yarrowwall/machine/probes.py
@@ -9,6 +9,7 @@
 from yarrowwall.gateway.http_server import serve
 from yarrowwall.listening import ResilientListener
 from yarrowwall.model import CallerLimits
+from yarrowwall.policy.connection_budget import ConnectionBounds, ConnectionBudget
 
 #: These requests have no body; one that comes all the same ends its connection.
 _LIMITS = CallerLimits(body_bytes=0)
@@ -43,4 +44,4 @@
         request.start_response(found.status, headers)
         return [found.body]
 
-    serve(listener, application, limits, log)
+    serve(listener, application, limits, ConnectionBudget(ConnectionBounds.of_probes()), log)
--- a/yarrowwall/machine/settings.py
+++ b/yarrowwall/machine/settings.py
@@ -12,6 +12,7 @@
 
 from yarrowwall.addresses import check_address
 from yarrowwall.exceptions import SettingsError
+from yarrowwall.policy.connection_budget import DEFAULT_MAX_DESCRIPTORS
 from yarrowwall.policy.memory_budget import DEFAULT_MEMORY_MB
 from yarrowwall.quotas.quota_rules import QuotaRules
 from yarrowwall.settings_file import NAME_PATTERN, parse_toml, read_text
@@ -94,6 +95,7 @@
     platform_address: Address
     is_first_start: bool = False
     memory_mb: Annotated[float, msgspec.Meta(gt=0.0)] = DEFAULT_MEMORY_MB
+    max_fds: Annotated[int, msgspec.Meta(gt=0)] = DEFAULT_MAX_DESCRIPTORS
     machines_lost_at_once: Annotated[int, msgspec.Meta(ge=0)] = 1
     bounds: BoundSettings = BoundSettings()
     gateway: GatewaySettings | None = None
--- a/yarrowwall/metrics.py
+++ b/yarrowwall/metrics.py
@@ -94,6 +94,14 @@
 CONNECTIONS_ENDED = _Description(
     "connections_ended", "Callers' connections that ended before their answers", "reason"
 )
+CLIENTS_TURNED_AWAY = _Description(
+    "clients_turned_away",
+    "Clients' connections ended for lack of room, by what they waited for",
+    "state",
+)
+CONNECTIONS = _Description(
+    "client_connections", "Clients' connections, by what they wait for", "state"
+)
 HELD_BYTES = _Description("held_bytes", "Bytes held for callers and servers", "of")
 ENTRIES_REFUSED = _Description(
     "server_entries_refused", "Entries of servers that name none to use", "fault"
@@ -169,6 +177,7 @@
             decisions.AnswerBrokenOff: lambda event: self._add(BROKEN_ANSWERS),
             decisions.CallerLeft: lambda event: self._add(CALLERS_LEFT),
             decisions.CallerGivenUp: lambda event: self._add(CALLERS_GIVEN_UP),
+            decisions.ClientTurnedAway: lambda event: self._add(CLIENTS_TURNED_AWAY, event.state),
             decisions.ConnectionEnded: lambda event: self._add(CONNECTIONS_ENDED, event.reason),
             decisions.BudgetDecided: lambda event: self._add(BUDGETS, event.granted),
             decisions.PartsAsked: self._parts_asked,
@@ -277,6 +286,11 @@
         for label, count in counts.items():
             self._counts[_Key(metric, label)] = count
 
+    def set_connections(self, by_state: Mapping[str, int]) -> None:
+        """Set the number of clients' connections by state."""
+        for state, count in by_state.items():
+            self._set(CONNECTIONS, count, state)
+
     def set_held(self, held: Mapping[str, int]) -> None:
         """Set the numbers of buffered bytes, by what they are buffered for."""
         for kind, count in held.items():
