What clients choose is kept in a bounded size: ids, parts of prompts, names of headers

Cause: an id becomes a part of several keys on three machines, of the gateway's caches (10,000 lines of sessions), and of every log line of its request. Beside it, as found by reading: a head of `a:1,` made 4,000 parts of a prompt that lived with the request and grew the estimate of each server's cache without end if they told no tokens; the cache of header names held 512 names of any length; the cookie parser took whole heads.

Change: an id longer than 128 characters is known by a digest (blake2b, 256 bits; a short one that looks like a digest gets one too, so no two ids are kept as one). What is sent is not changed: servers get the id as it was sent, and so does the caller. 256 parts of a prompt are read, 8,192 estimated for a server; names of headers are cached up to 64 characters; the cookie parser gets one cookie.

While releases before this one run beside it, a conversation under an id of more than 128 characters does not go on across the two, since they keep it under different names.

--- a/yarrowwall/gateway/exchange.py
+++ b/yarrowwall/gateway/exchange.py
@@ -109,7 +109,7 @@
             attempt = self._components.callers.read_attempt(
                 self._request.head, self._response.arrived_at
             )
-            self._response.attempt_id = attempt.attempt_id
+            self._response.attempt_id, self._response.sent_id = attempt.attempt_id, attempt.sent_id
             self._request.begin_processing()
             self._gateway.wait_for_initial_load()
             route = self._gateway.router.match(attempt)
--- a/yarrowwall/gateway/response.py
+++ b/yarrowwall/gateway/response.py
@@ -19,6 +19,7 @@
     :param should_close: returns whether to close the connection after the response, so that
         the caller reconnects to another gateway.
     :ivar attempt_id: empty until the request's head is read.
+    :ivar sent_id: the attempt's id as the caller sent it.
     :ivar is_complete: whether the whole response was handed to the HTTP server.
     :ivar is_end_logged: whether a log line says why the response is incomplete.
     """
@@ -41,6 +42,7 @@
         #: When data was last handed over to be written.
         self._last_output_at = self.arrived_at
         self.attempt_id = ""
+        self.sent_id = ""
         self.is_complete = False
         self.is_end_logged = False
 
@@ -57,7 +59,7 @@
             )
         )
         body = (refusal.reason + "\n").encode()
-        headers = self._callers.refusal_headers(self.attempt_id, refusal)
+        headers = self._callers.refusal_headers(self.sent_id, refusal)
         if refusal.status in (HTTPStatus.BAD_REQUEST, HTTPStatus.REQUEST_ENTITY_TOO_LARGE):
             self._request.close_after_answer()
         self._start(refusal.status, [*headers, _PLAIN_TEXT, ("Content-Length", str(len(body)))])
--- a/yarrowwall/model.py
+++ b/yarrowwall/model.py
@@ -213,7 +213,7 @@
         return digest(self.service, self.version)[:SOFTWARE_ID_LENGTH]
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class PromptPart:
     """A part of a prompt; parts with equal ids have equal tokens."""
 
@@ -253,6 +253,7 @@
     :param tenant: name of the tenant that the key belongs to; empty if no key is needed.
     :param priority: rank of the request by tenant and route, 0 is the most urgent.
     :param limit: rate limit of the tenant; None without one.
+    :param long_id: the attempt's id as it was sent, if ``attempt_id`` is a digest of it.
     """
 
     attempt_id: str
@@ -272,6 +273,12 @@
     tenant: str = ""
     priority: int = 0
     limit: TenantLimit | None = None
+    long_id: str | None = None
+
+    @property
+    def sent_id(self) -> str:
+        """Return the attempt's id as it was sent."""
+        return self.attempt_id if self.long_id is None else self.long_id
 
     @property
     def is_resumption(self) -> bool:
--- a/yarrowwall/platform/callers.py
+++ b/yarrowwall/platform/callers.py
@@ -15,12 +15,18 @@
     RequestHead,
 )
 from yarrowwall.platform import names
+from yarrowwall.policy.client_ids import kept_id
 from yarrowwall.refusals import Refusal
 
 #: Deadline of requests that state none.
 _DEFAULT_DEADLINE_SECONDS = 30.0
-#: Maximum number of header names whose canonical form is cached.
+#: Maximum number of header names whose canonical form is cached, and of their characters.
 MAX_CACHED_NAMES = 512
+MAX_CACHED_NAME_LENGTH = 64
+#: Parts of a prompt from its start that are read, and digits of their numbers of tokens. They only
+#: serve to choose a server that has them already.
+MAX_PROMPT_PARTS = 256
+MAX_TOKEN_DIGITS = 12
 #: Hop-by-hop headers, headers that the system sets itself, and callers' secrets.
 _DROPPED_FROM_REQUESTS = {
     "connection",
@@ -59,9 +65,10 @@
         """
         headers = head.headers.decode()
         values = {name.lower(): value for name, value in headers}
-        attempt_id = values.get(names.ATTEMPT_ID.lower(), "")
-        if not attempt_id:
+        sent_id = values.get(names.ATTEMPT_ID.lower(), "")
+        if not sent_id:
             raise InvalidAttemptError(f"{names.ATTEMPT_ID} is missing")
+        attempt_id = kept_id(sent_id)
         return Attempt(
             attempt_id=attempt_id,
             method=head.method,
@@ -75,8 +82,9 @@
             prompt=_prompt(values.get(names.PROMPT_PREFIX.lower(), "")),
             affinity=_affinity(values.get("cookie", "")),
             last_event_id=values.get(names.LAST_EVENT_ID.lower()),
-            resumed_attempt=values.get(names.RESUMES.lower(), "").strip() or None,
+            resumed_attempt=kept_id(values.get(names.RESUMES.lower(), "").strip()) or None,
             api_key=_unique_value(headers, names.API_KEY.lower()),
+            long_id=None if attempt_id == sent_id else sent_id,
         )
 
     def answer_headers(self, answer: Answer) -> list[Header]:
@@ -116,15 +124,21 @@
     return canonical in dropped or canonical.startswith(_PROXY_PREFIX)
 
 
-@lru_cache(MAX_CACHED_NAMES)
 def _canonical(name: str) -> str:
     """Return the canonical form of a header's name, for comparison.
 
     Servers that pass headers on as environment variables do not distinguish ``_`` and ``-``.
     """
+    return _cached_canonical(name) if len(name) <= MAX_CACHED_NAME_LENGTH else _replaced(name)
+
+
+def _replaced(name: str) -> str:
     return name.strip().lower().replace("_", "-")
 
 
+_cached_canonical = lru_cache(MAX_CACHED_NAMES)(_replaced)
+
+
 def _unique_value(headers: list[Header], wanted: str) -> str | None:
     """Return the value of a header; None if it is missing or has several different values."""
     values = {value.strip() for value in header_values(headers, wanted)}
@@ -149,12 +163,12 @@
     max_tokens = values.get(names.TOKEN_COUNT.lower(), "").rpartition(",")[2].strip()
     try:
         return ProgramContext(
-            program_id,
+            kept_id(program_id),
             int(budget) if budget is not None else None,
             int(max_tokens) if max_tokens else 0,
-            values.get(names.PREVIOUS_TURN.lower()) or None,
+            kept_id(values.get(names.PREVIOUS_TURN.lower(), "")) or None,
             now + float(finish_ms) / 1000.0 if finish_ms is not None else None,
-            values.get(names.SESSION.lower(), ""),
+            kept_id(values.get(names.SESSION.lower(), "")),
         )
     except ValueError as error:
         raise InvalidAttemptError("token counts and times must be numbers") from error
@@ -162,18 +176,20 @@
 
 def _prompt(text: str) -> tuple[PromptPart, ...]:
     parts = []
-    for piece in text.split(","):
+    for piece in text.split(",", MAX_PROMPT_PARTS)[:MAX_PROMPT_PARTS]:
         part_id, _, tokens = piece.strip().rpartition(":")
-        if part_id and tokens.isdigit():
-            parts.append(PromptPart(part_id, int(tokens)))
+        if part_id and tokens.isdigit() and len(tokens) <= MAX_TOKEN_DIGITS:
+            parts.append(PromptPart(kept_id(part_id), int(tokens)))
     return tuple(parts)
 
 
 def _affinity(text: str) -> str | None:
-    if names.AFFINITY_COOKIE not in text:
-        return None
-    try:
-        morsel = SimpleCookie(text).get(names.AFFINITY_COOKIE)
-    except CookieError:
-        return None
-    return morsel.value if morsel is not None else None
+    # The library takes milliseconds for a head full of cookies, so it gets only this one.
+    for piece in text.split(";") if names.AFFINITY_COOKIE in text else ():
+        if piece.strip().startswith(f"{names.AFFINITY_COOKIE}="):
+            try:
+                morsel = SimpleCookie(piece).get(names.AFFINITY_COOKIE)
+            except CookieError:
+                return None
+            return kept_id(morsel.value) if morsel is not None else None
+    return None
--- a/yarrowwall/platform/servers.py
+++ b/yarrowwall/platform/servers.py
@@ -37,7 +37,7 @@
             status=head.status,
             headers=head.headers,
             was_not_run=is_misdirected or names.NOT_EXECUTED.lower() in values,
-            is_for_attempt=echoed is None or echoed == attempt.attempt_id,
+            is_for_attempt=echoed is None or echoed == attempt.sent_id,
             is_signed=names.SEAL.lower() in values,
             keep_alive=_keep_alive(values.get("keep-alive")),
         )
--- a/yarrowwall/policy/prefix_cache.py
+++ b/yarrowwall/policy/prefix_cache.py
@@ -14,6 +14,8 @@
 CACHE_SHARE = 0.7
 #: Share of that which shared prefixes may fill so that every server can cache all of them.
 SHARED_PREFIX_SHARE = 0.4
+#: Maximum number of parts that a server is assumed to cache: clients choose the tokens of each.
+MAX_PARTS = 8192
 #: Maximum number of known shared prefixes; beyond it the least recently seen is dropped.
 MAX_SHARED_PREFIXES = 1000
 
@@ -62,10 +64,14 @@
         self._evict()
 
     def _evict(self) -> None:
-        while self._tokens > self._capacity and len(self._parts) > 1:
+        while self._is_over_limit and len(self._parts) > 1:
             _, tokens = self._parts.popitem(last=False)
             self._tokens -= tokens
 
+    @property
+    def _is_over_limit(self) -> bool:
+        return self._tokens > self._capacity or len(self._parts) > MAX_PARTS
+
 
 class SharedPrefixes:
     """The first parts of prompts, which many programs share."""
