Records of new programs are refused before they exceed a storage machine's memory

Seen in client_crowds.feature: 1,200 first turns with bodies of 60,000 bytes took storage machines of 64 MB to 84 and 92 MB. Records are kept in memory for as long as callers were promised, and nothing bounded how many.

Change: `policy/record_room.py` counts each record and each owner of records as they are kept, over both replicas of a machine, against four fifths of what an idle process leaves of `memory_mb`. From three quarters on reservations of new programs are refused, from nine tenths all records of new owners; small records of known owners always find room, since they settle what has run. Copies from other replicas are never refused: nothing acknowledged is dropped. `RecordsRefused`, yarrowwall_records_refused_total and yarrowwall_held_bytes{of="records"} tell it.

Until then new programs are refused, those of ordinary callers too: records tell no one caller from another.

--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -558,6 +558,21 @@
     copied: int
 
 
+class RecordsRefused(Decision, frozen=True):
+    """Records were refused, since the machine has no room for those of new owners.
+
+    :param used: bytes of memory that records take.
+    :param limit: bytes that they may take.
+    """
+
+    # While there is no room, each new program meets it.
+    lines_per_second: ClassVar[int] = 1
+
+    group: int
+    used: int
+    limit: int
+
+
 class RecordsDropped(Decision, frozen=True):
     """A replica dropped records whose lifetime is over at every replica.
 
--- a/yarrowwall/machine/replica_requests.py
+++ b/yarrowwall/machine/replica_requests.py
@@ -4,8 +4,10 @@
 from collections.abc import Callable
 from typing import NamedTuple, cast
 
+from yarrowwall import decisions
 from yarrowwall.capacity.admission_board import AdmissionBoard
 from yarrowwall.capacity.load_board import LoadBoard
+from yarrowwall.decisions import DecisionLog
 from yarrowwall.messages.capacity import AskRoom, ReturnRoom
 from yarrowwall.messages.objects import ListObjects, WatchObjects
 from yarrowwall.messages.quotas import ReturnQuota, TakeQuota
@@ -13,6 +15,7 @@
 from yarrowwall.messages.replicated import (
     AskStatuses,
     InstallView,
+    KeysReply,
     LoadReply,
     RecordsReply,
     ReplyStatus,
@@ -27,6 +30,7 @@
     ReportSuspects,
     ReserveSend,
 )
+from yarrowwall.policy.record_room import RecordRoom
 from yarrowwall.quotas.permit_service import PermitService
 from yarrowwall.replication.disk import RecordDisk
 from yarrowwall.replication.neighbours import NeighbourRegistry
@@ -52,11 +56,20 @@
 
     :param common: the replica of a common group.
     :param zone: the replica of the zone's own group.
+    :param room: counts the records of both.
     """
 
     def __init__(
-        self, common: LocalReplica, zone: LocalReplica, permits: PermitService, reader: StoreReader
+        self,
+        common: LocalReplica,
+        zone: LocalReplica,
+        permits: PermitService,
+        reader: StoreReader,
+        room: RecordRoom,
+        log: DecisionLog,
     ) -> None:
+        self._room = room
+        self._log = log
         self._common = common
         self._zone = zone
         self._permits = permits
@@ -93,6 +106,10 @@
             case _:
                 self._pass_to_replica(cast(Request, request), reply)
 
+    def _log_refusal(self, reply: object, group: int) -> None:
+        if isinstance(reply, KeysReply | RecordsReply) and reply.status is ReplyStatus.DISK_REFUSED:
+            self._log.write(decisions.RecordsRefused(group, self._room.used, self._room.limit or 0))
+
     def replica_of(self, group: int) -> LocalReplica:
         """Return the replica of this machine that serves a group."""
         return self._zone if is_zone_group(group) else self._common
@@ -108,6 +125,7 @@
         outcome = replica.disk.replica.handle(request, time.monotonic())
         if not outcome.persist:
             reply(outcome.reply)
+            self._log_refusal(outcome.reply, group)
             return
         replica.disk.persist(
             list(outcome.persist),
--- a/yarrowwall/machine/replica_role.py
+++ b/yarrowwall/machine/replica_role.py
@@ -16,6 +16,7 @@
     Member,
 )
 from yarrowwall.metrics import MachineMetrics
+from yarrowwall.policy.record_room import RecordRoom
 from yarrowwall.ports.object_store import (
     Change,
     ObjectStore,
@@ -82,8 +83,9 @@
         issuers = target_size(settings.machines_lost_at_once)
         quotas = QuotaSettings(settings.bounds.quota_rules, issuers)
         folder = Path(own.data_folder)
-        self._disk = ReplicaDisk(settings.node_id, folder, quotas, log)
-        zone_disk = RecordDisk(settings.node_id, folder / ZONE_FOLDER, log)
+        self._room = RecordRoom.of_machine(settings.memory_mb)
+        self._disk = ReplicaDisk(settings.node_id, folder, quotas, log, self._room)
+        zone_disk = RecordDisk(settings.node_id, folder / ZONE_FOLDER, log, self._room)
         self._links = LinkTable(log, time.monotonic)
         self._peers = ReplicaPeers(settings.node_id, settings.zone, self._links, time.monotonic)
         self._permits = PermitService(self._disk, self._peers, log)
@@ -115,7 +117,9 @@
         self._registration = Registration(
             own_member, zone_disk.replica.disk_id, store, documents, self._peers, log
         )
-        self._requests = ReplicaRequests(self._common, self._zone, self._permits, reader)
+        self._requests = ReplicaRequests(
+            self._common, self._zone, self._permits, reader, self._room, log
+        )
         self._followers = [
             KindFollower(
                 store,
@@ -179,6 +183,7 @@
     def update_metrics(self, metrics: MachineMetrics) -> None:
         """Set the metrics that are computed on each scrape."""
         metrics.set_issued_permits(self._disk.issuer.issued_by_tenant(time.monotonic()))
+        metrics.set_held({"records": self._room.used, "records_bound": self._room.limit or 0})
         metrics.set_zone_records(len(self._zone.disk.replica.table))
         table = self._disk.replica.table
         metrics.set_common_records(len(table), table.owner_count)
--- a/yarrowwall/messages/replicated.py
+++ b/yarrowwall/messages/replicated.py
@@ -22,7 +22,8 @@
     BEHIND = "behind"
     #: The replica's disk is not the addressed one.
     OTHER_DISK = "other_disk"
-    #: Writing to the disk failed.
+    #: Writing to the disk failed. In a reply that counts for reads: there is no room for records of
+    #: new owners.
     DISK_REFUSED = "disk_refused"
 
 
--- a/yarrowwall/metrics.py
+++ b/yarrowwall/metrics.py
@@ -123,6 +123,9 @@
 RECORD_OWNERS = _Description(
     "common_group_owners", "Programs and chains of turns whose records it holds for that group"
 )
+RECORDS_REFUSED = _Description(
+    "records_refused", "Records of new programs refused for lack of memory", "group"
+)
 RECORDS_DROPPED = _Description(
     "records_dropped", "Records dropped because no replica keeps them any longer", "group"
 )
@@ -177,6 +180,7 @@
             decisions.AnswerBrokenOff: lambda event: self._add(BROKEN_ANSWERS),
             decisions.CallerLeft: lambda event: self._add(CALLERS_LEFT),
             decisions.CallerGivenUp: lambda event: self._add(CALLERS_GIVEN_UP),
+            decisions.RecordsRefused: lambda event: self._add(RECORDS_REFUSED, event.group),
             decisions.ClientTurnedAway: lambda event: self._add(CLIENTS_TURNED_AWAY, event.state),
             decisions.ConnectionEnded: lambda event: self._add(CONNECTIONS_ENDED, event.reason),
             decisions.BudgetDecided: lambda event: self._add(BUDGETS, event.granted),
--- a/yarrowwall/quotas/replica_disk.py
+++ b/yarrowwall/quotas/replica_disk.py
@@ -9,6 +9,7 @@
 from yarrowwall.decisions import DecisionLog
 from yarrowwall.messages.quotas import LendingBegun, QuotaLent
 from yarrowwall.messages.replicated import ViewKept
+from yarrowwall.policy.record_room import RecordRoom
 from yarrowwall.quotas.issuer_lease import IssuerLease
 from yarrowwall.quotas.permit_issuer import PermitIssuer
 from yarrowwall.quotas.quota_rules import QuotaRules
@@ -30,9 +31,16 @@
     :ivar lease: Decides whether it may issue.
     """
 
-    def __init__(self, node_id: str, folder: Path, quotas: QuotaSettings, log: DecisionLog) -> None:
+    def __init__(
+        self,
+        node_id: str,
+        folder: Path,
+        quotas: QuotaSettings,
+        log: DecisionLog,
+        room: RecordRoom | None = None,
+    ) -> None:
         self._quotas = quotas
-        super().__init__(node_id, folder, log)
+        super().__init__(node_id, folder, log, room)
 
     def _restore_other_records(
         self, disk_id: str, records: Iterator[DiskRecord], clock: Clock
--- a/yarrowwall/replication/disk.py
+++ b/yarrowwall/replication/disk.py
@@ -7,6 +7,7 @@
 from yarrowwall.clocks import Clock, read_clock
 from yarrowwall.decisions import DecisionLog
 from yarrowwall.messages.quotas import LendingBegun, QuotaLent
+from yarrowwall.policy.record_room import RecordRoom
 from yarrowwall.replication.replica import LogRecord, RecordReplica, with_time
 from yarrowwall.storage import identity
 from yarrowwall.storage.exceptions import CorruptSegmentError
@@ -24,19 +25,25 @@
 class RecordDisk:
     """A replica of the record store with its log on disk.
 
+    :param room: counts the records of the machine.
     :ivar replica: the replica's state machine.
     """
 
-    def __init__(self, node_id: str, folder: Path, log: DecisionLog) -> None:
+    def __init__(
+        self, node_id: str, folder: Path, log: DecisionLog, room: RecordRoom | None = None
+    ) -> None:
         self._log = log
         self._folder = folder
+        self._room = room if room is not None else RecordRoom()
         self.replica = self._open(node_id)
         self._writer = JournalWriter(self._store, self._note_write_error)
 
     def _open(self, node_id: str) -> RecordReplica:
+        used_before = self._room.used
         try:
             return self._restore(node_id)
         except CorruptSegmentError as error:
+            self._room.used = used_before
             # Acknowledged records are lost, so the disk gets a new id: under the old one it
             # would count as a copy of them.
             self._log.write(decisions.ProcessChanged("disk given up", str(error)))
@@ -48,7 +55,7 @@
     def _restore(self, node_id: str) -> RecordReplica:
         disk_id = identity.initialise(self._folder)
         self._store = SegmentStore(self._folder / _LOG_FOLDER, SEGMENT_BYTES)
-        replica = RecordReplica(node_id, disk_id)
+        replica = RecordReplica(node_id, disk_id, self._room)
         clock = read_clock()
         replica.restore(self._restore_other_records(disk_id, self._log_records(), clock), clock)
         self.replica = replica
--- a/yarrowwall/replication/exceptions.py
+++ b/yarrowwall/replication/exceptions.py
@@ -21,3 +21,7 @@
 
 class NoQuorumError(ReplicationError):
     """Too few replicas answered in time; a write may be complete nevertheless."""
+
+
+class NoRoomError(NoQuorumError):
+    """Too few replicas have room for the records of a new program."""
--- a/yarrowwall/replication/quorum_client.py
+++ b/yarrowwall/replication/quorum_client.py
@@ -22,7 +22,7 @@
     StoredRecord,
     WriteRecords,
 )
-from yarrowwall.replication.exceptions import NoQuorumError
+from yarrowwall.replication.exceptions import NoQuorumError, NoRoomError
 from yarrowwall.replication.group_views import GroupViews
 from yarrowwall.replication.losses import loss_reason
 from yarrowwall.replication.operations import (
@@ -265,6 +265,8 @@
                 return found
             newer = self._views.get(operation.group) is not view or found.saw_other_view
             if not newer or self._now() + RETRY_SECONDS >= deadline:
+                if found.without_room:
+                    raise NoRoomError(f"group {operation.group}: no room for new programs")
                 self._note_failed()
                 if len(found.replaced) == len(members):
                     self.on_all_replaced(view)
@@ -412,6 +414,8 @@
                 found.merge_lifetimes(member.disk_id, reply)
             else:
                 found.merge_amounts(reply)
+        elif reply.status is ReplyStatus.DISK_REFUSED and reply.is_reader:
+            found.without_room.add(member.disk_id)
         elif reply.status is ReplyStatus.OTHER_DISK:
             found.replaced.add(member.disk_id)
         elif reply.status is ReplyStatus.BEHIND:
--- a/yarrowwall/replication/replica.py
+++ b/yarrowwall/replication/replica.py
@@ -30,6 +30,7 @@
     ViewKept,
     WriteRecords,
 )
+from yarrowwall.policy.record_room import RecordRoom
 from yarrowwall.replication.table import NO_LIFETIMES, RecordTable, owner_of
 from yarrowwall.replication.views import disk_ids, member_of
 
@@ -77,6 +78,7 @@
     """State machine of one replica.
 
     :param disk_id: the id of its data folder.
+    :param room: counts the records of the machine, and refuses new owners' where there is none.
     :ivar view: the newest view on disk; None if the replica never had one.
     :ivar counts_for_reads: whether the replica holds every complete record, so that its answers
         count for a read quorum.
@@ -84,10 +86,10 @@
     :ivar is_leaving: whether its process is about to end; see :class:`StatusReply`.
     """
 
-    def __init__(self, node_id: str, disk_id: str) -> None:
+    def __init__(self, node_id: str, disk_id: str, room: RecordRoom | None = None) -> None:
         self.node_id = node_id
         self.disk_id = disk_id
-        self.table = RecordTable()
+        self.table = RecordTable(room)
         self.view: GroupView | None = None
         self._pending_view: GroupView | None = None
         self.counts_for_reads = False
@@ -290,7 +292,7 @@
         if isinstance(request, WriteRecords):
             return self._write(request, now)
         if isinstance(request, ReserveRecord):
-            return self._reserve(request.record, now)
+            return self._reserve(request, now)
         if isinstance(request, ListKeys):
             return Outcome(self._list_reply(now))
         if isinstance(request, ReadLifetimes):
@@ -336,19 +338,29 @@
             return ReplyStatus.BEHIND
         return None
 
-    def _refuse(self, request: Request, status: ReplyStatus) -> Reply:
+    def _refuse(
+        self, request: Request, status: ReplyStatus, counts_for_reads: bool = False
+    ) -> Reply:
         view = self.view if status is ReplyStatus.STALE else None
         if isinstance(request, ReadLifetimes):
             return LifetimesReply(status, False, [], [], view)
         if isinstance(request, ListKeys | ReadOwner | ReserveRecord):
-            return KeysReply(status, False, [], [], [], "", view)
-        return RecordsReply(status, False, [], view)
+            return KeysReply(status, counts_for_reads, [], [], [], "", view)
+        return RecordsReply(status, counts_for_reads, [], view)
+
+    def _refuse_for_room(self, request: Request) -> Outcome:
+        return Outcome(self._refuse(request, ReplyStatus.DISK_REFUSED, counts_for_reads=True))
 
     def _write(self, request: WriteRecords, now: float) -> Outcome:
+        if not self.table.accepts(request.records):
+            return self._refuse_for_room(request)
         to_keep = self._store_records(request.records, now)
         return Outcome(self._records_reply([]), [RecordsKept(to_keep)] if to_keep else [])
 
-    def _reserve(self, record: StoredRecord, now: float) -> Outcome:
+    def _reserve(self, request: ReserveRecord, now: float) -> Outcome:
+        record = request.record
+        if not self.table.accepts_reservation(record):
+            return self._refuse_for_room(request)
         # The reply lists the state of now, before the record is on disk: of two reservations that
         # meet at this replica, the later one sees the earlier one.
         to_keep = self._store_records([record], now)
--- a/yarrowwall/replication/rounds.py
+++ b/yarrowwall/replication/rounds.py
@@ -77,6 +77,7 @@
     :param is_closed: whether the round is over.
     :param silent: disks of replicas that were asked and have not replied.
     :param replaced: disks in whose place another one replied.
+    :param without_room: disks of replicas that have no room for the records.
     :param posted: the requests that were sent.
     """
 
@@ -96,6 +97,7 @@
     is_closed: bool = False
     silent: set[str] = field(default_factory=set)
     replaced: set[str] = field(default_factory=set)
+    without_room: set[str] = field(default_factory=set)
     posted: list[Posted] = field(default_factory=list)
     _wakeup: Event = field(default_factory=Event)
     _waits_for_unreached: bool = False
--- a/yarrowwall/replication/table.py
+++ b/yarrowwall/replication/table.py
@@ -8,6 +8,7 @@
 from types import MappingProxyType
 
 from yarrowwall.messages.replicated import NO_NOTE, StoredRecord
+from yarrowwall.policy.record_room import OWNER_BYTES, RECORD_BYTES, RecordRoom
 
 #: Seconds that a record is kept beyond its retention. Callers count it from the end of the answer,
 #: and a turn that begins within it may last longer than it.
@@ -24,10 +25,20 @@
     return record.owner or record.key
 
 
+def _size(record: StoredRecord) -> int:
+    """Return the bytes of memory that a record takes."""
+    texts = len(record.key) + len(record.owner) + len(record.link)
+    return RECORD_BYTES + texts + len(record.value)
+
+
 class RecordTable:
-    """Records by key; the higher version of a key wins. Times are of the monotonic clock."""
+    """Records by key; the higher version of a key wins. Times are of the monotonic clock.
+
+    :param room: counts the records' bytes, of all tables of the machine.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, room: RecordRoom | None = None) -> None:
+        self._room = room if room is not None else RecordRoom()
         self._records: dict[str, StoredRecord] = {}
         #: Keys of each owner's records, ordered by when their newest version was stored.
         self._by_owner: dict[str, dict[str, None]] = {}
@@ -42,6 +53,18 @@
         """Return the number of owners that have records."""
         return len(self._by_owner)
 
+    def accepts_reservation(self, record: StoredRecord) -> bool:
+        """Return whether there is room for a reservation."""
+        return owner_of(record) in self._by_owner or self._room.accepts_reservation()
+
+    def accepts(self, records: Iterable[StoredRecord]) -> bool:
+        """Return whether there is room for records; those that are known need none."""
+        return all(
+            not self.is_newer(record)
+            or self._room.accepts_record(len(record.value), owner_of(record) in self._by_owner)
+            for record in records
+        )
+
     def get(self, key: str) -> StoredRecord | None:
         """Return a record; None if it is unknown."""
         return self._records.get(key)
@@ -89,9 +112,14 @@
 
     def _store(self, record: StoredRecord) -> None:
         owner, earlier = owner_of(record), self._records.get(record.key)
-        if earlier is not None and owner_of(earlier) != owner:
-            self._forget_key(earlier)
+        if earlier is not None:
+            self._room.used -= _size(earlier)
+            if owner_of(earlier) != owner:
+                self._forget_key(earlier)
         self._records[record.key] = record
+        self._room.used += _size(record)
+        if owner not in self._by_owner:
+            self._room.used += OWNER_BYTES
         keys = self._by_owner.setdefault(owner, {})
         keys.pop(record.key, None)
         keys[record.key] = None
@@ -104,6 +132,7 @@
         if not keys:
             del self._by_owner[owner]
             del self._kept_until[owner]
+            self._room.used -= OWNER_BYTES
 
     def of_owner(self, owner: str) -> list[StoredRecord]:
         """Return all records of an owner."""
@@ -163,7 +192,8 @@
                 continue
             del self._kept_until[owner]
             keys = self._by_owner.pop(owner)
+            self._room.used -= OWNER_BYTES
             for key in keys:
-                del self._records[key]
+                self._room.used -= _size(self._records.pop(key))
             dropped += len(keys)
         return dropped
