A gateway's cached turns are counted with their objects, within its machine's memory

Change: a turn counts a kilobyte beside its body and output, and the cache takes at most three tenths of what an idle process leaves: still 24 MB from 120 MB on, 14 MB on the smallest. Turns that are not cached are read from replicas.

--- a/yarrowwall/budgets/ledger.py
+++ b/yarrowwall/budgets/ledger.py
@@ -17,7 +17,7 @@
 from yarrowwall.budgets.settlements import SettlementQueues
 from yarrowwall.budgets.stream_keys import RESUMPTION
 from yarrowwall.budgets.stream_records import StreamRecords, stream_retention_s
-from yarrowwall.budgets.turn_cache import TurnCache, TurnLine
+from yarrowwall.budgets.turn_cache import CACHE_BYTES, TurnCache, TurnLine
 from yarrowwall.budgets.turn_copier import TurnCopier
 from yarrowwall.budgets.turn_reservations import TurnReservations
 from yarrowwall.budgets.turn_store import END_MARGIN_SECONDS, PlacedRecord, TurnStore
@@ -54,6 +54,7 @@
 
     :param zone: The gateway's zone.
     :param now: Returns the monotonic time in seconds.
+    :param cache_bytes: Most bytes of turns that are cached.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
         client: QuorumClient,
         log: DecisionLog,
         now: Callable[[], float],
+        cache_bytes: int = CACHE_BYTES,
     ) -> None:
         self._views = views
         self._client = client
@@ -77,7 +79,7 @@
         )
         groups = RecordGroups(client, self.group_of, self._zones, self._reachability, log)
         self._streams = StreamRecords(groups)
-        cache, copier = TurnCache(), TurnCopier(groups)
+        cache, copier = TurnCache(cache_bytes), TurnCopier(groups)
         self._chains = ChainLookup(groups, cache, copier, now)
         self._turns = TurnStore(groups, cache, copier, self._queues, now)
 
--- a/yarrowwall/budgets/turn_cache.py
+++ b/yarrowwall/budgets/turn_cache.py
@@ -6,9 +6,13 @@
 
 from yarrowwall.budgets.record_names import NO_NAME, RecordName
 from yarrowwall.budgets.turns import Turn
+from yarrowwall.policy.connection_budget import IDLE_MEMORY_MB
 
+_MEGABYTE = 1024 * 1024
 #: Most bytes of turns that a gateway caches in memory.
-CACHE_BYTES = 24 * 1024 * 1024
+CACHE_BYTES = 24 * _MEGABYTE
+#: Share of a machine's memory, beyond that of an idle process, that cached turns may take.
+MEMORY_SHARE = 0.3
 #: Most lines of turns whose newest turn is remembered.
 MAX_LINES = 10_000
 
@@ -33,6 +37,12 @@
     kept_in_zone_until: float = 0.0
 
 
+def cache_bytes(memory_mb: float) -> int:
+    """Return the bytes of turns that are cached on a machine with the given memory."""
+    share = MEMORY_SHARE * max(memory_mb - IDLE_MEMORY_MB, 0.0) * _MEGABYTE
+    return min(CACHE_BYTES, int(share))
+
+
 class TurnCache:
     """An LRU cache of turns. A turn never changes, so cached copies never become stale."""
 
--- a/yarrowwall/budgets/turns.py
+++ b/yarrowwall/budgets/turns.py
@@ -8,6 +8,8 @@
 from yarrowwall.event_stream import Event
 from yarrowwall.messages.replicated import StoredRecord
 
+#: Memory of a turn beside its body and its output: its names, and its entry in a cache.
+OBJECT_BYTES = 1024
 _LENGTH = struct.Struct(">I")
 _KEY_PREFIX = "turn/"
 #: Version of every turn's record, since a turn never changes. Earlier releases stored version 1,
@@ -34,8 +36,8 @@
 
     @property
     def size(self) -> int:
-        """Return the size of the turn in bytes."""
-        return len(self.body) + len(self.output)
+        """Return the bytes of memory that the turn takes."""
+        return OBJECT_BYTES + len(self.body) + len(self.output)
 
     def value(self) -> bytes:
         """Return the body and the output, encoded as the value of a record."""
--- a/yarrowwall/machine/gateway_role.py
+++ b/yarrowwall/machine/gateway_role.py
@@ -7,6 +7,7 @@
 
 from yarrowwall import decisions
 from yarrowwall.budgets.ledger import ReplicatedLedger
+from yarrowwall.budgets.turn_cache import cache_bytes
 from yarrowwall.capacity.admission_client import AdmissionClient
 from yarrowwall.capacity.load_reports import LoadReporter
 from yarrowwall.decisions import DecisionLog
@@ -93,7 +94,14 @@
         loss_checks = LossChecks(self._views, links, store, log, time.monotonic)
         client.has_lost, client.on_all_replaced = loss_checks.has_lost, loss_checks.check
         programs = ActivePrograms()
-        self._ledger = ReplicatedLedger(settings.zone, self._views, client, log, time.monotonic)
+        self._ledger = ReplicatedLedger(
+            settings.zone,
+            self._views,
+            client,
+            log,
+            time.monotonic,
+            cache_bytes(settings.memory_mb),
+        )
         self._loads = LoadReporter(
             settings.node_id, self._directory, self._views, links, time.monotonic, programs
         )
