--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -22,6 +22,8 @@
 #: Maximum lines of one kind per second, unless the kind has its own limit; further ones are left
 #: out.
 LINES_PER_SECOND = 200
+#: Longest text of a field in characters. Some come from clients, whose heads may be any text.
+MAX_FIELD_LENGTH = 4096
 
 
 class Decision(msgspec.Struct, frozen=True):
@@ -693,8 +695,11 @@
 
 
 def _fields(decision: Decision) -> dict[str, Any]:
-    """Return the fields of a line, with floats rounded to five digits."""
+    """Return the fields of a line, with floats rounded to five digits and long texts cut."""
     values = msgspec.structs.asdict(decision)
+    for name, value in values.items():
+        if type(value) is str and len(value) > MAX_FIELD_LENGTH:
+            values[name] = value[:MAX_FIELD_LENGTH] + "..."
     for name in _float_fields(type(decision)):
         value = values[name]
         if value is not None:
