--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -6,6 +6,7 @@
 
 from features.soak.continuations import RECOVER_S
 from features.soak.conversations import ConversationClients
+from features.soak.crowd import CrowdClients
 from features.soak.disks import Disks
 from features.soak.endless import EndlessClients
 from features.soak.fatal import FatalClients
@@ -42,6 +43,7 @@
     :param fatal: what became of requests that end servers, and of those beside them.
     :param names: a tenant's turns, and requests with names of another owner, by status.
     :param endless: requests to servers whose answers never end, by kind and status.
+    :param crowd: connections of clients that do not behave, by kind.
     :param late_s: largest scheduling delay of a thread in this process, which also runs the
         test servers.
     """
@@ -56,6 +58,7 @@
     fatal: dict[str, int]
     names: dict[str, int]
     endless: dict[str, int]
+    crowd: dict[str, int]
     late_s: float
 
 
@@ -84,8 +87,9 @@
         conversations = ConversationClients(world, record, seed, clients)
         names = NameClients(world, record, seed, clients)
         endless = EndlessClients(world, record, seed)
+        crowd = CrowdClients(world, record, seed)
         workload = Workload(world, record, seed, clients)
-        with fatal, streams, conversations, names, endless, workload:
+        with fatal, streams, conversations, names, endless, crowd, workload:
             final = FinalFaultInjector(world, record, disks, workload.answered, seed)
             try:
                 faults.replace_servers_until(time.monotonic() + RELEASE_S)
@@ -102,6 +106,7 @@
         stream_counts = streams.streams.check_shares()
         fatal_counts = fatal.check()
         endless_counts = endless.check(thread_delay.max_delay_s)
+        crowd_counts = crowd.check()
         violations = record.violations()
         if violations and keep is not None:
             world.keep_logs(keep / f"seed-{seed}")
@@ -117,6 +122,7 @@
         fatal_counts._asdict(),
         names.counts(),
         endless_counts,
+        crowd_counts,
         round(thread_delay.max_delay_s, 2),
     )
 
--- a/features/support/crowd_clients.py
+++ b/features/support/crowd_clients.py
@@ -127,8 +127,7 @@
     def __init__(
         self, address: str, count: int, kinds: Sequence[Kind], is_slow: bool = False
     ) -> None:
-        host, _, port = address.partition(":")
-        self._address = (host, int(port))
+        self._address = address
         self._is_slow = is_slow
         self._is_over = threading.Event()
         self._threads = [
@@ -151,32 +150,45 @@
 
     def _run(self, kind: Kind) -> None:
         while not self._is_over.is_set():
-            # The listener may refuse, close or reset any of these connections.
-            with contextlib.suppress(OSError), self._connect() as connection:
-                self._play(connection, kind)
+            play_kind(self._address, kind, self._is_over, self._is_slow)
             self._is_over.wait(0.01)
 
-    def _connect(self) -> socket.socket:
-        return socket.create_connection(self._address, timeout=CONNECT_S)
-
-    def _play(self, connection: socket.socket, kind: Kind) -> None:
-        """Send, and take answers, until there are enough, the end, or no time is left."""
-        connection.setblocking(False)
-        rest, received = memoryview(kind.payload), bytearray()
-        end_s = time.monotonic() + WAIT_S
-        while time.monotonic() < end_s and not self._is_over.is_set():
-            readable, writable, _ = select.select(
-                [connection], [connection] if rest else [], [], 0.1
-            )
-            if writable:
-                rest = rest[connection.send(rest[: SLOW_PIECE_BYTES if self._is_slow else None]) :]
-            if readable:
-                data = connection.recv(65536)
-                received += data
-                if not data or (kind.answers and received.count(b"HTTP/1.1 ") >= kind.answers):
-                    return
-            if self._is_slow:
-                time.sleep(SLOW_PAUSE_S)
+
+def play_kind(address: str, kind: Kind, is_over: threading.Event, is_slow: bool = False) -> None:
+    """Send one kind on a connection of its own until its answers, its end or some seconds.
+
+    :param address: ``IP:port`` of the listener.
+    :param is_over: ends it at once.
+    :param is_slow: whether to send in small pieces with pauses.
+    """
+    host, _, port = address.partition(":")
+    # The listener may refuse, close or reset any of these connections.
+    with (
+        contextlib.suppress(OSError),
+        socket.create_connection((host, int(port)), timeout=CONNECT_S) as connection,
+    ):
+        _exchange(connection, kind, is_over, is_slow)
+
+
+def _exchange(
+    connection: socket.socket, kind: Kind, is_over: threading.Event, is_slow: bool
+) -> None:
+    """Send, and take answers, until there are enough, the end, or no time is left."""
+    connection.setblocking(False)
+    rest, received = memoryview(kind.payload), bytearray()
+    end_s = time.monotonic() + WAIT_S
+    while time.monotonic() < end_s and not is_over.is_set():
+        writing = [connection] if rest else []
+        readable, writable, _ = select.select([connection], writing, [], 0.1)
+        if writable:
+            rest = rest[connection.send(rest[: SLOW_PIECE_BYTES if is_slow else None]) :]
+        if readable:
+            data = connection.recv(65536)
+            received += data
+            if not data or (kind.answers and received.count(b"HTTP/1.1 ") >= kind.answers):
+                return
+        if is_slow:
+            time.sleep(SLOW_PAUSE_S)
 
 
 def answer_status(address: str, payload: bytes) -> int:
--- a/features/support/crowd_world.py
+++ b/features/support/crowd_world.py
@@ -5,11 +5,10 @@
 import socketserver
 import threading
 import time
-from pathlib import Path
 from typing import Any
 
 from features.support.crowd_clients import ROUTE, SLOW_TARGET
-from features.support.platform_world import PlatformWorld, Server
+from features.support.platform_world import PlatformWorld, Server, memory_peak_mb
 
 #: Memory of each machine, which no process may exceed, in MB.
 MEMORY_MB = 64
@@ -79,9 +78,7 @@
 
     def peak_memory_mb(self, name: str) -> float:
         """Return the most memory that a machine's process has had, in MB."""
-        status = Path(f"/proc/{self.processes[name].pid}/status").read_text()
-        line = next(line for line in status.splitlines() if line.startswith("VmHWM:"))
-        return int(line.split()[1]) / 1024.0
+        return memory_peak_mb(self.processes[name].pid)
 
     def open_descriptors(self, name: str) -> int:
         """Return the number of descriptors that a machine's process has open."""
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -736,6 +736,16 @@
         self._folder.cleanup()
 
 
+def memory_peak_mb(pid: int) -> float:
+    """Return the most memory that a process has had, in MB; 0 if it has ended."""
+    try:
+        status = Path(f"/proc/{pid}/status").read_text()
+    except OSError:
+        return 0.0
+    peaks = [line for line in status.splitlines() if line.startswith("VmHWM:")]
+    return int(peaks[0].split()[1]) / 1024.0 if peaks else 0.0
+
+
 def read_answer(connection: http.client.HTTPConnection, started: float) -> Answer:
     """Return the response on a connection, complete or not."""
     return read_rest(connection.getresponse(), started)
