Surplus answers of a server end its connection

Found by going through what one read can make: 8 KB of the smallest answers became over two hundred parsed ones at a connection that had asked for one.

Change: eight answers are parsed before they are read, informational ones among them; with a ninth the connection counts as malformed and is not used again. The answers before it count as they did.

--- a/features/unbounded_answers.feature
+++ b/features/unbounded_answers.feature
@@ -137,3 +137,8 @@
       | keeps trailers                 |
       | takes an event of any length   |
       | gives each piece the whole time |
+
+  # Guards against objects for hundreds of answers that nobody asked for, made from one read.
+  Scenario: Surplus answers end their connection
+    When a server sends 200 answers to one request at once
+    Then at most 8 of them are kept and the connection is not used again
--- a/yarrowwall/dispatch/connection.py
+++ b/yarrowwall/dispatch/connection.py
@@ -31,6 +31,9 @@
 #: Bytes that are read at a time. A stream whose caller does not read keeps up to five copies of
 #: them in memory; most answers and events are smaller.
 _READ_BYTES = 8 * 1024
+#: Answers that are parsed before they are read. Some servers send one more than they were asked
+#: for; of the smallest ones, a single read holds hundreds.
+MAX_PARSED_ANSWERS = 8
 #: Size of the kernel's receive buffer. By default it grows to 6 MB, which counts towards the
 #: machine's memory; 256 KB in 40 ms, a round trip between regions, allow 50 Mbit/s.
 _RECEIVE_BUFFER_BYTES = 256 * 1024
@@ -67,6 +70,9 @@
             self.is_malformed = True
 
     def on_message_begin(self) -> None:
+        if len(self.responses) >= MAX_PARSED_ANSWERS:
+            # Ends the parsing with an error, so that the connection counts as malformed.
+            raise ValueError("too many answers")
         self.responses.append(_Response())
 
     def on_header(self, name: bytes, value: bytes) -> None:
