Requests that arrived together give others a turn between them

Cause, as far as shown: requests that arrived in one read were answered without a wait if nothing had to be asked for them, as a 404, some hundred at a time for each connection, so no other greenthread had a turn meanwhile.

--- a/features/connection_ends.feature
+++ b/features/connection_ends.feature
@@ -115,3 +115,9 @@
   Scenario: Metrics can be read again after the machine was out of descriptors
     When gateway 0 is out of descriptors while 5 callers connect for its metrics
     Then the metrics of gateway 0 can be read
+
+  # Guards against heartbeats and callers that wait while one connection's requests are answered.
+  Scenario: Requests that arrive together leave turns to others
+    Given a server for callers that gives others a turn whenever it may
+    When 500 requests arrive together
+    Then others had at least 400 turns before the last one was answered
--- a/features/steps/connection_end_steps.py
+++ b/features/steps/connection_end_steps.py
@@ -8,6 +8,7 @@
 import time
 from dataclasses import replace
 from types import SimpleNamespace
+from unittest.mock import patch
 from urllib.request import urlopen
 
 import eventlet
@@ -19,6 +20,7 @@
 from features.support.platform_scripts import add, arrivals, silent, world
 from features.support.platform_world import HOST, Arrival, QuietHandler, own_headers
 from features.support.processes import wait_until
+from yarrowwall import sockets
 from yarrowwall.addresses import split_address
 from yarrowwall.decisions import DecisionLog
 from yarrowwall.gateway.caller_connection import (
@@ -374,3 +376,37 @@
     found = context.caller.recv(100)
     context.server.kill()
     assert found.startswith(b"HTTP/1.1 200 "), found
+
+
+# Requests that arrive together
+
+
+@given("a server for callers that gives others a turn whenever it may")
+def server_of_turns(context: Context) -> None:
+    shortest = patch.object(sockets, "TURN_SECONDS", 0.0)
+    shortest.start()
+    context.add_cleanup(shortest.stop)
+    server_with_timeouts(context, 5000)
+
+
+@when("{count:d} requests arrive together")
+def requests_together(context: Context, count: int) -> None:
+    context.turns, context.answers = 0, 0
+
+    def take_turns() -> None:
+        while True:
+            eventlet.sleep(0)
+            context.turns += 1
+
+    caller = green_socket.create_connection(context.server_address)
+    others = eventlet.spawn(take_turns)
+    caller.sendall(f"GET /x HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode() * count)
+    received = b""
+    while received.count(b"HTTP/1.1 200") < count:
+        received += caller.recv(65536)
+    others.kill()
+
+
+@then("others had at least {count:d} turns before the last one was answered")
+def turns_were_given(context: Context, count: int) -> None:
+    assert context.turns >= count, context.turns
--- a/yarrowwall/gateway/caller_connection.py
+++ b/yarrowwall/gateway/caller_connection.py
@@ -16,7 +16,7 @@
 from yarrowwall.gateway.request_parser import MalformedRequestError, RequestParser
 from yarrowwall.model import CallerLimits, Header, HeaderBlock, RequestHead
 from yarrowwall.policy.connection_budget import ConnectionBudget, ConnectionsExhaustedError
-from yarrowwall.sockets import receive, send_some
+from yarrowwall.sockets import receive, send_some, yield_if_due
 
 #: Write timeout for buffered responses: a caller that reads nothing for so long is disconnected.
 WRITE_TIMEOUT_SECONDS = 10.0
@@ -287,6 +287,8 @@
                 if head is None:
                     break
                 self._answer(application, CallerRequest(self, head))
+                # Requests that arrived together may all be answered without a wait.
+                yield_if_due()
         except (OSError, CallerDisconnectedError, ConnectionsExhaustedError):
             # Logged by the request that was being answered, or the caller left between requests.
             pass
--- a/yarrowwall/sockets.py
+++ b/yarrowwall/sockets.py
@@ -46,6 +46,11 @@
 _TURNS = _Turns()
 
 
+def yield_if_due() -> None:
+    """Let other greenthreads run if none has waited for long; for loops that may never wait."""
+    _TURNS.yield_if_due()
+
+
 def set_tcp_options(connection: socket.socket) -> None:
     """Disable Nagle's algorithm, and set timeouts that detect an unreachable peer."""
     for option, value in (
