--- a/yarrowwall/gateway/request_parser.py
+++ b/yarrowwall/gateway/request_parser.py
@@ -18,6 +18,8 @@
 )
 from yarrowwall.model import Header, HeaderBlock, RequestHead
 
+#: Headers that are kept decoded until they are read.
+MAX_DECODED_HEADERS = 40
 #: What ends a head, and a chunked body with its trailers.
 _BLANK_LINES = (b"\n\r\n", b"\n\n")
 #: Bytes of a blank line that may have been parsed with an earlier piece.
@@ -253,24 +255,25 @@
             raise MalformedRequestError(
                 f"HTTP/{version} is not supported", HTTPStatus.HTTP_VERSION_NOT_SUPPORTED
             )
-        block = HeaderBlock(bytes(request.header_lines))
-        headers = block.decode()
+        lines = bytes(request.header_lines)
+        headers = HeaderBlock(lines).decode()
         if len(headers) != request.header_count:
             raise MalformedRequestError("a header has a line end", HTTPStatus.BAD_REQUEST)
-        codings = transfer_codings(headers)
+        block = HeaderBlock(lines, headers if len(headers) <= MAX_DECODED_HEADERS else None)
+        names = [name.lower() for name, _ in headers]
         head = RequestHead(
             self._parser.get_method().decode("latin-1"),
             request.target.decode("latin-1"),
             version,
             block,
-            _content_length(headers),
-            bool(codings),
-            version != "1.0" and _expects_continue(headers),
+            _content_length(headers, names),
+            "transfer-encoding" in names,
+            version != "1.0" and _expects_continue(headers, names),
             self._parser.should_keep_alive(),
         )
         _check_target(head)
-        _check_host(head, headers)
-        _check_coding(head, codings)
+        _check_host(head, names)
+        _check_coding(head, headers)
         if self._parser.should_upgrade() and head.has_body:
             # The parser takes the body for another protocol.
             raise MalformedRequestError("an upgrade with a body", HTTPStatus.NOT_IMPLEMENTED)
@@ -289,7 +292,7 @@
     joined, size = tail + data, len(tail) + len(data)
     for blank in _BLANK_LINES:
         # One that ends in the tail has been parsed.
-        found = joined.find(blank, max(0, len(tail) + 1 - len(blank)))
+        found = joined.find(blank, max(0, len(tail) + 1 - len(blank)), size)
         if found >= 0:
             size = min(size, found + len(blank))
     return size - len(tail)
@@ -301,13 +304,17 @@
     )
 
 
-def _content_length(headers: list[Header]) -> int | None:
-    """Return the length that a head states, which the parser has checked."""
-    found = header_values(headers, "content-length")
-    return int(found[0]) if found else None
+def _content_length(headers: list[Header], names: list[str]) -> int | None:
+    """Return the length that a head states, which the parser has checked.
+
+    :param names: the names of the headers in lower case, as below.
+    """
+    return int(headers[names.index("content-length")][1]) if "content-length" in names else None
 
 
-def _expects_continue(headers: list[Header]) -> bool:
+def _expects_continue(headers: list[Header], names: list[str]) -> bool:
+    if "expect" not in names:
+        return False
     return any(value.lower() == "100-continue" for value in header_values(headers, "expect"))
 
 
@@ -322,18 +329,19 @@
     raise MalformedRequestError("the target is not a path", HTTPStatus.BAD_REQUEST)
 
 
-def _check_host(head: RequestHead, headers: list[Header]) -> None:
-    hosts = header_values(headers, "host")
-    if len(hosts) > 1:
+def _check_host(head: RequestHead, names: list[str]) -> None:
+    hosts = names.count("host")
+    if hosts > 1:
         raise MalformedRequestError("more than one Host", HTTPStatus.BAD_REQUEST)
     if not hosts and head.version == "1.1":
         raise MalformedRequestError("Host is missing", HTTPStatus.BAD_REQUEST)
 
 
-def _check_coding(head: RequestHead, codings: list[str]) -> None:
+def _check_coding(head: RequestHead, headers: list[Header]) -> None:
     """Refuse bodies whose end depends on more than one header or on an unknown coding."""
     if not head.is_chunked:
         return
+    codings = transfer_codings(headers)
     if not is_plain_chunked(codings):
         raise MalformedRequestError(
             f"Transfer-Encoding {', '.join(codings)} is not supported", HTTPStatus.NOT_IMPLEMENTED
--- a/yarrowwall/model.py
+++ b/yarrowwall/model.py
@@ -25,13 +25,16 @@
     A short line takes a hundred bytes more as a pair of texts than as bytes, and a legal head has
     thousands of them. So pairs are made where they are read, and dropped there.
 
+    :param decoded: the names and values, if they are known and few; the first call of
+        :meth:`decode` returns them.
     :ivar lines: the lines in order, each with its end.
     """
 
-    __slots__ = ("lines",)
+    __slots__ = ("_decoded", "lines")
 
-    def __init__(self, lines: bytes = b"") -> None:
+    def __init__(self, lines: bytes = b"", decoded: list[Header] | None = None) -> None:
         self.lines = lines
+        self._decoded = decoded
 
     @classmethod
     def encode(cls, headers: Iterable[Header]) -> "HeaderBlock":
@@ -40,6 +43,9 @@
 
     def decode(self) -> list[Header]:
         """Return the names and values in order."""
+        decoded, self._decoded = self._decoded, None
+        if decoded is not None:
+            return decoded
         parts = [line.partition(": ") for line in self.lines.decode("latin-1").split("\r\n")]
         # The last line's end is followed by nothing.
         return [(name, value) for name, _, value in parts[:-1]]
--- a/yarrowwall/platform/callers.py
+++ b/yarrowwall/platform/callers.py
@@ -74,7 +74,7 @@
             method=head.method,
             target=head.target,
             host=_authority(head.target) or values.get("host", ""),
-            headers=_forwarded_headers(headers),
+            headers=_forwarded_headers(headers, "connection" in values),
             body=b"",
             arrived_at=now,
             deadline=now + _deadline(values.get(names.DEADLINE.lower())),
@@ -83,7 +83,7 @@
             affinity=_affinity(values.get("cookie", "")),
             last_event_id=values.get(names.LAST_EVENT_ID.lower()),
             resumed_attempt=kept_id(values.get(names.RESUMES.lower(), "").strip()) or None,
-            api_key=_unique_value(headers, names.API_KEY.lower()),
+            api_key=_unique_value(headers, values, names.API_KEY.lower()),
             long_id=None if attempt_id == sent_id else sent_id,
         )
 
@@ -110,10 +110,13 @@
     return target.partition("://")[2].partition("/")[0].partition("?")[0]
 
 
-def _forwarded_headers(headers: list[Header]) -> HeaderBlock:
-    """Return the headers that are sent to servers."""
-    # ``Connection`` names headers of this connection alone.
-    connection = header_values(headers, "connection")
+def _forwarded_headers(headers: list[Header], has_connection: bool) -> HeaderBlock:
+    """Return the headers that are sent to servers.
+
+    :param has_connection: whether ``Connection`` is one of them.
+    """
+    # It names headers of this connection alone.
+    connection = header_values(headers, "connection") if has_connection else []
     hop_by_hop = {_canonical(name) for value in connection for name in value.split(",")}
     dropped = _DROPPED_FROM_REQUESTS | hop_by_hop if hop_by_hop else _DROPPED_FROM_REQUESTS
     return HeaderBlock.encode([header for header in headers if not _is_dropped(header[0], dropped)])
@@ -139,10 +142,15 @@
 _cached_canonical = lru_cache(MAX_CACHED_NAMES)(_replaced)
 
 
-def _unique_value(headers: list[Header], wanted: str) -> str | None:
-    """Return the value of a header; None if it is missing or has several different values."""
-    values = {value.strip() for value in header_values(headers, wanted)}
-    return values.pop() if len(values) == 1 else None
+def _unique_value(headers: list[Header], values: dict[str, str], wanted: str) -> str | None:
+    """Return the value of a header; None if it is missing or has several different values.
+
+    :param values: the last value of each name in lower case.
+    """
+    if wanted not in values:
+        return None
+    found = {value.strip() for value in header_values(headers, wanted)}
+    return found.pop() if len(found) == 1 else None
 
 
 def _deadline(text: str | None) -> float:
