--- a/yarrowwall/gateway/caller_connection.py
+++ b/yarrowwall/gateway/caller_connection.py
@@ -287,8 +287,9 @@
                 if head is None:
                     break
                 self._answer(application, CallerRequest(self, head))
-                # Requests that arrived together may all be answered without a wait.
-                yield_if_due()
+                if not self.parser.is_idle:
+                    # Requests that arrived together may all be answered without a wait.
+                    yield_if_due()
         except (OSError, CallerDisconnectedError, ConnectionsExhaustedError):
             # Logged by the request that was being answered, or the caller left between requests.
             pass
