--- a/features/support/crowd_clients.py
+++ b/features/support/crowd_clients.py
@@ -175,14 +175,16 @@
 ) -> None:
     """Send, and take answers, until there are enough, the end, or no time is left."""
     connection.setblocking(False)
+    # A process with many descriptors can't use select.
+    poller = select.poll()
     rest, received = memoryview(kind.payload), bytearray()
     end_s = time.monotonic() + WAIT_S
     while time.monotonic() < end_s and not is_over.is_set():
-        writing = [connection] if rest else []
-        readable, writable, _ = select.select([connection], writing, [], 0.1)
-        if writable:
+        poller.register(connection, select.POLLIN | (select.POLLOUT if rest else 0))
+        events = sum(event for _, event in poller.poll(100))
+        if events & select.POLLOUT:
             rest = rest[connection.send(rest[: SLOW_PIECE_BYTES if is_slow else None]) :]
-        if readable:
+        if events & ~select.POLLOUT:
             data = connection.recv(65536)
             received += data
             if not data or (kind.answers and received.count(b"HTTP/1.1 ") >= kind.answers):
