--- a/features/support/client_bounds_model.py
+++ b/features/support/client_bounds_model.py
@@ -273,32 +273,29 @@
     return patch.object(ConnectionBudget, "_make_room", lambda *arguments: None)
 
 
-def _ends_answering() -> AbstractContextManager[Any]:
+def _ends_in_order(*states: ConnectionState) -> AbstractContextManager[Any]:
+    """Return a mutant that ends connections in these states, in another order."""
+
     def end_first(self: ConnectionBudget, but: ConnectionHold | None = None) -> bool:
-        for state in (ConnectionState.ANSWERING, ConnectionState.SILENT):
-            for hold in self._by_state[state].values():
-                if hold is not but:
-                    self._end(hold)
-                    return True
-        return False
+        holds = [hold for state in states for hold in self._by_state[state].values()]
+        ended = next((hold for hold in holds if hold is not but), None)
+        if ended is not None:
+            self._end(ended)
+        return ended is not None
 
     return patch.object(ConnectionBudget, "_end_first", end_first)
 
 
+def _ends_answering() -> AbstractContextManager[Any]:
+    return _ends_in_order(ConnectionState.ANSWERING, ConnectionState.SILENT)
+
+
 def _forgets_nothing() -> AbstractContextManager[Any]:
     return patch.object(ConnectionBudget, "remove", lambda self, hold: None)
 
 
 def _idle_first() -> AbstractContextManager[Any]:
-    def end_first(self: ConnectionBudget, but: ConnectionHold | None = None) -> bool:
-        for state in (ConnectionState.IDLE, ConnectionState.READING, ConnectionState.SILENT):
-            for hold in self._by_state[state].values():
-                if hold is not but:
-                    self._end(hold)
-                    return True
-        return False
-
-    return patch.object(ConnectionBudget, "_end_first", end_first)
+    return _ends_in_order(ConnectionState.IDLE, ConnectionState.READING, ConnectionState.SILENT)
 
 
 def _takes_new_owners() -> AbstractContextManager[Any]:
