Informational answers do not count toward the parsed answers of a connection

They are dropped as the next answer begins. The listed answers and "Surplus answers end their connection" pass.

--- a/yarrowwall/dispatch/connection.py
+++ b/yarrowwall/dispatch/connection.py
@@ -32,7 +32,7 @@
 #: them in memory; most answers and events are smaller.
 _READ_BYTES = 8 * 1024
 #: Answers that are parsed before they are read. Some servers send one more than they were asked
-#: for; of the smallest ones, a single read holds hundreds.
+#: for; of the smallest ones, a single read holds hundreds. Informational ones are dropped.
 MAX_PARSED_ANSWERS = 8
 #: Size of the kernel's receive buffer. By default it grows to 6 MB, which counts towards the
 #: machine's memory; 256 KB in 40 ms, a round trip between regions, allow 50 Mbit/s.
@@ -70,6 +70,7 @@
             self.is_malformed = True
 
     def on_message_begin(self) -> None:
+        self.skip_informational()
         if len(self.responses) >= MAX_PARSED_ANSWERS:
             # Ends the parsing with an error, so that the connection counts as malformed.
             raise ValueError("too many answers")
