One function computes a share of the memory that an idle process leaves

Cause: the budget of connections, the room for records and the cache of turns each computed their share of `memory_mb` beyond an idle process, and the latter two took that constant from the module about connections. Change: `share_beyond_idle` beside the other shares in policy/memory_budget.py.

--- a/yarrowwall/budgets/turn_cache.py
+++ b/yarrowwall/budgets/turn_cache.py
@@ -6,11 +6,10 @@
 
 from yarrowwall.budgets.record_names import NO_NAME, RecordName
 from yarrowwall.budgets.turns import Turn
-from yarrowwall.policy.connection_budget import IDLE_MEMORY_MB
+from yarrowwall.policy.memory_budget import share_beyond_idle
 
-_MEGABYTE = 1024 * 1024
 #: Most bytes of turns that a gateway caches in memory.
-CACHE_BYTES = 24 * _MEGABYTE
+CACHE_BYTES = 24 * 1024 * 1024
 #: Share of a machine's memory, beyond that of an idle process, that cached turns may take.
 MEMORY_SHARE = 0.3
 #: Most lines of turns whose newest turn is remembered.
@@ -39,8 +38,7 @@
 
 def cache_bytes(memory_mb: float) -> int:
     """Return the bytes of turns that are cached on a machine with the given memory."""
-    share = MEMORY_SHARE * max(memory_mb - IDLE_MEMORY_MB, 0.0) * _MEGABYTE
-    return min(CACHE_BYTES, int(share))
+    return min(CACHE_BYTES, share_beyond_idle(memory_mb, MEMORY_SHARE))
 
 
 class TurnCache:
--- a/yarrowwall/policy/connection_budget.py
+++ b/yarrowwall/policy/connection_budget.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from yarrowwall.exceptions import YarrowwallError
+from yarrowwall.policy.memory_budget import share_beyond_idle
 
 _KILOBYTE = 1024
 _MEGABYTE = 1024 * _KILOBYTE
@@ -26,9 +27,8 @@
 MIN_CONNECTIONS = 16
 #: Connections to one port for probes: an operator's and the platform's, some at once.
 PROBE_CONNECTIONS = 16
-#: Memory in MB that a process uses before it has clients.
-IDLE_MEMORY_MB = 40.0
-#: Share of the rest that connections and heads may take, and the least that they may.
+#: Share of a machine's memory, beyond that of an idle process, that connections and heads may take,
+#: and the least that they may.
 MEMORY_SHARE = 0.25
 MIN_BYTES = 2 * _MEGABYTE
 #: Memory of a connection: its socket, parser and greenthread.
@@ -61,8 +61,8 @@
     @classmethod
     def of_machine(cls, memory_mb: float, max_descriptors: int) -> "ConnectionBounds":
         """Return the limits for a machine; servers get as many descriptors as clients."""
-        memory = MEMORY_SHARE * (memory_mb - IDLE_MEMORY_MB) * _MEGABYTE
-        return cls(connections_per_side(max_descriptors), max(int(memory), MIN_BYTES))
+        memory = max(share_beyond_idle(memory_mb, MEMORY_SHARE), MIN_BYTES)
+        return cls(connections_per_side(max_descriptors), memory)
 
     @classmethod
     def of_probes(cls) -> "ConnectionBounds":
--- a/yarrowwall/policy/memory_budget.py
+++ b/yarrowwall/policy/memory_budget.py
@@ -23,9 +23,16 @@
 LOW_WATERMARK = 0.6
 #: The machine's memory if the settings do not specify it.
 DEFAULT_MEMORY_MB = 256.0
+#: Memory in MB that a process uses before it has clients.
+IDLE_MEMORY_MB = 40.0
 _MEGABYTE = 1024 * 1024
 
 
+def share_beyond_idle(memory_mb: float, share: float) -> int:
+    """Return a share, in bytes, of the memory that an idle process leaves on a machine."""
+    return int(share * max(memory_mb - IDLE_MEMORY_MB, 0.0) * _MEGABYTE)
+
+
 class MemoryExhaustedError(RelayError):
     """The limit of the bytes buffered for one caller, one server or all requests is reached."""
 
--- a/yarrowwall/policy/record_room.py
+++ b/yarrowwall/policy/record_room.py
@@ -5,7 +5,7 @@
 under way go on, since a turn that has run and cannot be stored is lost to its caller.
 """
 
-from yarrowwall.policy.connection_budget import IDLE_MEMORY_MB
+from yarrowwall.policy.memory_budget import share_beyond_idle
 
 _MEGABYTE = 1024 * 1024
 #: Share of a machine's memory, beyond that of an idle process, that records may take.
@@ -36,8 +36,7 @@
     @classmethod
     def of_machine(cls, memory_mb: float) -> "RecordRoom":
         """Return the room on a machine with the given memory."""
-        limit = MEMORY_SHARE * (memory_mb - IDLE_MEMORY_MB) * _MEGABYTE
-        return cls(max(int(limit), MIN_BYTES))
+        return cls(max(share_beyond_idle(memory_mb, MEMORY_SHARE), MIN_BYTES))
 
     def accepts_reservation(self) -> bool:
         """Return whether a new owner's reservation finds room."""
