--- /dev/null
+++ b/features/steps/planned_stop_steps.py
@@ -0,0 +1,168 @@
+"""Steps about requests at gateways that are asked to stop."""
+
+import http.client
+import signal
+import time
+from concurrent.futures import Future, ThreadPoolExecutor
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features.support.platform_scripts import arrivals, world
+from features.support.platform_world import HOST, Answer, read_answer
+from features.support.processes import wait_until
+
+GATEWAY = "edge-0"
+#: Milliseconds for which callers wait by default, longer than the machines may take to stop.
+DEADLINE_MS = 20_000
+#: Bytes of the bodies that are sent by halves.
+BODY_BYTES = 8
+#: Answer of a connection that ended without one.
+NO_ANSWER = 0
+#: Seconds between two requests of a caller that sends again and again.
+PAUSE_S = 0.02
+
+
+def send(
+    context: Context,
+    route: str,
+    deadline_ms: int,
+    body_bytes: int,
+    connection: http.client.HTTPConnection | None = None,
+) -> Answer:
+    """Send a request to the gateway and return its answer.
+
+    :param body_bytes: bytes of the body that are sent; the others never are.
+    :param connection: an open connection to use; None for a new one.
+    """
+    if connection is None:
+        connection = world(context).connect(0)
+        connection.timeout = DEADLINE_MS / 1000.0
+    headers = {
+        "Host": HOST,
+        "X-Attempt-Id": world(context).next_attempt(),
+        "X-Deadline-Ms": str(deadline_ms),
+        "Content-Length": str(BODY_BYTES),
+    }
+    started = time.monotonic()
+    try:
+        connection.request("POST", f"/{route}/x", b"x" * body_bytes, headers)
+        return read_answer(connection, started)
+    except (http.client.HTTPException, OSError):
+        return Answer(NO_ANSWER, {}, b"", False, time.monotonic() - started)
+    finally:
+        connection.close()
+
+
+def submit(context: Context, route: str, count: int, deadline_ms: int, body_bytes: int) -> None:
+    """Send requests in threads; their answers are awaited by the steps that check them."""
+    pool = ThreadPoolExecutor(count)
+    context.add_cleanup(pool.shutdown)
+    found: list[Future[Answer]] = [
+        pool.submit(send, context, route, deadline_ms, body_bytes) for _ in range(count)
+    ]
+    context.pending = found
+
+
+@when("gateway 0 gets SIGTERM")
+def sigterm(context: Context) -> None:
+    context.signalled_at = time.monotonic()
+    context.stopped = world(context).kill(GATEWAY, signal.SIGTERM)
+
+
+@when('gateway 0 gets SIGTERM while {count:d} callers send "{route}"')
+def sigterm_while_sending(context: Context, count: int, route: str) -> None:
+    submit(context, route, count, DEADLINE_MS, BODY_BYTES)
+    wait_until(lambda: len(arrivals(context, route)) == count, "the requests run")
+    sigterm(context)
+
+
+@when('gateway 0 gets SIGTERM while {count:d} callers send half of the body of "{route}"')
+def sigterm_within_bodies(context: Context, count: int, route: str) -> None:
+    submit(context, route, count, DEADLINE_MS, BODY_BYTES // 2)
+    time.sleep(0.5)
+    sigterm(context)
+
+
+@when('{count:d} callers send "{route}" {after_s:f} s after the signal')
+def send_after(context: Context, count: int, route: str, after_s: float) -> None:
+    send_after_for(context, count, route, after_s, DEADLINE_MS)
+    wait_until(lambda: len(arrivals(context, route)) == count, "the requests run")
+
+
+@when(
+    '{count:d} callers send "{route}" {after_s:f} s after the signal, each for at most'
+    " {deadline_ms:d} ms"
+)
+def send_after_for(
+    context: Context, count: int, route: str, after_s: float, deadline_ms: int
+) -> None:
+    time.sleep(max(context.signalled_at + after_s - time.monotonic(), 0.0))
+    submit(context, route, count, deadline_ms, BODY_BYTES)
+
+
+@when('the time of "{route}" is raised to {time_ms:d} ms')
+def raise_time(context: Context, route: str, time_ms: int) -> None:
+    (found,) = [one for one in world(context).routes if one["name"] == route]
+    found["timeout_ms"] = time_ms
+    world(context).publish()
+
+
+@given("{count:d} callers with open connections to gateway 0")
+def open_connections(context: Context, count: int) -> None:
+    context.kept = [world(context).connect(0) for _ in range(count)]
+    for connection in context.kept:
+        world(context).ask("no-route", connection=connection)
+
+
+@when(
+    'they send "{route}" one after the other from {after_s:f} s after the signal until the process'
+    " is gone"
+)
+def send_until_gone(context: Context, route: str, after_s: float) -> None:
+    time.sleep(max(context.signalled_at + after_s - time.monotonic(), 0.0))
+    context.late_answers = []
+    while context.stopped.poll() is None:
+        assert context.kept, "no open connection is left"
+        connection = context.kept.pop()
+        context.late_answers.append(send(context, route, DEADLINE_MS, BODY_BYTES, connection))
+        time.sleep(PAUSE_S)
+    for connection in context.kept:
+        connection.close()
+
+
+@then("each of them was answered 503 or found its connection closed")
+def late_ones_refused(context: Context) -> None:
+    statuses = {answer.status for answer in context.late_answers}
+    assert statuses <= {503, NO_ANSWER}, context.late_answers
+    assert 503 in statuses, "no request came before the process was gone"
+
+
+@then("each is answered {status:d}")
+def each_answered(context: Context, status: int) -> None:
+    context.answers = [pending.result() for pending in context.pending]
+    found = [(answer.status, answer.is_whole) for answer in context.answers]
+    assert found == [(status, True)] * len(found), context.answers
+
+
+@then("each is answered {status:d} without Retry-After")
+def answered_finally(context: Context, status: int) -> None:
+    each_answered(context, status)
+    assert not any("Retry-After" in answer.headers for answer in context.answers)
+
+
+@then("each is answered {status:d} with Retry-After")
+def answered_to_return(context: Context, status: int) -> None:
+    each_answered(context, status)
+    assert all(float(answer.headers["Retry-After"]) > 0.0 for answer in context.answers)
+
+
+@then('the servers of "{route}" got {count:d} requests')
+def servers_got(context: Context, route: str, count: int) -> None:
+    assert len(arrivals(context, route)) == count, arrivals(context, route)
+
+
+@then("the gateway ends with code 0 within {limit_s:d} s of the signal")
+def ends_within(context: Context, limit_s: int) -> None:
+    left_s = context.signalled_at + limit_s - time.monotonic()
+    assert context.stopped.wait(timeout=max(left_s, 0.1)) == 0
--- a/features/steps/spent_budget_steps.py
+++ b/features/steps/spent_budget_steps.py
@@ -21,7 +21,7 @@
 from yarrowwall.gateway.exchange import Exchange
 from yarrowwall.messages.replicated import GroupView, Member, StoredRecord
 from yarrowwall.model import Attempt, ProgramContext, RequestKind, Route
-from yarrowwall.policy.budget_parts import divide_budget
+from yarrowwall.policy.budget_parts import ClaimState, divide_budget
 from yarrowwall.policy.request_time import RequestTime
 from yarrowwall.ports.programs import TurnGrant
 from yarrowwall.replication.exceptions import NoQuorumError
@@ -266,14 +266,54 @@
     " {others}"
 )
 def another_holds(context: Context, tokens: int, others: str) -> None:
-    groups = context.groups
-    groups.silent.clear()
+    context.groups.silent.clear()
+    context.held_by_other = _note_other(context, ClaimState.GRANTED, tokens)
+    silent = ZONE_GROUPS[1:] if others == "unresponsive" else []
+    context.groups.silent = {COMMON, *silent}
+
+
+@given("another turn has spent {tokens:d} tokens of the common part and the parts of zones")
+def another_has_spent(context: Context, tokens: int) -> None:
+    context.groups.silent.clear()
+    _note_other(context, ClaimState.SETTLED, tokens)
+    context.groups.silent = {COMMON}
+
+
+def _note_other(context: Context, state: ClaimState, common_tokens: int) -> int:
+    """Record another turn's tokens of all parts but the own zone's; return their number."""
     part = divide_budget(context.budget, len(ZONE_GROUPS)).per_zone
-    for group, held in {COMMON: tokens, **dict.fromkeys(ZONE_GROUPS[1:], part)}.items():
-        key = "budget/looper/other"
-        groups.keep(group, StoredRecord(key, 1, "looper", "", RETENTION_SECONDS, held, b""))
-    groups.silent = {COMMON, *(ZONE_GROUPS[1:] if others == "unresponsive" else [])}
-    context.held_by_other = tokens + part * len(ZONE_GROUPS[1:])
+    held = {COMMON: common_tokens, **dict.fromkeys(ZONE_GROUPS[1:], part)}
+    for group, tokens in held.items():
+        _write_other(context, group, state, tokens)
+    return sum(held.values())
+
+
+def _write_other(context: Context, group: int, state: ClaimState, tokens: int) -> None:
+    key = "budget/looper/other"
+    record = StoredRecord(key, state, "looper", "", RETENTION_SECONDS, tokens, b"")
+    context.groups.keep(group, record)
+
+
+@when("the other turn ends after {pause_ms:d} ms and has emitted {tokens:d} tokens")
+def other_ends(context: Context, pause_ms: int, tokens: int) -> None:
+    def settle() -> None:
+        for group in [COMMON, *ZONE_GROUPS[1:]]:
+            spent = tokens if group == COMMON else 0
+            _write_other(context, group, ClaimState.SETTLED, spent)
+
+    eventlet.spawn_after(pause_ms / 1000.0, settle)
+
+
+@then("the turn is refused more tokens within {limit_s:f} s")
+def refused_more(context: Context, limit_s: float) -> None:
+    started_s = time.monotonic()
+    context.end_s = started_s + 10.0 * limit_s
+    try:
+        context.grant.ensure_granted([Event(b"", str(number)) for number in range(MAX_TOKENS)])
+    except StoreUncertainError:
+        assert time.monotonic() - started_s < limit_s, time.monotonic() - started_s
+        return
+    raise AssertionError("more tokens were granted than the budget has")
 
 
 @when("its common group recovers")
--- a/features/zone_cuts.feature
+++ b/features/zone_cuts.feature
@@ -66,6 +66,23 @@
       | exhausted    |
       | unresponsive |
 
+  # Guards against a stream aborted because the tokens that it lacked were held, for a moment, by a
+  # turn that emitted less than it held.
+  Scenario: A turn that began short waits while other turns hold the tokens that it lacks
+    Given a program with 272 tokens whose turns emit as much as they may
+    And one of its turns was granted only the part of its zone
+    And another turn holds 136 tokens of the common part and the parts of zones that are exhausted
+    When its common group recovers
+    And the other turn ends after 400 ms and has emitted 20 tokens
+    Then the turn is granted 50 tokens within 3.0 s, some at a time
+
+  Scenario: A turn that began short is aborted at once if other turns have spent the budget
+    Given a program with 272 tokens whose turns emit as much as they may
+    And one of its turns was granted only the part of its zone
+    And another turn has spent 136 tokens of the common part and the parts of zones
+    When its common group recovers
+    Then the turn is refused more tokens within 0.2 s
+
   # Guards against turns that start with only some of their tokens, and may be aborted for that, while
   # the group that has the others restarts.
   Scenario: A turn waits briefly for a group that it needs tokens from
