Lines tell what turns that have not ended hold, and what time a request had at the end of the process

The record of the incident shows 402 with "1260 of 405 tokens are used": tokens that turns hold at that moment and tokens that were emitted look alike, so a refusal of a moment can't be told from one that is final (hypothesis 1). A line process_ended did not tell whether the request's time reached past the stop (hypothesis 2). BudgetDecided has unsettled, the refusal says the same, and process_ended has the time that was left. No logic changes.

--- a/features/steps/spent_budget_steps.py
+++ b/features/steps/spent_budget_steps.py
@@ -304,6 +304,22 @@
     eventlet.spawn_after(pause_ms / 1000.0, settle)
 
 
+@then(
+    "the next turn is refused, and told that {unsettled:d} of {used:d} tokens are held by such"
+    " turns"
+)
+def told_unsettled(context: Context, unsettled: int, used: int) -> None:
+    program = ProgramContext("looper", context.budget, MAX_TOKENS, None, None)
+    claim = claim_for("looper", program, "refused", RETENTION_SECONDS, COMMON)
+    try:
+        context.reservations.reserve(claim, context.budget)
+    except BudgetExhaustedError as error:
+        told = f"{used} of {context.budget} tokens are used, {unsettled} of them by turns"
+        assert str(error) == f"{told} that have not ended", error
+        return
+    raise AssertionError("the turn was granted")
+
+
 @then("the turn is refused more tokens within {limit_s:f} s")
 def refused_more(context: Context, limit_s: float) -> None:
     started_s = time.monotonic()
--- a/features/zone_cuts.feature
+++ b/features/zone_cuts.feature
@@ -66,6 +66,12 @@
       | exhausted    |
       | unresponsive |
 
+  Scenario: A refusal tells how many tokens are held by turns that have not ended
+    Given a program with 272 tokens whose turns emit as much as they may
+    And another turn holds 136 tokens of the common part and the parts of zones that are exhausted
+    When its common group recovers
+    Then the next turn is refused, and told that 170 of 170 tokens are held by such turns
+
   # Guards against a stream aborted because the tokens that it lacked were held, for a moment, by a
   # turn that emitted less than it held.
   Scenario: A turn that began short waits while other turns hold the tokens that it lacks
--- a/yarrowwall/budgets/budget_requests.py
+++ b/yarrowwall/budgets/budget_requests.py
@@ -126,6 +126,17 @@
     server_hint: str
     tokens: int
 
+    @property
+    def unsettled_tokens(self) -> int:
+        """Return the tokens of turns that have not ended."""
+        return sum(
+            [
+                amount.tokens
+                for amount in self.amounts.values()
+                if amount.version < ClaimState.SETTLED
+            ]
+        )
+
     @property
     def is_settled(self) -> bool:
         """Return whether no other turn is running."""
@@ -231,6 +242,11 @@
         """Return the tokens that other turns hold in the groups asked so far."""
         return sum(state.tokens for state in self.states.values())
 
+    @property
+    def unsettled_tokens(self) -> int:
+        """Return the tokens that turns which have not ended hold in the groups asked so far."""
+        return sum(state.unsettled_tokens for state in self.states.values())
+
     @property
     def last_server(self) -> str:
         """Return the server of the program's previous turn; empty if unknown."""
--- a/yarrowwall/budgets/reservations.py
+++ b/yarrowwall/budgets/reservations.py
@@ -107,7 +107,10 @@
         self._release_claims(request)
         if verdict is Verdict.EXHAUSTED:
             self._mark_exhausted(request)
-            raise BudgetExhaustedError(f"{request.used_tokens} of {budget} tokens are used")
+            raise BudgetExhaustedError(
+                f"{request.used_tokens} of {budget} tokens are used,"
+                f" {request.unsettled_tokens} of them by turns that have not ended"
+            )
         raise StoreUncertainError(request.failure or _uncertainty_reason(request.unreachable))
 
     def _release_claims(self, request: BudgetRequest) -> None:
@@ -346,6 +349,7 @@
                     request.used_tokens,
                     claim.tokens,
                     is_granted,
+                    request.unsettled_tokens,
                 )
             )
         is_common_only = not request.unreachable and list(request.claimed) == [request.common_group]
--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -230,7 +230,11 @@
 
 
 class BudgetDecided(Decision, frozen=True):
-    """Tokens were reserved for a turn, or the reservation was refused."""
+    """Tokens were reserved for a turn, or the reservation was refused.
+
+    :param used: tokens that other turns of the program hold or have emitted.
+    :param unsettled: those of them that turns hold which have not ended, and may release.
+    """
 
     attempt: str
     program: str
@@ -238,6 +242,7 @@
     used: int
     wanted: int
     granted: bool
+    unsettled: int
 
 
 class BudgetSettled(Decision, frozen=True):
--- a/yarrowwall/gateway/connection_ends.py
+++ b/yarrowwall/gateway/connection_ends.py
@@ -28,7 +28,7 @@
 class ConnectionEnd(NamedTuple):
     """How a connection ended.
 
-    :param detail: the error that caused it; empty if there is none.
+    :param detail: the error that caused it, or the time that was left; empty if there is none.
     """
 
     reason: ConnectionEndReason
--- a/yarrowwall/gateway/exchange.py
+++ b/yarrowwall/gateway/exchange.py
@@ -72,8 +72,12 @@
             self._time.note_route_s(route.timeout_s)
 
     def note_process_ended(self) -> None:
-        """Log that the request ends because the process does."""
-        self._response.note_process_ended()
+        """Log that the request ends because the process does, and how long it might have lasted."""
+        detail = ""
+        if self._time is not None:
+            left_s = self._time.end - self._now()
+            detail = f"{left_s:.2f} s were left of {self._time.length_s:.2f} s"
+        self._response.note_process_ended(detail)
 
     def _run(self) -> Generator[bytes, None, None]:
         """Return the body of the response; closing it early cancels the request."""
--- a/yarrowwall/gateway/response.py
+++ b/yarrowwall/gateway/response.py
@@ -106,10 +106,13 @@
         else:
             self._log_connection_ended(connection_end)
 
-    def note_process_ended(self) -> None:
-        """Log that the response ends because the process does."""
+    def note_process_ended(self, detail: str) -> None:
+        """Log that the response ends because the process does.
+
+        :param detail: what the request waited for.
+        """
         self.is_end_logged = True
-        self._log_connection_ended(ConnectionEnd(ConnectionEndReason.PROCESS_ENDED))
+        self._log_connection_ended(ConnectionEnd(ConnectionEndReason.PROCESS_ENDED, detail))
 
     def _log_connection_ended(self, connection_end: ConnectionEnd) -> None:
         self._log.write(
--- a/yarrowwall/policy/request_time.py
+++ b/yarrowwall/policy/request_time.py
@@ -22,6 +22,11 @@
         """Return the time at which the request times out."""
         return min(self._deadline, self._arrived_at + self._route_s)
 
+    @property
+    def length_s(self) -> float:
+        """Return the seconds from the request's arrival to its end."""
+        return self.end - self._arrived_at
+
     def note_route_s(self, route_s: float) -> None:
         """Record a new timeout of the route."""
         self._route_s = max(self._route_s, route_s)
