Requests that a stopping gateway cannot finish get a final response before it ends

Callers of a planned stop saw their connection closed without an answer, among them callers of requests that may not be repeated: at the end of its time the process ended under whatever was active, so nobody could tell a request that had run from one that had not. Requests came to that by several ways: a time longer than the stop, a time that a configuration raised after they were taken, a body that was late, a wait for the record store or for room.

One rule now covers all ways: when the time of a stop is over, every request whose response has not started gets its final one: what the sender knows, 502 if a server may have run it and 503 with Retry-After if not. The wait is interrupted where it stands, as for a caller that leaves, which every wait has to bear already. Responses take 0.3 s of the margin of 0.7 s at most.

--- a/features/connection_ends.feature
+++ b/features/connection_ends.feature
@@ -19,8 +19,8 @@
   # Guards against a shutdown that ends requests without a log line for each.
   @platform_world
   Scenario: Requests that end with the process are logged one by one
-    Given a route "slow" of type "mutating" with a time of 20000 ms and a server that takes 15 s
-    When gateway 0 gets SIGTERM while 3 callers wait on "slow"
+    Given a stream route "chat" with a timeout of 20000 ms whose server streams for 15000 ms
+    When gateway 0 gets SIGTERM while 3 callers wait on "chat"
     Then the gateway logs 3 times that a connection ended, as process_ended
 
   # Guards against invalid request heads that end their connection without a log line.
--- a/features/planned_stops.feature
+++ b/features/planned_stops.feature
@@ -8,6 +8,7 @@
     Given a route "slow" of type "mutating" with a time of 20000 ms and a server that takes 15 s
     When gateway 0 gets SIGTERM while 3 callers send "slow"
     Then each is answered 502 without Retry-After
+    And the gateway has logged 3 refusals with 502
     And the gateway ends with code 0 within 6 s of the signal
 
   # Guards against requests that reached no server and whose connections end with the process.
@@ -51,3 +52,14 @@
     And they send "slow" one after the other from 3.2 s after the signal until the process is gone
     Then each of them was answered 503 or found its connection closed
     And the servers of "slow" got 3 requests
+
+  Scenario Outline: The scenarios of stops detect a gateway that <mutant>
+    Given a route "slow" of type "mutating" with a time of 20000 ms and a server that takes 15 s
+    And gateway 0 is one that <mutant>
+    When gateway 0 gets SIGTERM while 3 callers send "slow"
+    Then none is answered 502
+
+    Examples:
+      | mutant                               |
+      | ends without final responses         |
+      | says that what was sent was not sent |
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -2,8 +2,10 @@
 
 import http.client
 import signal
+import sys
 import time
 from concurrent.futures import Future, ThreadPoolExecutor
+from unittest.mock import patch
 
 from behave import given, then, when
 from behave.runner import Context
@@ -19,8 +21,22 @@
 BODY_BYTES = 8
 #: Answer of a connection that ended without one.
 NO_ANSWER = 0
-#: Seconds between two requests of a caller that sends again and again.
+#: Seconds between two requests of callers that send one after the other.
 PAUSE_S = 0.02
+#: Changes of the product's code in mutants of a gateway.
+MUTANTS = {
+    "ends without final responses": (
+        "from yarrowwall.gateway.state import GatewayState\n"
+        "GatewayState.end_unanswered = lambda self: None\n"
+    ),
+    "says that what was sent was not sent": (
+        "from yarrowwall.dispatch.sender import AttemptSender\n"
+        "from yarrowwall.refusals import unavailable\n"
+        "AttemptSender.refused = lambda self, reason: unavailable(reason, 0.1)\n"
+    ),
+}
+#: Runs a machine after a change.
+RUN = "import runpy\nrunpy.run_module('yarrowwall.platform', run_name='__main__')\n"
 
 
 def send(
@@ -64,6 +80,18 @@
     context.pending = found
 
 
+@given("gateway 0 is one that {mutant}")
+def start_mutant(context: Context, mutant: str) -> None:
+    platform = world(context)
+    platform.kill(GATEWAY)
+    # The platform's modules are imported first, as in a sound machine.
+    imports = "from yarrowwall.eventlet_setup import patch_sockets\npatch_sockets()\n"
+    command = [sys.executable, "-c", imports + MUTANTS[mutant] + RUN]
+    with patch.object(platform, "command", lambda name: command):
+        platform.start_machine(GATEWAY, is_gateway=True)
+    wait_until(lambda: platform.is_ready(GATEWAY), "the gateway is ready")
+
+
 @when("gateway 0 gets SIGTERM")
 def sigterm(context: Context) -> None:
     context.signalled_at = time.monotonic()
@@ -145,6 +173,17 @@
     assert found == [(status, True)] * len(found), context.answers
 
 
+@then("none is answered {status:d}")
+def none_answered(context: Context, status: int) -> None:
+    assert not any(pending.result().status == status for pending in context.pending)
+
+
+@then("the gateway has logged {count:d} refusals with {status:d}")
+def logged_refusals(context: Context, count: int, status: int) -> None:
+    lines = [line for line in world(context).log(GATEWAY) if line["kind"] == "AttemptRefused"]
+    assert [line["status"] for line in lines] == [status] * count, lines
+
+
 @then("each is answered {status:d} without Retry-After")
 def answered_finally(context: Context, status: int) -> None:
     each_answered(context, status)
--- a/yarrowwall/exceptions.py
+++ b/yarrowwall/exceptions.py
@@ -73,6 +73,13 @@
     """
 
 
+class GatewayStoppingError(YarrowwallError):
+    """The process is about to end; a request without a response gets its final one now.
+
+    Like :class:`CallerDisconnectedError`, it may be raised at any point of the processing.
+    """
+
+
 class EntryFault(StrEnum):
     """What is wrong with an entry of the server list."""
 
--- a/yarrowwall/gateway/caller_watch.py
+++ b/yarrowwall/gateway/caller_watch.py
@@ -14,6 +14,8 @@
 class CallerWatch:
     """Raises :class:`CallerDisconnectedError` in the creating greenthread if the caller leaves.
 
+    The hub may have it raise another error there.
+
     It registers a listener with eventlet's hub, which costs less than a greenthread per request.
 
     :param connection: the caller's socket; nothing else may read it while this is active.
@@ -26,6 +28,7 @@
         self._connection = connection
         self._on_input = on_input
         self._is_active = False
+        self._is_over = False
         self._handler = eventlet.getcurrent()
         self._listener: Any = None
         self._reason = ""
@@ -45,8 +48,18 @@
     def stop(self) -> None:
         """Stop watching; nothing is raised afterwards."""
         self._is_active = False
+        self._is_over = True
         self._remove_listener()
 
+    def interrupt(self, error: Exception) -> None:
+        """Raise an error in the creating greenthread, unless watching is over; watch no longer.
+
+        Only the hub may call this, as a scheduled call. It works before :meth:`start` as well.
+        """
+        if not self._is_over:
+            self.stop()
+            self._handler.throw(error)
+
     def __enter__(self) -> "CallerWatch":
         self.start()
         return self
@@ -100,5 +113,5 @@
 
     def _raise_in_handler(self) -> None:
         if self._is_active:
-            self._is_active = False
+            self._is_active, self._is_over = False, True
             self._handler.throw(CallerDisconnectedError(self._reason))
--- a/yarrowwall/gateway/exchange.py
+++ b/yarrowwall/gateway/exchange.py
@@ -5,11 +5,16 @@
 from collections.abc import Generator, Iterator
 
 import eventlet
+from eventlet.hubs import get_hub
 
 from yarrowwall import decisions
 from yarrowwall.dispatch.buffered import relay_buffered
 from yarrowwall.dispatch.sender import AttemptSender, SendPlan
-from yarrowwall.exceptions import CallerDisconnectedError, InvalidAttemptError
+from yarrowwall.exceptions import (
+    CallerDisconnectedError,
+    GatewayStoppingError,
+    InvalidAttemptError,
+)
 from yarrowwall.gateway.bodies import RequestBody
 from yarrowwall.gateway.caller_connection import (
     BodyTimeoutError,
@@ -28,6 +33,8 @@
 from yarrowwall.policy.retry_after import SHORTAGE_SECONDS
 from yarrowwall.refusals import Refusal, RefusedError, unavailable
 
+_STOPPING = "stopping"
+
 
 class Exchange:
     """One request and its response, whose body the HTTP server iterates over."""
@@ -44,6 +51,7 @@
         )
         self._attempt: Attempt | None = None
         self._time: RequestTime | None = None
+        self._watch: CallerWatch | None = None
         self._body = self._run()
         gateway.active_requests.add(self)
 
@@ -71,6 +79,19 @@
         if route is not None:
             self._time.note_route_s(route.timeout_s)
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Return whether no response has started."""
+        return not self._response.has_started
+
+    def end_unanswered(self) -> None:
+        """Give the caller a final response in the event loop's next turn if none has started."""
+        get_hub().schedule_call_global(0, self._interrupt_unanswered)
+
+    def _interrupt_unanswered(self) -> None:
+        if self.is_unanswered and self._watch is not None:
+            self._watch.interrupt(GatewayStoppingError(_STOPPING))
+
     def note_process_ended(self) -> None:
         """Log that the request ends because the process does, and how long it might have lasted."""
         detail = ""
@@ -82,7 +103,7 @@
     def _run(self) -> Generator[bytes, None, None]:
         """Return the body of the response; closing it early cancels the request."""
         response = self._response
-        watch = CallerWatch(self._request.socket, self._request.note_unread)
+        watch = self._watch = CallerWatch(self._request.socket, self._request.note_unread)
         try:
             yield from self._answer(watch)
             response.is_complete = True
@@ -121,6 +142,11 @@
             self._attempt, self._time = attempt, time
             attempt.body = self._read_body(time.end)
             self._request.note_complete()
+        except GatewayStoppingError:
+            # The rest of the request stays unread, so the connection cannot be kept.
+            self._request.close_after_answer()
+            yield self._response.refuse(_not_run().refusal)
+            return
         except ConnectionsExhaustedError as error:
             # The rest of the request stays unread, so the connection cannot be kept.
             self._request.close_after_answer()
@@ -137,12 +163,15 @@
         self._log_admitted(attempt, route, time.end)
         try:
             if not self._gateway.has_time_for(self._now(), time.end):
-                raise unavailable("stopping", SHORTAGE_SECONDS)
+                raise _not_run()
             self._components.dispatch.suspects.check(attempt)
             if route.kind is RequestKind.STREAM:
                 yield from self._relay_stream(attempt, route, time)
             else:
                 yield self._relay_buffered(attempt, route, time)
+        except GatewayStoppingError:
+            # Senders turn this into their final refusal, so no server has the request.
+            yield self._response.refuse(_not_run().refusal)
         except RefusedError as error:
             yield self._response.refuse(error.refusal)
 
@@ -201,7 +230,10 @@
                 attempt, route, service, time, attempt.body, allowance, self._request_memory
             )
             with contextlib.closing(AttemptSender(self._components.dispatch, plan)) as sender:
-                answer, body = relay_buffered(self._components.dispatch, route, sender)
+                try:
+                    answer, body = relay_buffered(self._components.dispatch, route, sender)
+                except GatewayStoppingError as error:
+                    raise sender.refused(str(error)) from error
                 return self._response.start_buffered(answer, body, sender.history.tried[-1])
         finally:
             allowance.close()
@@ -218,6 +250,11 @@
             allowance.close()
 
 
+def _not_run() -> RefusedError:
+    """Return the refusal of a request that a stopping gateway sent to no server."""
+    return unavailable(_STOPPING, SHORTAGE_SECONDS)
+
+
 def _finish_in_s(attempt: Attempt) -> float | None:
     """Return the seconds until an attempt's program should finish, counted from its arrival."""
     if attempt.program is None or attempt.program.finish_at is None:
--- a/yarrowwall/gateway/response.py
+++ b/yarrowwall/gateway/response.py
@@ -46,6 +46,11 @@
         self.is_complete = False
         self.is_end_logged = False
 
+    @property
+    def has_started(self) -> bool:
+        """Return whether the response's head was made."""
+        return self._has_started
+
     @property
     def elapsed_s(self) -> float:
         """Return the seconds since the request arrived."""
--- a/yarrowwall/gateway/state.py
+++ b/yarrowwall/gateway/state.py
@@ -26,6 +26,13 @@
     def apply_routes(self, table: RouteTable) -> None:
         """Update the request's time limit from a new route table."""
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Return whether no response has started."""
+
+    def end_unanswered(self) -> None:
+        """Give the caller a final response now if none has started."""
+
     def note_process_ended(self) -> None:
         """Log that the request ends because the process does."""
 
@@ -109,6 +116,16 @@
         """Return the number of active requests."""
         return len(self.active_requests)
 
+    @property
+    def unanswered_count(self) -> int:
+        """Return the number of active requests whose responses have not started."""
+        return sum(request.is_unanswered for request in self.active_requests)
+
+    def end_unanswered(self) -> None:
+        """Give every request whose response has not started its final one."""
+        for request in self.active_requests:
+            request.end_unanswered()
+
     def note_process_ended(self) -> None:
         """Log the requests that end because the process does."""
         for request in self.active_requests:
--- a/yarrowwall/gateway/turn.py
+++ b/yarrowwall/gateway/turn.py
@@ -10,6 +10,7 @@
 from yarrowwall.event_stream import Event
 from yarrowwall.exceptions import (
     BudgetExhaustedError,
+    GatewayStoppingError,
     RelayError,
     StoreUncertainError,
     StreamUnknownError,
@@ -174,6 +175,8 @@
                 decisions.AnswerBrokenOff(self._attempt.attempt_id, str(error), len(relay.relayed))
             )
             raise AnswerAbortedError from None
+        except GatewayStoppingError as error:
+            raise sender.refused(str(error)) from error
         finally:
             exit_stack.close()
             sender.close()
--- a/yarrowwall/machine/gateway_role.py
+++ b/yarrowwall/machine/gateway_role.py
@@ -55,6 +55,11 @@
 MIN_STOP_SECONDS = 3.2
 #: Seconds kept in reserve at the end of the time that a shutdown may take.
 STOP_MARGIN_SECONDS = 0.7
+#: Seconds of these in which requests that cannot be finished get a final response.
+FINAL_RESPONSE_SECONDS = 0.3
+#: Seconds between checks during a shutdown, and while final responses are written.
+STOP_POLL_SECONDS = 0.05
+FINAL_RESPONSE_POLL_SECONDS = 0.005
 
 
 class GatewayRole:
@@ -185,9 +190,17 @@
             is_busy = self.gateway.active_count or self._ledger.has_unsettled
             if time.monotonic() > stopping_since + MIN_STOP_SECONDS and not is_busy:
                 return
-            eventlet.sleep(0.05)
+            eventlet.sleep(STOP_POLL_SECONDS)
+        self._end_unanswered(deadline + FINAL_RESPONSE_SECONDS)
         self.gateway.note_process_ended()
 
+    def _end_unanswered(self, deadline: float) -> None:
+        """Give requests without a response their final one, and wait until all are written."""
+        self.gateway.end_unanswered()
+        eventlet.sleep(0)
+        while self.gateway.unanswered_count and time.monotonic() < deadline:
+            eventlet.sleep(FINAL_RESPONSE_POLL_SECONDS)
+
     def update_metrics(self, metrics: MachineMetrics) -> None:
         """Set the metrics that are computed on each scrape."""
         metrics.set_age(self.gateway.configuration_age_s)
