A stopping gateway takes a stream only if its caller waits no longer than the stop

Callers saw streams end without their end at a planned stop: 3 s after SIGTERM a request was taken if its route's time ended before the process, and a configuration that raised that time carried the stream past the end of the process. A stream that has begun can't be refused any more, so the only true refusal is the one at its beginning: it is taken if its caller's deadline, which nothing raises, lies before the end of the stop, and gets 503 with Retry-After at once otherwise. Other requests are still taken by their route's time, since they get a final response.

--- a/features/planned_stops.feature
+++ b/features/planned_stops.feature
@@ -53,6 +53,13 @@
     Then each of them was answered 503 or found its connection closed
     And the servers of "slow" got 3 requests
 
+  Scenario: The scenarios of stops detect a gateway that takes streams by their route's time
+    Given a stream route "chat" with a timeout of 1500 ms whose server streams for 1000 ms
+    And gateway 0 is one that takes streams by their route's time
+    When gateway 0 gets SIGTERM
+    And 3 callers send "chat" 3.2 s after the signal, each for at most 9000 ms
+    Then none is answered 503
+
   Scenario Outline: The scenarios of stops detect a gateway that <mutant>
     Given a route "slow" of type "mutating" with a time of 20000 ms and a server that takes 15 s
     And gateway 0 is one that <mutant>
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -34,6 +34,10 @@
         "from yarrowwall.refusals import unavailable\n"
         "AttemptSender.refused = lambda self, reason: unavailable(reason, 0.1)\n"
     ),
+    "takes streams by their route's time": (
+        "from yarrowwall.policy.request_time import RequestTime\n"
+        "RequestTime.latest_end = RequestTime.end\n"
+    ),
 }
 #: Runs a machine after a change.
 RUN = "import runpy\nrunpy.run_module('yarrowwall.platform', run_name='__main__')\n"
--- a/yarrowwall/gateway/exchange.py
+++ b/yarrowwall/gateway/exchange.py
@@ -162,7 +162,9 @@
         watch.start()
         self._log_admitted(attempt, route, time.end)
         try:
-            if not self._gateway.has_time_for(self._now(), time.end):
+            # A stream that has begun can't be refused if its route's timeout is raised.
+            end = time.latest_end if route.kind is RequestKind.STREAM else time.end
+            if not self._gateway.has_time_for(self._now(), end):
                 raise _not_run()
             self._components.dispatch.suspects.check(attempt)
             if route.kind is RequestKind.STREAM:
--- a/yarrowwall/gateway/state.py
+++ b/yarrowwall/gateway/state.py
@@ -132,7 +132,11 @@
             request.note_process_ended()
 
     def has_time_for(self, now: float, end: float) -> bool:
-        """Return whether a request that may last until ``end`` is accepted."""
+        """Return whether a request that may last until ``end`` is accepted.
+
+        Streams may last until their caller's deadline, other requests until their route's timeout:
+        they get a final response if it is raised.
+        """
         accepts_all = self._stops_at is None or now < self._refuses_from
         return accepts_all or end <= (self._stops_at or end)
 
--- a/yarrowwall/policy/request_time.py
+++ b/yarrowwall/policy/request_time.py
@@ -22,6 +22,11 @@
         """Return the time at which the request times out."""
         return min(self._deadline, self._arrived_at + self._route_s)
 
+    @property
+    def latest_end(self) -> float:
+        """Return the time that the request's end cannot exceed, whatever its route's timeout."""
+        return self._deadline
+
     @property
     def length_s(self) -> float:
         """Return the seconds from the request's arrival to its end."""
