--- a/features/steps/stream_version_steps.py
+++ b/features/steps/stream_version_steps.py
@@ -19,6 +19,8 @@
 from yarrowwall.machine.gateway_role import HOUSEKEEPING_SECONDS
 from yarrowwall.policy.servers import VANISHED_SECONDS
 
+GATEWAYS = ("edge-0", "edge-1")
+
 
 def add_resumable_route(context: Context) -> None:
     context.scripts = VersionedServers()
@@ -47,6 +49,11 @@
     publish(context)
 
 
+@given("clients whose streams have a budget")
+def with_budget(context: Context) -> None:
+    context.client = ResumingClient(world(context))
+
+
 @given("clients whose streams have no budget")
 def no_budget(context: Context) -> None:
     context.client = ResumingClient(world(context), has_budget=False)
@@ -91,13 +98,18 @@
     begin_all(context, count, lambda number: gateway, CUT_AFTER)
 
 
-@when('the servers of "{version}" have gone')
-def version_gone(context: Context, version: str) -> None:
+def stop_servers(context: Context, version: str) -> None:
+    """Stop the servers of a version and remove their entries."""
     for server in context.by_version[version]:
         server.listener.shutdown()
         server.listener.server_close()
         world(context).store.remove("servers", server.server_id)
-    for gateway in ("edge-0", "edge-1"):
+
+
+@when('the servers of "{version}" have gone')
+def version_gone(context: Context, version: str) -> None:
+    stop_servers(context, version)
+    for gateway in GATEWAYS:
         wait_until(
             lambda gateway=gateway: _gone(context, gateway) >= len(context.by_version[version]),
             f"{gateway} knows",
@@ -144,6 +156,18 @@
     world(context).kill(f"edge-{gateway}")
 
 
+@when("all gateways are killed as {what}, and start again")
+def kill_all_gateways(context: Context, what: str) -> None:
+    for name in GATEWAYS:
+        world(context).kill(name)
+    if what == "the servers of v1 go":
+        stop_servers(context, "v1")
+    for name in GATEWAYS:
+        world(context).start_machine(name, is_gateway=True)
+    for name in GATEWAYS:
+        wait_until(lambda name=name: world(context).is_ready(name), f"{name} is ready")
+
+
 def resume_all(
     context: Context, gateway: Callable[[int], int], cut_after: int | None = None
 ) -> None:
@@ -202,13 +226,20 @@
     assert began == set(context.by_version), began
 
 
-@then('the streams of "{version}" are whole')
 def version_whole(context: Context, version: str) -> None:
     streams = [stream for stream in context.streams if stream.versions == {version}]
     assert streams
     assert all(stream.is_whole for stream in streams), streams
 
 
+@then('the streams of "{version}" are {fate}')
+def version_fate(context: Context, version: str, fate: str) -> None:
+    if fate == "whole":
+        version_whole(context, version)
+    else:
+        version_refused(context, version)
+
+
 @then('the streams of "{version}" got 503 with Retry-After within 500 ms and ran nowhere')
 def version_refused(context: Context, version: str) -> None:
     streams = [stream for stream in context.streams if stream.versions == {version}]
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -71,6 +71,25 @@
     And the streams of "v2" are whole
     And the streams of "v1" got 503 with Retry-After within 500 ms and ran nowhere
 
+  # Guards against streams joined from two versions since only the killed gateways knew the old one.
+  Scenario Outline: Streams keep their version if all gateways are killed as <what>
+    Given a resumable route with 3 servers of "v1" and 3 of "v2"
+    And clients whose streams have <budget> budget
+    When 32 streams are begun at both gateways and cut by their clients
+    And all gateways are killed as <what>, and start again
+    And each is resumed at the other gateway
+    Then no stream holds events of two versions
+    And the streams of "v2" are whole
+    And the streams of "v1" are <fate>
+    And both versions began streams
+
+    Examples:
+      | what                 | budget | fate    |
+      | both versions serve  | a      | whole   |
+      | both versions serve  | no     | whole   |
+      | the servers of v1 go | a      | refused |
+      | the servers of v1 go | no     | refused |
+
   # Guards against streams that go on at a guessed version, and callers told to return in vain.
   Scenario: A stream that no record tells of is refused at once
     Given a resumable route with 2 servers of "v1" and 2 of "v2"
