The soak of planned work counts a process's own versions of the configuration

The versions of the process before it no longer count, also those that were replaced before the first one was read.

--- a/features/soak/planned/clients.py
+++ b/features/soak/planned/clients.py
@@ -25,7 +25,8 @@
     """A client that uses a tenant's API key.
 
     :param turns_route: route to which turns are sent.
-    :param asked: receives the route and start time of each attempt, by its id.
+    :param starts: receives the route and start time of each attempt, by its id.
+    :param deadline_s: seconds for which it waits for each answer.
     """
 
     def __init__(
@@ -35,8 +36,10 @@
         key: str,
         turns_route: str,
         starts: dict[str, AttemptStart],
+        deadline_s: float = DEADLINE_S,
     ) -> None:
         super().__init__(world, record)
+        self._deadline_s = deadline_s
         self._key = key
         self._turns_route = turns_route
         self._starts = starts
@@ -46,8 +49,8 @@
     ) -> AttemptEnd:
         """Send an attempt and return how it ended."""
         used = self._turns_route if route == CHAT else route
-        self._starts[attempt] = AttemptStart(used, time.monotonic())
-        own = {"X-Key": self._key, "X-Deadline-Ms": str(round(DEADLINE_S * 1000.0))}
+        self._starts[attempt] = AttemptStart(used, time.monotonic(), self._deadline_s)
+        own = {"X-Key": self._key, "X-Deadline-Ms": str(round(self._deadline_s * 1000.0))}
         return super().send(gateway, used, attempt, body, {**headers, **own})
 
 
--- a/features/soak/planned/content.py
+++ b/features/soak/planned/content.py
@@ -95,6 +95,11 @@
         """Make one change."""
         self.changes[kind]()
 
+    def set_stream_timeouts(self, timeout_ms: int) -> None:
+        """Give all routes of streams the same timeout."""
+        for one in self._stream_routes:
+            one["timeout_ms"] = timeout_ms
+
     @property
     def spec(self) -> dict[str, Any]:
         """Return the configuration without its version."""
--- a/features/soak/planned/cuts.py
+++ b/features/soak/planned/cuts.py
@@ -28,10 +28,12 @@
     """Route and start time of an attempt.
 
     :param at: time on the monotonic clock before its first byte was sent.
+    :param deadline_s: seconds for which its client waits.
     """
 
     route: str
     at: float
+    deadline_s: float = DEADLINE_S
 
 
 class Cut(NamedTuple):
@@ -60,12 +62,13 @@
 
 def find_cuts(
     attempts: Iterable[FinishedAttempt],
-    timeouts_at: Callable[[str], Timeouts],
+    timeouts_at: Callable[[str, float], Timeouts],
     starts: dict[str, AttemptStart],
 ) -> list[Cut]:
     """Return the requests that were cut before their timeout or deadline.
 
-    :param timeouts_at: returns the timeouts in force at a gateway.
+    :param timeouts_at: returns the timeouts in force at a gateway's process that ran at a time of
+        the monotonic clock.
     """
     found = []
     for finished_attempt in attempts:
@@ -75,10 +78,11 @@
             or not finished_attempt.was_taken
         ):
             continue
-        route, begun_at = starts[finished_attempt.attempt]
+        route, begun_at, deadline_s = starts[finished_attempt.attempt]
         end = finished_attempt.end
         gateway = finished_attempt.sent.gateway
-        time_s = min(DEADLINE_S, longest_timeout_s(timeouts_at(gateway), route, begun_at, end.at))
+        timeouts = timeouts_at(gateway, end.at)
+        time_s = min(deadline_s, longest_timeout_s(timeouts, route, begun_at, end.at))
         lasted_s = end.at - begun_at
         if lasted_s < time_s:
             found.append(
@@ -93,12 +97,17 @@
     """Return the timeouts of routes by when they apply at a gateway.
 
     They apply once the gateway has put their version in force, at the latest ``CONFIGURATION_S``
-    after the write, unless the gateway has put a later version in force by then.
+    after the write, unless the gateway has put a later version in force by then. A process knows
+    no version that was replaced before it read its first one.
 
-    :param in_force: time on the monotonic clock at which it put each version in force.
+    :param in_force: time on the monotonic clock at which the gateway's process put each version
+        in force.
     """
     found = []
+    first = min(in_force, default=0)
     for version, at, times_s in written:
+        if version < first:
+            continue
         latest = at + CONFIGURATION_S
         is_skipped = version not in in_force and any(
             later > version and since <= latest for later, since in in_force.items()
--- a/features/soak/planned/run.py
+++ b/features/soak/planned/run.py
@@ -3,7 +3,6 @@
 import re
 import time
 from collections import Counter
-from functools import cache
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -68,13 +67,13 @@
     with ThreadDelay() as thread_delay, PlannedWorld(record, seed, gateways) as world:
         with Clients(world, record, seed, clients) as load:
             time.sleep(_CALM_S)
-            with PlannedWork(world, record, seed) as work:
+            with PlannedWork(world, record, seed, load.starts) as work:
                 time.sleep(seconds_s)
             time.sleep(_FINISH_S)
         world.check_all_running()
         lines = world.gateway_lines(_KINDS)
         record.note_admitted(line["attempt"] for line in lines if line["kind"] == "AttemptAdmitted")
-        cuts = find_cuts(record.finished_attempts(), cache(world.timeouts_at), load.starts)
+        cuts = find_cuts(record.finished_attempts(), world.timeouts_at, load.starts)
         violations = [*record.violations(), *(cut.text for cut in cuts)]
         if violations and keep is not None:
             world.keep_logs(keep / f"planned-{seed}")
--- a/features/steps/planned_soak_steps.py
+++ b/features/steps/planned_soak_steps.py
@@ -41,6 +41,13 @@
 SKIPPED = timeouts_in_force([*WRITTEN, WRITTEN[0]._replace(version=3)], {1: 1.0, 3: SENT_AT})
 EARLY = WRITTEN[1]._replace(at=SENT_AT - CONFIGURATION_S)
 NEVER_IN_FORCE = timeouts_in_force([WRITTEN[0], EARLY], {1: 1.0})
+#: A gateway that started after a longer timeout had been replaced, and one that knew it.
+REPLACED = [
+    WrittenTimeouts(1, 0.0, {CHAT: DEFAULT_S}),
+    WrittenTimeouts(2, SENT_AT - 0.1, {CHAT: SHORTER_S}),
+]
+STARTED_AGAIN = timeouts_in_force(REPLACED, {2: SENT_AT + 0.4})
+NOT_STARTED_AGAIN = timeouts_in_force(REPLACED, {1: 1.0, 2: SENT_AT + 0.4})
 ALWAYS_SHORTER: Timeouts = [(0.0, {CHAT: DEFAULT_S}), (SENT_AT - 1.0, {CHAT: SHORTER_S})]
 
 
@@ -93,6 +100,14 @@
         SKIPPED,
         ended(SHORTER_S + 0.1),
     ),
+    "was cut by a timeout that its gateway put in force after it was sent": (
+        NOT_STARTED_AGAIN,
+        ended(SHORTER_S + 0.5),
+    ),
+    "was cut by the only timeout that its gateway's process has known": (
+        STARTED_AGAIN,
+        ended(SHORTER_S + 0.5),
+    ),
     "was answered": (ALWAYS_DEFAULT, ended(1.0, is_whole=True)),
     "was refused": (ALWAYS_DEFAULT, ended(1.0, status=503, is_whole=True, is_at_server=False)),
     "was cut at its deadline": (ALWAYS_DEFAULT, ended(DEADLINE_S)),
@@ -112,7 +127,7 @@
     timeouts, note = ENDS[ends]
     note(record)
     context.cuts = find_cuts(
-        record.finished_attempts(), lambda gateway: timeouts, {"a": AttemptStart(CHAT, SENT_AT)}
+        record.finished_attempts(), lambda gateway, at: timeouts, {"a": AttemptStart(CHAT, SENT_AT)}
     )
 
 
