The soak of planned work takes a request by the timeouts in force once its gateway has read it

A gateway can't tell when a request was sent, and a newer version in force is the one that it has to go by: the route's timeout was reached.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -92,7 +92,7 @@
       | was cut by a timeout that was raised meanwhile  |
       | was cut by a timeout that was lowered meanwhile |
       | was cut by a timeout that had to be raised before |
-      | was cut by a timeout that its gateway put in force after it was sent |
+      | was cut by a timeout that its gateway put in force after it was read |
 
   Scenario Outline: The soak of planned work accepts an attempt that <sound>
     Given a record of planned work with an attempt that "<sound>"
@@ -106,6 +106,7 @@
       | was cut at its route's timeout                     |
       | was cut before its gateway knew the raised timeout |
       | was cut at a gateway that skipped the version with a longer timeout |
+      | was cut by a timeout that its gateway put in force before it was read |
       | was cut by the only timeout that its gateway's process has known |
       | was broken off by its server                    |
       | was sent over a connection that was just closed |
--- a/features/soak/planned/cuts.py
+++ b/features/soak/planned/cuts.py
@@ -64,11 +64,14 @@
     attempts: Iterable[FinishedAttempt],
     timeouts_at: Callable[[str, float], Timeouts],
     starts: dict[str, AttemptStart],
+    admitted_at: Mapping[str, float],
 ) -> list[Cut]:
     """Return the requests that were cut before their timeout or deadline.
 
     :param timeouts_at: returns the timeouts in force at a gateway's process that ran at a time of
         the monotonic clock.
+    :param admitted_at: when gateways read the attempts, on the monotonic clock. Versions that were
+        replaced by then do not count: a gateway cannot tell that a request was sent before.
     """
     found = []
     for finished_attempt in attempts:
@@ -82,7 +85,8 @@
         end = finished_attempt.end
         gateway = finished_attempt.sent.gateway
         timeouts = timeouts_at(gateway, end.at)
-        time_s = min(deadline_s, longest_timeout_s(timeouts, route, begun_at, end.at))
+        read_at = admitted_at.get(finished_attempt.attempt, begun_at)
+        time_s = min(deadline_s, longest_timeout_s(timeouts, route, read_at, end.at))
         lasted_s = end.at - begun_at
         if lasted_s < time_s:
             found.append(
--- a/features/soak/planned/run.py
+++ b/features/soak/planned/run.py
@@ -72,8 +72,15 @@
             time.sleep(_FINISH_S)
         world.check_all_running()
         lines = world.gateway_lines(_KINDS)
-        record.note_admitted(line["attempt"] for line in lines if line["kind"] == "AttemptAdmitted")
-        cuts = find_cuts(record.finished_attempts(), world.timeouts_at, load.starts)
+        # The machines have the same wall clock as this process.
+        ahead_s = time.time() - time.monotonic()
+        admitted_at = {
+            line["attempt"]: line["time"] - ahead_s
+            for line in lines
+            if line["kind"] == "AttemptAdmitted"
+        }
+        record.note_admitted(admitted_at)
+        cuts = find_cuts(record.finished_attempts(), world.timeouts_at, load.starts, admitted_at)
         violations = [*record.violations(), *(cut.text for cut in cuts)]
         if violations and keep is not None:
             world.keep_logs(keep / f"planned-{seed}")
--- a/features/steps/planned_soak_steps.py
+++ b/features/steps/planned_soak_steps.py
@@ -41,13 +41,16 @@
 SKIPPED = timeouts_in_force([*WRITTEN, WRITTEN[0]._replace(version=3)], {1: 1.0, 3: SENT_AT})
 EARLY = WRITTEN[1]._replace(at=SENT_AT - CONFIGURATION_S)
 NEVER_IN_FORCE = timeouts_in_force([WRITTEN[0], EARLY], {1: 1.0})
-#: A gateway that started after a longer timeout had been replaced, and one that knew it.
+#: A gateway that started after a longer timeout had been replaced, and two that knew it.
 REPLACED = [
     WrittenTimeouts(1, 0.0, {CHAT: DEFAULT_S}),
     WrittenTimeouts(2, SENT_AT - 0.1, {CHAT: SHORTER_S}),
 ]
 STARTED_AGAIN = timeouts_in_force(REPLACED, {2: SENT_AT + 0.4})
-NOT_STARTED_AGAIN = timeouts_in_force(REPLACED, {1: 1.0, 2: SENT_AT + 0.4})
+#: Seconds after which the attempt is read by its gateway.
+READ_AFTER_S = 0.3
+READ_BEFORE = timeouts_in_force(REPLACED, {1: 1.0, 2: SENT_AT + READ_AFTER_S + 0.1})
+READ_AFTER = timeouts_in_force(REPLACED, {1: 1.0, 2: SENT_AT + READ_AFTER_S - 0.1})
 ALWAYS_SHORTER: Timeouts = [(0.0, {CHAT: DEFAULT_S}), (SENT_AT - 1.0, {CHAT: SHORTER_S})]
 
 
@@ -100,8 +103,12 @@
         SKIPPED,
         ended(SHORTER_S + 0.1),
     ),
-    "was cut by a timeout that its gateway put in force after it was sent": (
-        NOT_STARTED_AGAIN,
+    "was cut by a timeout that its gateway put in force after it was read": (
+        READ_BEFORE,
+        ended(SHORTER_S + 0.5),
+    ),
+    "was cut by a timeout that its gateway put in force before it was read": (
+        READ_AFTER,
         ended(SHORTER_S + 0.5),
     ),
     "was cut by the only timeout that its gateway's process has known": (
@@ -127,7 +134,10 @@
     timeouts, note = ENDS[ends]
     note(record)
     context.cuts = find_cuts(
-        record.finished_attempts(), lambda gateway, at: timeouts, {"a": AttemptStart(CHAT, SENT_AT)}
+        record.finished_attempts(),
+        lambda gateway, at: timeouts,
+        {"a": AttemptStart(CHAT, SENT_AT)},
+        {"a": SENT_AT + READ_AFTER_S},
     )
 
 
