--- a/features/soak/planned/work.py
+++ b/features/soak/planned/work.py
@@ -1,15 +1,18 @@
 """Planned operations of operators on machines and on the configuration."""
 
+import itertools
 import os
 import random
 import shutil
 import signal
-import subprocess
 import threading
 import time
 from collections import Counter
 from collections.abc import Callable
 
+from features.soak.planned.content import DEFAULT_TIMEOUT_MS
+from features.soak.planned.cuts import AttemptStart
+from features.soak.planned.stops import StopClients
 from features.soak.planned.world import STOP_S, PlannedWorld
 from features.soak.promises import Record
 from features.soak.resource_locks import ResourceLocks
@@ -41,19 +44,27 @@
 STOPPED, SIGNALLED, TOUCHED = "gateway stopped", "settings signalled", "settings touched"
 ADDED, REMOVED = "storage machine added", "storage machine removed"
 RESTARTED = "storage machine restarted"
+RAISED, LOWERED = "timeouts raised", "timeouts lowered"
+#: Timeouts in milliseconds of streams before and after a change during a stop.
+SHORT_MS, LONG_MS = 2_000, 8_000
 
 
 class PlannedWork(ThreadGroup):
     """Runs workers while the context is active, each one planned operation at a time.
 
     :param seed: determines the kinds and their order in each worker, but not their times.
+    :param starts: receives the route and start time of the attempts at gateways that stop.
     :ivar done: number of operations by kind.
     """
 
-    def __init__(self, world: PlannedWorld, record: Record, seed: int) -> None:
+    def __init__(
+        self, world: PlannedWorld, record: Record, seed: int, starts: dict[str, AttemptStart]
+    ) -> None:
         super().__init__()
         self._world = world
         self._record = record
+        self._starts = starts
+        self._stops = itertools.count()
         self._resource_locks = ResourceLocks()
         self._lock = threading.Lock()
         self.done: Counter[str] = Counter()
@@ -96,18 +107,57 @@
         with self._resource_locks.lock_any(self._world.gateways, rng) as name:
             if name is None:
                 return
-            process = self._world.kill(name, signal.SIGTERM)
-            self._count(STOPPED)
-            try:
-                process.wait(timeout=STOP_S + _SLACK_S)
-            except subprocess.TimeoutExpired:
-                self._record.note_violation(f"DRAIN: {name} still runs {STOP_S} s after SIGTERM")
-                self._world.kill(name)
+            self._stop_in_use(rng, name)
+            process = self._world.processes[name]
             if process.returncode:
                 self._record.note_violation(f"ENDED: {name} ended with {process.returncode}")
             self._world.start_machine(name, is_gateway=True)
+            self._signal_start(rng, name)
             self._wait(lambda: self._world.is_ready(name), _READY_S, f"{name} is ready")
 
+    def _stop_in_use(self, rng: random.Random, name: str) -> None:
+        """Stop a gateway whose clients use their connections until its process is gone."""
+        clients = StopClients(
+            self._world, self._record, self._starts, rng, name, f"stop{next(self._stops)}"
+        )
+        with clients:
+            self._set_stream_timeouts(rng.choice((SHORT_MS, DEFAULT_TIMEOUT_MS)))
+            process = self._world.kill(name, signal.SIGTERM)
+            self._count(STOPPED)
+            clients.note_signalled()
+            ends_at = time.monotonic() + STOP_S + _SLACK_S
+            while process.poll() is None and time.monotonic() < ends_at:
+                time.sleep(rng.uniform(0.1, 1.0))
+                self._disturb_stop(rng, name)
+            if process.poll() is None:
+                self._record.note_violation(f"DRAIN: {name} still runs {STOP_S} s after SIGTERM")
+                self._world.kill(name)
+
+    def _disturb_stop(self, rng: random.Random, name: str) -> None:
+        """Signal a gateway that stops, touch its settings, or change the streams' timeouts."""
+        kind = rng.choice((SIGNALLED, TOUCHED, STOPPED, RAISED, RAISED, LOWERED))
+        if kind == TOUCHED:
+            os.utime(self._world.folder / f"{name}.toml")
+        elif kind in (SIGNALLED, STOPPED):
+            number = signal.SIGHUP if kind == SIGNALLED else signal.SIGTERM
+            self._world.kill(name, number)
+        else:
+            self._set_stream_timeouts(LONG_MS if kind == RAISED else SHORT_MS)
+        self._count(f"{kind} during a stop")
+
+    def _set_stream_timeouts(self, timeout_ms: int) -> None:
+        with self._world.edited_content() as content:
+            content.set_stream_timeouts(timeout_ms)
+
+    def _signal_start(self, rng: random.Random, name: str) -> None:
+        """Signal a gateway a few times from when it listens, which is long before it is ready."""
+        self._wait(lambda: self._world.listens(name), _READY_S, f"{name} listens")
+        for _ in range(rng.randrange(0, _MAX_REPEATS)):
+            if self._is_over.wait(rng.uniform(0.0, 0.3)):
+                return
+            self._world.kill(name, signal.SIGHUP)
+            self._count(SIGNALLED)
+
     def _signal_one(self, rng: random.Random) -> None:
         """Touch a gateway's settings or signal it, a few times in a row."""
         with self._resource_locks.lock_any(self._world.gateways, rng) as name:
