A process that has stopped ignores further signals

Operators saw a planned stop end with -15 or -1, as after a crash: the interpreter restores the default actions of signals at its end, so a second SIGTERM or a SIGHUP of a changed file killed the process in its last moments. They are ignored from then on.

--- a/features/planned_stops.feature
+++ b/features/planned_stops.feature
@@ -57,6 +57,12 @@
       | with a signal    |
       | without a signal |
 
+  # Guards against stops that look like a crash since a further signal came in their last moments.
+  Scenario: A gateway that is signalled until it is gone ends with code 0
+    When gateway 0 gets SIGTERM
+    And it gets SIGHUP and SIGTERM again and again until the process is gone
+    Then the gateway ends with code 0 within 6.0 s of the signal
+
   # Guards against requests that are taken just before the process ends.
   Scenario: Requests on open connections are refused until the process has ended
     Given a route "slow" of type "mutating" with a time of 20000 ms and a server that takes 15 s
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -23,6 +23,8 @@
 NO_ANSWER = 0
 #: Seconds between two requests of callers that send one after the other.
 PAUSE_S = 0.02
+#: Seconds between two pairs of signals to a process that ends.
+SIGNAL_PAUSE_S = 0.005
 #: Changes of the product's code in mutants of a gateway.
 MUTANTS = {
     "ends without final responses": (
@@ -151,6 +153,14 @@
     world(context).publish()
 
 
+@when("it gets SIGHUP and SIGTERM again and again until the process is gone")
+def signal_until_gone(context: Context) -> None:
+    while context.stopped.poll() is None:
+        for number in (signal.SIGHUP, signal.SIGTERM):
+            context.stopped.send_signal(number)
+        time.sleep(SIGNAL_PAUSE_S)
+
+
 @given("{count:d} callers with open connections to gateway 0")
 def open_connections(context: Context, count: int) -> None:
     context.kept = [world(context).connect(0) for _ in range(count)]
--- a/yarrowwall/machine/process.py
+++ b/yarrowwall/machine/process.py
@@ -26,6 +26,8 @@
 
 #: Seconds between checks of the settings file, which may change without a signal.
 SETTINGS_CHECK_SECONDS = 2.0
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+_SIGNALS = (*_STOP_SIGNALS, signal.SIGHUP)
 _METRICS_PATH = "/metrics"
 _METRICS_TYPE = "text/plain; version=0.0.4"
 
@@ -111,7 +113,7 @@
 
     def start(self) -> None:
         """Start working."""
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in _STOP_SIGNALS:
             signal.signal(number, lambda *_: eventlet.spawn_n(self.stop))
         signal.signal(signal.SIGHUP, lambda *_: eventlet.spawn_n(self.reload))
         signal.signal(signal.SIGPIPE, signal.SIG_IGN)
@@ -182,6 +184,9 @@
         :returns: its exit code.
         """
         code: int = self._stopped.wait()
+        # At its end the interpreter restores default actions, and a signal would kill it.
+        for number in _SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
         self._log.write(decisions.ProcessChanged("stopped", ""))
         return code
 
