--- a/features/soak/planned/cuts.py
+++ b/features/soak/planned/cuts.py
@@ -7,7 +7,7 @@
 
 #: Deadline of each attempt in seconds.
 DEADLINE_S = 4.0
-#: Seconds within which a configuration must be in force at every gateway.
+#: Seconds after its acknowledgement within which a configuration must be in force everywhere.
 CONFIGURATION_S = 3.0
 #: Timeouts of routes in seconds, each with the time on the monotonic clock since when they apply.
 Timeouts = list[tuple[float, dict[str, float]]]
@@ -16,7 +16,7 @@
 class WrittenTimeouts(NamedTuple):
     """The timeouts of the routes in a version of the configuration.
 
-    :param at: time of the write on the monotonic clock.
+    :param at: time at which the store acknowledged it, on the monotonic clock.
     """
 
     version: int
@@ -101,8 +101,8 @@
     """Return the timeouts of routes by when they apply at a gateway.
 
     They apply once the gateway has put their version in force, at the latest ``CONFIGURATION_S``
-    after the write, unless the gateway has put a later version in force by then. A process knows
-    no version that was replaced before it read its first one.
+    after the acknowledgement, unless the gateway has put a later version in force by then. A
+    process knows no version that was replaced before it read its first one.
 
     :param in_force: time on the monotonic clock at which the gateway's process put each version
         in force.
--- a/features/soak/planned/world.py
+++ b/features/soak/planned/world.py
@@ -95,10 +95,9 @@
         with self._publish_lock:
             yield self.content
             self.version += 3
-            self.written.append(
-                WrittenTimeouts(self.version, time.monotonic(), self.content.timeouts_s)
-            )
+            timeouts_s = self.content.timeouts_s
             self.store.put("config", "main", {"version": self.version, **self.content.spec})
+            self.written.append(WrittenTimeouts(self.version, time.monotonic(), timeouts_s))
 
     # Servers
 
