A turn waits for a group that is out of reach for a second before it begins with too few tokens

A storage machine was emptied, its zone's group was out of reach for 1.2 s while its members changed, and a turn that waited 0.5 s for it began with 30 of its 50 tokens; the group's part turned out to be used up when it was back, so the stream was cut at the fourth event. A look at the whole budget would have said 402 before anything ran.

A turn now waits for groups that have been out for less than 2 s, for two fifths of its time, 0.5 to 2 s; a longer outage, as in a zone that is cut off, is not waited for, as before. "A turn with 4.0 s waits for a group that is out of reach for a second" failed before (102 of 136 tokens), and one mutant. Still open: a turn that begins short in a longer outage.

--- a/features/steps/spent_budget_steps.py
+++ b/features/steps/spent_budget_steps.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from yarrowwall.budgets import ledger
 from yarrowwall.budgets.budget_requests import BudgetRequest, claim_for
 from yarrowwall.budgets.group_reachability import PROBE_INTERVAL_SECONDS, GroupReachability
 from yarrowwall.budgets.ledger import ReplicatedLedger
@@ -213,6 +214,36 @@
     context.grant = _open_turn(context, "short")
 
 
+@given("one of its turns has spent {tokens:d} tokens at a gateway")
+def spent_at_gateway(context: Context, tokens: int) -> None:
+    groups: Any = context.groups
+    log: Any = _Log()
+    context.ledger = ReplicatedLedger(OWN_ZONE, _views(), groups, log, time.monotonic)
+    context.end_s = time.monotonic() + 9.0
+    _open_turn(context, "before").close([Event(b"", str(n)) for n in range(tokens)], "i-1")
+    # Wait until its settlement is written.
+    eventlet.sleep(SETTLED_SECONDS)
+
+
+@given("a ledger that waits as long for all turns")
+def impatient_ledger(context: Context) -> None:
+    change = patch.object(ledger, "RECOVERY_WAIT_SHARE", 0.0)
+    change.start()
+    context.add_cleanup(change.stop)
+
+
+@then("a turn with {time_s:f} s is granted {tokens:d} tokens, after {least_s:f} to {most_s:f} s")
+def granted_after(
+    context: Context, time_s: float, tokens: int, least_s: float, most_s: float
+) -> None:
+    began_s = time.monotonic()
+    context.end_s = began_s + time_s
+    granted = _open_turn(context, "next")._turn_reservations.granted
+    waited_s = time.monotonic() - began_s
+    assert granted == tokens, granted
+    assert least_s <= waited_s <= most_s, waited_s
+
+
 @when("its common group recovers but does not answer its next claim")
 def recovers_but_fails_once(context: Context) -> None:
     context.groups.fails_once.add(COMMON)
--- a/features/zone_cuts.feature
+++ b/features/zone_cuts.feature
@@ -110,6 +110,26 @@
     When the group of zone 1 stops answering for 300 ms
     Then the next turn is granted all its tokens
 
+  # Guards against a stream aborted for tokens that its budget did not have: it began short while a
+  # group changed its members, which held what was left.
+  Scenario Outline: A turn with <time> s waits for a group that is out of reach for a second
+    Given a program with 272 tokens whose turns emit as much as they may
+    And one of its turns has spent 136 tokens at a gateway
+    When the group of zone 1 stops answering for 1200 ms
+    Then a turn with <time> s is granted <tokens> tokens, after <least> to <most> s
+
+    Examples:
+      | time | tokens | least | most |
+      | 4.0  | 136    | 1.0   | 1.8  |
+      | 1.0  | 102    | 0.4   | 0.8  |
+
+  Scenario: The scenario of a group that is out of reach detects a ledger that hardly waits for it
+    Given a program with 272 tokens whose turns emit as much as they may
+    And one of its turns has spent 136 tokens at a gateway
+    And a ledger that waits as long for all turns
+    When the group of zone 1 stops answering for 1200 ms
+    Then a turn with 4.0 s is granted 102 tokens, after 0.4 to 0.8 s
+
   Scenario Outline: Random schedules of partitioned zones, seeds from <first>
     Then 12 random zone schedules from seed <first> violate no invariant
 
--- a/yarrowwall/budgets/ledger.py
+++ b/yarrowwall/budgets/ledger.py
@@ -13,7 +13,11 @@
 from yarrowwall.budgets.open_tries import OpenTries
 from yarrowwall.budgets.record_groups import RecordGroups
 from yarrowwall.budgets.record_names import ambiguous_name, program_name, record_name
-from yarrowwall.budgets.reservations import Reservations
+from yarrowwall.budgets.reservations import (
+    BRIEF_OUTAGE_SECONDS,
+    MIN_RECOVERY_WAIT_SECONDS,
+    Reservations,
+)
 from yarrowwall.budgets.settlements import SettlementQueues
 from yarrowwall.budgets.stream_keys import RESUMPTION
 from yarrowwall.budgets.stream_records import StreamRecords, stream_retention_s
@@ -45,6 +49,9 @@
 RESERVE_RETRY_SECONDS = 1.0
 #: Seconds before it asks again if other turns hold the tokens; doubles up to the above.
 FIRST_RELEASE_WAIT_SECONDS = 0.2
+#: Most of a request's time for which its turn waits for groups in a brief outage before it starts
+#: with too few tokens.
+RECOVERY_WAIT_SHARE = 0.4
 #: Seconds between its checks whether more groups are reachable.
 REACHABILITY_POLL_SECONDS = 0.05
 #: Timeout in seconds for checking a group if turns can fall back on other groups.
@@ -176,7 +183,10 @@
             likely = RESUMPTION if attempt.is_resumption else software.likely
         reservation = None
         if program is not None and program.budget is not None:
-            reservation = self._reserve(attempt, program, program.budget, route, likely)
+            recovery_wait_s = self._recovery_wait_s(deadline())
+            reservation = self._reserve(
+                attempt, program, program.budget, route, likely, recovery_wait_s
+            )
         grant = LedgerGrant(self, attempt, route, chain, reservation, tokens_per_event, deadline)
         if reservation is not None:
             grant.open_tries = OpenTries(self._client, reservation).attempts
@@ -214,10 +224,12 @@
         budget: int,
         route: Route,
         software: str,
+        recovery_wait_s: float,
     ) -> Reservation:
         """Reserve the most tokens that a turn may emit.
 
         :param software: The software that is expected to run the turn; empty for none.
+        :param recovery_wait_s: Seconds to wait for groups in a brief outage before granting fewer.
         :raises BudgetExhaustedError: If too few tokens of the budget are left.
         :raises StoreUncertainError: If too few groups could be asked.
         """
@@ -235,7 +247,17 @@
             software,
             request_identity(attempt),
         )
-        return self._reservations.reserve(claim, budget)
+        return self._reservations.reserve(claim, budget, recovery_wait_s)
+
+    def _recovery_wait_s(self, deadline: float) -> float:
+        """Return how long a turn waits for groups before it starts with too few tokens.
+
+        A turn that starts short may have to be aborted, and one that waits too long has no time.
+        """
+        left_s = deadline - self._now()
+        return max(
+            MIN_RECOVERY_WAIT_SECONDS, min(RECOVERY_WAIT_SHARE * left_s, BRIEF_OUTAGE_SECONDS)
+        )
 
     def reserve_more(
         self,
--- a/yarrowwall/budgets/reservations.py
+++ b/yarrowwall/budgets/reservations.py
@@ -51,10 +51,11 @@
 #: and a member that does not answer is skipped within 0.08 s. The last resort, which is the group
 #: of the gateway's zone if the common one is unreachable, has as long as any operation.
 FALLBACK_TIMEOUT_SECONDS = 0.25
-#: Checks whether unreachable groups that a turn needs tokens from have recovered, and seconds
-#: between them. A restart of a process takes a second, and most groups recover sooner.
-RECOVERY_CHECKS = 10
+#: Seconds between checks whether unreachable groups that a turn needs tokens from have recovered.
 RECOVERY_CHECK_SECONDS = 0.05
+#: Least seconds for which a turn waits for them before it starts with too few tokens. A restart of
+#: a process, or a change of a group's members, takes about a second; most groups recover sooner.
+MIN_RECOVERY_WAIT_SECONDS = 0.5
 #: Length of an outage in seconds after which a group is no longer waited for.
 BRIEF_OUTAGE_SECONDS = 2.0
 #: Seconds without the common group for which a zone grants from its part alone. The common group
@@ -84,9 +85,15 @@
         self._queues = queues
         self._log = log
 
-    def reserve(self, claim: TokenClaim, budget: int) -> Reservation:
+    def reserve(
+        self,
+        claim: TokenClaim,
+        budget: int,
+        recovery_wait_s: float = MIN_RECOVERY_WAIT_SECONDS,
+    ) -> Reservation:
         """Reserve the claimed tokens, or fewer if some group is unreachable.
 
+        :param recovery_wait_s: Seconds to wait for groups in a brief outage before granting fewer.
         :raises BudgetExhaustedError: If too few tokens of the budget are left.
         :raises StoreUncertainError: If too few groups could be asked.
         """
@@ -96,7 +103,7 @@
         try:
             verdict = self._claim_from_groups(request)
             if verdict is Verdict.SHORT:
-                verdict = self._retry_recovered_groups(request)
+                verdict = self._retry_recovered_groups(request, recovery_wait_s)
         except BaseException:
             # The caller has disconnected. A claim that is never settled would count in full.
             self._release_claims(request)
@@ -204,10 +211,10 @@
                 return Verdict.EXHAUSTED
         return self._decide(request)
 
-    def _retry_recovered_groups(self, request: BudgetRequest) -> Verdict:
+    def _retry_recovered_groups(self, request: BudgetRequest, wait_s: float) -> Verdict:
         """Claim from groups that recover quickly, before a turn starts with too few tokens."""
         verdict = Verdict.SHORT
-        for _ in range(RECOVERY_CHECKS):
+        for _ in range(round(wait_s / RECOVERY_CHECK_SECONDS)):
             pending = [group for group in request.unreachable if self._is_brief_outage(group)]
             if not pending or verdict is not Verdict.SHORT:
                 break
