A turn that began short keeps its stream to the end of its request's time

A turn that waits for missing tokens gave up 0.03 s before the deadline, time that is reserved for sending an end, and when other turns held the tokens, as soon as the next try would come too late; there is no end to send then. It now waits to the deadline. "... no earlier than its deadline if others hold the tokens" failed before (0.7 of 1.3 s); the one for groups out of reach passes before as well, since the last try outlasted the margin there. A step that begins turns sets their deadline now, which reads when a turn opens: without it two features' scenarios of short turns ended with an error.

--- a/features/steps/spent_budget_steps.py
+++ b/features/steps/spent_budget_steps.py
@@ -206,6 +206,7 @@
     groups: Any = context.groups
     log: Any = _Log()
     context.ledger = ReplicatedLedger(OWN_ZONE, _views(), groups, log, time.monotonic)
+    context.end_s = time.monotonic() + 1.0
     # A zone's part alone is granted only for some time after an answer of the common group.
     _open_turn(context, "before").close([], "i-1")
     # Wait until its settlement is written.
@@ -368,6 +369,12 @@
     assert after_s < limit_s, after_s
 
 
+@then("the turn is refused more tokens after {least_s:f} to {most_s:f} s, which it has left")
+def refused_at_deadline(context: Context, least_s: float, most_s: float) -> None:
+    after_s = _refused_after_s(context, least_s)
+    assert least_s <= after_s <= most_s, after_s
+
+
 @then("the turn is not refused more tokens within {limit_s:f} s")
 def not_refused_more(context: Context, limit_s: float) -> None:
     after_s = _refused_after_s(context, 10.0 * limit_s)
--- a/features/zone_cuts.feature
+++ b/features/zone_cuts.feature
@@ -89,6 +89,20 @@
     When its common group recovers
     Then the turn is refused more tokens within 0.2 s
 
+  # Guards against a stream that is cut just before its deadline: there is no end to reserve time for.
+  Scenario: A turn that began short is aborted no earlier than its deadline if others hold the tokens
+    Given a program with 272 tokens whose turns emit as much as they may
+    And one of its turns was granted only the part of its zone
+    And another turn holds 136 tokens of the common part and the parts of zones that are exhausted
+    When its common group recovers
+    Then the turn is refused more tokens after 1.3 to 1.5 s, which it has left
+
+  Scenario: A turn that began short is aborted no earlier than its deadline if groups are out of reach
+    Given a program with 272 tokens whose turns emit as much as they may
+    And one of its turns was granted only the part of its zone
+    And another turn holds 136 tokens of the common part and the parts of zones that are unresponsive
+    Then the turn is refused more tokens after 1.3 to 1.5 s, which it has left
+
   Scenario Outline: The scenarios of turns that began short detect a ledger that "<mutant>"
     Given a program with 272 tokens whose turns emit as much as they may
     And one of its turns was granted only the part of its zone
--- a/yarrowwall/budgets/ledger.py
+++ b/yarrowwall/budgets/ledger.py
@@ -24,7 +24,7 @@
 from yarrowwall.budgets.turn_cache import CACHE_BYTES, TurnCache, TurnLine
 from yarrowwall.budgets.turn_copier import TurnCopier
 from yarrowwall.budgets.turn_reservations import TurnReservations
-from yarrowwall.budgets.turn_store import END_MARGIN_SECONDS, PlacedRecord, TurnStore
+from yarrowwall.budgets.turn_store import PlacedRecord, TurnStore
 from yarrowwall.budgets.turns import Turn
 from yarrowwall.budgets.zone_groups import ZoneGroups
 from yarrowwall.decisions import DecisionLog
@@ -288,11 +288,9 @@
                     raise _too_few_granted(turn_reservations, error) from error
 
     def _wait(self, seconds: float, deadline: Callable[[], float]) -> bool:
-        """Wait; return False at once if the deadline would pass meanwhile."""
-        if self._now() + seconds >= deadline() - END_MARGIN_SECONDS:
-            return False
-        eventlet.sleep(seconds)
-        return True
+        """Wait, until the deadline at the latest; return False once it has passed."""
+        eventlet.sleep(max(min(seconds, deadline() - self._now()), 0.0))
+        return self._now() < deadline()
 
     def _reserve_remainder(
         self, turn_reservations: TurnReservations, budget: int, needed: int
@@ -324,7 +322,7 @@
         # A group that became unreachable during the claim may be asked again once it recovers.
         tried = tried & self._reachable_groups(turn_reservations.first_claim.common_group)
         retry_at = self._now() + RESERVE_RETRY_SECONDS
-        while self._now() < deadline() - END_MARGIN_SECONDS:
+        while self._now() < deadline():
             if (
                 self._now() >= retry_at
                 or self._reachable_groups(turn_reservations.first_claim.common_group) - tried
