The final response at the end of a stop is decided in one place

By reading: the interrupt was turned into a refusal where a sender was in use, and anything else counted as not sent. An interrupt that came while an attempt was being closed, which may give the event loop a turn (permits that are still asked for are given back by ending greenthreads), would have passed those places, and the caller of a request that had run would have got 503. The exchange now asks the attempt's sender, whenever there is one, at the one place that handles the interrupt.

--- a/yarrowwall/gateway/exchange.py
+++ b/yarrowwall/gateway/exchange.py
@@ -52,6 +52,8 @@
         self._attempt: Attempt | None = None
         self._time: RequestTime | None = None
         self._watch: CallerWatch | None = None
+        self._sender: AttemptSender | None = None
+        self._turn: Turn | None = None
         self._body = self._run()
         gateway.active_requests.add(self)
 
@@ -171,9 +173,10 @@
                 yield from self._relay_stream(attempt, route, time)
             else:
                 yield self._relay_buffered(attempt, route, time)
-        except GatewayStoppingError:
-            # Senders turn this into their final refusal, so no server has the request.
-            yield self._response.refuse(_not_run().refusal)
+        except GatewayStoppingError as error:
+            sender = self._turn.sender if self._turn is not None else self._sender
+            final = sender.refused(str(error)) if sender is not None else _not_run()
+            yield self._response.refuse(final.refusal)
         except RefusedError as error:
             yield self._response.refuse(error.refusal)
 
@@ -232,16 +235,16 @@
                 attempt, route, service, time, attempt.body, allowance, self._request_memory
             )
             with contextlib.closing(AttemptSender(self._components.dispatch, plan)) as sender:
-                try:
-                    answer, body = relay_buffered(self._components.dispatch, route, sender)
-                except GatewayStoppingError as error:
-                    raise sender.refused(str(error)) from error
+                self._sender = sender
+                answer, body = relay_buffered(self._components.dispatch, route, sender)
                 return self._response.start_buffered(answer, body, sender.history.tried[-1])
         finally:
             allowance.close()
 
     def _relay_stream(self, attempt: Attempt, route: Route, time: RequestTime) -> Iterator[bytes]:
-        turn = Turn(self._gateway, attempt, route, time, self._request_memory, self._response)
+        turn = self._turn = Turn(
+            self._gateway, attempt, route, time, self._request_memory, self._response
+        )
         loads = self._components.dispatch.loads.request_loads()
         allowance = self._components.quotas.allowance(attempt)
         allowance.prefetch()
--- a/yarrowwall/gateway/response.py
+++ b/yarrowwall/gateway/response.py
@@ -114,7 +114,7 @@
     def note_process_ended(self, detail: str) -> None:
         """Log that the response ends because the process does.
 
-        :param detail: what the request waited for.
+        :param detail: the time that the request had left.
         """
         self.is_end_logged = True
         self._log_connection_ended(ConnectionEnd(ConnectionEndReason.PROCESS_ENDED, detail))
--- a/yarrowwall/gateway/turn.py
+++ b/yarrowwall/gateway/turn.py
@@ -10,7 +10,6 @@
 from yarrowwall.event_stream import Event
 from yarrowwall.exceptions import (
     BudgetExhaustedError,
-    GatewayStoppingError,
     RelayError,
     StoreUncertainError,
     StreamUnknownError,
@@ -39,6 +38,7 @@
 
     :param time: time limit of the attempt.
     :param request_memory: counts the bytes that are buffered for the request.
+    :ivar sender: sends the attempt; None until the turn is granted.
     """
 
     def __init__(
@@ -60,6 +60,7 @@
         self._service = gateway.router.main_service(route)
         #: Name of the service that runs the turn, chosen once it is granted.
         self._chosen_service = ""
+        self.sender: AttemptSender | None = None
 
     def open(self) -> TurnGrant:
         """Return the record store's grant to run the turn.
@@ -136,7 +137,7 @@
         :raises RefusedError: if no server runs the turn.
         :raises AnswerAbortedError: if the stream fails after its first events were relayed.
         """
-        sender = self._sender(grant, allowance)
+        sender = self.sender = self._make_sender(grant, allowance)
         relay = StreamRelay(self._components.dispatch, self._attempt, self._route, sender)
         exit_stack = ExitStack()
         try:
@@ -175,8 +176,6 @@
                 decisions.AnswerBrokenOff(self._attempt.attempt_id, str(error), len(relay.relayed))
             )
             raise AnswerAbortedError from None
-        except GatewayStoppingError as error:
-            raise sender.refused(str(error)) from error
         finally:
             exit_stack.close()
             sender.close()
@@ -198,7 +197,7 @@
         self._response.note_output(len(events))
         return b"".join(event.raw for event in events)
 
-    def _sender(self, grant: TurnGrant, allowance: Allowance) -> AttemptSender:
+    def _make_sender(self, grant: TurnGrant, allowance: Allowance) -> AttemptSender:
         service = self._chosen_service
         expected = grant.expected_software
         if expected and len(self._components.dispatch.directory.software(service)) == 1:
