A gateway that has found itself idle at a stop takes no further request

The stop had found the gateway idle and returned, while its greenthreads took requests until the process had ended. It now refuses all requests from that moment; what arrives later still gets 503 or isn't read. "A gateway takes no request any more once it has found itself idle" failed before.

--- a/features/planned_stops.feature
+++ b/features/planned_stops.feature
@@ -22,7 +22,8 @@
   # Guards against requests that a configuration carries past the end of the process.
   Scenario: A request whose time is raised during the stop is told that it may have run
     Given a route "slow" of type "mutating" with a time of 1500 ms and a server that takes 15 s
-    When gateway 0 gets SIGTERM
+    And a route "busy" of type "mutating" with a time of 20000 ms and a server that takes 15 s
+    When gateway 0 gets SIGTERM while 1 callers send "busy"
     And 3 callers send "slow" 3.2 s after the signal
     And the time of "slow" is raised to 20000 ms
     Then each is answered 502 without Retry-After
@@ -32,14 +33,16 @@
   # can only be cut.
   Scenario: A stream whose time a configuration may raise past the stop is refused at once
     Given a stream route "chat" with a timeout of 1500 ms whose server streams for 1000 ms
-    When gateway 0 gets SIGTERM
+    And a route "busy" of type "mutating" with a time of 20000 ms and a server that takes 15 s
+    When gateway 0 gets SIGTERM while 1 callers send "busy"
     And 3 callers send "chat" 3.2 s after the signal, each for at most 9000 ms
     Then each is answered 503 with Retry-After
     And the servers of "chat" got 0 requests
 
   Scenario: A stream whose caller waits no longer than the stop is taken
     Given a stream route "chat" with a timeout of 1500 ms whose server streams for 1000 ms
-    When gateway 0 gets SIGTERM
+    And a route "busy" of type "mutating" with a time of 20000 ms and a server that takes 15 s
+    When gateway 0 gets SIGTERM while 1 callers send "busy"
     And 3 callers send "chat" 3.2 s after the signal, each for at most 1800 ms
     Then each is answered 200
     And the gateway ends with code 0 within 6.0 s of the signal
@@ -63,6 +66,12 @@
     And it gets SIGHUP and SIGTERM again and again until the process is gone
     Then the gateway ends with code 0 within 6.0 s of the signal
 
+  # Guards against requests that are taken in the moment in which an idle process ends.
+  Scenario: A gateway takes no request any more once it has found itself idle
+    Given a gateway without a configuration and a caller's request
+    When its shutdown has found it idle
+    Then it takes no request, whenever that would end
+
   # Guards against requests that are taken just before the process ends.
   Scenario: Requests on open connections are refused until the process has ended
     Given a route "slow" of type "mutating" with a time of 20000 ms and a server that takes 15 s
@@ -74,8 +83,9 @@
 
   Scenario: The scenarios of stops detect a gateway that takes streams by their route's time
     Given a stream route "chat" with a timeout of 1500 ms whose server streams for 1000 ms
+    And a route "busy" of type "mutating" with a time of 20000 ms and a server that takes 15 s
     And gateway 0 is one that takes streams by their route's time
-    When gateway 0 gets SIGTERM
+    When gateway 0 gets SIGTERM while 1 callers send "busy"
     And 3 callers send "chat" 3.2 s after the signal, each for at most 9000 ms
     Then none is answered 503
 
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -5,6 +5,7 @@
 import sys
 import time
 from concurrent.futures import Future, ThreadPoolExecutor
+from types import SimpleNamespace
 from unittest.mock import patch
 
 from behave import given, then, when
@@ -13,6 +14,8 @@
 from features.support.platform_scripts import arrivals, world
 from features.support.platform_world import HOST, Answer, read_answer
 from features.support.processes import wait_until
+from yarrowwall.machine import gateway_role
+from yarrowwall.machine.gateway_role import GatewayRole
 
 GATEWAY = "edge-0"
 #: Milliseconds for which callers wait by default, longer than the machines may take to stop.
@@ -184,6 +187,21 @@
         connection.close()
 
 
+@when("its shutdown has found it idle")
+def found_idle(context: Context) -> None:
+    role = GatewayRole.__new__(GatewayRole)
+    role.gateway = context.gateway
+    role._ledger = SimpleNamespace(has_unsettled=False)
+    with patch.object(gateway_role, "MIN_STOP_SECONDS", 0.0):
+        role.stop(time.monotonic() + 6.0)
+
+
+@then("it takes no request, whenever that would end")
+def takes_none(context: Context) -> None:
+    now = time.monotonic()
+    assert not context.gateway.has_time_for(now, now + 0.01)
+
+
 @then("each of them was answered 503 or found its connection closed")
 def late_ones_refused(context: Context) -> None:
     statuses = {answer.status for answer in context.late_answers}
--- a/yarrowwall/gateway/state.py
+++ b/yarrowwall/gateway/state.py
@@ -111,6 +111,10 @@
         self._stops_at = stops_at
         self._refuses_from = now + STOP_GRACE_SECONDS
 
+    def refuse_all(self) -> None:
+        """Refuse all further requests, whenever they would end."""
+        self._stops_at = self._refuses_from = self._now()
+
     @property
     def active_count(self) -> int:
         """Return the number of active requests."""
--- a/yarrowwall/machine/gateway_role.py
+++ b/yarrowwall/machine/gateway_role.py
@@ -189,6 +189,8 @@
         while time.monotonic() < deadline:
             is_busy = self.gateway.active_count or self._ledger.has_unsettled
             if time.monotonic() > stopping_since + MIN_STOP_SECONDS and not is_busy:
+                # Connections are read until the process has ended.
+                self.gateway.refuse_all()
                 return
             eventlet.sleep(STOP_POLL_SECONDS)
         self._end_unanswered(deadline + FINAL_RESPONSE_SECONDS)
