An answer that ends with a connection whose write failed is not complete

Callers got a part of a body as a whole 200: a server answered a long upload at once, without a length, sent a part and reset the connection while the upload was still being written. Cause: Linux reports a socket's error once. The write of the upload got it, and the read that followed saw an orderly end, which ends an answer without a length. Change: a connection whose write has failed no longer takes its end for the end of an answer. Answers with a length or chunks are complete by themselves and still count. Followers and writers of the platform's store read through the same connection, so a write whose answer broke off is no longer acknowledged. Evidence: on the three scenarios with a reset failed (three types of route, at once and 0.3 s later: a whole 200 with 18 bytes; the store's write returned an object); now they pass, and an answer that ends in order beside an upload is relayed whole, as before.

--- /dev/null
+++ b/features/broken_answers.feature
@@ -0,0 +1,29 @@
+Feature: Only a whole answer of HTTP/1.x reaches a caller as an answer
+  Servers in trouble send parts of answers, or bytes that are no answer. What their caller gets is
+  a refusal, never a part that is framed as whole.
+
+  # Guards against a part of a body that reaches its caller as a complete 200: the reset was reported
+  # to the write of the upload, and the read that followed saw an orderly end.
+  @platform_world
+  Scenario Outline: An answer without a length that is reset <when> an upload is no answer
+    Given a server of each kind of route that answers an upload with a part without a length and resets it <pause_s> s later
+    When an upload of 6000000 bytes is sent on each kind of route
+    Then no caller got a success
+
+    Examples:
+      | when             | pause_s |
+      | at once beside   | 0.0     |
+      | later beside     | 0.3     |
+
+  # Guards against whole answers that are refused because their server stopped reading.
+  @platform_world
+  Scenario: An answer without a length that ends in order beside an upload is relayed whole
+    Given a server of each kind of route that answers an upload without a length and reads the rest of it
+    When an upload of 200000 bytes is sent on each kind of route
+    Then each caller got the whole answer
+
+  # Guards against writes that count as acknowledged by the store though its answer broke off.
+  Scenario: A store's answer without a length that is reset beside a write is no acknowledgement
+    Given a store that answers a write without a length and resets it
+    When an object of 6000000 bytes is written there
+    Then the write counts as not acknowledged
--- /dev/null
+++ b/features/steps/broken_answer_steps.py
@@ -0,0 +1,121 @@
+"""Steps about parts of answers, and bytes that are no answer."""
+
+import contextlib
+import http.client
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features.support.platform_scripts import knows, publish, world
+from features.support.platform_world import HOST, Answer, read_answer
+from features.support.processes import wait_until
+from features.support.raw_servers import RawAnswer, RawStandIn, list_stand_in
+from yarrowwall.platform.store import PlatformStore
+from yarrowwall.ports.object_store import ObjectStoreError
+
+KINDS = ("idempotent", "mutating", "streaming")
+#: A whole event, so that a stream that ends after it looks complete.
+_PART = b"id: 1\ndata: part\n\n"
+_UNFRAMED = b"HTTP/1.1 200 OK\r\n@Content-Type: text/event-stream\r\n\r\n" + _PART
+MAX_UPLOAD_BYTES = 16 * 1024 * 1024
+DEADLINE_MS = 3000
+#: Seconds between a store's answer and its reset, so that the answer has arrived.
+STORE_PAUSE_S = 0.1
+
+
+def add_stand_ins(context: Context, answer: RawAnswer) -> None:
+    """Add a route of each kind with a stand-in that gives an answer."""
+    context.stand_ins = {kind: RawStandIn(answer) for kind in KINDS}
+    world(context).limits["max_body_bytes"] = MAX_UPLOAD_BYTES
+    for kind, stand_in in context.stand_ins.items():
+        context.add_cleanup(stand_in.close)
+        world(context).add_route(kind, kind, attempts=1)
+    listed = {
+        list_stand_in(world(context), kind, stand_in)
+        for kind, stand_in in context.stand_ins.items()
+    }
+    publish(context)
+    wait_until(lambda: knows(context, "edge-0", world(context).version, listed), "all are listed")
+
+
+def ask(context: Context, kind: str, body: bytes) -> Answer | None:
+    """Return the answer to a request on a route; None if its connection ends without one."""
+    connection = world(context).connect()
+    headers = {
+        "Host": HOST,
+        "X-Attempt-Id": world(context).next_attempt(),
+        "X-Deadline-Ms": str(DEADLINE_MS),
+        "X-Token-Count": "10,10",
+    }
+    with contextlib.closing(connection):
+        try:
+            connection.request("POST", f"/{kind}/x", body, headers)
+            return read_answer(connection, 0.0)
+        except (OSError, http.client.HTTPException):
+            return None
+
+
+@given(
+    "a server of each kind of route that answers an upload with a part without a length and "
+    "resets it {pause_s:f} s later"
+)
+def resetting_servers(context: Context, pause_s: float) -> None:
+    add_stand_ins(context, RawAnswer(_UNFRAMED, is_reset=True, pause_s=pause_s))
+
+
+@given(
+    "a server of each kind of route that answers an upload without a length and reads the rest "
+    "of it"
+)
+def orderly_servers(context: Context) -> None:
+    add_stand_ins(context, RawAnswer(_UNFRAMED))
+
+
+@when("an upload of {size:d} bytes is sent on each kind of route")
+def send_uploads(context: Context, size: int) -> None:
+    context.answers = {kind: ask(context, kind, b"u" * size) for kind in KINDS}
+
+
+@then("no caller got a success")
+def no_success(context: Context) -> None:
+    asked = {kind: len(stand_in.heads) for kind, stand_in in context.stand_ins.items()}
+    assert all(asked.values()), asked
+    whole = {
+        kind: answer
+        for kind, answer in context.answers.items()
+        if answer is not None and answer.status < 300 and answer.is_whole
+    }
+    assert not whole, whole
+
+
+@then("each caller got the whole answer")
+def each_whole(context: Context) -> None:
+    for kind, answer in context.answers.items():
+        assert answer is not None and answer.status == 200 and answer.is_whole, (kind, answer)
+        assert answer.body == _PART, (kind, answer)
+
+
+# The store
+
+
+@given("a store that answers a write without a length and resets it")
+def resetting_store(context: Context) -> None:
+    context.stand_in = RawStandIn(
+        RawAnswer(b"HTTP/1.1 200 OK\r\n\r\n{}", is_reset=True, pause_s=STORE_PAUSE_S)
+    )
+    context.add_cleanup(context.stand_in.close)
+
+
+@when("an object of {size:d} bytes is written there")
+def write_object(context: Context, size: int) -> None:
+    context.error = None
+    try:
+        PlatformStore(context.stand_in.address).create("config", "main", {"text": "u" * size})
+    except ObjectStoreError as error:
+        context.error = error
+
+
+@then("the write counts as not acknowledged")
+def not_acknowledged(context: Context) -> None:
+    assert context.stand_in.heads, "the store got no request"
+    assert context.error is not None
--- a/yarrowwall/dispatch/connection.py
+++ b/yarrowwall/dispatch/connection.py
@@ -135,6 +135,9 @@
         self._size = AnswerSize()
         self._head_at = 0.0
         self._ends_with_connection = False
+        #: Whether a write has failed. The kernel reports a reset once, to the write or to the read:
+        #: after a failed write a reset reads like an orderly close.
+        self._has_write_failed = False
         self._must_close = False
         self._socket = open_socket(address, timeout)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
@@ -156,6 +159,7 @@
             # A server may answer before it has read the whole request.
             if self.has_no_pending_input():
                 raise ConnectionBrokenError(f"while sending: {error}") from error
+            self._has_write_failed = True
             self._must_close = True
 
     @property
@@ -202,13 +206,22 @@
             if response.is_complete:
                 return b""
             if not self._receive(end_s):
-                if not self._ends_with_connection:
-                    raise ConnectionBrokenError("closed within the answer")
+                self._check_end()
                 response.is_complete = True
         data = b"".join(response.chunks)
         response.chunks.clear()
         return data
 
+    def _check_end(self) -> None:
+        """Check that the end of the connection is the end of the current response.
+
+        :raises ConnectionBrokenError: if it is not, or if that is uncertain.
+        """
+        if not self._ends_with_connection:
+            raise ConnectionBrokenError("closed within the answer")
+        if self._has_write_failed:
+            raise ConnectionBrokenError("the answer has no length, and the connection failed")
+
     def read_all(self, timeout: float, count_bytes: Callable[[int], None]) -> bytes:
         """Return the rest of the body.
 
