An answer that ends with a connection which the gateway shut down is not complete

Callers got a part of a body as a whole 200 where the entry of its server said, while the answer was read, that the server had started again. The pool shuts down connections to an incarnation that has ended, and the greenthread that reads then sees an orderly end, which ends an answer without a length. Change: the connection notes its own shutdown as it notes a failed write; neither end is taken for the end of an answer.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -22,6 +22,14 @@
     When an upload of 200000 bytes is sent on each kind of route
     Then each caller got the whole answer
 
+  # Guards against a part of a body that reaches its caller as a complete 200: the gateway itself had
+  # shut the connection down, which reads like an orderly end.
+  @platform_world
+  Scenario: An answer without a length whose server starts again meanwhile is no answer
+    Given a server of each kind of route that answers with a part without a length and waits
+    When its entry says that it started again while a request on each kind of route is answered
+    Then no caller got a success
+
   # Guards against writes that count as acknowledged by the store though its answer broke off.
   Scenario: A store's answer without a length that is reset beside a write is no acknowledgement
     Given a store that answers a write without a length and resets it
--- a/features/steps/broken_answer_steps.py
+++ b/features/steps/broken_answer_steps.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import http.client
+import time
+from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
 from behave.runner import Context
@@ -19,6 +21,10 @@
 _UNFRAMED = b"HTTP/1.1 200 OK\r\n@Content-Type: text/event-stream\r\n\r\n" + _PART
 MAX_UPLOAD_BYTES = 16 * 1024 * 1024
 DEADLINE_MS = 3000
+#: Seconds in which a part of an answer arrives at the gateway.
+PART_SECONDS = 0.2
+#: Seconds by which a server's start is after the connections that the gateway has to it.
+CLOCK_AHEAD_SECONDS = 60.0
 #: Seconds between a store's answer and its reset, so that the answer has arrived.
 STORE_PAUSE_S = 0.1
 
@@ -71,6 +77,23 @@
     add_stand_ins(context, RawAnswer(_UNFRAMED))
 
 
+@given("a server of each kind of route that answers with a part without a length and waits")
+def waiting_servers(context: Context) -> None:
+    add_stand_ins(context, RawAnswer(_UNFRAMED, pause_s=DEADLINE_MS / 1000.0))
+
+
+@when("its entry says that it started again while a request on each kind of route is answered")
+def servers_start_again(context: Context) -> None:
+    with ThreadPoolExecutor(len(KINDS)) as pool:
+        asked = {kind: pool.submit(ask, context, kind, b"x") for kind in KINDS}
+        for kind, stand_in in context.stand_ins.items():
+            wait_until(lambda stand_in=stand_in: bool(stand_in.heads), "the request is answered")
+            time.sleep(PART_SECONDS)
+            start_ms = int((time.time() + CLOCK_AHEAD_SECONDS) * 1000)
+            list_stand_in(world(context), kind, stand_in, start_ms)
+        context.answers = {kind: answer.result() for kind, answer in asked.items()}
+
+
 @when("an upload of {size:d} bytes is sent on each kind of route")
 def send_uploads(context: Context, size: int) -> None:
     context.answers = {kind: ask(context, kind, b"u" * size) for kind in KINDS}
--- a/features/support/answer_bounds_model.py
+++ b/features/support/answer_bounds_model.py
@@ -91,7 +91,7 @@
     found._reader = _ResponseReader()
     found._size = AnswerSize()
     found._head_at = 0.0
-    found._ends_with_connection = found._must_close = found._has_write_failed = False
+    found._ends_with_connection = found._must_close = found._is_end_uncertain = False
     found._socket = None  # type: ignore[assignment]
     return found
 
--- a/features/support/raw_servers.py
+++ b/features/support/raw_servers.py
@@ -89,9 +89,11 @@
     return b"X-Attempt-Id: %b\r\nX-Server-Seal: seal.%b\r\n" % (attempt, attempt)
 
 
-def list_stand_in(world: PlatformWorld, service: str, stand_in: RawStandIn) -> str:
+def list_stand_in(
+    world: PlatformWorld, service: str, stand_in: RawStandIn, start_ms: int | None = None
+) -> str:
     """List a stand-in as a server of a service; return its id."""
-    server = Server(f"raw-{service}")
+    server = Server(f"raw-{service}", start_ms=start_ms)
     server.listener = stand_in
     world.list_again(server, service)
     return server.server_id
--- a/yarrowwall/dispatch/connection.py
+++ b/yarrowwall/dispatch/connection.py
@@ -135,9 +135,10 @@
         self._size = AnswerSize()
         self._head_at = 0.0
         self._ends_with_connection = False
-        #: Whether a write has failed. The kernel reports a reset once, to the write or to the read:
-        #: after a failed write a reset reads like an orderly close.
-        self._has_write_failed = False
+        #: Whether an end of the connection may be other than the server's orderly close. The kernel
+        #: reports a reset once: after a failed write, a reset reads like an orderly close, and so
+        #: does a shutdown by this process.
+        self._is_end_uncertain = False
         self._must_close = False
         self._socket = open_socket(address, timeout)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
@@ -159,7 +160,7 @@
             # A server may answer before it has read the whole request.
             if self.has_no_pending_input():
                 raise ConnectionBrokenError(f"while sending: {error}") from error
-            self._has_write_failed = True
+            self._is_end_uncertain = True
             self._must_close = True
 
     @property
@@ -219,7 +220,7 @@
         """
         if not self._ends_with_connection:
             raise ConnectionBrokenError("closed within the answer")
-        if self._has_write_failed:
+        if self._is_end_uncertain:
             raise ConnectionBrokenError("the answer has no length, and the connection failed")
 
     def read_all(self, timeout: float, count_bytes: Callable[[int], None]) -> bytes:
@@ -311,6 +312,7 @@
         Closing would not wake that greenthread: eventlet's hub drops the listeners of a closed
         descriptor only when its number is reused.
         """
+        self._is_end_uncertain = True
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
 
