--- a/features/steps/unbounded_answer_steps.py
+++ b/features/steps/unbounded_answer_steps.py
@@ -22,7 +22,8 @@
 from features.support.platform_world import HOST, Arrival
 from features.support.processes import wait_until
 from yarrowwall.dispatch.answer_bounds import AnswerUnfinishedError
-from yarrowwall.dispatch.connection import ServerConnection, _ResponseReader
+from yarrowwall.dispatch.connection import ServerConnection
+from yarrowwall.dispatch.response_parser import ResponseParser
 from yarrowwall.messages.codec import encode
 from yarrowwall.messages.replicated import AskStatus
 from yarrowwall.platform import store as platform_store
@@ -582,11 +583,11 @@
 
 @when("a server sends {count:d} answers to one request at once")
 def surplus_answers(context: Context, count: int) -> None:
-    context.reader = _ResponseReader()
-    context.reader.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" * count)
+    context.parser = ResponseParser()
+    context.parser.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" * count)
 
 
 @then("at most {count:d} of them are kept and the connection is not used again")
 def surplus_dropped(context: Context, count: int) -> None:
-    assert len(context.reader.responses) <= count, len(context.reader.responses)
-    assert context.reader.is_malformed
+    assert len(context.parser.responses) <= count, len(context.parser.responses)
+    assert context.parser.is_malformed
--- a/features/support/answer_bounds_model.py
+++ b/features/support/answer_bounds_model.py
@@ -14,7 +14,8 @@
     MAX_HEAD_BYTES,
     AnswerSize,
 )
-from yarrowwall.dispatch.connection import ServerConnection, _ResponseReader
+from yarrowwall.dispatch.connection import ServerConnection
+from yarrowwall.dispatch.response_parser import ResponseParser
 from yarrowwall.event_stream import EventSplitter
 from yarrowwall.exceptions import AnswerTimeoutError, RelayError
 from yarrowwall.http_framing import FRAMING_BYTES_PER_BODY_BYTE
@@ -82,13 +83,13 @@
         len(response.header_lines)
         + (len(response.head.headers.lines) if response.head is not None else 0)
         + sum(len(chunk) for chunk in response.chunks)
-        for response in connection._reader.responses
+        for response in connection._parser.responses
     )
 
 
 def _connection() -> ServerConnection:
     found = ServerConnection.__new__(ServerConnection)
-    found._reader = _ResponseReader()
+    found._parser = ResponseParser()
     found._size = AnswerSize()
     found._head_at = 0.0
     found._ends_with_connection = found._must_close = found._is_end_uncertain = False
@@ -105,7 +106,7 @@
 
     def receive(self, _: object, size: int, timeout: float) -> bytes:
         """Return the next piece."""
-        self.body = self._connection._reader.body_bytes
+        self.body = self._connection._parser.body_bytes
         kept = _kept(self._connection)
         assert kept <= MAX_HEAD_BYTES + 2 * PIECE_BYTES, f"{kept} bytes are kept"
         limit = MAX_HEAD_BYTES + FRAMING_BYTES_PER_BODY_BYTE * self.body + 2 * PIECE_BYTES
@@ -183,7 +184,7 @@
         _check(self, has_head)
 
 
-def _keep_trailers(self: _ResponseReader, name: bytes, value: bytes) -> None:
+def _keep_trailers(self: ResponseParser, name: bytes, value: bytes) -> None:
     self.responses[-1].header_lines += b"%b: %b\r\n" % (name, value)
 
 
@@ -196,7 +197,7 @@
 
     def __init__(self) -> None:
         self._patches = [
-            patch.object(_ResponseReader, "on_header", _keep_trailers),
+            patch.object(ResponseParser, "on_header", _keep_trailers),
             patch.object(AnswerSize, "check", _no_check),
         ]
 
--- a/yarrowwall/dispatch/connection.py
+++ b/yarrowwall/dispatch/connection.py
@@ -1,124 +1,37 @@
 """Connections to servers: one request at a time, with strict framing of responses.
 
 ``urllib3`` and ``http.client`` hide bytes that follow a complete response, which show that a
-connection must not be reused. So responses are parsed here with ``httptools`` (llhttp) on green
-sockets.
+connection must not be reused. So responses are read here on green sockets;
+:mod:`yarrowwall.dispatch.response_parser` says what is one.
 """
 
 import contextlib
 import socket
 import time
-from collections import deque
 from collections.abc import Callable
-from http import HTTPStatus
-
-import httptools
 
 from yarrowwall.dispatch.answer_bounds import (
     AnswerSize,
     AnswerUnfinishedError,
     BodyLimit,
 )
+from yarrowwall.dispatch.response_parser import ResponseParser
 from yarrowwall.exceptions import (
     AnswerTimeoutError,
     ConnectionBrokenError,
     MalformedAnswerError,
 )
-from yarrowwall.http_framing import HTTP_VERSIONS, is_plain_chunked, transfer_codings
-from yarrowwall.model import HeaderBlock, ResponseHead
+from yarrowwall.model import ResponseHead
 from yarrowwall.sockets import has_no_pending_input, open_socket, receive, send_all
 
 #: Bytes that are read at a time. A stream whose caller does not read keeps up to five copies of
 #: them in memory; most answers and events are smaller.
 _READ_BYTES = 8 * 1024
-#: Answers that are parsed before they are read. Some servers send one more than they were asked
-#: for; of the smallest ones, a single read holds hundreds. Informational ones are dropped.
-MAX_PARSED_ANSWERS = 8
 #: Size of the kernel's receive buffer. By default it grows to 6 MB, which counts towards the
 #: machine's memory; 256 KB in 40 ms, a round trip between regions, allow 50 Mbit/s.
 _RECEIVE_BUFFER_BYTES = 256 * 1024
 
 
-class _Response:
-    """The part of a response that has arrived.
-
-    :ivar is_refused: whether its head leaves open where its body ends.
-    """
-
-    def __init__(self) -> None:
-        self.is_refused = False
-        self.header_lines = bytearray()
-        self.head: ResponseHead | None = None
-        self.chunks: deque[bytes] = deque()
-        self.is_complete = False
-
-
-class _ResponseReader:
-    """Callbacks of the parser; a server may send more responses than there were requests."""
-
-    def __init__(self) -> None:
-        self.responses: deque[_Response] = deque()
-        self.is_malformed = False
-        self.body_bytes = 0
-        self._parser = httptools.HttpResponseParser(self)
-
-    def feed(self, data: bytes) -> None:
-        """Parse bytes; invalid HTTP, or another protocol, marks the connection as malformed."""
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.is_malformed = True
-
-    def on_message_begin(self) -> None:
-        self.skip_informational()
-        if len(self.responses) >= MAX_PARSED_ANSWERS:
-            # Ends the parsing with an error, so that the connection counts as malformed.
-            raise ValueError("too many answers")
-        self.responses.append(_Response())
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if self.responses[-1].head is not None:
-            # A trailer, which is not passed on.
-            return
-        self.responses[-1].header_lines += b"%b: %b\r\n" % (name, value)
-
-    def on_headers_complete(self) -> None:
-        response = self.responses[-1]
-        status = self._parser.get_status_code()
-        response.head = ResponseHead(status, HeaderBlock(bytes(response.header_lines)))
-        response.header_lines.clear()
-        is_known = self._parser.get_http_version() in HTTP_VERSIONS
-        response.is_refused = not is_known or not _is_framing_known(response.head)
-
-    def skip_informational(self) -> None:
-        """Drop informational answers, which precede the answer itself."""
-        while self.responses and _is_informational(self.responses[0]):
-            self.responses.popleft()
-
-    def on_body(self, body: bytes) -> None:
-        self.body_bytes += len(body)
-        self.responses[-1].chunks.append(body)
-
-    def on_message_complete(self) -> None:
-        self.responses[-1].is_complete = True
-
-
-def _is_informational(response: _Response) -> bool:
-    head = response.head
-    return head is not None and head.status < HTTPStatus.OK and not response.is_refused
-
-
-def _is_framing_known(head: ResponseHead) -> bool:
-    """Return whether the end of an answer's body is certain.
-
-    The parser has checked lengths, and refuses one beside a transfer coding.
-    """
-    if head.status < HTTPStatus.CONTINUE or head.status == HTTPStatus.SWITCHING_PROTOCOLS:
-        return False
-    codings = transfer_codings(head.headers.decode())
-    return not codings or is_plain_chunked(codings)
-
-
 class ServerConnection:
     """A connection to one server.
 
@@ -131,7 +44,7 @@
         self.idle_since = 0.0
         self.opened_unix_s = 0.0
         self.keep_alive: float | None = None
-        self._reader = _ResponseReader()
+        self._parser = ResponseParser()
         self._size = AnswerSize()
         self._head_at = 0.0
         self._ends_with_connection = False
@@ -177,15 +90,15 @@
         :raises MalformedAnswerError: if the bytes are not an HTTP response.
         :raises AnswerBoundError: if the head is too long.
         """
-        responses, end_s = self._reader.responses, time.monotonic() + timeout
-        self._reader.skip_informational()
+        responses, end_s = self._parser.responses, time.monotonic() + timeout
+        self._parser.skip_informational()
         while not responses or responses[0].head is None:
             if not self._receive(end_s):
                 raise ConnectionBrokenError("closed before the answer")
         self._head_at = time.monotonic()
         head = responses[0].head
-        if responses[0].is_refused:
-            raise MalformedAnswerError("the end of the answer is uncertain")
+        if responses[0].fault:
+            raise MalformedAnswerError(responses[0].fault)
         names = {name.lower(): value for name, value in head.headers.decode()}
         framed = "content-length" in names or "transfer-encoding" in names
         self._ends_with_connection = not framed and not responses[0].is_complete
@@ -202,7 +115,7 @@
         :raises MalformedAnswerError: if the framing is broken.
         :raises AnswerBoundError: if there is too much framing.
         """
-        response, end_s = self._reader.responses[0], time.monotonic() + timeout
+        response, end_s = self._parser.responses[0], time.monotonic() + timeout
         while not response.chunks:
             if response.is_complete:
                 return b""
@@ -266,7 +179,7 @@
 
     def finish_response(self) -> None:
         """Drop the current response, which was read to its end."""
-        self._reader.responses.popleft()
+        self._parser.responses.popleft()
         self._size = AnswerSize()
 
     def _receive(self, end_s: float) -> int:
@@ -276,7 +189,7 @@
         :raises AnswerTimeoutError: if none have arrived by then.
         :raises AnswerBoundError: if too many have arrived outside of the body.
         """
-        if self._reader.is_malformed:
+        if self._parser.is_malformed:
             raise MalformedAnswerError("bytes that are no answer")
         now_s = time.monotonic()
         if self._size.is_over(now_s):
@@ -292,18 +205,18 @@
         return len(data)
 
     def _feed(self, data: bytes, read_at_s: float) -> None:
-        reader = self._reader
-        body_before = reader.body_bytes
-        reader.feed(data)
-        reader.skip_informational()
-        self._size.add(len(data), reader.body_bytes - body_before, read_at_s)
-        self._size.check(has_head=bool(reader.responses) and reader.responses[0].head is not None)
+        parser = self._parser
+        body_before = parser.body_bytes
+        parser.feed(data)
+        parser.skip_informational()
+        self._size.add(len(data), parser.body_bytes - body_before, read_at_s)
+        self._size.check(has_head=bool(parser.responses) and parser.responses[0].head is not None)
 
     @property
     def is_reusable(self) -> bool:
         """Return whether all responses were read, nothing follows and the server keeps it open."""
-        reader = self._reader
-        is_clean = not reader.responses and not reader.is_malformed and not self._must_close
+        parser = self._parser
+        is_clean = not parser.responses and not parser.is_malformed and not self._must_close
         return is_clean and self.has_no_pending_input()
 
     def interrupt(self) -> None:
