--- a/features/support/answer_cases.py
+++ b/features/support/answer_cases.py
@@ -44,6 +44,28 @@
 _CHUNKED = b"Transfer-Encoding: chunked"
 _OTHER = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
 
+#: Bytes of the head of a whole answer, before the headers of its request are put in.
+_WHOLE_HEAD = _WHOLE.index(b"abc")
+_BROKEN_LINES = (
+    *(
+        b"X-A%bB: c" % byte
+        for byte in (b" ", b"\t", b"\x00", b"\x01", b"\x1f", b"\x7f", b"\x80", b"\xff")
+    ),
+    *(
+        b"X-A%bB: c" % byte
+        for byte in (b"(", b")", b"<", b">", b",", b";", b"\\", b'"', b"/", b"[", b"{")
+    ),
+    b"X-A : c",
+    b"X-A\t: c",
+    b" X-A: c",
+    b": c",
+    b"X-A",
+    b"X-A: b\x00c",
+    b"X-A: b\x01c",
+    b"X-A: b\rc",
+    b"X-A: b\x7fc",
+)
+
 ANSWER_CASES = (
     whole("a length", _WHOLE),
     whole("chunks", _framed(_CHUNKED, body=_CHUNKS)),
@@ -86,6 +108,44 @@
         "another protocol",
         _framed(b"Connection: upgrade", b"Upgrade: a", start=_101),
     ),
+    *(
+        refused(
+            f"status {status}", _framed(b"Content-Length: 3", start=b"HTTP/1.1 %b X\r\n" % status)
+        )
+        for status in (
+            b"000",
+            b"0",
+            b"20",
+            b"1000",
+            b"-200",
+            b"+200",
+            b"0200",
+            b"OK",
+        )
+    ),
+    whole(
+        "an answer to another request first",
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nContent-Length: 5\r\n\r\nother" + _WHOLE,
+    ),
+    whole(
+        "chunks of an answer to another request first",
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + b"6\r\nRTSP/\n\r\n0\r\nA: b\r\n\r\n"
+        + _WHOLE,
+    ),
+    whole("empty lines first", b"\r\n\r\n" + _WHOLE),
+    *(
+        refused(f"a header line {line!r}, {place}", _framed(*lines))
+        for line in _BROKEN_LINES
+        for place, lines in (
+            ("first", (line, b"Content-Length: 3")),
+            ("last", (b"Content-Length: 3", line)),
+        )
+    ),
+    *(
+        refused(f"a head cut after {size} bytes", _WHOLE[:size])
+        for size in range(1, _WHOLE_HEAD, 3)
+    ),
     refused("no HTTP", b"abc\r\n\r\n"),
     refused("nothing", b""),
     refused("half a head", _OK[:20]),
