A status of 600 or more is no answer

Callers got the statuses 600 and 999 of servers in trouble as answers, on each type of route. Cause: the parser takes any three digits, and only those below 100 were checked. Change: head_fault, which says what the head of an answer is for every reader, knows the statuses 100 to 599. Status 000, broken header names and cut heads were refused before, on each type of route, and their scenarios stay.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -15,6 +15,23 @@
       | at once beside   | 0.0     |
       | later beside     | 0.3     |
 
+  # Guards against callers that get what is no answer of HTTP/1.x as an answer.
+  @platform_world
+  Scenario Outline: An answer with <what> is refused on any kind of route
+    Given a server of each kind of route whose answers have <what>
+    When a request is sent on each kind of route
+    Then each caller got 502
+
+    Examples:
+      | what                            |
+      | the status 000                  |
+      | the status 600                  |
+      | the status 999                  |
+      | a blank in a header's name      |
+      | a control byte in a header name |
+      | half a head and a close         |
+      | half a head and a reset         |
+
   # Guards against whole answers that are refused because their server stopped reading.
   @platform_world
   Scenario: An answer without a length that ends in order beside an upload is relayed whole
--- a/features/steps/broken_answer_steps.py
+++ b/features/steps/broken_answer_steps.py
@@ -16,13 +16,31 @@
 from yarrowwall.ports.object_store import ObjectStoreError
 
 KINDS = ("idempotent", "mutating", "streaming")
+#: Seconds in which a part of an answer arrives at the gateway.
+PART_SECONDS = 0.2
 #: A whole event, so that a stream that ends after it looks complete.
 _PART = b"id: 1\ndata: part\n\n"
 _UNFRAMED = b"HTTP/1.1 200 OK\r\n@Content-Type: text/event-stream\r\n\r\n" + _PART
+_LENGTH = b"Content-Length: %d\r\n" % len(_PART)
+_EVENTS = b"Content-Type: text/event-stream\r\n"
+
+
+def _answer(start: bytes = b"HTTP/1.1 200 OK", line: bytes = b"") -> RawAnswer:
+    """Return an answer that is whole but for its first line or a header."""
+    return RawAnswer(start + b"\r\n@" + line + _EVENTS + _LENGTH + b"\r\n" + _PART)
+
+
+BROKEN_ANSWERS = {
+    "the status 000": _answer(b"HTTP/1.1 000 X"),
+    "the status 600": _answer(b"HTTP/1.1 600 X"),
+    "the status 999": _answer(b"HTTP/1.1 999 X"),
+    "a blank in a header's name": _answer(line=b"X A: b\r\n"),
+    "a control byte in a header name": _answer(line=b"X\x01A: b\r\n"),
+    "half a head and a close": RawAnswer(b"HTTP/1.1 200 OK\r\n@Content-Le"),
+    "half a head and a reset": RawAnswer(b"HTTP/1.1 200 OK\r\n@Content-Le", True, PART_SECONDS),
+}
 MAX_UPLOAD_BYTES = 16 * 1024 * 1024
 DEADLINE_MS = 3000
-#: Seconds in which a part of an answer arrives at the gateway.
-PART_SECONDS = 0.2
 #: Seconds by which a server's start is after the connections that the gateway has to it.
 CLOCK_AHEAD_SECONDS = 60.0
 #: Seconds between a store's answer and its reset, so that the answer has arrived.
@@ -94,6 +112,22 @@
         context.answers = {kind: answer.result() for kind, answer in asked.items()}
 
 
+@given("a server of each kind of route whose answers have {what}")
+def broken_heads(context: Context, what: str) -> None:
+    add_stand_ins(context, BROKEN_ANSWERS[what])
+
+
+@when("a request is sent on each kind of route")
+def send_requests(context: Context) -> None:
+    context.answers = {kind: ask(context, kind, b"x") for kind in KINDS}
+
+
+@then("each caller got {status:d}")
+def each_got(context: Context, status: int) -> None:
+    found = {kind: answer and answer.status for kind, answer in context.answers.items()}
+    assert found == dict.fromkeys(KINDS, status), found
+
+
 @when("an upload of {size:d} bytes is sent on each kind of route")
 def send_uploads(context: Context, size: int) -> None:
     context.answers = {kind: ask(context, kind, b"u" * size) for kind in KINDS}
--- a/yarrowwall/dispatch/response_parser.py
+++ b/yarrowwall/dispatch/response_parser.py
@@ -19,7 +19,7 @@
 #: Responses that are parsed before they are read. Some servers send one more than they were asked
 #: for; of the smallest ones, a single read holds hundreds. Informational ones are dropped.
 MAX_PARSED_RESPONSES = 8
-#: Statuses that HTTP defines, with those of informational responses.
+#: Statuses of responses, with those of informational ones.
 STATUSES = range(100, 600)
 
 
@@ -110,7 +110,7 @@
     """
     if version not in HTTP_VERSIONS:
         return f"the answer is of version {version}"
-    if head.status < HTTPStatus.CONTINUE or head.status == HTTPStatus.SWITCHING_PROTOCOLS:
+    if head.status not in STATUSES or head.status == HTTPStatus.SWITCHING_PROTOCOLS:
         return f"the status {head.status} is none of an answer"
     codings = transfer_codings(head.headers.decode())
     if codings and not is_plain_chunked(codings):
