A response that does not begin as HTTP is no answer

Callers got "RTSP/1.0 200 OK" as a whole 200. Cause: the parser takes RTSP and ICE as first lines and tells only the version, 1.0. The 131 listed answers are also read in pieces of 1 to 8192 bytes, and three mutants of the reader are detected.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -52,3 +52,17 @@
     Given a store that answers a write without a length and resets it
     When an object of 6000000 bytes is written there
     Then the write counts as not acknowledged
+
+  # Guards against answers that are read in another way where their bytes arrive in other pieces.
+  Scenario: The listed answers are read as listed in any pieces
+    Then the listed answers are read as listed in pieces of each size
+
+  Scenario Outline: The listed answers detect a reader that <mutant>
+    Given a reader of answers that <mutant>
+    Then some of the listed answers are not read as listed
+
+    Examples:
+      | mutant                                          |
+      | takes any status                                |
+      | takes any protocol                              |
+      | looks at the protocol of the first answer alone |
--- a/features/steps/broken_answer_steps.py
+++ b/features/steps/broken_answer_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from features.support.answer_mutants import ANSWER_MUTANTS, misread
 from features.support.platform_scripts import knows, publish, world
 from features.support.platform_world import HOST, Answer, read_answer
 from features.support.processes import wait_until
@@ -176,3 +177,25 @@
 def not_acknowledged(context: Context) -> None:
     assert context.stand_in.heads, "the store got no request"
     assert context.error is not None
+
+
+# The listed answers
+
+
+@then("the listed answers are read as listed in pieces of each size")
+def read_as_listed(context: Context) -> None:
+    assert not misread(), misread()[:10]
+
+
+@given("a reader of answers that {mutant}")
+def mutant_reader(context: Context, mutant: str) -> None:
+    patch = ANSWER_MUTANTS[mutant]()
+    patch.__enter__()
+    context.add_cleanup(patch.__exit__, None, None, None)
+
+
+@then("some of the listed answers are not read as listed")
+def mutant_found(context: Context) -> None:
+    found = misread()
+    assert found
+    print(f"{len(found)} answers, {found[:5]}")
--- a/features/support/answer_bounds_model.py
+++ b/features/support/answer_bounds_model.py
@@ -87,7 +87,8 @@
     )
 
 
-def _connection() -> ServerConnection:
+def unconnected() -> ServerConnection:
+    """Return a connection without a socket, whose reads are patched."""
     found = ServerConnection.__new__(ServerConnection)
     found._parser = ResponseParser()
     found._size = AnswerSize()
@@ -152,7 +153,7 @@
     """
     for seed in range(count):
         rng, clock = random.Random(seed), _Clock()
-        connection = _connection()
+        connection = unconnected()
         watched = _Watched(connection, _Socket(rng, clock, _bytes(rng)))
         with (
             patch.object(connection_module, "receive", watched.receive),
--- a/features/support/answer_cases.py
+++ b/features/support/answer_cases.py
@@ -125,6 +125,23 @@
             b"OK",
         )
     ),
+    refused("RTSP", _framed(b"Content-Length: 3", start=b"RTSP/1.0 200 OK\r\n")),
+    refused("ICE", _framed(b"Content-Length: 3", start=b"ICE/1.0 200 OK\r\n")),
+    refused(
+        "RTSP after 103",
+        b"HTTP/1.1 103 E\r\n\r\n" + _framed(b"Content-Length: 3", start=b"RTSP/1.0 200 OK\r\n"),
+    ),
+    refused(
+        "RTSP after an answer to another request",
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nContent-Length: 5\r\n\r\nother"
+        + _framed(b"Content-Length: 3", start=b"RTSP/1.0 200 OK\r\n"),
+    ),
+    refused(
+        "RTSP after chunks of an answer to another request",
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + _CHUNKS
+        + _framed(b"Content-Length: 3", start=b"RTSP/1.0 200 OK\r\n"),
+    ),
     whole(
         "an answer to another request first",
         b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nContent-Length: 5\r\n\r\nother" + _WHOLE,
