An answer with a Content-Encoding is no answer

Callers got an encoded body as a whole 200, on each type of route. They ask for bodies without encoding, and PROTOCOL says that such a body is not the server's. Cause: no reader looked at the header. Change: head_fault refuses it, whatever the status and the coding, for every reader. Evidence: four listed answers and the scenario of three types of route failed before (200 with the header passed on) and pass now; a mutant that takes any encoding is detected.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -29,6 +29,7 @@
       | the status 999                  |
       | a blank in a header's name      |
       | a control byte in a header name |
+      | a Content-Encoding              |
       | half a head and a close         |
       | half a head and a reset         |
 
@@ -64,5 +65,6 @@
     Examples:
       | mutant                                          |
       | takes any status                                |
+      | takes any encoding                              |
       | takes any protocol                              |
       | looks at the protocol of the first answer alone |
--- a/features/steps/broken_answer_steps.py
+++ b/features/steps/broken_answer_steps.py
@@ -37,6 +37,7 @@
     "the status 999": _answer(b"HTTP/1.1 999 X"),
     "a blank in a header's name": _answer(line=b"X A: b\r\n"),
     "a control byte in a header name": _answer(line=b"X\x01A: b\r\n"),
+    "a Content-Encoding": _answer(line=b"Content-Encoding: gzip\r\n"),
     "half a head and a close": RawAnswer(b"HTTP/1.1 200 OK\r\n@Content-Le"),
     "half a head and a reset": RawAnswer(b"HTTP/1.1 200 OK\r\n@Content-Le", True, PART_SECONDS),
 }
--- a/features/support/answer_cases.py
+++ b/features/support/answer_cases.py
@@ -153,6 +153,16 @@
         + _WHOLE,
     ),
     whole("empty lines first", b"\r\n\r\n" + _WHOLE),
+    *(
+        refused(
+            f"Content-Encoding: {coding}",
+            _framed(b"Content-Encoding: " + coding.encode(), b"Content-Length: 3"),
+        )
+        for coding in ("gzip", "identity", "br, gzip")
+    ),
+    refused(
+        "Content-Encoding of chunks", _framed(b"content-encoding: gzip", _CHUNKED, body=_CHUNKS)
+    ),
     *(
         refused(f"a header line {line!r}, {place}", _framed(*lines))
         for line in _BROKEN_LINES
--- a/features/support/answer_mutants.py
+++ b/features/support/answer_mutants.py
@@ -1,6 +1,6 @@
 """The listed answers, read in pieces by the product's connection, and mutants of that."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from contextlib import AbstractContextManager
 from typing import Any
 from unittest.mock import patch
@@ -13,6 +13,7 @@
 from yarrowwall.dispatch.connection import ServerConnection
 from yarrowwall.dispatch.response_parser import ResponseParser
 from yarrowwall.exceptions import RelayError
+from yarrowwall.model import Header
 
 #: Sizes of the pieces in which an answer arrives, in bytes.
 PIECE_SIZES = (1, 2, 3, 7, 64, 8192)
@@ -64,6 +65,7 @@
 
 
 _feed_piece = ResponseParser._feed_piece
+_head_fault = response_parser.head_fault
 
 
 def _any_start(self: ResponseParser, piece: bytes) -> None:
@@ -71,12 +73,18 @@
         _feed_piece(self, piece)
 
 
+def _any_coding(version: str, status: int, headers: Collection[Header]) -> str:
+    others = [header for header in headers if header[0].lower() != "content-encoding"]
+    return _head_fault(version, status, others)
+
+
 def _whole_pieces(self: ResponseParser, data: bytes, at: int) -> int:
     return len(data)
 
 
 ANSWER_MUTANTS: dict[str, Callable[[], AbstractContextManager[Any]]] = {
     "takes any status": lambda: patch.object(response_parser, "STATUSES", range(1000)),
+    "takes any encoding": lambda: patch.object(response_parser, "head_fault", _any_coding),
     "takes any protocol": lambda: patch.object(ResponseParser, "_feed_piece", _any_start),
     "looks at the protocol of the first answer alone": lambda: patch.object(
         ResponseParser, "_piece_end", _whole_pieces
--- a/yarrowwall/dispatch/response_parser.py
+++ b/yarrowwall/dispatch/response_parser.py
@@ -167,4 +167,7 @@
     codings = transfer_codings(headers)
     if codings and not is_plain_chunked(codings):
         return "the end of the answer is uncertain"
+    if header_values(headers, "content-encoding"):
+        # Bodies are asked for without encoding.
+        return "the body of the answer is encoded"
     return ""
