An object that is nested too deeply, or has text without an encoding, leaves all others in force

Callers of a route added later got 503 at every gateway, and a gateway that started again never became ready, once another program had written one server's entry, configuration or group with values nested 970 levels deep, or one entry with a lone surrogate as its version. Cause: a page of the store is parsed whole, so one nested value ends it with a RecursionError; text without an encoding is read and fails later, when it is logged or sent on. Either way the whole list was read anew without an end. Change: object_content.is_usable says which content of one object can be used, by depth and by text, for objects of the store and for those that other machines relay. In a page that can't be parsed, values beyond that depth become null, so that the object is still known by its name and its neighbours are read. A relayed copy says that the object can't be read. The drawn lists and batches have such entries, and two more mutants are detected. Infinite figures, ports out of range, figures in place of texts and nested registrations or retirements were held before; their scenarios stay.

--- a/features/server_entries.feature
+++ b/features/server_entries.feature
@@ -60,10 +60,12 @@
     Then some drawn list or batch loses a good entry
 
     Examples:
-      | mutant                                |
-      | one bad entry drops the list          |
-      | one bad entry ends the follower       |
-      | one bad entry hides the next good one |
+      | mutant                                     |
+      | one bad entry drops the list               |
+      | one bad entry ends the follower            |
+      | one bad entry hides the next good one      |
+      | one nested entry makes its page unreadable |
+      | an entry has text without an encoding      |
 
   @platform_world
   Scenario: Every machine keeps working while another program writes invalid entries
--- a/features/steps/server_entry_steps.py
+++ b/features/steps/server_entry_steps.py
@@ -30,11 +30,13 @@
 from yarrowwall.dispatch.server_list import ServerList
 from yarrowwall.exceptions import UnusableEntryError
 from yarrowwall.model import Service
+from yarrowwall.platform import objects
 from yarrowwall.platform.documents import PlatformDocuments
 from yarrowwall.platform.objects import read_json, read_object
 from yarrowwall.policy.server_choice import PlacementRequest, ServerChooser
 from yarrowwall.policy.servers import ServerDirectory
 from yarrowwall.ports.object_store import Change, StoredObject
+from yarrowwall.watching import object_content
 
 NO_PREFERENCE = PlacementRequest((), "", "")
 
@@ -192,10 +194,20 @@
         _apply_change(self, change)
 
 
+def _any_depth(text: str) -> str:
+    return text
+
+
+def _any_text(text: str) -> bool:
+    return True
+
+
 MUTANTS = {
-    "one bad entry drops the list": ("apply_list", _list_or_nothing),
-    "one bad entry ends the follower": ("_read", _read_or_raise),
-    "one bad entry hides the next good one": ("apply_change", _skip_known_bad),
+    "one bad entry drops the list": (ServerList, "apply_list", _list_or_nothing),
+    "one bad entry ends the follower": (ServerList, "_read", _read_or_raise),
+    "one bad entry hides the next good one": (ServerList, "apply_change", _skip_known_bad),
+    "one nested entry makes its page unreadable": (objects, "_without_deep_values", _any_depth),
+    "an entry has text without an encoding": (object_content, "is_encodable", _any_text),
 }
 
 
@@ -206,8 +218,8 @@
 
 @then("some drawn list or batch loses a good entry")
 def some_list_loses(context: Context) -> None:
-    name, replacement = context.mutant
-    with patch.object(ServerList, name, replacement):
+    target, name, replacement = context.mutant
+    with patch.object(target, name, replacement):
         try:
             drawn_hold(context, 400)
         except (AssertionError, UnusableEntryError, ExceptionGroup):
--- a/features/support/drawn_entries.py
+++ b/features/support/drawn_entries.py
@@ -90,12 +90,25 @@
 _NOT_TEXT = _VALUES.filter(lambda value: not isinstance(value, str))
 _NOT_INTEGER = _VALUES.filter(lambda value: type(value) is not int)
 _NOT_MAPPING = _VALUES.filter(lambda value: not isinstance(value, dict))
-#: Entries with invalid UTF-8, numbers that are too long, or unusable names.
+
+
+def _with_raw(name: bytes, field: bytes, value: bytes) -> bytes:
+    """Return the bytes of a valid entry with a field as JSON that can't be written from values."""
+    whole = entry_data(name.decode(), valid_spec() | {"raw": "raw"})
+    return whole.replace(b'"raw": "raw"', b'"%b": %b' % (field, value))
+
+
+#: Entries with invalid UTF-8, numbers that are too long, values that are nested too deeply, text
+#: without an encoding, or unusable names.
 _UNREADABLE = (
     b'{"meta":{"name":"s-1","revision":5},"spec":{"service":"\xff\xfe\x00"}}',
     b'{"meta":{"name":"s-2","revision":5},"spec":{"slots":' + b"9" * 5_000 + b"}}",
     b'{"meta":{"name":"s-3","revision":' + b"9" * 5_000 + b'},"spec":"\xc3\x28"}',
     b'{"meta":{"name":"\\ud800"},"spec":{}}',
+    *(_with_raw(b"s-1", b"extra", b"[" * depth + b"]" * depth) for depth in (300, 970, 100_000)),
+    _with_raw(b"s-2", b"extra", b'{"a":' * 2_000 + b'"]}"' + b"}" * 2_000),
+    _with_raw(b"s-3", b"version", b'"\\ud800"'),
+    _with_raw(b"s-3", b"\\ud800", b"1"),
     b'{"meta":[],"spec":{}}',
 )
 _BAD = st.one_of(
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -126,6 +126,8 @@
         #: HTTP servers of this store that each serve a single machine, by machine.
         self._own_servers: dict[str, Any] = {}
         self._turned_away: set[str] = set()
+        #: What stands in answers for a text, as JSON that the stand-in itself couldn't write.
+        self.replaced_texts: dict[str, str] = {}
         #: Number of waiting watches, by machine and kind.
         self.watching: Counter[tuple[str, str]] = Counter()
 
@@ -236,7 +238,10 @@
             time.sleep(LOST_SECONDS if status == LOST else 0.0)
             call.close_connection = True
             return
-        call.answer(status, json.dumps(document).encode(), {"Content-Type": "application/json"})
+        text = json.dumps(document)
+        for name, replacement in self.replaced_texts.items():
+            text = text.replace(json.dumps(name), replacement)
+        call.answer(status, text.encode(), {"Content-Type": "application/json"})
 
     def _loses_list(self) -> bool:
         with self.lock:
--- a/yarrowwall/platform/store.py
+++ b/yarrowwall/platform/store.py
@@ -222,7 +222,7 @@
         raise ObjectStoreError(f"{method} {path}: status {status}")
     try:
         document = read_json(data) if data else {}
-    except (RecursionError, ValueError) as error:
+    except ValueError as error:
         raise ObjectStoreError(f"{method} {path}: the answer is not JSON") from error
     if not isinstance(document, dict):
         raise ObjectStoreError(f"{method} {path}: the answer is not an object")
--- a/yarrowwall/watching/wire.py
+++ b/yarrowwall/watching/wire.py
@@ -7,6 +7,7 @@
 
 from yarrowwall.messages.objects import RelayedObject
 from yarrowwall.ports.object_store import Change, StoredObject
+from yarrowwall.watching.object_content import is_usable
 
 #: The fastest level of zlib. It shrinks a configuration of 2,000 routes (600 KB), which is sent to
 #: each machine of a zone, to less than a tenth.
@@ -42,7 +43,9 @@
 
 
 def _encoded(item: StoredObject, is_gone: bool) -> RelayedObject:
-    text = json.dumps([item.spec, item.status], separators=(",", ":"))
+    # An object that can't be read is unreadable for other machines too.
+    spec = item.spec if item.is_readable else None
+    text = json.dumps([spec, item.status], separators=(",", ":"))
     content = zlib.compress(text.encode(), COMPRESSION_LEVEL)
     return RelayedObject(item.name, item.revision, content, is_gone)
 
@@ -57,7 +60,7 @@
         spec, status = json.loads(zlib.decompress(found.content))
     except (RecursionError, TypeError, ValueError, zlib.error):
         return StoredObject(found.name, found.revision, {}, {}, is_readable=False)
-    if not isinstance(spec, dict) or not isinstance(status, dict):
+    if not isinstance(spec, dict) or not isinstance(status, dict) or not is_usable([spec, status]):
         return StoredObject(found.name, found.revision, {}, {}, is_readable=False)
     return StoredObject(found.name, found.revision, spec, status)
 
