Whatever one object of the store holds, it costs that object alone and is named in a line

Another program's registration with figures in place of texts made every follower of every machine list anew without an end (each read goes through the readers that registrations name), one with a port out of range ended threads of links, and a configuration with an infinite figure ended the thread that follows configurations. Nothing named the object. Cause: followers caught the exceptions that were expected, around whole lists and batches; registrations were taken without a look at their types; a port out of range raises OverflowError, which is no OSError. Change: a follower passes each change on by itself, survives any exception, and logs an object whose content can't be read (ObjectRefused). Any exception of one server's entry refuses that entry; any of a configuration leaves the one before in force, in a line with kind and name. A registration needs texts, an address and the name of its own machine, so that it can't take the place of another's. open_socket turns a port out of range into ConnectError.

--- a/features/odd_objects.feature
+++ b/features/odd_objects.feature
@@ -14,26 +14,27 @@
     When gateway 0 is killed and starts again
     Then gateway 0 is ready within 8 s
     And "later" answers 200 within 4 s at every gateway
-    And the gateways and replicas still run
+    And the gateways and replicas still run, and none of their threads ended with an error
+    And <namers> named the object in a log line
 
     Examples:
-      | kind                   | what                        |
-      | servers                | 970 nested lists            |
-      | servers                | 2000 nested maps            |
-      | servers                | 100000 nested lists         |
-      | servers                | a lone surrogate as version |
-      | servers                | infinite figures            |
-      | servers                | a port out of range         |
-      | configuration          | 2000 nested lists           |
-      | configuration          | a lone surrogate as version |
-      | configuration in force | 2000 nested lists           |
-      | configuration in force | a lone surrogate as version |
-      | configuration in force | infinite figures            |
-      | registrations          | 2000 nested lists           |
-      | registrations          | a lone surrogate as version |
-      | registrations          | figures in place of texts   |
-      | registrations          | a port out of range         |
-      | groups                 | 2000 nested lists           |
-      | groups                 | figures in place of texts   |
-      | retirements            | 2000 nested lists           |
-      | retirements            | a lone surrogate as version |
+      | kind                   | what                        | namers        |
+      | servers                | 970 nested lists            | every gateway |
+      | servers                | 2000 nested maps            | every gateway |
+      | servers                | 100000 nested lists         | every gateway |
+      | servers                | a lone surrogate as version | every gateway |
+      | servers                | infinite figures            | every gateway |
+      | servers                | a port out of range         | every gateway |
+      | configuration          | 2000 nested lists           | every gateway |
+      | configuration          | a lone surrogate as version | every gateway |
+      | configuration in force | 2000 nested lists           | every gateway |
+      | configuration in force | a lone surrogate as version | every gateway |
+      | configuration in force | infinite figures            | every gateway |
+      | registrations          | 2000 nested lists           | every machine |
+      | registrations          | a lone surrogate as version | every machine |
+      | registrations          | figures in place of texts   | every machine |
+      | registrations          | a port out of range         | every machine |
+      | groups                 | 2000 nested lists           | every machine |
+      | groups                 | figures in place of texts   | no machine    |
+      | retirements            | 2000 nested lists           | every replica |
+      | retirements            | a lone surrogate as version | every replica |
--- a/features/steps/odd_object_steps.py
+++ b/features/steps/odd_object_steps.py
@@ -17,6 +17,15 @@
     "groups": ("yarrowwall-groups", "odd"),
     "retirements": ("retirements", "odd"),
 }
+GATEWAYS = ("edge-0", "edge-1")
+REPLICAS = ("storage-0", "storage-1", "storage-2")
+MACHINES = {
+    "every gateway": GATEWAYS,
+    "every replica": REPLICAS,
+    "every machine": (*GATEWAYS, *REPLICAS),
+}
+#: Log lines about an object that can't be read.
+REFUSALS = ("EntryRefused", "ObjectRefused", "DependencyChanged")
 #: Content that is complete for an object of any kind.
 _CONTENT: dict[str, Any] = {
     "service": "records",
@@ -59,17 +68,33 @@
 def write_odd_object(context: Context, kind: str, what: str) -> None:
     store = world(context).store
     spec, nested = _odd_content(what)
+    context.odd_kind, context.odd_name = ODD_OBJECTS[kind]
     if nested:
         store.replaced_texts[_NESTED] = nested
-    store.put(*ODD_OBJECTS[kind], spec)
+    store.put(context.odd_kind, context.odd_name, spec)
     time.sleep(_READ_SECONDS)
 
 
-@then("the gateways and replicas still run")
+@then("the gateways and replicas still run, and none of their threads ended with an error")
 def machines_run(context: Context) -> None:
-    ended = {
-        name: process.returncode
-        for name, process in world(context).processes.items()
-        if process.poll() is not None
-    }
-    assert not ended, ended
+    for name, process in world(context).processes.items():
+        assert process.poll() is None, (name, process.returncode)
+        text = (world(context).folder / f"{name}.log").read_text(errors="replace")
+        assert "Traceback" not in text, (name, text[text.index("Traceback") :][:2000])
+
+
+@then("{machines} named the object in a log line")
+def object_named(context: Context, machines: str) -> None:
+    found = {name for name in world(context).processes if is_named(context, name)}
+    assert found >= set(MACHINES.get(machines, ())), found
+
+
+def is_named(context: Context, machine: str) -> bool:
+    """Return whether a machine has logged that the object can't be read."""
+    name = context.odd_name
+    return any(
+        name in (line.get("server"), line.get("name"))
+        or f"{context.odd_kind}/{name}" in line.get("reason", "")
+        for line in world(context).log(machine)
+        if line["kind"] in REFUSALS
+    )
--- a/features/support/following_model.py
+++ b/features/support/following_model.py
@@ -71,6 +71,7 @@
 class Host:
     """A machine, whose process may be killed and restarted.
 
+    :ivar address: where its process accepts requests.
     :ivar incarnation: number of its process; actions of earlier processes have no effect.
     :ivar seen: versions that took effect in this incarnation.
     :ivar newest_before: the newest version in earlier incarnations.
@@ -79,6 +80,7 @@
 
     node_id: str
     zone: str
+    address: str = ""
     incarnation: int = 0
     is_up: bool = False
     is_frozen: bool = False
@@ -113,7 +115,7 @@
         self._host = host
 
     def get(self, address: str) -> "PeerLink":
-        return PeerLink(self._world, self._host, self._world.hosts[address])
+        return PeerLink(self._world, self._host, self._world.host_at(address))
 
 
 class PeerLink:
@@ -202,6 +204,11 @@
 
     def _add(self, host: Host) -> None:
         self.hosts[host.node_id] = host
+        host.address = f"10.0.0.{len(self.hosts)}:1"
+
+    def host_at(self, address: str) -> Host:
+        """Return the machine at an address."""
+        return next(host for host in self.hosts.values() if host.address == address)
 
     @property
     def gateways(self) -> list[Host]:
@@ -225,7 +232,7 @@
     def start_all(self) -> None:
         """Start all machines; the readers register first."""
         for host in self.readers:
-            member = Member(host.node_id, f"disk-{host.node_id}", host.node_id, host.zone)
+            member = Member(host.node_id, f"disk-{host.node_id}", host.address, host.zone)
             self.store.put(REPLICAS_KIND, host.node_id, member_spec(member))
         for host in self.hosts.values():
             self.start(host)
--- a/features/support/relayed_reads_model.py
+++ b/features/support/relayed_reads_model.py
@@ -83,7 +83,7 @@
 
 class _NeighbourLinks(Links):
     def get(self, address: str) -> PeerLink:
-        return _NeighbourLink(self._world, self._host, self._world.hosts[address])
+        return _NeighbourLink(self._world, self._host, self._world.host_at(address))
 
 
 class _Table(RelayedLinkTable):
@@ -97,7 +97,7 @@
         self._neighbours: Any = _NeighbourLinks(world, host)
 
     def get(self, address: str) -> Any:
-        return _DirectLink(self._world, self._host, self._world.hosts[address])
+        return _DirectLink(self._world, self._host, self._world.host_at(address))
 
 
 class RelayedReadsWorld(FollowingWorld):
@@ -140,7 +140,7 @@
         far = [one for one in self.gateways if one.zone != host.zone]
         place = sum(one.node_id < host.node_id for one in near)
         neighbours = (near[place:] + near[:place])[:4] + far[:1]
-        return [Neighbour(one.node_id, one.zone, one.node_id) for one in neighbours]
+        return [Neighbour(one.node_id, one.zone, one.address) for one in neighbours]
 
     def cut_off(self, host: Host, is_known: bool = True) -> None:
         """Cut a gateway off from all readers and from the store."""
@@ -152,14 +152,14 @@
 
     def _note_cut(self, host: Host) -> None:
         for reader in self.readers:
-            self.tables[host.node_id].paths.note_late(reader.node_id, now_s())
+            self.tables[host.node_id].paths.note_late(reader.address, now_s())
 
     def heal(self, host: Host) -> None:
         """Reconnect a gateway."""
         self.cuts = {cut for cut in self.cuts if cut[0] != host.node_id}
         self.store.unblock(host.node_id)
         for reader in self.readers:
-            self.tables[host.node_id].paths.note_slow(reader.node_id, now_s())
+            self.tables[host.node_id].paths.note_slow(reader.address, now_s())
 
 
 class Result(NamedTuple):
--- a/yarrowwall/decisions.py
+++ b/yarrowwall/decisions.py
@@ -420,6 +420,18 @@
     detail: str
 
 
+class ObjectRefused(Decision, frozen=True):
+    """An object of the platform's store cannot be read; all others stay in force.
+
+    :param object_kind: the kind of the object.
+    :param name: its name; empty if that cannot be read either.
+    """
+
+    object_kind: str
+    name: str
+    reason: str
+
+
 class DependencyChanged(Decision, frozen=True):
     """A dependency became unavailable or available again."""
 
--- a/yarrowwall/dispatch/server_list.py
+++ b/yarrowwall/dispatch/server_list.py
@@ -98,6 +98,10 @@
         except UnusableEntryError as error:
             self._note_fault(item.name, error.fault, error.name)
             return None
+        except Exception as error:
+            # Whatever an entry holds, it must not cost the others of its list.
+            self._note_fault(item.name, EntryFault.UNREADABLE, repr(error))
+            return None
         return server
 
     def _log_change(self, server: Server, before: Server | None, is_change: bool) -> None:
--- a/yarrowwall/machine/gateway_followers.py
+++ b/yarrowwall/machine/gateway_followers.py
@@ -10,10 +10,11 @@
 from yarrowwall.policy.servers import ServerDirectory
 from yarrowwall.ports.object_store import Change, ObjectName, StoredObject
 from yarrowwall.ports.platform import Documents
-from yarrowwall.replication.documents import GROUPS_KIND, read_groups
+from yarrowwall.replication.documents import GROUPS_KIND, GROUPS_NAME, read_groups
 from yarrowwall.replication.group_views import GroupViews
 from yarrowwall.watching.follower import LONG_WATCH_SECONDS, KindFollower
 from yarrowwall.watching.freshness_probe import FreshnessProbe
+from yarrowwall.watching.object_refusals import ObjectRefusals
 from yarrowwall.watching.store_client import StoreClient
 
 
@@ -40,6 +41,7 @@
         self._directory = directory
         self._views = views
         self._log = log
+        self._group_refusals = ObjectRefusals(GROUPS_KIND, log)
         freshness = gateway.components.freshness
         self._probe = FreshnessProbe(
             node_id,
@@ -114,11 +116,12 @@
     def _on_configuration(self, item: StoredObject) -> None:
         try:
             configuration = self._documents.configuration(item)
-        except (AttributeError, KeyError, TypeError, ValueError) as error:
-            self._log.write(decisions.DependencyChanged("configuration", False, repr(error)))
-            return
-        if configuration is not None:
-            self._apply_configuration(configuration)
+            if configuration is not None:
+                self._apply_configuration(configuration)
+        except Exception as error:
+            # Whatever it holds, the configuration before it stays in force.
+            reason = f"{self._documents.configuration_kind}/{item.name}: {error!r}"
+            self._log.write(decisions.DependencyChanged("configuration", False, reason))
 
     def _apply_configuration(self, configuration: Configuration) -> None:
         if self._gateway.apply_configuration(configuration):
@@ -135,5 +138,8 @@
             self._update_groups(change.item)
 
     def _update_groups(self, item: StoredObject) -> None:
-        for view in read_groups(item) or ():
+        views = read_groups(item)
+        if views is None and item.name == GROUPS_NAME:
+            self._group_refusals.note(item.name, "no views of groups")
+        for view in views or ():
             self._views.update(view)
--- a/yarrowwall/replication/documents.py
+++ b/yarrowwall/replication/documents.py
@@ -3,6 +3,7 @@
 from dataclasses import asdict, replace
 from typing import Any
 
+from yarrowwall.addresses import check_address
 from yarrowwall.messages.replicated import GroupView, Member
 from yarrowwall.ports.object_store import StoredObject
 
@@ -22,8 +23,15 @@
 
 
 def read_member(spec: dict[str, Any]) -> Member:
-    """Return a member from an object's content."""
-    return Member(spec["node_id"], spec["disk_id"], spec["address"], spec["zone"])
+    """Return a member from an object's content.
+
+    :raises KeyError: if a field is missing.
+    :raises TypeError: if a field is not text.
+    """
+    fields = [spec[name] for name in ("node_id", "disk_id", "address", "zone")]
+    if not all(isinstance(field, str) for field in fields):
+        raise TypeError("a field of a member is not text")
+    return Member(*fields)
 
 
 def view_spec(view: GroupView) -> dict[str, Any]:
@@ -32,7 +40,13 @@
 
 
 def read_view(spec: dict[str, Any]) -> GroupView:
-    """Return a view from an object's content."""
+    """Return a view from an object's content.
+
+    :raises KeyError: if a field is missing.
+    :raises TypeError: if a field is of another type.
+    """
+    if type(spec["group"]) is not int or type(spec["epoch"]) is not int:
+        raise TypeError("a number of a view is not whole")
     return GroupView(
         spec["group"],
         spec["epoch"],
@@ -64,9 +78,12 @@
 def read_registration(item: StoredObject) -> Member | None:
     """Return a registered machine; None if the object is no valid registration."""
     try:
-        return read_member(item.spec)
-    except (KeyError, TypeError):
+        member = read_member(item.spec)
+        check_address(member.address)
+    except (KeyError, TypeError, ValueError):
         return None
+    # An object under another name would replace the registration of that machine.
+    return member if member.node_id == item.name else None
 
 
 def read_zone_registration(item: StoredObject) -> Member | None:
--- a/yarrowwall/sockets.py
+++ b/yarrowwall/sockets.py
@@ -83,7 +83,7 @@
     except ConnectionRefusedError as error:
         connection.close()
         raise ConnectRefusedError(f"{address}: {error}") from error
-    except (OSError, ValueError) as error:
+    except (OSError, OverflowError, ValueError) as error:
         connection.close()
         raise ConnectError(f"{address}: {error}") from error
     return connection
--- a/yarrowwall/watching/follower.py
+++ b/yarrowwall/watching/follower.py
@@ -17,6 +17,7 @@
     StoredObject,
     WatchInterruptedError,
 )
+from yarrowwall.watching.object_refusals import ObjectRefusals
 
 #: Seconds before a failed read is retried, doubled up to the maximum.
 RETRY_SECONDS = 0.15
@@ -81,6 +82,7 @@
         self._max_retry_s = max_retry_s
         self._allow_stale = allow_stale
         self._on_verified = on_verified
+        self._refusals = ObjectRefusals(kind, log)
         self._running: Any = None
         self._is_next_watch_short = False
         self._must_relist = False
@@ -126,8 +128,8 @@
                 self._is_next_watch_short = True
                 self._note_down(error)
                 self._store.wait_for_recovery(self._retry_pause_s())
-            except (AttributeError, LookupError, RecursionError, TypeError, ValueError) as error:
-                # One unreadable object must not stop the following of all others.
+            except Exception as error:
+                # Whatever an answer holds, it must not end the following of all later ones.
                 revision = None
                 self._note_down(error)
                 eventlet.sleep(self._retry_pause_s())
@@ -135,6 +137,8 @@
     def _list(self) -> int:
         timeout_s = exponential_backoff_s(LIST_SECONDS, MAX_LIST_SECONDS, self._failures)
         listing = self._store.list(self._kind, timeout_s, self._allow_stale)
+        for item in listing.items:
+            self._note_readable(item)
         self._on_list(listing.items)
         self.has_listed = True
         self._on_read(listing.revision)
@@ -151,7 +155,7 @@
         found = self._store.watch(self._kind, revision, wait_s)
         self._is_next_watch_short = False
         for change in found.changes:
-            self._on_change(change)
+            self._apply(change)
         self._on_read(found.revision)
         if found.verified_at_s is not None:
             self._on_verified(found.verified_at_s)
@@ -159,6 +163,22 @@
             eventlet.sleep(self._pause_s)
         return found.revision
 
+    def _apply(self, change: Change) -> None:
+        """Pass a change on; one that cannot be applied costs no other."""
+        if not change.is_gone:
+            self._note_readable(change.item)
+        try:
+            self._on_change(change)
+        except Exception as error:
+            self._refusals.note(change.item.name, repr(error))
+
+    def _note_readable(self, item: StoredObject) -> None:
+        """Log an object whose content cannot be read."""
+        if item.is_readable:
+            self._refusals.clear(item.name)
+        else:
+            self._refusals.note(item.name, "its content cannot be read")
+
     def _retry_pause_s(self) -> float:
         max_s = self._max_retry_s if self.has_listed else MAX_FIRST_RETRY_SECONDS
         pause = exponential_backoff_s(RETRY_SECONDS, max_s, self._failures - 1)
--- a/yarrowwall/watching/store_client.py
+++ b/yarrowwall/watching/store_client.py
@@ -36,6 +36,7 @@
 from yarrowwall.watching.direct_watches import DirectWatches
 from yarrowwall.watching.follower import KindFollower
 from yarrowwall.watching.monitored_store import MonitoredStore
+from yarrowwall.watching.object_refusals import ObjectRefusals
 from yarrowwall.watching.reader import FIRST_LIST_SECONDS, StoreReader
 from yarrowwall.watching.reader_selection import ReaderSelection
 from yarrowwall.watching.relayed_reads import PAUSE_SECONDS, SHORT_PAUSE_SECONDS, RelayedReads
@@ -130,6 +131,7 @@
         self._direct_after_s = DIRECT_AFTER_SECONDS + DIRECT_SPREAD_SECONDS * fraction(
             "direct", node_id
         )
+        self._refusals = ObjectRefusals(REPLICAS_KIND, log)
         self._readers = KindFollower(
             self,
             REPLICAS_KIND,
@@ -461,13 +463,13 @@
         return self._selection.has_reader_at(address)
 
     def _on_readers_listed(self, items: Sequence[StoredObject]) -> None:
-        registered = [read_registration(item) for item in items]
+        registered = [self._read_registration(item) for item in items]
         self._selection.replace_all(member for member in registered if member is not None)
         self._return_to_preferred()
         self._request_check()
 
     def _on_reader_changed(self, change: Change) -> None:
-        member = read_registration(change.item)
+        member = None if change.is_gone else self._read_registration(change.item)
         if change.is_gone:
             self._selection.remove(change.item.name)
         elif member is not None:
@@ -475,6 +477,13 @@
         self._return_to_preferred()
         self._request_check()
 
+    def _read_registration(self, item: StoredObject) -> Member | None:
+        """Return a registered machine; None, which is logged, if the object names none."""
+        member = read_registration(item)
+        if member is None:
+            self._refusals.note(item.name, "no registration of the machine of that name")
+        return member
+
     def _return_to_preferred(self) -> None:
         """End the requests that wait at other readers than the preferred healthy one.
 
