A stream that no record tells of goes on only if the store lists no other software at that moment

A gateway out of step has listed one version alone, and streams without a budget that begin while no replicas answer have no record. Change: before such a stream goes on, the gateway reads the list of that moment at the store itself. The store's client raises ObjectStoreError for an answer without its fields, which a list did with KeyError. Eight lists of the store and a mutant that trusts the followed list are checked in process. Still open: servers that join, begin a stream without a record and leave, all while the gateway is out of step.

--- a/features/steps/stream_record_steps.py
+++ b/features/steps/stream_record_steps.py
@@ -1,7 +1,9 @@
 """Steps about the records of streams and what a gateway knows of servers' software."""
 
 import time
+from unittest.mock import patch
 
+import eventlet
 from behave import given, then, when
 from behave.runner import Context
 
@@ -11,8 +13,12 @@
 from yarrowwall.budgets.stream_keys import common_software, recorded_software
 from yarrowwall.budgets.stream_records import stream_retention_s
 from yarrowwall.decisions import DecisionLog
+from yarrowwall.dispatch.sole_software import SoleSoftware
+from yarrowwall.exceptions import StoreUncertainError
 from yarrowwall.model import Attempt, Server
+from yarrowwall.platform.documents import PlatformDocuments
 from yarrowwall.policy.servers import ServerDirectory
+from yarrowwall.ports.object_store import Listing, ObjectStoreError, StoredObject
 from yarrowwall.ports.programs import ExpectedSoftware
 from yarrowwall.replication.group_views import GroupViews
 from yarrowwall.replication.quorum_client import QuorumClient
@@ -137,6 +143,79 @@
     assert found == (server(0, context.version).software_id if sole == "known" else None), found
 
 
+class _ListingStore:
+    """A store that lists objects, or does not answer."""
+
+    def __init__(self, items: list[StoredObject] | None) -> None:
+        self._items = items
+        self.reads = 0
+
+    def list_now(self, kind: str, timeout_s: float) -> Listing:
+        """Return the list."""
+        self.reads += 1
+        eventlet.sleep(0.01)
+        if self._items is None:
+            raise ObjectStoreError("no answer")
+        return Listing(self._items, 1)
+
+
+def entry_of(number: int, version: str, service: str = SERVICE) -> StoredObject:
+    """Return the object of a server's entry."""
+    found = server(number, version, service)
+    spec = {"service": service, "address": found.address, "zone": "a", "slots": 4, "born": 1}
+    stated = {"version": version} if version else {}
+    return StoredObject(found.server_id, 1, {**spec, **stated, "state": "ready"}, {})
+
+
+_SAME = [entry_of(number, "v1") for number in range(COUNT)]
+LISTED: dict[str, list[StoredObject] | None] = {
+    "the same servers": _SAME,
+    "no server": [],
+    'a server of "v2" as well': [*_SAME, entry_of(COUNT, "v2")],
+    'servers of "v2" alone': [entry_of(COUNT, "v2")],
+    "a server without its version": [entry_of(0, "")],
+    'a server of "v2" of another service': [*_SAME, entry_of(COUNT, "v2", "tools")],
+    "an entry that can't be read": [*_SAME, StoredObject("odd", 1, {}, {}, is_readable=False)],
+    "nothing, since it does not answer": None,
+}
+
+
+@given("the store lists {listed}")
+def store_lists(context: Context, listed: str) -> None:
+    context.store = _ListingStore(LISTED[listed])
+    context.sole = SoleSoftware(
+        context.store, PlatformDocuments(), context.directory, lambda: context.now_s
+    )
+
+
+@given("a gateway that trusts the list that it follows")
+def trusts_followed_list(context: Context) -> None:
+    mutant = patch.object(SoleSoftware, "_read", lambda self: [])
+    mutant.start()
+    context.add_cleanup(mutant.stop)
+
+
+@then("the only software that the store confirms is {sole}")
+def confirmed_software(context: Context, sole: str) -> None:
+    try:
+        found = context.sole.find(SERVICE)
+    except StoreUncertainError:
+        assert sole == "uncertain"
+        return
+    assert found == (server(0, "v1").software_id if sole == "known" else None), found
+
+
+@when("{count:d} callers ask for the only software at once")
+def ask_at_once(context: Context, count: int) -> None:
+    callers = [eventlet.spawn(context.sole.find, SERVICE) for _ in range(count)]
+    assert len({caller.wait() for caller in callers}) == 1
+
+
+@then("the store was read at most {count:d} times")
+def read_at_most(context: Context, count: int) -> None:
+    assert 1 <= context.store.reads <= count, context.store.reads
+
+
 @when("an entry is written again without its version")
 def without_version(context: Context) -> None:
     context.directory.put(server(0, ""), {}, context.now_s)
--- a/features/steps/stream_version_steps.py
+++ b/features/steps/stream_version_steps.py
@@ -1,12 +1,14 @@
 """Steps about streams of servers of several software versions."""
 
+import signal
 import time
 from collections.abc import Callable
+from threading import Thread
 
 from behave import given, then, when
 from behave.runner import Context
 
-from features.support.platform_scripts import publish, world
+from features.support.platform_scripts import knows, publish, world
 from features.support.processes import wait_until
 from features.support.versioned_streams import (
     CUT_AFTER,
@@ -20,6 +22,11 @@
 from yarrowwall.policy.servers import VANISHED_SECONDS
 
 GATEWAYS = ("edge-0", "edge-1")
+REPLICAS = ("storage-0", "storage-1", "storage-2")
+#: Seconds in which replicas that have started answer all gateways.
+REPLICAS_BACK_SECONDS = 4.0
+#: Seconds in which requests arrive at a gateway.
+ARRIVAL_SECONDS = 0.3
 
 
 def add_resumable_route(context: Context) -> None:
@@ -118,6 +125,11 @@
     time.sleep(VANISHED_SECONDS + HOUSEKEEPING_SECONDS)
 
 
+def _draining(context: Context, gateway: str) -> int:
+    lines = world(context).log(gateway)
+    return sum(line["kind"] == "ServerChanged" and line["change"] == "draining" for line in lines)
+
+
 def _gone(context: Context, gateway: str) -> int:
     lines = world(context).log(gateway)
     return sum(line["kind"] == "ServerChanged" and line["change"] == "gone" for line in lines)
@@ -274,3 +286,59 @@
     went_on = sum(stream.statuses[-1] == 200 for stream in context.resumed) / len(context.resumed)
     assert len(context.resumed) >= 12
     assert went_on >= began / 2.0, (went_on, began)
+
+
+# Gateways that are out of step
+
+
+@when("the gateways have listed these servers for {seconds:d} s")
+def listed_for(context: Context, seconds: int) -> None:
+    time.sleep(seconds)
+
+
+@when('gateway 1 is {state} while {count:d} servers of "{version}" join and all others drain')
+def out_of_step(context: Context, state: str, count: int, version: str) -> None:
+    if state == "frozen":
+        world(context).kill("edge-1", signal.SIGSTOP)
+    else:
+        # It reads through the replicas, which can't tell it of the store either.
+        for name in ("edge-1", *REPLICAS):
+            world(context).store.turn_away(name)
+    joined = [
+        world(context).add_server(ROUTE, context.scripts.script(version), version)
+        for _ in range(count)
+    ]
+    context.by_version[version] = joined
+    version_number = world(context).version
+    names = {server.server_id for server in joined}
+    wait_until(lambda: knows(context, "edge-0", version_number, names), "gateway 0 knows them")
+    others = [server for server in world(context).servers.values() if server not in joined]
+    for server in others:
+        world(context).drain(server, ROUTE)
+    wait_until(lambda: _draining(context, "edge-0") >= len(others), "gateway 0 knows that too")
+
+
+@when('{count:d} streams begin at gateway 0 on "v2" while no replica runs, and are cut')
+def begin_unrecorded(context: Context, count: int) -> None:
+    for name in REPLICAS:
+        world(context).kill(name)
+    begin_all(context, count, lambda number: 0, CUT_AFTER)
+    for name in REPLICAS:
+        world(context).start_machine(name, is_gateway=False)
+    time.sleep(REPLICAS_BACK_SECONDS)
+
+
+@when("each is resumed at gateway 1, which is no longer frozen")
+def resume_out_of_step(context: Context) -> None:
+    resuming = Thread(target=resume_all, args=(context, lambda number: 1))
+    resuming.start()
+    # The requests have arrived when the gateway goes on.
+    time.sleep(ARRIVAL_SECONDS)
+    world(context).kill("edge-1", signal.SIGCONT)
+    resuming.join()
+
+
+@then('{count:d} streams of "{version}" began')
+def version_began(context: Context, count: int, version: str) -> None:
+    began = [stream for stream in context.streams if version in stream.versions]
+    assert len(began) == count, context.streams
--- a/features/stream_records.feature
+++ b/features/stream_records.feature
@@ -90,6 +90,36 @@
       | v1    | 61      | a server of another service came   | known |
       | v1    | 61      | the servers turn to "v2"           | none  |
 
+  # Guards against streams that go on at the version of a list that is older than the servers.
+  Scenario Outline: A gateway guesses the software of a stream only if the store lists no other now
+    Given a gateway that has listed servers of "v1" for 61 s
+    And the store lists <listed>
+    Then the only software that the store confirms is <sole>
+
+    Examples:
+      | listed                                   | sole      |
+      | the same servers                         | known     |
+      | no server                                | known     |
+      | a server of "v2" as well                 | none      |
+      | servers of "v2" alone                    | none      |
+      | a server without its version             | known     |
+      | a server of "v2" of another service      | known     |
+      | an entry that can't be read              | known     |
+      | nothing, since it does not answer        | uncertain |
+
+  Scenario: The lists of the store detect a gateway that trusts the list that it follows
+    Given a gateway that has listed servers of "v1" for 61 s
+    And the store lists a server of "v2" as well
+    Given a gateway that trusts the list that it follows
+    Then the only software that the store confirms is known
+
+  # Guards against calls to the store as often as callers resume streams that nobody has begun.
+  Scenario: Resumptions of about the same time share a read of the store
+    Given a gateway that has listed servers of "v1" for 61 s
+    And the store lists the same servers
+    When 50 callers ask for the only software at once
+    Then the store was read at most 2 times
+
   # Guards against streams without a budget that are refused though they need no replicas.
   Scenario: A stream without a budget runs while no replicas are known
     Given a gateway that knows no group of replicas
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -144,3 +144,21 @@
     And each is resumed at the other gateway
     Then no stream holds events of two versions
     And 24 streams are whole
+
+  # Guards against streams joined from two versions at a gateway that has not heard of the newer one:
+  # no record told of them, and the gateway knew one version alone.
+  @long
+  Scenario Outline: A gateway <state> joins no stream from two versions
+    Given a resumable route with 3 servers of "v1" and 0 of "v2"
+    And clients whose streams have <budget> budget
+    When the gateways have listed these servers for 61 s
+    And gateway 1 is <state> while 3 servers of "v2" join and all others drain
+    And 24 streams begin at gateway 0 on "v2" while no replica runs, and are cut
+    And each is resumed at gateway 1, which is no longer frozen
+    Then no stream holds events of two versions
+    And 24 streams of "v2" began
+
+    Examples:
+      | state   | budget |
+      | cut off | no     |
+      | frozen  | no     |
--- a/features/support/resumed_turns_model.py
+++ b/features/support/resumed_turns_model.py
@@ -211,7 +211,7 @@
                 ROUTE,
                 TOKENS_PER_EVENT,
                 lambda: end_s,
-                ExpectedSoftware(SOFTWARE, SOFTWARE),
+                ExpectedSoftware(SOFTWARE, lambda: SOFTWARE),
             )
         except (StoreUncertainError, TurnUnknownError) as error:
             self._note_violation(f"{attempt_id} after {turn.previous}: {error!r}")
--- a/yarrowwall/budgets/stream_records.py
+++ b/yarrowwall/budgets/stream_records.py
@@ -97,11 +97,20 @@
         if software is not None:
             self._log_origin(attempt, StreamOrigin.RECORDED, software)
             return software
-        if expected.sole is None:
+        return self._sole_software(attempt, expected)
+
+    def _sole_software(self, attempt: Attempt, expected: ExpectedSoftware) -> str:
+        """Return the only software that could have begun a stream of which nothing is recorded."""
+        try:
+            sole = expected.find_sole()
+        except StoreUncertainError:
+            self._log_origin(attempt, StreamOrigin.UNCERTAIN, "")
+            raise
+        if sole is None:
             self._log_origin(attempt, StreamOrigin.UNKNOWN, "")
             raise StreamUnknownError("no record tells the software version of the stream")
-        self._log_origin(attempt, StreamOrigin.SOLE, expected.sole)
-        return expected.sole
+        self._log_origin(attempt, StreamOrigin.SOLE, sole)
+        return sole
 
     def _find(
         self,
--- a/yarrowwall/gateway/components.py
+++ b/yarrowwall/gateway/components.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from yarrowwall.dispatch.components import DispatchComponents
+from yarrowwall.dispatch.sole_software import SoleSoftware
 from yarrowwall.gateway.caller_connection import CurrentCallerLimits
 from yarrowwall.policy.freshness import Freshness
 from yarrowwall.policy.program_sizes import ProgramSizes
@@ -23,6 +24,7 @@
     :param admission: decides whether new programs may begin.
     :param limits: limits on what callers may send.
     :param freshness: age of the current configuration.
+    :param sole_software: finds the only software of a service.
     """
 
     dispatch: DispatchComponents
@@ -32,4 +34,5 @@
     admission: AdmissionControl
     limits: CurrentCallerLimits
     freshness: Freshness
+    sole_software: SoleSoftware
     program_sizes: ProgramSizes = field(default_factory=ProgramSizes)
--- a/yarrowwall/gateway/turn.py
+++ b/yarrowwall/gateway/turn.py
@@ -102,8 +102,8 @@
             return NO_EXPECTED_SOFTWARE
         dispatch, service = self._components.dispatch, self._service.name
         if self._attempt.is_resumption:
-            sole = dispatch.directory.sole_software(service, dispatch.now())
-            return ExpectedSoftware(sole=sole)
+            find_sole = self._components.sole_software.find
+            return ExpectedSoftware(find_sole=lambda: find_sole(service))
         software = dispatch.directory.software(service)
         if len(software) == 1:
             return ExpectedSoftware(next(iter(software)))
--- a/yarrowwall/machine/gateway_role.py
+++ b/yarrowwall/machine/gateway_role.py
@@ -13,6 +13,7 @@
 from yarrowwall.decisions import DecisionLog
 from yarrowwall.dispatch.components import DispatchComponents
 from yarrowwall.dispatch.pool import ConnectionPool
+from yarrowwall.dispatch.sole_software import SoleSoftware
 from yarrowwall.gateway.caller_connection import CurrentCallerLimits
 from yarrowwall.gateway.components import GatewayComponents
 from yarrowwall.gateway.gateway import Gateway
@@ -141,6 +142,7 @@
                 admission,
                 self._limits,
                 self._freshness,
+                SoleSoftware(store, adapter.documents, self._directory, time.monotonic),
             )
         )
         self._followers = GatewayFollowers(
--- a/yarrowwall/platform/store.py
+++ b/yarrowwall/platform/store.py
@@ -78,10 +78,10 @@
         while True:
             target = f"{path}?{query}" if query else path
             _, document = self._call("GET", target, channel=f"list {kind}", timeout=timeout_s)
-            page = [read_object(item) for item in document["items"]]
+            page = [read_object(item) for item in _field(document, "items", list)]
             items += page
             # The first page's revision: a watch from it delivers all later changes.
-            revision = document["at"] if revision is None else revision
+            revision = _field(document, "at", int) if revision is None else revision
             if not document.get("more"):
                 return Listing(items, revision)
             after = "after=" + quote(_last_name(page), safe="")
@@ -106,10 +106,10 @@
             raise HistoryExpiredError(f"{kind} since {revision}")
         changes = [
             Change(read_object(event["object"]), bool(event["gone"]))
-            for event in document["events"]
+            for event in _field(document, "events", list)
             if isinstance(event, dict) and "object" in event and "gone" in event
         ]
-        return Changes(changes, document["at"])
+        return Changes(changes, _field(document, "at", int))
 
     def interrupt_watches(
         self, opened_before_s: float = float("inf"), kind: str | None = None
@@ -229,6 +229,17 @@
     return document
 
 
+def _field(document: dict[str, Any], name: str, kind: type) -> Any:
+    """Return a field of an answer.
+
+    :raises ObjectStoreError: if it is missing or of another type.
+    """
+    value = document.get(name)
+    if not isinstance(value, kind):
+        raise ObjectStoreError(f"the answer has no {name}")
+    return value
+
+
 def _last_name(page: Sequence[StoredObject]) -> str:
     """Return the last readable name of a page, after which the next page begins.
 
--- a/yarrowwall/policy/servers.py
+++ b/yarrowwall/policy/servers.py
@@ -111,9 +111,7 @@
         if state is not None and state.incarnation != server.incarnation:
             self._end_incarnation(state, server.incarnation)
             state = None
-        if state is not None and not server.version:
-            # One run of a server has one version, even if a later entry does not state it.
-            server = replace(server, version=state.server.version)
+        server = self._with_version(server)
         self._history.note(server, now)
         self._software.clear()
         if state is None:
@@ -199,9 +197,21 @@
             self._software[service] = found
         return found
 
-    def sole_software(self, service: str, now: float) -> str | None:
-        """Return the only software that servers of a service have run lately, or None."""
-        return self._history.sole(service, self._servers_of(service), now)
+    def sole_software(self, service: str, now: float, listed: Iterable[Server] = ()) -> str | None:
+        """Return the only software that servers of a service have run lately, or None.
+
+        :param listed: servers of a list that may be newer than the known one.
+        """
+        newer = [self._with_version(server) for server in listed if server.service == service]
+        return self._history.sole(service, [*self._servers_of(service), *newer], now)
+
+    def _with_version(self, server: Server) -> Server:
+        """Return a server with the version that its incarnation has stated before."""
+        state = self.states.get(server.server_id)
+        if server.version or state is None or state.incarnation != server.incarnation:
+            return server
+        # One run of a server has one version, even if a later entry does not state it.
+        return replace(server, version=state.server.version)
 
     def _servers_of(self, service: str) -> list[Server]:
         return [state.server for state in self.states.values() if state.server.service == service]
--- a/yarrowwall/ports/programs.py
+++ b/yarrowwall/ports/programs.py
@@ -16,11 +16,12 @@
     """What a gateway knows of the software that will run a stream, by its software id.
 
     :param likely: The software that probably runs it; empty if unknown.
-    :param sole: The only software that could have begun it; None if there are several.
+    :param find_sole: Returns the only software that could have begun it, None if there are several;
+        raises StoreUncertainError if that cannot be known now.
     """
 
     likely: str = ""
-    sole: str | None = None
+    find_sole: Callable[[], str | None] = lambda: None
 
 
 NO_EXPECTED_SOFTWARE = ExpectedSoftware()
--- a/yarrowwall/watching/store_client.py
+++ b/yarrowwall/watching/store_client.py
@@ -499,7 +499,12 @@
             if is_healthy and asked != healthy[0].node_id and not arrived.ready():
                 arrived.send(_INTERRUPTED)
 
-    # Single objects
+    # Reading at the store itself
+
+    def list_now(self, kind: str, timeout_s: float) -> Listing:
+        """Return all objects of a kind as the store itself has them now."""
+        with self._tracking_direct_read():
+            return self._direct.list(kind, timeout_s)
 
     def get(self, kind: str, name: str, timeout_s: float) -> StoredObject | None:
         """Return the current state of an object at the store itself; None if there is none."""
