--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -54,6 +54,12 @@
     When an object of 6000000 bytes is written there
     Then the write counts as not acknowledged
 
+  Scenario: The store's reset detects a connection that takes any end for an orderly one
+    Given a connection that takes any end for an orderly one
+    And a store that answers a write without a length and resets it
+    When an object of 6000000 bytes is written there
+    Then the write counts as acknowledged
+
   # Guards against answers that are read in another way where their bytes arrive in other pieces.
   Scenario: The listed answers are read as listed in any pieces
     Then the listed answers are read as listed in pieces of each size
--- a/features/steps/broken_answer_steps.py
+++ b/features/steps/broken_answer_steps.py
@@ -6,6 +6,7 @@
 import sys
 import time
 from concurrent.futures import ThreadPoolExecutor
+from unittest.mock import patch
 
 from behave import given, then, when
 from behave.runner import Context
@@ -15,6 +16,7 @@
 from features.support.platform_world import HOST, ROOT, Answer, read_answer
 from features.support.processes import wait_until
 from features.support.raw_servers import RawAnswer, RawStandIn, list_stand_in
+from yarrowwall.dispatch.connection import ServerConnection
 from yarrowwall.platform.store import PlatformStore
 from yarrowwall.ports.object_store import ObjectStoreError
 
@@ -176,6 +178,18 @@
         context.error = error
 
 
+@given("a connection that takes any end for an orderly one")
+def any_end(context: Context) -> None:
+    mutant = patch.object(ServerConnection, "_check_end", lambda self: None)
+    mutant.start()
+    context.add_cleanup(mutant.stop)
+
+
+@then("the write counts as acknowledged")
+def acknowledged(context: Context) -> None:
+    assert context.error is None, context.error
+
+
 @then("the write counts as not acknowledged")
 def not_acknowledged(context: Context) -> None:
     assert context.stand_in.heads, "the store got no request"
--- a/features/steps/stream_record_steps.py
+++ b/features/steps/stream_record_steps.py
@@ -184,7 +184,7 @@
 def store_lists(context: Context, listed: str) -> None:
     context.store = _ListingStore(LISTED[listed])
     context.sole = SoleSoftware(
-        context.store, PlatformDocuments(), context.directory, lambda: context.now_s
+        context.store.list_now, PlatformDocuments(), context.directory, lambda: context.now_s
     )
 
 
--- a/yarrowwall/dispatch/sole_software.py
+++ b/yarrowwall/dispatch/sole_software.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Callable
-from typing import Protocol
 
 import eventlet
 from eventlet.event import Event
@@ -22,29 +21,23 @@
 PAUSE_SECONDS = 0.1
 
 
-class _CurrentStore(Protocol):
-    def list_now(self, kind: str, timeout_s: float) -> Listing:
-        """Return all objects of a kind as the store has them now.
-
-        :raises ObjectStoreError: if the store gives no usable answer.
-        """
-
-
 class SoleSoftware:
     """Finds the only software of a service; callers of about the same time share a read.
 
+    :param list_now: returns all objects of a kind as the store has them now, within a timeout in
+        seconds; raises ObjectStoreError.
     :param directory: the servers of the followed list.
     :param now: the monotonic clock.
     """
 
     def __init__(
         self,
-        store: _CurrentStore,
+        list_now: Callable[[str, float], Listing],
         documents: Documents,
         directory: ServerDirectory,
         now: Callable[[], float],
     ) -> None:
-        self._store = store
+        self._list_now = list_now
         self._documents = documents
         self._directory = directory
         self._now = now
@@ -79,7 +72,7 @@
         self._read_at = self._now()
         listed = None
         try:
-            listed = self._store.list_now(self._documents.servers_kind, TIMEOUT_SECONDS).items
+            listed = self._list_now(self._documents.servers_kind, TIMEOUT_SECONDS).items
         except ObjectStoreError:
             # The callers are refused, which is logged with its reason.
             pass
--- a/yarrowwall/machine/gateway_role.py
+++ b/yarrowwall/machine/gateway_role.py
@@ -142,7 +142,7 @@
                 admission,
                 self._limits,
                 self._freshness,
-                SoleSoftware(store, adapter.documents, self._directory, time.monotonic),
+                SoleSoftware(store.list_now, adapter.documents, self._directory, time.monotonic),
             )
         )
         self._followers = GatewayFollowers(
