--- a/features/steps/broken_answer_steps.py
+++ b/features/steps/broken_answer_steps.py
@@ -206,9 +206,9 @@
 
 @given("a reader of answers that {mutant}")
 def mutant_reader(context: Context, mutant: str) -> None:
-    patch = ANSWER_MUTANTS[mutant]()
-    patch.__enter__()
-    context.add_cleanup(patch.__exit__, None, None, None)
+    replaced = ANSWER_MUTANTS[mutant]()
+    replaced.__enter__()
+    context.add_cleanup(replaced.__exit__, None, None, None)
 
 
 @then("some of the listed answers are not read as listed")
--- a/features/steps/stream_version_steps.py
+++ b/features/steps/stream_version_steps.py
@@ -118,21 +118,19 @@
     stop_servers(context, version)
     for gateway in GATEWAYS:
         wait_until(
-            lambda gateway=gateway: _gone(context, gateway) >= len(context.by_version[version]),
+            lambda gateway=gateway: (
+                _changed(context, gateway, "gone") >= len(context.by_version[version])
+            ),
             f"{gateway} knows",
         )
     # A server that is no longer listed may serve for a short time if no other can.
     time.sleep(VANISHED_SECONDS + HOUSEKEEPING_SECONDS)
 
 
-def _draining(context: Context, gateway: str) -> int:
+def _changed(context: Context, gateway: str, change: str) -> int:
+    """Return how often a gateway has logged a change of a server."""
     lines = world(context).log(gateway)
-    return sum(line["kind"] == "ServerChanged" and line["change"] == "draining" for line in lines)
-
-
-def _gone(context: Context, gateway: str) -> int:
-    lines = world(context).log(gateway)
-    return sum(line["kind"] == "ServerChanged" and line["change"] == "gone" for line in lines)
+    return sum(line["kind"] == "ServerChanged" and line["change"] == change for line in lines)
 
 
 @when('a server of "{version}" drains and the entry of another lapses and comes back')
@@ -140,7 +138,9 @@
     draining, lapsed = context.by_version[version][:2]
     world(context).drain(draining, ROUTE)
     world(context).store.remove("servers", lapsed.server_id)
-    wait_until(lambda: _gone(context, "edge-0") and _gone(context, "edge-1"), "the gateways know")
+    wait_until(
+        lambda: all(_changed(context, gateway, "gone") for gateway in GATEWAYS), "the gateways know"
+    )
     world(context).list_again(lapsed, ROUTE)
 
 
@@ -315,7 +315,9 @@
     others = [server for server in world(context).servers.values() if server not in joined]
     for server in others:
         world(context).drain(server, ROUTE)
-    wait_until(lambda: _draining(context, "edge-0") >= len(others), "gateway 0 knows that too")
+    wait_until(
+        lambda: _changed(context, "edge-0", "draining") >= len(others), "gateway 0 knows that too"
+    )
 
 
 @when('{count:d} streams begin at gateway 0 on "v2" while no replica runs, and are cut')
--- a/features/support/raw_servers.py
+++ b/features/support/raw_servers.py
@@ -2,19 +2,16 @@
 
 import contextlib
 import socket
-import struct
 import threading
 import time
 from typing import NamedTuple
 
+from features.support.platform_scripts import RESET
 from features.support.platform_world import PlatformWorld, Server
+from features.support.raw_exchange import OWN_LINES
 
-#: SO_LINGER option that makes a close reset the connection.
-RESET = struct.pack("ii", 1, 0)
 #: Receive buffer of a stand-in's kernel: small, so that most of an upload stays unread.
 _BUFFER_BYTES = 16 * 1024
-#: Stands for the headers that each answer of a listed server has.
-OWN_LINES = b"@"
 
 
 class RawAnswer(NamedTuple):
--- a/yarrowwall/http_client.py
+++ b/yarrowwall/http_client.py
@@ -18,6 +18,8 @@
 CONNECT_SECONDS = 2.0
 #: Largest answer that is read whole.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+#: Exceptions that reading a JSON document of an unexpected shape raises.
+UNREADABLE = (LookupError, OverflowError, TypeError, ValueError)
 
 
 class HttpRequest(NamedTuple):
--- a/yarrowwall/standalone/runtime/engine_client.py
+++ b/yarrowwall/standalone/runtime/engine_client.py
@@ -6,7 +6,7 @@
 import logbook
 
 from yarrowwall.exceptions import ConnectError, RelayError
-from yarrowwall.http_client import HttpExchange, HttpRequest, ask, json_request
+from yarrowwall.http_client import UNREADABLE, HttpExchange, HttpRequest, ask, json_request
 from yarrowwall.messages.entries import ChatMessage
 from yarrowwall.standalone.core.effects import (
     CancelAttempt,
@@ -178,7 +178,7 @@
         try:
             self._report(engine_id, answer)
             return self._report_cache_events(engine_id, answer["events"], sequence)
-        except (LookupError, OverflowError, TypeError, ValueError) as error:
+        except UNREADABLE as error:
             extra = {"engine": engine_id, "error": repr(error)}
             _log.warning("load report not readable", extra=extra)
             self._node.post(EngineUnreachable(engine_id))
--- a/yarrowwall/standalone/runtime/platform_client.py
+++ b/yarrowwall/standalone/runtime/platform_client.py
@@ -8,7 +8,7 @@
 import logbook
 
 from yarrowwall.exceptions import RelayError
-from yarrowwall.http_client import ask, json_request
+from yarrowwall.http_client import UNREADABLE, ask, json_request
 from yarrowwall.messages.peers import Document
 from yarrowwall.standalone.core.effects import ReadPlatform, SendLookup, WritePlatform
 from yarrowwall.standalone.core.events import (
@@ -28,8 +28,6 @@
 RETRY_SECONDS = 1.0
 
 _HTTP_OK = 200
-#: Exceptions that reading an unexpected JSON document raises.
-_UNREADABLE = (LookupError, OverflowError, TypeError, ValueError)
 _HTTP_NOT_FOUND = 404
 _HTTP_CONFLICT = 409
 
@@ -61,7 +59,7 @@
             available = response.status in (_HTTP_OK, _HTTP_NOT_FOUND)
             found = response.status == _HTTP_OK
             document = document_from_json(response.json()) if found else None
-        except (RelayError, *_UNREADABLE):
+        except (RelayError, *UNREADABLE):
             available, document = False, None
         self._node.post(PlatformRead(effect.operation_id, effect.name, available, document))
 
@@ -85,7 +83,7 @@
                 outcome = WriteOutcome.CONFLICT
             else:
                 outcome = WriteOutcome.UNKNOWN
-        except (RelayError, *_UNREADABLE):
+        except (RelayError, *UNREADABLE):
             outcome = WriteOutcome.UNKNOWN
         self._node.post(PlatformWritten(effect.operation_id, outcome, document))
 
@@ -108,7 +106,7 @@
                 revision = int(answer["revision"])
                 for item in answer["objects"]:
                     self._post_document(item)
-            except _UNREADABLE as error:
+            except UNREADABLE as error:
                 _log.warning("watch answer not readable", extra={"error": repr(error)})
                 eventlet.sleep(RETRY_SECONDS)
 
@@ -116,7 +114,7 @@
         """Post a document; one that cannot be read costs no other of its answer."""
         try:
             document = document_from_json(item)
-        except _UNREADABLE as error:
+        except UNREADABLE as error:
             name = item.get("name") if isinstance(item, dict) else None
             _log.warning("object not readable", extra={"name": str(name), "error": repr(error)})
             return
